--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the standins package."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,5 @@
+"""Run a stand-in by `python -m standins`."""
+
+from standins.main import main
+
+main()
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,174 @@
+"""Start a fleet with its stand-ins as processes on loopback, and end them."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+CONDITION_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class LaunchError(Exception):
+    """Report a process that did not come up, or a condition that never held."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Running:
+    """Hold a started process and the lines it wrote."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    ports: dict[str, int] = field(default_factory=dict)
+    lines: list[str] = field(default_factory=list)
+    reader: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the address of a stand-in."""
+        return f"http://{LOOPBACK}:{self.ports['port']}"
+
+    @property
+    def caller_url(self) -> str:
+        """Return where a host serves callers."""
+        return f"http://{LOOPBACK}:{self.ports['caller_port']}"
+
+    @property
+    def operator_url(self) -> str:
+        """Return where a host serves operators."""
+        return f"http://{LOOPBACK}:{self.ports['operator_port']}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        self.process.send_signal(number)
+
+
+class Launcher:
+    """Own every process of one fleet."""
+
+    def __init__(self) -> None:
+        self.running: dict[str, Running] = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self.session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> Self:
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(self.kill(name) for name in list(self.running)))
+        await self.session.close()
+        self._folder.cleanup()
+
+    async def start_standin(self, name: str, kind: str, *options: str) -> Running:
+        """Start a stand-in and wait for its port."""
+        return await self._start(name, "standins", kind, *options)
+
+    async def start_host(
+        self, name: str, data_center: str, *, log_url: str, **extra: object
+    ) -> Running:
+        """Start a host and wait for its ports."""
+        settings = {
+            "host": name,
+            "data_center": data_center,
+            "log_url": log_url,
+            **extra,
+        }
+        path = Path(self._folder.name) / f"{name}.toml"
+        lines = [f"{key} = {format_toml(value)}" for key, value in settings.items()]
+        path.write_text("\n".join(lines) + "\n")
+        return await self._start(name, "trefoilstage", "--settings", str(path))
+
+    async def _start(self, name: str, module: str, *options: str) -> Running:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *options,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        running = Running(name=name, process=process)
+        running.reader = asyncio.create_task(read_lines(running))
+        self.running[name] = running
+        await wait_for(lambda: bool(running.ports), f"{name} to listen")
+        return running
+
+    async def kill(self, name: str) -> None:
+        """End a process at once."""
+        running = self.running.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            running.process.kill()
+        await running.process.wait()
+        if running.reader is not None:
+            await running.reader
+
+    async def stop(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask a process to end and return its exit code."""
+        running = self.running[name]
+        running.process.terminate()
+        code = await asyncio.wait_for(running.process.wait(), timeout_s)
+        del self.running[name]
+        return code
+
+    async def get_json(self, url: str) -> Any:
+        """Return the JSON at an address."""
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def post_json(self, url: str, body: object) -> Any:
+        """Post JSON and return the JSON answer."""
+        async with self.session.post(url, json=body) as response:
+            return await response.json()
+
+
+async def read_lines(running: Running) -> None:
+    """Keep a process's lines and note the ports that it names."""
+    stream = running.process.stderr
+    if stream is None:
+        return
+    async for raw in stream:
+        line = raw.decode(errors="replace").rstrip()
+        running.lines.append(line)
+        if not running.ports and "port=" in line:
+            running.ports.update(parse_ports(line))
+
+
+def parse_ports(line: str) -> dict[str, int]:
+    """Return the ports named in a line."""
+    pairs = (word.split("=", 1) for word in line.split() if "=" in word)
+    return {key: int(value) for key, value in pairs if key.endswith("port")}
+
+
+def format_toml(value: object) -> str:
+    """Return a scalar as TOML."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return str(value) if isinstance(value, int | float) else f'"{value}"'
+
+
+async def wait_for(
+    condition: Any, what: str, timeout_s: float = CONDITION_TIMEOUT_S
+) -> None:
+    """Wait until a condition holds; the condition may be a coroutine function."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
+    while True:
+        result = condition()
+        if asyncio.iscoroutine(result):
+            result = await result
+        if result:
+            return
+        if loop.time() >= deadline:
+            raise LaunchError(f"waited {timeout_s} s for {what}")
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/standins/main.py
@@ -0,0 +1,72 @@
+"""Run one stand-in as a process of its own."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from standins.common import serve_app
+from standins.engine import EngineControl, EngineStandin
+from standins.log import LogStandin
+from standins.service import ServiceStandin
+
+LOOPBACK = "127.0.0.1"
+
+
+@cappa.command(name="log")
+@dataclass(kw_only=True)
+class LogCommand:
+    """Run the platform log's stand-in."""
+
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    retention: Annotated[int | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> None:
+        """Serve."""
+        app = LogStandin(retention=self.retention).make_app()
+        asyncio.run(serve_app(app, name="log", address=LOOPBACK, port=self.port))
+
+
+@cappa.command(name="engine")
+@dataclass(kw_only=True)
+class EngineCommand:
+    """Run a model engine's stand-in."""
+
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    tokens_per_s: Annotated[float, cappa.Arg(long=True)] = 200.0
+    max_running: Annotated[int, cappa.Arg(long=True)] = 32
+
+    def __call__(self) -> None:
+        """Serve."""
+        control = EngineControl(
+            tokens_per_s=self.tokens_per_s, max_running=self.max_running
+        )
+        app = EngineStandin(control=control).make_app()
+        asyncio.run(serve_app(app, name="engine", address=LOOPBACK, port=self.port))
+
+
+@cappa.command(name="service")
+@dataclass(kw_only=True)
+class ServiceCommand:
+    """Run a plain service's stand-in."""
+
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+
+    def __call__(self) -> None:
+        """Serve."""
+        app = ServiceStandin().make_app()
+        asyncio.run(serve_app(app, name="service", address=LOOPBACK, port=self.port))
+
+
+@cappa.command(name="trefoilstage-standin")
+@dataclass(kw_only=True)
+class Standin:
+    """Run a stand-in for an outside system."""
+
+    command: cappa.Subcommands[LogCommand | EngineCommand | ServiceCommand]
+
+
+def main() -> None:
+    """Start a stand-in from the command line."""
+    cappa.invoke(Standin)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,78 @@
+"""Stand in for a plain service, with a meter of its effects.
+
+ANY  /{path}                     take effect once more and answer with its number
+GET  /meter                      every effect, the tests' oracle
+POST /control                    JSON ServiceControl: delay, answers lost after effect
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from pydantic import BaseModel, Field
+
+from standins.common import add_control, answer_json
+
+
+class ServiceControl(BaseModel):
+    """Order the service's speed and faults."""
+
+    delay_s: float = Field(default=0.0, ge=0)
+    lose_answers: int = Field(default=0, ge=0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Effect:
+    """Hold one effect of the service."""
+
+    path: str
+    workspace: str
+    key: str
+    body: str
+
+
+@dataclass(kw_only=True, slots=True)
+class ServiceMeter:
+    """Hold every effect in order."""
+
+    effects: list[Effect] = field(default_factory=list)
+
+
+class ServiceStandin:
+    """Serve any path and count each call as an effect."""
+
+    def __init__(self) -> None:
+        self.control = ServiceControl()
+        self.meter = ServiceMeter()
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/meter", self._answer_meter)
+        add_control(app, ServiceControl, self._set_control)
+        app.router.add_route("*", "/{path:.*}", self._take_effect)
+        return app
+
+    def _set_control(self, control: ServiceControl) -> None:
+        self.control = control
+
+    async def _answer_meter(self, request: web.Request) -> web.Response:
+        return answer_json(self.meter)
+
+    async def _take_effect(self, request: web.Request) -> web.Response:
+        body = (await request.read()).decode(errors="replace")
+        self.meter.effects.append(
+            Effect(
+                path=request.path,
+                workspace=request.headers.get("X-Workspace", ""),
+                key=request.headers.get("Idempotency-Key", ""),
+                body=body,
+            )
+        )
+        number = len(self.meter.effects)
+        await asyncio.sleep(self.control.delay_s)
+        if self.control.lose_answers > 0:
+            self.control.lose_answers -= 1
+            if request.transport is not None:
+                request.transport.abort()
+        return web.json_response({"confirmation": number, "path": request.path})
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the tests package."""
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,194 @@
+"""Start small fleets for tests and call them as a caller would."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+from typing import Any, Self
+
+from standins.launcher import Launcher, Running, wait_for
+
+SECRET = "brest-school-key"
+OTHER_SECRET = "quimper-crew-key"
+
+
+def make_config(engines: list[str], services: list[str], *, tokens: int) -> str:
+    """Return a configuration over the given engines and services."""
+    lines = [
+        "[workspaces.brest-school]",
+        'budget = "brest"',
+        f'key_sha256 = ["{hashlib.sha256(SECRET.encode()).hexdigest()}"]',
+        "[workspaces.quimper-crew]",
+        'budget = "quimper"',
+        f'key_sha256 = ["{hashlib.sha256(OTHER_SECRET.encode()).hexdigest()}"]',
+        f"[budgets.brest]\ntokens = {tokens}",
+        f"[budgets.quimper]\ntokens = {tokens}",
+        '[sites.brest]\ndata_center = "brest"\nceiling_watts = 4000',
+        "[models.assistant]\nprompt_bytes_per_token = 4",
+    ]
+    for number, url in enumerate(engines):
+        lines += [
+            f"[targets.engine-{number}]",
+            f'model = "assistant"\nsite = "brest"\nurl = "{url}"',
+            "idle_watts = 100\nwatts_per_request = 20",
+        ]
+    if services:
+        urls = ", ".join(f'"{url}"' for url in services)
+        lines += [
+            f"[services.booking]\nurls = [{urls}]",
+            '[services.booking.operations.confirm]\npath = "/confirm"',
+            '[services.booking.operations.permit]\npath = "/permit"',
+            "idempotent = true",
+        ]
+    return "\n".join(lines) + "\n"
+
+
+@dataclass(kw_only=True, slots=True)
+class Fleet:
+    """Hold a running fleet: a log, engines, a service and hosts."""
+
+    n_hosts: int = 3
+    n_engines: int = 1
+    tokens: int = 1_000_000
+    host_settings: dict[str, Any] = field(default_factory=dict)
+    engine_options: tuple[str, ...] = ()
+    log_options: tuple[str, ...] = ()
+    launcher: Launcher = field(default_factory=Launcher)
+    log: Running = field(init=False)
+    service: Running = field(init=False)
+    engines: list[Running] = field(default_factory=list)
+    hosts: list[Running] = field(default_factory=list)
+
+    async def __aenter__(self) -> Self:
+        await self.launcher.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self.launcher.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.launcher.__aexit__()
+
+    async def _start(self) -> None:
+        launcher = self.launcher
+        self.log = await launcher.start_standin("log", "log", *self.log_options)
+        self.service = await launcher.start_standin("service", "service")
+        for number in range(self.n_engines):
+            engine = await launcher.start_standin(
+                f"engine-{number}", "engine", *self.engine_options
+            )
+            self.engines.append(engine)
+        names = [f"host-{number}" for number in range(self.n_hosts)]
+        self.hosts = list(
+            await asyncio.gather(*(self.start_host(name) for name in names))
+        )
+        await self.publish(
+            "10-base.toml",
+            make_config(
+                [engine.url for engine in self.engines],
+                [self.service.url],
+                tokens=self.tokens,
+            ),
+        )
+        await wait_for(self.is_ready, "the fleet to be ready")
+
+    async def start_host(self, name: str) -> Running:
+        """Start one more host."""
+        return await self.launcher.start_host(
+            name, "brest", log_url=self.log.url, **self.host_settings
+        )
+
+    async def publish(self, name: str, content: str) -> Any:
+        """Publish a file through the first host."""
+        return await self.launcher.post_json(
+            f"{self.hosts[0].operator_url}/config/publish",
+            {"operation": f"test-{name}", "name": name, "content": content},
+        )
+
+    async def is_ready(self) -> bool:
+        """Tell whether every host serves, with accounts and peers known."""
+        for host in self.hosts:
+            status = await self.launcher.get_json(f"{host.operator_url}/status")
+            if status["phase"] != "serving" or status["revision"] < 0:
+                return False
+            known = await self.launcher.get_json(f"{host.operator_url}/hosts")
+            if sum(entry["live"] for entry in known) < len(self.hosts):
+                return False
+            if len(await self.launcher.get_json(f"{host.operator_url}/budgets")) < 2:
+                return False
+        return True
+
+    async def get_budget(self, host: Running, name: str = "brest") -> dict[str, Any]:
+        """Return a budget as a host shows it."""
+        budgets = await self.launcher.get_json(f"{host.operator_url}/budgets")
+        return next(item for item in budgets if item["name"] == name)
+
+    async def count_executed(self) -> int:
+        """Return the tokens that the engines' own meters show."""
+        meters = [
+            await self.launcher.get_json(f"{engine.url}/meter")
+            for engine in self.engines
+        ]
+        return sum(meter["tokens"] for meter in meters)
+
+    async def list_effects(self) -> list[dict[str, Any]]:
+        """Return the effects that the service's own meter shows."""
+        meter = await self.launcher.get_json(f"{self.service.url}/meter")
+        return list(meter["effects"])
+
+    async def chat(
+        self,
+        host: Running,
+        *,
+        max_tokens: int = 10,
+        stream: bool = False,
+        secret: str = SECRET,
+        headers: dict[str, str] | None = None,
+        text: str = "Which line holds in force six?",
+    ) -> "CallerAnswer":
+        """Send one chat request and read its whole answer."""
+        body = {
+            "model": "assistant",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        return await self.call(
+            host, "/v1/chat/completions", body, secret=secret, headers=headers
+        )
+
+    async def call(
+        self,
+        host: Running,
+        path: str,
+        body: object,
+        *,
+        secret: str = SECRET,
+        headers: dict[str, str] | None = None,
+    ) -> "CallerAnswer":
+        """Post JSON as a caller and read the whole answer."""
+        async with self.launcher.session.post(
+            f"{host.caller_url}{path}",
+            json=body,
+            headers={"Authorization": f"Bearer {secret}", **(headers or {})},
+        ) as response:
+            return CallerAnswer(
+                status=response.status,
+                body=await response.read(),
+                headers=dict(response.headers),
+            )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerAnswer:
+    """Hold what a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def is_whole_stream(self) -> bool:
+        """Tell whether an event stream came to its explicit end."""
+        return self.body.endswith(b"data: [DONE]\n\n")
--- /dev/null
+++ b/tests/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the promises package."""
--- /dev/null
+++ b/trefoilstage/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the trefoilstage package."""
--- /dev/null
+++ b/trefoilstage/blackboard.py
@@ -0,0 +1,83 @@
+"""Hold what a host knows; each fact has one writer, named beside it."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from trefoilstage.configuration.fold import ConfigState, HostEntry
+from trefoilstage.configuration.schema import Configuration
+from trefoilstage.ledger.state import LedgerState
+
+
+class Phase(StrEnum):
+    """Name the stages of a host's life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+@dataclass(kw_only=True, slots=True)
+class StreamStatus:
+    """Hold how a stream stands on this host; written by its follower."""
+
+    reachable: bool = False
+    caught_up: bool = False
+    next_offset: int = 0
+    last_read: float = 0.0
+
+
+@dataclass(kw_only=True, slots=True)
+class PeerStatus:
+    """Hold when a peer was last heard; written by the membership controller."""
+
+    incarnation: str
+    last_heard: float
+    reachable: bool = True
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetStatus:
+    """Hold what this host sent a target; written by the target client."""
+
+    active: int = 0
+    failures: int = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class Blackboard:
+    """Share the facts that controllers read and write."""
+
+    host: str
+    incarnation: str
+    data_center: str
+    phase: Phase = Phase.STARTING  # the daemon
+    config: ConfigState = field(default_factory=ConfigState)  # config follower
+    ledgers: dict[int, LedgerState] = field(default_factory=dict)  # followers
+    streams: dict[str, StreamStatus] = field(default_factory=dict)  # followers
+    peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
+    targets: dict[str, TargetStatus] = field(default_factory=dict)  # target client
+    n_active: int = 0  # caller server
+    closing: set[asyncio.Task[None]] = field(default_factory=set)  # generations
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.config.configuration
+
+    def list_live_peers(self) -> list[HostEntry]:
+        """Return the reachable hosts other than this one, by name."""
+        return [
+            entry
+            for name, entry in sorted(self.config.hosts.items())
+            if name != self.host and self.is_peer_live(entry)
+        ]
+
+    def is_peer_live(self, entry: HostEntry) -> bool:
+        """Tell whether a host's current incarnation answers."""
+        status = self.peers.get(entry.host)
+        return (
+            status is not None
+            and status.reachable
+            and status.incarnation == entry.incarnation
+        )
--- /dev/null
+++ b/trefoilstage/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the cli package."""
--- /dev/null
+++ b/trefoilstage/cli/output.py
@@ -0,0 +1,38 @@
+"""Print answers as tables for people or JSON for scripts."""
+
+import json
+import sys
+from collections.abc import Sequence
+from enum import IntEnum
+
+from pydantic import BaseModel
+
+
+class ExitCode(IntEnum):
+    """Name the exit codes of the command line."""
+
+    OK = 0
+    REJECTED = 1
+    USAGE = 2
+    UNKNOWN = 3
+    UNREACHABLE = 4
+
+
+def print_rows(
+    rows: Sequence[BaseModel], columns: Sequence[str], *, as_json: bool
+) -> None:
+    """Print models, one a row."""
+    if as_json:
+        print(json.dumps([row.model_dump(mode="json") for row in rows], indent=2))
+        return
+    table = [[column.upper() for column in columns]]
+    table += [[str(getattr(row, column)) for column in columns] for row in rows]
+    widths = [max(len(line[i]) for line in table) for i in range(len(columns))]
+    for line in table:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        print("  ".join(cells).rstrip())
+
+
+def print_error(message: str) -> None:
+    """Print a message for people on standard error."""
+    sys.stderr.write(f"{message}\n")
--- /dev/null
+++ b/trefoilstage/components/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the components package."""
--- /dev/null
+++ b/trefoilstage/components/booking/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the booking package."""
--- /dev/null
+++ b/trefoilstage/components/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the budget package."""
--- /dev/null
+++ b/trefoilstage/components/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the callers package."""
--- /dev/null
+++ b/trefoilstage/components/callers/refusals.py
@@ -0,0 +1,50 @@
+"""Turn refusals into typed HTTP answers."""
+
+import math
+
+from aiohttp import web
+
+from trefoilstage.const import HEADER_REQUEST_ID, HEADER_RETRY_AFTER
+from trefoilstage.helpers.verdict import Reason, Refusal
+
+DEFAULT_STATUS = 503
+STATUS_BY_REASON = {
+    Reason.BUDGET_EXHAUSTED: 402,
+    Reason.OVERLOADED: 429,
+    Reason.DEADLINE: 429,
+    Reason.UNAUTHORIZED: 401,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.KEY_REUSED: 422,
+    Reason.KEY_REQUIRED: 400,
+    Reason.OUTCOME_UNKNOWN: 409,
+    Reason.IN_PROGRESS: 409,
+    Reason.TARGET_FAILED: 502,
+}
+
+
+def describe_refusal(refusal: Refusal, request: str) -> dict[str, dict[str, object]]:
+    """Return the JSON body of a refusal."""
+    error: dict[str, object] = {
+        "reason": refusal.reason.value,
+        "effect": refusal.effect.value,
+        "message": refusal.detail or refusal.reason.value.replace("_", " "),
+        "request_id": request,
+    }
+    if refusal.retry_after_s is not None:
+        error["retry_after_s"] = refusal.retry_after_s
+    return {"error": error}
+
+
+def make_refusal(refusal: Refusal, request: str) -> web.Response:
+    """Return the HTTP answer of a refusal."""
+    headers = {HEADER_REQUEST_ID: request}
+    if refusal.retry_after_s is not None:
+        headers[HEADER_RETRY_AFTER] = str(math.ceil(refusal.retry_after_s))
+    return web.json_response(
+        describe_refusal(refusal, request),
+        status=STATUS_BY_REASON.get(refusal.reason, DEFAULT_STATUS),
+        headers=headers,
+    )
--- /dev/null
+++ b/trefoilstage/components/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the configuration package."""
--- /dev/null
+++ b/trefoilstage/components/log_client/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the log client package."""
--- /dev/null
+++ b/trefoilstage/components/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the membership package."""
--- /dev/null
+++ b/trefoilstage/components/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the operators package."""
--- /dev/null
+++ b/trefoilstage/components/operators/server.py
@@ -0,0 +1,226 @@
+"""Serve operators over HTTP."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+from aiohttp import web
+from mode import Service
+from pydantic import BaseModel, ValidationError
+
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
+from trefoilstage.components.log_client.stream import Ticket
+from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.components.operators.models import (
+    BudgetAnswer,
+    FileAnswer,
+    HostAnswer,
+    PublishBody,
+    RemoveBody,
+    StatusAnswer,
+    TargetAnswer,
+    TopUpBody,
+    VerdictAnswer,
+)
+from trefoilstage.components.operators.views import (
+    describe_budgets,
+    describe_files,
+    describe_hosts,
+    describe_status,
+    describe_targets,
+)
+from trefoilstage.configuration.fold import NEW_FILE
+from trefoilstage.configuration.records import Publish, Remove
+from trefoilstage.helpers.dump import dump_value
+from trefoilstage.helpers.verdict import Reason, Rejected
+from trefoilstage.ledger.records import TopUp
+
+BodyT = TypeVar("BodyT", bound=BaseModel)
+VERDICT_WAIT_S = 5.0
+Extra = Callable[[], object]
+
+
+class OperatorServer(Service):  # type: ignore[misc]
+    """Take operators' changes to the log and show what this host knows."""
+
+    def __init__(
+        self,
+        *,
+        blackboard: Blackboard,
+        streams: Streams,
+        extra_state: Extra,
+        drain: Callable[[], None],
+        address: str,
+        port: int,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._streams = streams
+        self._extra_state = extra_state
+        self._drain = drain
+        self._address = address
+        self.port = port
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Listen."""
+        app = web.Application()
+        app.router.add_get("/state", self._answer_state)
+        app.router.add_get("/status", self._answer_status)
+        app.router.add_get("/hosts", self._answer_hosts)
+        app.router.add_get("/budgets", self._answer_budgets)
+        app.router.add_get("/targets", self._answer_targets)
+        app.router.add_get("/config/files", self._answer_files)
+        app.router.add_get("/config/history", self._answer_history)
+        app.router.add_post("/config/publish", self._publish)
+        app.router.add_post("/config/remove", self._remove)
+        app.router.add_post("/budgets/{name}/top-up", self._top_up)
+        app.router.add_post("/drain", self._answer_drain)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self._address, self.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def on_stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer_state(self, request: web.Request) -> web.Response:
+        state = {
+            "blackboard": dump_value(self._blackboard),
+            "controllers": dump_value(self._extra_state()),
+        }
+        return web.json_response(state)
+
+    async def _answer_status(self, request: web.Request) -> web.Response:
+        status: StatusAnswer = describe_status(
+            self._blackboard, self._streams.is_caught_up()
+        )
+        return answer_model(status)
+
+    async def _answer_hosts(self, request: web.Request) -> web.Response:
+        hosts: list[HostAnswer] = describe_hosts(self._blackboard)
+        return answer_models(hosts)
+
+    async def _answer_budgets(self, request: web.Request) -> web.Response:
+        budgets: list[BudgetAnswer] = describe_budgets(self._blackboard)
+        return answer_models(budgets)
+
+    async def _answer_targets(self, request: web.Request) -> web.Response:
+        targets: list[TargetAnswer] = describe_targets(self._blackboard)
+        return answer_models(targets)
+
+    async def _answer_files(self, request: web.Request) -> web.Response:
+        files: list[FileAnswer] = describe_files(self._blackboard)
+        return answer_models(files)
+
+    async def _answer_history(self, request: web.Request) -> web.Response:
+        return web.json_response(dump_value(self._blackboard.config.history))
+
+    async def _publish(self, request: web.Request) -> web.Response:
+        body = await parse_body(request, PublishBody)
+        ticket = self._streams.submit_config(
+            Publish(
+                operation=body.operation,
+                name=body.name,
+                content=body.content,
+                base_revision=self._pick_base(body.name, body.base_revision),
+                author=body.author,
+            )
+        )
+        return await self._wait_for_verdict(ticket, body.operation)
+
+    async def _remove(self, request: web.Request) -> web.Response:
+        body = await parse_body(request, RemoveBody)
+        ticket = self._streams.submit_config(
+            Remove(
+                operation=body.operation,
+                name=body.name,
+                base_revision=self._pick_base(body.name, body.base_revision),
+                author=body.author,
+            )
+        )
+        return await self._wait_for_verdict(ticket, body.operation)
+
+    def _pick_base(self, name: str, base_revision: int | None) -> int:
+        if base_revision is not None:
+            return base_revision
+        present = self._blackboard.config.files.get(name)
+        return present.revision if present else NEW_FILE
+
+    async def _top_up(self, request: web.Request) -> web.Response:
+        body = await parse_body(request, TopUpBody)
+        account = f"{BUDGET_ACCOUNT_PREFIX}{request.match_info['name']}"
+        number = self._streams.pick_number(account)
+        if number not in self._streams.ledgers:
+            answer = VerdictAnswer(
+                accepted=False, reason=Reason.NOT_READY, operation=body.operation
+            )
+            return answer_model(answer, status=503)
+        ticket = self._streams.submit_ledger(
+            number,
+            TopUp(account=account, amount=body.amount, operation=body.operation),
+        )
+        return await self._wait_for_verdict(ticket, body.operation)
+
+    async def _wait_for_verdict(self, ticket: Ticket, operation: str) -> web.Response:
+        try:
+            async with asyncio.timeout(VERDICT_WAIT_S):
+                verdict = await asyncio.shield(ticket.future)
+        except TimeoutError:
+            # The record may still land. Saying "rejected" here would be false,
+            # and the operation makes it safe to ask again.
+            answer = VerdictAnswer(
+                accepted=False,
+                known=False,
+                reason=Reason.LOG_UNAVAILABLE,
+                detail="no verdict yet; the change may still take effect",
+                operation=operation,
+            )
+            return answer_model(answer, status=503)
+        if isinstance(verdict, Rejected):
+            answer = VerdictAnswer(
+                accepted=False,
+                reason=verdict.reason,
+                detail=verdict.detail,
+                operation=operation,
+            )
+            return answer_model(answer, status=409)
+        revision = self._blackboard.config.revision
+        return answer_model(
+            VerdictAnswer(accepted=True, revision=revision, operation=operation)
+        )
+
+    async def _answer_drain(self, request: web.Request) -> web.Response:
+        self._drain()
+        return web.json_response({"draining": True})
+
+
+async def parse_body(request: web.Request, model: type[BodyT]) -> BodyT:
+    """Return a checked body, or answer 400 with every finding."""
+    try:
+        return model.model_validate_json(await request.read())
+    except ValidationError as error:
+        findings = "\n".join(
+            f"{'.'.join(map(str, item['loc'])) or 'body'}: {item['msg']}"
+            for item in error.errors(include_input=False, include_url=False)
+        )
+        answer = VerdictAnswer(accepted=False, reason=Reason.INVALID, detail=findings)
+        raise web.HTTPBadRequest(
+            text=answer.model_dump_json(), content_type="application/json"
+        ) from error
+
+
+def answer_model(model: BaseModel, *, status: int = 200) -> web.Response:
+    """Return a model as JSON."""
+    return web.Response(
+        text=model.model_dump_json(), status=status, content_type="application/json"
+    )
+
+
+def answer_models(models: Sequence[BaseModel]) -> web.Response:
+    """Return models as a JSON list."""
+    return web.json_response([model.model_dump(mode="json") for model in models])
--- /dev/null
+++ b/trefoilstage/components/operators/views.py
@@ -0,0 +1,102 @@
+"""Describe what a host knows, for operators."""
+
+from trefoilstage.blackboard import Blackboard, TargetStatus
+from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
+from trefoilstage.components.operators.models import (
+    BudgetAnswer,
+    FileAnswer,
+    HostAnswer,
+    StatusAnswer,
+    TargetAnswer,
+)
+from trefoilstage.ledger.state import DrawStatus, LedgerState
+
+
+def describe_status(blackboard: Blackboard, caught_up: bool) -> StatusAnswer:
+    """Return how this host stands."""
+    return StatusAnswer(
+        host=blackboard.host,
+        incarnation=blackboard.incarnation,
+        phase=blackboard.phase.value,
+        revision=blackboard.config.revision,
+        caught_up=caught_up,
+        n_active=blackboard.n_active,
+    )
+
+
+def describe_hosts(blackboard: Blackboard) -> list[HostAnswer]:
+    """Return the hosts of the fleet by name."""
+    return [
+        HostAnswer(
+            host=entry.host,
+            incarnation=entry.incarnation,
+            data_center=entry.data_center,
+            caller_url=entry.caller_url,
+            operator_url=entry.operator_url,
+            live=entry.host == blackboard.host or blackboard.is_peer_live(entry),
+        )
+        for _, entry in sorted(blackboard.config.hosts.items())
+    ]
+
+
+def describe_budgets(blackboard: Blackboard) -> list[BudgetAnswer]:
+    """Return the budgets by name."""
+    answers = []
+    for _, ledger in sorted(blackboard.ledgers.items()):
+        for name, account in ledger.accounts.items():
+            if not name.startswith(BUDGET_ACCOUNT_PREFIX):
+                continue
+            spent = account.closed_spend - account.credit
+            spent += count_open_spend(ledger, name)
+            answers.append(
+                BudgetAnswer(
+                    name=name.removeprefix(BUDGET_ACCOUNT_PREFIX),
+                    paid=account.paid,
+                    spent=spent,
+                    held=account.held,
+                    free=account.free,
+                    doubtful=count_doubtful(ledger, name),
+                )
+            )
+    return sorted(answers, key=lambda answer: answer.name)
+
+
+def count_open_spend(ledger: LedgerState, account: str) -> int:
+    """Return what the draws of an account have spent so far."""
+    return sum(draw.spent for draw in ledger.draws.values() if draw.account == account)
+
+
+def count_doubtful(ledger: LedgerState, account: str) -> int:
+    """Return what lost holders may have spent without reporting it."""
+    return sum(
+        draw.charge - draw.spent
+        for draw in ledger.draws.values()
+        if draw.account == account and draw.status is DrawStatus.SEALED
+    )
+
+
+def describe_files(blackboard: Blackboard) -> list[FileAnswer]:
+    """Return the files in force in the order of their merge."""
+    return [
+        FileAnswer(name=name, revision=item.revision, content=item.content)
+        for name, item in sorted(blackboard.config.files.items())
+    ]
+
+
+def describe_targets(blackboard: Blackboard) -> list[TargetAnswer]:
+    """Return the targets by name."""
+    answers = []
+    for name, target in sorted(blackboard.configuration.targets.items()):
+        status = blackboard.targets.get(name) or TargetStatus()
+        answers.append(
+            TargetAnswer(
+                name=name,
+                model=target.model,
+                site=target.site,
+                url=target.url,
+                state=target.state.value,
+                active=status.active,
+                failures=status.failures,
+            )
+        )
+    return answers
--- /dev/null
+++ b/trefoilstage/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the peers package."""
--- /dev/null
+++ b/trefoilstage/components/peers/link.py
@@ -0,0 +1,98 @@
+"""Call one peer over a WebSocket, reconnecting as needed."""
+
+import asyncio
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from trefoilstage.components.peers.messages import (
+    FRAME_CODEC,
+    ErrorReply,
+    Frame,
+    PeerMessage,
+)
+from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
+from trefoilstage.exceptions import MalformedMessageError, PeerUnavailableError
+from trefoilstage.helpers.events import Event, log_event
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class PeerLink:
+    """Send calls to one peer and match its replies."""
+
+    def __init__(self, *, url: str) -> None:
+        self.url = url
+        self._connection: ClientConnection | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._waiting: dict[int, asyncio.Future[PeerMessage]] = {}
+        self._next_number = 0
+        self._connecting = asyncio.Lock()
+
+    async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
+        """Return the peer's reply, or raise PeerUnavailableError."""
+        number = self._next_number
+        self._next_number += 1
+        future: asyncio.Future[PeerMessage] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect()
+                frame = Frame(number=number, reply=False, body=message)
+                await connection.send(FRAME_CODEC.encode(frame))
+                reply = await future
+        except (OSError, TimeoutError, WebSocketException) as error:
+            raise PeerUnavailableError(repr(error)) from error
+        finally:
+            self._waiting.pop(number, None)
+        if isinstance(reply, ErrorReply):
+            raise PeerUnavailableError(reply.detail)
+        return reply
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._reader is not None:
+            self._reader.cancel()
+        if self._connection is not None:
+            await self._connection.close()
+
+    async def _connect(self) -> ClientConnection:
+        async with self._connecting:
+            if self._connection is None:
+                self._connection = await connect(
+                    self.url,
+                    open_timeout=CONNECT_TIMEOUT_S,
+                    close_timeout=CONNECT_TIMEOUT_S,
+                    ping_interval=None,
+                    compression=None,
+                    max_size=MAX_PEER_MESSAGE_BYTES,
+                    proxy=None,
+                )
+                self._reader = asyncio.create_task(self._read(self._connection))
+            return self._connection
+
+    async def _read(self, connection: ClientConnection) -> None:
+        try:
+            async for data in connection:
+                self._take_reply(data)
+        except (OSError, WebSocketException):
+            pass
+        finally:
+            self._drop_connection(connection)
+
+    def _take_reply(self, data: bytes | str) -> None:
+        try:
+            frame = FRAME_CODEC.decode(data if isinstance(data, bytes) else b"")
+        except MalformedMessageError as error:
+            log_event(Event.PEER_MESSAGE_MALFORMED, peer=self.url, error=str(error))
+            return
+        future = self._waiting.get(frame.number)
+        if frame.reply and future is not None and not future.done():
+            future.set_result(frame.body)
+
+    def _drop_connection(self, connection: ClientConnection) -> None:
+        if self._connection is connection:
+            self._connection = None
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError("peer link lost"))
--- /dev/null
+++ b/trefoilstage/components/peers/messages.py
@@ -0,0 +1,110 @@
+"""Define the messages between hosts."""
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
+from trefoilstage.helpers.codec import Codec
+from trefoilstage.ledger.records import BilledRequest, Name, Tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """Tell a peer that this incarnation lives."""
+
+    host: Name
+    incarnation: Name
+    kind: Literal["heartbeat"] = "heartbeat"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Bound:
+    """Ask a draw's witness to allow spend up to a level."""
+
+    draw: Name
+    stream: Tokens
+    holder: Name
+    sequence: Tokens
+    level: Tokens
+    opened: tuple[BilledRequest, ...] = ()
+    closed: tuple[Name, ...] = ()
+    kind: Literal["bound"] = "bound"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundReply:
+    """Answer a bound; a refused one means that the draw is being sealed."""
+
+    allowed: bool
+    kind: Literal["bound_reply"] = "bound_reply"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadRecords:
+    """Ask a peer for the records of a stream from an offset on."""
+
+    stream: Name
+    offset: Tokens
+    kind: Literal["read_records"] = "read_records"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordsReply:
+    """Answer with the records a peer still holds."""
+
+    offsets: tuple[int, ...] = ()
+    records: tuple[bytes, ...] = ()
+    next_offset: int = 0
+    earliest: int = 0
+    kind: Literal["records_reply"] = "records_reply"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AppendRecords:
+    """Ask a peer to append a group to the log."""
+
+    stream: Name
+    records: tuple[bytes, ...]
+    kind: Literal["append_records"] = "append_records"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AppendReply:
+    """Answer an append with its first offset, or -1 when the log gave none."""
+
+    first: int
+    kind: Literal["append_reply"] = "append_reply"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ErrorReply:
+    """Answer a call that the peer could not serve."""
+
+    detail: Name
+    kind: Literal["error_reply"] = "error_reply"
+
+
+PeerMessage = (
+    Heartbeat
+    | Bound
+    | BoundReply
+    | ReadRecords
+    | RecordsReply
+    | AppendRecords
+    | AppendReply
+    | ErrorReply
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Frame:
+    """Number a message so that its reply finds the caller."""
+
+    number: Tokens
+    reply: bool
+    body: Annotated[PeerMessage, Field(discriminator="kind")]
+
+
+FRAME_CODEC: Codec[Frame] = Codec(family=Frame, max_bytes=MAX_PEER_MESSAGE_BYTES)
--- /dev/null
+++ b/trefoilstage/components/peers/server.py
@@ -0,0 +1,92 @@
+"""Answer the calls of other hosts."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from mode import Service
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from trefoilstage.components.peers.messages import (
+    FRAME_CODEC,
+    ErrorReply,
+    Frame,
+    PeerMessage,
+)
+from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
+from trefoilstage.exceptions import MalformedMessageError, NotReadyError
+from trefoilstage.helpers.events import Event, log_event
+
+Handler = Callable[[Any], Awaitable[PeerMessage]]
+
+
+class PeerServer(Service):  # type: ignore[misc]
+    """Accept peers' connections and hand each call to its handler."""
+
+    def __init__(self, *, address: str, port: int) -> None:
+        super().__init__()
+        self.address = address
+        self.port = port
+        self._handlers: dict[type[Any], Handler] = {}
+        self._server: Server | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+
+    def register(self, kind: type[Any], handler: Handler) -> None:
+        """Answer messages of a kind with a handler."""
+        self._handlers[kind] = handler
+
+    async def on_start(self) -> None:
+        """Listen."""
+        self._server = await serve(
+            self._serve,
+            self.address,
+            self.port,
+            ping_interval=None,
+            compression=None,
+            max_size=MAX_PEER_MESSAGE_BYTES,
+            close_timeout=1,
+        )
+        self.port = next(iter(self._server.sockets)).getsockname()[1]
+
+    async def on_stop(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        try:
+            async for data in connection:
+                self._start_call(connection, data)
+        except (OSError, WebSocketException):
+            return
+
+    def _start_call(self, connection: ServerConnection, data: bytes | str) -> None:
+        try:
+            frame = FRAME_CODEC.decode(data if isinstance(data, bytes) else b"")
+        except MalformedMessageError as error:
+            log_event(
+                Event.PEER_MESSAGE_MALFORMED,
+                peer=str(connection.remote_address),
+                error=str(error),
+            )
+            return
+        task = asyncio.create_task(self._answer(connection, frame))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _answer(self, connection: ServerConnection, frame: Frame) -> None:
+        handler = self._handlers.get(type(frame.body))
+        try:
+            if handler is None:
+                body: PeerMessage = ErrorReply(detail="no such call")
+            else:
+                body = await handler(frame.body)
+        except NotReadyError as error:
+            body = ErrorReply(detail=str(error)[:200])
+        reply = Frame(number=frame.number, reply=True, body=body)
+        try:
+            await connection.send(FRAME_CODEC.encode(reply))
+        except (OSError, WebSocketException):
+            return
--- /dev/null
+++ b/trefoilstage/components/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the routing package."""
--- /dev/null
+++ b/trefoilstage/components/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the targets package."""
--- /dev/null
+++ b/trefoilstage/components/targets/client.py
@@ -0,0 +1,128 @@
+"""Send work to model engines over HTTP."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from pydantic import ValidationError
+
+from trefoilstage.blackboard import Blackboard, TargetStatus
+from trefoilstage.components.targets.models import (
+    CancelAnswer,
+    Chunk,
+    ChunkBody,
+    Generation,
+    Usage,
+)
+from trefoilstage.configuration.schema import TargetConfig
+from trefoilstage.const import (
+    HEADER_PRIORITY,
+    HEADER_REQUEST_ID,
+    HEADER_WORKSPACE,
+)
+from trefoilstage.exceptions import NotReadyError, TrefoilstageError
+
+HTTP_OK = 200
+CANCEL_TIMEOUT_S = 1.0
+HEADER_FENCING = "X-Fencing"
+END_OF_STREAM = b"[DONE]"
+DATA_PREFIX = b"data:"
+
+
+class TargetRefusedError(NotReadyError):
+    """Report that a target did not take a request; it ran nothing."""
+
+
+class TargetBrokenError(TrefoilstageError):
+    """Report that a target's answer broke off; it may have run something."""
+
+
+class TargetClient:
+    """Open, read and cancel generations."""
+
+    def __init__(
+        self, *, session: aiohttp.ClientSession, blackboard: Blackboard
+    ) -> None:
+        self._session = session
+        self._blackboard = blackboard
+
+    def get_status(self, name: str) -> TargetStatus:
+        """Return what this host knows of a target."""
+        return self._blackboard.targets.setdefault(name, TargetStatus())
+
+    async def generate(
+        self, target: TargetConfig, generation: Generation
+    ) -> AsyncIterator[Chunk]:
+        """Yield the chunks of an answer up to its explicit end."""
+        timeout = aiohttp.ClientTimeout(total=generation.timeout_s, sock_connect=1.0)
+        headers = {
+            HEADER_REQUEST_ID: generation.request,
+            HEADER_WORKSPACE: generation.workspace,
+            HEADER_PRIORITY: str(generation.priority),
+            HEADER_FENCING: str(generation.fencing),
+            "Content-Type": "application/json",
+        }
+        url = f"{target.url}/v1/chat/completions"
+        try:
+            async with self._session.post(
+                url, data=generation.body, headers=headers, timeout=timeout
+            ) as response:
+                if response.status != HTTP_OK:
+                    raise TargetRefusedError(f"status {response.status}")
+                async for chunk in read_chunks(response.content, generation.request):
+                    yield chunk
+        except aiohttp.ClientConnectorError as error:
+            raise TargetRefusedError(repr(error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise TargetBrokenError(repr(error)) from error
+
+    async def cancel(self, target: TargetConfig, request: str) -> Usage | None:
+        """End a request at its target; return what it spent, None if not known."""
+        url = f"{target.url}/v1/requests/{request}/cancel"
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._session.post(url, timeout=timeout) as response:
+                if response.status != HTTP_OK:
+                    return None
+                answer = CancelAnswer.model_validate_json(await response.read())
+        except (TimeoutError, aiohttp.ClientError, OSError, ValidationError):
+            return None
+        return answer.usage
+
+
+async def read_chunks(
+    content: aiohttp.StreamReader, request: str
+) -> AsyncIterator[Chunk]:
+    """Yield the chunks of an event stream, checking owner, order and end."""
+    expected = 0
+    async for line in content:
+        if not line.startswith(DATA_PREFIX):
+            continue
+        data = line[len(DATA_PREFIX) :].strip()
+        if data == END_OF_STREAM:
+            return
+        chunk, sequence = parse_chunk(data, request)
+        # A reused connection may still carry an older answer, and a relay may
+        # reorder. Either would mix two answers; owner and number show both.
+        if sequence != expected:
+            raise TargetBrokenError(f"chunk {sequence}, expected {expected}")
+        expected += 1
+        yield chunk
+    raise TargetBrokenError("stream ended without its end mark")
+
+
+def parse_chunk(data: bytes, request: str) -> tuple[Chunk, int]:
+    """Return a chunk and its number, or raise TargetBrokenError."""
+    try:
+        body = ChunkBody.model_validate_json(data)
+    except ValidationError as error:
+        raise TargetBrokenError("malformed chunk") from error
+    if body.id != request:
+        raise TargetBrokenError("chunk of another request")
+    choice = body.choices[0] if body.choices else None
+    chunk = Chunk(
+        data=data,
+        text=choice.delta.content if choice else "",
+        usage=body.usage,
+        finish_reason=choice.finish_reason if choice else None,
+    )
+    return chunk, body.sequence
--- /dev/null
+++ b/trefoilstage/configuration/records.py
@@ -0,0 +1,74 @@
+"""Define the records of the configuration stream."""
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from trefoilstage.const import MAX_RECORD_BYTES, RECORD_VERSION
+from trefoilstage.helpers.codec import Codec
+from trefoilstage.ledger.records import Checkpoint, Name
+
+FileName = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
+Offset = Annotated[int, Field(ge=-1, le=1 << 53)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Publish:
+    """Publish a file over the revision its author saw; -1 for a new file."""
+
+    operation: Name
+    name: FileName
+    content: str
+    base_revision: Offset
+    author: Name = ""
+    kind: Literal["publish"] = "publish"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Remove:
+    """Remove a file at the revision its author saw."""
+
+    operation: Name
+    name: FileName
+    base_revision: Offset
+    author: Name = ""
+    kind: Literal["remove"] = "remove"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostUp:
+    """Announce a host's new incarnation and its addresses."""
+
+    host: Name
+    data_center: Name
+    caller_url: Name
+    operator_url: Name
+    peer_url: Name
+    kind: Literal["host_up"] = "host_up"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostDown:
+    """Announce that an incarnation has left for good."""
+
+    incarnation: Name
+    kind: Literal["host_down"] = "host_down"
+
+
+ConfigRecord = Publish | Remove | HostUp | HostDown | Checkpoint
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigEnvelope:
+    """Identify a record by its writer's incarnation and sequence."""
+
+    incarnation: Name
+    sequence: Annotated[int, Field(ge=0, le=1 << 53)]
+    record: Annotated[ConfigRecord, Field(discriminator="kind")]
+    version: int = RECORD_VERSION
+
+
+CONFIG_CODEC: Codec[ConfigEnvelope] = Codec(
+    family=ConfigEnvelope, max_bytes=MAX_RECORD_BYTES
+)
--- /dev/null
+++ b/trefoilstage/configuration/schema.py
@@ -0,0 +1,109 @@
+"""Validate the merged configuration at the border."""
+
+from enum import StrEnum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+Identifier = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+HttpUrl = Annotated[str, Field(pattern=r"^http://[0-9a-zA-Z.:\[\]-]+$")]
+Count = Annotated[int, Field(ge=0, le=1 << 50)]
+MAX_PRIORITY = 9
+
+
+class Preference(StrEnum):
+    """Say which error hurts a budget's owner more."""
+
+    AVOID_REFUSALS = "avoid-refusals"
+    AVOID_OVERSPEND = "avoid-overspend"
+
+
+class TargetState(StrEnum):
+    """Say whether a target may get new work."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class Section(BaseModel):
+    """Refuse keys that no section knows."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class WorkspaceConfig(Section):
+    """Describe a workspace: its keys, its budget and its priority."""
+
+    budget: Identifier
+    key_sha256: tuple[Sha256, ...] = ()
+    priority: Annotated[int, Field(ge=0, le=MAX_PRIORITY)] = 5
+
+
+class BudgetConfig(Section):
+    """Describe a prepaid budget in tokens."""
+
+    tokens: Count
+    preference: Preference = Preference.AVOID_OVERSPEND
+
+
+class SiteConfig(Section):
+    """Describe a site with its power ceiling in watts."""
+
+    data_center: Identifier
+    ceiling_watts: Count
+
+
+class ModelConfig(Section):
+    """Describe a model; a prompt token is at least this many bytes."""
+
+    prompt_bytes_per_token: Annotated[int, Field(ge=1, le=16)] = 1
+    max_output_tokens: Annotated[int, Field(ge=1, le=1_000_000)] = 1024
+
+
+class TargetConfig(Section):
+    """Describe a model engine that serves one model."""
+
+    model: Identifier
+    site: Identifier
+    url: HttpUrl
+    idle_watts: Count = 0
+    watts_per_request: Count = 0
+    max_concurrent: Annotated[int, Field(ge=1, le=10_000)] = 32
+    checks_fencing: bool = False
+    state: TargetState = TargetState.SERVING
+
+
+class OperationConfig(Section):
+    """Describe one call of a plain service."""
+
+    path: Annotated[str, Field(pattern=r"^/[A-Za-z0-9/_.-]*$")]
+    method: Annotated[str, Field(pattern=r"^(GET|POST|PUT|DELETE)$")] = "POST"
+    idempotent: bool = False
+    cost_tokens: Count = 0
+
+
+class ServiceConfig(Section):
+    """Describe a plain service, its servers and its calls."""
+
+    urls: Annotated[tuple[HttpUrl, ...], Field(min_length=1)]
+    operations: dict[Identifier, OperationConfig]
+    timeout_s: Annotated[float, Field(gt=0, le=600)] = 10.0
+
+
+class FleetConfig(Section):
+    """Describe what the whole fleet agrees on."""
+
+    ledger_streams: Annotated[int, Field(ge=1, le=4096)] = 1
+
+
+class Configuration(Section):
+    """Hold the whole merged configuration."""
+
+    fleet: FleetConfig = FleetConfig()
+    workspaces: dict[Identifier, WorkspaceConfig] = {}
+    budgets: dict[Identifier, BudgetConfig] = {}
+    sites: dict[Identifier, SiteConfig] = {}
+    models: dict[Identifier, ModelConfig] = {}
+    targets: dict[Identifier, TargetConfig] = {}
+    services: dict[Identifier, ServiceConfig] = {}
--- /dev/null
+++ b/trefoilstage/const.py
@@ -0,0 +1,20 @@
+"""Name the constants that several parts share."""
+
+from typing import Final
+
+CONFIG_STREAM: Final = "config"
+LEDGER_STREAM_PREFIX: Final = "ledger-"
+
+FOLD_VERSION: Final = 1
+RECORD_VERSION: Final = 1
+
+MAX_RECORD_BYTES: Final = 1_000_000
+MAX_PEER_MESSAGE_BYTES: Final = 4_000_000
+MAX_REQUEST_BODY_BYTES: Final = 1_000_000
+
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_WORKSPACE: Final = "X-Workspace"
+HEADER_PRIORITY: Final = "X-Priority"
+HEADER_DEADLINE_MS: Final = "X-Deadline-Ms"
+HEADER_RETRY_AFTER: Final = "Retry-After"
--- /dev/null
+++ b/trefoilstage/daemon.py
@@ -0,0 +1,53 @@
+"""Run the daemon, trefoilstaged."""
+
+import asyncio
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import uvloop
+
+from trefoilstage.exceptions import SettingsError
+from trefoilstage.helpers.events import set_up_events
+from trefoilstage.host import Host
+from trefoilstage.settings import HostSettings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+@cappa.command(name="trefoilstaged")
+@dataclass(kw_only=True)
+class Daemon:
+    """Run one host of the fleet until it is told to stop."""
+
+    settings: Annotated[Path, cappa.Arg(long=True, help="the host's TOML settings")]
+
+
+async def run_host(settings: HostSettings) -> None:
+    """Serve until a signal or an operator asks to drain."""
+    host = Host(settings=settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, host.drain_requested.set)
+    loop.add_signal_handler(signal.SIGUSR1, host.write_dump)
+    await host.start()
+    ready = asyncio.create_task(host.wait_until_ready())
+    await host.drain_requested.wait()
+    ready.cancel()
+    await host.drain()
+    await host.stop()
+
+
+def main() -> None:
+    """Start the daemon from the command line."""
+    arguments = cappa.parse(Daemon)
+    set_up_events()
+    try:
+        settings = load_settings(arguments.settings)
+    except SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    uvloop.run(run_host(settings))
--- /dev/null
+++ b/trefoilstage/exceptions.py
@@ -0,0 +1,33 @@
+"""Define the errors that cross module borders."""
+
+
+class TrefoilstageError(Exception):
+    """Base every error of the product."""
+
+
+class MalformedMessageError(TrefoilstageError):
+    """Report bytes that are no message of the expected kind."""
+
+
+class NotReadyError(TrefoilstageError):
+    """Report that the same call may succeed later."""
+
+
+class LogUnavailableError(NotReadyError):
+    """Report that the log gave no answer; the append may have taken effect."""
+
+
+class RecordsExpiredError(TrefoilstageError):
+    """Report that the log no longer keeps the offset asked for."""
+
+    def __init__(self, *, earliest: int) -> None:
+        super().__init__(f"records before offset {earliest} have expired")
+        self.earliest = earliest
+
+
+class PeerUnavailableError(NotReadyError):
+    """Report that a peer gave no answer; it may have acted all the same."""
+
+
+class SettingsError(TrefoilstageError):
+    """Report every finding in a settings file at once."""
--- /dev/null
+++ b/trefoilstage/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the helpers package."""
--- /dev/null
+++ b/trefoilstage/helpers/events.py
@@ -0,0 +1,76 @@
+"""Write one key=value line for each event."""
+
+import json
+import sys
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import Any, TextIO
+
+import eliot
+
+FIELDS_FIRST = ("timestamp", "message_type")
+FIELDS_HIDDEN = frozenset({"task_uuid", "task_level"})
+
+
+class Event(StrEnum):
+    """Name what a process reports."""
+
+    HOST_STARTED = "host_started"
+    HOST_READY = "host_ready"
+    HOST_DRAINING = "host_draining"
+    HOST_STOPPED = "host_stopped"
+    REQUEST_DONE = "request_done"
+    REQUEST_REFUSED = "request_refused"
+    LOG_LOST = "log_lost"
+    LOG_BACK = "log_back"
+    RECORD_MALFORMED = "record_malformed"
+    STATE_RESTORED = "state_restored"
+    CHECKPOINT_WRITTEN = "checkpoint_written"
+    PEER_LOST = "peer_lost"
+    PEER_BACK = "peer_back"
+    PEER_MESSAGE_MALFORMED = "peer_message_malformed"
+    DRAW_GRANTED = "draw_granted"
+    DRAW_REJECTED = "draw_rejected"
+    DRAW_SEALED = "draw_sealed"
+    WITNESS_LOST = "witness_lost"
+    TARGET_FAILED = "target_failed"
+    TIMER_FAILED = "timer_failed"
+    CONFIG_IN_FORCE = "config_in_force"
+    USAGE_ABOVE_RESERVATION = "usage_above_reservation"
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Log an event with its fields."""
+    eliot.log_message(message_type=event.value, **fields)
+
+
+def format_event(message: Mapping[str, Any]) -> str:
+    """Return a message as one line of key=value pairs."""
+    rest = sorted(set(message) - FIELDS_HIDDEN - set(FIELDS_FIRST))
+    keys = [key for key in FIELDS_FIRST if key in message] + rest
+    return " ".join(f"{key}={format_value(message[key])}" for key in keys)
+
+
+def format_value(value: object) -> str:
+    """Return a value that holds no bare space, quote or line break."""
+    text = f"{value:.6f}" if isinstance(value, float) else str(value)
+    if text and text.isprintable() and not set(text) & set(" \"'="):
+        return text
+    return json.dumps(text)
+
+
+class EventWriter:
+    """Write events to a stream as they come."""
+
+    def __init__(self, *, stream: TextIO | None = None) -> None:
+        self._stream = stream or sys.stderr
+
+    def __call__(self, message: Mapping[str, Any]) -> None:
+        """Write one event."""
+        self._stream.write(format_event(message) + "\n")
+        self._stream.flush()
+
+
+def set_up_events(stream: TextIO | None = None) -> None:
+    """Send all events to a stream, standard error by default."""
+    eliot.add_destinations(EventWriter(stream=stream))
--- /dev/null
+++ b/trefoilstage/helpers/verdict.py
@@ -0,0 +1,76 @@
+"""Hold the sentinel values, each with a reason, that stand for errors."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Name why something was rejected or refused."""
+
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_UNCONFIRMED = "budget_unconfirmed"
+    POWER_EXHAUSTED = "power_exhausted"
+    NO_TARGET = "no_target"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    LOG_UNAVAILABLE = "log_unavailable"
+    TARGET_FAILED = "target_failed"
+    SHUTTING_DOWN = "shutting_down"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REUSED = "key_reused"
+    KEY_REQUIRED = "key_required"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    IN_PROGRESS = "in_progress"
+    CANCELLED = "cancelled"
+    NOT_READY = "not_ready"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    DUPLICATE = "duplicate"
+    UNKNOWN_DRAW = "unknown_draw"
+    UNKNOWN_ACCOUNT = "unknown_account"
+    NOT_HOLDER = "not_holder"
+    NOT_WITNESS = "not_witness"
+    DRAW_SEALED = "draw_sealed"
+    DRAW_CLOSED = "draw_closed"
+    STALE_REVISION = "stale_revision"
+    NOT_APPLICABLE = "not_applicable"
+
+
+class Effect(StrEnum):
+    """Tell a caller whether anything was run."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """Stand for a request that got no answer, with the reason."""
+
+    reason: Reason
+    effect: Effect = Effect.NOT_RUN
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Accepted:
+    """Stand for a record that the fold took in, with the amount granted."""
+
+    amount: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rejected:
+    """Stand for a record that the fold left out, with the reason."""
+
+    reason: Reason
+    detail: str = ""
+
+
+Verdict = Accepted | Rejected
+ACCEPTED = Accepted()
--- /dev/null
+++ b/trefoilstage/host.py
@@ -0,0 +1,217 @@
+"""Assemble one host from its parts."""
+
+import asyncio
+import json
+import random
+import sys
+import uuid
+
+import aiohttp
+from mode import Service
+
+from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.components.booking.controller import BookingController
+from trefoilstage.components.budget.controller import BudgetController
+from trefoilstage.components.budget.witness import WitnessController
+from trefoilstage.components.callers.generation import GenerationRunner
+from trefoilstage.components.callers.server import CallerServer
+from trefoilstage.components.configuration.controller import ConfigurationController
+from trefoilstage.components.log_client.client import LogClient
+from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.components.membership.controller import MembershipController
+from trefoilstage.components.operators.server import OperatorServer
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.relay import RelayedLog
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.targets.client import TargetClient
+from trefoilstage.configuration.records import HostDown, HostUp
+from trefoilstage.helpers.dump import dump_value
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.metrics import Metrics
+from trefoilstage.settings import HostSettings
+from trefoilstage.timer import TimerService
+
+READY_POLL_S = 0.02
+
+
+class Host(Service):  # type: ignore[misc]
+    """Run every part of one host on one loop."""
+
+    def __init__(self, *, settings: HostSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self.blackboard = Blackboard(
+            host=settings.host,
+            incarnation=f"{settings.host}-{uuid.uuid4().hex[:12]}",
+            data_center=settings.data_center,
+        )
+        self.drain_requested = asyncio.Event()
+
+    async def on_start(self) -> None:
+        """Build the parts and start them, inner ones first."""
+        settings = self._settings
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        )
+        metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
+        generator = random.Random(self.blackboard.incarnation)
+        self._timer = TimerService()
+        self._links = PeerLinks()
+        self._peer_server = PeerServer(
+            address=settings.address, port=settings.peer_port
+        )
+        self._streams = self._make_streams()
+        self._budget = BudgetController(
+            blackboard=self.blackboard,
+            streams=self._streams,
+            links=self._links,
+            timer=self._timer,
+            horizon_s=settings.draw_horizon_s,
+            admission_wait_s=settings.admission_wait_s,
+            witness_timeout_s=settings.suspect_after_s,
+            generator=generator,
+        )
+        self._callers = CallerServer(
+            blackboard=self.blackboard,
+            generations=GenerationRunner(
+                blackboard=self.blackboard,
+                budget=self._budget,
+                targets=TargetClient(session=self._session, blackboard=self.blackboard),
+            ),
+            bookings=BookingController(
+                blackboard=self.blackboard,
+                streams=self._streams,
+                session=self._session,
+                admission_wait_s=settings.admission_wait_s,
+            ),
+            metrics=metrics,
+            address=settings.address,
+            port=settings.caller_port,
+        )
+        self._operators = OperatorServer(
+            blackboard=self.blackboard,
+            streams=self._streams,
+            extra_state=self._budget.list_pools,
+            drain=self.drain_requested.set,
+            address=settings.address,
+            port=settings.operator_port,
+        )
+        parts = [
+            self._timer,
+            self._links,
+            self._peer_server,
+            self._streams,
+            *self._make_controllers(generator),
+            self._budget,
+            self._callers,
+            self._operators,
+        ]
+        for part in parts:
+            await self.add_runtime_dependency(part)
+        self._announce()
+
+    def _make_streams(self) -> Streams:
+        settings = self._settings
+        client = LogClient(
+            session=self._session,
+            url=settings.log_url,
+            timeout_s=settings.log_timeout_s,
+        )
+        source = RelayedLog(
+            client=client,
+            blackboard=self.blackboard,
+            links=self._links,
+            server=self._peer_server,
+            timeout_s=settings.log_timeout_s,
+        )
+        return Streams(
+            blackboard=self.blackboard,
+            source=source,
+            poll_s=settings.log_poll_s,
+            checkpoint_every=settings.checkpoint_every,
+        )
+
+    def _make_controllers(self, generator: random.Random) -> list[Service]:
+        settings = self._settings
+        return [
+            MembershipController(
+                blackboard=self.blackboard,
+                links=self._links,
+                server=self._peer_server,
+                timer=self._timer,
+                heartbeat_s=settings.heartbeat_s,
+                suspect_after_s=settings.suspect_after_s,
+            ),
+            ConfigurationController(
+                blackboard=self.blackboard,
+                streams=self._streams,
+                timer=self._timer,
+                generator=generator,
+            ),
+            WitnessController(
+                blackboard=self.blackboard,
+                streams=self._streams,
+                server=self._peer_server,
+                timer=self._timer,
+                suspect_after_s=settings.suspect_after_s,
+            ),
+        ]
+
+    def _announce(self) -> None:
+        address = self._settings.address
+        peer_url = f"ws://{address}:{self._peer_server.port}"
+        self._streams.submit_config(
+            HostUp(
+                host=self._settings.host,
+                data_center=self._settings.data_center,
+                caller_url=f"http://{address}:{self._callers.port}",
+                operator_url=f"http://{address}:{self._operators.port}",
+                peer_url=self._settings.advertised_peer_url or peer_url,
+            )
+        )
+        log_event(
+            Event.HOST_STARTED,
+            host=self._settings.host,
+            incarnation=self.blackboard.incarnation,
+            caller_port=self._callers.port,
+            operator_port=self._operators.port,
+            peer_port=self._peer_server.port,
+        )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the log was read to its end, then serve."""
+        while not self._is_ready():
+            await asyncio.sleep(READY_POLL_S)
+        self.blackboard.phase = Phase.SERVING
+        log_event(Event.HOST_READY, host=self._settings.host)
+
+    def _is_ready(self) -> bool:
+        announced = self._settings.host in self.blackboard.config.hosts
+        return announced and self._streams.is_caught_up()
+
+    async def drain(self) -> None:
+        """Take no new requests, finish those in flight and give draws back."""
+        self.blackboard.phase = Phase.DRAINING
+        log_event(Event.HOST_DRAINING, host=self._settings.host)
+        await self._callers.drain(self._settings.drain_timeout_s)
+        await self._budget.return_all()
+        self._streams.submit_config(HostDown(incarnation=self.blackboard.incarnation))
+        try:
+            async with asyncio.timeout(self._settings.drain_timeout_s):
+                await self._streams.flush()
+        except TimeoutError:
+            log_event(Event.LOG_LOST, host=self._settings.host)
+
+    async def on_shutdown(self) -> None:
+        """Close the HTTP connections."""
+        await self._session.close()
+        log_event(Event.HOST_STOPPED, host=self._settings.host)
+
+    def write_dump(self) -> None:
+        """Write the whole state to standard error as one JSON line."""
+        state = {
+            "blackboard": dump_value(self.blackboard),
+            "controllers": dump_value(self._budget.list_pools()),
+        }
+        sys.stderr.write(json.dumps(state) + "\n")
--- /dev/null
+++ b/trefoilstage/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the ledger package."""
--- /dev/null
+++ b/trefoilstage/ledger/fold.py
@@ -0,0 +1,252 @@
+"""Fold the records of a ledger stream into one state, the same on every host."""
+
+from functools import singledispatch
+
+from trefoilstage.helpers.verdict import ACCEPTED, Accepted, Reason, Rejected, Verdict
+from trefoilstage.ledger.records import (
+    Abandon,
+    BilledRequest,
+    Checkpoint,
+    Draw,
+    Intent,
+    LedgerEnvelope,
+    Outcome,
+    Release,
+    Return,
+    Seal,
+    SetLimit,
+    Settle,
+    TopUp,
+)
+from trefoilstage.ledger.state import (
+    AccountState,
+    DrawState,
+    DrawStatus,
+    IntentState,
+    LedgerState,
+)
+
+MAX_BILLED_KEYS = 200_000
+MAX_INTENTS = 50_000
+MAX_OPERATIONS = 1_000
+MAX_SEQUENCES = 20_000
+
+
+def fold_envelope(state: LedgerState, offset: int, envelope: LedgerEnvelope) -> Verdict:
+    """Apply one record at its offset and return the verdict on it."""
+    if offset < state.next_offset:
+        return Rejected(reason=Reason.DUPLICATE)
+    state.next_offset = offset + 1
+    last = state.sequences.get(envelope.incarnation, -1)
+    # An append whose answer was lost is sent again and lands twice. Without
+    # this check a draw would be granted twice; a writer numbers its records
+    # and has one append under way, so the number alone tells a repeat.
+    if envelope.sequence <= last:
+        return Rejected(reason=Reason.DUPLICATE)
+    # Re-inserting keeps the mapping in order of last use for the pruning.
+    state.sequences.pop(envelope.incarnation, None)
+    state.sequences[envelope.incarnation] = envelope.sequence
+    drop_oldest(state.sequences, MAX_SEQUENCES)
+    return apply_record(envelope.record, state, envelope.incarnation, offset)
+
+
+def skip_offset(state: LedgerState, offset: int) -> None:
+    """Pass over an offset whose bytes are no record."""
+    state.next_offset = max(state.next_offset, offset + 1)
+
+
+def drop_oldest(mapping: dict[str, int], limit: int) -> None:
+    """Remove the oldest entries beyond a limit."""
+    while len(mapping) > limit:
+        del mapping[next(iter(mapping))]
+
+
+@singledispatch
+def apply_record(
+    record: object, state: LedgerState, writer: str, offset: int
+) -> Verdict:
+    """Apply a record of one kind."""
+    return Rejected(reason=Reason.NOT_APPLICABLE)
+
+
+@apply_record.register
+def _(record: SetLimit, state: LedgerState, writer: str, offset: int) -> Verdict:
+    account = state.accounts.setdefault(record.account, AccountState())
+    if record.revision <= account.revision:
+        return Rejected(reason=Reason.STALE_REVISION)
+    account.limit = record.limit
+    account.revision = record.revision
+    return ACCEPTED
+
+
+@apply_record.register
+def _(record: TopUp, state: LedgerState, writer: str, offset: int) -> Verdict:
+    account = state.accounts.get(record.account)
+    if account is None:
+        return Rejected(reason=Reason.UNKNOWN_ACCOUNT)
+    if record.operation in account.operations:
+        return Accepted(amount=account.operations[record.operation])
+    account.topped_up += record.amount
+    account.operations[record.operation] = record.amount
+    drop_oldest(account.operations, MAX_OPERATIONS)
+    return Accepted(amount=record.amount)
+
+
+@apply_record.register
+def _(record: Draw, state: LedgerState, writer: str, offset: int) -> Verdict:
+    account = state.accounts.get(record.account)
+    if account is None:
+        return Rejected(reason=Reason.UNKNOWN_ACCOUNT)
+    draw = state.draws.get(record.draw)
+    if draw is not None and draw.holder != writer:
+        return Rejected(reason=Reason.NOT_HOLDER)
+    if draw is not None and draw.status is not DrawStatus.OPEN:
+        return Rejected(reason=Reason.DRAW_SEALED)
+    granted = min(record.amount, account.free)
+    if granted <= 0 or granted < record.minimum:
+        return Rejected(reason=Reason.BUDGET_EXHAUSTED, detail=str(account.free))
+    if draw is None:
+        draw = DrawState(account=record.account, holder=writer, witness=record.witness)
+        state.draws[record.draw] = draw
+    draw.amount += granted
+    account.held += granted
+    return Accepted(amount=granted)
+
+
+@apply_record.register
+def _(record: Return, state: LedgerState, writer: str, offset: int) -> Verdict:
+    draw = find_open_draw(state, record.draw, writer)
+    if isinstance(draw, Rejected):
+        return draw
+    returned = min(record.amount, draw.amount - draw.spent)
+    draw.amount -= returned
+    state.accounts[draw.account].held -= returned
+    return Accepted(amount=returned)
+
+
+@apply_record.register
+def _(record: Settle, state: LedgerState, writer: str, offset: int) -> Verdict:
+    draw = state.draws.get(record.draw)
+    if draw is None:
+        return Rejected(reason=Reason.UNKNOWN_DRAW)
+    if draw.holder != writer:
+        return Rejected(reason=Reason.NOT_HOLDER)
+    before = draw.charge
+    draw.spent = max(draw.spent, min(record.spent, draw.amount))
+    account = state.accounts[draw.account]
+    account.held += draw.charge - before
+    for request in record.requests:
+        bill_request(state, account, request)
+    if record.final:
+        close_draw(state, record.draw)
+    return ACCEPTED
+
+
+@apply_record.register
+def _(record: Seal, state: LedgerState, writer: str, offset: int) -> Verdict:
+    draw = state.draws.get(record.draw)
+    if draw is None:
+        return Rejected(reason=Reason.UNKNOWN_DRAW)
+    if draw.witness != writer:
+        return Rejected(reason=Reason.NOT_WITNESS)
+    if draw.status is not DrawStatus.OPEN:
+        return Rejected(reason=Reason.DRAW_SEALED)
+    before = draw.charge
+    draw.status = DrawStatus.SEALED
+    draw.bound = record.bound
+    draw.doubtful = {request.key: request.tokens for request in record.requests}
+    state.accounts[draw.account].held += draw.charge - before
+    return Accepted(amount=before - draw.charge)
+
+
+@apply_record.register
+def _(record: Release, state: LedgerState, writer: str, offset: int) -> Verdict:
+    draw = state.draws.get(record.draw)
+    if draw is None:
+        return Rejected(reason=Reason.UNKNOWN_DRAW)
+    if draw.witness != writer:
+        return Rejected(reason=Reason.NOT_WITNESS)
+    if draw.status is not DrawStatus.SEALED:
+        return Rejected(reason=Reason.NOT_APPLICABLE)
+    close_draw(state, record.draw)
+    return ACCEPTED
+
+
+@apply_record.register
+def _(record: Intent, state: LedgerState, writer: str, offset: int) -> Verdict:
+    present = state.intents.get(record.key)
+    if present is None:
+        state.intents[record.key] = IntentState(
+            workspace=record.workspace,
+            service=record.service,
+            body_digest=record.body_digest,
+            owner=writer,
+            offset=offset,
+        )
+        while len(state.intents) > MAX_INTENTS:
+            del state.intents[next(iter(state.intents))]
+        return ACCEPTED
+    if present.body_digest != record.body_digest:
+        return Rejected(reason=Reason.KEY_REUSED)
+    return Rejected(reason=Reason.DUPLICATE)
+
+
+@apply_record.register
+def _(record: Outcome, state: LedgerState, writer: str, offset: int) -> Verdict:
+    present = state.intents.get(record.key)
+    if present is None or present.owner != writer:
+        return Rejected(reason=Reason.NOT_HOLDER)
+    if present.status is not None:
+        return Rejected(reason=Reason.DUPLICATE)
+    present.status = record.status
+    present.body = record.body
+    present.content_type = record.content_type
+    present.known = record.known
+    return ACCEPTED
+
+
+@apply_record.register
+def _(record: Abandon, state: LedgerState, writer: str, offset: int) -> Verdict:
+    present = state.intents.get(record.key)
+    if present is None or present.owner != writer:
+        return Rejected(reason=Reason.NOT_HOLDER)
+    if present.status is not None:
+        return Rejected(reason=Reason.NOT_APPLICABLE)
+    del state.intents[record.key]
+    return ACCEPTED
+
+
+@apply_record.register
+def _(record: Checkpoint, state: LedgerState, writer: str, offset: int) -> Verdict:
+    return ACCEPTED
+
+
+def find_open_draw(state: LedgerState, name: str, writer: str) -> DrawState | Rejected:
+    """Return a draw that its writer may still change."""
+    draw = state.draws.get(name)
+    if draw is None:
+        return Rejected(reason=Reason.UNKNOWN_DRAW)
+    if draw.holder != writer:
+        return Rejected(reason=Reason.NOT_HOLDER)
+    if draw.status is not DrawStatus.OPEN:
+        return Rejected(reason=Reason.DRAW_SEALED)
+    return draw
+
+
+def bill_request(
+    state: LedgerState, account: AccountState, request: BilledRequest
+) -> None:
+    """Bill a key once; what a second run of it spent is credited."""
+    if request.key in state.billed:
+        account.credit += request.tokens
+        return
+    state.billed[request.key] = request.tokens
+    drop_oldest(state.billed, MAX_BILLED_KEYS)
+
+
+def close_draw(state: LedgerState, name: str) -> None:
+    """Take a finished draw out of the state, keeping only its spend."""
+    draw = state.draws.pop(name)
+    account = state.accounts[draw.account]
+    account.held -= draw.charge
+    account.closed_spend += draw.spent
--- /dev/null
+++ b/trefoilstage/ledger/records.py
@@ -0,0 +1,161 @@
+"""Define the records of a ledger stream."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from pydantic import Field
+
+from trefoilstage.const import MAX_RECORD_BYTES, RECORD_VERSION
+from trefoilstage.helpers.codec import Codec
+
+Tokens = Annotated[int, Field(ge=0, le=1 << 53)]
+Name = Annotated[str, Field(max_length=300)]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BilledRequest:
+    """Bill one request, named by the digest of its idempotency key."""
+
+    key: Name
+    tokens: Tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SetLimit:
+    """Set an account's limit from an accepted configuration revision."""
+
+    account: Name
+    limit: Tokens
+    revision: Tokens
+    kind: Literal["set_limit"] = "set_limit"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TopUp:
+    """Raise what an account has paid; idempotent by operation."""
+
+    account: Name
+    amount: Tokens
+    operation: Name
+    kind: Literal["top_up"] = "top_up"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Draw:
+    """Move tokens from an account to a holder's draw, opening it if new."""
+
+    draw: Name
+    account: Name
+    amount: Tokens
+    minimum: Tokens
+    witness: Name
+    kind: Literal["draw"] = "draw"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Return:
+    """Give tokens of a draw back to its account."""
+
+    draw: Name
+    amount: Tokens
+    kind: Literal["return"] = "return"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settle:
+    """Report a draw's cumulative spend, its billed requests and its end."""
+
+    draw: Name
+    spent: Tokens
+    final: bool = False
+    requests: tuple[BilledRequest, ...] = ()
+    kind: Literal["settle"] = "settle"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Seal:
+    """End a lost holder's draw at the bound its witness acknowledged."""
+
+    draw: Name
+    bound: Tokens
+    requests: tuple[BilledRequest, ...] = ()
+    kind: Literal["seal"] = "seal"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """Free a sealed returnable draw whose requests are known to be over."""
+
+    draw: Name
+    kind: Literal["release"] = "release"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Intent:
+    """Claim the only run of a request that is not idempotent."""
+
+    key: Name
+    workspace: Name
+    service: Name
+    body_digest: Name
+    kind: Literal["intent"] = "intent"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outcome:
+    """Record how the run of an intent ended."""
+
+    key: Name
+    status: int
+    body: bytes = b""
+    content_type: Name = "application/json"
+    known: bool = True
+    kind: Literal["outcome"] = "outcome"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Abandon:
+    """Withdraw an intent that its owner has not run and never will."""
+
+    key: Name
+    kind: Literal["abandon"] = "abandon"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Checkpoint:
+    """Carry the compressed state before an offset, so older records may expire."""
+
+    offset: Tokens
+    fold_version: int
+    state: bytes
+    kind: Literal["checkpoint"] = "checkpoint"
+
+
+LedgerRecord = (
+    SetLimit
+    | TopUp
+    | Draw
+    | Return
+    | Settle
+    | Seal
+    | Release
+    | Intent
+    | Outcome
+    | Abandon
+    | Checkpoint
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LedgerEnvelope:
+    """Identify a record by its writer's incarnation and sequence."""
+
+    incarnation: Name
+    sequence: Tokens
+    record: Annotated[LedgerRecord, Field(discriminator="kind")]
+    version: int = field(default=RECORD_VERSION)
+
+
+LEDGER_CODEC: Codec[LedgerEnvelope] = Codec(
+    family=LedgerEnvelope, max_bytes=MAX_RECORD_BYTES
+)
--- /dev/null
+++ b/trefoilstage/settings.py
@@ -0,0 +1,54 @@
+"""Read a host's settings from TOML and check them at once."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from trefoilstage.configuration.schema import HttpUrl, Identifier
+from trefoilstage.exceptions import SettingsError
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class HostSettings(BaseModel):
+    """Describe one host process: its name, addresses and outside services."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    host: Identifier
+    data_center: Identifier
+    address: str = "127.0.0.1"
+    caller_port: Port = 0
+    operator_port: Port = 0
+    peer_port: Port = 0
+    log_url: HttpUrl
+    host_list_url: HttpUrl | None = None
+    statsd_address: str | None = None
+    statsd_port: Port = 8125
+    log_timeout_s: Seconds = 2.0
+    log_poll_s: Seconds = 1.0
+    heartbeat_s: Seconds = 0.25
+    suspect_after_s: Seconds = 1.5
+    draw_horizon_s: Seconds = 2.0
+    admission_wait_s: Seconds = 1.0
+    checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
+    drain_timeout_s: Seconds = 120.0
+    advertised_peer_url: str | None = None
+
+
+def load_settings(path: Path) -> HostSettings:
+    """Return the settings in a file, or raise SettingsError with all findings."""
+    try:
+        tables = tomllib.loads(path.read_text())
+        return HostSettings.model_validate(tables)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path.name}: {error}") from error
+    except ValidationError as error:
+        lines = [
+            f"{path.name}: {'.'.join(map(str, item['loc']))}: {item['msg']}"
+            for item in error.errors()
+        ]
+        raise SettingsError("\n".join(lines)) from error
--- /dev/null
+++ b/trefoilstage/timer.py
@@ -0,0 +1,47 @@
+"""Call subscribers at their intervals."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from mode import Service
+
+from trefoilstage.helpers.events import Event, log_event
+
+Callback = Callable[[], Awaitable[None]]
+Unsubscribe = Callable[[], None]
+
+
+class TimerService(Service):  # type: ignore[misc]
+    """Own every periodic call, so that parts hold no loops of their own."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def subscribe(
+        self, *, name: str, interval_s: float, callback: Callback
+    ) -> Unsubscribe:
+        """Call back every interval until the returned function is called."""
+        task = asyncio.create_task(self._run(name, interval_s, callback), name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task.cancel  # type: ignore[return-value]
+
+    async def _run(self, name: str, interval_s: float, callback: Callback) -> None:
+        while True:
+            await asyncio.sleep(interval_s)
+            try:
+                await callback()
+            except Exception as error:
+                # One failed tick must not end the subscription: a controller
+                # that stops silently keeps tokens that nobody gives back.
+                log_event(Event.TIMER_FAILED, name=name, error=repr(error))
+
+    async def on_stop(self) -> None:
+        """Cancel what is still subscribed."""
+        for task in list(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/trefoilstage/util/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the util package."""
