Add a fault-injecting proxy and an address for each host

Cause: proofs under failure need cuts between chosen pairs, and a proxy can tell pairs apart only by source address. Hosts now send from an address in their settings; the proxy applies its rules by it. A key billed twice now costs the dearer of its runs: crediting the later run whole would let a short broken run pay for a long one.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -30,23 +30,24 @@
     name: str
     process: asyncio.subprocess.Process
     ports: dict[str, int] = field(default_factory=dict)
+    address: str = LOOPBACK
     lines: list[str] = field(default_factory=list)
     reader: asyncio.Task[None] | None = None
 
     @property
     def url(self) -> str:
         """Return the address of a stand-in."""
-        return f"http://{LOOPBACK}:{self.ports['port']}"
+        return f"http://{self.address}:{self.ports['port']}"
 
     @property
     def caller_url(self) -> str:
         """Return where a host serves callers."""
-        return f"http://{LOOPBACK}:{self.ports['caller_port']}"
+        return f"http://{self.address}:{self.ports['caller_port']}"
 
     @property
     def operator_url(self) -> str:
         """Return where a host serves operators."""
-        return f"http://{LOOPBACK}:{self.ports['operator_port']}"
+        return f"http://{self.address}:{self.ports['operator_port']}"
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process alone."""
@@ -87,7 +88,9 @@
         path = Path(self._folder.name) / f"{name}.toml"
         lines = [f"{key} = {format_toml(value)}" for key, value in settings.items()]
         path.write_text("\n".join(lines) + "\n")
-        return await self._start(name, "trefoilstage", "--settings", str(path))
+        running = await self._start(name, "trefoilstage", "--settings", str(path))
+        running.address = str(extra.get("address", LOOPBACK))
+        return running
 
     async def _start(self, name: str, module: str, *options: str) -> Running:
         process = await asyncio.create_subprocess_exec(
--- a/tests/common.py
+++ b/tests/common.py
@@ -6,6 +6,7 @@
 from typing import Any, Self
 
 from standins.launcher import Launcher, Running, wait_for
+from standins.proxy import FaultProxy
 
 SECRET = "brest-school-key"
 OTHER_SECRET = "quimper-crew-key"
@@ -57,6 +58,8 @@
     service: Running = field(init=False)
     engines: list[Running] = field(default_factory=list)
     hosts: list[Running] = field(default_factory=list)
+    proxies: dict[str, FaultProxy] = field(default_factory=dict)
+    data_centers: tuple[str, ...] = ("brest",)
 
     async def __aenter__(self) -> Self:
         await self.launcher.__aenter__()
@@ -68,17 +71,22 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        for proxy in self.proxies.values():
+            await proxy.stop()
         await self.launcher.__aexit__()
 
     async def _start(self) -> None:
         launcher = self.launcher
         self.log = await launcher.start_standin("log", "log", *self.log_options)
+        await self._add_proxy("log", self.log.ports["port"])
         self.service = await launcher.start_standin("service", "service")
+        await self._add_proxy("service", self.service.ports["port"])
         for number in range(self.n_engines):
             engine = await launcher.start_standin(
                 f"engine-{number}", "engine", *self.engine_options
             )
             self.engines.append(engine)
+            await self._add_proxy(engine.name, engine.ports["port"])
         names = [f"host-{number}" for number in range(self.n_hosts)]
         self.hosts = list(
             await asyncio.gather(*(self.start_host(name) for name in names))
@@ -86,18 +94,49 @@
         await self.publish(
             "10-base.toml",
             make_config(
-                [engine.url for engine in self.engines],
-                [self.service.url],
+                [self.proxies[engine.name].url for engine in self.engines],
+                [self.proxies["service"].url],
                 tokens=self.tokens,
             ),
         )
         await wait_for(self.is_ready, "the fleet to be ready")
 
     async def start_host(self, name: str) -> Running:
-        """Start one more host."""
-        return await self.launcher.start_host(
-            name, "brest", log_url=self.log.url, **self.host_settings
+        """Start one more host behind a proxy, with a source address of its own."""
+        number = int(name.rsplit("-", 1)[1])
+        proxy = await self._add_proxy(name, 0)
+        proxy.upstream_address = get_address(name)
+        host = await self.launcher.start_host(
+            name,
+            self.data_centers[number % len(self.data_centers)],
+            log_url=self.proxies["log"].url,
+            address=get_address(name),
+            advertised_peer_url=f"ws://127.0.0.1:{proxy.port}",
+            **self.host_settings,
         )
+        proxy.upstream_port = host.ports["peer_port"]
+        return host
+
+    async def _add_proxy(self, name: str, port: int) -> FaultProxy:
+        proxy = FaultProxy(upstream_port=port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        return proxy
+
+    def cut(self, sources: list[Running], names: list[str]) -> None:
+        """Cut hosts from what stands behind the named proxies, both ways."""
+        for name in names:
+            self.proxies[name].cut(*(get_address(host.name) for host in sources))
+
+    def cut_apart(self, side: list[Running], other: list[Running]) -> None:
+        """Cut two groups of hosts from each other."""
+        self.cut(side, [host.name for host in other])
+        self.cut(other, [host.name for host in side])
+
+    def heal(self) -> None:
+        """Lift every cut."""
+        for proxy in self.proxies.values():
+            proxy.heal()
 
     async def publish(self, name: str, content: str) -> Any:
         """Publish a file through the first host."""
@@ -180,6 +219,11 @@
             )
 
 
+def get_address(name: str) -> str:
+    """Return the loopback address of a host, which names it to the proxies."""
+    return f"127.0.1.{int(name.rsplit('-', 1)[1]) + 1}"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerAnswer:
     """Hold what a caller got."""
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -21,8 +21,9 @@
 class PeerLink:
     """Send calls to one peer and match its replies."""
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, outbound_address: str) -> None:
         self.url = url
+        self._outbound_address = outbound_address
         self._connection: ClientConnection | None = None
         self._reader: asyncio.Task[None] | None = None
         self._waiting: dict[int, asyncio.Future[PeerMessage]] = {}
@@ -67,6 +68,7 @@
                     compression=None,
                     max_size=MAX_PEER_MESSAGE_BYTES,
                     proxy=None,
+                    local_addr=(self._outbound_address, 0),
                 )
                 self._reader = asyncio.create_task(self._read(self._connection))
             return self._connection
--- a/trefoilstage/components/peers/links.py
+++ b/trefoilstage/components/peers/links.py
@@ -8,13 +8,18 @@
 class PeerLinks(Service):  # type: ignore[misc]
     """Own the links to peers, opened when first used."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, outbound_address: str) -> None:
         super().__init__()
+        self._outbound_address = outbound_address
         self._links: dict[str, PeerLink] = {}
 
     def get_link(self, url: str) -> PeerLink:
         """Return the link to a peer's address."""
-        return self._links.setdefault(url, PeerLink(url=url))
+        link = self._links.get(url)
+        if link is None:
+            link = PeerLink(url=url, outbound_address=self._outbound_address)
+            self._links[url] = link
+        return link
 
     async def on_stop(self) -> None:
         """Close every link."""
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -50,14 +50,15 @@
     async def on_start(self) -> None:
         """Build the parts and start them, inner ones first."""
         settings = self._settings
-        connector = aiohttp.TCPConnector(limit=0)
+        outbound_address = settings.outbound_address or settings.address
+        connector = aiohttp.TCPConnector(limit=0, local_addr=(outbound_address, 0))
         self._session = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=None)
         )
         metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
         generator = random.Random(self.blackboard.incarnation)
         self._timer = TimerService()
-        self._links = PeerLinks()
+        self._links = PeerLinks(outbound_address=outbound_address)
         self._peer_server = PeerServer(
             address=settings.address, port=settings.peer_port
         )
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -236,11 +236,10 @@
 def bill_request(
     state: LedgerState, account: AccountState, request: BilledRequest
 ) -> None:
-    """Bill a key once; what a second run of it spent is credited."""
-    if request.key in state.billed:
-        account.credit += request.tokens
-        return
-    state.billed[request.key] = request.tokens
+    """Bill a key once: the dearest of its runs, and credit the others."""
+    before = state.billed.get(request.key, 0)
+    account.credit += min(before, request.tokens)
+    state.billed[request.key] = max(before, request.tokens)
     drop_oldest(state.billed, MAX_BILLED_KEYS)
 
 
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -21,6 +21,7 @@
     host: Identifier
     data_center: Identifier
     address: str = "127.0.0.1"
+    outbound_address: str | None = None
     caller_port: Port = 0
     operator_port: Port = 0
     peer_port: Port = 0
