Add the load and experiment tool with its scenarios and slopes

Cause: no claim about policy or capacity stands without a run, and runs on shared machines only compare side by side.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the load and experiment tool."""
--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,103 @@
+"""Run scenarios and compare results, trefoilstage-bench."""
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from bench.measure import run_variant
+from bench.results import Result, print_results, read_result, write_result
+from bench.scenario import list_scenarios, load_scenario
+from bench.slopes import DEFAULT_SIZES, Axis, measure_axis, print_slopes
+
+CHOSEN = "chosen"
+
+
+@cappa.command(name="run")
+@dataclass(kw_only=True)
+class RunCommand:
+    """Run a scenario's variants in turn, repeat by repeat, and compare them."""
+
+    name: Annotated[str, cappa.Arg(help="the scenario's name")]
+    repeats: Annotated[int, cappa.Arg(long=True)] = 1
+    variants: Annotated[
+        str | None, cappa.Arg(long=True, help="comma-separated; all by default")
+    ] = None
+
+    def __call__(self) -> None:
+        """Run, write the results and print the table."""
+        scenario = load_scenario(self.name)
+        settings = {CHOSEN: {}, **scenario.variants}
+        names = self.variants.split(",") if self.variants else list(settings)
+        results = [
+            Result(scenario=self.name, variant=name, repeats=[]) for name in names
+        ]
+        for number in range(self.repeats):
+            seeded = scenario.model_copy(update={"seed": scenario.seed + number})
+            for result in results:
+                measures = asyncio.run(run_variant(seeded, settings[result.variant]))
+                result.repeats.append(measures)
+                write_result(result)
+        print(f"{scenario.name}: {scenario.description}")
+        print_results(results)
+
+
+@cappa.command(name="compare")
+@dataclass(kw_only=True)
+class CompareCommand:
+    """Compare results from their files; ratios are to the first."""
+
+    files: Annotated[list[Path], cappa.Arg(help="result files")]
+
+    def __call__(self) -> None:
+        """Print the table."""
+        print_results([read_result(path) for path in self.files])
+
+
+@cappa.command(name="slope")
+@dataclass(kw_only=True)
+class SlopeCommand:
+    """Fit a host's costs against the size of one thing."""
+
+    axis: Annotated[Axis, cappa.Arg(help="what to vary")]
+    sizes: Annotated[str | None, cappa.Arg(long=True, help="comma-separated sizes")] = (
+        None
+    )
+    repeats: Annotated[int, cappa.Arg(long=True)] = 1
+
+    def __call__(self) -> None:
+        """Measure and print the lines."""
+        sizes = DEFAULT_SIZES[self.axis]
+        if self.sizes:
+            sizes = tuple(int(size) for size in self.sizes.split(","))
+        print_slopes(self.axis, measure_axis(self.axis, sizes, self.repeats))
+
+
+@cappa.command(name="list")
+@dataclass(kw_only=True)
+class ListCommand:
+    """List the scenarios."""
+
+    def __call__(self) -> None:
+        """Print each name with its description."""
+        for name in list_scenarios():
+            print(f"{name}: {load_scenario(name).description}")
+
+
+@cappa.command(name="trefoilstage-bench")
+@dataclass(kw_only=True)
+class Bench:
+    """Measure fleets on loopback, side by side."""
+
+    command: cappa.Subcommands[RunCommand | CompareCommand | SlopeCommand | ListCommand]
+
+
+def main() -> None:
+    """Run a command."""
+    cappa.invoke(Bench)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -32,6 +32,7 @@
     upstream_address: str = LOOPBACK
     upstream_port: int = 0
     port: int = 0
+    n_bytes: int = 0
     rules: dict[str, Rule] = field(default_factory=lambda: defaultdict(Rule))
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -104,6 +105,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
+                self.n_bytes += len(data)
                 await self._wait_while_held(source, answers=answers)
                 rule = self.rules[source]
                 if answers and rule.lose_answers > 0:
