--- a/tests/common.py
+++ b/tests/common.py
@@ -30,7 +30,7 @@
         lines += [
             f"[targets.engine-{number}]",
             f'model = "assistant"\nsite = "brest"\nurl = "{url}"',
-            "idle_watts = 100\nwatts_per_request = 20",
+            "idle_watts = 100\nwatts_per_request = 20\nfences_cancelled = true",
         ]
     if services:
         urls = ", ".join(f'"{url}"' for url in services)
--- /dev/null
+++ b/tests/fuzz/ledger_world.py
@@ -0,0 +1,435 @@
+"""Simulate hosts, their witnesses, one log and one engine around the pure parts."""
+
+from dataclasses import dataclass, field
+
+from trefoilstage.components.budget.account import AccountPool
+from trefoilstage.components.budget.messages import Bound, BoundReply
+from trefoilstage.components.budget.policy import BudgetPolicy, DrawPolicy, Situation
+from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool
+from trefoilstage.components.budget.table import WitnessTable
+from trefoilstage.components.log_client.folds import (
+    LEDGER_STATE_ADAPTER,
+    pack_state,
+    unpack_state,
+)
+from trefoilstage.configuration.schema import Preference
+from trefoilstage.helpers.verdict import Accepted
+from trefoilstage.ledger.fold import fold_envelope
+from trefoilstage.ledger.records import (
+    BilledRequest,
+    Draw,
+    LedgerEnvelope,
+    LedgerRecord,
+    Resolve,
+    Return,
+    SetLimit,
+    Settle,
+    TopUp,
+)
+from trefoilstage.ledger.state import AccountState, DrawStatus, LedgerState
+
+ACCOUNT = "budget:brest"
+ENGINE = "http://engine"
+OPERATOR = "operator"
+STREAM = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """Hold what the engine executed for one request."""
+
+    key: str
+    limit: int
+    tokens: int
+
+
+@dataclass(kw_only=True, slots=True)
+class Engine:
+    """Execute requests and refuse those cancelled before; the oracle's meter."""
+
+    runs: dict[str, Run] = field(default_factory=dict)
+    cancelled: set[str] = field(default_factory=set)
+
+    def cancel(self, request: str) -> int:
+        """End a request for good and return what it executed."""
+        self.cancelled.add(request)
+        run = self.runs.get(request)
+        return run.tokens if run else 0
+
+    def count_dearest(self) -> dict[str, int]:
+        """Return the dearest run of each key."""
+        dearest: dict[str, int] = {}
+        for run in self.runs.values():
+            dearest[run.key] = max(dearest.get(run.key, 0), run.tokens)
+        return dearest
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Request:
+    """Follow one request from its hold to its end."""
+
+    name: str
+    key: str
+    tokens: int
+    draw: DrawPool
+    number: int
+    sent: bool = False
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Call:
+    """Follow one message from a holder to its witness."""
+
+    holder: "SimHost"
+    draw: DrawPool
+    bound: Bound
+    reply: BoundReply | None = None
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class SimHost:
+    """Hold one incarnation's folded state, draws, witness table and outbox."""
+
+    name: str
+    state: LedgerState = field(default_factory=LedgerState)
+    pool: AccountPool = field(init=False)
+    table: WitnessTable = field(init=False)
+    dead: bool = False
+    frozen: bool = False
+    sequence: int = 0
+    outbox: list[LedgerEnvelope] = field(default_factory=list)
+    pending: dict[int, LedgerRecord] = field(default_factory=dict)
+    requests: list[Request] = field(default_factory=list)
+    calls: dict[str, Call] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.pool = AccountPool(account=ACCOUNT, number=STREAM, prefix=self.name)
+        self.table = WitnessTable(incarnation=self.name)
+
+    @property
+    def runs(self) -> bool:
+        """Tell whether the process does anything now."""
+        return not self.dead and not self.frozen
+
+    @property
+    def account(self) -> AccountState:
+        """Return the account as this host has folded it."""
+        return self.state.accounts.get(ACCOUNT) or AccountState()
+
+    def submit(self, record: LedgerRecord) -> None:
+        """Queue a record for the log."""
+        envelope = LedgerEnvelope(
+            incarnation=self.name, sequence=self.sequence, record=record
+        )
+        self.pending[self.sequence] = record
+        self.sequence += 1
+        self.outbox.append(envelope)
+
+    def resolve(self, sequence: int, amount: int) -> None:
+        """Take the verdict on an own record."""
+        record = self.pending.pop(sequence, None)
+        if isinstance(record, Draw):
+            self.pool.note_draw(record.draw, amount, self.state.draws)
+        draw = self.pool.find_draw(getattr(record, "draw", ""))
+        if isinstance(record, Return) and draw is not None:
+            draw.returning = 0
+        if isinstance(record, Settle) and draw is not None:
+            draw.settling = False
+
+
+class World:
+    """Hold everything and let a machine take one step at a time."""
+
+    def __init__(self, *, n_hosts: int, tokens: int) -> None:
+        self.log: list[LedgerEnvelope] = []
+        self.fingerprints: list[str] = []
+        self.oracle = LedgerState()
+        self.peak_paid = 0
+        self.engine = Engine()
+        self.wire: list[tuple[Request, int]] = []
+        self.calls: list[Call] = []
+        self.hosts: list[SimHost] = []
+        self.n_requests = 0
+        self.n_operations = 0
+        self.n_limits = 0
+        self.policy = DrawPolicy(
+            kind=BudgetPolicy.ADAPTIVE, horizon_s=2.0, fixed_draw_tokens=50
+        )
+        self.set_limit(tokens)
+        for _ in range(n_hosts):
+            self.add_host()
+
+    def add_host(self) -> None:
+        """Start a host that has read nothing yet."""
+        self.hosts.append(SimHost(name=f"host-{len(self.hosts)}"))
+
+    def append(self, envelope: LedgerEnvelope) -> None:
+        """Append a record and fold it for the oracle."""
+        fold_envelope(self.oracle, len(self.log), envelope)
+        self.log.append(envelope)
+        self.fingerprints.append(repr(self.oracle))
+        account = self.oracle.accounts.get(ACCOUNT) or AccountState()
+        self.peak_paid = max(self.peak_paid, account.paid)
+
+    def set_limit(self, tokens: int) -> None:
+        """Set the account's limit by a new configuration revision."""
+        record = SetLimit(account=ACCOUNT, limit=tokens, revision=self.n_limits)
+        self._append_as_operator(record)
+        self.n_limits += 1
+
+    def top_up(self, tokens: int, *, again: bool) -> None:
+        """Raise the account, or repeat the operation before."""
+        if not again or self.n_operations == 0:
+            self.n_operations += 1
+        operation = f"top-up-{self.n_operations}"
+        self._append_as_operator(
+            TopUp(account=ACCOUNT, amount=tokens, operation=operation)
+        )
+
+    def _append_as_operator(self, record: LedgerRecord) -> None:
+        self.append(
+            LedgerEnvelope(incarnation=OPERATOR, sequence=len(self.log), record=record)
+        )
+
+    def flush(self, host: SimHost, n_records: int, *, lost: bool) -> None:
+        """Append a host's oldest records; a lost answer leaves them queued."""
+        for envelope in host.outbox[:n_records]:
+            self.append(envelope)
+        if not lost:
+            del host.outbox[:n_records]
+
+    def read(self, host: SimHost, n_records: int) -> None:
+        """Fold the next records of the log on a host."""
+        start = host.state.next_offset
+        for offset in range(start, min(len(self.log), start + n_records)):
+            envelope = self.log[offset]
+            verdict = fold_envelope(host.state, offset, envelope)
+            assert repr(host.state) == self.fingerprints[offset], "folds differ"
+            if envelope.incarnation == host.name:
+                amount = verdict.amount if isinstance(verdict, Accepted) else 0
+                host.resolve(envelope.sequence, amount)
+
+    def restore(self, host: SimHost, source: SimHost) -> None:
+        """Replace a host's state by a checkpoint of another's newer one."""
+        if source.state.next_offset <= host.state.next_offset:
+            return
+        data = pack_state(LEDGER_STATE_ADAPTER, source.state)
+        host.state = unpack_state(LEDGER_STATE_ADAPTER, data)
+        last = host.state.sequences.get(host.name, -1)
+        for sequence in [number for number in host.pending if number <= last]:
+            host.resolve(sequence, 0)
+
+    def exchange(self) -> None:
+        """Let every running host append and read everything."""
+        running = [host for host in self.hosts if host.runs]
+        for host in running:
+            self.flush(host, len(host.outbox), lost=False)
+        for host in running:
+            self.read(host, len(self.log))
+
+    def draw(self, host: SimHost, tokens: int, rate: float, witness: str) -> None:
+        """Ask for more as the controller does, one draw at a time."""
+        if any(isinstance(record, Draw) for record in host.pending.values()):
+            return
+        usable = max(0, host.pool.count_usable(host.state.draws))
+        minimum = max(1, tokens - usable)
+        situation = self.describe(host, rate)
+        amount = self.policy.size_draw(situation, minimum)
+        host.submit(
+            host.pool.make_draw(amount=amount, minimum=minimum, witness=witness)
+        )
+
+    def describe(self, host: SimHost, rate: float) -> Situation:
+        """Return the account as the policy sees it."""
+        return Situation(
+            paid=host.account.paid,
+            free=host.account.free,
+            drawn=host.pool.drawn,
+            held=host.pool.held,
+            demand_rate=rate,
+            n_hosts=3,
+            returnable=False,
+            preference=Preference.AVOID_REFUSALS,
+        )
+
+    def reserve(self, host: SimHost, key: str, tokens: int, *, fenced: bool) -> None:
+        """Hold tokens for a request if a draw has them."""
+        if host.pool.count_usable(host.state.draws) < tokens:
+            return
+        draw = host.pool.open_draw(NO_WITNESS)
+        self.n_requests += 1
+        name = f"request-{self.n_requests}"
+        hold = draw.add_hold(
+            request=name, key=key, tokens=tokens, targets=[ENGINE] if fenced else []
+        )
+        host.requests.append(
+            Request(name=name, key=key, tokens=tokens, draw=draw, number=hold.number)
+        )
+
+    def call_witness(self, host: SimHost) -> None:
+        """Send what the witness of the current draw has not been told."""
+        draw = host.pool.current
+        if draw is None or draw.draw in host.calls or draw.witness == NO_WITNESS:
+            return
+        bound = draw.propose_bound(STREAM)
+        if bound is not None:
+            call = Call(holder=host, draw=draw, bound=bound)
+            host.calls[draw.draw] = call
+            self.calls.append(call)
+
+    def answer_call(self, call: Call, *, repeat: bool) -> None:
+        """Let the witness take a message; a repeated one stays under way."""
+        if not repeat:
+            self.calls.remove(call)
+        witness = next(host for host in self.hosts if host.name == call.draw.witness)
+        if not witness.runs:
+            return
+        state = witness.state.draws.get(call.draw.draw)
+        call.reply = witness.table.answer(call.bound, state)
+
+    def take_reply(self, host: SimHost, name: str, *, lost: bool) -> None:
+        """Take the reply to a call, or give up on it."""
+        call = host.calls[name]
+        reply = None if lost else call.reply
+        if reply is None and not lost:
+            return
+        del host.calls[name]
+        if reply is not None and reply.allowed:
+            call.draw.confirm_bound(call.bound)
+        elif (reply is None or reply.known) and host.pool.current is call.draw:
+            host.pool.retire()
+
+    def send(self, host: SimHost, request: Request) -> None:
+        """Send a request whose hold is confirmed, or give it up."""
+        if request.sent:
+            return
+        hold = request.draw.holds[request.number]
+        if hold.confirmed:
+            request.sent = True
+            self.wire.append((request, hold.tokens))
+        else:
+            self.end(host, request, 0)
+
+    def arrive(self, place: int, tokens: int) -> None:
+        """Let a sent request reach the engine, however late."""
+        request, limit = self.wire.pop(place)
+        if request.name not in self.engine.cancelled:
+            self.engine.runs[request.name] = Run(
+                key=request.key, limit=limit, tokens=min(tokens, limit)
+            )
+
+    def generate(self, request: Request, tokens: int) -> None:
+        """Let the engine execute more of a request unless it was cancelled."""
+        run = self.engine.runs.get(request.name)
+        if run is not None and request.name not in self.engine.cancelled:
+            run.tokens = min(run.limit, run.tokens + tokens)
+
+    def finish(self, host: SimHost, request: Request) -> None:
+        """Let a host end a sent request with what the engine says it spent."""
+        if request.sent:
+            self.end(host, request, self.engine.cancel(request.name))
+
+    def end(self, host: SimHost, request: Request, tokens: int) -> None:
+        """Settle a request on its host."""
+        host.requests.remove(request)
+        request.draw.settle_hold(request.number, tokens)
+
+    def settle(self, host: SimHost) -> None:
+        """Queue what the log has still to be told."""
+        for draw, record in list(host.pool.make_settlements(host.state.draws)):
+            draw.settling = True
+            host.submit(record)
+        host.pool.drop_closed(host.state.draws)
+
+    def give_back(self, host: SimHost, tokens: int) -> None:
+        """Queue a return of tokens that nothing holds."""
+        usable = host.pool.count_usable(host.state.draws)
+        record = host.pool.make_return(min(tokens, usable))
+        if record is not None:
+            host.submit(record)
+
+    def seal(self, host: SimHost) -> None:
+        """Let a witness give up every holder that it vouches for."""
+        for name, draw in list(host.state.draws.items()):
+            if draw.witness == host.name and draw.status is DrawStatus.OPEN:
+                record = host.table.seal(name, draw)
+                if record is not None:
+                    host.submit(record)
+
+    def recover(self, host: SimHost) -> None:
+        """Let a host settle what is in doubt by the engine's word."""
+        for name, draw in list(host.state.draws.items()):
+            if draw.status is not DrawStatus.SEALED:
+                continue
+            requests = tuple(
+                BilledRequest(
+                    key=hold.key,
+                    tokens=self.engine.cancel(hold.request),
+                    number=number,
+                )
+                for number, hold in draw.doubtful.items()
+                if hold.targets
+            )
+            if requests:
+                host.submit(Resolve(draw=name, requests=requests))
+        host.table.forget_closed(host.state.draws)
+
+    def count_possible(self) -> dict[str, int]:
+        """Return the dearest run of each key that may still come about."""
+        possible = self.engine.count_dearest()
+        sent = [(request.name, request.key, limit) for request, limit in self.wire]
+        sent += [(name, run.key, run.limit) for name, run in self.engine.runs.items()]
+        for host in self.hosts:
+            sent += [
+                (request.name, request.key, request.tokens)
+                for request in host.requests
+                if not host.dead
+                and not request.sent
+                and request.draw.holds[request.number].confirmed
+            ]
+        for name, key, limit in sent:
+            if name not in self.engine.cancelled:
+                possible[key] = max(possible.get(key, 0), limit)
+        return possible
+
+    def check(self) -> None:
+        """Check what must hold after every step."""
+        self._check_amounts()
+        dearest = self.engine.count_dearest()
+        total = sum(dearest.values())
+        assert total <= self.peak_paid, f"executed {total}, paid {self.peak_paid}"
+        account = self.oracle.accounts[ACCOUNT]
+        taken = account.paid - account.free
+        possible = sum(self.count_possible().values())
+        assert possible <= taken, f"may execute {possible}, taken {taken}"
+        for billed, tokens in self.oracle.billed.items():
+            key = billed.removeprefix(f"{ACCOUNT}/")
+            assert tokens <= dearest.get(key, 0), f"{key} billed above its runs"
+
+        for host in self.hosts:
+            self._check_holder(host)
+
+    def _check_holder(self, host: SimHost) -> None:
+        for draw in host.pool.list_draws():
+            state = self.oracle.draws.get(draw.draw)
+            if state is None or state.status is not DrawStatus.OPEN:
+                continue
+            assert draw.level <= state.amount, f"{draw.draw} holds more than it drew"
+            assert draw.spent >= state.spent
+
+    def _check_amounts(self) -> None:
+        account = self.oracle.accounts[ACCOUNT]
+        draws = self.oracle.draws.values()
+        held = sum(draw.charge for draw in draws)
+        assert account.held == held, f"held {account.held}, draws hold {held}"
+        assert (
+            account.paid + account.credit
+            == account.free + account.held + account.closed_spend
+        )
+        spent = account.closed_spend + sum(draw.spent for draw in draws)
+        billed = sum(self.oracle.billed.values())
+        assert spent - account.credit == billed, "a key was not billed once"
+        for draw in draws:
+            doubt = sum(hold.doubt for hold in draw.doubtful.values())
+            assert draw.doubt == doubt
+            assert draw.spent <= draw.amount
--- /dev/null
+++ b/tests/fuzz/test_ledger_machine.py
@@ -0,0 +1,239 @@
+"""Drive the ledger, draws and witnesses through every order of faults."""
+
+import unittest
+from enum import IntEnum
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tests.fuzz.ledger_world import SimHost, World
+from trefoilstage.components.budget.pool import NO_WITNESS
+
+N_HOSTS = 3
+MAX_HOSTS = 5
+KEYS = st.sampled_from(["k0", "k1"])
+AMOUNTS = st.integers(min_value=1, max_value=40)
+PLACES = st.integers(min_value=0, max_value=N_HOSTS - 1)
+COUNTS = st.integers(min_value=1, max_value=3)
+LIMITS = st.integers(min_value=0, max_value=300)
+RATES = st.sampled_from([0.0, 5.0, 100.0])
+
+
+class Stage(IntEnum):
+    """Name how far a request gets before the next fault."""
+
+    HELD = 0
+    TOLD = 1
+    CONFIRMED = 2
+    SENT = 3
+    ARRIVED = 4
+    ENDED = 5
+    SETTLED = 6
+
+
+STAGES = st.sampled_from(list(Stage))
+
+CI_SETTINGS = settings(
+    max_examples=500,
+    stateful_step_count=80,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Let any host take any step, lose any message and die at any moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(n_hosts=N_HOSTS, tokens=150)
+
+    def pick(self, place: int) -> SimHost:
+        """Return a host by its place; the newest ones stand first."""
+        return self.world.hosts[-1 - place]
+
+    def pick_running(self, place: int) -> SimHost | None:
+        """Return a host that does something now."""
+        host = self.pick(place)
+        return host if host.runs else None
+
+    def draw(self, host: SimHost, tokens: int, rate: float) -> None:
+        """Draw with a peer as witness, or now and then without one."""
+        peers = [peer for peer in self.world.hosts if peer is not host]
+        witness = peers[tokens % len(peers)].name if tokens % 7 else NO_WITNESS
+        self.world.draw(host, tokens, rate, witness)
+
+    @rule(place=PLACES, key=KEYS, tokens=AMOUNTS, rate=RATES, stage=STAGES)
+    def request(
+        self, place: int, key: str, tokens: int, rate: float, stage: Stage
+    ) -> None:
+        """Take a request up to a stage."""
+        host = self.pick_running(place)
+        if host is None:
+            return
+        world = self.world
+        if host.pool.count_usable(host.state.draws) < tokens:
+            world.exchange()
+            self.draw(host, tokens, rate)
+            world.exchange()
+        world.reserve(host, key, tokens, fenced=tokens % 5 > 0)
+        if stage >= Stage.TOLD:
+            world.call_witness(host)
+        if stage >= Stage.CONFIRMED:
+            self.confirm_all(host)
+        if stage >= Stage.SENT:
+            self.run_all(host, tokens, stage)
+
+    def run_all(self, host: SimHost, tokens: int, stage: Stage) -> None:
+        """Take a host's confirmed requests up to a stage."""
+        world = self.world
+        for request in list(host.requests):
+            world.send(host, request)
+        if stage >= Stage.ARRIVED:
+            self.arrive_all(tokens)
+        if stage >= Stage.ENDED:
+            for request in list(host.requests):
+                world.finish(host, request)
+        if stage >= Stage.SETTLED:
+            world.settle(host)
+            world.exchange()
+
+    def confirm_all(self, host: SimHost) -> None:
+        """Let a host's calls be answered and its next ones too."""
+        world = self.world
+        for _ in range(2):
+            for name, call in list(host.calls.items()):
+                if call in world.calls:
+                    world.answer_call(call, repeat=False)
+                world.take_reply(host, name, lost=False)
+            world.call_witness(host)
+
+    def arrive_all(self, tokens: int) -> None:
+        """Let everything sent reach the engine."""
+        while self.world.wire:
+            self.world.arrive(0, tokens)
+
+    @rule(place=PLACES, tokens=AMOUNTS, rate=RATES)
+    def draw_more(self, place: int, tokens: int, rate: float) -> None:
+        if host := self.pick_running(place):
+            self.draw(host, tokens, rate)
+
+    @rule(place=PLACES, number=PLACES, lost=st.booleans(), repeat=st.booleans())
+    def pass_message(self, place: int, number: int, lost: bool, repeat: bool) -> None:
+        """Lose, repeat or deliver in any order what holders tell witnesses."""
+        calls = self.world.calls
+        if calls:
+            call = calls[number % len(calls)]
+            if lost and not repeat:
+                calls.remove(call)
+            else:
+                self.world.answer_call(call, repeat=repeat)
+        if host := self.pick_running(place):
+            for name in list(host.calls):
+                self.world.take_reply(host, name, lost=lost)
+            self.world.call_witness(host)
+
+    @rule(place=PLACES, number=PLACES, tokens=AMOUNTS, ends=st.booleans())
+    def run_request(self, place: int, number: int, tokens: int, ends: bool) -> None:
+        """Send one request, let one arrive, run on or end."""
+        world = self.world
+        if world.wire:
+            world.arrive(number % len(world.wire), tokens)
+        requests = self.pick(place).requests
+        if not requests:
+            return
+        request = requests[number % len(requests)]
+        world.generate(request, tokens)
+        host = self.pick_running(place)
+        if host is None:
+            return
+        if request.sent and ends:
+            world.finish(host, request)
+        else:
+            world.send(host, request)
+
+    @rule(place=PLACES, tokens=AMOUNTS, settles=st.booleans())
+    def tell_log(self, place: int, tokens: int, settles: bool) -> None:
+        """Settle or give back."""
+        if host := self.pick_running(place):
+            if settles:
+                self.world.settle(host)
+            else:
+                self.world.give_back(host, tokens)
+
+    @rule(place=PLACES, n_records=COUNTS, lost=st.booleans())
+    def flush(self, place: int, n_records: int, lost: bool) -> None:
+        """Append; a group under way may land though its host has died."""
+        self.world.flush(self.pick(place), n_records, lost=lost)
+
+    @rule(place=PLACES, n_records=COUNTS, source=PLACES, restores=st.booleans())
+    def read(self, place: int, n_records: int, source: int, restores: bool) -> None:
+        """Read on, or start again from another host's checkpoint."""
+        if host := self.pick_running(place):
+            if restores:
+                self.world.restore(host, self.pick(source))
+            self.world.read(host, n_records)
+
+    @rule()
+    def exchange(self) -> None:
+        self.world.exchange()
+
+    @rule(place=PLACES)
+    def seal(self, place: int) -> None:
+        """Let a witness give up its holders, be it right or wrong."""
+        if host := self.pick_running(place):
+            self.world.seal(host)
+            self.world.flush(host, len(host.outbox), lost=False)
+
+    @rule(place=PLACES)
+    def recover(self, place: int) -> None:
+        if host := self.pick_running(place):
+            self.world.read(host, len(self.world.log))
+            self.world.recover(host)
+
+    @rule(place=PLACES)
+    def freeze_or_wake(self, place: int) -> None:
+        host = self.pick(place)
+        host.frozen = not host.frozen
+
+    @precondition(lambda self: len(self.world.hosts) < MAX_HOSTS)
+    @rule(place=PLACES, retires=st.booleans())
+    def lose_host(self, place: int, retires: bool) -> None:
+        """Replace a host, or let one retire its draw for want of a witness."""
+        host = self.pick(place)
+        if retires:
+            host.pool.retire()
+            return
+        host.dead = True
+        self.world.add_host()
+
+    @rule(tokens=LIMITS, changes_limit=st.booleans(), again=st.booleans())
+    def change_paid(self, tokens: int, changes_limit: bool, again: bool) -> None:
+        if changes_limit:
+            self.world.set_limit(tokens)
+        else:
+            self.world.top_up(tokens // 8, again=again)
+
+    @invariant()
+    def check(self) -> None:
+        self.world.check()
+
+
+class LedgerMachineTest(unittest.TestCase):
+    """Run the machine on a fixed set of examples."""
+
+    def test_nothing_is_overspent_and_each_key_is_billed_once(self) -> None:
+        run_state_machine_as_test(LedgerMachine, settings=CI_SETTINGS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/trefoilstage/components/budget/account.py
@@ -0,0 +1,136 @@
+"""Hold one host's draws on one account; pure, with no clock."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from trefoilstage.components.budget.pool import DrawPool
+from trefoilstage.ledger.records import Draw, Return, Settle
+from trefoilstage.ledger.state import DrawState, DrawStatus
+
+RATE_DECAY = 0.8
+
+Draws = Mapping[str, DrawState]
+
+
+@dataclass(kw_only=True, slots=True)
+class AccountPool:
+    """Open, use, retire and drop a host's draws on one account."""
+
+    account: str
+    number: int
+    prefix: str
+    returnable: bool = False
+    current: DrawPool | None = None
+    retired: list[DrawPool] = field(default_factory=list)
+    n_opened: int = 0
+    drawn: int = 0
+    waiting: int = 0
+    demand: float = 0.0
+    demand_rate: float = 0.0
+
+    @property
+    def held(self) -> int:
+        """Return what running requests hold."""
+        return sum(draw.held for draw in self.list_draws())
+
+    def list_draws(self) -> list[DrawPool]:
+        """Return the draws that are not closed yet."""
+        current = [self.current] if self.current is not None else []
+        return [*self.retired, *current]
+
+    def find_draw(self, name: str) -> DrawPool | None:
+        """Return a draw by name."""
+        return next((draw for draw in self.list_draws() if draw.draw == name), None)
+
+    def open_draw(self, witness: str) -> DrawPool:
+        """Return the current draw, a new one if there is none."""
+        if self.current is None:
+            self.n_opened += 1
+            self.current = DrawPool(
+                draw=f"{self.prefix}/{self.account}/{self.n_opened}",
+                account=self.account,
+                witness=witness,
+            )
+        return self.current
+
+    def retire(self) -> None:
+        """Take the current draw out of use; its running requests go on."""
+        if self.current is not None:
+            self.current.retire()
+            self.retired.append(self.current)
+            self.current = None
+
+    def check_current(self, draws: Draws) -> None:
+        """Retire the current draw once the log has sealed or closed it."""
+        draw = self.current
+        if draw is None:
+            return
+        state = draws.get(draw.draw)
+        if state is None and not draw.granted:
+            return
+        if state is None or state.status is not DrawStatus.OPEN:
+            self.retire()
+
+    def count_usable(self, draws: Draws) -> int:
+        """Return what new requests may hold."""
+        self.check_current(draws)
+        draw = self.current
+        if draw is None:
+            return 0
+        state = draws.get(draw.draw)
+        return draw.count_usable(state.amount) if state is not None else 0
+
+    def make_draw(self, *, amount: int, minimum: int, witness: str) -> Draw:
+        """Return the record that asks for more."""
+        draw = self.open_draw(witness)
+        draw.n_drawing += 1
+        return Draw(
+            draw=draw.draw,
+            account=self.account,
+            amount=amount,
+            minimum=minimum,
+            witness=draw.witness,
+            opens=not draw.granted,
+        )
+
+    def note_draw(self, name: str, amount: int, draws: Draws) -> None:
+        """Take the verdict on a draw, an amount of 0 when it was rejected."""
+        draw = self.find_draw(name)
+        if draw is None:
+            return
+        draw.n_drawing -= 1
+        self.drawn += amount
+        draw.granted = draw.granted or amount > 0 or name in draws
+
+    def make_return(self, amount: int) -> Return | None:
+        """Return the record that gives unheld tokens back."""
+        draw = self.current
+        if draw is None or draw.returning or amount <= 0:
+            return None
+        draw.returning = amount
+        return Return(draw=draw.draw, amount=amount)
+
+    def make_settlements(self, draws: Draws) -> Iterator[tuple[DrawPool, Settle]]:
+        """Yield what the log has still to be told, one record a draw."""
+        self.check_current(draws)
+        for draw in self.list_draws():
+            state = draws.get(draw.draw)
+            if state is None or draw.settling:
+                continue
+            record = draw.make_settlement(state)
+            if record is not None:
+                yield draw, record
+
+    def drop_closed(self, draws: Draws) -> None:
+        """Forget the draws that the log has closed and no request uses."""
+        self.retired = [
+            draw
+            for draw in self.retired
+            if draw.holds or draw.n_drawing or draw.draw in draws
+        ]
+
+    def note_interval(self, interval_s: float) -> None:
+        """Turn the demand since the last call into a rate that decays."""
+        rate = self.demand / interval_s
+        self.demand_rate = max(rate, self.demand_rate * RATE_DECAY)
+        self.demand = 0.0
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -2,47 +2,47 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.budget.pool import (
-    NO_WITNESS,
-    BoundProposal,
-    DrawPool,
-    Hold,
+from trefoilstage.components.budget.account import AccountPool
+from trefoilstage.components.budget.messages import Starved, StarvedReply
+from trefoilstage.components.budget.policy import (
+    RETURN_WAIT_S,
+    DrawPolicy,
+    Recovery,
+    Situation,
+)
+from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool, Hold
+from trefoilstage.components.budget.witness_client import WitnessClient
+from trefoilstage.components.configuration.controller import (
+    BUDGET_ACCOUNT_PREFIX,
+    SITE_ACCOUNT_PREFIX,
 )
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.peers.links import PeerLinks
-from trefoilstage.components.peers.messages import Bound, BoundReply
+from trefoilstage.components.peers.messages import PeerMessage
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.configuration.schema import Preference
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Accepted, Reason, Refusal, Rejected, Verdict
 from trefoilstage.ledger.records import Draw, Return, Settle
-from trefoilstage.ledger.state import DrawState
+from trefoilstage.ledger.state import AccountState, DrawState, DrawStatus, LedgerState
 from trefoilstage.timer import TimerService
 
 SETTLE_S = 0.5
-RATE_DECAY = 0.8
-RETRY_AFTER_EXHAUSTED_S = 5.0
+STARVED_S = 1.0
+LOG_LOST_WAIT_S = 0.2
+CLOSE_POLL_S = 0.05
+RETRY_AFTER_HELD_S = 2.0
+RETRY_AFTER_EXHAUSTED_S = 30.0
 RETRY_AFTER_LOG_S = 2.0
 
 
-@dataclass(kw_only=True, slots=True, eq=False)
-class AccountPool:
-    """Hold this host's draws on one account and its recent demand."""
-
-    account: str
-    number: int
-    current: DrawPool | None = None
-    retired: list[DrawPool] = field(default_factory=list)
-    drawing: asyncio.Task[Verdict | None] | None = None
-    bounding: asyncio.Task[None] | None = None
-    demand: float = 0.0
-    demand_rate: float = 0.0
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reservation:
     """Name the tokens held for one request."""
@@ -50,7 +50,23 @@
     request: str
     account: str
     draw: str
+    number: int
     tokens: int
+    targets: tuple[str, ...] = ()
+
+    def allows(self, url: str) -> bool:
+        """Tell whether the request may be sent to a target's address."""
+        # A target that joined after the hold was made is unknown to the
+        # witness: what ran there would be given out a second time.
+        return not self.targets or url in self.targets
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrawResult:
+    """Hold the verdict on a draw and the least that it asked for."""
+
+    minimum: int
+    verdict: Verdict
 
 
 class BudgetController(Service):  # type: ignore[misc]
@@ -62,23 +78,30 @@
         blackboard: Blackboard,
         streams: Streams,
         links: PeerLinks,
+        server: PeerServer,
+        witnesses: WitnessClient,
         timer: TimerService,
-        horizon_s: float,
+        policy: DrawPolicy,
+        recovery: Recovery,
         admission_wait_s: float,
-        witness_timeout_s: float,
+        starved_wait_s: float,
         generator: random.Random,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._streams = streams
         self._links = links
+        self._witnesses = witnesses
         self._timer = timer
-        self._horizon_s = horizon_s
+        self._policy = policy
+        self._recovery = recovery
         self._admission_wait_s = admission_wait_s
-        self._witness_timeout_s = witness_timeout_s
+        self._starved_wait_s = starved_wait_s
         self._generator = generator
         self._pools: dict[str, AccountPool] = {}
-        self._n_draws = 0
+        self._drawing: dict[str, asyncio.Task[DrawResult]] = {}
+        self._starved_until: dict[str, float] = {}
+        server.register(Starved, self._answer_starved)
 
     async def on_start(self) -> None:
         """Start settling."""
@@ -91,27 +114,42 @@
         self._unsubscribe()
 
     async def reserve(
-        self, *, request: str, key: str, account: str, tokens: int
+        self,
+        *,
+        request: str,
+        key: str,
+        account: str,
+        tokens: int,
+        targets: Sequence[str] = (),
     ) -> Reservation | Refusal:
-        """Hold the most a request may spend, or say why that can't be."""
+        """Hold the most a request may spend, or say why that can't be.
+
+        The targets are the addresses that the request may be sent to, given
+        only if each of them turns a cancelled request away for good.
+        """
         pool = self._get_pool(account)
         pool.demand += tokens
         deadline = self._timer.now() + self._admission_wait_s
-        hold = Hold(request=request, key=key, tokens=tokens)
         while True:
-            draw = self._find_draw(pool, tokens)
-            if draw is None:
-                refusal = await self._wait_for_draw(pool, tokens, deadline)
+            if pool.count_usable(self._get_ledger(pool).draws) < tokens:
+                refusal = await self._obtain(pool, tokens, deadline)
                 if refusal is not None:
                     return refusal
                 continue
-            draw.add_hold(hold)
+            draw = pool.open_draw(NO_WITNESS)
+            hold = draw.add_hold(
+                request=request, key=key, tokens=tokens, targets=targets
+            )
+            self._draw_ahead(pool)
             if await self._confirm(pool, draw, hold, deadline):
                 return Reservation(
-                    request=request, account=account, draw=draw.draw, tokens=tokens
+                    request=request,
+                    account=account,
+                    draw=draw.draw,
+                    number=hold.number,
+                    tokens=tokens,
+                    targets=tuple(targets),
                 )
-            # Not confirmed means not sent to any target, so nothing was spent.
-            draw.settle_hold(request, 0)
             if self._timer.now() >= deadline:
                 return Refusal(
                     reason=Reason.BUDGET_UNCONFIRMED, retry_after_s=RETRY_AFTER_LOG_S
@@ -126,84 +164,138 @@
                 used=tokens,
                 reserved=reservation.tokens,
             )
-        pool = self._pools[reservation.account]
-        draws = [pool.current, *pool.retired]
-        for draw in draws:
-            if draw is not None and draw.draw == reservation.draw:
-                draw.settle_hold(reservation.request, min(tokens, reservation.tokens))
+        draw = self._pools[reservation.account].find_draw(reservation.draw)
+        if draw is not None:
+            draw.settle_hold(reservation.number, min(tokens, reservation.tokens))
 
     def list_pools(self) -> list[AccountPool]:
         """Return this host's pools by account."""
         return [self._pools[name] for name in sorted(self._pools)]
 
-    async def return_all(self) -> None:
+    async def return_all(self, timeout_s: float) -> None:
         """Settle and close every draw; call it when no request is left."""
-        for pool in self._pools.values():
-            self._retire(pool)
-        await self._tick()
+        deadline = self._timer.now() + timeout_s
+        while self._timer.now() < deadline:
+            for pool in self._pools.values():
+                pool.retire()
+                self._settle(pool)
+            if not any(pool.retired for pool in self._pools.values()):
+                return
+            await asyncio.sleep(CLOSE_POLL_S)
 
     def _get_pool(self, account: str) -> AccountPool:
-        number = self._streams.pick_number(account)
-        default = AccountPool(account=account, number=number)
-        return self._pools.setdefault(account, default)
-
-    def _get_state(self, pool: AccountPool, draw: DrawPool) -> DrawState | None:
-        return self._blackboard.ledgers[pool.number].draws.get(draw.draw)
-
-    def _find_draw(self, pool: AccountPool, tokens: int) -> DrawPool | None:
-        draw = pool.current
-        if draw is None:
-            return None
-        state = self._get_state(pool, draw)
-        if state is None or state.status != "open":
-            if state is not None:
-                self._retire(pool)
-            return None
-        return draw if draw.count_usable(state.amount) >= tokens else None
-
-    def _retire(self, pool: AccountPool) -> None:
-        if pool.current is not None:
-            pool.current.retired = True
-            pool.retired.append(pool.current)
-            pool.current = None
+        pool = self._pools.get(account)
+        if pool is None:
+            pool = AccountPool(
+                account=account,
+                number=self._streams.pick_number(account),
+                prefix=self._blackboard.incarnation,
+                returnable=account.startswith(SITE_ACCOUNT_PREFIX),
+            )
+            self._pools[account] = pool
+        return pool
+
+    def _get_ledger(self, pool: AccountPool) -> LedgerState:
+        return self._blackboard.ledgers[pool.number]
+
+    def _get_account(self, pool: AccountPool) -> AccountState:
+        accounts = self._get_ledger(pool).accounts
+        return accounts.get(pool.account) or AccountState()
+
+    def _get_preference(self, pool: AccountPool) -> Preference:
+        name = pool.account.removeprefix(BUDGET_ACCOUNT_PREFIX)
+        budget = self._blackboard.configuration.budgets.get(name)
+        return budget.preference if budget else Preference.AVOID_OVERSPEND
+
+    def _describe(self, pool: AccountPool) -> Situation:
+        account = self._get_account(pool)
+        return Situation(
+            paid=account.paid,
+            free=account.free,
+            drawn=pool.drawn,
+            held=pool.held,
+            demand_rate=max(pool.demand_rate, pool.demand / SETTLE_S),
+            n_hosts=max(1, len(self._blackboard.config.hosts)),
+            returnable=pool.returnable,
+            preference=self._get_preference(pool),
+        )
 
-    async def _wait_for_draw(
+    async def _obtain(
         self, pool: AccountPool, tokens: int, deadline: float
     ) -> Refusal | None:
-        if pool.drawing is None or pool.drawing.done():
-            pool.drawing = asyncio.create_task(self._draw(pool, tokens))
-        remaining = deadline - self._timer.now()
-        done, _ = await asyncio.wait({pool.drawing}, timeout=max(0.0, remaining))
+        now = self._timer.now()
+        if self._get_account(pool).free < tokens and now < self._starved_until.get(
+            pool.account, 0.0
+        ):
+            return self._refuse(pool)
+        task = self._start_drawing(pool, tokens)
+        # While the log is known to be out, no wait brings tokens: refuse soon.
+        if not self._streams.ledgers[pool.number].status.reachable:
+            deadline = min(deadline, now + LOG_LOST_WAIT_S)
+        pool.waiting += tokens
+        try:
+            done, _ = await asyncio.wait({task}, timeout=max(0.0, deadline - now))
+        finally:
+            pool.waiting -= tokens
         if not done:
             return Refusal(
                 reason=Reason.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_LOG_S
             )
-        verdict = pool.drawing.result()
-        if isinstance(verdict, Rejected) and verdict.reason in (
-            Reason.BUDGET_EXHAUSTED,
-            Reason.UNKNOWN_ACCOUNT,
-        ):
-            return Refusal(
-                reason=Reason.BUDGET_EXHAUSTED, retry_after_s=RETRY_AFTER_EXHAUSTED_S
-            )
-        return None
+        result = task.result()
+        if isinstance(result.verdict, Accepted) or tokens < result.minimum:
+            return None
+        if result.verdict.reason is Reason.UNKNOWN_ACCOUNT:
+            return self._refuse(pool)
+        if result.verdict.reason is not Reason.BUDGET_EXHAUSTED:
+            return None
+        if await self._ask_back(pool, tokens):
+            return None
+        self._starved_until[pool.account] = self._timer.now() + STARVED_S
+        return self._refuse(pool)
+
+    def _refuse(self, pool: AccountPool) -> Refusal:
+        # Tokens held by running requests may come back within seconds; with
+        # none held, only a top-up helps and asking again soon is in vain.
+        held = self._get_account(pool).held > 0
+        return Refusal(
+            reason=Reason.BUDGET_EXHAUSTED,
+            retry_after_s=RETRY_AFTER_HELD_S if held else RETRY_AFTER_EXHAUSTED_S,
+        )
 
-    async def _draw(self, pool: AccountPool, tokens: int) -> Verdict | None:
-        draw = pool.current or self._open_draw(pool)
-        state = self._get_state(pool, draw)
-        usable = draw.count_usable(state.amount) if state is not None else 0
+    def _start_drawing(
+        self, pool: AccountPool, minimum: int
+    ) -> asyncio.Task[DrawResult]:
+        task = self._drawing.get(pool.account)
+        if task is None or task.done():
+            task = asyncio.create_task(self._draw(pool, minimum))
+            self._drawing[pool.account] = task
+        return task
+
+    def _draw_ahead(self, pool: AccountPool) -> None:
+        situation = self._describe(pool)
+        low = self._policy.count_low_mark(situation)
+        usable = pool.count_usable(self._get_ledger(pool).draws)
+        starved = self._timer.now() < self._starved_until.get(pool.account, 0.0)
+        if usable < low and not starved and situation.free >= low:
+            self._start_drawing(pool, low)
+
+    async def _draw(self, pool: AccountPool, tokens: int) -> DrawResult:
+        draws = self._get_ledger(pool).draws
+        usable = max(0, pool.count_usable(draws))
         minimum = max(1, tokens - usable)
-        wanted = max(minimum, int(pool.demand_rate * self._horizon_s))
-        record = Draw(
-            draw=draw.draw,
-            account=pool.account,
-            amount=wanted,
-            minimum=minimum,
-            witness=draw.witness,
+        shortfall = max(minimum, pool.waiting - usable)
+        amount = self._policy.size_draw(self._describe(pool), shortfall)
+        if amount < minimum:
+            verdict: Verdict = Rejected(reason=Reason.BUDGET_EXHAUSTED)
+            return DrawResult(minimum=tokens, verdict=verdict)
+        record = pool.make_draw(
+            amount=amount, minimum=minimum, witness=self._pick_witness()
         )
         verdict = await self._streams.submit_ledger(pool.number, record).future
+        granted = verdict.amount if isinstance(verdict, Accepted) else 0
+        pool.note_draw(record.draw, granted, self._get_ledger(pool).draws)
         self._log_draw(record, verdict)
-        return verdict
+        return DrawResult(minimum=tokens, verdict=verdict)
 
     def _log_draw(self, record: Draw, verdict: Verdict) -> None:
         if isinstance(verdict, Accepted):
@@ -221,108 +313,156 @@
             reason=verdict.reason,
         )
 
-    def _open_draw(self, pool: AccountPool) -> DrawPool:
-        self._n_draws += 1
-        pool.current = DrawPool(
-            draw=f"{self._blackboard.incarnation}/{self._n_draws}",
-            account=pool.account,
-            witness=self._pick_witness(),
+    async def _ask_back(self, pool: AccountPool, tokens: int) -> bool:
+        """Ask the peers for unheld tokens; tell whether enough is free now."""
+        ledger = self._get_ledger(pool)
+        missing = tokens - self._get_account(pool).free
+        if missing > self._count_elsewhere(pool, ledger):
+            return False
+        changed = asyncio.Event()
+        unsubscribe = self._streams.ledgers[pool.number].subscribe(
+            lambda *_: changed.set()
+        )
+        wait_s = RETURN_WAIT_S[self._get_preference(pool)]
+        deadline = self._timer.now() + min(wait_s, self._starved_wait_s)
+        asking = asyncio.create_task(self._ask_peers(pool))
+        try:
+            while self._get_account(pool).free < tokens:
+                changed.clear()
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+        except TimeoutError:
+            return False
+        finally:
+            unsubscribe()
+            await asyncio.wait({asking}, timeout=0)
+        return True
+
+    def _count_elsewhere(self, pool: AccountPool, ledger: LedgerState) -> int:
+        return sum(
+            draw.amount - draw.spent
+            for draw in ledger.draws.values()
+            if self._is_foreign(draw, pool)
+        )
+
+    def _is_foreign(self, draw: DrawState, pool: AccountPool) -> bool:
+        foreign = draw.holder != self._blackboard.incarnation
+        return foreign and draw.account == pool.account
+
+    async def _ask_peers(self, pool: AccountPool) -> None:
+        ledger = self._get_ledger(pool)
+        holders = {
+            draw.holder
+            for draw in ledger.draws.values()
+            if self._is_foreign(draw, pool) and draw.status is DrawStatus.OPEN
+        }
+        peers = self._blackboard.list_live_peers()
+        calls = [
+            self._ask_peer(entry.peer_url, pool.account)
+            for entry in peers
+            if entry.incarnation in holders
+        ]
+        await asyncio.gather(*calls)
+
+    async def _ask_peer(self, url: str, account: str) -> None:
+        try:
+            await self._links.get_link(url).call(
+                Starved(account=account), timeout_s=self._starved_wait_s
+            )
+        except PeerUnavailableError:
+            return
+
+    async def _answer_starved(self, message: Starved) -> PeerMessage:
+        pool = self._pools.get(message.account)
+        if pool is None:
+            return StarvedReply(returned=0)
+        return StarvedReply(
+            returned=self._give_back(
+                pool, pool.count_usable(self._get_ledger(pool).draws)
+            )
         )
-        return pool.current
+
+    def _give_back(self, pool: AccountPool, amount: int) -> int:
+        record = pool.make_return(amount)
+        draw = pool.current
+        if record is None or draw is None:
+            return 0
+        self._submit_return(pool, draw, record)
+        return amount
+
+    def _submit_return(self, pool: AccountPool, draw: DrawPool, record: Return) -> None:
+        def note(future: asyncio.Future[Verdict]) -> None:
+            draw.returning = 0
+            if not future.cancelled() and isinstance(future.result(), Accepted):
+                pool.drawn -= record.amount
+
+        ticket = self._streams.submit_ledger(pool.number, record)
+        ticket.future.add_done_callback(note)
 
     def _pick_witness(self) -> str:
         peers = self._blackboard.list_live_peers()
+        if self._recovery is Recovery.COUNT_AS_SPENT or not peers:
+            return NO_WITNESS
         near = [
             entry
             for entry in peers
             if entry.data_center == self._blackboard.data_center
         ]
-        choices = near or peers
-        if not choices:
-            return NO_WITNESS
-        return self._generator.choice(choices).incarnation
+        return self._generator.choice(near or peers).incarnation
 
     async def _confirm(
         self, pool: AccountPool, draw: DrawPool, hold: Hold, deadline: float
     ) -> bool:
-        while not hold.confirmed:
-            if draw.retired or self._timer.now() >= deadline:
-                return False
-            if pool.bounding is None or pool.bounding.done():
-                pool.bounding = asyncio.create_task(self._send_bound(pool, draw))
-            await asyncio.wait({pool.bounding})
-        return True
-
-    async def _send_bound(self, pool: AccountPool, draw: DrawPool) -> None:
-        proposal = draw.propose_bound()
-        if proposal is None:
-            return
-        allowed = await self._ask_witness(pool, draw, proposal)
-        if allowed:
-            draw.confirm_bound(proposal)
-            return
-        log_event(Event.WITNESS_LOST, draw=draw.draw, witness=draw.witness)
-        if pool.current is draw:
-            self._retire(pool)
-
-    async def _ask_witness(
-        self, pool: AccountPool, draw: DrawPool, proposal: BoundProposal
-    ) -> bool:
-        for entry in self._blackboard.config.hosts.values():
-            if entry.incarnation == draw.witness:
-                break
-        else:
-            return False
-        message = Bound(
-            draw=draw.draw,
-            stream=pool.number,
-            holder=self._blackboard.incarnation,
-            sequence=proposal.sequence,
-            level=proposal.level,
-            opened=proposal.opened,
-            closed=proposal.closed,
-        )
         try:
-            reply = await self._links.get_link(entry.peer_url).call(
-                message, timeout_s=self._witness_timeout_s
-            )
-        except PeerUnavailableError:
-            return False
-        return isinstance(reply, BoundReply) and reply.allowed
+            while not hold.confirmed:
+                if draw.retired or self._timer.now() >= deadline:
+                    break
+                await self._witnesses.update(pool, draw)
+        except asyncio.CancelledError:
+            draw.settle_hold(hold.number, 0)
+            raise
+        if not hold.confirmed:
+            # Not confirmed means not sent to any target: nothing was spent.
+            draw.settle_hold(hold.number, 0)
+        return hold.confirmed
 
     async def _tick(self) -> None:
         for pool in list(self._pools.values()):
-            rate = pool.demand / SETTLE_S
-            pool.demand_rate = max(rate, pool.demand_rate * RATE_DECAY)
-            pool.demand = 0.0
-            for draw in [pool.current, *pool.retired]:
-                if draw is not None:
-                    self._settle_draw(pool, draw)
-            pool.retired = [draw for draw in pool.retired if draw.holds]
-
-    def _settle_draw(self, pool: AccountPool, draw: DrawPool) -> None:
-        final = draw.retired and not draw.holds
-        requests = draw.take_unbilled()
-        if final or requests or draw.spent != draw.settled:
-            draw.settled = draw.spent
-            record = Settle(
-                draw=draw.draw, spent=draw.spent, final=final, requests=requests
-            )
-            self._streams.submit_ledger(pool.number, record)
-            return
-        state = self._get_state(pool, draw)
-        if state is not None and pool.demand_rate < 1.0 and not draw.returning:
-            self._return_idle(pool, draw, state)
+            pool.note_interval(SETTLE_S)
+            self._settle(pool)
+            self._review_witness(pool)
+            self._return_surplus(pool)
+
+    def _settle(self, pool: AccountPool) -> None:
+        draws = self._get_ledger(pool).draws
+        for draw, record in list(pool.make_settlements(draws)):
+            self._submit_settlement(pool, draw, record)
+        pool.drop_closed(draws)
+
+    def _submit_settlement(
+        self, pool: AccountPool, draw: DrawPool, record: Settle
+    ) -> None:
+        def note(_: asyncio.Future[Verdict]) -> None:
+            draw.settling = False
 
-    def _return_idle(self, pool: AccountPool, draw: DrawPool, state: DrawState) -> None:
-        idle = draw.count_usable(state.amount)
-        if idle <= 0 or state.status != "open":
-            return
-        draw.returning = idle
-        record = Return(draw=draw.draw, amount=idle)
+        draw.settling = True
         ticket = self._streams.submit_ledger(pool.number, record)
+        ticket.future.add_done_callback(note)
 
-        def clear(_: object) -> None:
-            draw.returning = 0
-
-        ticket.future.add_done_callback(clear)
+    def _review_witness(self, pool: AccountPool) -> None:
+        draw = pool.current
+        if draw is None or self._recovery is Recovery.COUNT_AS_SPENT:
+            return
+        live = {entry.incarnation for entry in self._blackboard.list_live_peers()}
+        # A draw opened while this host was alone, or whose witness is gone,
+        # would be lost whole if this host died; a new one is covered.
+        if live and draw.witness not in live:
+            log_event(Event.WITNESS_LOST, draw=draw.draw, witness=draw.witness)
+            pool.retire()
+        elif draw.unwitnessed:
+            self._witnesses.start_update(pool, draw)
+
+    def _return_surplus(self, pool: AccountPool) -> None:
+        usable = pool.count_usable(self._get_ledger(pool).draws)
+        surplus = self._policy.count_surplus(self._describe(pool), usable)
+        self._give_back(pool, min(surplus, usable))
--- /dev/null
+++ b/trefoilstage/components/budget/setup.py
@@ -0,0 +1,92 @@
+"""Assemble the budget parts of one host."""
+
+import random
+from dataclasses import dataclass
+
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.budget.controller import BudgetController
+from trefoilstage.components.budget.policy import DrawPolicy
+from trefoilstage.components.budget.recovery import Canceller, RecoveryController
+from trefoilstage.components.budget.witness import WitnessController
+from trefoilstage.components.budget.witness_client import WitnessClient
+from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.targets.client import TargetClient
+from trefoilstage.configuration.schema import TargetConfig
+from trefoilstage.settings import HostSettings
+from trefoilstage.timer import TimerService
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BudgetParts:
+    """Hold the services that keep budgets."""
+
+    budget: BudgetController
+    witness: WitnessController
+    recovery: RecoveryController
+
+
+def make_budget_parts(
+    *,
+    settings: HostSettings,
+    blackboard: Blackboard,
+    streams: Streams,
+    links: PeerLinks,
+    server: PeerServer,
+    targets: TargetClient,
+    timer: TimerService,
+    generator: random.Random,
+) -> BudgetParts:
+    """Return the services that keep budgets, not yet started."""
+    witnesses = WitnessClient(
+        blackboard=blackboard,
+        links=links,
+        timer=timer,
+        timeout_s=settings.suspect_after_s,
+    )
+    policy = DrawPolicy(
+        kind=settings.budget_policy,
+        horizon_s=settings.draw_horizon_s,
+        fixed_draw_tokens=settings.fixed_draw_tokens,
+    )
+    return BudgetParts(
+        budget=BudgetController(
+            blackboard=blackboard,
+            streams=streams,
+            links=links,
+            server=server,
+            witnesses=witnesses,
+            timer=timer,
+            policy=policy,
+            recovery=settings.recovery,
+            admission_wait_s=settings.admission_wait_s,
+            starved_wait_s=settings.starved_wait_s,
+            generator=generator,
+        ),
+        witness=WitnessController(
+            blackboard=blackboard,
+            streams=streams,
+            server=server,
+            timer=timer,
+            suspect_after_s=settings.suspect_after_s,
+        ),
+        recovery=RecoveryController(
+            blackboard=blackboard,
+            streams=streams,
+            timer=timer,
+            cancel=make_canceller(targets),
+            grace_s=settings.recovery_grace_s,
+        ),
+    )
+
+
+def make_canceller(targets: TargetClient) -> Canceller:
+    """Return a call that ends a request at an address and tells its tokens."""
+
+    async def cancel(url: str, request: str) -> int | None:
+        target = TargetConfig.model_construct(url=url)
+        usage = await targets.cancel(target, request)
+        return None if usage is None else usage.total
+
+    return cancel
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -77,13 +77,16 @@
             key=caller.key,
             account=f"{BUDGET_ACCOUNT_PREFIX}{caller.budget}",
             tokens=n_output + n_prompt,
+            targets=self._list_fencing_urls(chat.model),
         )
         if isinstance(reservation, Refusal):
             answer.refusal = reservation
             return
         spent = reservation.tokens
         try:
-            async for chunk in self._try_targets(caller, chat, n_output, answer):
+            async for chunk in self._try_targets(
+                caller, chat, n_output, answer, reservation
+            ):
                 yield chunk
             spent = await self._count_spent(caller, answer, reservation)
         except (asyncio.CancelledError, GeneratorExit):
@@ -94,11 +97,16 @@
         self._budget.settle(reservation, spent)
 
     async def _try_targets(
-        self, caller: Caller, chat: ChatRequest, n_output: int, answer: Answer
+        self,
+        caller: Caller,
+        chat: ChatRequest,
+        n_output: int,
+        answer: Answer,
+        reservation: Reservation,
     ) -> AsyncIterator[Chunk]:
         excluded: frozenset[str] = frozenset()
         for _ in range(MAX_TRIES):
-            candidate = self._pick(chat.model, excluded)
+            candidate = self._pick(chat.model, excluded, reservation)
             if candidate is None:
                 break
             generation = make_generation(caller, chat, n_output)
@@ -129,9 +137,20 @@
             reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_OVERLOAD_S
         )
 
-    def _pick(self, model: str, excluded: frozenset[str]) -> Candidate | None:
+    def _list_fencing_urls(self, model: str) -> list[str]:
+        candidates = list_candidates(self._blackboard.configuration.targets, model)
+        # Without the word of every target that may run it, what a request
+        # spent stays in doubt after this host's death.
+        if not all(candidate.config.fences_cancelled for candidate in candidates):
+            return []
+        return [candidate.config.url for candidate in candidates]
+
+    def _pick(
+        self, model: str, excluded: frozenset[str], reservation: Reservation
+    ) -> Candidate | None:
         candidates = list_candidates(self._blackboard.configuration.targets, model)
-        return pick_target(candidates, self._blackboard.targets, excluded)
+        allowed = [item for item in candidates if reservation.allows(item.config.url)]
+        return pick_target(allowed, self._blackboard.targets, excluded)
 
     def _note_failure(
         self, caller: Caller, candidate: Candidate, error: Exception
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -5,9 +5,10 @@
 
 from pydantic import Field
 
+from trefoilstage.components.budget.messages import BudgetMessage
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import BilledRequest, Name, Tokens
+from trefoilstage.ledger.records import Name, Tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,28 +20,6 @@
     kind: Literal["heartbeat"] = "heartbeat"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Bound:
-    """Ask a draw's witness to allow spend up to a level."""
-
-    draw: Name
-    stream: Tokens
-    holder: Name
-    sequence: Tokens
-    level: Tokens
-    opened: tuple[BilledRequest, ...] = ()
-    closed: tuple[Name, ...] = ()
-    kind: Literal["bound"] = "bound"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BoundReply:
-    """Answer a bound; a refused one means that the draw is being sealed."""
-
-    allowed: bool
-    kind: Literal["bound_reply"] = "bound_reply"
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRecords:
     """Ask a peer for the records of a stream from an offset on."""
@@ -88,8 +67,7 @@
 
 PeerMessage = (
     Heartbeat
-    | Bound
-    | BoundReply
+    | BudgetMessage
     | ReadRecords
     | RecordsReply
     | AppendRecords
--- a/trefoilstage/configuration/schema.py
+++ b/trefoilstage/configuration/schema.py
@@ -71,6 +71,7 @@
     watts_per_request: Count = 0
     max_concurrent: Annotated[int, Field(ge=1, le=10_000)] = 32
     checks_fencing: bool = False
+    fences_cancelled: bool = False
     state: TargetState = TargetState.SERVING
 
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -32,6 +32,7 @@
     DRAW_GRANTED = "draw_granted"
     DRAW_REJECTED = "draw_rejected"
     DRAW_SEALED = "draw_sealed"
+    DRAW_RESOLVED = "draw_resolved"
     WITNESS_LOST = "witness_lost"
     TARGET_FAILED = "target_failed"
     TIMER_FAILED = "timer_failed"
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -11,8 +11,7 @@
 
 from trefoilstage.blackboard import Blackboard, Phase
 from trefoilstage.components.booking.controller import BookingController
-from trefoilstage.components.budget.controller import BudgetController
-from trefoilstage.components.budget.witness import WitnessController
+from trefoilstage.components.budget.setup import make_budget_parts
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.server import CallerServer
 from trefoilstage.components.configuration.controller import ConfigurationController
@@ -63,22 +62,24 @@
             address=settings.address, port=settings.peer_port
         )
         self._streams = self._make_streams()
-        self._budget = BudgetController(
+        targets = TargetClient(session=self._session, blackboard=self.blackboard)
+        budget_parts = make_budget_parts(
+            settings=settings,
             blackboard=self.blackboard,
             streams=self._streams,
             links=self._links,
+            server=self._peer_server,
+            targets=targets,
             timer=self._timer,
-            horizon_s=settings.draw_horizon_s,
-            admission_wait_s=settings.admission_wait_s,
-            witness_timeout_s=settings.suspect_after_s,
             generator=generator,
         )
+        self._budget = budget_parts.budget
         self._callers = CallerServer(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
-                targets=TargetClient(session=self._session, blackboard=self.blackboard),
+                targets=targets,
             ),
             bookings=BookingController(
                 blackboard=self.blackboard,
@@ -104,6 +105,8 @@
             self._peer_server,
             self._streams,
             *self._make_controllers(generator),
+            budget_parts.witness,
+            budget_parts.recovery,
             self._budget,
             self._callers,
             self._operators,
@@ -150,13 +153,6 @@
                 timer=self._timer,
                 generator=generator,
             ),
-            WitnessController(
-                blackboard=self.blackboard,
-                streams=self._streams,
-                server=self._peer_server,
-                timer=self._timer,
-                suspect_after_s=settings.suspect_after_s,
-            ),
         ]
 
     def _announce(self) -> None:
@@ -196,7 +192,7 @@
         self.blackboard.phase = Phase.DRAINING
         log_event(Event.HOST_DRAINING, host=self._settings.host)
         await self._callers.drain(self._settings.drain_timeout_s)
-        await self._budget.return_all()
+        await self._budget.return_all(self._settings.drain_timeout_s)
         self._streams.submit_config(HostDown(incarnation=self.blackboard.incarnation))
         try:
             async with asyncio.timeout(self._settings.drain_timeout_s):
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -10,8 +10,10 @@
     Draw,
     Intent,
     LedgerEnvelope,
+    OpenRequest,
     Outcome,
     Release,
+    Resolve,
     Return,
     Seal,
     SetLimit,
@@ -20,6 +22,8 @@
 )
 from trefoilstage.ledger.state import (
     AccountState,
+    DoubtfulHold,
+    DoubtfulRun,
     DrawState,
     DrawStatus,
     IntentState,
@@ -102,6 +106,10 @@
         return Rejected(reason=Reason.NOT_HOLDER)
     if draw is not None and draw.status is not DrawStatus.OPEN:
         return Rejected(reason=Reason.DRAW_SEALED)
+    # A holder that was paused may ask for more on a draw that was sealed and
+    # closed meanwhile; opening it afresh would revive a fenced holder.
+    if draw is None and not record.opens:
+        return Rejected(reason=Reason.DRAW_CLOSED)
     granted = min(record.amount, account.free)
     if granted <= 0 or granted < record.minimum:
         return Rejected(reason=Reason.BUDGET_EXHAUSTED, detail=str(account.free))
@@ -131,13 +139,11 @@
         return Rejected(reason=Reason.UNKNOWN_DRAW)
     if draw.holder != writer:
         return Rejected(reason=Reason.NOT_HOLDER)
-    before = draw.charge
-    draw.spent = max(draw.spent, min(record.spent, draw.amount))
-    account = state.accounts[draw.account]
-    account.held += draw.charge - before
-    for request in record.requests:
-        bill_request(state, account, request)
-    if record.final:
+    if draw.status is DrawStatus.SEALED:
+        resolve_holds(state, record.draw, record.requests)
+    else:
+        settle_draw(state, draw, record)
+    if record.final and record.draw in state.draws:
         close_draw(state, record.draw)
     return ACCEPTED
 
@@ -152,11 +158,29 @@
     if draw.status is not DrawStatus.OPEN:
         return Rejected(reason=Reason.DRAW_SEALED)
     before = draw.charge
+    settle_draw(state, draw, record)
     draw.status = DrawStatus.SEALED
-    draw.bound = record.bound
-    draw.doubtful = {request.key: request.tokens for request in record.requests}
+    draw.targets = record.targets
+    for request in record.opened:
+        add_doubt(state, record.draw, request)
     state.accounts[draw.account].held += draw.charge - before
-    return Accepted(amount=before - draw.charge)
+    released = before - draw.charge
+    if not draw.doubtful:
+        close_draw(state, record.draw)
+    return Accepted(amount=released)
+
+
+@apply_record.register
+def _(record: Resolve, state: LedgerState, writer: str, offset: int) -> Verdict:
+    draw = state.draws.get(record.draw)
+    if draw is None:
+        return Rejected(reason=Reason.UNKNOWN_DRAW)
+    if draw.status is not DrawStatus.SEALED:
+        return Rejected(reason=Reason.NOT_APPLICABLE)
+    # Any host may write it: what is settled is the targets' word, which is the
+    # same for all, and the sealed holder can have nothing sent after it.
+    resolve_holds(state, record.draw, record.requests)
+    return ACCEPTED
 
 
 @apply_record.register
@@ -233,19 +257,98 @@
     return draw
 
 
-def bill_request(
-    state: LedgerState, account: AccountState, request: BilledRequest
-) -> None:
+def settle_draw(state: LedgerState, draw: DrawState, record: Settle | Seal) -> None:
+    """Raise an open draw's spend and bill the requests not yet counted."""
+    position = record.before
+    for request in record.requests:
+        position += request.tokens
+        # A settlement may come twice, late, or from the witness as well. A
+        # second billing of one run would credit tokens that were spent; the
+        # running total tells which entries were counted before.
+        if position > draw.spent:
+            bill_request(state, draw.account, request)
+    draw.spent = max(draw.spent, min(record.spent, draw.amount))
+
+
+def bill_request(state: LedgerState, name: str, request: BilledRequest) -> None:
     """Bill a key once: the dearest of its runs, and credit the others."""
-    before = state.billed.get(request.key, 0)
-    account.credit += min(before, request.tokens)
-    state.billed[request.key] = max(before, request.tokens)
+    billed = f"{name}/{request.key}"
+    before = state.billed.get(billed, 0)
+    state.accounts[name].credit += min(before, request.tokens)
+    state.billed[billed] = max(before, request.tokens)
     drop_oldest(state.billed, MAX_BILLED_KEYS)
+    for run in state.doubtful.get(billed, ()):
+        lower_doubt(state, run, request.tokens)
+
+
+def lower_doubt(state: LedgerState, run: DoubtfulRun, billed: int) -> None:
+    """Release the part of a doubtful run that another run of its key has paid."""
+    draw = state.draws[run.draw]
+    hold = draw.doubtful[run.number]
+    released = hold.doubt - min(hold.doubt, max(0, hold.tokens - billed))
+    hold.doubt -= released
+    draw.doubt -= released
+    state.accounts[draw.account].held -= released
+
+
+def add_doubt(state: LedgerState, name: str, request: OpenRequest) -> None:
+    """Count a hold of a sealed draw as spent, less what its key has paid."""
+    draw = state.draws[name]
+    billed = f"{draw.account}/{request.key}"
+    doubt = max(0, request.tokens - state.billed.get(billed, 0))
+    draw.doubtful[request.number] = DoubtfulHold(
+        key=request.key,
+        tokens=request.tokens,
+        doubt=doubt,
+        request=request.request,
+        targets=request.targets,
+    )
+    draw.doubt += doubt
+    run = DoubtfulRun(draw=name, number=request.number)
+    state.doubtful.setdefault(billed, []).append(run)
+
+
+def drop_doubt(state: LedgerState, name: str, number: int) -> DoubtfulHold | None:
+    """Take a hold out of doubt and return it."""
+    draw = state.draws[name]
+    hold = draw.doubtful.pop(number, None)
+    if hold is None:
+        return None
+    draw.doubt -= hold.doubt
+    state.accounts[draw.account].held -= hold.doubt
+    billed = f"{draw.account}/{hold.key}"
+    runs = state.doubtful[billed]
+    runs.remove(DoubtfulRun(draw=name, number=number))
+    if not runs:
+        del state.doubtful[billed]
+    return hold
+
+
+def resolve_holds(
+    state: LedgerState, name: str, requests: tuple[BilledRequest, ...]
+) -> None:
+    """Bill holds of a sealed draw; those not in doubt were counted before."""
+    draw = state.draws[name]
+    for request in requests:
+        hold = drop_doubt(state, name, request.number)
+        if hold is None:
+            continue
+        tokens = min(request.tokens, hold.tokens)
+        draw.spent += tokens
+        state.accounts[draw.account].held += tokens
+        if tokens > 0:
+            billed = BilledRequest(key=hold.key, tokens=tokens)
+            bill_request(state, draw.account, billed)
+    if not draw.doubtful:
+        close_draw(state, name)
 
 
 def close_draw(state: LedgerState, name: str) -> None:
     """Take a finished draw out of the state, keeping only its spend."""
-    draw = state.draws.pop(name)
+    draw = state.draws[name]
+    for number in list(draw.doubtful):
+        drop_doubt(state, name, number)
+    del state.draws[name]
     account = state.accounts[draw.account]
     account.held -= draw.charge
     account.closed_spend += draw.spent
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -14,10 +14,26 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BilledRequest:
-    """Bill one request, named by the digest of its idempotency key."""
+    """Bill one hold of a draw to the digest of its request's idempotency key."""
 
     key: Name
     tokens: Tokens
+    number: Tokens = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenRequest:
+    """Describe a hold that may still be spent and the targets that may run it.
+
+    Targets are places in the target list of the message or record around it;
+    none means that no target's word can end the doubt.
+    """
+
+    number: Tokens
+    key: Name
+    tokens: Tokens
+    request: Name = ""
+    targets: tuple[Tokens, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +65,7 @@
     amount: Tokens
     minimum: Tokens
     witness: Name
+    opens: bool
     kind: Literal["draw"] = "draw"
 
 
@@ -63,9 +80,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Settle:
-    """Report a draw's cumulative spend, its billed requests and its end."""
+    """Report a draw's cumulative spend, its billed requests and its end.
+
+    The requests are those spent between the totals `before` and `spent`, in
+    the order in which they ended.
+    """
 
     draw: Name
+    before: Tokens
     spent: Tokens
     final: bool = False
     requests: tuple[BilledRequest, ...] = ()
@@ -74,14 +96,26 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Seal:
-    """End a lost holder's draw at the bound its witness acknowledged."""
+    """End a lost holder's draw at what its witness acknowledged."""
 
     draw: Name
-    bound: Tokens
+    before: Tokens
+    spent: Tokens
     requests: tuple[BilledRequest, ...] = ()
+    opened: tuple[OpenRequest, ...] = ()
+    targets: tuple[Name, ...] = ()
     kind: Literal["seal"] = "seal"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Resolve:
+    """Settle holds of a sealed draw at what every target says they spent."""
+
+    draw: Name
+    requests: tuple[BilledRequest, ...]
+    kind: Literal["resolve"] = "resolve"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Release:
     """Free a sealed returnable draw whose requests are known to be over."""
@@ -138,6 +172,7 @@
     | Return
     | Settle
     | Seal
+    | Resolve
     | Release
     | Intent
     | Outcome
--- a/trefoilstage/ledger/state.py
+++ b/trefoilstage/ledger/state.py
@@ -11,6 +11,25 @@
     SEALED = "sealed"
 
 
+@dataclass(kw_only=True, slots=True)
+class DoubtfulHold:
+    """Hold what a lost holder may have spent on one request."""
+
+    key: str
+    tokens: int
+    doubt: int
+    request: str = ""
+    targets: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DoubtfulRun:
+    """Name a hold that is in doubt."""
+
+    draw: str
+    number: int
+
+
 @dataclass(kw_only=True, slots=True)
 class DrawState:
     """Hold what the stream says of one draw; amounts in tokens or watts."""
@@ -20,16 +39,17 @@
     witness: str
     amount: int = 0
     spent: int = 0
-    bound: int = 0
     status: DrawStatus = DrawStatus.OPEN
-    doubtful: dict[str, int] = field(default_factory=dict)
+    doubt: int = 0
+    doubtful: dict[int, DoubtfulHold] = field(default_factory=dict)
+    targets: tuple[str, ...] = ()
 
     @property
     def charge(self) -> int:
         """Return what the draw takes from its account."""
         if self.status is DrawStatus.OPEN:
             return self.amount
-        return min(self.amount, max(self.bound, self.spent))
+        return self.spent + self.doubt
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,4 +100,5 @@
     draws: dict[str, DrawState] = field(default_factory=dict)
     intents: dict[str, IntentState] = field(default_factory=dict)
     billed: dict[str, int] = field(default_factory=dict)
+    doubtful: dict[str, list[DoubtfulRun]] = field(default_factory=dict)
     sequences: dict[str, int] = field(default_factory=dict)
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -6,6 +6,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from trefoilstage.components.budget.policy import BudgetPolicy, Recovery
 from trefoilstage.configuration.schema import HttpUrl, Identifier
 from trefoilstage.exceptions import SettingsError
 
@@ -34,6 +35,11 @@
     heartbeat_s: Seconds = 0.25
     suspect_after_s: Seconds = 1.5
     draw_horizon_s: Seconds = 2.0
+    budget_policy: BudgetPolicy = BudgetPolicy.ADAPTIVE
+    recovery: Recovery = Recovery.WITNESS
+    fixed_draw_tokens: Annotated[int, Field(ge=1)] = 20_000
+    recovery_grace_s: Seconds = 1.2
+    starved_wait_s: Seconds = 0.6
     admission_wait_s: Seconds = 1.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
     drain_timeout_s: Seconds = 120.0
