--- a/tests/common.py
+++ b/tests/common.py
@@ -138,11 +138,15 @@
         for proxy in self.proxies.values():
             proxy.heal()
 
-    async def publish(self, name: str, content: str) -> Any:
+    async def control(self, standin: Running, **orders: object) -> None:
+        """Order a stand-in to behave in some way; the rest is as by default."""
+        await self.launcher.post_json(f"{standin.url}/control", orders)
+
+    async def publish(self, name: str, content: str, operation: str = "publish") -> Any:
         """Publish a file through the first host."""
         return await self.launcher.post_json(
             f"{self.hosts[0].operator_url}/config/publish",
-            {"operation": f"test-{name}", "name": name, "content": content},
+            {"operation": f"{operation}-{name}", "name": name, "content": content},
         )
 
     async def is_ready(self) -> bool:
