Run bookings at most once whatever the caller, host, log or service does

Cause: a caller that hung up cancelled the send half-way, so no outcome was recorded and every retry was told "unknown". aiohttp sends PUT, DELETE and GET again by itself on a broken connection: a second effect. An answer over 16 KB was cut and replayed as whole. "Not run" was read from the kind of error, which is wrong after the client's own retry. A retry polled an abandoned key until "unknown". cost_tokens were not held. Cookies were shared between workspaces.

Change: each call runs as a task of its own, tracked for graceful shutdown. A trace hook counts sends just before the first byte and stops a second one; "not run" is said only at a count of zero. Bookings use connections of their own. Outcomes too large to keep say so. Costs are held and settled.

Ruled out: force_close alone (the client's retry is not limited to reused connections); the client's private retry flag.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -23,6 +23,7 @@
     refuse: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    n_held: int = 0
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -42,8 +43,8 @@
         return f"http://{LOOPBACK}:{self.port}"
 
     async def start(self) -> None:
-        """Listen on a port from the kernel."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        """Listen on a port from the kernel, or again on the one it had."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -120,8 +121,12 @@
                 writer.write_eof()
 
     async def _wait_while_held(self, source: str, *, answers: bool) -> None:
+        noted: Rule | None = None
         while True:
             rule = self.rules[source]
             if not (rule.hold_answers if answers else rule.hold_requests):
                 return
+            if rule is not noted:
+                noted = rule
+                rule.n_held += 1
             await asyncio.sleep(POLL_S)
--- a/standins/service.py
+++ b/standins/service.py
@@ -2,7 +2,8 @@
 
 ANY  /{path}                     take effect once more and answer with its number
 GET  /meter                      every effect, the tests' oracle
-POST /control                    JSON ServiceControl: delay, answers lost after effect
+POST /control                    JSON ServiceControl: delay, answers lost after effect,
+                                 refusals without effect, size of answers
 """
 
 import asyncio
@@ -19,6 +20,8 @@
 
     delay_s: float = Field(default=0.0, ge=0)
     lose_answers: int = Field(default=0, ge=0)
+    refuse_status: int | None = Field(default=None, ge=400, le=599)
+    padding_bytes: int = Field(default=0, ge=0)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,6 +39,7 @@
     """Hold every effect in order."""
 
     effects: list[Effect] = field(default_factory=list)
+    n_refused: int = 0
 
 
 class ServiceStandin:
@@ -61,6 +65,11 @@
 
     async def _take_effect(self, request: web.Request) -> web.Response:
         body = (await request.read()).decode(errors="replace")
+        if self.control.refuse_status is not None:
+            self.meter.n_refused += 1
+            return web.json_response(
+                {"error": "taken"}, status=self.control.refuse_status
+            )
         self.meter.effects.append(
             Effect(
                 path=request.path,
@@ -75,4 +84,7 @@
             self.control.lose_answers -= 1
             if request.transport is not None:
                 request.transport.abort()
-        return web.json_response({"confirmation": number, "path": request.path})
+        padding = "." * self.control.padding_bytes
+        return web.json_response(
+            {"confirmation": number, "path": request.path, "padding": padding}
+        )
--- a/tests/common.py
+++ b/tests/common.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 from dataclasses import dataclass, field
 from typing import Any, Self
 
@@ -39,6 +40,8 @@
             '[services.booking.operations.confirm]\npath = "/confirm"',
             '[services.booking.operations.permit]\npath = "/permit"',
             "idempotent = true",
+            '[services.booking.operations.move]\npath = "/move"\nmethod = "PUT"',
+            '[services.booking.operations.paid]\npath = "/paid"\ncost_tokens = 100',
         ]
     return "\n".join(lines) + "\n"
 
@@ -197,6 +200,36 @@
             host, "/v1/chat/completions", body, secret=secret, headers=headers
         )
 
+    async def book(
+        self,
+        host: Running,
+        key: str,
+        *,
+        operation: str = "confirm",
+        method: str = "POST",
+        secret: str = SECRET,
+    ) -> "CallerAnswer":
+        """Call an operation of the booking service that may not be repeated."""
+        return await self.call(
+            host,
+            f"/services/booking/{operation}",
+            {"strip": 7},
+            secret=secret,
+            headers={"Idempotency-Key": key},
+            method=method,
+        )
+
+    async def control(self, running: Running, **orders: object) -> None:
+        """Order a stand-in's speed and faults; what is not named is reset."""
+        answer = await self.launcher.post_json(f"{running.url}/control", orders)
+        assert answer == {"ok": True}, answer
+
+    async def list_intents(self, host: Running) -> list[dict[str, Any]]:
+        """Return the intents that a host has folded."""
+        state = await self.launcher.get_json(f"{host.operator_url}/state")
+        ledgers = state["blackboard"]["ledgers"].values()
+        return [intent for ledger in ledgers for intent in ledger["intents"].values()]
+
     async def call(
         self,
         host: Running,
@@ -205,9 +238,11 @@
         *,
         secret: str = SECRET,
         headers: dict[str, str] | None = None,
+        method: str = "POST",
     ) -> "CallerAnswer":
-        """Post JSON as a caller and read the whole answer."""
-        async with self.launcher.session.post(
+        """Send JSON as a caller and read the whole answer."""
+        async with self.launcher.session.request(
+            method,
             f"{host.caller_url}{path}",
             json=body,
             headers={"Authorization": f"Bearer {secret}", **(headers or {})},
@@ -232,6 +267,17 @@
     body: bytes
     headers: dict[str, str]
 
+    @property
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def error(self) -> tuple[str, str]:
+        """Return a refusal's reason and effect."""
+        error = self.json["error"]
+        return error["reason"], error["effect"]
+
     @property
     def is_whole_stream(self) -> bool:
         """Tell whether an event stream came to its explicit end."""
--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
 from trefoilstage.configuration.fold import ConfigState, HostEntry
 from trefoilstage.configuration.schema import Configuration
@@ -58,7 +59,7 @@
     peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
     targets: dict[str, TargetStatus] = field(default_factory=dict)  # target client
     n_active: int = 0  # caller server
-    closing: set[asyncio.Task[None]] = field(default_factory=set)  # generations
+    closing: set[asyncio.Task[Any]] = field(default_factory=set)  # runs
 
     @property
     def configuration(self) -> Configuration:
--- a/trefoilstage/components/callers/refusals.py
+++ b/trefoilstage/components/callers/refusals.py
@@ -21,6 +21,10 @@
     Reason.KEY_REQUIRED: 400,
     Reason.OUTCOME_UNKNOWN: 409,
     Reason.IN_PROGRESS: 409,
+    Reason.ANSWER_NOT_KEPT: 409,
+    Reason.METHOD_NOT_ALLOWED: 405,
+    Reason.UNKNOWN_PATH: 404,
+    Reason.INTERNAL: 500,
     Reason.TARGET_FAILED: 502,
 }
 
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -10,7 +10,8 @@
 from pydantic import ValidationError
 
 from trefoilstage.blackboard import Blackboard, Phase
-from trefoilstage.components.booking.controller import BookingController, ServiceCall
+from trefoilstage.components.booking.controller import BookingController
+from trefoilstage.components.booking.models import ServiceCall
 from trefoilstage.components.callers.authentication import identify_caller
 from trefoilstage.components.callers.generation import Answer, GenerationRunner
 from trefoilstage.components.callers.models import Caller, ChatRequest
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -20,6 +20,8 @@
     HOST_DRAINING = "host_draining"
     HOST_STOPPED = "host_stopped"
     REQUEST_DONE = "request_done"
+    REQUEST_FAILED = "request_failed"
+    CALL_BILLED = "call_billed"
     REQUEST_REFUSED = "request_refused"
     LOG_LOST = "log_lost"
     LOG_BACK = "log_back"
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.components.booking.client import ServiceClient, make_send_trace
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.budget.controller import BudgetController
 from trefoilstage.components.budget.witness import WitnessController
@@ -52,8 +53,11 @@
         settings = self._settings
         outbound_address = settings.outbound_address or settings.address
         connector = aiohttp.TCPConnector(limit=0, local_addr=(outbound_address, 0))
-        self._session = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        self._session = open_session(connector)
+        self._once_session = open_session(
+            aiohttp.TCPConnector(
+                limit=0, force_close=True, local_addr=(outbound_address, 0)
+            )
         )
         metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
         generator = random.Random(self.blackboard.incarnation)
@@ -83,7 +87,10 @@
             bookings=BookingController(
                 blackboard=self.blackboard,
                 streams=self._streams,
-                session=self._session,
+                budget=self._budget,
+                client=ServiceClient(
+                    session=self._session, once_session=self._once_session
+                ),
                 admission_wait_s=settings.admission_wait_s,
             ),
             metrics=metrics,
@@ -207,6 +214,7 @@
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
         await self._session.close()
+        await self._once_session.close()
         log_event(Event.HOST_STOPPED, host=self._settings.host)
 
     def write_dump(self) -> None:
@@ -216,3 +224,14 @@
             "controllers": dump_value(self._budget.list_pools()),
         }
         sys.stderr.write(json.dumps(state) + "\n")
+
+
+def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return an HTTP client that counts sends and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None),
+        trace_configs=[make_send_trace()],
+        # A cookie set for one workspace must not go out with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -202,6 +202,7 @@
     present.body = record.body
     present.content_type = record.content_type
     present.known = record.known
+    present.whole = record.whole
     return ACCEPTED
 
 
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -110,6 +110,7 @@
     body: bytes = b""
     content_type: Name = "application/json"
     known: bool = True
+    whole: bool = True
     kind: Literal["outcome"] = "outcome"
 
 
--- a/trefoilstage/ledger/state.py
+++ b/trefoilstage/ledger/state.py
@@ -68,6 +68,7 @@
     body: bytes = b""
     content_type: str = ""
     known: bool = False
+    whole: bool = True
 
 
 @dataclass(kw_only=True, slots=True)
--- a/trefoilstage/util/hashing.py
+++ b/trefoilstage/util/hashing.py
@@ -1,6 +1,7 @@
 """Hash keys and rank hosts for them."""
 
 import hashlib
+import json
 from collections.abc import Iterable
 
 import xxhash
@@ -16,9 +17,28 @@
     return xxhash.xxh3_128_hexdigest(f"{len(workspace)}:{workspace}:{key}".encode())
 
 
-def hash_body(body: bytes) -> str:
-    """Return a digest that tells two request bodies apart."""
-    return hashlib.sha256(body).hexdigest()
+def hash_call(name: str, body: bytes) -> str:
+    """Return a digest that tells two calls apart, whatever their JSON spacing."""
+    head = f"{len(name)}:{name}:".encode()
+    return hashlib.sha256(head + make_canonical(body)).hexdigest()
+
+
+def make_canonical(body: bytes) -> bytes:
+    """Return JSON with sorted keys and no spaces, any other bytes as they are."""
+    try:
+        value = json.loads(body, object_pairs_hook=read_object)
+        return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+    except (ValueError, RecursionError):
+        return body
+
+
+def read_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Return an object, or raise ValueError when a key stands twice in it."""
+    value = dict(pairs)
+    # Readers differ on which of two equal keys counts; such bodies stay apart.
+    if len(value) != len(pairs):
+        raise ValueError("a key stands twice")
+    return value
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
