--- a/trefoilstage/components/operators/views.py
+++ b/trefoilstage/components/operators/views.py
@@ -46,14 +46,13 @@
         for name, account in ledger.accounts.items():
             if not name.startswith(BUDGET_ACCOUNT_PREFIX):
                 continue
-            spent = account.closed_spend - account.credit
-            spent += count_open_spend(ledger, name)
+            open_spend = count_open_spend(ledger, name)
             answers.append(
                 BudgetAnswer(
                     name=name.removeprefix(BUDGET_ACCOUNT_PREFIX),
                     paid=account.paid,
-                    spent=spent,
-                    held=account.held,
+                    spent=account.closed_spend - account.credit + open_spend,
+                    held=account.held - open_spend,
                     free=account.free,
                     doubtful=count_doubtful(ledger, name),
                 )
