--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any, Self
 
@@ -11,6 +12,7 @@
 
 READY_TIMEOUT_S = 60.0
 BASE_FILE = "10-bench.toml"
+WORKSPACES_PER_FILE = 500
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,15 +39,30 @@
     ]
 
 
-def write_config(scenario: Scenario, engine_urls: list[str]) -> str:
-    """Return the configuration of a scenario."""
+def write_base(scenario: Scenario, engine_urls: list[str]) -> str:
+    """Return the file with the site, the model and the targets."""
+    engines = scenario.engines
     lines = [
         f'[sites.main]\ndata_center = "{scenario.data_centers[0]}"',
         f"ceiling_watts = {scenario.ceiling_watts}",
         "[models.assistant]\nprompt_bytes_per_token = 4\nmax_output_tokens = 4096",
     ]
+    for number, url in enumerate(engine_urls):
+        lines += [
+            f'[targets.engine-{number}]\nmodel = "assistant"\nsite = "main"',
+            f'url = "{url}"\nmax_concurrent = {engines.max_running}',
+            f"idle_watts = {engines.idle_watts}",
+            f"watts_per_request = {engines.watts_per_request}",
+            "checks_fencing = true",
+        ]
+    return "\n".join(lines) + "\n"
+
+
+def write_workspaces(workspaces: Sequence[Workspace]) -> str:
+    """Return a file with workspaces and the budgets they draw on."""
+    lines: list[str] = []
     budgets: set[str] = set()
-    for item in list_workspaces(scenario):
+    for item in workspaces:
         digest = hashlib.sha256(item.secret.encode()).hexdigest()
         lines += [
             f'[workspaces.{item.name}]\nbudget = "{item.budget}"',
@@ -57,15 +74,6 @@
                 f"[budgets.{item.budget}]\ntokens = {item.load.tokens}",
                 f'preference = "{item.load.preference}"',
             ]
-    engines = scenario.engines
-    for number, url in enumerate(engine_urls):
-        lines += [
-            f'[targets.engine-{number}]\nmodel = "assistant"\nsite = "main"',
-            f'url = "{url}"\nmax_concurrent = {engines.max_running}',
-            f"idle_watts = {engines.idle_watts}",
-            f"watts_per_request = {engines.watts_per_request}",
-            "checks_fencing = true",
-        ]
     return "\n".join(lines) + "\n"
 
 
@@ -107,13 +115,21 @@
             await self._start_engine(number)
         await asyncio.gather(*(self.start_host() for _ in range(scenario.n_hosts)))
         urls = [engine.url for engine in self.engines]
-        verdict = await self.publish(BASE_FILE, write_config(scenario, urls))
-        if not verdict["accepted"]:
-            raise LaunchError(f"configuration rejected: {verdict}")
-        for item in list_workspaces(scenario):
+        await self._publish_first(BASE_FILE, write_base(scenario, urls))
+        workspaces = list_workspaces(scenario)
+        for start in range(0, len(workspaces), WORKSPACES_PER_FILE):
+            part = workspaces[start : start + WORKSPACES_PER_FILE]
+            name = f"20-workspaces-{start:05}.toml"
+            await self._publish_first(name, write_workspaces(part))
+        for item in workspaces:
             self.paid[item.budget] = item.load.tokens
         await wait_for(self._is_ready, "the fleet to be ready", READY_TIMEOUT_S)
 
+    async def _publish_first(self, name: str, content: str) -> None:
+        verdict = await self.publish(name, content)
+        if not verdict["accepted"]:
+            raise LaunchError(f"configuration rejected: {verdict}")
+
     async def _start_engine(self, number: int) -> None:
         table = self.scenario.engines
         options = [
