--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -22,6 +22,7 @@
     """Hold how a stream stands on this host; written by its follower."""
 
     reachable: bool = False
+    halted: bool = False
     caught_up: bool = False
     next_offset: int = 0
     last_read: float = 0.0
@@ -36,6 +37,15 @@
     reachable: bool = True
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedHost:
+    """Hold a host as the platform's lagging list shows it; a hint only."""
+
+    host: str
+    peer_url: str
+    leaving: bool = False
+
+
 @dataclass(kw_only=True, slots=True)
 class TargetStatus:
     """Hold what this host sent a target; written by the target client."""
@@ -55,6 +65,8 @@
     config: ConfigState = field(default_factory=ConfigState)  # config follower
     ledgers: dict[int, LedgerState] = field(default_factory=dict)  # followers
     streams: dict[str, StreamStatus] = field(default_factory=dict)  # followers
+    log_in_reach: bool = True  # relayed log
+    listed: dict[str, ListedHost] = field(default_factory=dict)  # membership
     peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
     targets: dict[str, TargetStatus] = field(default_factory=dict)  # target client
     n_active: int = 0  # caller server
--- a/trefoilstage/components/configuration/controller.py
+++ b/trefoilstage/components/configuration/controller.py
@@ -1,41 +1,39 @@
 """Carry the configuration in force to the ledgers."""
 
-import random
-from collections.abc import Iterator
-
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.configuration.limits import (
+    BUDGET_ACCOUNT_PREFIX as BUDGET_ACCOUNT_PREFIX,
+)
+from trefoilstage.configuration.limits import (
+    SITE_ACCOUNT_PREFIX as SITE_ACCOUNT_PREFIX,
+)
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.ledger.records import SetLimit
-from trefoilstage.ledger.state import AccountState
 from trefoilstage.timer import TimerService
 
 CHECK_S = 0.1
-MAX_TICKS_BEHIND = 10
-BUDGET_ACCOUNT_PREFIX = "budget:"
-SITE_ACCOUNT_PREFIX = "site:"
+STAGGER_S = 0.5
+MAX_STAGGER_RANK = 10
 
 
 class ConfigurationController(Service):  # type: ignore[misc]
     """Start ledgers and set account limits as the configuration asks."""
 
     def __init__(
-        self,
-        *,
-        blackboard: Blackboard,
-        streams: Streams,
-        timer: TimerService,
-        generator: random.Random,
+        self, *, blackboard: Blackboard, streams: Streams, timer: TimerService
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._streams = streams
         self._timer = timer
-        self._generator = generator
         self._revision = -1
-        self._ticks_until_sync = 0
+        self._revision_at = 0.0
+        self._synced = -1
+        self._tickets: list[Ticket] = []
 
     async def on_start(self) -> None:
         """Start watching the configuration."""
@@ -53,40 +51,32 @@
             return
         if revision != self._revision:
             self._revision = revision
+            self._revision_at = self._timer.now()
             await self._streams.start_ledgers()
             log_event(Event.CONFIG_IN_FORCE, revision=revision)
-            # All hosts see the change at once; a random delay lets one of
-            # them write the limits and the others find nothing to do.
-            self._ticks_until_sync = self._generator.randrange(MAX_TICKS_BEHIND)
-        if self._ticks_until_sync > 0:
-            self._ticks_until_sync -= 1
-            return
-        if self._streams.is_caught_up():
+        if self._synced != revision and self._is_turn() and self._is_settled():
             self._sync_limits()
-            self._ticks_until_sync = MAX_TICKS_BEHIND
+
+    def _is_turn(self) -> bool:
+        # All hosts see the change at once. One writes the limits, and the
+        # others find nothing to do unless that one is gone.
+        rank = self._streams.rank_writer(f"limits@{self._revision}")
+        delay_s = min(rank, MAX_STAGGER_RANK) * STAGGER_S
+        return self._timer.now() - self._revision_at >= delay_s
+
+    def _is_settled(self) -> bool:
+        self._tickets = [ticket for ticket in self._tickets if not ticket.future.done()]
+        return not self._tickets and self._streams.is_caught_up()
 
     def _sync_limits(self) -> None:
-        revision = self._blackboard.config.revision
-        for account, limit in self._list_limits():
+        for account, wanted in self._blackboard.config.limits.items():
             number = self._streams.pick_number(account)
-            present = self._blackboard.ledgers[number].accounts.get(
-                account, AccountState()
-            )
-            if present.revision < revision and (
-                present.limit != limit or present.revision < 0
-            ):
-                record = SetLimit(account=account, limit=limit, revision=revision)
-                self._streams.submit_ledger(number, record)
-
-    def _list_limits(self) -> Iterator[tuple[str, int]]:
-        configuration = self._blackboard.configuration
-        for name, budget in configuration.budgets.items():
-            yield f"{BUDGET_ACCOUNT_PREFIX}{name}", budget.tokens
-        for name, site in configuration.sites.items():
-            idle = sum(
-                target.idle_watts
-                for target in configuration.targets.values()
-                if target.site == name
+            present = self._blackboard.ledgers[number].accounts.get(account)
+            if present is not None and present.revision >= wanted.revision:
+                continue
+            record = SetLimit(
+                account=account, limit=wanted.limit, revision=wanted.revision
             )
-            limit = max(0, site.ceiling_watts - idle)
-            yield f"{SITE_ACCOUNT_PREFIX}{name}", limit
+            self._tickets.append(self._streams.submit_ledger(number, record))
+        if not self._tickets:
+            self._synced = self._revision
--- a/trefoilstage/components/log_client/folds.py
+++ b/trefoilstage/components/log_client/folds.py
@@ -1,34 +1,45 @@
 """Bind each kind of stream to its codec, fold and checkpoint form."""
 
-import zlib
+from functools import singledispatch
 from typing import Any
 
-import cbor2
 from pydantic import TypeAdapter
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.configuration.fold import ConfigState, fold_config_envelope
-from trefoilstage.configuration.records import CONFIG_CODEC, ConfigEnvelope
-from trefoilstage.const import FOLD_VERSION
-from trefoilstage.helpers.verdict import Verdict
+from trefoilstage.components.log_client.checkpoints import (
+    PackedState,
+    pack_state,
+    unpack_state,
+)
+from trefoilstage.configuration.fold import (
+    ConfigState,
+    find_operation,
+    fold_config_envelope,
+)
+from trefoilstage.configuration.incremental import IncrementalMerger
+from trefoilstage.configuration.records import (
+    CONFIG_CODEC,
+    ConfigEnvelope,
+    Publish,
+    Remove,
+)
+from trefoilstage.const import FOLD_VERSION, RECORD_VERSION
+from trefoilstage.exceptions import MalformedMessageError, UnsupportedVersionError
+from trefoilstage.helpers.verdict import ACCEPTED, Accepted, Reason, Rejected, Verdict
 from trefoilstage.ledger.fold import fold_envelope, skip_offset
-from trefoilstage.ledger.records import LEDGER_CODEC, Checkpoint, LedgerEnvelope
+from trefoilstage.ledger.records import (
+    LEDGER_CODEC,
+    Intent,
+    LedgerEnvelope,
+    TopUp,
+    Upgrade,
+)
 from trefoilstage.ledger.state import LedgerState
 
 LEDGER_STATE_ADAPTER = TypeAdapter(LedgerState)
 CONFIG_STATE_ADAPTER = TypeAdapter(ConfigState)
 
 
-def pack_state(adapter: TypeAdapter[Any], state: Any) -> bytes:
-    """Return a state's checkpoint bytes."""
-    return zlib.compress(cbor2.dumps(adapter.dump_python(state, mode="python")))
-
-
-def unpack_state(adapter: TypeAdapter[Any], data: bytes) -> Any:
-    """Return the state in checkpoint bytes."""
-    return adapter.validate_python(cbor2.loads(zlib.decompress(data)))
-
-
 class LedgerFold:
     """Fold a ledger stream into the blackboard."""
 
@@ -49,7 +60,9 @@
 
     def decode(self, data: bytes) -> LedgerEnvelope:
         """Return the envelope in a record's bytes."""
-        return LEDGER_CODEC.decode(data)
+        envelope = LEDGER_CODEC.decode(data)
+        check_version(envelope.version, self.state.fold_version)
+        return envelope
 
     def encode(self, incarnation: str, sequence: int, record: Any) -> bytes:
         """Return the bytes of an envelope."""
@@ -59,51 +72,56 @@
 
     def fold(self, offset: int, envelope: LedgerEnvelope) -> Verdict:
         """Apply an envelope at its offset."""
+        check_upgrade(envelope.record, self.state.fold_version)
         return fold_envelope(self.state, offset, envelope)
 
     def skip(self, offset: int) -> None:
         """Pass over an offset whose bytes are no record."""
         skip_offset(self.state, offset)
 
-    def restore(self, envelope: LedgerEnvelope) -> bool:
-        """Take the state from a checkpoint newer than the present one."""
-        record = envelope.record
-        if not isinstance(record, Checkpoint) or record.fold_version != FOLD_VERSION:
+    def restore(self, packed: PackedState) -> bool:
+        """Take a state newer than the present one; tell whether it was."""
+        if not is_restorable(packed, self.next_offset):
             return False
-        if record.offset <= self.next_offset:
-            return False
-        self._blackboard.ledgers[self._number] = unpack_state(
-            LEDGER_STATE_ADAPTER, record.state
-        )
+        state = unpack_state(LEDGER_STATE_ADAPTER, packed)
+        self._blackboard.ledgers[self._number] = state
         return True
 
-    def make_checkpoint(self) -> Checkpoint:
-        """Return a checkpoint record of the present state."""
-        return Checkpoint(
-            offset=self.next_offset,
-            fold_version=FOLD_VERSION,
-            state=pack_state(LEDGER_STATE_ADAPTER, self.state),
-        )
+    def pack(self) -> PackedState:
+        """Return the present state's checkpoint form."""
+        return pack_state(LEDGER_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
         return self.state.sequences.get(incarnation, -1)
 
+    def judge_restored(self, incarnation: str, record: Any) -> Verdict:
+        """Return the verdict that a restored state shows on a record of ours."""
+        return judge_ledger(record, self.state, incarnation)
+
 
 class ConfigFold:
     """Fold the configuration stream into the blackboard."""
 
     def __init__(self, *, blackboard: Blackboard) -> None:
         self._blackboard = blackboard
+        self._merger = IncrementalMerger()
+
+    @property
+    def state(self) -> ConfigState:
+        """Return the present state."""
+        return self._blackboard.config
 
     @property
     def next_offset(self) -> int:
         """Return the first offset that is not folded yet."""
-        return self._blackboard.config.next_offset
+        return self.state.next_offset
 
     def decode(self, data: bytes) -> ConfigEnvelope:
         """Return the envelope in a record's bytes."""
-        return CONFIG_CODEC.decode(data)
+        envelope = CONFIG_CODEC.decode(data)
+        check_version(envelope.version, self.state.fold_version)
+        return envelope
 
     def encode(self, incarnation: str, sequence: int, record: Any) -> bytes:
         """Return the bytes of an envelope."""
@@ -113,31 +131,79 @@
 
     def fold(self, offset: int, envelope: ConfigEnvelope) -> Verdict:
         """Apply an envelope at its offset."""
-        return fold_config_envelope(self._blackboard.config, offset, envelope)
+        check_upgrade(envelope.record, self.state.fold_version)
+        return fold_config_envelope(self.state, offset, envelope, self._merger)
 
     def skip(self, offset: int) -> None:
         """Pass over an offset whose bytes are no record."""
-        state = self._blackboard.config
-        state.next_offset = max(state.next_offset, offset + 1)
+        self.state.next_offset = max(self.state.next_offset, offset + 1)
 
-    def restore(self, envelope: ConfigEnvelope) -> bool:
-        """Take the state from a checkpoint newer than the present one."""
-        record = envelope.record
-        if not isinstance(record, Checkpoint) or record.fold_version != FOLD_VERSION:
+    def restore(self, packed: PackedState) -> bool:
+        """Take a state newer than the present one; tell whether it was."""
+        if not is_restorable(packed, self.next_offset):
             return False
-        if record.offset <= self.next_offset:
-            return False
-        self._blackboard.config = unpack_state(CONFIG_STATE_ADAPTER, record.state)
+        self._blackboard.config = unpack_state(CONFIG_STATE_ADAPTER, packed)
         return True
 
-    def make_checkpoint(self) -> Checkpoint:
-        """Return a checkpoint record of the present state."""
-        return Checkpoint(
-            offset=self.next_offset,
-            fold_version=FOLD_VERSION,
-            state=pack_state(CONFIG_STATE_ADAPTER, self._blackboard.config),
-        )
+    def pack(self) -> PackedState:
+        """Return the present state's checkpoint form."""
+        return pack_state(CONFIG_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
-        return self._blackboard.config.sequences.get(incarnation, -1)
+        return self.state.sequences.get(incarnation, -1)
+
+    def judge_restored(self, incarnation: str, record: Any) -> Verdict:
+        """Return the verdict that a restored state shows on a record of ours."""
+        if isinstance(record, Publish | Remove):
+            verdict = find_operation(self.state, record.operation)
+            return verdict or Rejected(reason=Reason.NOT_READY)
+        return ACCEPTED
+
+
+def is_restorable(packed: PackedState, next_offset: int) -> bool:
+    """Tell whether a checkpoint is newer and of a version this host folds."""
+    return packed.fold_version == FOLD_VERSION and packed.offset > next_offset
+
+
+def check_version(version: int, stream_version: int) -> None:
+    """Take records only of versions that the stream has gone over to."""
+    # A host that knows a newer version would apply such a record and one that
+    # does not would skip it: the two would part. Until the stream's own
+    # Upgrade record, every host of every version skips it alike.
+    if not RECORD_VERSION <= version <= stream_version:
+        raise MalformedMessageError(
+            f"version {version}, the stream is at {stream_version}"
+        )
+
+
+def check_upgrade(record: object, stream_version: int) -> None:
+    """Stop before a version that this host cannot fold; it must not guess."""
+    if not isinstance(record, Upgrade):
+        return
+    if record.version == stream_version + 1 and record.version > FOLD_VERSION:
+        raise UnsupportedVersionError(f"fold version {record.version} is not known")
+
+
+@singledispatch
+def judge_ledger(record: object, state: LedgerState, incarnation: str) -> Verdict:
+    """Return the verdict that a state shows; NOT_READY sends callers to the state."""
+    return Rejected(reason=Reason.NOT_READY)
+
+
+@judge_ledger.register
+def _(record: TopUp, state: LedgerState, incarnation: str) -> Verdict:
+    account = state.accounts.get(record.account)
+    if account is None or record.operation not in account.operations:
+        return Rejected(reason=Reason.NOT_READY)
+    return Accepted(amount=account.operations[record.operation])
+
+
+@judge_ledger.register
+def _(record: Intent, state: LedgerState, incarnation: str) -> Verdict:
+    # The state does not tell which of this host's own submissions won, and
+    # another one may be running. Only "not to be run again" is always safe.
+    present = state.intents.get(record.key)
+    if present is not None and present.body_digest != record.body_digest:
+        return Rejected(reason=Reason.KEY_REUSED)
+    return Rejected(reason=Reason.DUPLICATE)
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -1,80 +1,41 @@
-"""Follow one stream of the log and append to it."""
+"""Follow one stream of the log and fold it."""
 
 import asyncio
-from collections import deque
+import random
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from mode import Service
 
 from trefoilstage.blackboard import StreamStatus
+from trefoilstage.components.log_client.checkpoints import (
+    CheckpointAssembly,
+    CheckpointSchedule,
+    CheckpointWatch,
+    PackedState,
+    split_checkpoint,
+)
 from trefoilstage.components.log_client.client import LogPage, LogRecord
+from trefoilstage.components.log_client.interfaces import RecordSource, StreamFold
+from trefoilstage.components.log_client.writer import StreamWriter
+from trefoilstage.components.log_client.writer import Ticket as Ticket
 from trefoilstage.exceptions import (
     LogUnavailableError,
     MalformedMessageError,
     RecordsExpiredError,
+    UnsupportedVersionError,
 )
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
+from trefoilstage.ledger.records import Checkpoint
+from trefoilstage.util.backoff import Backoff
 
-MAX_GROUP = 200
-RETRY_S = 0.1
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 1.0
+RECORDS_PER_STEP = 50
 
 Listener = Callable[[int, Any, Verdict], None]
-
-
-class RecordSource(Protocol):
-    """Read and append records, at the log or through a peer."""
-
-    async def append(self, stream: str, records: list[bytes]) -> int:
-        """Append a group and return its first offset."""
-
-    async def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
-        """Return records from an offset on."""
-
-
-class StreamFold(Protocol):
-    """Fold one kind of stream; hides its codec, state and checkpoint form."""
-
-    @property
-    def next_offset(self) -> int:
-        """Return the first offset that is not folded yet."""
-
-    def decode(self, data: bytes) -> Any:
-        """Return the envelope in a record's bytes."""
-
-    def encode(self, incarnation: str, sequence: int, record: Any) -> bytes:
-        """Return the bytes of an envelope."""
-
-    def fold(self, offset: int, envelope: Any) -> Verdict:
-        """Apply an envelope at its offset."""
-
-    def skip(self, offset: int) -> None:
-        """Pass over an offset whose bytes are no record."""
-
-    def restore(self, envelope: Any) -> bool:
-        """Take the state from a checkpoint envelope; tell whether it was one."""
-
-    def make_checkpoint(self) -> Any:
-        """Return a checkpoint record of the present state."""
-
-    def get_last_sequence(self, incarnation: str) -> int:
-        """Return the last sequence folded from an incarnation, or -1."""
-
-
-@dataclass(kw_only=True, slots=True, eq=False)
-class Ticket:
-    """Follow one submitted record to its verdict."""
-
-    record: Any
-    future: asyncio.Future[Verdict]
-    sequence: int | None = None
-
-    @property
-    def attempted(self) -> bool:
-        """Tell whether the record may have reached the log."""
-        return self.sequence is not None
+RankWriter = Callable[[str], int]
 
 
 class StreamService(Service):  # type: ignore[misc]
@@ -89,7 +50,9 @@
         fold: StreamFold,
         status: StreamStatus,
         poll_s: float,
-        checkpoint_every: int,
+        schedule: CheckpointSchedule,
+        rank_writer: RankWriter,
+        generator: random.Random,
     ) -> None:
         super().__init__()
         self.name = name
@@ -98,122 +61,203 @@
         self._incarnation = incarnation
         self._source = source
         self._poll_s = poll_s
-        self._checkpoint_every = checkpoint_every
-        self._next_sequence = 0
-        self._queue: deque[Ticket] = deque()
-        self._pending: dict[int, Ticket] = {}
-        self._wake = asyncio.Event()
+        self._schedule = schedule
+        self._rank_writer = rank_writer
+        self._backoff = make_backoff(generator)
+        self._writer = StreamWriter(
+            name=name,
+            incarnation=incarnation,
+            sink=source,
+            encode=fold.encode,
+            backoff=make_backoff(generator),
+        )
         self._listeners: list[Listener] = []
-        self._last_checkpoint = 0
-        self._tasks: list[asyncio.Task[None]] = []
-        self.n_appends = 0
-        self.bytes_appended = 0
+        self._seek: int | None = None
+        self._assembly = CheckpointAssembly()
+        self._watch = CheckpointWatch()
+
+    @property
+    def n_appends(self) -> int:
+        """Return how many groups were appended."""
+        return self._writer.n_appends
+
+    @property
+    def bytes_appended(self) -> int:
+        """Return how many bytes were appended."""
+        return self._writer.bytes_appended
 
     def subscribe(self, listener: Listener) -> Callable[[], None]:
-        """Call a listener with each folded record until unsubscribed."""
+        """Call a listener with each folded record until unsubscribed.
+
+        Records inside a restored state are not told of; look at the state.
+        """
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
     def submit(self, record: Any) -> Ticket:
         """Queue a record; its ticket resolves with the fold's verdict."""
-        future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        ticket = Ticket(record=record, future=future)
-        self._queue.append(ticket)
-        self._wake.set()
-        return ticket
+        return self._writer.submit(record)
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Take back a record that was never sent; tell whether that was so."""
-        if ticket.attempted:
-            return False
-        self._queue.remove(ticket)
-        ticket.future.cancel()
-        return True
+        return self._writer.withdraw(ticket)
 
     async def on_start(self) -> None:
         """Start following and appending."""
-        self._tasks = [
-            asyncio.create_task(self._follow(), name=f"follow {self.name}"),
-            asyncio.create_task(self._append(), name=f"append {self.name}"),
-        ]
-
-    async def on_stop(self) -> None:
-        """Stop following and appending."""
-        for task in self._tasks:
-            task.cancel()
+        self._schedule.seen_at = asyncio.get_running_loop().time()
+        # A task that ends with an error ends the host: one that stopped
+        # silently would leave it serving from a state that stands still.
+        self.add_future(self._follow())
+        self.add_future(self._writer.run())
 
     async def wait_for_empty_queue(self) -> None:
         """Wait until every record submitted so far was folded."""
-        futures = [ticket.future for ticket in self._queue]
-        futures += [ticket.future for ticket in self._pending.values()]
+        futures = self._writer.list_open()
         if futures:
             await asyncio.wait(futures)
 
     async def _follow(self) -> None:
-        position: int | None = None
-        while True:
-            offset = self.fold.next_offset if position is None else position
+        while not self.status.halted:
+            offset = self.fold.next_offset if self._seek is None else self._seek
             try:
                 page = await self._source.read(self.name, offset, wait_s=self._poll_s)
             except RecordsExpiredError as error:
-                # The records this host still needs are gone. Reading on from
-                # the earliest kept one leads to a checkpoint inside retention.
-                position = error.earliest
-                self.status.caught_up = False
+                self._start_seek(error.earliest)
                 continue
             except LogUnavailableError as error:
-                self._note_reachable(False, str(error))
-                await asyncio.sleep(RETRY_S)
+                self._note_unreachable(str(error))
+                await asyncio.sleep(self._backoff.next_delay())
                 continue
-            self._note_reachable(True)
-            if position is None:
-                self._fold_page(page)
+            if page.stale:
+                self._note_unreachable("peers have lost the log too")
             else:
-                position = self._seek_checkpoint(page, position)
-
-    def _note_reachable(self, reachable: bool, detail: str = "") -> None:
-        if reachable != self.status.reachable:
-            event = Event.LOG_BACK if reachable else Event.LOG_LOST
-            log_event(event, stream=self.name, detail=detail)
-        self.status.reachable = reachable
-        if reachable:
-            self.status.last_read = asyncio.get_running_loop().time()
+                self._note_reachable()
+            if self._seek is None:
+                await self._fold_page(page)
+            else:
+                await self._seek_checkpoint(page, self._seek)
+
+    def _note_unreachable(self, detail: str) -> None:
+        if self.status.reachable:
+            log_event(Event.LOG_LOST, stream=self.name, detail=detail)
+        self.status.reachable = False
+
+    def _note_reachable(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._backoff.reset()
+        if not self.status.reachable:
+            log_event(Event.LOG_BACK, stream=self.name)
+        self.status.reachable = True
+        self.status.last_read = now
+
+    def _start_seek(self, earliest: int) -> None:
+        # The records this host still needs are gone. Reading on from the
+        # earliest kept one leads to a checkpoint inside retention.
+        if self._seek is None:
+            log_event(
+                Event.STATE_EXPIRED,
+                stream=self.name,
+                offset=self.fold.next_offset,
+                earliest=earliest,
+            )
+        self._seek = earliest
+        self.status.caught_up = False
 
-    def _seek_checkpoint(self, page: LogPage, position: int) -> int | None:
+    async def _seek_checkpoint(self, page: LogPage, position: int) -> None:
         for record in page.records:
             position = record.offset + 1
-            envelope = self._decode(record)
-            if envelope is not None and self.fold.restore(envelope):
-                log_event(
-                    Event.STATE_RESTORED, stream=self.name, offset=self.fold.next_offset
-                )
-                self._resolve_skipped()
-                return None
-        return position
-
-    def _resolve_skipped(self) -> None:
-        last = self.fold.get_last_sequence(self._incarnation)
-        for sequence in [number for number in self._pending if number <= last]:
-            ticket = self._pending.pop(sequence)
-            if not ticket.future.done():
-                ticket.future.set_result(Rejected(reason=Reason.NOT_READY))
-
-    def _fold_page(self, page: LogPage) -> None:
-        for record in page.records:
+            packed = self._assemble(record)
+            if packed is not None and self._restore(packed):
+                return
+        self._seek = position
+        if position < page.next_offset:
+            return
+        packed = await self._source.fetch_state(self.name)
+        if packed is None or not self._restore(packed):
+            await asyncio.sleep(self._backoff.next_delay())
+
+    def _assemble(self, record: LogRecord) -> PackedState | None:
+        envelope = self._decode(record)
+        if envelope is None or not isinstance(envelope.record, Checkpoint):
+            return None
+        return self._assembly.add(envelope.incarnation, envelope.record)
+
+    def _restore(self, packed: PackedState) -> bool:
+        try:
+            restored = self.fold.restore(packed)
+        except MalformedMessageError as error:
+            log_event(
+                Event.RECORD_MALFORMED,
+                stream=self.name,
+                offset=packed.offset,
+                error=str(error),
+            )
+            return False
+        if not restored:
+            return False
+        self._seek = None
+        self._schedule.note_checkpoint(
+            self.fold.next_offset, asyncio.get_running_loop().time()
+        )
+        self._writer.take_restored(
+            self.fold.get_last_sequence(self._incarnation),
+            lambda record: self.fold.judge_restored(self._incarnation, record),
+        )
+        log_event(Event.STATE_RESTORED, stream=self.name, offset=packed.offset)
+        return True
+
+    async def _fold_page(self, page: LogPage) -> None:
+        for number, record in enumerate(page.records, start=1):
             if record.offset < self.fold.next_offset:
                 continue
-            envelope = self._decode(record)
-            if envelope is None:
-                self.fold.skip(record.offset)
-                continue
-            verdict = self.fold.fold(record.offset, envelope)
-            self._resolve(envelope, verdict)
-            for listener in self._listeners:
-                listener(record.offset, envelope, verdict)
+            # A state folded over a missing record parts from all others'.
+            if record.offset > self.fold.next_offset:
+                log_event(Event.LOG_GAP, stream=self.name, offset=record.offset)
+                await asyncio.sleep(self._backoff.next_delay())
+                return
+            if not self._fold_record(record):
+                return
+            if number % RECORDS_PER_STEP == 0:
+                await asyncio.sleep(0)
         self.status.next_offset = self.fold.next_offset
         self.status.caught_up = self.fold.next_offset >= page.next_offset
         self._checkpoint_when_due()
 
+    def _fold_record(self, record: LogRecord) -> bool:
+        envelope = self._decode(record)
+        if envelope is None:
+            self.fold.skip(record.offset)
+            return True
+        try:
+            verdict = self._apply(record.offset, envelope)
+        except UnsupportedVersionError as error:
+            self.status.halted = True
+            self.status.caught_up = False
+            log_event(Event.STREAM_HALTED, stream=self.name, error=str(error))
+            return False
+        self._note_checkpoint(envelope)
+        self._writer.take_verdict(envelope, verdict)
+        for listener in self._listeners:
+            listener(record.offset, envelope, verdict)
+        return True
+
+    def _apply(self, offset: int, envelope: Any) -> Verdict:
+        try:
+            return self.fold.fold(offset, envelope)
+        except (UnsupportedVersionError, MemoryError, RecursionError):
+            raise
+        # A record that the fold fails on fails on every host alike. Without
+        # this, one such record would end every host at each start.
+        except Exception as error:
+            log_event(
+                Event.RECORD_FAILED,
+                stream=self.name,
+                offset=offset,
+                error=repr(error)[:200],
+            )
+            self.fold.skip(offset)
+            return Rejected(reason=Reason.INVALID, detail="the fold failed")
+
     def _decode(self, record: LogRecord) -> Any | None:
         try:
             return self.fold.decode(record.data)
@@ -226,52 +270,33 @@
             )
             return None
 
-    def _resolve(self, envelope: Any, verdict: Verdict) -> None:
-        if envelope.incarnation != self._incarnation:
+    def _note_checkpoint(self, envelope: Any) -> None:
+        record = envelope.record
+        if not isinstance(record, Checkpoint):
             return
-        ticket = self._pending.pop(envelope.sequence, None)
-        if ticket is not None and not ticket.future.done():
-            ticket.future.set_result(verdict)
+        if self._watch.add(envelope.incarnation, record):
+            now = asyncio.get_running_loop().time()
+            self._schedule.note_checkpoint(record.offset, now)
 
     def _checkpoint_when_due(self) -> None:
-        due = self._last_checkpoint + self._checkpoint_every
-        if not self.status.caught_up or self.fold.next_offset < due:
+        offset = self.fold.next_offset
+        now = asyncio.get_running_loop().time()
+        if not self.status.caught_up or not self._schedule.is_wanted(offset, now):
             return
-        self._last_checkpoint = self.fold.next_offset
-        self.submit(self.fold.make_checkpoint())
-        log_event(
-            Event.CHECKPOINT_WRITTEN, stream=self.name, offset=self.fold.next_offset
-        )
-
-    async def _append(self) -> None:
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._queue:
-                await self._append_group()
-
-    async def _append_group(self) -> None:
-        group: list[Ticket] = []
-        data: list[bytes] = []
-        while self._queue and len(group) < MAX_GROUP:
-            ticket = self._queue.popleft()
-            ticket.sequence = self._next_sequence
-            self._next_sequence += 1
-            self._pending[ticket.sequence] = ticket
-            group.append(ticket)
-            data.append(
-                self.fold.encode(self._incarnation, ticket.sequence, ticket.record)
-            )
-        # An append without an answer may have landed. Sending the same group
-        # again is safe because the fold drops sequences it has seen; sending
-        # the next group first would make this one look like a repeat.
-        while not all(ticket.future.done() for ticket in group):
-            try:
-                await self._source.append(self.name, data)
-            except LogUnavailableError as error:
-                self._note_reachable(False, str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
-            self.n_appends += 1
-            self.bytes_appended += sum(map(len, data))
+        rank = self._rank_writer(f"{self.name}@{self._schedule.offset}")
+        if not self._schedule.is_turn(rank, now):
             return
+        self._schedule.writing = True
+        # Ahead of the queue: after a long outage the records that wait are
+        # of no use to a host that can't find the state before them.
+        tickets = self._writer.submit_first(split_checkpoint(self.fold.pack()))
+        tickets[-1].future.add_done_callback(self._end_checkpoint)
+        log_event(Event.CHECKPOINT_WRITTEN, stream=self.name, offset=offset)
+
+    def _end_checkpoint(self, _: object) -> None:
+        self._schedule.writing = False
+
+
+def make_backoff(generator: random.Random) -> Backoff:
+    """Return the backoff for calls of the log."""
+    return Backoff(initial_s=RETRY_FIRST_S, maximum_s=RETRY_MAX_S, generator=generator)
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -1,21 +1,23 @@
 """Own the streams that this host follows."""
 
+import random
 from collections.abc import Callable
 
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard, StreamStatus
-from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
-from trefoilstage.components.log_client.stream import (
-    RecordSource,
-    StreamFold,
-    StreamService,
-    Ticket,
+from trefoilstage.components.log_client.checkpoints import (
+    CheckpointSchedule,
+    PackedState,
 )
+from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
+from trefoilstage.components.log_client.interfaces import RecordSource, StreamFold
+from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.configuration.records import ConfigRecord
 from trefoilstage.const import CONFIG_STREAM, LEDGER_STREAM_PREFIX
+from trefoilstage.exceptions import NotReadyError
 from trefoilstage.ledger.records import LedgerRecord
-from trefoilstage.util.hashing import pick_stream
+from trefoilstage.util.hashing import pick_stream, rank_by_rendezvous
 
 LedgerStarted = Callable[[int, StreamService], None]
 
@@ -30,12 +32,16 @@
         source: RecordSource,
         poll_s: float,
         checkpoint_every: int,
+        checkpoint_interval_s: float,
+        generator: random.Random,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._source = source
         self._poll_s = poll_s
         self._checkpoint_every = checkpoint_every
+        self._checkpoint_interval_s = checkpoint_interval_s
+        self._generator = generator
         self.config = self._make(CONFIG_STREAM, ConfigFold(blackboard=blackboard))
         self.ledgers: dict[int, StreamService] = {}
         self._ledger_listeners: list[LedgerStarted] = []
@@ -50,9 +56,19 @@
             fold=fold,
             status=status,
             poll_s=self._poll_s,
-            checkpoint_every=self._checkpoint_every,
+            schedule=CheckpointSchedule(
+                every=self._checkpoint_every, interval_s=self._checkpoint_interval_s
+            ),
+            rank_writer=self.rank_writer,
+            generator=self._generator,
         )
 
+    def rank_writer(self, key: str) -> int:
+        """Return this host's place among the live ones for a task of the key."""
+        names = [entry.host for entry in self._blackboard.list_live_peers()]
+        ranked = rank_by_rendezvous(key, [*names, self._blackboard.host])
+        return ranked.index(self._blackboard.host)
+
     async def on_start(self) -> None:
         """Follow the configuration."""
         await self.add_runtime_dependency(self.config)
@@ -79,13 +95,28 @@
         return pick_stream(account, n_streams)
 
     def submit_ledger(self, number: int, record: LedgerRecord) -> Ticket:
-        """Queue a record for a ledger stream."""
-        return self.ledgers[number].submit(record)
+        """Queue a record, or raise NotReadyError before the stream is followed."""
+        stream = self.ledgers.get(number)
+        if stream is None:
+            raise NotReadyError(f"ledger stream {number} is not followed yet")
+        return stream.submit(record)
 
     def submit_config(self, record: ConfigRecord) -> Ticket:
         """Queue a record for the configuration stream."""
         return self.config.submit(record)
 
+    def pack(self, name: str) -> PackedState | None:
+        """Return a followed stream's state, or None before it is whole."""
+        for stream in [self.config, *self.ledgers.values()]:
+            if stream.name == name and stream.status.caught_up:
+                return stream.fold.pack()
+        return None
+
+    def is_halted(self) -> bool:
+        """Tell whether a stream went over to a version this host can't fold."""
+        streams = [self.config, *self.ledgers.values()]
+        return any(stream.status.halted for stream in streams)
+
     def is_caught_up(self) -> bool:
         """Tell whether every stream has been read to its end."""
         streams = [self.config, *self.ledgers.values()]
--- /dev/null
+++ b/trefoilstage/components/log_client/tail.py
@@ -0,0 +1,55 @@
+"""Keep the newest records of a stream in memory, for peers cut from the log."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from trefoilstage.components.log_client.client import LogPage, LogRecord
+
+MAX_TAIL_BYTES = 2_000_000
+MAX_PAGE_BYTES = 1_000_000
+
+
+@dataclass(kw_only=True, slots=True)
+class RecordTail:
+    """Hold an unbroken run of records within a limit of bytes."""
+
+    max_bytes: int = MAX_TAIL_BYTES
+    records: deque[LogRecord] = field(default_factory=deque)
+    next_offset: int = 0
+    n_bytes: int = 0
+
+    @property
+    def earliest(self) -> int:
+        """Return the first offset held."""
+        return self.next_offset - len(self.records)
+
+    def keep(self, records: Iterable[LogRecord]) -> None:
+        """Add records that follow on; start afresh after a gap."""
+        for record in records:
+            if record.offset < self.next_offset:
+                continue
+            if record.offset > self.next_offset:
+                self.records.clear()
+                self.n_bytes = 0
+            self.records.append(record)
+            self.next_offset = record.offset + 1
+            self.n_bytes += len(record.data)
+            while self.n_bytes > self.max_bytes:
+                self.n_bytes -= len(self.records.popleft().data)
+
+    def holds(self, offset: int) -> bool:
+        """Tell whether a read from an offset can be answered from here."""
+        return self.earliest <= offset <= self.next_offset and self.next_offset > 0
+
+    def read(self, offset: int) -> LogPage:
+        """Return the records from an offset on, within a page's size."""
+        page: list[LogRecord] = []
+        size = 0
+        for index in range(offset - self.earliest, len(self.records)):
+            record = self.records[index]
+            size += len(record.data)
+            if page and size > MAX_PAGE_BYTES:
+                break
+            page.append(record)
+        return LogPage(records=tuple(page), next_offset=self.next_offset)
--- /dev/null
+++ b/trefoilstage/components/log_client/writer.py
@@ -0,0 +1,179 @@
+"""Queue this host's records of one stream and append them in order."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from trefoilstage.const import MAX_RECORD_BYTES
+from trefoilstage.exceptions import LogUnavailableError
+from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
+from trefoilstage.util.backoff import Backoff
+
+MAX_GROUP = 200
+MAX_GROUP_BYTES = 1_000_000
+
+Encode = Callable[[str, int, Any], bytes]
+
+
+class RecordSink(Protocol):
+    """Append records, at the log or through a peer."""
+
+    async def append(self, stream: str, records: list[bytes]) -> int:
+        """Append a group and return its first offset."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Ticket:
+    """Follow one submitted record to its verdict."""
+
+    record: Any
+    future: asyncio.Future[Verdict]
+    sequence: int | None = None
+
+    @property
+    def attempted(self) -> bool:
+        """Tell whether the record may have reached the log."""
+        return self.sequence is not None
+
+
+class StreamWriter:
+    """Number records, send them in groups and resolve their tickets."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        sink: RecordSink,
+        encode: Encode,
+        backoff: Backoff,
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._sink = sink
+        self._encode = encode
+        self._backoff = backoff
+        self._next_sequence = 0
+        self._queue: deque[Ticket] = deque()
+        self._pending: dict[int, Ticket] = {}
+        self._wake = asyncio.Event()
+        self._progress = asyncio.Event()
+        self.n_appends = 0
+        self.bytes_appended = 0
+
+    def submit(self, record: Any) -> Ticket:
+        """Queue a record; its ticket resolves with the fold's verdict."""
+        ticket = make_ticket(record)
+        self._queue.append(ticket)
+        self._wake.set()
+        return ticket
+
+    def submit_first(self, records: list[Any]) -> list[Ticket]:
+        """Queue records ahead of those that wait."""
+        tickets = [make_ticket(record) for record in records]
+        self._queue.extendleft(reversed(tickets))
+        self._wake.set()
+        return tickets
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take back a record that was never sent; tell whether that was so."""
+        if ticket.attempted or ticket not in self._queue:
+            return False
+        self._queue.remove(ticket)
+        ticket.future.cancel()
+        return True
+
+    def list_open(self) -> list[asyncio.Future[Verdict]]:
+        """Return the futures of every record without a verdict."""
+        tickets = [*self._queue, *self._pending.values()]
+        return [ticket.future for ticket in tickets]
+
+    def take_verdict(self, envelope: Any, verdict: Verdict) -> None:
+        """Resolve the ticket of a folded record, if it is this host's."""
+        if envelope.incarnation != self._incarnation:
+            return
+        ticket = self._pending.pop(envelope.sequence, None)
+        if ticket is not None:
+            resolve(ticket, verdict)
+            self._progress.set()
+
+    def take_restored(self, last: int, judge: Callable[[Any], Verdict]) -> None:
+        """Resolve the tickets whose records lie inside a restored state."""
+        for sequence in [number for number in self._pending if number <= last]:
+            ticket = self._pending.pop(sequence)
+            resolve(ticket, judge(ticket.record))
+            self._progress.set()
+
+    async def run(self) -> None:
+        """Append what is queued, for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                await self._send(*self._take_group())
+
+    def _take_group(self) -> tuple[list[Ticket], list[bytes]]:
+        group: list[Ticket] = []
+        data: list[bytes] = []
+        n_bytes = 0
+        while self._queue and len(group) < MAX_GROUP:
+            ticket = self._queue[0]
+            encoded = self._encode(
+                self._incarnation, self._next_sequence, ticket.record
+            )
+            if group and n_bytes + len(encoded) > MAX_GROUP_BYTES:
+                break
+            self._queue.popleft()
+            # The log refuses a record of this size each time it is sent, and
+            # everything queued behind it would wait for ever.
+            if len(encoded) > MAX_RECORD_BYTES:
+                detail = f"{len(encoded)} bytes, limit {MAX_RECORD_BYTES}"
+                resolve(ticket, Rejected(reason=Reason.INVALID, detail=detail))
+                continue
+            n_bytes += len(encoded)
+            self._number(ticket)
+            group.append(ticket)
+            data.append(encoded)
+        return group, data
+
+    def _number(self, ticket: Ticket) -> None:
+        ticket.sequence = self._next_sequence
+        self._pending[self._next_sequence] = ticket
+        self._next_sequence += 1
+
+    async def _send(self, group: list[Ticket], data: list[bytes]) -> None:
+        # An append without an answer may have landed. Sending the same group
+        # again is safe because the fold drops sequences it has seen; sending
+        # the next group first would make this one look like a repeat.
+        while any(ticket.sequence in self._pending for ticket in group):
+            try:
+                await self._sink.append(self._name, data)
+            except LogUnavailableError:
+                await self._wait_for_verdict()
+                continue
+            self._backoff.reset()
+            self.n_appends += 1
+            self.bytes_appended += sum(map(len, data))
+            return
+
+    async def _wait_for_verdict(self) -> None:
+        # The follower may show within the delay that the group has landed.
+        self._progress.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._backoff.next_delay()):
+                await self._progress.wait()
+
+
+def make_ticket(record: Any) -> Ticket:
+    """Return a ticket without a verdict."""
+    future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+    return Ticket(record=record, future=future)
+
+
+def resolve(ticket: Ticket, verdict: Verdict) -> None:
+    """Give a ticket its verdict unless its submitter has cancelled it."""
+    if not ticket.future.done():
+        ticket.future.set_result(verdict)
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -16,6 +16,7 @@
 from trefoilstage.helpers.events import Event, log_event
 
 CONNECT_TIMEOUT_S = 1.0
+SILENCE_S = 0.9
 
 
 class PeerLink:
@@ -29,6 +30,7 @@
         self._waiting: dict[int, asyncio.Future[PeerMessage]] = {}
         self._next_number = 0
         self._connecting = asyncio.Lock()
+        self._last_received = 0.0
 
     async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
         """Return the peer's reply, or raise PeerUnavailableError."""
@@ -36,13 +38,17 @@
         self._next_number += 1
         future: asyncio.Future[PeerMessage] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
+        started = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect()
                 frame = Frame(number=number, reply=False, body=message)
                 await connection.send(FRAME_CODEC.encode(frame))
                 reply = await future
-        except (OSError, TimeoutError, WebSocketException) as error:
+        except TimeoutError as error:
+            self._abandon_silent_connection(started)
+            raise PeerUnavailableError(repr(error)) from error
+        except (OSError, WebSocketException) as error:
             raise PeerUnavailableError(repr(error)) from error
         finally:
             self._waiting.pop(number, None)
@@ -57,6 +63,18 @@
         if self._connection is not None:
             await self._connection.close()
 
+    def _abandon_silent_connection(self, since: float) -> None:
+        # A host that lost its power closes nothing. Its successor at the same
+        # address would stay unheard until the kernel gives the old connection
+        # up, many minutes later.
+        connection = self._connection
+        waited_s = asyncio.get_running_loop().time() - since
+        if connection is None or waited_s < SILENCE_S:
+            return
+        if self._last_received < since:
+            connection.transport.abort()
+            self._drop_connection(connection)
+
     async def _connect(self) -> ClientConnection:
         async with self._connecting:
             if self._connection is None:
@@ -76,6 +94,7 @@
     async def _read(self, connection: ClientConnection) -> None:
         try:
             async for data in connection:
+                self._last_received = asyncio.get_running_loop().time()
                 self._take_reply(data)
         except (OSError, WebSocketException):
             pass
@@ -93,8 +112,9 @@
             future.set_result(frame.body)
 
     def _drop_connection(self, connection: ClientConnection) -> None:
-        if self._connection is connection:
-            self._connection = None
+        if self._connection is not connection:
+            return
+        self._connection = None
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(ConnectionResetError("peer link lost"))
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -52,15 +52,39 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordsReply:
-    """Answer with the records a peer still holds."""
+    """Answer with the records a peer holds, or say from where on they are kept."""
 
     offsets: tuple[int, ...] = ()
     records: tuple[bytes, ...] = ()
     next_offset: int = 0
     earliest: int = 0
+    expired: bool = False
+    fresh: bool = True
     kind: Literal["records_reply"] = "records_reply"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadState:
+    """Ask a peer for a part of a stream's state; of one state while offset is set."""
+
+    stream: Name
+    part: Tokens = 0
+    offset: Tokens | None = None
+    kind: Literal["read_state"] = "read_state"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StateReply:
+    """Answer with a part of the compressed state before an offset."""
+
+    offset: Tokens
+    fold_version: int
+    state: bytes
+    part: Tokens
+    n_parts: Annotated[int, Field(ge=1)]
+    kind: Literal["state_reply"] = "state_reply"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AppendRecords:
     """Ask a peer to append a group to the log."""
@@ -92,6 +116,8 @@
     | BoundReply
     | ReadRecords
     | RecordsReply
+    | ReadState
+    | StateReply
     | AppendRecords
     | AppendReply
     | ErrorReply
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -1,27 +1,51 @@
-"""Read from the log, or through a peer while the log is out of reach."""
+"""Read from the log, or through peers while the log is out of reach."""
 
-from collections.abc import Callable
-from typing import TypeVar
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import AsyncIterator, Iterator
+
+from mode import Service
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.log_client.checkpoints import MAX_PARTS, PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
+from trefoilstage.components.log_client.reach import LogReach
+from trefoilstage.components.log_client.tail import RecordTail
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import (
     AppendRecords,
     AppendReply,
     PeerMessage,
     ReadRecords,
+    ReadState,
     RecordsReply,
+    StateReply,
 )
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.exceptions import LogUnavailableError, PeerUnavailableError
+from trefoilstage.exceptions import (
+    LogUnavailableError,
+    NotReadyError,
+    PeerUnavailableError,
+    RecordsExpiredError,
+)
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.util.backoff import Backoff
+from trefoilstage.util.hashing import rank_by_rendezvous
+
+RELAY_POLL_S = 0.1
+PEER_TIMEOUT_S = 1.0
+PROBE_FIRST_S = 0.2
+PROBE_MAX_S = 2.0
+MAX_PEERS_ASKED = 4
 
-ResultT = TypeVar("ResultT")
-NO_OFFSET = -1
 
+class RelayedLog(Service):  # type: ignore[misc]
+    """Use the log while it answers and peers while it does not.
 
-class RelayedLog:
-    """Try the log first, then each live peer; a record is the same from any."""
+    A record is the same from whoever relays it. A peer answers a read from
+    its own memory or the log, never through a third host, so no call loops.
+    """
 
     def __init__(
         self,
@@ -31,69 +55,237 @@
         links: PeerLinks,
         server: PeerServer,
         timeout_s: float,
+        generator: random.Random,
     ) -> None:
+        super().__init__()
         self._client = client
         self._blackboard = blackboard
         self._links = links
-        self._timeout_s = timeout_s
+        self._reach = LogReach(timeout_base_s=timeout_s)
+        self._backoff = Backoff(
+            initial_s=PROBE_FIRST_S, maximum_s=PROBE_MAX_S, generator=generator
+        )
+        self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
+        self._favourite = ""
+        self._lost = asyncio.Event()
+        self._probed = ""
         server.register(ReadRecords, self._answer_read)
         server.register(AppendRecords, self._answer_append)
 
+    async def on_start(self) -> None:
+        """Start probing whenever the log is out of reach."""
+        self.add_future(self._probe())
+
     async def append(self, stream: str, records: list[bytes]) -> int:
         """Append a group and return its first offset."""
-        try:
-            return await self._client.append(stream, records)
-        except LogUnavailableError:
-            message = AppendRecords(stream=stream, records=tuple(records))
-            return await self._ask_peers(message, take_append)
+        if self._reach.up:
+            try:
+                return await self._append_direct(stream, records)
+            except LogUnavailableError:
+                self._note_failure(stream)
+        message = AppendRecords(stream=stream, records=tuple(records))
+        async for reply in self._ask_peers(message):
+            if isinstance(reply, AppendReply):
+                return reply.first
+        raise LogUnavailableError("neither the log nor a peer appends")
 
     async def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
         """Return records from an offset on."""
-        try:
-            return await self._client.read(stream, offset, wait_s=wait_s)
-        except LogUnavailableError:
-            message = ReadRecords(stream=stream, offset=offset)
-            return await self._ask_peers(message, take_records)
-
-    async def _ask_peers(
-        self, message: PeerMessage, take: Callable[[PeerMessage], ResultT | None]
-    ) -> ResultT:
-        for entry in self._blackboard.list_live_peers():
-            link = self._links.get_link(entry.peer_url)
+        if self._reach.up:
+            try:
+                return await self._read_direct(stream, offset, wait_s)
+            except LogUnavailableError:
+                self._note_failure(stream)
+        page = await self._read_from_peers(stream, offset)
+        self._tails[stream].keep(page.records)
+        if not page.records:
+            await asyncio.sleep(RELAY_POLL_S)
+        return page
+
+    async def fetch_state(self, stream: str) -> PackedState | None:
+        """Return a peer's state of a stream, or None when no peer gives it."""
+        for name in self._rank_peers():
             try:
-                result = take(await link.call(message, timeout_s=self._timeout_s))
+                return await self._fetch_parts(name, stream)
             except PeerUnavailableError:
                 continue
-            if result is not None:
-                return result
-        raise LogUnavailableError("neither the log nor a peer answers")
+        return None
 
-    async def _answer_read(self, message: ReadRecords) -> PeerMessage:
-        page = await self._client.read(message.stream, message.offset, wait_s=0.0)
-        return RecordsReply(
-            offsets=tuple(record.offset for record in page.records),
-            records=tuple(record.data for record in page.records),
-            next_offset=page.next_offset,
+    async def _append_direct(self, stream: str, records: list[bytes]) -> int:
+        started = asyncio.get_running_loop().time()
+        first = await self._client.append(
+            stream, records, timeout_s=self._reach.timeout_s
+        )
+        self._note_answer(asyncio.get_running_loop().time() - started)
+        return first
+
+    async def _read_direct(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        started = asyncio.get_running_loop().time()
+        page = await self._client.read(
+            stream, offset, wait_s=wait_s, timeout_s=self._reach.timeout_s
+        )
+        duration_s = asyncio.get_running_loop().time() - started
+        self._note_answer(max(0.0, duration_s - wait_s))
+        self._tails[stream].keep(page.records)
+        return page
+
+    def _note_answer(self, duration_s: float) -> None:
+        if self._reach.note_answer(duration_s):
+            log_event(Event.LOG_IN_REACH, host=self._blackboard.host)
+        self._blackboard.log_in_reach = True
+
+    def _note_failure(self, stream: str) -> None:
+        if self._reach.note_failure():
+            log_event(Event.LOG_OUT_OF_REACH, host=self._blackboard.host)
+        self._blackboard.log_in_reach = False
+        self._probed = stream
+        self._lost.set()
+
+    async def _probe(self) -> None:
+        # Beside the peers' answers, so that no read waits for a log that is
+        # gone. The timeout grows: a slow log must be heard in the end.
+        while True:
+            await self._lost.wait()
+            await asyncio.sleep(self._backoff.next_delay())
+            offset = self._tails[self._probed].next_offset
+            try:
+                await self._read_direct(self._probed, offset, 0.0)
+            except RecordsExpiredError:
+                self._note_answer(0.0)
+            except LogUnavailableError:
+                self._reach.lengthen_timeout()
+                continue
+            self._backoff.reset()
+            self._lost.clear()
+
+    async def _read_from_peers(self, stream: str, offset: int) -> LogPage:
+        stale: RecordsReply | None = None
+        expired: RecordsReply | None = None
+        message = ReadRecords(stream=stream, offset=offset)
+        async for reply in self._ask_peers(message):
+            if not isinstance(reply, RecordsReply):
+                continue
+            if reply.expired:
+                expired = reply
+            elif reply.records or reply.fresh:
+                return make_page(reply)
+            elif stale is None or reply.next_offset > stale.next_offset:
+                stale = reply
+        if expired is not None:
+            raise RecordsExpiredError(earliest=expired.earliest)
+        if stale is None:
+            raise LogUnavailableError("neither the log nor a peer answers")
+        return make_page(stale)
+
+    async def _ask_peers(self, message: PeerMessage) -> AsyncIterator[PeerMessage]:
+        for name in self._rank_peers():
+            try:
+                reply = await self._call(name, message)
+            except PeerUnavailableError:
+                if self._favourite == name:
+                    self._favourite = ""
+                continue
+            self._favourite = name
+            yield reply
+
+    async def _call(self, name: str, message: PeerMessage) -> PeerMessage:
+        link = self._links.get_link(self._find_urls()[name])
+        return await link.call(message, timeout_s=PEER_TIMEOUT_S)
+
+    def _find_urls(self) -> dict[str, str]:
+        """Return live peers' addresses; a newcomer has only the platform's list."""
+        urls = {
+            item.host: item.peer_url
+            for item in self._blackboard.listed.values()
+            if item.host not in self._blackboard.config.hosts
+            and item.host != self._blackboard.host
+        }
+        for entry in self._blackboard.list_live_peers():
+            urls[entry.host] = entry.peer_url
+        return urls
+
+    def _rank_peers(self) -> list[str]:
+        names = rank_by_rendezvous(self._blackboard.host, self._find_urls())
+        if self._favourite in names:
+            names.remove(self._favourite)
+            names.insert(0, self._favourite)
+        return names[:MAX_PEERS_ASKED]
+
+    async def _fetch_parts(self, name: str, stream: str) -> PackedState:
+        first = await self._fetch_part(name, ReadState(stream=stream))
+        parts = [first.state]
+        for number in range(1, min(first.n_parts, MAX_PARTS)):
+            message = ReadState(stream=stream, part=number, offset=first.offset)
+            parts.append((await self._fetch_part(name, message)).state)
+        return PackedState(
+            offset=first.offset,
+            fold_version=first.fold_version,
+            data=b"".join(parts),
         )
 
+    async def _fetch_part(self, name: str, message: ReadState) -> StateReply:
+        reply = await self._call(name, message)
+        if not isinstance(reply, StateReply) or reply.part != message.part:
+            raise PeerUnavailableError("no state from this peer")
+        if message.offset is not None and reply.offset != message.offset:
+            raise PeerUnavailableError("the peer's state has moved on")
+        return reply
+
+    async def _answer_read(self, message: ReadRecords) -> PeerMessage:
+        tail = self._tails.get(message.stream)
+        if tail is not None and tail.holds(message.offset):
+            return make_reply(tail.read(message.offset), fresh=self._reach.up)
+        if not self._reach.up:
+            return self._answer_without_log(message, tail)
+        try:
+            page = await self._client.read(
+                message.stream,
+                message.offset,
+                wait_s=0.0,
+                timeout_s=self._reach.timeout_s,
+            )
+        except RecordsExpiredError as error:
+            return RecordsReply(expired=True, earliest=error.earliest)
+        return make_reply(page, fresh=True)
+
+    def _answer_without_log(
+        self, message: ReadRecords, tail: RecordTail | None
+    ) -> PeerMessage:
+        if tail is None or tail.next_offset == 0:
+            raise NotReadyError("the log is out of reach")
+        if message.offset < tail.earliest:
+            return RecordsReply(expired=True, earliest=tail.earliest, fresh=False)
+        return RecordsReply(next_offset=tail.next_offset, fresh=False)
+
     async def _answer_append(self, message: AppendRecords) -> PeerMessage:
-        first = await self._client.append(message.stream, list(message.records))
+        if not self._reach.up:
+            raise NotReadyError("the log is out of reach")
+        first = await self._client.append(
+            message.stream, list(message.records), timeout_s=self._reach.timeout_s
+        )
         return AppendReply(first=first)
 
 
-def take_append(reply: PeerMessage) -> int | None:
-    """Return the offset in a reply, if it has one."""
-    if isinstance(reply, AppendReply) and reply.first != NO_OFFSET:
-        return reply.first
-    return None
+def make_page(reply: RecordsReply) -> LogPage:
+    """Return the page in a peer's reply."""
+    return LogPage(
+        records=tuple(list_records(reply)),
+        next_offset=reply.next_offset,
+        stale=not reply.fresh and not reply.records,
+    )
 
 
-def take_records(reply: PeerMessage) -> LogPage | None:
-    """Return the records in a reply, if it has them."""
-    if not isinstance(reply, RecordsReply):
-        return None
-    records = tuple(
-        LogRecord(offset=offset, data=data)
-        for offset, data in zip(reply.offsets, reply.records, strict=True)
+def list_records(reply: RecordsReply) -> Iterator[LogRecord]:
+    """Yield the records in a peer's reply."""
+    for offset, data in zip(reply.offsets, reply.records, strict=False):
+        yield LogRecord(offset=offset, data=data)
+
+
+def make_reply(page: LogPage, *, fresh: bool) -> RecordsReply:
+    """Return the reply that carries a page."""
+    return RecordsReply(
+        offsets=tuple(record.offset for record in page.records),
+        records=tuple(record.data for record in page.records),
+        next_offset=page.next_offset,
+        fresh=fresh,
     )
-    return LogPage(records=records, next_offset=reply.next_offset)
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -85,6 +85,12 @@
                 body = await handler(frame.body)
         except NotReadyError as error:
             body = ErrorReply(detail=str(error)[:200])
+        # Without an answer the peer would wait for its whole timeout.
+        except Exception as error:
+            log_event(
+                Event.PEER_CALL_FAILED, kind=frame.body.kind, error=repr(error)[:200]
+            )
+            body = ErrorReply(detail="the call failed")
         reply = Frame(number=frame.number, reply=True, body=body)
         try:
             await connection.send(FRAME_CODEC.encode(reply))
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
-from trefoilstage.configuration.merge import merge_files
+from trefoilstage.configuration.incremental import IncrementalMerger
+from trefoilstage.configuration.limits import AccountLimit, update_limits
+from trefoilstage.configuration.merge import MergeResult
 from trefoilstage.configuration.records import (
     ConfigEnvelope,
     HostDown,
@@ -12,11 +14,14 @@
     Remove,
 )
 from trefoilstage.configuration.schema import Configuration
+from trefoilstage.const import FOLD_VERSION
 from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
 from trefoilstage.ledger.fold import MAX_SEQUENCES, drop_oldest
-from trefoilstage.ledger.records import Checkpoint
+from trefoilstage.ledger.records import Checkpoint, Upgrade
 
 MAX_HISTORY = 200
+MAX_FINDINGS = 20
+MAX_FINDING = 300
 NEW_FILE = -1
 
 
@@ -58,7 +63,7 @@
 class ConfigState:
     """Hold everything the configuration stream agrees on before an offset."""
 
-    fold_version: int = 1
+    fold_version: int = FOLD_VERSION
     next_offset: int = 0
     revision: int = -1
     files: dict[str, FileState] = field(default_factory=dict)
@@ -66,12 +71,16 @@
     history: list[HistoryEntry] = field(default_factory=list)
     sequences: dict[str, int] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
+    limits: dict[str, AccountLimit] = field(default_factory=dict)
 
 
 def fold_config_envelope(
-    state: ConfigState, offset: int, envelope: ConfigEnvelope
+    state: ConfigState,
+    offset: int,
+    envelope: ConfigEnvelope,
+    merger: IncrementalMerger | None = None,
 ) -> Verdict:
-    """Apply one record at its offset and return the verdict on it."""
+    """Apply one record at its offset; a merger only saves time."""
     if offset < state.next_offset:
         return Rejected(reason=Reason.DUPLICATE)
     state.next_offset = offset + 1
@@ -80,74 +89,94 @@
     state.sequences.pop(envelope.incarnation, None)
     state.sequences[envelope.incarnation] = envelope.sequence
     drop_oldest(state.sequences, MAX_SEQUENCES)
-    return apply_config(envelope.record, state, envelope.incarnation, offset)
+    place = Place(
+        writer=envelope.incarnation,
+        offset=offset,
+        merger=merger or IncrementalMerger(),
+    )
+    return apply_config(envelope.record, state, place)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Say who wrote a record and where it lies."""
+
+    writer: str
+    offset: int
+    merger: IncrementalMerger
 
 
 @singledispatch
-def apply_config(
-    record: object, state: ConfigState, writer: str, offset: int
-) -> Verdict:
+def apply_config(record: object, state: ConfigState, place: Place) -> Verdict:
     """Apply a record of one kind."""
     return Rejected(reason=Reason.NOT_APPLICABLE)
 
 
 @apply_config.register
-def _(record: Checkpoint, state: ConfigState, writer: str, offset: int) -> Verdict:
+def _(record: Checkpoint, state: ConfigState, place: Place) -> Verdict:
     return ACCEPTED
 
 
 @apply_config.register
-def _(record: Publish, state: ConfigState, writer: str, offset: int) -> Verdict:
+def _(record: Publish, state: ConfigState, place: Place) -> Verdict:
     files = dict(state.files)
-    files[record.name] = FileState(content=record.content, revision=offset)
-    return change_files(record, "publish", state, files, offset)
+    files[record.name] = FileState(content=record.content, revision=place.offset)
+    return change_files(record, "publish", state, files, place)
 
 
 @apply_config.register
-def _(record: Remove, state: ConfigState, writer: str, offset: int) -> Verdict:
+def _(record: Remove, state: ConfigState, place: Place) -> Verdict:
     files = dict(state.files)
     files.pop(record.name, None)
-    return change_files(record, "remove", state, files, offset)
+    return change_files(record, "remove", state, files, place)
 
 
 @apply_config.register
-def _(record: HostUp, state: ConfigState, writer: str, offset: int) -> Verdict:
+def _(record: HostUp, state: ConfigState, place: Place) -> Verdict:
     state.hosts[record.host] = HostEntry(
         host=record.host,
-        incarnation=writer,
+        incarnation=place.writer,
         data_center=record.data_center,
         caller_url=record.caller_url,
         operator_url=record.operator_url,
         peer_url=record.peer_url,
-        offset=offset,
+        offset=place.offset,
     )
     return ACCEPTED
 
 
 @apply_config.register
-def _(record: HostDown, state: ConfigState, writer: str, offset: int) -> Verdict:
+def _(record: HostDown, state: ConfigState, place: Place) -> Verdict:
     for name, entry in list(state.hosts.items()):
         if entry.incarnation == record.incarnation:
             del state.hosts[name]
     return ACCEPTED
 
 
+@apply_config.register
+def _(record: Upgrade, state: ConfigState, place: Place) -> Verdict:
+    if record.version != state.fold_version + 1:
+        return Rejected(reason=Reason.STALE_REVISION)
+    state.fold_version = record.version
+    return ACCEPTED
+
+
 def change_files(
     record: Publish | Remove,
     action: str,
     state: ConfigState,
     files: dict[str, FileState],
-    offset: int,
+    place: Place,
 ) -> Verdict:
     """Accept a change of files if its base is current and the merge is valid."""
-    for entry in reversed(state.history):
-        if entry.operation == record.operation:
-            return judge_history(entry)
-    verdict = judge_change(record, action, state, files)
+    known = find_operation(state, record.operation)
+    if known is not None:
+        return known
+    verdict = judge_change(record, action, state, files, place.merger)
     accepted = not isinstance(verdict, Rejected)
     state.history.append(
         HistoryEntry(
-            offset=offset,
+            offset=place.offset,
             operation=record.operation,
             action=action,
             name=record.name,
@@ -160,11 +189,20 @@
     if isinstance(verdict, Rejected):
         return verdict
     state.files = files
-    state.revision = offset
+    state.revision = place.offset
     state.configuration = verdict
+    update_limits(state.limits, verdict, place.offset)
     return ACCEPTED
 
 
+def find_operation(state: ConfigState, operation: str) -> Verdict | None:
+    """Return the verdict that an operation got, if it is still remembered."""
+    for entry in reversed(state.history):
+        if entry.operation == operation:
+            return judge_history(entry)
+    return None
+
+
 def judge_history(entry: HistoryEntry) -> Verdict:
     """Return the verdict that an operation already got."""
     if entry.accepted:
@@ -177,6 +215,7 @@
     action: str,
     state: ConfigState,
     files: dict[str, FileState],
+    merger: IncrementalMerger,
 ) -> Configuration | Rejected:
     """Return the configuration that a change yields, or why it is rejected."""
     current = state.files.get(record.name)
@@ -189,12 +228,24 @@
         return Rejected(reason=Reason.CONFLICT, detail=detail)
     if action == "remove" and current is None:
         return Rejected(reason=Reason.CONFLICT, detail=f"no file {record.name}")
-    result = merge_files({name: item.content for name, item in files.items()})
+    result = merger.merge(
+        {name: item.content for name, item in state.files.items()},
+        {name: item.content for name, item in files.items()},
+        state.configuration,
+    )
     if result.configuration is None:
-        detail = "\n".join(str(finding) for finding in result.findings)
-        return Rejected(reason=Reason.INVALID, detail=detail)
+        return Rejected(reason=Reason.INVALID, detail=describe_findings(result))
     before = state.configuration.fleet.ledger_streams
     if state.files and result.configuration.fleet.ledger_streams != before:
         detail = "fleet.ledger_streams can't change once files are in force"
         return Rejected(reason=Reason.INVALID, detail=detail)
     return result.configuration
+
+
+def describe_findings(result: MergeResult) -> str:
+    """Return the findings, one a line, within what the history keeps."""
+    lines = [str(finding)[:MAX_FINDING] for finding in result.findings]
+    if len(lines) > MAX_FINDINGS:
+        rest = len(lines) - MAX_FINDINGS
+        lines = [*lines[:MAX_FINDINGS], f"and {rest} more findings"]
+    return "\n".join(lines)
--- a/trefoilstage/configuration/merge.py
+++ b/trefoilstage/configuration/merge.py
@@ -10,6 +10,7 @@
 from trefoilstage.configuration.schema import Configuration
 
 MAX_FILE_BYTES = 200_000
+MAX_DEPTH = 8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,7 +48,7 @@
     findings: list[Finding] = []
     for name in sorted(files):
         tables = parse_file(name, files[name], findings)
-        merge_tables(merged, tables, (), name)
+        merge_tables(merged, tables, (), name, findings)
     if findings:
         return MergeResult(configuration=None, findings=tuple(findings))
     try:
@@ -71,7 +72,9 @@
         return {}
     try:
         return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    # A number of thousands of digits raises a plain ValueError, not a decode
+    # error; uncaught, one such file would end every host that folds it.
+    except ValueError as error:
         line = find_error_line(str(error))
         findings.append(Finding(file=name, line=line, key="", message=str(error)))
     except RecursionError:
@@ -89,9 +92,19 @@
 
 
 def merge_tables(
-    merged: MergedTables, tables: dict[str, Any], path: tuple[str, ...], name: str
+    merged: MergedTables,
+    tables: dict[str, Any],
+    path: tuple[str, ...],
+    name: str,
+    findings: list[Finding],
 ) -> None:
     """Lay the tables of one file over what earlier files gave."""
+    # The limit is the same on every host, where the interpreter's own one
+    # depends on how deep the call already is.
+    if len(path) > MAX_DEPTH:
+        key = ".".join(path)
+        findings.append(Finding(file=name, line=1, key=key, message="nested too deep"))
+        return
     place = merged.tables
     for part in path:
         place = place[part]
@@ -99,7 +112,7 @@
         merged.origins[(*path, key)] = name
         if isinstance(value, dict) and isinstance(place.get(key, {}), dict):
             place.setdefault(key, {})
-            merge_tables(merged, value, (*path, key), name)
+            merge_tables(merged, value, (*path, key), name, findings)
         else:
             place[key] = value
 
--- a/trefoilstage/configuration/records.py
+++ b/trefoilstage/configuration/records.py
@@ -7,7 +7,7 @@
 
 from trefoilstage.const import MAX_RECORD_BYTES, RECORD_VERSION
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Checkpoint, Name
+from trefoilstage.ledger.records import Checkpoint, Name, Upgrade
 
 FileName = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
 Offset = Annotated[int, Field(ge=-1, le=1 << 53)]
@@ -56,7 +56,7 @@
     kind: Literal["host_down"] = "host_down"
 
 
-ConfigRecord = Publish | Remove | HostUp | HostDown | Checkpoint
+ConfigRecord = Publish | Remove | HostUp | HostDown | Checkpoint | Upgrade
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/configuration/schema.py
+++ b/trefoilstage/configuration/schema.py
@@ -1,11 +1,13 @@
 """Validate the merged configuration at the border."""
 
+import re
 from enum import StrEnum
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
 
-Identifier = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+IDENTIFIER_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+Identifier = Annotated[str, Field(pattern=IDENTIFIER_PATTERN)]
 Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 HttpUrl = Annotated[str, Field(pattern=r"^http://[0-9a-zA-Z.:\[\]-]+$")]
 Count = Annotated[int, Field(ge=0, le=1 << 50)]
@@ -107,3 +109,8 @@
     models: dict[Identifier, ModelConfig] = {}
     targets: dict[Identifier, TargetConfig] = {}
     services: dict[Identifier, ServiceConfig] = {}
+
+
+def is_identifier(name: str) -> bool:
+    """Tell whether a name may name an entry."""
+    return re.fullmatch(IDENTIFIER_PATTERN.strip("^$"), name) is not None
--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -25,6 +25,10 @@
         self.earliest = earliest
 
 
+class UnsupportedVersionError(TrefoilstageError):
+    """Report that a stream went over to a fold version this host does not know."""
+
+
 class PeerUnavailableError(NotReadyError):
     """Report that a peer gave no answer; it may have acted all the same."""
 
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -23,6 +23,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.helpers.dump import dump_value
@@ -62,7 +63,7 @@
         self._peer_server = PeerServer(
             address=settings.address, port=settings.peer_port
         )
-        self._streams = self._make_streams()
+        self._streams = self._make_streams(generator)
         self._budget = BudgetController(
             blackboard=self.blackboard,
             streams=self._streams,
@@ -102,8 +103,9 @@
             self._timer,
             self._links,
             self._peer_server,
+            self._log,
             self._streams,
-            *self._make_controllers(generator),
+            *self._make_controllers(),
             self._budget,
             self._callers,
             self._operators,
@@ -112,28 +114,32 @@
             await self.add_runtime_dependency(part)
         self._announce()
 
-    def _make_streams(self) -> Streams:
+    def _make_streams(self, generator: random.Random) -> Streams:
         settings = self._settings
         client = LogClient(
             session=self._session,
             url=settings.log_url,
-            timeout_s=settings.log_timeout_s,
         )
-        source = RelayedLog(
+        self._log = RelayedLog(
             client=client,
             blackboard=self.blackboard,
             links=self._links,
             server=self._peer_server,
             timeout_s=settings.log_timeout_s,
+            generator=generator,
         )
-        return Streams(
+        streams = Streams(
             blackboard=self.blackboard,
-            source=source,
+            source=self._log,
             poll_s=settings.log_poll_s,
             checkpoint_every=settings.checkpoint_every,
+            checkpoint_interval_s=settings.checkpoint_interval_s,
+            generator=generator,
         )
+        SnapshotServer(server=self._peer_server, pack=streams.pack)
+        return streams
 
-    def _make_controllers(self, generator: random.Random) -> list[Service]:
+    def _make_controllers(self) -> list[Service]:
         settings = self._settings
         return [
             MembershipController(
@@ -148,7 +154,6 @@
                 blackboard=self.blackboard,
                 streams=self._streams,
                 timer=self._timer,
-                generator=generator,
             ),
             WitnessController(
                 blackboard=self.blackboard,
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -17,6 +17,7 @@
     SetLimit,
     Settle,
     TopUp,
+    Upgrade,
 )
 from trefoilstage.ledger.state import (
     AccountState,
@@ -221,6 +222,14 @@
     return ACCEPTED
 
 
+@apply_record.register
+def _(record: Upgrade, state: LedgerState, writer: str, offset: int) -> Verdict:
+    if record.version != state.fold_version + 1:
+        return Rejected(reason=Reason.STALE_REVISION)
+    state.fold_version = record.version
+    return ACCEPTED
+
+
 def find_open_draw(state: LedgerState, name: str, writer: str) -> DrawState | Rejected:
     """Return a draw that its writer may still change."""
     draw = state.draws.get(name)
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -123,14 +123,24 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Checkpoint:
-    """Carry the compressed state before an offset, so older records may expire."""
+    """Carry a part of the compressed state before an offset, so records may expire."""
 
     offset: Tokens
     fold_version: int
     state: bytes
+    part: Tokens = 0
+    n_parts: Annotated[int, Field(ge=1)] = 1
     kind: Literal["checkpoint"] = "checkpoint"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Upgrade:
+    """Let records and rules of the next fold version take effect on a stream."""
+
+    version: Annotated[int, Field(ge=1)]
+    kind: Literal["upgrade"] = "upgrade"
+
+
 LedgerRecord = (
     SetLimit
     | TopUp
@@ -143,6 +153,7 @@
     | Outcome
     | Abandon
     | Checkpoint
+    | Upgrade
 )
 
 
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -36,7 +36,10 @@
     draw_horizon_s: Seconds = 2.0
     admission_wait_s: Seconds = 1.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
+    checkpoint_interval_s: Seconds = 600.0
     drain_timeout_s: Seconds = 120.0
+    drain_grace_s: Annotated[float, Field(ge=0)] = 0.0
+    flush_timeout_s: Seconds = 10.0
     advertised_peer_url: str | None = None
 
 
