--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.components.booking.client import ServiceClient, make_send_trace
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.budget.setup import make_budget_parts
 from trefoilstage.components.callers.generation import GenerationRunner
@@ -22,6 +23,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.helpers.dump import dump_value
@@ -51,8 +53,11 @@
         settings = self._settings
         outbound_address = settings.outbound_address or settings.address
         connector = aiohttp.TCPConnector(limit=0, local_addr=(outbound_address, 0))
-        self._session = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+        self._session = open_session(connector)
+        self._once_session = open_session(
+            aiohttp.TCPConnector(
+                limit=0, force_close=True, local_addr=(outbound_address, 0)
+            )
         )
         metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
         generator = random.Random(self.blackboard.incarnation)
@@ -61,7 +66,7 @@
         self._peer_server = PeerServer(
             address=settings.address, port=settings.peer_port
         )
-        self._streams = self._make_streams()
+        self._streams = self._make_streams(generator)
         targets = TargetClient(session=self._session, blackboard=self.blackboard)
         budget_parts = make_budget_parts(
             settings=settings,
@@ -84,7 +89,10 @@
             bookings=BookingController(
                 blackboard=self.blackboard,
                 streams=self._streams,
-                session=self._session,
+                budget=self._budget,
+                client=ServiceClient(
+                    session=self._session, once_session=self._once_session
+                ),
                 admission_wait_s=settings.admission_wait_s,
             ),
             metrics=metrics,
@@ -103,8 +111,9 @@
             self._timer,
             self._links,
             self._peer_server,
+            self._log,
             self._streams,
-            *self._make_controllers(generator),
+            *self._make_controllers(),
             budget_parts.witness,
             budget_parts.recovery,
             self._budget,
@@ -115,28 +124,32 @@
             await self.add_runtime_dependency(part)
         self._announce()
 
-    def _make_streams(self) -> Streams:
+    def _make_streams(self, generator: random.Random) -> Streams:
         settings = self._settings
         client = LogClient(
             session=self._session,
             url=settings.log_url,
-            timeout_s=settings.log_timeout_s,
         )
-        source = RelayedLog(
+        self._log = RelayedLog(
             client=client,
             blackboard=self.blackboard,
             links=self._links,
             server=self._peer_server,
             timeout_s=settings.log_timeout_s,
+            generator=generator,
         )
-        return Streams(
+        streams = Streams(
             blackboard=self.blackboard,
-            source=source,
+            source=self._log,
             poll_s=settings.log_poll_s,
             checkpoint_every=settings.checkpoint_every,
+            checkpoint_interval_s=settings.checkpoint_interval_s,
+            generator=generator,
         )
+        SnapshotServer(server=self._peer_server, pack=streams.pack)
+        return streams
 
-    def _make_controllers(self, generator: random.Random) -> list[Service]:
+    def _make_controllers(self) -> list[Service]:
         settings = self._settings
         return [
             MembershipController(
@@ -151,7 +164,6 @@
                 blackboard=self.blackboard,
                 streams=self._streams,
                 timer=self._timer,
-                generator=generator,
             ),
         ]
 
@@ -203,6 +215,7 @@
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
         await self._session.close()
+        await self._once_session.close()
         log_event(Event.HOST_STOPPED, host=self._settings.host)
 
     def write_dump(self) -> None:
@@ -212,3 +225,14 @@
             "controllers": dump_value(self._budget.list_pools()),
         }
         sys.stderr.write(json.dumps(state) + "\n")
+
+
+def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return an HTTP client that counts sends and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None),
+        trace_configs=[make_send_trace()],
+        # A cookie set for one workspace must not go out with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
