--- a/tests/fuzz/ledger_world.py
+++ b/tests/fuzz/ledger_world.py
@@ -7,11 +7,8 @@
 from trefoilstage.components.budget.policy import BudgetPolicy, DrawPolicy, Situation
 from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool
 from trefoilstage.components.budget.table import WitnessTable
-from trefoilstage.components.log_client.folds import (
-    LEDGER_STATE_ADAPTER,
-    pack_state,
-    unpack_state,
-)
+from trefoilstage.components.log_client.checkpoints import pack_state, unpack_state
+from trefoilstage.components.log_client.folds import LEDGER_STATE_ADAPTER
 from trefoilstage.configuration.schema import Preference
 from trefoilstage.helpers.verdict import Accepted
 from trefoilstage.ledger.fold import fold_envelope
@@ -208,20 +205,22 @@
             if envelope.incarnation == host.name:
                 amount = verdict.amount if isinstance(verdict, Accepted) else 0
                 host.resolve(envelope.sequence, amount)
+        host.table.forget_closed(host.state.draws)
 
     def restore(self, host: SimHost, source: SimHost) -> None:
         """Replace a host's state by a checkpoint of another's newer one."""
         if source.state.next_offset <= host.state.next_offset:
             return
-        data = pack_state(LEDGER_STATE_ADAPTER, source.state)
-        host.state = unpack_state(LEDGER_STATE_ADAPTER, data)
+        offset = source.state.next_offset
+        packed = pack_state(LEDGER_STATE_ADAPTER, source.state, offset)
+        host.state = unpack_state(LEDGER_STATE_ADAPTER, packed)
         last = host.state.sequences.get(host.name, -1)
         for sequence in [number for number in host.pending if number <= last]:
             host.resolve(sequence, 0)
 
-    def exchange(self) -> None:
-        """Let every running host append and read everything."""
-        running = [host for host in self.hosts if host.runs]
+    def exchange(self, lagging: SimHost | None = None) -> None:
+        """Let every running host but a lagging one append and read everything."""
+        running = [host for host in self.hosts if host.runs and host is not lagging]
         for host in running:
             self.flush(host, len(host.outbox), lost=False)
         for host in running:
@@ -372,7 +371,6 @@
             )
             if requests:
                 host.submit(Resolve(draw=name, requests=requests))
-        host.table.forget_closed(host.state.draws)
 
     def count_possible(self) -> dict[str, int]:
         """Return the dearest run of each key that may still come about."""
--- a/tests/fuzz/test_ledger_machine.py
+++ b/tests/fuzz/test_ledger_machine.py
@@ -72,9 +72,9 @@
         witness = peers[tokens % len(peers)].name if tokens % 7 else NO_WITNESS
         self.world.draw(host, tokens, rate, witness)
 
-    @rule(place=PLACES, key=KEYS, tokens=AMOUNTS, rate=RATES, stage=STAGES)
+    @rule(place=PLACES, key=KEYS, tokens=AMOUNTS, rate=RATES, stage=STAGES, lag=PLACES)
     def request(
-        self, place: int, key: str, tokens: int, rate: float, stage: Stage
+        self, place: int, key: str, tokens: int, rate: float, stage: Stage, lag: int
     ) -> None:
         """Take a request up to a stage."""
         host = self.pick_running(place)
@@ -92,6 +92,9 @@
             self.confirm_all(host)
         if stage >= Stage.SENT:
             self.run_all(host, tokens, stage)
+        if stage >= Stage.SETTLED:
+            world.settle(host)
+            world.exchange(self.pick(lag))
 
     def run_all(self, host: SimHost, tokens: int, stage: Stage) -> None:
         """Take a host's confirmed requests up to a stage."""
@@ -103,9 +106,7 @@
         if stage >= Stage.ENDED:
             for request in list(host.requests):
                 world.finish(host, request)
-        if stage >= Stage.SETTLED:
-            world.settle(host)
-            world.exchange()
+            self.confirm_all(host)
 
     def confirm_all(self, host: SimHost) -> None:
         """Let a host's calls be answered and its next ones too."""
@@ -169,6 +170,7 @@
                 self.world.settle(host)
             else:
                 self.world.give_back(host, tokens)
+            self.world.flush(host, tokens % 4, lost=tokens % 3 == 0)
 
     @rule(place=PLACES, n_records=COUNTS, lost=st.booleans())
     def flush(self, place: int, n_records: int, lost: bool) -> None:
@@ -183,9 +185,9 @@
                 self.world.restore(host, self.pick(source))
             self.world.read(host, n_records)
 
-    @rule()
-    def exchange(self) -> None:
-        self.world.exchange()
+    @rule(lag=PLACES)
+    def exchange(self, lag: int) -> None:
+        self.world.exchange(self.pick(lag))
 
     @rule(place=PLACES)
     def seal(self, place: int) -> None:
@@ -199,6 +201,7 @@
         if host := self.pick_running(place):
             self.world.read(host, len(self.world.log))
             self.world.recover(host)
+            self.world.flush(host, len(host.outbox), lost=False)
 
     @rule(place=PLACES)
     def freeze_or_wake(self, place: int) -> None:
@@ -211,13 +214,17 @@
         """Replace a host, or let one retire its draw for want of a witness."""
         host = self.pick(place)
         if retires:
-            host.pool.retire()
+            if host.runs:
+                host.pool.retire()
+                self.world.settle(host)
             return
         host.dead = True
         self.world.add_host()
 
     @rule(tokens=LIMITS, changes_limit=st.booleans(), again=st.booleans())
     def change_paid(self, tokens: int, changes_limit: bool, again: bool) -> None:
+        if tokens % 3:
+            return
         if changes_limit:
             self.world.set_limit(tokens)
         else:
--- a/trefoilstage/components/budget/setup.py
+++ b/trefoilstage/components/budget/setup.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.budget.accounts import Accounts
 from trefoilstage.components.budget.controller import BudgetController
+from trefoilstage.components.budget.drawing import Drawing
+from trefoilstage.components.budget.peers import BudgetPeers
 from trefoilstage.components.budget.policy import DrawPolicy
 from trefoilstage.components.budget.recovery import Canceller, RecoveryController
 from trefoilstage.components.budget.witness import WitnessController
@@ -50,19 +53,31 @@
         horizon_s=settings.draw_horizon_s,
         fixed_draw_tokens=settings.fixed_draw_tokens,
     )
+    accounts = Accounts(blackboard=blackboard)
+    peers = BudgetPeers(
+        blackboard=blackboard,
+        accounts=accounts,
+        streams=streams,
+        links=links,
+        recovery=settings.recovery,
+        starved_wait_s=settings.starved_wait_s,
+        generator=generator,
+    )
+    drawing = Drawing(
+        accounts=accounts, streams=streams, peers=peers, timer=timer, policy=policy
+    )
     return BudgetParts(
         budget=BudgetController(
             blackboard=blackboard,
             streams=streams,
-            links=links,
             server=server,
+            accounts=accounts,
+            drawing=drawing,
+            peers=peers,
             witnesses=witnesses,
             timer=timer,
             policy=policy,
-            recovery=settings.recovery,
             admission_wait_s=settings.admission_wait_s,
-            starved_wait_s=settings.starved_wait_s,
-            generator=generator,
         ),
         witness=WitnessController(
             blackboard=blackboard,
