--- a/tests/fuzz/test_ledger_examples.py
+++ b/tests/fuzz/test_ledger_examples.py
@@ -68,6 +68,18 @@
         self.assertFalse(self.confirm(self.holder))
         self.world.check()
 
+    def test_witness_that_sealed_allows_nothing_before_the_seal_lands(self) -> None:
+        """A witness gives its holder up while the log is out.
+
+        The seal waits in its queue and names no request. One allowed now
+        would run, and its tokens would be granted to others by the seal.
+        """
+        self.world.seal(self.witness)
+        self.world.reserve(self.holder, KEY, 40, fenced=True)
+        self.assertFalse(self.confirm(self.holder))
+        self.world.flush(self.witness, 1, lost=False)
+        self.world.check()
+
     def test_late_settlement_counts_though_targets_raised_the_total(self) -> None:
         """Two requests are in doubt; a target's word settles one of them.
 
