Type the operators' errors and findings, register dumps, gather metrics

Cause: an unknown path or an oversized body got aiohttp's text answer, the findings of a rejected file came as one string, a repeated operation that met a conflict was told 'invalid', only the budget's state was in the dump, and each part counted for itself. Change: a middleware answers what no handler answered; a verdict and the history carry findings with file, line and key and the reason; a registry that host.py fills yields the dump over HTTP and by SIGUSR1; every event is counted by name and reason, gauges are sampled every 5 s and sent together; what libraries log becomes one key=value line. Messages of malformed records name places only, since the bytes may be a caller's. Ruled out: metrics calls in each controller, which are forgotten one by one.

--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,119 @@
+"""Call the operators' interface as tools and mistaken tools would."""
+
+import asyncio
+import json
+import signal
+import socket
+import unittest
+from typing import Any
+
+from standins.launcher import wait_for
+from tests.common import OTHER_SECRET, SECRET, Fleet
+
+ONE_HOST: dict[str, Any] = {"n_hosts": 1}
+
+
+class OperatorsTest(unittest.IsolatedAsyncioTestCase):
+    """Check answers, verdicts, dump, lines and metrics of one host."""
+
+    async def test_wrong_calls_get_typed_errors(self) -> None:
+        async with Fleet(**ONE_HOST) as fleet:
+            base = fleet.hosts[0].operator_url
+            cases = [
+                ("GET", "/nowhere", b"", 404, "unknown_path"),
+                ("DELETE", "/status", b"", 405, "unknown_path"),
+                ("POST", "/config/publish", b"{", 400, "bad_request"),
+                ("POST", "/config/publish", b"[1]", 400, "bad_request"),
+                ("POST", "/config/remove", b'{"name": "../x"}', 400, "bad_request"),
+                ("POST", "/budgets/brest/top-up", b'{"amount": -1}', 400, None),
+                ("POST", "/config/publish", b"x" * 1_100_000, 413, "body_too_large"),
+            ]
+            for method, path, body, status, reason in cases:
+                async with fleet.launcher.session.request(
+                    method, f"{base}{path}", data=body
+                ) as response:
+                    answer = await response.json()
+                    self.assertEqual(response.status, status, answer)
+                    self.assertEqual(answer["reason"], reason or "bad_request")
+            lines = "\n".join(fleet.hosts[0].lines)
+            self.assertNotIn("Traceback", lines)
+
+    async def test_findings_have_places_and_history_keeps_them(self) -> None:
+        async with Fleet(**ONE_HOST) as fleet:
+            content = '[budgets.brest]\ntokens = -4\n[sites.brest]\ncolour = "red"\n'
+            verdict = await fleet.publish("40-wrong.toml", content)
+            self.assertFalse(verdict["accepted"])
+            places = [(item["line"], item["key"]) for item in verdict["findings"]]
+            expected = [(2, "budgets.brest.tokens"), (4, "sites.brest.colour")]
+            self.assertEqual(sorted(places), expected)
+            again = await fleet.publish("40-wrong.toml", content)
+            self.assertEqual(again, verdict)
+            history = await fleet.launcher.get_json(
+                f"{fleet.hosts[0].operator_url}/config/history"
+            )
+            self.assertEqual(history[-1]["reason"], "invalid")
+            self.assertEqual(len(history[-1]["findings"]), 2)
+
+    async def test_keys_and_bodies_are_in_no_line_or_dump(self) -> None:
+        """Look for callers' keys and bodies in all that a host tells.
+
+        A caller asks with its key, a wrong key and a key in the wrong place; a
+        booking carries a body. Then the state is read over HTTP and by the
+        signal. An operator may pass either on, so neither may hold a key, its
+        digest or what a caller wrote.
+        """
+        async with Fleet(**ONE_HOST) as fleet:
+            host = fleet.hosts[0]
+            text = "private-words"
+            await fleet.chat(host, text=text)
+            await fleet.chat(host, secret="wrong-bearer-key")
+            await fleet.call(host, f"/nowhere/{OTHER_SECRET}", {"a": text})
+            headers = {"Idempotency-Key": "strip-7"}
+            await fleet.call(
+                host, "/services/booking/confirm", {"strip": text}, headers=headers
+            )
+            dump = await fleet.launcher.get_json(f"{host.operator_url}/state")
+            host.signal(signal.SIGUSR1)
+            await wait_for(
+                lambda: any(line.startswith("{") for line in host.lines), "the dump"
+            )
+            written = next(line for line in host.lines if line.startswith("{"))
+            self.assertEqual(list(json.loads(written)), list(dump))
+            self.assertEqual(list(dump), sorted(dump))
+            told = json.dumps(dump) + "\n".join(host.lines)
+            for secret in (SECRET, "wrong-bearer-key", text, "key_sha256"):
+                self.assertNotIn(secret, told)
+            requests = [line for line in host.lines if "request_" in line]
+            self.assertGreaterEqual(len(requests), 3)
+            for line in requests:
+                self.assertRegex(line, r" request=\S+ .*workspace=\S+")
+
+    async def test_metrics_arrive_by_statsd(self) -> None:
+        names = (
+            "requests.active",
+            "log.reachable",
+            "budgets.free",
+            "events.request_done",
+        )
+        loop = asyncio.get_running_loop()
+        receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        receiver.setblocking(False)
+        receiver.bind(("127.0.0.1", 0))
+        settings = {
+            "statsd_address": "127.0.0.1",
+            "statsd_port": receiver.getsockname()[1],
+        }
+        with receiver:
+            async with Fleet(**ONE_HOST, host_settings=settings) as fleet:
+                await fleet.chat(fleet.hosts[0])
+                seen = ""
+                async with asyncio.timeout(15):
+                    while any(f".{name}:" not in seen for name in names):
+                        seen += (await loop.sock_recv(receiver, 65_536)).decode()
+                        seen += "\n"
+        for name in names:
+            self.assertIn(f"trefoilstage.host-0.{name}:", seen)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/operators/models.py
+++ b/trefoilstage/components/operators/models.py
@@ -4,6 +4,12 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from trefoilstage.helpers.finding import Finding
+
+Operation = Annotated[str, Field(min_length=8, max_length=64)]
+FileName = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
+Author = Annotated[str, Field(max_length=100)]
+
 
 class OperatorBody(BaseModel):
     """Refuse keys that no body knows."""
@@ -14,26 +20,26 @@
 class PublishBody(OperatorBody):
     """Ask to publish a file over the revision its author saw."""
 
-    operation: Annotated[str, Field(min_length=8, max_length=64)]
-    name: Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
+    operation: Operation
+    name: FileName
     content: Annotated[str, Field(max_length=200_000)]
-    base_revision: int | None = None
-    author: Annotated[str, Field(max_length=100)] = ""
+    base_revision: Annotated[int | None, Field(ge=-1, le=1 << 53)] = None
+    author: Author = ""
 
 
 class RemoveBody(OperatorBody):
     """Ask to remove a file at the revision its author saw."""
 
-    operation: Annotated[str, Field(min_length=8, max_length=64)]
-    name: Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
-    base_revision: int | None = None
-    author: Annotated[str, Field(max_length=100)] = ""
+    operation: Operation
+    name: FileName
+    base_revision: Annotated[int | None, Field(ge=-1, le=1 << 53)] = None
+    author: Author = ""
 
 
 class TopUpBody(OperatorBody):
     """Ask to raise a budget."""
 
-    operation: Annotated[str, Field(min_length=8, max_length=64)]
+    operation: Operation
     amount: Annotated[int, Field(ge=1, le=1 << 50)]
 
 
@@ -44,12 +50,23 @@
     known: bool = True
     reason: str = ""
     detail: str = ""
+    findings: list[Finding] = []
     revision: int = -1
     operation: str = ""
 
 
+class ErrorAnswer(BaseModel):
+    """Tell why a call got no other answer."""
+
+    reason: str
+    detail: str = ""
+
+
 class BudgetAnswer(BaseModel):
-    """Describe a budget as one host knows it; amounts in tokens."""
+    """Describe a budget as one host knows it; amounts in tokens.
+
+    paid = spent + held + free; what is doubtful is part of what is held.
+    """
 
     name: str
     paid: int
@@ -70,15 +87,26 @@
     live: bool
 
 
+class StreamAnswer(BaseModel):
+    """Describe how a host stands with one stream of the log."""
+
+    name: str
+    reachable: bool
+    caught_up: bool
+    next_offset: int
+
+
 class StatusAnswer(BaseModel):
     """Describe how one host stands."""
 
     host: str
     incarnation: str
+    data_center: str
     phase: str
     revision: int
     caught_up: bool
     n_active: int
+    streams: list[StreamAnswer]
 
 
 class FileAnswer(BaseModel):
@@ -86,6 +114,7 @@
 
     name: str
     revision: int
+    author: str
     content: str
 
 
@@ -99,3 +128,10 @@
     state: str
     active: int
     failures: int
+
+
+class DrainAnswer(BaseModel):
+    """Tell that a host has begun to drain."""
+
+    host: str
+    draining: bool = True
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -14,6 +14,8 @@
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.models import (
     BudgetAnswer,
+    DrainAnswer,
+    ErrorAnswer,
     FileAnswer,
     HostAnswer,
     PublishBody,
@@ -32,13 +34,18 @@
 )
 from trefoilstage.configuration.fold import NEW_FILE
 from trefoilstage.configuration.records import Publish, Remove
-from trefoilstage.helpers.dump import dump_value
+from trefoilstage.helpers.dump import StateRegistry, dump_value
+from trefoilstage.helpers.finding import Finding
+from trefoilstage.helpers.http import make_error_middleware
 from trefoilstage.helpers.verdict import Reason, Rejected
 from trefoilstage.ledger.records import TopUp
 
 BodyT = TypeVar("BodyT", bound=BaseModel)
 VERDICT_WAIT_S = 5.0
-Extra = Callable[[], object]
+MAX_BODY_BYTES = 1_000_000
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
 
 
 class OperatorServer(Service):  # type: ignore[misc]
@@ -49,7 +56,7 @@
         *,
         blackboard: Blackboard,
         streams: Streams,
-        extra_state: Extra,
+        registry: StateRegistry,
         drain: Callable[[], None],
         address: str,
         port: int,
@@ -57,7 +64,7 @@
         super().__init__()
         self._blackboard = blackboard
         self._streams = streams
-        self._extra_state = extra_state
+        self._registry = registry
         self._drain = drain
         self._address = address
         self.port = port
@@ -65,7 +72,10 @@
 
     async def on_start(self) -> None:
         """Listen."""
-        app = web.Application()
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[make_error_middleware(make_error)],
+        )
         app.router.add_get("/state", self._answer_state)
         app.router.add_get("/status", self._answer_status)
         app.router.add_get("/hosts", self._answer_hosts)
@@ -89,11 +99,7 @@
             await self._runner.cleanup()
 
     async def _answer_state(self, request: web.Request) -> web.Response:
-        state = {
-            "blackboard": dump_value(self._blackboard),
-            "controllers": dump_value(self._extra_state()),
-        }
-        return web.json_response(state)
+        return web.json_response(self._registry.dump())
 
     async def _answer_status(self, request: web.Request) -> web.Response:
         status: StatusAnswer = describe_status(
@@ -159,7 +165,7 @@
             answer = VerdictAnswer(
                 accepted=False, reason=Reason.NOT_READY, operation=body.operation
             )
-            return answer_model(answer, status=503)
+            return answer_model(answer, status=HTTP_UNAVAILABLE)
         ticket = self._streams.submit_ledger(
             number,
             TopUp(account=account, amount=body.amount, operation=body.operation),
@@ -180,15 +186,16 @@
                 detail="no verdict yet; the change may still take effect",
                 operation=operation,
             )
-            return answer_model(answer, status=503)
+            return answer_model(answer, status=HTTP_UNAVAILABLE)
         if isinstance(verdict, Rejected):
             answer = VerdictAnswer(
                 accepted=False,
                 reason=verdict.reason,
                 detail=verdict.detail,
+                findings=list(verdict.findings),
                 operation=operation,
             )
-            return answer_model(answer, status=409)
+            return answer_model(answer, status=HTTP_CONFLICT)
         revision = self._blackboard.config.revision
         return answer_model(
             VerdictAnswer(accepted=True, revision=revision, operation=operation)
@@ -196,7 +203,7 @@
 
     async def _answer_drain(self, request: web.Request) -> web.Response:
         self._drain()
-        return web.json_response({"draining": True})
+        return answer_model(DrainAnswer(host=self._blackboard.host))
 
 
 async def parse_body(request: web.Request, model: type[BodyT]) -> BodyT:
@@ -204,16 +211,36 @@
     try:
         return model.model_validate_json(await request.read())
     except ValidationError as error:
-        findings = "\n".join(
-            f"{'.'.join(map(str, item['loc'])) or 'body'}: {item['msg']}"
-            for item in error.errors(include_input=False, include_url=False)
+        answer = VerdictAnswer(
+            accepted=False,
+            reason=Reason.BAD_REQUEST,
+            detail="the body is not what this path expects",
+            findings=list_body_findings(error),
         )
-        answer = VerdictAnswer(accepted=False, reason=Reason.INVALID, detail=findings)
         raise web.HTTPBadRequest(
             text=answer.model_dump_json(), content_type="application/json"
         ) from error
 
 
+def list_body_findings(error: ValidationError) -> list[Finding]:
+    """Return each fault of a body, without what was sent."""
+    return [
+        Finding(
+            file="body",
+            line=1,
+            key=".".join(map(str, item["loc"])),
+            message=item["msg"],
+        )
+        for item in error.errors(include_input=False, include_url=False)
+    ]
+
+
+def make_error(reason: Reason, status: int) -> web.Response:
+    """Return the answer to a call that no handler answered."""
+    detail = "see the path and method" if reason is Reason.UNKNOWN_PATH else ""
+    return answer_model(ErrorAnswer(reason=reason, detail=detail), status=status)
+
+
 def answer_model(model: BaseModel, *, status: int = 200) -> web.Response:
     """Return a model as JSON."""
     return web.Response(
--- a/trefoilstage/components/operators/views.py
+++ b/trefoilstage/components/operators/views.py
@@ -7,6 +7,7 @@
     FileAnswer,
     HostAnswer,
     StatusAnswer,
+    StreamAnswer,
     TargetAnswer,
 )
 from trefoilstage.ledger.state import DrawStatus, LedgerState
@@ -17,10 +18,20 @@
     return StatusAnswer(
         host=blackboard.host,
         incarnation=blackboard.incarnation,
+        data_center=blackboard.data_center,
         phase=blackboard.phase.value,
         revision=blackboard.config.revision,
         caught_up=caught_up,
         n_active=blackboard.n_active,
+        streams=[
+            StreamAnswer(
+                name=name,
+                reachable=status.reachable,
+                caught_up=status.caught_up,
+                next_offset=status.next_offset,
+            )
+            for name, status in sorted(blackboard.streams.items())
+        ],
     )
 
 
@@ -76,8 +87,18 @@
 
 def describe_files(blackboard: Blackboard) -> list[FileAnswer]:
     """Return the files in force in the order of their merge."""
+    authors = {
+        entry.offset: entry.author
+        for entry in blackboard.config.history
+        if entry.accepted
+    }
     return [
-        FileAnswer(name=name, revision=item.revision, content=item.content)
+        FileAnswer(
+            name=name,
+            revision=item.revision,
+            author=authors.get(item.revision, ""),
+            content=item.content,
+        )
         for name, item in sorted(blackboard.config.files.items())
     ]
 
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -12,6 +12,7 @@
     Remove,
 )
 from trefoilstage.configuration.schema import Configuration
+from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
 from trefoilstage.ledger.fold import MAX_SEQUENCES, drop_oldest
 from trefoilstage.ledger.records import Checkpoint
@@ -38,7 +39,9 @@
     name: str
     author: str
     accepted: bool
+    reason: str = ""
     detail: str = ""
+    findings: tuple[Finding, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -153,7 +156,9 @@
             name=record.name,
             author=record.author,
             accepted=accepted,
+            reason=verdict.reason.value if isinstance(verdict, Rejected) else "",
             detail=verdict.detail if isinstance(verdict, Rejected) else "",
+            findings=verdict.findings if isinstance(verdict, Rejected) else (),
         )
     )
     del state.history[:-MAX_HISTORY]
@@ -169,7 +174,9 @@
     """Return the verdict that an operation already got."""
     if entry.accepted:
         return ACCEPTED
-    return Rejected(reason=Reason.INVALID, detail=entry.detail)
+    return Rejected(
+        reason=Reason(entry.reason), detail=entry.detail, findings=entry.findings
+    )
 
 
 def judge_change(
@@ -191,8 +198,8 @@
         return Rejected(reason=Reason.CONFLICT, detail=f"no file {record.name}")
     result = merge_files({name: item.content for name, item in files.items()})
     if result.configuration is None:
-        detail = "\n".join(str(finding) for finding in result.findings)
-        return Rejected(reason=Reason.INVALID, detail=detail)
+        detail = f"{len(result.findings)} findings in the merged files"
+        return Rejected(reason=Reason.INVALID, detail=detail, findings=result.findings)
     before = state.configuration.fleet.ledger_streams
     if state.files and result.configuration.fleet.ledger_streams != before:
         detail = "fleet.ledger_streams can't change once files are in force"
--- a/trefoilstage/configuration/merge.py
+++ b/trefoilstage/configuration/merge.py
@@ -8,23 +8,11 @@
 from pydantic import ValidationError
 
 from trefoilstage.configuration.schema import Configuration
+from trefoilstage.helpers.finding import Finding
 
 MAX_FILE_BYTES = 200_000
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Finding:
-    """Place one fault in a file, at a line and a key."""
-
-    file: str
-    line: int
-    key: str
-    message: str
-
-    def __str__(self) -> str:
-        return f"{self.file}:{self.line}: {self.key}: {self.message}"
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MergeResult:
     """Hold the configuration, or the findings that keep it from being one."""
--- a/trefoilstage/helpers/codec.py
+++ b/trefoilstage/helpers/codec.py
@@ -3,7 +3,7 @@
 from typing import Any, Generic, TypeVar
 
 import cbor2
-from pydantic import TypeAdapter
+from pydantic import TypeAdapter, ValidationError
 
 from trefoilstage.exceptions import MalformedMessageError
 
@@ -29,5 +29,9 @@
             return self._adapter.validate_python(cbor2.loads(data))
         # The bytes come from outside. The decoder and validator raise a dozen
         # types for hostile input; one that got through would stop the reader.
+        # The message tells places only, since the bytes may be a caller's body.
+        except ValidationError as error:
+            places = [".".join(map(str, item["loc"])) for item in error.errors()]
+            raise MalformedMessageError(f"not valid: {places[:5]}") from error
         except Exception as error:
-            raise MalformedMessageError(str(error)[:200]) from error
+            raise MalformedMessageError(type(error).__name__) from error
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -1,7 +1,9 @@
 """Write one key=value line for each event."""
 
 import json
+import logging
 import sys
+import traceback
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import Any, TextIO
@@ -21,6 +23,8 @@
     HOST_STOPPED = "host_stopped"
     REQUEST_DONE = "request_done"
     REQUEST_REFUSED = "request_refused"
+    HANDLER_FAILED = "handler_failed"
+    LIBRARY_WARNING = "library_warning"
     LOG_LOST = "log_lost"
     LOG_BACK = "log_back"
     RECORD_MALFORMED = "record_malformed"
@@ -59,6 +63,12 @@
     return json.dumps(text)
 
 
+def find_place(error: BaseException) -> str:
+    """Return the function and line that raised an error."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+
+
 class EventWriter:
     """Write events to a stream as they come."""
 
@@ -71,6 +81,22 @@
         self._stream.flush()
 
 
+class LibraryHandler(logging.Handler):
+    """Turn what libraries log into events, so that each is one line."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a library's warning by its place; its text may quote a body."""
+        error = record.exc_info[1] if record.exc_info else None
+        log_event(
+            Event.LIBRARY_WARNING,
+            library=record.name,
+            level=record.levelname.lower(),
+            place=find_place(error) if error else f"{record.module}:{record.lineno}",
+            error=type(error).__name__ if error else "",
+        )
+
+
 def set_up_events(stream: TextIO | None = None) -> None:
     """Send all events to a stream, standard error by default."""
     eliot.add_destinations(EventWriter(stream=stream))
+    logging.basicConfig(level=logging.WARNING, handlers=[LibraryHandler()], force=True)
--- a/trefoilstage/helpers/metrics.py
+++ b/trefoilstage/helpers/metrics.py
@@ -1,4 +1,8 @@
-"""Send metrics by statsd."""
+"""Send metrics by statsd, gathered between two ticks."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
 
 import statsd
 
@@ -7,26 +11,60 @@
 
 
 class Metrics:
-    """Count and time under the product's prefix; silent without an address."""
+    """Gather counts, durations and gauges; silent without an address."""
 
-    def __init__(self, *, address: str | None, port: int) -> None:
+    def __init__(self, *, address: str | None, port: int, host: str) -> None:
         self._client = (
-            statsd.StatsClient(host=address, port=port, prefix=PREFIX)
+            statsd.StatsClient(host=address, port=port, prefix=f"{PREFIX}.{host}")
             if address
             else None
         )
+        self._counts: Counter[str] = Counter()
+        self._durations: list[tuple[str, float]] = []
+        self._gauges: dict[str, float] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         if self._client is not None:
-            self._client.incr(name, amount)
+            self._counts[name] += amount
 
     def time(self, name: str, duration_s: float) -> None:
         """Record a duration."""
         if self._client is not None:
-            self._client.timing(name, duration_s * MS_PER_S)
+            self._durations.append((name, duration_s))
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         if self._client is not None:
-            self._client.gauge(name, value)
+            self._gauges[name] = value
+
+    def flush(self) -> None:
+        """Send what was gathered, many metrics to a datagram."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipeline:
+            for name, amount in self._counts.items():
+                pipeline.incr(name, amount)
+            for name, duration_s in self._durations:
+                pipeline.timing(name, duration_s * MS_PER_S)
+            for name, value in self._gauges.items():
+                pipeline.gauge(name, value)
+        self._counts.clear()
+        self._durations.clear()
+        self._gauges.clear()
+
+
+class EventMeter:
+    """Count every event by name and reason, so that no part counts for itself."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def __call__(self, message: Mapping[str, Any]) -> None:
+        """Count one event and keep its duration."""
+        name = f"events.{message.get('message_type', 'unknown')}"
+        self._metrics.count(name)
+        if message.get("reason"):
+            self._metrics.count(f"{name}.{message['reason']}")
+        if "duration_s" in message:
+            self._metrics.time(f"{name}.duration", message["duration_s"])
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from trefoilstage.helpers.finding import Finding
+
 
 class Reason(StrEnum):
     """Name why something was rejected or refused."""
@@ -20,6 +22,8 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
+    UNKNOWN_PATH = "unknown_path"
+    INTERNAL = "internal"
     BODY_TOO_LARGE = "body_too_large"
     KEY_REUSED = "key_reused"
     KEY_REQUIRED = "key_required"
@@ -66,10 +70,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Rejected:
-    """Stand for a record that the fold left out, with the reason."""
+    """Stand for a record that the fold left out, with the reason and findings."""
 
     reason: Reason
     detail: str = ""
+    findings: tuple[Finding, ...] = ()
 
 
 Verdict = Accepted | Rejected
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -19,13 +19,14 @@
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.controller import MembershipController
+from trefoilstage.components.operators.metrics import MetricsController
 from trefoilstage.components.operators.server import OperatorServer
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
-from trefoilstage.helpers.dump import dump_value
+from trefoilstage.helpers.dump import StateRegistry
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.settings import HostSettings
@@ -46,6 +47,7 @@
             data_center=settings.data_center,
         )
         self.drain_requested = asyncio.Event()
+        self._registry = StateRegistry()
 
     async def on_start(self) -> None:
         """Build the parts and start them, inner ones first."""
@@ -55,7 +57,11 @@
         self._session = aiohttp.ClientSession(
             connector=connector, timeout=aiohttp.ClientTimeout(total=None)
         )
-        metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
+        metrics = Metrics(
+            address=settings.statsd_address,
+            port=settings.statsd_port,
+            host=settings.host,
+        )
         generator = random.Random(self.blackboard.incarnation)
         self._timer = TimerService()
         self._links = PeerLinks(outbound_address=outbound_address)
@@ -93,7 +99,7 @@
         self._operators = OperatorServer(
             blackboard=self.blackboard,
             streams=self._streams,
-            extra_state=self._budget.list_pools,
+            registry=self._registry,
             drain=self.drain_requested.set,
             address=settings.address,
             port=settings.operator_port,
@@ -107,11 +113,23 @@
             self._budget,
             self._callers,
             self._operators,
+            MetricsController(
+                blackboard=self.blackboard,
+                streams=self._streams,
+                timer=self._timer,
+                metrics=metrics,
+            ),
         ]
+        self._register_state()
         for part in parts:
             await self.add_runtime_dependency(part)
         self._announce()
 
+    def _register_state(self) -> None:
+        self._registry.register("blackboard", lambda: self.blackboard)
+        self._registry.register("settings", lambda: self._settings)
+        self._registry.register("budget", self._budget.list_pools)
+
     def _make_streams(self) -> Streams:
         settings = self._settings
         client = LogClient(
@@ -211,8 +229,4 @@
 
     def write_dump(self) -> None:
         """Write the whole state to standard error as one JSON line."""
-        state = {
-            "blackboard": dump_value(self.blackboard),
-            "controllers": dump_value(self._budget.list_pools()),
-        }
-        sys.stderr.write(json.dumps(state) + "\n")
+        sys.stderr.write(json.dumps(self._registry.dump()) + "\n")
