--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -22,6 +22,8 @@
     HOST_DRAINING = "host_draining"
     HOST_STOPPED = "host_stopped"
     REQUEST_DONE = "request_done"
+    REQUEST_FAILED = "request_failed"
+    CALL_BILLED = "call_billed"
     REQUEST_REFUSED = "request_refused"
     HANDLER_FAILED = "handler_failed"
     LIBRARY_WARNING = "library_warning"
