--- a/tests/fuzz/ledger_world.py
+++ b/tests/fuzz/ledger_world.py
@@ -213,8 +213,9 @@
         """Replace a host's state by a checkpoint of another's newer one."""
         if source.state.next_offset <= host.state.next_offset:
             return
-        data = pack_state(LEDGER_STATE_ADAPTER, source.state)
-        host.state = unpack_state(LEDGER_STATE_ADAPTER, data)
+        offset = source.state.next_offset
+        packed = pack_state(LEDGER_STATE_ADAPTER, source.state, offset)
+        host.state = unpack_state(LEDGER_STATE_ADAPTER, packed)
         last = host.state.sequences.get(host.name, -1)
         for sequence in [number for number in host.pending if number <= last]:
             host.resolve(sequence, 0)
