--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -178,7 +178,8 @@
             accepted = [item["accepted"] for item in answers]
             self.assertEqual(sorted(accepted), [False, True], answers)
             loser = answers[accepted.index(False)]
-            self.assertIn("workspaces.extra.budget", loser["detail"])
+            keys = [finding["key"] for finding in loser["findings"]]
+            self.assertEqual(keys, ["workspaces.extra.budget"])
             for host in fleet.hosts:
                 if accepted[0]:
                     await wait_in_force(fleet, host, "20-a.toml", None)
