--- a/tests/fuzz/test_ledger_examples.py
+++ b/tests/fuzz/test_ledger_examples.py
@@ -94,7 +94,7 @@
         self.world.read(self.witness, 100)
         self.world.recover(self.witness)
         self.world.exchange()
-        for request in list(self.holder.requests):
+        for request in reversed(list(self.holder.requests)):
             self.world.finish(self.holder, request)
         for _ in range(2):
             self.world.settle(self.holder)
