Give a silent witness up early and return idle tokens after 3 s

A witness that stopped made its holders refuse for 1.5 s, longer than the admission wait; it is given up after witness_timeout_s (0.4) and another one is picked. With the log out no other draw can be had, so a slow witness is kept. Returnable accounts keep half a second of demand, not the horizon's.

--- a/tests/fuzz/ledger_world.py
+++ b/tests/fuzz/ledger_world.py
@@ -246,6 +246,7 @@
             drawn=host.pool.drawn,
             held=host.pool.held,
             demand_rate=rate,
+            idle_s=0.0,
             n_hosts=3,
             returnable=False,
             preference=Preference.AVOID_REFUSALS,
--- a/tests/fuzz/test_ledger_examples.py
+++ b/tests/fuzz/test_ledger_examples.py
@@ -134,6 +134,13 @@
         account = self.world.oracle.accounts[ACCOUNT]
         self.assertEqual(account.free, 200 - 10 - (60 - 10))
 
+    def test_tokens_under_way_back_are_not_held_meanwhile(self) -> None:
+        """A return waits for the log while a request asks for the same tokens."""
+        self.world.give_back(self.holder, 30)
+        self.world.reserve(self.holder, KEY, 40, fenced=True)
+        self.world.exchange()
+        self.world.check()
+
     def test_return_whose_answer_was_lost_frees_once(self) -> None:
         """A return lands, its answer is lost and it is appended again.
 
--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -159,6 +159,23 @@
             await self.spend_rest(fleet, fleet.hosts)
             self.assertLessEqual(await fleet.count_executed(), 4_000)
 
+    async def test_frozen_witness_refuses_nobody(self) -> None:
+        """The witness of a host's draw stops without a word.
+
+        The host gives it up before a caller's patience ends, draws again with
+        another witness and answers; the old draw's rest comes back.
+        """
+        async with Fleet(tokens=5_000) as fleet:
+            await fleet.chat(fleet.hosts[0])
+            name = await find_witness(fleet, fleet.hosts[0])
+            witness = next(host for host in fleet.hosts if host.name == name)
+            witness.signal(signal.SIGSTOP)
+            answer = await fleet.chat(fleet.hosts[0])
+            witness.signal(signal.SIGCONT)
+            self.assertEqual(answer.status, OK, answer.body)
+            await wait_for(lambda: is_all_returned(fleet), "unheld tokens to return")
+            await self.check_settled(fleet, paid=5_000)
+
     async def spend_rest(self, fleet: Fleet, hosts: list[Running]) -> None:
         """Send requests until each host has refused for want of budget."""
         refused: set[str] = set()
--- a/trefoilstage/components/budget/account.py
+++ b/trefoilstage/components/budget/account.py
@@ -24,9 +24,11 @@
     retired: list[DrawPool] = field(default_factory=list)
     n_opened: int = 0
     drawn: int = 0
+    lost_witness: str = ""
     waiting: int = 0
     demand: float = 0.0
     demand_rate: float = 0.0
+    n_idle: int = 0
 
     @property
     def held(self) -> int:
@@ -132,5 +134,6 @@
     def note_interval(self, interval_s: float) -> None:
         """Turn the demand since the last call into a rate that decays."""
         rate = self.demand / interval_s
+        self.n_idle = 0 if self.demand else self.n_idle + 1
         self.demand_rate = max(rate, self.demand_rate * RATE_DECAY)
         self.demand = 0.0
--- a/trefoilstage/components/budget/accounts.py
+++ b/trefoilstage/components/budget/accounts.py
@@ -5,6 +5,7 @@
 from trefoilstage.components.budget.policy import Situation
 from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.configuration.schema import Preference
+from trefoilstage.const import LEDGER_STREAM_PREFIX
 from trefoilstage.ledger.state import AccountState, DrawState, LedgerState
 
 SETTLE_S = 0.5
@@ -20,6 +21,12 @@
         """Return the ledger that holds an account."""
         return self._blackboard.ledgers[pool.number]
 
+    def is_log_reachable(self, pool: AccountPool) -> bool:
+        """Tell whether this host still reads the account's ledger."""
+        return self._blackboard.streams[
+            f"{LEDGER_STREAM_PREFIX}{pool.number}"
+        ].reachable
+
     def get_account(self, pool: AccountPool) -> AccountState:
         """Return an account, an empty one if the ledger does not know it."""
         accounts = self.get_ledger(pool).accounts
@@ -53,6 +60,7 @@
             drawn=pool.drawn,
             held=pool.held,
             demand_rate=max(pool.demand_rate, pool.demand / SETTLE_S),
+            idle_s=pool.n_idle * SETTLE_S,
             n_hosts=max(1, len(self._blackboard.config.hosts)),
             returnable=pool.returnable,
             preference=self.get_preference(pool),
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -201,7 +201,7 @@
             while not hold.confirmed:
                 if draw.retired or self._timer.now() >= deadline:
                     break
-                await self._witnesses.update(pool, draw)
+                await self._witnesses.update(pool, draw, deadline)
         except asyncio.CancelledError:
             draw.settle_hold(hold.number, 0)
             raise
@@ -239,7 +239,8 @@
             return
         # A draw opened while this host was alone, or whose witness is gone,
         # would be lost whole if this host died; a new one is covered.
-        if self._peers.has_better_witness(draw.witness):
+        reachable = self._accounts.is_log_reachable(pool)
+        if reachable and self._peers.has_better_witness(draw.witness):
             log_event(Event.WITNESS_LOST, draw=draw.draw, witness=draw.witness)
             pool.retire()
         elif draw.unwitnessed:
--- a/trefoilstage/components/budget/drawing.py
+++ b/trefoilstage/components/budget/drawing.py
@@ -97,7 +97,7 @@
     ) -> DrawResult | None:
         wait_s = max(0.0, deadline - self._timer.now())
         # While the log is known to be out, no wait brings tokens: refuse soon.
-        if not self._streams.ledgers[pool.number].status.reachable:
+        if not self._accounts.is_log_reachable(pool):
             wait_s = min(wait_s, LOG_LOST_WAIT_S)
         pool.waiting += tokens
         task = self._start(pool, tokens)
@@ -123,7 +123,7 @@
         if amount < minimum:
             verdict: Verdict = Rejected(reason=Reason.BUDGET_EXHAUSTED)
             return DrawResult(tokens=tokens, verdict=verdict)
-        witness = self._peers.pick_witness()
+        witness = self._peers.pick_witness(pool.lost_witness)
         record = pool.make_draw(amount=amount, minimum=minimum, witness=witness)
         verdict = await self._streams.submit_ledger(pool.number, record).future
         granted = verdict.amount if isinstance(verdict, Accepted) else 0
--- a/trefoilstage/components/budget/peers.py
+++ b/trefoilstage/components/budget/peers.py
@@ -37,11 +37,13 @@
         self._starved_wait_s = starved_wait_s
         self._generator = generator
 
-    def pick_witness(self) -> str:
+    def pick_witness(self, lost: str) -> str:
         """Return a live peer's incarnation, one in this data centre if any is."""
-        peers = self._blackboard.list_live_peers()
-        if self._recovery is Recovery.COUNT_AS_SPENT or not peers:
+        live = self._blackboard.list_live_peers()
+        if self._recovery is Recovery.COUNT_AS_SPENT or not live:
             return NO_WITNESS
+        # A peer that has just failed to answer may still count as live.
+        peers = [entry for entry in live if entry.incarnation != lost] or live
         near = [
             entry
             for entry in peers
--- a/trefoilstage/components/budget/policy.py
+++ b/trefoilstage/components/budget/policy.py
@@ -10,7 +10,8 @@
 RETURN_WAIT_S = {Preference.AVOID_REFUSALS: 0.6, Preference.AVOID_OVERSPEND: 0.3}
 SURPLUS_FACTOR = 2
 MARGIN_DIVISOR = 4
-IDLE_RATE = 1.0
+IDLE_S = 3.0
+RETURNABLE_KEEP_S = 0.5
 
 
 class BudgetPolicy(StrEnum):
@@ -37,6 +38,7 @@
     drawn: int
     held: int
     demand_rate: float
+    idle_s: float
     n_hosts: int
     returnable: bool
     preference: Preference = Preference.AVOID_OVERSPEND
@@ -83,10 +85,11 @@
         # The limit was lowered below what the hosts hold.
         if situation.free < 0:
             return min(usable, -situation.free)
-        if situation.demand_rate < IDLE_RATE and situation.held == 0:
+        if situation.idle_s >= IDLE_S and situation.held == 0:
             return usable
         if self.kind is BudgetPolicy.FIXED_DRAW:
             return 0
-        soon = int(situation.demand_rate * self.horizon_s)
+        keep_s = RETURNABLE_KEEP_S if situation.returnable else self.horizon_s
+        soon = int(situation.demand_rate * keep_s)
         keep = max(soon, SURPLUS_FACTOR * self.size_stock(situation))
         return max(0, usable - keep)
--- a/trefoilstage/components/budget/setup.py
+++ b/trefoilstage/components/budget/setup.py
@@ -42,18 +42,19 @@
     generator: random.Random,
 ) -> BudgetParts:
     """Return the services that keep budgets, not yet started."""
+    accounts = Accounts(blackboard=blackboard)
     witnesses = WitnessClient(
         blackboard=blackboard,
+        accounts=accounts,
         links=links,
         timer=timer,
-        timeout_s=settings.suspect_after_s,
+        timeout_s=settings.witness_timeout_s,
     )
     policy = DrawPolicy(
         kind=settings.budget_policy,
         horizon_s=settings.draw_horizon_s,
         fixed_draw_tokens=settings.fixed_draw_tokens,
     )
-    accounts = Accounts(blackboard=blackboard)
     peers = BudgetPeers(
         blackboard=blackboard,
         accounts=accounts,
--- a/trefoilstage/components/budget/witness_client.py
+++ b/trefoilstage/components/budget/witness_client.py
@@ -4,6 +4,7 @@
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.budget.account import AccountPool
+from trefoilstage.components.budget.accounts import Accounts
 from trefoilstage.components.budget.messages import Bound, BoundReply
 from trefoilstage.components.budget.pool import DrawPool
 from trefoilstage.components.peers.links import PeerLinks
@@ -22,19 +23,22 @@
         self,
         *,
         blackboard: Blackboard,
+        accounts: Accounts,
         links: PeerLinks,
         timer: TimerService,
         timeout_s: float,
     ) -> None:
         self._blackboard = blackboard
+        self._accounts = accounts
         self._links = links
         self._timer = timer
         self._timeout_s = timeout_s
         self._updates: dict[str, asyncio.Task[None]] = {}
 
-    async def update(self, pool: AccountPool, draw: DrawPool) -> None:
+    async def update(self, pool: AccountPool, draw: DrawPool, deadline: float) -> None:
         """Send what the witness has not been told and wait for its answer."""
-        await asyncio.wait({self.start_update(pool, draw)})
+        wait_s = max(0.0, deadline - self._timer.now())
+        await asyncio.wait({self.start_update(pool, draw)}, timeout=wait_s)
 
     def start_update(self, pool: AccountPool, draw: DrawPool) -> asyncio.Task[None]:
         """Send what the witness has not been told, unless a call is under way."""
@@ -59,7 +63,13 @@
             await asyncio.sleep(UNREAD_RETRY_S)
         else:
             return
+        # With the log out no other draw can be had; a witness that is merely
+        # slow, or back soon, still makes this one worth keeping.
+        if reply is None and not self._accounts.is_log_reachable(pool):
+            await asyncio.sleep(UNREAD_RETRY_S)
+            return
         log_event(Event.WITNESS_LOST, draw=draw.draw, witness=draw.witness)
+        pool.lost_witness = draw.witness
         if pool.current is draw:
             pool.retire()
 
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -38,6 +38,7 @@
     budget_policy: BudgetPolicy = BudgetPolicy.ADAPTIVE
     recovery: Recovery = Recovery.WITNESS
     fixed_draw_tokens: Annotated[int, Field(ge=1)] = 20_000
+    witness_timeout_s: Seconds = 0.4
     recovery_grace_s: Seconds = 1.2
     starved_wait_s: Seconds = 0.6
     admission_wait_s: Seconds = 1.0
