--- a/trefoilstage/components/budget/account.py
+++ b/trefoilstage/components/budget/account.py
@@ -25,6 +25,7 @@
     n_opened: int = 0
     drawn: int = 0
     lost_witness: str = ""
+    asked_until: float = 0.0
     waiting: int = 0
     demand: float = 0.0
     demand_rate: float = 0.0
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -25,6 +25,8 @@
 from trefoilstage.timer import TimerService
 
 CLOSE_POLL_S = 0.05
+RETURN_S = 0.1
+ASKED_S = 1.0
 RETRY_AFTER_WITNESS_S = 2.0
 
 
@@ -82,9 +84,14 @@
             name="settle", interval_s=SETTLE_S, callback=self._tick
         )
 
+        self._unsubscribe_return = self._timer.subscribe(
+            name="return", interval_s=RETURN_S, callback=self._return_asked
+        )
+
     async def on_stop(self) -> None:
         """Stop settling."""
         self._unsubscribe()
+        self._unsubscribe_return()
 
     async def reserve(
         self,
@@ -173,10 +180,18 @@
         pool = self._pools.get(message.account)
         if pool is None:
             return StarvedReply(returned=0)
+        pool.asked_until = self._timer.now() + ASKED_S
         return StarvedReply(
             returned=self._give_back(pool, self._accounts.count_usable(pool))
         )
 
+    async def _return_asked(self) -> None:
+        # What a peer lacks comes free in small parts, as requests end below
+        # their worst case. Kept here, each part is too little for a request.
+        for pool in self._pools.values():
+            if self._timer.now() < pool.asked_until:
+                self._give_back(pool, self._accounts.count_usable(pool))
+
     def _give_back(self, pool: AccountPool, amount: int) -> int:
         record = pool.make_return(amount)
         draw = pool.current
--- a/trefoilstage/components/budget/drawing.py
+++ b/trefoilstage/components/budget/drawing.py
@@ -13,7 +13,7 @@
 from trefoilstage.ledger.records import Draw
 from trefoilstage.timer import TimerService
 
-STARVED_S = 1.0
+STARVED_S = 0.3
 LOG_LOST_WAIT_S = 0.2
 RETRY_AFTER_HELD_S = 2.0
 RETRY_AFTER_EXHAUSTED_S = 30.0
@@ -26,6 +26,7 @@
 
     tokens: int
     verdict: Verdict
+    limited: bool = False
 
 
 class Drawing:
@@ -62,7 +63,8 @@
             )
         if isinstance(result.verdict, Accepted) or tokens < result.tokens:
             return None
-        if result.verdict.reason is Reason.UNKNOWN_ACCOUNT:
+        # A fixed share that is used up has no use for what others give back.
+        if result.limited or result.verdict.reason is Reason.UNKNOWN_ACCOUNT:
             return self._refuse(pool)
         if result.verdict.reason is not Reason.BUDGET_EXHAUSTED:
             return None
@@ -122,7 +124,7 @@
         amount = self._policy.size_draw(situation, shortfall)
         if amount < minimum:
             verdict: Verdict = Rejected(reason=Reason.BUDGET_EXHAUSTED)
-            return DrawResult(tokens=tokens, verdict=verdict)
+            return DrawResult(tokens=tokens, verdict=verdict, limited=True)
         witness = self._peers.pick_witness(pool.lost_witness)
         record = pool.make_draw(amount=amount, minimum=minimum, witness=witness)
         verdict = await self._streams.submit_ledger(pool.number, record).future
