--- a/trefoilstage/components/budget/accounts.py
+++ b/trefoilstage/components/budget/accounts.py
@@ -42,6 +42,14 @@
         """Return what new requests may hold without another draw."""
         return pool.count_usable(self.get_ledger(pool).draws)
 
+    def count_unspent(self, pool: AccountPool) -> int:
+        """Return what all draws on an account may still give back."""
+        return sum(
+            draw.amount - draw.spent
+            for draw in self.get_ledger(pool).draws.values()
+            if draw.account == pool.account
+        )
+
     def list_foreign(self, pool: AccountPool) -> list[DrawState]:
         """Return the draws that other hosts have on an account."""
         return [
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -12,7 +12,7 @@
 from trefoilstage.components.budget.drawing import Drawing
 from trefoilstage.components.budget.messages import Starved, StarvedReply
 from trefoilstage.components.budget.peers import BudgetPeers
-from trefoilstage.components.budget.policy import DrawPolicy
+from trefoilstage.components.budget.policy import RETURN_WAIT_S, DrawPolicy
 from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool, Hold
 from trefoilstage.components.budget.witness_client import WitnessClient
 from trefoilstage.components.configuration.controller import SITE_ACCOUNT_PREFIX
@@ -110,9 +110,11 @@
         pool = self._get_pool(account)
         pool.demand += tokens
         deadline = self._timer.now() + self._admission_wait_s
+        wait_s = RETURN_WAIT_S[self._accounts.get_preference(pool)]
+        patience = min(deadline, self._timer.now() + wait_s)
         while True:
             if self._accounts.count_usable(pool) < tokens:
-                refusal = await self._drawing.obtain(pool, tokens, deadline)
+                refusal = await self._drawing.obtain(pool, tokens, deadline, patience)
                 if refusal is not None:
                     return refusal
                 continue
@@ -145,8 +147,10 @@
                 used=tokens,
                 reserved=reservation.tokens,
             )
-        draw = self._pools[reservation.account].find_draw(reservation.draw)
+        pool = self._pools[reservation.account]
+        draw = pool.find_draw(reservation.draw)
         if draw is not None:
+            self._drawing.note_change(pool)
             draw.settle_hold(reservation.number, min(tokens, reservation.tokens))
 
     def list_pools(self) -> list[AccountPool]:
--- a/trefoilstage/components/budget/drawing.py
+++ b/trefoilstage/components/budget/drawing.py
@@ -13,11 +13,12 @@
 from trefoilstage.ledger.records import Draw
 from trefoilstage.timer import TimerService
 
-STARVED_S = 0.3
+ASK_S = 0.3
 LOG_LOST_WAIT_S = 0.2
 RETRY_AFTER_HELD_S = 2.0
 RETRY_AFTER_EXHAUSTED_S = 30.0
 RETRY_AFTER_LOG_S = 2.0
+LOG_REFUSAL = Refusal(reason=Reason.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_LOG_S)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,31 +48,66 @@
         self._timer = timer
         self._policy = policy
         self._tasks: dict[str, asyncio.Task[DrawResult]] = {}
-        self._starved_until: dict[str, float] = {}
+        self._changed: dict[str, asyncio.Event] = {}
+        self._asked_until: dict[str, float] = {}
+        self._asking: set[asyncio.Task[None]] = set()
 
     async def obtain(
-        self, pool: AccountPool, tokens: int, deadline: float
+        self, pool: AccountPool, tokens: int, deadline: float, patience: float
     ) -> Refusal | None:
         """Make tokens usable if they can be had; return why not otherwise."""
-        free = self._accounts.get_account(pool).free
-        if free < tokens and self._is_starved(pool):
-            return self._refuse(pool)
+        if self._count_missing(pool, tokens) > 0:
+            if not self._accounts.is_log_reachable(pool):
+                return LOG_REFUSAL
+            returned = await self._wait_for_returns(pool, tokens, patience)
+            return None if returned else self._refuse(pool)
         result = await self._wait_for_draw(pool, tokens, deadline)
         if result is None:
-            return Refusal(
-                reason=Reason.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_LOG_S
-            )
-        if isinstance(result.verdict, Accepted) or tokens < result.tokens:
-            return None
+            return LOG_REFUSAL
         # A fixed share that is used up has no use for what others give back.
-        if result.limited or result.verdict.reason is Reason.UNKNOWN_ACCOUNT:
-            return self._refuse(pool)
-        if result.verdict.reason is not Reason.BUDGET_EXHAUSTED:
-            return None
-        if await self._peers.ask_back(pool, tokens):
-            return None
-        self._starved_until[pool.account] = self._timer.now() + STARVED_S
-        return self._refuse(pool)
+        return self._refuse(pool) if result.limited else None
+
+    def note_change(self, pool: AccountPool) -> None:
+        """Let the requests that wait for tokens look again."""
+        self._get_changed(pool).set()
+
+    def _get_changed(self, pool: AccountPool) -> asyncio.Event:
+        return self._changed.setdefault(pool.account, asyncio.Event())
+
+    def _count_missing(self, pool: AccountPool, tokens: int) -> int:
+        free = self._accounts.get_account(pool).free
+        return tokens - self._accounts.count_usable(pool) - max(0, free)
+
+    async def _wait_for_returns(
+        self, pool: AccountPool, tokens: int, patience: float
+    ) -> bool:
+        """Ask the peers for unheld tokens; tell whether enough came in time."""
+        changed = self._get_changed(pool)
+        unsubscribe = self._streams.ledgers[pool.number].subscribe(
+            lambda *_: changed.set()
+        )
+        try:
+            async with asyncio.timeout(max(0.0, patience - self._timer.now())):
+                while (missing := self._count_missing(pool, tokens)) > 0:
+                    if missing > self._accounts.count_unspent(pool):
+                        return False
+                    self._ask_peers(pool)
+                    changed.clear()
+                    await changed.wait()
+        except TimeoutError:
+            return False
+        finally:
+            unsubscribe()
+        return True
+
+    def _ask_peers(self, pool: AccountPool) -> None:
+        now = self._timer.now()
+        if now < self._asked_until.get(pool.account, 0.0):
+            return
+        self._asked_until[pool.account] = now + ASK_S
+        task = asyncio.create_task(self._peers.ask_holders(pool))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
 
     def draw_ahead(self, pool: AccountPool) -> None:
         """Draw before the last tokens are held, so that no request waits."""
@@ -79,11 +115,7 @@
         low = self._policy.count_low_mark(situation)
         if self._accounts.count_usable(pool) >= low or situation.free < low:
             return
-        if not self._is_starved(pool):
-            self._start(pool, low)
-
-    def _is_starved(self, pool: AccountPool) -> bool:
-        return self._timer.now() < self._starved_until.get(pool.account, 0.0)
+        self._start(pool, low)
 
     def _refuse(self, pool: AccountPool) -> Refusal:
         # Tokens held by running requests may come back within seconds; with
--- a/trefoilstage/components/budget/peers.py
+++ b/trefoilstage/components/budget/peers.py
@@ -7,9 +7,8 @@
 from trefoilstage.components.budget.account import AccountPool
 from trefoilstage.components.budget.accounts import Accounts
 from trefoilstage.components.budget.messages import Starved
-from trefoilstage.components.budget.policy import RETURN_WAIT_S, Recovery
+from trefoilstage.components.budget.policy import Recovery
 from trefoilstage.components.budget.pool import NO_WITNESS
-from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.ledger.state import DrawStatus
@@ -23,18 +22,16 @@
         *,
         blackboard: Blackboard,
         accounts: Accounts,
-        streams: Streams,
         links: PeerLinks,
         recovery: Recovery,
-        starved_wait_s: float,
+        ask_timeout_s: float,
         generator: random.Random,
     ) -> None:
         self._blackboard = blackboard
         self._accounts = accounts
-        self._streams = streams
         self._links = links
         self._recovery = recovery
-        self._starved_wait_s = starved_wait_s
+        self._ask_timeout_s = ask_timeout_s
         self._generator = generator
 
     def pick_witness(self, lost: str) -> str:
@@ -58,31 +55,8 @@
         live = {entry.incarnation for entry in self._blackboard.list_live_peers()}
         return bool(live) and witness not in live
 
-    async def ask_back(self, pool: AccountPool, tokens: int) -> bool:
-        """Ask for unheld tokens; tell whether enough came free in time."""
-        missing = tokens - self._accounts.get_account(pool).free
-        foreign = self._accounts.list_foreign(pool)
-        if missing > sum(draw.amount - draw.spent for draw in foreign):
-            return False
-        changed = asyncio.Event()
-        unsubscribe = self._streams.ledgers[pool.number].subscribe(
-            lambda *_: changed.set()
-        )
-        asking = asyncio.create_task(self._ask_holders(pool))
-        wait_s = RETURN_WAIT_S[self._accounts.get_preference(pool)]
-        try:
-            async with asyncio.timeout(min(wait_s, self._starved_wait_s)):
-                while self._accounts.get_account(pool).free < tokens:
-                    changed.clear()
-                    await changed.wait()
-        except TimeoutError:
-            return False
-        finally:
-            unsubscribe()
-            asking.cancel()
-        return True
-
-    async def _ask_holders(self, pool: AccountPool) -> None:
+    async def ask_holders(self, pool: AccountPool) -> None:
+        """Ask the holders of an account's draws for what they do not hold."""
         holders = {
             draw.holder
             for draw in self._accounts.list_foreign(pool)
@@ -98,7 +72,7 @@
     async def _ask_holder(self, url: str, account: str) -> None:
         try:
             await self._links.get_link(url).call(
-                Starved(account=account), timeout_s=self._starved_wait_s
+                Starved(account=account), timeout_s=self._ask_timeout_s
             )
         except PeerUnavailableError:
             return
--- a/trefoilstage/components/budget/policy.py
+++ b/trefoilstage/components/budget/policy.py
@@ -7,7 +7,7 @@
 
 PLENTIFUL_S = 300.0
 SHARE_OF_FREE = {Preference.AVOID_REFUSALS: 0.5, Preference.AVOID_OVERSPEND: 0.25}
-RETURN_WAIT_S = {Preference.AVOID_REFUSALS: 0.6, Preference.AVOID_OVERSPEND: 0.3}
+RETURN_WAIT_S = {Preference.AVOID_REFUSALS: 0.9, Preference.AVOID_OVERSPEND: 0.6}
 SURPLUS_FACTOR = 2
 MARGIN_DIVISOR = 4
 IDLE_S = 3.0
--- a/trefoilstage/components/budget/setup.py
+++ b/trefoilstage/components/budget/setup.py
@@ -58,10 +58,9 @@
     peers = BudgetPeers(
         blackboard=blackboard,
         accounts=accounts,
-        streams=streams,
         links=links,
         recovery=settings.recovery,
-        starved_wait_s=settings.starved_wait_s,
+        ask_timeout_s=settings.witness_timeout_s,
         generator=generator,
     )
     drawing = Drawing(
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -40,7 +40,6 @@
     fixed_draw_tokens: Annotated[int, Field(ge=1)] = 20_000
     witness_timeout_s: Seconds = 0.4
     recovery_grace_s: Seconds = 1.2
-    starved_wait_s: Seconds = 0.6
     admission_wait_s: Seconds = 1.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
     checkpoint_interval_s: Seconds = 600.0
