--- a/trefoilstage/cli/common.py
+++ b/trefoilstage/cli/common.py
@@ -8,7 +8,7 @@
 import cappa
 
 from trefoilstage.cli.client import OperatorClient
-from trefoilstage.cli.output import ExitCode, print_error, print_findings
+from trefoilstage.cli.output import ExitCode, print_error
 from trefoilstage.components.operators.models import VerdictAnswer
 from trefoilstage.util.hashing import hash_request_key
 
@@ -95,5 +95,4 @@
             f"repeat it with the same --operation ({answer.operation.split('/')[0]})",
         )
     print_error(f"{what}: rejected, {answer.reason}: {answer.detail}")
-    print_findings(answer.findings)
     exit_with(ExitCode.REJECTED)
--- a/trefoilstage/cli/log.py
+++ b/trefoilstage/cli/log.py
@@ -52,11 +52,13 @@
     async def _tail(self) -> None:
         offset = self.start
         async with aiohttp.ClientSession() as session:
-            client = LogClient(session=session, url=self.log, timeout_s=TIMEOUT_S)
+            client = LogClient(session=session, url=self.log)
             wait_s = FOLLOW_WAIT_S if self.follow else 0.0
             while True:
                 try:
-                    page = await client.read(self.stream, offset, wait_s=wait_s)
+                    page = await client.read(
+                        self.stream, offset, wait_s=wait_s, timeout_s=TIMEOUT_S
+                    )
                 except RecordsExpiredError as error:
                     print_error(f"records before {error.earliest} have expired")
                     offset = error.earliest
--- a/trefoilstage/cli/publish.py
+++ b/trefoilstage/cli/publish.py
@@ -152,7 +152,7 @@
                 return VerdictAnswer(
                     accepted=entry.accepted,
                     reason=entry.reason,
-                    detail=entry.detail,
+                    detail="\n".join([entry.detail, *map(str, entry.findings)]),
                     findings=list(entry.findings),
                     revision=entry.offset if entry.accepted else -1,
                     operation=operation,
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -191,7 +191,7 @@
             answer = VerdictAnswer(
                 accepted=False,
                 reason=verdict.reason,
-                detail=verdict.detail,
+                detail=describe_rejection(verdict),
                 findings=list(verdict.findings),
                 operation=operation,
             )
@@ -222,6 +222,11 @@
         ) from error
 
 
+def describe_rejection(verdict: Rejected) -> str:
+    """Return a rejection's detail with its findings, one a line."""
+    return "\n".join([verdict.detail, *map(str, verdict.findings)])
+
+
 def list_body_findings(error: ValidationError) -> list[Finding]:
     """Return each fault of a body, without what was sent."""
     return [
