--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -191,7 +191,7 @@
             answer = VerdictAnswer(
                 accepted=False,
                 reason=verdict.reason,
-                detail=verdict.detail,
+                detail=describe_rejection(verdict),
                 findings=list(verdict.findings),
                 operation=operation,
             )
@@ -222,6 +222,11 @@
         ) from error
 
 
+def describe_rejection(verdict: Rejected) -> str:
+    """Return a rejection's detail with its findings, one a line."""
+    return "\n".join([verdict.detail, *map(str, verdict.findings)])
+
+
 def list_body_findings(error: ValidationError) -> list[Finding]:
     """Return each fault of a body, without what was sent."""
     return [
@@ -237,8 +242,7 @@
 
 def make_error(reason: Reason, status: int) -> web.Response:
     """Return the answer to a call that no handler answered."""
-    detail = "see the path and method" if reason is Reason.UNKNOWN_PATH else ""
-    return answer_model(ErrorAnswer(reason=reason, detail=detail), status=status)
+    return answer_model(ErrorAnswer(reason=reason), status=status)
 
 
 def answer_model(model: BaseModel, *, status: int = 200) -> web.Response:
