--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the fuzz tests package."""
--- a/trefoilstage/components/configuration/controller.py
+++ b/trefoilstage/components/configuration/controller.py
@@ -49,6 +49,7 @@
         revision = self._blackboard.config.revision
         if revision < 0:
             return
+        self._streams.warm_up()
         if revision != self._revision:
             self._revision = revision
             self._revision_at = self._timer.now()
--- a/trefoilstage/components/log_client/folds.py
+++ b/trefoilstage/components/log_client/folds.py
@@ -36,6 +36,7 @@
 )
 from trefoilstage.ledger.state import LedgerState
 
+WARM_UP_FILES = 2
 LEDGER_STATE_ADAPTER = TypeAdapter(LedgerState)
 CONFIG_STATE_ADAPTER = TypeAdapter(ConfigState)
 
@@ -134,6 +135,11 @@
         check_upgrade(envelope.record, self.state.fold_version)
         return fold_config_envelope(self.state, offset, envelope, self._merger)
 
+    def warm_up(self) -> None:
+        """Prepare a few files so that the next change does not stall the loop."""
+        files = {name: item.content for name, item in self.state.files.items()}
+        self._merger.warm_up(files, WARM_UP_FILES)
+
     def skip(self, offset: int) -> None:
         """Pass over an offset whose bytes are no record."""
         self.state.next_offset = max(self.state.next_offset, offset + 1)
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -42,7 +42,8 @@
         self._checkpoint_every = checkpoint_every
         self._checkpoint_interval_s = checkpoint_interval_s
         self._generator = generator
-        self.config = self._make(CONFIG_STREAM, ConfigFold(blackboard=blackboard))
+        self._config_fold = ConfigFold(blackboard=blackboard)
+        self.config = self._make(CONFIG_STREAM, self._config_fold)
         self.ledgers: dict[int, StreamService] = {}
         self._ledger_listeners: list[LedgerStarted] = []
 
@@ -73,6 +74,10 @@
         """Follow the configuration."""
         await self.add_runtime_dependency(self.config)
 
+    def warm_up(self) -> None:
+        """Prepare the configuration's fold for the next change."""
+        self._config_fold.warm_up()
+
     async def start_ledgers(self) -> None:
         """Follow each ledger stream of the configuration in force."""
         for number in range(self._blackboard.configuration.fleet.ledger_streams):
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -190,8 +190,8 @@
         return verdict
     state.files = files
     state.revision = place.offset
+    update_limits(state.limits, state.configuration, verdict, place.offset)
     state.configuration = verdict
-    update_limits(state.limits, verdict, place.offset)
     return ACCEPTED
 
 
--- a/trefoilstage/configuration/incremental.py
+++ b/trefoilstage/configuration/incremental.py
@@ -1,8 +1,7 @@
-"""Merge one changed file without parsing and checking all others again.
+"""Merge a change without parsing and checking the files that it leaves alone.
 
-The verdict must not depend on which host has what at hand. So the quick way only
-ever accepts what the whole merge would accept, with an equal configuration; for
-everything else the whole merge decides and names the findings.
+The verdict must not depend on what a host has at hand. So the quick way yields
+exactly what the whole merge yields, findings included, or leaves it to decide.
 """
 
 from collections.abc import Iterable, Mapping
@@ -13,12 +12,16 @@
 from pydantic import ValidationError
 
 from trefoilstage.configuration.merge import (
+    Finding,
     MergedTables,
     MergeResult,
     check_references,
+    make_path,
     merge_files,
     merge_tables,
     parse_file,
+    place_finding,
+    sort_findings,
 )
 from trefoilstage.configuration.schema import (
     BudgetConfig,
@@ -48,6 +51,26 @@
 Tables = dict[str, Any]
 
 
+REFERRING_SECTIONS = frozenset({"workspaces", "targets"})
+REFERRED_SECTIONS = ("budgets", "models", "sites")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """Hold a fault at its path, before its file and line are looked up."""
+
+    path: tuple[str, ...]
+    message: str
+
+
+@dataclass(kw_only=True, slots=True)
+class Change:
+    """Hold the entries that a change touches and the files that set them."""
+
+    touched: set[Entry] = field(default_factory=set)
+    parsed: dict[str, Tables] = field(default_factory=dict)
+
+
 @dataclass(kw_only=True, slots=True)
 class IncrementalMerger:
     """Remember which files set each entry, so a change costs its own entries."""
@@ -64,17 +87,28 @@
     ) -> MergeResult:
         """Return what merge_files(after) returns, given what is in force before."""
         self._follow(before)
-        quick = self._merge_quickly(after, present)
-        if quick is not None:
+        change = self._read_change(after)
+        if change is None:
+            return merge_files(after)
+        quick = apply_change(present, change)
+        if isinstance(quick, Configuration):
             return MergeResult(configuration=quick)
-        return merge_files(after)
+        if quick is None:
+            return merge_files(after)
+        return MergeResult(
+            configuration=None, findings=self._place(quick, change, after)
+        )
 
-    def _follow(self, files: Mapping[str, str]) -> None:
+    def warm_up(self, files: Mapping[str, str], n_files: int) -> None:
+        """Look at a few files ahead of the first change after a restart."""
+        self._follow(files, n_files)
+
+    def _follow(self, files: Mapping[str, str], n_files: int | None = None) -> None:
         for name in [name for name in self._files if name not in files]:
             self._forget(name)
-        for name, content in files.items():
-            if self._files.get(name) == content:
-                continue
+        new = [name for name in files if self._files.get(name) != files[name]]
+        for name in new[:n_files]:
+            content = files[name]
             self._forget(name)
             self._files[name] = content
             tables = parse_entries(name, content)
@@ -96,16 +130,13 @@
             else:
                 del self._setters[entry]
 
-    def _merge_quickly(
-        self, after: Mapping[str, str], present: Configuration
-    ) -> Configuration | None:
+    def _read_change(self, after: Mapping[str, str]) -> Change | None:
         changed = [
             name
             for name in after.keys() | self._files.keys()
             if after.get(name) != self._files.get(name)
         ]
-        parsed: dict[str, Tables] = {}
-        touched: set[Entry] = set()
+        change = Change()
         if self._irregular:
             return None
         for name in changed:
@@ -113,14 +144,24 @@
                 tables = parse_entries(name, content) if content is not None else {}
                 if tables is None or FLEET_SECTION in tables:
                     return None
-                touched.update(list_entries(tables))
-                parsed[name] = tables
-        for name in self._list_setters(touched, set(changed)):
-            tables = parse_entries(name, self._files[name])
-            if tables is None:
-                return None
-            parsed[name] = tables
-        return build_configuration(present, touched, parsed)
+                change.touched.update(list_entries(tables))
+                change.parsed[name] = tables
+        for name in self._list_setters(change.touched, set(changed)):
+            change.parsed[name] = parse_entries(name, self._files[name]) or {}
+        return change
+
+    def _place(
+        self, faults: Iterable[Fault], change: Change, after: Mapping[str, str]
+    ) -> tuple[Finding, ...]:
+        findings = []
+        for fault in faults:
+            entry = (fault.path[0], fault.path[1])
+            parsed = dict(change.parsed)
+            for name in self._list_setters([entry], set(parsed)):
+                parsed[name] = parse_entries(name, self._files[name]) or {}
+            merged = merge_entry(entry, parsed, [])
+            findings.append(place_finding(fault.path, fault.message, merged, after))
+        return sort_findings(findings)
 
     def _list_setters(self, touched: Iterable[Entry], known: set[str]) -> set[str]:
         names = {name for entry in touched for name in self._setters.get(entry, ())}
@@ -152,34 +193,68 @@
     return [(section, name) for section in sections for name in tables[section]]
 
 
-def build_configuration(
-    present: Configuration, touched: Iterable[Entry], parsed: Mapping[str, Tables]
-) -> Configuration | None:
-    """Return the present configuration with the touched entries merged anew."""
+def apply_change(
+    present: Configuration, change: Change
+) -> Configuration | list[Fault] | None:
+    """Return the changed configuration, its faults, or None when in doubt."""
     sections = {name: dict(getattr(present, name)) for name in ENTRY_MODELS}
-    for section, name in sorted(touched):
-        value = merge_entry(section, name, parsed)
+    faults: list[Fault] = []
+    for entry in sorted(change.touched):
+        section, name = entry
+        findings: list[Finding] = []
+        merged = merge_entry(entry, change.parsed, findings)
+        value = merged.tables.get(section, {}).get(name)
+        if findings or not is_identifier(name):
+            return None
         if value is None:
             sections[section].pop(name, None)
             continue
-        if not is_identifier(name):
-            return None
         try:
             sections[section][name] = ENTRY_MODELS[section].model_validate(value)
-        except ValidationError:
-            return None
+        except ValidationError as error:
+            faults.extend(list_faults(entry, error))
+    if faults:
+        return faults
     after = present.model_copy(update=sections)
-    if any(True for _ in check_references(after)):
-        return None
-    return after
+    if needs_reference_check(present, after, change):
+        faults = [
+            Fault(path=path, message=message)
+            for path, message in check_references(after)
+        ]
+    return faults or after
+
+
+def needs_reference_check(
+    present: Configuration, after: Configuration, change: Change
+) -> bool:
+    """Tell whether a change can leave a name that leads nowhere."""
+    # Most changes set a budget anew, and looking at 12,000 workspaces for
+    # each would stall the loop on every host at the same moment.
+    if any(section in REFERRING_SECTIONS for section, _ in change.touched):
+        return True
+    return any(
+        getattr(present, section).keys() - getattr(after, section).keys()
+        for section in REFERRED_SECTIONS
+    )
+
+
+def list_faults(entry: Entry, error: ValidationError) -> list[Fault]:
+    """Return the faults in one entry."""
+    return [
+        Fault(path=(*entry, *make_path(item["loc"])), message=item["msg"])
+        for item in error.errors(include_url=False, include_context=False)
+    ]
 
 
-def merge_entry(section: str, name: str, parsed: Mapping[str, Tables]) -> Tables | None:
-    """Return an entry as the files set it in name order, or None if none does."""
+def merge_entry(
+    entry: Entry, parsed: Mapping[str, Tables], findings: list[Finding]
+) -> MergedTables:
+    """Return the tables that hold one entry as the files set it in name order."""
+    section, name = entry
     merged = MergedTables()
     for file in sorted(parsed):
         entries = parsed[file].get(section, {})
         if name in entries:
-            merge_tables(merged, {section: {name: entries[name]}}, (), file, [])
-    value = merged.tables.get(section, {}).get(name)
-    return value if isinstance(value, dict) else None
+            tables = {section: {name: entries[name]}}
+            merge_tables(merged, tables, (), file, findings)
+    return merged
--- a/trefoilstage/configuration/limits.py
+++ b/trefoilstage/configuration/limits.py
@@ -17,10 +17,8 @@
     revision: int
 
 
-def list_limits(configuration: Configuration) -> Iterator[tuple[str, int]]:
-    """Yield each account and its limit, in tokens or watts."""
-    for name, budget in configuration.budgets.items():
-        yield f"{BUDGET_ACCOUNT_PREFIX}{name}", budget.tokens
+def list_site_limits(configuration: Configuration) -> Iterator[tuple[str, int]]:
+    """Yield each site's account and the watts beyond what idle targets take."""
     idle = dict.fromkeys(configuration.sites, 0)
     for target in configuration.targets.values():
         idle[target.site] += target.idle_watts
@@ -29,7 +27,10 @@
 
 
 def update_limits(
-    limits: dict[str, AccountLimit], configuration: Configuration, revision: int
+    limits: dict[str, AccountLimit],
+    before: Configuration,
+    after: Configuration,
+    revision: int,
 ) -> None:
     """Take over the limits that changed; an account that is gone has none left.
 
@@ -37,11 +38,17 @@
     unchanged limit is not written again, while a limit that went up and back
     down again still outdates the late record of the revision in between.
     """
-    present = dict(list_limits(configuration))
-    for account, limit in present.items():
+    wanted = {
+        f"{BUDGET_ACCOUNT_PREFIX}{name}": budget.tokens
+        for name, budget in after.budgets.items()
+        if before.budgets.get(name) is not budget
+    }
+    wanted.update(list_site_limits(after))
+    budgets_gone = sorted(before.budgets.keys() - after.budgets.keys())
+    sites_gone = sorted(before.sites.keys() - after.sites.keys())
+    wanted.update({f"{BUDGET_ACCOUNT_PREFIX}{name}": 0 for name in budgets_gone})
+    wanted.update({f"{SITE_ACCOUNT_PREFIX}{name}": 0 for name in sites_gone})
+    for account, limit in wanted.items():
         known = limits.get(account)
         if known is None or known.limit != limit:
             limits[account] = AccountLimit(limit=limit, revision=revision)
-    for account, known in limits.items():
-        if account not in present and known.limit != 0:
-            limits[account] = AccountLimit(limit=0, revision=revision)
--- a/trefoilstage/configuration/merge.py
+++ b/trefoilstage/configuration/merge.py
@@ -1,7 +1,7 @@
 """Merge configuration files in name order and collect every finding."""
 
 import tomllib
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,9 +54,9 @@
     try:
         configuration = Configuration.model_validate(merged.tables)
     except ValidationError as error:
-        found = tuple(place_errors(error, merged, files))
+        found = sort_findings(place_errors(error, merged, files))
         return MergeResult(configuration=None, findings=found)
-    found = tuple(
+    found = sort_findings(
         place_finding(path, message, merged, files)
         for path, message in check_references(configuration)
     )
@@ -122,8 +122,21 @@
 ) -> Iterator[Finding]:
     """Yield a finding for each validation error."""
     for item in error.errors(include_url=False, include_context=False):
-        path = tuple(str(part) for part in item["loc"] if part != "[key]")
-        yield place_finding(path, item["msg"], merged, files)
+        yield place_finding(make_path(item["loc"]), item["msg"], merged, files)
+
+
+def make_path(location: tuple[int | str, ...]) -> tuple[str, ...]:
+    """Return the keys of an error's location."""
+    return tuple(str(part) for part in location if part != "[key]")
+
+
+def sort_findings(findings: Iterable[Finding]) -> tuple[Finding, ...]:
+    """Return findings in an order that every host agrees on."""
+
+    def place(finding: Finding) -> tuple[str, int, str, str]:
+        return finding.file, finding.line, finding.key, finding.message
+
+    return tuple(sorted(findings, key=place))
 
 
 def place_finding(
@@ -173,7 +186,7 @@
 ) -> Iterator[tuple[tuple[str, ...], str]]:
     """Yield the path and message of each name that leads nowhere."""
     owners: dict[str, str] = {}
-    for name, workspace in configuration.workspaces.items():
+    for name, workspace in sorted(configuration.workspaces.items()):
         if workspace.budget not in configuration.budgets:
             path = ("workspaces", name, "budget")
             yield path, f"no budget named {workspace.budget!r}"
