--- /dev/null
+++ b/tests/promises/test_shutdown.py
@@ -0,0 +1,213 @@
+"""Prove that a graceful shutdown cuts off no request and strands no token."""
+
+import asyncio
+import json
+import signal
+import unittest
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from standins.launcher import Running, wait_for
+from tests.common import CallerAnswer, Fleet
+
+SLOW_ENGINE = ("--tokens-per-s", "20")
+EXIT_S = 15.0
+
+
+async def wait_settled(fleet: Fleet, host: Running) -> None:
+    """Wait until nothing is held and the spend is what the engines executed."""
+
+    async def is_settled() -> bool:
+        budget = await fleet.get_budget(host)
+        executed = await fleet.count_executed()
+        whole = budget["free"] + budget["spent"] == budget["paid"]
+        return whole and budget["held"] == 0 and budget["spent"] == executed
+
+    await wait_for(is_settled, "all draws to be handed back")
+
+
+async def wait_exit(fleet: Fleet, host: Running) -> int:
+    """Wait for a host to end and return its exit code."""
+    code = await asyncio.wait_for(host.process.wait(), EXIT_S)
+    fleet.launcher.running.pop(host.name, None)
+    return code
+
+
+@dataclass(kw_only=True)
+class Balancer:
+    """Send requests to hosts that say they are healthy, and note each end."""
+
+    fleet: Fleet
+    hosts: list[Running]
+    n_whole: int = 0
+    n_refused: int = 0
+    broken: list[str] = field(default_factory=list)
+    stopped: bool = False
+    _turn: int = 0
+
+    async def run(self) -> None:
+        """Send one request after another until stopped."""
+        while not self.stopped:
+            host = await self._pick()
+            try:
+                answer = await self.fleet.chat(host, max_tokens=8, stream=True)
+            except aiohttp.ClientConnectorError:
+                continue
+            except aiohttp.ClientError as error:
+                self.broken.append(f"{host.name}: {error!r}")
+                continue
+            self._note(host, answer)
+
+    async def _pick(self) -> Running:
+        while True:
+            self._turn += 1
+            host = self.hosts[self._turn % len(self.hosts)]
+            try:
+                async with self.fleet.launcher.session.get(
+                    f"{host.caller_url}/health"
+                ) as response:
+                    if response.status == 200:
+                        return host
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0)
+
+    def _note(self, host: Running, answer: CallerAnswer) -> None:
+        if answer.status == 200 and answer.is_whole_stream:
+            self.n_whole += 1
+            return
+        error = json.loads(answer.body).get("error", {}) if answer.status != 200 else {}
+        if error.get("effect") == "not_run" and "Retry-After" in answer.headers:
+            self.n_refused += 1
+            return
+        self.broken.append(f"{host.name}: {answer.status} {answer.body[-200:]!r}")
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """Stop hosts while they work."""
+
+    async def test_two_signals_cut_no_slow_stream(self) -> None:
+        """Send SIGTERM twice to a host with slow streams under way.
+
+        Every stream comes to its explicit end. A request that still reaches
+        the host is refused with a time to come back, on a connection that is
+        closed. The host exits with 0 and its draws are back in the budget.
+        """
+        async with Fleet(engine_options=SLOW_ENGINE) as fleet:
+            host, other = fleet.hosts[:2]
+            streams = [
+                asyncio.create_task(fleet.chat(host, max_tokens=40, stream=True))
+                for _ in range(8)
+            ]
+
+            async def are_running() -> bool:
+                meter = await fleet.launcher.get_json(f"{fleet.engines[0].url}/meter")
+                return int(meter["running"]) == len(streams)
+
+            await wait_for(are_running, "the streams to run")
+            host.signal(signal.SIGTERM)
+
+            async def is_leaving() -> bool:
+                url = f"{host.caller_url}/health"
+                async with fleet.launcher.session.get(url) as response:
+                    return response.status == 503
+
+            await wait_for(is_leaving, "the host to be seen leaving")
+            refused = await fleet.chat(host)
+            self.assertEqual(refused.status, 503)
+            error = json.loads(refused.body)["error"]
+            self.assertEqual(error["reason"], "shutting_down")
+            self.assertEqual(error["effect"], "not_run")
+            self.assertIn("Retry-After", refused.headers)
+            self.assertEqual(refused.headers.get("Connection"), "close")
+            host.signal(signal.SIGTERM)
+            answers = await asyncio.gather(*streams)
+            self.assertTrue(all(answer.is_whole_stream for answer in answers))
+            self.assertEqual(await wait_exit(fleet, host), 0)
+            await wait_settled(fleet, other)
+
+    async def test_rolling_replacement_under_load(self) -> None:
+        """Replace every host, one after the other, while callers go on.
+
+        Callers go where /health is good, as the balancer does. Each answer is
+        whole, or a refusal that says "not run" with a time to come back; none
+        is cut. When the last old host has gone, nothing is held any more.
+        """
+        settings = {"drain_grace_s": 0.3}
+        async with Fleet(engine_options=SLOW_ENGINE, host_settings=settings) as fleet:
+            balancer = Balancer(fleet=fleet, hosts=list(fleet.hosts))
+            callers = [asyncio.create_task(balancer.run()) for _ in range(6)]
+            for number, old in enumerate(fleet.hosts):
+                new = await fleet.start_host(f"host-{number + 3}")
+                balancer.hosts.append(new)
+                before = balancer.n_whole
+                await wait_for(
+                    lambda seen=before: balancer.n_whole > seen + 5, "more answers"
+                )
+                old.signal(signal.SIGTERM)
+                self.assertEqual(await wait_exit(fleet, old), 0)
+                balancer.hosts.remove(old)
+            balancer.stopped = True
+            await asyncio.gather(*callers)
+            self.assertEqual(balancer.broken, [])
+            self.assertGreater(balancer.n_whole, 20)
+            await wait_settled(fleet, balancer.hosts[0])
+
+    async def test_drain_while_the_log_is_down_is_bounded(self) -> None:
+        """Stop a host with draws in hand while the log is down.
+
+        Its draws can't be handed back, so it says so and ends all the same,
+        with 0. When the log is back, the draws' witnesses release the rest.
+        """
+        settings = {"flush_timeout_s": 1.0, "log_timeout_s": 0.5}
+        async with Fleet(host_settings=settings) as fleet:
+            host, other = fleet.hosts[:2]
+            answer = await fleet.chat(host, max_tokens=8, stream=True)
+            self.assertTrue(answer.is_whole_stream)
+            control = f"{fleet.log.url}/control"
+            await fleet.launcher.post_json(control, {"down": True})
+            host.signal(signal.SIGTERM)
+            self.assertEqual(await wait_exit(fleet, host), 0)
+            said = [line for line in host.lines if "drain_incomplete" in line]
+            self.assertEqual(len(said), 1, host.lines[-5:])
+            await fleet.launcher.post_json(control, {"down": False})
+
+            async def is_released() -> bool:
+                budget = await fleet.get_budget(other)
+                return bool(budget["held"] == budget["doubtful"])
+
+            await wait_for(is_released, "the draws to be released")
+            budget = await fleet.get_budget(other)
+            self.assertGreaterEqual(
+                budget["spent"] + budget["doubtful"], await fleet.count_executed()
+            )
+
+
+class CrashTest(unittest.IsolatedAsyncioTestCase):
+    """Let a part of a host fail."""
+
+    async def test_host_that_cannot_listen_ends_with_an_error(self) -> None:
+        """Give a host a port that is taken.
+
+        The process ends with a code that is not 0 and says why, so that
+        whoever runs it starts another; it never stays up half-started.
+        """
+        async with Fleet(n_hosts=1, n_engines=0) as fleet:
+            taken = fleet.hosts[0].ports["caller_port"]
+            launcher = fleet.launcher
+            start = asyncio.create_task(
+                launcher.start_host(
+                    "host-9",
+                    "brest",
+                    log_url=fleet.log.url,
+                    address=fleet.hosts[0].address,
+                    caller_port=taken,
+                )
+            )
+            await wait_for(lambda: "host-9" in launcher.running, "the start")
+            running = launcher.running["host-9"]
+            code = await asyncio.wait_for(running.process.wait(), EXIT_S)
+            start.cancel()
+            self.assertEqual(code, 1)
+            self.assertIn("address already in use", " ".join(running.lines))
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -13,6 +13,7 @@
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.booking.models import ServiceCall
 from trefoilstage.components.callers.authentication import identify_caller
+from trefoilstage.components.callers.gate import RequestGate
 from trefoilstage.components.callers.generation import Answer, GenerationRunner
 from trefoilstage.components.callers.models import Caller, ChatRequest
 from trefoilstage.components.callers.refusals import describe_refusal, make_refusal
@@ -47,13 +48,16 @@
         self._generations = generations
         self._bookings = bookings
         self._metrics = metrics
+        self._gate = RequestGate(blackboard=blackboard)
         self._address = address
         self.port = port
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
         """Listen."""
-        app = web.Application(client_max_size=MAX_REQUEST_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_REQUEST_BODY_BYTES, middlewares=[self._gate.handle]
+        )
         app.router.add_post("/v1/chat/completions", self._answer_chat)
         app.router.add_get("/v1/models", self._answer_models)
         app.router.add_route(
@@ -76,7 +80,7 @@
     async def drain(self, timeout_s: float) -> bool:
         """Wait for the requests in flight; tell whether all of them ended."""
         deadline = time.monotonic() + timeout_s
-        while self._blackboard.n_active or self._blackboard.closing:
+        while self._gate.n_open or self._blackboard.closing:
             if time.monotonic() >= deadline:
                 return False
             await asyncio.sleep(DRAIN_POLL_S)
--- a/trefoilstage/daemon.py
+++ b/trefoilstage/daemon.py
@@ -10,11 +10,12 @@
 import cappa
 import uvloop
 
-from trefoilstage.exceptions import SettingsError
+from trefoilstage.exceptions import HostCrashedError, SettingsError
 from trefoilstage.helpers.events import set_up_events
 from trefoilstage.host import Host
 from trefoilstage.settings import HostSettings, load_settings
 
+EXIT_CRASHED = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -33,12 +34,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.drain_requested.set)
     loop.add_signal_handler(signal.SIGUSR1, host.write_dump)
-    await host.start()
-    ready = asyncio.create_task(host.wait_until_ready())
-    await host.drain_requested.wait()
-    ready.cancel()
-    await host.drain()
-    await host.stop()
+    try:
+        await host.start()
+        await host.run()
+    finally:
+        await host.stop()
 
 
 def main() -> None:
@@ -50,4 +50,8 @@
     except SettingsError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
-    uvloop.run(run_host(settings))
+    try:
+        uvloop.run(run_host(settings))
+    except (HostCrashedError, OSError) as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_CRASHED)
--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -33,5 +33,9 @@
     """Report that a peer gave no answer; it may have acted all the same."""
 
 
+class HostCrashedError(TrefoilstageError):
+    """Report that a part of the host failed, so that the process must end."""
+
+
 class SettingsError(TrefoilstageError):
     """Report every finding in a settings file at once."""
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -27,6 +27,7 @@
 from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
+from trefoilstage.exceptions import HostCrashedError
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.metrics import Metrics
@@ -34,6 +35,7 @@
 from trefoilstage.timer import TimerService
 
 READY_POLL_S = 0.02
+HALTED_CHECK_S = 0.5
 
 
 class Host(Service):  # type: ignore[misc]
@@ -119,6 +121,9 @@
         ]
         for part in parts:
             await self.add_runtime_dependency(part)
+        self._timer.subscribe(
+            name="halted", interval_s=HALTED_CHECK_S, callback=self._check_halted
+        )
         self._announce()
 
     def _make_streams(self, generator: random.Random) -> Streams:
@@ -192,6 +197,26 @@
             peer_port=self._peer_server.port,
         )
 
+    async def run(self) -> None:
+        """Serve until told to drain, or until a part fails."""
+        ready = asyncio.create_task(self.wait_until_ready())
+        await self.wait(self.drain_requested)
+        ready.cancel()
+        if self.crashed:
+            log_event(
+                Event.HOST_CRASHED,
+                host=self._settings.host,
+                error=repr(self.crash_reason),
+            )
+            raise HostCrashedError(repr(self.crash_reason))
+        await self.drain()
+
+    async def _check_halted(self) -> None:
+        # This host can't fold on, so it must not answer from a state that
+        # stands still. Its successor of the newer version takes over.
+        if self._streams.is_halted():
+            self.drain_requested.set()
+
     async def wait_until_ready(self) -> None:
         """Wait until the log was read to its end, then serve."""
         while not self._is_ready():
@@ -207,14 +232,32 @@
         """Take no new requests, finish those in flight and give draws back."""
         self.blackboard.phase = Phase.DRAINING
         log_event(Event.HOST_DRAINING, host=self._settings.host)
-        await self._callers.drain(self._settings.drain_timeout_s)
+        # The balancer needs a moment to see /health fail. Until then requests
+        # still come, and each is refused instead of finding a closed port.
+        grace_ends = self._timer.now() + self._settings.drain_grace_s
+        ended = await self._callers.drain(self._settings.drain_timeout_s)
         await self._budget.return_all()
         self._streams.submit_config(HostDown(incarnation=self.blackboard.incarnation))
+        flushed = await self._flush()
+        if not ended or not flushed:
+            log_event(
+                Event.DRAIN_INCOMPLETE,
+                host=self._settings.host,
+                requests_ended=ended,
+                records_flushed=flushed,
+            )
+        await asyncio.sleep(max(0.0, grace_ends - self._timer.now()))
+        await self._callers.drain(self._settings.drain_timeout_s)
+
+    async def _flush(self) -> bool:
+        # Bounded, for the log may be down for long. What was not handed back
+        # is released by the draws' witnesses once this host is gone.
         try:
-            async with asyncio.timeout(self._settings.drain_timeout_s):
+            async with asyncio.timeout(self._settings.flush_timeout_s):
                 await self._streams.flush()
         except TimeoutError:
-            log_event(Event.LOG_LOST, host=self._settings.host)
+            return False
+        return True
 
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
