--- a/tests/promises/test_booking.py
+++ b/tests/promises/test_booking.py
@@ -215,9 +215,15 @@
 async def hold_intent_answer(
     fleet: Fleet, victim: Running, n: int, task: Booking
 ) -> None:
-    """Stop what the log answers, with the intent kept."""
+    """Stop what the log answers, with the intent kept.
+
+    The host would read its intent through a peer and go on, so the peers are
+    cut off too.
+    """
+    others = [host for host in fleet.hosts if host is not victim]
+    fleet.cut_apart([victim], others)
     fleet.proxies["log"].rules[get_address(victim.name)].hold_answers = True
-    await wait_for_open_intent(fleet)
+    await wait_for_open_intent(fleet, victim)
 
 
 async def hold_call(fleet: Fleet, victim: Running, n: int, task: Booking) -> None:
@@ -225,7 +231,7 @@
     rule = fleet.proxies["service"].rules[get_address(victim.name)]
     rule.hold_requests = True
     await wait_for(lambda: rule.n_held > 0, "the call to be held")
-    await wait_for_open_intent(fleet)
+    await wait_for_open_intent(fleet, victim)
 
 
 async def hold_service_answer(
@@ -247,13 +253,14 @@
     await task
 
 
-async def wait_for_open_intent(fleet: Fleet) -> None:
-    """Wait until the first host has folded an intent without an outcome."""
+async def wait_for_open_intent(fleet: Fleet, victim: Running) -> None:
+    """Wait until the first host has folded the victim's intent, no outcome yet."""
 
     async def has_open() -> bool:
         intents: list[dict[str, Any]] = await fleet.list_intents(fleet.hosts[0])
         return any(
-            intent["status"] is None and intent["owner"] != "" for intent in intents
+            intent["status"] is None and intent["owner"].startswith(f"{victim.name}-")
+            for intent in intents
         )
 
     await wait_for(has_open, "an intent without an outcome")
--- a/trefoilstage/configuration/incremental.py
+++ b/trefoilstage/configuration/incremental.py
@@ -12,7 +12,6 @@
 from pydantic import ValidationError
 
 from trefoilstage.configuration.merge import (
-    Finding,
     MergedTables,
     MergeResult,
     check_references,
@@ -34,6 +33,7 @@
     WorkspaceConfig,
     is_identifier,
 )
+from trefoilstage.helpers.finding import Finding
 
 ENTRY_MODELS: Mapping[str, type[Section]] = {
     "workspaces": WorkspaceConfig,
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from trefoilstage.helpers.finding import Finding
+
 
 class Reason(StrEnum):
     """Name why something was rejected or refused."""
@@ -70,10 +72,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Rejected:
-    """Stand for a record that the fold left out, with the reason."""
+    """Stand for a record that the fold left out, with the reason and findings."""
 
     reason: Reason
     detail: str = ""
+    findings: tuple[Finding, ...] = ()
 
 
 Verdict = Accepted | Rejected
