--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -94,7 +94,8 @@
         the host is refused with a time to come back, on a connection that is
         closed. The host exits with 0 and its draws are back in the budget.
         """
-        async with Fleet(engine_options=SLOW_ENGINE) as fleet:
+        settings = {"flush_timeout_s": 0.5}
+        async with Fleet(engine_options=SLOW_ENGINE, host_settings=settings) as fleet:
             host, other = fleet.hosts[:2]
             streams = [
                 asyncio.create_task(fleet.chat(host, max_tokens=40, stream=True))
@@ -138,9 +139,10 @@
         async with Fleet(engine_options=SLOW_ENGINE, host_settings=settings) as fleet:
             balancer = Balancer(fleet=fleet, hosts=list(fleet.hosts))
             callers = [asyncio.create_task(balancer.run()) for _ in range(6)]
-            for number, old in enumerate(fleet.hosts):
-                new = await fleet.start_host(f"host-{number + 3}")
-                balancer.hosts.append(new)
+            names = [f"host-{number + 3}" for number in range(3)]
+            new = await asyncio.gather(*map(fleet.start_host, names))
+            balancer.hosts += new
+            for old in fleet.hosts:
                 before = balancer.n_whole
                 await wait_for(
                     lambda seen=before: balancer.n_whole > seen + 5, "more answers"
