Watch few peers in a large fleet, forget the gone and read the platform's list

Cause: heartbeats went to every peer, n^2 at 410 hosts; a silent peer held up the heartbeats to all others for its timeout; hosts killed for good stayed in the state for ever; a newcomer without the log knew no peer to ask.

Change: all peers up to 8, else 8 by rendezvous and the partners of draws; each heartbeat on its own; HostDown by the first-ranked host after forget_after_s of silence and off the list, undone by the host itself when it was only cut off; the daemon's host_list_url and its stand-in.

--- a/standins/main.py
+++ b/standins/main.py
@@ -8,6 +8,7 @@
 
 from standins.common import serve_app
 from standins.engine import EngineControl, EngineStandin
+from standins.hosts import HostsControl, HostsStandin
 from standins.log import LogStandin
 from standins.service import ServiceStandin
 
@@ -28,6 +29,22 @@
         asyncio.run(serve_app(app, name="log", address=LOOPBACK, port=self.port))
 
 
+@cappa.command(name="hosts")
+@dataclass(kw_only=True)
+class HostsCommand:
+    """Run the stand-in of the platform's list of hosts."""
+
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    lag_s: Annotated[float, cappa.Arg(long=True)] = 1.0
+    silent_s: Annotated[float, cappa.Arg(long=True)] = 10.0
+
+    def __call__(self) -> None:
+        """Serve."""
+        control = HostsControl(lag_s=self.lag_s, silent_s=self.silent_s)
+        app = HostsStandin(control=control).make_app()
+        asyncio.run(serve_app(app, name="hosts", address=LOOPBACK, port=self.port))
+
+
 @cappa.command(name="engine")
 @dataclass(kw_only=True)
 class EngineCommand:
@@ -64,7 +81,9 @@
 class Standin:
     """Run a stand-in for an outside system."""
 
-    command: cappa.Subcommands[LogCommand | EngineCommand | ServiceCommand]
+    command: cappa.Subcommands[
+        LogCommand | HostsCommand | EngineCommand | ServiceCommand
+    ]
 
 
 def main() -> None:
--- /dev/null
+++ b/tests/promises/test_membership.py
@@ -0,0 +1,113 @@
+"""Show that hosts come, go and are found without anybody's word being needed."""
+
+import unittest
+from typing import Any
+
+from standins.launcher import Running, wait_for
+from tests.common import Fleet
+from trefoilstage.components.membership.ring import N_SUCCESSORS, pick_watched
+
+FAST = {"log_timeout_s": 0.5, "log_poll_s": 0.5}
+
+
+async def list_hosts(fleet: Fleet, host: Running) -> set[str]:
+    """Return the names of the hosts that a host knows."""
+    known = await fleet.launcher.get_json(f"{host.operator_url}/hosts")
+    return {entry["host"] for entry in known}
+
+
+class RingTest(unittest.TestCase):
+    """Choose whom to watch."""
+
+    def test_each_host_of_a_large_fleet_watches_few_and_its_partners(self) -> None:
+        names = [f"host-{number}" for number in range(410)]
+        watched = {name: pick_watched(name, names, ["host-7"]) for name in names}
+        self.assertLessEqual(max(map(len, watched.values())), N_SUCCESSORS + 1)
+        self.assertTrue(all("host-7" in watched[name] for name in names[:7]))
+        seen = {name for some in watched.values() for name in some}
+        self.assertGreater(len(seen), 405)
+
+
+class MembershipTest(unittest.IsolatedAsyncioTestCase):
+    """Kill, cut and add hosts."""
+
+    async def test_killed_host_is_forgotten_and_a_cut_one_returns(self) -> None:
+        """Kill one host, and cut another from all for longer than a host is missed.
+
+        Both are taken off the list of hosts. The one that was only cut sees
+        itself gone when the cut is lifted, announces itself and is back.
+        """
+        settings = {"forget_after_s": 1.0, "suspect_after_s": 0.5, **FAST}
+        async with Fleet(n_hosts=4, n_engines=0, host_settings=settings) as fleet:
+            first, cut, killed = fleet.hosts[0], fleet.hosts[2], fleet.hosts[3]
+            await fleet.launcher.kill(killed.name)
+            others = [host for host in fleet.hosts if host not in (cut, killed)]
+            fleet.cut([cut], ["log"])
+            fleet.cut_apart([cut], others)
+
+            async def are_gone() -> bool:
+                return await list_hosts(fleet, first) == {"host-0", "host-1"}
+
+            await wait_for(are_gone, "the lost hosts to be forgotten")
+            fleet.heal()
+
+            async def is_back() -> bool:
+                return cut.name in await list_hosts(fleet, first)
+
+            await wait_for(is_back, "the cut host to announce itself")
+
+    async def test_newcomer_without_log_learns_the_state_from_a_listed_peer(
+        self,
+    ) -> None:
+        """Start a host that has never reached the log.
+
+        It finds a peer in the platform's list, reads the records from it, and
+        has the files in force. Its own announcement goes through the peer.
+        """
+        async with Fleet(n_hosts=1, n_engines=0, host_settings=FAST) as fleet:
+            listed = await self.start_listed(fleet)
+            fleet.proxies["log"].cut("127.0.1.3")
+            newcomer = await fleet.start_host("host-2")
+            await self.wait_same_files(fleet, listed, newcomer)
+
+    async def test_newcomer_to_an_expired_log_takes_a_peers_state(self) -> None:
+        """Start a host when all records but the last have expired.
+
+        The log holds no checkpoint to start from. The newcomer takes the state
+        of a listed peer, reads on from there, and serves.
+        """
+        async with Fleet(n_hosts=1, n_engines=0, host_settings=FAST) as fleet:
+            listed = await self.start_listed(fleet)
+            control = f"{fleet.log.url}/control"
+            await fleet.launcher.post_json(control, {"retention": 1})
+            await fleet.publish("20-a.toml", "[budgets.extra]\ntokens = 1\n")
+            newcomer = await fleet.start_host("host-2")
+            await self.wait_same_files(fleet, listed, newcomer)
+
+    async def start_listed(self, fleet: Fleet) -> Running:
+        """Start the platform's list and a host that is on it."""
+        platform = await fleet.launcher.start_standin("hosts", "hosts", "--lag-s=0.1")
+        fleet.host_settings = {**FAST, "host_list_url": platform.url}
+        listed = await fleet.start_host("host-1")
+
+        async def is_listed() -> bool:
+            answer: Any = await fleet.launcher.get_json(f"{platform.url}/hosts")
+            return bool(answer["hosts"])
+
+        await wait_for(is_listed, "the list to show the host")
+        return listed
+
+    async def wait_same_files(self, fleet: Fleet, old: Running, new: Running) -> None:
+        """Wait until a new host serves, with the same files as an old one."""
+
+        async def is_serving() -> bool:
+            url = f"{new.operator_url}/status"
+            return bool((await fleet.launcher.get_json(url))["phase"] == "serving")
+
+        await wait_for(is_serving, "the newcomer to serve")
+        files = [
+            await fleet.launcher.get_json(f"{host.operator_url}/config/files")
+            for host in (old, new)
+        ]
+        self.assertTrue(files[0])
+        self.assertEqual(files[0], files[1])
--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -86,6 +86,14 @@
             if name != self.host and self.is_peer_live(entry)
         ]
 
+    def list_presumed_hosts(self) -> list[str]:
+        """Return the hosts not known to be lost; in a large fleet few are watched."""
+        return [
+            name
+            for name in sorted({*self.config.hosts, self.host})
+            if name not in self.peers or self.peers[name].reachable
+        ]
+
     def is_peer_live(self, entry: HostEntry) -> bool:
         """Tell whether a host's current incarnation answers."""
         status = self.peers.get(entry.host)
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -66,8 +66,7 @@
 
     def rank_writer(self, key: str) -> int:
         """Return this host's place among the live ones for a task of the key."""
-        names = [entry.host for entry in self._blackboard.list_live_peers()]
-        ranked = rank_by_rendezvous(key, [*names, self._blackboard.host])
+        ranked = rank_by_rendezvous(key, self._blackboard.list_presumed_hosts())
         return ranked.index(self._blackboard.host)
 
     async def on_start(self) -> None:
--- a/trefoilstage/components/membership/controller.py
+++ b/trefoilstage/components/membership/controller.py
@@ -4,11 +4,15 @@
 
 from mode import Service
 
-from trefoilstage.blackboard import Blackboard, PeerStatus
+from trefoilstage.blackboard import Blackboard, PeerStatus, Phase
+from trefoilstage.components.log_client.stream import Ticket
+from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.components.membership.ring import pick_watched
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import Heartbeat, PeerMessage
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.configuration.fold import HostEntry
+from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
@@ -26,9 +30,16 @@
         timer: TimerService,
         heartbeat_s: float,
         suspect_after_s: float,
+        forget_after_s: float,
+        streams: Streams,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
+        self._streams = streams
+        self._forget_after_s = forget_after_s
+        self._beating: dict[str, asyncio.Task[None]] = {}
+        self._ticket: Ticket | None = None
+        self._announcement: HostUp | None = None
         self._links = links
         self._timer = timer
         self._heartbeat_s = heartbeat_s
@@ -44,6 +55,8 @@
     async def on_stop(self) -> None:
         """Stop the heartbeat."""
         self._unsubscribe()
+        for task in list(self._beating.values()):
+            task.cancel()
 
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's heartbeat."""
@@ -57,12 +70,56 @@
 
     async def _beat(self) -> None:
         hosts = self._blackboard.config.hosts
-        peers = [
-            entry for name, entry in hosts.items() if name != self._blackboard.host
-        ]
-        await asyncio.gather(*(self._beat_peer(entry) for entry in peers))
-        for name in set(self._blackboard.peers) - set(hosts):
-            del self._blackboard.peers[name]
+        watched = pick_watched(
+            self._blackboard.host, hosts, list_partners(self._blackboard)
+        )
+        # Each peer on its own: waiting for a silent one would hold up the
+        # heartbeats to all others for its whole timeout.
+        for name in sorted(watched - self._beating.keys()):
+            task = asyncio.create_task(self._beat_peer(hosts[name]), name=name)
+            self._beating[name] = task
+            task.add_done_callback(self._end_beat)
+        self._forget(set(hosts), watched)
+        self._prune_gone(watched)
+        self._announce_when_gone()
+
+    def _end_beat(self, task: asyncio.Task[None]) -> None:
+        self._beating.pop(task.get_name(), None)
+
+    def _forget(self, hosts: set[str], watched: set[str]) -> None:
+        now = self._timer.now()
+        for name, status in list(self._blackboard.peers.items()):
+            stale = now - status.last_heard >= self._suspect_after_s
+            if name not in hosts or (name not in watched and stale):
+                del self._blackboard.peers[name]
+
+    def _prune_gone(self, watched: set[str]) -> None:
+        now = self._timer.now()
+        for name in sorted(watched):
+            entry = self._blackboard.config.hosts[name]
+            status = self._blackboard.peers.get(name)
+            if status is None or status.reachable or self._is_listed(name):
+                continue
+            # Never heard again, so whoever still looks for it wastes time. A
+            # host that was only cut off announces itself again.
+            if now - status.last_heard < self._forget_after_s:
+                continue
+            if self._streams.rank_writer(entry.incarnation) == 0:
+                self._submit(HostDown(incarnation=entry.incarnation))
+
+    def _is_listed(self, name: str) -> bool:
+        return name in self._blackboard.listed
+
+    def _announce_when_gone(self) -> None:
+        gone = self._blackboard.host not in self._blackboard.config.hosts
+        if gone and self._blackboard.phase is Phase.SERVING:
+            self._submit(self._announcement)
+
+    def _submit(self, record: HostUp | HostDown | None) -> None:
+        ticket = self._ticket
+        if record is None or (ticket is not None and not ticket.future.done()):
+            return
+        self._ticket = self._streams.submit_config(record)
 
     async def _beat_peer(self, entry: HostEntry) -> None:
         link = self._links.get_link(entry.peer_url)
@@ -76,6 +133,11 @@
         if isinstance(reply, Heartbeat) and reply.host == entry.host:
             self._note_heard(reply)
 
+    def set_announcement(self, record: HostUp) -> None:
+        """Announce this host, now and whenever the others have forgotten it."""
+        self._announcement = record
+        self._streams.submit_config(record)
+
     def _note_heard(self, message: Heartbeat) -> None:
         status = self._blackboard.peers.get(message.host)
         if status is None or status.incarnation != message.incarnation:
@@ -99,3 +161,17 @@
         if status.reachable and silent_s >= self._suspect_after_s:
             status.reachable = False
             log_event(Event.PEER_LOST, peer=entry.host, silent_s=silent_s)
+
+
+def list_partners(blackboard: Blackboard) -> set[str]:
+    """Return the hosts that witness this one's draws or whose draws it witnesses."""
+    own = blackboard.incarnation
+    incarnations = set()
+    for ledger in blackboard.ledgers.values():
+        for draw in ledger.draws.values():
+            if draw.holder == own:
+                incarnations.add(draw.witness)
+            elif draw.witness == own:
+                incarnations.add(draw.holder)
+    entries = blackboard.config.hosts.values()
+    return {entry.host for entry in entries if entry.incarnation in incarnations}
--- /dev/null
+++ b/trefoilstage/components/membership/ring.py
@@ -0,0 +1,22 @@
+"""Choose which peers a host sends heartbeats to; pure."""
+
+from collections.abc import Iterable
+
+from trefoilstage.util.hashing import rank_by_rendezvous
+
+MAX_FULL_MESH = 8
+N_SUCCESSORS = 8
+
+
+def pick_watched(host: str, names: Iterable[str], partners: Iterable[str]) -> set[str]:
+    """Return the peers to watch: all in a small fleet, else a few and partners.
+
+    Heartbeats to all cost the square of the fleet's size. Each host is watched
+    by about as many others as it watches, and by those that answer for its
+    draws, which are the only ones whose decisions need to know.
+    """
+    others = {name for name in names if name != host}
+    if len(others) <= MAX_FULL_MESH:
+        return others
+    ranked = rank_by_rendezvous(host, sorted(others))
+    return set(ranked[:N_SUCCESSORS]) | (set(partners) & others)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -40,6 +40,7 @@
     RECORD_MALFORMED = "record_malformed"
     STATE_RESTORED = "state_restored"
     CHECKPOINT_WRITTEN = "checkpoint_written"
+    HOST_LIST_LOST = "host_list_lost"
     PEER_LOST = "peer_lost"
     PEER_BACK = "peer_back"
     PEER_MESSAGE_MALFORMED = "peer_message_malformed"
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -19,6 +19,7 @@
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.controller import MembershipController
+from trefoilstage.components.membership.host_list import HostListController
 from trefoilstage.components.operators.metrics import MetricsController
 from trefoilstage.components.operators.server import OperatorServer
 from trefoilstage.components.peers.links import PeerLinks
@@ -140,7 +141,7 @@
         self._timer.subscribe(
             name="halted", interval_s=HALTED_CHECK_S, callback=self._check_halted
         )
-        self._announce()
+        await self._announce()
 
     def _register_state(self) -> None:
         self._registry.register("blackboard", lambda: self.blackboard)
@@ -174,15 +175,18 @@
 
     def _make_controllers(self) -> list[Service]:
         settings = self._settings
+        self._membership = MembershipController(
+            blackboard=self.blackboard,
+            links=self._links,
+            server=self._peer_server,
+            timer=self._timer,
+            heartbeat_s=settings.heartbeat_s,
+            suspect_after_s=settings.suspect_after_s,
+            forget_after_s=settings.forget_after_s,
+            streams=self._streams,
+        )
         return [
-            MembershipController(
-                blackboard=self.blackboard,
-                links=self._links,
-                server=self._peer_server,
-                timer=self._timer,
-                heartbeat_s=settings.heartbeat_s,
-                suspect_after_s=settings.suspect_after_s,
-            ),
+            self._membership,
             ConfigurationController(
                 blackboard=self.blackboard,
                 streams=self._streams,
@@ -190,18 +194,26 @@
             ),
         ]
 
-    def _announce(self) -> None:
+    async def _announce(self) -> None:
         address = self._settings.address
         peer_url = f"ws://{address}:{self._peer_server.port}"
-        self._streams.submit_config(
-            HostUp(
-                host=self._settings.host,
-                data_center=self._settings.data_center,
-                caller_url=f"http://{address}:{self._callers.port}",
-                operator_url=f"http://{address}:{self._operators.port}",
-                peer_url=self._settings.advertised_peer_url or peer_url,
-            )
+        record = HostUp(
+            host=self._settings.host,
+            data_center=self._settings.data_center,
+            caller_url=f"http://{address}:{self._callers.port}",
+            operator_url=f"http://{address}:{self._operators.port}",
+            peer_url=self._settings.advertised_peer_url or peer_url,
         )
+        self._membership.set_announcement(record)
+        if self._settings.host_list_url:
+            host_list = HostListController(
+                blackboard=self.blackboard,
+                session=self._session,
+                timer=self._timer,
+                url=self._settings.host_list_url,
+                peer_url=record.peer_url,
+            )
+            await self.add_runtime_dependency(host_list)
         log_event(
             Event.HOST_STARTED,
             host=self._settings.host,
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -34,6 +34,7 @@
     log_poll_s: Seconds = 1.0
     heartbeat_s: Seconds = 0.25
     suspect_after_s: Seconds = 1.5
+    forget_after_s: Seconds = 600.0
     draw_horizon_s: Seconds = 2.0
     budget_policy: BudgetPolicy = BudgetPolicy.ADAPTIVE
     recovery: Recovery = Recovery.WITNESS
