--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -78,6 +78,10 @@
         """Return the configuration in force."""
         return self.config.configuration
 
+    def has_ledgers(self) -> bool:
+        """Tell whether every ledger of the configuration in force is followed."""
+        return len(self.ledgers) >= self.configuration.fleet.ledger_streams
+
     def list_live_peers(self) -> list[HostEntry]:
         """Return the reachable hosts other than this one, by name."""
         return [
--- a/trefoilstage/components/callers/gate.py
+++ b/trefoilstage/components/callers/gate.py
@@ -5,7 +5,7 @@
 
 from trefoilstage.blackboard import Blackboard, Phase
 from trefoilstage.components.callers.refusals import make_refusal
-from trefoilstage.exceptions import NotReadyError
+from trefoilstage.exceptions import StreamNotFollowedError
 from trefoilstage.helpers.verdict import Reason, Refusal
 
 NOT_READY_RETRY_S = 1.0
@@ -40,12 +40,19 @@
     async def _answer(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
+        # The configuration is in force a moment before its ledgers are followed,
+        # and without them no account can be looked up.
+        if not self._blackboard.has_ledgers():
+            return refuse_not_ready("the ledgers are not followed yet")
         try:
             return await handler(request)
-        except NotReadyError as error:
-            refusal = Refusal(
-                reason=Reason.NOT_READY,
-                detail=str(error),
-                retry_after_s=NOT_READY_RETRY_S,
-            )
-            return make_refusal(refusal, "")
+        except StreamNotFollowedError as error:
+            return refuse_not_ready(str(error))
+
+
+def refuse_not_ready(detail: str) -> web.Response:
+    """Return the refusal of a request that came too early."""
+    refusal = Refusal(
+        reason=Reason.NOT_READY, detail=detail, retry_after_s=NOT_READY_RETRY_S
+    )
+    return make_refusal(refusal, "")
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -15,7 +15,7 @@
 from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.configuration.records import ConfigRecord
 from trefoilstage.const import CONFIG_STREAM, LEDGER_STREAM_PREFIX
-from trefoilstage.exceptions import NotReadyError
+from trefoilstage.exceptions import StreamNotFollowedError
 from trefoilstage.ledger.records import LedgerRecord
 from trefoilstage.util.hashing import pick_stream, rank_by_rendezvous
 
@@ -99,10 +99,10 @@
         return pick_stream(account, n_streams)
 
     def submit_ledger(self, number: int, record: LedgerRecord) -> Ticket:
-        """Queue a record, or raise NotReadyError before the stream is followed."""
+        """Queue a record, or raise StreamNotFollowedError before the stream is followed."""
         stream = self.ledgers.get(number)
         if stream is None:
-            raise NotReadyError(f"ledger stream {number} is not followed yet")
+            raise StreamNotFollowedError(f"ledger stream {number} is not followed yet")
         return stream.submit(record)
 
     def submit_config(self, record: ConfigRecord) -> Ticket:
--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -13,6 +13,10 @@
     """Report that the same call may succeed later."""
 
 
+class StreamNotFollowedError(NotReadyError):
+    """Report a stream that this host does not follow yet; nothing was sent."""
+
+
 class LogUnavailableError(NotReadyError):
     """Report that the log gave no answer; the append may have taken effect."""
 
