--- a/tests/common.py
+++ b/tests/common.py
@@ -65,6 +65,7 @@
     hosts: list[Running] = field(default_factory=list)
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
     data_centers: tuple[str, ...] = ("brest",)
+    more_config: str = ""
 
     async def __aenter__(self) -> Self:
         await self.launcher.__aenter__()
@@ -102,7 +103,8 @@
                 [self.proxies[engine.name].url for engine in self.engines],
                 [self.proxies["service"].url],
                 tokens=self.tokens,
-            ),
+            )
+            + self.more_config,
         )
         await wait_for(self.is_ready, "the fleet to be ready")
 
--- a/tests/fuzz/test_codecs.py
+++ b/tests/fuzz/test_codecs.py
@@ -19,7 +19,8 @@
 from trefoilstage.components.log_client.checkpoints import (
     MAX_STATE_BYTES,
     PackedState,
-    pack_state,
+    compress_state,
+    dump_state,
     split_checkpoint,
     unpack_state,
 )
@@ -179,7 +180,7 @@
         content = "a" * (MAX_STATE_BYTES + 1)
         files = {FILE_NAME: FileState(content=content, revision=0)}
         state = ConfigState(next_offset=5, files=files)
-        packed = pack_state(CONFIG_STATE_ADAPTER, state, 5)
+        packed = asyncio.run(compress_state(dump_state(CONFIG_STATE_ADAPTER, state, 5)))
         self.assertEqual(len(split_checkpoint(packed)), 1)
         with self.assertRaises(MalformedMessageError):
             unpack_state(CONFIG_STATE_ADAPTER, packed)
--- a/tests/fuzz/test_configuration_machine.py
+++ b/tests/fuzz/test_configuration_machine.py
@@ -1,5 +1,6 @@
 """Drive the configuration's fold on several hosts through every order of faults."""
 
+import asyncio
 import unittest
 from dataclasses import dataclass, field
 
@@ -15,6 +16,8 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.checkpoints import (
     CheckpointAssembly,
+    PackedState,
+    compress_state,
     split_checkpoint,
 )
 from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
@@ -163,6 +166,11 @@
         return False
 
 
+def pack(host: SimHost) -> PackedState:
+    """Return the checkpoint form of a host's configuration."""
+    return asyncio.run(compress_state(host.config.dump()))
+
+
 class ConfigurationMachine(RuleBasedStateMachine):
     """Let operators race at hosts that lag, die and start from checkpoints."""
 
@@ -261,7 +269,7 @@
     def checkpoint(self, place: int) -> None:
         host = self.hosts[place]
         if host.config.next_offset > 0:
-            for part in split_checkpoint(host.config.pack()):
+            for part in split_checkpoint(pack(host)):
                 self.append(host.encode(part))
 
     @rule(count=st.integers(min_value=1, max_value=15))
@@ -338,7 +346,7 @@
         """Let every host read on: all agree on the files, verdicts and limits."""
         reader = max(self.hosts, key=lambda host: host.config.next_offset)
         reader.read(self.log, self.earliest, len(self.log))
-        for part in split_checkpoint(reader.config.pack()):
+        for part in split_checkpoint(pack(reader)):
             self.append(reader.encode(part))
         for host in self.hosts:
             host.read(self.log, self.earliest, len(self.log))
--- a/trefoilstage/components/log_client/checkpoints.py
+++ b/trefoilstage/components/log_client/checkpoints.py
@@ -1,5 +1,6 @@
 """Pack states into checkpoints, put parts together, and decide who writes."""
 
+import asyncio
 import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -16,6 +17,8 @@
 MAX_PARTS = 512
 MAX_STATE_BYTES = 64_000_000
 MAX_UNFINISHED = 4
+COMPRESSION_LEVEL = 1
+SLICE_BYTES = 64_000
 STAGGER_S = 2.0
 MAX_STAGGER_RANK = 5
 
@@ -29,10 +32,33 @@
     data: bytes
 
 
-def pack_state(adapter: TypeAdapter[Any], state: Any, offset: int) -> PackedState:
-    """Return a state's checkpoint form."""
-    data = zlib.compress(cbor2.dumps(adapter.dump_python(state, mode="python")), 1)
-    return PackedState(offset=offset, fold_version=FOLD_VERSION, data=data)
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DumpedState:
+    """Hold the state before an offset as it was, not yet compressed."""
+
+    offset: int
+    data: bytes
+
+
+def dump_state(adapter: TypeAdapter[Any], state: Any, offset: int) -> DumpedState:
+    """Return a state's bytes."""
+    data = cbor2.dumps(adapter.dump_python(state, mode="python"))
+    return DumpedState(offset=offset, data=data)
+
+
+async def compress_state(dumped: DumpedState) -> PackedState:
+    """Return a state's checkpoint form, leaving the loop free between slices."""
+    # A state of 10 MB takes a quarter of a second to compress. In one go, every
+    # stream of tokens through this host would pause for as long.
+    deflater = zlib.compressobj(COMPRESSION_LEVEL)
+    slices = []
+    for start in range(0, len(dumped.data), SLICE_BYTES):
+        slices.append(deflater.compress(dumped.data[start : start + SLICE_BYTES]))
+        await asyncio.sleep(0)
+    slices.append(deflater.flush())
+    return PackedState(
+        offset=dumped.offset, fold_version=FOLD_VERSION, data=b"".join(slices)
+    )
 
 
 def unpack_state(adapter: TypeAdapter[Any], packed: PackedState) -> Any:
--- a/trefoilstage/components/log_client/folds.py
+++ b/trefoilstage/components/log_client/folds.py
@@ -7,8 +7,9 @@
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.checkpoints import (
+    DumpedState,
     PackedState,
-    pack_state,
+    dump_state,
     unpack_state,
 )
 from trefoilstage.configuration.fold import (
@@ -88,9 +89,9 @@
         self._blackboard.ledgers[self._number] = state
         return True
 
-    def pack(self) -> PackedState:
-        """Return the present state's checkpoint form."""
-        return pack_state(LEDGER_STATE_ADAPTER, self.state, self.next_offset)
+    def dump(self) -> DumpedState:
+        """Return the present state's bytes."""
+        return dump_state(LEDGER_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
@@ -151,9 +152,9 @@
         self._blackboard.config = unpack_state(CONFIG_STATE_ADAPTER, packed)
         return True
 
-    def pack(self) -> PackedState:
-        """Return the present state's checkpoint form."""
-        return pack_state(CONFIG_STATE_ADAPTER, self.state, self.next_offset)
+    def dump(self) -> DumpedState:
+        """Return the present state's bytes."""
+        return dump_state(CONFIG_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
--- a/trefoilstage/components/log_client/interfaces.py
+++ b/trefoilstage/components/log_client/interfaces.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from trefoilstage.components.log_client.checkpoints import PackedState
+from trefoilstage.components.log_client.checkpoints import DumpedState, PackedState
 from trefoilstage.components.log_client.client import LogPage
 from trefoilstage.components.log_client.writer import RecordSink
 from trefoilstage.helpers.verdict import Verdict
@@ -40,8 +40,8 @@
     def restore(self, packed: PackedState) -> bool:
         """Take a state newer than the present one; tell whether it was."""
 
-    def pack(self) -> PackedState:
-        """Return the present state's checkpoint form."""
+    def dump(self) -> DumpedState:
+        """Return the present state's bytes."""
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -12,7 +12,9 @@
     CheckpointAssembly,
     CheckpointSchedule,
     CheckpointWatch,
+    DumpedState,
     PackedState,
+    compress_state,
     split_checkpoint,
 )
 from trefoilstage.components.log_client.client import LogPage, LogRecord
@@ -287,11 +289,15 @@
         if not self._schedule.is_turn(rank, now):
             return
         self._schedule.writing = True
+        self.add_future(self._write_checkpoint(self.fold.dump()))
+
+    async def _write_checkpoint(self, dumped: DumpedState) -> None:
+        packed = await compress_state(dumped)
         # Ahead of the queue: after a long outage the records that wait are
         # of no use to a host that can't find the state before them.
-        tickets = self._writer.submit_first(split_checkpoint(self.fold.pack()))
+        tickets = self._writer.submit_first(split_checkpoint(packed))
         tickets[-1].future.add_done_callback(self._end_checkpoint)
-        log_event(Event.CHECKPOINT_WRITTEN, stream=self.name, offset=offset)
+        log_event(Event.CHECKPOINT_WRITTEN, stream=self.name, offset=packed.offset)
 
     def _end_checkpoint(self, _: object) -> None:
         self._schedule.writing = False
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -9,6 +9,7 @@
 from trefoilstage.components.log_client.checkpoints import (
     CheckpointSchedule,
     PackedState,
+    compress_state,
 )
 from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
 from trefoilstage.components.log_client.interfaces import RecordSource, StreamFold
@@ -99,7 +100,7 @@
         return pick_stream(account, n_streams)
 
     def submit_ledger(self, number: int, record: LedgerRecord) -> Ticket:
-        """Queue a record, or raise StreamNotFollowedError before the stream is followed."""
+        """Queue a record; raise StreamNotFollowedError before it is followed."""
         stream = self.ledgers.get(number)
         if stream is None:
             raise StreamNotFollowedError(f"ledger stream {number} is not followed yet")
@@ -109,11 +110,11 @@
         """Queue a record for the configuration stream."""
         return self.config.submit(record)
 
-    def pack(self, name: str) -> PackedState | None:
+    async def pack(self, name: str) -> PackedState | None:
         """Return a followed stream's state, or None before it is whole."""
         for stream in [self.config, *self.ledgers.values()]:
             if stream.name == name and stream.status.caught_up:
-                return stream.fold.pack()
+                return await compress_state(stream.fold.dump())
         return None
 
     def is_halted(self) -> bool:
--- a/trefoilstage/components/peers/snapshots.py
+++ b/trefoilstage/components/peers/snapshots.py
@@ -1,6 +1,6 @@
 """Give peers the state of a stream, where the log has no checkpoint."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from trefoilstage.components.log_client.checkpoints import (
@@ -11,7 +11,7 @@
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import NotReadyError
 
-PackStream = Callable[[str], PackedState | None]
+PackStream = Callable[[str], Awaitable[PackedState | None]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,7 +31,7 @@
         server.register(ReadState, self._answer)
 
     async def _answer(self, message: ReadState) -> PeerMessage:
-        packed = self._find(message)
+        packed = await self._find(message)
         parts = split_checkpoint(packed)
         if message.part >= len(parts):
             raise NotReadyError("no such part")
@@ -43,14 +43,14 @@
             n_parts=len(parts),
         )
 
-    def _find(self, message: ReadState) -> PackedState:
+    async def _find(self, message: ReadState) -> PackedState:
         last = self._last
         if message.offset is not None:
             known = last is not None and last.stream == message.stream
             if last is None or not known or last.packed.offset != message.offset:
                 raise NotReadyError("the state has moved on")
             return last.packed
-        packed = self._pack(message.stream)
+        packed = await self._pack(message.stream)
         if packed is None:
             raise NotReadyError("the stream is not caught up here")
         self._last = Snapshot(stream=message.stream, packed=packed)
