--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -13,6 +13,10 @@
     """Report that the same call may succeed later."""
 
 
+class StreamNotFollowedError(NotReadyError):
+    """Report a stream that this host does not follow yet; nothing was sent."""
+
+
 class LogUnavailableError(NotReadyError):
     """Report that the log gave no answer; the append may have taken effect."""
 
@@ -33,5 +37,9 @@
     """Report that a peer gave no answer; it may have acted all the same."""
 
 
+class HostCrashedError(TrefoilstageError):
+    """Report that a part of the host failed, so that the process must end."""
+
+
 class SettingsError(TrefoilstageError):
     """Report every finding in a settings file at once."""
