--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -78,6 +78,10 @@
         """Return the configuration in force."""
         return self.config.configuration
 
+    def has_ledgers(self) -> bool:
+        """Tell whether every ledger of the configuration in force is followed."""
+        return len(self.ledgers) >= self.configuration.fleet.ledger_streams
+
     def list_live_peers(self) -> list[HostEntry]:
         """Return the reachable hosts other than this one, by name."""
         return [
@@ -86,6 +90,14 @@
             if name != self.host and self.is_peer_live(entry)
         ]
 
+    def list_presumed_hosts(self) -> list[str]:
+        """Return the hosts not known to be lost; in a large fleet few are watched."""
+        return [
+            name
+            for name in sorted({*self.config.hosts, self.host})
+            if name not in self.peers or self.peers[name].reachable
+        ]
+
     def is_peer_live(self, entry: HostEntry) -> bool:
         """Tell whether a host's current incarnation answers."""
         status = self.peers.get(entry.host)
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -6,6 +6,12 @@
 from pydantic import Field
 
 from trefoilstage.components.budget.messages import BudgetMessage
+from trefoilstage.components.keys.messages import (
+    ClaimKey,
+    ClaimReply,
+    ReadRun,
+    RunPage,
+)
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.ledger.records import Name, Tokens
@@ -98,6 +104,10 @@
     | StateReply
     | AppendRecords
     | AppendReply
+    | ClaimKey
+    | ClaimReply
+    | ReadRun
+    | RunPage
     | ErrorReply
 )
 
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -34,6 +34,7 @@
     log_poll_s: Seconds = 1.0
     heartbeat_s: Seconds = 0.25
     suspect_after_s: Seconds = 1.5
+    forget_after_s: Seconds = 600.0
     draw_horizon_s: Seconds = 2.0
     budget_policy: BudgetPolicy = BudgetPolicy.ADAPTIVE
     recovery: Recovery = Recovery.WITNESS
@@ -41,6 +42,7 @@
     witness_timeout_s: Seconds = 0.4
     recovery_grace_s: Seconds = 1.2
     admission_wait_s: Seconds = 1.0
+    answer_retention_s: Seconds = 120.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
     checkpoint_interval_s: Seconds = 600.0
     drain_timeout_s: Seconds = 120.0
