--- a/tests/common.py
+++ b/tests/common.py
@@ -9,8 +9,15 @@
 from pathlib import Path
 from typing import Any, Self
 
+from pydantic import TypeAdapter
+
 from standins.launcher import Launcher, LaunchError, Running, wait_for
 from standins.proxy import FaultProxy
+from trefoilstage.components.log_client.checkpoints import (
+    PackedState,
+    compress_state,
+    dump_state,
+)
 from trefoilstage.util.hashing import hash_request_key, rank_by_rendezvous
 
 ROOT = Path(__file__).parent.parent
@@ -305,6 +312,12 @@
     return f"127.0.1.{int(name.rsplit('-', 1)[1]) + 1}"
 
 
+def pack_state(adapter: TypeAdapter[Any], state: Any) -> PackedState:
+    """Return a state's checkpoint form, as a host writes it."""
+    dumped = dump_state(adapter, state, state.next_offset)
+    return asyncio.run(compress_state(dumped))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerAnswer:
     """Hold what a caller got."""
--- a/tests/fuzz/ledger_world.py
+++ b/tests/fuzz/ledger_world.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass, field
 
+from tests.common import pack_state
 from trefoilstage.components.budget.account import AccountPool
 from trefoilstage.components.budget.messages import Bound, BoundReply
 from trefoilstage.components.budget.policy import BudgetPolicy, DrawPolicy, Situation
 from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool
 from trefoilstage.components.budget.table import WitnessTable
-from trefoilstage.components.log_client.checkpoints import pack_state, unpack_state
+from trefoilstage.components.log_client.checkpoints import unpack_state
 from trefoilstage.components.log_client.folds import LEDGER_STATE_ADAPTER
 from trefoilstage.configuration.schema import Preference
 from trefoilstage.helpers.verdict import Accepted
@@ -211,8 +212,7 @@
         """Replace a host's state by a checkpoint of another's newer one."""
         if source.state.next_offset <= host.state.next_offset:
             return
-        offset = source.state.next_offset
-        packed = pack_state(LEDGER_STATE_ADAPTER, source.state, offset)
+        packed = pack_state(LEDGER_STATE_ADAPTER, source.state)
         host.state = unpack_state(LEDGER_STATE_ADAPTER, packed)
         last = host.state.sequences.get(host.name, -1)
         for sequence in [number for number in host.pending if number <= last]:
--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -39,6 +39,10 @@
             )
             frozen.signal(signal.SIGSTOP)
             queued = asyncio.create_task(fleet.chat(frozen, max_tokens=200))
+            await wait_for(
+                lambda: is_given_up(fleet, fleet.hosts[1:], frozen),
+                "the frozen host's draw to be sealed",
+            )
             await self.spend_rest(fleet, fleet.hosts[1:])
             frozen.signal(signal.SIGCONT)
             fleet.proxies["engine-0"].heal(address)
@@ -232,6 +236,17 @@
     return bool(draw and draw["holds"] and not draw["unconfirmed"])
 
 
+async def is_given_up(fleet: Fleet, hosts: list[Running], lost: Running) -> bool:
+    """Tell whether hosts know no open draw of a lost one."""
+    for host in hosts:
+        state = await fleet.launcher.get_json(f"{host.operator_url}/state")
+        for ledger in state["blackboard"]["ledgers"].values():
+            for draw in ledger["draws"].values():
+                if draw["status"] == "open" and draw["holder"].startswith(lost.name):
+                    return False
+    return True
+
+
 async def find_witness(fleet: Fleet, host: Running) -> str:
     """Return the name of the host that vouches for another's draw."""
     pool = await get_pool(fleet, host)
--- a/tests/promises/test_settlement.py
+++ b/tests/promises/test_settlement.py
@@ -4,8 +4,8 @@
 import unittest
 
 from standins.launcher import wait_for
-from tests.common import Fleet
-from trefoilstage.components.log_client.checkpoints import pack_state, unpack_state
+from tests.common import Fleet, pack_state
+from trefoilstage.components.log_client.checkpoints import unpack_state
 from trefoilstage.components.log_client.folds import LEDGER_STATE_ADAPTER
 from trefoilstage.helpers.verdict import Verdict
 from trefoilstage.ledger.fold import fold_envelope
@@ -132,7 +132,7 @@
         that folded everything does: the dearer run is what the key costs.
         """
         self.settle(FIRST)
-        packed = pack_state(LEDGER_STATE_ADAPTER, self.state, self.state.next_offset)
+        packed = pack_state(LEDGER_STATE_ADAPTER, self.state)
         replayed = unpack_state(LEDGER_STATE_ADAPTER, packed)
         states = (self.state, replayed)
         sequence = self.sequence
