--- a/tests/components/test_stream.py
+++ b/tests/components/test_stream.py
@@ -85,7 +85,11 @@
         """Read from the log unless cut."""
         if self.cut_reads:
             raise LogUnavailableError("cut")
-        return await self.log.read(stream, offset, wait_s=wait_s)
+        page = await self.log.read(stream, offset, wait_s=wait_s)
+        # A read under way when the cut comes must lose its answer as well.
+        if self.cut_reads:
+            raise LogUnavailableError("cut")
+        return page
 
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Give no state, as without peers."""
