--- a/tests/promises/test_booking.py
+++ b/tests/promises/test_booking.py
@@ -217,7 +217,13 @@
 async def hold_intent_answer(
     fleet: Fleet, victim: Running, key: str, task: Booking
 ) -> None:
-    """Stop what the log answers, with the intent kept."""
+    """Stop what the log answers, with the intent kept.
+
+    The host would read its intent through a peer and go on, so the peers are
+    cut off too.
+    """
+    others = [host for host in fleet.hosts if host is not victim]
+    fleet.cut_apart([victim], others)
     fleet.proxies["log"].rules[get_address(victim.name)].hold_answers = True
     await wait_for_open_intent(fleet, key)
 
--- a/trefoilstage/components/operators/views.py
+++ b/trefoilstage/components/operators/views.py
@@ -7,6 +7,7 @@
     FileAnswer,
     HostAnswer,
     StatusAnswer,
+    StreamAnswer,
     TargetAnswer,
 )
 from trefoilstage.ledger.state import DrawStatus, LedgerState
@@ -17,10 +18,20 @@
     return StatusAnswer(
         host=blackboard.host,
         incarnation=blackboard.incarnation,
+        data_center=blackboard.data_center,
         phase=blackboard.phase.value,
         revision=blackboard.config.revision,
         caught_up=caught_up,
         n_active=blackboard.n_active,
+        streams=[
+            StreamAnswer(
+                name=name,
+                reachable=status.reachable,
+                caught_up=status.caught_up,
+                next_offset=status.next_offset,
+            )
+            for name, status in sorted(blackboard.streams.items())
+        ],
     )
 
 
@@ -46,14 +57,13 @@
         for name, account in ledger.accounts.items():
             if not name.startswith(BUDGET_ACCOUNT_PREFIX):
                 continue
-            spent = account.closed_spend - account.credit
-            spent += count_open_spend(ledger, name)
+            open_spend = count_open_spend(ledger, name)
             answers.append(
                 BudgetAnswer(
                     name=name.removeprefix(BUDGET_ACCOUNT_PREFIX),
                     paid=account.paid,
-                    spent=spent,
-                    held=account.held,
+                    spent=account.closed_spend - account.credit + open_spend,
+                    held=account.held - open_spend,
                     free=account.free,
                     doubtful=count_doubtful(ledger, name),
                 )
@@ -77,8 +87,18 @@
 
 def describe_files(blackboard: Blackboard) -> list[FileAnswer]:
     """Return the files in force in the order of their merge."""
+    authors = {
+        entry.offset: entry.author
+        for entry in blackboard.config.history
+        if entry.accepted
+    }
     return [
-        FileAnswer(name=name, revision=item.revision, content=item.content)
+        FileAnswer(
+            name=name,
+            revision=item.revision,
+            author=authors.get(item.revision, ""),
+            content=item.content,
+        )
         for name, item in sorted(blackboard.config.files.items())
     ]
 
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from trefoilstage.components.budget.messages import BudgetMessage
 from trefoilstage.components.keys.messages import (
     ClaimKey,
     ClaimReply,
@@ -13,7 +14,7 @@
 )
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import BilledRequest, Name, Tokens
+from trefoilstage.ledger.records import Name, Tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,28 +26,6 @@
     kind: Literal["heartbeat"] = "heartbeat"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Bound:
-    """Ask a draw's witness to allow spend up to a level."""
-
-    draw: Name
-    stream: Tokens
-    holder: Name
-    sequence: Tokens
-    level: Tokens
-    opened: tuple[BilledRequest, ...] = ()
-    closed: tuple[Name, ...] = ()
-    kind: Literal["bound"] = "bound"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BoundReply:
-    """Answer a bound; a refused one means that the draw is being sealed."""
-
-    allowed: bool
-    kind: Literal["bound_reply"] = "bound_reply"
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRecords:
     """Ask a peer for the records of a stream from an offset on."""
@@ -58,15 +37,39 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordsReply:
-    """Answer with the records a peer still holds."""
+    """Answer with the records a peer holds, or say from where on they are kept."""
 
     offsets: tuple[int, ...] = ()
     records: tuple[bytes, ...] = ()
     next_offset: int = 0
     earliest: int = 0
+    expired: bool = False
+    fresh: bool = True
     kind: Literal["records_reply"] = "records_reply"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadState:
+    """Ask a peer for a part of a stream's state; of one state while offset is set."""
+
+    stream: Name
+    part: Tokens = 0
+    offset: Tokens | None = None
+    kind: Literal["read_state"] = "read_state"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StateReply:
+    """Answer with a part of the compressed state before an offset."""
+
+    offset: Tokens
+    fold_version: int
+    state: bytes
+    part: Tokens
+    n_parts: Annotated[int, Field(ge=1)]
+    kind: Literal["state_reply"] = "state_reply"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AppendRecords:
     """Ask a peer to append a group to the log."""
@@ -94,10 +97,11 @@
 
 PeerMessage = (
     Heartbeat
-    | Bound
-    | BoundReply
+    | BudgetMessage
     | ReadRecords
     | RecordsReply
+    | ReadState
+    | StateReply
     | AppendRecords
     | AppendReply
     | ClaimKey
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -12,8 +12,7 @@
 from trefoilstage.blackboard import Blackboard, Phase
 from trefoilstage.components.booking.client import ServiceClient, make_send_trace
 from trefoilstage.components.booking.controller import BookingController
-from trefoilstage.components.budget.controller import BudgetController
-from trefoilstage.components.budget.witness import WitnessController
+from trefoilstage.components.budget.setup import make_budget_parts
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.server import CallerServer
 from trefoilstage.components.configuration.controller import ConfigurationController
@@ -21,13 +20,15 @@
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.controller import MembershipController
+from trefoilstage.components.operators.metrics import MetricsController
 from trefoilstage.components.operators.server import OperatorServer
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
-from trefoilstage.helpers.dump import dump_value
+from trefoilstage.helpers.dump import StateRegistry
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.settings import HostSettings
@@ -48,6 +49,7 @@
             data_center=settings.data_center,
         )
         self.drain_requested = asyncio.Event()
+        self._registry = StateRegistry()
 
     async def on_start(self) -> None:
         """Build the parts and start them, inner ones first."""
@@ -60,30 +62,36 @@
                 limit=0, force_close=True, local_addr=(outbound_address, 0)
             )
         )
-        metrics = Metrics(address=settings.statsd_address, port=settings.statsd_port)
+        metrics = Metrics(
+            address=settings.statsd_address,
+            port=settings.statsd_port,
+            host=settings.host,
+        )
         generator = random.Random(self.blackboard.incarnation)
         self._timer = TimerService()
         self._links = PeerLinks(outbound_address=outbound_address)
         self._peer_server = PeerServer(
             address=settings.address, port=settings.peer_port
         )
-        self._streams = self._make_streams()
-        self._budget = BudgetController(
+        self._streams = self._make_streams(generator)
+        targets = TargetClient(session=self._session, blackboard=self.blackboard)
+        budget_parts = make_budget_parts(
+            settings=settings,
             blackboard=self.blackboard,
             streams=self._streams,
             links=self._links,
+            server=self._peer_server,
+            targets=targets,
             timer=self._timer,
-            horizon_s=settings.draw_horizon_s,
-            admission_wait_s=settings.admission_wait_s,
-            witness_timeout_s=settings.suspect_after_s,
             generator=generator,
         )
+        self._budget = budget_parts.budget
         self._keys = KeyController(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
-                targets=TargetClient(session=self._session, blackboard=self.blackboard),
+                targets=targets,
             ),
             links=self._links,
             server=self._peer_server,
@@ -109,7 +117,7 @@
         self._operators = OperatorServer(
             blackboard=self.blackboard,
             streams=self._streams,
-            extra_state=self._budget.list_pools,
+            registry=self._registry,
             drain=self.drain_requested.set,
             address=settings.address,
             port=settings.operator_port,
@@ -118,39 +126,58 @@
             self._timer,
             self._links,
             self._peer_server,
+            self._log,
             self._streams,
-            *self._make_controllers(generator),
+            *self._make_controllers(),
+            budget_parts.witness,
+            budget_parts.recovery,
             self._budget,
             self._keys,
             self._callers,
             self._operators,
+            MetricsController(
+                blackboard=self.blackboard,
+                streams=self._streams,
+                timer=self._timer,
+                metrics=metrics,
+            ),
         ]
+        self._register_state()
         for part in parts:
             await self.add_runtime_dependency(part)
         self._announce()
 
-    def _make_streams(self) -> Streams:
+    def _register_state(self) -> None:
+        self._registry.register("blackboard", lambda: self.blackboard)
+        self._registry.register("settings", lambda: self._settings)
+        self._registry.register("budget", self._budget.list_pools)
+
+    def _make_streams(self, generator: random.Random) -> Streams:
         settings = self._settings
         client = LogClient(
             session=self._session,
             url=settings.log_url,
-            timeout_s=settings.log_timeout_s,
         )
-        source = RelayedLog(
+        self._log = RelayedLog(
             client=client,
             blackboard=self.blackboard,
             links=self._links,
             server=self._peer_server,
             timeout_s=settings.log_timeout_s,
+            generator=generator,
         )
-        return Streams(
+        streams = Streams(
             blackboard=self.blackboard,
-            source=source,
+            source=self._log,
             poll_s=settings.log_poll_s,
             checkpoint_every=settings.checkpoint_every,
+            checkpoint_interval_s=settings.checkpoint_interval_s,
+            generator=generator,
         )
+        SnapshotServer(server=self._peer_server, pack=streams.pack)
+        return streams
 
-    def _make_controllers(self, generator: random.Random) -> list[Service]:
+    def _make_controllers(self) -> list[Service]:
         settings = self._settings
         return [
             MembershipController(
@@ -165,14 +192,6 @@
                 blackboard=self.blackboard,
                 streams=self._streams,
                 timer=self._timer,
-                generator=generator,
-            ),
-            WitnessController(
-                blackboard=self.blackboard,
-                streams=self._streams,
-                server=self._peer_server,
-                timer=self._timer,
-                suspect_after_s=settings.suspect_after_s,
             ),
         ]
 
@@ -213,7 +232,7 @@
         self.blackboard.phase = Phase.DRAINING
         log_event(Event.HOST_DRAINING, host=self._settings.host)
         await self._callers.drain(self._settings.drain_timeout_s)
-        await self._budget.return_all()
+        await self._budget.return_all(self._settings.drain_timeout_s)
         self._streams.submit_config(HostDown(incarnation=self.blackboard.incarnation))
         try:
             async with asyncio.timeout(self._settings.drain_timeout_s):
@@ -229,11 +248,7 @@
 
     def write_dump(self) -> None:
         """Write the whole state to standard error as one JSON line."""
-        state = {
-            "blackboard": dump_value(self.blackboard),
-            "controllers": dump_value(self._budget.list_pools()),
-        }
-        sys.stderr.write(json.dumps(state) + "\n")
+        sys.stderr.write(json.dumps(self._registry.dump()) + "\n")
 
 
 def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
