Hold watts until the target says a request ended

Cause: nothing kept a site's engines below its ceiling. The ledger had the account, but no request held watts in it.

Change: each request holds its target's watts in the site's account before it is sent, and gives them back only on the target's word (end of stream, refusal, confirmed cancel). A lost host's watts come back by a Release with a fencing number: the offset of the seal, up to which the targets refuse the host. The target-choosing part of generations moves to components/targets/dispatcher.py. The engine stand-in meters watts over time, fences, remembers prefixes, reads prompts by priority and runs on after its caller has gone when told so.

In the ledger: DrawState keeps the offsets of its opening and its seal; Release carries a fencing number, may be written by any host, and is for sites only. In the budget controller: give_back() returns an account's idle part at once; a wait for a draw no longer reads the result of a later draw (InvalidStateError, seen as a 500 when several requests waited for the same draw).

Ruled out: giving back at a time limit, cancelling the lowest priority on a lowered ceiling, shares fixed for each host; see docs/design/targets.md.

--- /dev/null
+++ b/standins/engine_prompts.py
@@ -0,0 +1,37 @@
+"""Let an engine stand-in read one prompt at a time, by priority."""
+
+import asyncio
+import heapq
+import itertools
+
+
+class PromptLane:
+    """Admit one request at a time, the highest priority first."""
+
+    def __init__(self) -> None:
+        self._busy = False
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    async def enter(self, priority: int) -> None:
+        """Wait for the lane; leave() gives it to the next."""
+        if not self._busy:
+            self._busy = True
+            return
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (-priority, next(self._numbers), turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give the lane to the next one that still waits."""
+        while self._waiting:
+            _, _, turn = heapq.heappop(self._waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._busy = False
--- a/standins/main.py
+++ b/standins/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from standins.common import serve_app
-from standins.engine import EngineControl, EngineStandin
+from standins.engine import EngineControl, EngineOptions, EngineStandin
 from standins.log import LogStandin
 from standins.service import ServiceStandin
 
@@ -35,14 +35,31 @@
 
     port: Annotated[int, cappa.Arg(long=True)] = 0
     tokens_per_s: Annotated[float, cappa.Arg(long=True)] = 200.0
+    prompt_tokens_per_s: Annotated[float, cappa.Arg(long=True)] = 20_000.0
+    batch_slowdown: Annotated[float, cappa.Arg(long=True)] = 0.0
     max_running: Annotated[int, cappa.Arg(long=True)] = 32
+    idle_watts: Annotated[int, cappa.Arg(long=True)] = 0
+    watts_per_request: Annotated[int, cappa.Arg(long=True)] = 0
+    checks_fencing: Annotated[bool, cappa.Arg(long=True)] = False
+    keep_running: Annotated[bool, cappa.Arg(long=True)] = False
+    cache_blocks: Annotated[int, cappa.Arg(long=True)] = 4096
 
     def __call__(self) -> None:
         """Serve."""
         control = EngineControl(
-            tokens_per_s=self.tokens_per_s, max_running=self.max_running
+            tokens_per_s=self.tokens_per_s,
+            prompt_tokens_per_s=self.prompt_tokens_per_s,
+            batch_slowdown=self.batch_slowdown,
+            max_running=self.max_running,
+            keep_running=self.keep_running,
         )
-        app = EngineStandin(control=control).make_app()
+        options = EngineOptions(
+            idle_watts=self.idle_watts,
+            watts_per_request=self.watts_per_request,
+            checks_fencing=self.checks_fencing,
+            cache_blocks=self.cache_blocks,
+        )
+        app = EngineStandin(control=control, options=options).make_app()
         asyncio.run(serve_app(app, name="engine", address=LOOPBACK, port=self.port))
 
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -171,6 +171,32 @@
         ]
         return sum(meter["tokens"] for meter in meters)
 
+    async def get_ledger(self, host: Running) -> dict[str, Any]:
+        """Return a host's fold of the first ledger stream."""
+        state = await self.launcher.get_json(f"{host.operator_url}/state")
+        return dict(state["blackboard"]["ledgers"]["0"])
+
+    async def list_executed(self, engine: Running) -> list[dict[str, Any]]:
+        """Return the requests that an engine's own meter shows."""
+        meter = await self.launcher.get_json(f"{engine.url}/meter")
+        return list(meter["requests"])
+
+    async def list_power(self) -> list[tuple[float, int]]:
+        """Return the watts of all engines' meters together, change by change."""
+        changes: list[tuple[float, int]] = []
+        for engine in self.engines:
+            meter = await self.launcher.get_json(f"{engine.url}/meter")
+            before = 0
+            for change in meter["timeline"]:
+                changes.append((change["at"], change["watts"] - before))
+                before = change["watts"]
+        total = 0
+        power: list[tuple[float, int]] = []
+        for at, difference in sorted(changes):
+            total += difference
+            power.append((at, total))
+        return power
+
     async def list_effects(self) -> list[dict[str, Any]]:
         """Return the effects that the service's own meter shows."""
         meter = await self.launcher.get_json(f"{self.service.url}/meter")
--- /dev/null
+++ b/trefoilstage/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the admission package."""
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -132,6 +132,14 @@
             if draw is not None and draw.draw == reservation.draw:
                 draw.settle_hold(reservation.request, min(tokens, reservation.tokens))
 
+    def give_back(self, account: str) -> None:
+        """Return what no request holds of an account at once."""
+        pool = self._get_pool(account)
+        draw = pool.current
+        state = None if draw is None else self._get_state(pool, draw)
+        if draw is not None and state is not None and not draw.returning:
+            self._return_idle(pool, draw, state)
+
     def list_pools(self) -> list[AccountPool]:
         """Return this host's pools by account."""
         return [self._pools[name] for name in sorted(self._pools)]
@@ -173,12 +181,13 @@
         if pool.drawing is None or pool.drawing.done():
             pool.drawing = asyncio.create_task(self._draw(pool, tokens))
         remaining = deadline - self._timer.now()
-        done, _ = await asyncio.wait({pool.drawing}, timeout=max(0.0, remaining))
+        drawing = pool.drawing
+        done, _ = await asyncio.wait({drawing}, timeout=max(0.0, remaining))
         if not done:
             return Refusal(
                 reason=Reason.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_LOG_S
             )
-        verdict = pool.drawing.result()
+        verdict = drawing.result()
         if isinstance(verdict, Rejected) and verdict.reason in (
             Reason.BUDGET_EXHAUSTED,
             Reason.UNKNOWN_ACCOUNT,
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -8,23 +8,10 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.budget.controller import BudgetController, Reservation
 from trefoilstage.components.callers.models import Caller, ChatRequest
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
-from trefoilstage.components.routing.choice import (
-    Candidate,
-    list_candidates,
-    pick_target,
-)
-from trefoilstage.components.targets.client import (
-    TargetBrokenError,
-    TargetClient,
-    TargetRefusedError,
-)
-from trefoilstage.components.targets.models import Chunk, Generation, Usage
-from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.helpers.verdict import Effect, Reason, Refusal
-
-MAX_TRIES = 3
-RETRY_AFTER_OVERLOAD_S = 1.0
+from trefoilstage.components.targets.dispatcher import Dispatcher
+from trefoilstage.components.targets.models import Chunk, Delivery, Job, Usage
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
+from trefoilstage.helpers.verdict import Reason, Refusal
 
 
 @dataclass(kw_only=True, slots=True)
@@ -32,10 +19,19 @@
     """Hold what a generation has yielded so far."""
 
     chunks: list[Chunk] = field(default_factory=list)
-    usage: Usage | None = None
-    target: str = ""
+    delivery: Delivery = field(default_factory=Delivery)
     refusal: Refusal | None = None
 
+    @property
+    def usage(self) -> Usage | None:
+        """Return what the target says it spent."""
+        return self.delivery.usage
+
+    @property
+    def target(self) -> str:
+        """Return the target that took the request, if any."""
+        return self.delivery.target
+
     @property
     def text(self) -> str:
         """Return the answer's text."""
@@ -55,11 +51,11 @@
         *,
         blackboard: Blackboard,
         budget: BudgetController,
-        targets: TargetClient,
+        dispatcher: Dispatcher,
     ) -> None:
         self._blackboard = blackboard
         self._budget = budget
-        self._targets = targets
+        self._dispatcher = dispatcher
 
     async def run(
         self, caller: Caller, chat: ChatRequest, answer: Answer
@@ -83,7 +79,7 @@
             return
         spent = reservation.tokens
         try:
-            async for chunk in self._try_targets(caller, chat, n_output, answer):
+            async for chunk in self._deliver(caller, chat, n_output, answer):
                 yield chunk
             spent = await self._count_spent(caller, answer, reservation)
         except (asyncio.CancelledError, GeneratorExit):
@@ -93,70 +89,24 @@
             raise
         self._budget.settle(reservation, spent)
 
-    async def _try_targets(
+    async def _deliver(
         self, caller: Caller, chat: ChatRequest, n_output: int, answer: Answer
     ) -> AsyncIterator[Chunk]:
-        excluded: frozenset[str] = frozenset()
-        for _ in range(MAX_TRIES):
-            candidate = self._pick(chat.model, excluded)
-            if candidate is None:
-                break
-            generation = make_generation(caller, chat, n_output)
-            answer.target = candidate.name
-            status = self._targets.get_status(candidate.name)
-            status.active += 1
-            try:
-                async for chunk in self._targets.generate(candidate.config, generation):
-                    answer.chunks.append(chunk)
-                    answer.usage = chunk.usage or answer.usage
-                    yield chunk
-                return
-            except TargetRefusedError as error:
-                self._note_failure(caller, candidate, error)
-                excluded |= {candidate.name}
-                answer.target = ""
-            except TargetBrokenError as error:
-                self._note_failure(caller, candidate, error)
-                answer.refusal = Refusal(
-                    reason=Reason.TARGET_FAILED,
-                    effect=Effect.UNKNOWN,
-                    retry_after_s=RETRY_AFTER_OVERLOAD_S,
-                )
-                return
-            finally:
-                status.active -= 1
-        answer.refusal = Refusal(
-            reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_OVERLOAD_S
-        )
-
-    def _pick(self, model: str, excluded: frozenset[str]) -> Candidate | None:
-        candidates = list_candidates(self._blackboard.configuration.targets, model)
-        return pick_target(candidates, self._blackboard.targets, excluded)
-
-    def _note_failure(
-        self, caller: Caller, candidate: Candidate, error: Exception
-    ) -> None:
-        self._targets.get_status(candidate.name).failures += 1
-        log_event(
-            Event.TARGET_FAILED,
-            target=candidate.name,
-            request=caller.request,
-            workspace=caller.workspace,
-            error=str(error),
-        )
+        job = make_job(caller, chat, n_output)
+        try:
+            async for chunk in self._dispatcher.run(job, answer.delivery):
+                answer.chunks.append(chunk)
+                yield chunk
+        finally:
+            answer.refusal = answer.delivery.refusal
 
     async def _count_spent(
         self, caller: Caller, answer: Answer, reservation: Reservation
     ) -> int:
         if answer.refusal is None and answer.usage is not None:
             return answer.usage.total
-        if not answer.target:
-            return 0
-        target = self._blackboard.configuration.targets.get(answer.target)
-        if target is None:
-            return reservation.tokens
-        usage = await self._targets.cancel(target, caller.request)
-        return reservation.tokens if usage is None else usage.total
+        spent = await self._dispatcher.cancel(caller.request, answer.delivery)
+        return reservation.tokens if spent is None else spent
 
     def _cancel_later(
         self, caller: Caller, answer: Answer, reservation: Reservation
@@ -172,18 +122,21 @@
         task.add_done_callback(self._blackboard.closing.discard)
 
 
-def make_generation(caller: Caller, chat: ChatRequest, n_output: int) -> Generation:
+def make_job(caller: Caller, chat: ChatRequest, n_output: int) -> Job:
     """Return the request to a target; always streamed, so that no end is silent."""
     body = chat.model_dump(exclude_none=True)
     body["stream"] = True
     body["max_tokens"] = n_output
     body.pop("max_completion_tokens", None)
-    return Generation(
+    contents = tuple(message.content for message in chat.messages)
+    return Job(
         request=caller.request,
         workspace=caller.workspace,
         model=chat.model,
         body=json.dumps(body).encode(),
+        contents=contents,
+        n_prompt=sum(map(len, contents)),
+        n_output=n_output,
         priority=caller.priority,
-        fencing=0,
-        timeout_s=caller.deadline_s,
+        deadline_s=caller.deadline_s,
     )
--- a/trefoilstage/components/configuration/controller.py
+++ b/trefoilstage/components/configuration/controller.py
@@ -7,6 +7,7 @@
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, SITE_ACCOUNT_PREFIX
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.ledger.records import SetLimit
 from trefoilstage.ledger.state import AccountState
@@ -14,8 +15,6 @@
 
 CHECK_S = 0.1
 MAX_TICKS_BEHIND = 10
-BUDGET_ACCOUNT_PREFIX = "budget:"
-SITE_ACCOUNT_PREFIX = "site:"
 
 
 class ConfigurationController(Service):  # type: ignore[misc]
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -9,7 +9,6 @@
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.models import (
@@ -32,6 +31,7 @@
 )
 from trefoilstage.configuration.fold import NEW_FILE
 from trefoilstage.configuration.records import Publish, Remove
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.helpers.verdict import Reason, Rejected
 from trefoilstage.ledger.records import TopUp
--- a/trefoilstage/components/operators/views.py
+++ b/trefoilstage/components/operators/views.py
@@ -1,7 +1,6 @@
 """Describe what a host knows, for operators."""
 
 from trefoilstage.blackboard import Blackboard, TargetStatus
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.components.operators.models import (
     BudgetAnswer,
     FileAnswer,
@@ -9,6 +8,7 @@
     StatusAnswer,
     TargetAnswer,
 )
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.ledger.state import DrawStatus, LedgerState
 
 
--- /dev/null
+++ b/trefoilstage/components/power/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the power package."""
--- /dev/null
+++ b/trefoilstage/components/power/lost.py
@@ -0,0 +1,74 @@
+"""Find lost hosts' watts and what must confirm their end; pure."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from trefoilstage.const import SITE_ACCOUNT_PREFIX
+from trefoilstage.ledger.state import DrawState, DrawStatus
+
+KEY_SEPARATOR = "/"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostDraw:
+    """Name a lost host's draw and the requests that may still use its watts.
+
+    Requests are listed by target; None stands for targets that are not known.
+    """
+
+    name: str
+    site: str
+    holder: str
+    fencing: int
+    requests: Mapping[str, tuple[str, ...]] | None
+
+
+def make_hold_key(target: str, request: str) -> str:
+    """Return the key that names a hold's target on the log."""
+    return f"{target}{KEY_SEPARATOR}{request}"
+
+
+def group_holds(keys: Iterable[str]) -> dict[str, tuple[str, ...]]:
+    """Return the requests of hold keys by target."""
+    grouped: dict[str, tuple[str, ...]] = {}
+    for key in sorted(keys):
+        target, _, request = key.partition(KEY_SEPARATOR)
+        grouped[target] = (*grouped.get(target, ()), request)
+    return grouped
+
+
+def is_site_draw(draw: DrawState) -> bool:
+    """Tell whether a draw holds watts."""
+    return draw.account.startswith(SITE_ACCOUNT_PREFIX)
+
+
+def describe_lost(name: str, draw: DrawState, next_offset: int) -> LostDraw:
+    """Return what must end before a lost host's draw is free.
+
+    The witness's seal names every request that may run. Without a seal nobody
+    knows them, and each target of the site must refuse the holder.
+    """
+    sealed = draw.status is DrawStatus.SEALED
+    return LostDraw(
+        name=name,
+        site=draw.account.removeprefix(SITE_ACCOUNT_PREFIX),
+        holder=draw.holder,
+        fencing=draw.sealed if sealed else next_offset,
+        requests=group_holds(draw.doubtful) if sealed else None,
+    )
+
+
+def is_mine(
+    draw: DrawState, incarnation: str, live: Mapping[str, str], lost: frozenset[str]
+) -> bool:
+    """Tell whether this host asks the targets about a draw.
+
+    `live` maps the live incarnations, this host's included, to host names;
+    `lost` holds the incarnations out of reach for long. Two hosts that both
+    think it theirs do no harm: what they report is true whoever reports it.
+    """
+    if draw.witness == incarnation:
+        return draw.status is DrawStatus.SEALED
+    if draw.holder not in lost or (draw.witness and draw.witness not in lost):
+        return False
+    return live[incarnation] == min(live.values())
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -1,32 +1,37 @@
 """Send work to model engines over HTTP."""
 
 from collections.abc import AsyncIterator
+from typing import TypeVar
 
 import aiohttp
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard, TargetStatus
 from trefoilstage.components.targets.models import (
-    CancelAnswer,
     Chunk,
     ChunkBody,
+    FenceAnswer,
     Generation,
-    Usage,
+    RequestAnswer,
 )
 from trefoilstage.configuration.schema import TargetConfig
 from trefoilstage.const import (
+    HEADER_FENCING,
+    HEADER_INCARNATION,
     HEADER_PRIORITY,
     HEADER_REQUEST_ID,
+    HEADER_REVISION,
     HEADER_WORKSPACE,
 )
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
 
 HTTP_OK = 200
-CANCEL_TIMEOUT_S = 1.0
-HEADER_FENCING = "X-Fencing"
+ORDER_TIMEOUT_S = 1.0
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
 
+AnswerT = TypeVar("AnswerT", bound=BaseModel)
+
 
 class TargetRefusedError(NotReadyError):
     """Report that a target did not take a request; it ran nothing."""
@@ -58,7 +63,9 @@
             HEADER_REQUEST_ID: generation.request,
             HEADER_WORKSPACE: generation.workspace,
             HEADER_PRIORITY: str(generation.priority),
+            HEADER_INCARNATION: generation.incarnation,
             HEADER_FENCING: str(generation.fencing),
+            HEADER_REVISION: str(generation.revision),
             "Content-Type": "application/json",
         }
         url = f"{target.url}/v1/chat/completions"
@@ -75,18 +82,43 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise TargetBrokenError(repr(error)) from error
 
-    async def cancel(self, target: TargetConfig, request: str) -> Usage | None:
-        """End a request at its target; return what it spent, None if not known."""
-        url = f"{target.url}/v1/requests/{request}/cancel"
-        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+    async def cancel(self, target: TargetConfig, request: str) -> RequestAnswer | None:
+        """End a request at its target; return how it stands, None if not known."""
+        path = f"/v1/requests/{request}/cancel"
+        return await self._order("POST", target, path, RequestAnswer)
+
+    async def ask(self, target: TargetConfig, request: str) -> RequestAnswer | None:
+        """Return how a request stands at its target, None if not known."""
+        return await self._order(
+            "GET", target, f"/v1/requests/{request}", RequestAnswer
+        )
+
+    async def fence(
+        self, target: TargetConfig, incarnation: str, fencing: int
+    ) -> FenceAnswer | None:
+        """Have a target refuse an incarnation up to a fencing number."""
+        order = {"incarnation": incarnation, "fencing": fencing}
+        return await self._order("POST", target, "/v1/fence", FenceAnswer, body=order)
+
+    async def _order(
+        self,
+        method: str,
+        target: TargetConfig,
+        path: str,
+        model: type[AnswerT],
+        *,
+        body: dict[str, object] | None = None,
+    ) -> AnswerT | None:
+        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
         try:
-            async with self._session.post(url, timeout=timeout) as response:
+            async with self._session.request(
+                method, f"{target.url}{path}", json=body, timeout=timeout
+            ) as response:
                 if response.status != HTTP_OK:
                     return None
-                answer = CancelAnswer.model_validate_json(await response.read())
+                return model.model_validate_json(await response.read())
         except (TimeoutError, aiohttp.ClientError, OSError, ValidationError):
             return None
-        return answer.usage
 
 
 async def read_chunks(
--- a/trefoilstage/components/targets/models.py
+++ b/trefoilstage/components/targets/models.py
@@ -4,12 +4,15 @@
 
 from pydantic import BaseModel, Field
 
+from trefoilstage.helpers.verdict import Refusal
+
 
 class Usage(BaseModel):
     """Count the tokens of one request, as the target reports them."""
 
     prompt_tokens: int = Field(ge=0)
     completion_tokens: int = Field(ge=0)
+    cached_tokens: int = Field(default=0, ge=0)
 
     @property
     def total(self) -> int:
@@ -39,11 +42,19 @@
     usage: Usage | None = None
 
 
-class CancelAnswer(BaseModel):
-    """Check a target's answer to a cancel."""
+class RequestAnswer(BaseModel):
+    """Check what a target says of one request; `ended` is final."""
 
     state: str
     usage: Usage
+    ended: bool = False
+
+
+class FenceAnswer(BaseModel):
+    """Check a target's answer to a fence: whether it holds, and who still runs."""
+
+    checked: bool
+    active: int = Field(ge=0)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,6 +67,30 @@
     finish_reason: str | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """Describe a request that any target of its model may run."""
+
+    request: str
+    workspace: str
+    model: str
+    body: bytes
+    contents: tuple[str, ...]
+    n_prompt: int
+    n_output: int
+    priority: int
+    deadline_s: float
+
+
+@dataclass(kw_only=True, slots=True)
+class Delivery:
+    """Hold where a job ran and how it ended; without a target nothing ran."""
+
+    target: str = ""
+    usage: Usage | None = None
+    refusal: Refusal | None = None
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Generation:
     """Describe a request to a model engine."""
@@ -65,5 +100,7 @@
     model: str
     body: bytes
     priority: int
+    incarnation: str
     fencing: int
+    revision: int
     timeout_s: float
--- a/trefoilstage/const.py
+++ b/trefoilstage/const.py
@@ -4,6 +4,8 @@
 
 CONFIG_STREAM: Final = "config"
 LEDGER_STREAM_PREFIX: Final = "ledger-"
+BUDGET_ACCOUNT_PREFIX: Final = "budget:"
+SITE_ACCOUNT_PREFIX: Final = "site:"
 
 FOLD_VERSION: Final = 1
 RECORD_VERSION: Final = 1
@@ -16,5 +18,8 @@
 HEADER_REQUEST_ID: Final = "X-Request-Id"
 HEADER_WORKSPACE: Final = "X-Workspace"
 HEADER_PRIORITY: Final = "X-Priority"
+HEADER_INCARNATION: Final = "X-Incarnation"
+HEADER_FENCING: Final = "X-Fencing"
+HEADER_REVISION: Final = "X-Revision"
 HEADER_DEADLINE_MS: Final = "X-Deadline-Ms"
 HEADER_RETRY_AFTER: Final = "Retry-After"
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -33,6 +33,8 @@
     DRAW_REJECTED = "draw_rejected"
     DRAW_SEALED = "draw_sealed"
     WITNESS_LOST = "witness_lost"
+    POWER_IN_DOUBT = "power_in_doubt"
+    POWER_RELEASED = "power_released"
     TARGET_FAILED = "target_failed"
     TIMER_FAILED = "timer_failed"
     CONFIG_IN_FORCE = "config_in_force"
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -23,7 +23,9 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.power.controller import PowerController
 from trefoilstage.components.targets.client import TargetClient
+from trefoilstage.components.targets.dispatcher import Dispatcher
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.helpers.events import Event, log_event
@@ -73,12 +75,23 @@
             witness_timeout_s=settings.suspect_after_s,
             generator=generator,
         )
+        targets = TargetClient(session=self._session, blackboard=self.blackboard)
+        self._power = PowerController(
+            blackboard=self.blackboard,
+            streams=self._streams,
+            budget=self._budget,
+            targets=targets,
+            timer=self._timer,
+            suspect_after_s=settings.suspect_after_s,
+        )
         self._callers = CallerServer(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
-                targets=TargetClient(session=self._session, blackboard=self.blackboard),
+                dispatcher=Dispatcher(
+                    blackboard=self.blackboard, targets=targets, power=self._power
+                ),
             ),
             bookings=BookingController(
                 blackboard=self.blackboard,
@@ -105,6 +118,7 @@
             self._streams,
             *self._make_controllers(generator),
             self._budget,
+            self._power,
             self._callers,
             self._operators,
         ]
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from trefoilstage.const import SITE_ACCOUNT_PREFIX
 from trefoilstage.helpers.verdict import ACCEPTED, Accepted, Reason, Rejected, Verdict
 from trefoilstage.ledger.records import (
     Abandon,
@@ -106,7 +107,12 @@
     if granted <= 0 or granted < record.minimum:
         return Rejected(reason=Reason.BUDGET_EXHAUSTED, detail=str(account.free))
     if draw is None:
-        draw = DrawState(account=record.account, holder=writer, witness=record.witness)
+        draw = DrawState(
+            account=record.account,
+            holder=writer,
+            witness=record.witness,
+            opened=offset,
+        )
         state.draws[record.draw] = draw
     draw.amount += granted
     account.held += granted
@@ -154,6 +160,7 @@
     before = draw.charge
     draw.status = DrawStatus.SEALED
     draw.bound = record.bound
+    draw.sealed = offset
     draw.doubtful = {request.key: request.tokens for request in record.requests}
     state.accounts[draw.account].held += draw.charge - before
     return Accepted(amount=before - draw.charge)
@@ -164,10 +171,12 @@
     draw = state.draws.get(record.draw)
     if draw is None:
         return Rejected(reason=Reason.UNKNOWN_DRAW)
-    if draw.witness != writer:
-        return Rejected(reason=Reason.NOT_WITNESS)
-    if draw.status is not DrawStatus.SEALED:
+    if not draw.account.startswith(SITE_ACCOUNT_PREFIX):
         return Rejected(reason=Reason.NOT_APPLICABLE)
+    # Any host may ask the targets, for the witness may be lost with the holder.
+    # A draw opened after the fence is not covered by it: its holder may yet run.
+    if record.fencing < draw.opened:
+        return Rejected(reason=Reason.STALE_REVISION)
     close_draw(state, record.draw)
     return ACCEPTED
 
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -84,9 +84,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Release:
-    """Free a sealed returnable draw whose requests are known to be over."""
+    """Free a lost holder's watts: its targets refuse it up to a fencing number."""
 
     draw: Name
+    fencing: Tokens
     kind: Literal["release"] = "release"
 
 
--- a/trefoilstage/ledger/state.py
+++ b/trefoilstage/ledger/state.py
@@ -21,6 +21,8 @@
     amount: int = 0
     spent: int = 0
     bound: int = 0
+    opened: int = 0
+    sealed: int = 0
     status: DrawStatus = DrawStatus.OPEN
     doubtful: dict[str, int] = field(default_factory=dict)
 
