--- a/standins/engine.py
+++ b/standins/engine.py
@@ -60,6 +60,7 @@
     idle_watts: int = 0
     watts_per_request: int = 0
     checks_fencing: bool = False
+    forgets_cancels: bool = False
     cache_blocks: int = Field(default=4096, ge=0)
 
 
@@ -174,9 +175,9 @@
 
     def _describe(self, name: str) -> web.Response:
         done = self._by_id.get(name)
-        # An engine that checks remembers the name and turns a late request
-        # away, so one that never came has ended too.
-        tombstone = self.options.checks_fencing and name in self._cancelled
+        # An engine that remembers the name turns a late request away, so one
+        # that never came has ended too.
+        tombstone = not self.options.forgets_cancels and name in self._cancelled
         answer = {
             "state": done.state if done else "unknown",
             "ended": done.ended is not None if done else tombstone,
@@ -202,9 +203,9 @@
     def _judge(self, done: ExecutedRequest) -> int | None:
         if self.control.fail_fast:
             return STATUS_FAILED
+        if not self.options.forgets_cancels and done.request in self._cancelled:
+            return STATUS_BUSY
         if self.options.checks_fencing:
-            if done.request in self._cancelled:
-                return STATUS_STALE
             if done.fencing <= self._fences.get(done.incarnation, -1):
                 return STATUS_STALE
             if done.revision < self._role.revision:
--- a/standins/main.py
+++ b/standins/main.py
@@ -41,6 +41,7 @@
     idle_watts: Annotated[int, cappa.Arg(long=True)] = 0
     watts_per_request: Annotated[int, cappa.Arg(long=True)] = 0
     checks_fencing: Annotated[bool, cappa.Arg(long=True)] = False
+    forgets_cancels: Annotated[bool, cappa.Arg(long=True)] = False
     keep_running: Annotated[bool, cappa.Arg(long=True)] = False
     cache_blocks: Annotated[int, cappa.Arg(long=True)] = 4096
 
@@ -57,6 +58,7 @@
             idle_watts=self.idle_watts,
             watts_per_request=self.watts_per_request,
             checks_fencing=self.checks_fencing,
+            forgets_cancels=self.forgets_cancels,
             cache_blocks=self.cache_blocks,
         )
         app = EngineStandin(control=control, options=options).make_app()
--- a/tests/common.py
+++ b/tests/common.py
@@ -31,7 +31,7 @@
         lines += [
             f"[targets.engine-{number}]",
             f'model = "assistant"\nsite = "brest"\nurl = "{url}"',
-            "idle_watts = 100\nwatts_per_request = 20",
+            "idle_watts = 100\nwatts_per_request = 20\nfences_cancelled = true",
         ]
     if services:
         urls = ", ".join(f'"{url}"' for url in services)
@@ -141,11 +141,11 @@
         for proxy in self.proxies.values():
             proxy.heal()
 
-    async def publish(self, name: str, content: str) -> Any:
+    async def publish(self, name: str, content: str, operation: str = "publish") -> Any:
         """Publish a file through the first host."""
         return await self.launcher.post_json(
             f"{self.hosts[0].operator_url}/config/publish",
-            {"operation": f"test-{name}", "name": name, "content": content},
+            {"operation": f"{operation}-{name}", "name": name, "content": content},
         )
 
     async def is_ready(self) -> bool:
--- a/tests/promises/test_power.py
+++ b/tests/promises/test_power.py
@@ -24,6 +24,7 @@
     for number in range(n_engines):
         lines.append(f"[targets.engine-{number}]")
         lines.append(f"checks_fencing = {str(checks_fencing).lower()}")
+        lines.append(f"fences_cancelled = {str(checks_fencing).lower()}")
     return "\n".join(lines) + "\n"
 
 
@@ -132,12 +133,12 @@
         watts stay charged, others get less, and when the requests do run, the
         sum is still below the ceiling. The holder itself then frees them.
         """
-        async with self.make_fleet() as fleet:
+        async with self.make_fleet("--forgets-cancels") as fleet:
             await self.set_ceiling(fleet, make_power_file(1, 5, checks_fencing=False))
             frozen, *others = fleet.hosts
             rule = fleet.proxies["engine-0"].rules[get_address(frozen.name)]
             rule.hold_requests = True
-            late = self.send(fleet, [frozen], 3, max_tokens=400)
+            self.send(fleet, [frozen], 3, max_tokens=400)
             await wait_for(
                 lambda: self.is_held(fleet, frozen, 3 * WATTS), "watts to be held"
             )
@@ -165,7 +166,7 @@
         the whole of them, also at a target that checks nothing.
         """
         for checks in (True, False):
-            options = ("--checks-fencing",) if checks else ()
+            options = ("--checks-fencing",) if checks else ("--forgets-cancels",)
             with self.subTest(checks=checks):
                 async with self.make_fleet("--keep-running", *options) as fleet:
                     await self.check_killed(fleet, checks=checks)
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -8,6 +8,7 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.budget.controller import BudgetController, Reservation
 from trefoilstage.components.callers.models import Caller, ChatRequest
+from trefoilstage.components.routing.choice import list_candidates
 from trefoilstage.components.targets.dispatcher import Dispatcher
 from trefoilstage.components.targets.models import Chunk, Delivery, Job, Usage
 from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
@@ -73,13 +74,16 @@
             key=caller.key,
             account=f"{BUDGET_ACCOUNT_PREFIX}{caller.budget}",
             tokens=n_output + n_prompt,
+            targets=self._list_fencing_urls(chat.model),
         )
         if isinstance(reservation, Refusal):
             answer.refusal = reservation
             return
         spent = reservation.tokens
         try:
-            async for chunk in self._deliver(caller, chat, n_output, answer):
+            async for chunk in self._deliver(
+                caller, chat, n_output, answer, reservation
+            ):
                 yield chunk
             spent = await self._count_spent(caller, answer, reservation)
         except (asyncio.CancelledError, GeneratorExit):
@@ -90,9 +94,14 @@
         self._budget.settle(reservation, spent)
 
     async def _deliver(
-        self, caller: Caller, chat: ChatRequest, n_output: int, answer: Answer
+        self,
+        caller: Caller,
+        chat: ChatRequest,
+        n_output: int,
+        answer: Answer,
+        reservation: Reservation,
     ) -> AsyncIterator[Chunk]:
-        job = make_job(caller, chat, n_output)
+        job = make_job(caller, chat, n_output, reservation)
         try:
             async for chunk in self._dispatcher.run(job, answer.delivery):
                 answer.chunks.append(chunk)
@@ -100,6 +109,14 @@
         finally:
             answer.refusal = answer.delivery.refusal
 
+    def _list_fencing_urls(self, model: str) -> list[str]:
+        candidates = list_candidates(self._blackboard.configuration.targets, model)
+        # Without the word of every target that may run it, what a request
+        # spent stays in doubt after this host's death.
+        if not all(candidate.config.fences_cancelled for candidate in candidates):
+            return []
+        return [candidate.config.url for candidate in candidates]
+
     async def _count_spent(
         self, caller: Caller, answer: Answer, reservation: Reservation
     ) -> int:
@@ -122,7 +139,9 @@
         task.add_done_callback(self._blackboard.closing.discard)
 
 
-def make_job(caller: Caller, chat: ChatRequest, n_output: int) -> Job:
+def make_job(
+    caller: Caller, chat: ChatRequest, n_output: int, reservation: Reservation
+) -> Job:
     """Return the request to a target; always streamed, so that no end is silent."""
     body = chat.model_dump(exclude_none=True)
     body["stream"] = True
@@ -139,4 +158,5 @@
         n_output=n_output,
         priority=caller.priority,
         deadline_s=caller.deadline_s,
+        urls=reservation.targets,
     )
--- a/trefoilstage/components/power/controller.py
+++ b/trefoilstage/components/power/controller.py
@@ -91,7 +91,11 @@
             )
         key = make_hold_key(name, request)
         reservation = await self._budget.reserve(
-            request=key, key=key, account=account, tokens=target.watts_per_request
+            request=request,
+            key=key,
+            account=account,
+            tokens=target.watts_per_request,
+            targets=[target.url] if target.fences_cancelled else [],
         )
         if isinstance(reservation, Refusal):
             return explain_refusal(reservation)
@@ -107,6 +111,15 @@
             target=name, request=request, fencing=draw.opened, reservation=reservation
         )
 
+    def renew(self, site: str) -> None:
+        """Draw anew after a target refused this host's draw as fenced.
+
+        A witness cut off from this host alone has its older draw sealed. The
+        fence covers this host's other draws as well, sealed or not; requests
+        under them would be refused until they are used up.
+        """
+        self._budget.renew(f"{SITE_ACCOUNT_PREFIX}{site}")
+
     def release(self, hold: PowerHold) -> None:
         """Give watts back; the target has said that the request ended."""
         if hold.reservation is not None:
--- a/trefoilstage/components/power/lost.py
+++ b/trefoilstage/components/power/lost.py
@@ -54,7 +54,9 @@
         site=draw.account.removeprefix(SITE_ACCOUNT_PREFIX),
         holder=draw.holder,
         fencing=draw.sealed if sealed else next_offset,
-        requests=group_holds(draw.doubtful) if sealed else None,
+        requests=group_holds(hold.key for hold in draw.doubtful.values())
+        if sealed
+        else None,
     )
 
 
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -26,6 +26,7 @@
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
 
 HTTP_OK = 200
+HTTP_CONFLICT = 409
 ORDER_TIMEOUT_S = 1.0
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
@@ -36,6 +37,15 @@
 class TargetRefusedError(NotReadyError):
     """Report that a target did not take a request; it ran nothing."""
 
+    def __init__(self, detail: str, *, status: int | None = None) -> None:
+        super().__init__(detail)
+        self.status = status
+
+    @property
+    def is_fenced(self) -> bool:
+        """Tell whether the target refused an old fencing number."""
+        return self.status == HTTP_CONFLICT
+
 
 class TargetBrokenError(TrefoilstageError):
     """Report that a target's answer broke off; it may have run something."""
@@ -74,7 +84,9 @@
                 url, data=generation.body, headers=headers, timeout=timeout
             ) as response:
                 if response.status != HTTP_OK:
-                    raise TargetRefusedError(f"status {response.status}")
+                    raise TargetRefusedError(
+                        f"status {response.status}", status=response.status
+                    )
                 async for chunk in read_chunks(response.content, generation.request):
                     yield chunk
         except aiohttp.ClientConnectorError as error:
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -54,6 +54,8 @@
                 return
             except TargetRefusedError as error:
                 self._note_failure(job, candidate, error)
+                if error.is_fenced:
+                    self._power.renew(candidate.config.site)
                 excluded |= {candidate.name}
             except TargetBrokenError as error:
                 self._note_failure(job, candidate, error)
@@ -118,7 +120,11 @@
 
     def _pick(self, job: Job, excluded: frozenset[str]) -> Candidate | None:
         targets = self._blackboard.configuration.targets
-        candidates = list_candidates(targets, job.model)
+        candidates = [
+            candidate
+            for candidate in list_candidates(targets, job.model)
+            if not job.urls or candidate.config.url in job.urls
+        ]
         return pick_target(candidates, self._blackboard.targets, excluded)
 
     def _list_site(self, site: str) -> frozenset[str]:
--- a/trefoilstage/components/targets/models.py
+++ b/trefoilstage/components/targets/models.py
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
-    """Describe a request that any target of its model may run."""
+    """Describe a request; it may go to the given addresses, to any if none."""
 
     request: str
     workspace: str
@@ -80,6 +80,7 @@
     n_output: int
     priority: int
     deadline_s: float
+    urls: tuple[str, ...] = ()
 
 
 @dataclass(kw_only=True, slots=True)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -43,6 +43,7 @@
     DRAW_GRANTED = "draw_granted"
     DRAW_REJECTED = "draw_rejected"
     DRAW_SEALED = "draw_sealed"
+    DRAW_RESOLVED = "draw_resolved"
     WITNESS_LOST = "witness_lost"
     POWER_IN_DOUBT = "power_in_doubt"
     POWER_RELEASED = "power_released"
