--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import Any
 
+from trefoilstage.components.targets.health import TargetHealth
+from trefoilstage.components.targets.load import TargetLoad
 from trefoilstage.configuration.fold import ConfigState, HostEntry
 from trefoilstage.configuration.schema import Configuration
 from trefoilstage.ledger.state import LedgerState
@@ -49,10 +51,17 @@
 
 @dataclass(kw_only=True, slots=True)
 class TargetStatus:
-    """Hold what this host sent a target; written by the target client."""
+    """Hold how a target stands with this host; written by the router."""
 
-    active: int = 0
     failures: int = 0
+    last_used: float = float("-inf")
+    load: TargetLoad = field(default_factory=TargetLoad)
+    health: TargetHealth = field(default_factory=TargetHealth)
+
+    @property
+    def active(self) -> int:
+        """Return the requests of this host that the target runs."""
+        return self.load.active
 
 
 @dataclass(kw_only=True, slots=True)
@@ -69,7 +78,7 @@
     log_in_reach: bool = True  # relayed log
     listed: dict[str, ListedHost] = field(default_factory=dict)  # membership
     peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
-    targets: dict[str, TargetStatus] = field(default_factory=dict)  # target client
+    targets: dict[str, TargetStatus] = field(default_factory=dict)  # router
     n_active: int = 0  # caller server
     closing: set[asyncio.Task[Any]] = field(default_factory=set)  # runs
 
--- /dev/null
+++ b/trefoilstage/components/admission/controller.py
@@ -0,0 +1,200 @@
+"""Give requests places at targets, the highest priority first."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+from mode import Service
+
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.admission.queue import Ticket, WaitingQueue
+from trefoilstage.components.power.controller import PowerController, PowerHold
+from trefoilstage.components.routing.choice import Candidate
+from trefoilstage.components.routing.router import Router
+from trefoilstage.components.targets.models import Job
+from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.timer import TimerService
+
+TICK_S = 0.05
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 30.0
+WORTH_WAITING = frozenset({Reason.OVERLOADED, Reason.POWER_EXHAUSTED})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Name the target that a request may go to and the watts held for it."""
+
+    candidate: Candidate
+    hold: PowerHold
+    blocks: tuple[str, ...]
+    n_new_tokens: int
+    started: float
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Waiter:
+    """Let a waiting request know of its turn or its refusal."""
+
+    ticket: Ticket
+    turn: asyncio.Event = field(default_factory=asyncio.Event)
+    refused: bool = False
+
+
+class AdmissionController(Service):  # type: ignore[misc]
+    """Admit requests while targets and power have room; queue or refuse others."""
+
+    def __init__(
+        self,
+        *,
+        blackboard: Blackboard,
+        power: PowerController,
+        router: Router,
+        timer: TimerService,
+        queue_limit: int,
+        queue_wait_s: float,
+    ) -> None:
+        super().__init__()
+        self._blackboard = blackboard
+        self._power = power
+        self._router = router
+        self._timer = timer
+        self._queue_limit = queue_limit
+        self._queue_wait_s = queue_wait_s
+        self._queues: dict[str, WaitingQueue] = {}
+        self._waiters: dict[int, Waiter] = {}
+        self._numbers = itertools.count()
+
+    async def on_start(self) -> None:
+        """Start looking after the queues."""
+        self._unsubscribe = self._timer.subscribe(
+            name="admission", interval_s=TICK_S, callback=self._tick
+        )
+
+    async def on_stop(self) -> None:
+        """Stop looking after the queues."""
+        self._unsubscribe()
+
+    async def admit(
+        self, job: Job, *, excluded: frozenset[str], retry: bool
+    ) -> Place | Refusal:
+        """Return a place for a request, or refuse it as soon as that is sure."""
+        queue = self._get_queue(job.model)
+        ticket = self._make_ticket(job, queue)
+        if not queue.is_first(ticket):
+            overloaded = Refusal(reason=Reason.OVERLOADED)
+            return await self._wait(job, ticket, overloaded, excluded, retry)
+        place = await self._take_place(job, excluded, retry)
+        if not is_worth_waiting(place):
+            return place
+        return await self._wait(job, ticket, place, excluded, retry)
+
+    def leave(self, job: Job, place: Place, *, served: bool) -> None:
+        """Give a place back and call the next in line."""
+        now = self._timer.now()
+        self._router.note_end(place.candidate.name, now)
+        queue = self._get_queue(job.model)
+        if served:
+            queue.capacity.note_duration(now - place.started)
+        self._call_first(queue)
+
+    def _get_queue(self, model: str) -> WaitingQueue:
+        return self._queues.setdefault(model, WaitingQueue(limit=self._queue_limit))
+
+    def _make_ticket(self, job: Job, queue: WaitingQueue) -> Ticket:
+        usable_s = job.deadline_s - queue.capacity.mean_duration_s
+        return Ticket(
+            priority=job.priority,
+            number=next(self._numbers),
+            give_up_at=self._timer.now() + min(self._queue_wait_s, usable_s),
+        )
+
+    async def _wait(
+        self,
+        job: Job,
+        ticket: Ticket,
+        refusal: Place | Refusal,
+        excluded: frozenset[str],
+        retry: bool,
+    ) -> Place | Refusal:
+        queue = self._get_queue(job.model)
+        waiter = Waiter(ticket=ticket)
+        self._waiters[ticket.number] = waiter
+        n_active = self._router.count_active(job.model)
+        retry_after_s = queue.estimate_wait(ticket, n_active)
+        try:
+            self._refuse(queue.offer(ticket, self._timer.now(), n_active))
+            while not waiter.refused:
+                await waiter.turn.wait()
+                waiter.turn.clear()
+                if waiter.refused:
+                    break
+                refusal = await self._take_place(job, excluded, retry)
+                if not is_worth_waiting(refusal):
+                    return refusal
+        finally:
+            queue.remove(ticket)
+            del self._waiters[ticket.number]
+            self._call_first(queue)
+        return make_refusal(refusal, retry_after_s)
+
+    async def _take_place(
+        self, job: Job, excluded: frozenset[str], retry: bool
+    ) -> Place | Refusal:
+        refusal: Refusal | None = None
+        while True:
+            now = self._timer.now()
+            choice = self._router.choose(job, excluded, now, retry=retry)
+            if isinstance(choice, Refusal):
+                return refusal or choice
+            candidate = choice.candidate
+            # Counted before the watts are held, so that two requests that
+            # wait for watts at the same time do not share the last room.
+            self._router.note_start(candidate.name, now, retry=retry)
+            try:
+                hold = await self._power.hold(
+                    job.request, candidate.name, candidate.config
+                )
+            except BaseException:
+                self._router.note_unsent(candidate.name, self._timer.now())
+                raise
+            if not isinstance(hold, Refusal):
+                return Place(
+                    candidate=candidate,
+                    hold=hold,
+                    blocks=choice.blocks,
+                    n_new_tokens=choice.n_new_tokens,
+                    started=self._timer.now(),
+                )
+            self._router.note_unsent(candidate.name, self._timer.now())
+            refusal = hold
+            excluded |= self._router.list_site(candidate.config.site)
+
+    async def _tick(self) -> None:
+        now = self._timer.now()
+        for model, queue in self._queues.items():
+            n_active = self._router.count_active(model)
+            self._refuse(queue.take_hopeless(now, n_active))
+            self._call_first(queue)
+
+    def _call_first(self, queue: WaitingQueue) -> None:
+        if queue.tickets:
+            self._waiters[queue.tickets[0].number].turn.set()
+
+    def _refuse(self, tickets: list[Ticket]) -> None:
+        for ticket in tickets:
+            waiter = self._waiters[ticket.number]
+            waiter.refused = True
+            waiter.turn.set()
+
+
+def is_worth_waiting(place: Place | Refusal) -> bool:
+    """Tell whether room or power may come free soon."""
+    return isinstance(place, Refusal) and place.reason in WORTH_WAITING
+
+
+def make_refusal(refusal: Place | Refusal, wait_s: float) -> Refusal:
+    """Return a refusal with the estimated wait as the time to come back."""
+    reason = refusal.reason if isinstance(refusal, Refusal) else Reason.OVERLOADED
+    retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+    return Refusal(reason=reason, retry_after_s=retry_after_s)
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -1,17 +1,18 @@
 """Send work to model engines over HTTP."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import TypeVar
 
 import aiohttp
 from pydantic import BaseModel, ValidationError
 
-from trefoilstage.blackboard import Blackboard, TargetStatus
 from trefoilstage.components.targets.models import (
+    CacheEventsAnswer,
     Chunk,
     ChunkBody,
     FenceAnswer,
     Generation,
+    LoadAnswer,
     RequestAnswer,
 )
 from trefoilstage.configuration.schema import TargetConfig
@@ -27,6 +28,8 @@
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
+HTTP_GONE = 410
+HTTP_TOO_MANY = 429
 ORDER_TIMEOUT_S = 1.0
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
@@ -46,6 +49,16 @@
         """Tell whether the target refused an old fencing number."""
         return self.status == HTTP_CONFLICT
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether the target only lacked room."""
+        return self.status == HTTP_TOO_MANY
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the target takes no new work any more."""
+        return self.status == HTTP_GONE
+
 
 class TargetBrokenError(TrefoilstageError):
     """Report that a target's answer broke off; it may have run something."""
@@ -54,19 +67,12 @@
 class TargetClient:
     """Open, read and cancel generations."""
 
-    def __init__(
-        self, *, session: aiohttp.ClientSession, blackboard: Blackboard
-    ) -> None:
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
         self._session = session
-        self._blackboard = blackboard
-
-    def get_status(self, name: str) -> TargetStatus:
-        """Return what this host knows of a target."""
-        return self._blackboard.targets.setdefault(name, TargetStatus())
 
     async def generate(
         self, target: TargetConfig, generation: Generation
-    ) -> AsyncIterator[Chunk]:
+    ) -> AsyncGenerator[Chunk, None]:
         """Yield the chunks of an answer up to its explicit end."""
         timeout = aiohttp.ClientTimeout(total=generation.timeout_s, sock_connect=1.0)
         headers = {
@@ -112,6 +118,17 @@
         order = {"incarnation": incarnation, "fencing": fencing}
         return await self._order("POST", target, "/v1/fence", FenceAnswer, body=order)
 
+    async def get_load(self, target: TargetConfig) -> LoadAnswer | None:
+        """Return a target's late report of its load."""
+        return await self._order("GET", target, "/v1/load", LoadAnswer)
+
+    async def get_cache_events(
+        self, target: TargetConfig, first: int
+    ) -> CacheEventsAnswer | None:
+        """Return a target's late cache events from a number on."""
+        path = f"/v1/cache-events?from={first}"
+        return await self._order("GET", target, path, CacheEventsAnswer)
+
     async def _order(
         self,
         method: str,
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -1,15 +1,12 @@
-"""Bring a job to a target: choose, hold watts, stream, retry."""
+"""Bring a job to a target: get a place, stream, retry."""
 
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.power.controller import PowerController, PowerHold
-from trefoilstage.components.routing.choice import (
-    Candidate,
-    list_candidates,
-    pick_target,
-)
+from trefoilstage.components.admission.controller import AdmissionController, Place
+from trefoilstage.components.power.controller import PowerController
+from trefoilstage.components.routing.router import Router
 from trefoilstage.components.targets.client import (
     TargetBrokenError,
     TargetClient,
@@ -18,54 +15,62 @@
 from trefoilstage.components.targets.models import Chunk, Delivery, Generation, Job
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
+from trefoilstage.timer import TimerService
 
 MAX_TRIES = 3
-RETRY_AFTER_OVERLOAD_S = 1.0
+RETRY_AFTER_FAILURE_S = 1.0
 
 
 class Dispatcher:
-    """Run jobs on targets within their sites' power."""
+    """Run jobs on targets within their room and their sites' power."""
 
     def __init__(
-        self, *, blackboard: Blackboard, targets: TargetClient, power: PowerController
+        self,
+        *,
+        blackboard: Blackboard,
+        targets: TargetClient,
+        admission: AdmissionController,
+        power: PowerController,
+        router: Router,
+        timer: TimerService,
     ) -> None:
         self._blackboard = blackboard
         self._targets = targets
+        self._admission = admission
         self._power = power
+        self._router = router
+        self._timer = timer
 
     async def run(self, job: Job, delivery: Delivery) -> AsyncIterator[Chunk]:
         """Yield a job's chunks; a failure is left in delivery.refusal."""
         excluded: frozenset[str] = frozenset()
-        refusal = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_OVERLOAD_S)
-        for _ in range(MAX_TRIES):
-            candidate = self._pick(job, excluded)
-            if candidate is None:
-                break
-            hold = await self._power.hold(job.request, candidate.name, candidate.config)
-            if isinstance(hold, Refusal):
-                refusal = hold
-                excluded |= self._list_site(candidate.config.site)
-                continue
+        for number in range(MAX_TRIES):
+            place = await self._admission.admit(
+                job, excluded=excluded, retry=number > 0
+            )
+            if isinstance(place, Refusal):
+                delivery.refusal = place
+                return
             try:
-                stream = self._send(job, candidate, hold, delivery)
-                async with aclosing(stream) as chunks:
+                async with aclosing(self._send(job, place, delivery)) as chunks:
                     async for chunk in chunks:
                         yield chunk
                 return
             except TargetRefusedError as error:
-                self._note_failure(job, candidate, error)
-                if error.is_fenced:
-                    self._power.renew(candidate.config.site)
-                excluded |= {candidate.name}
+                self._note_refusal(job, place, error)
+                if not error.is_busy:
+                    excluded |= {place.candidate.name}
             except TargetBrokenError as error:
-                self._note_failure(job, candidate, error)
+                self._note_failure(job, place, error)
                 delivery.refusal = Refusal(
                     reason=Reason.TARGET_FAILED,
                     effect=Effect.UNKNOWN,
-                    retry_after_s=RETRY_AFTER_OVERLOAD_S,
+                    retry_after_s=RETRY_AFTER_FAILURE_S,
                 )
                 return
-        delivery.refusal = refusal
+        delivery.refusal = Refusal(
+            reason=Reason.OVERLOADED, retry_after_s=RETRY_AFTER_FAILURE_S
+        )
 
     async def cancel(self, request: str, delivery: Delivery) -> int | None:
         """End a job and return what it spent, None if that can't be known."""
@@ -80,32 +85,43 @@
         return answer.usage.total
 
     async def _send(
-        self, job: Job, candidate: Candidate, hold: PowerHold, delivery: Delivery
+        self, job: Job, place: Place, delivery: Delivery
     ) -> AsyncGenerator[Chunk, None]:
-        status = self._targets.get_status(candidate.name)
-        status.active += 1
-        delivery.target = candidate.name
+        name = place.candidate.name
+        delivery.target = name
         ended = False
+        unread = place.n_new_tokens
+        self._router.note_prompt(name, place.blocks, unread)
         try:
-            generation = self._make_generation(job, hold)
-            async for chunk in self._targets.generate(candidate.config, generation):
-                delivery.usage = chunk.usage or delivery.usage
-                yield chunk
+            generation = self._make_generation(job, place)
+            stream = self._targets.generate(place.candidate.config, generation)
+            async with aclosing(stream) as chunks:
+                async for chunk in chunks:
+                    self._router.note_prompt_read(name, unread)
+                    unread = 0
+                    delivery.usage = chunk.usage or delivery.usage
+                    yield chunk
             ended = True
+            self._router.get_status(name).health.note_answer()
         except TargetRefusedError:
             ended = True
             delivery.target = ""
             raise
         finally:
-            status.active -= 1
-            # Only the target's own word ends a request there. A broken stream
-            # or a caller that left says nothing of it, and its watts flow on.
-            if ended:
-                self._power.release(hold)
-            else:
-                self._power.release_when_ended(hold, candidate.config)
+            self._router.note_prompt_read(name, unread)
+            self._end(job, place, ended=ended, served=delivery.usage is not None)
 
-    def _make_generation(self, job: Job, hold: PowerHold) -> Generation:
+    def _end(self, job: Job, place: Place, *, ended: bool, served: bool) -> None:
+        self._router.get_status(place.candidate.name).health.note_dropped()
+        # Only the target's own word ends a request there. A broken stream or
+        # a caller that left says nothing of it, and its watts flow on.
+        if ended:
+            self._power.release(place.hold)
+        else:
+            self._power.release_when_ended(place.hold, place.candidate.config)
+        self._admission.leave(job, place, served=served)
+
+    def _make_generation(self, job: Job, place: Place) -> Generation:
         return Generation(
             request=job.request,
             workspace=job.workspace,
@@ -113,32 +129,29 @@
             body=job.body,
             priority=job.priority,
             incarnation=self._blackboard.incarnation,
-            fencing=hold.fencing,
+            fencing=place.hold.fencing,
             revision=max(0, self._blackboard.config.revision),
             timeout_s=job.deadline_s,
         )
 
-    def _pick(self, job: Job, excluded: frozenset[str]) -> Candidate | None:
-        targets = self._blackboard.configuration.targets
-        candidates = [
-            candidate
-            for candidate in list_candidates(targets, job.model)
-            if not job.urls or candidate.config.url in job.urls
-        ]
-        return pick_target(candidates, self._blackboard.targets, excluded)
-
-    def _list_site(self, site: str) -> frozenset[str]:
-        return frozenset(
-            name
-            for name, target in self._blackboard.configuration.targets.items()
-            if target.site == site
-        )
+    def _note_refusal(self, job: Job, place: Place, error: TargetRefusedError) -> None:
+        status = self._router.get_status(place.candidate.name)
+        if error.is_busy:
+            status.health.note_busy(self._timer.now())
+        elif error.is_fenced:
+            self._power.renew(place.candidate.config.site)
+        elif not error.is_leaving:
+            self._note_failure(job, place, error)
 
-    def _note_failure(self, job: Job, candidate: Candidate, error: Exception) -> None:
-        self._targets.get_status(candidate.name).failures += 1
+    def _note_failure(self, job: Job, place: Place, error: Exception) -> None:
+        name = place.candidate.name
+        status = self._router.get_status(name)
+        status.failures += 1
+        if status.health.note_failure(self._timer.now()):
+            log_event(Event.TARGET_EJECTED, target=name, failures=status.failures)
         log_event(
             Event.TARGET_FAILED,
-            target=candidate.name,
+            target=name,
             request=job.request,
             workspace=job.workspace,
             error=str(error),
--- a/trefoilstage/components/targets/models.py
+++ b/trefoilstage/components/targets/models.py
@@ -1,6 +1,7 @@
 """Define what targets send, validated at the border."""
 
 from dataclasses import dataclass
+from typing import Literal
 
 from pydantic import BaseModel, Field
 
@@ -57,6 +58,27 @@
     active: int = Field(ge=0)
 
 
+class LoadAnswer(BaseModel):
+    """Check a target's report of its load, as it was some time ago."""
+
+    running: int = Field(ge=0)
+    lag_s: float = Field(default=0.5, ge=0)
+
+
+class CacheEvent(BaseModel):
+    """Check one event of a target's prefix cache."""
+
+    kind: Literal["stored", "evicted"]
+    block: str = Field(max_length=64)
+
+
+class CacheEventsAnswer(BaseModel):
+    """Check a page of cache events; some may be missing."""
+
+    next: int = Field(ge=0)
+    events: list[CacheEvent]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Chunk:
     """Hold one chunk of an answer: its exact bytes and what they mean."""
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -47,6 +47,7 @@
     WITNESS_LOST = "witness_lost"
     POWER_IN_DOUBT = "power_in_doubt"
     POWER_RELEASED = "power_released"
+    TARGET_EJECTED = "target_ejected"
     TARGET_FAILED = "target_failed"
     TIMER_FAILED = "timer_failed"
     CONFIG_IN_FORCE = "config_in_force"
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -24,9 +24,8 @@
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.snapshots import SnapshotServer
-from trefoilstage.components.power.controller import PowerController
 from trefoilstage.components.targets.client import TargetClient
-from trefoilstage.components.targets.dispatcher import Dispatcher
+from trefoilstage.components.targets.setup import make_target_parts
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.helpers.events import Event, log_event
@@ -69,7 +68,7 @@
             address=settings.address, port=settings.peer_port
         )
         self._streams = self._make_streams(generator)
-        targets = TargetClient(session=self._session, blackboard=self.blackboard)
+        targets = TargetClient(session=self._session)
         budget_parts = make_budget_parts(
             settings=settings,
             blackboard=self.blackboard,
@@ -81,22 +80,21 @@
             generator=generator,
         )
         self._budget = budget_parts.budget
-        self._power = PowerController(
+        target_parts = make_target_parts(
+            settings=settings,
             blackboard=self.blackboard,
             streams=self._streams,
             budget=self._budget,
             targets=targets,
             timer=self._timer,
-            suspect_after_s=settings.suspect_after_s,
+            generator=generator,
         )
         self._callers = CallerServer(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
-                dispatcher=Dispatcher(
-                    blackboard=self.blackboard, targets=targets, power=self._power
-                ),
+                dispatcher=target_parts.dispatcher,
             ),
             bookings=BookingController(
                 blackboard=self.blackboard,
@@ -129,7 +127,9 @@
             budget_parts.witness,
             budget_parts.recovery,
             self._budget,
-            self._power,
+            target_parts.power,
+            target_parts.reports,
+            target_parts.admission,
             self._callers,
             self._operators,
         ]
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from trefoilstage.components.budget.policy import BudgetPolicy, Recovery
+from trefoilstage.components.routing.choice import RoutingPolicy
 from trefoilstage.configuration.schema import HttpUrl, Identifier
 from trefoilstage.exceptions import SettingsError
 
@@ -41,6 +42,9 @@
     recovery_grace_s: Seconds = 1.2
     starved_wait_s: Seconds = 0.6
     admission_wait_s: Seconds = 1.0
+    routing_policy: RoutingPolicy = RoutingPolicy.AFFINITY
+    queue_limit: Annotated[int, Field(ge=0)] = 64
+    queue_wait_s: Seconds = 2.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
     checkpoint_interval_s: Seconds = 600.0
     drain_timeout_s: Seconds = 120.0
