--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -1,11 +1,11 @@
 """Fold the configuration stream into one state, the same on every host."""
 
+import dataclasses
 from dataclasses import dataclass, field
 from functools import singledispatch
 
 from trefoilstage.configuration.incremental import IncrementalMerger
 from trefoilstage.configuration.limits import AccountLimit, update_limits
-from trefoilstage.configuration.merge import MergeResult
 from trefoilstage.configuration.records import (
     ConfigEnvelope,
     HostDown,
@@ -15,6 +15,7 @@
 )
 from trefoilstage.configuration.schema import Configuration
 from trefoilstage.const import FOLD_VERSION
+from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
 from trefoilstage.ledger.fold import MAX_SEQUENCES, drop_oldest
 from trefoilstage.ledger.records import Checkpoint, Upgrade
@@ -43,7 +44,9 @@
     name: str
     author: str
     accepted: bool
+    reason: str = ""
     detail: str = ""
+    findings: tuple[Finding, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -182,7 +185,9 @@
             name=record.name,
             author=record.author,
             accepted=accepted,
+            reason=verdict.reason.value if isinstance(verdict, Rejected) else "",
             detail=verdict.detail if isinstance(verdict, Rejected) else "",
+            findings=verdict.findings if isinstance(verdict, Rejected) else (),
         )
     )
     del state.history[:-MAX_HISTORY]
@@ -207,7 +212,9 @@
     """Return the verdict that an operation already got."""
     if entry.accepted:
         return ACCEPTED
-    return Rejected(reason=Reason.INVALID, detail=entry.detail)
+    return Rejected(
+        reason=Reason(entry.reason), detail=entry.detail, findings=entry.findings
+    )
 
 
 def judge_change(
@@ -234,7 +241,9 @@
         state.configuration,
     )
     if result.configuration is None:
-        return Rejected(reason=Reason.INVALID, detail=describe_findings(result))
+        detail = f"{len(result.findings)} findings in the merged files"
+        findings = bound_findings(result.findings)
+        return Rejected(reason=Reason.INVALID, detail=detail, findings=findings)
     before = state.configuration.fleet.ledger_streams
     if state.files and result.configuration.fleet.ledger_streams != before:
         detail = "fleet.ledger_streams can't change once files are in force"
@@ -242,10 +251,9 @@
     return result.configuration
 
 
-def describe_findings(result: MergeResult) -> str:
-    """Return the findings, one a line, within what the history keeps."""
-    lines = [str(finding)[:MAX_FINDING] for finding in result.findings]
-    if len(lines) > MAX_FINDINGS:
-        rest = len(lines) - MAX_FINDINGS
-        lines = [*lines[:MAX_FINDINGS], f"and {rest} more findings"]
-    return "\n".join(lines)
+def bound_findings(findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
+    """Return the first findings, each within what the history keeps."""
+    return tuple(
+        dataclasses.replace(finding, message=finding.message[:MAX_FINDING])
+        for finding in findings[:MAX_FINDINGS]
+    )
