--- /dev/null
+++ b/tests/components/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Test the routing package."""
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -18,15 +18,15 @@
 )
 from trefoilstage.components.budget.pool import NO_WITNESS, DrawPool, Hold
 from trefoilstage.components.budget.witness_client import WitnessClient
-from trefoilstage.components.configuration.controller import (
-    BUDGET_ACCOUNT_PREFIX,
-    SITE_ACCOUNT_PREFIX,
-)
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import PeerMessage
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.configuration.schema import Preference
+from trefoilstage.const import (
+    BUDGET_ACCOUNT_PREFIX,
+    SITE_ACCOUNT_PREFIX,
+)
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Accepted, Reason, Refusal, Rejected, Verdict
@@ -168,6 +168,15 @@
         if draw is not None:
             draw.settle_hold(reservation.number, min(tokens, reservation.tokens))
 
+    def give_back(self, account: str) -> None:
+        """Return what no request holds of an account at once."""
+        pool = self._get_pool(account)
+        self._give_back(pool, pool.count_usable(self._get_ledger(pool).draws))
+
+    def renew(self, account: str) -> None:
+        """Hold the next requests in a new draw, which no older fence covers."""
+        self._get_pool(account).retire()
+
     def list_pools(self) -> list[AccountPool]:
         """Return this host's pools by account."""
         return [self._pools[name] for name in sorted(self._pools)]
--- a/trefoilstage/components/budget/recovery.py
+++ b/trefoilstage/components/budget/recovery.py
@@ -7,8 +7,8 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.configuration.controller import SITE_ACCOUNT_PREFIX
 from trefoilstage.components.log_client.streams import Streams
+from trefoilstage.const import SITE_ACCOUNT_PREFIX
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.ledger.records import BilledRequest, Resolve
 from trefoilstage.ledger.state import DoubtfulHold, DrawState, DrawStatus, LedgerState
--- a/trefoilstage/components/configuration/controller.py
+++ b/trefoilstage/components/configuration/controller.py
@@ -5,12 +5,6 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
-from trefoilstage.configuration.limits import (
-    BUDGET_ACCOUNT_PREFIX as BUDGET_ACCOUNT_PREFIX,
-)
-from trefoilstage.configuration.limits import (
-    SITE_ACCOUNT_PREFIX as SITE_ACCOUNT_PREFIX,
-)
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.ledger.records import SetLimit
 from trefoilstage.timer import TimerService
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -9,7 +9,6 @@
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.models import (
@@ -34,6 +33,7 @@
 )
 from trefoilstage.configuration.fold import NEW_FILE
 from trefoilstage.configuration.records import Publish, Remove
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.helpers.dump import StateRegistry, dump_value
 from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.http import make_error_middleware
--- a/trefoilstage/ledger/state.py
+++ b/trefoilstage/ledger/state.py
@@ -39,6 +39,8 @@
     witness: str
     amount: int = 0
     spent: int = 0
+    opened: int = 0
+    sealed: int = 0
     status: DrawStatus = DrawStatus.OPEN
     doubt: int = 0
     doubtful: dict[int, DoubtfulHold] = field(default_factory=dict)
