--- a/tests/components/test_keys.py
+++ b/tests/components/test_keys.py
@@ -4,7 +4,12 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 from trefoilstage.components.keys.claims import ClaimTable
 from trefoilstage.components.keys.messages import ClaimKey, ClaimReply
@@ -81,12 +86,22 @@
         assert len(self.table) <= 2
 
 
-ClaimFuzz = ClaimMachine.TestCase
-ClaimFuzz.settings = settings(
-    max_examples=200, stateful_step_count=30, derandomize=True, deadline=None
+CI_SETTINGS = settings(
+    max_examples=200,
+    stateful_step_count=30,
+    derandomize=True,
+    database=None,
+    deadline=None,
 )
 
 
+class ClaimTableTest(unittest.TestCase):
+    """Drive claims in every order."""
+
+    def test_each_key_has_one_runner(self) -> None:
+        run_state_machine_as_test(ClaimMachine, settings=CI_SETTINGS)
+
+
 class RunTableTest(unittest.TestCase):
     """Bound what is kept."""
 
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -69,9 +69,7 @@
             return
         n_output = chat.count_output(model.max_output_tokens)
         n_prompt = chat.count_prompt_bound(model.prompt_bytes_per_token)
-        reservation = await self._reserve(
-            caller, n_output + n_prompt, self._list_fencing_urls(chat.model)
-        )
+        reservation = await self._reserve(caller, chat.model, n_output + n_prompt)
         if isinstance(reservation, Refusal):
             answer.refusal = reservation
             return
@@ -91,7 +89,7 @@
         self._budget.settle(reservation, spent)
 
     async def _reserve(
-        self, caller: Caller, tokens: int, targets: list[str]
+        self, caller: Caller, model: str, tokens: int
     ) -> Reservation | Refusal:
         reserving = asyncio.create_task(
             self._budget.reserve(
@@ -99,7 +97,7 @@
                 key=caller.key,
                 account=f"{BUDGET_ACCOUNT_PREFIX}{caller.budget}",
                 tokens=tokens,
-                targets=targets,
+                targets=self._list_fencing_urls(model),
             )
         )
         try:
