--- a/standins/engine.py
+++ b/standins/engine.py
@@ -47,6 +47,7 @@
     batch_slowdown: float = Field(default=0.0, ge=0)
     max_running: int = Field(default=32, ge=1)
     fail_fast: bool = False
+    fail_after_prompt: bool = False
     break_after: int | None = Field(default=None, ge=0)
     close_at: int | None = Field(default=None, ge=0)
     reorder_at: int | None = Field(default=None, ge=0)
@@ -240,6 +241,10 @@
         limit = int(body.get("max_tokens", 16))
         self._by_id[done.request] = done
         self.meter.start(done)
+        if self.control.fail_after_prompt:
+            done.state = "failed"
+            self.meter.end(done)
+            return web.Response(status=STATUS_FAILED)
         events: asyncio.Queue[bytes | None] = asyncio.Queue()
         task = asyncio.create_task(self._execute(done, blocks, limit, events))
         self._tasks.add(task)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -43,6 +43,11 @@
         """Return the proxy's HTTP address."""
         return f"http://{LOOPBACK}:{self.port}"
 
+    @property
+    def is_listening(self) -> bool:
+        """Tell whether the proxy takes connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self) -> None:
         """Listen on a port from the kernel, or again on the one it had."""
         self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
--- /dev/null
+++ b/tests/promises/test_refusal.py
@@ -0,0 +1,340 @@
+"""Show that what is refused as not run was not run, and that refusals are typed."""
+
+import asyncio
+import itertools
+import json
+import signal
+import time
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+from standins.launcher import Running, wait_for
+from tests.common import OTHER_SECRET, SECRET, CallerAnswer, Fleet
+from trefoilstage.util.hashing import hash_request_key
+
+CHAT = "/v1/chat/completions"
+BOOKING = "/services/booking/confirm"
+DEADLINE_S = 30.0
+TOO_LARGE = 1_100_000
+GOOD = {"model": "assistant", "messages": [{"role": "user", "content": "?"}]}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Case:
+    """Describe one bad request and its refusal."""
+
+    status: int
+    reason: str
+    body: object = b""
+    path: str = CHAT
+    method: str = "POST"
+    headers: tuple[tuple[str, str], ...] = ()
+    bearer: str | None = f"Bearer {SECRET}"
+
+
+def make_chat(**changes: object) -> bytes:
+    """Return a chat request's body with changes."""
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+def set_header(name: str, value: str) -> tuple[tuple[str, str], ...]:
+    """Return one header."""
+    return ((name, value),)
+
+
+async def send_chunks() -> AsyncIterator[bytes]:
+    """Yield a body that is too large, without saying how long it is."""
+    for _ in range(TOO_LARGE // 10_000):
+        yield b" " * 10_000
+
+
+DEADLINE = "X-Deadline-Ms"
+KEY = "Idempotency-Key"
+LONE_SURROGATE = (
+    rb'{"model":"assistant","messages":[{"role":"user","content":"\ud800"}]}'
+)
+NUMBERS = itertools.count()
+CASES = [
+    Case(status=400, reason="bad_request", body=b"{"),
+    Case(status=400, reason="bad_request", body=b""),
+    Case(status=400, reason="bad_request", body=b"\xff\xfe"),
+    Case(status=400, reason="bad_request", body=b"[" * 100_000),
+    Case(status=400, reason="bad_request", body=LONE_SURROGATE),
+    Case(status=400, reason="bad_request", body=make_chat(messages=3)),
+    Case(status=400, reason="bad_request", body=make_chat(messages=[])),
+    Case(status=400, reason="bad_request", body=make_chat(max_tokens="5")),
+    Case(status=400, reason="bad_request", body=make_chat(max_tokens=-1)),
+    Case(status=400, reason="bad_request", body=make_chat(n=2)),
+    Case(status=404, reason="unknown_model", body=make_chat(model="other")),
+    Case(status=413, reason="body_too_large", body=b" " * TOO_LARGE),
+    Case(status=413, reason="body_too_large", body=send_chunks),
+    Case(status=401, reason="unauthorized", body=make_chat(), bearer=None),
+    Case(status=401, reason="unauthorized", body=make_chat(), bearer="Bearer no"),
+    Case(status=401, reason="unauthorized", body=make_chat(), bearer=SECRET),
+    Case(status=401, reason="unauthorized", body=make_chat(), bearer="Bearer é"),
+    Case(
+        status=400,
+        reason="bad_request",
+        body=make_chat(),
+        headers=set_header("X-Priority", "high"),
+    ),
+    Case(
+        status=400,
+        reason="bad_request",
+        body=make_chat(),
+        headers=set_header(DEADLINE, "-1"),
+    ),
+    Case(
+        status=429,
+        reason="deadline",
+        body=make_chat(),
+        headers=set_header(DEADLINE, "0"),
+    ),
+    Case(status=400, reason="bad_request", headers=set_header(KEY, "")),
+    Case(status=400, reason="bad_request", headers=set_header(KEY, "k" * 201)),
+    Case(status=400, reason="bad_request", headers=set_header(KEY, "é")),
+    Case(status=400, reason="bad_request", headers=((KEY, "a"), (KEY, "b"))),
+    Case(status=405, reason="method_not_allowed", method="GET"),
+    Case(status=404, reason="unknown_path", path="/v2/chat", method="PATCH"),
+    Case(status=404, reason="unknown_service", path="/services/other/confirm"),
+    Case(status=404, reason="unknown_service", path="/services/booking/other"),
+    Case(status=405, reason="method_not_allowed", path=BOOKING, method="PUT"),
+    Case(status=400, reason="key_required", path=BOOKING, body=b"{}"),
+]
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """Send what can't be run, and break what should run it."""
+
+    async def test_bad_requests(self) -> None:
+        """Send every kind of bad request to one host, then a good one.
+
+        Each gets its own typed refusal, with nothing run and nothing spent, and
+        never a traceback. The bearer keys show in no log line, dump or answer.
+        """
+        async with Fleet(n_hosts=1) as fleet:
+            host = fleet.hosts[0]
+            for case in CASES:
+                with self.subTest(
+                    reason=case.reason, path=case.path, case=str(case)[:200]
+                ):
+                    answer = await send(fleet, host, case)
+                    self.assertEqual(answer.status, case.status, answer.body)
+                    self.assertEqual(answer.error, (case.reason, "not_run"))
+                    self.assertNotIn(SECRET.encode(), answer.body)
+            await self._send_garbage(host)
+            self.assertEqual(await fleet.list_executed(), [])
+            self.assertEqual(await fleet.list_effects(), [])
+            good = await fleet.chat(host, secret=OTHER_SECRET)
+            self.assertEqual(good.status, 200, good.body)
+            await fleet.wait_for_spend(0)
+            await self._check_output(fleet, host)
+
+    async def _send_garbage(self, host: Running) -> None:
+        reader, writer = await asyncio.open_connection(
+            host.address, host.ports["caller_port"]
+        )
+        writer.write(b"\x00\x01 nonsense\r\n\r\n")
+        answer = await reader.read()
+        writer.close()
+        self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+        self.assertNotIn(b"Traceback", answer)
+
+    async def _check_output(self, fleet: Fleet, host: Running) -> None:
+        host.signal(signal.SIGUSR1)
+        await wait_for(
+            lambda: any(line.startswith('{"') for line in host.lines), "the dump"
+        )
+        async with fleet.launcher.session.get(f"{host.operator_url}/state") as state:
+            output = "\n".join([*host.lines, await state.text()])
+        self.assertNotIn("Traceback", output)
+        for secret in (SECRET, OTHER_SECRET):
+            self.assertNotIn(secret, output)
+
+    async def test_key_with_another_body(self) -> None:
+        """Send a key again with another body, at every host, and for a booking.
+
+        The second body is refused everywhere, with nothing run. Spacing, the order
+        of a body's fields and the way of answering make no other request.
+        """
+        async with Fleet() as fleet:
+            headers = {KEY: "briefing-7"}
+            first = await fleet.chat(fleet.hosts[0], headers=headers)
+            for host in fleet.hosts:
+                other = await fleet.chat(host, headers=headers, text="Another?")
+                self.assertEqual(other.status, 422, other.body)
+                self.assertEqual(other.error, ("key_reused", "not_run"))
+                same = await fleet.chat(host, headers=headers, stream=True)
+                self.assertEqual(same.text, first.text)
+            self.assertEqual(len(await fleet.list_executed()), 1)
+            await fleet.wait_for_spend(first.json["usage"]["total_tokens"])
+
+            await fleet.call(
+                fleet.hosts[0], BOOKING, {"strip": 7, "hour": 1}, headers=headers
+            )
+            same = await fleet.call(
+                fleet.hosts[1], BOOKING, {"hour": 1, "strip": 7}, headers=headers
+            )
+            self.assertEqual(same.status, 200, same.body)
+            other = await fleet.call(
+                fleet.hosts[2], BOOKING, {"strip": 8}, headers=headers
+            )
+            self.assertEqual(other.error, ("key_reused", "not_run"))
+            self.assertEqual(len(await fleet.list_effects()), 1)
+
+    async def test_not_run_under_faults(self) -> None:
+        """Fail, break and cut engines, cut the peers, stop the log, drain a host.
+
+        During each fault every host gets requests and bookings. What is answered
+        "not run" must be in no meter, and it is answered long before its deadline
+        with a time to come back.
+        """
+        async with Fleet(n_engines=2) as fleet:
+            for fault in (
+                fail_engines,
+                fail_engines_midway,
+                cut_engines,
+                cut_peers,
+                stop_log,
+                drain_host,
+            ):
+                await fault(fleet)
+                with self.subTest(fault=fault.__name__):
+                    n_refused = await self._check_answers(fleet, fault.__name__)
+                    if fault is not cut_peers:
+                        self.assertGreater(n_refused, 0)
+                if fault is not drain_host:
+                    await mend(fleet)
+
+    async def _check_answers(self, fleet: Fleet, name: str) -> int:
+        calls = [
+            self._check_answer(fleet, host, f"{name}-{number}", books=books)
+            for host in fleet.hosts
+            for number in range(4)
+            for books in (False, True)
+        ]
+        return sum(await asyncio.gather(*calls))
+
+    async def _check_answer(
+        self, fleet: Fleet, host: Running, key: str, *, books: bool
+    ) -> bool:
+        key = f"{key}-{host.name}"
+        started = time.monotonic()
+        headers = {DEADLINE: str(int(DEADLINE_S * 1000))}
+        if books:
+            answer = await fleet.book(host, key)
+        else:
+            answer = await fleet.chat(host, headers=headers)
+        if answer.status == 200:
+            return False
+        self.assertLess(time.monotonic() - started, DEADLINE_S / 2, answer.body)
+        self.assertIn("Retry-After", answer.headers, answer.body)
+        if answer.error[1] == "not_run":
+            request = answer.json["error"]["request_id"]
+            executed = [run["request"] for run in await fleet.list_executed()]
+            self.assertNotIn(request or "-", executed)
+            effects = [effect["key"] for effect in await fleet.list_effects()]
+            digest = hash_request_key("brest-school", key)
+            if books:
+                self.assertNotIn(digest, effects)
+        return True
+
+
+Fault = Callable[[Fleet], Awaitable[None]]
+
+
+async def fail_engines(fleet: Fleet) -> None:
+    """Let the engines answer every request with status 500, running nothing."""
+    for engine in fleet.engines:
+        await fleet.control(engine, fail_fast=True)
+
+
+async def fail_engines_midway(fleet: Fleet) -> None:
+    """Let the engines run a request's prompt and answer with status 500."""
+    for engine in fleet.engines:
+        await fleet.control(engine, fail_after_prompt=True)
+
+
+async def cut_engines(fleet: Fleet) -> None:
+    """Close the engines' connections and refuse new ones."""
+    for engine in fleet.engines:
+        await fleet.proxies[engine.name].stop()
+
+
+async def cut_peers(fleet: Fleet) -> None:
+    """Cut the first host from its peers."""
+    fleet.cut_apart(fleet.hosts[:1], fleet.hosts[1:])
+
+
+async def stop_log(fleet: Fleet) -> None:
+    """Take the log away."""
+    await fleet.control(fleet.log, down=True)
+
+    async def is_noticed() -> bool:
+        for host in fleet.hosts:
+            state = await fleet.launcher.get_json(f"{host.operator_url}/state")
+            streams = state["blackboard"]["streams"].values()
+            if any(stream["reachable"] for stream in streams):
+                return False
+        return True
+
+    await wait_for(is_noticed, "the hosts to notice")
+
+
+async def drain_host(fleet: Fleet) -> None:
+    """Let one host drain while a slow answer keeps it alive."""
+    await fleet.control(fleet.engines[0], tokens_per_s=5)
+    await fleet.control(fleet.engines[1], tokens_per_s=5)
+    n_before = len(await fleet.list_executed())
+    slow = asyncio.create_task(fleet.chat(fleet.hosts[2], max_tokens=100))
+    slow.add_done_callback(lambda task: task.cancelled() or task.exception())
+
+    async def is_running() -> bool:
+        return len(await fleet.list_executed()) > n_before
+
+    await wait_for(is_running, "the slow answer")
+    fleet.hosts[2].signal(signal.SIGTERM)
+
+
+async def mend(fleet: Fleet) -> None:
+    """Lift every fault and wait until all hosts answer."""
+    fleet.heal()
+    await fleet.control(fleet.log)
+    for engine in fleet.engines:
+        await fleet.control(engine)
+        if not fleet.proxies[engine.name].is_listening:
+            await fleet.proxies[engine.name].start()
+
+    async def is_mended() -> bool:
+        answers = [
+            answer
+            for host in fleet.hosts
+            for answer in (await fleet.chat(host), await fleet.book(host, make_key()))
+        ]
+        return all(answer.status == 200 for answer in answers)
+
+    # Engines that failed are left alone for a while; a later fault would then
+    # find nothing sent to them.
+    await wait_for(is_mended, "all hosts to answer")
+
+
+def make_key() -> str:
+    """Return a key that was never used."""
+    return f"key-{next(NUMBERS)}"
+
+
+async def send(fleet: Fleet, host: Running, case: Case) -> CallerAnswer:
+    """Send a case and read the whole answer."""
+    body = case.body() if callable(case.body) else case.body
+    headers = list(case.headers)
+    if case.bearer is not None:
+        headers.append(("Authorization", case.bearer))
+    async with fleet.launcher.session.request(
+        case.method, f"{host.caller_url}{case.path}", data=body, headers=headers
+    ) as response:
+        return CallerAnswer(
+            status=response.status,
+            body=await response.read(),
+            headers=dict(response.headers),
+        )
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -12,7 +12,7 @@
 from trefoilstage.components.targets.dispatcher import Dispatcher
 from trefoilstage.components.targets.models import Chunk, Delivery, Job, Usage
 from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 
 @dataclass(kw_only=True, slots=True)
@@ -73,20 +73,19 @@
         if isinstance(reservation, Refusal):
             answer.refusal = reservation
             return
-        spent = reservation.tokens
         try:
             async for chunk in self._deliver(
                 caller, chat, n_output, answer, reservation
             ):
                 yield chunk
-            spent = await self._count_spent(caller, answer, reservation)
         except BaseException:
-            # Nobody waits any more, or a part failed. The target is told to stop,
-            # and only what it says it spent is billed; without its word the
-            # whole hold is.
-            self._cancel_later(caller, answer, reservation)
+            # Nobody waits any more, or a part failed.
+            answer.refusal = answer.refusal or Refusal(
+                reason=Reason.CANCELLED, effect=Effect.UNKNOWN
+            )
             raise
-        self._budget.settle(reservation, spent)
+        finally:
+            self._settle(caller, answer, reservation)
 
     async def _reserve(
         self, caller: Caller, model: str, tokens: int
@@ -138,26 +137,21 @@
             return []
         return [candidate.config.url for candidate in candidates]
 
-    async def _count_spent(
-        self, caller: Caller, answer: Answer, reservation: Reservation
-    ) -> int:
+    def _settle(self, caller: Caller, answer: Answer, reservation: Reservation) -> None:
         if answer.refusal is None and answer.usage is not None:
-            return answer.usage.total
-        spent = await self._dispatcher.cancel(caller.request, answer.delivery)
-        return reservation.tokens if spent is None else spent
+            self._budget.settle(reservation, answer.usage.total)
+            return
+        # The target is told to stop, and only what it says it spent is billed;
+        # without its word the whole hold is. The caller is not kept waiting.
+        task = asyncio.create_task(self._settle_broken(caller, answer, reservation))
+        self._blackboard.closing.add(task)
+        task.add_done_callback(self._blackboard.closing.discard)
 
-    def _cancel_later(
+    async def _settle_broken(
         self, caller: Caller, answer: Answer, reservation: Reservation
     ) -> None:
-        answer.refusal = answer.refusal or Refusal(reason=Reason.CANCELLED)
-
-        async def cancel() -> None:
-            spent = await self._count_spent(caller, answer, reservation)
-            self._budget.settle(reservation, spent)
-
-        task = asyncio.get_running_loop().create_task(cancel())
-        self._blackboard.closing.add(task)
-        task.add_done_callback(self._blackboard.closing.discard)
+        spent = await self._dispatcher.cancel(caller.request, answer.delivery)
+        self._budget.settle(reservation, reservation.tokens if spent is None else spent)
 
 
 def make_job(
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -30,6 +30,7 @@
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
 HTTP_TOO_MANY = 429
+HTTP_UNAVAILABLE = 503
 ORDER_TIMEOUT_S = 1.0
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
@@ -37,6 +38,12 @@
 AnswerT = TypeVar("AnswerT", bound=BaseModel)
 
 
+NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+REFUSING_STATUSES = frozenset(
+    {HTTP_CONFLICT, HTTP_GONE, HTTP_TOO_MANY, HTTP_UNAVAILABLE}
+)
+
+
 class TargetRefusedError(NotReadyError):
     """Report that a target did not take a request; it ran nothing."""
 
@@ -87,15 +94,17 @@
         url = f"{target.url}/v1/chat/completions"
         try:
             async with self._session.post(
-                url, data=generation.body, headers=headers, timeout=timeout
+                url,
+                data=generation.body,
+                headers=headers,
+                timeout=timeout,
+                # A followed redirect would run the request at two targets.
+                allow_redirects=False,
             ) as response:
-                if response.status != HTTP_OK:
-                    raise TargetRefusedError(
-                        f"status {response.status}", status=response.status
-                    )
+                check_status(response.status)
                 async for chunk in read_chunks(response.content, generation.request):
                     yield chunk
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise TargetRefusedError(repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise TargetBrokenError(repr(error)) from error
@@ -150,6 +159,17 @@
             return None
 
 
+def check_status(status: int) -> None:
+    """Raise the error that a status stands for, if any."""
+    if status in REFUSING_STATUSES:
+        raise TargetRefusedError(f"status {status}", status=status)
+    # Any other status may come after the target has begun: a failure while it
+    # ran, or a gateway that lost it. Taking it for a refusal would tell the
+    # caller "not run" of something that spent tokens.
+    if status != HTTP_OK:
+        raise TargetBrokenError(f"status {status}")
+
+
 async def read_chunks(
     content: aiohttp.StreamReader, request: str
 ) -> AsyncIterator[Chunk]:
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -20,6 +20,12 @@
 MAX_TRIES = 3
 RETRY_AFTER_FAILURE_S = 1.0
 
+BROKEN = Refusal(
+    reason=Reason.TARGET_FAILED,
+    effect=Effect.UNKNOWN,
+    retry_after_s=RETRY_AFTER_FAILURE_S,
+)
+
 
 class Dispatcher:
     """Run jobs on targets within their room and their sites' power."""
@@ -44,6 +50,7 @@
     async def run(self, job: Job, delivery: Delivery) -> AsyncIterator[Chunk]:
         """Yield a job's chunks; a failure is left in delivery.refusal."""
         excluded: frozenset[str] = frozenset()
+        begun = False
         for number in range(MAX_TRIES):
             place = await self._admission.admit(
                 job, excluded=excluded, retry=number > 0
@@ -54,6 +61,7 @@
             try:
                 async with aclosing(self._send(job, place, delivery)) as chunks:
                     async for chunk in chunks:
+                        begun = True
                         yield chunk
                 return
             except TargetRefusedError as error:
@@ -62,16 +70,21 @@
                     excluded |= {place.candidate.name}
             except TargetBrokenError as error:
                 self._note_failure(job, place, error)
-                delivery.refusal = Refusal(
-                    reason=Reason.TARGET_FAILED,
-                    effect=Effect.UNKNOWN,
-                    retry_after_s=RETRY_AFTER_FAILURE_S,
-                )
-                return
+                is_late = isinstance(error.__cause__, TimeoutError)
+                if begun or is_late or not await self._ran_nothing(job, place):
+                    delivery.refusal = BROKEN
+                    return
+                delivery.target = ""
+                excluded |= {place.candidate.name}
         delivery.refusal = Refusal(
             reason=Reason.OVERLOADED, retry_after_s=RETRY_AFTER_FAILURE_S
         )
 
+    async def _ran_nothing(self, job: Job, place: Place) -> bool:
+        """Tell whether the target says that a failed job spent nothing, for good."""
+        answer = await self._targets.cancel(place.candidate.config, job.request)
+        return answer is not None and answer.ended and not answer.usage.total
+
     async def cancel(self, request: str, delivery: Delivery) -> int | None:
         """End a job and return what it spent, None if that can't be known."""
         if not delivery.target:
