Send only to targets whose standing was confirmed of late

Cause: a host that was cut off or frozen went on sending to a target that had left, for as long as it heard nothing.

Hosts tell a target its role with the configuration's revision; requests carry the revision, and a target that checks refuses older ones. StreamStatus.last_read is now the time at which the page was asked for: a page that lay unread while the process was stopped would else look fresh on waking.

--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -119,6 +119,7 @@
     async def _follow(self) -> None:
         while not self.status.halted:
             offset = self.fold.next_offset if self._seek is None else self._seek
+            asked_at = asyncio.get_running_loop().time()
             try:
                 page = await self._source.read(self.name, offset, wait_s=self._poll_s)
             except RecordsExpiredError as error:
@@ -131,7 +132,7 @@
             if page.stale:
                 self._note_unreachable("peers have lost the log too")
             else:
-                self._note_reachable()
+                self._note_reachable(asked_at)
             if self._seek is None:
                 await self._fold_page(page)
             else:
@@ -142,13 +143,14 @@
             log_event(Event.LOG_LOST, stream=self.name, detail=detail)
         self.status.reachable = False
 
-    def _note_reachable(self) -> None:
-        now = asyncio.get_running_loop().time()
+    def _note_reachable(self, asked_at: float) -> None:
         self._backoff.reset()
         if not self.status.reachable:
             log_event(Event.LOG_BACK, stream=self.name)
         self.status.reachable = True
-        self.status.last_read = now
+        # An answer is no newer than its question. One that lay unread while
+        # this process was stopped would else count as fresh on waking.
+        self.status.last_read = asked_at
 
     def _start_seek(self, earliest: int) -> None:
         # The records this host still needs are gone. Reading on from the
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -1,6 +1,6 @@
 """Send work to model engines over HTTP."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from typing import TypeVar
 
 import aiohttp
@@ -12,8 +12,11 @@
     ChunkBody,
     FenceAnswer,
     Generation,
+    HealthAnswer,
     LoadAnswer,
     RequestAnswer,
+    Role,
+    RoleAnswer,
 )
 from trefoilstage.configuration.schema import TargetConfig
 from trefoilstage.const import (
@@ -118,6 +121,17 @@
         order = {"incarnation": incarnation, "fencing": fencing}
         return await self._order("POST", target, "/v1/fence", FenceAnswer, body=order)
 
+    async def get_health(self, target: TargetConfig) -> HealthAnswer | None:
+        """Return what a target says of itself, None if it says nothing."""
+        return await self._order("GET", target, "/v1/health", HealthAnswer)
+
+    async def change_role(
+        self, target: TargetConfig, role: Role, revision: int
+    ) -> RoleAnswer | None:
+        """Order a target to a role as of a configuration revision."""
+        order = {"role": role.value, "revision": revision}
+        return await self._order("POST", target, "/v1/role", RoleAnswer, body=order)
+
     async def get_load(self, target: TargetConfig) -> LoadAnswer | None:
         """Return a target's late report of its load."""
         return await self._order("GET", target, "/v1/load", LoadAnswer)
@@ -136,7 +150,7 @@
         path: str,
         model: type[AnswerT],
         *,
-        body: dict[str, object] | None = None,
+        body: Mapping[str, object] | None = None,
     ) -> AnswerT | None:
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
         try:
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -13,12 +13,14 @@
     TargetRefusedError,
 )
 from trefoilstage.components.targets.models import Chunk, Delivery, Generation, Job
+from trefoilstage.components.targets.standing import StandingKeeper
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.timer import TimerService
 
 MAX_TRIES = 3
 RETRY_AFTER_FAILURE_S = 1.0
+NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_FAILURE_S)
 
 
 class Dispatcher:
@@ -32,6 +34,7 @@
         admission: AdmissionController,
         power: PowerController,
         router: Router,
+        standing: StandingKeeper,
         timer: TimerService,
     ) -> None:
         self._blackboard = blackboard
@@ -39,6 +42,7 @@
         self._admission = admission
         self._power = power
         self._router = router
+        self._standing = standing
         self._timer = timer
 
     async def run(self, job: Job, delivery: Delivery) -> AsyncIterator[Chunk]:
@@ -51,6 +55,11 @@
             if isinstance(place, Refusal):
                 delivery.refusal = place
                 return
+            if not await self._is_confirmed(job, place):
+                excluded |= {place.candidate.name}
+                delivery.refusal = NO_TARGET
+                continue
+            delivery.refusal = None
             try:
                 async with aclosing(self._send(job, place, delivery)) as chunks:
                     async for chunk in chunks:
@@ -68,10 +77,19 @@
                     retry_after_s=RETRY_AFTER_FAILURE_S,
                 )
                 return
-        delivery.refusal = Refusal(
+        delivery.refusal = delivery.refusal or Refusal(
             reason=Reason.OVERLOADED, retry_after_s=RETRY_AFTER_FAILURE_S
         )
 
+    async def _is_confirmed(self, job: Job, place: Place) -> bool:
+        confirmed = False
+        try:
+            confirmed = await self._standing.confirm(place.candidate.name)
+        finally:
+            if not confirmed:
+                self._end(job, place, ended=True, served=False)
+        return confirmed
+
     async def cancel(self, request: str, delivery: Delivery) -> int | None:
         """End a job and return what it spent, None if that can't be known."""
         if not delivery.target:
--- a/trefoilstage/components/targets/models.py
+++ b/trefoilstage/components/targets/models.py
@@ -1,6 +1,7 @@
 """Define what targets send, validated at the border."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Literal
 
 from pydantic import BaseModel, Field
@@ -58,6 +59,25 @@
     active: int = Field(ge=0)
 
 
+class Role(StrEnum):
+    """Name what a target does."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class HealthAnswer(BaseModel):
+    """Check what a target says of itself."""
+
+    role: Role
+
+
+class RoleAnswer(BaseModel):
+    """Check a target's answer to an order to change its role."""
+
+    checked: bool
+
+
 class LoadAnswer(BaseModel):
     """Check a target's report of its load, as it was some time ago."""
 
--- a/trefoilstage/components/targets/setup.py
+++ b/trefoilstage/components/targets/setup.py
@@ -12,6 +12,8 @@
 from trefoilstage.components.routing.router import Router
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.components.targets.dispatcher import Dispatcher
+from trefoilstage.components.targets.roles import RoleController
+from trefoilstage.components.targets.standing import StandingKeeper
 from trefoilstage.settings import HostSettings
 from trefoilstage.timer import TimerService
 
@@ -22,6 +24,7 @@
 
     power: PowerController
     reports: ReportController
+    roles: RoleController
     admission: AdmissionController
     dispatcher: Dispatcher
 
@@ -61,6 +64,7 @@
         reports=ReportController(
             blackboard=blackboard, targets=targets, router=router, timer=timer
         ),
+        roles=RoleController(blackboard=blackboard, targets=targets, timer=timer),
         admission=admission,
         dispatcher=Dispatcher(
             blackboard=blackboard,
@@ -68,6 +72,9 @@
             admission=admission,
             power=power,
             router=router,
+            standing=StandingKeeper(
+                blackboard=blackboard, targets=targets, timer=timer
+            ),
             timer=timer,
         ),
     )
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -135,6 +135,7 @@
             self._budget,
             target_parts.power,
             target_parts.reports,
+            target_parts.roles,
             target_parts.admission,
             self._callers,
             self._operators,
