--- a/standins/main.py
+++ b/standins/main.py
@@ -7,7 +7,8 @@
 import cappa
 
 from standins.common import serve_app
-from standins.engine import EngineControl, EngineOptions, EngineStandin
+from standins.engine import EngineStandin
+from standins.engine_models import EngineControl, EngineOptions
 from standins.log import LogStandin
 from standins.service import ServiceStandin
 
--- a/trefoilstage/components/routing/router.py
+++ b/trefoilstage/components/routing/router.py
@@ -58,6 +58,8 @@
             for candidate in candidates
             if self.get_status(candidate.name).health.may_send(now, retry=retry)
         ]
+        if not able and not retry:
+            able = self._list_probes(candidates)
         if not able:
             return self._refuse(candidates, now, retry=retry)
         blocks = hash_blocks(job.contents)
@@ -131,6 +133,17 @@
             and (not job.urls or candidate.config.url in job.urls)
         ]
 
+    def _list_probes(self, candidates: list[Candidate]) -> list[Candidate]:
+        """Return the targets to probe early, when every target is ejected.
+
+        Pausing helps only while another target takes the work. With none left,
+        each request would be refused although a target may be well again.
+        """
+        healths = [(item, self.get_status(item.name).health) for item in candidates]
+        if any(health.ejected_until is None for _, health in healths):
+            return []
+        return [item for item, health in healths if not health.probing]
+
     def _describe(
         self, candidate: Candidate, job: Job, blocks: tuple[str, ...], now: float
     ) -> Option:
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -16,6 +16,7 @@
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.server import CallerServer
 from trefoilstage.components.configuration.controller import ConfigurationController
+from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.controller import MembershipController
@@ -95,13 +96,21 @@
             timer=self._timer,
             generator=generator,
         )
-        self._callers = CallerServer(
+        self._keys = KeyController(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
                 dispatcher=target_parts.dispatcher,
             ),
+            links=self._links,
+            server=self._peer_server,
+            timer=self._timer,
+            retention_s=settings.answer_retention_s,
+        )
+        self._callers = CallerServer(
+            blackboard=self.blackboard,
+            keys=self._keys,
             bookings=BookingController(
                 blackboard=self.blackboard,
                 streams=self._streams,
@@ -137,6 +146,7 @@
             target_parts.reports,
             target_parts.roles,
             target_parts.admission,
+            self._keys,
             self._callers,
             self._operators,
             MetricsController(
