--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,7 +19,6 @@
 import time
 
 from aiohttp import web
-from pydantic import BaseModel, Field
 
 from standins.common import add_control, answer_json
 from standins.engine_cache import (
@@ -29,57 +28,20 @@
     hash_prefixes,
 )
 from standins.engine_meter import EngineMeter, ExecutedRequest
+from standins.engine_models import (
+    EngineControl,
+    EngineOptions,
+    FenceOrder,
+    RoleOrder,
+)
 from standins.engine_prompts import PromptLane
+from standins.engine_words import make_event, make_word
 
 STATUS_BUSY = 429
 STATUS_STALE = 409
 STATUS_LEAVING = 410
 STATUS_FAILED = 500
 CANCEL_WAIT_S = 0.5
-WORDS = ("wind", "line", "tide", "sand", "kite", "court", "hour", "field", "north")
-
-
-class EngineControl(BaseModel):
-    """Order the engine's speed, limits and faults."""
-
-    tokens_per_s: float = Field(default=200.0, gt=0)
-    prompt_tokens_per_s: float = Field(default=20_000.0, gt=0)
-    batch_slowdown: float = Field(default=0.0, ge=0)
-    max_running: int = Field(default=32, ge=1)
-    fail_fast: bool = False
-    fail_after_prompt: bool = False
-    break_after: int | None = Field(default=None, ge=0)
-    close_at: int | None = Field(default=None, ge=0)
-    reorder_at: int | None = Field(default=None, ge=0)
-    foreign_at: int | None = Field(default=None, ge=0)
-    load_lag_s: float = Field(default=0.5, ge=0)
-    cache_lag_s: float = Field(default=0.5, ge=0)
-    cache_lose_every: int = Field(default=0, ge=0)
-    keep_running: bool = False
-
-
-class EngineOptions(BaseModel):
-    """Fix what an engine is for its whole life."""
-
-    idle_watts: int = 0
-    watts_per_request: int = 0
-    checks_fencing: bool = False
-    forgets_cancels: bool = False
-    cache_blocks: int = Field(default=4096, ge=0)
-
-
-class FenceOrder(BaseModel):
-    """Refuse an incarnation's requests up to a fencing number."""
-
-    incarnation: str
-    fencing: int
-
-
-class RoleOrder(BaseModel):
-    """Change the role from a configuration revision on."""
-
-    role: str
-    revision: int
 
 
 class EngineStandin:
@@ -267,7 +229,8 @@
         await response.prepare(request)
         while (event := await events.get()) is not None:
             await response.write(event)
-        if done.state == "broken" and request.transport is not None:
+        aborts = self.control.break_after is not None
+        if done.state == "broken" and aborts and request.transport is not None:
             request.transport.abort()
         if done.state == "finished":
             await response.write(b"data: [DONE]\n\n")
@@ -309,14 +272,12 @@
         events: asyncio.Queue[bytes | None],
     ) -> bytes | None:
         digest = hashlib.sha256()
+        late = b""
         for number in range(limit):
             if done.request in self._cancelled:
                 done.state = "cancelled"
                 return None
-            if self.control.close_at == number:
-                done.state = "closed"
-                return None
-            if self.control.break_after == number:
+            if number in (self.control.close_at, self.control.break_after):
                 done.state = "broken"
                 return None
             text = make_word(done.request, number)
@@ -325,54 +286,19 @@
             self.meter.tokens += 1
             digest.update(text.encode())
             last = number + 1 == limit
-            event = self._make_event(done, number, text, last=last)
             if last:
                 done.state = "finished"
                 done.text_digest = digest.hexdigest()
-                return event
-            events.put_nowait(event)
+            event = make_event(done, number, text, last=last)
+            if self.control.foreign_at == number:
+                event = event.replace(done.request.encode(), b"another-request")
+            if last:
+                return event + late
+            if self.control.reorder_at == number:
+                late = event
+                continue
+            events.put_nowait(event + late)
+            late = b""
             slowdown = 1.0 + self.control.batch_slowdown * (self.meter.running - 1)
             await asyncio.sleep(slowdown / self.control.tokens_per_s)
         return None
-
-    def _make_event(
-        self, done: ExecutedRequest, number: int, text: str, *, last: bool
-    ) -> bytes:
-        """Return a chunk, or what a faulty engine sends in its place."""
-        swapped = self.control.reorder_at
-        if swapped is not None and number in (swapped, swapped + 1):
-            number = 2 * swapped + 1 - number
-            text = make_word(done.request, number)
-        event = make_event(done, number, text, last=last)
-        if self.control.foreign_at == number:
-            return event.replace(done.request.encode(), b"another-request")
-        return event
-
-
-def make_word(request: str, number: int) -> str:
-    """Return the token at a place of a request's answer."""
-    seed = hashlib.sha256(f"{request}/{number}".encode()).digest()
-    return WORDS[seed[0] % len(WORDS)] + " "
-
-
-def make_event(done: ExecutedRequest, number: int, text: str, *, last: bool) -> bytes:
-    """Return one chunk of the event stream."""
-    chunk: dict[str, object] = {
-        "id": done.request,
-        "object": "chat.completion.chunk",
-        "sequence": number,
-        "choices": [
-            {
-                "index": 0,
-                "delta": {"content": text},
-                "finish_reason": "stop" if last else None,
-            }
-        ],
-    }
-    if last:
-        chunk["usage"] = {
-            "prompt_tokens": done.prompt_tokens,
-            "completion_tokens": done.completion_tokens,
-            "cached_tokens": done.cached_tokens,
-        }
-    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
--- a/tests/common.py
+++ b/tests/common.py
@@ -209,6 +209,11 @@
         state = await self.launcher.get_json(f"{host.operator_url}/state")
         return dict(state["blackboard"]["ledgers"]["0"])
 
+    async def list_executed_at(self, engine: Running) -> list[dict[str, Any]]:
+        """Return the requests that an engine's own meter shows."""
+        meter = await self.launcher.get_json(f"{engine.url}/meter")
+        return list(meter["requests"])
+
     async def list_power(self) -> list[tuple[float, int]]:
         """Return the watts of all engines' meters together, change by change."""
         changes: list[tuple[float, int]] = []
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -28,6 +28,10 @@
         """Return what the target says it spent."""
         return self.delivery.usage
 
+    @usage.setter
+    def usage(self, usage: Usage | None) -> None:
+        self.delivery.usage = usage
+
     @property
     def target(self) -> str:
         """Return the target that took the request, if any."""
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -13,12 +13,14 @@
     TargetRefusedError,
 )
 from trefoilstage.components.targets.models import Chunk, Delivery, Generation, Job
+from trefoilstage.components.targets.standing import StandingKeeper
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.timer import TimerService
 
 MAX_TRIES = 3
 RETRY_AFTER_FAILURE_S = 1.0
+NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_FAILURE_S)
 
 BROKEN = Refusal(
     reason=Reason.TARGET_FAILED,
@@ -38,6 +40,7 @@
         admission: AdmissionController,
         power: PowerController,
         router: Router,
+        standing: StandingKeeper,
         timer: TimerService,
     ) -> None:
         self._blackboard = blackboard
@@ -45,6 +48,7 @@
         self._admission = admission
         self._power = power
         self._router = router
+        self._standing = standing
         self._timer = timer
 
     async def run(self, job: Job, delivery: Delivery) -> AsyncIterator[Chunk]:
@@ -58,6 +62,11 @@
             if isinstance(place, Refusal):
                 delivery.refusal = place
                 return
+            if not await self._is_confirmed(job, place):
+                excluded |= {place.candidate.name}
+                delivery.refusal = NO_TARGET
+                continue
+            delivery.refusal = None
             try:
                 async with aclosing(self._send(job, place, delivery)) as chunks:
                     async for chunk in chunks:
@@ -76,7 +85,7 @@
                     return
                 delivery.target = ""
                 excluded |= {place.candidate.name}
-        delivery.refusal = Refusal(
+        delivery.refusal = delivery.refusal or Refusal(
             reason=Reason.OVERLOADED, retry_after_s=RETRY_AFTER_FAILURE_S
         )
 
@@ -85,6 +94,15 @@
         answer = await self._targets.cancel(place.candidate.config, job.request)
         return answer is not None and answer.ended and not answer.usage.total
 
+    async def _is_confirmed(self, job: Job, place: Place) -> bool:
+        confirmed = False
+        try:
+            confirmed = await self._standing.confirm(place.candidate.name)
+        finally:
+            if not confirmed:
+                self._end(job, place, ended=True, served=False)
+        return confirmed
+
     async def cancel(self, request: str, delivery: Delivery) -> int | None:
         """End a job and return what it spent, None if that can't be known."""
         if not delivery.target:
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -142,10 +142,11 @@
             budget_parts.witness,
             budget_parts.recovery,
             self._budget,
-            self._keys,
             target_parts.power,
             target_parts.reports,
+            target_parts.roles,
             target_parts.admission,
+            self._keys,
             self._callers,
             self._operators,
             MetricsController(
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -42,10 +42,10 @@
     recovery_grace_s: Seconds = 1.2
     starved_wait_s: Seconds = 0.6
     admission_wait_s: Seconds = 1.0
-    answer_retention_s: Seconds = 120.0
     routing_policy: RoutingPolicy = RoutingPolicy.AFFINITY
     queue_limit: Annotated[int, Field(ge=0)] = 64
     queue_wait_s: Seconds = 2.0
+    answer_retention_s: Seconds = 120.0
     checkpoint_every: Annotated[int, Field(ge=10)] = 2_000
     checkpoint_interval_s: Seconds = 600.0
     drain_timeout_s: Seconds = 120.0
