--- a/tests/common.py
+++ b/tests/common.py
@@ -4,13 +4,16 @@
 import hashlib
 import itertools
 import json
+import re
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Self
 
 from standins.launcher import Launcher, LaunchError, Running, wait_for
 from standins.proxy import FaultProxy
 from trefoilstage.util.hashing import hash_request_key, rank_by_rendezvous
 
+ROOT = Path(__file__).parent.parent
 SECRET = "brest-school-key"
 OTHER_SECRET = "quimper-crew-key"
 
@@ -65,6 +68,7 @@
     hosts: list[Running] = field(default_factory=list)
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
     data_centers: tuple[str, ...] = ("brest",)
+    more_config: str = ""
 
     async def __aenter__(self) -> Self:
         await self.launcher.__aenter__()
@@ -102,7 +106,8 @@
                 [self.proxies[engine.name].url for engine in self.engines],
                 [self.proxies["service"].url],
                 tokens=self.tokens,
-            ),
+            )
+            + self.more_config,
         )
         await wait_for(self.is_ready, "the fleet to be ready")
 
@@ -375,3 +380,11 @@
     def is_whole_stream(self) -> bool:
         """Tell whether an event stream came to its explicit end."""
         return self.body.endswith(b"data: [DONE]\n\n")
+
+
+def read_table(page: str, heading: str) -> list[str]:
+    """Return the first column of the table under a heading of a document."""
+    text = (ROOT / "docs" / page).read_text()
+    section = text.split(f"\n## {heading}\n")[1].split("\n## ")[0]
+    cells = re.findall(r"(?m)^\| (`[^|]+`) \|", section)
+    return [word for cell in cells for word in re.findall(r"`([^`]+)`", cell)]
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -1,7 +1,6 @@
 """Fold the configuration stream into one state, the same on every host."""
 
-import dataclasses
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatch
 
 from trefoilstage.configuration.incremental import IncrementalMerger
@@ -195,8 +194,8 @@
         return verdict
     state.files = files
     state.revision = place.offset
+    update_limits(state.limits, state.configuration, verdict, place.offset)
     state.configuration = verdict
-    update_limits(state.limits, verdict, place.offset)
     return ACCEPTED
 
 
@@ -242,7 +241,7 @@
     )
     if result.configuration is None:
         detail = f"{len(result.findings)} findings in the merged files"
-        findings = bound_findings(result.findings)
+        findings = limit_findings(result.findings)
         return Rejected(reason=Reason.INVALID, detail=detail, findings=findings)
     before = state.configuration.fleet.ledger_streams
     if state.files and result.configuration.fleet.ledger_streams != before:
@@ -251,9 +250,13 @@
     return result.configuration
 
 
-def bound_findings(findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
-    """Return the first findings, each within what the history keeps."""
+def limit_findings(findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
+    """Return the first findings, cut to what the history keeps of each."""
     return tuple(
-        dataclasses.replace(finding, message=finding.message[:MAX_FINDING])
+        replace(
+            finding,
+            key=finding.key[:MAX_FINDING],
+            message=finding.message[:MAX_FINDING],
+        )
         for finding in findings[:MAX_FINDINGS]
     )
