--- a/trefoilstage/components/budget/accounts.py
+++ b/trefoilstage/components/budget/accounts.py
@@ -3,9 +3,8 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.budget.account import AccountPool
 from trefoilstage.components.budget.policy import Situation
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.configuration.schema import Preference
-from trefoilstage.const import LEDGER_STREAM_PREFIX
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, LEDGER_STREAM_PREFIX
 from trefoilstage.ledger.state import AccountState, DrawState, LedgerState
 
 SETTLE_S = 0.5
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -8,34 +8,35 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.budget.controller import BudgetController, Reservation
 from trefoilstage.components.callers.models import Caller, ChatRequest
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
-from trefoilstage.components.routing.choice import (
-    Candidate,
-    list_candidates,
-    pick_target,
-)
-from trefoilstage.components.targets.client import (
-    TargetBrokenError,
-    TargetClient,
-    TargetRefusedError,
-)
-from trefoilstage.components.targets.models import Chunk, Generation, Usage
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.components.routing.choice import list_candidates
+from trefoilstage.components.targets.dispatcher import Dispatcher
+from trefoilstage.components.targets.models import Chunk, Delivery, Job, Usage
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
-MAX_TRIES = 3
-RETRY_AFTER_OVERLOAD_S = 1.0
-
 
 @dataclass(kw_only=True, slots=True)
 class Answer:
     """Hold what a generation has yielded so far."""
 
     chunks: list[Chunk] = field(default_factory=list)
-    usage: Usage | None = None
-    target: str = ""
+    delivery: Delivery = field(default_factory=Delivery)
     refusal: Refusal | None = None
 
+    @property
+    def usage(self) -> Usage | None:
+        """Return what the target says it spent."""
+        return self.delivery.usage
+
+    @usage.setter
+    def usage(self, usage: Usage | None) -> None:
+        self.delivery.usage = usage
+
+    @property
+    def target(self) -> str:
+        """Return the target that took the request, if any."""
+        return self.delivery.target
+
     @property
     def text(self) -> str:
         """Return the answer's text."""
@@ -55,11 +56,11 @@
         *,
         blackboard: Blackboard,
         budget: BudgetController,
-        targets: TargetClient,
+        dispatcher: Dispatcher,
     ) -> None:
         self._blackboard = blackboard
         self._budget = budget
-        self._targets = targets
+        self._dispatcher = dispatcher
 
     async def run(
         self, caller: Caller, chat: ChatRequest, answer: Answer
@@ -76,20 +77,19 @@
         if isinstance(reservation, Refusal):
             answer.refusal = reservation
             return
-        spent = reservation.tokens
         try:
-            async for chunk in self._try_targets(
+            async for chunk in self._deliver(
                 caller, chat, n_output, answer, reservation
             ):
                 yield chunk
-            spent = await self._count_spent(caller, answer, reservation)
         except BaseException:
-            # Nobody waits any more, or a part failed. The target is told to stop,
-            # and only what it says it spent is billed; without its word the
-            # whole hold is.
-            self._cancel_later(caller, answer, reservation)
+            # Nobody waits any more, or a part failed.
+            answer.refusal = answer.refusal or Refusal(
+                reason=Reason.CANCELLED, effect=Effect.UNKNOWN
+            )
             raise
-        self._budget.settle(reservation, spent)
+        finally:
+            self._settle(caller, answer, reservation)
 
     async def _reserve(
         self, caller: Caller, model: str, tokens: int
@@ -117,7 +117,7 @@
         if isinstance(reservation, Reservation):
             self._budget.settle(reservation, 0)
 
-    async def _try_targets(
+    async def _deliver(
         self,
         caller: Caller,
         chat: ChatRequest,
@@ -125,38 +125,13 @@
         answer: Answer,
         reservation: Reservation,
     ) -> AsyncIterator[Chunk]:
-        excluded: frozenset[str] = frozenset()
-        for _ in range(MAX_TRIES):
-            candidate = self._pick(chat.model, excluded, reservation)
-            if candidate is None:
-                break
-            generation = make_generation(caller, chat, n_output)
-            answer.target = candidate.name
-            status = self._targets.get_status(candidate.name)
-            status.active += 1
-            try:
-                async for chunk in self._targets.generate(candidate.config, generation):
-                    answer.chunks.append(chunk)
-                    answer.usage = chunk.usage or answer.usage
-                    yield chunk
-                return
-            except TargetRefusedError as error:
-                self._note_failure(caller, candidate, error)
-                excluded |= {candidate.name}
-                answer.target = ""
-            except TargetBrokenError as error:
-                self._note_failure(caller, candidate, error)
-                answer.refusal = Refusal(
-                    reason=Reason.TARGET_FAILED,
-                    effect=Effect.UNKNOWN,
-                    retry_after_s=RETRY_AFTER_OVERLOAD_S,
-                )
-                return
-            finally:
-                status.active -= 1
-        answer.refusal = Refusal(
-            reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_OVERLOAD_S
-        )
+        job = make_job(caller, chat, n_output, reservation)
+        try:
+            async for chunk in self._dispatcher.run(job, answer.delivery):
+                answer.chunks.append(chunk)
+                yield chunk
+        finally:
+            answer.refusal = answer.delivery.refusal
 
     def _list_fencing_urls(self, model: str) -> list[str]:
         candidates = list_candidates(self._blackboard.configuration.targets, model)
@@ -166,64 +141,41 @@
             return []
         return [candidate.config.url for candidate in candidates]
 
-    def _pick(
-        self, model: str, excluded: frozenset[str], reservation: Reservation
-    ) -> Candidate | None:
-        candidates = list_candidates(self._blackboard.configuration.targets, model)
-        allowed = [item for item in candidates if reservation.allows(item.config.url)]
-        return pick_target(allowed, self._blackboard.targets, excluded)
-
-    def _note_failure(
-        self, caller: Caller, candidate: Candidate, error: Exception
-    ) -> None:
-        self._targets.get_status(candidate.name).failures += 1
-        log_event(
-            Event.TARGET_FAILED,
-            target=candidate.name,
-            request=caller.request,
-            workspace=caller.workspace,
-            error=str(error),
-        )
-
-    async def _count_spent(
-        self, caller: Caller, answer: Answer, reservation: Reservation
-    ) -> int:
+    def _settle(self, caller: Caller, answer: Answer, reservation: Reservation) -> None:
         if answer.refusal is None and answer.usage is not None:
-            return answer.usage.total
-        if not answer.target:
-            return 0
-        target = self._blackboard.configuration.targets.get(answer.target)
-        if target is None:
-            return reservation.tokens
-        usage = await self._targets.cancel(target, caller.request)
-        return reservation.tokens if usage is None else usage.total
-
-    def _cancel_later(
-        self, caller: Caller, answer: Answer, reservation: Reservation
-    ) -> None:
-        answer.refusal = answer.refusal or Refusal(reason=Reason.CANCELLED)
-
-        async def cancel() -> None:
-            spent = await self._count_spent(caller, answer, reservation)
-            self._budget.settle(reservation, spent)
-
-        task = asyncio.get_running_loop().create_task(cancel())
+            self._budget.settle(reservation, answer.usage.total)
+            return
+        # The target is told to stop, and only what it says it spent is billed;
+        # without its word the whole hold is. The caller is not kept waiting.
+        task = asyncio.create_task(self._settle_broken(caller, answer, reservation))
         self._blackboard.closing.add(task)
         task.add_done_callback(self._blackboard.closing.discard)
 
+    async def _settle_broken(
+        self, caller: Caller, answer: Answer, reservation: Reservation
+    ) -> None:
+        spent = await self._dispatcher.cancel(caller.request, answer.delivery)
+        self._budget.settle(reservation, reservation.tokens if spent is None else spent)
+
 
-def make_generation(caller: Caller, chat: ChatRequest, n_output: int) -> Generation:
+def make_job(
+    caller: Caller, chat: ChatRequest, n_output: int, reservation: Reservation
+) -> Job:
     """Return the request to a target; always streamed, so that no end is silent."""
     body = chat.model_dump(exclude_none=True)
     body["stream"] = True
     body["max_tokens"] = n_output
     body.pop("max_completion_tokens", None)
-    return Generation(
+    contents = tuple(message.content for message in chat.messages)
+    return Job(
         request=caller.request,
         workspace=caller.workspace,
         model=chat.model,
         body=json.dumps(body).encode(),
+        contents=contents,
+        n_prompt=sum(map(len, contents)),
+        n_output=n_output,
         priority=caller.priority,
-        fencing=0,
-        timeout_s=caller.deadline_s,
+        deadline_s=caller.deadline_s,
+        urls=reservation.targets,
     )
--- a/trefoilstage/configuration/limits.py
+++ b/trefoilstage/configuration/limits.py
@@ -4,9 +4,7 @@
 from dataclasses import dataclass
 
 from trefoilstage.configuration.schema import Configuration
-
-BUDGET_ACCOUNT_PREFIX = "budget:"
-SITE_ACCOUNT_PREFIX = "site:"
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, SITE_ACCOUNT_PREFIX
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -28,6 +28,7 @@
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
+from trefoilstage.components.targets.setup import make_target_parts
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.exceptions import HostCrashedError
 from trefoilstage.helpers.dump import StateRegistry
@@ -77,7 +78,7 @@
             address=settings.address, port=settings.peer_port
         )
         self._streams = self._make_streams(generator)
-        targets = TargetClient(session=self._session, blackboard=self.blackboard)
+        targets = TargetClient(session=self._session)
         budget_parts = make_budget_parts(
             settings=settings,
             blackboard=self.blackboard,
@@ -89,12 +90,21 @@
             generator=generator,
         )
         self._budget = budget_parts.budget
+        target_parts = make_target_parts(
+            settings=settings,
+            blackboard=self.blackboard,
+            streams=self._streams,
+            budget=self._budget,
+            targets=targets,
+            timer=self._timer,
+            generator=generator,
+        )
         self._keys = KeyController(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
-                targets=targets,
+                dispatcher=target_parts.dispatcher,
             ),
             links=self._links,
             server=self._peer_server,
@@ -135,6 +145,10 @@
             budget_parts.witness,
             budget_parts.recovery,
             self._budget,
+            target_parts.power,
+            target_parts.reports,
+            target_parts.roles,
+            target_parts.admission,
             self._keys,
             self._callers,
             self._operators,
