--- a/trefoilstage/components/booking/controller.py
+++ b/trefoilstage/components/booking/controller.py
@@ -17,11 +17,10 @@
 from trefoilstage.components.booking.models import ServiceAnswer, ServiceCall
 from trefoilstage.components.budget.controller import BudgetController, Reservation
 from trefoilstage.components.callers.models import Caller
-from trefoilstage.components.configuration.controller import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.configuration.schema import OperationConfig, ServiceConfig
-from trefoilstage.const import LEDGER_STREAM_PREFIX
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, LEDGER_STREAM_PREFIX
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import (
     Accepted,
