--- a/tests/promises/test_settlement.py
+++ b/tests/promises/test_settlement.py
@@ -102,6 +102,7 @@
         """
         self.settle(SECOND, before=20)
         self.settle(FIRST)
+        self.assertEqual(self.state.draws[f"{HOLDER}/1"].spent, 30)
         self.close(30)
         self.assertEqual(self.account.closed_spend, 30)
         self.assertEqual(self.account.credit, 0)
