--- a/trefoilstage/components/budget/witness.py
+++ b/trefoilstage/components/budget/witness.py
@@ -13,6 +13,7 @@
 from trefoilstage.timer import TimerService
 
 SCAN_S = 0.25
+SEAL_DIVISOR = 3
 
 
 class WitnessController(Service):  # type: ignore[misc]
@@ -31,7 +32,9 @@
         self._blackboard = blackboard
         self._streams = streams
         self._timer = timer
-        self._suspect_after_s = suspect_after_s
+        # Membership has waited for the whole time before it calls a peer lost;
+        # this only keeps one lost heartbeat at that moment from sealing.
+        self._seal_after_s = suspect_after_s / SEAL_DIVISOR
         self._table = WitnessTable(incarnation=blackboard.incarnation)
         self._first_seen_lost: dict[str, float] = {}
         server.register(Bound, self._answer_bound)
@@ -74,7 +77,7 @@
             return False
         now = self._timer.now()
         since = self._first_seen_lost.setdefault(holder, now)
-        return now - since >= self._suspect_after_s
+        return now - since >= self._seal_after_s
 
     def _seal(self, number: int, name: str, draw: DrawState) -> None:
         record = self._table.seal(name, draw)
