--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -124,6 +124,10 @@
 
     def is_caught_up(self) -> bool:
         """Tell whether every stream has been read to its end."""
+        # The configuration names the ledgers, which are followed a moment later.
+        # A host that served before then would know no account and refuse all.
+        if self._blackboard.config.revision >= 0 and not self._blackboard.has_ledgers():
+            return False
         streams = [self.config, *self.ledgers.values()]
         return all(stream.status.caught_up for stream in streams)
 
