Take an unwatched host of a large fleet for live, and watch draws' partners

Cause: above 9 hosts a peer that this host does not watch counted as lost, so draws of hosts at work could be sealed or their requests ended, and operators were shown most hosts as gone. Change: unwatched counts as live; holders and witnesses of one's draws are watched, and those of sealed draws by three hosts.

--- a/tests/promises/test_membership.py
+++ b/tests/promises/test_membership.py
@@ -1,8 +1,11 @@
 """Show that hosts come, go and are found without anybody's word being needed."""
 
+import asyncio
 import unittest
 from typing import Any
 
+import aiohttp
+
 from standins.launcher import Running, wait_for
 from tests.common import Fleet
 from trefoilstage.components.membership.ring import N_SUCCESSORS, pick_watched
@@ -56,6 +59,30 @@
 
             await wait_for(is_back, "the cut host to announce itself")
 
+    async def test_large_fleet_recovers_a_lost_hosts_draw(self) -> None:
+        """Kill one of twelve hosts, of which each watches only a few, with a draw.
+
+        The draw's witness watches its holder beside its few, so it notices,
+        seals the draw, and the tokens that were not spent are free again.
+        """
+        async with Fleet(n_hosts=12) as fleet:
+            lost = fleet.hosts[11]
+            running = asyncio.create_task(fleet.chat(lost, max_tokens=1000))
+
+            async def is_drawn() -> bool:
+                return (await fleet.get_budget(fleet.hosts[0]))["held"] > 0
+
+            await wait_for(is_drawn, "the draw")
+            await fleet.launcher.kill(lost.name)
+            with self.assertRaises(aiohttp.ClientError):
+                await running
+
+            async def is_recovered() -> bool:
+                budget = await fleet.get_budget(fleet.hosts[0])
+                return bool(budget["held"] == budget["doubtful"])
+
+            await wait_for(is_recovered, "the draw to be sealed")
+
     async def test_newcomer_without_log_learns_the_state_from_a_listed_peer(
         self,
     ) -> None:
--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -7,6 +7,7 @@
 
 from trefoilstage.configuration.fold import ConfigState, HostEntry
 from trefoilstage.configuration.schema import Configuration
+from trefoilstage.const import MAX_FULL_MESH
 from trefoilstage.ledger.state import LedgerState
 
 
@@ -68,6 +69,7 @@
     streams: dict[str, StreamStatus] = field(default_factory=dict)  # followers
     log_in_reach: bool = True  # relayed log
     listed: dict[str, ListedHost] = field(default_factory=dict)  # membership
+    watched: frozenset[str] = frozenset()  # membership
     peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
     targets: dict[str, TargetStatus] = field(default_factory=dict)  # target client
     n_active: int = 0  # caller server
@@ -99,10 +101,13 @@
         ]
 
     def is_peer_live(self, entry: HostEntry) -> bool:
-        """Tell whether a host's current incarnation answers."""
+        """Tell whether a host's current incarnation answers, as far as is known.
+
+        A large fleet's hosts watch few others. One that nobody here watches is
+        taken for live: to take it for lost would seal draws of a host at work.
+        """
         status = self.peers.get(entry.host)
-        return (
-            status is not None
-            and status.reachable
-            and status.incarnation == entry.incarnation
-        )
+        if status is None:
+            unwatched = entry.host not in self.watched
+            return unwatched and len(self.config.hosts) > MAX_FULL_MESH + 1
+        return status.reachable and status.incarnation == entry.incarnation
--- a/trefoilstage/components/membership/controller.py
+++ b/trefoilstage/components/membership/controller.py
@@ -13,9 +13,14 @@
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.configuration.fold import HostEntry
 from trefoilstage.configuration.records import HostDown, HostUp
+from trefoilstage.const import MAX_FULL_MESH
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.ledger.state import DrawStatus
 from trefoilstage.timer import TimerService
+from trefoilstage.util.hashing import rank_by_rendezvous
+
+N_RECOVERERS = 3
 
 
 class MembershipController(Service):  # type: ignore[misc]
@@ -70,9 +75,10 @@
 
     async def _beat(self) -> None:
         hosts = self._blackboard.config.hosts
-        watched = pick_watched(
-            self._blackboard.host, hosts, list_partners(self._blackboard)
-        )
+        large = len(hosts) > MAX_FULL_MESH + 1
+        partners = list_partners(self._blackboard) if large else set()
+        watched = pick_watched(self._blackboard.host, hosts, partners)
+        self._blackboard.watched = frozenset(watched)
         # Each peer on its own: waiting for a silent one would hold up the
         # heartbeats to all others for its whole timeout.
         for name in sorted(watched - self._beating.keys()):
@@ -164,14 +170,20 @@
 
 
 def list_partners(blackboard: Blackboard) -> set[str]:
-    """Return the hosts that witness this one's draws or whose draws it witnesses."""
+    """Return the hosts whose draws this one answers for, and the other way round."""
     own = blackboard.incarnation
-    incarnations = set()
+    names = {
+        entry.incarnation: entry.host for entry in blackboard.config.hosts.values()
+    }
+    incarnations: set[str] = set()
     for ledger in blackboard.ledgers.values():
-        for draw in ledger.draws.values():
-            if draw.holder == own:
+        for name, draw in ledger.draws.items():
+            if draw.status is not DrawStatus.OPEN:
+                # With its witness gone too, somebody must know that both are.
+                if own in rank_by_rendezvous(name, names)[:N_RECOVERERS]:
+                    incarnations |= {draw.holder, draw.witness}
+            elif draw.holder == own:
                 incarnations.add(draw.witness)
             elif draw.witness == own:
                 incarnations.add(draw.holder)
-    entries = blackboard.config.hosts.values()
-    return {entry.host for entry in entries if entry.incarnation in incarnations}
+    return {names[item] for item in incarnations if item in names}
--- a/trefoilstage/components/membership/ring.py
+++ b/trefoilstage/components/membership/ring.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from trefoilstage.const import MAX_FULL_MESH
 from trefoilstage.util.hashing import rank_by_rendezvous
 
-MAX_FULL_MESH = 8
 N_SUCCESSORS = 8
 
 
