--- /dev/null
+++ b/tests/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission package."""
--- /dev/null
+++ b/tests/components/power/__init__.py
@@ -0,0 +1,1 @@
+"""Test the power package."""
--- /dev/null
+++ b/tests/components/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Test the targets package."""
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -118,9 +118,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Release:
-    """Free a sealed returnable draw whose requests are known to be over."""
+    """Free a lost holder's watts: its targets refuse it up to a fencing number."""
 
     draw: Name
+    fencing: Tokens
     kind: Literal["release"] = "release"
 
 
