--- a/tests/promises/test_membership.py
+++ b/tests/promises/test_membership.py
@@ -8,7 +8,11 @@
 
 from standins.launcher import Running, wait_for
 from tests.common import Fleet
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.membership.controller import list_partners
 from trefoilstage.components.membership.ring import N_SUCCESSORS, pick_watched
+from trefoilstage.configuration.fold import HostEntry
+from trefoilstage.ledger.state import DrawState, DrawStatus, LedgerState
 
 FAST = {"log_timeout_s": 0.5, "log_poll_s": 0.5}
 
@@ -30,6 +34,40 @@
         seen = {name for some in watched.values() for name in some}
         self.assertGreater(len(seen), 405)
 
+    def test_partners_are_those_whose_loss_this_host_must_act_on(self) -> None:
+        board = Blackboard(host="host-0", incarnation="i-0", data_center="brest")
+        for number in range(20):
+            board.config.hosts[f"host-{number}"] = HostEntry(
+                host=f"host-{number}",
+                incarnation=f"i-{number}",
+                data_center="brest",
+                caller_url="",
+                operator_url="",
+                peer_url="",
+                offset=number,
+            )
+        sealed = DrawStatus.SEALED
+        board.ledgers[0] = LedgerState(
+            draws={
+                "own": DrawState(account="a", holder="i-0", witness="i-1"),
+                "vouched": DrawState(account="a", holder="i-2", witness="i-0"),
+                "foreign": DrawState(account="a", holder="i-3", witness="i-4"),
+                "gone": DrawState(account="a", holder="i-99", witness="i-0"),
+                **{
+                    f"sealed-{number}": DrawState(
+                        account="a", holder="i-5", witness="i-6", status=sealed
+                    )
+                    for number in range(20)
+                },
+            }
+        )
+        expected = {"host-1", "host-2", "host-5", "host-6"}
+        self.assertEqual(list_partners(board), expected)
+        board.watched = frozenset({"host-1"})
+        entries = board.config.hosts
+        self.assertTrue(board.is_peer_live(entries["host-9"]), "unwatched")
+        self.assertFalse(board.is_peer_live(entries["host-1"]), "silent")
+
 
 class MembershipTest(unittest.IsolatedAsyncioTestCase):
     """Kill, cut and add hosts."""
