--- a/tests/promises/test_membership.py
+++ b/tests/promises/test_membership.py
@@ -1,11 +1,18 @@
 """Show that hosts come, go and are found without anybody's word being needed."""
 
+import asyncio
 import unittest
 from typing import Any
 
+import aiohttp
+
 from standins.launcher import Running, wait_for
 from tests.common import Fleet
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.membership.controller import list_partners
 from trefoilstage.components.membership.ring import N_SUCCESSORS, pick_watched
+from trefoilstage.configuration.fold import HostEntry
+from trefoilstage.ledger.state import DrawState, DrawStatus, LedgerState
 
 FAST = {"log_timeout_s": 0.5, "log_poll_s": 0.5}
 
@@ -27,6 +34,40 @@
         seen = {name for some in watched.values() for name in some}
         self.assertGreater(len(seen), 405)
 
+    def test_partners_are_those_whose_loss_this_host_must_act_on(self) -> None:
+        board = Blackboard(host="host-0", incarnation="i-0", data_center="brest")
+        for number in range(20):
+            board.config.hosts[f"host-{number}"] = HostEntry(
+                host=f"host-{number}",
+                incarnation=f"i-{number}",
+                data_center="brest",
+                caller_url="",
+                operator_url="",
+                peer_url="",
+                offset=number,
+            )
+        sealed = DrawStatus.SEALED
+        board.ledgers[0] = LedgerState(
+            draws={
+                "own": DrawState(account="a", holder="i-0", witness="i-1"),
+                "vouched": DrawState(account="a", holder="i-2", witness="i-0"),
+                "foreign": DrawState(account="a", holder="i-3", witness="i-4"),
+                "gone": DrawState(account="a", holder="i-99", witness="i-0"),
+                **{
+                    f"sealed-{number}": DrawState(
+                        account="a", holder="i-5", witness="i-6", status=sealed
+                    )
+                    for number in range(20)
+                },
+            }
+        )
+        expected = {"host-1", "host-2", "host-5", "host-6"}
+        self.assertEqual(list_partners(board), expected)
+        board.watched = frozenset({"host-1"})
+        entries = board.config.hosts
+        self.assertTrue(board.is_peer_live(entries["host-9"]), "unwatched")
+        self.assertFalse(board.is_peer_live(entries["host-1"]), "silent")
+
 
 class MembershipTest(unittest.IsolatedAsyncioTestCase):
     """Kill, cut and add hosts."""
@@ -56,6 +97,30 @@
 
             await wait_for(is_back, "the cut host to announce itself")
 
+    async def test_large_fleet_recovers_a_lost_hosts_draw(self) -> None:
+        """Kill one of twelve hosts, of which each watches only a few, with a draw.
+
+        The draw's witness watches its holder beside its few, so it notices,
+        seals the draw, and the tokens that were not spent are free again.
+        """
+        async with Fleet(n_hosts=12) as fleet:
+            lost = fleet.hosts[11]
+            running = asyncio.create_task(fleet.chat(lost, max_tokens=1000))
+
+            async def is_drawn() -> bool:
+                return (await fleet.get_budget(fleet.hosts[0]))["held"] > 0
+
+            await wait_for(is_drawn, "the draw")
+            await fleet.launcher.kill(lost.name)
+            with self.assertRaises(aiohttp.ClientError):
+                await running
+
+            async def is_recovered() -> bool:
+                budget = await fleet.get_budget(fleet.hosts[0])
+                return bool(budget["held"] == budget["doubtful"])
+
+            await wait_for(is_recovered, "the draw to be sealed")
+
     async def test_newcomer_without_log_learns_the_state_from_a_listed_peer(
         self,
     ) -> None:
