--- a/standins/demo.py
+++ b/standins/demo.py
@@ -153,7 +153,9 @@
         print("demo interrupted; its processes are ended", flush=True)
         return EXIT_INTERRUPTED
     except (DemoError, LaunchError, aiohttp.ClientError, ExceptionGroup) as error:
-        print(f"  FAILED: {error}", flush=True)
+        group = error.exceptions if isinstance(error, ExceptionGroup) else (error,)
+        for cause in group:
+            print(f"  FAILED: {cause!r}", flush=True)
         return EXIT_FAILED
     print(f"demo passed in {time.monotonic() - started:.1f} s", flush=True)
     return 0
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -1,6 +1,7 @@
 """Fold the configuration stream into one state, the same on every host."""
 
-from dataclasses import dataclass, field, replace
+import dataclasses
+from dataclasses import dataclass, field
 from functools import singledispatch
 
 from trefoilstage.configuration.incremental import IncrementalMerger
@@ -241,7 +242,7 @@
     )
     if result.configuration is None:
         detail = f"{len(result.findings)} findings in the merged files"
-        findings = limit_findings(result.findings)
+        findings = bound_findings(result.findings)
         return Rejected(reason=Reason.INVALID, detail=detail, findings=findings)
     before = state.configuration.fleet.ledger_streams
     if state.files and result.configuration.fleet.ledger_streams != before:
@@ -250,10 +251,10 @@
     return result.configuration
 
 
-def limit_findings(findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
-    """Return the first findings, cut to what the history keeps of each."""
+def bound_findings(findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
+    """Return the first findings, each within what the history keeps."""
     return tuple(
-        replace(
+        dataclasses.replace(
             finding,
             key=finding.key[:MAX_FINDING],
             message=finding.message[:MAX_FINDING],
