--- a/standins/demo_fleet.py
+++ b/standins/demo_fleet.py
@@ -64,6 +64,7 @@
         """Start the stand-ins, then the hosts."""
         async with asyncio.TaskGroup() as group:
             log = group.create_task(self.launcher.start_standin("log", "log"))
+            listed = group.create_task(self.launcher.start_standin("hosts", "hosts"))
             service = group.create_task(
                 self.launcher.start_standin("booking", "service")
             )
@@ -78,7 +79,12 @@
         async with asyncio.TaskGroup() as group:
             hosts = [
                 group.create_task(
-                    self.launcher.start_host(name, place, log_url=log.result().url)
+                    self.launcher.start_host(
+                        name,
+                        place,
+                        log_url=log.result().url,
+                        host_list_url=listed.result().url,
+                    )
                 )
                 for name, place in HOSTS.items()
             ]
@@ -87,7 +93,7 @@
         report(
             "fleet",
             f"{len(HOSTS)} hosts in {' and '.join(data_centers)}, "
-            f"{N_ENGINES} engines, a booking service, the log",
+            f"{N_ENGINES} engines, a booking service, the log, the host list",
         )
 
     async def publish_example(self) -> None:
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import uuid
+from functools import partial
 
 import aiohttp
 from mode import Service
@@ -16,9 +17,11 @@
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.server import CallerServer
 from trefoilstage.components.configuration.controller import ConfigurationController
+from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.controller import MembershipController
+from trefoilstage.components.membership.host_list import HostListController
 from trefoilstage.components.operators.metrics import MetricsController
 from trefoilstage.components.operators.server import OperatorServer
 from trefoilstage.components.peers.links import PeerLinks
@@ -27,13 +30,15 @@
 from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.components.targets.client import TargetClient
 from trefoilstage.configuration.records import HostDown, HostUp
-from trefoilstage.helpers.dump import StateRegistry
+from trefoilstage.exceptions import HostCrashedError
+from trefoilstage.helpers.dump import StateRegistry, dump_part
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.settings import HostSettings
 from trefoilstage.timer import TimerService
 
 READY_POLL_S = 0.02
+HALTED_CHECK_S = 0.5
 
 
 class Host(Service):  # type: ignore[misc]
@@ -85,13 +90,21 @@
             generator=generator,
         )
         self._budget = budget_parts.budget
-        self._callers = CallerServer(
+        self._keys = KeyController(
             blackboard=self.blackboard,
             generations=GenerationRunner(
                 blackboard=self.blackboard,
                 budget=self._budget,
                 targets=targets,
             ),
+            links=self._links,
+            server=self._peer_server,
+            timer=self._timer,
+            retention_s=settings.answer_retention_s,
+        )
+        self._callers = CallerServer(
+            blackboard=self.blackboard,
+            keys=self._keys,
             bookings=BookingController(
                 blackboard=self.blackboard,
                 streams=self._streams,
@@ -123,6 +136,7 @@
             budget_parts.witness,
             budget_parts.recovery,
             self._budget,
+            self._keys,
             self._callers,
             self._operators,
             MetricsController(
@@ -132,15 +146,19 @@
                 metrics=metrics,
             ),
         ]
-        self._register_state()
+        self._register_state(parts)
         for part in parts:
             await self.add_runtime_dependency(part)
-        self._announce()
+        self._timer.subscribe(
+            name="halted", interval_s=HALTED_CHECK_S, callback=self._check_halted
+        )
+        await self._announce()
 
-    def _register_state(self) -> None:
+    def _register_state(self, parts: list[Service]) -> None:
         self._registry.register("blackboard", lambda: self.blackboard)
         self._registry.register("settings", lambda: self._settings)
-        self._registry.register("budget", self._budget.list_pools)
+        for part in parts:
+            self._registry.register(type(part).__name__, partial(dump_part, part))
 
     def _make_streams(self, generator: random.Random) -> Streams:
         settings = self._settings
@@ -169,15 +187,18 @@
 
     def _make_controllers(self) -> list[Service]:
         settings = self._settings
+        self._membership = MembershipController(
+            blackboard=self.blackboard,
+            links=self._links,
+            server=self._peer_server,
+            timer=self._timer,
+            heartbeat_s=settings.heartbeat_s,
+            suspect_after_s=settings.suspect_after_s,
+            forget_after_s=settings.forget_after_s,
+            streams=self._streams,
+        )
         return [
-            MembershipController(
-                blackboard=self.blackboard,
-                links=self._links,
-                server=self._peer_server,
-                timer=self._timer,
-                heartbeat_s=settings.heartbeat_s,
-                suspect_after_s=settings.suspect_after_s,
-            ),
+            self._membership,
             ConfigurationController(
                 blackboard=self.blackboard,
                 streams=self._streams,
@@ -185,18 +206,26 @@
             ),
         ]
 
-    def _announce(self) -> None:
+    async def _announce(self) -> None:
         address = self._settings.address
         peer_url = f"ws://{address}:{self._peer_server.port}"
-        self._streams.submit_config(
-            HostUp(
-                host=self._settings.host,
-                data_center=self._settings.data_center,
-                caller_url=f"http://{address}:{self._callers.port}",
-                operator_url=f"http://{address}:{self._operators.port}",
-                peer_url=self._settings.advertised_peer_url or peer_url,
-            )
+        record = HostUp(
+            host=self._settings.host,
+            data_center=self._settings.data_center,
+            caller_url=f"http://{address}:{self._callers.port}",
+            operator_url=f"http://{address}:{self._operators.port}",
+            peer_url=self._settings.advertised_peer_url or peer_url,
         )
+        self._membership.set_announcement(record)
+        if self._settings.host_list_url:
+            host_list = HostListController(
+                blackboard=self.blackboard,
+                session=self._session,
+                timer=self._timer,
+                url=self._settings.host_list_url,
+                peer_url=record.peer_url,
+            )
+            await self.add_runtime_dependency(host_list)
         log_event(
             Event.HOST_STARTED,
             host=self._settings.host,
@@ -206,6 +235,26 @@
             peer_port=self._peer_server.port,
         )
 
+    async def run(self) -> None:
+        """Serve until told to drain, or until a part fails."""
+        ready = asyncio.create_task(self.wait_until_ready())
+        await self.wait(self.drain_requested)
+        ready.cancel()
+        if self.crashed:
+            log_event(
+                Event.HOST_CRASHED,
+                host=self._settings.host,
+                error=repr(self.crash_reason),
+            )
+            raise HostCrashedError(repr(self.crash_reason))
+        await self.drain()
+
+    async def _check_halted(self) -> None:
+        # This host can't fold on, so it must not answer from a state that
+        # stands still. Its successor of the newer version takes over.
+        if self._streams.is_halted():
+            self.drain_requested.set()
+
     async def wait_until_ready(self) -> None:
         """Wait until the log was read to its end, then serve."""
         while not self._is_ready():
@@ -221,14 +270,32 @@
         """Take no new requests, finish those in flight and give draws back."""
         self.blackboard.phase = Phase.DRAINING
         log_event(Event.HOST_DRAINING, host=self._settings.host)
-        await self._callers.drain(self._settings.drain_timeout_s)
-        await self._budget.return_all(self._settings.drain_timeout_s)
+        # The balancer needs a moment to see /health fail. Until then requests
+        # still come, and each is refused instead of finding a closed port.
+        grace_ends = self._timer.now() + self._settings.drain_grace_s
+        ended = await self._callers.drain(self._settings.drain_timeout_s)
+        await self._budget.return_all(self._settings.flush_timeout_s)
         self._streams.submit_config(HostDown(incarnation=self.blackboard.incarnation))
+        flushed = await self._flush()
+        if not ended or not flushed:
+            log_event(
+                Event.DRAIN_INCOMPLETE,
+                host=self._settings.host,
+                requests_ended=ended,
+                records_flushed=flushed,
+            )
+        await asyncio.sleep(max(0.0, grace_ends - self._timer.now()))
+        await self._callers.drain(self._settings.drain_timeout_s)
+
+    async def _flush(self) -> bool:
+        # Bounded, for the log may be down for long. What was not handed back
+        # is released by the draws' witnesses once this host is gone.
         try:
-            async with asyncio.timeout(self._settings.drain_timeout_s):
+            async with asyncio.timeout(self._settings.flush_timeout_s):
                 await self._streams.flush()
         except TimeoutError:
-            log_event(Event.LOG_LOST, host=self._settings.host)
+            return False
+        return True
 
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
