--- a/tests/promises/test_answer.py
+++ b/tests/promises/test_answer.py
@@ -31,6 +31,9 @@
                     self.assertIn("retry_after_s", streamed.stream_error)
                     whole = await fleet.chat(fleet.hosts[0])
                     self.assertEqual(whole.error, ("target_failed", "unknown"))
+                # A good answer in between keeps the engine from being ejected.
+                await fleet.control(fleet.engines[0])
+                self.assertEqual((await fleet.chat(fleet.hosts[0])).status, 200)
             await fleet.wait_for_spend(await fleet.count_executed())
 
     async def test_retry_joins_the_running_answer(self) -> None:
--- a/trefoilstage/components/budget/setup.py
+++ b/trefoilstage/components/budget/setup.py
@@ -102,7 +102,8 @@
 
     async def cancel(url: str, request: str) -> int | None:
         target = TargetConfig.model_construct(url=url)
-        usage = await targets.cancel(target, request)
-        return None if usage is None else usage.total
+        answer = await targets.cancel(target, request)
+        # A request that has not ended yet may still spend.
+        return answer.usage.total if answer and answer.ended else None
 
     return cancel
--- a/trefoilstage/components/keys/follower.py
+++ b/trefoilstage/components/keys/follower.py
@@ -75,7 +75,8 @@
             return False
         if sequence != len(run.chunks):
             return False
-        run.answer.usage = chunk.usage or run.answer.usage
+        delivery = run.answer.delivery
+        delivery.usage = chunk.usage or delivery.usage
         run.add(chunk)
     return True
 
