--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -38,7 +38,7 @@
         first = await asyncio.wait_for(demo.stdout.readline(), TIMEOUT_S)
         self.assertIn(b"fleet", first)
         children = psutil.Process(demo.pid).children(recursive=True)
-        self.assertGreaterEqual(len(children), 9)
+        self.assertGreaterEqual(len(children), 10)
         demo.send_signal(signal.SIGINT)
         await asyncio.wait_for(demo.communicate(), TIMEOUT_S)
         self.assertEqual(demo.returncode, 130)
