--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -225,8 +225,7 @@
 async def get_pool(fleet: Fleet, host: Running) -> Any:
     """Return a host's own view of its draws on the test budget."""
     state = await fleet.launcher.get_json(f"{host.operator_url}/state")
-    pools = [pool for pool in state["budget"] if pool["account"] == "budget:brest"]
-    return pools[0] if pools else None
+    return state["BudgetController"]["pools"].get("budget:brest")
 
 
 async def is_holding(fleet: Fleet, host: Running) -> bool:
--- a/tests/promises/test_power.py
+++ b/tests/promises/test_power.py
@@ -321,7 +321,7 @@
         state = await fleet.launcher.get_json(f"{host.operator_url}/state")
         held = [
             hold
-            for pool in state["budget"]
+            for pool in state["BudgetController"]["pools"].values()
             if pool["account"] == ACCOUNT and pool["current"]
             for hold in pool["current"]["holds"].values()
             if hold["confirmed"]
