--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -53,7 +53,7 @@
             f'url = "{url}"\nmax_concurrent = {engines.max_running}',
             f"idle_watts = {engines.idle_watts}",
             f"watts_per_request = {engines.watts_per_request}",
-            "checks_fencing = true",
+            "checks_fencing = true\nfences_cancelled = true",
         ]
     return "\n".join(lines) + "\n"
 
@@ -137,6 +137,11 @@
             str(table.tokens_per_s),
             "--max-running",
             str(table.max_running),
+            "--idle-watts",
+            str(table.idle_watts),
+            "--watts-per-request",
+            str(table.watts_per_request),
+            "--checks-fencing",
         ]
         for key, value in table.options.items():
             options += [f"--{key.replace('_', '-')}", str(value)]
--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -4,11 +4,11 @@
 import signal
 import time
 import unittest
-from typing import Any
 
 from standins.launcher import Running, wait_for
 from tests.common import CallerAnswer, Fleet, get_address, make_config
 
+ACCOUNT = "budget:brest"
 REFUSED = 402
 OK = 200
 FAST = {"recovery_grace_s": 0.6, "suspect_after_s": 0.8}
@@ -222,16 +222,9 @@
     await asyncio.gather(*(fleet.chat(host) for host in hosts for _ in range(n_each)))
 
 
-async def get_pool(fleet: Fleet, host: Running) -> Any:
-    """Return a host's own view of its draws on the test budget."""
-    state = await fleet.launcher.get_json(f"{host.operator_url}/state")
-    pools = [pool for pool in state["budget"] if pool["account"] == "budget:brest"]
-    return pools[0] if pools else None
-
-
 async def is_holding(fleet: Fleet, host: Running) -> bool:
     """Tell whether a host's witness has confirmed a hold."""
-    pool = await get_pool(fleet, host)
+    pool = await fleet.get_pool(host, ACCOUNT)
     draw = pool["current"] if pool else None
     return bool(draw and draw["holds"] and not draw["unconfirmed"])
 
@@ -249,7 +242,7 @@
 
 async def find_witness(fleet: Fleet, host: Running) -> str:
     """Return the name of the host that vouches for another's draw."""
-    pool = await get_pool(fleet, host)
+    pool = await fleet.get_pool(host, ACCOUNT)
     incarnation = pool["current"]["witness"]
     return str(incarnation.rsplit("-", 1)[0])
 
--- a/tests/promises/test_power.py
+++ b/tests/promises/test_power.py
@@ -318,14 +318,10 @@
 
     async def is_held(self, fleet: Fleet, host: Running, watts: int) -> bool:
         """Tell whether a host holds watts that its witness vouches for."""
-        state = await fleet.launcher.get_json(f"{host.operator_url}/state")
-        held = [
-            hold
-            for pool in state["budget"]
-            if pool["account"] == ACCOUNT and pool["current"]
-            for hold in pool["current"]["holds"].values()
-            if hold["confirmed"]
-        ]
+        pool = await fleet.get_pool(host, ACCOUNT)
+        draw = pool["current"] if pool else None
+        holds = draw["holds"].values() if draw else ()
+        held = [hold for hold in holds if hold["confirmed"]]
         return sum(hold["tokens"] for hold in held) >= watts
 
     async def is_sealed(self, fleet: Fleet, host: Running, *, released: bool) -> bool:
