Bill a lookup's and a lost run's retries once

Cause: nothing showed that a lookup is sent to another server after a lost answer, that an unreachable second server leaves the effect unknown, or that a host killed in the middle of an answer leads to one bill.

Change: tests only. The first form of test_host_killed_mid_answer passed without the credit, because it looked before the lost run was settled; it now waits until the lost host's draw is closed.

Seen failing, each safeguard taken out alone: - no memory of an earlier send: test_lookup_on_several_servers: 'not_run' != 'unknown' - first server only: the same: 409 != 200 - no credit for the dearer run: test_host_killed_mid_answer: spent [469, 469], expected 454 Seen passing: both, Ran 2 tests in 14.796s, OK; the second again in 14.498s.

--- a/tests/promises/test_billing.py
+++ b/tests/promises/test_billing.py
@@ -59,6 +59,38 @@
             self.assertEqual(len(await fleet.list_executed()), 2)
             await self._check_bill(fleet, fleet.hosts[1:], tokens)
 
+    async def test_host_killed_mid_answer(self) -> None:
+        """Kill the host in the middle of an answer, then send the key to another.
+
+        The lost host's run is settled by the engine's word and the retry's run by
+        its own host, under one key: the dearer of the two is billed.
+        """
+        async with Fleet() as fleet:
+            await fleet.control(fleet.engines[0], tokens_per_s=20)
+            first = asyncio.create_task(
+                fleet.chat(fleet.hosts[0], max_tokens=30, headers=KEY)
+            )
+
+            async def is_running() -> bool:
+                executed = await fleet.list_executed()
+                return bool(executed and executed[0]["completion_tokens"] > 5)
+
+            await wait_for(is_running, "the engine to run it")
+            await fleet.launcher.kill("host-0")
+            await asyncio.gather(first, return_exceptions=True)
+            await fleet.control(fleet.engines[0])
+            retry = await self._retry_until_answered(fleet, fleet.hosts[1], 30)
+            tokens = retry.json["usage"]["total_tokens"]
+            self.assertEqual(len(await fleet.list_executed()), 2)
+
+            async def is_recovered() -> bool:
+                ledger = await fleet.get_ledger(fleet.hosts[1])
+                holders = [draw["holder"] for draw in ledger["draws"].values()]
+                return not any(holder.startswith("host-0-") for holder in holders)
+
+            await wait_for(is_recovered, "the lost host's draw to be closed")
+            await self._check_bill(fleet, fleet.hosts[1:], tokens)
+
     async def test_retry_after_the_answer_is_forgotten(self) -> None:
         """Send a key again after its answer's retention.
 
@@ -90,12 +122,14 @@
             tokens += later.json["usage"]["total_tokens"]
         await fleet.wait_for_spend(tokens, hosts=hosts)
 
-    async def _retry_until_answered(self, fleet: Fleet, host: Running) -> CallerAnswer:
+    async def _retry_until_answered(
+        self, fleet: Fleet, host: Running, max_tokens: int = 10
+    ) -> CallerAnswer:
         """Send the key again while it is refused; a new cut takes time to notice."""
         answers: list[CallerAnswer] = []
 
         async def is_answered() -> bool:
-            answers.append(await fleet.chat(host, headers=KEY))
+            answers.append(await fleet.chat(host, max_tokens=max_tokens, headers=KEY))
             return answers[-1].status == 200
 
         await wait_for(is_answered, "an answer")
--- a/tests/promises/test_refusal.py
+++ b/tests/promises/test_refusal.py
@@ -183,6 +183,33 @@
             self.assertEqual(other.error, ("key_reused", "not_run"))
             self.assertEqual(len(await fleet.list_effects()), 1)
 
+    async def test_lookup_on_several_servers(self) -> None:
+        """Lose a lookup's answer, with a second server that lives or is gone.
+
+        A call that may be repeated is sent to the next server, and the caller gets
+        its answer. When no other server can be reached, the first may still have
+        run it: the caller is told "unknown", never "not run".
+        """
+        async with Fleet(n_hosts=1) as fleet:
+            host = fleet.hosts[0]
+            port = fleet.proxies["service"].port
+            urls = [f"http://{name}:{port}" for name in ("127.0.0.1", "localhost")]
+            await publish_lookups(fleet, "two", urls)
+            await publish_lookups(fleet, "one", [urls[0], "http://127.0.0.1:1"])
+            for number in range(4):
+                headers = {KEY: f"lookup-{number}"}
+                await fleet.control(fleet.service, lose_answers=1)
+                answer = await fleet.call(
+                    host, "/services/two/get", {}, headers=headers
+                )
+                self.assertEqual(answer.status, 200, answer.body)
+                await fleet.control(fleet.service, lose_answers=1)
+                answer = await fleet.call(
+                    host, "/services/one/get", {}, headers=headers
+                )
+                self.assertEqual(answer.error[1], "unknown", answer.body)
+            self.assertEqual(len(await fleet.list_effects()), 12)
+
     async def test_not_run_under_faults(self) -> None:
         """Fail, break and cut engines, cut the peers, stop the log, drain a host.
 
@@ -319,6 +346,26 @@
     await wait_for(is_mended, "all hosts to answer")
 
 
+async def publish_lookups(fleet: Fleet, name: str, urls: list[str]) -> None:
+    """Add a service with one call that may be repeated, and wait for it."""
+    lines = [
+        f"[services.{name}]",
+        f"urls = {json.dumps(urls)}",
+        f'[services.{name}.operations.get]\npath = "/get"\nidempotent = true',
+    ]
+    await fleet.publish(f"20-{name}.toml", "\n".join(lines) + "\n")
+
+    async def is_known() -> bool:
+        answer = await fleet.call(
+            fleet.hosts[0], f"/services/{name}/other", {}, method="GET"
+        )
+        state = await fleet.launcher.get_json(f"{fleet.hosts[0].operator_url}/state")
+        services = state["blackboard"]["config"]["configuration"]["services"]
+        return answer.status == 404 and name in services
+
+    await wait_for(is_known, "the service to be known")
+
+
 def make_key() -> str:
     """Return a key that was never used."""
     return f"key-{next(NUMBERS)}"
