Show keys and runs in the dump, without their text

Cause: a dump showed nothing of the keys a host holds. Kept answers counted only their bytes, not what each chunk costs in memory.

Change: the dump gives the number of claims and each run's standing. Each chunk counts 200 bytes more against the bound of 8 MB. open_session moved out of host.py.

--- a/tests/promises/test_answer.py
+++ b/tests/promises/test_answer.py
@@ -1,6 +1,7 @@
 """Show that an answer is whole and the caller's own, or fails openly."""
 
 import asyncio
+import json
 import unittest
 
 import aiohttp
@@ -64,6 +65,9 @@
             self.assertEqual(digests, {executed[0]["text_digest"]})
             self.assertNotIn("Idempotent-Replayed", (await first).headers)
             self.assertEqual(late.headers["Idempotent-Replayed"], "true")
+            dump = await fleet.launcher.get_json(f"{fleet.hosts[0].operator_url}/state")
+            self.assertEqual([run["ended"] for run in dump["keys"]["runs"]], [True])
+            self.assertNotIn(late.text, json.dumps(dump))
             await fleet.wait_for_spend(await fleet.count_executed())
 
     async def test_host_killed_mid_stream(self) -> None:
--- a/trefoilstage/components/booking/client.py
+++ b/trefoilstage/components/booking/client.py
@@ -127,3 +127,14 @@
     if attempt.once and attempt.n_sent:
         raise RepeatedSendError("the connection broke after the call was sent")
     attempt.n_sent += 1
+
+
+def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return an HTTP client that counts sends and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None),
+        trace_configs=[make_send_trace()],
+        # A cookie set for one workspace must not go out with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- a/trefoilstage/components/keys/controller.py
+++ b/trefoilstage/components/keys/controller.py
@@ -1,6 +1,7 @@
 """Run each keyed request once in the fleet, and let its retries join."""
 
 import asyncio
+from dataclasses import dataclass
 
 from mode import Service
 
@@ -15,7 +16,7 @@
     ReadRun,
     RunPage,
 )
-from trefoilstage.components.keys.runs import Run, RunTable
+from trefoilstage.components.keys.runs import Run, RunTable, RunView, describe_run
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import PeerMessage
 from trefoilstage.components.peers.server import PeerServer
@@ -37,6 +38,14 @@
 )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeysView:
+    """Show the keys that a host holds, for its dump."""
+
+    n_claims: int
+    runs: list[RunView]
+
+
 class KeyController(Service):  # type: ignore[misc]
     """Own this host's runs, and the claims of the keys at home here."""
 
@@ -71,6 +80,11 @@
         """Stop the sweep."""
         self._unsubscribe()
 
+    def describe(self) -> KeysView:
+        """Return this host's runs, and how many keys are at home here."""
+        runs = [describe_run(run) for run in self._runs.list_runs()]
+        return KeysView(n_claims=len(self._claims), runs=runs)
+
     def open_run(self, caller: Caller, chat: ChatRequest) -> Run | Refusal:
         """Return the run of a caller's key, a new one if there is none."""
         digest = hash_call("chat", chat.make_canonical())
--- a/trefoilstage/components/keys/runs.py
+++ b/trefoilstage/components/keys/runs.py
@@ -10,6 +10,7 @@
 
 GRACE_S = 2.0
 MAX_KEPT_BYTES = 8_000_000
+CHUNK_OVERHEAD_BYTES = 200
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -34,7 +35,7 @@
     def add(self, chunk: Chunk) -> None:
         """Append a chunk and wake the listeners."""
         self.chunks.append(chunk)
-        self.n_bytes += len(chunk.data)
+        self.n_bytes += len(chunk.data) + CHUNK_OVERHEAD_BYTES
         self._notify()
 
     def end(self, refusal: Refusal | None) -> None:
@@ -81,6 +82,34 @@
         self._changed = asyncio.Event()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunView:
+    """Show a run without any of its text."""
+
+    key: str
+    request: str
+    target: str
+    is_local: bool
+    ended: bool
+    n_chunks: int
+    n_bytes: int
+    n_listeners: int
+
+
+def describe_run(run: Run) -> RunView:
+    """Return what a dump may show of a run."""
+    return RunView(
+        key=run.key,
+        request=run.request,
+        target=run.answer.target,
+        is_local=run.is_local,
+        ended=run.ended,
+        n_chunks=len(run.chunks),
+        n_bytes=run.n_bytes,
+        n_listeners=run.n_listeners,
+    )
+
+
 class RunTable:
     """Hold this host's runs by key, and whole answers for a while."""
 
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -10,7 +10,7 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard, Phase
-from trefoilstage.components.booking.client import ServiceClient, make_send_trace
+from trefoilstage.components.booking.client import ServiceClient, open_session
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.budget.setup import make_budget_parts
 from trefoilstage.components.callers.generation import GenerationRunner
@@ -171,6 +171,7 @@
         self._registry.register("blackboard", lambda: self.blackboard)
         self._registry.register("settings", lambda: self._settings)
         self._registry.register("budget", self._budget.list_pools)
+        self._registry.register("keys", self._keys.describe)
 
     def _make_streams(self, generator: random.Random) -> Streams:
         settings = self._settings
@@ -318,14 +319,3 @@
     def write_dump(self) -> None:
         """Write the whole state to standard error as one JSON line."""
         sys.stderr.write(json.dumps(self._registry.dump()) + "\n")
-
-
-def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    """Return an HTTP client that counts sends and keeps no cookies."""
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=aiohttp.ClientTimeout(total=None),
-        trace_configs=[make_send_trace()],
-        # A cookie set for one workspace must not go out with another's call.
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
