Wait for others' watts beside the queue, not at its head

A request that found no watts waited inside the budget for peers to give some back, while watts that ended on this host lay unused behind it. The draw now runs on its own and calls the queue when it is done.

--- a/trefoilstage/components/admission/controller.py
+++ b/trefoilstage/components/admission/controller.py
@@ -70,9 +70,11 @@
         self._unsubscribe = self._timer.subscribe(
             name="admission", interval_s=TICK_S, callback=self._tick
         )
+        self._unsubscribe_power = self._power.subscribe(self._call_all)
 
     async def on_stop(self) -> None:
         """Stop looking after the queues."""
+        self._unsubscribe_power()
         self._unsubscribe()
 
     async def admit(
@@ -177,6 +179,10 @@
             self._refuse(queue.take_hopeless(now, n_active))
             self._call_first(queue)
 
+    def _call_all(self) -> None:
+        for queue in self._queues.values():
+            self._call_first(queue)
+
     def _call_first(self, queue: WaitingQueue) -> None:
         if queue.tickets:
             self._waiters[queue.tickets[0].number].turn.set()
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -168,6 +168,20 @@
         if draw is not None:
             draw.settle_hold(reservation.number, min(tokens, reservation.tokens))
 
+    def count_usable(self, account: str) -> int:
+        """Return what this host may hold of an account without the log."""
+        pool = self._get_pool(account)
+        return pool.count_usable(self._get_ledger(pool).draws)
+
+    async def stock(self, account: str, amount: int) -> bool:
+        """Draw until an amount is usable; tell whether it is."""
+        deadline = self._timer.now() + self._admission_wait_s
+        while self.count_usable(account) < amount:
+            refusal = await self._obtain(self._get_pool(account), amount, deadline)
+            if refusal is not None:
+                return False
+        return True
+
     def give_back(self, account: str) -> None:
         """Return what no request holds of an account at once."""
         pool = self._get_pool(account)
--- a/trefoilstage/components/budget/policy.py
+++ b/trefoilstage/components/budget/policy.py
@@ -87,6 +87,9 @@
             return usable
         if self.kind is BudgetPolicy.FIXED_DRAW:
             return 0
-        soon = int(situation.demand_rate * self.horizon_s)
+        # Watts come back with each request's end, so that a stock in advance
+        # of demand only keeps them from others.
+        horizon_s = 0.0 if situation.returnable else self.horizon_s
+        soon = int(situation.demand_rate * horizon_s)
         keep = max(soon, SURPLUS_FACTOR * self.size_stock(situation))
         return max(0, usable - keep)
--- a/trefoilstage/components/power/controller.py
+++ b/trefoilstage/components/power/controller.py
@@ -1,6 +1,7 @@
 """Hold watts of a site for each request until it has ended on its target."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from mode import Service
@@ -31,6 +32,9 @@
 # A request that left this host on a closed connection may still be on its way
 # for as long as the network keeps a segment (RFC 9293, 2 minutes).
 MAX_SEGMENT_LIFETIME_S = 120.0
+POWER_EXHAUSTED = Refusal(
+    reason=Reason.POWER_EXHAUSTED, retry_after_s=RETRY_AFTER_POWER_S
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,6 +69,8 @@
         self._lost_after_s = suspect_after_s * LOST_AFTER_FACTOR
         self._first_missed: dict[str, float] = {}
         self._releasing: dict[str, asyncio.Task[None]] = {}
+        self._stocking: dict[str, asyncio.Task[None]] = {}
+        self._listeners: list[Callable[[], None]] = []
 
     async def on_start(self) -> None:
         """Start looking for lost hosts' watts."""
@@ -75,7 +81,7 @@
     async def on_stop(self) -> None:
         """Stop looking for lost hosts' watts."""
         self._unsubscribe()
-        for task in self._releasing.values():
+        for task in [*self._releasing.values(), *self._stocking.values()]:
             task.cancel()
 
     async def hold(
@@ -86,9 +92,13 @@
             return PowerHold(target=name, request=request)
         account = f"{SITE_ACCOUNT_PREFIX}{target.site}"
         if self._is_over_ceiling(account):
-            return Refusal(
-                reason=Reason.POWER_EXHAUSTED, retry_after_s=RETRY_AFTER_POWER_S
-            )
+            return POWER_EXHAUSTED
+        # Drawing may take as long as peers need to give watts back. Those that
+        # end here meanwhile must go to the next request at once, so the wait
+        # for others' watts is not this request's.
+        if self._budget.count_usable(account) < target.watts_per_request:
+            self._start_stocking(account, target.watts_per_request)
+            return POWER_EXHAUSTED
         key = make_hold_key(name, request)
         reservation = await self._budget.reserve(
             request=request,
@@ -98,19 +108,32 @@
             targets=[target.url] if target.fences_cancelled else [],
         )
         if isinstance(reservation, Refusal):
-            return explain_refusal(reservation)
+            return POWER_EXHAUSTED
         draw = self._find_draw(reservation)
         if draw is None:
             # The draw was released while the witness was asked: the hold is
             # worth nothing, and nothing has been sent.
             self._budget.settle(reservation, 0)
-            return Refusal(
-                reason=Reason.POWER_EXHAUSTED, retry_after_s=RETRY_AFTER_POWER_S
-            )
+            return POWER_EXHAUSTED
         return PowerHold(
             target=name, request=request, fencing=draw.opened, reservation=reservation
         )
 
+    def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Call a listener when watts have come in, until unsubscribed."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    def _start_stocking(self, account: str, watts: int) -> None:
+        task = self._stocking.get(account)
+        if task is None or task.done():
+            self._stocking[account] = asyncio.create_task(self._stock(account, watts))
+
+    async def _stock(self, account: str, watts: int) -> None:
+        if await self._budget.stock(account, watts):
+            for listener in self._listeners:
+                listener()
+
     def renew(self, site: str) -> None:
         """Draw anew after a target refused this host's draw as fenced.
 
@@ -250,10 +273,3 @@
         # never seen keeps its watts charged until the holder itself settles.
         answers = [await self._targets.ask(target, request) for request in requests]
         return all(answer is not None and answer.ended for answer in answers)
-
-
-def explain_refusal(refusal: Refusal) -> Refusal:
-    """Return a refused hold of watts in the words of power."""
-    if refusal.reason is not Reason.BUDGET_EXHAUSTED:
-        return refusal
-    return Refusal(reason=Reason.POWER_EXHAUSTED, retry_after_s=RETRY_AFTER_POWER_S)
