--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -16,8 +16,9 @@
 from trefoilstage.const import FOLD_VERSION
 from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
-from trefoilstage.ledger.fold import MAX_SEQUENCES, drop_oldest
+from trefoilstage.ledger.fold import MAX_SEQUENCES
 from trefoilstage.ledger.records import Checkpoint, Upgrade
+from trefoilstage.util.mappings import drop_oldest
 
 MAX_HISTORY = 200
 MAX_FINDINGS = 20
