--- /dev/null
+++ b/bench/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small bounded measurements beside the scenarios."""
--- /dev/null
+++ b/bench/trials/power_divider.py
@@ -0,0 +1,90 @@
+"""Compare hosts that share a site's watts with one host that has them all.
+
+Run with `python -m bench.trials.power_divider`. The load is above what the
+ceiling allows, so that the tokens served show how much of the watts was used.
+"""
+
+import asyncio
+import time
+
+from tests.common import CallerAnswer, Fleet
+
+N_ENGINES = 6
+N_SLOTS = 48
+IDLE_WATTS = 100
+WATTS = 30
+CEILING = N_ENGINES * IDLE_WATTS + N_SLOTS * WATTS
+REQUESTS_PER_S = 100
+WARM_UP_S = 3.0
+MEASURED_S = 10.0
+MAX_TOKENS = 40
+ENGINE_OPTIONS = (
+    "--tokens-per-s",
+    "60",
+    "--idle-watts",
+    str(IDLE_WATTS),
+    "--watts-per-request",
+    str(WATTS),
+)
+
+
+def make_ceiling() -> str:
+    """Return a configuration file with room for the slots."""
+    lines = [f"[sites.brest]\nceiling_watts = {CEILING}"]
+    lines += [
+        f"[targets.engine-{number}]\nwatts_per_request = {WATTS}"
+        for number in range(N_ENGINES)
+    ]
+    return "\n".join(lines) + "\n"
+
+
+async def measure(n_hosts: int) -> None:
+    """Print the tokens served and the share of the slots in use."""
+    async with Fleet(
+        n_hosts=n_hosts,
+        n_engines=N_ENGINES,
+        engine_options=ENGINE_OPTIONS,
+        tokens=50_000_000,
+    ) as fleet:
+        await fleet.publish("20-power.toml", make_ceiling())
+        tasks: list[asyncio.Task[CallerAnswer]] = []
+        started = time.monotonic()
+        marks: list[int] = []
+        while time.monotonic() < started + WARM_UP_S + MEASURED_S:
+            host = fleet.hosts[len(tasks) % n_hosts]
+            tasks.append(asyncio.create_task(fleet.chat(host, max_tokens=MAX_TOKENS)))
+            if not marks and time.monotonic() >= started + WARM_UP_S:
+                marks.append(await fleet.count_executed())
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        tokens = await fleet.count_executed() - marks[0]
+        ended = time.monotonic()
+        answers = await asyncio.gather(*tasks)
+        power = await fleet.list_power()
+        used = measure_share(power, started + WARM_UP_S, ended)
+        refused = sum(answer.status != 200 for answer in answers)
+        highest = max(watts for _, watts in power)
+        print(
+            f"hosts={n_hosts} tokens_per_s={tokens / MEASURED_S:.0f} "
+            f"slots_used={used:.3f} refused={refused}/{len(answers)} "
+            f"highest_watts={highest} ceiling={CEILING}"
+        )
+
+
+def measure_share(power: list[tuple[float, int]], begin: float, end: float) -> float:
+    """Return the mean share of the slots in use over a time."""
+    area = 0.0
+    for (at, watts), (until, _) in zip(power, power[1:], strict=False):
+        span = min(until, end) - max(at, begin)
+        if span > 0:
+            area += span * (watts - N_ENGINES * IDLE_WATTS)
+    return area / (end - begin) / (N_SLOTS * WATTS)
+
+
+async def main() -> None:
+    """Measure one host, then eight, twice each."""
+    for n_hosts in (1, 8, 1, 8):
+        await measure(n_hosts)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
