--- a/standins/engine.py
+++ b/standins/engine.py
@@ -203,6 +203,10 @@
         limit = int(body.get("max_tokens", 16))
         self._by_id[done.request] = done
         self.meter.start(done)
+        if self.control.fail_after_prompt:
+            done.state = "failed"
+            self.meter.end(done)
+            return web.Response(status=STATUS_FAILED)
         events: asyncio.Queue[bytes | None] = asyncio.Queue()
         task = asyncio.create_task(self._execute(done, blocks, limit, events))
         self._tasks.add(task)
--- a/tests/common.py
+++ b/tests/common.py
@@ -4,13 +4,23 @@
 import hashlib
 import itertools
 import json
+import re
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Self
 
+from pydantic import TypeAdapter
+
 from standins.launcher import Launcher, LaunchError, Running, wait_for
 from standins.proxy import FaultProxy
+from trefoilstage.components.log_client.checkpoints import (
+    PackedState,
+    compress_state,
+    dump_state,
+)
 from trefoilstage.util.hashing import hash_request_key, rank_by_rendezvous
 
+ROOT = Path(__file__).parent.parent
 SECRET = "brest-school-key"
 OTHER_SECRET = "quimper-crew-key"
 
@@ -65,6 +75,7 @@
     hosts: list[Running] = field(default_factory=list)
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
     data_centers: tuple[str, ...] = ("brest",)
+    more_config: str = ""
 
     async def __aenter__(self) -> Self:
         await self.launcher.__aenter__()
@@ -102,7 +113,8 @@
                 [self.proxies[engine.name].url for engine in self.engines],
                 [self.proxies["service"].url],
                 tokens=self.tokens,
-            ),
+            )
+            + self.more_config,
         )
         await wait_for(self.is_ready, "the fleet to be ready")
 
@@ -168,11 +180,13 @@
         budgets = await self.launcher.get_json(f"{host.operator_url}/budgets")
         return next(item for item in budgets if item["name"] == name)
 
-    async def list_executed(self) -> list[dict[str, Any]]:
-        """Return the requests that the engines' own meters show."""
+    async def list_executed(
+        self, engine: Running | None = None
+    ) -> list[dict[str, Any]]:
+        """Return the requests that an engine's own meter shows, or all engines'."""
         meters = [
-            await self.launcher.get_json(f"{engine.url}/meter")
-            for engine in self.engines
+            await self.launcher.get_json(f"{item.url}/meter")
+            for item in ([engine] if engine else self.engines)
         ]
         return [request for meter in meters for request in meter["requests"]]
 
@@ -326,6 +340,12 @@
     return f"127.0.1.{int(name.rsplit('-', 1)[1]) + 1}"
 
 
+def pack_state(adapter: TypeAdapter[Any], state: Any) -> PackedState:
+    """Return a state's checkpoint form, as a host writes it."""
+    dumped = dump_state(adapter, state, state.next_offset)
+    return asyncio.run(compress_state(dumped))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerAnswer:
     """Hold what a caller got."""
@@ -373,3 +393,11 @@
     def is_whole_stream(self) -> bool:
         """Tell whether an event stream came to its explicit end."""
         return self.body.endswith(b"data: [DONE]\n\n")
+
+
+def read_table(page: str, heading: str) -> list[str]:
+    """Return the first column of the table under a heading of a document."""
+    text = (ROOT / "docs" / page).read_text()
+    section = text.split(f"\n## {heading}\n")[1].split("\n## ")[0]
+    cells = re.findall(r"(?m)^\| (`[^|]+`) \|", section)
+    return [word for cell in cells for word in re.findall(r"`([^`]+)`", cell)]
--- a/tests/promises/test_answer.py
+++ b/tests/promises/test_answer.py
@@ -1,6 +1,7 @@
 """Show that an answer is whole and the caller's own, or fails openly."""
 
 import asyncio
+import json
 import unittest
 
 import aiohttp
@@ -31,6 +32,9 @@
                     self.assertIn("retry_after_s", streamed.stream_error)
                     whole = await fleet.chat(fleet.hosts[0])
                     self.assertEqual(whole.error, ("target_failed", "unknown"))
+                # A good answer in between keeps the engine from being ejected.
+                await fleet.control(fleet.engines[0])
+                self.assertEqual((await fleet.chat(fleet.hosts[0])).status, 200)
             await fleet.wait_for_spend(await fleet.count_executed())
 
     async def test_retry_joins_the_running_answer(self) -> None:
@@ -61,6 +65,9 @@
             self.assertEqual(digests, {executed[0]["text_digest"]})
             self.assertNotIn("Idempotent-Replayed", (await first).headers)
             self.assertEqual(late.headers["Idempotent-Replayed"], "true")
+            dump = await fleet.launcher.get_json(f"{fleet.hosts[0].operator_url}/state")
+            self.assertEqual([run["ended"] for run in dump["keys"]["runs"]], [True])
+            self.assertNotIn(late.text, json.dumps(dump))
             await fleet.wait_for_spend(await fleet.count_executed())
 
     async def test_host_killed_mid_stream(self) -> None:
--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -4,11 +4,11 @@
 import signal
 import time
 import unittest
-from typing import Any
 
 from standins.launcher import Running, wait_for
 from tests.common import CallerAnswer, Fleet, get_address, make_config
 
+ACCOUNT = "budget:brest"
 REFUSED = 402
 OK = 200
 FAST = {"recovery_grace_s": 0.6, "suspect_after_s": 0.8}
@@ -39,6 +39,10 @@
             )
             frozen.signal(signal.SIGSTOP)
             queued = asyncio.create_task(fleet.chat(frozen, max_tokens=200))
+            await wait_for(
+                lambda: is_given_up(fleet, fleet.hosts[1:], frozen),
+                "the frozen host's draw to be sealed",
+            )
             await self.spend_rest(fleet, fleet.hosts[1:])
             frozen.signal(signal.SIGCONT)
             fleet.proxies["engine-0"].heal(address)
@@ -159,6 +163,23 @@
             await self.spend_rest(fleet, fleet.hosts)
             self.assertLessEqual(await fleet.count_executed(), 4_000)
 
+    async def test_frozen_witness_refuses_nobody(self) -> None:
+        """The witness of a host's draw stops without a word.
+
+        The host gives it up before a caller's patience ends, draws again with
+        another witness and answers; the old draw's rest comes back.
+        """
+        async with Fleet(tokens=5_000) as fleet:
+            await fleet.chat(fleet.hosts[0])
+            name = await find_witness(fleet, fleet.hosts[0])
+            witness = next(host for host in fleet.hosts if host.name == name)
+            witness.signal(signal.SIGSTOP)
+            answer = await fleet.chat(fleet.hosts[0])
+            witness.signal(signal.SIGCONT)
+            self.assertEqual(answer.status, OK, answer.body)
+            await wait_for(lambda: is_all_returned(fleet), "unheld tokens to return")
+            await self.check_settled(fleet, paid=5_000)
+
     async def spend_rest(self, fleet: Fleet, hosts: list[Running]) -> None:
         """Send requests until each host has refused for want of budget."""
         refused: set[str] = set()
@@ -201,23 +222,27 @@
     await asyncio.gather(*(fleet.chat(host) for host in hosts for _ in range(n_each)))
 
 
-async def get_pool(fleet: Fleet, host: Running) -> Any:
-    """Return a host's own view of its draws on the test budget."""
-    state = await fleet.launcher.get_json(f"{host.operator_url}/state")
-    pools = [pool for pool in state["budget"] if pool["account"] == "budget:brest"]
-    return pools[0] if pools else None
-
-
 async def is_holding(fleet: Fleet, host: Running) -> bool:
     """Tell whether a host's witness has confirmed a hold."""
-    pool = await get_pool(fleet, host)
+    pool = await fleet.get_pool(host, ACCOUNT)
     draw = pool["current"] if pool else None
     return bool(draw and draw["holds"] and not draw["unconfirmed"])
 
 
+async def is_given_up(fleet: Fleet, hosts: list[Running], lost: Running) -> bool:
+    """Tell whether hosts know no open draw of a lost one."""
+    for host in hosts:
+        state = await fleet.launcher.get_json(f"{host.operator_url}/state")
+        for ledger in state["blackboard"]["ledgers"].values():
+            for draw in ledger["draws"].values():
+                if draw["status"] == "open" and draw["holder"].startswith(lost.name):
+                    return False
+    return True
+
+
 async def find_witness(fleet: Fleet, host: Running) -> str:
     """Return the name of the host that vouches for another's draw."""
-    pool = await get_pool(fleet, host)
+    pool = await fleet.get_pool(host, ACCOUNT)
     incarnation = pool["current"]["witness"]
     return str(incarnation.rsplit("-", 1)[0])
 
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -12,6 +12,7 @@
 from trefoilstage.components.callers.authentication import CallerIdentifier
 from trefoilstage.components.callers.chat import ChatHandler
 from trefoilstage.components.callers.errors import answer_errors
+from trefoilstage.components.callers.gate import RequestGate
 from trefoilstage.components.callers.models import Caller
 from trefoilstage.components.callers.reporter import RequestReporter, Visit
 from trefoilstage.components.keys.controller import KeyController
@@ -42,6 +43,7 @@
         self._chats = ChatHandler(keys=keys, reporter=self._reporter)
         self._bookings = bookings
         self._identifier = CallerIdentifier()
+        self._gate = RequestGate(blackboard=blackboard)
         self._address = address
         self.port = port
         self._runner: web.AppRunner | None = None
@@ -49,7 +51,8 @@
     async def on_start(self) -> None:
         """Listen."""
         app = web.Application(
-            client_max_size=MAX_REQUEST_BODY_BYTES, middlewares=[answer_errors]
+            client_max_size=MAX_REQUEST_BODY_BYTES,
+            middlewares=[self._gate.handle, answer_errors],
         )
         app.router.add_post("/v1/chat/completions", self._answer_chat)
         app.router.add_get("/v1/models", self._answer_models)
@@ -73,7 +76,7 @@
     async def drain(self, timeout_s: float) -> bool:
         """Wait for the requests in flight; tell whether all of them ended."""
         deadline = time.monotonic() + timeout_s
-        while self._blackboard.n_active or self._blackboard.closing:
+        while self._gate.n_open or self._blackboard.closing:
             if time.monotonic() >= deadline:
                 return False
             await asyncio.sleep(DRAIN_POLL_S)
--- a/trefoilstage/components/log_client/folds.py
+++ b/trefoilstage/components/log_client/folds.py
@@ -7,8 +7,9 @@
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.checkpoints import (
+    DumpedState,
     PackedState,
-    pack_state,
+    dump_state,
     unpack_state,
 )
 from trefoilstage.configuration.fold import (
@@ -36,6 +37,7 @@
 )
 from trefoilstage.ledger.state import LedgerState
 
+WARM_UP_FILES = 2
 LEDGER_STATE_ADAPTER = TypeAdapter(LedgerState)
 CONFIG_STATE_ADAPTER = TypeAdapter(ConfigState)
 
@@ -87,9 +89,9 @@
         self._blackboard.ledgers[self._number] = state
         return True
 
-    def pack(self) -> PackedState:
-        """Return the present state's checkpoint form."""
-        return pack_state(LEDGER_STATE_ADAPTER, self.state, self.next_offset)
+    def dump(self) -> DumpedState:
+        """Return the present state's bytes."""
+        return dump_state(LEDGER_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
@@ -134,6 +136,11 @@
         check_upgrade(envelope.record, self.state.fold_version)
         return fold_config_envelope(self.state, offset, envelope, self._merger)
 
+    def warm_up(self) -> None:
+        """Prepare a few files so that the next change does not stall the loop."""
+        files = {name: item.content for name, item in self.state.files.items()}
+        self._merger.warm_up(files, WARM_UP_FILES)
+
     def skip(self, offset: int) -> None:
         """Pass over an offset whose bytes are no record."""
         self.state.next_offset = max(self.state.next_offset, offset + 1)
@@ -145,9 +152,9 @@
         self._blackboard.config = unpack_state(CONFIG_STATE_ADAPTER, packed)
         return True
 
-    def pack(self) -> PackedState:
-        """Return the present state's checkpoint form."""
-        return pack_state(CONFIG_STATE_ADAPTER, self.state, self.next_offset)
+    def dump(self) -> DumpedState:
+        """Return the present state's bytes."""
+        return dump_state(CONFIG_STATE_ADAPTER, self.state, self.next_offset)
 
     def get_last_sequence(self, incarnation: str) -> int:
         """Return the last sequence folded from an incarnation, or -1."""
--- a/trefoilstage/components/log_client/streams.py
+++ b/trefoilstage/components/log_client/streams.py
@@ -9,13 +9,14 @@
 from trefoilstage.components.log_client.checkpoints import (
     CheckpointSchedule,
     PackedState,
+    compress_state,
 )
 from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
 from trefoilstage.components.log_client.interfaces import RecordSource, StreamFold
 from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.configuration.records import ConfigRecord
 from trefoilstage.const import CONFIG_STREAM, LEDGER_STREAM_PREFIX
-from trefoilstage.exceptions import NotReadyError
+from trefoilstage.exceptions import StreamNotFollowedError
 from trefoilstage.ledger.records import LedgerRecord
 from trefoilstage.util.hashing import pick_stream, rank_by_rendezvous
 
@@ -42,7 +43,8 @@
         self._checkpoint_every = checkpoint_every
         self._checkpoint_interval_s = checkpoint_interval_s
         self._generator = generator
-        self.config = self._make(CONFIG_STREAM, ConfigFold(blackboard=blackboard))
+        self._config_fold = ConfigFold(blackboard=blackboard)
+        self.config = self._make(CONFIG_STREAM, self._config_fold)
         self.ledgers: dict[int, StreamService] = {}
         self._ledger_listeners: list[LedgerStarted] = []
 
@@ -65,14 +67,17 @@
 
     def rank_writer(self, key: str) -> int:
         """Return this host's place among the live ones for a task of the key."""
-        names = [entry.host for entry in self._blackboard.list_live_peers()]
-        ranked = rank_by_rendezvous(key, [*names, self._blackboard.host])
+        ranked = rank_by_rendezvous(key, self._blackboard.list_presumed_hosts())
         return ranked.index(self._blackboard.host)
 
     async def on_start(self) -> None:
         """Follow the configuration."""
         await self.add_runtime_dependency(self.config)
 
+    def warm_up(self) -> None:
+        """Prepare the configuration's fold for the next change."""
+        self._config_fold.warm_up()
+
     async def start_ledgers(self) -> None:
         """Follow each ledger stream of the configuration in force."""
         for number in range(self._blackboard.configuration.fleet.ledger_streams):
@@ -95,21 +100,21 @@
         return pick_stream(account, n_streams)
 
     def submit_ledger(self, number: int, record: LedgerRecord) -> Ticket:
-        """Queue a record, or raise NotReadyError before the stream is followed."""
+        """Queue a record; raise StreamNotFollowedError before it is followed."""
         stream = self.ledgers.get(number)
         if stream is None:
-            raise NotReadyError(f"ledger stream {number} is not followed yet")
+            raise StreamNotFollowedError(f"ledger stream {number} is not followed yet")
         return stream.submit(record)
 
     def submit_config(self, record: ConfigRecord) -> Ticket:
         """Queue a record for the configuration stream."""
         return self.config.submit(record)
 
-    def pack(self, name: str) -> PackedState | None:
+    async def pack(self, name: str) -> PackedState | None:
         """Return a followed stream's state, or None before it is whole."""
         for stream in [self.config, *self.ledgers.values()]:
             if stream.name == name and stream.status.caught_up:
-                return stream.fold.pack()
+                return await compress_state(stream.fold.dump())
         return None
 
     def is_halted(self) -> bool:
@@ -119,6 +124,10 @@
 
     def is_caught_up(self) -> bool:
         """Tell whether every stream has been read to its end."""
+        # The configuration names the ledgers, which are followed a moment later.
+        # A host that served before then would know no account and refuse all.
+        if self._blackboard.config.revision >= 0 and not self._blackboard.has_ledgers():
+            return False
         streams = [self.config, *self.ledgers.values()]
         return all(stream.status.caught_up for stream in streams)
 
