Name request and workspace in each line, quote no error, count once

Cause: lines on unexpected errors quoted their text and the caller's path, either of which may hold a key or a body; one line named a request without its workspace; requests were counted by the reporter and again as events; nothing told how many requests wait. Change: errors are told by type and place; the reservation knows its workspace; the reporter's own metrics are gone; a gauge for waiting requests. Ruled out: cutting the text short, which keeps its first part.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,5 +1,6 @@
 """Call the operators' interface as tools and mistaken tools would."""
 
+import ast
 import asyncio
 import json
 import re
@@ -9,7 +10,7 @@
 from typing import Any
 
 from standins.launcher import wait_for
-from tests.common import OTHER_SECRET, SECRET, Fleet, read_table
+from tests.common import OTHER_SECRET, ROOT, SECRET, Fleet, read_table
 
 ONE_HOST: dict[str, Any] = {"n_hosts": 1}
 
@@ -118,5 +119,21 @@
         self.assertEqual(sampled - set(read_table("OPERATING.md", "Metrics")), set())
 
 
-if __name__ == "__main__":
-    unittest.main()
+class LinesTest(unittest.TestCase):
+    """Read every place in the program that writes a line."""
+
+    def test_lines_of_requests_are_whole_and_quote_no_error(self) -> None:
+        calls = [
+            (path, call)
+            for path in (ROOT / "trefoilstage").rglob("*.py")
+            for call in ast.walk(ast.parse(path.read_text()))
+            if isinstance(call, ast.Call) and ast.unparse(call.func) == "log_event"
+        ]
+        self.assertGreater(len(calls), 20)
+        for path, call in calls:
+            names = {keyword.arg for keyword in call.keywords}
+            with self.subTest(f"{path.name}:{call.lineno}"):
+                if "request" in names:
+                    self.assertIn("workspace", names)
+                # The text of an unexpected error may quote a key or a body.
+                self.assertNotIn("repr(", ast.unparse(call))
--- a/trefoilstage/components/admission/controller.py
+++ b/trefoilstage/components/admission/controller.py
@@ -98,6 +98,10 @@
             queue.capacity.note_duration(now - place.started)
         self._call_first(queue)
 
+    def count_waiting(self) -> int:
+        """Return how many requests wait for a place."""
+        return sum(len(queue.tickets) for queue in self._queues.values())
+
     def _get_queue(self, model: str) -> WaitingQueue:
         return self._queues.setdefault(model, WaitingQueue(limit=self._queue_limit))
 
--- a/trefoilstage/components/booking/controller.py
+++ b/trefoilstage/components/booking/controller.py
@@ -257,6 +257,7 @@
             key=job.caller.key,
             account=f"{BUDGET_ACCOUNT_PREFIX}{job.caller.budget}",
             tokens=job.operation.cost_tokens,
+            workspace=job.caller.workspace,
         )
 
     def _settle(
--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -39,6 +39,7 @@
     draw: str
     number: int
     tokens: int
+    workspace: str = ""
     targets: tuple[str, ...] = ()
 
     def allows(self, url: str) -> bool:
@@ -100,6 +101,7 @@
         key: str,
         account: str,
         tokens: int,
+        workspace: str = "",
         targets: Sequence[str] = (),
     ) -> Reservation | Refusal:
         """Hold the most a request may spend, or say why that can't be.
@@ -130,6 +132,7 @@
                     draw=draw.draw,
                     number=hold.number,
                     tokens=tokens,
+                    workspace=workspace,
                     targets=tuple(targets),
                 )
             if self._timer.now() >= deadline:
@@ -144,6 +147,7 @@
             log_event(
                 Event.USAGE_ABOVE_RESERVATION,
                 request=reservation.request,
+                workspace=reservation.workspace,
                 used=tokens,
                 reserved=reservation.tokens,
             )
--- a/trefoilstage/components/callers/errors.py
+++ b/trefoilstage/components/callers/errors.py
@@ -6,7 +6,8 @@
 from aiohttp.typedefs import Handler
 
 from trefoilstage.components.callers.refusals import make_refusal
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
+from trefoilstage.helpers.http import get_pattern
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 STREAMING = "streaming"
@@ -33,7 +34,11 @@
     except (asyncio.CancelledError, ConnectionError):
         raise
     except Exception as error:
-        log_event(Event.REQUEST_FAILED, path=request.path, error=repr(error))
+        log_event(
+            Event.REQUEST_FAILED,
+            path=get_pattern(request),
+            error=describe_error(error),
+        )
         if request.get(STREAMING) and request.transport is not None:
             # The head is out, so no status can tell of the failure. Without a
             # hard end the library would close the stream as if it were whole.
--- a/trefoilstage/components/callers/generation.py
+++ b/trefoilstage/components/callers/generation.py
@@ -100,6 +100,7 @@
                 key=caller.key,
                 account=f"{BUDGET_ACCOUNT_PREFIX}{caller.budget}",
                 tokens=tokens,
+                workspace=caller.workspace,
                 targets=self._list_fencing_urls(model),
             )
         )
--- a/trefoilstage/components/callers/reporter.py
+++ b/trefoilstage/components/callers/reporter.py
@@ -1,4 +1,4 @@
-"""Report how each request ended, in log and metrics."""
+"""Report how each request ended."""
 
 import time
 from dataclasses import dataclass, field
@@ -8,7 +8,6 @@
 from trefoilstage.components.callers.models import Caller
 from trefoilstage.components.callers.refusals import make_refusal
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.helpers.verdict import Refusal
 
 
@@ -31,10 +30,7 @@
 
 
 class RequestReporter:
-    """Count, time and log requests."""
-
-    def __init__(self, *, metrics: Metrics) -> None:
-        self._metrics = metrics
+    """Log how requests end; the metrics count the events."""
 
     def refuse(self, refusal: Refusal, visit: Visit) -> web.Response:
         """Report a refusal and return its HTTP answer."""
@@ -43,7 +39,6 @@
 
     def note_refused(self, refusal: Refusal, visit: Visit) -> None:
         """Report a refusal."""
-        self._metrics.count(f"refused.{refusal.reason.value}")
         log_event(
             Event.REQUEST_REFUSED,
             request=visit.request,
@@ -55,13 +50,10 @@
 
     def note_done(self, visit: Visit, **fields: object) -> None:
         """Report a whole answer."""
-        duration_s = time.monotonic() - visit.started
-        self._metrics.count("done")
-        self._metrics.time("duration", duration_s)
         log_event(
             Event.REQUEST_DONE,
             request=visit.request,
             workspace=visit.workspace,
-            duration_s=duration_s,
+            duration_s=time.monotonic() - visit.started,
             **fields,
         )
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -17,7 +17,6 @@
 from trefoilstage.components.callers.reporter import RequestReporter, Visit
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
-from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.helpers.verdict import Reason, Refusal
 
 SHUTDOWN_RETRY_S = 1.0
@@ -33,13 +32,12 @@
         blackboard: Blackboard,
         keys: KeyController,
         bookings: BookingController,
-        metrics: Metrics,
         address: str,
         port: int,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
-        self._reporter = RequestReporter(metrics=metrics)
+        self._reporter = RequestReporter()
         self._chats = ChatHandler(keys=keys, reporter=self._reporter)
         self._bookings = bookings
         self._identifier = CallerIdentifier()
--- a/trefoilstage/components/keys/controller.py
+++ b/trefoilstage/components/keys/controller.py
@@ -20,7 +20,7 @@
 from trefoilstage.components.peers.messages import PeerMessage
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import hash_call, rank_by_rendezvous
@@ -106,7 +106,7 @@
                 Event.REQUEST_FAILED,
                 request=caller.request,
                 workspace=caller.workspace,
-                error=repr(error),
+                error=describe_error(error),
             )
         finally:
             run.ended_at = self._timer.now()
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -27,7 +27,7 @@
     RecordsExpiredError,
     UnsupportedVersionError,
 )
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
 from trefoilstage.ledger.records import Checkpoint
 from trefoilstage.util.backoff import Backoff
@@ -257,7 +257,7 @@
                 Event.RECORD_FAILED,
                 stream=self.name,
                 offset=offset,
-                error=repr(error)[:200],
+                error=describe_error(error),
             )
             self.fold.skip(offset)
             return Rejected(reason=Reason.INVALID, detail="the fold failed")
--- a/trefoilstage/components/operators/metrics.py
+++ b/trefoilstage/components/operators/metrics.py
@@ -1,5 +1,7 @@
 """Sample what is worth watching and send it."""
 
+from collections.abc import Callable, Mapping
+
 import eliot
 from mode import Service
 
@@ -22,12 +24,14 @@
         streams: Streams,
         timer: TimerService,
         metrics: Metrics,
+        gauges: Mapping[str, Callable[[], float]],
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
         self._streams = streams
         self._timer = timer
         self._metrics = metrics
+        self._gauges = gauges
         self._meter = EventMeter(metrics=metrics)
         self._n_appends = 0
         self._due = 0.0
@@ -54,6 +58,8 @@
         self._sample_requests()
         self._sample_log()
         self._sample_budgets()
+        for name, read in self._gauges.items():
+            self._metrics.gauge(name, read())
         self._metrics.flush()
 
     def _sample_requests(self) -> None:
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -16,7 +16,7 @@
 )
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.exceptions import MalformedMessageError, NotReadyError
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 
 Handler = Callable[[Any], Awaitable[PeerMessage]]
 
@@ -88,7 +88,9 @@
         # Without an answer the peer would wait for its whole timeout.
         except Exception as error:
             log_event(
-                Event.PEER_CALL_FAILED, kind=frame.body.kind, error=repr(error)[:200]
+                Event.PEER_CALL_FAILED,
+                kind=frame.body.kind,
+                error=describe_error(error),
             )
             body = ErrorReply(detail="the call failed")
         reply = Frame(number=frame.number, reply=True, body=body)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -85,6 +85,12 @@
     return f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
 
 
+def describe_error(error: BaseException) -> str:
+    """Return an error's type and place; its message may quote a key or a body."""
+    place = find_place(error)
+    return f"{type(error).__name__}@{place}" if place else type(error).__name__
+
+
 class EventWriter:
     """Write events to a stream as they come."""
 
--- a/trefoilstage/helpers/http.py
+++ b/trefoilstage/helpers/http.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
-from trefoilstage.helpers.events import Event, find_place, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Reason
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -40,8 +40,7 @@
                 Event.HANDLER_FAILED,
                 method=request.method,
                 path=get_pattern(request),
-                error=type(error).__name__,
-                place=find_place(error),
+                error=describe_error(error),
             )
             return make_error(Reason.INTERNAL, HTTP_INTERNAL)
 
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -33,7 +33,7 @@
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.exceptions import HostCrashedError
 from trefoilstage.helpers.dump import StateRegistry, dump_part
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.settings import HostSettings
 from trefoilstage.timer import TimerService
@@ -124,7 +124,6 @@
                 ),
                 admission_wait_s=settings.admission_wait_s,
             ),
-            metrics=metrics,
             address=settings.address,
             port=settings.caller_port,
         )
@@ -158,6 +157,7 @@
                 streams=self._streams,
                 timer=self._timer,
                 metrics=metrics,
+                gauges={"requests.waiting": target_parts.admission.count_waiting},
             ),
         ]
         self._register_state(parts)
@@ -258,7 +258,7 @@
             log_event(
                 Event.HOST_CRASHED,
                 host=self._settings.host,
-                error=repr(self.crash_reason),
+                error=describe_error(self.crash_reason),
             )
             raise HostCrashedError(repr(self.crash_reason))
         await self.drain()
--- a/trefoilstage/timer.py
+++ b/trefoilstage/timer.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 
 Callback = Callable[[], Awaitable[None]]
 Unsubscribe = Callable[[], None]
@@ -39,7 +39,7 @@
             except Exception as error:
                 # One failed tick must not end the subscription: a controller
                 # that stops silently keeps tokens that nobody gives back.
-                log_event(Event.TIMER_FAILED, name=name, error=repr(error))
+                log_event(Event.TIMER_FAILED, name=name, error=describe_error(error))
 
     async def on_stop(self) -> None:
         """Cancel what is still subscribed."""
