--- a/standins/demo_fleet.py
+++ b/standins/demo_fleet.py
@@ -130,9 +130,7 @@
         lines += [f'[services.booking]\nurls = ["{self.service.url}"]']
         for number, name in enumerate(list_targets()):
             url = self.engines[number % len(self.engines)].url
-            # The stand-in refuses a request that was cancelled before it came,
-            # so its word ends the doubt about what a lost host spent.
-            lines.append(f'[targets.{name}]\nurl = "{url}"\nfences_cancelled = true')
+            lines.append(f'[targets.{name}]\nurl = "{url}"')
         return "\n".join(lines) + "\n"
 
     async def _is_ready(self, revision: int) -> bool:
--- a/trefoilstage/cli/publish.py
+++ b/trefoilstage/cli/publish.py
@@ -186,17 +186,16 @@
     def __call__(self) -> None:
         """Publish the files one by one in the order of their names."""
         files = read_files(self.paths)
-        client = make_client(self.host)
-        publisher = Publisher(
-            client=client,
-            operation=pick_operation(self.operation),
+        publisher = open_publisher(
+            host=self.host,
+            operation=self.operation,
             base=self.base,
             replace=self.replace,
             as_json=self.json,
         )
         revision = max(publisher.publish(name, text) for name, text in files.items())
         if self.wait_all:
-            wait_for_all(client, revision)
+            wait_for_all(publisher.client, revision)
 
 
 @cappa.command(name="remove", epilog=REMOVE_EXAMPLES)
@@ -213,17 +212,29 @@
 
     def __call__(self) -> None:
         """Remove the file."""
-        client = make_client(self.host)
-        publisher = Publisher(
-            client=client,
-            operation=pick_operation(self.operation),
+        publisher = open_publisher(
+            host=self.host,
+            operation=self.operation,
             base=self.base,
             replace=self.base is None,
             as_json=self.json,
         )
         revision = publisher.remove(self.name)
         if self.wait_all:
-            wait_for_all(client, revision)
+            wait_for_all(publisher.client, revision)
+
+
+def open_publisher(
+    *, host: str, operation: str | None, base: int | None, replace: bool, as_json: bool
+) -> Publisher:
+    """Return a publisher for one command's options."""
+    return Publisher(
+        client=make_client(host),
+        operation=pick_operation(operation),
+        base=base,
+        replace=replace,
+        as_json=as_json,
+    )
 
 
 def wait_for_all(client: OperatorClient, revision: int) -> None:
--- a/trefoilstage/cli/target.py
+++ b/trefoilstage/cli/target.py
@@ -13,10 +13,9 @@
     WaitAllOption,
     fail,
     make_client,
-    pick_operation,
 )
 from trefoilstage.cli.output import ExitCode, print_rows
-from trefoilstage.cli.publish import Publisher, wait_for_all
+from trefoilstage.cli.publish import Publisher, open_publisher, wait_for_all
 from trefoilstage.components.operators.models import TargetAnswer
 
 TARGETS = TypeAdapter(list[TargetAnswer])
@@ -50,10 +49,9 @@
         print_rows(targets, COLUMNS, as_json=self.json)
 
 
-@cappa.command(name="leave", epilog=LEAVE_EXAMPLES)
 @dataclass(kw_only=True)
-class TargetLeaveCommand:
-    """Give a target no new work, by publishing one small file."""
+class TargetChange:
+    """Hold the options of the verbs that change a target's state."""
 
     name: Annotated[str, cappa.Arg(help="the target's name")]
     host: HostOption
@@ -61,47 +59,50 @@
     wait_all: WaitAllOption = False
     operation: OperationOption = None
 
+    @property
+    def file(self) -> str:
+        """Return the name of the file that lets the target leave."""
+        return f"90-leave-{self.name}.toml"
+
+    def open_publisher(self) -> Publisher:
+        """Return a publisher that replaces what a file holds."""
+        return open_publisher(
+            host=self.host,
+            operation=self.operation,
+            base=None,
+            replace=True,
+            as_json=self.json,
+        )
+
+
+@cappa.command(name="leave", epilog=LEAVE_EXAMPLES)
+@dataclass(kw_only=True)
+class TargetLeaveCommand(TargetChange):
+    """Give a target no new work, by publishing one small file."""
+
     def __call__(self) -> None:
         """Publish the file."""
-        client = make_client(self.host)
-        known = {target.name for target in client.get("/targets", TARGETS)}
+        publisher = self.open_publisher()
+        known = {target.name for target in publisher.client.get("/targets", TARGETS)}
         if self.name not in known:
             fail(ExitCode.REJECTED, f"no target {self.name}")
-        publisher = Publisher(
-            client=client,
-            operation=pick_operation(self.operation),
-            replace=True,
-            as_json=self.json,
-        )
         content = f'[targets.{self.name}]\nstate = "leaving"\n'
-        revision = publisher.publish(name_file(self.name), content)
+        revision = publisher.publish(self.file, content)
         if self.wait_all:
-            wait_for_all(client, revision)
+            wait_for_all(publisher.client, revision)
 
 
 @cappa.command(name="return", epilog=RETURN_EXAMPLES)
 @dataclass(kw_only=True)
-class TargetReturnCommand:
+class TargetReturnCommand(TargetChange):
     """Give a target work again, by removing the file that `leave` published."""
 
-    name: Annotated[str, cappa.Arg(help="the target's name")]
-    host: HostOption
-    json: JsonOption = False
-    wait_all: WaitAllOption = False
-    operation: OperationOption = None
-
     def __call__(self) -> None:
         """Remove the file."""
-        client = make_client(self.host)
-        publisher = Publisher(
-            client=client,
-            operation=pick_operation(self.operation),
-            replace=True,
-            as_json=self.json,
-        )
-        revision = publisher.remove(name_file(self.name))
+        publisher = self.open_publisher()
+        revision = publisher.remove(self.file)
         if self.wait_all:
-            wait_for_all(client, revision)
+            wait_for_all(publisher.client, revision)
 
 
 @cappa.command(name="target")
@@ -112,8 +113,3 @@
     command: cappa.Subcommands[
         TargetListCommand | TargetLeaveCommand | TargetReturnCommand
     ]
-
-
-def name_file(target: str) -> str:
-    """Return the name of the file that lets a target leave."""
-    return f"90-leave-{target}.toml"
