--- a/trefoilstage/components/keys/controller.py
+++ b/trefoilstage/components/keys/controller.py
@@ -21,7 +21,7 @@
 from trefoilstage.components.peers.messages import PeerMessage
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import hash_call, rank_by_rendezvous
@@ -46,7 +46,7 @@
     runs: list[RunView]
 
 
-class KeyController(Service):  # type: ignore[misc]
+class KeyController(Service):
     """Own this host's runs, and the claims of the keys at home here."""
 
     def __init__(
@@ -120,7 +120,7 @@
                 Event.REQUEST_FAILED,
                 request=caller.request,
                 workspace=caller.workspace,
-                error=repr(error),
+                error=describe_error(error),
             )
         finally:
             run.ended_at = self._timer.now()
