--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -27,7 +27,7 @@
     RecordsExpiredError,
     UnsupportedVersionError,
 )
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
 from trefoilstage.ledger.records import Checkpoint
 from trefoilstage.util.backoff import Backoff
@@ -40,7 +40,7 @@
 RankWriter = Callable[[str], int]
 
 
-class StreamService(Service):  # type: ignore[misc]
+class StreamService(Service):
     """Keep one stream's fold current and append this host's records in order."""
 
     def __init__(
@@ -257,7 +257,7 @@
                 Event.RECORD_FAILED,
                 stream=self.name,
                 offset=offset,
-                error=repr(error)[:200],
+                error=describe_error(error),
             )
             self.fold.skip(offset)
             return Rejected(reason=Reason.INVALID, detail="the fold failed")
