--- a/tests/common.py
+++ b/tests/common.py
@@ -208,6 +208,11 @@
         except LaunchError as error:
             raise AssertionError(f"spent {shown}, expected {tokens}") from error
 
+    async def get_pool(self, host: Running, account: str) -> Any:
+        """Return a host's own view of its draws on an account, if it has one."""
+        state = await self.launcher.get_json(f"{host.operator_url}/state")
+        return state["BudgetController"]["pools"].get(account)
+
     async def count_executed(self) -> int:
         """Return the tokens that the engines' own meters show."""
         meters = [
