--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -156,13 +156,14 @@
     def count_usable(self, account: str) -> int:
         """Return what this host may hold of an account without the log."""
         pool = self._get_pool(account)
-        return pool.count_usable(self._get_ledger(pool).draws)
+        return self._accounts.count_usable(pool)
 
     async def stock(self, account: str, amount: int) -> bool:
         """Draw until an amount is usable; tell whether it is."""
+        pool = self._get_pool(account)
         deadline = self._timer.now() + self._admission_wait_s
-        while self.count_usable(account) < amount:
-            refusal = await self._obtain(self._get_pool(account), amount, deadline)
+        while self._accounts.count_usable(pool) < amount:
+            refusal = await self._drawing.obtain(pool, amount, deadline, deadline)
             if refusal is not None:
                 return False
         return True
@@ -170,7 +171,7 @@
     def give_back(self, account: str) -> None:
         """Return what no request holds of an account at once."""
         pool = self._get_pool(account)
-        self._give_back(pool, pool.count_usable(self._get_ledger(pool).draws))
+        self._give_back(pool, self._accounts.count_usable(pool))
 
     def renew(self, account: str) -> None:
         """Hold the next requests in a new draw, which no older fence covers."""
