--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -164,9 +164,9 @@
 
     async def stock(self, account: str, amount: int) -> bool:
         """Draw until an amount is usable; tell whether it is."""
+        pool = self._get_pool(account)
         deadline = self._timer.now() + self._admission_wait_s
-        while self.count_usable(account) < amount:
-            pool = self._get_pool(account)
+        while self._accounts.count_usable(pool) < amount:
             refusal = await self._drawing.obtain(pool, amount, deadline, deadline)
             if refusal is not None:
                 return False
