--- a/trefoilstage/helpers/dump.py
+++ b/trefoilstage/helpers/dump.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Any
 
+from mode import Service
 from pydantic import BaseModel
 
 # Keys would let a reader of a dump call in a workspace's name, and bodies are
@@ -13,6 +14,9 @@
     {"key_sha256", "content", "body", "data", "text", "chunks", "closing"}
 )
 
+SERVICE_FIELDS = frozenset(vars(Service()))
+DATA_TYPES = (str, int, float, bool, Mapping, Sequence, set, frozenset)
+
 GetState = Callable[[], object]
 Unregister = Callable[[], None]
 
@@ -37,6 +41,15 @@
         return {name: dump_value(self._parts[name]()) for name in sorted(self._parts)}
 
 
+def dump_part(part: object) -> dict[str, Any]:
+    """Return the data that a part keeps itself, but not the parts it works with."""
+    return {
+        name.lstrip("_"): dump_value(value)
+        for name, value in sorted(vars(part).items())
+        if name not in SERVICE_FIELDS and isinstance(value, DATA_TYPES)
+    }
+
+
 def dump_value(value: object) -> Any:
     """Return a JSON form of a value; keys and bodies are left out."""
     if isinstance(value, Enum):
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import uuid
+from functools import partial
 
 import aiohttp
 from mode import Service
@@ -31,7 +32,7 @@
 from trefoilstage.components.targets.setup import make_target_parts
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.exceptions import HostCrashedError
-from trefoilstage.helpers.dump import StateRegistry
+from trefoilstage.helpers.dump import StateRegistry, dump_part
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.metrics import Metrics
 from trefoilstage.settings import HostSettings
@@ -159,7 +160,7 @@
                 metrics=metrics,
             ),
         ]
-        self._register_state()
+        self._register_state(parts)
         for part in parts:
             await self.add_runtime_dependency(part)
         self._timer.subscribe(
@@ -167,10 +168,11 @@
         )
         await self._announce()
 
-    def _register_state(self) -> None:
+    def _register_state(self, parts: list[Service]) -> None:
         self._registry.register("blackboard", lambda: self.blackboard)
         self._registry.register("settings", lambda: self._settings)
-        self._registry.register("budget", self._budget.list_pools)
+        for part in parts:
+            self._registry.register(type(part).__name__, partial(dump_part, part))
         self._registry.register("keys", self._keys.describe)
 
     def _make_streams(self, generator: random.Random) -> Streams:
