--- a/tests/common.py
+++ b/tests/common.py
@@ -226,11 +226,6 @@
         state = await self.launcher.get_json(f"{host.operator_url}/state")
         return dict(state["blackboard"]["ledgers"]["0"])
 
-    async def get_pool(self, host: Running, account: str) -> Any:
-        """Return a host's own view of its draws on an account, or None."""
-        state = await self.launcher.get_json(f"{host.operator_url}/state")
-        return state["BudgetController"]["pools"].get(account)
-
     async def list_executed_at(self, engine: Running) -> list[dict[str, Any]]:
         """Return the requests that an engine's own meter shows."""
         meter = await self.launcher.get_json(f"{engine.url}/meter")
