--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -226,7 +226,13 @@
                 url = f"{self.engines[fault.engine].url}/control"
                 await self.launcher.post_json(url, fault.control)
             case FaultKind.PUBLISH:
-                await self.publish(f"50-at-{int(fault.at_s)}.toml", fault.content)
+                await self.publish(
+                    f"50-at-{fault.at_s:07.3f}".replace(".", "-") + ".toml",
+                    fault.content,
+                )
+            case FaultKind.CEILING:
+                content = f"[sites.main]\nceiling_watts = {fault.amount}\n"
+                await self.publish(f"60-at-{int(fault.at_s)}.toml", content)
 
     async def _kill_oldest_host(self) -> None:
         name = next(iter(self.hosts))
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -59,7 +59,13 @@
         executions = read_executions(meters)
         budgets = {item.name: item.budget for item in list_workspaces(scenario)}
         verdicts = judge(
-            scenario, executions, load.outcomes, budgets, fleet.paid, fleet.top_ups
+            scenario,
+            executions,
+            load.outcomes,
+            budgets,
+            fleet.paid,
+            fleet.top_ups,
+            started,
         )
         measures = summarize_outcomes(load.outcomes, duration_s)
         measures |= summarize_verdicts(scenario, verdicts, load.outcomes, fleet)
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -2,8 +2,8 @@
 
 A refusal is false when, seen from above at the moment it was sent, all of it was
 there: the budget had the request's worst case left after everything that the
-engines ever executed for requests started before, and the engines had a free place
-in their batches. It takes no notice of where tokens lay, which no host can know, so
+engines ever executed for requests started before, the engines that did not fail had a
+free place in their batches, and the site had watts for one more. It takes no notice of where tokens lay, which no host can know, so
 it counts against the fleet whatever better placing would have served.
 """
 
@@ -14,10 +14,9 @@
 from typing import Any
 
 from bench.load import Outcome
-from bench.scenario import Scenario
+from bench.scenario import FaultKind, FaultTable, Scenario
 
 FREE_SHARE = 0.9
-RUN_AGAIN_REASONS = frozenset({"bad_request", "key_reused", "unauthorized"})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,6 +100,7 @@
     budgets: Mapping[str, str],
     paid: Mapping[str, int],
     top_ups: Iterable[tuple[float, str, int]],
+    started: float,
 ) -> Verdicts:
     """Return the oracle's findings on a run; budgets maps workspaces to budgets."""
     spent = build_spend(executions, budgets)
@@ -119,14 +119,14 @@
     for name, line in spent.items():
         if line.last > paid[name]:
             verdicts.overspend[name] = line.last - paid[name]
-    n_places = scenario.engines.count * scenario.engines.max_running
+    places = build_places(scenario, started)
     for outcome in outcomes:
         if outcome.complete or not outcome.reason:
             continue
         late = added[outcome.budget].last - added[outcome.budget].get(outcome.sent)
         line = spent.get(outcome.budget, Timeline())
         left = paid[outcome.budget] - late - line.get(outcome.sent)
-        has_place = running.get(outcome.sent) < n_places * FREE_SHARE
+        has_place = running.get(outcome.sent) < places.get(outcome.sent) * FREE_SHARE
         if left >= outcome.worst_case and has_place:
             verdicts.n_false_refusals += 1
         else:
@@ -134,6 +134,29 @@
     return verdicts
 
 
+def build_places(scenario: Scenario, started: float) -> Timeline:
+    """Return how many requests the engines and the site's watts have room for."""
+    engines = scenario.engines
+    failing: set[int] = set()
+    ceiling = scenario.ceiling_watts
+    timeline = Timeline()
+    changes = [FaultTable(at_s=0.0, kind=FaultKind.HEAL), *scenario.faults]
+    for fault in sorted(changes, key=lambda fault: fault.at_s):
+        if fault.kind is FaultKind.CEILING:
+            ceiling = fault.amount
+        if fault.kind is FaultKind.ENGINE:
+            failing.discard(fault.engine)
+            if fault.control.get("fail_fast"):
+                failing.add(fault.engine)
+        places = (engines.count - len(failing)) * engines.max_running
+        if engines.watts_per_request:
+            free_watts = ceiling - engines.count * engines.idle_watts
+            places = min(places, free_watts // engines.watts_per_request)
+        timeline.times.append(started + fault.at_s)
+        timeline.sums.append(places)
+    return timeline
+
+
 def build_spend(
     executions: list[Execution], budgets: Mapping[str, str]
 ) -> dict[str, Timeline]:
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -26,6 +26,7 @@
     TOP_UP = "top_up"
     ENGINE = "engine"
     PUBLISH = "publish"
+    CEILING = "ceiling"
 
 
 class Table(BaseModel):
