--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,6 +13,7 @@
 READY_TIMEOUT_S = 60.0
 BASE_FILE = "10-bench.toml"
 WORKSPACES_PER_FILE = 500
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -220,19 +221,20 @@
                     proxy.heal()
             case FaultKind.LOG_DOWN | FaultKind.LOG_UP:
                 await self.control_log(down=fault.kind is FaultKind.LOG_DOWN)
-            case FaultKind.TOP_UP:
-                await self._top_up(fault, now)
             case FaultKind.ENGINE:
                 url = f"{self.engines[fault.engine].url}/control"
                 await self.launcher.post_json(url, fault.control)
-            case FaultKind.PUBLISH:
-                await self.publish(
-                    f"50-at-{fault.at_s:07.3f}".replace(".", "-") + ".toml",
-                    fault.content,
-                )
-            case FaultKind.CEILING:
-                content = f"[sites.main]\nceiling_watts = {fault.amount}\n"
-                await self.publish(f"60-at-{int(fault.at_s)}.toml", content)
+            case _:
+                await self._change(fault, now)
+
+    async def _change(self, fault: FaultTable, now: float) -> None:
+        if fault.kind is FaultKind.TOP_UP:
+            await self._top_up(fault, now)
+            return
+        content = fault.content
+        if fault.kind is FaultKind.CEILING:
+            content = f"[sites.main]\nceiling_watts = {fault.amount}\n"
+        await self.publish(f"50-at-{int(fault.at_s * MS_PER_S):06}.toml", content)
 
     async def _kill_oldest_host(self) -> None:
         name = next(iter(self.hosts))
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -3,8 +3,9 @@
 A refusal is false when, seen from above at the moment it was sent, all of it was
 there: the budget had the request's worst case left after everything that the
 engines ever executed for requests started before, the engines that did not fail had a
-free place in their batches, and the site had watts for one more. It takes no notice of where tokens lay, which no host can know, so
-it counts against the fleet whatever better placing would have served.
+free place in their batches, and the site had watts for one more. It takes no notice
+of where tokens lay, which no host can know, so it counts against the fleet whatever
+better placing would have served.
 """
 
 import bisect
