--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -17,6 +17,7 @@
 STOP_TIMEOUT_S = 10.0
 CONDITION_TIMEOUT_S = 30.0
 POLL_S = 0.02
+N_LAST_LINES = 20
 
 
 class LaunchError(Exception):
@@ -104,7 +105,14 @@
         running = Running(name=name, process=process)
         running.reader = asyncio.create_task(read_lines(running))
         self.running[name] = running
-        await wait_for(lambda: bool(running.ports), f"{name} to listen")
+        await wait_for(
+            lambda: bool(running.ports) or process.returncode is not None,
+            f"{name} to listen",
+        )
+        if not running.ports:
+            await running.reader
+            last_lines = "\n".join(running.lines[-N_LAST_LINES:])
+            raise LaunchError(f"{name} ended at its start:\n{last_lines}")
         return running
 
     async def kill(self, name: str) -> None:
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -87,7 +87,7 @@
             up_reader, up_writer = await asyncio.open_connection(
                 self.upstream_address, self.upstream_port
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         try:
