Beat every half second and read callers' answers in a module of their own

Cause: an idle host spent 5.5 KB/s on peers from 8 hosts on (scripts/bench slope hosts: 4,783 B/s at 8, 5,565 at 40, flat since it watches 8), above the 3 KB/s of the target; heartbeats are nearly all of it.

--- a/tests/common.py
+++ b/tests/common.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import itertools
-import json
 import re
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,6 +12,7 @@
 
 from standins.launcher import Launcher, LaunchError, Running, wait_for
 from standins.proxy import FaultProxy
+from tests.answers import CallerAnswer
 from trefoilstage.components.log_client.checkpoints import (
     PackedState,
     compress_state,
@@ -261,7 +261,7 @@
         secret: str = SECRET,
         headers: dict[str, str] | None = None,
         text: str = "Which line holds in force six?",
-    ) -> "CallerAnswer":
+    ) -> CallerAnswer:
         """Send one chat request and read its whole answer."""
         body = {
             "model": "assistant",
@@ -281,7 +281,7 @@
         operation: str = "confirm",
         method: str = "POST",
         secret: str = SECRET,
-    ) -> "CallerAnswer":
+    ) -> CallerAnswer:
         """Call an operation of the booking service that may not be repeated."""
         return await self.call(
             host,
@@ -325,7 +325,7 @@
         secret: str = SECRET,
         headers: dict[str, str] | None = None,
         method: str = "POST",
-    ) -> "CallerAnswer":
+    ) -> CallerAnswer:
         """Send JSON as a caller and read the whole answer."""
         async with self.launcher.session.request(
             method,
@@ -351,55 +351,6 @@
     return asyncio.run(compress_state(dumped))
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerAnswer:
-    """Hold what a caller got."""
-
-    status: int
-    body: bytes
-    headers: dict[str, str]
-
-    @property
-    def json(self) -> Any:
-        """Return the body as JSON."""
-        return json.loads(self.body)
-
-    @property
-    def error(self) -> tuple[str, str]:
-        """Return a refusal's reason and effect."""
-        error = self.json["error"]
-        return error["reason"], error["effect"]
-
-    @property
-    def text(self) -> str:
-        """Return the answer's text, streamed or not."""
-        if not self.body.startswith((b"data:", b"event:")):
-            return str(self.json["choices"][0]["message"]["content"])
-        lines = [line[6:] for line in self.body.split(b"\n") if line[:6] == b"data: "]
-        chunks = [json.loads(line) for line in lines if line != b"[DONE]"]
-        return "".join(
-            chunk["choices"][0]["delta"]["content"]
-            for chunk in chunks
-            if "choices" in chunk
-        )
-
-    @property
-    def text_digest(self) -> str:
-        """Return the text's digest, as an engine's meter gives it."""
-        return hashlib.sha256(self.text.encode()).hexdigest()
-
-    @property
-    def stream_error(self) -> dict[str, Any]:
-        """Return the error event that ends a broken stream."""
-        tail = self.body.rsplit(b"event: error\ndata: ", 1)[1]
-        return dict(json.loads(tail)["error"])
-
-    @property
-    def is_whole_stream(self) -> bool:
-        """Tell whether an event stream came to its explicit end."""
-        return self.body.endswith(b"data: [DONE]\n\n")
-
-
 def read_table(page: str, heading: str) -> list[str]:
     """Return the first column of the table under a heading of a document."""
     text = (ROOT / "docs" / page).read_text()
--- a/tests/components/admission/test_overload.py
+++ b/tests/components/admission/test_overload.py
@@ -6,7 +6,8 @@
 import unittest
 
 from standins.launcher import wait_for
-from tests.common import CallerAnswer, Fleet
+from tests.answers import CallerAnswer
+from tests.common import Fleet
 
 NARROW = "[targets.engine-0]\nmax_concurrent = 2\n"
 LOW = {"X-Priority": "1"}
--- a/tests/promises/test_billing.py
+++ b/tests/promises/test_billing.py
@@ -4,7 +4,8 @@
 import unittest
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet
+from tests.answers import CallerAnswer
+from tests.common import Fleet
 
 KEY = {"Idempotency-Key": "briefing-7"}
 
--- a/tests/promises/test_booking.py
+++ b/tests/promises/test_booking.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet, get_address
+from tests.answers import CallerAnswer
+from tests.common import Fleet, get_address
 
 Booking = asyncio.Task[CallerAnswer]
 UNKNOWN = "unknown"
--- a/tests/promises/test_budget.py
+++ b/tests/promises/test_budget.py
@@ -6,7 +6,8 @@
 import unittest
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet, get_address, make_config
+from tests.answers import CallerAnswer
+from tests.common import Fleet, get_address, make_config
 
 ACCOUNT = "budget:brest"
 REFUSED = 402
--- a/tests/promises/test_leaving.py
+++ b/tests/promises/test_leaving.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet, get_address
+from tests.answers import CallerAnswer
+from tests.common import Fleet, get_address
 
 LIMIT_S = 5.0
 LEAVING = '[targets.engine-0]\nstate = "leaving"\nchecks_fencing = true\n'
--- a/tests/promises/test_power.py
+++ b/tests/promises/test_power.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet, get_address
+from tests.answers import CallerAnswer
+from tests.common import Fleet, get_address
 
 IDLE_WATTS = 100
 WATTS = 20
--- a/tests/promises/test_refusal.py
+++ b/tests/promises/test_refusal.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from standins.launcher import Running, wait_for
-from tests.common import OTHER_SECRET, SECRET, CallerAnswer, Fleet
+from tests.answers import CallerAnswer
+from tests.common import OTHER_SECRET, SECRET, Fleet
 from trefoilstage.util.hashing import hash_request_key
 
 CHAT = "/v1/chat/completions"
--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -9,7 +9,8 @@
 import aiohttp
 
 from standins.launcher import Running, wait_for
-from tests.common import CallerAnswer, Fleet
+from tests.answers import CallerAnswer
+from tests.common import Fleet
 
 SLOW_ENGINE = ("--tokens-per-s", "20")
 EXIT_S = 15.0
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -33,7 +33,7 @@
     statsd_port: Port = 8125
     log_timeout_s: Seconds = 2.0
     log_poll_s: Seconds = 1.0
-    heartbeat_s: Seconds = 0.25
+    heartbeat_s: Seconds = 0.5
     suspect_after_s: Seconds = 1.5
     forget_after_s: Seconds = 600.0
     draw_horizon_s: Seconds = 2.0
