Let a request that met a full target wait on in its place

Cause: a busy answer counted as a retry. Change: a busy target costs no try; the request keeps its rank and the time until which it may wait. Seen failing without the change: test_full_target_refuses_nobody_who_can_wait, First list contains 14 additional elements, reason no_target. Then passing. High priority still misses its goal.

--- a/bench/trials/power_divider.py
+++ b/bench/trials/power_divider.py
@@ -7,7 +7,8 @@
 import asyncio
 import time
 
-from tests.common import CallerAnswer, Fleet
+from tests.answers import CallerAnswer
+from tests.common import Fleet
 
 N_ENGINES = 6
 N_SLOTS = 48
--- a/tests/components/admission/test_overload.py
+++ b/tests/components/admission/test_overload.py
@@ -98,3 +98,23 @@
         """Tell whether the first engine has started so many requests."""
         executed = await fleet.list_executed_at(fleet.engines[0])
         return len(executed) >= n_requests
+
+    async def test_full_target_refuses_nobody_who_can_wait(self) -> None:
+        """Send a burst through three hosts to a target with one place.
+
+        No host knows how full the others keep the target, so it says "busy" many
+        times. A busy target ran nothing; the request waits on in its place until
+        there is room, and is not refused for want of retries.
+        """
+        options = ("--max-running", "1", "--tokens-per-s", "100")
+        async with Fleet(
+            engine_options=options, host_settings={"queue_wait_s": 20.0}
+        ) as fleet:
+            answers = await asyncio.gather(
+                *(
+                    fleet.chat(fleet.hosts[number % 3], max_tokens=3)
+                    for number in range(18)
+                )
+            )
+            refused = [answer.body for answer in answers if answer.status != 200]
+            self.assertEqual(refused, [])
--- a/trefoilstage/components/admission/controller.py
+++ b/trefoilstage/components/admission/controller.py
@@ -77,12 +77,21 @@
         self._unsubscribe_power()
         self._unsubscribe()
 
+    def make_ticket(self, job: Job) -> Ticket:
+        """Return a request's rank and the time until which it may wait."""
+        queue = self._get_queue(job.model)
+        usable_s = job.deadline_s - queue.capacity.mean_duration_s
+        return Ticket(
+            priority=job.priority,
+            number=next(self._numbers),
+            give_up_at=self._timer.now() + min(self._queue_wait_s, usable_s),
+        )
+
     async def admit(
-        self, job: Job, *, excluded: frozenset[str], retry: bool
+        self, job: Job, ticket: Ticket, *, excluded: frozenset[str], retry: bool
     ) -> Place | Refusal:
         """Return a place for a request, or refuse it as soon as that is sure."""
         queue = self._get_queue(job.model)
-        ticket = self._make_ticket(job, queue)
         if not queue.is_first(ticket):
             overloaded = Refusal(reason=Reason.OVERLOADED)
             return await self._wait(job, ticket, overloaded, excluded, retry)
@@ -107,14 +116,6 @@
     def _get_queue(self, model: str) -> WaitingQueue:
         return self._queues.setdefault(model, WaitingQueue(limit=self._queue_limit))
 
-    def _make_ticket(self, job: Job, queue: WaitingQueue) -> Ticket:
-        usable_s = job.deadline_s - queue.capacity.mean_duration_s
-        return Ticket(
-            priority=job.priority,
-            number=next(self._numbers),
-            give_up_at=self._timer.now() + min(self._queue_wait_s, usable_s),
-        )
-
     async def _wait(
         self,
         job: Job,
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -55,15 +55,18 @@
         """Yield a job's chunks; a failure is left in delivery.refusal."""
         excluded: frozenset[str] = frozenset()
         begun = False
-        for number in range(MAX_TRIES):
+        n_failed = 0
+        ticket = self._admission.make_ticket(job)
+        while n_failed < MAX_TRIES:
             place = await self._admission.admit(
-                job, excluded=excluded, retry=number > 0
+                job, ticket, excluded=excluded, retry=n_failed > 0
             )
             if isinstance(place, Refusal):
                 delivery.refusal = place
                 return
             if not await self._is_confirmed(job, place):
                 excluded |= {place.candidate.name}
+                n_failed += 1
                 delivery.refusal = NO_TARGET
                 continue
             delivery.refusal = None
@@ -75,8 +78,14 @@
                 return
             except TargetRefusedError as error:
                 self._note_refusal(job, place, error)
+                # A full target ran nothing and is no fault: the request waits
+                # on in its place. Counted as a retry, it would use up the
+                # retry budget in an overload and be refused with room near.
                 if not error.is_busy:
                     excluded |= {place.candidate.name}
+                    n_failed += 1
+                elif self._timer.now() >= ticket.give_up_at:
+                    break
             except TargetBrokenError as error:
                 self._note_failure(job, place, error)
                 is_late = isinstance(error.__cause__, TimeoutError)
@@ -85,6 +94,7 @@
                     return
                 delivery.target = ""
                 excluded |= {place.candidate.name}
+                n_failed += 1
         delivery.refusal = delivery.refusal or Refusal(
             reason=Reason.OVERLOADED, retry_after_s=RETRY_AFTER_FAILURE_S
         )
