--- a/bench/measure.py
+++ b/bench/measure.py
@@ -164,6 +164,7 @@
         "overspent_tokens": sum(verdicts.overspend.values()),
         "n_false_refusals": verdicts.n_false_refusals,
         "false_refusal_share": verdicts.n_false_refusals / n_tries,
+        "n_false_before_99_percent_used": verdicts.n_false_before_end,
         "n_honest_refusals": verdicts.n_honest_refusals,
         "budget_used_share": sum(verdicts.spent_by_budget.values()) / max(1, paid),
         "peak_watts_share": verdicts.peak_watts / max(1, scenario.ceiling_watts),
--- a/bench/oracle.py
+++ b/bench/oracle.py
@@ -18,6 +18,7 @@
 from bench.scenario import FaultKind, FaultTable, Scenario
 
 FREE_SHARE = 0.9
+NEARLY_ALL = 0.99
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,6 +73,7 @@
 
     overspend: dict[str, int]
     n_false_refusals: int
+    n_false_before_end: int
     n_honest_refusals: int
     n_not_run_but_executed: int
     spent_by_budget: dict[str, int]
@@ -112,6 +114,7 @@
     verdicts = Verdicts(
         overspend={},
         n_false_refusals=0,
+        n_false_before_end=0,
         n_honest_refusals=0,
         n_not_run_but_executed=0,
         spent_by_budget={name: line.last for name, line in spent.items()},
@@ -130,6 +133,8 @@
         has_place = running.get(outcome.sent) < places.get(outcome.sent) * FREE_SHARE
         if left >= outcome.worst_case and has_place:
             verdicts.n_false_refusals += 1
+            is_early = left > paid[outcome.budget] * (1.0 - NEARLY_ALL)
+            verdicts.n_false_before_end += is_early
         else:
             verdicts.n_honest_refusals += 1
     return verdicts
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -7,7 +7,14 @@
 from enum import StrEnum
 
 from bench.measure import run_variant
-from bench.scenario import EngineTable, FaultKind, FaultTable, Scenario, WorkspaceTable
+from bench.scenario import (
+    EngineTable,
+    FaultKind,
+    FaultTable,
+    Range,
+    Scenario,
+    WorkspaceTable,
+)
 
 MEASURES = (
     "host_cpu_share_mean",
@@ -27,6 +34,7 @@
     WORKSPACES = "workspaces"
     ACTIVE_BUDGETS = "active-budgets"
     REQUESTS = "requests"
+    TOKENS = "tokens"
     CHANGES = "changes"
 
 
@@ -82,6 +90,18 @@
     return make_base(workspaces=(table,))
 
 
+def make_tokens(size: int) -> Scenario:
+    """Return a fleet under 20 requests a second with answers of a length."""
+    table = WorkspaceTable(
+        name="busy",
+        count=4,
+        tokens=10**9,
+        requests_per_s=5.0,
+        output_tokens=Range(low=size, high=size),
+    )
+    return make_base(workspaces=(table,))
+
+
 def make_changes(size: int) -> Scenario:
     """Return an idle fleet with a number of changes of configuration a run."""
     base = make_base()
@@ -101,6 +121,7 @@
     Axis.WORKSPACES: make_workspaces,
     Axis.ACTIVE_BUDGETS: make_active_budgets,
     Axis.REQUESTS: make_requests,
+    Axis.TOKENS: make_tokens,
     Axis.CHANGES: make_changes,
 }
 DEFAULT_SIZES = {
@@ -108,6 +129,7 @@
     Axis.WORKSPACES: (10, 300, 1000, 3000),
     Axis.ACTIVE_BUDGETS: (4, 16, 64, 256),
     Axis.REQUESTS: (4, 20, 60, 120),
+    Axis.TOKENS: (10, 50, 100, 200),
     Axis.CHANGES: (1, 7, 14, 28),
 }
 
