--- a/trefoilstage/components/membership/controller.py
+++ b/trefoilstage/components/membership/controller.py
@@ -21,6 +21,9 @@
 from trefoilstage.util.hashing import rank_by_rendezvous
 
 N_RECOVERERS = 3
+# A call and its reply tell both sides of each other, so the second of a pair need
+# not call as well. Below one, or both would wait for the other at each beat.
+FRESH_SHARE = 0.8
 
 
 class MembershipController(Service):
@@ -82,6 +85,8 @@
         # Each peer on its own: waiting for a silent one would hold up the
         # heartbeats to all others for its whole timeout.
         for name in sorted(watched - self._beating.keys()):
+            if self._was_just_heard(hosts[name]):
+                continue
             task = asyncio.create_task(self._beat_peer(hosts[name]), name=name)
             self._beating[name] = task
             task.add_done_callback(self._end_beat)
@@ -89,6 +94,14 @@
         self._prune_gone(watched)
         self._announce_when_gone()
 
+    def _was_just_heard(self, entry: HostEntry) -> bool:
+        """Tell whether a peer's own heartbeat makes one to it needless."""
+        status = self._blackboard.peers.get(entry.host)
+        if status is None or status.incarnation != entry.incarnation:
+            return False
+        silent_s = self._timer.now() - status.last_heard
+        return status.reachable and silent_s < self._heartbeat_s * FRESH_SHARE
+
     def _end_beat(self, task: asyncio.Task[None]) -> None:
         self._beating.pop(task.get_name(), None)
 
