--- a/trefoilstage/components/budget/controller.py
+++ b/trefoilstage/components/budget/controller.py
@@ -181,10 +181,6 @@
         """Hold the next requests in a new draw, which no older fence covers."""
         self._get_pool(account).retire()
 
-    def list_pools(self) -> list[AccountPool]:
-        """Return this host's pools by account."""
-        return [self._pools[name] for name in sorted(self._pools)]
-
     async def return_all(self, timeout_s: float) -> None:
         """Settle and close every draw; call it when no request is left."""
         deadline = self._timer.now() + timeout_s
--- a/trefoilstage/components/callers/errors.py
+++ b/trefoilstage/components/callers/errors.py
@@ -7,18 +7,10 @@
 
 from trefoilstage.components.callers.refusals import make_refusal
 from trefoilstage.helpers.events import Event, describe_error, log_event
-from trefoilstage.helpers.http import get_pattern
+from trefoilstage.helpers.http import REASON_BY_STATUS, get_pattern
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 STREAMING = "streaming"
-STATUS_NOT_FOUND = 404
-STATUS_METHOD_NOT_ALLOWED = 405
-STATUS_TOO_LARGE = 413
-REASON_BY_STATUS = {
-    STATUS_NOT_FOUND: Reason.UNKNOWN_PATH,
-    STATUS_METHOD_NOT_ALLOWED: Reason.METHOD_NOT_ALLOWED,
-    STATUS_TOO_LARGE: Reason.BODY_TOO_LARGE,
-}
 
 
 @web.middleware
