--- a/tests/fuzz/test_ledger_examples.py
+++ b/tests/fuzz/test_ledger_examples.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.fuzz.ledger_world import ACCOUNT, SimHost, World
+from tests.fuzz.ledger_actors import ACCOUNT, SimHost
+from tests.fuzz.ledger_world import World
 
 KEY = "k0"
 
--- a/tests/fuzz/test_ledger_machine.py
+++ b/tests/fuzz/test_ledger_machine.py
@@ -13,7 +13,8 @@
     run_state_machine_as_test,
 )
 
-from tests.fuzz.ledger_world import SimHost, World
+from tests.fuzz.ledger_actors import SimHost
+from tests.fuzz.ledger_world import World
 from trefoilstage.components.budget.pool import NO_WITNESS
 
 N_HOSTS = 3
