Pass the frame codec to the peers' links and share the send counter

Cause: the platform's deployment needs hosts that talk over the same links with other messages, and a second user of the counter that tells whether a request left. A union of all messages in link.py would import every part into every process.

--- a/trefoilstage/assembly.py
+++ b/trefoilstage/assembly.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.booking.client import ServiceClient, open_session
+from trefoilstage.components.booking.client import ServiceClient
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.budget.setup import BudgetParts, make_budget_parts
 from trefoilstage.components.callers.generation import GenerationRunner
@@ -21,6 +21,7 @@
 from trefoilstage.components.operators.metrics import MetricsController
 from trefoilstage.components.operators.server import OperatorServer
 from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.messages import FRAME_CODEC
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.snapshots import SnapshotServer
@@ -28,6 +29,7 @@
 from trefoilstage.components.targets.setup import TargetParts, make_target_parts
 from trefoilstage.helpers.dump import StateRegistry
 from trefoilstage.helpers.metrics import Metrics
+from trefoilstage.helpers.sends import open_session
 from trefoilstage.settings import HostSettings
 from trefoilstage.timer import TimerService
 
@@ -96,8 +98,12 @@
     session = make_session(settings, once=False)
     once_session = make_session(settings, once=True)
     timer = TimerService()
-    links = PeerLinks(outbound_address=get_outbound_address(settings))
-    server = PeerServer(address=settings.address, port=settings.peer_port)
+    links = PeerLinks(
+        outbound_address=get_outbound_address(settings), codec=FRAME_CODEC
+    )
+    server = PeerServer(
+        address=settings.address, port=settings.peer_port, codec=FRAME_CODEC
+    )
     log = make_log_parts(
         settings=settings,
         blackboard=blackboard,
--- a/trefoilstage/components/booking/client.py
+++ b/trefoilstage/components/booking/client.py
@@ -1,8 +1,5 @@
 """Send calls to plain services over HTTP."""
 
-from dataclasses import dataclass
-from types import SimpleNamespace
-
 import aiohttp
 
 from trefoilstage.components.booking.models import ServiceAnswer, ServiceCall
@@ -12,7 +9,7 @@
     HEADER_REQUEST_ID,
     HEADER_WORKSPACE,
 )
-from trefoilstage.exceptions import TrefoilstageError
+from trefoilstage.helpers.sends import Attempt, RepeatedSendError
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 CONNECT_TIMEOUT_S = 1.0
@@ -20,18 +17,6 @@
 RETRY_AFTER_SERVICE_S = 1.0
 
 
-class RepeatedSendError(TrefoilstageError):
-    """Report that the HTTP client was about to send a call a second time."""
-
-
-@dataclass(kw_only=True, slots=True)
-class Attempt:
-    """Count how often a call's head went out; written by the trace."""
-
-    once: bool
-    n_sent: int = 0
-
-
 class ServiceClient:
     """Send a call and tell whether any of it can have reached the service."""
 
@@ -102,39 +87,3 @@
         if len(body) > MAX_ANSWER_BYTES:
             return None
     return bytes(body)
-
-
-def make_send_trace() -> aiohttp.TraceConfig:
-    """Return a trace that counts sends and stops the second of a single one."""
-    trace = aiohttp.TraceConfig()
-    trace.on_request_headers_sent.append(count_send)
-    return trace
-
-
-async def count_send(
-    session: aiohttp.ClientSession,
-    context: SimpleNamespace,
-    params: aiohttp.TraceRequestHeadersSentParams,
-) -> None:
-    """Count a send, before its first byte leaves."""
-    attempt = context.trace_request_ctx
-    if not isinstance(attempt, Attempt):
-        return
-    # The HTTP client sends PUT, DELETE and GET again by itself when their
-    # connection breaks, also when the service has already acted. A booking
-    # would then run twice. Stopping here, before the second head is written,
-    # is enough because every send passes this call.
-    if attempt.once and attempt.n_sent:
-        raise RepeatedSendError("the connection broke after the call was sent")
-    attempt.n_sent += 1
-
-
-def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    """Return an HTTP client that counts sends and keeps no cookies."""
-    return aiohttp.ClientSession(
-        connector=connector,
-        timeout=aiohttp.ClientTimeout(total=None),
-        trace_configs=[make_send_trace()],
-        # A cookie set for one workspace must not go out with another's call.
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -1,18 +1,15 @@
 """Call one peer over a WebSocket, reconnecting as needed."""
 
 import asyncio
+from typing import Any
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
-from trefoilstage.components.peers.messages import (
-    FRAME_CODEC,
-    ErrorReply,
-    Frame,
-    PeerMessage,
-)
+from trefoilstage.components.peers.frames import ErrorReply, Frame
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.exceptions import MalformedMessageError, PeerUnavailableError
+from trefoilstage.helpers.codec import Codec
 from trefoilstage.helpers.events import Event, log_event
 
 CONNECT_TIMEOUT_S = 1.0
@@ -22,28 +19,31 @@
 class PeerLink:
     """Send calls to one peer and match its replies."""
 
-    def __init__(self, *, url: str, outbound_address: str) -> None:
+    def __init__(
+        self, *, url: str, outbound_address: str, codec: Codec[Frame[Any]]
+    ) -> None:
         self.url = url
+        self._codec = codec
         self._outbound_address = outbound_address
         self._connection: ClientConnection | None = None
         self._reader: asyncio.Task[None] | None = None
-        self._waiting: dict[int, asyncio.Future[PeerMessage]] = {}
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._next_number = 0
         self._connecting = asyncio.Lock()
         self._last_received = 0.0
 
-    async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
+    async def call(self, message: Any, *, timeout_s: float) -> Any:
         """Return the peer's reply, or raise PeerUnavailableError."""
         number = self._next_number
         self._next_number += 1
-        future: asyncio.Future[PeerMessage] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         started = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect()
                 frame = Frame(number=number, reply=False, body=message)
-                await connection.send(FRAME_CODEC.encode(frame))
+                await connection.send(self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
             self._abandon_silent_connection(started)
@@ -103,7 +103,7 @@
 
     def _take_reply(self, data: bytes | str) -> None:
         try:
-            frame = FRAME_CODEC.decode(data if isinstance(data, bytes) else b"")
+            frame = self._codec.decode(data if isinstance(data, bytes) else b"")
         except MalformedMessageError as error:
             log_event(Event.PEER_MESSAGE_MALFORMED, peer=self.url, error=str(error))
             return
--- a/trefoilstage/components/peers/links.py
+++ b/trefoilstage/components/peers/links.py
@@ -1,15 +1,20 @@
 """Keep one link for each peer."""
 
+from typing import Any
+
 from mode import Service
 
+from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.peers.link import PeerLink
+from trefoilstage.helpers.codec import Codec
 
 
 class PeerLinks(Service):
     """Own the links to peers, opened when first used."""
 
-    def __init__(self, *, outbound_address: str) -> None:
+    def __init__(self, *, outbound_address: str, codec: Codec[Frame[Any]]) -> None:
         super().__init__()
+        self._codec = codec
         self._outbound_address = outbound_address
         self._links: dict[str, PeerLink] = {}
 
@@ -17,7 +22,11 @@
         """Return the link to a peer's address."""
         link = self._links.get(url)
         if link is None:
-            link = PeerLink(url=url, outbound_address=self._outbound_address)
+            link = PeerLink(
+                url=url,
+                outbound_address=self._outbound_address,
+                codec=self._codec,
+            )
             self._links[url] = link
         return link
 
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -12,7 +12,11 @@
     ReadRun,
     RunPage,
 )
-from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
+from trefoilstage.components.peers.frames import (
+    ErrorReply,
+    Frame,
+    make_frame_codec,
+)
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.ledger.records import Name, Tokens
 
@@ -87,14 +91,6 @@
     kind: Literal["append_reply"] = "append_reply"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ErrorReply:
-    """Answer a call that the peer could not serve."""
-
-    detail: Name
-    kind: Literal["error_reply"] = "error_reply"
-
-
 PeerMessage = (
     Heartbeat
     | BudgetMessage
@@ -112,13 +108,4 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Frame:
-    """Number a message so that its reply finds the caller."""
-
-    number: Tokens
-    reply: bool
-    body: Annotated[PeerMessage, Field(discriminator="kind")]
-
-
-FRAME_CODEC: Codec[Frame] = Codec(family=Frame, max_bytes=MAX_PEER_MESSAGE_BYTES)
+FRAME_CODEC: Codec[Frame[PeerMessage]] = make_frame_codec(PeerMessage)
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -8,24 +8,21 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from trefoilstage.components.peers.messages import (
-    FRAME_CODEC,
-    ErrorReply,
-    Frame,
-    PeerMessage,
-)
+from trefoilstage.components.peers.frames import ErrorReply, Frame
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.exceptions import MalformedMessageError, NotReadyError
+from trefoilstage.helpers.codec import Codec
 from trefoilstage.helpers.events import Event, describe_error, log_event
 
-Handler = Callable[[Any], Awaitable[PeerMessage]]
+Handler = Callable[[Any], Awaitable[Any]]
 
 
 class PeerServer(Service):
     """Accept peers' connections and hand each call to its handler."""
 
-    def __init__(self, *, address: str, port: int) -> None:
+    def __init__(self, *, address: str, port: int, codec: Codec[Frame[Any]]) -> None:
         super().__init__()
+        self._codec = codec
         self.address = address
         self.port = port
         self._handlers: dict[type[Any], Handler] = {}
@@ -64,7 +61,7 @@
 
     def _start_call(self, connection: ServerConnection, data: bytes | str) -> None:
         try:
-            frame = FRAME_CODEC.decode(data if isinstance(data, bytes) else b"")
+            frame = self._codec.decode(data if isinstance(data, bytes) else b"")
         except MalformedMessageError as error:
             log_event(
                 Event.PEER_MESSAGE_MALFORMED,
@@ -76,11 +73,11 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _answer(self, connection: ServerConnection, frame: Frame) -> None:
+    async def _answer(self, connection: ServerConnection, frame: Frame[Any]) -> None:
         handler = self._handlers.get(type(frame.body))
         try:
             if handler is None:
-                body: PeerMessage = ErrorReply(detail="no such call")
+                body: Any = ErrorReply(detail="no such call")
             else:
                 body = await handler(frame.body)
         except NotReadyError as error:
@@ -95,6 +92,6 @@
             body = ErrorReply(detail="the call failed")
         reply = Frame(number=frame.number, reply=True, body=body)
         try:
-            await connection.send(FRAME_CODEC.encode(reply))
+            await connection.send(self._codec.encode(reply))
         except (OSError, WebSocketException):
             return
--- /dev/null
+++ b/trefoilstage/helpers/sends.py
@@ -0,0 +1,56 @@
+"""Count how often the HTTP client sends a request, and stop a second send."""
+
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+import aiohttp
+
+from trefoilstage.exceptions import TrefoilstageError
+
+
+class RepeatedSendError(TrefoilstageError):
+    """Report that the HTTP client was about to send a call a second time."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Attempt:
+    """Count how often a call's head went out; written by the trace."""
+
+    once: bool
+    n_sent: int = 0
+
+
+def make_send_trace() -> aiohttp.TraceConfig:
+    """Return a trace that counts sends and stops the second of a single one."""
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(count_send)
+    return trace
+
+
+async def count_send(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    """Count a send, before its first byte leaves."""
+    attempt = context.trace_request_ctx
+    if not isinstance(attempt, Attempt):
+        return
+    # The HTTP client sends PUT, DELETE and GET again by itself when their
+    # connection breaks, also when the service has already acted. A booking
+    # would then run twice. Stopping here, before the second head is written,
+    # is enough because every send passes this call.
+    if attempt.once and attempt.n_sent:
+        raise RepeatedSendError("the connection broke after the call was sent")
+    attempt.n_sent += 1
+
+
+def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return an HTTP client that counts sends and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None),
+        trace_configs=[make_send_trace()],
+        # A cookie set for one workspace must not go out with another's call.
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
