--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Any
 
 from trefoilstage.components.targets.health import TargetHealth
@@ -11,14 +10,7 @@
 from trefoilstage.configuration.schema import Configuration
 from trefoilstage.const import MAX_FULL_MESH
 from trefoilstage.ledger.state import LedgerState
-
-
-class Phase(StrEnum):
-    """Name the stages of a host's life."""
-
-    STARTING = "starting"
-    SERVING = "serving"
-    DRAINING = "draining"
+from trefoilstage.phase import Phase
 
 
 @dataclass(kw_only=True, slots=True)
--- a/trefoilstage/components/callers/gate.py
+++ b/trefoilstage/components/callers/gate.py
@@ -3,10 +3,11 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.callers.refusals import make_refusal
 from trefoilstage.exceptions import StreamNotFollowedError
 from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.phase import Phase
 
 NOT_READY_RETRY_S = 1.0
 HEALTH_PATH = "/health"
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from mode import Service
 
-from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.booking.controller import BookingController
 from trefoilstage.components.booking.models import ServiceCall
 from trefoilstage.components.callers.authentication import CallerIdentifier
@@ -18,6 +18,7 @@
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
 from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.phase import Phase
 
 SHUTDOWN_RETRY_S = 1.0
 DRAIN_POLL_S = 0.05
--- /dev/null
+++ b/trefoilstage/components/escrow/__init__.py
@@ -0,0 +1,1 @@
+"""Spend prepaid budgets from escrow drawn on the store."""
--- /dev/null
+++ b/trefoilstage/components/escrow/client.py
@@ -0,0 +1,199 @@
+"""Get tokens held for this host's requests, and settle them."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
+
+from mode import Service
+
+from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.messages import (
+    HoldReply,
+    HoldTokens,
+    SettledHold,
+    SettleHolds,
+)
+from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.timer import TimerService
+from trefoilstage.util.hashing import rank_by_rendezvous
+
+FLUSH_S = 0.05
+# The home's own wait for a draw is 0.4 s.
+HOLD_TIMEOUT_S = 0.6
+SETTLE_TIMEOUT_S = 1.0
+MAX_HOMES = 2
+# Settlements that the home did not take are kept this many; past it the oldest
+# are dropped, and their holds count as spent in full.
+MAX_UNSETTLED = 5_000
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """Name who holds tokens for a request; without a home nothing is held."""
+
+    workspace: str
+    request: str
+    tokens: int
+    home: str = ""
+    incarnation: str = ""
+
+
+class EscrowClient(Service):
+    """Ask the home of a workspace to hold and settle tokens."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        membership: FleetMembership,
+        home: EscrowHome,
+        links: PeerLinks,
+        timer: TimerService,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._membership = membership
+        self._home = home
+        self._links = links
+        self._timer = timer
+        self._unsettled: dict[tuple[str, str], list[SettledHold]] = defaultdict(list)
+
+    async def on_start(self) -> None:
+        """Start to pass settlements on."""
+        self._unsubscribe = self._timer.subscribe(
+            name="settlements", interval_s=FLUSH_S, callback=self._flush
+        )
+
+    async def on_stop(self) -> None:
+        """Stop passing settlements on."""
+        self._unsubscribe()
+
+    async def hold(self, workspace: str, request: str, tokens: int) -> Hold | Refusal:
+        """Return a hold for a request, or why it is refused."""
+        if not self._is_prepaid(workspace) or tokens == 0:
+            return Hold(workspace=workspace, request=request, tokens=0)
+        reason = Reason.BUDGET_UNCONFIRMED
+        for home in self._rank(workspace)[:MAX_HOMES]:
+            answer = await self._ask(home, workspace, request, tokens)
+            if isinstance(answer, Hold):
+                return answer
+            reason = answer
+            if reason is Reason.BUDGET_EXHAUSTED:
+                return Refusal(reason=reason)
+        return Refusal(reason=reason, retry_after_s=RETRY_AFTER_S)
+
+    def settle(self, hold: Hold, spent: int) -> None:
+        """Count what a request spent of its hold."""
+        if not hold.home:
+            return
+        item = SettledHold(
+            workspace=hold.workspace,
+            request=hold.request,
+            spent=min(spent, hold.tokens),
+        )
+        if hold.home == self._board.host:
+            self._home.settle((item,))
+        else:
+            self._unsettled[hold.home, hold.incarnation].append(item)
+
+    async def flush(self) -> None:
+        """Pass on what is not settled yet."""
+        await self._flush()
+
+    def is_home(self, workspace: str) -> bool:
+        """Tell whether this host is the home of a workspace, as far as it knows."""
+        return self._rank(workspace)[:1] == [self._board.host]
+
+    def _rank(self, workspace: str) -> list[str]:
+        return rank_by_rendezvous(workspace, self._membership.list_live())
+
+    def _is_prepaid(self, workspace: str) -> bool:
+        configuration = self._board.configuration
+        config = configuration and configuration.workspaces.get(workspace)
+        return bool(config and config.prepaid_tokens is not None)
+
+    async def _ask(
+        self, home: str, workspace: str, request: str, tokens: int
+    ) -> Hold | Reason:
+        if home == self._board.host:
+            incarnation = self._board.incarnation
+            refused = await self._hold_here(workspace, request, tokens)
+        else:
+            peer = self._board.peers[home]
+            incarnation = peer.incarnation
+            refused = await self._hold_there(home, workspace, request, tokens)
+        if refused is not None:
+            return refused
+        return Hold(
+            workspace=workspace,
+            request=request,
+            tokens=tokens,
+            home=home,
+            incarnation=incarnation,
+        )
+
+    async def _hold_here(
+        self, workspace: str, request: str, tokens: int
+    ) -> Reason | None:
+        try:
+            return await self._home.hold(workspace, request, tokens)
+        except asyncio.CancelledError:
+            # Held or not, nothing is sent for it any more.
+            self._home.settle(
+                (SettledHold(workspace=workspace, request=request, spent=0),)
+            )
+            raise
+
+    async def _hold_there(
+        self, home: str, workspace: str, request: str, tokens: int
+    ) -> Reason | None:
+        peer = self._board.peers[home]
+        link = self._links.get_link(peer.peer_url)
+        message = HoldTokens(workspace=workspace, request=request, tokens=tokens)
+        undone = SettledHold(workspace=workspace, request=request, spent=0)
+        try:
+            reply = await link.call(message, timeout_s=HOLD_TIMEOUT_S)
+        except PeerUnavailableError as error:
+            peer.failed = True
+            self._unsettled[home, peer.incarnation].append(undone)
+            log_event(
+                Event.HOLD_UNANSWERED, peer=home, request=request, error=str(error)
+            )
+            return Reason.BUDGET_UNCONFIRMED
+        except asyncio.CancelledError:
+            self._unsettled[home, peer.incarnation].append(undone)
+            raise
+        if not isinstance(reply, HoldReply):
+            return Reason.BUDGET_UNCONFIRMED
+        if reply.refused is None and reply.incarnation != peer.incarnation:
+            # A new incarnation answered. Its hold is settled with itself.
+            self._unsettled[home, reply.incarnation].append(undone)
+            return Reason.BUDGET_UNCONFIRMED
+        return reply.refused
+
+    async def _flush(self) -> None:
+        for (home, incarnation), holds in list(self._unsettled.items()):
+            peer = self._board.peers.get(home)
+            if not holds or peer is None or peer.incarnation != incarnation:
+                # An ended incarnation's holds were counted as spent.
+                del self._unsettled[home, incarnation]
+                continue
+            del self._unsettled[home, incarnation]
+            self.add_future(self._send(home, incarnation, holds[-MAX_UNSETTLED:]))
+
+    async def _send(
+        self, home: str, incarnation: str, holds: list[SettledHold]
+    ) -> None:
+        link = self._links.get_link(self._board.peers[home].peer_url)
+        message = SettleHolds(incarnation=incarnation, holds=tuple(holds))
+        try:
+            await link.call(message, timeout_s=SETTLE_TIMEOUT_S)
+        except PeerUnavailableError:
+            # Counted once only, so it may be told again.
+            self._unsettled[home, incarnation] += holds
--- /dev/null
+++ b/trefoilstage/components/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Know which hosts are live."""
--- /dev/null
+++ b/trefoilstage/components/fleet/messages.py
@@ -0,0 +1,46 @@
+"""Define the messages between the hosts of a forwarding fleet."""
+
+from dataclasses import dataclass
+from typing import Any, Literal
+
+from trefoilstage.components.escrow.messages import EscrowMessage
+from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
+from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.components.views.store import Topic
+from trefoilstage.helpers.codec import Codec
+from trefoilstage.ledger.records import Name, Tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostBeat:
+    """Tell a peer how this host stands and how far it has read each topic."""
+
+    host: Name
+    incarnation: Name
+    peer_url: Name
+    data_center: Name
+    serving: bool
+    next_offsets: dict[Topic, int]
+    kind: Literal["host_beat"] = "host_beat"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadView:
+    """Ask a peer for the newest records of a topic from an offset on."""
+
+    topic: Topic
+    since: Tokens
+    kind: Literal["read_view"] = "read_view"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ViewReply:
+    """Answer with the newest records of a topic."""
+
+    records: list[KeyedRecord]
+    kind: Literal["view_reply"] = "view_reply"
+
+
+FleetMessage = HostBeat | ReadView | ViewReply | EscrowMessage | ErrorReply
+
+FLEET_CODEC: Codec[Frame[Any]] = make_frame_codec(FleetMessage)
--- /dev/null
+++ b/trefoilstage/components/fleet/watcher.py
@@ -0,0 +1,84 @@
+"""Write on the board what the store says of configuration and targets."""
+
+from collections.abc import Callable
+
+from trefoilstage.components.forwarding.models import FleetConfiguration, TargetEntry
+from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.components.views.store import Topic
+from trefoilstage.exceptions import MalformedMessageError
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+
+DecodeConfiguration = Callable[[bytes], FleetConfiguration]
+DecodeTarget = Callable[[str, bytes], TargetEntry]
+
+
+class BoardWatcher:
+    """Decode records and keep the board up to date."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        configuration_key: str,
+        decode_configuration: DecodeConfiguration,
+        decode_target: DecodeTarget,
+    ) -> None:
+        self._board = board
+        self._configuration_key = configuration_key
+        self._decode_configuration = decode_configuration
+        self._decode_target = decode_target
+
+    def take(self, topic: Topic, records: list[KeyedRecord], now: float) -> None:
+        """Take in the records of a topic."""
+        for record in records:
+            try:
+                if topic is Topic.CONFIGURATION:
+                    self._take_configuration(record)
+                else:
+                    self._take_target(record, now)
+            except MalformedMessageError as error:
+                # What was in force before stays in force.
+                log_event(
+                    Event.RECORD_MALFORMED,
+                    topic=topic,
+                    key=record.key,
+                    offset=record.offset,
+                    error=str(error),
+                )
+
+    def _take_configuration(self, record: KeyedRecord) -> None:
+        if record.key != self._configuration_key or record.value is None:
+            return
+        configuration = self._decode_configuration(record.value)
+        known = self._board.configuration
+        if known is not None and known.version >= configuration.version:
+            return
+        self._board.configuration = configuration
+        self._board.routes = RouteTable(routes=configuration.routes)
+        log_event(
+            Event.CONFIG_IN_FORCE,
+            version=configuration.version,
+            offset=record.offset,
+            routes=len(configuration.routes),
+        )
+
+    def _take_target(self, record: KeyedRecord, now: float) -> None:
+        targets = self._board.targets
+        if record.value is None:
+            back_at = self._board.store.back_at
+            targets.drop(record.key, now, back_at)
+            log_event(Event.TARGET_DROPPED, target=record.key, offset=record.offset)
+            return
+        entry = self._decode_target(record.key, record.value)
+        known = targets.listed.get(record.key)
+        if known is None or known.entry != entry:
+            log_event(
+                Event.TARGET_LISTED,
+                target=entry.name,
+                service=entry.service,
+                phase=entry.phase,
+                offset=record.offset,
+            )
+        targets.add(entry)
--- /dev/null
+++ b/trefoilstage/components/forwarding/answers.py
@@ -0,0 +1,64 @@
+"""Define the answers of our own that callers get."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from trefoilstage.components.forwarding.border import Border
+from trefoilstage.components.forwarding.models import CallerRequest
+from trefoilstage.const import HEADER_RETRY_AFTER
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
+
+# A status that says "not run" is used only where that is certain.
+STATUSES: Mapping[Reason, int] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.BUDGET_EXHAUSTED: 402,
+    Reason.UNKNOWN_PATH: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BUDGET_UNCONFIRMED: 429,
+    Reason.OVERLOADED: 503,
+    Reason.NO_TARGET: 503,
+    Reason.NOT_READY: 503,
+    Reason.SHUTTING_DOWN: 503,
+    Reason.DEADLINE: 503,
+}
+STATUS_UNKNOWN_EFFECT = 502
+STATUS_TIMEOUT_UNKNOWN_EFFECT = 504
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RefusalMaker:
+    """Make the responses that tell callers why they get no answer."""
+
+    border: Border
+
+    def make(
+        self, refusal: Refusal, request: CallerRequest | None, *, close: bool = False
+    ) -> web.Response:
+        """Return the response of a refusal."""
+        response = web.json_response(
+            {
+                "reason": refusal.reason.value,
+                "effect": refusal.effect.value,
+                "detail": refusal.detail,
+            },
+            status=get_status(refusal),
+        )
+        for name, value in self.border.write_refusal(request):
+            response.headers[name] = value
+        if refusal.retry_after_s is not None and refusal.effect is Effect.NOT_RUN:
+            response.headers[HEADER_RETRY_AFTER] = f"{refusal.retry_after_s:.2f}"
+        if close:
+            response.force_close()
+        return response
+
+
+def get_status(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal."""
+    if refusal.effect is Effect.NOT_RUN:
+        return STATUSES.get(refusal.reason, 503)
+    if refusal.reason is Reason.DEADLINE:
+        return STATUS_TIMEOUT_UNKNOWN_EFFECT
+    return STATUS_UNKNOWN_EFFECT
--- /dev/null
+++ b/trefoilstage/components/forwarding/models.py
@@ -0,0 +1,143 @@
+"""Define what the forwarding pipeline works on."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """Name what may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceShare:
+    """Hold the share of a route's requests that a service gets."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Route:
+    """Describe where requests of a host and path prefix go."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    objective_s: float  # an answer within it is on time
+    priority: int  # 0 is the most urgent
+    max_attempts: int
+    public: bool
+    resumable: bool
+    gap_objective_s: float = 0.0  # longest pause between events that is on time
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request that may have run may be sent again."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAM and self.resumable
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Engine:
+    """Describe the model engine that a service's targets run."""
+
+    slots: int
+    kv_tokens: int
+    tokens_per_event: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceConfig:
+    """Describe a service that requests may go to."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Workspace:
+    """Describe a workspace with its prepaid tokens, None if it isn't prepaid."""
+
+    name: str
+    priority: int | None
+    prepaid_tokens: int | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """Bound what a caller may send and how long it may stay idle."""
+
+    max_body_bytes: int = 4_194_304
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetConfiguration:
+    """Hold one accepted version of the operators' configuration."""
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: Mapping[str, ServiceConfig] = field(default_factory=dict)
+    workspaces: Mapping[str, Workspace] = field(default_factory=dict)
+    workspaces_by_key: Mapping[str, Workspace] = field(default_factory=dict)
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+
+class TargetPhase(StrEnum):
+    """Name the stages of a target's registration."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetEntry:
+    """Describe a registered target; a restart makes a new one."""
+
+    name: str  # the identity that the target checks on each request
+    service: str
+    address: str
+    data_center: str
+    slots: int
+    phase: TargetPhase
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt that other requests may share."""
+
+    name: str
+    n_tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerRequest:
+    """Hold what a caller asks for, decoded."""
+
+    request: str
+    method: str
+    host: str
+    path: str  # without the query
+    raw_target: str  # path and query as sent
+    key: str
+    deadline_s: float | None
+    n_prompt_tokens: int
+    max_output_tokens: int
+    prompt: tuple[PromptPart, ...]
+    headers: tuple[tuple[str, str], ...]  # those that go on to the target
+
+    @property
+    def max_tokens(self) -> int:
+        """Return the most that the request can spend."""
+        return self.n_prompt_tokens + self.max_output_tokens
--- /dev/null
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -0,0 +1,315 @@
+"""Forward one request: hold its tokens, place it, send it, relay, settle."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from trefoilstage.components.escrow.client import EscrowClient, Hold
+from trefoilstage.components.forwarding.border import ForwardOptions
+from trefoilstage.components.forwarding.events import EventSplitter, StreamEvent
+from trefoilstage.components.forwarding.models import (
+    CallerRequest,
+    Route,
+    RouteKind,
+    ServiceConfig,
+    TargetEntry,
+    Workspace,
+)
+from trefoilstage.components.forwarding.placement import find_subject
+from trefoilstage.components.forwarding.sender import (
+    AnswerBrokenError,
+    Broken,
+    NotSent,
+    OpenAnswer,
+    TargetSender,
+)
+from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.exceptions import MalformedMessageError
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
+from trefoilstage.phase import Phase
+
+RETRY_AFTER_S = 0.5
+NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
+# What a target may have made and sent before it learned that nobody reads.
+UNREAD_EVENTS = 3
+MAX_URGENCY = 9
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """Hold what became of one request so far."""
+
+    request: CallerRequest
+    body: bytes
+    route: Route
+    workspace: Workspace | None
+    started: float
+    deadline: float
+    n_runs: int = 0  # targets that may have run it
+    n_sends: int = 0
+    excluded: set[str] = field(default_factory=set)
+    last_event: int | None = None
+    n_events: int = 0
+    complete: bool = False
+    response: web.StreamResponse | None = None
+    service: ServiceConfig | None = None
+
+    @property
+    def tokens_per_event(self) -> int:
+        """Return the most tokens that one event holds."""
+        engine = self.service.engine if self.service else None
+        return engine.tokens_per_event if engine else 1
+
+    def count_spent(self) -> int:
+        """Return the tokens that the workspace is billed at most."""
+        if self.n_runs == 0:
+            return 0
+        unread = 0 if self.complete else UNREAD_EVENTS
+        output = (self.n_events + unread) * self.tokens_per_event
+        return self.request.n_prompt_tokens + min(
+            self.request.max_output_tokens, output
+        )
+
+
+class ForwardingPipeline:
+    """Bring requests to targets and their answers to callers."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        escrow: EscrowClient,
+        chooser: TargetChooser,
+        sender: TargetSender,
+        generator: random.Random,
+    ) -> None:
+        self._board = board
+        self._escrow = escrow
+        self._chooser = chooser
+        self._sender = sender
+        self._generator = generator
+
+    async def run(
+        self, run: Run, web_request: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        """Return the relayed answer, or why the caller gets none."""
+        if run.started >= run.deadline:
+            return Refusal(reason=Reason.DEADLINE)
+        workspace = run.workspace.name if run.workspace else ""
+        hold: Hold | Refusal | None = None
+        try:
+            async with asyncio.timeout_at(run.deadline):
+                hold = await self._escrow.hold(
+                    workspace, run.request.request, run.request.max_tokens
+                )
+                if isinstance(hold, Refusal):
+                    return hold
+                return await self._deliver(run, web_request)
+        except TimeoutError:
+            return self._refuse_late(run)
+        finally:
+            if isinstance(hold, Hold):
+                self._escrow.settle(hold, run.count_spent())
+
+    def _refuse_late(self, run: Run) -> Refusal:
+        if run.n_runs == 0:
+            return Refusal(reason=Reason.DEADLINE, retry_after_s=RETRY_AFTER_S)
+        return Refusal(reason=Reason.DEADLINE, effect=Effect.UNKNOWN)
+
+    async def _deliver(
+        self, run: Run, web_request: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        service = self._pick_service(run.route)
+        configuration = self._board.configuration
+        if service and configuration:
+            run.service = configuration.services.get(service)
+        self._chooser.note_request(service)
+        failure = NO_TARGET
+        while True:
+            target = self._choose(run, service)
+            if target is None:
+                return failure
+            answer = await self._send(run, service, target)
+            if isinstance(answer, OpenAnswer):
+                relayed = await self._relay(run, web_request, answer, target)
+                if relayed is not None:
+                    return relayed
+                failure = make_failure("the answer broke off")
+            elif isinstance(answer, Broken):
+                failure = make_failure(answer.reason)
+            if not self._may_repeat(run, service):
+                return failure
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        if not sum(weights):
+            return ""
+        return self._generator.choices(route.shares, weights=weights)[0].service
+
+    def _choose(self, run: Run, service: str) -> TargetEntry | None:
+        subject, n_shared = find_subject(run.request.prompt)
+        return self._chooser.choose(
+            service=service,
+            excluded=run.excluded,
+            subject=subject,
+            n_shared_tokens=n_shared,
+            request=run.request.request,
+        )
+
+    async def _send(
+        self, run: Run, service: str, target: TargetEntry
+    ) -> OpenAnswer | NotSent | Broken:
+        now = asyncio.get_running_loop().time()
+        workspace = run.workspace
+        priority = run.route.priority
+        if workspace and workspace.priority is not None:
+            priority = workspace.priority
+        options = ForwardOptions(
+            workspace=workspace.name if workspace else "",
+            deadline_s=run.deadline - now,
+            urgency=min(MAX_URGENCY, max(0, priority)) if run.request.prompt else None,
+            resume_after=run.last_event,
+        )
+        run.n_sends += 1
+        run.n_runs += 1
+        self._chooser.note_start(target, run.request.n_prompt_tokens)
+        log_event(
+            Event.REQUEST_SENT,
+            request=run.request.request,
+            target=target.name,
+            service=service,
+            attempt=run.n_sends,
+        )
+        try:
+            answer = await self._sender.send(run.request, run.body, target, options)
+        except BaseException:
+            self._chooser.note_end(target, run.request.n_prompt_tokens)
+            raise
+        if not isinstance(answer, OpenAnswer):
+            self._chooser.note_end(target, run.request.n_prompt_tokens)
+            run.excluded.add(target.name)
+        if isinstance(answer, NotSent):
+            run.n_runs -= 1
+        self._chooser.note_answer(target, answer)
+        return answer
+
+    def _may_repeat(self, run: Run, service: str) -> bool:
+        if run.n_runs and not run.route.is_repeatable:
+            return False
+        if run.n_runs >= run.route.max_attempts:
+            return False
+        return self._chooser.take_repeat(service)
+
+    async def _relay(
+        self,
+        run: Run,
+        web_request: web.BaseRequest,
+        answer: OpenAnswer,
+        target: TargetEntry,
+    ) -> web.StreamResponse | None:
+        """Return the response once complete, None to try elsewhere."""
+        try:
+            if not answer.head.success and self._is_worth_repeating(run, answer):
+                return None
+            if run.route.kind is RouteKind.STREAM and answer.head.success:
+                return await self._relay_stream(run, web_request, answer)
+            return await self._relay_body(run, web_request, answer)
+        except (AnswerBrokenError, MalformedMessageError) as error:
+            self._chooser.note_broken(target)
+            run.excluded.add(target.name)
+            log_event(
+                Event.ANSWER_BROKEN,
+                request=run.request.request,
+                target=target.name,
+                error=str(error),
+                events=run.n_events,
+            )
+            return None
+        finally:
+            answer.close()
+            self._chooser.note_end(target, run.request.n_prompt_tokens)
+
+    def _is_worth_repeating(self, run: Run, answer: OpenAnswer) -> bool:
+        if not run.route.is_repeatable or run.response is not None:
+            return False
+        return answer.head.status >= 500 and run.n_runs < run.route.max_attempts
+
+    async def _relay_body(
+        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
+    ) -> web.StreamResponse:
+        # Read whole before the first byte goes on: if it breaks off, a request
+        # that may be repeated still can be.
+        parts = [data async for data in answer.read()]
+        run.complete = True
+        response = web.Response(status=answer.head.status, body=b"".join(parts))
+        set_headers(response, answer.headers)
+        self._close_if_draining(response)
+        return response
+
+    async def _relay_stream(
+        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
+    ) -> web.StreamResponse:
+        splitter = EventSplitter()
+        async for data in answer.read():
+            events = self._take_new(run, splitter.add(data))
+            if not events:
+                continue
+            response = await self._open_response(run, web_request, answer)
+            await response.write(b"".join(event.data for event in events))
+        if splitter.has_rest:
+            raise AnswerBrokenError("the stream ended within an event")
+        response = await self._open_response(run, web_request, answer)
+        run.complete = True
+        await response.write_eof()
+        return response
+
+    def _take_new(self, run: Run, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Return the events that the caller does not have; count them."""
+        fresh: list[StreamEvent] = []
+        for event in events:
+            if event.number is not None and run.last_event is not None:
+                if event.number <= run.last_event:
+                    continue
+                if event.number != run.last_event + 1:
+                    raise MalformedMessageError(
+                        f"event {event.number} follows {run.last_event}"
+                    )
+            if event.number is not None:
+                run.last_event = event.number
+                run.n_events += 1
+            fresh.append(event)
+        return fresh
+
+    async def _open_response(
+        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
+    ) -> web.StreamResponse:
+        if run.response is None:
+            response = web.StreamResponse(status=answer.head.status)
+            set_headers(response, answer.headers)
+            self._close_if_draining(response)
+            await response.prepare(web_request)
+            run.response = response
+        return run.response
+
+    def _close_if_draining(self, response: web.StreamResponse) -> None:
+        if self._board.phase is Phase.DRAINING:
+            response.force_close()
+
+
+def set_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
+    """Set a target's headers, repeated ones among them."""
+    for name, _ in headers:
+        response.headers.popall(name, None)
+    for name, value in headers:
+        response.headers.add(name, value)
+
+
+def make_failure(detail: str) -> Refusal:
+    """Return the refusal of a request that a target may have run."""
+    return Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN, detail=detail)
--- /dev/null
+++ b/trefoilstage/components/forwarding/server.py
@@ -0,0 +1,175 @@
+"""Listen for callers and for the balancer's question whether this host is ready."""
+
+import asyncio
+
+from aiohttp import web
+from mode import Service
+
+from trefoilstage.components.forwarding.answers import RefusalMaker
+from trefoilstage.components.forwarding.border import Border, MalformedRequestError
+from trefoilstage.components.forwarding.models import CallerRequest
+from trefoilstage.components.forwarding.pipeline import ForwardingPipeline, Run
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.phase import Phase
+
+RETRY_AFTER_S = 1.0
+DRAIN_POLL_S = 0.05
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Callers reuse connections that were idle for up to four fifths of the limit in
+# the configuration; closing a little after the whole of it crosses no request.
+IDLE_TIMEOUT_S = 16.0
+NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
+
+
+class ForwardingServer(Service):
+    """Take callers' requests and hand them to the pipeline."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        settings: FleetSettings,
+        border: Border,
+        pipeline: ForwardingPipeline,
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._settings = settings
+        self._border = border
+        self._pipeline = pipeline
+        self._refusals = RefusalMaker(border=border)
+        self._runners: list[web.AppRunner] = []
+        self.n_active = 0
+
+    async def on_start(self) -> None:
+        """Listen on both ports."""
+        callers = web.Server(
+            self._answer,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=16_384,
+            max_field_size=16_384,
+            auto_decompress=False,
+        )
+        self._callers = web.ServerRunner(callers, shutdown_timeout=0.5)
+        await self._callers.setup()
+        await self._listen(self._callers, self._settings.caller_port)
+        ready = web.Server(self._answer_ready, access_log=None)
+        self._ready = web.ServerRunner(ready, shutdown_timeout=0.1)
+        await self._ready.setup()
+        await self._listen(self._ready, self._settings.ready_port)
+
+    async def _listen(self, runner: web.ServerRunner, port: int) -> None:
+        site = web.TCPSite(runner, self._settings.address, port, backlog=1024)
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Stop listening."""
+        await self._callers.cleanup()
+        await self._ready.cleanup()
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Wait for the requests in flight; tell whether all of them ended."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while self.n_active:
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(DRAIN_POLL_S)
+        return True
+
+    async def stop_accepting(self) -> None:
+        """Close the callers' port; open connections stay."""
+        for site in list(self._callers.sites):
+            await site.stop()
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        ready = self._board.phase is Phase.SERVING
+        return web.Response(status=200 if ready else 503)
+
+    async def _answer(self, web_request: web.BaseRequest) -> web.StreamResponse:
+        started = asyncio.get_running_loop().time()
+        request: CallerRequest | None = None
+        self.n_active += 1
+        try:
+            request = self._border.read_request(
+                method=web_request.method,
+                raw_target=web_request.raw_path,
+                headers=web_request.headers.items(),
+            )
+            run = await self._open_run(request, web_request, started)
+            if isinstance(run, Refusal):
+                return self._refuse(run, request)
+            answer = await self._pipeline.run(run, web_request)
+            if isinstance(answer, Refusal):
+                return self._refuse_run(answer, run, web_request)
+            return answer
+        except MalformedRequestError as error:
+            refusal = Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
+            return self._refuse(refusal, request)
+        finally:
+            self.n_active -= 1
+
+    async def _open_run(
+        self, request: CallerRequest, web_request: web.BaseRequest, started: float
+    ) -> Run | Refusal:
+        configuration = self._board.configuration
+        if configuration is None:
+            return NOT_READY
+        route = self._board.routes.match(request.host, request.path)
+        if route is None:
+            return Refusal(reason=Reason.UNKNOWN_PATH)
+        workspace = configuration.workspaces_by_key.get(request.key)
+        if workspace is None and configuration.workspaces and not route.public:
+            return Refusal(reason=Reason.UNAUTHORIZED)
+        length = web_request.content_length or 0
+        limit = min(MAX_BODY_BYTES, configuration.limits.max_body_bytes)
+        if length > limit:
+            return Refusal(reason=Reason.BODY_TOO_LARGE)
+        body = await web_request.read()
+        if len(body) > limit:
+            return Refusal(reason=Reason.BODY_TOO_LARGE)
+        wait_s = min(request.deadline_s or route.timeout_s, route.timeout_s)
+        return Run(
+            request=request,
+            body=body,
+            route=route,
+            workspace=workspace,
+            started=started,
+            deadline=started + wait_s,
+        )
+
+    def _refuse(
+        self, refusal: Refusal, request: CallerRequest | None
+    ) -> web.StreamResponse:
+        log_event(
+            Event.REQUEST_REFUSED,
+            request=request.request if request else "",
+            reason=refusal.reason,
+            effect=refusal.effect,
+            detail=refusal.detail,
+        )
+        close = self._board.phase is Phase.DRAINING
+        return self._refusals.make(refusal, request, close=close)
+
+    def _refuse_run(
+        self, refusal: Refusal, run: Run, web_request: web.BaseRequest
+    ) -> web.StreamResponse:
+        if run.response is None:
+            return self._refuse(refusal, run.request)
+        # The head is out. Without the end of the body, the caller sees that the
+        # answer broke off.
+        log_event(
+            Event.REQUEST_FAILED,
+            request=run.request.request,
+            reason=refusal.reason,
+            effect=refusal.effect,
+            detail=refusal.detail,
+        )
+        if web_request.transport is not None:
+            web_request.transport.close()
+        return run.response
--- /dev/null
+++ b/trefoilstage/components/forwarding/targets.py
@@ -0,0 +1,124 @@
+"""Choose targets by what this host knows of them."""
+
+from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.placement import Ranking, SentWork
+from trefoilstage.components.forwarding.retries import RetryBudget
+from trefoilstage.components.forwarding.sender import Broken, NotSent, OpenAnswer
+from trefoilstage.components.targets.health import TargetHealth
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.timer import TimerService
+
+
+class TargetChooser:
+    """Keep each target's health and work of this host, and choose among them."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        membership: FleetMembership,
+        settings: FleetSettings,
+        timer: TimerService,
+    ) -> None:
+        self._board = board
+        self._membership = membership
+        self._settings = settings
+        self._timer = timer
+        self._work: dict[str, SentWork] = {}
+        self._healths: dict[str, TargetHealth] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._ranking = Ranking(work=self._work)
+
+    def choose(
+        self,
+        *,
+        service: str,
+        excluded: set[str],
+        subject: str,
+        n_shared_tokens: int,
+        request: str,
+    ) -> TargetEntry | None:
+        """Return the target for a request, None if there is none."""
+        now = self._timer.now()
+        ready = self._board.targets.list_ready(service, now)
+        others = [target for target in ready if target.name not in excluded]
+        healthy = [
+            target
+            for target in others
+            if self._get_health(target.name).may_send(now, retry=False)
+        ]
+        # With every target ejected, each request would be refused although a
+        # target may be well again.
+        usable = healthy or others
+        if not usable:
+            return None
+        if subject:
+            return self._ranking.choose_by_prompt(usable, subject, n_shared_tokens)
+        return self._ranking.choose_by_load(usable, self._board.data_center, request)
+
+    def note_request(self, service: str) -> None:
+        """Count a request of a caller for the retry budget."""
+        self._get_budget(service).note_request(self._timer.now())
+
+    def take_repeat(self, service: str) -> bool:
+        """Take one repeat from the retry budget, if it allows one."""
+        n_hosts = self._membership.count_hosts()
+        return self._get_budget(service).take(self._timer.now(), n_hosts)
+
+    def note_start(self, target: TargetEntry, n_prompt_tokens: int) -> None:
+        """Count a request that is sent to a target."""
+        work = self._work.setdefault(target.name, SentWork())
+        work.n_requests += 1
+        work.prompt_tokens += n_prompt_tokens
+        self._get_health(target.name).start(retry=False)
+
+    def note_end(self, target: TargetEntry, n_prompt_tokens: int) -> None:
+        """Count a request that ended at a target."""
+        work = self._work.setdefault(target.name, SentWork())
+        work.n_requests -= 1
+        work.prompt_tokens -= n_prompt_tokens
+        self._get_health(target.name).note_dropped()
+
+    def note_answer(
+        self, target: TargetEntry, answer: OpenAnswer | NotSent | Broken
+    ) -> None:
+        """Judge a target by an answer."""
+        now = self._timer.now()
+        health = self._get_health(target.name)
+        if isinstance(answer, OpenAnswer):
+            if answer.head.status < 500:
+                health.note_answer()
+                return
+            failed = health.note_failure(now)
+        elif isinstance(answer, NotSent) and answer.misdirected:
+            self._board.targets.remove(target.name)
+            log_event(Event.TARGET_REPLACED, target=target.name)
+            return
+        elif isinstance(answer, NotSent) and answer.busy:
+            health.note_busy(now)
+            return
+        else:
+            failed = health.note_failure(now)
+        if failed:
+            log_event(Event.TARGET_EJECTED, target=target.name)
+
+    def note_broken(self, target: TargetEntry) -> None:
+        """Count an answer that broke off."""
+        self._get_health(target.name).note_failure(self._timer.now())
+
+    def _get_health(self, name: str) -> TargetHealth:
+        return self._healths.setdefault(name, TargetHealth())
+
+    def _get_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self._settings.retry_ratio,
+                slack=self._settings.retry_slack,
+                window_s=self._settings.retry_window_s,
+            )
+            self._budgets[service] = budget
+        return budget
--- a/trefoilstage/components/membership/controller.py
+++ b/trefoilstage/components/membership/controller.py
@@ -4,7 +4,7 @@
 
 from mode import Service
 
-from trefoilstage.blackboard import Blackboard, PeerStatus, Phase
+from trefoilstage.blackboard import Blackboard, PeerStatus
 from trefoilstage.components.log_client.stream import Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.membership.ring import pick_watched
@@ -17,6 +17,7 @@
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.ledger.state import DrawStatus
+from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import rank_by_rendezvous
 
--- a/trefoilstage/components/membership/host_list.py
+++ b/trefoilstage/components/membership/host_list.py
@@ -6,8 +6,9 @@
 from mode import Service
 from pydantic import BaseModel, Field, ValidationError
 
-from trefoilstage.blackboard import Blackboard, ListedHost, Phase
+from trefoilstage.blackboard import Blackboard, ListedHost
 from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
 
 LIST_S = 2.0
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -190,7 +190,8 @@
 
     async def _call(self, name: str, message: PeerMessage) -> PeerMessage:
         link = self._links.get_link(self._find_urls()[name])
-        return await link.call(message, timeout_s=PEER_TIMEOUT_S)
+        reply: PeerMessage = await link.call(message, timeout_s=PEER_TIMEOUT_S)
+        return reply
 
     def _find_urls(self) -> dict[str, str]:
         """Return live peers' addresses; a newcomer has only the platform's list."""
--- /dev/null
+++ b/trefoilstage/fleet_host.py
@@ -0,0 +1,213 @@
+"""Run a host that forwards to registered targets, from its start to its end."""
+
+import asyncio
+import json
+import random
+import sys
+import uuid
+
+from mode import Service
+
+from trefoilstage.components.escrow.client import EscrowClient
+from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.fleet.watcher import BoardWatcher
+from trefoilstage.components.forwarding.border import Border
+from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
+from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
+from trefoilstage.components.forwarding.server import ForwardingServer
+from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.views.follower import ViewFollower
+from trefoilstage.components.views.store import Store, Topic
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.helpers.dump import StateRegistry
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.phase import Phase
+from trefoilstage.timer import TimerService
+
+# A configuration is in force within 2 s of its acceptance: the store answers a
+# waiting read at once, and a connection that went silent is given up after this.
+CONFIGURATION_WAIT_S = 1.0
+# Targets write about once a second each, so a waiting read would return for each
+# one. Two reads a second find a leaving target well within its 2 s.
+TARGETS_PAUSE_S = 0.4
+HOSTS_WAIT_S = 3.0
+# The balancer asks every second and takes a host out after two misses.
+ACCEPT_WHILE_DRAINING_S = 3.0
+# Time kept at the end of the grace to give tokens back and leave.
+LEAVE_S = 0.8
+
+
+class FleetHost(Service):
+    """Run every part of one forwarding host on one loop."""
+
+    def __init__(
+        self,
+        *,
+        settings: FleetSettings,
+        store: Store,
+        border: Border,
+        watcher: BoardWatcher,
+        board: FleetBoard,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._store = store
+        self._border = border
+        self._watcher = watcher
+        self._board = board
+        self.drain_requested = asyncio.Event()
+        self._registry = StateRegistry()
+
+    async def on_start(self) -> None:
+        """Build the parts and start them, inner ones first."""
+        settings = self._settings
+        self._session = open_target_session(settings.address)
+        timer = TimerService()
+        links = PeerLinks(outbound_address=settings.address, codec=FLEET_CODEC)
+        peers = PeerServer(
+            address=settings.address, port=settings.peer_port, codec=FLEET_CODEC
+        )
+        followers = self._make_followers()
+        membership = FleetMembership(
+            board=self._board,
+            store=self._store,
+            links=links,
+            server=peers,
+            timer=timer,
+            followers=followers,
+            address=settings.address,
+        )
+        self._membership = membership
+        home = EscrowHome(
+            board=self._board,
+            store=self._store,
+            server=peers,
+            timer=timer,
+            n_partitions=settings.store_partitions,
+            is_home=lambda workspace: self._escrow.is_home(workspace),
+        )
+        self._home = home
+        self._escrow = EscrowClient(
+            board=self._board,
+            membership=membership,
+            home=home,
+            links=links,
+            timer=timer,
+        )
+        pipeline = ForwardingPipeline(
+            board=self._board,
+            escrow=self._escrow,
+            chooser=TargetChooser(
+                board=self._board,
+                membership=membership,
+                settings=settings,
+                timer=timer,
+            ),
+            sender=TargetSender(session=self._session, border=self._border),
+            generator=random.Random(self._board.incarnation),
+        )
+        self._server = ForwardingServer(
+            board=self._board,
+            settings=settings,
+            border=self._border,
+            pipeline=pipeline,
+        )
+        self._registry.register("board", lambda: self._board)
+        self._registry.register("settings", lambda: settings)
+        self._registry.register("accounts", home.list_accounts)
+        parts: list[Service] = [timer, links, peers, *followers.values()]
+        parts += [membership, home, self._escrow, self._server]
+        for part in parts:
+            await self.add_runtime_dependency(part)
+        log_event(
+            Event.HOST_STARTED,
+            host=self._board.host,
+            incarnation=self._board.incarnation,
+            data_center=self._board.data_center,
+        )
+
+    def _make_followers(self) -> dict[Topic, ViewFollower]:
+        def make(topic: Topic, wait_s: float, pause_s: float) -> ViewFollower:
+            return ViewFollower(
+                board=self._board,
+                store=self._store,
+                topic=topic,
+                wait_s=wait_s,
+                pause_s=pause_s,
+                on_change=lambda records: self._take(topic, records),
+            )
+
+        return {
+            Topic.CONFIGURATION: make(Topic.CONFIGURATION, CONFIGURATION_WAIT_S, 0.0),
+            Topic.TARGETS: make(Topic.TARGETS, 0.0, TARGETS_PAUSE_S),
+            Topic.HOSTS: make(Topic.HOSTS, HOSTS_WAIT_S, 0.0),
+        }
+
+    def _take(self, topic: Topic, records: list) -> None:  # type: ignore[type-arg]
+        if topic is Topic.HOSTS:
+            self._membership.take_records(records)
+        else:
+            self._watcher.take(topic, records, asyncio.get_running_loop().time())
+        if self._board.phase is Phase.STARTING and self._board.configuration:
+            self._board.phase = Phase.SERVING
+            log_event(
+                Event.HOST_READY,
+                host=self._board.host,
+                version=self._board.configuration.version,
+            )
+
+    async def run(self) -> None:
+        """Serve until told to drain, or until a part fails."""
+        await self.wait(self.drain_requested)
+        if self.crashed:
+            raise self.crash_reason or RuntimeError("a part failed")
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Take no new callers, finish the requests in flight, give tokens back."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + self._settings.shutdown_grace_s - LEAVE_S
+        self._board.phase = Phase.DRAINING
+        log_event(
+            Event.HOST_DRAINING, host=self._board.host, active=self._server.n_active
+        )
+        # The balancer needs two misses. Until then callers still come, and each
+        # is served instead of finding a closed port.
+        await asyncio.sleep(min(ACCEPT_WHILE_DRAINING_S, ends - loop.time()))
+        await self._server.stop_accepting()
+        ended = await self._server.drain(max(0.0, ends - loop.time()))
+        if not ended:
+            log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
+        await self._leave()
+
+    async def _leave(self) -> None:
+        try:
+            async with asyncio.timeout(LEAVE_S / 2):
+                await self._escrow.flush()
+                await self._home.return_all()
+                await self._membership.withdraw()
+        except TimeoutError:
+            log_event(Event.LEAVE_INCOMPLETE, host=self._board.host)
+
+    async def on_shutdown(self) -> None:
+        """Close the HTTP connections."""
+        await self._session.close()
+        log_event(Event.HOST_STOPPED, host=self._board.host)
+
+    def write_dump(self) -> None:
+        """Write the whole state to standard error as one JSON line."""
+        sys.stderr.write(json.dumps(self._registry.dump()) + "\n")
+
+
+def make_board(settings: FleetSettings) -> FleetBoard:
+    """Return the board of a new incarnation of a host."""
+    return FleetBoard(
+        host=settings.host,
+        incarnation=f"{settings.host}-{uuid.uuid4().hex[:12]}",
+        data_center=settings.data_center,
+    )
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -9,12 +9,13 @@
 from mode import Service
 
 from trefoilstage.assembly import make_parts
-from trefoilstage.blackboard import Blackboard, Phase
+from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.membership.host_list import HostListController
 from trefoilstage.configuration.records import HostDown, HostUp
 from trefoilstage.exceptions import HostCrashedError
 from trefoilstage.helpers.dump import StateRegistry, dump_part
 from trefoilstage.helpers.events import Event, describe_error, log_event
+from trefoilstage.phase import Phase
 from trefoilstage.settings import HostSettings
 
 READY_POLL_S = 0.02
--- /dev/null
+++ b/trefoilstage/platform/__main__.py
@@ -0,0 +1,81 @@
+"""Run one host on the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+import uvloop
+
+from trefoilstage.components.fleet.watcher import BoardWatcher
+from trefoilstage.exceptions import SettingsError
+from trefoilstage.fleet_host import FleetHost, make_board
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.helpers.events import set_up_events
+from trefoilstage.platform.configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+    decode_target,
+)
+from trefoilstage.platform.headers import HeaderBorder
+from trefoilstage.platform.settings import load_platform_settings
+from trefoilstage.platform.store import StoreClient
+
+SETTINGS_VARIABLE = "TREFOILSTAGE_CONFIG"
+EXIT_CRASHED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+async def run_host(settings: FleetSettings) -> None:
+    """Serve until a signal asks to drain."""
+    board = make_board(settings)
+    connector = aiohttp.TCPConnector(limit=0, local_addr=(settings.address, 0))
+    async with aiohttp.ClientSession(connector=connector) as session:
+        host = FleetHost(
+            settings=settings,
+            store=StoreClient(session=session, url=settings.store_url),
+            border=HeaderBorder(),
+            watcher=BoardWatcher(
+                board=board,
+                configuration_key=CONFIGURATION_KEY,
+                decode_configuration=decode_configuration,
+                decode_target=decode_target,
+            ),
+            board=board,
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, host.drain_requested.set)
+        loop.add_signal_handler(signal.SIGUSR1, host.write_dump)
+        # Nothing that a running host uses changes with its settings file.
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        try:
+            await host.start()
+            await host.run()
+        finally:
+            await host.stop()
+
+
+def main() -> None:
+    """Start the host from the settings that the platform names."""
+    set_up_events(sys.stdout)
+    try:
+        path = Path(os.environ[SETTINGS_VARIABLE])
+        settings = load_platform_settings(path)
+    except KeyError:
+        sys.stderr.write(f"{SETTINGS_VARIABLE} is not set\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    except SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    try:
+        uvloop.run(run_host(settings))
+    except OSError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_CRASHED)
+
+
+if __name__ == "__main__":
+    main()
