--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -95,12 +95,15 @@
     connector = aiohttp.TCPConnector(
         limit=0, force_close=True, local_addr=(address, 0), use_dns_cache=False
     )
-    loop = asyncio.get_running_loop()
-    factory: partial[ResponseHandler] = partial(CheckedResponseHandler, loop=loop)
-    connector._factory = factory
+    connector._factory = partial(make_handler, asyncio.get_running_loop())
     return open_session(connector)
 
 
+def make_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    """Return the protocol of one connection."""
+    return CheckedResponseHandler(loop)
+
+
 class TargetSender:
     """Send requests to targets."""
 
