Keep small stocks of scarce budgets, settle before becoming home, share work under way

Change: a stock takes a quarter of what is left at most, a host serves once it heard the others, what is drawn goes back when a host drains, Retry-After is 30 s where nothing is left.

--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -1,5 +1,6 @@
 """Account for one workspace's tokens at its home; pure."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -9,20 +10,27 @@
 # seconds of its demand goes on through that; what it drew is lost with it.
 HOME_HORIZON_S = 10.0
 # A host that only stands in for the home for a moment draws little.
-STAND_IN_HORIZON_S = 1.0
-LOW_WATER = 0.7  # of the wanted stock; below it the home draws again
+STAND_IN_HORIZON_S = 0.5
+# A stock takes at most this share of what is left of the budget. When all hosts
+# lose their power at once, their stocks are lost for the rest of the day; with ten
+# seconds of demand in stock whatever was left, scarce budgets lost nearly all of it
+# and half of all requests after such a loss were refused. A scarce budget is spent
+# in full either way, so that a small stock costs its callers nothing in an outage.
+MAX_STOCK_SHARE = 0.25
+LOW_WATER = 0.8  # of the wanted stock; below it the home draws again
+# Above this multiple of the wanted stock the home gives the rest back.
+HIGH_WATER = 2.0
 # What a home has before it knows the demand, as a share of the prepaid tokens.
 FIRST_SHARE = 0.04
-DEMAND_WINDOW_S = 4.0
+# Smaller changes of a stock are not worth a call to the store.
+MIN_CHANGE_TOKENS = 4_000
+DEMAND_HALF_LIFE_S = 3.0
 MAX_SETTLED = 2_000
-# A draw takes at most this share of what is free, so that near the end several
-# homes can still draw, unless a request that waits needs more.
-MAX_FREE_SHARE = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
 class Demand:
-    """Estimate the tokens asked for a second, decaying over a window."""
+    """Estimate the tokens asked for a second, decaying by half-lives."""
 
     amount: float = 0.0
     at: float = 0.0
@@ -35,11 +43,11 @@
     def estimate(self, now: float) -> float:
         """Return the tokens a second."""
         self._decay(now)
-        return self.amount / DEMAND_WINDOW_S
+        return self.amount * math.log(2) / DEMAND_HALF_LIFE_S
 
     def _decay(self, now: float) -> None:
         age_s = max(0.0, now - self.at)
-        self.amount *= 0.5 ** (age_s / (DEMAND_WINDOW_S / 2))
+        self.amount *= 0.5 ** (age_s / DEMAND_HALF_LIFE_S)
         self.at = now
 
 
@@ -58,6 +66,8 @@
     settled: OrderedDict[str, None] = field(default_factory=OrderedDict)
     demand: Demand = field(default_factory=Demand)
     waiting: int = 0  # tokens that requests wait for
+    returning: int = 0  # tokens on their way back to the store
+    returning_at: int = -1  # where the partition ended when they were sent
 
     @property
     def drawn(self) -> int:
@@ -77,7 +87,7 @@
         not spent either; each holder leaves all of it, which is safe.
         """
         excess = max(0, self.record.drawn - self.prepaid)
-        return self.drawn - self.spent - self.held - excess
+        return self.drawn - self.spent - self.held - self.returning - excess
 
     @property
     def free(self) -> int:
@@ -90,6 +100,24 @@
             self.record = record
             self.record_offset = offset
 
+    def start_return(self, tokens: int, end_offset: int) -> None:
+        """Keep tokens from being held while they are given back."""
+        self.returning = tokens
+        self.returning_at = end_offset
+
+    def end_return(self) -> None:
+        """Note that a return has landed or can no longer land."""
+        self.returning = 0
+
+    def take_end(self, end_offset: int) -> None:
+        """Take in where the partition ends, as of the record that is known.
+
+        A return whose answer was lost lands at the end that it was sent for, or
+        never. Held again before that is known, its tokens would be spent twice.
+        """
+        if end_offset > self.returning_at:
+            self.end_return()
+
     def hold(self, request: str, tokens: int) -> bool:
         """Hold tokens for a request if they are available; idempotent."""
         if request in self.holds:
@@ -125,24 +153,26 @@
         used = others + self.spent + self.held
         return used + tokens > 0.97 * self.prepaid
 
-    def want_draw(self, now: float, *, home: bool) -> int:
-        """Return how many tokens to draw now, 0 for none."""
-        if self.waiting == 0 and not home:
-            return 0
-        wanted = self.get_wanted(now, home=home)
-        if self.waiting == 0 and self.available >= LOW_WATER * wanted:
+    def want_change(self, now: float, *, home: bool) -> int:
+        """Return how many tokens to draw now, or, below 0, to give back."""
+        stock = self.get_stock(now, home=home)
+        if self.waiting:
+            return min(self.free, max(0, self.waiting + stock - self.available))
+        if self.available < LOW_WATER * stock:
+            change = min(self.free, stock - self.available)
+        elif self.available > HIGH_WATER * stock:
+            change = stock - self.available
+        else:
             return 0
-        missing = max(0, int(wanted) - self.available)
-        needed = max(0, self.waiting - self.available)
-        return min(
-            self.free, max(needed, min(missing, int(MAX_FREE_SHARE * self.free)))
-        )
+        return change if abs(change) >= MIN_CHANGE_TOKENS else 0
 
-    def get_wanted(self, now: float, *, home: bool) -> float:
+    def get_stock(self, now: float, *, home: bool) -> int:
         """Return the stock that serves callers through an outage of the store."""
         horizon_s = HOME_HORIZON_S if home else STAND_IN_HORIZON_S
         floor = FIRST_SHARE * self.prepaid if home else 0.0
-        return self.waiting + max(floor, self.demand.estimate(now) * horizon_s)
+        wanted = max(floor, self.demand.estimate(now) * horizon_s)
+        left = self.free + max(0, self.available)
+        return int(min(wanted, MAX_STOCK_SHARE * left))
 
     def make_draw(self, tokens: int) -> AccountRecord:
         """Return the record with tokens more, or fewer, drawn by this incarnation."""
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -19,18 +19,24 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import rank_by_rendezvous
 
 FLUSH_S = 0.05
-# The home's own wait for a draw is 0.4 s.
-HOLD_TIMEOUT_S = 0.6
+# The home's own wait for a draw is 1 s.
+HOLD_TIMEOUT_S = 1.1
 SETTLE_TIMEOUT_S = 1.0
 MAX_HOMES = 2
 # Settlements that the home did not take are kept this many; past it the oldest
 # are dropped, and their holds count as spent in full.
 MAX_UNSETTLED = 5_000
-RETRY_AFTER_S = 1.0
+# Nothing is left to draw. Only a higher balance or the return of another host's
+# tokens helps, which takes longer than any caller waits: coming back would be in vain.
+SPENT_RETRY_AFTER_S = 30.0
+# Callers come back after at most a third of the time that they have left. The
+# store's outages last 4 to 9 s, so an earlier return would mostly be refused again.
+RETRY_AFTER_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +92,8 @@
             reason = answer
             if reason is Reason.BUDGET_EXHAUSTED:
                 return Refusal(reason=reason)
+            if reason is Reason.BUDGET_DRAWN:
+                return Refusal(reason=reason, retry_after_s=SPENT_RETRY_AFTER_S)
         return Refusal(reason=reason, retry_after_s=RETRY_AFTER_S)
 
     def settle(self, hold: Hold, spent: int) -> None:
@@ -108,7 +116,8 @@
 
     def is_home(self, workspace: str) -> bool:
         """Tell whether this host is the home of a workspace, as far as it knows."""
-        return self._rank(workspace)[:1] == [self._board.host]
+        serving = self._board.phase is Phase.SERVING
+        return serving and self._rank(workspace)[:1] == [self._board.host]
 
     def _rank(self, workspace: str) -> list[str]:
         return rank_by_rendezvous(workspace, self._membership.list_live())
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -13,9 +13,14 @@
     SettleHolds,
     SettleReply,
 )
-from trefoilstage.components.escrow.record import ACCOUNT_CODEC, AccountRecord
+from trefoilstage.components.escrow.record import ACCOUNT_CODEC
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
+from trefoilstage.components.views.store import (
+    Store,
+    StoreRefusedError,
+    StoreUnavailableError,
+    Topic,
+)
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -24,9 +29,9 @@
 from trefoilstage.util.hashing import pick_stream
 
 TICK_S = 0.1
-# A draw takes 5 to 9 ms, and 0.3 s when the store is slow. Longer waits would
-# keep a caller from trying another host.
-DRAW_WAIT_S = 0.4
+# A draw takes a read and a write: 10 to 18 ms, and 0.6 s when the store is slow. A
+# request that waits for it is late; refused, it would not be served at all.
+DRAW_WAIT_S = 1.0
 MAX_CONFLICTS = 8
 # After a failed draw the account is left alone for a moment: each call is priced,
 # and requests meanwhile are refused at once instead of waiting in vain.
@@ -34,8 +39,6 @@
 # An account that was found used up is looked at again this often, so that tokens
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
-# A stock that a host no longer needs is given back after this time.
-IDLE_S = 2.0
 
 IsHome = Callable[[str], bool]
 
@@ -64,7 +67,6 @@
         self._ends: dict[int, int] = {}  # where each partition ended last
         self._paused_until: dict[str, float] = {}
         self._checked_at: dict[str, float] = {}
-        self._left_home_at: dict[str, float] = {}
         server.register(HoldTokens, self._answer_hold)
         server.register(SettleHolds, self._answer_settle)
 
@@ -88,9 +90,9 @@
         if account.hold(request, tokens):
             return None
         if self._is_paused(workspace):
-            return Reason.BUDGET_UNCONFIRMED
+            return self._refuse(account, request, tokens)
         if not account.can_cover(tokens) and not self._may_check(workspace):
-            return self._refuse_exhausted(account, tokens)
+            return self._refuse(account, request, tokens)
         account.waiting += tokens
         try:
             await self._wait_for_draw(workspace)
@@ -98,9 +100,7 @@
             account.waiting -= tokens
         if account.hold(request, tokens):
             return None
-        if self._is_paused(workspace) or account.can_cover(tokens):
-            return Reason.BUDGET_UNCONFIRMED
-        return self._refuse_exhausted(account, tokens)
+        return self._refuse(account, request, tokens)
 
     def settle(self, holds: tuple[SettledHold, ...]) -> None:
         """Count what requests spent of their holds."""
@@ -112,6 +112,9 @@
     async def return_all(self) -> None:
         """Give back what this host does not need, as it leaves."""
         for workspace, account in self._accounts.items():
+            draw = self._draws.get(workspace)
+            if draw is not None and not draw.done():
+                await draw
             if account.available > 0:
                 await self._change(workspace, lambda item: -max(0, item.available))
 
@@ -145,12 +148,32 @@
         account.prepaid = config.prepaid_tokens
         return account
 
-    def _refuse_exhausted(self, account: EscrowAccount, tokens: int) -> Reason:
-        if account.is_nearly_spent(tokens):
-            return Reason.BUDGET_EXHAUSTED
-        return Reason.BUDGET_UNCONFIRMED
+    def _refuse(self, account: EscrowAccount, request: str, tokens: int) -> Reason:
+        confirmed = not self._is_paused(account.workspace)
+        covered = account.can_cover(tokens)
+        reason = Reason.BUDGET_UNCONFIRMED
+        if confirmed and not covered:
+            spent = account.is_nearly_spent(tokens)
+            reason = Reason.BUDGET_EXHAUSTED if spent else Reason.BUDGET_DRAWN
+        log_event(
+            Event.HOLD_REFUSED,
+            request=request,
+            workspace=account.workspace,
+            reason=reason,
+            tokens=tokens,
+            available=account.available,
+            free=account.free,
+            drawn_by_all=account.record.drawn,
+            spent_by_all=account.record.spent,
+            prepaid=account.prepaid,
+            confirmed=confirmed,
+        )
+        return reason
 
     def _is_paused(self, workspace: str) -> bool:
+        # Nothing can be drawn; who waited would be refused a second later.
+        if self._board.store.out_of_reach:
+            return True
         return self._timer.now() < self._paused_until.get(workspace, 0.0)
 
     def _may_check(self, workspace: str) -> bool:
@@ -175,7 +198,7 @@
     async def _draw(self, workspace: str) -> None:
         def get_amount(account: EscrowAccount) -> int:
             home = self._is_home(workspace)
-            return account.want_draw(self._timer.now(), home=home)
+            return account.want_change(self._timer.now(), home=home)
 
         await self._change(workspace, get_amount)
 
@@ -201,7 +224,7 @@
                 amount = get_amount(account)
                 if amount == 0:
                     return
-                if await self._write(account, partition, account.make_draw(amount)):
+                if await self._write(account, partition, amount):
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
@@ -221,8 +244,6 @@
 
     async def _refresh(self, account: EscrowAccount, partition: int) -> None:
         listing = await self._store.list_newest(Topic.ACCOUNTS, partition)
-        self._ends[partition] = listing.end_offset
-        self._checked_at[account.workspace] = self._timer.now()
         for record in listing.records:
             known = self._accounts.get(record.key)
             if known is None or record.value is None:
@@ -235,17 +256,27 @@
                     Event.RECORD_MALFORMED, topic=Topic.ACCOUNTS, error=str(error)
                 )
                 raise StoreUnavailableError("malformed account record") from error
+        self._ends[partition] = listing.end_offset
+        self._checked_at[account.workspace] = self._timer.now()
+        account.take_end(listing.end_offset)
 
-    async def _write(
-        self, account: EscrowAccount, partition: int, record: AccountRecord
-    ) -> bool:
-        offset = await self._store.put(
-            Topic.ACCOUNTS,
-            account.workspace,
-            ACCOUNT_CODEC.encode(record),
-            partition=partition,
-            at=self._ends[partition],
-        )
+    async def _write(self, account: EscrowAccount, partition: int, amount: int) -> bool:
+        record = account.make_draw(amount)
+        end_offset = self._ends[partition]
+        if amount < 0:
+            account.start_return(-amount, end_offset)
+        try:
+            offset = await self._store.put(
+                Topic.ACCOUNTS,
+                account.workspace,
+                ACCOUNT_CODEC.encode(record),
+                partition=partition,
+                at=end_offset,
+            )
+        except StoreRefusedError:
+            account.end_return()
+            raise
+        account.end_return()
         if offset is None:
             return False
         self._ends[partition] = offset + 1
@@ -258,29 +289,14 @@
             return
         now = self._timer.now()
         for workspace in configuration.workspaces:
-            if not self._is_home(workspace):
-                self._tidy(workspace, now)
-                continue
-            self._left_home_at.pop(workspace, None)
-            account = self._get_account(workspace)
+            home = self._is_home(workspace)
+            account = self._get_account(workspace) if home else None
+            # A stock that this host is no longer the home for is given back.
+            account = account or self._accounts.get(workspace)
             if account is None or self._is_paused(workspace):
                 continue
-            if account.free == 0 and not self._may_check(workspace):
+            if account.record_offset < 0 and not self._may_check(workspace):
                 continue
-            if account.record_offset < 0 or account.want_draw(now, home=True):
+            unread = account.record_offset < 0
+            if unread or account.want_change(now, home=home):
                 self._start_draw(workspace)
-
-    def _tidy(self, workspace: str, now: float) -> None:
-        """Give back a stock that another host has become the home for."""
-        account = self._accounts.get(workspace)
-        if account is None or account.available <= 0 or self._is_paused(workspace):
-            return
-        left_at = self._left_home_at.setdefault(workspace, now)
-        wanted = account.get_wanted(now, home=False)
-        if now - left_at < IDLE_S or account.available <= wanted:
-            return
-        draw = self._draws.get(workspace)
-        if draw is None or draw.done():
-            self._draws[workspace] = asyncio.create_task(
-                self._change(workspace, lambda item: -max(0, item.available))
-            )
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -94,6 +94,7 @@
             self._meet(
                 record.key, wire.incarnation, wire.peer_url, wire.data_center, False
             )
+        self.beat_soon()
 
     def list_live(self) -> list[str]:
         """Return the hosts that answer and serve, this one among them."""
@@ -103,6 +104,16 @@
         """Return how many hosts share the fleet's limits."""
         return len(self._board.peers) + 1
 
+    def has_met_all(self) -> bool:
+        """Tell whether every host that the store names was heard."""
+        return all(
+            peer.last_heard > float("-inf") for peer in self._board.peers.values()
+        )
+
+    def beat_soon(self) -> None:
+        """Tell the peers at once how this host stands."""
+        self.add_future(self._beat())
+
     async def withdraw(self) -> None:
         """Take this host's record out of the store."""
         try:
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -4,6 +4,7 @@
 from typing import Any, Literal
 
 from trefoilstage.components.escrow.messages import EscrowMessage
+from trefoilstage.components.forwarding.messages import WorkReport
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
@@ -41,6 +42,6 @@
     kind: Literal["view_reply"] = "view_reply"
 
 
-FleetMessage = HostBeat | ReadView | ViewReply | EscrowMessage | ErrorReply
+FleetMessage = HostBeat | ReadView | ViewReply | EscrowMessage | WorkReport | ErrorReply
 
 FLEET_CODEC: Codec[Frame[Any]] = make_frame_codec(FleetMessage)
--- a/trefoilstage/components/forwarding/answers.py
+++ b/trefoilstage/components/forwarding/answers.py
@@ -17,6 +17,7 @@
     Reason.BUDGET_EXHAUSTED: 402,
     Reason.UNKNOWN_PATH: 404,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.BUDGET_DRAWN: 429,
     Reason.BUDGET_UNCONFIRMED: 429,
     Reason.OVERLOADED: 503,
     Reason.NO_TARGET: 503,
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -17,7 +17,7 @@
     TargetEntry,
     Workspace,
 )
-from trefoilstage.components.forwarding.placement import find_subject
+from trefoilstage.components.forwarding.placement import PromptNeed, find_subject
 from trefoilstage.components.forwarding.sender import (
     AnswerBrokenError,
     Broken,
@@ -114,6 +114,22 @@
         finally:
             if isinstance(hold, Hold):
                 self._escrow.settle(hold, run.count_spent())
+                self._log_end(run, hold)
+
+    def _log_end(self, run: Run, hold: Hold) -> None:
+        log_event(
+            Event.REQUEST_DONE,
+            request=run.request.request,
+            route=run.route.name,
+            workspace=hold.workspace,
+            home=hold.home,
+            complete=run.complete,
+            attempts=run.n_sends,
+            events=run.n_events,
+            held=hold.tokens,
+            spent=run.count_spent(),
+            duration_s=asyncio.get_running_loop().time() - run.started,
+        )
 
     def _refuse_late(self, run: Run) -> Refusal:
         if run.n_runs == 0:
@@ -157,8 +173,12 @@
         return self._chooser.choose(
             service=service,
             excluded=run.excluded,
-            subject=subject,
-            n_shared_tokens=n_shared,
+            need=PromptNeed(
+                subject=subject,
+                n_shared_tokens=n_shared,
+                n_tokens=run.request.n_prompt_tokens,
+                objective_s=run.route.objective_s,
+            ),
             request=run.request.request,
         )
 
@@ -178,7 +198,8 @@
         )
         run.n_sends += 1
         run.n_runs += 1
-        self._chooser.note_start(target, run.request.n_prompt_tokens)
+        n_tokens = run.request.n_prompt_tokens
+        self._chooser.note_start(target, n_tokens)
         log_event(
             Event.REQUEST_SENT,
             request=run.request.request,
@@ -189,10 +210,13 @@
         try:
             answer = await self._sender.send(run.request, run.body, target, options)
         except BaseException:
-            self._chooser.note_end(target, run.request.n_prompt_tokens)
+            self._chooser.note_first_token(target, n_tokens)
+            self._chooser.note_end(target)
             raise
+        # A target sends the head of a stream with its first token.
+        self._chooser.note_first_token(target, n_tokens)
         if not isinstance(answer, OpenAnswer):
-            self._chooser.note_end(target, run.request.n_prompt_tokens)
+            self._chooser.note_end(target)
             run.excluded.add(target.name)
         if isinstance(answer, NotSent):
             run.n_runs -= 1
@@ -233,7 +257,7 @@
             return None
         finally:
             answer.close()
-            self._chooser.note_end(target, run.request.n_prompt_tokens)
+            self._chooser.note_end(target)
 
     def _is_worth_repeating(self, run: Run, answer: OpenAnswer) -> bool:
         if not run.route.is_repeatable or run.response is not None:
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -1,75 +1,52 @@
 """Choose a target for a request; pure.
 
-Load: prompts share long parts, and a target that still has a part in memory need
-not read it again (5,000 tokens are 80 ms of a target's time, during which every
-other request there waits). All hosts must therefore send the same part to the same
-target without asking each other.
+Load: prompts share long parts. A target that still has a part in memory need not
+read it again, and reading 5,000 tokens takes a target 80 ms, in which the other
+prompts there wait. So all hosts send prompts with the same part to the same target,
+its home, while the request is expected to get its first token in time there.
 """
 
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.util.hashing import rank_by_rendezvous
 
-# The first choice is left for the second when it has this much more work from
-# this host: what reading the shared part again would cost.
-MIN_SPILL_TOKENS = 6_000
-# A request under way delays a new one about as much as reading this many tokens.
-REQUEST_TOKENS = 600
+# Prompt tokens that an engine reads in a second; two sites' engines read 62,000
+# and 66,000. Only the order of targets and the use of the home rest on it.
+PROMPT_TOKENS_PER_S = 60_000.0
+# Each request under way makes the tokens of the others slower: with 64 at once a
+# step takes 1.5 times as long as alone.
+SECONDS_PER_REQUEST = 0.002
+# The home is left when it would use up more than this share of the objective. The
+# rest is for what is not known here: the other hosts' newest requests, the network.
+OBJECTIVE_SHARE = 0.5
 
 
-@dataclass(kw_only=True, slots=True)
-class SentWork:
-    """Hold what this host has under way at a target."""
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """Hold what is under way at a target, from all hosts as far as known."""
 
     n_requests: int = 0
-    prompt_tokens: int = 0  # sent and not answered yet
-
-    @property
-    def cost(self) -> int:
-        """Return the work in tokens to read."""
-        return self.prompt_tokens + REQUEST_TOKENS * self.n_requests
-
-
-@dataclass(kw_only=True, slots=True)
-class Ranking:
-    """Order the targets for a request, the best first."""
-
-    work: Mapping[str, SentWork] = field(default_factory=dict)
-
-    def get_cost(self, target: TargetEntry) -> int:
-        """Return the work of this host at a target."""
-        work = self.work.get(target.name)
-        return work.cost if work else 0
-
-    def choose_by_prompt(
-        self, targets: Sequence[TargetEntry], subject: str, n_shared_tokens: int
-    ) -> TargetEntry:
-        """Return the target that keeps a subject, or the next if that is busy."""
-        by_name = {target.name: target for target in targets}
-        ranked = [by_name[name] for name in rank_by_rendezvous(subject, by_name)]
-        spill = max(MIN_SPILL_TOKENS, n_shared_tokens)
-        best = ranked[0]
-        for other in ranked[1:3]:
-            if self.get_cost(best) > self.get_cost(other) + spill:
-                best = other
-        return best
-
-    def choose_by_load(
-        self, targets: Sequence[TargetEntry], data_center: str, request: str
-    ) -> TargetEntry:
-        """Return the target with the least work of this host, a near one if equal."""
-        order = rank_by_rendezvous(request, [target.name for target in targets])
-        position = {name: number for number, name in enumerate(order)}
-
-        def weigh(target: TargetEntry) -> tuple[float, bool, int]:
-            work = self.work.get(target.name)
-            n_requests = work.n_requests if work else 0
-            far = target.data_center != data_center
-            return n_requests, far, position[target.name]
-
-        return min(targets, key=weigh)
+    prompt_tokens: int = 0  # sent and without a first token yet
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptNeed:
+    """Hold what a placement has to know of a prompt."""
+
+    subject: str  # the last part that other requests share
+    n_shared_tokens: int  # up to the end of that part
+    n_tokens: int
+    objective_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Option:
+    """Pair a target with the work under way there."""
+
+    target: TargetEntry
+    work: Work
 
 
 def find_subject(prompt: Sequence[PromptPart]) -> tuple[str, int]:
@@ -77,7 +54,46 @@
 
     The last part of a prompt belongs to the request or its session.
     """
-    if not prompt:
-        return "", 0
     shared = prompt[:-1] or prompt
+    if not shared:
+        return "", 0
     return shared[-1].name, sum(part.n_tokens for part in shared)
+
+
+def estimate_first_token(work: Work, n_unread_tokens: int) -> float:
+    """Return the seconds until a target has read what waits and this prompt."""
+    n_tokens = work.prompt_tokens + n_unread_tokens
+    return n_tokens / PROMPT_TOKENS_PER_S + SECONDS_PER_REQUEST * work.n_requests
+
+
+def choose_by_prompt(options: Sequence[Option], need: PromptNeed) -> TargetEntry:
+    """Return the target that keeps a prompt's subject, or the soonest if it is late."""
+    by_name = {option.target.name: option for option in options}
+    home = by_name[rank_by_rendezvous(need.subject, by_name)[0]]
+    n_own_tokens = need.n_tokens - need.n_shared_tokens
+    at_home_s = estimate_first_token(home.work, n_own_tokens)
+    limit_s = max(
+        OBJECTIVE_SHARE * need.objective_s, n_own_tokens / PROMPT_TOKENS_PER_S
+    )
+    if at_home_s <= limit_s:
+        return home.target
+
+    def weigh(option: Option) -> float:
+        n_unread = n_own_tokens if option is home else need.n_tokens
+        return estimate_first_token(option.work, n_unread)
+
+    return min(options, key=weigh).target
+
+
+def choose_by_load(
+    options: Sequence[Option], data_center: str, request: str
+) -> TargetEntry:
+    """Return the target with the fewest requests, a near one among equals."""
+    order = rank_by_rendezvous(request, [option.target.name for option in options])
+    position = {name: number for number, name in enumerate(order)}
+
+    def weigh(option: Option) -> tuple[int, bool, int]:
+        far = option.target.data_center != data_center
+        return option.work.n_requests, far, position[option.target.name]
+
+    return min(options, key=weigh).target
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -2,9 +2,15 @@
 
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import TargetEntry
-from trefoilstage.components.forwarding.placement import Ranking, SentWork
+from trefoilstage.components.forwarding.placement import (
+    Option,
+    PromptNeed,
+    choose_by_load,
+    choose_by_prompt,
+)
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.sender import Broken, NotSent, OpenAnswer
+from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.targets.health import TargetHealth
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
@@ -22,23 +28,22 @@
         membership: FleetMembership,
         settings: FleetSettings,
         timer: TimerService,
+        workload: WorkloadController,
     ) -> None:
         self._board = board
         self._membership = membership
         self._settings = settings
         self._timer = timer
-        self._work: dict[str, SentWork] = {}
+        self._workload = workload
         self._healths: dict[str, TargetHealth] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._ranking = Ranking(work=self._work)
 
     def choose(
         self,
         *,
         service: str,
         excluded: set[str],
-        subject: str,
-        n_shared_tokens: int,
+        need: PromptNeed,
         request: str,
     ) -> TargetEntry | None:
         """Return the target for a request, None if there is none."""
@@ -55,9 +60,13 @@
         usable = healthy or others
         if not usable:
             return None
-        if subject:
-            return self._ranking.choose_by_prompt(usable, subject, n_shared_tokens)
-        return self._ranking.choose_by_load(usable, self._board.data_center, request)
+        options = [
+            Option(target=target, work=self._workload.get_work(target.name))
+            for target in usable
+        ]
+        if need.subject:
+            return choose_by_prompt(options, need)
+        return choose_by_load(options, self._board.data_center, request)
 
     def note_request(self, service: str) -> None:
         """Count a request of a caller for the retry budget."""
@@ -70,16 +79,16 @@
 
     def note_start(self, target: TargetEntry, n_prompt_tokens: int) -> None:
         """Count a request that is sent to a target."""
-        work = self._work.setdefault(target.name, SentWork())
-        work.n_requests += 1
-        work.prompt_tokens += n_prompt_tokens
+        self._workload.add(target.name, n_requests=1, prompt_tokens=n_prompt_tokens)
         self._get_health(target.name).start(retry=False)
 
-    def note_end(self, target: TargetEntry, n_prompt_tokens: int) -> None:
+    def note_first_token(self, target: TargetEntry, n_prompt_tokens: int) -> None:
+        """Count a prompt that a target has read or will not read."""
+        self._workload.add(target.name, prompt_tokens=-n_prompt_tokens)
+
+    def note_end(self, target: TargetEntry) -> None:
         """Count a request that ended at a target."""
-        work = self._work.setdefault(target.name, SentWork())
-        work.n_requests -= 1
-        work.prompt_tokens -= n_prompt_tokens
+        self._workload.add(target.name, n_requests=-1)
         self._get_health(target.name).note_dropped()
 
     def note_answer(
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -56,6 +56,16 @@
             raise PeerUnavailableError(reply.detail)
         return reply
 
+    async def tell(self, message: Any, *, timeout_s: float) -> None:
+        """Send a message that gets no reply, or raise PeerUnavailableError."""
+        frame = Frame(number=0, reply=True, body=message)
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect()
+                await connection.send(self._codec.encode(frame))
+        except (TimeoutError, OSError, WebSocketException) as error:
+            raise PeerUnavailableError(repr(error)) from error
+
     async def close(self) -> None:
         """Close the connection."""
         if self._reader is not None:
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -73,8 +73,23 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
+    async def _take(self, handler: Handler | None, message: Any) -> None:
+        try:
+            if handler is not None:
+                await handler(message)
+        except Exception as error:
+            log_event(
+                Event.PEER_CALL_FAILED,
+                kind=message.kind,
+                error=describe_error(error),
+            )
+
     async def _answer(self, connection: ServerConnection, frame: Frame[Any]) -> None:
         handler = self._handlers.get(type(frame.body))
+        if frame.reply:
+            # A peer that tells something waits for no reply.
+            await self._take(handler, frame.body)
+            return
         try:
             if handler is None:
                 body: Any = ErrorReply(detail="no such call")
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -18,6 +18,7 @@
 from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
 from trefoilstage.components.forwarding.server import ForwardingServer
 from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.follower import ViewFollower
@@ -36,10 +37,14 @@
 # one. Two reads a second find a leaving target well within its 2 s.
 TARGETS_PAUSE_S = 0.4
 HOSTS_WAIT_S = 3.0
+READY_POLL_S = 0.02
+# Peers that run answer within milliseconds; the store may name some that are gone.
+MEET_S = 0.6
 # The balancer asks every second and takes a host out after two misses.
 ACCEPT_WHILE_DRAINING_S = 3.0
-# Time kept at the end of the grace to give tokens back and leave.
-LEAVE_S = 0.8
+# Time kept at the end of the grace to give tokens back, and to stop.
+LEAVE_S = 0.6
+STOP_S = 0.6
 
 
 class FleetHost(Service):
@@ -99,6 +104,9 @@
             links=links,
             timer=timer,
         )
+        workload = WorkloadController(
+            board=self._board, links=links, server=peers, timer=timer
+        )
         pipeline = ForwardingPipeline(
             board=self._board,
             escrow=self._escrow,
@@ -107,6 +115,7 @@
                 membership=membership,
                 settings=settings,
                 timer=timer,
+                workload=workload,
             ),
             sender=TargetSender(session=self._session, border=self._border),
             generator=random.Random(self._board.incarnation),
@@ -121,9 +130,10 @@
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", home.list_accounts)
         parts: list[Service] = [timer, links, peers, *followers.values()]
-        parts += [membership, home, self._escrow, self._server]
+        parts += [membership, home, self._escrow, workload, self._server]
         for part in parts:
             await self.add_runtime_dependency(part)
+        self.add_future(self._become_ready())
         log_event(
             Event.HOST_STARTED,
             host=self._board.host,
@@ -153,13 +163,29 @@
             self._membership.take_records(records)
         else:
             self._watcher.take(topic, records, asyncio.get_running_loop().time())
-        if self._board.phase is Phase.STARTING and self._board.configuration:
-            self._board.phase = Phase.SERVING
-            log_event(
-                Event.HOST_READY,
-                host=self._board.host,
-                version=self._board.configuration.version,
-            )
+
+    async def _become_ready(self) -> None:
+        """Serve once a configuration is known and the other hosts were heard.
+
+        A host that has heard nobody takes itself for the home of every workspace,
+        and would draw a stock for each.
+        """
+        loop = asyncio.get_running_loop()
+        while self._board.configuration is None:
+            await asyncio.sleep(READY_POLL_S)
+        met_by = loop.time() + MEET_S
+        while not self._membership.has_met_all() and loop.time() < met_by:
+            await asyncio.sleep(READY_POLL_S)
+        if self._board.phase is not Phase.STARTING:
+            return
+        self._board.phase = Phase.SERVING
+        self._membership.beat_soon()
+        log_event(
+            Event.HOST_READY,
+            host=self._board.host,
+            version=self._board.configuration.version,
+            peers=len(self._board.peers),
+        )
 
     async def run(self) -> None:
         """Serve until told to drain, or until a part fails."""
@@ -171,8 +197,11 @@
     async def drain(self) -> None:
         """Take no new callers, finish the requests in flight, give tokens back."""
         loop = asyncio.get_running_loop()
-        ends = loop.time() + self._settings.shutdown_grace_s - LEAVE_S
+        ends = loop.time() + self._settings.shutdown_grace_s - LEAVE_S - STOP_S
         self._board.phase = Phase.DRAINING
+        self._membership.beat_soon()
+        # Its successor as home draws at once; what lies here is missing there.
+        self.add_future(self._home.return_all())
         log_event(
             Event.HOST_DRAINING, host=self._board.host, active=self._server.n_active
         )
@@ -187,7 +216,7 @@
 
     async def _leave(self) -> None:
         try:
-            async with asyncio.timeout(LEAVE_S / 2):
+            async with asyncio.timeout(LEAVE_S):
                 await self._escrow.flush()
                 await self._home.return_all()
                 await self._membership.withdraw()
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -10,6 +10,7 @@
     """Name why something was rejected or refused."""
 
     BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_DRAWN = "budget_drawn"  # free tokens are none, drawn ones not all spent
     BUDGET_UNCONFIRMED = "budget_unconfirmed"
     POWER_EXHAUSTED = "power_exhausted"
     NO_TARGET = "no_target"
--- a/trefoilstage/platform/__main__.py
+++ b/trefoilstage/platform/__main__.py
@@ -13,7 +13,7 @@
 from trefoilstage.exceptions import SettingsError
 from trefoilstage.fleet_host import FleetHost, make_board
 from trefoilstage.fleet_settings import FleetSettings
-from trefoilstage.helpers.events import set_up_events
+from trefoilstage.helpers.events import Event, log_event, set_up_events
 from trefoilstage.platform.configuration import (
     CONFIGURATION_KEY,
     decode_configuration,
@@ -24,6 +24,8 @@
 from trefoilstage.platform.store import StoreClient
 
 SETTINGS_VARIABLE = "TREFOILSTAGE_CONFIG"
+# What is left of the grace after the drain and the return of tokens.
+STOP_TIMEOUT_S = 0.4
 EXIT_CRASHED = 1
 EXIT_BAD_SETTINGS = 2
 
@@ -55,7 +57,16 @@
             await host.start()
             await host.run()
         finally:
+            await stop_host(host)
+
+
+async def stop_host(host: FleetHost) -> None:
+    """Stop within a bounded time; peers that are gone answer no closing handshake."""
+    try:
+        async with asyncio.timeout(STOP_TIMEOUT_S):
             await host.stop()
+    except TimeoutError:
+        log_event(Event.STOP_INCOMPLETE)
 
 
 def main() -> None:
