Test the escrow, the views, the pipeline's decisions and the adapter

Cause: the thin path had no tests. The state machine drives three homes of one account over a store that is down, refuses, loses answers and lands writes late, through restarts, returns and changes of home; what was really spent must stay within the prepaid tokens at each step. Found by the tests: an empty or torn answer to a read was taken for no records; mended.

--- /dev/null
+++ b/tests/components/escrow/__init__.py
@@ -0,0 +1,1 @@
+"""Test the escrow components."""
--- /dev/null
+++ b/tests/components/escrow/test_home.py
@@ -0,0 +1,170 @@
+"""Test that prepaid tokens are never spent twice, and seldom kept from callers."""
+
+import random
+import unittest
+
+from tests.components.escrow.common import (
+    OTHER_WORKSPACE,
+    WORKSPACE,
+    Bank,
+    make_configuration,
+    pick_faults,
+)
+from trefoilstage.helpers.verdict import Reason
+
+HOSTS = ("brest-1", "quimper-1", "lorient-1")
+PREPAID = 200_000
+N_SEEDS = 60
+N_STEPS = 250
+
+
+class OverspendFuzz(unittest.IsolatedAsyncioTestCase):
+    """Drive three homes of the same accounts through random faults."""
+
+    async def test_no_fault_spends_more_than_was_prepaid(self) -> None:
+        """Let hosts hold tokens while the store fails and hosts restart.
+
+        A caller's workspace has 200,000 tokens. Hosts hold and settle, become home
+        in turn, are killed and restarted, and give tokens back; the store is down,
+        refuses, loses answers and carries out writes late. What was really spent
+        must stay within the prepaid tokens at each step.
+        """
+        for seed in range(N_SEEDS):
+            with self.subTest(seed=seed):
+                await self._play(seed)
+
+    async def _play(self, seed: int) -> None:
+        generator = random.Random(seed)
+        bank = Bank(prepaid=PREPAID)
+        bank.store.generator = random.Random(seed + 1_000)
+        for host in HOSTS:
+            bank.start(host)
+        for step in range(N_STEPS):
+            await self._step(bank, generator, f"request-{step}")
+            for workspace, spent in bank.spent.items():
+                self.assertLessEqual(spent, PREPAID, (seed, step, workspace))
+
+    async def _step(self, bank: Bank, generator: random.Random, request: str) -> None:
+        bank.timer.time += generator.choice([0.01, 0.1, 0.5])
+        host = generator.choice(HOSTS)
+        workspace = generator.choice([WORKSPACE, OTHER_WORKSPACE])
+        action = generator.random()
+        if action < 0.6:
+            await bank.hold(host, workspace, request, generator.randrange(1, 9_000))
+        elif action < 0.75 and bank.running:
+            ended = generator.choice(sorted(bank.running))
+            bank.settle(ended, generator.randrange(bank.running[ended][2] + 1))
+        elif action < 0.8:
+            bank.start(host)
+        elif action < 0.87:
+            await bank.homes[host].return_all()
+        elif action < 0.92:
+            bank.home = host
+        elif action < 0.96:
+            pick_faults(bank.store, generator)
+        else:
+            bank.store.land()
+
+
+class HomeTest(unittest.IsolatedAsyncioTestCase):
+    """Test what callers get from one or two homes."""
+
+    async def test_whole_budget_can_be_spent(self) -> None:
+        """Spend a budget to its last tokens through one home, in small requests."""
+        bank = Bank(prepaid=100_000, home="brest-1")
+        bank.start("brest-1")
+        for number in range(100):
+            held = await bank.hold("brest-1", WORKSPACE, f"request-{number}", 1_000)
+            self.assertTrue(held, number)
+        refused = await bank.homes["brest-1"].hold(WORKSPACE, "one-more", 1_000)
+        self.assertIs(refused, Reason.BUDGET_EXHAUSTED)
+
+    async def test_stock_serves_through_an_outage(self) -> None:
+        """Cut the home from the store while callers go on.
+
+        The home has seen 10,000 tokens a second for 5 s and drawn ahead. Then the
+        store is down for 8 s. Each caller is still served, for the stock covers
+        ten seconds of the demand.
+        """
+        bank = Bank(prepaid=2_000_000, home="brest-1")
+        home = bank.start("brest-1")
+        for number in range(130):
+            if number == 50:
+                await home._tick()
+                await home._draws[WORKSPACE]
+                bank.store.down = True
+            bank.timer.time += 0.1
+            held = await bank.hold("brest-1", WORKSPACE, f"request-{number}", 1_000)
+            self.assertTrue(held, number)
+
+    async def test_returned_tokens_are_not_held_meanwhile(self) -> None:
+        """Lose the answer to a return of tokens, then ask for tokens.
+
+        The write is on its way and may land at any time, upon which another host
+        can draw the same tokens. So a request that asks for them now is refused.
+        """
+        bank = Bank(prepaid=10_000, home="brest-1")
+        home = bank.start("brest-1")
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "first", 10_000))
+        bank.settle("first", 1_000)
+        bank.store.late_share = 1.0
+        await home.return_all()
+        self.assertFalse(await bank.hold("brest-1", WORKSPACE, "second", 5_000))
+        bank.store.land()
+        bank.store.late_share = 0.0
+        bank.start("quimper-1")
+        self.assertTrue(await bank.hold("quimper-1", WORKSPACE, "third", 8_000))
+
+    async def test_unread_account_is_not_overwritten(self) -> None:
+        """Let a host first meet an account after it has written another one's.
+
+        Both lie in one partition. Were the second taken for empty, the write would
+        drop what another host has drawn, and its tokens would be spent twice.
+        """
+        bank = Bank(prepaid=10_000)
+        bank.start("brest-1")
+        bank.start("quimper-1")
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "a", 9_000))
+        self.assertTrue(await bank.hold("quimper-1", OTHER_WORKSPACE, "b", 1_000))
+        self.assertFalse(await bank.hold("quimper-1", WORKSPACE, "c", 9_000))
+
+    async def test_lowered_budget_binds_at_once(self) -> None:
+        """Lower the prepaid tokens below what is drawn; nothing more is held."""
+        bank = Bank(prepaid=100_000, home="brest-1")
+        home = bank.start("brest-1")
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "a", 10_000))
+        await home._tick()
+        bank.boards["brest-1"].configuration = make_configuration(10_000, version=2)
+        self.assertFalse(await bank.hold("brest-1", WORKSPACE, "b", 1_000))
+
+    async def test_top_up_is_used(self) -> None:
+        """Raise the prepaid tokens of a spent budget; the next request is served."""
+        bank = Bank(prepaid=10_000, home="brest-1")
+        bank.start("brest-1")
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "a", 10_000))
+        self.assertFalse(await bank.hold("brest-1", WORKSPACE, "b", 1_000))
+        bank.boards["brest-1"].configuration = make_configuration(20_000, version=2)
+        bank.timer.time += 1.0
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "c", 1_000))
+
+    async def test_settlement_may_overtake_its_hold(self) -> None:
+        """Give up a hold whose message is slow; it must not stay held for ever."""
+        bank = Bank(prepaid=10_000, home="brest-1")
+        home = bank.start("brest-1")
+        self.assertTrue(await bank.hold("brest-1", WORKSPACE, "a", 1_000))
+        account = home.list_accounts()[0]
+        account.settle("late", 0)
+        self.assertFalse(account.hold("late", 1_000))
+
+    async def test_silent_store_refuses_at_once(self) -> None:
+        """Ask a home without stock while the store is known to be out of reach."""
+        bank = Bank(prepaid=10_000)
+        home = bank.start("brest-1")
+        bank.store.down = True
+        bank.boards["brest-1"].store.out_of_reach = True
+        refused = await home.hold(WORKSPACE, "a", 1_000)
+        self.assertIs(refused, Reason.BUDGET_UNCONFIRMED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/components/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Test the fleet components."""
--- /dev/null
+++ b/tests/components/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Test the forwarding components."""
--- /dev/null
+++ b/tests/components/forwarding/common.py
@@ -0,0 +1,44 @@
+"""Build what the forwarding tests share."""
+
+from trefoilstage.components.forwarding.models import (
+    Route,
+    RouteKind,
+    ServiceShare,
+    TargetEntry,
+    TargetPhase,
+)
+
+
+def make_route(prefix: str, *, host: str = "club.example", name: str = "") -> Route:
+    """Return a route of a host and a prefix."""
+    return Route(
+        name=name or prefix,
+        host=host,
+        path_prefix=prefix,
+        kind=RouteKind.IDEMPOTENT,
+        shares=(ServiceShare(service="booking", weight=1.0),),
+        timeout_s=1.0,
+        objective_s=0.2,
+        priority=1,
+        max_attempts=2,
+        public=False,
+        resumable=False,
+    )
+
+
+def make_target(
+    name: str,
+    *,
+    service: str = "assistant",
+    data_center: str = "brest",
+    phase: TargetPhase = TargetPhase.READY,
+) -> TargetEntry:
+    """Return a target's entry."""
+    return TargetEntry(
+        name=name,
+        service=service,
+        address="127.0.0.1:1",
+        data_center=data_center,
+        slots=64,
+        phase=phase,
+    )
--- /dev/null
+++ b/tests/components/forwarding/test_events.py
@@ -0,0 +1,38 @@
+"""Test that only whole events go on to callers."""
+
+import random
+import unittest
+
+from trefoilstage.components.forwarding.events import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: d"
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Test the split of a stream at any place."""
+
+    def test_events_are_the_same_however_the_bytes_arrive(self) -> None:
+        """Feed a stream in pieces cut at random; its last event never ends."""
+        whole = EventSplitter().add(STREAM)
+        for seed in range(50):
+            generator = random.Random(seed)
+            splitter = EventSplitter()
+            events = []
+            rest = STREAM
+            while rest:
+                size = generator.randrange(1, 9)
+                events += splitter.add(rest[:size])
+                rest = rest[size:]
+            self.assertEqual(events, whole)
+            self.assertTrue(splitter.has_rest)
+
+    def test_numbers_are_read(self) -> None:
+        """Read each event's id; one without has none."""
+        numbers = [event.number for event in EventSplitter().add(STREAM)]
+        self.assertEqual(numbers, [1, 2, None])
+
+    def test_bytes_are_kept(self) -> None:
+        """Join the events to the bytes that came, but for the torn last one."""
+        events = EventSplitter().add(STREAM)
+        joined = b"".join(event.data for event in events)
+        self.assertEqual(joined, STREAM[: STREAM.index(b"id: 4")])
--- /dev/null
+++ b/tests/components/views/__init__.py
@@ -0,0 +1,1 @@
+"""Test the views components."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the adapter to the platform."""
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -179,11 +179,15 @@
     """Return the records of a read that began at an offset."""
     records: list[KeyedRecord] = []
     try:
-        # Where the partition ends and what it keeps; one answer may hold less.
+        # Where the partition ends and what it keeps; one answer may hold less, so
+        # neither tells where to read on.
+        OFFSETS.unpack_from(data)
         position = OFFSETS.size
         while position < len(data):
             (length,) = LENGTH.unpack_from(data, position)
             position += LENGTH.size
+            if position + length > len(data):
+                raise StoreUnavailableError("torn records")
             content = data[position : position + length]
             position += length
             records.append(decode_content(content, offset + len(records)))
