--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -27,7 +27,7 @@
 # The home's own wait for a draw is 1 s.
 HOLD_TIMEOUT_S = 1.1
 SETTLE_TIMEOUT_S = 1.0
-MAX_HOMES = 2
+N_STAND_INS = 2
 # Settlements that the home did not take are kept this many; past it the oldest
 # are dropped, and their holds count as spent in full.
 MAX_UNSETTLED = 5_000
@@ -85,7 +85,7 @@
         if not self._is_prepaid(workspace) or tokens == 0:
             return Hold(workspace=workspace, request=request, tokens=0)
         reason = Reason.BUDGET_UNCONFIRMED
-        for home in self._rank(workspace)[:MAX_HOMES]:
+        for home in self._list_homes(workspace):
             answer = await self._ask(home, workspace, request, tokens)
             if isinstance(answer, Hold):
                 return answer
@@ -119,6 +119,19 @@
         serving = self._board.phase is Phase.SERVING
         return serving and self._rank(workspace)[:1] == [self._board.host]
 
+    def _list_homes(self, workspace: str) -> list[str]:
+        """Return the home, then hosts that can draw in its place.
+
+        A home that is cut from the store spends its stock and then refuses at once.
+        The next hosts by rank may be cut as well, so those that say they reach the
+        store are asked. When nobody reaches it, the next by rank are.
+        """
+        live = self._membership.list_live()
+        ranked = rank_by_rendezvous(workspace, live)
+        able = self._board.list_store_hosts(live)
+        stand_ins = [host for host in ranked[1:] if host in able] or ranked[1:]
+        return ranked[:1] + stand_ins[:N_STAND_INS]
+
     def _rank(self, workspace: str) -> list[str]:
         return rank_by_rendezvous(workspace, self._membership.list_live())
 
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -186,6 +186,7 @@
             peer_url=self.peer_url,
             data_center=self._board.data_center,
             serving=self._board.phase is Phase.SERVING,
+            store_in_reach=not self._board.store.out_of_reach,
             next_offsets={
                 topic: follower.view.next_offset
                 for topic, follower in self._followers.items()
@@ -204,6 +205,7 @@
         peer.last_heard = now
         peer.failed = False
         peer.serving = beat.serving
+        peer.store_in_reach = beat.store_in_reach
         for topic, offset in beat.next_offsets.items():
             await self._catch_up(peer, topic, offset)
 
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -21,6 +21,7 @@
     peer_url: Name
     data_center: Name
     serving: bool
+    store_in_reach: bool
     next_offsets: dict[Topic, int]
     kind: Literal["host_beat"] = "host_beat"
 
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -51,6 +51,7 @@
     last_heard: float = float("-inf")
     serving: bool = False
     failed: bool = False  # a call failed since it was last heard
+    store_in_reach: bool = True
 
 
 @dataclass(kw_only=True, slots=True)
@@ -77,3 +78,15 @@
         if self.phase is not Phase.DRAINING:
             live.append(self.host)
         return sorted(live)
+
+    def list_store_hosts(self, live: list[str]) -> list[str]:
+        """Return those of the live hosts that reach the store."""
+        return [
+            host
+            for host in live
+            if (
+                not self.store.out_of_reach
+                if host == self.host
+                else self.peers[host].store_in_reach
+            )
+        ]
