Recover what a killed home had drawn, from the hosts it granted to

Change: a home grants only to incarnations that its record in the store names, and no host is the home of its own requests. Once the home's host runs a later incarnation, another home seals the ended one with each named host, which tells what it used and takes no later grant; the rest is free again. With a named host ended too, all counts as spent, as before. Weighed: a witness that confirms each level (a round trip more on each hold); clocks (ruled out).

--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from trefoilstage.components.escrow.record import AccountRecord, Holder
@@ -64,6 +65,9 @@
     spent: int = 0
     holds: dict[str, int] = field(default_factory=dict)
     settled: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    requesters: dict[str, str] = field(default_factory=dict)  # by request held
+    used: dict[str, int] = field(default_factory=dict)  # by requester served
+    used_by_former: int = 0
     demand: Demand = field(default_factory=Demand)
     waiting: int = 0  # tokens that requests wait for
     returning: int = 0  # tokens on their way back to the store
@@ -72,7 +76,14 @@
     @property
     def drawn(self) -> int:
         """Return what this incarnation has drawn, as the store has confirmed."""
-        return self.record.get_drawn(self.host, self.incarnation)
+        holder = self.record.holders.get(self.incarnation)
+        return holder.drawn if holder else 0
+
+    @property
+    def served(self) -> dict[str, str]:
+        """Return the incarnations that may get grants, as the store has them."""
+        holder = self.record.holders.get(self.incarnation)
+        return holder.served if holder else {}
 
     @property
     def held(self) -> int:
@@ -118,14 +129,26 @@
         if end_offset > self.returning_at:
             self.end_return()
 
-    def hold(self, request: str, tokens: int) -> bool:
-        """Hold tokens for a request if they are available; idempotent."""
+    def serves(self, requester: str) -> bool:
+        """Tell whether the store names an incarnation as one that gets grants."""
+        return requester in self.used and requester in self.served.values()
+
+    def hold(self, request: str, tokens: int, requester: str) -> bool:
+        """Hold tokens for a request if they are available; idempotent.
+
+        Only a requester that the store names gets any: when this host ends, those
+        named are asked what they got.
+        """
         if request in self.holds:
-            return True
+            return self.requesters[request] == requester
         # The settlement of a hold that was given up may overtake the hold.
         if request in self.settled or tokens > self.available:
             return False
+        if not self.serves(requester):
+            return False
         self.holds[request] = tokens
+        self.requesters[request] = requester
+        self.used[requester] += tokens
         return True
 
     def settle(self, request: str, spent: int) -> None:
@@ -136,9 +159,23 @@
         self.settled[request] = None
         if held is not None:
             self.spent += spent
+            requester = self.requesters.pop(request)
+            if requester in self.used:
+                self.used[requester] -= held - spent
         while len(self.settled) > MAX_SETTLED:
             self.settled.popitem(last=False)
 
+    def serve_only(self, requesters: Collection[str]) -> None:
+        """Serve some incarnations, and no more those that have ended.
+
+        At once, before the store names the new ones: a former one that got a grant
+        after its total was taken would be missing in it.
+        """
+        for former in set(self.used) - set(requesters):
+            self.used_by_former += self.used.pop(former)
+        for requester in requesters:
+            self.used.setdefault(requester, 0)
+
     def can_cover(self, tokens: int) -> bool:
         """Tell whether a draw could make enough tokens available."""
         return self.available + self.free >= tokens
@@ -174,17 +211,18 @@
         left = self.free + max(0, self.available)
         return int(min(wanted, MAX_STOCK_SHARE * left))
 
-    def make_draw(self, tokens: int) -> AccountRecord:
+    def make_draw(self, tokens: int, served: Mapping[str, str]) -> AccountRecord:
         """Return the record with tokens more, or fewer, drawn by this incarnation."""
+        self.serve_only(served.values())
         holder = Holder(
-            incarnation=self.incarnation,
+            host=self.host,
             drawn=self.drawn + tokens,
             spent=self.spent,
+            served=dict(served),
+            used_by_former=self.used_by_former,
         )
-        return self.record.set_holder(self.host, holder)
+        return self.record.set_holder(self.incarnation, holder)
 
     def _get_reported_spent(self) -> int:
-        holder = self.record.holders.get(self.host)
-        if holder is None or holder.incarnation != self.incarnation:
-            return 0
-        return holder.spent
+        holder = self.record.holders.get(self.incarnation)
+        return holder.spent if holder else 0
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.messages import (
     HoldReply,
@@ -27,6 +28,7 @@
 # The home's own wait for a draw is 1 s.
 HOLD_TIMEOUT_S = 1.1
 SETTLE_TIMEOUT_S = 1.0
+N_HOMES = 2
 N_STAND_INS = 2
 # Settlements that the home did not take are kept this many; past it the oldest
 # are dropped, and their holds count as spent in full.
@@ -61,8 +63,10 @@
         home: EscrowHome,
         links: PeerLinks,
         timer: TimerService,
+        book: GrantBook,
     ) -> None:
         super().__init__()
+        self._book = book
         self._board = board
         self._membership = membership
         self._home = home
@@ -100,10 +104,12 @@
         """Count what a request spent of its hold."""
         if not hold.home:
             return
+        spent = min(spent, hold.tokens)
+        self._book.settle(hold.incarnation, hold.workspace, hold.tokens, spent)
         item = SettledHold(
             workspace=hold.workspace,
             request=hold.request,
-            spent=min(spent, hold.tokens),
+            spent=spent,
         )
         if hold.home == self._board.host:
             self._home.settle((item,))
@@ -115,9 +121,14 @@
         await self._flush()
 
     def is_home(self, workspace: str) -> bool:
-        """Tell whether this host is the home of a workspace, as far as it knows."""
+        """Tell whether this host is a home of a workspace, as far as it knows.
+
+        There are two: no host holds tokens for its own requests, since it could not
+        witness them after its own end. The second home serves the first.
+        """
         serving = self._board.phase is Phase.SERVING
-        return serving and self._rank(workspace)[:1] == [self._board.host]
+        ranked = rank_by_rendezvous(workspace, self._membership.list_live())
+        return serving and self._board.host in ranked[:N_HOMES]
 
     def _list_homes(self, workspace: str) -> list[str]:
         """Return the home, then hosts that can draw in its place.
@@ -127,14 +138,14 @@
         store are asked. When nobody reaches it, the next by rank are.
         """
         live = self._membership.list_live()
-        ranked = rank_by_rendezvous(workspace, live)
-        able = self._board.list_store_hosts(live)
+        others = [host for host in live if host != self._board.host]
+        if not others:
+            return [self._board.host]
+        ranked = rank_by_rendezvous(workspace, others)
+        able = self._board.list_store_hosts(others)
         stand_ins = [host for host in ranked[1:] if host in able] or ranked[1:]
         return ranked[:1] + stand_ins[:N_STAND_INS]
 
-    def _rank(self, workspace: str) -> list[str]:
-        return rank_by_rendezvous(workspace, self._membership.list_live())
-
     def _is_prepaid(self, workspace: str) -> bool:
         configuration = self._board.configuration
         config = configuration and configuration.workspaces.get(workspace)
@@ -152,6 +163,9 @@
             refused = await self._hold_there(home, workspace, request, tokens)
         if refused is not None:
             return refused
+        if not self._book.accept(incarnation, workspace, tokens):
+            # The home was taken for ended while its answer was on its way.
+            return Reason.BUDGET_UNCONFIRMED
         return Hold(
             workspace=workspace,
             request=request,
@@ -164,7 +178,9 @@
         self, workspace: str, request: str, tokens: int
     ) -> Reason | None:
         try:
-            return await self._home.hold(workspace, request, tokens)
+            return await self._home.hold(
+                workspace, request, tokens, self._board.incarnation
+            )
         except asyncio.CancelledError:
             # Held or not, nothing is sent for it any more.
             self._home.settle(
@@ -177,7 +193,12 @@
     ) -> Reason | None:
         peer = self._board.peers[home]
         link = self._links.get_link(peer.peer_url)
-        message = HoldTokens(workspace=workspace, request=request, tokens=tokens)
+        message = HoldTokens(
+            workspace=workspace,
+            request=request,
+            tokens=tokens,
+            requester=self._board.incarnation,
+        )
         undone = SettledHold(workspace=workspace, request=request, spent=0)
         try:
             reply = await link.call(message, timeout_s=HOLD_TIMEOUT_S)
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -13,7 +13,8 @@
     SettleHolds,
     SettleReply,
 )
-from trefoilstage.components.escrow.record import ACCOUNT_CODEC
+from trefoilstage.components.escrow.record import ACCOUNT_CODEC, AccountRecord
+from trefoilstage.components.escrow.recovery import EscrowRecovery, Unknown
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.store import (
     Store,
@@ -40,6 +41,9 @@
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
 
+# Between two tries to recover an ended home's tokens; a witness may be out of reach.
+RECOVERY_PAUSE_S = 0.5
+
 IsHome = Callable[[str], bool]
 
 
@@ -55,6 +59,7 @@
         timer: TimerService,
         n_partitions: int,
         is_home: IsHome,
+        recovery: EscrowRecovery,
     ) -> None:
         super().__init__()
         self._board = board
@@ -62,11 +67,13 @@
         self._timer = timer
         self._n_partitions = n_partitions
         self._is_home = is_home
+        self._recovery = recovery
         self._accounts: dict[str, EscrowAccount] = {}
         self._draws: dict[str, asyncio.Task[None]] = {}
         self._ends: dict[int, int] = {}  # where each partition ended last
         self._paused_until: dict[str, float] = {}
         self._checked_at: dict[str, float] = {}
+        self._recover_at: dict[str, float] = {}
         server.register(HoldTokens, self._answer_hold)
         server.register(SettleHolds, self._answer_settle)
 
@@ -80,25 +87,28 @@
         """Stop keeping stocks."""
         self._unsubscribe()
 
-    async def hold(self, workspace: str, request: str, tokens: int) -> Reason | None:
+    async def hold(
+        self, workspace: str, request: str, tokens: int, requester: str
+    ) -> Reason | None:
         """Hold tokens for a request; return why not, or None once they are held."""
         account = self._get_account(workspace)
         if account is None:
             return Reason.UNKNOWN_ACCOUNT
         now = self._timer.now()
         account.demand.note(tokens, now)
-        if account.hold(request, tokens):
+        if account.hold(request, tokens, requester):
             return None
         if self._is_paused(workspace):
             return self._refuse(account, request, tokens)
         if not account.can_cover(tokens) and not self._may_check(workspace):
             return self._refuse(account, request, tokens)
+        self._recovery.note_requester(requester)
         account.waiting += tokens
         try:
             await self._wait_for_draw(workspace)
         finally:
             account.waiting -= tokens
-        if account.hold(request, tokens):
+        if account.hold(request, tokens, requester):
             return None
         return self._refuse(account, request, tokens)
 
@@ -123,7 +133,9 @@
         return list(self._accounts.values())
 
     async def _answer_hold(self, message: HoldTokens) -> HoldReply:
-        reason = await self.hold(message.workspace, message.request, message.tokens)
+        reason = await self.hold(
+            message.workspace, message.request, message.tokens, message.requester
+        )
         return HoldReply(incarnation=self._board.incarnation, refused=reason)
 
     async def _answer_settle(self, message: SettleHolds) -> SettleReply:
@@ -195,6 +207,20 @@
             self._draws[workspace] = draw
         return draw
 
+    def _wants_record(self, account: EscrowAccount, now: float, *, home: bool) -> bool:
+        if account.want_change(now, home=home):
+            return True
+        return home and self._lacks_requester(account)
+
+    def _start_recovery(self, workspace: str, now: float) -> None:
+        draw = self._draws.get(workspace)
+        if draw is not None and not draw.done():
+            return
+        if now < self._recover_at.get(workspace, 0.0):
+            return
+        self._recover_at[workspace] = now + RECOVERY_PAUSE_S
+        self._draws[workspace] = asyncio.create_task(self._recover(workspace))
+
     async def _draw(self, workspace: str) -> None:
         def get_amount(account: EscrowAccount) -> int:
             home = self._is_home(workspace)
@@ -222,7 +248,8 @@
                 if refresh:
                     await self._refresh(account, partition)
                 amount = get_amount(account)
-                if amount == 0:
+                idle = account.waiting == 0 and not self._is_home(workspace)
+                if amount == 0 and (idle or not self._lacks_requester(account)):
                     return
                 if await self._write(account, partition, amount):
                     log_event(
@@ -242,6 +269,49 @@
             self._board.store.note_failure(now, str(error))
             log_event(Event.ESCROW_DRAW_FAILED, workspace=workspace, error=str(error))
 
+    def _lacks_requester(self, account: EscrowAccount) -> bool:
+        """Tell whether a host that may ask is not named in the record yet.
+
+        Named only once it asks, a host that came up before an outage would get
+        nothing from the stock until the store is back.
+        """
+        return not all(
+            account.serves(requester)
+            for requester in self._recovery.list_requesters().values()
+        )
+
+    async def _recover(self, workspace: str) -> None:
+        """Draw back what an ended home had drawn and not granted."""
+        account = self._accounts[workspace]
+        partition = pick_stream(workspace, self._n_partitions)
+        try:
+            await self._refresh(account, partition)
+            for incarnation, holder in account.record.holders.items():
+                if not self._recovery.has_ended(holder.host, incarnation):
+                    continue
+                verdict = await self._recovery.find_used(workspace, incarnation, holder)
+                if isinstance(verdict, Unknown):
+                    continue
+                record = account.record.retire(incarnation, verdict.tokens)
+                if await self._put(account, partition, record):
+                    log_event(
+                        Event.ESCROW_RECOVERED,
+                        workspace=workspace,
+                        holder=incarnation,
+                        drawn=holder.drawn,
+                        used=verdict.tokens,
+                    )
+                return
+        except StoreUnavailableError as error:
+            self._ends.pop(partition, None)
+            self._board.store.note_failure(self._timer.now(), str(error))
+
+    def _has_ended_holder(self, account: EscrowAccount) -> bool:
+        return any(
+            self._recovery.has_ended(holder.host, incarnation)
+            for incarnation, holder in account.record.holders.items()
+        )
+
     async def _refresh(self, account: EscrowAccount, partition: int) -> None:
         listing = await self._store.list_newest(Topic.ACCOUNTS, partition)
         for record in listing.records:
@@ -261,10 +331,15 @@
         account.take_end(listing.end_offset)
 
     async def _write(self, account: EscrowAccount, partition: int, amount: int) -> bool:
-        record = account.make_draw(amount)
-        end_offset = self._ends[partition]
+        record = account.make_draw(amount, self._recovery.list_requesters())
         if amount < 0:
-            account.start_return(-amount, end_offset)
+            account.start_return(-amount, self._ends[partition])
+        return await self._put(account, partition, record)
+
+    async def _put(
+        self, account: EscrowAccount, partition: int, record: AccountRecord
+    ) -> bool:
+        end_offset = self._ends[partition]
         try:
             offset = await self._store.put(
                 Topic.ACCOUNTS,
@@ -298,5 +373,7 @@
             if account.record_offset < 0 and not self._may_check(workspace):
                 continue
             unread = account.record_offset < 0
-            if unread or account.want_change(now, home=home):
+            if home and self._has_ended_holder(account):
+                self._start_recovery(workspace, now)
+            elif unread or self._wants_record(account, now, home=home):
                 self._start_draw(workspace)
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -14,6 +14,7 @@
     workspace: Name
     request: Name
     tokens: Tokens
+    requester: Name  # the incarnation that asks
     kind: Literal["hold_tokens"] = "hold_tokens"
 
 
@@ -51,4 +52,23 @@
     kind: Literal["settle_reply"] = "settle_reply"
 
 
-EscrowMessage = HoldTokens | HoldReply | SettleHolds | SettleReply
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SealHome:
+    """Ask a host to take no grant of an ended incarnation any more."""
+
+    incarnation: Name
+    kind: Literal["seal_home"] = "seal_home"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SealReply:
+    """Answer with what this host used of the incarnation's grants, by workspace."""
+
+    incarnation: Name
+    used: dict[Name, Tokens]
+    kind: Literal["seal_reply"] = "seal_reply"
+
+
+EscrowMessage = (
+    HoldTokens | HoldReply | SettleHolds | SettleReply | SealHome | SealReply
+)
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -9,16 +9,20 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Holder:
-    """Hold what one incarnation of a host drew and what it spent of it."""
+    """Hold what one incarnation of a host drew and to whom it may grant of it."""
 
-    incarnation: Name
+    host: Name
     drawn: Tokens
     spent: Tokens
+    # The incarnations, by host, that may have got grants; they are its witnesses.
+    served: dict[Name, Name] = field(default_factory=dict)
+    # What was granted to incarnations that are served no more.
+    used_by_former: Tokens = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AccountRecord:
-    """Hold all draws on a workspace's prepaid tokens."""
+    """Hold all draws on a workspace's prepaid tokens, by incarnation."""
 
     holders: dict[Name, Holder] = field(default_factory=dict)
     retired_drawn: Tokens = 0
@@ -34,28 +38,26 @@
         """Return the tokens known to be spent."""
         return self.retired_spent + sum(item.spent for item in self.holders.values())
 
-    def get_drawn(self, host: str, incarnation: str) -> int:
-        """Return what an incarnation has drawn."""
-        holder = self.holders.get(host)
-        if holder is None or holder.incarnation != incarnation:
-            return 0
-        return holder.drawn
+    def set_holder(self, incarnation: str, holder: Holder) -> "AccountRecord":
+        """Return the record with what an incarnation has drawn in all."""
+        return replace(self, holders={**self.holders, incarnation: holder})
 
-    def set_holder(self, host: str, holder: Holder) -> "AccountRecord":
-        """Return the record with what an incarnation has drawn in all.
+    def retire(self, incarnation: str, used: int | None) -> "AccountRecord":
+        """Return the record without an ended incarnation.
 
-        A host's earlier incarnation has ended. What it drew counts as spent, for
-        requests that it sent may have used it up.
+        What it used at most counts as drawn for good; all it drew, if that is not
+        known, for requests that it granted may have used it up.
         """
-        known = self.holders.get(host)
-        record = self
-        if known is not None and known.incarnation != holder.incarnation:
-            record = replace(
-                self,
-                retired_drawn=self.retired_drawn + known.drawn,
-                retired_spent=self.retired_spent + known.spent,
-            )
-        return replace(record, holders={**self.holders, host: holder})
+        holders = dict(self.holders)
+        holder = holders.pop(incarnation)
+        drawn = holder.drawn if used is None else min(used, holder.drawn)
+        return replace(
+            self,
+            holders=holders,
+            retired_drawn=self.retired_drawn + drawn,
+            retired_spent=self.retired_spent
+            + (holder.spent if used is None else drawn),
+        )
 
 
 ACCOUNT_CODEC: Codec[AccountRecord] = Codec(
--- /dev/null
+++ b/trefoilstage/components/escrow/recovery.py
@@ -0,0 +1,103 @@
+"""Find out what an ended home had granted, from the hosts that it served."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from trefoilstage.components.escrow.grants import GrantBook
+from trefoilstage.components.escrow.messages import SealHome, SealReply
+from trefoilstage.components.escrow.record import Holder
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.timer import TimerService
+
+# A peer that is silent longer is not named as one that gets grants. Naming it anew
+# takes a write, so it is longer than the time after which it counts as lost.
+SERVED_SILENT_S = 3.0
+
+AskSeal = Callable[[str, SealHome], Awaitable[SealReply | None]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Used:
+    """Tell what an ended home's grants used at most; None if nobody can know."""
+
+    tokens: int | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """Tell that a witness gave no answer; it may later."""
+
+    host: str
+
+
+class EscrowRecovery:
+    """Name the hosts that get grants and ask them once a home has ended."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        timer: TimerService,
+        book: GrantBook,
+        ask_seal: AskSeal,
+    ) -> None:
+        self._board = board
+        self._timer = timer
+        self._book = book
+        self._ask_seal = ask_seal
+        self._grants_to_self = False
+
+    def note_requester(self, requester: str) -> None:
+        """Take note of who asks; grants to this host itself have no other witness."""
+        if requester == self._board.incarnation:
+            self._grants_to_self = True
+
+    def list_requesters(self) -> dict[str, str]:
+        """Return the incarnations that may get grants, by host."""
+        oldest = self._timer.now() - SERVED_SILENT_S
+        found = {
+            peer.host: peer.incarnation
+            for peer in self._board.peers.values()
+            if peer.last_heard >= oldest
+        }
+        if self._grants_to_self:
+            found[self._board.host] = self._board.incarnation
+        return found
+
+    def has_ended(self, host: str, incarnation: str) -> bool:
+        """Tell whether an incarnation has ended: its host runs a later one.
+
+        A host that is only silent may be paused or cut off and go on later.
+        """
+        current = self._get_incarnation(host)
+        return current is not None and current != incarnation
+
+    async def find_used(
+        self, workspace: str, incarnation: str, holder: Holder
+    ) -> Used | Unknown:
+        """Return what was used of an ended home's draws, as its witnesses know."""
+        if any(self.has_ended(host, served) for host, served in holder.served.items()):
+            return Used(tokens=None)
+        total = holder.used_by_former
+        for host, served in holder.served.items():
+            reply = await self._seal(host, incarnation)
+            if reply is None or reply.incarnation != served:
+                return Unknown(host=host)
+            total += reply.used.get(workspace, 0)
+        return Used(tokens=total)
+
+    async def _seal(self, host: str, incarnation: str) -> SealReply | None:
+        if host == self._board.host:
+            return self.seal(SealHome(incarnation=incarnation))
+        return await self._ask_seal(host, SealHome(incarnation=incarnation))
+
+    def seal(self, message: SealHome) -> SealReply:
+        """Take no grant of an incarnation any more; tell what was used of them."""
+        used = self._book.seal(message.incarnation)
+        return SealReply(incarnation=self._board.incarnation, used=used)
+
+    def _get_incarnation(self, host: str) -> str | None:
+        if host == self._board.host:
+            return self._board.incarnation
+        peer = self._board.peers.get(host)
+        return peer.incarnation if peer else None
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -1,11 +1,12 @@
 """Know the other hosts, hear from them, and share what each has read."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from mode import Service
 from pydantic import BaseModel, ValidationError
 
+from trefoilstage.components.escrow.messages import SealHome, SealReply
 from trefoilstage.components.fleet.messages import HostBeat, ReadView, ViewReply
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
@@ -114,6 +115,26 @@
         """Tell the peers at once how this host stands."""
         self.add_future(self._beat())
 
+    def set_seal_handler(self, seal: Callable[[SealHome], SealReply]) -> None:
+        """Answer peers that ask what an ended home granted to this host."""
+
+        async def answer(message: SealHome) -> SealReply:
+            return seal(message)
+
+        self._server.register(SealHome, answer)
+
+    async def ask_seal(self, host: str, message: SealHome) -> SealReply | None:
+        """Ask a host about an ended home; return None if it does not answer."""
+        peer = self._board.peers.get(host)
+        if peer is None:
+            return None
+        try:
+            link = self._links.get_link(peer.peer_url)
+            reply = await link.call(message, timeout_s=BEAT_TIMEOUT_S)
+        except PeerUnavailableError:
+            return None
+        return reply if isinstance(reply, SealReply) else None
+
     async def withdraw(self) -> None:
         """Take this host's record out of the store."""
         try:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -9,7 +9,9 @@
 from mode import Service
 
 from trefoilstage.components.escrow.client import EscrowClient
+from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.watcher import BoardWatcher
@@ -92,6 +94,11 @@
             address=settings.address,
         )
         self._membership = membership
+        book = GrantBook()
+        recovery = EscrowRecovery(
+            board=self._board, timer=timer, book=book, ask_seal=membership.ask_seal
+        )
+        membership.set_seal_handler(recovery.seal)
         home = EscrowHome(
             board=self._board,
             store=self._store,
@@ -99,6 +106,7 @@
             timer=timer,
             n_partitions=settings.store_partitions,
             is_home=lambda workspace: self._escrow.is_home(workspace),
+            recovery=recovery,
         )
         self._home = home
         self._escrow = EscrowClient(
@@ -107,6 +115,7 @@
             home=home,
             links=links,
             timer=timer,
+            book=book,
         )
         workload = WorkloadController(
             board=self._board, links=links, server=peers, timer=timer
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -64,6 +64,7 @@
     PEER_MET = "peer_met"
     ESCROW_DRAWN = "escrow_drawn"
     ESCROW_DRAW_FAILED = "escrow_draw_failed"
+    ESCROW_RECOVERED = "escrow_recovered"
     HOLD_REFUSED = "hold_refused"
     HOLD_UNANSWERED = "hold_unanswered"
     REQUEST_SENT = "request_sent"
