--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from trefoilstage.components.escrow.record import AccountRecord, Holder
 
@@ -21,14 +22,28 @@
 LOW_WATER = 0.85  # of the wanted stock; below it the home draws again
 # Above this multiple of the wanted stock the home gives the rest back.
 HIGH_WATER = 1.3
-# What a home has before it knows the demand, as a share of the prepaid tokens.
-FIRST_SHARE = 0.04
 # Smaller changes of a stock are not worth a call to the store.
 MIN_CHANGE_TOKENS = 4_000
 DEMAND_HALF_LIFE_S = 3.0
 MAX_SETTLED = 2_000
 
 
+class HomeRank(Enum):
+    """Name what a host is to a workspace.
+
+    No host holds tokens for its own requests, since it could not witness them after
+    its own end. The second home serves the first, and others when the first fails.
+    """
+
+    FIRST = "first"
+    SECOND = "second"
+    NONE = "none"
+
+
+# What a home has before it knows the demand, as a share of the prepaid tokens.
+FIRST_SHARES = {HomeRank.FIRST: 0.04, HomeRank.SECOND: 0.01, HomeRank.NONE: 0.0}
+
+
 @dataclass(kw_only=True, slots=True)
 class Demand:
     """Estimate the tokens asked for a second, decaying by half-lives."""
@@ -190,9 +205,9 @@
         used = others + self.spent + self.held
         return used + tokens > 0.97 * self.prepaid
 
-    def want_change(self, now: float, *, home: bool) -> int:
+    def want_change(self, now: float, rank: HomeRank) -> int:
         """Return how many tokens to draw now, or, below 0, to give back."""
-        stock = self.get_stock(now, home=home)
+        stock = self.get_stock(now, rank)
         if self.waiting:
             return min(self.free, max(0, self.waiting + stock - self.available))
         if self.available < LOW_WATER * stock:
@@ -203,10 +218,11 @@
             return 0
         return change if abs(change) >= MIN_CHANGE_TOKENS else 0
 
-    def get_stock(self, now: float, *, home: bool) -> int:
+    def get_stock(self, now: float, rank: HomeRank) -> int:
         """Return the stock that serves callers through an outage of the store."""
-        horizon_s = HOME_HORIZON_S if home else STAND_IN_HORIZON_S
-        floor = FIRST_SHARE * self.prepaid if home else 0.0
+        stand_in = rank is HomeRank.NONE
+        horizon_s = STAND_IN_HORIZON_S if stand_in else HOME_HORIZON_S
+        floor = FIRST_SHARES[rank] * self.prepaid
         wanted = max(floor, self.demand.estimate(now) * horizon_s)
         left = self.free + max(0, self.available)
         return int(min(wanted, MAX_STOCK_SHARE * left))
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from trefoilstage.components.escrow.account import HomeRank
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.messages import (
@@ -28,7 +29,6 @@
 # The home's own wait for a draw is 1 s.
 HOLD_TIMEOUT_S = 1.1
 SETTLE_TIMEOUT_S = 1.0
-N_HOMES = 2
 N_STAND_INS = 2
 # Settlements that the home did not take are kept this many; past it the oldest
 # are dropped, and their holds count as spent in full.
@@ -88,17 +88,14 @@
         """Return a hold for a request, or why it is refused."""
         if not self._is_prepaid(workspace) or tokens == 0:
             return Hold(workspace=workspace, request=request, tokens=0)
-        reason = Reason.BUDGET_UNCONFIRMED
+        reason: Reason | None = None
         for home in self._list_homes(workspace):
             answer = await self._ask(home, workspace, request, tokens)
             if isinstance(answer, Hold):
                 return answer
-            reason = answer
-            if reason is Reason.BUDGET_EXHAUSTED:
-                return Refusal(reason=reason)
-            if reason is Reason.BUDGET_DRAWN:
-                return Refusal(reason=reason, retry_after_s=SPENT_RETRY_AFTER_S)
-        return Refusal(reason=reason, retry_after_s=RETRY_AFTER_S)
+            reason = answer if reason is None else reason
+        # The home knows most of the account; the others may still hold tokens.
+        return make_refusal(reason or Reason.BUDGET_UNCONFIRMED)
 
     def settle(self, hold: Hold, spent: int) -> None:
         """Count what a request spent of its hold."""
@@ -120,15 +117,13 @@
         """Pass on what is not settled yet."""
         await self._flush()
 
-    def is_home(self, workspace: str) -> bool:
-        """Tell whether this host is a home of a workspace, as far as it knows.
-
-        There are two: no host holds tokens for its own requests, since it could not
-        witness them after its own end. The second home serves the first.
-        """
-        serving = self._board.phase is Phase.SERVING
+    def rank_home(self, workspace: str) -> HomeRank:
+        """Return what this host is to a workspace, as far as it knows."""
+        if self._board.phase is not Phase.SERVING:
+            return HomeRank.NONE
         ranked = rank_by_rendezvous(workspace, self._membership.list_live())
-        return serving and self._board.host in ranked[:N_HOMES]
+        ranks = dict(zip(ranked, (HomeRank.FIRST, HomeRank.SECOND), strict=False))
+        return ranks.get(self._board.host, HomeRank.NONE)
 
     def _list_homes(self, workspace: str) -> list[str]:
         """Return the home, then hosts that can draw in its place.
@@ -240,3 +235,12 @@
         except PeerUnavailableError:
             # Counted once only, so it may be told again.
             self._unsettled[home, incarnation] += holds
+
+
+def make_refusal(reason: Reason) -> Refusal:
+    """Return the refusal of a hold, with the time to come back."""
+    if reason is Reason.BUDGET_EXHAUSTED:
+        return Refusal(reason=reason)
+    if reason is Reason.BUDGET_DRAWN:
+        return Refusal(reason=reason, retry_after_s=SPENT_RETRY_AFTER_S)
+    return Refusal(reason=reason, retry_after_s=RETRY_AFTER_S)
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from trefoilstage.components.escrow.account import EscrowAccount
+from trefoilstage.components.escrow.account import EscrowAccount, HomeRank
 from trefoilstage.components.escrow.messages import (
     HoldReply,
     HoldTokens,
@@ -44,7 +44,7 @@
 # Between two tries to recover an ended home's tokens; a witness may be out of reach.
 RECOVERY_PAUSE_S = 0.5
 
-IsHome = Callable[[str], bool]
+RankHome = Callable[[str], HomeRank]
 
 
 class EscrowHome(Service):
@@ -58,7 +58,7 @@
         server: PeerServer,
         timer: TimerService,
         n_partitions: int,
-        is_home: IsHome,
+        rank_home: RankHome,
         recovery: EscrowRecovery,
     ) -> None:
         super().__init__()
@@ -66,7 +66,7 @@
         self._store = store
         self._timer = timer
         self._n_partitions = n_partitions
-        self._is_home = is_home
+        self._rank_home = rank_home
         self._recovery = recovery
         self._accounts: dict[str, EscrowAccount] = {}
         self._draws: dict[str, asyncio.Task[None]] = {}
@@ -207,10 +207,10 @@
             self._draws[workspace] = draw
         return draw
 
-    def _wants_record(self, account: EscrowAccount, now: float, *, home: bool) -> bool:
-        if account.want_change(now, home=home):
+    def _wants_record(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
+        if account.want_change(now, rank):
             return True
-        return home and self._lacks_requester(account)
+        return rank is not HomeRank.NONE and self._lacks_requester(account)
 
     def _start_recovery(self, workspace: str, now: float) -> None:
         draw = self._draws.get(workspace)
@@ -223,8 +223,8 @@
 
     async def _draw(self, workspace: str) -> None:
         def get_amount(account: EscrowAccount) -> int:
-            home = self._is_home(workspace)
-            return account.want_change(self._timer.now(), home=home)
+            rank = self._rank_home(workspace)
+            return account.want_change(self._timer.now(), rank)
 
         await self._change(workspace, get_amount)
 
@@ -248,7 +248,8 @@
                 if refresh:
                     await self._refresh(account, partition)
                 amount = get_amount(account)
-                idle = account.waiting == 0 and not self._is_home(workspace)
+                rank = self._rank_home(workspace)
+                idle = account.waiting == 0 and rank is HomeRank.NONE
                 if amount == 0 and (idle or not self._lacks_requester(account)):
                     return
                 if await self._write(account, partition, amount):
@@ -364,7 +365,8 @@
             return
         now = self._timer.now()
         for workspace in configuration.workspaces:
-            home = self._is_home(workspace)
+            rank = self._rank_home(workspace)
+            home = rank is not HomeRank.NONE
             account = self._get_account(workspace) if home else None
             # A stock that this host is no longer the home for is given back.
             account = account or self._accounts.get(workspace)
@@ -373,7 +375,7 @@
             if account.record_offset < 0 and not self._may_check(workspace):
                 continue
             unread = account.record_offset < 0
-            if home and self._has_ended_holder(account):
+            if rank is HomeRank.FIRST and self._has_ended_holder(account):
                 self._start_recovery(workspace, now)
-            elif unread or self._wants_record(account, now, home=home):
+            elif unread or self._wants_record(account, now, rank):
                 self._start_draw(workspace)
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -105,7 +105,7 @@
             server=peers,
             timer=timer,
             n_partitions=settings.store_partitions,
-            is_home=lambda workspace: self._escrow.is_home(workspace),
+            rank_home=lambda workspace: self._escrow.rank_home(workspace),
             recovery=recovery,
         )
         self._home = home
