--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -330,6 +330,25 @@
         held = await bank.hold("quimper-1", "lorient-1", WORKSPACE, "b", 5_000)
         self.assertFalse(held)
 
+    async def test_host_that_the_store_does_not_name_gets_nothing(self) -> None:
+        """Let a host come up, and lose the write that names it as a witness.
+
+        Were it granted tokens now and the home killed, nobody would be asked about
+        them, and they would be drawn again.
+        """
+        bank = Bank(prepaid=100_000, home="brest-1")
+        bank.start("lorient-1")
+        bank.start("brest-1")
+        bank.meet_all()
+        self.assertTrue(await bank.hold("brest-1", "lorient-1", WORKSPACE, "a", 1_000))
+        bank.start("quimper-1")
+        bank.meet_all()
+        bank.store.late_share = 1.0
+        for name in ("b", "c"):
+            bank.timer.time += 1.0
+            refused = await bank.send("brest-1", "quimper-1", WORKSPACE, name, 1_000)
+            self.assertIsNotNone(refused)
+
     async def test_late_draw_cannot_land_on_another(self) -> None:
         """Lose a draw on its way, draw elsewhere, then let the lost one land.
 
