--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,226 @@
+"""Stand in for the platform's store and its targets, over HTTP."""
+
+import asyncio
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from standins.keyed_store import KeyedStore
+from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.components.views.store import Topic
+from trefoilstage.platform.store import TOPICS, decode_content, encode_record
+
+LOOPBACK = "127.0.0.1"
+TOPICS_BY_NAME = {name: topic for topic, name in TOPICS.items()}
+READ_POLL_S = 0.02
+RETRY_EVENTS = 4
+
+
+async def serve(app: web.Application) -> tuple[web.AppRunner, int]:
+    """Serve an application on a port of the kernel's choice."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, LOOPBACK, 0).start()
+    port: int = runner.addresses[0][1]
+    return runner, port
+
+
+class StoreDoor:
+    """Serve a shared store to one host, which can be turned away alone."""
+
+    def __init__(self, *, store: KeyedStore) -> None:
+        self._store = store
+        self.refuses = False
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/trefoilstage/log-newest", self._list_newest)
+        app.router.add_get("/trefoilstage/log-read", self._read)
+        app.router.add_post("/trefoilstage/log-append", self._append)
+        return app
+
+    def _find(self, request: web.Request) -> tuple[Topic, int]:
+        if self.refuses:
+            raise web.HTTPServiceUnavailable
+        return TOPICS_BY_NAME[request.query["topic"]], int(request.query["part"])
+
+    async def _list_newest(self, request: web.Request) -> web.Response:
+        topic, part = self._find(request)
+        listing = await self._store.list_newest(topic, part)
+        items = [
+            {
+                "key": item.key,
+                "value": base64.b64encode(item.value or b"").decode(),
+                "offset": item.offset,
+            }
+            for item in listing.records
+        ]
+        return web.json_response({"items": items, "end_offset": listing.end_offset})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        topic, part = self._find(request)
+        offset = int(request.query["from"])
+        ends = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        records: list[KeyedRecord] = []
+        while not records:
+            self._find(request)
+            records = (await self._store.read(topic, offset, 0, part)).records
+            if asyncio.get_running_loop().time() >= ends:
+                break
+            await asyncio.sleep(READ_POLL_S)
+        body = b"".join(encode_record(item.key, item.value) for item in records)
+        head = struct.pack(">QQ", offset + len(records), 0)
+        return web.Response(body=head + body)
+
+    async def _append(self, request: web.Request) -> web.Response:
+        topic, part = self._find(request)
+        record = decode_content((await request.read())[4:], 0)
+        at = request.query.get("at")
+        offset = await self._store.put(
+            topic,
+            record.key,
+            record.value,
+            partition=part,
+            at=None if at is None else int(at),
+        )
+        if offset is None:
+            return web.json_response({"end_offset": 0}, status=412)
+        return web.json_response({"offset": offset, "end_offset": offset + 1})
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetRun:
+    """Hold what a target has run; the tests' oracle."""
+
+    request: str
+    tenant: str
+    resumed_after: int
+    events: int = 0
+    ended: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class PlatformTarget:
+    """Run requests, and fail in the way the test sets."""
+
+    name: str
+    n_events: int = 4
+    event_s: float = 0.0
+    break_after: int | None = None  # events, upon which the connection is reset
+    refuse: bool = False  # says that it did not run the request
+    fail: bool = False  # runs it and answers 500
+    unframed_reset: bool = False  # answers without a length and resets midway
+    stop: asyncio.Event = field(default_factory=asyncio.Event)
+    runs: list[TargetRun] = field(default_factory=list)
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        return app
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        await request.read()
+        if request.headers.get("Expect-Instance") != self.name:
+            return web.Response(status=421)
+        if self.refuse:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        run = TargetRun(
+            request=request.headers["Attempt-Id"],
+            tenant=request.headers.get("Tenant", ""),
+            resumed_after=int(request.headers.get("Last-Event-Id", 0)),
+        )
+        self.runs.append(run)
+        headers = {"Attempt-Id": run.request, "Response-Seal": f"{self.name}.seal"}
+        if self.fail:
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if self.unframed_reset:
+            return await self._answer_unframed(request, headers)
+        if not request.path.startswith("/stream"):
+            run.ended = True
+            return web.Response(headers=headers, body=b"whole answer")
+        return await self._stream(request, run, headers)
+
+    async def _stream(
+        self, request: web.Request, run: TargetRun, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, "Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        for number in range(run.resumed_after + 1, self.n_events + 1):
+            if self.break_after is not None and number > self.break_after:
+                # Torn within an event, as a crash does.
+                await response.write(b"id: 9")
+                abort(request)
+                return response
+            await response.write(f"id: {number}\ndata: {number}\n\n".encode())
+            run.events += 1
+            await asyncio.sleep(self.event_s)
+        run.ended = True
+        return response
+
+    async def _answer_unframed(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        if request.transport is not None:
+            request.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\nhalf".encode())  # type: ignore[attr-defined]
+            await asyncio.sleep(0.05)
+            abort(request)
+        return response
+
+
+def abort(request: web.Request) -> None:
+    """Reset a request's connection."""
+    if request.transport is not None:
+        request.transport.abort()  # type: ignore[attr-defined]
+
+
+def encode_configuration(version: int, *, prepaid: int, service: str = "llm") -> bytes:
+    """Return a configuration with a route of each kind."""
+
+    def make_route(name: str, kind: str, **more: object) -> dict[str, object]:
+        route: dict[str, object] = {
+            "name": name,
+            "host": "club.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            "timeout_ms": 5_000,
+            "target_latency_ms": 500,
+            "max_attempts": 2,
+        }
+        return {**route, **more}
+
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                make_route("stream", "stream", max_attempts=1),
+                make_route("stream-again", "stream", resumable=True),
+                make_route("book", "unsafe", max_attempts=1),
+                make_route("look", "safe"),
+                *([make_route("new", "safe")] if version > 1 else []),
+            ],
+            "services": [{"name": service, "engine": {"slots": 8, "stride": 1}}],
+            "tenants": [{"name": "school", "api_keys": ["key"], "prepaid": prepaid}],
+        }
+    ).encode()
+
+
+def encode_target(port: int, *, state: str = "ready", service: str = "llm") -> bytes:
+    """Return a target's entry."""
+    entry = {
+        "service": service,
+        "address": f"{LOOPBACK}:{port}",
+        "zone": "brest",
+        "slots": 8,
+        "state": state,
+    }
+    return json.dumps(entry).encode()
--- /dev/null
+++ b/tests/promises/fleet.py
@@ -0,0 +1,202 @@
+"""Start forwarding hosts as processes before stand-ins of the platform."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Self
+
+import aiohttp
+from aiohttp import web
+
+from standins.keyed_store import KeyedStore
+from standins.launcher import wait_for
+from standins.platform import (
+    LOOPBACK,
+    PlatformTarget,
+    StoreDoor,
+    encode_configuration,
+    encode_target,
+    serve,
+)
+from trefoilstage.components.views.store import Topic
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+@dataclass(kw_only=True, slots=True)
+class HostProcess:
+    """Hold a running host and what it has logged."""
+
+    name: str
+    door: StoreDoor
+    process: asyncio.subprocess.Process
+    caller_port: int = 0
+    ready_port: int = 0
+    lines: list[str] = field(default_factory=list)
+    reader: asyncio.Task[None] | None = None
+
+    async def read_lines(self) -> None:
+        """Gather what the host logs."""
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(line.decode().rstrip())
+
+    def has_logged(self, *texts: str) -> bool:
+        """Tell whether one line holds all texts."""
+        return any(all(text in line for text in texts) for line in self.lines)
+
+    def find_port(self, name: str) -> int:
+        """Return a port that the host has logged, 0 before that."""
+        for line in self.lines:
+            for word in line.split():
+                if word.startswith(f"{name}="):
+                    return int(word.partition("=")[2])
+        return 0
+
+
+@dataclass(kw_only=True, slots=True)
+class FleetAnswer:
+    """Hold what a caller got; `whole` tells whether its end was seen."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    whole: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class PlatformFleet:
+    """Own hosts, targets and the store of one test."""
+
+    n_hosts: int = 1
+    n_targets: int = 2
+    prepaid: int = 1_000_000
+    store: KeyedStore = field(default_factory=KeyedStore)
+    targets: list[PlatformTarget] = field(default_factory=list)
+    ports: list[int] = field(default_factory=list)
+    hosts: dict[str, HostProcess] = field(default_factory=dict)
+    runners: list[web.AppRunner] = field(default_factory=list)
+    folder: tempfile.TemporaryDirectory[str] = field(
+        default_factory=tempfile.TemporaryDirectory
+    )
+    n_requests: int = 0
+
+    async def __aenter__(self) -> Self:
+        for number in range(self.n_targets):
+            target = PlatformTarget(name=f"i-{number}")
+            runner, port = await serve(target.make_app())
+            self.runners.append(runner)
+            self.targets.append(target)
+            self.ports.append(port)
+            await self.list_target(number)
+        await self.configure(1)
+        await asyncio.gather(
+            *(self.start_host(f"host-{number}") for number in range(self.n_hosts))
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for host in list(self.hosts.values()):
+            await self.kill(host.name)
+        for runner in self.runners:
+            await runner.cleanup()
+        self.folder.cleanup()
+
+    async def list_target(self, number: int, *, state: str = "ready") -> None:
+        """Write a target's entry."""
+        value = encode_target(self.ports[number], state=state)
+        await self.store.put(Topic.TARGETS, self.targets[number].name, value)
+
+    async def configure(self, version: int) -> None:
+        """Write a configuration."""
+        value = encode_configuration(version, prepaid=self.prepaid)
+        await self.store.put(Topic.CONFIGURATION, "config", value)
+
+    async def start_host(self, name: str) -> HostProcess:
+        """Start a host and wait until it is ready and knows the targets."""
+        door = StoreDoor(store=self.store)
+        runner, port = await serve(door.make_app())
+        self.runners.append(runner)
+        path = Path(self.folder.name) / f"{name}.conf"
+        path.write_text(
+            f"node_name={name}\nzone=brest\nlisten.front={LOOPBACK}:0\n"
+            f"listen.ready={LOOPBACK}:0\ninternal_ports=0,0\n"
+            f"platform.address={LOOPBACK}:{port}\nplatform.parts=3\n"
+            "bounds.grace_s=8\n"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "trefoilstage.platform",
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "TREFOILSTAGE_CONFIG": str(path)},
+            cwd=ROOT,
+        )
+        host = HostProcess(name=name, door=door, process=process)
+        host.reader = asyncio.create_task(host.read_lines())
+        self.hosts[name] = host
+        await wait_for(
+            lambda: (
+                host.has_logged("host_ready")
+                and all(host.has_logged("target_listed", t.name) for t in self.targets)
+            ),
+            f"{name} to be ready",
+        )
+        host.caller_port = host.find_port("caller_port")
+        host.ready_port = host.find_port("ready_port")
+        return host
+
+    async def kill(self, name: str) -> None:
+        """Kill a host and wait for its end."""
+        host = self.hosts.pop(name)
+        if host.process.returncode is None:
+            host.process.send_signal(signal.SIGKILL)
+        await host.process.wait()
+        if host.reader is not None:
+            await host.reader
+
+    async def call(
+        self,
+        path: str,
+        *,
+        host: str = "host-0",
+        method: str = "POST",
+        tokens: tuple[int, int] = (100, 10),
+        key: str = "key",
+    ) -> FleetAnswer:
+        """Send a request as a caller does, with a key and an id of its own."""
+        self.n_requests += 1
+        headers = {
+            "Host": "club.example",
+            "Attempt-Id": f"attempt-{self.n_requests}",
+            "Deadline-Ms": "5000",
+            "Key": key,
+            "Token-Count": f"{tokens[0]},{tokens[1]}",
+            "Prompt-Prefix": f"aa:50,{self.n_requests:x}:50",
+        }
+        url = f"http://{LOOPBACK}:{self.hosts[host].caller_port}{path}"
+        body = b""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, headers=headers, data=b"{}") as response,
+        ):
+            whole = True
+            try:
+                async for data in response.content.iter_any():
+                    body += data
+            except aiohttp.ClientError:
+                whole = False
+            return FleetAnswer(
+                status=response.status,
+                body=body,
+                headers=dict(response.headers),
+                whole=whole,
+            )
+
+    def count_runs(self) -> int:
+        """Return how many requests the targets have run."""
+        return sum(len(target.runs) for target in self.targets)
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -65,15 +65,17 @@
         )
         self._callers = web.ServerRunner(callers, shutdown_timeout=0.5)
         await self._callers.setup()
-        await self._listen(self._callers, self._settings.caller_port)
+        self.caller_port = await self._listen(self._callers, self._settings.caller_port)
         ready = web.Server(self._answer_ready, access_log=None)
         self._ready = web.ServerRunner(ready, shutdown_timeout=0.1)
         await self._ready.setup()
-        await self._listen(self._ready, self._settings.ready_port)
+        self.ready_port = await self._listen(self._ready, self._settings.ready_port)
 
-    async def _listen(self, runner: web.ServerRunner, port: int) -> None:
+    async def _listen(self, runner: web.ServerRunner, port: int) -> int:
         site = web.TCPSite(runner, self._settings.address, port, backlog=1024)
         await site.start()
+        bound: int = runner.addresses[0][1]
+        return bound
 
     async def on_stop(self) -> None:
         """Stop listening."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -152,6 +152,8 @@
             host=self._board.host,
             incarnation=self._board.incarnation,
             data_center=self._board.data_center,
+            caller_port=self._server.caller_port,
+            ready_port=self._server.ready_port,
         )
 
     def _make_followers(self) -> dict[Topic, ViewFollower]:
