--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -14,11 +14,12 @@
 # A host that only stands in for the home for a moment draws little.
 STAND_IN_HORIZON_S = 0.5
 # A stock takes at most this share of what is left of the budget. When all hosts lose
-# their power at once, their stocks are lost for good. A budget that ends within the
-# day is spent in full whether its callers were served in an outage or later, so that
-# a large stock gains them little and loses much: with half of what was left in stock,
-# a fifth to a third of most budgets was lost at such an end.
-MAX_STOCK_SHARE = 0.25
+# their power at once, their stocks are lost for good, those of both homes and of a
+# host that was one a moment ago. A budget that ends within the day is spent in full
+# whether its callers were served in an outage or later, so that a large stock gains
+# them little. With a quarter, a fifth of some budgets was lost at such an end, and
+# with it the callers of the hours after it; with this share half of that.
+MAX_STOCK_SHARE = 0.12
 LOW_WATER = 0.85  # of the wanted stock; below it the home draws again
 # Above this multiple of the wanted stock the home gives the rest back.
 HIGH_WATER = 1.3
