--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -113,6 +113,27 @@
         )
         self.assertIs(refused, Reason.BUDGET_EXHAUSTED)
 
+    async def test_last_tokens_serve_short_requests(self) -> None:
+        """Ask for a dossier and for short answers with 12,000 tokens left of 200,000.
+
+        The dossier of 9,000 would leave nothing for a dozen others, who come in the
+        same second. They are served; a dossier that takes half at most still is.
+        """
+        bank = Bank(prepaid=200_000, home="brest-1")
+        bank.start("lorient-1")
+        bank.start("brest-1")
+        bank.meet_all()
+        held = await bank.hold("brest-1", "lorient-1", WORKSPACE, "most", 188_000)
+        self.assertTrue(held)
+        held = await bank.hold("brest-1", "lorient-1", WORKSPACE, "long", 9_000)
+        self.assertFalse(held)
+        held = await bank.hold("brest-1", "lorient-1", WORKSPACE, "half", 6_000)
+        self.assertTrue(held)
+        for number in range(6):
+            name = f"short-{number}"
+            held = await bank.hold("brest-1", "lorient-1", WORKSPACE, name, 1_000)
+            self.assertTrue(held, number)
+
     async def test_stock_serves_through_an_outage(self) -> None:
         """Cut the home from the store while callers go on.
 
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -20,6 +20,12 @@
 # them little. With a quarter, a fifth of some budgets was lost at such an end, and
 # with it the callers of the hours after it; with this share half of that.
 MAX_STOCK_SHARE = 0.12
+# Of the last tenth of a budget, a long request gets no more than half of what is left.
+# One dossier of 12,000 tokens would else take what serves a dozen short questions, and
+# for the rest of the day only calls without tokens would be served.
+LAST_TENTH = 0.1
+LAST_SHARE = 0.5
+LONG_REQUEST_TOKENS = 4_000
 LOW_WATER = 0.85  # of the wanted stock; below it the home draws again
 # Above this multiple of the wanted stock the home gives the rest back.
 HIGH_WATER = 1.3
@@ -160,6 +166,8 @@
         # The settlement of a hold that was given up may overtake the hold.
         if request in self.settled or tokens > self.available:
             return False
+        if self._is_too_long(tokens, self.available + self.free):
+            return False
         if not self.serves(requester):
             return False
         self.holds[request] = tokens
@@ -194,7 +202,13 @@
 
     def can_cover(self, tokens: int) -> bool:
         """Tell whether a draw could make enough tokens available."""
-        return self.available + self.free >= tokens
+        left = self.available + self.free
+        return left >= tokens and not self._is_too_long(tokens, left)
+
+    def _is_too_long(self, tokens: int, left: int) -> bool:
+        if tokens < LONG_REQUEST_TOKENS or left >= LAST_TENTH * self.prepaid:
+            return False
+        return tokens > LAST_SHARE * left
 
     def is_nearly_spent(self, tokens: int) -> bool:
         """Tell whether what was really spent or held leaves no room for a request.
