Keep the accounts' records apart from the home, and a run apart from the pipeline

home.py held both the policy of stocks and the writing of records; pipeline.py also the state of a run. A recovery now checks that the holder is as it was when its witnesses were asked, and that the partition's end is known: another account's failed write could drop it in between.

--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from trefoilstage.components.escrow.account import EscrowAccount, HomeRank
+from trefoilstage.components.escrow.account_store import AccountStore
 from trefoilstage.components.escrow.messages import (
     HoldReply,
     HoldTokens,
@@ -13,21 +14,14 @@
     SettleHolds,
     SettleReply,
 )
-from trefoilstage.components.escrow.record import ACCOUNT_CODEC, AccountRecord
-from trefoilstage.components.escrow.recovery import EscrowRecovery, Unknown
+from trefoilstage.components.escrow.record import Holder
+from trefoilstage.components.escrow.recovery import EscrowRecovery, Used
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.views.store import (
-    Store,
-    StoreRefusedError,
-    StoreUnavailableError,
-    Topic,
-)
-from trefoilstage.exceptions import MalformedMessageError
+from trefoilstage.components.views.store import Store, StoreUnavailableError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason
 from trefoilstage.timer import TimerService
-from trefoilstage.util.hashing import pick_stream
 
 TICK_S = 0.1
 # A draw takes a read and a write: 10 to 18 ms, and 0.6 s when the store is slow. A
@@ -63,16 +57,18 @@
     ) -> None:
         super().__init__()
         self._board = board
-        self._store = store
         self._timer = timer
-        self._n_partitions = n_partitions
         self._rank_home = rank_home
         self._recovery = recovery
         self._accounts: dict[str, EscrowAccount] = {}
+        self._records = AccountStore(
+            store=store,
+            timer=timer,
+            n_partitions=n_partitions,
+            accounts=self._accounts,
+        )
         self._draws: dict[str, asyncio.Task[None]] = {}
-        self._ends: dict[int, int] = {}  # where each partition ended last
         self._paused_until: dict[str, float] = {}
-        self._checked_at: dict[str, float] = {}
         self._recover_at: dict[str, float] = {}
         server.register(HoldTokens, self._answer_hold)
         server.register(SettleHolds, self._answer_settle)
@@ -189,8 +185,7 @@
         return self._timer.now() < self._paused_until.get(workspace, 0.0)
 
     def _may_check(self, workspace: str) -> bool:
-        checked_at = self._checked_at.get(workspace, float("-inf"))
-        return self._timer.now() - checked_at >= EXHAUSTED_CHECK_S
+        return self._records.get_age(workspace) >= EXHAUSTED_CHECK_S
 
     async def _wait_for_draw(self, workspace: str) -> None:
         draw = self._start_draw(workspace)
@@ -231,28 +226,18 @@
     async def _change(
         self, workspace: str, get_amount: Callable[[EscrowAccount], int]
     ) -> None:
-        """Draw or give back, tried anew while other hosts write the partition.
-
-        A write counts only if the partition ended where this host saw it end, so
-        no two hosts draw the same tokens. A write whose answer was lost either
-        took that place, and is then read back, or can never land.
-        """
+        """Draw or give back, tried anew while other hosts write the partition."""
         account = self._accounts[workspace]
-        partition = pick_stream(workspace, self._n_partitions)
-        # Without its record read, an account looks empty, and a write would drop
-        # what other hosts have drawn.
-        unread = workspace not in self._checked_at
-        refresh = unread or partition not in self._ends or account.free == 0
+        refresh = not self._records.is_known(workspace) or account.free == 0
         try:
             for _ in range(MAX_CONFLICTS):
                 if refresh:
-                    await self._refresh(account, partition)
+                    await self._records.refresh(workspace)
                 amount = get_amount(account)
-                rank = self._rank_home(workspace)
-                idle = account.waiting == 0 and rank is HomeRank.NONE
-                if amount == 0 and (idle or not self._lacks_requester(account)):
+                if amount == 0 and not self._must_write(account):
                     return
-                if await self._write(account, partition, amount):
+                served = self._recovery.list_requesters()
+                if await self._records.change(account, amount, served):
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
@@ -263,12 +248,19 @@
                     return
                 refresh = True
         except StoreUnavailableError as error:
-            # The next change reads first: the write may have taken effect.
-            self._ends.pop(partition, None)
-            now = self._timer.now()
-            self._paused_until[workspace] = now + FAILURE_PAUSE_S
-            self._board.store.note_failure(now, str(error))
-            log_event(Event.ESCROW_DRAW_FAILED, workspace=workspace, error=str(error))
+            self._note_failure(workspace, error)
+
+    def _note_failure(self, workspace: str, error: StoreUnavailableError) -> None:
+        self._records.forget_end(workspace)
+        now = self._timer.now()
+        self._paused_until[workspace] = now + FAILURE_PAUSE_S
+        self._board.store.note_failure(now, str(error))
+        log_event(Event.ESCROW_DRAW_FAILED, workspace=workspace, error=str(error))
+
+    def _must_write(self, account: EscrowAccount) -> bool:
+        rank = self._rank_home(account.workspace)
+        asked = account.waiting > 0 or rank is not HomeRank.NONE
+        return asked and self._lacks_requester(account)
 
     def _lacks_requester(self, account: EscrowAccount) -> bool:
         """Tell whether a host that may ask is not named in the record yet.
@@ -282,30 +274,36 @@
         )
 
     async def _recover(self, workspace: str) -> None:
-        """Draw back what an ended home had drawn and not granted."""
+        """Make what an ended home had drawn and not granted free again."""
         account = self._accounts[workspace]
-        partition = pick_stream(workspace, self._n_partitions)
         try:
-            await self._refresh(account, partition)
+            await self._records.refresh(workspace)
             for incarnation, holder in account.record.holders.items():
                 if not self._recovery.has_ended(holder.host, incarnation):
                     continue
                 verdict = await self._recovery.find_used(workspace, incarnation, holder)
-                if isinstance(verdict, Unknown):
-                    continue
-                record = account.record.retire(incarnation, verdict.tokens)
-                if await self._put(account, partition, record):
-                    log_event(
-                        Event.ESCROW_RECOVERED,
-                        workspace=workspace,
-                        holder=incarnation,
-                        drawn=holder.drawn,
-                        used=verdict.tokens,
-                    )
-                return
+                # Meanwhile another home may have done it, or a late write landed.
+                same = account.record.holders.get(incarnation) == holder
+                if isinstance(verdict, Used) and same:
+                    await self._retire(account, incarnation, holder, verdict)
+                    return
         except StoreUnavailableError as error:
-            self._ends.pop(partition, None)
-            self._board.store.note_failure(self._timer.now(), str(error))
+            self._note_failure(workspace, error)
+
+    async def _retire(
+        self, account: EscrowAccount, incarnation: str, holder: Holder, used: Used
+    ) -> None:
+        if not self._records.is_known(account.workspace):
+            return
+        record = account.record.retire(incarnation, used.tokens)
+        if await self._records.put(account, record):
+            log_event(
+                Event.ESCROW_RECOVERED,
+                workspace=account.workspace,
+                holder=incarnation,
+                drawn=holder.drawn,
+                used=used.tokens,
+            )
 
     def _has_ended_holder(self, account: EscrowAccount) -> bool:
         return any(
@@ -313,52 +311,6 @@
             for incarnation, holder in account.record.holders.items()
         )
 
-    async def _refresh(self, account: EscrowAccount, partition: int) -> None:
-        listing = await self._store.list_newest(Topic.ACCOUNTS, partition)
-        for record in listing.records:
-            known = self._accounts.get(record.key)
-            if known is None or record.value is None:
-                continue
-            try:
-                known.take_record(ACCOUNT_CODEC.decode(record.value), record.offset)
-            except MalformedMessageError as error:
-                # Unreadable means unknown: nothing more is drawn on it.
-                log_event(
-                    Event.RECORD_MALFORMED, topic=Topic.ACCOUNTS, error=str(error)
-                )
-                raise StoreUnavailableError("malformed account record") from error
-        self._ends[partition] = listing.end_offset
-        self._checked_at[account.workspace] = self._timer.now()
-        account.take_end(listing.end_offset)
-
-    async def _write(self, account: EscrowAccount, partition: int, amount: int) -> bool:
-        record = account.make_draw(amount, self._recovery.list_requesters())
-        if amount < 0:
-            account.start_return(-amount, self._ends[partition])
-        return await self._put(account, partition, record)
-
-    async def _put(
-        self, account: EscrowAccount, partition: int, record: AccountRecord
-    ) -> bool:
-        end_offset = self._ends[partition]
-        try:
-            offset = await self._store.put(
-                Topic.ACCOUNTS,
-                account.workspace,
-                ACCOUNT_CODEC.encode(record),
-                partition=partition,
-                at=end_offset,
-            )
-        except StoreRefusedError:
-            account.end_return()
-            raise
-        account.end_return()
-        if offset is None:
-            return False
-        self._ends[partition] = offset + 1
-        account.take_record(record, offset)
-        return True
-
     async def _tick(self) -> None:
         configuration = self._board.configuration
         if configuration is None or self._board.store.out_of_reach:
--- /dev/null
+++ b/trefoilstage/components/forwarding/run.py
@@ -0,0 +1,65 @@
+"""Hold what became of one request so far; pure."""
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from trefoilstage.components.forwarding.models import (
+    CallerRequest,
+    Route,
+    ServiceConfig,
+    Workspace,
+)
+
+# What a target may have made and sent before it learned that nobody reads.
+UNREAD_EVENTS = 3
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """Hold what became of one request so far."""
+
+    request: CallerRequest
+    body: bytes
+    route: Route
+    workspace: Workspace | None
+    started: float
+    deadline: float
+    n_runs: int = 0  # targets that may have run it
+    n_sends: int = 0
+    excluded: set[str] = field(default_factory=set)
+    last_event: int | None = None
+    n_events: int = 0
+    complete: bool = False
+    held_at: float = 0.0
+    first_at: float = 0.0
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+    target: str = ""
+    service_name: str = ""
+    response: web.StreamResponse | None = None
+    service: ServiceConfig | None = None
+
+    @property
+    def tokens_per_event(self) -> int:
+        """Return the most tokens that one event holds."""
+        engine = self.service.engine if self.service else None
+        return engine.tokens_per_event if engine else 1
+
+    def note_data(self, now: float) -> None:
+        """Count when data went on to the caller."""
+        if not self.first_at:
+            self.first_at = now
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        self.last_at = now
+
+    def count_spent(self) -> int:
+        """Return the tokens that the workspace is billed at most."""
+        if self.n_runs == 0:
+            return 0
+        unread = 0 if self.complete else UNREAD_EVENTS
+        output = (self.n_events + unread) * self.tokens_per_event
+        return self.request.n_prompt_tokens + min(
+            self.request.max_output_tokens, output
+        )
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -9,7 +9,8 @@
 from trefoilstage.components.forwarding.answers import RefusalMaker
 from trefoilstage.components.forwarding.border import Border, MalformedRequestError
 from trefoilstage.components.forwarding.models import CallerRequest, RouteKind
-from trefoilstage.components.forwarding.pipeline import ForwardingPipeline, Run
+from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
+from trefoilstage.components.forwarding.run import Run
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -24,6 +24,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.follower import ViewFollower
+from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
@@ -173,7 +174,7 @@
             Topic.HOSTS: make(Topic.HOSTS, HOSTS_WAIT_S, 0.0),
         }
 
-    def _take(self, topic: Topic, records: list) -> None:  # type: ignore[type-arg]
+    def _take(self, topic: Topic, records: list[KeyedRecord]) -> None:
         if topic is Topic.HOSTS:
             self._membership.take_records(records)
         else:
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -72,6 +72,8 @@
     TARGET_REPLACED = "target_replaced"
     TARGET_DROPPED = "target_dropped"
     TARGET_LISTED = "target_listed"
+    SETTINGS_READ = "settings_read"
+    SETTINGS_REFUSED = "settings_refused"
     STOP_INCOMPLETE = "stop_incomplete"
     LEAVE_INCOMPLETE = "leave_incomplete"
     USAGE_ABOVE_RESERVATION = "usage_above_reservation"
--- a/trefoilstage/platform/__main__.py
+++ b/trefoilstage/platform/__main__.py
@@ -30,7 +30,7 @@
 EXIT_BAD_SETTINGS = 2
 
 
-async def run_host(settings: FleetSettings) -> None:
+async def run_host(path: Path, settings: FleetSettings) -> None:
     """Serve until a signal asks to drain."""
     board = make_board(settings)
     connector = aiohttp.TCPConnector(limit=0, local_addr=(settings.address, 0))
@@ -51,8 +51,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, host.drain_requested.set)
         loop.add_signal_handler(signal.SIGUSR1, host.write_dump)
-        # Nothing that a running host uses changes with its settings file.
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, check_settings, path, settings)
         try:
             await host.start()
             await host.run()
@@ -60,6 +59,22 @@
             await stop_host(host)
 
 
+def check_settings(path: Path, running: FleetSettings) -> None:
+    """Tell what a changed settings file would change; a restart takes it in.
+
+    Addresses and limits are bound at the start, and a host that reopened its ports
+    would cut off its callers.
+    """
+    try:
+        settings = load_platform_settings(path)
+    except SettingsError as error:
+        log_event(Event.SETTINGS_REFUSED, findings=str(error))
+        return
+    known = running.model_dump()
+    changed = [name for name, value in settings if value != known[name]]
+    log_event(Event.SETTINGS_READ, changed=",".join(changed))
+
+
 async def stop_host(host: FleetHost) -> None:
     """Stop within a bounded time; peers that are gone answer no closing handshake."""
     try:
@@ -82,7 +97,7 @@
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
     try:
-        uvloop.run(run_host(settings))
+        uvloop.run(run_host(path, settings))
     except OSError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_CRASHED)
