--- /dev/null
+++ b/tests/helpers/test_fleet_dump.py
@@ -0,0 +1,26 @@
+"""Test that a forwarding host's dump holds no key."""
+
+import json
+import unittest
+
+from standins.platform import encode_configuration
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.dump import dump_value
+from trefoilstage.platform.configuration import decode_configuration
+
+
+class FleetDumpTest(unittest.TestCase):
+    """Test the dump of a board."""
+
+    def test_keys_are_left_out(self) -> None:
+        """Dump a board whose configuration holds keys in clear.
+
+        Whoever reads a dump could otherwise call in a workspace's name.
+        """
+        data = encode_configuration(1, prepaid=1_000).replace(b'"key"', b'"s3cret"')
+        board = FleetBoard(host="h", incarnation="h-1", data_center="brest")
+        board.configuration = decode_configuration(data)
+        self.assertIn("s3cret", board.configuration.workspaces_by_key)
+        text = json.dumps(dump_value(board))
+        self.assertIn("school", text)
+        self.assertNotIn("s3cret", text)
--- a/trefoilstage/helpers/dump.py
+++ b/trefoilstage/helpers/dump.py
@@ -11,7 +11,17 @@
 # Keys would let a reader of a dump call in a workspace's name, and bodies are
 # the callers' own. Neither helps to tell what a process does.
 HIDDEN_FIELDS = frozenset(
-    {"key_sha256", "content", "body", "data", "text", "chunks", "closing"}
+    {
+        "key_sha256",
+        "key",
+        "workspaces_by_key",
+        "content",
+        "body",
+        "data",
+        "text",
+        "chunks",
+        "closing",
+    }
 )
 
 SERVICE_FIELDS = frozenset(vars(Service()))
