Hold tokens for each request, also under one id; take any host name

Cause, found by reading: holds were named by the caller's id and idempotent, so a caller that sent two requests under one id would have run both on one hold, beyond its budget.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -98,6 +98,7 @@
             {"Token_Count": "many"},
             {"Token_Count": "-5,1"},
             {"Deadline_Ms": "soon"},
+            {"Attempt_Id": "x" * 129},
         ):
             with self.assertRaises(MalformedRequestError):
                 self.read(**more)
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -167,12 +167,13 @@
         method: str = "POST",
         tokens: tuple[int, int] = (100, 10),
         key: str = "key",
+        attempt: str = "",
     ) -> FleetAnswer:
         """Send a request as a caller does, with a key and an id of its own."""
         self.n_requests += 1
         headers = {
             "Host": "club.example",
-            "Attempt-Id": f"attempt-{self.n_requests}",
+            "Attempt-Id": attempt or f"attempt-{self.n_requests}",
             "Deadline-Ms": "5000",
             "Key": key,
             "Token-Count": f"{tokens[0]},{tokens[1]}",
--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -156,6 +156,21 @@
             answer = await fleet.call("/stream/x")
             self.assertIn(answer.status, (402, 429))
 
+    async def test_requests_under_one_id_hold_tokens_each(self) -> None:
+        """Send two requests at once under one id, with tokens for one of them.
+
+        Were the second given the first one's hold, both would run, and the budget
+        of 150 tokens would be passed by 58.
+        """
+        async with PlatformFleet(n_hosts=2, prepaid=150) as fleet:
+            for target in fleet.targets:
+                target.event_s = 0.2
+            answers = await asyncio.gather(
+                *(fleet.call("/stream/x", attempt="same") for _ in range(2))
+            )
+            self.assertEqual(fleet.count_runs(), 1)
+            self.assertEqual(sorted(a.status == 200 for a in answers), [False, True])
+
 
 class HostTest(unittest.IsolatedAsyncioTestCase):
     """Test hosts that leave or are cut from the store."""
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -1,6 +1,7 @@
 """Forward one request: hold its tokens, place it, send it, relay, settle."""
 
 import asyncio
+import itertools
 import random
 
 from aiohttp import web
@@ -51,6 +52,7 @@
         self._chooser = chooser
         self._sender = sender
         self._generator = generator
+        self._numbers = itertools.count()
 
     async def run(
         self, run: Run, web_request: web.BaseRequest
@@ -63,7 +65,7 @@
         try:
             async with asyncio.timeout_at(run.deadline):
                 hold = await self._escrow.hold(
-                    workspace, run.request.request, run.request.max_tokens
+                    workspace, self._name_hold(run), run.request.max_tokens
                 )
                 if isinstance(hold, Refusal):
                     return hold
@@ -76,6 +78,12 @@
                 self._escrow.settle(hold, run.count_spent())
                 self._log_end(run, hold)
 
+    def _name_hold(self, run: Run) -> str:
+        # A caller that sent two requests under one id would get the second one's
+        # tokens from the first one's hold, and both would be spent.
+        number = next(self._numbers)
+        return f"{run.request.request}/{self._board.host}/{number}"
+
     def _log_end(self, run: Run, hold: Hold) -> None:
         log_event(
             Event.REQUEST_DONE,
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -157,7 +157,9 @@
         body = await web_request.read()
         if len(body) > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
-        wait_s = min(request.deadline_s or route.timeout_s, route.timeout_s)
+        wait_s = route.timeout_s
+        if request.deadline_s is not None:
+            wait_s = min(wait_s, request.deadline_s)
         return Run(
             request=request,
             body=body,
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -4,8 +4,10 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from trefoilstage.configuration.schema import HttpUrl, Identifier
+from trefoilstage.configuration.schema import HttpUrl
 
+# Given by the platform; long enough for any that it may draw, and for messages.
+Name = Annotated[str, Field(min_length=1, max_length=100)]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0)]
 
@@ -15,8 +17,8 @@
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    host: Identifier
-    data_center: Identifier
+    host: Name
+    data_center: Name
     address: str
     caller_port: Port
     ready_port: Port
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -28,6 +28,8 @@
 SEAL: Final = "Response-Seal"  # a target's signature of its answer
 NOT_EXECUTED: Final = "Not-Executed"
 MISDIRECTED: Final = 421
+# Ids seen have 16 characters. Messages between hosts hold names of up to 300.
+MAX_ID_LENGTH: Final = 128
 
 # They concern one connection only.
 CONNECTION_HEADERS = frozenset(
@@ -75,8 +77,11 @@
         values = {name.lower(): value for name, value in pairs}
         prompt_tokens, output_tokens = read_token_count(values.get("token-count"))
         path, _, _ = raw_target.partition("?")
+        request = values.get("attempt-id", "")
+        if len(request) > MAX_ID_LENGTH:
+            raise MalformedRequestError("the request's id is too long")
         return CallerRequest(
-            request=values.get("attempt-id", ""),
+            request=request,
             method=method,
             host=values.get("host", "").partition(":")[0].lower(),
             path=path,
