Tell callers to come back when an outage of the store is probably over, spread over 3 s

Cause: refused in an outage with 3 s to come back, most callers came before its end, were refused a second time and were not served at all. Change: 8.5 s less what the store has been silent, and 0 to 3 s more. With 1 s of spread they came in one moment and waited for each other.

--- /dev/null
+++ b/tests/components/escrow/test_client.py
@@ -0,0 +1,33 @@
+"""Test when callers are told to come back."""
+
+import unittest
+
+from trefoilstage.components.escrow.client import estimate_return, make_refusal
+from trefoilstage.fleet_board import StoreReach
+from trefoilstage.helpers.verdict import Reason
+
+
+class ReturnTest(unittest.TestCase):
+    """Test the time to come back in and after an outage."""
+
+    def test_callers_come_back_when_the_store_probably_is(self) -> None:
+        """Refuse callers at 2 and at 7 s of an outage, and after 20 s of it."""
+        self.assertAlmostEqual(estimate_return(2.0), 6.5)
+        self.assertAlmostEqual(estimate_return(7.0), 1.5)
+        self.assertAlmostEqual(estimate_return(20.0), 1.0)
+
+    def test_store_in_reach_is_no_outage(self) -> None:
+        """Miss one call; the store is silent only once it is out of reach."""
+        reach = StoreReach()
+        reach.note_answer(10.0)
+        reach.note_failure(10.2, "error")
+        self.assertEqual(reach.get_silence(10.3), 0.0)
+        reach.note_failure(10.9, "error")
+        self.assertAlmostEqual(reach.get_silence(11.0), 1.0)
+
+    def test_spent_budget_names_no_time(self) -> None:
+        """Refuse for a spent balance; coming back does not help."""
+        self.assertIsNone(make_refusal(Reason.BUDGET_EXHAUSTED, 1.0).retry_after_s)
+        self.assertEqual(
+            make_refusal(Reason.BUDGET_UNCONFIRMED, 2.5).retry_after_s, 2.5
+        )
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -1,6 +1,7 @@
 """Get tokens held for this host's requests, and settle them."""
 
 import asyncio
+import random
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -36,9 +37,13 @@
 # Nothing is left to draw. Only a higher balance or the return of another host's
 # tokens helps, which takes longer than any caller waits: coming back would be in vain.
 SPENT_RETRY_AFTER_S = 30.0
-# Callers come back after at most a third of the time that they have left. The
-# store's outages last 4 to 9 s, so an earlier return would mostly be refused again.
-RETRY_AFTER_S = 3.0
+# The store's outages last 7 to 9 s. Told to come back after 3 s, most callers came
+# before its end and were refused a second time; each comes once only.
+OUTAGE_S = 8.5
+MIN_RETRY_AFTER_S = 1.0
+# Callers that were refused at any time of an outage would come back in one moment, and
+# then wait for each other: within a second, the median of first tokens rose to 1.4 s.
+SPREAD_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,8 +69,10 @@
         links: PeerLinks,
         timer: TimerService,
         book: GrantBook,
+        generator: random.Random,
     ) -> None:
         super().__init__()
+        self._generator = generator
         self._book = book
         self._board = board
         self._membership = membership
@@ -95,7 +102,10 @@
                 return answer
             reason = answer if reason is None else reason
         # The home knows most of the account; the others may still hold tokens.
-        return make_refusal(reason or Reason.BUDGET_UNCONFIRMED)
+        silent_s = self._board.store.get_silence(self._timer.now())
+        spread_s = self._generator.uniform(0.0, SPREAD_S)
+        retry_after_s = estimate_return(silent_s) + spread_s
+        return make_refusal(reason or Reason.BUDGET_UNCONFIRMED, retry_after_s)
 
     def settle(self, hold: Hold, spent: int) -> None:
         """Count what a request spent of its hold."""
@@ -237,10 +247,17 @@
             self._unsettled[home, incarnation] += holds
 
 
-def make_refusal(reason: Reason) -> Refusal:
+def estimate_return(silent_s: float) -> float:
+    """Return the seconds until tokens can probably be drawn, after a silence."""
+    if silent_s == 0.0:
+        return MIN_RETRY_AFTER_S
+    return max(MIN_RETRY_AFTER_S, OUTAGE_S - silent_s)
+
+
+def make_refusal(reason: Reason, retry_after_s: float) -> Refusal:
     """Return the refusal of a hold, with the time to come back."""
     if reason is Reason.BUDGET_EXHAUSTED:
         return Refusal(reason=reason)
     if reason is Reason.BUDGET_DRAWN:
         return Refusal(reason=reason, retry_after_s=SPENT_RETRY_AFTER_S)
-    return Refusal(reason=reason, retry_after_s=RETRY_AFTER_S)
+    return Refusal(reason=reason, retry_after_s=retry_after_s)
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -22,6 +22,10 @@
     back_at: float = float("-inf")
     out_of_reach: bool = False
 
+    def get_silence(self, now: float) -> float:
+        """Return the seconds since the last answer, 0 while the store is in reach."""
+        return now - self.last_answer if self.out_of_reach else 0.0
+
     def note_answer(self, now: float) -> None:
         """Take note of an answer."""
         if self.out_of_reach:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -95,6 +95,7 @@
             address=settings.address,
         )
         self._membership = membership
+        generator = random.Random(self._board.incarnation)
         book = GrantBook()
         recovery = EscrowRecovery(
             board=self._board, timer=timer, book=book, ask_seal=membership.ask_seal
@@ -117,6 +118,7 @@
             links=links,
             timer=timer,
             book=book,
+            generator=generator,
         )
         workload = WorkloadController(
             board=self._board, links=links, server=peers, timer=timer
@@ -132,7 +134,7 @@
                 workload=workload,
             ),
             sender=TargetSender(session=self._session, border=self._border),
-            generator=random.Random(self._board.incarnation),
+            generator=generator,
         )
         self._server = ForwardingServer(
             board=self._board,
