Read what this host appended when the log has dropped it

Cause, by reading and by test_relay, which failed first: a log that keeps one record drops the first of a group as it takes the second; no host could read it, and all stood before the gap. Change: a host keeps its newest 200 appended records, and reads them, or asks its peers for theirs, when the log says that an offset has expired.

--- /dev/null
+++ b/tests/components/test_relay.py
@@ -0,0 +1,63 @@
+"""Test reading what the log dropped before anybody could read it."""
+
+import random
+import unittest
+
+from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.log_client.client import LogPage, LogRecord
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.messages import FRAME_CODEC
+from trefoilstage.components.peers.relay import RelayedLog
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.exceptions import RecordsExpiredError
+
+
+class ShortLog:
+    """Keep only the newest record of a stream."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+
+    async def append(
+        self, stream: str, records: list[bytes], *, timeout_s: float
+    ) -> int:
+        """Add records and return the first one's offset."""
+        self.records += records
+        return len(self.records) - len(records)
+
+    async def read(
+        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> LogPage:
+        """Return the newest record, if it is the one asked for."""
+        last = len(self.records) - 1
+        if offset < last:
+            raise RecordsExpiredError(earliest=last)
+        record = LogRecord(offset=last, data=self.records[last])
+        return LogPage(records=(record,), next_offset=last + 1)
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """Test a relayed log without peers."""
+
+    async def test_group_that_outlives_itself_is_read(self) -> None:
+        """Append a checkpoint and a change at once to a log that keeps one record.
+
+        The log drops the first as it takes the second. No host can read it, so all
+        would wait before the gap, and the operator would get no verdict.
+        """
+        relay = RelayedLog(
+            client=ShortLog(),  # type: ignore[arg-type]
+            blackboard=Blackboard(host="h", incarnation="h-1", data_center="brest"),
+            links=PeerLinks(outbound_address="127.0.0.1", codec=FRAME_CODEC),
+            server=PeerServer(address="127.0.0.1", port=0, codec=FRAME_CODEC),
+            timeout_s=1.0,
+            generator=random.Random(1),
+        )
+        await relay.append("config", [b"checkpoint", b"change"])
+        page = await relay.read("config", 0, wait_s=0.0)
+        found = [(record.offset, record.data) for record in page.records]
+        self.assertEqual(found, [(0, b"checkpoint"), (1, b"change")])
+        # What another host appended before that is gone for good.
+        await relay.append("config", [b"later"])
+        with self.assertRaises(RecordsExpiredError):
+            await relay.read("ledger-0", 0, wait_s=0.0)
--- /dev/null
+++ b/trefoilstage/components/log_client/appended.py
@@ -0,0 +1,37 @@
+"""Keep what this host has itself appended; pure."""
+
+from collections import OrderedDict
+
+from trefoilstage.components.log_client.client import LogPage, LogRecord
+
+# What a host appends within a few seconds. A record is asked for here only when the
+# log dropped it before anybody could read it.
+MAX_KEPT = 200
+
+
+class AppendedRecords:
+    """Hold the newest records of one stream that this host appended.
+
+    A log that keeps little drops the first records of a group as the last ones are
+    appended. No host can read them, and each would stand before the gap for ever; the
+    one that appended them knows them.
+    """
+
+    def __init__(self) -> None:
+        self._records: OrderedDict[int, LogRecord] = OrderedDict()
+
+    def add(self, first: int, records: list[bytes]) -> None:
+        """Keep a group by the offset that the log gave to its first record."""
+        for offset, data in enumerate(records, start=first):
+            self._records[offset] = LogRecord(offset=offset, data=data)
+        while len(self._records) > MAX_KEPT:
+            self._records.popitem(last=False)
+
+    def read(self, offset: int) -> LogPage | None:
+        """Return the records from an offset up to the next gap, if it is held."""
+        records: list[LogRecord] = []
+        while (record := self._records.get(offset + len(records))) is not None:
+            records.append(record)
+        if not records:
+            return None
+        return LogPage(records=tuple(records), next_offset=offset + len(records))
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.log_client.appended import AppendedRecords
 from trefoilstage.components.log_client.checkpoints import MAX_PARTS, PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
 from trefoilstage.components.log_client.reach import LogReach
@@ -66,6 +67,7 @@
             initial_s=PROBE_FIRST_S, maximum_s=PROBE_MAX_S, generator=generator
         )
         self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
+        self._appended: defaultdict[str, AppendedRecords] = defaultdict(AppendedRecords)
         self._favourite = ""
         self._lost = asyncio.Event()
         self._probed = ""
@@ -96,12 +98,30 @@
                 return await self._read_direct(stream, offset, wait_s)
             except LogUnavailableError:
                 self._note_failure(stream)
+            except RecordsExpiredError as error:
+                return await self._read_expired(stream, offset, error)
         page = await self._read_from_peers(stream, offset)
         self._tails[stream].keep(page.records)
         if not page.records:
             await asyncio.sleep(RELAY_POLL_S)
         return page
 
+    async def _read_expired(
+        self, stream: str, offset: int, error: RecordsExpiredError
+    ) -> LogPage:
+        """Return records that the log has dropped, from whoever appended them."""
+        own = self._appended[stream].read(offset)
+        if own is not None:
+            return own
+        try:
+            page = await self._read_from_peers(stream, offset)
+        except LogUnavailableError:
+            raise error from None
+        if not page.records:
+            raise error
+        self._tails[stream].keep(page.records)
+        return page
+
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
         for name in self._rank_peers():
@@ -117,6 +137,7 @@
             stream, records, timeout_s=self._reach.timeout_s
         )
         self._note_answer(asyncio.get_running_loop().time() - started)
+        self._appended[stream].add(first, records)
         return first
 
     async def _read_direct(self, stream: str, offset: int, wait_s: float) -> LogPage:
@@ -246,6 +267,9 @@
                 timeout_s=self._reach.timeout_s,
             )
         except RecordsExpiredError as error:
+            own = self._appended[message.stream].read(message.offset)
+            if own is not None:
+                return make_reply(own, fresh=True)
             return RecordsReply(expired=True, earliest=error.earliest)
         return make_reply(page, fresh=True)
 
