--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -211,7 +211,11 @@
             peer.failed = True
             self._unsettled[home, peer.incarnation].append(undone)
             log_event(
-                Event.HOLD_UNANSWERED, peer=home, request=request, error=str(error)
+                Event.HOLD_UNANSWERED,
+                peer=home,
+                request=request,
+                workspace=workspace,
+                error=str(error),
             )
             return Reason.BUDGET_UNCONFIRMED
         except asyncio.CancelledError:
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -60,12 +60,11 @@
         """Return the relayed answer, or why the caller gets none."""
         if run.started >= run.deadline:
             return Refusal(reason=Reason.DEADLINE)
-        workspace = run.workspace.name if run.workspace else ""
         hold: Hold | Refusal | None = None
         try:
             async with asyncio.timeout_at(run.deadline):
                 hold = await self._escrow.hold(
-                    workspace, self._name_hold(run), run.request.max_tokens
+                    run.workspace_name, self._name_hold(run), run.request.max_tokens
                 )
                 if isinstance(hold, Refusal):
                     return hold
@@ -164,7 +163,7 @@
         if workspace and workspace.priority is not None:
             priority = workspace.priority
         options = ForwardOptions(
-            workspace=workspace.name if workspace else "",
+            workspace=run.workspace_name,
             deadline_s=run.deadline - now,
             urgency=min(MAX_URGENCY, max(0, priority)) if run.request.prompt else None,
             resume_after=run.last_event,
@@ -177,6 +176,7 @@
         log_event(
             Event.REQUEST_SENT,
             request=run.request.request,
+            workspace=run.workspace_name,
             target=target.name,
             service=service,
             attempt=run.n_sends,
@@ -226,6 +226,7 @@
             log_event(
                 Event.ANSWER_BROKEN,
                 request=run.request.request,
+                workspace=run.workspace_name,
                 target=target.name,
                 error=str(error),
                 events=run.n_events,
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -40,6 +40,11 @@
     response: web.StreamResponse | None = None
     service: ServiceConfig | None = None
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the workspace that asks, empty on a public route."""
+        return self.workspace.name if self.workspace else ""
+
     @property
     def tokens_per_event(self) -> int:
         """Return the most tokens that one event holds."""
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -170,11 +170,12 @@
         )
 
     def _refuse(
-        self, refusal: Refusal, request: CallerRequest | None
+        self, refusal: Refusal, request: CallerRequest | None, workspace: str = ""
     ) -> web.StreamResponse:
         log_event(
             Event.REQUEST_REFUSED,
             request=request.request if request else "",
+            workspace=workspace,
             reason=refusal.reason,
             effect=refusal.effect,
             detail=refusal.detail,
@@ -186,12 +187,13 @@
         self, refusal: Refusal, run: Run, web_request: web.BaseRequest
     ) -> web.StreamResponse:
         if run.response is None:
-            return self._refuse(refusal, run.request)
+            return self._refuse(refusal, run.request, run.workspace_name)
         # The head is out. Without the end of the body, the caller sees that the
         # answer broke off.
         log_event(
             Event.REQUEST_FAILED,
             request=run.request.request,
+            workspace=run.workspace_name,
             reason=refusal.reason,
             effect=refusal.effect,
             detail=refusal.detail,
