Add bounded log lines, a page of metrics and a command that tells a request's story

Cause: on call there are only logs and metrics. Lines were written with a blocking flush, so a reader that stalls would stop the host; nothing bounded their volume; no metrics were served; a request's lines had to be gathered by hand.

`trefoilstage log explain ID` prints what the request's hosts believed when it came, its workspace's stocks, and the request's lines over all hosts.

Ruled out: a queue and a thread for lines (one loop on one thread).

--- /dev/null
+++ b/tests/helpers/test_stories.py
@@ -0,0 +1,69 @@
+"""Test that a request's story is told over all hosts."""
+
+import unittest
+
+from trefoilstage.helpers.exposition import MetricsPage
+from trefoilstage.helpers.stories import find_story, read_line
+
+LINES = """
+timestamp=1.0 message_type=config_in_force version=3
+timestamp=2.0 message_type=config_in_force version=4
+timestamp=3.0 message_type=target_ejected target=i-1
+timestamp=3.5 message_type=escrow_drawn tokens=100 workspace=brest
+timestamp=4.0 message_type=request_sent request=a1 target=i-1 workspace=brest
+timestamp=4.1 message_type=request_sent request=b2 target=i-1 workspace=lorient
+timestamp=4.5 message_type=request_refused detail="reset by peer" request=a1
+timestamp=5.0 message_type=config_in_force version=5
+not a line of ours
+"""
+
+
+class StoryTest(unittest.TestCase):
+    """Test the lines that belong to one request."""
+
+    def test_story_holds_what_was_believed_when_the_request_came(self) -> None:
+        lines = [
+            line for text in LINES.splitlines() if (line := read_line(text, "host-1"))
+        ]
+        home = "timestamp=4.2 message_type=hold_refused request=a1/host-1/0/0 free=0"
+        foreign = read_line(home, "host-2")
+        assert foreign is not None
+        story = find_story([*lines, foreign], "a1")
+        kinds = [line.kind for line in story.lines]
+        self.assertEqual(kinds, ["request_sent", "hold_refused", "request_refused"])
+        self.assertEqual(story.lines[2].fields["detail"], "reset by peer")
+        beliefs = [line.describe() for line in story.beliefs]
+        self.assertEqual(
+            beliefs,
+            [
+                "2.000 host-1 config_in_force version=4",
+                "3.000 host-1 target_ejected target=i-1",
+            ],
+        )
+        self.assertEqual(len(story.account), 1)
+
+    def test_unknown_request_has_no_story(self) -> None:
+        self.assertEqual(find_story([], "a1").lines, ())
+
+
+class MetricsPageTest(unittest.TestCase):
+    """Test the page of metrics."""
+
+    def test_events_are_counted_and_timed(self) -> None:
+        page = MetricsPage()
+        page.add_gauge("peers_known", "Other hosts known.", lambda: 6)
+        message = {"message_type": "request_done", "duration_s": 0.3, "hold_s": 0.001}
+        page(message)
+        page({"message_type": "hold_refused", "reason": "budget_drawn"})
+        text = page.render().decode()
+        for line in (
+            'trefoilstage_events_total{event="hold_refused",reason="budget_drawn"} 1.0',
+            'trefoilstage_request_seconds_bucket{le="0.4",phase="whole"} 1.0',
+            'trefoilstage_request_seconds_bucket{le="0.2",phase="whole"} 0.0',
+            "trefoilstage_peers_known 6.0",
+        ):
+            self.assertIn(line, text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/cli/log.py
+++ b/trefoilstage/cli/log.py
@@ -2,19 +2,24 @@
 
 import asyncio
 import json
-from dataclasses import dataclass
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Annotated, Any
 
 import aiohttp
 import cappa
 
-from trefoilstage.cli.output import print_error
+from trefoilstage.cli.common import fail
+from trefoilstage.cli.output import ExitCode, print_error
 from trefoilstage.components.log_client.client import LogClient, LogRecord
 from trefoilstage.configuration.records import CONFIG_CODEC, ConfigEnvelope
 from trefoilstage.const import CONFIG_STREAM
 from trefoilstage.exceptions import MalformedMessageError, RecordsExpiredError
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.helpers.events import format_value
+from trefoilstage.helpers.stories import LogLine, find_story, read_line
 from trefoilstage.ledger.records import LEDGER_CODEC, LedgerEnvelope
 
 ENVIRONMENT_LOG = "TREFOILSTAGE_LOG"
@@ -70,12 +75,64 @@
                     return
 
 
+EXPLAIN_EXAMPLES = """Examples:
+
+    trefoilstage log explain 0bda7358b944568f host-*.log
+
+    collect-logs | trefoilstage log explain 0bda7358b944568f
+"""
+
+
+@cappa.command(name="explain", epilog=EXPLAIN_EXAMPLES)
+@dataclass(kw_only=True)
+class LogExplainCommand:
+    """Tell a request's story from the lines that hosts wrote, over all hosts."""
+
+    request: Annotated[str, cappa.Arg(help="the request's id, as the caller sent it")]
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help="files of lines; standard input if there are none"),
+    ] = field(default_factory=list)
+
+    def __call__(self) -> None:
+        """Print the story."""
+        story = find_story(self._read_lines(), self.request)
+        if not story.lines:
+            fail(ExitCode.REJECTED, f"no line names the request {self.request}")
+        for title, lines in (
+            ("what its hosts believed when it came", story.beliefs),
+            ("its workspace's stocks", story.account),
+            ("the request", story.lines),
+        ):
+            print(f"{title}:")
+            for line in lines:
+                print(f"  {line.describe()}")
+
+    def _read_lines(self) -> Iterator[LogLine]:
+        if not self.files:
+            yield from parse_lines(sys.stdin, "-")
+        for path in self.files:
+            try:
+                with path.open(errors="replace") as stream:
+                    yield from parse_lines(stream, path.stem)
+            except OSError as error:
+                fail(ExitCode.USAGE, f"{path}: {error.strerror}")
+
+
+def parse_lines(stream: Iterable[str], source: str) -> Iterator[LogLine]:
+    """Yield the lines of ours in a stream."""
+    for text in stream:
+        line = read_line(text, source)
+        if line is not None:
+            yield line
+
+
 @cappa.command(name="log")
 @dataclass(kw_only=True)
 class LogCommand:
-    """Read the platform's log."""
+    """Read the platform's log, and the lines that hosts wrote."""
 
-    command: cappa.Subcommands[LogTailCommand]
+    command: cappa.Subcommands[LogTailCommand | LogExplainCommand]
 
 
 def decode_record(stream: str, data: bytes) -> ConfigEnvelope | LedgerEnvelope:
