--- a/tests/components/escrow/common.py
+++ b/tests/components/escrow/common.py
@@ -4,18 +4,23 @@
 from dataclasses import dataclass, field
 
 from standins.keyed_store import KeyedStore
-from trefoilstage.components.escrow.account import HomeRank
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.lock import ReserveLock
+from trefoilstage.components.escrow.lock_keeper import LockKeeper
 from trefoilstage.components.escrow.messages import SealHome, SealReply, SettledHold
+from trefoilstage.components.escrow.record import ACCOUNT_CODEC
 from trefoilstage.components.escrow.recovery import EscrowRecovery
+from trefoilstage.components.escrow.stock import HomeRank
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import FleetConfiguration, Workspace
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.views.store import Topic
 from trefoilstage.fleet_board import FleetBoard, PeerState
 from trefoilstage.helpers.verdict import Reason
 from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
+from trefoilstage.util.process_start import ProcessStart
 
 WORKSPACE = "brest-school"
 OTHER_WORKSPACE = "quimper-crew"
@@ -65,6 +70,8 @@
     boards: dict[str, FleetBoard] = field(default_factory=dict)
     books: dict[str, GrantBook] = field(default_factory=dict)
     recoveries: dict[str, EscrowRecovery] = field(default_factory=dict)
+    keepers: dict[str, LockKeeper] = field(default_factory=dict)
+    boot: str = "boot-1"
     unreachable: set[str] = field(default_factory=set)
     home: str = ""
     n_starts: int = 0
@@ -86,6 +93,7 @@
         recovery = EscrowRecovery(
             board=board, timer=self.timer, book=book, ask_seal=self.ask_seal
         )
+        lock = ReserveLock()
         home = EscrowHome(
             board=board,
             store=self.store,
@@ -96,6 +104,15 @@
                 HomeRank.FIRST if self.home == host else HomeRank.NONE
             ),
             recovery=recovery,
+            lock=lock,
+        )
+        self.keepers[host] = LockKeeper(
+            board=board,
+            store=self.store,
+            timer=self.timer,
+            lock=lock,
+            start=ProcessStart(boot=self.boot, at=self.timer.time, offset=0.0),
+            has_touched=home.has_touched_lock,
         )
         self.homes[host] = home
         self.boards[host] = board
@@ -119,7 +136,9 @@
                 peer_url="",
                 data_center="brest",
                 last_heard=self.timer.time,
+                confirmed_at=self.timer.time,
                 serving=True,
+                untouched=self.boards[other].untouched,
             )
 
     def meet_all(self) -> None:
@@ -128,11 +147,37 @@
             for other in self.boards:
                 self.meet(host, other)
 
+    async def keep_lock(self, host: str) -> None:
+        """Let a host read its predecessor's promise, then renew its own."""
+        keeper = self.keepers[host]
+        if self.boards[host].untouched is None:
+            if self.store.down or self.store.refuse_share:
+                return
+            await keeper.read_predecessor()
+        else:
+            # Its followers would have noticed whether the store answers.
+            if not self.store.down:
+                self.boards[host].store.last_answer = self.timer.time
+            await keeper.renew()
+
     async def recover(self, host: str, workspace: str) -> None:
         """Let a host that knows an account look for ended homes."""
         if workspace in self.homes[host]._accounts:
             await self.homes[host]._recover(workspace)
 
+    def count_used(self, workspace: str) -> int:
+        """Return what the store counts as drawn and no live host may still grant."""
+        found = self.store.partitions[Topic.ACCOUNTS, 0].list_newest()
+        values = {record.key: record.value for record in found}
+        record = ACCOUNT_CODEC.decode(values[workspace] or b"")
+        accounts = [
+            account
+            for home in self.homes.values()
+            for account in home.list_accounts()
+            if account.workspace == workspace
+        ]
+        return record.drawn - sum(max(0, account.unused) for account in accounts)
+
     async def ask_seal(self, host: str, message: SealHome) -> SealReply | None:
         """Carry a seal to a host, unless it is out of reach."""
         if host in self.unreachable:
--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -26,6 +26,8 @@
     "move": 1,
     "fail": 2,
     "land": 2,
+    "lock": 8,
+    "restart_all": 1,
 }
 N_SEEDS = 60
 N_STEPS = 400
@@ -40,7 +42,8 @@
         A caller's workspace has 200,000 tokens. Hosts hold and settle, become home
         in turn, are killed and restarted, and give tokens back; the store is down,
         refuses, loses answers and carries out writes late. What was really spent
-        must stay within the prepaid tokens at each step.
+        must stay within the prepaid tokens at each step, and within what the store
+        counts as drawn less what the live hosts may still grant.
         """
         for seed in range(N_SEEDS):
             with self.subTest(seed=seed):
@@ -48,7 +51,7 @@
 
     async def _play(self, seed: int) -> None:
         generator = random.Random(seed)
-        bank = Bank(prepaid=PREPAID)
+        bank = Bank(prepaid=PREPAID, home=generator.choice(HOSTS))
         bank.store.generator = random.Random(seed + 1_000)
         for host in HOSTS:
             bank.start(host)
@@ -56,6 +59,8 @@
             await self._step(bank, generator, f"request-{step}")
             for workspace, spent in bank.spent.items():
                 self.assertLessEqual(spent, PREPAID, (seed, step, workspace))
+                counted = bank.count_used(workspace)
+                self.assertLessEqual(spent, counted, (seed, step, workspace))
 
     async def _step(self, bank: Bank, generator: random.Random, request: str) -> None:
         bank.timer.time += generator.choice([0.01, 0.1, 0.5])
@@ -69,9 +74,30 @@
             await bank.homes[host].return_all()
         elif action == "recover":
             await bank.recover(host, workspace)
+        elif action == "lock":
+            await bank.keep_lock(host)
+        elif action == "restart_all":
+            await self._restart_all(bank, generator)
         else:
             change(bank, generator, action, host, other)
 
+    async def _restart_all(self, bank: Bank, generator: random.Random) -> None:
+        bank.timer.time += generator.choice([0.5, 1.5, 4.0])
+        for host in HOSTS:
+            bank.start(host)
+        bank.store.down, bank.store.refuse_share = False, 0.0
+        for host in HOSTS:
+            await bank.keep_lock(host)
+        bank.meet_all()
+        # The next home meets the accounts, then what the ended ones have left.
+        requester, *others = HOSTS
+        for host in others:
+            for workspace in (WORKSPACE, OTHER_WORKSPACE):
+                name = f"after-{bank.n_starts}-{workspace}"
+                await bank.send(host, requester, workspace, name, 1)
+                for _ in range(len(HOSTS)):
+                    await bank.recover(host, workspace)
+
 
 def change(
     bank: Bank, generator: random.Random, action: str, host: str, other: str
@@ -229,7 +255,7 @@
         account = home.list_accounts()[0]
         account.settle("late", 0)
         requester = bank.boards["lorient-1"].incarnation
-        self.assertFalse(account.hold("late", 1_000, requester))
+        self.assertFalse(account.hold("late", 1_000, requester, 0.0))
 
     async def test_late_draw_cannot_land_on_another(self) -> None:
         """Lose a draw on its way, draw elsewhere, then let the lost one land.
--- a/tests/components/escrow/test_recovery.py
+++ b/tests/components/escrow/test_recovery.py
@@ -56,7 +56,10 @@
         self.assertFalse(
             await bank.hold("quimper-1", "lorient-1", WORKSPACE, "first", 9_000)
         )
+        # The successor first reads the record, then hears the home's new start.
+        await bank.homes["quimper-1"]._recover(WORKSPACE)
         bank.timer.time += 1.0
+        bank.meet_all()
         await bank.homes["quimper-1"]._recover(WORKSPACE)
         self.assertTrue(
             await bank.hold("quimper-1", "lorient-1", WORKSPACE, "again", 9_000)
@@ -128,6 +131,24 @@
         held = await bank.hold("quimper-1", "lorient-1", WORKSPACE, "b", 5_000)
         self.assertFalse(held)
 
+    async def test_home_that_is_newer_than_what_was_heard_goes_on(self) -> None:
+        """Restart a home; a host that has not heard it since reads its new record.
+
+        The host still knows the incarnation before. Took it the new one for ended,
+        all hosts would refuse the new home's grants until its next start.
+        """
+        bank = Bank(prepaid=10_000, home="brest-1")
+        for host in ("lorient-1", "quimper-1", "brest-1"):
+            bank.start(host)
+        bank.meet_all()
+        bank.start("brest-1")
+        bank.meet("brest-1", "lorient-1")
+        bank.timer.time += 1.0
+        self.assertTrue(await bank.hold("brest-1", "lorient-1", WORKSPACE, "a", 1_000))
+        await bank.send("quimper-1", "lorient-1", WORKSPACE, "b", 1)
+        await bank.homes["quimper-1"]._recover(WORKSPACE)
+        self.assertTrue(await bank.hold("brest-1", "lorient-1", WORKSPACE, "c", 1_000))
+
     async def test_host_that_the_store_does_not_name_gets_nothing(self) -> None:
         """Let a host come up, and lose the write that names it as a witness.
 
--- /dev/null
+++ b/tests/components/escrow/test_stock.py
@@ -0,0 +1,90 @@
+"""Test how large stocks are, and when they are changed."""
+
+import unittest
+
+from trefoilstage.components.escrow.stock import (
+    HomeRank,
+    StockState,
+    get_target,
+    plan_change,
+)
+
+
+def make_state(
+    *,
+    prepaid: int = 1_000_000,
+    free: int = 800_000,
+    unused: int = 0,
+    locked: int = 0,
+    waiting: int = 0,
+    demand: float = 27_000.0,
+) -> StockState:
+    """Return the state of a home whose workspace uses 27,000 tokens a second."""
+    return StockState(
+        prepaid=prepaid,
+        free=free,
+        unused=unused,
+        locked=locked,
+        waiting=waiting,
+        demand=demand,
+    )
+
+
+class StockTest(unittest.TestCase):
+    """Test the stock of a home."""
+
+    def test_little_lies_ready_late_in_a_budget(self) -> None:
+        """Ask for any demand with a third of the budget left.
+
+        Both homes of a workspace may be lost at once, and 3% of the budget is what
+        may go unused before callers are refused falsely.
+        """
+        for demand in (0.0, 1_000.0, 27_000.0, 1_000_000.0):
+            state = make_state(free=333_000, demand=demand)
+            targets = [
+                get_target(state, rank) for rank in (HomeRank.FIRST, HomeRank.SECOND)
+            ]
+            self.assertLessEqual(sum(item.ready for item in targets), 15_000)
+            self.assertEqual(sum(item.locked for item in targets), 0)
+
+    def test_full_budget_covers_an_outage(self) -> None:
+        """Ask for 27,000 tokens a second with 900,000 left: 7 s are covered."""
+        target = get_target(make_state(free=900_000), HomeRank.FIRST)
+        self.assertGreaterEqual(target.ready + target.locked, 7 * 27_000)
+
+    def test_stand_in_locks_nothing(self) -> None:
+        self.assertEqual(get_target(make_state(), HomeRank.NONE).locked, 0)
+
+    def test_stock_in_order_is_left_alone(self) -> None:
+        state = make_state()
+        target = get_target(state, HomeRank.FIRST)
+        full = make_state(
+            free=800_000 - target.ready - target.locked,
+            unused=target.ready + target.locked,
+            locked=target.locked,
+        )
+        self.assertIsNone(plan_change(full, HomeRank.FIRST))
+
+    def test_waiting_requests_are_drawn_for(self) -> None:
+        """Let a dossier of 54,000 tokens wait; the draw makes it ready."""
+        change = plan_change(make_state(waiting=54_000), HomeRank.FIRST)
+        assert change is not None
+        self.assertGreaterEqual(change.tokens - change.locked, 54_000)
+
+    def test_last_tokens_are_unlocked_for_who_waits(self) -> None:
+        """Let a request wait with nothing free; it gets what was locked."""
+        state = make_state(free=0, unused=9_000, locked=9_000, waiting=2_000)
+        change = plan_change(state, HomeRank.FIRST)
+        assert change is not None
+        self.assertEqual(change.tokens, 0)
+        self.assertLessEqual(change.locked, 7_000)
+
+    def test_former_home_gives_all_back(self) -> None:
+        state = make_state(unused=100_000, locked=80_000, demand=0.0)
+        change = plan_change(state, HomeRank.NONE)
+        assert change is not None
+        self.assertEqual((change.tokens, change.locked), (-100_000, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -1,79 +1,30 @@
 """Account for one workspace's tokens at its home; pure."""
 
-import math
 from collections import OrderedDict
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
+from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.record import AccountRecord, Holder
+from trefoilstage.components.escrow.stock import (
+    Demand,
+    HomeRank,
+    StockChange,
+    StockState,
+    plan_change,
+)
 
-# The store was out of reach for 7 to 9 s at a time. A home that has drawn most of its
-# demand for that long goes on meanwhile; what it has drawn is lost with it.
-HOME_HORIZON_S = 8.0
-# A host that only stands in for the home for a moment draws little.
-STAND_IN_HORIZON_S = 0.5
-# A stock takes at most this share of what is left of the budget. When all hosts lose
-# their power at once, their stocks are lost for good, those of both homes and of a
-# host that was one a moment ago. A budget that ends within the day is spent in full
-# whether its callers were served in an outage or later, so that a large stock gains
-# them little. With a quarter, a fifth of some budgets was lost at such an end, and
-# with it the callers of the hours after it; with this share half of that.
-MAX_STOCK_SHARE = 0.12
 # Of the last tenth of a budget, a long request gets no more than half of what is left.
 # One dossier of 12,000 tokens would else take what serves a dozen short questions, and
 # for the rest of the day only calls without tokens would be served.
 LAST_TENTH = 0.1
 LAST_SHARE = 0.5
 LONG_REQUEST_TOKENS = 4_000
-LOW_WATER = 0.85  # of the wanted stock; below it the home draws again
-# Above this multiple of the wanted stock the home gives the rest back.
-HIGH_WATER = 1.3
-# Smaller changes of a stock are not worth a call to the store.
-MIN_CHANGE_TOKENS = 4_000
-DEMAND_HALF_LIFE_S = 3.0
+# Of the prepaid tokens. What may go unused without a refusal being false.
+SPENT_SHARE = 0.97
 MAX_SETTLED = 2_000
 
 
-class HomeRank(Enum):
-    """Name what a host is to a workspace.
-
-    No host holds tokens for its own requests, since it could not witness them after
-    its own end. The second home serves the first, and others when the first fails.
-    """
-
-    FIRST = "first"
-    SECOND = "second"
-    NONE = "none"
-
-
-# What a home has before it knows the demand, as a share of the prepaid tokens.
-FIRST_SHARES = {HomeRank.FIRST: 0.04, HomeRank.SECOND: 0.01, HomeRank.NONE: 0.0}
-
-
-@dataclass(kw_only=True, slots=True)
-class Demand:
-    """Estimate the tokens asked for a second, decaying by half-lives."""
-
-    amount: float = 0.0
-    at: float = 0.0
-
-    def note(self, tokens: int, now: float) -> None:
-        """Count tokens that were asked for."""
-        self._decay(now)
-        self.amount += tokens
-
-    def estimate(self, now: float) -> float:
-        """Return the tokens a second."""
-        self._decay(now)
-        return self.amount * math.log(2) / DEMAND_HALF_LIFE_S
-
-    def _decay(self, now: float) -> None:
-        age_s = max(0.0, now - self.at)
-        self.amount *= 0.5 ** (age_s / DEMAND_HALF_LIFE_S)
-        self.at = now
-
-
 @dataclass(kw_only=True, slots=True)
 class EscrowAccount:
     """Hold what this incarnation drew for a workspace and what it did with it."""
@@ -92,8 +43,9 @@
     used_by_former: int = 0
     demand: Demand = field(default_factory=Demand)
     waiting: int = 0  # tokens that requests wait for
-    returning: int = 0  # tokens on their way back to the store
-    returning_at: int = -1  # where the partition ended when they were sent
+    lock: ReserveLock = field(default_factory=ReserveLock)  # of the whole host
+    pending: list[StockChange] = field(default_factory=list)  # writes not known to land
+    pending_at: int = -1  # where the partition ended when they were sent
 
     @property
     def drawn(self) -> int:
@@ -113,8 +65,20 @@
         return sum(self.holds.values())
 
     @property
-    def available(self) -> int:
-        """Return the tokens that may be held for new requests.
+    def locked(self) -> int:
+        """Return the most that the store may say is locked here."""
+        holder = self.record.holders.get(self.incarnation)
+        pledged = (change.locked for change in self.pending)
+        return max(holder.locked if holder else 0, *pledged, 0)
+
+    @property
+    def returning(self) -> int:
+        """Return the most tokens that a write may give back yet."""
+        return max(0, *(-change.tokens for change in self.pending), 0)
+
+    @property
+    def unused(self) -> int:
+        """Return the tokens that are drawn here and neither spent nor held.
 
         When the prepaid tokens were lowered below what is drawn, the excess is
         not spent either; each holder leaves all of it, which is safe.
@@ -122,6 +86,15 @@
         excess = max(0, self.record.drawn - self.prepaid)
         return self.drawn - self.spent - self.held - self.returning - excess
 
+    @property
+    def is_touched(self) -> bool:
+        """Tell whether tokens are in use that the store may say are locked."""
+        return self.locked > 0 and self.unused < self.locked
+
+    def get_available(self, now: float) -> int:
+        """Return the tokens that may be held for new requests."""
+        return self.unused - (0 if self.lock.is_open(now) else self.locked)
+
     @property
     def free(self) -> int:
         """Return the prepaid tokens that nobody has drawn."""
@@ -133,29 +106,34 @@
             self.record = record
             self.record_offset = offset
 
-    def start_return(self, tokens: int, end_offset: int) -> None:
-        """Keep tokens from being held while they are given back."""
-        self.returning = tokens
-        self.returning_at = end_offset
+    def start_change(self, change: StockChange, end_offset: int) -> None:
+        """Keep tokens from being held while a write may give them back or lock them."""
+        self.pending.append(change)
+        self.pending_at = end_offset
 
-    def end_return(self) -> None:
-        """Note that a return has landed or can no longer land."""
-        self.returning = 0
+    def undo_change(self) -> None:
+        """Forget the last write, which the store refused; earlier ones may land."""
+        self.pending.pop()
+
+    def end_changes(self) -> None:
+        """Note that each write has landed or can no longer land."""
+        self.pending.clear()
 
     def take_end(self, end_offset: int) -> None:
         """Take in where the partition ends, as of the record that is known.
 
-        A return whose answer was lost lands at the end that it was sent for, or
-        never. Held again before that is known, its tokens would be spent twice.
+        A write whose answer was lost lands at the end that it was sent for, or
+        never. Held again before that is known, tokens that it gave back would be
+        spent twice.
         """
-        if end_offset > self.returning_at:
-            self.end_return()
+        if end_offset > self.pending_at:
+            self.end_changes()
 
     def serves(self, requester: str) -> bool:
         """Tell whether the store names an incarnation as one that gets grants."""
         return requester in self.used and requester in self.served.values()
 
-    def hold(self, request: str, tokens: int, requester: str) -> bool:
+    def hold(self, request: str, tokens: int, requester: str, now: float) -> bool:
         """Hold tokens for a request if they are available; idempotent.
 
         Only a requester that the store names gets any: when this host ends, those
@@ -164,9 +142,9 @@
         if request in self.holds:
             return self.requesters[request] == requester
         # The settlement of a hold that was given up may overtake the hold.
-        if request in self.settled or tokens > self.available:
+        if request in self.settled or tokens > self.get_available(now):
             return False
-        if self._is_too_long(tokens, self.available + self.free):
+        if self._is_too_long(tokens, self.unused + self.free):
             return False
         if not self.serves(requester):
             return False
@@ -202,7 +180,7 @@
 
     def can_cover(self, tokens: int) -> bool:
         """Tell whether a draw could make enough tokens available."""
-        left = self.available + self.free
+        left = self.unused + self.free
         return left >= tokens and not self._is_too_long(tokens, left)
 
     def _is_too_long(self, tokens: int, left: int) -> bool:
@@ -218,37 +196,30 @@
         """
         others = self.record.spent - self._get_reported_spent()
         used = others + self.spent + self.held
-        return used + tokens > 0.97 * self.prepaid
-
-    def want_change(self, now: float, rank: HomeRank) -> int:
-        """Return how many tokens to draw now, or, below 0, to give back."""
-        stock = self.get_stock(now, rank)
-        if self.waiting:
-            return min(self.free, max(0, self.waiting + stock - self.available))
-        if self.available < LOW_WATER * stock:
-            change = min(self.free, stock - self.available)
-        elif self.available > HIGH_WATER * stock:
-            change = stock - self.available
-        else:
-            return 0
-        return change if abs(change) >= MIN_CHANGE_TOKENS else 0
-
-    def get_stock(self, now: float, rank: HomeRank) -> int:
-        """Return the stock that serves callers through an outage of the store."""
-        stand_in = rank is HomeRank.NONE
-        horizon_s = STAND_IN_HORIZON_S if stand_in else HOME_HORIZON_S
-        floor = FIRST_SHARES[rank] * self.prepaid
-        wanted = max(floor, self.demand.estimate(now) * horizon_s)
-        left = self.free + max(0, self.available)
-        return int(min(wanted, MAX_STOCK_SHARE * left))
-
-    def make_draw(self, tokens: int, served: Mapping[str, str]) -> AccountRecord:
-        """Return the record with tokens more, or fewer, drawn by this incarnation."""
+        return used + tokens > SPENT_SHARE * self.prepaid
+
+    def plan_change(self, now: float, rank: HomeRank) -> StockChange | None:
+        """Return what to draw, give back or lock now, None if nothing."""
+        state = StockState(
+            prepaid=self.prepaid,
+            free=self.free,
+            unused=self.unused,
+            locked=self.locked,
+            waiting=self.waiting,
+            demand=self.demand.estimate(now),
+        )
+        return plan_change(state, rank)
+
+    def make_record(
+        self, change: StockChange, served: Mapping[str, str]
+    ) -> AccountRecord:
+        """Return the record after a change of this incarnation's stock."""
         self.serve_only(served.values())
         holder = Holder(
             host=self.host,
-            drawn=self.drawn + tokens,
+            drawn=self.drawn + change.tokens,
             spent=self.spent,
+            locked=change.locked,
             served=dict(served),
             used_by_former=self.used_by_former,
         )
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -4,6 +4,7 @@
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.record import ACCOUNT_CODEC, AccountRecord
+from trefoilstage.components.escrow.stock import StockChange
 from trefoilstage.components.views.store import (
     Store,
     StoreRefusedError,
@@ -77,32 +78,34 @@
         self._accounts[workspace].take_end(listing.end_offset)
 
     async def change(
-        self, account: EscrowAccount, amount: int, served: Mapping[str, str]
+        self, account: EscrowAccount, change: StockChange, served: Mapping[str, str]
     ) -> bool:
-        """Draw tokens or give them back; tell whether the write counted."""
-        record = account.make_draw(amount, served)
-        if amount < 0:
-            account.start_return(-amount, self._ends[self._find(account.workspace)])
-        return await self.put(account, record)
+        """Draw, give back or lock tokens; tell whether the write counted."""
+        record = account.make_record(change, served)
+        account.start_change(change, self._ends[self._find(account.workspace)])
+        try:
+            return await self.put(account, record)
+        except StoreRefusedError:
+            account.undo_change()
+            raise
 
     async def put(self, account: EscrowAccount, record: AccountRecord) -> bool:
         """Write a record; tell whether the write counted."""
         partition = self._find(account.workspace)
         end_offset = self._ends[partition]
-        try:
-            offset = await self._store.put(
-                Topic.ACCOUNTS,
-                account.workspace,
-                ACCOUNT_CODEC.encode(record),
-                partition=partition,
-                at=end_offset,
-            )
-        except StoreRefusedError:
-            account.end_return()
-            raise
-        account.end_return()
+        offset = await self._store.put(
+            Topic.ACCOUNTS,
+            account.workspace,
+            ACCOUNT_CODEC.encode(record),
+            partition=partition,
+            at=end_offset,
+        )
         if offset is None:
+            # An earlier write whose answer was lost may have taken the place. What it
+            # gave back stays set aside until the record is read again.
             return False
+        # The end has moved on, and with it the place where earlier writes could land.
+        account.end_changes()
         self._ends[partition] = offset + 1
         account.take_record(record, offset)
         return True
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -1,13 +1,13 @@
 """Get tokens held for this host's requests, and settle them."""
 
 import asyncio
+import itertools
 import random
 from collections import defaultdict
 from dataclasses import dataclass
 
 from mode import Service
 
-from trefoilstage.components.escrow.account import HomeRank
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.messages import (
@@ -16,6 +16,8 @@
     SettledHold,
     SettleHolds,
 )
+from trefoilstage.components.escrow.patience import Patience
+from trefoilstage.components.escrow.stock import HomeRank
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.exceptions import PeerUnavailableError
@@ -57,6 +59,17 @@
     incarnation: str = ""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HoldRefused:
+    """Tell why no home holds tokens, and when the home may use its locked ones."""
+
+    reason: Reason
+    lock_wait_s: float = 0.0
+
+
+UNCONFIRMED = HoldRefused(reason=Reason.BUDGET_UNCONFIRMED)
+
+
 class EscrowClient(Service):
     """Ask the home of a workspace to hold and settle tokens."""
 
@@ -91,21 +104,56 @@
         """Stop passing settlements on."""
         self._unsubscribe()
 
-    async def hold(self, workspace: str, request: str, tokens: int) -> Hold | Refusal:
-        """Return a hold for a request, or why it is refused."""
+    async def hold(
+        self, workspace: str, request: str, tokens: int, patience: Patience
+    ) -> Hold | Refusal:
+        """Return a hold for a request, or why it is refused.
+
+        While the store is out of reach and the stock is used up, the request waits
+        for as long as that can help it.
+        """
         if not self._is_prepaid(workspace) or tokens == 0:
             return Hold(workspace=workspace, request=request, tokens=0)
-        reason: Reason | None = None
+        for n_try in itertools.count():
+            # What was refused may have been settled under its name already.
+            name = f"{request}/{n_try}"
+            answer = await self._ask_homes(workspace, name, tokens, repeat=n_try > 0)
+            if isinstance(answer, Hold):
+                return answer
+            wait_s = self._plan_wait(answer, patience)
+            if wait_s is None:
+                return self._refuse(answer, patience)
+            await asyncio.sleep(wait_s)
+        raise AssertionError("unreachable")
+
+    async def _ask_homes(
+        self, workspace: str, request: str, tokens: int, *, repeat: bool
+    ) -> Hold | HoldRefused:
+        first: HoldRefused | None = None
         for home in self._list_homes(workspace):
-            answer = await self._ask(home, workspace, request, tokens)
+            answer = await self._ask(home, workspace, request, tokens, repeat=repeat)
             if isinstance(answer, Hold):
                 return answer
-            reason = answer if reason is None else reason
-        # The home knows most of the account; the others may still hold tokens.
-        silent_s = self._board.store.get_silence(self._timer.now())
-        spread_s = self._generator.uniform(0.0, SPREAD_S)
-        retry_after_s = estimate_return(silent_s) + spread_s
-        return make_refusal(reason or Reason.BUDGET_UNCONFIRMED, retry_after_s)
+            # The home knows most of the account; the others may still hold tokens.
+            first = first or answer
+        return first or HoldRefused(reason=Reason.BUDGET_UNCONFIRMED)
+
+    def _plan_wait(self, refused: HoldRefused, patience: Patience) -> float | None:
+        if refused.reason is not Reason.BUDGET_UNCONFIRMED:
+            return None
+        now = self._timer.now()
+        return patience.plan_wait(
+            now,
+            lock_wait_s=refused.lock_wait_s,
+            return_s=estimate_return(self._board.store.get_silence(now)),
+        )
+
+    def _refuse(self, refused: HoldRefused, patience: Patience) -> Refusal:
+        now = self._timer.now()
+        return_s = estimate_return(self._board.store.get_silence(now))
+        room_s = max(0.0, patience.get_comeback(now) - return_s)
+        spread_s = self._generator.uniform(0.0, min(SPREAD_S, room_s))
+        return make_refusal(refused.reason, return_s + spread_s)
 
     def settle(self, hold: Hold, spent: int) -> None:
         """Count what a request spent of its hold."""
@@ -157,20 +205,26 @@
         return bool(config and config.prepaid_tokens is not None)
 
     async def _ask(
-        self, home: str, workspace: str, request: str, tokens: int
-    ) -> Hold | Reason:
+        self, home: str, workspace: str, request: str, tokens: int, *, repeat: bool
+    ) -> Hold | HoldRefused:
+        message = HoldTokens(
+            workspace=workspace,
+            request=request,
+            tokens=tokens,
+            requester=self._board.incarnation,
+            repeat=repeat,
+        )
         if home == self._board.host:
             incarnation = self._board.incarnation
-            refused = await self._hold_here(workspace, request, tokens)
+            refused = await self._hold_here(message)
         else:
-            peer = self._board.peers[home]
-            incarnation = peer.incarnation
-            refused = await self._hold_there(home, workspace, request, tokens)
+            incarnation = self._board.peers[home].incarnation
+            refused = await self._hold_there(home, message)
         if refused is not None:
             return refused
         if not self._book.accept(incarnation, workspace, tokens):
             # The home was taken for ended while its answer was on its way.
-            return Reason.BUDGET_UNCONFIRMED
+            return UNCONFIRMED
         return Hold(
             workspace=workspace,
             request=request,
@@ -179,32 +233,27 @@
             incarnation=incarnation,
         )
 
-    async def _hold_here(
-        self, workspace: str, request: str, tokens: int
-    ) -> Reason | None:
+    async def _hold_here(self, message: HoldTokens) -> HoldRefused | None:
         try:
-            return await self._home.hold(
-                workspace, request, tokens, self._board.incarnation
+            reason = await self._home.hold(
+                message.workspace,
+                message.request,
+                message.tokens,
+                message.requester,
+                repeat=message.repeat,
             )
         except asyncio.CancelledError:
             # Held or not, nothing is sent for it any more.
-            self._home.settle(
-                (SettledHold(workspace=workspace, request=request, spent=0),)
-            )
+            self._home.settle((make_undone(message),))
             raise
+        if reason is None:
+            return None
+        return HoldRefused(reason=reason, lock_wait_s=self._home.get_lock_wait())
 
-    async def _hold_there(
-        self, home: str, workspace: str, request: str, tokens: int
-    ) -> Reason | None:
+    async def _hold_there(self, home: str, message: HoldTokens) -> HoldRefused | None:
         peer = self._board.peers[home]
         link = self._links.get_link(peer.peer_url)
-        message = HoldTokens(
-            workspace=workspace,
-            request=request,
-            tokens=tokens,
-            requester=self._board.incarnation,
-        )
-        undone = SettledHold(workspace=workspace, request=request, spent=0)
+        undone = make_undone(message)
         try:
             reply = await link.call(message, timeout_s=HOLD_TIMEOUT_S)
         except PeerUnavailableError as error:
@@ -213,21 +262,23 @@
             log_event(
                 Event.HOLD_UNANSWERED,
                 peer=home,
-                request=request,
-                workspace=workspace,
+                request=message.request,
+                workspace=message.workspace,
                 error=str(error),
             )
-            return Reason.BUDGET_UNCONFIRMED
+            return UNCONFIRMED
         except asyncio.CancelledError:
             self._unsettled[home, peer.incarnation].append(undone)
             raise
         if not isinstance(reply, HoldReply):
-            return Reason.BUDGET_UNCONFIRMED
+            return UNCONFIRMED
         if reply.refused is None and reply.incarnation != peer.incarnation:
             # A new incarnation answered. Its hold is settled with itself.
             self._unsettled[home, reply.incarnation].append(undone)
-            return Reason.BUDGET_UNCONFIRMED
-        return reply.refused
+            return UNCONFIRMED
+        if reply.refused is None:
+            return None
+        return HoldRefused(reason=reply.refused, lock_wait_s=reply.lock_wait_s)
 
     async def _flush(self) -> None:
         for (home, incarnation), holds in list(self._unsettled.items()):
@@ -251,6 +302,11 @@
             self._unsettled[home, incarnation] += holds
 
 
+def make_undone(message: HoldTokens) -> SettledHold:
+    """Return the settlement of a hold for which nothing is sent."""
+    return SettledHold(workspace=message.workspace, request=message.request, spent=0)
+
+
 def estimate_return(silent_s: float) -> float:
     """Return the seconds until tokens can probably be drawn, after a silence."""
     if silent_s == 0.0:
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -5,8 +5,9 @@
 
 from mode import Service
 
-from trefoilstage.components.escrow.account import EscrowAccount, HomeRank
+from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
+from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.messages import (
     HoldReply,
     HoldTokens,
@@ -14,8 +15,9 @@
     SettleHolds,
     SettleReply,
 )
-from trefoilstage.components.escrow.record import Holder
-from trefoilstage.components.escrow.recovery import EscrowRecovery, Used
+from trefoilstage.components.escrow.record import Holder, Used
+from trefoilstage.components.escrow.recovery import EscrowRecovery
+from trefoilstage.components.escrow.stock import HomeRank, StockChange
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.store import Store, StoreUnavailableError
 from trefoilstage.fleet_board import FleetBoard
@@ -54,12 +56,14 @@
         n_partitions: int,
         rank_home: RankHome,
         recovery: EscrowRecovery,
+        lock: ReserveLock,
     ) -> None:
         super().__init__()
         self._board = board
         self._timer = timer
         self._rank_home = rank_home
         self._recovery = recovery
+        self._lock = lock
         self._accounts: dict[str, EscrowAccount] = {}
         self._records = AccountStore(
             store=store,
@@ -84,15 +88,22 @@
         self._unsubscribe()
 
     async def hold(
-        self, workspace: str, request: str, tokens: int, requester: str
+        self,
+        workspace: str,
+        request: str,
+        tokens: int,
+        requester: str,
+        *,
+        repeat: bool = False,
     ) -> Reason | None:
         """Hold tokens for a request; return why not, or None once they are held."""
         account = self._get_account(workspace)
         if account is None:
             return Reason.UNKNOWN_ACCOUNT
         now = self._timer.now()
-        account.demand.note(tokens, now)
-        if account.hold(request, tokens, requester):
+        if not repeat:
+            account.demand.note(tokens, now)
+        if account.hold(request, tokens, requester, now):
             return None
         if self._is_paused(workspace):
             return self._refuse(account, request, tokens)
@@ -104,7 +115,7 @@
             await self._wait_for_draw(workspace)
         finally:
             account.waiting -= tokens
-        if account.hold(request, tokens, requester):
+        if account.hold(request, tokens, requester, self._timer.now()):
             return None
         return self._refuse(account, request, tokens)
 
@@ -121,18 +132,34 @@
             draw = self._draws.get(workspace)
             if draw is not None and not draw.done():
                 await draw
-            if account.available > 0:
-                await self._change(workspace, lambda item: -max(0, item.available))
+            if account.unused > 0 or account.locked > 0:
+                await self._change(workspace, make_return)
 
     def list_accounts(self) -> list[EscrowAccount]:
         """Return the accounts that this host has held tokens for."""
         return list(self._accounts.values())
 
+    def has_touched_lock(self) -> bool:
+        """Tell whether tokens are in use that the store may say are locked."""
+        return any(account.is_touched for account in self._accounts.values())
+
+    def get_lock_wait(self) -> float:
+        """Return the seconds until locked tokens may be used, 0 if they may be."""
+        return max(0.0, self._lock.until - self._timer.now())
+
     async def _answer_hold(self, message: HoldTokens) -> HoldReply:
         reason = await self.hold(
-            message.workspace, message.request, message.tokens, message.requester
+            message.workspace,
+            message.request,
+            message.tokens,
+            message.requester,
+            repeat=message.repeat,
+        )
+        return HoldReply(
+            incarnation=self._board.incarnation,
+            refused=reason,
+            lock_wait_s=self.get_lock_wait(),
         )
-        return HoldReply(incarnation=self._board.incarnation, refused=reason)
 
     async def _answer_settle(self, message: SettleHolds) -> SettleReply:
         # What an earlier incarnation held was counted as spent in full.
@@ -151,6 +178,7 @@
                 workspace=workspace,
                 host=self._board.host,
                 incarnation=self._board.incarnation,
+                lock=self._lock,
             )
             self._accounts[workspace] = account
         account.prepaid = config.prepaid_tokens
@@ -169,7 +197,8 @@
             workspace=account.workspace,
             reason=reason,
             tokens=tokens,
-            available=account.available,
+            available=account.get_available(self._timer.now()),
+            locked=account.locked,
             free=account.free,
             drawn_by_all=account.record.drawn,
             spent_by_all=account.record.spent,
@@ -203,7 +232,7 @@
         return draw
 
     def _wants_record(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
-        if account.want_change(now, rank):
+        if account.plan_change(now, rank) is not None:
             return True
         return rank is not HomeRank.NONE and self._lacks_requester(account)
 
@@ -217,14 +246,13 @@
         self._draws[workspace] = asyncio.create_task(self._recover(workspace))
 
     async def _draw(self, workspace: str) -> None:
-        def get_amount(account: EscrowAccount) -> int:
-            rank = self._rank_home(workspace)
-            return account.want_change(self._timer.now(), rank)
+        def plan(account: EscrowAccount) -> StockChange | None:
+            return account.plan_change(self._timer.now(), self._rank_home(workspace))
 
-        await self._change(workspace, get_amount)
+        await self._change(workspace, plan)
 
     async def _change(
-        self, workspace: str, get_amount: Callable[[EscrowAccount], int]
+        self, workspace: str, plan: Callable[[EscrowAccount], StockChange | None]
     ) -> None:
         """Draw or give back, tried anew while other hosts write the partition."""
         account = self._accounts[workspace]
@@ -233,16 +261,19 @@
             for _ in range(MAX_CONFLICTS):
                 if refresh:
                     await self._records.refresh(workspace)
-                amount = get_amount(account)
-                if amount == 0 and not self._must_write(account):
-                    return
+                change = plan(account)
+                if change is None:
+                    if not self._must_write(account):
+                        return
+                    change = StockChange(tokens=0, locked=account.locked)
                 served = self._recovery.list_requesters()
-                if await self._records.change(account, amount, served):
+                if await self._records.change(account, change, served):
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
-                        tokens=amount,
-                        available=account.available,
+                        tokens=change.tokens,
+                        locked=change.locked,
+                        unused=account.unused,
                         free=account.free,
                     )
                     return
@@ -295,7 +326,7 @@
     ) -> None:
         if not self._records.is_known(account.workspace):
             return
-        record = account.record.retire(incarnation, used.tokens)
+        record = account.record.retire(incarnation, used)
         if await self._records.put(account, record):
             log_event(
                 Event.ESCROW_RECOVERED,
@@ -303,6 +334,7 @@
                 holder=incarnation,
                 drawn=holder.drawn,
                 used=used.tokens,
+                witnessed=used.witnessed,
             )
 
     def _has_ended_holder(self, account: EscrowAccount) -> bool:
@@ -331,3 +363,8 @@
                 self._start_recovery(workspace, now)
             elif unread or self._wants_record(account, now, rank):
                 self._start_draw(workspace)
+
+
+def make_return(account: EscrowAccount) -> StockChange:
+    """Return the change that gives all unused tokens back."""
+    return StockChange(tokens=-max(0, account.unused), locked=0)
--- /dev/null
+++ b/trefoilstage/components/escrow/lock_keeper.py
@@ -0,0 +1,128 @@
+"""Keep this host's promise not to touch its locked tokens in the store."""
+
+import asyncio
+from collections.abc import Callable
+
+from mode import Service
+
+from trefoilstage.components.escrow.lock import (
+    LOCK_CODEC,
+    RENEW_S,
+    LockRecord,
+    ReserveLock,
+    find_untouched,
+)
+from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
+from trefoilstage.exceptions import MalformedMessageError
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.timer import TimerService
+from trefoilstage.util.process_start import ProcessStart
+
+READ_RETRY_S = 0.2
+
+
+class LockKeeper(Service):
+    """Read the predecessor's promise, then renew this incarnation's own."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        store: Store,
+        timer: TimerService,
+        lock: ReserveLock,
+        start: ProcessStart,
+        has_touched: Callable[[], bool],
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._store = store
+        self._timer = timer
+        self._lock = lock
+        self._start_of_process = start
+        self._has_touched = has_touched
+        self._failed_at = float("-inf")
+        self._renewing = False
+
+    async def on_start(self) -> None:
+        """Start to read and to renew."""
+        self.add_future(self.read_predecessor())
+        self._unsubscribe = self._timer.subscribe(
+            name="reserve lock", interval_s=RENEW_S, callback=self.renew
+        )
+
+    async def on_stop(self) -> None:
+        """Stop renewing."""
+        self._unsubscribe()
+
+    async def read_predecessor(self) -> None:
+        """Learn from the store what earlier processes of this host never touched."""
+        while self._board.untouched is None:
+            try:
+                record = await self._find_record()
+            except StoreUnavailableError:
+                # The followers log that the store is out of reach.
+                await asyncio.sleep(READ_RETRY_S)
+                continue
+            proven = find_untouched(record, self._start_of_process)
+            self._board.untouched = proven
+            log_event(
+                Event.LOCK_READ,
+                predecessor=record.incarnation if record else "",
+                until=record.until if record else 0.0,
+                started=self._start_of_process.at,
+                untouched=",".join(proven),
+            )
+            await self.renew()
+
+    async def _find_record(self) -> LockRecord | None:
+        listing = await self._store.list_newest(Topic.LOCKS)
+        for record in listing.records:
+            if record.key == self._board.host and record.value is not None:
+                try:
+                    return LOCK_CODEC.decode(record.value)
+                except MalformedMessageError as error:
+                    # No proof then: what was locked counts as used.
+                    log_event(
+                        Event.RECORD_MALFORMED, topic=Topic.LOCKS, error=str(error)
+                    )
+        return None
+
+    async def renew(self) -> None:
+        """Put the moment off at which locked tokens may be used, while all is well."""
+        if self._renewing or self._board.untouched is None or not self._may_promise():
+            return
+        self._renewing = True
+        try:
+            await self._write()
+        finally:
+            self._renewing = False
+
+    def _may_promise(self) -> bool:
+        """Tell whether the store answers and no locked tokens are in use.
+
+        A new promise after a failed one would keep the lock closed throughout an
+        outage, which is when the tokens are needed.
+        """
+        store = self._board.store
+        if store.out_of_reach or store.last_answer <= self._failed_at:
+            return False
+        return not self._has_touched()
+
+    async def _write(self) -> None:
+        record = LockRecord(
+            incarnation=self._board.incarnation,
+            boot=self._start_of_process.boot,
+            until=self._lock.promise(self._timer.now()),
+            offset=self._start_of_process.offset,
+            untouched=self._board.untouched or (),
+        )
+        try:
+            await self._store.put(
+                Topic.LOCKS, self._board.host, LOCK_CODEC.encode(record)
+            )
+        except StoreUnavailableError as error:
+            now = self._timer.now()
+            self._failed_at = now
+            self._board.store.note_failure(now, str(error))
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -15,6 +15,7 @@
     request: Name
     tokens: Tokens
     requester: Name  # the incarnation that asks
+    repeat: bool = False  # asked again for the same caller's request
     kind: Literal["hold_tokens"] = "hold_tokens"
 
 
@@ -24,6 +25,7 @@
 
     incarnation: Name
     refused: Reason | None = None
+    lock_wait_s: float = 0.0  # until the home may use its locked tokens
     kind: Literal["hold_reply"] = "hold_reply"
 
 
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -14,6 +14,8 @@
     host: Name
     drawn: Tokens
     spent: Tokens
+    # The part of what it drew that it doesn't use while its host's lock is closed.
+    locked: Tokens = 0
     # The incarnations, by host, that may have got grants; they are its witnesses.
     served: dict[Name, Name] = field(default_factory=dict)
     # What was granted to incarnations that are served no more.
@@ -42,24 +44,35 @@
         """Return the record with what an incarnation has drawn in all."""
         return replace(self, holders={**self.holders, incarnation: holder})
 
-    def retire(self, incarnation: str, used: int | None) -> "AccountRecord":
+    def retire(self, incarnation: str, used: "Used") -> "AccountRecord":
         """Return the record without an ended incarnation.
 
-        What it used at most counts as drawn for good; all it drew, if that is not
-        known, for requests that it granted may have used it up.
+        What it used at most counts as drawn for good, also where only part of it was
+        really spent, for requests that it granted may have used all of it up.
         """
         holders = dict(self.holders)
         holder = holders.pop(incarnation)
-        drawn = holder.drawn if used is None else min(used, holder.drawn)
+        drawn = min(used.tokens, holder.drawn)
         return replace(
             self,
             holders=holders,
             retired_drawn=self.retired_drawn + drawn,
             retired_spent=self.retired_spent
-            + (holder.spent if used is None else drawn),
+            + (drawn if used.witnessed else min(holder.spent, drawn)),
         )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Used:
+    """Tell what an ended home's grants used at most.
+
+    Without witnesses that is all it drew, but for what it proved not to have touched.
+    """
+
+    tokens: int
+    witnessed: bool
+
+
 ACCOUNT_CODEC: Codec[AccountRecord] = Codec(
     family=AccountRecord, max_bytes=MAX_RECORD_BYTES
 )
--- a/trefoilstage/components/escrow/recovery.py
+++ b/trefoilstage/components/escrow/recovery.py
@@ -5,7 +5,7 @@
 
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.messages import SealHome, SealReply
-from trefoilstage.components.escrow.record import Holder
+from trefoilstage.components.escrow.record import Holder, Used
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
 
@@ -16,13 +16,6 @@
 AskSeal = Callable[[str, SealHome], Awaitable[SealReply | None]]
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Used:
-    """Tell what an ended home's grants used at most; None if nobody can know."""
-
-    tokens: int | None
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unknown:
     """Tell that a witness gave no answer; it may later."""
@@ -46,6 +39,7 @@
         self._book = book
         self._ask_seal = ask_seal
         self._grants_to_self = False
+        self._first_seen: dict[str, float] = {}  # by incarnation that a record names
 
     def note_requester(self, requester: str) -> None:
         """Take note of who asks; grants to this host itself have no other witness."""
@@ -65,26 +59,52 @@
         return found
 
     def has_ended(self, host: str, incarnation: str) -> bool:
-        """Tell whether an incarnation has ended: its host runs a later one.
+        """Tell whether an incarnation that a record names has ended.
 
-        A host that is only silent may be paused or cut off and go on later.
+        Its host must have answered as another one to a call made after the record
+        was read. What was heard before may be older than the record: a live home
+        would be taken for ended, and sealed until its next start. A host that is
+        only silent may be paused or cut off and go on later.
         """
-        current = self._get_incarnation(host)
-        return current is not None and current != incarnation
+        now = self._timer.now()
+        seen = self._first_seen.setdefault(incarnation, now)
+        if host == self._board.host:
+            return incarnation != self._board.incarnation
+        peer = self._board.peers.get(host)
+        if peer is None or peer.incarnation == incarnation:
+            return False
+        return peer.confirmed_at >= seen
 
     async def find_used(
         self, workspace: str, incarnation: str, holder: Holder
     ) -> Used | Unknown:
         """Return what was used of an ended home's draws, as its witnesses know."""
         if any(self.has_ended(host, served) for host, served in holder.served.items()):
-            return Used(tokens=None)
+            return self._find_untouched(incarnation, holder)
         total = holder.used_by_former
         for host, served in holder.served.items():
             reply = await self._seal(host, incarnation)
             if reply is None or reply.incarnation != served:
                 return Unknown(host=host)
             total += reply.used.get(workspace, 0)
-        return Used(tokens=total)
+        return Used(tokens=total, witnessed=True)
+
+    def _find_untouched(self, incarnation: str, holder: Holder) -> Used | Unknown:
+        """Return all that a home drew, less what its successor proves to be unused."""
+        if not holder.locked:
+            return Used(tokens=holder.drawn, witnessed=False)
+        proofs = self._get_proofs(holder.host)
+        if proofs is None:
+            # The successor has yet to read the promise; soon it will know.
+            return Unknown(host=holder.host)
+        untouched = holder.locked if incarnation in proofs else 0
+        return Used(tokens=holder.drawn - untouched, witnessed=False)
+
+    def _get_proofs(self, host: str) -> tuple[str, ...] | None:
+        if host == self._board.host:
+            return self._board.untouched
+        peer = self._board.peers.get(host)
+        return peer.untouched if peer else None
 
     async def _seal(self, host: str, incarnation: str) -> SealReply | None:
         if host == self._board.host:
@@ -95,9 +115,3 @@
         """Take no grant of an incarnation any more; tell what was used of them."""
         used = self._book.seal(message.incarnation)
         return SealReply(incarnation=self._board.incarnation, used=used)
-
-    def _get_incarnation(self, host: str) -> str | None:
-        if host == self._board.host:
-            return self._board.incarnation
-        peer = self._board.peers.get(host)
-        return peer.incarnation if peer else None
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -189,12 +189,19 @@
 
     async def _beat_peer(self, peer: PeerState) -> None:
         link = self._links.get_link(peer.peer_url)
+        started = self._timer.now()
         try:
             reply = await link.call(self._make_beat(), timeout_s=BEAT_TIMEOUT_S)
         except PeerUnavailableError:
             return
         if isinstance(reply, HostBeat):
             await self._take_beat(reply)
+            self._confirm(reply, started)
+
+    def _confirm(self, reply: HostBeat, started: float) -> None:
+        known = self._board.peers.get(reply.host)
+        if known is not None and known.incarnation == reply.incarnation:
+            known.confirmed_at = max(known.confirmed_at, started)
 
     async def _answer_beat(self, beat: HostBeat) -> HostBeat:
         self.add_future(self._take_beat(beat))
@@ -208,6 +215,7 @@
             data_center=self._board.data_center,
             serving=self._board.phase is Phase.SERVING,
             store_in_reach=not self._board.store.out_of_reach,
+            untouched=self._board.untouched,
             next_offsets={
                 topic: follower.view.next_offset
                 for topic, follower in self._followers.items()
@@ -227,6 +235,7 @@
         peer.failed = False
         peer.serving = beat.serving
         peer.store_in_reach = beat.store_in_reach
+        peer.untouched = beat.untouched
         for topic, offset in beat.next_offsets.items():
             await self._catch_up(peer, topic, offset)
 
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -23,6 +23,8 @@
     serving: bool
     store_in_reach: bool
     next_offsets: dict[Topic, int]
+    # Predecessors that never touched their locked tokens; None until this is known.
+    untouched: tuple[Name, ...] | None = None
     kind: Literal["host_beat"] = "host_beat"
 
 
--- /dev/null
+++ b/trefoilstage/components/fleet/metrics.py
@@ -0,0 +1,112 @@
+"""Serve a forwarding host's metrics as text."""
+
+from collections.abc import Callable, Sequence
+
+import eliot
+from aiohttp import web
+from mode import Service
+
+from trefoilstage.components.escrow.account import EscrowAccount
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.exposition import CONTENT_TYPE, MetricsPage
+from trefoilstage.helpers.lines import LineWriter
+from trefoilstage.timer import TimerService
+
+PATH = "/metrics"
+# Lines that a slow reader left behind are tried again this often.
+FLUSH_S = 0.25
+
+
+class MetricsServer(Service):
+    """Count events and answer on the address for metrics."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        timer: TimerService,
+        lines: LineWriter,
+        address: str,
+        port: int,
+        get_accounts: Callable[[], Sequence[EscrowAccount]],
+        count_active: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self._board = board
+        self._timer = timer
+        self._lines = lines
+        self._address = address
+        self._port = port
+        self._get_accounts = get_accounts
+        self._count_active = count_active
+        self._page = MetricsPage()
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Start to count and to listen."""
+        self._add_gauges()
+        eliot.add_destinations(self._page)
+        self._unsubscribe = self._timer.subscribe(
+            name="log lines", interval_s=FLUSH_S, callback=self._flush_lines
+        )
+        runner = web.ServerRunner(web.Server(self._answer, access_log=None))
+        await runner.setup()
+        self._runner = runner
+        try:
+            await web.TCPSite(runner, self._address, self._port).start()
+        except OSError as error:
+            # A host without metrics serves callers as well as any other.
+            log_event(Event.METRICS_UNAVAILABLE, port=self._port, error=str(error))
+
+    async def on_stop(self) -> None:
+        """Stop listening and counting."""
+        self._unsubscribe()
+        eliot.remove_destination(self._page)
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _flush_lines(self) -> None:
+        self._lines.flush()
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        if request.path != PATH:
+            return web.Response(status=404)
+        headers = {"Content-Type": CONTENT_TYPE}
+        return web.Response(body=self._page.render(), headers=headers)
+
+    def _add_gauges(self) -> None:
+        board = self._board
+        add = self._page.add_gauge
+        add("requests_active", "Requests under way.", self._count_active)
+        add(
+            "store_silent_seconds",
+            "Seconds since the store answered, 0 while it is in reach.",
+            lambda: board.store.get_silence(self._timer.now()),
+        )
+        add(
+            "configuration_version",
+            "Version in force, 0 before the first.",
+            lambda: board.configuration.version if board.configuration else 0,
+        )
+        add("peers_known", "Other hosts known.", lambda: len(board.peers))
+        add(
+            "targets_listed",
+            "Targets with an entry in the store.",
+            lambda: len(board.targets.listed),
+        )
+        add(
+            "tokens_unused",
+            "Tokens drawn here and not held or spent.",
+            lambda: sum(item.unused for item in self._get_accounts()),
+        )
+        add(
+            "tokens_held",
+            "Tokens held here for requests under way.",
+            lambda: sum(item.held for item in self._get_accounts()),
+        )
+        add(
+            "log_lines_left_out",
+            "Log lines that were over the rate or that nobody read.",
+            lambda: self._lines.n_left_out,
+        )
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -37,6 +37,7 @@
     public: bool
     resumable: bool
     gap_objective_s: float = 0.0  # longest pause between events that is on time
+    silence_limit_s: float = 2.0  # callers give up when they hear nothing for longer
 
     @property
     def is_repeatable(self) -> bool:
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from trefoilstage.components.escrow.client import EscrowClient, Hold
+from trefoilstage.components.escrow.patience import Patience
 from trefoilstage.components.forwarding.border import ForwardOptions
 from trefoilstage.components.forwarding.events import EventSplitter, StreamEvent
 from trefoilstage.components.forwarding.models import (
@@ -64,7 +65,14 @@
         try:
             async with asyncio.timeout_at(run.deadline):
                 hold = await self._escrow.hold(
-                    run.workspace_name, self._name_hold(run), run.request.max_tokens
+                    run.workspace_name,
+                    self._name_hold(run),
+                    run.request.max_tokens,
+                    Patience.start(
+                        now=run.started,
+                        silence_s=run.route.silence_limit_s,
+                        deadline=run.deadline,
+                    ),
                 )
                 if isinstance(hold, Refusal):
                     return hold
--- a/trefoilstage/components/views/store.py
+++ b/trefoilstage/components/views/store.py
@@ -15,6 +15,7 @@
     TARGETS = "targets"
     HOSTS = "hosts"
     ACCOUNTS = "accounts"
+    LOCKS = "locks"
 
 
 class StoreUnavailableError(NotReadyError):
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -53,9 +53,13 @@
     peer_url: str
     data_center: str
     last_heard: float = float("-inf")
+    # When a call was made that this incarnation answered; it ran after that moment.
+    confirmed_at: float = float("-inf")
     serving: bool = False
     failed: bool = False  # a call failed since it was last heard
     store_in_reach: bool = True
+    # Its predecessors that never touched their locked tokens; None until it knows.
+    untouched: tuple[str, ...] | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -71,6 +75,7 @@
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # its follower
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
+    untouched: tuple[str, ...] | None = None  # lock keeper
 
     def list_live_hosts(self, now: float, silent_s: float) -> list[str]:
         """Return the hosts that answer and serve, this one among them."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -11,9 +11,12 @@
 from trefoilstage.components.escrow.client import EscrowClient
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.lock import ReserveLock
+from trefoilstage.components.escrow.lock_keeper import LockKeeper
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.fleet.metrics import MetricsServer
 from trefoilstage.components.fleet.watcher import BoardWatcher
 from trefoilstage.components.forwarding.border import Border
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
@@ -30,8 +33,10 @@
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.dump import StateRegistry
 from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.lines import LineWriter
 from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
+from trefoilstage.util.process_start import ProcessStart
 
 # A configuration is in force within 2 s of its acceptance: the store answers a
 # waiting read at once, and a connection that went silent is given up after this.
@@ -65,8 +70,12 @@
         border: Border,
         watcher: BoardWatcher,
         board: FleetBoard,
+        process_start: ProcessStart,
+        lines: LineWriter,
     ) -> None:
         super().__init__()
+        self._lines = lines
+        self._process_start = process_start
         self._settings = settings
         self._store = store
         self._border = border
@@ -101,6 +110,7 @@
             board=self._board, timer=timer, book=book, ask_seal=membership.ask_seal
         )
         membership.set_seal_handler(recovery.seal)
+        lock = ReserveLock()
         home = EscrowHome(
             board=self._board,
             store=self._store,
@@ -109,8 +119,17 @@
             n_partitions=settings.store_partitions,
             rank_home=lambda workspace: self._escrow.rank_home(workspace),
             recovery=recovery,
+            lock=lock,
         )
         self._home = home
+        keeper = LockKeeper(
+            board=self._board,
+            store=self._store,
+            timer=timer,
+            lock=lock,
+            start=self._process_start,
+            has_touched=home.has_touched_lock,
+        )
         self._escrow = EscrowClient(
             board=self._board,
             membership=membership,
@@ -142,11 +161,20 @@
             border=self._border,
             pipeline=pipeline,
         )
+        metrics = MetricsServer(
+            board=self._board,
+            timer=timer,
+            lines=self._lines,
+            address=settings.address,
+            port=settings.metrics_port,
+            get_accounts=home.list_accounts,
+            count_active=lambda: self._server.n_active,
+        )
         self._registry.register("board", lambda: self._board)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", home.list_accounts)
-        parts: list[Service] = [timer, links, peers, *followers.values()]
-        parts += [membership, home, self._escrow, workload, self._server]
+        parts: list[Service] = [timer, metrics, links, peers, *followers.values()]
+        parts += [membership, keeper, home, self._escrow, workload, self._server]
         for part in parts:
             await self.add_runtime_dependency(part)
         self.add_future(self._become_ready())
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -1,15 +1,19 @@
 """Write one key=value line for each event."""
 
+import atexit
 import json
 import logging
-import sys
 import traceback
 from collections.abc import Mapping
 from enum import StrEnum
-from typing import Any, TextIO
+from typing import Any
 
 import eliot
 
+from trefoilstage.helpers.lines import LineWriter
+
+STANDARD_OUTPUT = 1
+STANDARD_ERROR = 2
 FIELDS_FIRST = ("timestamp", "message_type")
 FIELDS_HIDDEN = frozenset({"task_uuid", "task_level"})
 
@@ -63,6 +67,7 @@
     STORE_WRITE_FAILED = "store_write_failed"
     PEER_MET = "peer_met"
     ESCROW_DRAWN = "escrow_drawn"
+    LOCK_READ = "lock_read"
     ESCROW_DRAW_FAILED = "escrow_draw_failed"
     ESCROW_RECOVERED = "escrow_recovered"
     HOLD_REFUSED = "hold_refused"
@@ -77,6 +82,18 @@
     STOP_INCOMPLETE = "stop_incomplete"
     LEAVE_INCOMPLETE = "leave_incomplete"
     USAGE_ABOVE_RESERVATION = "usage_above_reservation"
+    METRICS_UNAVAILABLE = "metrics_unavailable"
+
+
+ROUTINE_EVENTS = frozenset(
+    {
+        Event.REQUEST_SENT.value,
+        Event.REQUEST_DONE.value,
+        Event.CALL_BILLED.value,
+        Event.ESCROW_DRAWN.value,
+        Event.DRAW_GRANTED.value,
+    }
+)
 
 
 def log_event(event: Event, **fields: object) -> None:
@@ -114,15 +131,21 @@
 
 
 class EventWriter:
-    """Write events to a stream as they come."""
+    """Write events as they come; failures go before routine under load."""
 
-    def __init__(self, *, stream: TextIO | None = None) -> None:
-        self._stream = stream or sys.stderr
+    def __init__(self, *, lines: LineWriter) -> None:
+        self._lines = lines
 
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Write one event."""
-        self._stream.write(format_event(message) + "\n")
-        self._stream.flush()
+        self._lines.write(format_event(message), routine=is_routine(message))
+
+
+def is_routine(message: Mapping[str, Any]) -> bool:
+    """Tell whether an event says only that all went as usual."""
+    if message.get("message_type") not in ROUTINE_EVENTS:
+        return False
+    return message.get("complete", True) is True
 
 
 class LibraryHandler(logging.Handler):
@@ -140,7 +163,10 @@
         )
 
 
-def set_up_events(stream: TextIO | None = None) -> None:
-    """Send all events to a stream, standard error by default."""
-    eliot.add_destinations(EventWriter(stream=stream))
+def set_up_events(descriptor: int = STANDARD_ERROR) -> LineWriter:
+    """Send all events to a descriptor, standard error by default."""
+    lines = LineWriter(descriptor=descriptor)
+    eliot.add_destinations(EventWriter(lines=lines))
     logging.basicConfig(level=logging.WARNING, handlers=[LibraryHandler()], force=True)
+    atexit.register(lines.flush)
+    return lines
--- a/trefoilstage/platform/__main__.py
+++ b/trefoilstage/platform/__main__.py
@@ -13,7 +13,13 @@
 from trefoilstage.exceptions import SettingsError
 from trefoilstage.fleet_host import FleetHost, make_board
 from trefoilstage.fleet_settings import FleetSettings
-from trefoilstage.helpers.events import Event, log_event, set_up_events
+from trefoilstage.helpers.events import (
+    STANDARD_OUTPUT,
+    Event,
+    log_event,
+    set_up_events,
+)
+from trefoilstage.helpers.lines import LineWriter
 from trefoilstage.platform.configuration import (
     CONFIGURATION_KEY,
     decode_configuration,
@@ -22,6 +28,7 @@
 from trefoilstage.platform.headers import HeaderBorder
 from trefoilstage.platform.settings import load_platform_settings
 from trefoilstage.platform.store import StoreClient
+from trefoilstage.util.process_start import ProcessStart, read_process_start
 
 SETTINGS_VARIABLE = "TREFOILSTAGE_CONFIG"
 # What is left of the grace after the drain and the return of tokens.
@@ -30,7 +37,9 @@
 EXIT_BAD_SETTINGS = 2
 
 
-async def run_host(path: Path, settings: FleetSettings) -> None:
+async def run_host(
+    path: Path, settings: FleetSettings, process_start: ProcessStart, lines: LineWriter
+) -> None:
     """Serve until a signal asks to drain."""
     board = make_board(settings)
     connector = aiohttp.TCPConnector(limit=0, local_addr=(settings.address, 0))
@@ -46,6 +55,8 @@
                 decode_target=decode_target,
             ),
             board=board,
+            process_start=process_start,
+            lines=lines,
         )
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -86,7 +97,8 @@
 
 def main() -> None:
     """Start the host from the settings that the platform names."""
-    set_up_events(sys.stdout)
+    process_start = read_process_start()
+    lines = set_up_events(STANDARD_OUTPUT)
     try:
         path = Path(os.environ[SETTINGS_VARIABLE])
         settings = load_platform_settings(path)
@@ -97,7 +109,7 @@
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
     try:
-        uvloop.run(run_host(path, settings))
+        uvloop.run(run_host(path, settings, process_start, lines))
     except OSError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_CRASHED)
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -26,6 +26,10 @@
     "unsafe": RouteKind.ONCE,
     "stream": RouteKind.STREAM,
 }
+# Callers give up a stream without an event for the longest of these.
+SILENCE_LIMIT_S = 2.0
+SILENCE_PER_OBJECTIVE = 4.0
+SILENCE_PER_GAP = 8.0
 Positive = Annotated[float, Field(gt=0)]
 
 
@@ -152,6 +156,11 @@
         public=wire.public,
         resumable=wire.resumable,
         gap_objective_s=wire.gap_aim_ms / MS_PER_S,
+        silence_limit_s=max(
+            SILENCE_LIMIT_S,
+            SILENCE_PER_OBJECTIVE * wire.target_latency_ms / MS_PER_S,
+            SILENCE_PER_GAP * wire.gap_aim_ms / MS_PER_S,
+        ),
     )
 
 
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -8,6 +8,8 @@
 from trefoilstage.fleet_settings import FleetSettings
 
 MS_PER_S = 1000.0
+# The platform draws all other ports; this one stands in deploy/system.toml as well.
+METRICS_PORT = 9464
 
 
 def load_platform_settings(path: Path) -> FleetSettings:
@@ -37,7 +39,7 @@
     """Return the settings under the product's names, as pydantic checks them."""
     caller_address, _, caller_port = fields["listen.front"].rpartition(":")
     _, _, ready_port = fields["listen.ready"].rpartition(":")
-    first_port, _, last_port = fields["internal_ports"].partition(",")
+    first_port, _, _ = fields["internal_ports"].partition(",")
     return {
         "host": fields["node_name"],
         "data_center": fields["zone"],
@@ -45,7 +47,7 @@
         "caller_port": caller_port,
         "ready_port": ready_port,
         "peer_port": first_port,
-        "metrics_port": last_port or first_port,
+        "metrics_port": METRICS_PORT,
         "store_url": f"http://{fields['platform.address']}",
         "store_partitions": fields.get("platform.parts", "1"),
         # Milliseconds there, seconds here.
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -21,6 +21,7 @@
     Topic.TARGETS: "keyed.servers",
     Topic.HOSTS: "keyed.hosts",
     Topic.ACCOUNTS: "keyed.accounts",
+    Topic.LOCKS: "keyed.locks",
 }
 HTTP_OK = 200
 HTTP_GONE = 410
