Carry fleets of 66 hosts: pass heartbeats on, gather work at one host a target, name rosters once

Change: in a fleet of over 12 peers a host calls two a beat, and heartbeats pass on when each other host was heard; a host tells its work at a target only to the host that gathers it, and asks there beside the hold; lists of hosts that may get grants are written once under their digest. Small fleets go on as before.

Ruled out: passing on only the 24 or 40 hosts heard last (some were unheard for 9 to 11 s); longer intervals of reports (work a second old says nothing of prompts read in 0.2 s).

--- /dev/null
+++ b/tests/components/forwarding/test_workload.py
@@ -0,0 +1,136 @@
+"""Test that hosts know each other's work at the targets, in small and large fleets."""
+
+import unittest
+from typing import Any
+
+from tests.components.escrow.common import ManualTimer
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.messages import AskWork, WorkReport
+from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.fleet_board import FleetBoard, PeerState
+from trefoilstage.phase import Phase
+
+
+class Network:
+    """Carry messages between workload controllers, and count them."""
+
+    def __init__(self, n_hosts: int) -> None:
+        self.timer = ManualTimer()
+        self.names = [f"host-{number}" for number in range(n_hosts)]
+        self.workloads = {name: self.make(name) for name in self.names}
+        self.down: set[str] = set()
+        self.n_told = 0
+
+    def make(self, name: str) -> WorkloadController:
+        """Return the controller of one host that has heard all others."""
+        board = FleetBoard(
+            host=name, incarnation=name, data_center="brest", phase=Phase.SERVING
+        )
+        for other in self.names:
+            if other != name:
+                board.peers[other] = PeerState(
+                    host=other,
+                    incarnation=other,
+                    peer_url=other,
+                    data_center="brest",
+                    last_heard=0.0,
+                    serving=True,
+                )
+        workload = WorkloadController(
+            board=board,
+            links=self,  # type: ignore[arg-type]
+            server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
+            timer=self.timer,
+        )
+        workload.add_future = self.run_now  # type: ignore[method-assign]
+        self.waiting: list[Any] = []
+        return workload
+
+    def run_now(self, coroutine: Any) -> Any:
+        """Keep what a controller starts, to run it within the test."""
+        self.waiting.append(coroutine)
+        return coroutine
+
+    def get_link(self, url: str) -> "Link":
+        """Return a link to a host."""
+        return Link(network=self, name=url)
+
+    async def report(self, name: str) -> None:
+        """Let a host report its changes, and deliver them."""
+        await self.workloads[name]._report()
+        while self.waiting:
+            await self.waiting.pop()
+
+
+class Link:
+    """Deliver messages to one host."""
+
+    def __init__(self, *, network: Network, name: str) -> None:
+        self.network = network
+        self.name = name
+
+    async def tell(self, message: WorkReport, *, timeout_s: float) -> None:
+        """Deliver a report."""
+        self.network.n_told += 1
+        await self.network.workloads[self.name]._take_report(message)
+
+    async def call(self, message: AskWork, *, timeout_s: float) -> Any:
+        """Deliver a question and return its answer."""
+        if self.name in self.network.down:
+            raise PeerUnavailableError("down")
+        return await self.network.workloads[self.name]._answer_work(message)
+
+
+class WorkloadTest(unittest.IsolatedAsyncioTestCase):
+    """Test what one host knows of the others' work."""
+
+    async def test_small_fleet_tells_all(self) -> None:
+        network = Network(7)
+        network.workloads["host-0"].add("i-1", n_requests=1, prompt_tokens=900)
+        await network.report("host-0")
+        self.assertEqual(network.n_told, 6)
+        work = network.workloads["host-3"].get_work("i-1")
+        self.assertEqual((work.n_requests, work.prompt_tokens), (1, 900))
+
+    async def test_large_fleet_asks_the_gathering_host(self) -> None:
+        """Let two of 66 hosts send prompts to one target; a third asks before it does.
+
+        Each tells one host only, and the third learns of both. Told to all, the
+        reports of 66 hosts took more than their processors had.
+        """
+        network = Network(66)
+        for name in ("host-0", "host-1"):
+            network.workloads[name].add("i-1", n_requests=1, prompt_tokens=900)
+            await network.report(name)
+        self.assertLessEqual(network.n_told, 2)
+        asking = network.workloads["host-2"]
+        await asking.refresh(["i-1"])
+        work = asking.get_work("i-1")
+        self.assertEqual((work.n_requests, work.prompt_tokens), (2, 1_800))
+
+    async def test_ended_work_is_told_too(self) -> None:
+        """End a request; the next host to ask must not count it any more."""
+        network = Network(66)
+        own = network.workloads["host-0"]
+        own.add("i-1", n_requests=1, prompt_tokens=900)
+        await network.report("host-0")
+        own.add("i-1", n_requests=-1, prompt_tokens=-900)
+        await network.report("host-0")
+        asking = network.workloads["host-2"]
+        await asking.refresh(["i-1"])
+        self.assertEqual(asking.get_work("i-1").n_requests, 0)
+
+    async def test_silent_gathering_host_holds_nothing_up(self) -> None:
+        """Ask a host that does not answer; the choice goes by own work."""
+        network = Network(66)
+        asking = network.workloads["host-2"]
+        asking.add("i-1", n_requests=1)
+        network.down = set(network.names)
+        await asking.refresh(["i-1"])
+        self.assertEqual(asking.get_work("i-1").n_requests, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -40,6 +40,7 @@
     settled: OrderedDict[str, None] = field(default_factory=OrderedDict)
     requesters: dict[str, str] = field(default_factory=dict)  # by request held
     used: dict[str, int] = field(default_factory=dict)  # by requester served
+    rosters: dict[str, dict[str, str]] = field(default_factory=dict)  # by name
     used_by_former: int = 0
     demand: Demand = field(default_factory=Demand)
     waiting: int = 0  # tokens that requests wait for
@@ -57,7 +58,7 @@
     def served(self) -> dict[str, str]:
         """Return the incarnations that may get grants, as the store has them."""
         holder = self.record.holders.get(self.incarnation)
-        return holder.served if holder else {}
+        return self.rosters.get(holder.roster, {}) if holder else {}
 
     @property
     def held(self) -> int:
@@ -211,16 +212,17 @@
         return plan_change(state, rank)
 
     def make_record(
-        self, change: StockChange, served: Mapping[str, str]
+        self, change: StockChange, served: Mapping[str, str], roster: str
     ) -> AccountRecord:
         """Return the record after a change of this incarnation's stock."""
         self.serve_only(served.values())
+        self.rosters[roster] = dict(served)
         holder = Holder(
             host=self.host,
             drawn=self.drawn + change.tokens,
             spent=self.spent,
             locked=change.locked,
-            served=dict(served),
+            roster=roster,
             used_by_former=self.used_by_former,
         )
         return self.record.set_holder(self.incarnation, holder)
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -3,7 +3,12 @@
 from collections.abc import Mapping
 
 from trefoilstage.components.escrow.account import EscrowAccount
-from trefoilstage.components.escrow.record import ACCOUNT_CODEC, AccountRecord
+from trefoilstage.components.escrow.record import (
+    ACCOUNT_CODEC,
+    AccountRecord,
+    Holder,
+)
+from trefoilstage.components.escrow.rosters import RosterStore
 from trefoilstage.components.escrow.stock import StockChange
 from trefoilstage.components.views.store import (
     Store,
@@ -37,6 +42,7 @@
         self._timer = timer
         self._n_partitions = n_partitions
         self._accounts = accounts
+        self._rosters = RosterStore(store=store)
         self._ends: dict[int, int] = {}
         self._read_at: dict[str, float] = {}
 
@@ -57,6 +63,11 @@
         """Read a partition again before the next write, after a lost answer."""
         self._ends.pop(self._find(workspace), None)
 
+    async def find_served(self, holder: Holder) -> Mapping[str, str] | None:
+        """Return who may have got grants of a holder, None if that can't be told."""
+        await self._rosters.read_missing({holder.roster})
+        return self._rosters.get(holder.roster)
+
     async def refresh(self, workspace: str) -> None:
         """Read the records of an account's partition."""
         partition = self._find(workspace)
@@ -81,7 +92,8 @@
         self, account: EscrowAccount, change: StockChange, served: Mapping[str, str]
     ) -> bool:
         """Draw, give back or lock tokens; tell whether the write counted."""
-        record = account.make_record(change, served)
+        roster = await self._rosters.write(served)
+        record = account.make_record(change, served, roster)
         account.start_change(change, self._ends[self._find(account.workspace)])
         try:
             return await self.put(account, record)
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -312,7 +312,12 @@
             for incarnation, holder in account.record.holders.items():
                 if not self._recovery.has_ended(holder.host, incarnation):
                     continue
-                verdict = await self._recovery.find_used(workspace, incarnation, holder)
+                served = await self._records.find_served(holder)
+                if served is None:
+                    continue
+                verdict = await self._recovery.find_used(
+                    workspace, incarnation, holder, served
+                )
                 # Meanwhile another home may have done it, or a late write landed.
                 same = account.record.holders.get(incarnation) == holder
                 if isinstance(verdict, Used) and same:
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -16,8 +16,8 @@
     spent: Tokens
     # The part of what it drew that it doesn't use while its host's lock is closed.
     locked: Tokens = 0
-    # The incarnations, by host, that may have got grants; they are its witnesses.
-    served: dict[Name, Name] = field(default_factory=dict)
+    # Names the list of incarnations that may have got grants; they are its witnesses.
+    roster: Name = ""
     # What was granted to incarnations that are served no more.
     used_by_former: Tokens = 0
 
--- a/trefoilstage/components/escrow/recovery.py
+++ b/trefoilstage/components/escrow/recovery.py
@@ -1,6 +1,6 @@
 """Find out what an ended home had granted, from the hosts that it served."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from trefoilstage.components.escrow.grants import GrantBook
@@ -76,15 +76,19 @@
         return peer.confirmed_at >= seen
 
     async def find_used(
-        self, workspace: str, incarnation: str, holder: Holder
+        self,
+        workspace: str,
+        incarnation: str,
+        holder: Holder,
+        served: Mapping[str, str],
     ) -> Used | Unknown:
         """Return what was used of an ended home's draws, as its witnesses know."""
-        if any(self.has_ended(host, served) for host, served in holder.served.items()):
+        if any(self.has_ended(host, witness) for host, witness in served.items()):
             return self._find_untouched(incarnation, holder)
         total = holder.used_by_former
-        for host, served in holder.served.items():
+        for host, witness in served.items():
             reply = await self._seal(host, incarnation)
-            if reply is None or reply.incarnation != served:
+            if reply is None or reply.incarnation != witness:
                 return Unknown(host=host)
             total += reply.used.get(workspace, 0)
         return Used(tokens=total, witnessed=True)
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -1,13 +1,18 @@
 """Know the other hosts, hear from them, and share what each has read."""
 
 import asyncio
+import random
 from collections.abc import Callable, Mapping
 
 from mode import Service
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.components.escrow.messages import SealHome, SealReply
-from trefoilstage.components.fleet.messages import HostBeat, ReadView, ViewReply
+from trefoilstage.components.fleet.messages import (
+    HostBeat,
+    ReadView,
+    ViewReply,
+)
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.follower import ViewFollower
@@ -22,11 +27,18 @@
 BEAT_S = 0.5
 # Three beats: one lost datagram's retransmission takes up to two.
 SILENT_S = 1.5
+# In a large fleet most is heard through others. With two calls a beat from each of 66
+# hosts, none was heard longer than 1.5 s ago in 20 s of beats (played without faults).
+SILENT_LARGE_S = 3.0
 BEAT_TIMEOUT_S = 0.9
 ANNOUNCE_RETRY_S = 0.5
-# Eight peers are called each beat; of more, the interval grows in proportion,
-# so that a host's cost does not grow with the fleet.
-PEERS_PER_BEAT = 8
+# Of more peers than this only some are called each beat, so that a host's cost does not
+# grow with the square of the fleet. Called in turn, each of 66 would be heard every 8 s
+# only, and homes of accounts would move all the time; so the heartbeats of a large
+# fleet pass on when each other host was heard.
+MAX_CALLED_PEERS = 12
+PEERS_PER_BEAT = 2
+MS_PER_S = 1000
 
 
 class HostRecord(BaseModel):
@@ -50,6 +62,7 @@
         timer: TimerService,
         followers: Mapping[Topic, ViewFollower],
         address: str,
+        generator: random.Random,
     ) -> None:
         super().__init__()
         self._board = board
@@ -59,7 +72,7 @@
         self._timer = timer
         self._followers = followers
         self._address = address
-        self._next_peer = 0
+        self._generator = generator
         server.register(HostBeat, self._answer_beat)
         server.register(ReadView, self._answer_view)
 
@@ -99,7 +112,13 @@
 
     def list_live(self) -> list[str]:
         """Return the hosts that answer and serve, this one among them."""
-        return self._board.list_live_hosts(self._timer.now(), SILENT_S)
+        return self._board.list_live_hosts(self._timer.now(), self._get_silent_s())
+
+    def _get_silent_s(self) -> float:
+        return SILENT_LARGE_S if self._is_large() else SILENT_S
+
+    def _is_large(self) -> bool:
+        return len(self._board.peers) > MAX_CALLED_PEERS
 
     def count_hosts(self) -> int:
         """Return how many hosts share the fleet's limits."""
@@ -179,14 +198,16 @@
                 await asyncio.sleep(ANNOUNCE_RETRY_S)
 
     async def _beat(self) -> None:
-        peers = sorted(self._board.peers.values(), key=lambda peer: peer.host)
-        if len(peers) > PEERS_PER_BEAT:
-            start = self._next_peer % len(peers)
-            self._next_peer += PEERS_PER_BEAT
-            peers = (peers + peers)[start : start + PEERS_PER_BEAT]
-        for peer in peers:
+        for peer in self.pick_called():
             self.add_future(self._beat_peer(peer))
 
+    def pick_called(self) -> list[PeerState]:
+        """Return the peers to call in this beat: all, or a few of a large fleet."""
+        peers = list(self._board.peers.values())
+        if not self._is_large():
+            return peers
+        return self._generator.sample(peers, PEERS_PER_BEAT)
+
     async def _beat_peer(self, peer: PeerState) -> None:
         link = self._links.get_link(peer.peer_url)
         started = self._timer.now()
@@ -216,20 +237,53 @@
             serving=self._board.phase is Phase.SERVING,
             store_in_reach=not self._board.store.out_of_reach,
             untouched=self._board.untouched,
+            heard_ms=self._list_heard(),
+            not_serving=self._list_names(lambda peer: not peer.serving),
+            without_store=self._list_names(lambda peer: not peer.store_in_reach),
             next_offsets={
                 topic: follower.view.next_offset
                 for topic, follower in self._followers.items()
             },
         )
 
+    def _list_heard(self) -> dict[str, int]:
+        """Return how many ms ago other hosts were heard, for peers not called."""
+        if not self._is_large():
+            return {}
+        now = self._timer.now()
+        return {
+            peer.host: int((now - peer.last_heard) * MS_PER_S)
+            for peer in self._board.peers.values()
+            if now - peer.last_heard < SILENT_LARGE_S
+        }
+
+    def _list_names(self, is_meant: Callable[[PeerState], bool]) -> tuple[str, ...]:
+        if not self._is_large():
+            return ()
+        return tuple(p.host for p in self._board.peers.values() if is_meant(p))
+
+    def _take_heard(self, beat: HostBeat) -> None:
+        """Take in what a peer passes on, where this host has heard nothing newer."""
+        now = self._timer.now()
+        for host, age_ms in beat.heard_ms.items():
+            peer = self._board.peers.get(host)
+            at = now - age_ms / MS_PER_S
+            if peer is None or at <= peer.last_heard:
+                # The store tells of a host that is new.
+                continue
+            peer.last_heard = at
+            peer.serving = host not in beat.not_serving
+            peer.store_in_reach = host not in beat.without_store
+
     async def _take_beat(self, beat: HostBeat) -> None:
         if beat.host == self._board.host:
             return
+        self._take_heard(beat)
         peer = self._meet(
             beat.host, beat.incarnation, beat.peer_url, beat.data_center, True
         )
         now = self._timer.now()
-        if now - peer.last_heard > SILENT_S:
+        if now - peer.last_heard > self._get_silent_s():
             log_event(Event.PEER_BACK, peer=beat.host)
         peer.last_heard = now
         peer.failed = False
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -1,16 +1,20 @@
 """Define the messages between the hosts of a forwarding fleet."""
 
-from dataclasses import dataclass
-from typing import Any, Literal
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal
+
+from pydantic import Field
 
 from trefoilstage.components.escrow.messages import EscrowMessage
-from trefoilstage.components.forwarding.messages import WorkReport
+from trefoilstage.components.forwarding.messages import WorkMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.ledger.records import Name, Tokens
 
+Milliseconds = Annotated[int, Field(ge=0)]
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HostBeat:
@@ -25,6 +29,11 @@
     next_offsets: dict[Topic, int]
     # Predecessors that never touched their locked tokens; None until this is known.
     untouched: tuple[Name, ...] | None = None
+    # In a large fleet, how many ms ago others were heard, and who of them neither
+    # serves nor reaches the store.
+    heard_ms: dict[Name, Milliseconds] = field(default_factory=dict)
+    not_serving: tuple[Name, ...] = ()
+    without_store: tuple[Name, ...] = ()
     kind: Literal["host_beat"] = "host_beat"
 
 
@@ -45,6 +54,8 @@
     kind: Literal["view_reply"] = "view_reply"
 
 
-FleetMessage = HostBeat | ReadView | ViewReply | EscrowMessage | WorkReport | ErrorReply
+FleetMessage = (
+    HostBeat | ReadView | ViewReply | EscrowMessage | WorkMessage | ErrorReply
+)
 
 FLEET_CODEC: Codec[Frame[Any]] = make_frame_codec(FleetMessage)
--- a/trefoilstage/components/forwarding/messages.py
+++ b/trefoilstage/components/forwarding/messages.py
@@ -25,3 +25,23 @@
     host: Name
     work: dict[Name, TargetWork]
     kind: Literal["work_report"] = "work_report"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskWork:
+    """Ask the host that gathers some targets' work for what the others have there."""
+
+    host: Name
+    targets: tuple[Name, ...]
+    kind: Literal["ask_work"] = "ask_work"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkTotals:
+    """Answer with the work of all hosts but the asking one, by target."""
+
+    work: dict[Name, TargetWork]
+    kind: Literal["work_totals"] = "work_totals"
+
+
+WorkMessage = WorkReport | AskWork | WorkTotals
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -61,30 +61,40 @@
         """Return the relayed answer, or why the caller gets none."""
         if run.started >= run.deadline:
             return Refusal(reason=Reason.DEADLINE)
+        run.service_name = self._pick_service(run.route)
+        subject, _ = find_subject(run.request.prompt)
+        # Asked beside the hold: both take a call, and neither needs the other's answer.
+        refresh = asyncio.create_task(self._chooser.refresh(run.service_name, subject))
         hold: Hold | Refusal | None = None
         try:
             async with asyncio.timeout_at(run.deadline):
-                hold = await self._escrow.hold(
-                    run.workspace_name,
-                    self._name_hold(run),
-                    run.request.max_tokens,
-                    Patience.start(
-                        now=run.started,
-                        silence_s=run.route.silence_limit_s,
-                        deadline=run.deadline,
-                    ),
-                )
+                hold = await self._hold(run)
                 if isinstance(hold, Refusal):
                     return hold
                 run.held_at = asyncio.get_running_loop().time()
+                await refresh
                 return await self._deliver(run, web_request)
         except TimeoutError:
             return self._refuse_late(run)
         finally:
+            refresh.cancel()
             if isinstance(hold, Hold):
                 self._escrow.settle(hold, run.count_spent())
                 self._log_end(run, hold)
 
+    async def _hold(self, run: Run) -> Hold | Refusal:
+        patience = Patience.start(
+            now=run.started,
+            silence_s=run.route.silence_limit_s,
+            deadline=run.deadline,
+        )
+        return await self._escrow.hold(
+            run.workspace_name,
+            self._name_hold(run),
+            run.request.max_tokens,
+            patience,
+        )
+
     def _name_hold(self, run: Run) -> str:
         # A caller that sent two requests under one id would get the second one's
         # tokens from the first one's hold, and both would be spent.
@@ -118,11 +128,10 @@
     async def _deliver(
         self, run: Run, web_request: web.BaseRequest
     ) -> web.StreamResponse | Refusal:
-        service = self._pick_service(run.route)
+        service = run.service_name
         configuration = self._board.configuration
         if service and configuration:
             run.service = configuration.services.get(service)
-        run.service_name = service
         self._chooser.note_request(service)
         failure = NO_TARGET
         while True:
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -16,6 +16,7 @@
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
+from trefoilstage.util.hashing import rank_by_rendezvous
 
 
 class TargetChooser:
@@ -68,6 +69,17 @@
             return choose_by_prompt(options, need)
         return choose_by_load(options, self._board.data_center, request)
 
+    async def refresh(self, service: str, subject: str) -> None:
+        """Learn what other hosts have at the home of a subject, before it is chosen.
+
+        Calls without a prompt take 45 ms in the mean, and few of them meet.
+        """
+        if not subject:
+            return
+        ready = self._board.targets.list_ready(service, self._timer.now())
+        names = [target.name for target in ready]
+        await self._workload.refresh(rank_by_rendezvous(subject, names)[:1])
+
     def has_other(self, service: str, excluded: set[str]) -> bool:
         """Tell whether a service has a ready target besides some."""
         ready = self._board.targets.list_ready(service, self._timer.now())
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -1,16 +1,29 @@
-"""Share between hosts what each has under way at the targets."""
+"""Share between hosts what each has under way at the targets.
+
+In a small fleet each host tells all others. In a large one it tells, for each target,
+only the host that gathers the target's work, and asks that host before it chooses: with
+66 hosts that all told each other, the reports took most of their processors.
+"""
 
 import asyncio
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
 
 from mode import Service
 
-from trefoilstage.components.forwarding.messages import TargetWork, WorkReport
+from trefoilstage.components.forwarding.messages import (
+    AskWork,
+    TargetWork,
+    WorkReport,
+    WorkTotals,
+)
 from trefoilstage.components.forwarding.placement import Work
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
+from trefoilstage.util.hashing import rank_by_rendezvous
 
 # A prompt of 12,000 tokens is read in 0.2 s; what others sent half of that ago is
 # still worth knowing.
@@ -23,6 +36,15 @@
 TELL_TIMEOUT_S = 0.5
 # A host that is silent this long is taken to have nothing under way.
 MAX_AGE_S = 1.5
+# A host that was silent longer gathers nothing; as long as a heartbeat may take.
+MAX_SILENT_S = 3.0
+# Above this number of peers, targets' work is gathered at one host each.
+MAX_TOLD_PEERS = 12
+# The gathering host answers in 1 to 2 ms; a choice without its answer goes by what is
+# known here.
+ASK_TIMEOUT_S = 0.05
+# What was asked for one request serves those that come just after it.
+TOTALS_AGE_S = 0.2
 NO_WORK = TargetWork(n_requests=0, prompt_tokens=0)
 
 
@@ -46,7 +68,10 @@
         self._heard_at: dict[str, float] = {}
         self._told: dict[str, TargetWork] = {}
         self._telling = False
+        self._totals: dict[str, TargetWork] = {}
+        self._totals_at: dict[str, float] = {}
         server.register(WorkReport, self._take_report)
+        server.register(AskWork, self._answer_work)
 
     async def on_start(self) -> None:
         """Start to report."""
@@ -75,18 +100,76 @@
 
     def get_work(self, target: str) -> Work:
         """Return the work of all hosts at a target, as far as it is known."""
-        oldest = self._timer.now() - MAX_AGE_S
-        items = [self._own.get(target, NO_WORK)]
-        items += [
-            report.work[target]
-            for host, report in self._others.items()
-            if target in report.work and self._heard_at[host] >= oldest
-        ]
+        items = [self._own.get(target, NO_WORK), *self._list_others(target)]
+        now = self._timer.now()
+        if now - self._totals_at.get(target, float("-inf")) <= TOTALS_AGE_S:
+            items.append(self._totals[target])
         return Work(
             n_requests=sum(item.n_requests for item in items),
             prompt_tokens=sum(item.prompt_tokens for item in items),
         )
 
+    async def refresh(self, targets: Sequence[str]) -> None:
+        """Ask in a large fleet what the other hosts have at some targets."""
+        if not self._is_large():
+            return
+        calls = [
+            self._ask(home, names)
+            for home, names in self._group_by_home(targets).items()
+            if home != self._board.host
+        ]
+        await asyncio.gather(*calls)
+
+    async def _ask(self, home: str, targets: list[str]) -> None:
+        peer = self._board.peers.get(home)
+        if peer is None:
+            return
+        message = AskWork(host=self._board.host, targets=tuple(targets))
+        try:
+            link = self._links.get_link(peer.peer_url)
+            reply = await link.call(message, timeout_s=ASK_TIMEOUT_S)
+        except PeerUnavailableError:
+            # The choice goes by this host's own work, as if the others had none.
+            return
+        if isinstance(reply, WorkTotals):
+            now = self._timer.now()
+            self._totals.update(reply.work)
+            self._totals_at.update(dict.fromkeys(reply.work, now))
+
+    async def _answer_work(self, message: AskWork) -> WorkTotals:
+        work = {
+            target: add_up(
+                [
+                    self._own.get(target, NO_WORK),
+                    *self._list_others(target, without=message.host),
+                ]
+            )
+            for target in message.targets
+        }
+        return WorkTotals(work=work)
+
+    def _list_others(self, target: str, without: str = "") -> list[TargetWork]:
+        oldest = self._timer.now() - MAX_AGE_S
+        return [
+            report.work[target]
+            for host, report in self._others.items()
+            if target in report.work
+            and self._heard_at[host] >= oldest
+            and host != without
+        ]
+
+    def _is_large(self) -> bool:
+        return len(self._board.peers) > MAX_TOLD_PEERS
+
+    def _group_by_home(self, targets: Iterable[str]) -> dict[str, list[str]]:
+        live = self._board.list_live_hosts(self._timer.now(), MAX_SILENT_S)
+        groups: dict[str, list[str]] = defaultdict(list)
+        for target in targets:
+            ranked = rank_by_rendezvous(target, live)
+            if ranked:
+                groups[ranked[0]].append(target)
+        return groups
+
     async def _report_soon(self) -> None:
         await asyncio.sleep(COALESCE_S)
         self._telling = False
@@ -95,12 +178,29 @@
     async def _report(self) -> None:
         if self._own == self._told:
             return
+        changed = {
+            target
+            for target in self._own.keys() | self._told.keys()
+            if self._own.get(target) != self._told.get(target)
+        }
         self._told = dict(self._own)
-        report = WorkReport(host=self._board.host, work=self._told)
-        for peer in self._board.peers.values():
-            if peer.serving and not peer.failed:
+        for host, work in self._pick_audience(changed).items():
+            peer = self._board.peers.get(host)
+            if peer is not None and peer.serving and not peer.failed:
+                report = WorkReport(host=self._board.host, work=work)
                 self.add_future(self._tell(peer.peer_url, report))
 
+    def _pick_audience(self, changed: set[str]) -> dict[str, dict[str, TargetWork]]:
+        """Return what each host is told: all of this host's work, or its part."""
+        if not self._is_large():
+            return dict.fromkeys(self._board.peers, self._told)
+        homes = self._group_by_home(self._told.keys() | changed)
+        return {
+            home: {name: self._told.get(name, NO_WORK) for name in names}
+            for home, names in homes.items()
+            if not changed.isdisjoint(names)
+        }
+
     async def _tell(self, url: str, report: WorkReport) -> None:
         try:
             await self._links.get_link(url).tell(report, timeout_s=TELL_TIMEOUT_S)
@@ -111,3 +211,12 @@
     async def _take_report(self, report: WorkReport) -> None:
         self._others[report.host] = report
         self._heard_at[report.host] = self._timer.now()
+
+
+def add_up(items: Iterable[TargetWork]) -> TargetWork:
+    """Return the sum of several hosts' work."""
+    known = list(items)
+    return TargetWork(
+        n_requests=sum(item.n_requests for item in known),
+        prompt_tokens=sum(item.prompt_tokens for item in known),
+    )
--- a/trefoilstage/components/views/store.py
+++ b/trefoilstage/components/views/store.py
@@ -16,6 +16,7 @@
     HOSTS = "hosts"
     ACCOUNTS = "accounts"
     LOCKS = "locks"
+    ROSTERS = "rosters"
 
 
 class StoreUnavailableError(NotReadyError):
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -88,6 +88,7 @@
         """Build the parts and start them, inner ones first."""
         settings = self._settings
         self._session = open_target_session(settings.address)
+        generator = random.Random(self._board.incarnation)
         timer = TimerService()
         links = PeerLinks(outbound_address=settings.address, codec=FLEET_CODEC)
         peers = PeerServer(
@@ -102,9 +103,9 @@
             timer=timer,
             followers=followers,
             address=settings.address,
+            generator=generator,
         )
         self._membership = membership
-        generator = random.Random(self._board.incarnation)
         book = GrantBook()
         recovery = EscrowRecovery(
             board=self._board, timer=timer, book=book, ask_seal=membership.ask_seal
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -22,6 +22,7 @@
     Topic.HOSTS: "keyed.hosts",
     Topic.ACCOUNTS: "keyed.accounts",
     Topic.LOCKS: "keyed.locks",
+    Topic.ROSTERS: "keyed.rosters",
 }
 HTTP_OK = 200
 HTTP_GONE = 410
--- a/trefoilstage/util/hashing.py
+++ b/trefoilstage/util/hashing.py
@@ -3,9 +3,13 @@
 import hashlib
 import json
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
+# Accounts and targets of one host; each holds a tuple of names, shared by most.
+MAX_RANKINGS = 512
+
 
 def hash_secret(secret: str) -> str:
     """Return the SHA-256 of a bearer key; only this form is stored."""
@@ -43,11 +47,17 @@
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Return the names in highest-random-weight order for a key."""
+    return list(rank_names(key, tuple(names)))
+
+
+@lru_cache(maxsize=MAX_RANKINGS)
+def rank_names(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the order for a key; the same few are asked for again and again."""
 
     def weigh(name: str) -> tuple[int, str]:
         return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode()), name
 
-    return sorted(names, key=weigh, reverse=True)
+    return tuple(sorted(names, key=weigh, reverse=True))
 
 
 def pick_stream(account: str, n_streams: int) -> int:
