--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -14,6 +14,28 @@
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 
 
+class MetricsTest(unittest.IsolatedAsyncioTestCase):
+    """Test that a host shows how it is."""
+
+    async def test_page_counts_what_callers_got(self) -> None:
+        """Send a request and one with a wrong key, then read the page of metrics."""
+        async with PlatformFleet() as fleet:
+            await fleet.call("/stream/x")
+            await fleet.call("/look/x", key="other")
+            host = fleet.hosts["host-0"]
+            port = host.find_port("metrics_port")
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://{LOOPBACK}:{port}/metrics") as response,
+            ):
+                text = await response.text()
+            self.assertIn(
+                'events_total{event="request_refused",reason="unauthorized"} 1.0', text
+            )
+            self.assertIn('request_seconds_count{phase="whole"}', text)
+            self.assertIn("trefoilstage_configuration_version 1.0", text)
+
+
 class AnswerTest(unittest.IsolatedAsyncioTestCase):
     """Test that answers are whole, the caller's own, and honest."""
 
--- a/trefoilstage/components/budget/messages.py
+++ b/trefoilstage/components/budget/messages.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from trefoilstage.ledger.records import BilledRequest, Name, OpenRequest, Tokens
+from trefoilstage.helpers.fields import Name, Tokens
+from trefoilstage.ledger.records import BilledRequest, OpenRequest
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/escrow/lock.py
+++ b/trefoilstage/components/escrow/lock.py
@@ -11,7 +11,7 @@
 
 from trefoilstage.const import MAX_RECORD_BYTES
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Name
+from trefoilstage.helpers.fields import Name
 from trefoilstage.util.process_start import ProcessStart
 
 # A machine that lost its power was back after 0.6 to 1.5 s and its process up 0.5 s
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from trefoilstage.helpers.fields import Name, Tokens
 from trefoilstage.helpers.verdict import Reason
-from trefoilstage.ledger.records import Name, Tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -4,7 +4,7 @@
 
 from trefoilstage.const import MAX_RECORD_BYTES
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Name, Tokens
+from trefoilstage.helpers.fields import Name, Tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/escrow/rosters.py
+++ b/trefoilstage/components/escrow/rosters.py
@@ -14,7 +14,7 @@
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.ledger.records import Name
+from trefoilstage.helpers.fields import Name
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -11,7 +11,7 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Name, Tokens
+from trefoilstage.helpers.fields import Name, Tokens
 
 Milliseconds = Annotated[int, Field(ge=0)]
 
--- a/trefoilstage/components/fleet/metrics.py
+++ b/trefoilstage/components/fleet/metrics.py
@@ -55,6 +55,8 @@
         self._runner = runner
         try:
             await web.TCPSite(runner, self._address, self._port).start()
+            port = runner.addresses[0][1]
+            log_event(Event.METRICS_SERVED, address=self._address, metrics_port=port)
         except OSError as error:
             # A host without metrics serves callers as well as any other.
             log_event(Event.METRICS_UNAVAILABLE, port=self._port, error=str(error))
--- a/trefoilstage/components/forwarding/messages.py
+++ b/trefoilstage/components/forwarding/messages.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field
 
-from trefoilstage.ledger.records import Name
+from trefoilstage.helpers.fields import Name
 
 Count = Annotated[int, Field(ge=0)]
 
--- a/trefoilstage/components/peers/frames.py
+++ b/trefoilstage/components/peers/frames.py
@@ -7,7 +7,7 @@
 
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Name, Tokens
+from trefoilstage.helpers.fields import Name, Tokens
 
 BodyT = TypeVar("BodyT")
 
--- a/trefoilstage/configuration/records.py
+++ b/trefoilstage/configuration/records.py
@@ -7,7 +7,8 @@
 
 from trefoilstage.const import MAX_RECORD_BYTES, RECORD_VERSION
 from trefoilstage.helpers.codec import Codec
-from trefoilstage.ledger.records import Checkpoint, Name, Upgrade
+from trefoilstage.helpers.fields import Name
+from trefoilstage.ledger.records import Checkpoint, Upgrade
 
 FileName = Annotated[str, Field(pattern=r"^[0-9A-Za-z][0-9A-Za-z_-]{0,80}\.toml$")]
 Offset = Annotated[int, Field(ge=-1, le=1 << 53)]
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -82,6 +82,7 @@
     STOP_INCOMPLETE = "stop_incomplete"
     LEAVE_INCOMPLETE = "leave_incomplete"
     USAGE_ABOVE_RESERVATION = "usage_above_reservation"
+    METRICS_SERVED = "metrics_served"
     METRICS_UNAVAILABLE = "metrics_unavailable"
 
 
--- /dev/null
+++ b/trefoilstage/helpers/fields.py
@@ -0,0 +1,8 @@
+"""Define the fields that records and messages share; small, since all import it."""
+
+from typing import Annotated
+
+from pydantic import Field
+
+Tokens = Annotated[int, Field(ge=0, le=1 << 53)]
+Name = Annotated[str, Field(max_length=300)]
--- a/trefoilstage/ledger/records.py
+++ b/trefoilstage/ledger/records.py
@@ -7,9 +7,7 @@
 
 from trefoilstage.const import MAX_RECORD_BYTES, RECORD_VERSION
 from trefoilstage.helpers.codec import Codec
-
-Tokens = Annotated[int, Field(ge=0, le=1 << 53)]
-Name = Annotated[str, Field(max_length=300)]
+from trefoilstage.helpers.fields import Name, Tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -1,5 +1,6 @@
 """Read the settings that the platform gives a process."""
 
+import os
 from pathlib import Path
 
 from pydantic import ValidationError
@@ -8,8 +9,9 @@
 from trefoilstage.fleet_settings import FleetSettings
 
 MS_PER_S = 1000.0
-# The platform draws all other ports; this one stands in deploy/system.toml as well.
-METRICS_PORT = 9464
+# Set by deploy/system.toml, which also tells the platform where to read metrics. The
+# platform draws all other ports. Without it the kernel picks one; a line says which.
+METRICS_PORT_VARIABLE = "TREFOILSTAGE_METRICS_PORT"
 
 
 def load_platform_settings(path: Path) -> FleetSettings:
@@ -47,7 +49,7 @@
         "caller_port": caller_port,
         "ready_port": ready_port,
         "peer_port": first_port,
-        "metrics_port": METRICS_PORT,
+        "metrics_port": os.environ.get(METRICS_PORT_VARIABLE, "0"),
         "store_url": f"http://{fields['platform.address']}",
         "store_partitions": fields.get("platform.parts", "1"),
         # Milliseconds there, seconds here.
