--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -224,6 +224,29 @@
             self.assertEqual((answer.whole, answer.body), (True, EVENTS))
             self.assertEqual(await host.process.wait(), 0)
 
+    async def test_shutdown_waits_for_a_stream_among_quick_calls(self) -> None:
+        """Stop a host with a long stream under way, while quick calls go on coming.
+
+        The stream begins before the signal and ends 4 s later, when no new stream
+        is taken any more. It is whole, and no quick call is cut off: each gets its
+        answer, or is told to go elsewhere.
+        """
+        async with PlatformFleet() as fleet:
+            for target in fleet.targets:
+                target.event_s = 1.2
+            stream = asyncio.create_task(fleet.call("/stream/x"))
+            await wait_for(lambda: fleet.count_runs() == 1, "the run")
+            host = fleet.hosts["host-0"]
+            host.process.send_signal(signal.SIGTERM)
+            await wait_for(lambda: host.has_logged("host_draining"), "the drain")
+            statuses: set[int] = set()
+            while not stream.done():
+                statuses.add((await fleet.call("/look/x", method="GET")).status)
+            answer: FleetAnswer = await stream
+            self.assertEqual((answer.whole, answer.body), (True, EVENTS))
+            self.assertLessEqual(statuses, {200, 503})
+            self.assertEqual(await host.process.wait(), 0)
+
     async def test_cut_host_learns_from_its_peers(self) -> None:
         """Turn one host away from the store, then change routes and targets.
 
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -49,8 +49,8 @@
         self._refusals = RefusalMaker(border=border)
         self._refuses_streams = False
         self._refuses_all = False
-        self._last_request_at = 0.0
         self.n_active = 0
+        self.n_streams = 0
 
     async def on_start(self) -> None:
         """Listen on both ports."""
@@ -93,11 +93,6 @@
             await asyncio.sleep(DRAIN_POLL_S)
         return True
 
-    def is_idle(self, idle_s: float) -> bool:
-        """Tell whether no request runs or came within some time."""
-        now = asyncio.get_running_loop().time()
-        return self.n_active == 0 and now - self._last_request_at >= idle_s
-
     def refuse_long_requests(self) -> None:
         """Take no streams any more; they would not end in time."""
         self._refuses_streams = True
@@ -113,7 +108,6 @@
     async def _answer(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         request: CallerRequest | None = None
-        self._last_request_at = started
         self.n_active += 1
         try:
             request = self._border.read_request(
@@ -124,7 +118,7 @@
             run = await self._open_run(request, web_request, started)
             if isinstance(run, Refusal):
                 return self._refuse(run, request)
-            answer = await self._pipeline.run(run, web_request)
+            answer = await self._run(run, web_request)
             if isinstance(answer, Refusal):
                 return self._refuse_run(answer, run, web_request)
             return answer
@@ -134,6 +128,16 @@
         finally:
             self.n_active -= 1
 
+    async def _run(
+        self, run: Run, web_request: web.BaseRequest
+    ) -> web.StreamResponse | Refusal:
+        is_stream = run.route.kind is RouteKind.STREAM
+        self.n_streams += is_stream
+        try:
+            return await self._pipeline.run(run, web_request)
+        finally:
+            self.n_streams -= is_stream
+
     async def _open_run(
         self, request: CallerRequest, web_request: web.BaseRequest, started: float
     ) -> Run | Refusal:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -50,8 +50,6 @@
 MEET_S = 0.6
 # A stream takes 4 s at most in nine cases of ten; begun later, it would be cut.
 ACCEPT_WHILE_DRAINING_S = 3.0
-# Where the balancer still uses a draining host, requests come more often than this.
-IDLE_S = 0.7
 # A call to a plain service takes at most this long.
 QUICK_S = 0.5
 # Time kept at the end of the grace to give tokens back, and to stop.
@@ -257,7 +255,10 @@
         # request, so the port stays open to the end.
         await asyncio.sleep(max(0.0, min(ACCEPT_WHILE_DRAINING_S, ends - loop.time())))
         self._server.refuse_long_requests()
-        while loop.time() < ends - QUICK_S and not self._server.is_idle(IDLE_S):
+        # Where most hosts of a data centre drain, quick calls never cease. Waiting for
+        # a pause among them, a host stayed to the end of its grace and refused streams
+        # for 4 s that its successor could have served: 14% of all in two rolls.
+        while loop.time() < ends - QUICK_S and self._server.n_streams:
             await asyncio.sleep(READY_POLL_S)
         self._server.refuse_all_requests()
         ended = await self._server.drain(max(0.0, ends - loop.time()))
