Tell a transport closed under a write as a lost peer, survive peers that leave while homes are asked, log a crash

Read through for what can end a part: the event loop's RuntimeError for a write to a closed transport, which the link took for no lost peer; a KeyError for a peer that withdraws between two homes that are asked, or before its settlements are sent.

Change: both are handled, and a host that ends so logs host_crashed with the error's place.

--- /dev/null
+++ b/tests/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Test the links between hosts."""
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -21,7 +21,7 @@
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.exceptions import PeerUnavailableError
-from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_board import FleetBoard, PeerState
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Refusal
 from trefoilstage.phase import Phase
@@ -214,12 +214,16 @@
             requester=self._board.incarnation,
             repeat=repeat,
         )
+        peer = self._board.peers.get(home)
         if home == self._board.host:
             incarnation = self._board.incarnation
             refused = await self._hold_here(message)
+        elif peer is None:
+            # It left while another home was asked.
+            return UNCONFIRMED
         else:
-            incarnation = self._board.peers[home].incarnation
-            refused = await self._hold_there(home, message)
+            incarnation = peer.incarnation
+            refused = await self._hold_there(peer, message)
         if refused is not None:
             return refused
         if not self._book.accept(incarnation, workspace, tokens):
@@ -250,8 +254,10 @@
             return None
         return HoldRefused(reason=reason, lock_wait_s=self._home.get_lock_wait())
 
-    async def _hold_there(self, home: str, message: HoldTokens) -> HoldRefused | None:
-        peer = self._board.peers[home]
+    async def _hold_there(
+        self, peer: PeerState, message: HoldTokens
+    ) -> HoldRefused | None:
+        home = peer.host
         link = self._links.get_link(peer.peer_url)
         undone = make_undone(message)
         try:
@@ -293,7 +299,11 @@
     async def _send(
         self, home: str, incarnation: str, holds: list[SettledHold]
     ) -> None:
-        link = self._links.get_link(self._board.peers[home].peer_url)
+        peer = self._board.peers.get(home)
+        if peer is None:
+            # It left and gave its stock back; what it held then counts as spent.
+            return
+        link = self._links.get_link(peer.peer_url)
         message = SettleHolds(incarnation=incarnation, holds=tuple(holds))
         try:
             await link.call(message, timeout_s=SETTLE_TIMEOUT_S)
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -43,7 +43,7 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect()
                 frame = Frame(number=number, reply=False, body=message)
-                await connection.send(self._codec.encode(frame))
+                await send_data(connection, self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
             self._abandon_silent_connection(started)
@@ -62,7 +62,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._connect()
-                await connection.send(self._codec.encode(frame))
+                await send_data(connection, self._codec.encode(frame))
         except (TimeoutError, OSError, WebSocketException) as error:
             raise PeerUnavailableError(repr(error)) from error
 
@@ -128,3 +128,13 @@
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(ConnectionResetError("peer link lost"))
+
+
+async def send_data(connection: ClientConnection, data: bytes) -> None:
+    """Send one message, or raise OSError or WebSocketException."""
+    try:
+        await connection.send(data)
+    except RuntimeError as error:
+        # The event loop raises it for a write to a transport that was closed in the
+        # same moment. Taken for a fault of the program it would end the host.
+        raise ConnectionResetError("peer link lost") from error
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -32,7 +32,7 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.dump import StateRegistry
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.lines import LineWriter
 from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
@@ -236,6 +236,7 @@
         """Serve until told to drain, or until a part fails."""
         await self.wait(self.drain_requested)
         if self.crashed:
+            log_event(Event.HOST_CRASHED, error=describe_error(self.crash_reason))
             raise self.crash_reason or RuntimeError("a part failed")
         await self.drain()
 
