Soak real hosts in random faults and check the promises from callers and targets

Kills, SIGTERM with restarts, pauses, cuts one way and both, lost and late answers of the store through loopback proxies, a store that turns hosts away, targets that fail, break off, refuse and leave, budgets that end and are raised; in series and overlapping, by a seed. Callers go on with kept connections until a process is gone. Checked: no budget passed, at most once, "not run" is true, answers whole and the caller's own, no host ends by itself.

Not in it yet: steps of clocks, silent connections between hosts, more than three hosts.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -99,6 +99,7 @@
     request: str
     tenant: str
     resumed_after: int
+    prompt_tokens: int = 0
     events: int = 0
     ended: bool = False
 
@@ -133,6 +134,7 @@
             request=request.headers["Attempt-Id"],
             tenant=request.headers.get("Tenant", ""),
             resumed_after=int(request.headers.get("Last-Event-Id", 0)),
+            prompt_tokens=int(request.headers.get("Token-Count", "0").split(",")[0]),
         )
         self.runs.append(run)
         headers = {"Attempt-Id": run.request, "Response-Seal": f"{self.name}.seal"}
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -22,6 +22,7 @@
     encode_target,
     serve,
 )
+from standins.proxy import FaultProxy
 from trefoilstage.components.views.store import Topic
 
 # Budgets of this size are not what a test is about.
@@ -87,6 +88,9 @@
         default_factory=tempfile.TemporaryDirectory
     )
     n_requests: int = 0
+    # Put a fault-injecting proxy between each host and the store.
+    use_proxies: bool = False
+    proxies: dict[str, FaultProxy] = field(default_factory=dict)
 
     async def __aenter__(self) -> Self:
         for number in range(self.n_targets):
@@ -119,6 +123,8 @@
     async def __aexit__(self, *_: object) -> None:
         for host in list(self.hosts.values()):
             await self.kill(host.name)
+        for proxy in self.proxies.values():
+            await proxy.stop()
         for runner in self.runners:
             await runner.cleanup()
         self.folder.cleanup()
@@ -138,6 +144,8 @@
         door = StoreDoor(store=self.store)
         runner, port = await serve(door.make_app())
         self.runners.append(runner)
+        if self.use_proxies:
+            port = await self._put_proxy(name, port)
         path = Path(self.folder.name) / f"{name}.conf"
         path.write_text(
             f"node_name={name}\nzone=brest\nlisten.front={LOOPBACK}:0\n"
@@ -167,6 +175,14 @@
         host.ready_port = host.find_port("ready_port")
         return host
 
+    async def _put_proxy(self, name: str, port: int) -> int:
+        if name in self.proxies:
+            await self.proxies[name].stop()
+        proxy = FaultProxy(upstream_port=port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        return proxy.port
+
     async def kill(self, name: str) -> None:
         """Kill a host and wait for its end."""
         host = self.hosts.pop(name)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,105 @@
+"""Play one seed of the soak and return what broke a promise."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from tests.promises.fleet import PlatformFleet
+from tests.soak.callers import Callers, Outcome
+from tests.soak.faults import Faults
+
+N_HOSTS = 3
+N_CALLERS = 8
+# Ends within a seed's time, so that the end of a budget is played as well.
+PREPAID_TOKENS = 12_000
+# An answer with one of these says that the request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
+OK = 200
+WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
+WHOLE_ANSWER = b"whole answer"
+
+
+@dataclass(kw_only=True, slots=True)
+class SoakResult:
+    """Hold what a seed played and what it found."""
+
+    seed: int
+    n_requests: int
+    n_served: int
+    faults: list[str]
+    findings: list[str]
+
+
+async def play(seed: int, duration_s: float) -> SoakResult:
+    """Start a fleet, call it under random faults, and check what came of it."""
+    fleet = PlatformFleet(
+        n_hosts=N_HOSTS, n_targets=3, prepaid=PREPAID_TOKENS, use_proxies=True
+    )
+    async with fleet:
+        # Apart, so that the order of the faults is the seed's alone.
+        callers = Callers(fleet=fleet, generator=random.Random(-seed))
+        faults = Faults(fleet=fleet, generator=random.Random(seed))
+        tasks = [asyncio.create_task(callers.run(n)) for n in range(N_CALLERS)]
+        await faults.run(duration_s)
+        callers.stopping = True
+        await asyncio.gather(*tasks)
+        findings = check(fleet, callers.outcomes)
+        findings += [
+            f"{host.name} ended by itself with {host.process.returncode}"
+            for host in fleet.hosts.values()
+            if host.process.returncode is not None
+        ]
+        for host in fleet.hosts.values():
+            findings += [line for line in host.lines if "handler_failed" in line]
+    return SoakResult(
+        seed=seed,
+        n_requests=len(callers.outcomes),
+        n_served=sum(item.status == OK and item.whole for item in callers.outcomes),
+        faults=faults.log,
+        findings=findings,
+    )
+
+
+def check(fleet: PlatformFleet, outcomes: list[Outcome]) -> list[str]:
+    """Return what callers and targets saw that breaks a promise."""
+    findings = check_budget(fleet, outcomes)
+    for outcome in outcomes:
+        findings += check_answer(outcome)
+        n_runs = count_runs(fleet, outcome.request)
+        if n_runs > 1 and outcome.path in ("/book/x", "/stream/x"):
+            findings.append(f"{outcome.request} {outcome.path} ran {n_runs} times")
+        if outcome.status in NOT_RUN and n_runs and outcome.path != "/look/x":
+            findings.append(f"{outcome.request} got {outcome.status} and ran")
+    return findings
+
+
+def check_budget(fleet: PlatformFleet, outcomes: list[Outcome]) -> list[str]:
+    """Count prompts once a request and the events that callers got."""
+    prompts = {
+        run.request: run.prompt_tokens
+        for target in fleet.targets
+        for run in target.runs
+    }
+    spent = sum(prompts.values())
+    spent += sum(o.n_events for o in outcomes if o.path.startswith("/stream"))
+    if spent > fleet.prepaid:
+        return [f"{spent} tokens spent of {fleet.prepaid} prepaid"]
+    return []
+
+
+def check_answer(outcome: Outcome) -> list[str]:
+    """Check that an answer is the caller's own, and whole if it looks so."""
+    if outcome.answered_request not in ("", outcome.request):
+        return [f"{outcome.request} got the answer of {outcome.answered_request}"]
+    if outcome.status != OK or not outcome.whole:
+        return []
+    stream = outcome.path.startswith("/stream")
+    expected = WHOLE_STREAM if stream else WHOLE_ANSWER
+    if outcome.body != expected:
+        return [f"{outcome.request} {outcome.path} looks whole: {outcome.body!r}"]
+    return []
+
+
+def count_runs(fleet: PlatformFleet, request: str) -> int:
+    """Return how many targets began to work on a request."""
+    return sum(run.request == request for t in fleet.targets for run in t.runs)
