--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,8 @@
 # Longer than the 5 s that the hosts are told.
 CALL_TIMEOUT_S = 7.0
 PAUSE_S = 0.02
+# Each subject has a target of its own, so that all targets get prompts.
+N_SUBJECTS = 12
 STREAM_TOKENS = (100, 10)
 PATHS = ("/stream/x", "/stream-again/x", "/book/x", "/look/x")
 
@@ -62,13 +64,14 @@
             return
         host = self.fleet.hosts[self.generator.choice(hosts)]
         tokens = STREAM_TOKENS if outcome.path.startswith("/stream") else (0, 0)
+        own = outcome.request.replace("caller-", "")
         headers = {
             "Host": "club.example",
             "Attempt-Id": outcome.request,
             "Deadline-Ms": "5000",
             "Key": "key",
             "Token-Count": f"{tokens[0]},{tokens[1]}",
-            "Prompt-Prefix": f"aa:50,{outcome.request.replace('caller-', '')}:50",
+            "Prompt-Prefix": f"{self.generator.randrange(N_SUBJECTS):x}:50,{own}:50",
         }
         method = "GET" if outcome.path.startswith("/look") else "POST"
         url = f"http://{LOOPBACK}:{host.caller_port}{outcome.path}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,8 @@
 from standins.proxy import Rule
 from tests.promises.fleet import PlatformFleet
 
+N_HARMS = 5
+HARMS = ("break_after", "break_after", "refuse", "fail", "event_s", "unframed_reset")
 Fault = Callable[[], Awaitable[None]]
 
 
@@ -42,7 +44,9 @@
             self._lose_store_answers,
             self._slow_store,
             self._lose_store,
-            self._harm_target,
+            # Targets fail more often than hosts; most of what is sent twice by
+            # mistake is sent after that.
+            *[self._harm_target] * N_HARMS,
             self._drain_target,
             self._top_up,
         ]
@@ -119,7 +123,7 @@
 
     async def _harm_target(self) -> None:
         target = self.generator.choice(self.fleet.targets)
-        harm = self.generator.choice(["break_after", "refuse", "fail", "event_s"])
+        harm = self.generator.choice(HARMS)
         value = {"break_after": 2, "event_s": 0.3}.get(harm, True)
         usual = getattr(target, harm)
         setattr(target, harm, value)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,7 +11,7 @@
 N_HOSTS = 3
 N_CALLERS = 8
 # Ends within a seed's time, so that the end of a budget is played as well.
-PREPAID_TOKENS = 12_000
+PREPAID_TOKENS = 50_000
 # An answer with one of these says that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 OK = 200
