--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from trefoilstage.components.fleet.membership import (
     BEAT_S,
@@ -12,8 +13,6 @@
     FleetMembership,
 )
 from trefoilstage.components.fleet.messages import HostBeat
-from trefoilstage.fleet_board import FleetBoard, PeerState
-from trefoilstage.phase import Phase
 
 N_HOSTS = 66
 
@@ -29,21 +28,8 @@
 
     def make(self, name: str) -> FleetMembership:
         """Return the membership of one host."""
-        board = FleetBoard(
-            host=name, incarnation=name, data_center="brest", phase=Phase.SERVING
-        )
-        for other in self.names:
-            if other != name:
-                board.peers[other] = PeerState(
-                    host=other,
-                    incarnation=other,
-                    peer_url=other,
-                    data_center="brest",
-                    last_heard=0.0,
-                    serving=True,
-                )
         return FleetMembership(
-            board=board,
+            board=make_board(name, self.names),
             store=mock.Mock(),
             links=mock.Mock(),
             server=mock.Mock(port=1),
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -3,14 +3,13 @@
 import unittest
 from typing import Any
 
+from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.messages import AskWork, WorkReport
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
-from trefoilstage.fleet_board import FleetBoard, PeerState
-from trefoilstage.phase import Phase
 
 
 class Network:
@@ -25,21 +24,8 @@
 
     def make(self, name: str) -> WorkloadController:
         """Return the controller of one host that has heard all others."""
-        board = FleetBoard(
-            host=name, incarnation=name, data_center="brest", phase=Phase.SERVING
-        )
-        for other in self.names:
-            if other != name:
-                board.peers[other] = PeerState(
-                    host=other,
-                    incarnation=other,
-                    peer_url=other,
-                    data_center="brest",
-                    last_heard=0.0,
-                    serving=True,
-                )
         workload = WorkloadController(
-            board=board,
+            board=make_board(name, self.names),
             links=self,  # type: ignore[arg-type]
             server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
             timer=self.timer,
