Tell a target's incarnations apart, and let unreadable entries cost no other

A target may start again under its name; its entry then bears a later start. Everything here was kept by name: health and ejection, work under way, targets already tried. A restarted target inherited the failures of its former life, and work that had ended with it; a heartbeat of the old incarnation that landed late brought back its address or its draining phase.

Now all three are kept by incarnation (name and start). The directory takes the latest start it has seen of a name and passes over older news, also after the entry was dropped. An answer from an old address removes that incarnation only. The rank as home of a prompt stays with the name, so that other subjects do not move. Ruled out: the order of arrival, which late writes and relays by peers break.

An entry by another writer may lack fields or hold other types. It was filled in (slots, phase, data centre) or converted, an undecodable key failed the whole read again and again, and bad base64 in a listing ended the follower with an error. Entries are checked strictly now, one at a time; one that can't be read takes its target out of use until a proper one is seen, since it may say that it leaves.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -221,13 +221,24 @@
     ).encode()
 
 
-def encode_target(port: int, *, state: str = "ready", service: str = "llm") -> bytes:
+def encode_target(
+    port: int,
+    *,
+    state: str = "ready",
+    service: str = "llm",
+    sequence: int = 1,
+    started_ms: int = 1_000,
+) -> bytes:
     """Return a target's entry."""
     entry = {
         "service": service,
         "address": f"{LOOPBACK}:{port}",
         "zone": "brest",
+        "version": "v1",
         "slots": 8,
         "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": sequence,
+        "born": started_ms,
     }
     return json.dumps(entry).encode()
--- a/tests/components/forwarding/common.py
+++ b/tests/components/forwarding/common.py
@@ -32,13 +32,16 @@
     service: str = "assistant",
     data_center: str = "brest",
     phase: TargetPhase = TargetPhase.READY,
+    address: str = "127.0.0.1:1",
+    started_ms: int = 0,
 ) -> TargetEntry:
     """Return a target's entry."""
     return TargetEntry(
         name=name,
         service=service,
-        address="127.0.0.1:1",
+        address=address,
         data_center=data_center,
         slots=64,
         phase=phase,
+        started_ms=started_ms,
     )
--- a/tests/components/targets/test_directory.py
+++ b/tests/components/targets/test_directory.py
@@ -3,8 +3,11 @@
 import unittest
 
 from tests.components.forwarding.common import make_target
-from trefoilstage.components.forwarding.models import TargetPhase
-from trefoilstage.components.targets.directory import TargetDirectory
+from trefoilstage.components.forwarding.models import TargetEntry, TargetPhase
+from trefoilstage.components.targets.directory import (
+    MAX_KNOWN_STARTS,
+    TargetDirectory,
+)
 
 NEVER = float("-inf")
 
@@ -52,3 +55,64 @@
         self.targets.drop("engine-0", 100.1, 100.0)
         self.targets.add(make_target("engine-0"))
         self.assertEqual(self.list_names(200.0), ["engine-0"])
+
+
+class RestartTest(unittest.TestCase):
+    """Test targets that start again under the name that they had."""
+
+    def setUp(self) -> None:
+        """List a target that started again at another address."""
+        self.targets = TargetDirectory()
+        self.old = make_target("engine-0", started_ms=1_000)
+        self.new = make_target("engine-0", started_ms=2_000, address="127.0.0.1:2")
+        self.targets.add(self.old)
+        self.targets.add(self.new)
+
+    def list_ready(self, now: float = 1.0) -> list[TargetEntry]:
+        """Return the entries that may get work."""
+        return self.targets.list_ready("assistant", now)
+
+    def test_late_news_of_the_old_start_changes_nothing(self) -> None:
+        """Land a heartbeat of the ended incarnation after its successor's.
+
+        Taken in, requests would go to the old address, or to none if it said that
+        it was draining.
+        """
+        leaving = make_target(
+            "engine-0", started_ms=1_000, phase=TargetPhase.DRAINING
+        )
+        self.assertFalse(self.targets.add(leaving))
+        self.assertEqual(self.list_ready(), [self.new])
+
+    def test_late_news_after_the_new_start_was_dropped(self) -> None:
+        """Drop the new start's entry, then land the old one's heartbeat."""
+        self.targets.drop("engine-0", 100.0, NEVER)
+        self.assertFalse(self.targets.add(self.old))
+        self.assertEqual(self.list_ready(), [])
+
+    def test_draining_target_that_restarts_gets_work_again(self) -> None:
+        """Let a target drain, end, and start again under its name."""
+        self.targets.add(
+            make_target("engine-0", started_ms=2_000, phase=TargetPhase.DRAINING)
+        )
+        self.assertEqual(self.list_ready(), [])
+        again = make_target("engine-0", started_ms=3_000)
+        self.targets.add(again)
+        self.assertEqual(self.list_ready(), [again])
+
+    def test_answer_at_the_old_address_does_not_remove_the_new_start(self) -> None:
+        """Send to the old address, which another target has taken meanwhile.
+
+        Its answer says so after the new start was listed, which stays in use.
+        """
+        self.targets.remove(self.old)
+        self.assertEqual(self.list_ready(), [self.new])
+        self.targets.remove(self.new)
+        self.assertEqual(self.list_ready(), [])
+
+    def test_known_starts_are_bounded(self) -> None:
+        """List very many names one after the other."""
+        for number in range(MAX_KNOWN_STARTS + 5):
+            self.targets.add(make_target(f"t-{number}", started_ms=1))
+            self.targets.drop(f"t-{number}", 100.0, NEVER)
+        self.assertEqual(len(self.targets.starts), MAX_KNOWN_STARTS)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,11 +7,16 @@
 from pathlib import Path
 
 from trefoilstage.components.forwarding.models import RouteKind, TargetPhase
-from trefoilstage.components.views.store import StoreUnavailableError
+from trefoilstage.components.views.store import StoreUnavailableError, Topic
 from trefoilstage.exceptions import MalformedMessageError, SettingsError
 from trefoilstage.platform.configuration import decode_configuration, decode_target
 from trefoilstage.platform.settings import load_platform_settings
-from trefoilstage.platform.store import decode_records, encode_record
+from trefoilstage.platform.store import (
+    decode_item,
+    decode_items,
+    decode_records,
+    encode_record,
+)
 
 CONFIGURATION = {
     "version": 7,
@@ -49,6 +54,23 @@
 something.new=1
 """
 
+ENTRY = {
+    "service": "x",
+    "address": "1.2.3.4:5",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+}
+
+
+def encode_entry(**fields: object) -> bytes:
+    """Return a target's entry with some fields changed or added."""
+    entry = {**ENTRY, **fields}
+    return json.dumps({k: v for k, v in entry.items() if v is not None}).encode()
+
 
 class ConfigurationTest(unittest.TestCase):
     """Test what is decoded from the store."""
@@ -86,12 +108,52 @@
 
     def test_entry_is_decoded(self) -> None:
         """Read a target's entry."""
-        data = b'{"service":"x","address":"1.2.3.4:5","zone":"z","state":"draining"}'
-        entry = decode_target("i-1", data)
+        entry = decode_target("i-1", encode_entry(state="draining"))
         self.assertIs(entry.phase, TargetPhase.DRAINING)
         with self.assertRaises(MalformedMessageError):
             decode_target("i-1", b'{"service":"x"}')
 
+    def test_start_makes_an_incarnation(self) -> None:
+        """Read two entries of one name; the time of the start tells them apart."""
+        first = decode_target("i-1", encode_entry(born=1_000))
+        second = decode_target("i-1", encode_entry(born=2_000))
+        self.assertEqual(first.name, second.name)
+        self.assertNotEqual(first.incarnation, second.incarnation)
+        self.assertEqual(decode_target("i-1", encode_entry(born=None)).started_ms, 0)
+
+    def test_entry_that_another_writer_spoilt_is_malformed(self) -> None:
+        """Spoil one field at a time, and drop one at a time.
+
+        Filled in or converted, such an entry would name a target: requests would go
+        to an address that nobody listens on, or that somebody else does.
+        """
+        spoilt: list[tuple[str, object]] = [
+            ("service", ""),
+            ("service", 5),
+            ("address", "example.org:80"),
+            ("address", "1.2.3.4:0"),
+            ("address", "1.2.3.4:99999"),
+            ("address", "1.2.3.4"),
+            ("slots", "64"),
+            ("slots", 0),
+            ("slots", True),
+            ("state", "leaving"),
+            ("sequence", "4"),
+            ("born", "1000"),
+            ("born", 1000.5),
+            ("born", True),
+            ("born", 10**30),
+        ]
+        for name, value in spoilt:
+            with self.subTest(name=name, value=value):
+                with self.assertRaises(MalformedMessageError):
+                    decode_target("i-1", encode_entry(**{name: value}))
+        for name in ENTRY:
+            with self.subTest(dropped=name):
+                entry = {key: item for key, item in ENTRY.items() if key != name}
+                with self.assertRaises(MalformedMessageError):
+                    decode_target("i-1", json.dumps(entry).encode())
+
 
 class RecordsTest(unittest.TestCase):
     """Test the framing of records."""
@@ -104,6 +166,31 @@
         self.assertEqual(found, [("a", 5, b"x"), ("b", 6, None)])
         self.assertEqual(listing.end_offset, 7)
 
+    def test_unreadable_records_hold_nothing_up(self) -> None:
+        """Read records of another writer: an empty one, and a key that is no text.
+
+        Refused as a whole, the read would fail again and again, and hosts would
+        learn of no target any more.
+        """
+        empty = struct.pack(">I", 0)
+        torn_key = struct.pack(">I", 2) + b"\x09a"
+        no_text = struct.pack(">I", 4) + b"\x02\xff\xfex"
+        body = empty + torn_key + no_text + encode_record("i-1", b"v")
+        listing = decode_records(struct.pack(">QQ", 9, 0) + body, 5)
+        self.assertEqual(listing.end_offset, 9)
+        self.assertEqual(listing.records[-1].key, "i-1")
+        self.assertEqual([item.offset for item in listing.records], [5, 6, 7, 8])
+
+    def test_unreadable_listed_records_cost_no_other(self) -> None:
+        """List a page with items of other types and a value that is no base64."""
+        proper = {"key": "i-1", "value": "dg==", "offset": 4}
+        items = [5, {"key": 1}, {**proper, "value": "?"}, proper]
+        found = decode_items(items, Topic.TARGETS)
+        self.assertEqual([item.key for item in found], ["i-1", "i-1"])
+        with self.assertRaises(MalformedMessageError):
+            decode_target("i-1", decode_item(found[0]).value or b"")
+        self.assertEqual(decode_item(found[1]).value, b"v")
+
     def test_torn_bytes_are_an_outage(self) -> None:
         """Read answers that end too soon; the store counts as unavailable."""
         for data in (b"", b"\0" * 15, struct.pack(">QQ", 9, 0) + b"\0\0"):
--- a/trefoilstage/components/fleet/watcher.py
+++ b/trefoilstage/components/fleet/watcher.py
@@ -10,6 +10,9 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 
+# Bounds a log line about a record of another writer, in characters.
+MAX_LOGGED = 200
+
 DecodeConfiguration = Callable[[bytes], FleetConfiguration]
 DecodeTarget = Callable[[str, bytes], TargetEntry]
 
@@ -39,13 +42,15 @@
                 else:
                     self._take_target(record, now)
             except MalformedMessageError as error:
-                # What was in force before stays in force.
+                # A configuration that was in force stays in force.
+                if topic is Topic.TARGETS:
+                    self._board.targets.disregard(record.key)
                 log_event(
                     Event.RECORD_MALFORMED,
                     topic=topic,
-                    key=record.key,
+                    key=shorten(record.key),
                     offset=record.offset,
-                    error=str(error),
+                    error=shorten(str(error)),
                 )
 
     def _take_configuration(self, record: KeyedRecord) -> None:
@@ -73,12 +78,25 @@
             return
         entry = self._decode_target(record.key, record.value)
         known = targets.listed.get(record.key)
-        if known is None or known.entry != entry:
+        if not targets.add(entry):
+            log_event(
+                Event.TARGET_ENTRY_STALE,
+                target=entry.name,
+                started_ms=entry.started_ms,
+                latest_ms=targets.starts[entry.name],
+                offset=record.offset,
+            )
+        elif known is None or known.entry != entry:
             log_event(
                 Event.TARGET_LISTED,
                 target=entry.name,
                 service=entry.service,
                 phase=entry.phase,
+                started_ms=entry.started_ms,
                 offset=record.offset,
             )
-        targets.add(entry)
+
+
+def shorten(text: str) -> str:
+    """Return the beginning of a text that another writer may have made long."""
+    return text if len(text) <= MAX_LOGGED else f"{text[:MAX_LOGGED]}..."
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -104,7 +104,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetEntry:
-    """Describe a registered target; a restart makes a new one."""
+    """Describe one incarnation of a registered target."""
 
     name: str  # the identity that the target checks on each request
     service: str
@@ -112,6 +112,15 @@
     data_center: str
     slots: int
     phase: TargetPhase
+    started_ms: int = 0  # Unix time of its start by its own clock, 0 if it tells none
+
+    @property
+    def incarnation(self) -> str:
+        """Return the name that a restart changes, where `name` stays the same.
+
+        A restarted target has lost its work, its prompts and whatever made it fail.
+        """
+        return f"{self.name}@{self.started_ms}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -208,7 +208,7 @@
         self._chooser.note_first_token(target, n_tokens)
         if not isinstance(answer, OpenAnswer):
             self._chooser.note_end(target)
-            run.excluded.add(target.name)
+            run.excluded.add(target.incarnation)
         if isinstance(answer, NotSent):
             run.n_runs -= 1
         self._chooser.note_answer(target, answer)
@@ -230,16 +230,18 @@
     ) -> web.StreamResponse | None:
         """Return the response once complete, None to try elsewhere."""
         try:
-            if not answer.head.success and self._is_worth_repeating(run, answer):
+            if not answer.head.success and self._is_worth_repeating(
+                run, answer, target
+            ):
                 # Chosen again, the target would mostly fail again.
-                run.excluded.add(target.name)
+                run.excluded.add(target.incarnation)
                 return None
             if run.route.kind is RouteKind.STREAM and answer.head.success:
                 return await self._relay_stream(run, web_request, answer)
             return await self._relay_body(run, web_request, answer)
         except (AnswerBrokenError, MalformedMessageError) as error:
             self._chooser.note_broken(target)
-            run.excluded.add(target.name)
+            run.excluded.add(target.incarnation)
             log_event(
                 Event.ANSWER_BROKEN,
                 request=run.request.request,
@@ -253,7 +255,9 @@
             answer.close()
             self._chooser.note_end(target)
 
-    def _is_worth_repeating(self, run: Run, answer: OpenAnswer) -> bool:
+    def _is_worth_repeating(
+        self, run: Run, answer: OpenAnswer, target: TargetEntry
+    ) -> bool:
         if run.response is not None:
             # With part of a stream out, the head of a failure can't follow it.
             return True
@@ -262,7 +266,8 @@
         if answer.head.status < 500 or run.n_runs >= run.route.max_attempts:
             return False
         # Without another target, the caller gets this one's failure.
-        return self._chooser.has_other(run.service_name, run.excluded | {run.target})
+        tried = run.excluded | {target.incarnation}
+        return self._chooser.has_other(run.service_name, tried)
 
     async def _relay_body(
         self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -50,11 +50,11 @@
         """Return the target for a request, None if there is none."""
         now = self._timer.now()
         ready = self._board.targets.list_ready(service, now)
-        others = [target for target in ready if target.name not in excluded]
+        others = [target for target in ready if target.incarnation not in excluded]
         healthy = [
             target
             for target in others
-            if self._get_health(target.name).may_send(now, retry=False)
+            if self._get_health(target).may_send(now, retry=False)
         ]
         # With every target ejected, each request would be refused although a
         # target may be well again.
@@ -62,7 +62,7 @@
         if not usable:
             return None
         options = [
-            Option(target=target, work=self._workload.get_work(target.name))
+            Option(target=target, work=self._workload.get_work(target.incarnation))
             for target in usable
         ]
         if need.subject:
@@ -77,13 +77,14 @@
         if not subject:
             return
         ready = self._board.targets.list_ready(service, self._timer.now())
-        names = [target.name for target in ready]
-        await self._workload.refresh(rank_by_rendezvous(subject, names)[:1])
+        by_name = {target.name: target.incarnation for target in ready}
+        homes = rank_by_rendezvous(subject, by_name)[:1]
+        await self._workload.refresh([by_name[home] for home in homes])
 
     def has_other(self, service: str, excluded: set[str]) -> bool:
         """Tell whether a service has a ready target besides some."""
         ready = self._board.targets.list_ready(service, self._timer.now())
-        return any(target.name not in excluded for target in ready)
+        return any(target.incarnation not in excluded for target in ready)
 
     def note_request(self, service: str) -> None:
         """Count a request of a caller for the retry budget."""
@@ -96,31 +97,31 @@
 
     def note_start(self, target: TargetEntry, n_prompt_tokens: int) -> None:
         """Count a request that is sent to a target."""
-        self._workload.add(target.name, n_requests=1, prompt_tokens=n_prompt_tokens)
-        self._get_health(target.name).start(retry=False)
+        self._workload.add(target.incarnation, n_requests=1, prompt_tokens=n_prompt_tokens)
+        self._get_health(target).start(retry=False)
 
     def note_first_token(self, target: TargetEntry, n_prompt_tokens: int) -> None:
         """Count a prompt that a target has read or will not read."""
-        self._workload.add(target.name, prompt_tokens=-n_prompt_tokens)
+        self._workload.add(target.incarnation, prompt_tokens=-n_prompt_tokens)
 
     def note_end(self, target: TargetEntry) -> None:
         """Count a request that ended at a target."""
-        self._workload.add(target.name, n_requests=-1)
-        self._get_health(target.name).note_dropped()
+        self._workload.add(target.incarnation, n_requests=-1)
+        self._get_health(target).note_dropped()
 
     def note_answer(
         self, target: TargetEntry, answer: OpenAnswer | NotSent | Broken
     ) -> None:
         """Judge a target by an answer."""
         now = self._timer.now()
-        health = self._get_health(target.name)
+        health = self._get_health(target)
         if isinstance(answer, OpenAnswer):
             if answer.head.status < 500:
                 health.note_answer()
                 return
             failed = health.note_failure(now)
         elif isinstance(answer, NotSent) and answer.misdirected:
-            self._board.targets.remove(target.name)
+            self._board.targets.remove(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
             return
         elif isinstance(answer, NotSent) and answer.busy:
@@ -133,10 +134,11 @@
 
     def note_broken(self, target: TargetEntry) -> None:
         """Count an answer that broke off."""
-        self._get_health(target.name).note_failure(self._timer.now())
+        self._get_health(target).note_failure(self._timer.now())
 
-    def _get_health(self, name: str) -> TargetHealth:
-        return self._healths.setdefault(name, TargetHealth())
+    def _get_health(self, target: TargetEntry) -> TargetHealth:
+        # A restarted target owes nothing for what failed before its restart.
+        return self._healths.setdefault(target.incarnation, TargetHealth())
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -77,6 +77,7 @@
     TARGET_REPLACED = "target_replaced"
     TARGET_DROPPED = "target_dropped"
     TARGET_LISTED = "target_listed"
+    TARGET_ENTRY_STALE = "target_entry_stale"
     SETTINGS_READ = "settings_read"
     SETTINGS_REFUSED = "settings_refused"
     STOP_INCOMPLETE = "stop_incomplete"
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -1,8 +1,9 @@
 """Decode the operators' configuration and the targets' entries."""
 
+import ipaddress
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from trefoilstage.components.forwarding.models import (
     CallerLimits,
@@ -31,6 +32,11 @@
 SILENCE_PER_OBJECTIVE = 4.0
 SILENCE_PER_GAP = 8.0
 Positive = Annotated[float, Field(gt=0)]
+MAX_PORT = 65_535
+# Far above what was seen, and small enough for messages between hosts.
+MAX_NAME = 200
+MAX_SLOTS = 1_000_000
+MAX_UNIX_MS = 2**53
 
 
 class WireSplit(BaseModel):
@@ -102,13 +108,34 @@
 
 
 class WireTarget(BaseModel):
-    """Check a server's entry, our target."""
+    """Check a server's entry, our target.
 
-    service: str
+    Nothing is converted or filled in: an entry by another writer may look like a
+    target's but for one field, and requests would go to an address that it made up.
+    """
+
+    model_config = ConfigDict(strict=True)
+
+    service: Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
     address: str
-    zone: str = ""  # our data centre
-    slots: int = 1
-    state: Literal["ready", "draining"] = "ready"
+    zone: Annotated[str, Field(max_length=MAX_NAME)]  # our data centre
+    version: str
+    slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, Field(ge=0)]
+    sequence: Annotated[int, Field(ge=0)]
+    # Unix milliseconds of its start; with the name, it tells its incarnation.
+    born: Annotated[int, Field(ge=0, le=MAX_UNIX_MS)] | None = None
+
+    @field_validator("address")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Take an IPv4 address and a port only; names are not looked up."""
+        host, _, port = value.rpartition(":")
+        ipaddress.IPv4Address(host)
+        if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+            raise ValueError("the port is not a number from 1 to 65535")
+        return value
 
 
 def decode_configuration(data: bytes) -> FleetConfiguration:
@@ -190,6 +217,8 @@
 
 def decode_target(name: str, data: bytes) -> TargetEntry:
     """Return a target's entry, or raise MalformedMessageError."""
+    if not 0 < len(name) <= MAX_NAME:
+        raise MalformedMessageError("the target's name is empty or too long")
     try:
         wire = WireTarget.model_validate_json(data)
     except ValidationError as error:
@@ -201,6 +230,7 @@
         data_center=wire.zone,
         slots=wire.slots,
         phase=TargetPhase(wire.state),
+        started_ms=wire.born or 0,
     )
 
 
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from typing import Annotated, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar
 
 import aiohttp
 from pydantic import BaseModel, Field, ValidationError
@@ -15,6 +15,7 @@
     StoreUnavailableError,
     Topic,
 )
+from trefoilstage.helpers.events import Event, log_event
 
 TOPICS: Final = {
     Topic.CONFIGURATION: "keyed.op",
@@ -32,11 +33,16 @@
 CONNECT_TIMEOUT_S = 0.5
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
+# Stands for a value that can't be decoded; no decoder of ours takes it.
+UNREADABLE = b"\xff"
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
 
 class WireItem(BaseModel):
-    """Check the newest record of a key."""
+    """Check the newest record of a key.
+
+    Another writer's record may be anything; it must not cost the others of its page.
+    """
 
     key: str
     value: str  # base64
@@ -46,7 +52,7 @@
 class WirePage(BaseModel):
     """Check a page of the newest records."""
 
-    items: list[WireItem]
+    items: list[Any]  # each is checked by itself
     has_more: bool = False
     end_offset: int
 
@@ -73,10 +79,11 @@
             page = await self._list_page(topic, partition, after)
             # Pages are no snapshot: only what the first page knew was complete.
             end_offset = page.end_offset if end_offset is None else end_offset
-            records += [decode_item(item) for item in page.items]
-            if not page.has_more or not page.items:
+            items = decode_items(page.items, topic)
+            records += [decode_item(item) for item in items]
+            if not page.has_more or not items:
                 return Listing(records=records, end_offset=end_offset)
-            after = page.items[-1].key
+            after = items[-1].key
 
     async def _list_page(
         self, topic: Topic, partition: int, after: str | None
@@ -163,11 +170,29 @@
         raise StoreUnavailableError(f"malformed answer: {model.__name__}") from error
 
 
+def decode_items(items: list[Any], topic: Topic) -> list[WireItem]:
+    """Return the items that can be read; log each of the others."""
+    found: list[WireItem] = []
+    for item in items:
+        try:
+            found.append(WireItem.model_validate(item, strict=True))
+        except ValidationError as error:
+            log_event(
+                Event.RECORD_MALFORMED,
+                topic=topic,
+                key="",
+                error=f"{error.error_count()} fields of a listed record",
+            )
+    return found
+
+
 def decode_item(item: WireItem) -> KeyedRecord:
     """Return the record of a listed item."""
-    return KeyedRecord(
-        key=item.key, offset=item.offset, value=base64.b64decode(item.value) or None
-    )
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        value = UNREADABLE
+    return KeyedRecord(key=item.key, offset=item.offset, value=value or None)
 
 
 def encode_record(key: str, value: bytes | None) -> bytes:
@@ -193,14 +218,19 @@
             content = data[position : position + length]
             position += length
             records.append(decode_content(content, offset + len(records)))
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+    except struct.error as error:
         raise StoreUnavailableError("malformed records") from error
     return Listing(records=records, end_offset=offset + len(records))
 
 
 def decode_content(content: bytes, offset: int) -> KeyedRecord:
-    """Return a keyed record: length of the key, key, value."""
+    """Return a keyed record: length of the key, key, value.
+
+    A key that is no text is a key all the same: a record that raised here would hold
+    up every later one of its topic.
+    """
+    if not content or len(content) <= content[0]:
+        return KeyedRecord(key="", offset=offset, value=UNREADABLE)
     end = 1 + content[0]
-    return KeyedRecord(
-        key=content[1:end].decode(), offset=offset, value=content[end:] or None
-    )
+    key = content[1:end].decode(errors="backslashreplace")
+    return KeyedRecord(key=key, offset=offset, value=content[end:] or None)
