Keep connections to targets while they are sound

Hosts meet each target every two seconds, well within the time that targets keep idle connections.

An idle connection serves the next request until 0.7 s before its target closes it. Bytes between answers, an answer to another request, a refusal, a broken or abandoned answer end it. Idle ones are few, so that all hosts leave targets room for work. Ruled out: keeping connections without a check of the id echoed by the target (a late second answer would meet the next request), and the library's own repeat of a request on a new connection, which may run it twice; the latter stays stopped.

--- a/tests/components/targets/test_directory.py
+++ b/tests/components/targets/test_directory.py
@@ -78,9 +78,7 @@
         Taken in, requests would go to the old address, or to none if it said that
         it was draining.
         """
-        leaving = make_target(
-            "engine-0", started_ms=1_000, phase=TargetPhase.DRAINING
-        )
+        leaving = make_target("engine-0", started_ms=1_000, phase=TargetPhase.DRAINING)
         self.assertFalse(self.targets.add(leaving))
         self.assertEqual(self.list_ready(), [self.new])
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -145,14 +145,15 @@
             ("born", 10**30),
         ]
         for name, value in spoilt:
-            with self.subTest(name=name, value=value):
-                with self.assertRaises(MalformedMessageError):
-                    decode_target("i-1", encode_entry(**{name: value}))
+            with (
+                self.subTest(name=name, value=value),
+                self.assertRaises(MalformedMessageError),
+            ):
+                decode_target("i-1", encode_entry(**{name: value}))
         for name in ENTRY:
-            with self.subTest(dropped=name):
-                entry = {key: item for key, item in ENTRY.items() if key != name}
-                with self.assertRaises(MalformedMessageError):
-                    decode_target("i-1", json.dumps(entry).encode())
+            entry = {key: item for key, item in ENTRY.items() if key != name}
+            with self.subTest(dropped=name), self.assertRaises(MalformedMessageError):
+                decode_target("i-1", json.dumps(entry).encode())
 
 
 class RecordsTest(unittest.TestCase):
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -1,12 +1,10 @@
 """Send a request to one target and read the head of its answer."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from functools import partial
+from typing import cast
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from trefoilstage.components.forwarding.border import (
@@ -14,8 +12,14 @@
     Border,
     ForwardOptions,
 )
+from trefoilstage.components.forwarding.connections import (
+    CheckedResponse,
+    KeepingConnector,
+    count_idle,
+)
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.exceptions import TrefoilstageError
+from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.sends import Attempt, RepeatedSendError, open_session
 
 # A target in the same region accepts within 2 ms. The kernel sends a lost opening
@@ -57,7 +61,7 @@
 
     head: AnswerHead
     headers: list[tuple[str, str]]
-    response: aiohttp.ClientResponse
+    response: CheckedResponse
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yield the body as it comes, or raise AnswerBrokenError."""
@@ -68,40 +72,23 @@
             raise AnswerBrokenError(type(error).__name__) from error
 
     def close(self) -> None:
-        """Close the connection, upon which the target stops its work."""
-        self.response.close()
-
-
-class CheckedResponseHandler(ResponseHandler):
-    """Tell an answer that was reset from one that ended.
-
-    An answer without a length ends with its connection. The library takes a reset
-    for that end, and a caller would get half an answer as a whole one.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body under way before the library completes it."""
-        if exc is not None and self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError("reset"))
-        super().connection_lost(exc)
+        """Close the connection, upon which the target stops its work.
 
+        Nothing is closed after a whole answer: its connection was given back.
+        """
+        self.response.close()
 
-def open_target_session(address: str) -> aiohttp.ClientSession:
-    """Return a session that opens a connection for each request.
 
-    On a kept connection a late second answer would meet the next request, and a
-    target that closes it while a request is written leaves open whether it ran.
-    """
-    connector = aiohttp.TCPConnector(
-        limit=0, force_close=True, local_addr=(address, 0), use_dns_cache=False
-    )
-    connector._factory = partial(make_handler, asyncio.get_running_loop())
-    return open_session(connector)
+def open_target_session(address: str, board: FleetBoard) -> aiohttp.ClientSession:
+    """Return a session that keeps connections to targets while they are sound."""
 
+    def get_max_idle() -> int:
+        services = board.configuration.services if board.configuration else {}
+        limits = (service.max_connections for service in services.values())
+        return count_idle(limits, len(board.peers) + 1)
 
-def make_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
-    """Return the protocol of one connection."""
-    return CheckedResponseHandler(loop)
+    connector = KeepingConnector(address=address, get_max_idle=get_max_idle)
+    return open_session(connector, CheckedResponse)
 
 
 class TargetSender:
@@ -137,21 +124,21 @@
         except SEND_ERRORS as error:
             name = type(error).__name__
             return Broken(reason=name) if attempt.n_sent else NotSent(reason=name)
-        return self._check(request, response)
+        return self._check(request, cast(CheckedResponse, response))
 
     def _check(
-        self, request: CallerRequest, response: aiohttp.ClientResponse
+        self, request: CallerRequest, response: CheckedResponse
     ) -> OpenAnswer | NotSent | Broken:
         head = self._border.read_answer(request, response.status, response.headers)
         if head.not_run and head.own_or_unnamed:
-            response.close()
+            response.discard()
             return NotSent(
                 reason=f"status {head.status}",
                 misdirected=head.misdirected,
                 busy=not head.misdirected,
             )
         if not head.trusted:
-            response.close()
+            response.discard()
             return Broken(reason=f"status {head.status}, not the target's answer")
         headers = self._border.write_answer(response.headers.items())
         return OpenAnswer(head=head, headers=headers, response=response)
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -97,7 +97,9 @@
 
     def note_start(self, target: TargetEntry, n_prompt_tokens: int) -> None:
         """Count a request that is sent to a target."""
-        self._workload.add(target.incarnation, n_requests=1, prompt_tokens=n_prompt_tokens)
+        self._workload.add(
+            target.incarnation, n_requests=1, prompt_tokens=n_prompt_tokens
+        )
         self._get_health(target).start(retry=False)
 
     def note_first_token(self, target: TargetEntry, n_prompt_tokens: int) -> None:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -85,7 +85,7 @@
     async def on_start(self) -> None:
         """Build the parts and start them, inner ones first."""
         settings = self._settings
-        self._session = open_target_session(settings.address)
+        self._session = open_target_session(settings.address, self._board)
         generator = random.Random(self._board.incarnation)
         timer = TimerService()
         links = PeerLinks(outbound_address=settings.address, codec=FLEET_CODEC)
--- a/trefoilstage/helpers/sends.py
+++ b/trefoilstage/helpers/sends.py
@@ -45,10 +45,14 @@
     attempt.n_sent += 1
 
 
-def open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def open_session(
+    connector: aiohttp.TCPConnector,
+    response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+) -> aiohttp.ClientSession:
     """Return an HTTP client that counts sends and keeps no cookies."""
     return aiohttp.ClientSession(
         connector=connector,
+        response_class=response_class,
         timeout=aiohttp.ClientTimeout(total=None),
         trace_configs=[make_send_trace()],
         # A cookie set for one workspace must not go out with another's call.
