--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -62,9 +62,14 @@
         if run.started >= run.deadline:
             return Refusal(reason=Reason.DEADLINE)
         run.service_name = self._pick_service(run.route)
-        subject, _ = find_subject(run.request.prompt)
         # Asked beside the hold: both take a call, and neither needs the other's answer.
-        refresh = asyncio.create_task(self._chooser.refresh(run.service_name, subject))
+        refresh = asyncio.create_task(
+            self._chooser.refresh(
+                run.service_name,
+                find_subject(run.request.prompt),
+                run.request.prompt,
+            )
+        )
         hold: Hold | Refusal | None = None
         try:
             async with asyncio.timeout_at(run.deadline):
@@ -72,7 +77,7 @@
                 if isinstance(hold, Refusal):
                     return hold
                 run.held_at = asyncio.get_running_loop().time()
-                await refresh
+                run.kept = await refresh
                 return await self._deliver(run, web_request)
         except TimeoutError:
             return self._refuse_late(run)
@@ -158,19 +163,25 @@
         return self._generator.choices(route.shares, weights=weights)[0].service
 
     def _choose(self, run: Run, service: str) -> TargetEntry | None:
-        subject, n_shared = find_subject(run.request.prompt)
         return self._chooser.choose(
             service=service,
             excluded=run.excluded,
-            need=PromptNeed(
-                subject=subject,
-                n_shared_tokens=n_shared,
-                n_tokens=run.request.n_prompt_tokens,
-                objective_s=run.route.objective_s,
-            ),
+            need=self._find_need(run),
+            prompt=run.request.prompt,
+            kept=run.kept,
             request=run.request.request,
         )
 
+    def _find_need(self, run: Run) -> PromptNeed | None:
+        if not run.request.prompt:
+            return None
+        waited_s = asyncio.get_running_loop().time() - run.started
+        return PromptNeed(
+            subject=find_subject(run.request.prompt),
+            n_tokens=sum(part.n_tokens for part in run.request.prompt),
+            objective_s=run.route.objective_s - waited_s,
+        )
+
     async def _send(
         self, run: Run, service: str, target: TargetEntry
     ) -> OpenAnswer | NotSent | Broken:
@@ -188,8 +199,7 @@
         run.n_sends += 1
         run.target = target.name
         run.n_runs += 1
-        n_tokens = run.request.n_prompt_tokens
-        self._chooser.note_start(target, n_tokens)
+        n_unread = self._chooser.note_start(target, run.request.prompt)
         log_event(
             Event.REQUEST_SENT,
             request=run.request.request,
@@ -201,11 +211,11 @@
         try:
             answer = await self._sender.send(run.request, run.body, target, options)
         except BaseException:
-            self._chooser.note_first_token(target, n_tokens)
+            self._chooser.note_first_token(target, n_unread)
             self._chooser.note_end(target)
             raise
         # A target sends the head of a stream with its first token.
-        self._chooser.note_first_token(target, n_tokens)
+        self._chooser.note_first_token(target, n_unread)
         if not isinstance(answer, OpenAnswer):
             self._chooser.note_end(target)
             run.excluded.add(target.incarnation)
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -1,9 +1,9 @@
 """Choose a target for a request; pure.
 
 Load: prompts share long parts. A target that still has a part in memory need not
-read it again, and reading 5,000 tokens takes a target 80 ms, in which the other
-prompts there wait. So all hosts send prompts with the same part to the same target,
-its home, while the request is expected to get its first token in time there.
+read it again, and reading 13,000 tokens takes a target 0.25 s, in which the other
+prompts there wait. A prompt therefore goes where it has least to read, unless it would
+be late there and in time elsewhere.
 """
 
 from collections.abc import Sequence
@@ -12,19 +12,21 @@
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.util.hashing import rank_by_rendezvous
 
-# Prompt tokens that an engine reads in a second; two sites' engines read 62,000
-# and 66,000. Only the order of targets and the use of the home rest on it.
+# Prompt tokens that an engine reads in a second; three sites' engines read 62,000 to
+# 66,000, a third less where prompts are long.
 PROMPT_TOKENS_PER_S = 60_000.0
 # Each request under way makes the tokens of the others slower: with 64 at once a
 # step takes 1.5 times as long as alone.
 SECONDS_PER_REQUEST = 0.002
-# The home is left when it would use up more than this share of the objective. The
-# rest is for what is not known here: the other hosts' newest requests, the network.
-OBJECTIVE_SHARE = 0.5
-# A subject that is too much for its home goes on to the same next targets from every
-# host. Sent to whichever was the soonest, a third of all dossiers being about one
-# event was read again at all nine targets.
-N_HOMES = 3
+# Above this share of the objective a first token is taken to be late. The rest is for
+# what is not known here: the other hosts' newest requests, long prompts, the network.
+IN_TIME_SHARE = 0.7
+# What a second of reading costs besides the caller's own wait: the prompts behind it
+# wait as well, and what it reads takes the room of what others come back for.
+READING_WEIGHT = 2.0
+# In a large fleet only so many targets are asked about a prompt, the same for all
+# prompts about one subject.
+N_CANDIDATES = 3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,7 +34,7 @@
     """Hold what is under way at a target, from all hosts as far as known."""
 
     n_requests: int = 0
-    prompt_tokens: int = 0  # sent and without a first token yet
+    prompt_tokens: int = 0  # to be read yet
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,9 +42,8 @@
     """Hold what a placement has to know of a prompt."""
 
     subject: str  # the last part that other requests share
-    n_shared_tokens: int  # up to the end of that part
     n_tokens: int
-    objective_s: float
+    objective_s: float  # what is left of it
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,17 +52,16 @@
 
     target: TargetEntry
     work: Work
+    n_kept_tokens: int = 0  # of the prompt, in the target's memory
 
 
-def find_subject(prompt: Sequence[PromptPart]) -> tuple[str, int]:
-    """Return the last part that requests share, and the tokens up to its end.
+def find_subject(prompt: Sequence[PromptPart]) -> str:
+    """Return the last part that requests share, empty without a prompt.
 
     The last part of a prompt belongs to the request or its session.
     """
     shared = prompt[:-1] or prompt
-    if not shared:
-        return "", 0
-    return shared[-1].name, sum(part.n_tokens for part in shared)
+    return shared[-1].name if shared else ""
 
 
 def estimate_first_token(work: Work, n_unread_tokens: int) -> float:
@@ -70,23 +70,30 @@
     return n_tokens / PROMPT_TOKENS_PER_S + SECONDS_PER_REQUEST * work.n_requests
 
 
+def rank_candidates(
+    targets: Sequence[TargetEntry], subject: str, *, is_large: bool
+) -> list[TargetEntry]:
+    """Return the targets for a subject, in the same order at all hosts."""
+    by_name = {target.name: target for target in targets}
+    ranked = [by_name[name] for name in rank_by_rendezvous(subject, by_name)]
+    return ranked[:N_CANDIDATES] if is_large else ranked
+
+
 def choose_by_prompt(options: Sequence[Option], need: PromptNeed) -> TargetEntry:
-    """Return the target that keeps a prompt's subject, or the soonest if it is late."""
-    by_name = {option.target.name: option for option in options}
-    ranked = [by_name[name] for name in rank_by_rendezvous(need.subject, by_name)]
-    n_own_tokens = need.n_tokens - need.n_shared_tokens
-    limit_s = max(
-        OBJECTIVE_SHARE * need.objective_s, n_own_tokens / PROMPT_TOKENS_PER_S
-    )
-
-    def estimate(option: Option) -> float:
-        n_unread = n_own_tokens if option is ranked[0] else need.n_tokens
-        return estimate_first_token(option.work, n_unread)
-
-    for option in ranked[:N_HOMES]:
-        if estimate(option) <= limit_s:
-            return option.target
-    return min(ranked, key=estimate).target
+    """Return where a prompt costs least, in time if that can be; the first of equals.
+
+    A subject that no target has in memory goes where least waits, and so becomes
+    known there.
+    """
+
+    def weigh(option: Option) -> tuple[bool, float]:
+        n_unread = need.n_tokens - option.n_kept_tokens
+        wait_s = estimate_first_token(option.work, n_unread)
+        is_late = wait_s > IN_TIME_SHARE * need.objective_s
+        reading_s = n_unread / PROMPT_TOKENS_PER_S
+        return is_late, wait_s + READING_WEIGHT * reading_s
+
+    return min(options, key=weigh).target
 
 
 def choose_by_load(
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -1,5 +1,6 @@
 """Hold what became of one request so far; pure."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -27,7 +28,8 @@
     deadline: float
     n_runs: int = 0  # targets that may have run it
     n_sends: int = 0
-    excluded: set[str] = field(default_factory=set)
+    excluded: set[str] = field(default_factory=set)  # incarnations that were tried
+    kept: Mapping[str, int] = field(default_factory=dict)  # tokens, by incarnation
     last_event: int | None = None
     n_events: int = 0
     complete: bool = False
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -1,12 +1,15 @@
 """Choose targets by what this host knows of them."""
 
+from collections.abc import Mapping, Sequence
+
 from trefoilstage.components.fleet.membership import FleetMembership
-from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.placement import (
     Option,
     PromptNeed,
     choose_by_load,
     choose_by_prompt,
+    rank_candidates,
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.sender import Broken, NotSent, OpenAnswer
@@ -16,7 +19,6 @@
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
-from trefoilstage.util.hashing import rank_by_rendezvous
 
 
 class TargetChooser:
@@ -44,10 +46,35 @@
         *,
         service: str,
         excluded: set[str],
-        need: PromptNeed,
+        need: PromptNeed | None,
+        prompt: Sequence[PromptPart],
+        kept: Mapping[str, int],
         request: str,
     ) -> TargetEntry | None:
-        """Return the target for a request, None if there is none."""
+        """Return the target for a request, None if there is none.
+
+        `kept` holds what the peers said of the prompt's tokens in memory.
+        """
+        usable = self._list_usable(service, excluded)
+        if not usable:
+            return None
+        if need is None:
+            options = [self._make_option(target) for target in usable]
+            return choose_by_load(options, self._board.data_center, request)
+        is_large = self._workload.is_large()
+        options = [
+            self._make_option(
+                target,
+                max(
+                    kept.get(target.incarnation, 0),
+                    self._workload.count_kept(target.incarnation, prompt),
+                ),
+            )
+            for target in rank_candidates(usable, need.subject, is_large=is_large)
+        ]
+        return choose_by_prompt(options, need)
+
+    def _list_usable(self, service: str, excluded: set[str]) -> list[TargetEntry]:
         now = self._timer.now()
         ready = self._board.targets.list_ready(service, now)
         others = [target for target in ready if target.incarnation not in excluded]
@@ -58,28 +85,26 @@
         ]
         # With every target ejected, each request would be refused although a
         # target may be well again.
-        usable = healthy or others
-        if not usable:
-            return None
-        options = [
-            Option(target=target, work=self._workload.get_work(target.incarnation))
-            for target in usable
-        ]
-        if need.subject:
-            return choose_by_prompt(options, need)
-        return choose_by_load(options, self._board.data_center, request)
+        return healthy or others
+
+    def _make_option(self, target: TargetEntry, n_kept_tokens: int = 0) -> Option:
+        work = self._workload.get_work(target.incarnation)
+        return Option(target=target, work=work, n_kept_tokens=n_kept_tokens)
 
-    async def refresh(self, service: str, subject: str) -> None:
-        """Learn what other hosts have at the home of a subject, before it is chosen.
+    async def refresh(
+        self, service: str, subject: str, prompt: Sequence[PromptPart]
+    ) -> Mapping[str, int]:
+        """Learn what other hosts know of a prompt's targets, before one is chosen.
 
-        Calls without a prompt take 45 ms in the mean, and few of them meet.
+        Return the tokens of the prompt that each has in memory, as far as a peer
+        was asked. Calls without a prompt take 45 ms in the mean, and few of them meet.
         """
-        if not subject:
-            return
+        if not subject or not self._workload.is_large():
+            return {}
         ready = self._board.targets.list_ready(service, self._timer.now())
-        by_name = {target.name: target.incarnation for target in ready}
-        homes = rank_by_rendezvous(subject, by_name)[:1]
-        await self._workload.refresh([by_name[home] for home in homes])
+        candidates = rank_candidates(ready, subject, is_large=True)
+        names = [target.incarnation for target in candidates]
+        return await self._workload.refresh(names, prompt)
 
     def has_other(self, service: str, excluded: set[str]) -> bool:
         """Tell whether a service has a ready target besides some."""
@@ -95,16 +120,26 @@
         n_hosts = self._membership.count_hosts()
         return self._get_budget(service).take(self._timer.now(), n_hosts)
 
-    def note_start(self, target: TargetEntry, n_prompt_tokens: int) -> None:
-        """Count a request that is sent to a target."""
-        self._workload.add(
-            target.incarnation, n_requests=1, prompt_tokens=n_prompt_tokens
-        )
+    def note_start(self, target: TargetEntry, prompt: Sequence[PromptPart]) -> int:
+        """Count a request sent to a target; return the tokens that it has to read."""
+        name = target.incarnation
+        n_tokens = sum(part.n_tokens for part in prompt)
+        n_unread = n_tokens - self._workload.count_kept(name, prompt)
+        if prompt:
+            self._workload.add_prompt(name, self._get_kv_tokens(target), prompt)
+        self._workload.add(name, n_requests=1, prompt_tokens=n_unread)
         self._get_health(target).start(retry=False)
+        return n_unread
 
-    def note_first_token(self, target: TargetEntry, n_prompt_tokens: int) -> None:
+    def note_first_token(self, target: TargetEntry, n_unread_tokens: int) -> None:
         """Count a prompt that a target has read or will not read."""
-        self._workload.add(target.incarnation, prompt_tokens=-n_prompt_tokens)
+        self._workload.add(target.incarnation, prompt_tokens=-n_unread_tokens)
+
+    def _get_kv_tokens(self, target: TargetEntry) -> int:
+        configuration = self._board.configuration
+        service = configuration and configuration.services.get(target.service)
+        engine = service.engine if service else None
+        return engine.kv_tokens if engine else 0
 
     def note_end(self, target: TargetEntry) -> None:
         """Count a request that ended at a target."""
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -7,17 +7,20 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from mode import Service
 
 from trefoilstage.components.forwarding.messages import (
     AskWork,
+    ReadPrompt,
     TargetWork,
     WorkReport,
     WorkTotals,
 )
+from trefoilstage.components.forwarding.models import PromptPart
 from trefoilstage.components.forwarding.placement import Work
+from trefoilstage.components.forwarding.prompt_cache import PromptCaches
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -68,6 +71,8 @@
         self._heard_at: dict[str, float] = {}
         self._told: dict[str, TargetWork] = {}
         self._telling = False
+        self._caches = PromptCaches()
+        self._prompts: list[ReadPrompt] = []  # sent and not told yet
         self._totals: dict[str, TargetWork] = {}
         self._totals_at: dict[str, float] = {}
         server.register(WorkReport, self._take_report)
@@ -98,6 +103,18 @@
             self._telling = True
             self.add_future(self._report_soon())
 
+    def add_prompt(
+        self, target: str, kv_tokens: int, prompt: Sequence[PromptPart]
+    ) -> None:
+        """Take in that this host sends a target a prompt."""
+        sent = ReadPrompt(target=target, kv_tokens=kv_tokens, parts=tuple(prompt))
+        self._take_prompts((sent,))
+        self._prompts.append(sent)
+
+    def count_kept(self, target: str, prompt: Sequence[PromptPart]) -> int:
+        """Return the tokens of a prompt that a target has in memory."""
+        return self._caches.count_kept(target, prompt)
+
     def get_work(self, target: str) -> Work:
         """Return the work of all hosts at a target, as far as it is known."""
         items = [self._own.get(target, NO_WORK), *self._list_others(target)]
@@ -109,32 +126,46 @@
             prompt_tokens=sum(item.prompt_tokens for item in items),
         )
 
-    async def refresh(self, targets: Sequence[str]) -> None:
-        """Ask in a large fleet what the other hosts have at some targets."""
-        if not self._is_large():
-            return
+    async def refresh(
+        self, targets: Sequence[str], prompt: Sequence[PromptPart]
+    ) -> dict[str, int]:
+        """Ask in a large fleet what the other hosts have at some targets.
+
+        Return how many tokens of a prompt each of them has in memory.
+        """
+        if not self.is_large():
+            return {}
         calls = [
-            self._ask(home, names)
+            self._ask(home, names, prompt)
             for home, names in self._group_by_home(targets).items()
             if home != self._board.host
         ]
-        await asyncio.gather(*calls)
+        kept: dict[str, int] = {}
+        for answer in await asyncio.gather(*calls):
+            kept.update(answer)
+        return kept
 
-    async def _ask(self, home: str, targets: list[str]) -> None:
+    async def _ask(
+        self, home: str, targets: list[str], prompt: Sequence[PromptPart]
+    ) -> dict[str, int]:
         peer = self._board.peers.get(home)
         if peer is None:
-            return
-        message = AskWork(host=self._board.host, targets=tuple(targets))
+            return {}
+        message = AskWork(
+            host=self._board.host, targets=tuple(targets), prompt=tuple(prompt)
+        )
         try:
             link = self._links.get_link(peer.peer_url)
             reply = await link.call(message, timeout_s=ASK_TIMEOUT_S)
         except PeerUnavailableError:
             # The choice goes by this host's own work, as if the others had none.
-            return
-        if isinstance(reply, WorkTotals):
-            now = self._timer.now()
-            self._totals.update(reply.work)
-            self._totals_at.update(dict.fromkeys(reply.work, now))
+            return {}
+        if not isinstance(reply, WorkTotals):
+            return {}
+        now = self._timer.now()
+        self._totals.update(reply.work)
+        self._totals_at.update(dict.fromkeys(reply.work, now))
+        return reply.kept
 
     async def _answer_work(self, message: AskWork) -> WorkTotals:
         work = {
@@ -146,7 +177,11 @@
             )
             for target in message.targets
         }
-        return WorkTotals(work=work)
+        kept = {
+            target: self._caches.count_kept(target, message.prompt)
+            for target in message.targets
+        }
+        return WorkTotals(work=work, kept=kept)
 
     def _list_others(self, target: str, without: str = "") -> list[TargetWork]:
         oldest = self._timer.now() - MAX_AGE_S
@@ -158,7 +193,8 @@
             and host != without
         ]
 
-    def _is_large(self) -> bool:
+    def is_large(self) -> bool:
+        """Tell whether targets' work is gathered at one host each."""
         return len(self._board.peers) > MAX_TOLD_PEERS
 
     def _group_by_home(self, targets: Iterable[str]) -> dict[str, list[str]]:
@@ -176,23 +212,37 @@
         await self._report()
 
     async def _report(self) -> None:
-        if self._own == self._told:
+        self._caches.forget_others(self._board.targets.list_incarnations())
+        if self._own == self._told and not self._prompts:
             return
         changed = {
             target
             for target in self._own.keys() | self._told.keys()
             if self._own.get(target) != self._told.get(target)
         }
+        prompts, self._prompts = self._prompts, []
+        changed.update(sent.target for sent in prompts)
         self._told = dict(self._own)
         for host, work in self._pick_audience(changed).items():
             peer = self._board.peers.get(host)
             if peer is not None and peer.serving and not peer.failed:
-                report = WorkReport(host=self._board.host, work=work)
+                report = WorkReport(
+                    host=self._board.host,
+                    work=work,
+                    prompts=self._pick_prompts(prompts, work),
+                )
                 self.add_future(self._tell(peer.peer_url, report))
 
+    def _pick_prompts(
+        self, prompts: list[ReadPrompt], work: Mapping[str, TargetWork]
+    ) -> tuple[ReadPrompt, ...]:
+        if not self.is_large():
+            return tuple(prompts)
+        return tuple(sent for sent in prompts if sent.target in work)
+
     def _pick_audience(self, changed: set[str]) -> dict[str, dict[str, TargetWork]]:
         """Return what each host is told: all of this host's work, or its part."""
-        if not self._is_large():
+        if not self.is_large():
             return dict.fromkeys(self._board.peers, self._told)
         homes = self._group_by_home(self._told.keys() | changed)
         return {
@@ -211,6 +261,11 @@
     async def _take_report(self, report: WorkReport) -> None:
         self._others[report.host] = report
         self._heard_at[report.host] = self._timer.now()
+        self._take_prompts(report.prompts)
+
+    def _take_prompts(self, prompts: Iterable[ReadPrompt]) -> None:
+        for sent in prompts:
+            self._caches.add(sent.target, sent.kv_tokens, sent.parts)
 
 
 def add_up(items: Iterable[TargetWork]) -> TargetWork:
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -68,6 +68,10 @@
         """
         self.listed.pop(name, None)
 
+    def list_incarnations(self) -> set[str]:
+        """Return the incarnations that are listed, leaving ones among them."""
+        return {item.entry.incarnation for item in self.listed.values()}
+
     def list_ready(self, service: str, now: float) -> list[TargetEntry]:
         """Return the targets of a service that may get new work, by name."""
         return [
