--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -339,6 +339,8 @@
                 holder=incarnation,
                 drawn=holder.drawn,
                 used=used.tokens,
+                reported_spent=holder.spent,
+                locked=holder.locked,
                 witnessed=used.witnessed,
             )
 
