Let the pipeline answer callers through an interface, free of the HTTP server

The pipeline opened the HTTP server's responses itself, so that no test or tool could drive it without sockets.

--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -4,8 +4,6 @@
 import itertools
 import random
 
-from aiohttp import web
-
 from trefoilstage.components.escrow.client import EscrowClient, Hold
 from trefoilstage.components.escrow.patience import Patience
 from trefoilstage.components.forwarding.border import ForwardOptions
@@ -16,6 +14,7 @@
     TargetEntry,
 )
 from trefoilstage.components.forwarding.placement import PromptNeed, find_subject
+from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.run import Run
 from trefoilstage.components.forwarding.sender import (
     AnswerBrokenError,
@@ -55,10 +54,8 @@
         self._generator = generator
         self._numbers = itertools.count()
 
-    async def run(
-        self, run: Run, web_request: web.BaseRequest
-    ) -> web.StreamResponse | Refusal:
-        """Return the relayed answer, or why the caller gets none."""
+    async def run(self, run: Run, reply: CallerReply) -> Refusal | None:
+        """Answer a caller; return why it gets no answer, None once it has it."""
         if run.started >= run.deadline:
             return Refusal(reason=Reason.DEADLINE)
         run.service_name = self._pick_service(run.route)
@@ -78,7 +75,7 @@
                     return hold
                 run.held_at = asyncio.get_running_loop().time()
                 run.kept = await refresh
-                return await self._deliver(run, web_request)
+                return await self._deliver(run, reply)
         except TimeoutError:
             return self._refuse_late(run)
         finally:
@@ -130,9 +127,7 @@
             return Refusal(reason=Reason.DEADLINE, retry_after_s=RETRY_AFTER_S)
         return Refusal(reason=Reason.DEADLINE, effect=Effect.UNKNOWN)
 
-    async def _deliver(
-        self, run: Run, web_request: web.BaseRequest
-    ) -> web.StreamResponse | Refusal:
+    async def _deliver(self, run: Run, reply: CallerReply) -> Refusal | None:
         service = run.service_name
         configuration = self._board.configuration
         if service and configuration:
@@ -145,9 +140,8 @@
                 return failure
             answer = await self._send(run, service, target)
             if isinstance(answer, OpenAnswer):
-                relayed = await self._relay(run, web_request, answer, target)
-                if relayed is not None:
-                    return relayed
+                if await self._relay(run, reply, answer, target):
+                    return None
                 failure = make_failure("the answer broke off")
             elif isinstance(answer, Broken):
                 failure = make_failure(answer.reason)
@@ -232,23 +226,20 @@
         return self._chooser.take_repeat(service)
 
     async def _relay(
-        self,
-        run: Run,
-        web_request: web.BaseRequest,
-        answer: OpenAnswer,
-        target: TargetEntry,
-    ) -> web.StreamResponse | None:
-        """Return the response once complete, None to try elsewhere."""
+        self, run: Run, reply: CallerReply, answer: OpenAnswer, target: TargetEntry
+    ) -> bool:
+        """Tell whether the caller got the answer; if not, another target may do."""
         try:
             if not answer.head.success and self._is_worth_repeating(
-                run, answer, target
+                run, reply, answer, target
             ):
                 # Chosen again, the target would mostly fail again.
                 run.excluded.add(target.incarnation)
-                return None
+                return False
             if run.route.kind is RouteKind.STREAM and answer.head.success:
-                return await self._relay_stream(run, web_request, answer)
-            return await self._relay_body(run, web_request, answer)
+                await self._relay_stream(run, reply, answer)
+            else:
+                await self._relay_body(run, reply, answer)
         except (AnswerBrokenError, MalformedMessageError) as error:
             self._chooser.note_broken(target)
             run.excluded.add(target.incarnation)
@@ -260,15 +251,16 @@
                 error=str(error),
                 events=run.n_events,
             )
-            return None
+            return False
         finally:
             answer.close()
             self._chooser.note_end(target)
+        return True
 
     def _is_worth_repeating(
-        self, run: Run, answer: OpenAnswer, target: TargetEntry
+        self, run: Run, reply: CallerReply, answer: OpenAnswer, target: TargetEntry
     ) -> bool:
-        if run.response is not None:
+        if reply.is_open:
             # With part of a stream out, the head of a failure can't follow it.
             return True
         if not run.route.is_repeatable:
@@ -280,34 +272,35 @@
         return self._chooser.has_other(run.service_name, tried)
 
     async def _relay_body(
-        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
-    ) -> web.StreamResponse:
+        self, run: Run, reply: CallerReply, answer: OpenAnswer
+    ) -> None:
         # Read whole before the first byte goes on: if it breaks off, a request
         # that may be repeated still can be.
         parts = [data async for data in answer.read()]
         run.complete = True
-        response = web.Response(status=answer.head.status, body=b"".join(parts))
-        set_headers(response, answer.headers)
-        self._close_if_draining(response)
-        return response
+        reply.set_whole(
+            answer.head.status,
+            answer.headers,
+            b"".join(parts),
+            close=self._is_draining(),
+        )
 
     async def _relay_stream(
-        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
-    ) -> web.StreamResponse:
+        self, run: Run, reply: CallerReply, answer: OpenAnswer
+    ) -> None:
         splitter = EventSplitter()
         async for data in answer.read():
             events = self._take_new(run, splitter.add(data))
             if not events:
                 continue
-            response = await self._open_response(run, web_request, answer)
+            await self._open(reply, answer)
             run.note_data(asyncio.get_running_loop().time())
-            await response.write(b"".join(event.data for event in events))
+            await reply.write(b"".join(event.data for event in events))
         if splitter.has_rest:
             raise AnswerBrokenError("the stream ended within an event")
-        response = await self._open_response(run, web_request, answer)
+        await self._open(reply, answer)
         run.complete = True
-        await response.write_eof()
-        return response
+        await reply.end()
 
     def _take_new(self, run: Run, events: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that the caller does not have; count them."""
@@ -326,28 +319,14 @@
             fresh.append(event)
         return fresh
 
-    async def _open_response(
-        self, run: Run, web_request: web.BaseRequest, answer: OpenAnswer
-    ) -> web.StreamResponse:
-        if run.response is None:
-            response = web.StreamResponse(status=answer.head.status)
-            set_headers(response, answer.headers)
-            self._close_if_draining(response)
-            await response.prepare(web_request)
-            run.response = response
-        return run.response
-
-    def _close_if_draining(self, response: web.StreamResponse) -> None:
-        if self._board.phase is Phase.DRAINING:
-            response.force_close()
-
+    async def _open(self, reply: CallerReply, answer: OpenAnswer) -> None:
+        if not reply.is_open:
+            await reply.open(
+                answer.head.status, answer.headers, close=self._is_draining()
+            )
 
-def set_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
-    """Set a target's headers, repeated ones among them."""
-    for name, _ in headers:
-        response.headers.popall(name, None)
-    for name, value in headers:
-        response.headers.add(name, value)
+    def _is_draining(self) -> bool:
+        return self._board.phase is Phase.DRAINING
 
 
 def make_failure(detail: str) -> Refusal:
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -3,8 +3,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from aiohttp import web
-
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Route,
@@ -39,7 +37,6 @@
     longest_gap_s: float = 0.0
     target: str = ""
     service_name: str = ""
-    response: web.StreamResponse | None = None
     service: ServiceConfig | None = None
 
     @property
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -10,11 +10,12 @@
 from trefoilstage.components.forwarding.border import Border, MalformedRequestError
 from trefoilstage.components.forwarding.models import CallerRequest, RouteKind
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
+from trefoilstage.components.forwarding.reply import WebReply
 from trefoilstage.components.forwarding.run import Run
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.phase import Phase
 
 RETRY_AFTER_S = 1.0
@@ -27,6 +28,8 @@
 # Another host takes the request at once.
 ELSEWHERE_AFTER_S = 0.05
 SHUTTING_DOWN = Refusal(reason=Reason.SHUTTING_DOWN, retry_after_s=ELSEWHERE_AFTER_S)
+# The pipeline answers or says why not; should it do neither, nothing is promised.
+NO_ANSWER = Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN)
 NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
 
 
@@ -118,23 +121,22 @@
             run = await self._open_run(request, web_request, started)
             if isinstance(run, Refusal):
                 return self._refuse(run, request)
-            answer = await self._run(run, web_request)
-            if isinstance(answer, Refusal):
-                return self._refuse_run(answer, run, web_request)
-            return answer
+            reply = WebReply(web_request=web_request)
+            refusal = await self._run(run, reply)
+            if refusal is not None or reply.response is None:
+                return self._refuse_run(refusal or NO_ANSWER, run, reply)
+            return reply.response
         except MalformedRequestError as error:
             refusal = Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
             return self._refuse(refusal, request)
         finally:
             self.n_active -= 1
 
-    async def _run(
-        self, run: Run, web_request: web.BaseRequest
-    ) -> web.StreamResponse | Refusal:
+    async def _run(self, run: Run, reply: WebReply) -> Refusal | None:
         is_stream = run.route.kind is RouteKind.STREAM
         self.n_streams += is_stream
         try:
-            return await self._pipeline.run(run, web_request)
+            return await self._pipeline.run(run, reply)
         finally:
             self.n_streams -= is_stream
 
@@ -188,9 +190,9 @@
         return self._refusals.make(refusal, request, close=close)
 
     def _refuse_run(
-        self, refusal: Refusal, run: Run, web_request: web.BaseRequest
+        self, refusal: Refusal, run: Run, reply: WebReply
     ) -> web.StreamResponse:
-        if run.response is None:
+        if reply.response is None:
             return self._refuse(refusal, run.request, run.workspace_name)
         # The head is out. Without the end of the body, the caller sees that the
         # answer broke off.
@@ -202,9 +204,8 @@
             effect=refusal.effect,
             detail=refusal.detail,
         )
-        if web_request.transport is not None:
-            web_request.transport.close()
-        return run.response
+        reply.abort()
+        return reply.response
 
 
 def make_web_request(
