--- /dev/null
+++ b/bench/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulate engines, hosts and callers in virtual time, without sockets."""
--- /dev/null
+++ b/bench/emulator/network.py
@@ -0,0 +1,151 @@
+"""Carry messages between emulated hosts, and their calls to the store."""
+
+import asyncio
+from collections import defaultdict
+from typing import Any
+
+from standins.keyed_store import KeyedStore
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.peers.frames import ErrorReply
+from trefoilstage.components.peers.link import PeerLink
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.views.store import (
+    Listing,
+    StoreUnavailableError,
+    Topic,
+)
+from trefoilstage.exceptions import PeerUnavailableError
+
+ONE_WAY_S = 0.0007
+STORE_CALL_S = 0.006
+# A call into a cut hangs until the caller's own timeout.
+HANG_S = 1.5
+
+
+class SharedStore:
+    """Hold the store that all hosts call, and who is cut from it."""
+
+    def __init__(self) -> None:
+        self.store = KeyedStore()
+        self.slowness = 1.0
+        self.cut: set[str] = set()
+        self.n_calls = 0
+        self._changed: dict[Topic, asyncio.Event] = defaultdict(asyncio.Event)
+
+    def note_change(self, topic: Topic) -> None:
+        """Wake the reads that wait for a topic."""
+        self._changed.pop(topic, asyncio.Event()).set()
+
+    async def wait_for_change(self, topic: Topic, seconds: float) -> None:
+        """Wait until a topic changes, or for some seconds."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._changed[topic].wait()
+        except TimeoutError:
+            return
+
+
+class StoreDoor:
+    """Call the store for one incarnation of a host."""
+
+    def __init__(self, *, host: str, shared: SharedStore) -> None:
+        self._host = host
+        self._shared = shared
+        self.killed = False
+
+    async def _travel(self) -> None:
+        self._shared.n_calls += 1
+        if self.killed or self._host in self._shared.cut:
+            await asyncio.sleep(HANG_S)
+            raise StoreUnavailableError("cut off")
+        await asyncio.sleep(STORE_CALL_S * self._shared.slowness)
+        if self.killed:
+            raise StoreUnavailableError("killed")
+
+    async def list_newest(self, topic: Topic, partition: int = 0) -> Listing:
+        """Return the newest record of each key."""
+        await self._travel()
+        return await self._shared.store.list_newest(topic, partition)
+
+    async def read(
+        self, topic: Topic, offset: int, wait_s: float, partition: int = 0
+    ) -> Listing:
+        """Return the records from an offset on; wait for one if there is none."""
+        await self._travel()
+        found = await self._shared.store.read(topic, offset, wait_s, partition)
+        if not found.records and wait_s > 0:
+            await self._shared.wait_for_change(topic, wait_s)
+            if self.killed or self._host in self._shared.cut:
+                raise StoreUnavailableError("cut off")
+            found = await self._shared.store.read(topic, offset, wait_s, partition)
+        return found
+
+    async def put(
+        self,
+        topic: Topic,
+        key: str,
+        value: bytes | None,
+        *,
+        partition: int = 0,
+        at: int | None = None,
+    ) -> int | None:
+        """Write a key and return its offset, None if the topic didn't end at `at`."""
+        await self._travel()
+        offset = await self._shared.store.put(
+            topic, key, value, partition=partition, at=at
+        )
+        self._shared.note_change(topic)
+        return offset
+
+
+class Network:
+    """Know which host's server lies at which address."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, PeerServer] = {}
+        self.n_messages = 0
+
+
+class EmulatedLink(PeerLink):
+    """Carry messages to one address."""
+
+    def __init__(self, *, url: str, network: Network) -> None:
+        self.url = url
+        self._network = network
+
+    async def call(self, message: Any, *, timeout_s: float) -> Any:
+        """Return the peer's reply, or raise PeerUnavailableError."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self._travel(message)
+                await asyncio.sleep(ONE_WAY_S)
+        except TimeoutError as error:
+            raise PeerUnavailableError("no answer") from error
+        if isinstance(reply, ErrorReply):
+            raise PeerUnavailableError(reply.detail)
+        return reply
+
+    async def tell(self, message: Any, *, timeout_s: float) -> None:
+        """Send a message that gets no reply."""
+        await self._travel(message)
+
+    async def _travel(self, message: Any) -> Any:
+        self._network.n_messages += 1
+        await asyncio.sleep(ONE_WAY_S)
+        server = self._network.servers.get(self.url)
+        if server is None:
+            raise PeerUnavailableError("refused")
+        return await server.handle(message)
+
+
+class EmulatedLinks(PeerLinks):
+    """Own the links of one host."""
+
+    def __init__(self, *, network: Network) -> None:
+        super().__init__(outbound_address="", codec=FLEET_CODEC)
+        self._network = network
+
+    def get_link(self, url: str) -> PeerLink:
+        """Return the link to an address."""
+        return EmulatedLink(url=url, network=self._network)
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -73,10 +73,16 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _take(self, handler: Handler | None, message: Any) -> None:
+    async def handle(self, message: Any) -> Any:
+        """Return the reply to a message, or raise what its handler raises."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return ErrorReply(detail="no such call")
+        return await handler(message)
+
+    async def _take(self, message: Any) -> None:
         try:
-            if handler is not None:
-                await handler(message)
+            await self.handle(message)
         except Exception as error:
             log_event(
                 Event.PEER_CALL_FAILED,
@@ -85,16 +91,12 @@
             )
 
     async def _answer(self, connection: ServerConnection, frame: Frame[Any]) -> None:
-        handler = self._handlers.get(type(frame.body))
         if frame.reply:
             # A peer that tells something waits for no reply.
-            await self._take(handler, frame.body)
+            await self._take(frame.body)
             return
         try:
-            if handler is None:
-                body: Any = ErrorReply(detail="no such call")
-            else:
-                body = await handler(frame.body)
+            body: Any = await self.handle(frame.body)
         except NotReadyError as error:
             body = ErrorReply(detail=str(error)[:200])
         # Without an answer the peer would wait for its whole timeout.
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -2,49 +2,29 @@
 
 import asyncio
 import json
-import random
 import sys
 import uuid
 
 from mode import Service
 
-from trefoilstage.components.escrow.client import EscrowClient
-from trefoilstage.components.escrow.grants import GrantBook
-from trefoilstage.components.escrow.home import EscrowHome
-from trefoilstage.components.escrow.lock import ReserveLock
-from trefoilstage.components.escrow.lock_keeper import LockKeeper
-from trefoilstage.components.escrow.recovery import EscrowRecovery
-from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.metrics import MetricsServer
 from trefoilstage.components.fleet.watcher import BoardWatcher
 from trefoilstage.components.forwarding.border import Border
-from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
 from trefoilstage.components.forwarding.server import ForwardingServer
-from trefoilstage.components.forwarding.targets import TargetChooser
-from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.views.follower import ViewFollower
-from trefoilstage.components.views.keyed_view import KeyedRecord
-from trefoilstage.components.views.store import Store, Topic
+from trefoilstage.components.views.store import Store
 from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_parts import make_fleet_parts
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.dump import StateRegistry
 from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.lines import LineWriter
 from trefoilstage.phase import Phase
-from trefoilstage.timer import TimerService
 from trefoilstage.util.process_start import ProcessStart
 
-# A configuration is in force within 2 s of its acceptance: the store answers a
-# waiting read at once, and a connection that went silent is given up after this.
-CONFIGURATION_WAIT_S = 1.0
-# Targets write about once a second each, so a waiting read would return for each
-# one. Two reads a second find a leaving target well within its 2 s.
-TARGETS_PAUSE_S = 0.4
-HOSTS_WAIT_S = 3.0
 READY_POLL_S = 0.02
 # Peers that run answer within milliseconds; the store may name some that are gone.
 MEET_S = 0.6
@@ -86,96 +66,45 @@
         """Build the parts and start them, inner ones first."""
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
-        generator = random.Random(self._board.incarnation)
-        timer = TimerService()
         links = PeerLinks(outbound_address=settings.address, codec=FLEET_CODEC)
         peers = PeerServer(
             address=settings.address, port=settings.peer_port, codec=FLEET_CODEC
         )
-        followers = self._make_followers()
-        membership = FleetMembership(
-            board=self._board,
-            store=self._store,
-            links=links,
-            server=peers,
-            timer=timer,
-            followers=followers,
-            address=settings.address,
-            generator=generator,
-        )
-        self._membership = membership
-        book = GrantBook()
-        recovery = EscrowRecovery(
-            board=self._board, timer=timer, book=book, ask_seal=membership.ask_seal
-        )
-        membership.set_seal_handler(recovery.seal)
-        lock = ReserveLock()
-        home = EscrowHome(
-            board=self._board,
-            store=self._store,
-            server=peers,
-            timer=timer,
-            n_partitions=settings.store_partitions,
-            rank_home=lambda workspace: self._escrow.rank_home(workspace),
-            recovery=recovery,
-            lock=lock,
-        )
-        self._home = home
-        keeper = LockKeeper(
+        parts = make_fleet_parts(
+            settings=settings,
             board=self._board,
             store=self._store,
-            timer=timer,
-            lock=lock,
-            start=self._process_start,
-            has_touched=home.has_touched_lock,
-        )
-        self._escrow = EscrowClient(
-            board=self._board,
-            membership=membership,
-            home=home,
+            watcher=self._watcher,
             links=links,
-            timer=timer,
-            book=book,
-            generator=generator,
-        )
-        workload = WorkloadController(
-            board=self._board, links=links, server=peers, timer=timer
-        )
-        pipeline = ForwardingPipeline(
-            board=self._board,
-            escrow=self._escrow,
-            chooser=TargetChooser(
-                board=self._board,
-                membership=membership,
-                settings=settings,
-                timer=timer,
-                workload=workload,
-            ),
+            peers=peers,
             sender=TargetSender(session=self._session, border=self._border),
-            generator=generator,
+            process_start=self._process_start,
         )
+        self._membership = parts.membership
+        self._home = parts.home
+        self._escrow = parts.escrow
         self._server = ForwardingServer(
             board=self._board,
             settings=settings,
             border=self._border,
-            pipeline=pipeline,
+            pipeline=parts.pipeline,
         )
         metrics = MetricsServer(
             board=self._board,
-            timer=timer,
+            timer=parts.timer,
             lines=self._lines,
             address=settings.address,
             port=settings.metrics_port,
-            get_accounts=home.list_accounts,
+            get_accounts=self._home.list_accounts,
             count_active=lambda: self._server.n_active,
         )
         self._registry.register("board", lambda: self._board)
         self._registry.register("settings", lambda: settings)
-        self._registry.register("accounts", home.list_accounts)
-        parts: list[Service] = [timer, metrics, links, peers, *followers.values()]
-        parts += [membership, keeper, home, self._escrow, workload, self._server]
-        for part in parts:
-            await self.add_runtime_dependency(part)
+        self._registry.register("accounts", self._home.list_accounts)
+        services: list[Service] = [parts.timer, metrics, links, peers]
+        services += [*parts.list_services(), self._server]
+        for service in services:
+            await self.add_runtime_dependency(service)
         self.add_future(self._become_ready())
         log_event(
             Event.HOST_STARTED,
@@ -186,29 +115,6 @@
             ready_port=self._server.ready_port,
         )
 
-    def _make_followers(self) -> dict[Topic, ViewFollower]:
-        def make(topic: Topic, wait_s: float, pause_s: float) -> ViewFollower:
-            return ViewFollower(
-                board=self._board,
-                store=self._store,
-                topic=topic,
-                wait_s=wait_s,
-                pause_s=pause_s,
-                on_change=lambda records: self._take(topic, records),
-            )
-
-        return {
-            Topic.CONFIGURATION: make(Topic.CONFIGURATION, CONFIGURATION_WAIT_S, 0.0),
-            Topic.TARGETS: make(Topic.TARGETS, 0.0, TARGETS_PAUSE_S),
-            Topic.HOSTS: make(Topic.HOSTS, HOSTS_WAIT_S, 0.0),
-        }
-
-    def _take(self, topic: Topic, records: list[KeyedRecord]) -> None:
-        if topic is Topic.HOSTS:
-            self._membership.take_records(records)
-        else:
-            self._watcher.take(topic, records, asyncio.get_running_loop().time())
-
     async def _become_ready(self) -> None:
         """Serve once a configuration is known and the other hosts were heard.
 
--- /dev/null
+++ b/trefoilstage/fleet_parts.py
@@ -0,0 +1,177 @@
+"""Put the parts of a forwarding host together, without its sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from mode import Service
+
+from trefoilstage.components.escrow.client import EscrowClient
+from trefoilstage.components.escrow.grants import GrantBook
+from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.lock import ReserveLock
+from trefoilstage.components.escrow.lock_keeper import LockKeeper
+from trefoilstage.components.escrow.recovery import EscrowRecovery
+from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.fleet.watcher import BoardWatcher
+from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
+from trefoilstage.components.forwarding.sender import TargetSender
+from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.views.follower import ViewFollower
+from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.components.views.store import Store, Topic
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.timer import TimerService
+from trefoilstage.util.process_start import ProcessStart
+
+# A configuration is in force within 2 s of its acceptance: the store answers a
+# waiting read at once, and a connection that went silent is given up after this.
+CONFIGURATION_WAIT_S = 1.0
+# Targets write about once a second each, so a waiting read would return for each
+# one. Two reads a second find a leaving target well within its 2 s.
+TARGETS_PAUSE_S = 0.4
+HOSTS_WAIT_S = 3.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetParts:
+    """Hold the parts of one host that decide, wired to each other."""
+
+    timer: TimerService
+    followers: Mapping[Topic, ViewFollower]
+    membership: FleetMembership
+    keeper: LockKeeper
+    home: EscrowHome
+    escrow: EscrowClient
+    workload: WorkloadController
+    pipeline: ForwardingPipeline
+
+    def list_services(self) -> list[Service]:
+        """Return the parts that are started, inner ones first."""
+        return [
+            *self.followers.values(),
+            self.membership,
+            self.keeper,
+            self.home,
+            self.escrow,
+            self.workload,
+        ]
+
+
+def make_fleet_parts(
+    *,
+    settings: FleetSettings,
+    board: FleetBoard,
+    store: Store,
+    watcher: BoardWatcher,
+    links: PeerLinks,
+    peers: PeerServer,
+    sender: TargetSender,
+    process_start: ProcessStart,
+) -> FleetParts:
+    """Return the parts of one host, not started yet."""
+    generator = random.Random(board.incarnation)
+    timer = TimerService()
+
+    def take(topic: Topic, records: list[KeyedRecord]) -> None:
+        if topic is Topic.HOSTS:
+            membership.take_records(records)
+        else:
+            watcher.take(topic, records, asyncio.get_running_loop().time())
+
+    followers = make_followers(board, store, take)
+    membership = FleetMembership(
+        board=board,
+        store=store,
+        links=links,
+        server=peers,
+        timer=timer,
+        followers=followers,
+        address=settings.address,
+        generator=generator,
+    )
+    book = GrantBook()
+    recovery = EscrowRecovery(
+        board=board, timer=timer, book=book, ask_seal=membership.ask_seal
+    )
+    membership.set_seal_handler(recovery.seal)
+    lock = ReserveLock()
+    home = EscrowHome(
+        board=board,
+        store=store,
+        server=peers,
+        timer=timer,
+        n_partitions=settings.store_partitions,
+        rank_home=lambda workspace: escrow.rank_home(workspace),
+        recovery=recovery,
+        lock=lock,
+    )
+    keeper = LockKeeper(
+        board=board,
+        store=store,
+        timer=timer,
+        lock=lock,
+        start=process_start,
+        has_touched=home.has_touched_lock,
+    )
+    escrow = EscrowClient(
+        board=board,
+        membership=membership,
+        home=home,
+        links=links,
+        timer=timer,
+        book=book,
+        generator=generator,
+    )
+    workload = WorkloadController(board=board, links=links, server=peers, timer=timer)
+    chooser = TargetChooser(
+        board=board,
+        membership=membership,
+        settings=settings,
+        timer=timer,
+        workload=workload,
+    )
+    pipeline = ForwardingPipeline(
+        board=board,
+        escrow=escrow,
+        chooser=chooser,
+        sender=sender,
+        generator=generator,
+    )
+    return FleetParts(
+        timer=timer,
+        followers=followers,
+        membership=membership,
+        keeper=keeper,
+        home=home,
+        escrow=escrow,
+        workload=workload,
+        pipeline=pipeline,
+    )
+
+
+def make_followers(
+    board: FleetBoard, store: Store, take: Callable[[Topic, list[KeyedRecord]], None]
+) -> dict[Topic, ViewFollower]:
+    """Return what follows each topic that all hosts read."""
+
+    def make(topic: Topic, wait_s: float, pause_s: float) -> ViewFollower:
+        return ViewFollower(
+            board=board,
+            store=store,
+            topic=topic,
+            wait_s=wait_s,
+            pause_s=pause_s,
+            on_change=lambda records: take(topic, records),
+        )
+
+    return {
+        Topic.CONFIGURATION: make(Topic.CONFIGURATION, CONFIGURATION_WAIT_S, 0.0),
+        Topic.TARGETS: make(Topic.TARGETS, 0.0, TARGETS_PAUSE_S),
+        Topic.HOSTS: make(Topic.HOSTS, HOSTS_WAIT_S, 0.0),
+    }
