Learn the targets' paces from their first tokens, shared between hosts

Hypothesis: targets of one service differ in speed by 1.3; all were taken for equal, so that prompts waited longer at the slow ones. Each host sums up what a target had to read and how long it took, with a half-life of 8 s; hosts tell each other, as part of the reports of work. A target that nobody observed is taken to be like the mean. No fixed rate is left in a decision after the first seconds.

--- a/trefoilstage/components/forwarding/messages.py
+++ b/trefoilstage/components/forwarding/messages.py
@@ -6,6 +6,7 @@
 from pydantic import Field
 
 from trefoilstage.components.forwarding.models import PromptPart
+from trefoilstage.components.forwarding.reading_pace import Reading
 from trefoilstage.helpers.fields import Name
 
 Count = Annotated[int, Field(ge=0)]
@@ -34,6 +35,7 @@
 
     host: Name
     work: dict[Name, TargetWork]
+    readings: dict[Name, Reading] = field(default_factory=dict)  # new ones only
     prompts: tuple[ReadPrompt, ...] = ()
     kind: Literal["work_report"] = "work_report"
 
@@ -57,6 +59,7 @@
 
     work: dict[Name, TargetWork]
     kept: dict[Name, Count] = field(default_factory=dict)  # tokens of the prompt
+    readings: dict[Name, Reading] = field(default_factory=dict)
     kind: Literal["work_totals"] = "work_totals"
 
 
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -193,7 +193,7 @@
         run.n_sends += 1
         run.target = target.name
         run.n_runs += 1
-        n_unread = self._chooser.note_start(target, run.request.prompt)
+        sent = self._chooser.note_start(target, run.request.prompt)
         log_event(
             Event.REQUEST_SENT,
             request=run.request.request,
@@ -205,12 +205,14 @@
         try:
             answer = await self._sender.send(run.request, run.body, target, options)
         except BaseException:
-            self._chooser.note_first_token(target, n_unread)
+            self._chooser.note_unread(target, sent)
             self._chooser.note_end(target)
             raise
-        # A target sends the head of a stream with its first token.
-        self._chooser.note_first_token(target, n_unread)
-        if not isinstance(answer, OpenAnswer):
+        if isinstance(answer, OpenAnswer):
+            # A target sends the head of a stream with its first token.
+            self._chooser.note_first_token(target, sent)
+        else:
+            self._chooser.note_unread(target, sent)
             self._chooser.note_end(target)
             run.excluded.add(target.incarnation)
         if isinstance(answer, NotSent):
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -10,11 +10,9 @@
 from dataclasses import dataclass
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
+from trefoilstage.components.forwarding.reading_pace import FIRST_TOKENS_PER_S
 from trefoilstage.util.hashing import rank_by_rendezvous
 
-# Prompt tokens that an engine reads in a second; three sites' engines read 62,000 to
-# 66,000, a third less where prompts are long.
-PROMPT_TOKENS_PER_S = 60_000.0
 # Each request under way makes the tokens of the others slower: with 64 at once a
 # step takes 1.5 times as long as alone.
 SECONDS_PER_REQUEST = 0.002
@@ -53,6 +51,7 @@
     target: TargetEntry
     work: Work
     n_kept_tokens: int = 0  # of the prompt, in the target's memory
+    tokens_per_s: float = FIRST_TOKENS_PER_S  # that it reads
 
 
 def find_subject(prompt: Sequence[PromptPart]) -> str:
@@ -64,10 +63,11 @@
     return shared[-1].name if shared else ""
 
 
-def estimate_first_token(work: Work, n_unread_tokens: int) -> float:
+def estimate_first_token(option: Option, n_unread_tokens: int) -> float:
     """Return the seconds until a target has read what waits and this prompt."""
-    n_tokens = work.prompt_tokens + n_unread_tokens
-    return n_tokens / PROMPT_TOKENS_PER_S + SECONDS_PER_REQUEST * work.n_requests
+    n_tokens = option.work.prompt_tokens + n_unread_tokens
+    steps_s = SECONDS_PER_REQUEST * option.work.n_requests
+    return n_tokens / option.tokens_per_s + steps_s
 
 
 def rank_candidates(
@@ -88,9 +88,9 @@
 
     def weigh(option: Option) -> tuple[bool, float]:
         n_unread = need.n_tokens - option.n_kept_tokens
-        wait_s = estimate_first_token(option.work, n_unread)
+        wait_s = estimate_first_token(option, n_unread)
         is_late = wait_s > IN_TIME_SHARE * need.objective_s
-        reading_s = n_unread / PROMPT_TOKENS_PER_S
+        reading_s = n_unread / option.tokens_per_s
         return is_late, wait_s + READING_WEIGHT * reading_s
 
     return min(options, key=weigh).target
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -1,6 +1,7 @@
 """Choose targets by what this host knows of them."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
@@ -21,6 +22,15 @@
 from trefoilstage.timer import TimerService
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SentPrompt:
+    """Hold what a target had to read when a prompt was sent to it."""
+
+    n_unread: int  # tokens of the prompt itself
+    n_ahead: int  # tokens of prompts sent before, from all hosts as far as known
+    at: float
+
+
 class TargetChooser:
     """Keep each target's health and work of this host, and choose among them."""
 
@@ -88,8 +98,12 @@
         return healthy or others
 
     def _make_option(self, target: TargetEntry, n_kept_tokens: int = 0) -> Option:
-        work = self._workload.get_work(target.incarnation)
-        return Option(target=target, work=work, n_kept_tokens=n_kept_tokens)
+        return Option(
+            target=target,
+            work=self._workload.get_work(target.incarnation),
+            n_kept_tokens=n_kept_tokens,
+            tokens_per_s=self._workload.get_pace(target.incarnation),
+        )
 
     async def refresh(
         self, service: str, subject: str, prompt: Sequence[PromptPart]
@@ -120,20 +134,33 @@
         n_hosts = self._membership.count_hosts()
         return self._get_budget(service).take(self._timer.now(), n_hosts)
 
-    def note_start(self, target: TargetEntry, prompt: Sequence[PromptPart]) -> int:
-        """Count a request sent to a target; return the tokens that it has to read."""
+    def note_start(
+        self, target: TargetEntry, prompt: Sequence[PromptPart]
+    ) -> SentPrompt:
+        """Count a request that is sent to a target; return what has to be read."""
         name = target.incarnation
         n_tokens = sum(part.n_tokens for part in prompt)
-        n_unread = n_tokens - self._workload.count_kept(name, prompt)
+        sent = SentPrompt(
+            n_unread=n_tokens - self._workload.count_kept(name, prompt),
+            n_ahead=self._workload.get_work(name).prompt_tokens,
+            at=self._timer.now(),
+        )
         if prompt:
             self._workload.add_prompt(name, self._get_kv_tokens(target), prompt)
-        self._workload.add(name, n_requests=1, prompt_tokens=n_unread)
+        self._workload.add(name, n_requests=1, prompt_tokens=sent.n_unread)
         self._get_health(target).start(retry=False)
-        return n_unread
-
-    def note_first_token(self, target: TargetEntry, n_unread_tokens: int) -> None:
-        """Count a prompt that a target has read or will not read."""
-        self._workload.add(target.incarnation, prompt_tokens=-n_unread_tokens)
+        return sent
+
+    def note_first_token(self, target: TargetEntry, sent: SentPrompt) -> None:
+        """Count a prompt that a target has read, and how long it took."""
+        seconds = self._timer.now() - sent.at
+        n_tokens = sent.n_ahead + sent.n_unread
+        self._workload.note_reading(target.incarnation, n_tokens, seconds)
+        self.note_unread(target, sent)
+
+    def note_unread(self, target: TargetEntry, sent: SentPrompt) -> None:
+        """Count a prompt that a target need not read any more."""
+        self._workload.add(target.incarnation, prompt_tokens=-sent.n_unread)
 
     def _get_kv_tokens(self, target: TargetEntry) -> int:
         configuration = self._board.configuration
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -21,6 +21,8 @@
 from trefoilstage.components.forwarding.models import PromptPart
 from trefoilstage.components.forwarding.placement import Work
 from trefoilstage.components.forwarding.prompt_cache import PromptCaches
+from trefoilstage.components.forwarding.reading_board import ReadingBoard
+from trefoilstage.components.forwarding.reading_pace import Reading
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -73,6 +75,7 @@
         self._telling = False
         self._caches = PromptCaches()
         self._prompts: list[ReadPrompt] = []  # sent and not told yet
+        self._readings = ReadingBoard()
         self._totals: dict[str, TargetWork] = {}
         self._totals_at: dict[str, float] = {}
         server.register(WorkReport, self._take_report)
@@ -115,6 +118,14 @@
         """Return the tokens of a prompt that a target has in memory."""
         return self._caches.count_kept(target, prompt)
 
+    def note_reading(self, target: str, n_tokens: int, seconds: float) -> None:
+        """Count what a target had to read until a prompt's first token came."""
+        self._readings.note(target, n_tokens, seconds, self._timer.now())
+
+    def get_pace(self, target: str) -> float:
+        """Return the tokens a second that a target reads, as far as it is known."""
+        return self._readings.get_pace(target, self._timer.now())
+
     def get_work(self, target: str) -> Work:
         """Return the work of all hosts at a target, as far as it is known."""
         items = [self._own.get(target, NO_WORK), *self._list_others(target)]
@@ -165,6 +176,7 @@
         now = self._timer.now()
         self._totals.update(reply.work)
         self._totals_at.update(dict.fromkeys(reply.work, now))
+        self._readings.take(home, reply.readings, now)
         return reply.kept
 
     async def _answer_work(self, message: AskWork) -> WorkTotals:
@@ -181,7 +193,12 @@
             target: self._caches.count_kept(target, message.prompt)
             for target in message.targets
         }
-        return WorkTotals(work=work, kept=kept)
+        now = self._timer.now()
+        readings = {
+            target: self._readings.add_up(target, now, without=message.host)
+            for target in message.targets
+        }
+        return WorkTotals(work=work, kept=kept, readings=readings)
 
     def _list_others(self, target: str, without: str = "") -> list[TargetWork]:
         oldest = self._timer.now() - MAX_AGE_S
@@ -212,8 +229,11 @@
         await self._report()
 
     async def _report(self) -> None:
-        self._caches.forget_others(self._board.targets.list_incarnations())
-        if self._own == self._told and not self._prompts:
+        listed = self._board.targets.list_incarnations()
+        self._caches.forget_others(listed)
+        self._readings.forget_others(listed)
+        readings = self._readings.take_new(self._timer.now())
+        if self._own == self._told and not self._prompts and not readings:
             return
         changed = {
             target
@@ -222,6 +242,7 @@
         }
         prompts, self._prompts = self._prompts, []
         changed.update(sent.target for sent in prompts)
+        changed.update(readings)
         self._told = dict(self._own)
         for host, work in self._pick_audience(changed).items():
             peer = self._board.peers.get(host)
@@ -229,10 +250,18 @@
                 report = WorkReport(
                     host=self._board.host,
                     work=work,
+                    readings=self._pick_readings(readings, work),
                     prompts=self._pick_prompts(prompts, work),
                 )
                 self.add_future(self._tell(peer.peer_url, report))
 
+    def _pick_readings(
+        self, readings: dict[str, Reading], work: Mapping[str, TargetWork]
+    ) -> dict[str, Reading]:
+        if not self.is_large():
+            return readings
+        return {name: item for name, item in readings.items() if name in work}
+
     def _pick_prompts(
         self, prompts: list[ReadPrompt], work: Mapping[str, TargetWork]
     ) -> tuple[ReadPrompt, ...]:
@@ -262,6 +291,7 @@
         self._others[report.host] = report
         self._heard_at[report.host] = self._timer.now()
         self._take_prompts(report.prompts)
+        self._readings.take(report.host, report.readings, self._timer.now())
 
     def _take_prompts(self, prompts: Iterable[ReadPrompt]) -> None:
         for sent in prompts:
