--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -70,6 +70,10 @@
         await self._session.close()
         self._server.close()
 
+    def stop_listening(self) -> None:
+        """Close the port."""
+        self._server.close()
+
     async def _take(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -198,6 +202,20 @@
                 self.assertEqual(await target.send(f"r-{number}"), b"whole")
             self.assertEqual(target.n_connections, 2)
 
+    async def test_closed_port_is_unreachable(self) -> None:
+        """Send to a target that has ended; the request has certainly not run."""
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(make_answer(name))
+
+        async with ScriptedTarget(serve) as target:
+            target.stop_listening()
+            answer = await target.send("r-0")
+            assert isinstance(answer, NotSent)
+            self.assertTrue(answer.unreachable)
+
     async def test_idle_connections_are_few(self) -> None:
         """Send four requests at once, then four more; one connection was kept."""
 
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from typing import Any
@@ -26,6 +27,13 @@
 MAX_IDLE_S = 15.0
 # Of the connections that a target takes from everybody, what idle ones may use.
 IDLE_CONNECTIONS_SHARE = 0.3
+# A path on which nothing is acknowledged for so long is dead. Callers wait 2 s and more
+# for their first event, so that a request that may be repeated still serves them.
+UNACKNOWLEDGED_MS = 1_200
+# While a target reads a prompt, nothing is sent that could go unacknowledged.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+N_PROBES = 2
 KEEP_ALIVE_SECONDS = re.compile(r"(?:timeout=)?(\d+)")
 
 
@@ -88,6 +96,7 @@
             local_addr=(address, 0),
             use_dns_cache=False,
             keepalive_timeout=MAX_IDLE_S,
+            socket_factory=open_socket,
         )
         self._factory = partial(make_handler, asyncio.get_running_loop())
         self._get_max_idle = get_max_idle
@@ -141,6 +150,19 @@
     return max(1, int(IDLE_CONNECTIONS_SHARE * scarcest / max(1, n_hosts)))
 
 
+def open_socket(address: Any) -> socket.socket:
+    """Return a socket whose connection fails soon when its path goes silent."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_PROBES)
+    return opened
+
+
 def make_handler(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
     """Return the protocol of one connection."""
     return CheckedResponseHandler(loop)
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -145,7 +145,7 @@
                 failure = make_failure("the answer broke off")
             elif isinstance(answer, Broken):
                 failure = make_failure(answer.reason)
-            if not self._may_repeat(run, service):
+            if not self._may_repeat(run, service, answer):
                 return failure
 
     def _pick_service(self, route: Route) -> str:
@@ -220,11 +220,17 @@
         self._chooser.note_answer(target, answer)
         return answer
 
-    def _may_repeat(self, run: Run, service: str) -> bool:
+    def _may_repeat(
+        self, run: Run, service: str, answer: OpenAnswer | NotSent | Broken
+    ) -> bool:
         if run.n_runs and not run.route.is_repeatable:
             return False
         if run.n_runs >= run.route.max_attempts:
             return False
+        if isinstance(answer, NotSent) and answer.unreachable:
+            # It put no load on a target. Counted as a repeat, requests were refused
+            # after a few targets had gone dark, though the others were well.
+            return True
         return self._chooser.take_repeat(service)
 
     async def _relay(
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -42,6 +42,7 @@
     reason: str
     misdirected: bool = False
     busy: bool = False
+    unreachable: bool = False  # no connection could be opened
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,7 +124,9 @@
             )
         except SEND_ERRORS as error:
             name = type(error).__name__
-            return Broken(reason=name) if attempt.n_sent else NotSent(reason=name)
+            if attempt.n_sent:
+                return Broken(reason=name)
+            return NotSent(reason=name, unreachable=True)
         return self._check(request, cast(CheckedResponse, response))
 
     def _check(
