--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -37,8 +37,8 @@
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
 
-# Of the last draw in the mean of all: a slow store is known after two draws, and a single
-# conflict changes little.
+# Of the last draw in the mean of all: a slow store is known after two, and one conflict
+# changes little.
 DRAW_WEIGHT = 0.4
 
 # Between two tries to recover an ended home's tokens; a witness may be out of reach.
