--- a/trefoilstage/platform/__main__.py
+++ b/trefoilstage/platform/__main__.py
@@ -1,119 +1,12 @@
-"""Run one host on the platform."""
-
-import asyncio
-import os
-import signal
-import sys
-from pathlib import Path
-
-import aiohttp
-import uvloop
-
-from trefoilstage.components.fleet.watcher import BoardWatcher
-from trefoilstage.exceptions import SettingsError
-from trefoilstage.fleet_host import FleetHost, make_board
-from trefoilstage.fleet_settings import FleetSettings
-from trefoilstage.helpers.events import (
-    STANDARD_OUTPUT,
-    Event,
-    log_event,
-    set_up_events,
-)
-from trefoilstage.helpers.lines import LineWriter
-from trefoilstage.platform.configuration import (
-    CONFIGURATION_KEY,
-    decode_configuration,
-    decode_target,
-)
-from trefoilstage.platform.headers import HeaderBorder
-from trefoilstage.platform.settings import load_platform_settings
-from trefoilstage.platform.store import StoreClient
-from trefoilstage.util.process_start import ProcessStart, read_process_start
-
-SETTINGS_VARIABLE = "TREFOILSTAGE_CONFIG"
-# What is left of the grace after the drain and the return of tokens.
-STOP_TIMEOUT_S = 0.4
-EXIT_CRASHED = 1
-EXIT_BAD_SETTINGS = 2
-
-
-async def run_host(
-    path: Path, settings: FleetSettings, process_start: ProcessStart, lines: LineWriter
-) -> None:
-    """Serve until a signal asks to drain."""
-    board = make_board(settings)
-    connector = aiohttp.TCPConnector(limit=0, local_addr=(settings.address, 0))
-    async with aiohttp.ClientSession(connector=connector) as session:
-        host = FleetHost(
-            settings=settings,
-            store=StoreClient(session=session, url=settings.store_url),
-            border=HeaderBorder(),
-            watcher=BoardWatcher(
-                board=board,
-                configuration_key=CONFIGURATION_KEY,
-                decode_configuration=decode_configuration,
-                decode_target=decode_target,
-            ),
-            board=board,
-            process_start=process_start,
-            lines=lines,
-        )
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, host.drain_requested.set)
-        loop.add_signal_handler(signal.SIGUSR1, host.write_dump)
-        loop.add_signal_handler(signal.SIGHUP, check_settings, path, settings)
-        try:
-            await host.start()
-            await host.run()
-        finally:
-            await stop_host(host)
-
-
-def check_settings(path: Path, running: FleetSettings) -> None:
-    """Tell what a changed settings file would change; a restart takes it in.
-
-    Addresses and limits are bound at the start, and a host that reopened its ports
-    would cut off its callers.
-    """
-    try:
-        settings = load_platform_settings(path)
-    except SettingsError as error:
-        log_event(Event.SETTINGS_REFUSED, findings=str(error))
-        return
-    known = running.model_dump()
-    changed = [name for name, value in settings if value != known[name]]
-    log_event(Event.SETTINGS_READ, changed=",".join(changed))
-
-
-async def stop_host(host: FleetHost) -> None:
-    """Stop within a bounded time; peers that are gone answer no closing handshake."""
-    try:
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            await host.stop()
-    except TimeoutError:
-        log_event(Event.STOP_INCOMPLETE)
-
-
-def main() -> None:
-    """Start the host from the settings that the platform names."""
-    process_start = read_process_start()
-    lines = set_up_events(STANDARD_OUTPUT)
-    try:
-        path = Path(os.environ[SETTINGS_VARIABLE])
-        settings = load_platform_settings(path)
-    except KeyError:
-        sys.stderr.write(f"{SETTINGS_VARIABLE} is not set\n")
-        sys.exit(EXIT_BAD_SETTINGS)
-    except SettingsError as error:
-        sys.stderr.write(f"{error}\n")
-        sys.exit(EXIT_BAD_SETTINGS)
-    try:
-        uvloop.run(run_host(path, settings, process_start, lines))
-    except OSError as error:
-        sys.stderr.write(f"{error}\n")
-        sys.exit(EXIT_CRASHED)
+"""Start one host on the platform."""
 
+import gc
 
 if __name__ == "__main__":
+    # What is loaded at the start stays for good, and the collector looked through all
+    # of it again and again, for a tenth of the time in which the callers of a killed
+    # host are turned away. The host turns it on once it has started.
+    gc.disable()
+    from trefoilstage.platform.process import main
+
     main()
