--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -169,6 +169,33 @@
             self.assertEqual(await target.send("r-2"), b"whole")
             self.assertEqual(target.n_connections, 2)
 
+    async def test_own_answer_behind_a_foreign_one_reaches_nobody(self) -> None:
+        """Answer a request with another's answer, and with its own a moment later.
+
+        The first looks whole and would give the connection back; the next request
+        on it would get the second one's answer.
+        """
+        late: list[asyncio.Task[None]] = []
+
+        async def answer_late(name: str, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.03)
+            writer.write(make_answer(name))
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            if name == "r-1":
+                writer.write(make_answer("r-0"))
+                late.append(asyncio.create_task(answer_late(name, writer)))
+                return
+            await asyncio.gather(*late)
+            writer.write(make_answer(name))
+
+        async with ScriptedTarget(serve) as target:
+            self.assertEqual(await target.send("r-0"), b"whole")
+            self.assertIsInstance(await target.send("r-1"), Broken)
+            self.assertEqual(await target.send("r-2"), b"whole")
+
     async def test_connection_closed_under_a_request_is_no_proof(self) -> None:
         """Close a kept connection upon a request, before a word of an answer.
 
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -27,8 +27,8 @@
 MAX_IDLE_S = 15.0
 # Of the connections that a target takes from everybody, what idle ones may use.
 IDLE_CONNECTIONS_SHARE = 0.3
-# A path on which nothing is acknowledged for so long is dead: callers bear 2 s and more of
-# silence, and a shorter time ended calls that a cut of a second had only delayed.
+# A path on which nothing is acknowledged for so long is dead: callers bear 2 s and more
+# of silence, and a shorter time ended calls that a cut of a second had only delayed.
 UNACKNOWLEDGED_MS = 2_000
 # While a target reads a prompt, nothing is sent that could go unacknowledged.
 PROBE_AFTER_S = 1
