--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the standins package."""
+"""Stand in for the outside systems in tests and demos."""
--- a/trefoilstage/__init__.py
+++ b/trefoilstage/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the trefoilstage package."""
+"""Route requests for prepaid token budgets over a fleet of hosts."""
--- a/trefoilstage/cli/__init__.py
+++ b/trefoilstage/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the cli package."""
+"""Drive a fleet from the command line."""
--- a/trefoilstage/components/__init__.py
+++ b/trefoilstage/components/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the components package."""
+"""Hold the parts of a host, one folder each."""
--- a/trefoilstage/components/admission/__init__.py
+++ b/trefoilstage/components/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the admission package."""
+"""Queue chat calls, and refuse those that can not be in time."""
--- a/trefoilstage/components/booking/__init__.py
+++ b/trefoilstage/components/booking/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the booking package."""
+"""Decide whether a call that may run once may run now, by intents on the log."""
--- a/trefoilstage/components/budget/__init__.py
+++ b/trefoilstage/components/budget/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the budget package."""
+"""Draw tokens from the ledger, witness draws and recover those of lost hosts."""
--- a/trefoilstage/components/configuration/__init__.py
+++ b/trefoilstage/components/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the configuration package."""
+"""Publish configuration on the log and say which version is in force."""
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -15,7 +15,7 @@
     SettleHolds,
     SettleReply,
 )
-from trefoilstage.components.escrow.record import Holder, Used
+from trefoilstage.components.escrow.reclaim import Reclaimer
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.escrow.stock import HomeRank, StockChange
 from trefoilstage.components.peers.server import PeerServer
@@ -75,6 +75,7 @@
             n_partitions=n_partitions,
             accounts=self._accounts,
         )
+        self._reclaimer = Reclaimer(records=self._records, recovery=recovery)
         self._draws: dict[str, asyncio.Task[None]] = {}
         self._draw_s = 0.0  # what draws took lately
         self._paused_until: dict[str, float] = {}
@@ -318,51 +319,11 @@
         )
 
     async def _recover(self, workspace: str) -> None:
-        """Make what an ended home had drawn and not granted free again."""
-        account = self._accounts[workspace]
         try:
-            await self._records.refresh(workspace)
-            for incarnation, holder in account.record.holders.items():
-                if not self._recovery.has_ended(holder.host, incarnation):
-                    continue
-                served = await self._records.find_served(holder)
-                if served is None:
-                    continue
-                verdict = await self._recovery.find_used(
-                    workspace, incarnation, holder, served
-                )
-                # Meanwhile another home may have done it, or a late write landed.
-                same = account.record.holders.get(incarnation) == holder
-                if isinstance(verdict, Used) and same:
-                    await self._retire(account, incarnation, holder, verdict)
-                    return
+            await self._reclaimer.reclaim(self._accounts[workspace])
         except StoreUnavailableError as error:
             self._note_failure(workspace, error)
 
-    async def _retire(
-        self, account: EscrowAccount, incarnation: str, holder: Holder, used: Used
-    ) -> None:
-        if not self._records.is_known(account.workspace):
-            return
-        record = account.record.retire(incarnation, used)
-        if await self._records.put(account, record):
-            log_event(
-                Event.ESCROW_RECOVERED,
-                workspace=account.workspace,
-                holder=incarnation,
-                drawn=holder.drawn,
-                used=used.tokens,
-                reported_spent=holder.spent,
-                locked=holder.locked,
-                witnessed=used.witnessed,
-            )
-
-    def _has_ended_holder(self, account: EscrowAccount) -> bool:
-        return any(
-            self._recovery.has_ended(holder.host, incarnation)
-            for incarnation, holder in account.record.holders.items()
-        )
-
     async def _tick(self) -> None:
         configuration = self._board.configuration
         if configuration is None or self._board.store.out_of_reach:
@@ -379,7 +340,7 @@
             if account.record_offset < 0 and not self._may_check(workspace):
                 continue
             unread = account.record_offset < 0
-            if rank is HomeRank.FIRST and self._has_ended_holder(account):
+            if rank is HomeRank.FIRST and self._reclaimer.has_ended_holder(account):
                 self._start_recovery(workspace, now)
             elif unread or self._wants_record(account, now, rank):
                 self._start_draw(workspace)
--- a/trefoilstage/components/log_client/__init__.py
+++ b/trefoilstage/components/log_client/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the log client package."""
+"""Append to the log and fold its records, in order and once."""
--- a/trefoilstage/components/membership/__init__.py
+++ b/trefoilstage/components/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the membership package."""
+"""Decide which hosts of the log are live, and announce this one there."""
--- a/trefoilstage/components/operators/__init__.py
+++ b/trefoilstage/components/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the operators package."""
+"""Answer operators: views of state, publishing, metrics."""
--- a/trefoilstage/components/power/__init__.py
+++ b/trefoilstage/components/power/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the power package."""
+"""Keep each site's draw of watts under its ceiling."""
--- a/trefoilstage/components/routing/__init__.py
+++ b/trefoilstage/components/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the routing package."""
+"""Choose a target for a chat call by what prompts it has read and its load."""
--- a/trefoilstage/components/targets/__init__.py
+++ b/trefoilstage/components/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the targets package."""
+"""Know the targets: which may get work, whether they answer, what they hold."""
--- a/trefoilstage/configuration/__init__.py
+++ b/trefoilstage/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the configuration package."""
+"""Merge, check and fold the operators' configuration; pure."""
--- a/trefoilstage/helpers/__init__.py
+++ b/trefoilstage/helpers/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the helpers package."""
+"""Share what several parts need: codecs, events, dumps, metrics."""
--- a/trefoilstage/ledger/__init__.py
+++ b/trefoilstage/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the ledger package."""
+"""Fold draws, settlements and seals into balances; pure."""
--- a/trefoilstage/util/__init__.py
+++ b/trefoilstage/util/__init__.py
@@ -1,1 +1,1 @@
-"""Provide the util package."""
+"""Hold what knows nothing of the product: hashing, back-off, mappings."""
