--- a/tests/components/escrow/test_stock.py
+++ b/tests/components/escrow/test_stock.py
@@ -18,7 +18,6 @@
     locked: int = 0,
     waiting: int = 0,
     demand: float = 27_000.0,
-    draw_s: float = 0.0,
 ) -> StockState:
     """Return the state of a home whose workspace uses 27,000 tokens a second."""
     return StockState(
@@ -28,7 +27,6 @@
         locked=locked,
         waiting=waiting,
         demand=demand,
-        draw_s=draw_s,
     )
 
 
@@ -54,19 +52,6 @@
         target = get_target(make_state(free=900_000), HomeRank.FIRST)
         self.assertGreaterEqual(target.ready + target.locked, 7 * 27_000)
 
-    def test_slow_store_is_drawn_from_ahead(self) -> None:
-        """Let draws take 0.8 s with a third of the budget left.
-
-        Callers would each wait for a draw of their own; what they ask for during
-        two draws lies ready in place of it. Draws of 20 ms change nothing.
-        """
-        usual = get_target(make_state(free=333_000), HomeRank.FIRST)
-        quick = get_target(make_state(free=333_000, draw_s=0.02), HomeRank.FIRST)
-        slow = get_target(make_state(free=333_000, draw_s=0.8), HomeRank.FIRST)
-        self.assertEqual(quick.ready, usual.ready)
-        self.assertGreaterEqual(slow.ready, 1.4 * 27_000)
-        self.assertLessEqual(slow.ready, 0.12 * 333_000)
-
     def test_stand_in_locks_nothing(self) -> None:
         self.assertEqual(get_target(make_state(), HomeRank.NONE).locked, 0)
 
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -199,13 +199,8 @@
         used = others + self.spent + self.held
         return used + tokens > SPENT_SHARE * self.prepaid
 
-    def plan_change(
-        self, now: float, rank: HomeRank, draw_s: float = 0.0
-    ) -> StockChange | None:
-        """Return what to draw, give back or lock now, None if nothing.
-
-        `draw_s` is what a draw took lately.
-        """
+    def plan_change(self, now: float, rank: HomeRank) -> StockChange | None:
+        """Return what to draw, give back or lock now, None if nothing."""
         state = StockState(
             prepaid=self.prepaid,
             free=self.free,
@@ -213,7 +208,6 @@
             locked=self.locked,
             waiting=self.waiting,
             demand=self.demand.estimate(now),
-            draw_s=draw_s,
         )
         return plan_change(state, rank)
 
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -37,10 +37,6 @@
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
 
-# Of the last draw in the mean of all: a slow store is known after two, and one conflict
-# changes little.
-DRAW_WEIGHT = 0.4
-
 # Between two tries to recover an ended home's tokens; a witness may be out of reach.
 RECOVERY_PAUSE_S = 0.5
 
@@ -77,7 +73,6 @@
         )
         self._reclaimer = Reclaimer(records=self._records, recovery=recovery)
         self._draws: dict[str, asyncio.Task[None]] = {}
-        self._draw_s = 0.0  # what draws took lately
         self._paused_until: dict[str, float] = {}
         self._recover_at: dict[str, float] = {}
         server.register(HoldTokens, self._answer_hold)
@@ -238,13 +233,10 @@
         return draw
 
     def _wants_record(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
-        if self._plan(account, rank) is not None:
+        if account.plan_change(now, rank) is not None:
             return True
         return rank is not HomeRank.NONE and self._lacks_requester(account)
 
-    def _plan(self, account: EscrowAccount, rank: HomeRank) -> StockChange | None:
-        return account.plan_change(self._timer.now(), rank, self._draw_s)
-
     def _start_recovery(self, workspace: str, now: float) -> None:
         draw = self._draws.get(workspace)
         if draw is not None and not draw.done():
@@ -256,7 +248,7 @@
 
     async def _draw(self, workspace: str) -> None:
         def plan(account: EscrowAccount) -> StockChange | None:
-            return self._plan(account, self._rank_home(workspace))
+            return account.plan_change(self._timer.now(), self._rank_home(workspace))
 
         await self._change(workspace, plan)
 
@@ -266,7 +258,6 @@
         """Draw or give back, tried anew while other hosts write the partition."""
         account = self._accounts[workspace]
         refresh = not self._records.is_known(workspace) or account.free == 0
-        started = self._timer.now()
         try:
             for _ in range(MAX_CONFLICTS):
                 if refresh:
@@ -278,7 +269,6 @@
                     change = StockChange(tokens=0, locked=account.locked)
                 served = self._recovery.list_requesters()
                 if await self._records.change(account, change, served):
-                    self._note_draw(self._timer.now() - started)
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
@@ -292,9 +282,6 @@
         except StoreUnavailableError as error:
             self._note_failure(workspace, error)
 
-    def _note_draw(self, seconds: float) -> None:
-        self._draw_s += DRAW_WEIGHT * (seconds - self._draw_s)
-
     def _note_failure(self, workspace: str, error: StoreUnavailableError) -> None:
         self._records.forget_end(workspace)
         now = self._timer.now()
--- a/trefoilstage/components/escrow/stock.py
+++ b/trefoilstage/components/escrow/stock.py
@@ -33,11 +33,6 @@
 # Simulated with two outages and a loss of all hosts, 36% of the requests of a scarce
 # budget were refused falsely with a steady 12%, 17% so; 24% so with nothing locked.
 READY_SHARES = {HomeRank.FIRST: 0.12, HomeRank.SECOND: 0.03, HomeRank.NONE: 0.01}
-# While the store is slow a draw takes up to 0.8 s, and each request would wait for one
-# of its own. As much as is asked for during two draws lies ready then; draws of 20 ms,
-# as usual, ask for nothing more than the shares above.
-N_DRAWS = 2.0
-SLOW_SHARE = 0.12
 # Locked tokens come back when the hosts' processes end together, but not when their
 # machines lose power. Below this part of a budget nothing is locked any more: locked
 # down to a fifth, 9.1% of an ample budget was lost with the power in place of 4.5%.
@@ -89,7 +84,6 @@
     locked: int  # the part of it behind the lock, as the store has it
     waiting: int  # tokens that requests wait for
     demand: float  # tokens a second
-    draw_s: float = 0.0  # what a draw took lately
 
     @property
     def ready(self) -> int:
@@ -121,7 +115,6 @@
     floor = FIRST_SHARES[rank] * state.prepaid
     wanted = max(floor, state.demand * horizon_s)
     ready = min(wanted, READY_SHARES[rank] * part * left)
-    ready = max(ready, min(state.demand * N_DRAWS * state.draw_s, SLOW_SHARE * left))
     locked = 0.0
     if rank is not HomeRank.NONE:
         share = LOCKED_SHARE * max(0.0, part - MIN_PART_TO_LOCK)
