Leave targets at once only when they let a connection wait

A crashed target refuses connections at once, which costs a caller 1 ms; ejected sooner, it also came back later, since each probe that met it doubled the pause. Only a target that lets a connection wait for the whole 0.4 s, as one that has gone dark, is left at once.

--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -242,6 +242,7 @@
             answer = await target.send("r-0")
             assert isinstance(answer, NotSent)
             self.assertTrue(answer.unreachable)
+            self.assertFalse(answer.silent)
 
     async def test_idle_connections_are_few(self) -> None:
         """Send four requests at once, then four more; one connection was kept."""
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -43,6 +43,7 @@
     misdirected: bool = False
     busy: bool = False
     unreachable: bool = False  # no connection could be opened
+    silent: bool = False  # and nothing came back until the timeout
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -126,7 +127,8 @@
             name = type(error).__name__
             if attempt.n_sent:
                 return Broken(reason=name)
-            return NotSent(reason=name, unreachable=True)
+            silent = isinstance(error, TimeoutError)
+            return NotSent(reason=name, unreachable=True, silent=silent)
         return self._check(request, cast(CheckedResponse, response))
 
     def _check(
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -191,8 +191,8 @@
         elif isinstance(answer, NotSent) and answer.busy:
             health.note_busy(now)
             return
-        elif isinstance(answer, NotSent) and answer.unreachable:
-            failed = health.note_unreachable(now)
+        elif isinstance(answer, NotSent) and answer.silent:
+            failed = health.note_silence(now)
         else:
             failed = health.note_failure(now)
         if failed:
--- a/trefoilstage/components/targets/health.py
+++ b/trefoilstage/components/targets/health.py
@@ -61,12 +61,12 @@
         """Count a request that ended without a word on the target."""
         self.probing = False
 
-    def note_unreachable(self, now: float) -> bool:
-        """Count that no connection could be opened; tell whether it ejects the target.
+    def note_silence(self, now: float) -> bool:
+        """Count that no connection opened in time; tell whether it ejects the target.
 
-        Nothing that is sent there can be served, so the first time is enough. With
-        three failures as for others, each host let three callers wait 0.4 s for a
-        target that had gone dark.
+        One such time is enough. With three failures as for others, each host let
+        three callers wait 0.4 s for a target that had gone dark. One that refuses
+        connections costs its callers nothing, and comes back sooner this way.
         """
         self.n_failures = max(self.n_failures, MAX_FAILURES - 1)
         return self.note_failure(now)
