Take only answers of success for readings of a target's pace

Found by reading the diff: a target that fails part of its requests at once (500 within milliseconds) was noted as having read 17,000 tokens in that time. It looked like the fastest of all, and would have drawn prompts to fail there; three failures in a row eject a target, one failure in three does not.

--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -208,11 +208,14 @@
             self._chooser.note_unread(target, sent)
             self._chooser.note_end(target)
             raise
-        if isinstance(answer, OpenAnswer):
+        if isinstance(answer, OpenAnswer) and answer.head.success:
             # A target sends the head of a stream with its first token.
             self._chooser.note_first_token(target, sent)
         else:
+            # A target that fails at once read nothing. Counted as a reading, it made
+            # the target look the fastest, and prompts went there to fail.
             self._chooser.note_unread(target, sent)
+        if not isinstance(answer, OpenAnswer):
             self._chooser.note_end(target)
             run.excluded.add(target.incarnation)
         if isinstance(answer, NotSent):
