Forget the health of targets that have ended

A new incarnation drops those that are no longer listed. Test: a target restarted a hundred times keeps one; without the change, a hundred.

--- /dev/null
+++ b/tests/components/forwarding/test_targets.py
@@ -0,0 +1,71 @@
+"""Test what the chooser keeps of targets."""
+
+import unittest
+from typing import Any, cast
+
+from tests.components.boards import make_board
+from tests.components.escrow.common import ManualTimer
+from tests.components.forwarding.common import make_target
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.sender import NotSent
+from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peers.server import PeerServer
+
+
+class TargetChooserTest(unittest.IsolatedAsyncioTestCase):
+    """Test a chooser over a board with one target."""
+
+    def setUp(self) -> None:
+        """Make a chooser without peers."""
+        self.board = make_board("host-0", ["host-0"])
+        timer = ManualTimer()
+        timer.time = 10.0
+        self.chooser = TargetChooser(
+            board=self.board,
+            membership=cast(Any, None),
+            settings=cast(Any, None),
+            timer=timer,
+            workload=WorkloadController(
+                board=self.board,
+                links=cast(Any, None),
+                server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
+                timer=timer,
+            ),
+        )
+
+    def choose(self) -> str:
+        """Return the incarnation that a call without a prompt goes to."""
+        target = self.chooser.choose(
+            service="assistant",
+            excluded=set(),
+            need=None,
+            prompt=(),
+            kept={},
+            request="r-1",
+        )
+        return target.incarnation if target else ""
+
+    async def test_restarted_target_is_forgiven(self) -> None:
+        """Eject a target, then let it start again under its name beside another."""
+        old = make_target("i-1", started_ms=1)
+        self.board.targets.add(old)
+        self.board.targets.add(make_target("i-2", started_ms=1))
+        self.chooser.note_answer(old, NotSent(reason="timeout", silent=True))
+        self.assertEqual(self.choose(), "i-2@1")
+        busy = make_target("i-2", started_ms=1)
+        self.chooser.note_start(busy, ())
+        self.board.targets.add(make_target("i-1", started_ms=2))
+        self.assertEqual(self.choose(), "i-1@2")
+
+    async def test_ended_targets_are_forgotten(self) -> None:
+        """Let a target restart a hundred times; one health is kept."""
+        for number in range(100):
+            target = make_target("i-1", started_ms=number)
+            self.board.targets.add(target)
+            self.chooser.note_start(target, ())
+        self.assertLessEqual(len(self.chooser._healths), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -204,7 +204,17 @@
 
     def _get_health(self, target: TargetEntry) -> TargetHealth:
         # A restarted target owes nothing for what failed before its restart.
-        return self._healths.setdefault(target.incarnation, TargetHealth())
+        health = self._healths.get(target.incarnation)
+        if health is None:
+            self._forget_ended()
+            health = self._healths[target.incarnation] = TargetHealth()
+        return health
+
+    def _forget_ended(self) -> None:
+        listed = self._board.targets.list_incarnations()
+        self._healths = {
+            name: health for name, health in self._healths.items() if name in listed
+        }
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
