Keep the lines of hosts when a test on the platform fails

Cause: test_shutdown_waits_for_a_stream_among_quick_calls failed once with a refused connection, and nothing was kept to tell a host that ended early from a caller that came late. Hosts say now when they leave (host_leaving, with the requests and streams under way and the grace left); the fleet of a failed test writes the hosts' lines and the callers' calls, with times by the same clock, to results/. Both fleets of the tests do so by one function.

--- a/tests/common.py
+++ b/tests/common.py
@@ -4,8 +4,6 @@
 import hashlib
 import itertools
 import re
-import sys
-import uuid
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Self
@@ -15,6 +13,7 @@
 from standins.launcher import Launcher, LaunchError, Running, wait_for
 from standins.proxy import FaultProxy
 from tests.answers import CallerAnswer
+from tests.kept_lines import keep_lines
 from trefoilstage.components.log_client.checkpoints import (
     PackedState,
     compress_state,
@@ -95,20 +94,13 @@
 
     async def __aexit__(self, kind: type[BaseException] | None, *_: object) -> None:
         if kind is not None:
-            self.keep_lines()
+            keep_lines(
+                {item.name: item.lines for item in self.launcher.running.values()}
+            )
         for proxy in self.proxies.values():
             await proxy.stop()
         await self.launcher.__aexit__()
 
-    def keep_lines(self) -> None:
-        """Keep what the processes of a failed test wrote, to trace it by."""
-        folder = ROOT / "results" / f"failed-{uuid.uuid4().hex[:8]}"
-        folder.mkdir(parents=True)
-        for running in self.launcher.running.values():
-            text = "\n".join(running.lines) + "\n"
-            (folder / f"{running.name}.log").write_text(text)
-        sys.stderr.write(f"lines of the failed fleet: {folder.name}\n")
-
     async def _start(self) -> None:
         launcher = self.launcher
         self.log = await launcher.start_standin("log", "log", *self.log_options)
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -5,6 +5,8 @@
 import signal
 import sys
 import tempfile
+import time
+from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Self
@@ -23,11 +25,13 @@
     serve,
 )
 from standins.proxy import FaultProxy
+from tests.kept_lines import keep_lines
 from trefoilstage.components.views.store import Topic
 
 # Budgets of this size are not what a test is about.
 WARM_PREPAID = 1_000_000
 OK = 200
+N_CALLS_KEPT = 1_000
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -88,6 +92,8 @@
         default_factory=tempfile.TemporaryDirectory
     )
     n_requests: int = 0
+    # The newest calls with their times, by the clock that the hosts log.
+    calls: deque[str] = field(default_factory=lambda: deque(maxlen=N_CALLS_KEPT))
     # Put a fault-injecting proxy between each host and the store.
     use_proxies: bool = False
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
@@ -120,9 +126,13 @@
             target.runs.clear()
         self.n_requests = 0
 
-    async def __aexit__(self, *_: object) -> None:
-        for host in list(self.hosts.values()):
+    async def __aexit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        hosts = list(self.hosts.values())
+        for host in hosts:
             await self.kill(host.name)
+        if kind is not None:
+            lines = {host.name: host.lines for host in hosts}
+            keep_lines({**lines, "callers": list(self.calls)})
         for proxy in self.proxies.values():
             await proxy.stop()
         for runner in self.runners:
@@ -204,6 +214,30 @@
     ) -> FleetAnswer:
         """Send a request as a caller does, with a key and an id of its own."""
         self.n_requests += 1
+        number, began = self.n_requests, time.time()
+        outcome = "no answer"
+        try:
+            answer = await self._call(path, host, method, tokens, key, attempt)
+            outcome = f"{answer.status} whole={answer.whole}"
+            return answer
+        except aiohttp.ClientError as error:
+            outcome = repr(error)
+            raise
+        finally:
+            self.calls.append(
+                f"attempt-{number} {method} {path} {host} began={began:.6f} "
+                f"ended={time.time():.6f} {outcome}"
+            )
+
+    async def _call(
+        self,
+        path: str,
+        host: str,
+        method: str,
+        tokens: tuple[int, int] | None,
+        key: str,
+        attempt: str,
+    ) -> FleetAnswer:
         # Only model calls spend tokens.
         default = (100, 10) if path.startswith("/stream") else (0, 0)
         n_prompt, n_output = tokens or default
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -168,6 +168,13 @@
         while loop.time() < ends - QUICK_S and self._server.n_streams:
             await asyncio.sleep(READY_POLL_S)
         self._server.refuse_all_requests()
+        log_event(
+            Event.HOST_LEAVING,
+            host=self._board.host,
+            active=self._server.n_active,
+            streams=self._server.n_streams,
+            grace_left_s=ends - loop.time(),
+        )
         ended = await self._server.drain(max(0.0, ends - loop.time()))
         if not ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -24,6 +24,7 @@
     HOST_STARTED = "host_started"
     HOST_READY = "host_ready"
     HOST_DRAINING = "host_draining"
+    HOST_LEAVING = "host_leaving"
     HOST_STOPPED = "host_stopped"
     REQUEST_DONE = "request_done"
     REQUEST_FAILED = "request_failed"
