Test that calls which cross the end of a leaving host's last stream are answered

Its bound is the 200 ms (loss_slack_ms) within which the platform's rules let a planned stop cut a request.

--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -11,6 +11,9 @@
 from standins.platform import LOOPBACK
 from tests.promises.fleet import FleetAnswer, PlatformFleet
 
+# How long after its last byte a request may still be cut by a shutdown, by the
+# platform's rules for a machine that is stopped on purpose.
+LOSS_SLACK_S = 0.2
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 
 
@@ -247,6 +250,33 @@
             self.assertLessEqual(statuses, {200, 503})
             self.assertEqual(await host.process.wait(), 0)
 
+    async def test_calls_that_cross_the_end_of_the_last_stream_are_answered(
+        self,
+    ) -> None:
+        """Go on calling for 0.2 s after the last stream of a draining host has ended.
+
+        The host leaves once its last stream has ended. Callers learn of that a moment
+        later, and the balancer may send new ones meanwhile. They met a closed port 12
+        to 25 ms after `host_leaving`; each must get its answer, or a refusal.
+        """
+        async with PlatformFleet() as fleet:
+            for target in fleet.targets:
+                target.event_s = 0.9
+            stream = asyncio.create_task(fleet.call("/stream/x"))
+            await wait_for(lambda: fleet.count_runs() == 1, "the run")
+            host = fleet.hosts["host-0"]
+            host.process.send_signal(signal.SIGTERM)
+            answer: FleetAnswer = await stream
+            self.assertEqual((answer.whole, answer.body), (True, EVENTS))
+            loop = asyncio.get_running_loop()
+            ends = loop.time() + LOSS_SLACK_S
+            statuses: list[int] = []
+            while loop.time() < ends:
+                statuses.append((await fleet.call("/look/x", method="GET")).status)
+            self.assertTrue(statuses)
+            self.assertLessEqual(set(statuses), {200, 503})
+            self.assertEqual(await host.process.wait(), 0)
+
     async def test_cut_host_learns_from_its_peers(self) -> None:
         """Turn one host away from the store, then change routes and targets.
 
