Test that a record which the log dropped at once is read from whoever appended it

The stand-in of the log answers a read at its end with no record now, in place of the last one again.

--- a/tests/components/test_relay.py
+++ b/tests/components/test_relay.py
@@ -2,20 +2,25 @@
 
 import random
 import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.client import LogPage, LogRecord
 from trefoilstage.components.peers.links import PeerLinks
-from trefoilstage.components.peers.messages import FRAME_CODEC
+from trefoilstage.components.peers.messages import FRAME_CODEC, PeerMessage
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.configuration.fold import HostEntry
 from trefoilstage.exceptions import (
     LogUnavailableError,
+    NotReadyError,
     PeerUnavailableError,
     RecordsExpiredError,
 )
 
+Handler = Callable[[Any], Awaitable[PeerMessage]]
+
 
 class ShortLog:
     """Keep only the newest record of a stream."""
@@ -35,6 +40,8 @@
     ) -> LogPage:
         """Return the newest record, if it is the one asked for."""
         last = len(self.records) - 1
+        if offset > last:
+            return LogPage(records=(), next_offset=last + 1)
         if offset < last:
             raise RecordsExpiredError(earliest=last)
         record = LogRecord(offset=last, data=self.records[last])
@@ -97,6 +104,144 @@
             await relay._read_from_peers("config", 0)
 
 
+class ExpiredTest(unittest.IsolatedAsyncioTestCase):
+    """Test reading what one host appended and the log dropped at once."""
+
+    def setUp(self) -> None:
+        self.fleet = RelayFleet(names=("a", "b", "c"))
+
+    async def test_record_appended_for_a_peer_is_read(self) -> None:
+        """Append a change through a peer, then a checkpoint, to a log that keeps one.
+
+        After an outage hosts find the log again one by one, and the first appends for
+        the others. The change is gone as the checkpoint is taken. Nobody kept it: all
+        hosts logged `state_expired offset=4 earliest=5`, none was caught up, so none
+        gave the others a state, and an operator got no verdict for 30 s and more.
+        """
+        await self.fleet.read_all(0)
+        self.fleet.cut_off("b")
+        await self.fleet.relays["b"].append("config", [b"change"])
+        await self.fleet.relays["a"].append("config", [b"checkpoint"])
+        self.fleet.cut.clear()
+        for name in self.fleet.relays:
+            records = await self.fleet.read(name, 0)
+            self.assertEqual(records[0], b"change", name)
+
+    async def test_record_is_read_from_the_one_host_that_has_it(self) -> None:
+        """Append a change at one host, then another at a second one.
+
+        The log drops the first. A third host asks for it: peers that reach the log and
+        have nothing newer said so, and their answer was taken for the end of the log
+        before the host that holds the change was asked.
+        """
+        await self.fleet.relays["a"].append("config", [b"base"])
+        for name in self.fleet.relays:
+            self.assertEqual(await self.fleet.read(name, 0), [b"base"])
+        await self.fleet.relays["a"].append("config", [b"first"])
+        await self.fleet.relays["b"].append("config", [b"second"])
+        for name in ("c", "b", "a"):
+            records = await self.fleet.read(name, 1)
+            self.assertEqual(records[0], b"first", name)
+
+
+class RelayFleet:
+    """Join relays of one log that call each other without sockets."""
+
+    def __init__(self, *, names: tuple[str, ...]) -> None:
+        self.log = ShortLog()
+        self.cut: set[str] = set()
+        self.handlers: dict[str, HandlerTable] = {}
+        self.relays: dict[str, RelayedLog] = {}
+        for name in names:
+            self.handlers[name] = HandlerTable()
+            self.relays[name] = RelayedLog(
+                client=CuttableLog(fleet=self, host=name),  # type: ignore[arg-type]
+                blackboard=self.make_board(name, names),
+                links=self,  # type: ignore[arg-type]
+                server=self.handlers[name],  # type: ignore[arg-type]
+                timeout_s=1.0,
+                generator=random.Random(1),
+            )
+
+    def make_board(self, host: str, names: tuple[str, ...]) -> Blackboard:
+        """Return the board of a host that knows the others by the platform's list."""
+        board = Blackboard(host=host, incarnation=f"{host}-1", data_center="brest")
+        for name in names:
+            board.listed[name] = HostEntry(
+                host=name,
+                incarnation=f"{name}-1",
+                data_center="brest",
+                caller_url="",
+                operator_url="",
+                peer_url=name,
+                offset=0,
+            )
+        return board
+
+    def cut_off(self, name: str) -> None:
+        """Cut a host from the log."""
+        self.cut.add(name)
+
+    async def read(self, name: str, offset: int) -> list[bytes]:
+        """Return the records that a host reads from an offset on."""
+        page = await self.relays[name].read("config", offset, wait_s=0.0)
+        return [record.data for record in page.records]
+
+    async def read_all(self, offset: int) -> None:
+        """Let every host read from an offset on."""
+        for name in self.relays:
+            await self.read(name, offset)
+
+    def get_link(self, url: str) -> "HandlerTable":
+        """Return the link to a peer."""
+        return self.handlers[url]
+
+
+class HandlerTable:
+    """Hold a peer's handlers and call them as a link does."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type, Handler] = {}
+
+    def register(self, kind: type, handler: Handler) -> None:
+        """Keep the handler of one kind of message."""
+        self._handlers[kind] = handler
+
+    async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
+        """Return the answer to a message."""
+        try:
+            return await self._handlers[type(message)](message)
+        except (NotReadyError, LogUnavailableError) as error:
+            raise PeerUnavailableError(str(error)) from error
+
+
+class CuttableLog:
+    """Reach the log of a fleet as one host does."""
+
+    def __init__(self, *, fleet: RelayFleet, host: str) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    def _check(self) -> None:
+        if self._host in self._fleet.cut:
+            raise LogUnavailableError("cut")
+
+    async def append(
+        self, stream: str, records: list[bytes], *, timeout_s: float
+    ) -> int:
+        """Append to the log unless cut from it."""
+        self._check()
+        return await self._fleet.log.append(stream, records, timeout_s=timeout_s)
+
+    async def read(
+        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> LogPage:
+        """Read from the log unless cut from it."""
+        self._check()
+        log = self._fleet.log
+        return await log.read(stream, offset, wait_s=wait_s, timeout_s=timeout_s)
+
+
 class LosingLinks:
     """Lose every peer as soon as the first one is called."""
 
