Read what a host appended for a peer, and ask past peers that know of nothing newer

Symptom: after an outage of a log that keeps little, no host of the fleet got on: state_expired offset=4 earliest=5 at all three, an operator's publish without a verdict for 30 s and more (test_records_gone_without_checkpoint_are_made_good).

Cause, from the kept lines and by two tests that failed: a record that the log drops before anybody has read it is known only to those who appended it, and - an append that went through a peer was kept neither by the peer nor by the one who asked; - a host that asked its peers for it took the first answer without records, from a peer that reached the log and had read as far as itself, for the end of the search. So all hosts sought a checkpoint, none was caught up, and none gave the others a state.

Change: both ends keep what was appended for a peer; a peer answers with what it appended and has not read; the search goes on to the next peer, and each try asks other ones.

Ruled out as the cause earlier: the KeyError of a lost peer. The relays of the tests moved to a file of their own.

--- a/tests/components/test_relay.py
+++ b/tests/components/test_relay.py
@@ -2,51 +2,20 @@
 
 import random
 import unittest
-from collections.abc import Awaitable, Callable
-from typing import Any
 
+from tests.components.relays import RelayFleet, ShortLog
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.log_client.client import LogPage, LogRecord
 from trefoilstage.components.peers.links import PeerLinks
-from trefoilstage.components.peers.messages import FRAME_CODEC, PeerMessage
+from trefoilstage.components.peers.messages import FRAME_CODEC
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.configuration.fold import HostEntry
 from trefoilstage.exceptions import (
     LogUnavailableError,
-    NotReadyError,
     PeerUnavailableError,
     RecordsExpiredError,
 )
 
-Handler = Callable[[Any], Awaitable[PeerMessage]]
-
-
-class ShortLog:
-    """Keep only the newest record of a stream."""
-
-    def __init__(self) -> None:
-        self.records: list[bytes] = []
-
-    async def append(
-        self, stream: str, records: list[bytes], *, timeout_s: float
-    ) -> int:
-        """Add records and return the first one's offset."""
-        self.records += records
-        return len(self.records) - len(records)
-
-    async def read(
-        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
-    ) -> LogPage:
-        """Return the newest record, if it is the one asked for."""
-        last = len(self.records) - 1
-        if offset > last:
-            return LogPage(records=(), next_offset=last + 1)
-        if offset < last:
-            raise RecordsExpiredError(earliest=last)
-        record = LogRecord(offset=last, data=self.records[last])
-        return LogPage(records=(record,), next_offset=last + 1)
-
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """Test a relayed log without peers."""
@@ -144,104 +113,6 @@
             self.assertEqual(records[0], b"first", name)
 
 
-class RelayFleet:
-    """Join relays of one log that call each other without sockets."""
-
-    def __init__(self, *, names: tuple[str, ...]) -> None:
-        self.log = ShortLog()
-        self.cut: set[str] = set()
-        self.handlers: dict[str, HandlerTable] = {}
-        self.relays: dict[str, RelayedLog] = {}
-        for name in names:
-            self.handlers[name] = HandlerTable()
-            self.relays[name] = RelayedLog(
-                client=CuttableLog(fleet=self, host=name),  # type: ignore[arg-type]
-                blackboard=self.make_board(name, names),
-                links=self,  # type: ignore[arg-type]
-                server=self.handlers[name],  # type: ignore[arg-type]
-                timeout_s=1.0,
-                generator=random.Random(1),
-            )
-
-    def make_board(self, host: str, names: tuple[str, ...]) -> Blackboard:
-        """Return the board of a host that knows the others by the platform's list."""
-        board = Blackboard(host=host, incarnation=f"{host}-1", data_center="brest")
-        for name in names:
-            board.listed[name] = HostEntry(
-                host=name,
-                incarnation=f"{name}-1",
-                data_center="brest",
-                caller_url="",
-                operator_url="",
-                peer_url=name,
-                offset=0,
-            )
-        return board
-
-    def cut_off(self, name: str) -> None:
-        """Cut a host from the log."""
-        self.cut.add(name)
-
-    async def read(self, name: str, offset: int) -> list[bytes]:
-        """Return the records that a host reads from an offset on."""
-        page = await self.relays[name].read("config", offset, wait_s=0.0)
-        return [record.data for record in page.records]
-
-    async def read_all(self, offset: int) -> None:
-        """Let every host read from an offset on."""
-        for name in self.relays:
-            await self.read(name, offset)
-
-    def get_link(self, url: str) -> "HandlerTable":
-        """Return the link to a peer."""
-        return self.handlers[url]
-
-
-class HandlerTable:
-    """Hold a peer's handlers and call them as a link does."""
-
-    def __init__(self) -> None:
-        self._handlers: dict[type, Handler] = {}
-
-    def register(self, kind: type, handler: Handler) -> None:
-        """Keep the handler of one kind of message."""
-        self._handlers[kind] = handler
-
-    async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
-        """Return the answer to a message."""
-        try:
-            return await self._handlers[type(message)](message)
-        except (NotReadyError, LogUnavailableError) as error:
-            raise PeerUnavailableError(str(error)) from error
-
-
-class CuttableLog:
-    """Reach the log of a fleet as one host does."""
-
-    def __init__(self, *, fleet: RelayFleet, host: str) -> None:
-        self._fleet = fleet
-        self._host = host
-
-    def _check(self) -> None:
-        if self._host in self._fleet.cut:
-            raise LogUnavailableError("cut")
-
-    async def append(
-        self, stream: str, records: list[bytes], *, timeout_s: float
-    ) -> int:
-        """Append to the log unless cut from it."""
-        self._check()
-        return await self._fleet.log.append(stream, records, timeout_s=timeout_s)
-
-    async def read(
-        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
-    ) -> LogPage:
-        """Read from the log unless cut from it."""
-        self._check()
-        log = self._fleet.log
-        return await log.read(stream, offset, wait_s=wait_s, timeout_s=timeout_s)
-
-
 class LosingLinks:
     """Lose every peer as soon as the first one is called."""
 
--- a/trefoilstage/components/log_client/appended.py
+++ b/trefoilstage/components/log_client/appended.py
@@ -1,6 +1,7 @@
 """Keep what this host has itself appended; pure."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 from trefoilstage.components.log_client.client import LogPage, LogRecord
 
@@ -12,15 +13,15 @@
 class AppendedRecords:
     """Hold the newest records of one stream that this host appended.
 
-    A log that keeps little drops the first records of a group as the last ones are
-    appended. No host can read them, and each would stand before the gap for ever; the
-    one that appended them knows them.
+    A log that keeps little drops a record as the next one is appended, of the same
+    group or by another host. If nobody has read it by then, every host would stand
+    before the gap for ever; the one that appended it knows it, for itself or a peer.
     """
 
     def __init__(self) -> None:
         self._records: OrderedDict[int, LogRecord] = OrderedDict()
 
-    def add(self, first: int, records: list[bytes]) -> None:
+    def add(self, first: int, records: Sequence[bytes]) -> None:
         """Keep a group by the offset that the log gave to its first record."""
         for offset, data in enumerate(records, start=first):
             self._records[offset] = LogRecord(offset=offset, data=data)
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 
 from mode import Service
 
@@ -39,6 +39,8 @@
 PROBE_FIRST_S = 0.2
 PROBE_MAX_S = 2.0
 MAX_PEERS_ASKED = 4
+# An append's answer that names no offset.
+NO_OFFSET = -1
 
 
 class RelayedLog(Service):
@@ -69,6 +71,7 @@
         self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
         self._appended: defaultdict[str, AppendedRecords] = defaultdict(AppendedRecords)
         self._favourite = ""
+        self._n_picked = 0
         self._lost = asyncio.Event()
         self._probed = ""
         server.register(ReadRecords, self._answer_read)
@@ -86,8 +89,9 @@
             except LogUnavailableError:
                 self._note_failure(stream)
         message = AppendRecords(stream=stream, records=tuple(records))
-        async for reply in self._ask_peers(message):
+        async for reply in self._ask_peers(message, self._rank_peers()):
             if isinstance(reply, AppendReply):
+                self._keep_appended(stream, reply.first, records)
                 return reply.first
         raise LogUnavailableError("neither the log nor a peer appends")
 
@@ -110,18 +114,23 @@
         self, stream: str, offset: int, error: RecordsExpiredError
     ) -> LogPage:
         """Return records that the log has dropped, from whoever appended them."""
-        own = self._appended[stream].read(offset)
-        if own is not None:
-            return own
-        try:
-            page = await self._read_from_peers(stream, offset)
-        except LogUnavailableError:
-            raise error from None
-        if not page.records:
+        page = self._appended[stream].read(offset)
+        if page is None:
+            page = await self._read_kept_by_peers(stream, offset)
+        if page is None:
             raise error
         self._tails[stream].keep(page.records)
         return page
 
+    async def _read_kept_by_peers(self, stream: str, offset: int) -> LogPage | None:
+        # Only one or two hosts hold such a record. A peer that knows of nothing newer
+        # must not end the search, and each try asks other peers of a large fleet.
+        message = ReadRecords(stream=stream, offset=offset)
+        async for reply in self._ask_peers(message, self._pick_next_peers()):
+            if isinstance(reply, RecordsReply) and reply.records:
+                return make_page(reply)
+        return None
+
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
         for name in self._rank_peers():
@@ -137,9 +146,13 @@
             stream, records, timeout_s=self._reach.timeout_s
         )
         self._note_answer(asyncio.get_running_loop().time() - started)
-        self._appended[stream].add(first, records)
+        self._keep_appended(stream, first, records)
         return first
 
+    def _keep_appended(self, stream: str, first: int, records: Sequence[bytes]) -> None:
+        if first != NO_OFFSET:
+            self._appended[stream].add(first, records)
+
     async def _read_direct(self, stream: str, offset: int, wait_s: float) -> LogPage:
         started = asyncio.get_running_loop().time()
         page = await self._client.read(
@@ -183,7 +196,7 @@
         stale: RecordsReply | None = None
         expired: RecordsReply | None = None
         message = ReadRecords(stream=stream, offset=offset)
-        async for reply in self._ask_peers(message):
+        async for reply in self._ask_peers(message, self._rank_peers()):
             if not isinstance(reply, RecordsReply):
                 continue
             if reply.expired:
@@ -198,8 +211,10 @@
             raise LogUnavailableError("neither the log nor a peer answers")
         return make_page(stale)
 
-    async def _ask_peers(self, message: PeerMessage) -> AsyncIterator[PeerMessage]:
-        for name in self._rank_peers():
+    async def _ask_peers(
+        self, message: PeerMessage, names: list[str]
+    ) -> AsyncIterator[PeerMessage]:
+        for name in names:
             try:
                 reply = await self._call(name, message)
             except PeerUnavailableError:
@@ -238,6 +253,13 @@
             names.insert(0, self._favourite)
         return names[:MAX_PEERS_ASKED]
 
+    def _pick_next_peers(self) -> list[str]:
+        """Return the peers whose turn it is, so that every one is asked in the end."""
+        names = sorted(self._find_urls())
+        first = self._n_picked % len(names) if names else 0
+        self._n_picked += MAX_PEERS_ASKED
+        return (names[first:] + names[:first])[:MAX_PEERS_ASKED]
+
     async def _fetch_parts(self, name: str, stream: str) -> PackedState:
         first = await self._fetch_part(name, ReadState(stream=stream))
         parts = [first.state]
@@ -260,8 +282,9 @@
 
     async def _answer_read(self, message: ReadRecords) -> PeerMessage:
         tail = self._tails.get(message.stream)
-        if tail is not None and tail.holds(message.offset):
-            return make_reply(tail.read(message.offset), fresh=self._reach.up)
+        page = self._find_kept(message, tail)
+        if page is not None:
+            return make_reply(page, fresh=self._reach.up)
         if not self._reach.up:
             return self._answer_without_log(message, tail)
         try:
@@ -272,12 +295,20 @@
                 timeout_s=self._reach.timeout_s,
             )
         except RecordsExpiredError as error:
-            own = self._appended[message.stream].read(message.offset)
-            if own is not None:
-                return make_reply(own, fresh=True)
             return RecordsReply(expired=True, earliest=error.earliest)
         return make_reply(page, fresh=True)
 
+    def _find_kept(
+        self, message: ReadRecords, tail: RecordTail | None
+    ) -> LogPage | None:
+        """Return what this host has read, or appended and not read yet."""
+        page = None
+        if tail is not None and tail.holds(message.offset):
+            page = tail.read(message.offset)
+        if page is not None and page.records:
+            return page
+        return self._appended[message.stream].read(message.offset) or page
+
     def _answer_without_log(
         self, message: ReadRecords, tail: RecordTail | None
     ) -> PeerMessage:
@@ -293,6 +324,8 @@
         first = await self._client.append(
             message.stream, list(message.records), timeout_s=self._reach.timeout_s
         )
+        # The host that asked may end before its answer arrives.
+        self._keep_appended(message.stream, first, message.records)
         return AppendReply(first=first)
 
 
