Test that a fleet goes on past a record which the log dropped and nobody has

The same fault elsewhere: an append that took effect without an answer, in an outage longer than the log keeps records. The second also holds the limit: a host that gives no answer may have read it, and then nobody may go on without it.

--- a/tests/components/relays.py
+++ b/tests/components/relays.py
@@ -1,5 +1,6 @@
 """Join relays of one log that call each other without sockets."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -16,6 +17,8 @@
     RecordsExpiredError,
 )
 
+READ_S = 0.005
+
 Handler = Callable[[Any], Awaitable[PeerMessage]]
 
 
@@ -51,13 +54,19 @@
     def __init__(self, *, names: tuple[str, ...]) -> None:
         self.log = ShortLog()
         self.cut: set[str] = set()
+        # Reads get no answer from the log before this ends, whoever makes them.
+        self.cut_reads = False
+        # Appends that take effect and get no answer.
+        self.lose_answers = 0
+        self.boards: dict[str, Blackboard] = {}
         self.handlers: dict[str, HandlerTable] = {}
         self.relays: dict[str, RelayedLog] = {}
         for name in names:
             self.handlers[name] = HandlerTable()
+            self.boards[name] = self.make_board(name, names)
             self.relays[name] = RelayedLog(
                 client=CuttableLog(fleet=self, host=name),  # type: ignore[arg-type]
-                blackboard=self.make_board(name, names),
+                blackboard=self.boards[name],
                 links=self,  # type: ignore[arg-type]
                 server=self.handlers[name],  # type: ignore[arg-type]
                 timeout_s=1.0,
@@ -103,6 +112,7 @@
 
     def __init__(self) -> None:
         self._handlers: dict[type, Handler] = {}
+        self.silent = False
 
     def register(self, kind: type, handler: Handler) -> None:
         """Keep the handler of one kind of message."""
@@ -110,6 +120,8 @@
 
     async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
         """Return the answer to a message."""
+        if self.silent:
+            raise PeerUnavailableError("silent")
         try:
             return await self._handlers[type(message)](message)
         except (NotReadyError, LogUnavailableError) as error:
@@ -130,14 +142,22 @@
     async def append(
         self, stream: str, records: list[bytes], *, timeout_s: float
     ) -> int:
-        """Append to the log unless cut from it."""
+        """Append to the log unless cut from it; lose the answer as told."""
         self._check()
-        return await self._fleet.log.append(stream, records, timeout_s=timeout_s)
+        first = await self._fleet.log.append(stream, records, timeout_s=timeout_s)
+        if self._fleet.lose_answers > 0:
+            self._fleet.lose_answers -= 1
+            raise LogUnavailableError("answer lost")
+        return first
 
     async def read(
         self, stream: str, offset: int, *, wait_s: float, timeout_s: float
     ) -> LogPage:
         """Read from the log unless cut from it."""
+        # A log that answered at once would leave the loop to the one who reads.
+        await asyncio.sleep(READ_S)
         self._check()
+        while self._fleet.cut_reads:
+            await asyncio.sleep(READ_S)
         log = self._fleet.log
         return await log.read(stream, offset, wait_s=wait_s, timeout_s=timeout_s)
