Go on past a record that the log dropped and no host has

Symptom: after an outage longer than the log keeps records, no host of a fleet got on in a stream any more: no publish, no draw, no newcomer, for good.

Change: a host that has sought for 5 s asks every host on the list, and every one that the platform lists, how far it has folded the stream and whether it has the record. Only if all answer, none stands further and none has it, the first by name of those furthest on passes over that one offset (record_lost); the others take its state. A host without a state never does. While one does not answer, all wait and name it (record_missing), since it may have read the record and drawn on it: tokens must not be counted free twice. While seeking, a host asks again for the record itself, too.

Ruled out: going on each for itself (two hosts part where the log drops more meanwhile); a record in the log that sets the state (a host that had folded further would revert what operators were told is accepted).

Not covered: a host that is dead and still on the list holds the stream up until a host starts under its name.

--- a/tests/components/relays.py
+++ b/tests/components/relays.py
@@ -23,10 +23,11 @@
 
 
 class ShortLog:
-    """Keep only the newest record of a stream."""
+    """Keep only the newest record of a stream, or none."""
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        self.n_kept = 1
 
     async def append(
         self, stream: str, records: list[bytes], *, timeout_s: float
@@ -39,13 +40,15 @@
         self, stream: str, offset: int, *, wait_s: float, timeout_s: float
     ) -> LogPage:
         """Return the newest record, if it is the one asked for."""
-        last = len(self.records) - 1
-        if offset > last:
-            return LogPage(records=(), next_offset=last + 1)
-        if offset < last:
-            raise RecordsExpiredError(earliest=last)
-        record = LogRecord(offset=last, data=self.records[last])
-        return LogPage(records=(record,), next_offset=last + 1)
+        end = len(self.records)
+        earliest = end - self.n_kept
+        if offset < earliest:
+            raise RecordsExpiredError(earliest=earliest)
+        records = tuple(
+            LogRecord(offset=place, data=self.records[place])
+            for place in range(offset, end)
+        )
+        return LogPage(records=records, next_offset=end)
 
 
 class RelayFleet:
@@ -120,8 +123,8 @@
 
     async def call(self, message: PeerMessage, *, timeout_s: float) -> PeerMessage:
         """Return the answer to a message."""
-        if self.silent:
-            raise PeerUnavailableError("silent")
+        if self.silent or type(message) not in self._handlers:
+            raise PeerUnavailableError("no answer")
         try:
             return await self._handlers[type(message)](message)
         except (NotReadyError, LogUnavailableError) as error:
--- a/tests/components/test_lost_records.py
+++ b/tests/components/test_lost_records.py
@@ -75,7 +75,9 @@
         for member in self.members:
             await member.stop()
 
-    async def lose_record(self, fleet: RelayFleet, names: tuple[str, ...]) -> Ticket:
+    async def lose_record(
+        self, fleet: RelayFleet, names: tuple[str, ...], *, n_kept: int = 1
+    ) -> Ticket:
         """Accept a first change, then land a second one twice without an answer."""
         self.members = [Member(fleet=fleet, name=name) for name in names]
         for member in self.members:
@@ -89,6 +91,7 @@
         fleet.lose_answers = 2
         ticket = first.submit(make_publish(2))
         await wait_until(lambda: len(fleet.log.records) >= 4, "the copies")
+        fleet.log.n_kept = n_kept
         fleet.cut_reads = False
         return ticket
 
@@ -112,6 +115,21 @@
                 lambda m=member: m.board.config.files == expected, "the change"
             )
 
+    async def test_record_that_its_sender_knows_is_kept_when_the_log_holds_none(
+        self,
+    ) -> None:
+        """Lose a record as above, then let the log drop all that it holds.
+
+        The third sending was answered: two hosts know the record and its offset. Only
+        the two before it are passed over; the change itself must not be.
+        """
+        fleet = RelayFleet(names=("a", "b", "c"))
+        ticket = await self.lose_record(fleet, ("a", "b", "c"), n_kept=0)
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await ticket.future, ACCEPTED)
+        for member in self.members:
+            await wait_until(lambda m=member: len(m.board.config.files) == 2, "both")
+
     async def test_nobody_goes_on_while_a_host_is_out_of_reach(self) -> None:
         """Lose a record as above, with a fourth host that gives no answer.
 
--- a/tests/components/test_stream.py
+++ b/tests/components/test_stream.py
@@ -99,6 +99,14 @@
         """Give no state, as without peers."""
         return None
 
+    async def search(self, stream: str, offset: int) -> LogPage | None:
+        """Find no record, as without peers."""
+        return None
+
+    async def is_lost(self, stream: str, offset: int) -> bool:
+        """Wait for the log, as one who can't ask all hosts."""
+        return False
+
 
 class Follower(Service):
     """Own one stream as a host does."""
--- a/trefoilstage/components/log_client/interfaces.py
+++ b/trefoilstage/components/log_client/interfaces.py
@@ -17,6 +17,12 @@
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state, where the log has no checkpoint."""
 
+    async def search(self, stream: str, offset: int) -> LogPage | None:
+        """Return records that the log dropped, from whoever appended or read them."""
+
+    async def is_lost(self, stream: str, offset: int) -> bool:
+        """Tell whether this host is to go on without the record at an offset."""
+
 
 class StreamFold(Protocol):
     """Fold one kind of stream; hides its codec, state and checkpoint form."""
--- /dev/null
+++ b/trefoilstage/components/log_client/loss.py
@@ -0,0 +1,36 @@
+"""Decide whether a host goes on past a record that the log dropped unread; pure."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerPosition:
+    """Hold how far a host has folded a stream, and whether it has the next record."""
+
+    folded: int
+    has_record: bool = False
+
+
+def may_go_on(
+    *, host: str, offset: int, positions: Mapping[str, PeerPosition | None]
+) -> bool:
+    """Tell whether a host may pass over the record at an offset.
+
+    A host that has folded it may have acted upon it, as by a draw: passed over, its
+    tokens would count as free and be spent again. So every host must have answered
+    (None: it has not) that it stands no further, and has no record to give.
+
+    Of those that stand equally far only the first by name goes on, and the others take
+    its state. Each for itself, they could part where the log drops more meanwhile.
+    """
+    # Without a state there is nothing to go on from; the spend of the whole stream
+    # would be forgotten.
+    if offset == 0:
+        return False
+    for name, position in positions.items():
+        if position is None or position.has_record or position.folded > offset:
+            return False
+        if position.folded == offset and name < host:
+            return False
+    return True
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -35,6 +35,9 @@
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 RECORDS_PER_STEP = 50
+# Before a record counts as lost, an append under way has ended at its sender (20 s at
+# most, mostly within 1 s) or been sent again, and a host that was cut off is back.
+LOST_AFTER_S = 5.0
 
 Listener = Callable[[int, Any, Verdict], None]
 RankWriter = Callable[[str], int]
@@ -75,6 +78,8 @@
         )
         self._listeners: list[Listener] = []
         self._seek: int | None = None
+        # From when on the next record counts as lost; None while records come.
+        self._lost_at: float | None = None
         self._assembly = CheckpointAssembly()
         self._watch = CheckpointWatch()
 
@@ -164,6 +169,8 @@
                 offset=self.fold.next_offset,
                 earliest=earliest,
             )
+        if self._lost_at is None:
+            self._lost_at = asyncio.get_running_loop().time() + LOST_AFTER_S
         self._seek = earliest
         self.status.caught_up = False
 
@@ -176,10 +183,36 @@
         self._seek = position
         if position < page.next_offset:
             return
-        packed = await self._source.fetch_state(self.name)
-        if packed is None or not self._restore(packed):
+        if not await self._recover():
             await asyncio.sleep(self._backoff.next_delay())
 
+    async def _recover(self) -> bool:
+        """Get on where the log has no checkpoint; tell whether that was possible."""
+        packed = await self._source.fetch_state(self.name)
+        if packed is not None and self._restore(packed):
+            return True
+        page = await self._source.search(self.name, self.fold.next_offset)
+        if page is not None:
+            self._seek = None
+            await self._fold_page(page)
+            return True
+        return await self._pass_over_lost()
+
+    async def _pass_over_lost(self) -> bool:
+        # An append whose answer was lost, and which the log dropped before anybody read
+        # it, is known to nobody by its offset. Every host stood before it for good.
+        # Its sender sends it again, so that nothing but the offset is lost.
+        offset = self.fold.next_offset
+        now = asyncio.get_running_loop().time()
+        if self._lost_at is None or now < self._lost_at:
+            return False
+        if not await self._source.is_lost(self.name, offset):
+            return False
+        log_event(Event.RECORD_LOST, stream=self.name, offset=offset)
+        self.fold.skip(offset)
+        self._seek = None
+        return True
+
     def _assemble(self, record: LogRecord) -> PackedState | None:
         envelope = self._decode(record)
         if envelope is None or not isinstance(envelope.record, Checkpoint):
@@ -200,6 +233,8 @@
         if not restored:
             return False
         self._seek = None
+        self._lost_at = None
+        self.status.next_offset = self.fold.next_offset
         self._schedule.note_checkpoint(
             self.fold.next_offset, asyncio.get_running_loop().time()
         )
@@ -221,6 +256,7 @@
                 return
             if not self._fold_record(record):
                 return
+            self._lost_at = None
             if number % RECORDS_PER_STEP == 0:
                 await asyncio.sleep(0)
         self.status.next_offset = self.fold.next_offset
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -41,7 +41,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordsReply:
-    """Answer with the records a peer holds, or say from where on they are kept."""
+    """Answer with the records a peer holds, or say from where on they are kept.
+
+    `folded` is the first offset that the peer has not folded, None if it does not
+    follow the stream.
+    """
 
     offsets: tuple[int, ...] = ()
     records: tuple[bytes, ...] = ()
@@ -49,6 +53,7 @@
     earliest: int = 0
     expired: bool = False
     fresh: bool = True
+    folded: int | None = None
     kind: Literal["records_reply"] = "records_reply"
 
 
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -4,6 +4,7 @@
 import random
 from collections import defaultdict
 from collections.abc import AsyncIterator, Iterator, Sequence
+from dataclasses import replace
 
 from mode import Service
 
@@ -11,6 +12,7 @@
 from trefoilstage.components.log_client.appended import AppendedRecords
 from trefoilstage.components.log_client.checkpoints import MAX_PARTS, PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
+from trefoilstage.components.log_client.loss import PeerPosition, may_go_on
 from trefoilstage.components.log_client.reach import LogReach
 from trefoilstage.components.log_client.tail import RecordTail
 from trefoilstage.components.peers.links import PeerLinks
@@ -41,6 +43,7 @@
 MAX_PEERS_ASKED = 4
 # An append's answer that names no offset.
 NO_OFFSET = -1
+MAX_NAMES_LOGGED = 5
 
 
 class RelayedLog(Service):
@@ -114,15 +117,21 @@
         self, stream: str, offset: int, error: RecordsExpiredError
     ) -> LogPage:
         """Return records that the log has dropped, from whoever appended them."""
-        page = self._appended[stream].read(offset)
-        if page is None:
-            page = await self._read_kept_by_peers(stream, offset)
+        page = await self.search(stream, offset)
         if page is None:
             raise error
-        self._tails[stream].keep(page.records)
         return page
 
-    async def _read_kept_by_peers(self, stream: str, offset: int) -> LogPage | None:
+    async def search(self, stream: str, offset: int) -> LogPage | None:
+        """Return records that the log dropped, from whoever appended or read them."""
+        page = self._appended[stream].read(offset)
+        if page is None:
+            page = await self._search_peers(stream, offset)
+        if page is not None:
+            self._tails[stream].keep(page.records)
+        return page
+
+    async def _search_peers(self, stream: str, offset: int) -> LogPage | None:
         # Only one or two hosts hold such a record. A peer that knows of nothing newer
         # must not end the search, and each try asks other peers of a large fleet.
         message = ReadRecords(stream=stream, offset=offset)
@@ -131,6 +140,45 @@
                 return make_page(reply)
         return None
 
+    async def is_lost(self, stream: str, offset: int) -> bool:
+        """Tell whether this host is to go on without the record at an offset."""
+        if not self._reach.up:
+            return False
+        message = ReadRecords(stream=stream, offset=offset)
+        names = sorted(self._find_all_urls())
+        positions = {name: await self._find_position(name, message) for name in names}
+        silent = [name for name, position in positions.items() if position is None]
+        if silent:
+            log_event(
+                Event.RECORD_MISSING,
+                stream=stream,
+                offset=offset,
+                unanswered=",".join(silent[:MAX_NAMES_LOGGED]),
+            )
+        return may_go_on(host=self._blackboard.host, offset=offset, positions=positions)
+
+    async def _find_position(
+        self, name: str, message: ReadRecords
+    ) -> PeerPosition | None:
+        link = self._links.get_link(self._find_all_urls()[name])
+        try:
+            reply = await link.call(message, timeout_s=PEER_TIMEOUT_S)
+        except PeerUnavailableError:
+            return None
+        if not isinstance(reply, RecordsReply) or reply.folded is None:
+            return None
+        return PeerPosition(folded=reply.folded, has_record=bool(reply.records))
+
+    def _find_all_urls(self) -> dict[str, str]:
+        """Return the addresses of all other hosts, also of those taken for lost."""
+        hosts = self._blackboard.config.hosts.values()
+        urls = {entry.host: entry.peer_url for entry in hosts}
+        # A host that started again under its name can't announce itself meanwhile.
+        listed = self._blackboard.listed.values()
+        urls |= {entry.host: entry.peer_url for entry in listed}
+        urls.pop(self._blackboard.host, None)
+        return urls
+
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
         for name in self._rank_peers():
@@ -281,6 +329,11 @@
         return reply
 
     async def _answer_read(self, message: ReadRecords) -> PeerMessage:
+        reply = await self._find_records(message)
+        status = self._blackboard.streams.get(message.stream)
+        return replace(reply, folded=status.next_offset if status else None)
+
+    async def _find_records(self, message: ReadRecords) -> RecordsReply:
         tail = self._tails.get(message.stream)
         page = self._find_kept(message, tail)
         if page is not None:
@@ -311,7 +364,7 @@
 
     def _answer_without_log(
         self, message: ReadRecords, tail: RecordTail | None
-    ) -> PeerMessage:
+    ) -> RecordsReply:
         if tail is None or tail.next_offset == 0:
             raise NotReadyError("the log is out of reach")
         if message.offset < tail.earliest:
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -41,6 +41,8 @@
     RECORD_FAILED = "record_failed"
     STREAM_HALTED = "stream_halted"
     STATE_EXPIRED = "state_expired"
+    RECORD_MISSING = "record_missing"
+    RECORD_LOST = "record_lost"
     HOST_CRASHED = "host_crashed"
     DRAIN_INCOMPLETE = "drain_incomplete"
     RECORD_MALFORMED = "record_malformed"
