Use a target that started again by a clock set back

Cause: news is ordered by the start that the target tells. An earlier start is taken for late news of a former incarnation and passed over.

Change: the entry is kept beside the latest one, unless its start was seen and replaced, and takes its place once a connection to that can't be opened, or another target answers there. The two change places, so that late news which this host could not know as such costs one failed connection, which takes no repeat. Ruled out: counting further heartbeats (there are none); taking the entry in at once (late news would take a live target off).

--- a/tests/components/forwarding/test_targets.py
+++ b/tests/components/forwarding/test_targets.py
@@ -58,6 +58,21 @@
         self.board.targets.add(make_target("i-1", started_ms=2))
         self.assertEqual(self.choose(), "i-1@2")
 
+    async def test_target_that_started_by_a_clock_set_back_gets_work(self) -> None:
+        """Start a target again at a new address, with an earlier start by its clock.
+
+        The first request meets nobody at the old address, and goes to the new one
+        next: it is the target's only entry, and would never have been used.
+        """
+        old = make_target("i-1", started_ms=5_000)
+        self.board.targets.add(old)
+        self.board.targets.add(
+            make_target("i-1", started_ms=3_000, address="127.0.0.1:2")
+        )
+        self.assertEqual(self.choose(), "i-1@5000")
+        self.chooser.note_answer(old, NotSent(reason="refused", unreachable=True))
+        self.assertEqual(self.choose(), "i-1@3000")
+
     async def test_ended_targets_are_forgotten(self) -> None:
         """Let a target restart a hundred times; one health is kept."""
         for number in range(100):
--- a/tests/components/targets/test_directory.py
+++ b/tests/components/targets/test_directory.py
@@ -88,6 +88,70 @@
         self.assertFalse(self.targets.add(self.old))
         self.assertEqual(self.list_ready(), [])
 
+    def test_start_by_a_clock_set_back_is_used_once_the_other_is_out_of_reach(
+        self,
+    ) -> None:
+        """Start a target again whose clock was set back meanwhile, at a new address.
+
+        By its start it looks like late news of a former incarnation, and it registers
+        only once: passed over, the target stayed unlisted for the rest of its life.
+        """
+        again = make_target("engine-0", started_ms=1_500, address="127.0.0.1:3")
+        self.assertFalse(self.targets.add(again))
+        self.assertEqual(self.list_ready(), [self.new])
+        self.assertTrue(self.targets.give_way(self.new))
+        self.assertEqual(self.list_ready(), [again])
+        self.assertTrue(self.targets.add(again))
+        self.assertEqual(self.list_ready(), [again])
+        third = make_target("engine-0", started_ms=9_000)
+        self.assertTrue(self.targets.add(third))
+        self.assertFalse(self.targets.add(again))
+        self.assertFalse(self.targets.give_way(third))
+
+    def test_late_news_of_a_start_never_seen_gives_way_again(self) -> None:
+        """Lose a connection to a live target after late news of an ended incarnation.
+
+        This host never saw that one, as it started later. It is tried, can't be
+        reached, and gives way in turn; the live target must not be lost for good.
+        """
+        late = make_target("engine-0", started_ms=1_500, address="127.0.0.1:3")
+        self.targets.add(late)
+        self.assertTrue(self.targets.give_way(self.new))
+        self.assertFalse(self.targets.give_way(self.new))
+        self.assertTrue(self.targets.give_way(late))
+        self.assertEqual(self.list_ready(), [self.new])
+
+    def test_start_that_was_replaced_or_leaves_is_no_other(self) -> None:
+        """Lose a connection after late news of a start that was seen, or of its leave.
+
+        Used, requests would go to a target that has told that it leaves.
+        """
+        self.targets.add(self.old)
+        self.assertFalse(self.targets.give_way(self.new))
+        leaving = make_target("engine-0", started_ms=1_500, phase=TargetPhase.DRAINING)
+        self.targets.add(leaving)
+        self.assertFalse(self.targets.give_way(self.new))
+        self.assertEqual(self.list_ready(), [self.new])
+
+    def test_news_of_the_latest_start_and_its_end_forget_the_other(self) -> None:
+        """Hear of the latest start after an earlier one, or that its entry is gone."""
+        again = make_target("engine-0", started_ms=1_500)
+        for forget in (
+            lambda: self.targets.add(self.new),
+            lambda: self.targets.drop("engine-0", 100.0, NEVER),
+        ):
+            self.targets.add(again)
+            forget()
+            self.assertFalse(self.targets.give_way(self.new))
+            self.targets.remove(self.new)
+            self.assertEqual(self.list_ready(), [])
+            self.targets.add(self.new)
+
+    def test_start_without_another_stays(self) -> None:
+        """Lose a connection to a target of which no other start was seen."""
+        self.assertFalse(self.targets.give_way(self.new))
+        self.assertEqual(self.list_ready(), [self.new])
+
     def test_draining_target_that_restarts_gets_work_again(self) -> None:
         """Let a target drain, end, and start again under its name."""
         self.targets.add(
@@ -108,6 +172,13 @@
         self.targets.remove(self.new)
         self.assertEqual(self.list_ready(), [])
 
+    def test_other_start_is_used_where_the_address_has_another_target(self) -> None:
+        """Let another target answer at the address of the later start."""
+        again = make_target("engine-0", started_ms=1_500, address="127.0.0.1:3")
+        self.targets.add(again)
+        self.targets.remove(self.new)
+        self.assertEqual(self.list_ready(), [again])
+
     def test_known_starts_are_bounded(self) -> None:
         """List very many names one after the other."""
         for number in range(MAX_KNOWN_STARTS + 5):
--- a/trefoilstage/components/fleet/watcher.py
+++ b/trefoilstage/components/fleet/watcher.py
@@ -83,7 +83,7 @@
                 Event.TARGET_ENTRY_STALE,
                 target=entry.name,
                 started_ms=entry.started_ms,
-                latest_ms=targets.starts[entry.name],
+                latest_ms=targets.starts[entry.name].latest,
                 offset=record.offset,
             )
         elif known is None or known.entry != entry:
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -195,6 +195,14 @@
             failed = health.note_silence(now)
         else:
             failed = health.note_failure(now)
+        unreachable = isinstance(answer, NotSent) and answer.unreachable
+        if unreachable and self._board.targets.give_way(target):
+            log_event(
+                Event.TARGET_GAVE_WAY,
+                target=target.name,
+                started_ms=target.started_ms,
+                used_ms=self._board.targets.starts[target.name].latest,
+            )
         if failed:
             log_event(Event.TARGET_EJECTED, target=target.name)
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -82,6 +82,7 @@
     TARGET_DROPPED = "target_dropped"
     TARGET_LISTED = "target_listed"
     TARGET_ENTRY_STALE = "target_entry_stale"
+    TARGET_GAVE_WAY = "target_gave_way"
     SETTINGS_READ = "settings_read"
     SETTINGS_REFUSED = "settings_refused"
     STOP_INCOMPLETE = "stop_incomplete"
