--- /dev/null
+++ b/trefoilstage/components/peers/positions.py
@@ -0,0 +1,40 @@
+"""Ask all hosts how far they have read a stream."""
+
+from trefoilstage.components.log_client.loss import PeerPosition, may_go_on
+from trefoilstage.components.peers.log_peers import LogPeers
+from trefoilstage.components.peers.messages import ReadRecords, RecordsReply
+from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.helpers.events import Event, log_event
+
+MAX_NAMES_LOGGED = 5
+
+
+async def may_pass_over(peers: LogPeers, stream: str, offset: int) -> bool:
+    """Tell whether this host is to go on without the record at an offset."""
+    message = ReadRecords(stream=stream, offset=offset)
+    positions = {
+        name: await find_position(peers, url, message)
+        for name, url in sorted(peers.find_all_urls().items())
+    }
+    silent = [name for name, position in positions.items() if position is None]
+    if silent:
+        log_event(
+            Event.RECORD_MISSING,
+            stream=stream,
+            offset=offset,
+            unanswered=",".join(silent[:MAX_NAMES_LOGGED]),
+        )
+    return may_go_on(host=peers.host, offset=offset, positions=positions)
+
+
+async def find_position(
+    peers: LogPeers, url: str, message: ReadRecords
+) -> PeerPosition | None:
+    """Return where a host stands, None if it does not answer or follow the stream."""
+    try:
+        reply = await peers.call_at(url, message)
+    except PeerUnavailableError:
+        return None
+    if not isinstance(reply, RecordsReply) or reply.folded is None:
+        return None
+    return PeerPosition(folded=reply.folded, has_record=bool(reply.records))
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -3,47 +3,42 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
 
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.log_client.appended import AppendedRecords
-from trefoilstage.components.log_client.checkpoints import MAX_PARTS, PackedState
+from trefoilstage.components.log_client.checkpoints import PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
-from trefoilstage.components.log_client.loss import PeerPosition, may_go_on
 from trefoilstage.components.log_client.reach import LogReach
 from trefoilstage.components.log_client.tail import RecordTail
 from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.log_peers import LogPeers
 from trefoilstage.components.peers.messages import (
     AppendRecords,
     AppendReply,
     PeerMessage,
     ReadRecords,
-    ReadState,
     RecordsReply,
-    StateReply,
 )
+from trefoilstage.components.peers.positions import may_pass_over
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.state_transfer import fetch_state
 from trefoilstage.exceptions import (
     LogUnavailableError,
     NotReadyError,
-    PeerUnavailableError,
     RecordsExpiredError,
 )
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.util.backoff import Backoff
-from trefoilstage.util.hashing import rank_by_rendezvous
 
 RELAY_POLL_S = 0.1
-PEER_TIMEOUT_S = 1.0
 PROBE_FIRST_S = 0.2
 PROBE_MAX_S = 2.0
-MAX_PEERS_ASKED = 4
 # An append's answer that names no offset.
 NO_OFFSET = -1
-MAX_NAMES_LOGGED = 5
 
 
 class RelayedLog(Service):
@@ -66,15 +61,13 @@
         super().__init__()
         self._client = client
         self._blackboard = blackboard
-        self._links = links
+        self._peers = LogPeers(blackboard=blackboard, links=links)
         self._reach = LogReach(timeout_base_s=timeout_s)
         self._backoff = Backoff(
             initial_s=PROBE_FIRST_S, maximum_s=PROBE_MAX_S, generator=generator
         )
         self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
         self._appended: defaultdict[str, AppendedRecords] = defaultdict(AppendedRecords)
-        self._favourite = ""
-        self._n_picked = 0
         self._lost = asyncio.Event()
         self._probed = ""
         server.register(ReadRecords, self._answer_read)
@@ -92,7 +85,7 @@
             except LogUnavailableError:
                 self._note_failure(stream)
         message = AppendRecords(stream=stream, records=tuple(records))
-        async for reply in self._ask_peers(message, self._rank_peers()):
+        async for reply in self._peers.ask(message, self._peers.rank()):
             if isinstance(reply, AppendReply):
                 self._keep_appended(stream, reply.first, records)
                 return reply.first
@@ -135,7 +128,7 @@
         # Only one or two hosts hold such a record. A peer that knows of nothing newer
         # must not end the search, and each try asks other peers of a large fleet.
         message = ReadRecords(stream=stream, offset=offset)
-        async for reply in self._ask_peers(message, self._pick_next_peers()):
+        async for reply in self._peers.ask(message, self._peers.pick_next()):
             if isinstance(reply, RecordsReply) and reply.records:
                 return make_page(reply)
         return None
@@ -144,49 +137,11 @@
         """Tell whether this host is to go on without the record at an offset."""
         if not self._reach.up:
             return False
-        message = ReadRecords(stream=stream, offset=offset)
-        names = sorted(self._find_all_urls())
-        positions = {name: await self._find_position(name, message) for name in names}
-        silent = [name for name, position in positions.items() if position is None]
-        if silent:
-            log_event(
-                Event.RECORD_MISSING,
-                stream=stream,
-                offset=offset,
-                unanswered=",".join(silent[:MAX_NAMES_LOGGED]),
-            )
-        return may_go_on(host=self._blackboard.host, offset=offset, positions=positions)
-
-    async def _find_position(
-        self, name: str, message: ReadRecords
-    ) -> PeerPosition | None:
-        link = self._links.get_link(self._find_all_urls()[name])
-        try:
-            reply = await link.call(message, timeout_s=PEER_TIMEOUT_S)
-        except PeerUnavailableError:
-            return None
-        if not isinstance(reply, RecordsReply) or reply.folded is None:
-            return None
-        return PeerPosition(folded=reply.folded, has_record=bool(reply.records))
-
-    def _find_all_urls(self) -> dict[str, str]:
-        """Return the addresses of all other hosts, also of those taken for lost."""
-        hosts = self._blackboard.config.hosts.values()
-        urls = {entry.host: entry.peer_url for entry in hosts}
-        # A host that started again under its name can't announce itself meanwhile.
-        listed = self._blackboard.listed.values()
-        urls |= {entry.host: entry.peer_url for entry in listed}
-        urls.pop(self._blackboard.host, None)
-        return urls
+        return await may_pass_over(self._peers, stream, offset)
 
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
-        for name in self._rank_peers():
-            try:
-                return await self._fetch_parts(name, stream)
-            except PeerUnavailableError:
-                continue
-        return None
+        return await fetch_state(self._peers, stream)
 
     async def _append_direct(self, stream: str, records: list[bytes]) -> int:
         started = asyncio.get_running_loop().time()
@@ -244,7 +199,7 @@
         stale: RecordsReply | None = None
         expired: RecordsReply | None = None
         message = ReadRecords(stream=stream, offset=offset)
-        async for reply in self._ask_peers(message, self._rank_peers()):
+        async for reply in self._peers.ask(message, self._peers.rank()):
             if not isinstance(reply, RecordsReply):
                 continue
             if reply.expired:
@@ -259,75 +214,6 @@
             raise LogUnavailableError("neither the log nor a peer answers")
         return make_page(stale)
 
-    async def _ask_peers(
-        self, message: PeerMessage, names: list[str]
-    ) -> AsyncIterator[PeerMessage]:
-        for name in names:
-            try:
-                reply = await self._call(name, message)
-            except PeerUnavailableError:
-                if self._favourite == name:
-                    self._favourite = ""
-                continue
-            self._favourite = name
-            yield reply
-
-    async def _call(self, name: str, message: PeerMessage) -> PeerMessage:
-        url = self._find_urls().get(name)
-        if url is None:
-            # Lost while another peer was asked. Taken for a fault of the program, it
-            # ended hosts that were cut from the log just as their peers were lost.
-            raise PeerUnavailableError(f"{name} is lost")
-        link = self._links.get_link(url)
-        reply: PeerMessage = await link.call(message, timeout_s=PEER_TIMEOUT_S)
-        return reply
-
-    def _find_urls(self) -> dict[str, str]:
-        """Return live peers' addresses; a newcomer has only the platform's list."""
-        urls = {
-            item.host: item.peer_url
-            for item in self._blackboard.listed.values()
-            if item.host not in self._blackboard.config.hosts
-            and item.host != self._blackboard.host
-        }
-        for entry in self._blackboard.list_live_peers():
-            urls[entry.host] = entry.peer_url
-        return urls
-
-    def _rank_peers(self) -> list[str]:
-        names = rank_by_rendezvous(self._blackboard.host, self._find_urls())
-        if self._favourite in names:
-            names.remove(self._favourite)
-            names.insert(0, self._favourite)
-        return names[:MAX_PEERS_ASKED]
-
-    def _pick_next_peers(self) -> list[str]:
-        """Return the peers whose turn it is, so that every one is asked in the end."""
-        names = sorted(self._find_urls())
-        first = self._n_picked % len(names) if names else 0
-        self._n_picked += MAX_PEERS_ASKED
-        return (names[first:] + names[:first])[:MAX_PEERS_ASKED]
-
-    async def _fetch_parts(self, name: str, stream: str) -> PackedState:
-        first = await self._fetch_part(name, ReadState(stream=stream))
-        parts = [first.state]
-        for number in range(1, min(first.n_parts, MAX_PARTS)):
-            message = ReadState(stream=stream, part=number, offset=first.offset)
-            parts.append((await self._fetch_part(name, message)).state)
-        return PackedState(
-            offset=first.offset,
-            fold_version=first.fold_version,
-            data=b"".join(parts),
-        )
-
-    async def _fetch_part(self, name: str, message: ReadState) -> StateReply:
-        reply = await self._call(name, message)
-        if not isinstance(reply, StateReply) or reply.part != message.part:
-            raise PeerUnavailableError("no state from this peer")
-        if message.offset is not None and reply.offset != message.offset:
-            raise PeerUnavailableError("the peer's state has moved on")
-        return reply
-
     async def _answer_read(self, message: ReadRecords) -> PeerMessage:
         reply = await self._find_records(message)
         status = self._blackboard.streams.get(message.stream)
