--- a/tests/common.py
+++ b/tests/common.py
@@ -88,15 +88,17 @@
         try:
             await self._start()
         except BaseException:
+            self._keep_lines()
             await self.launcher.__aexit__()
             raise
         return self
 
+    def _keep_lines(self) -> None:
+        keep_lines({item.name: item.lines for item in self.launcher.running.values()})
+
     async def __aexit__(self, kind: type[BaseException] | None, *_: object) -> None:
         if kind is not None:
-            keep_lines(
-                {item.name: item.lines for item in self.launcher.running.values()}
-            )
+            self._keep_lines()
         for proxy in self.proxies.values():
             await proxy.stop()
         await self.launcher.__aexit__()
