Let one replaced host at most vouch for a record that nobody has

Read as a reviewer: a host that started anew tells nothing of what its former incarnation had folded. The holder and the witness of a draw, both replaced, would both answer that they stand at the beginning, the draw's record would be passed over, and its tokens spent twice. One alone is no danger: a draw is used only with its witness's word, so that the other stands further and says so. The reply names the incarnation; with two hosts replaced nobody goes on.

--- a/trefoilstage/components/peers/log_peers.py
+++ b/trefoilstage/components/peers/log_peers.py
@@ -80,6 +80,11 @@
         urls.pop(self._blackboard.host, None)
         return urls
 
+    def list_incarnations(self) -> dict[str, str]:
+        """Return the incarnations of the hosts on the list, by host."""
+        hosts = self._blackboard.config.hosts.values()
+        return {entry.host: entry.incarnation for entry in hosts}
+
     def _find_urls(self) -> dict[str, str]:
         """Return live peers' addresses; a newcomer has only the platform's list."""
         urls = {
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -43,8 +43,8 @@
 class RecordsReply:
     """Answer with the records a peer holds, or say from where on they are kept.
 
-    `folded` is the first offset that the peer has not folded, None if it does not
-    follow the stream.
+    `folded` is the first offset that the peer, of that incarnation, has not folded,
+    None if it does not follow the stream.
     """
 
     offsets: tuple[int, ...] = ()
@@ -54,6 +54,7 @@
     expired: bool = False
     fresh: bool = True
     folded: int | None = None
+    incarnation: str = ""
     kind: Literal["records_reply"] = "records_reply"
 
 
--- a/trefoilstage/components/peers/positions.py
+++ b/trefoilstage/components/peers/positions.py
@@ -24,7 +24,12 @@
             offset=offset,
             unanswered=",".join(silent[:MAX_NAMES_LOGGED]),
         )
-    return may_go_on(host=peers.host, offset=offset, positions=positions)
+    return may_go_on(
+        host=peers.host,
+        offset=offset,
+        positions=positions,
+        incarnations=peers.list_incarnations(),
+    )
 
 
 async def find_position(
@@ -37,4 +42,8 @@
         return None
     if not isinstance(reply, RecordsReply) or reply.folded is None:
         return None
-    return PeerPosition(folded=reply.folded, has_record=bool(reply.records))
+    return PeerPosition(
+        incarnation=reply.incarnation,
+        folded=reply.folded,
+        has_record=bool(reply.records),
+    )
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -217,7 +217,11 @@
     async def _answer_read(self, message: ReadRecords) -> PeerMessage:
         reply = await self._find_records(message)
         status = self._blackboard.streams.get(message.stream)
-        return replace(reply, folded=status.next_offset if status else None)
+        return replace(
+            reply,
+            folded=status.next_offset if status else None,
+            incarnation=self._blackboard.incarnation,
+        )
 
     async def _find_records(self, message: ReadRecords) -> RecordsReply:
         tail = self._tails.get(message.stream)
