--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -205,6 +205,13 @@
 class HostTest(unittest.IsolatedAsyncioTestCase):
     """Test hosts that leave or are cut from the store."""
 
+    async def stop_under_stream(self, fleet: PlatformFleet) -> FleetAnswer:
+        """Stop the first host once a stream is under way; return what came of it."""
+        stream = asyncio.create_task(fleet.call("/stream/x"))
+        await wait_for(lambda: fleet.count_runs() == 1, "the run")
+        fleet.hosts["host-0"].process.send_signal(signal.SIGTERM)
+        return await stream
+
     async def test_shutdown_cuts_off_nothing(self) -> None:
         """Stop a host while a stream is under way.
 
@@ -265,10 +272,7 @@
                 target.event_s = 0.9
             host = fleet.hosts["host-0"]
             n_done = len(host.list_times("request_done"))
-            stream = asyncio.create_task(fleet.call("/stream/x"))
-            await wait_for(lambda: fleet.count_runs() == 1, "the run")
-            host.process.send_signal(signal.SIGTERM)
-            answer: FleetAnswer = await stream
+            answer = await self.stop_under_stream(fleet)
             self.assertEqual((answer.whole, answer.body), (True, EVENTS))
             await wait_for(
                 lambda: len(host.list_times("request_done")) > n_done, "its line"
@@ -293,11 +297,8 @@
         async with PlatformFleet(grace_s=3) as fleet:
             for target in fleet.targets:
                 target.event_s = 1.2
-            stream = asyncio.create_task(fleet.call("/stream/x"))
-            await wait_for(lambda: fleet.count_runs() == 1, "the run")
             host = fleet.hosts["host-0"]
-            host.process.send_signal(signal.SIGTERM)
-            answer: FleetAnswer = await stream
+            answer = await self.stop_under_stream(fleet)
             self.assertFalse(answer.whole)
             self.assertEqual(await host.process.wait(), 0)
             assert host.reader is not None
