--- a/tests/common.py
+++ b/tests/common.py
@@ -24,8 +24,6 @@
 ROOT = Path(__file__).parent.parent
 SECRET = "brest-school-key"
 OTHER_SECRET = "quimper-crew-key"
-# Hosts of a fleet that start at the same time.
-MAX_STARTS = 2
 
 
 def make_config(engines: list[str], services: list[str], *, tokens: int) -> str:
@@ -118,11 +116,8 @@
             self.engines.append(engine)
             await self._add_proxy(engine.name, engine.ports["port"])
         names = [f"host-{number}" for number in range(self.n_hosts)]
-        # A start takes 1.6 to 1.9 s of processor time. Beside busy processes, of twelve
-        # at once none listened within the launcher's 30 s.
-        starts = asyncio.Semaphore(MAX_STARTS)
         self.hosts = list(
-            await asyncio.gather(*(self._start_in_turn(name, starts) for name in names))
+            await asyncio.gather(*(self.start_host(name) for name in names))
         )
         await self.publish(
             "10-base.toml",
@@ -135,10 +130,6 @@
         )
         await wait_for(self.is_ready, "the fleet to be ready")
 
-    async def _start_in_turn(self, name: str, starts: asyncio.Semaphore) -> Running:
-        async with starts:
-            return await self.start_host(name)
-
     async def start_host(self, name: str) -> Running:
         """Start one more host behind a proxy, with a source address of its own."""
         number = int(name.rsplit("-", 1)[1])
