--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -36,7 +36,9 @@
 RETRY_MAX_S = 1.0
 RECORDS_PER_STEP = 50
 # Before a record counts as lost, an append under way has ended at its sender (20 s at
-# most, mostly within 1 s) or been sent again, and a host that was cut off is back.
+# most, mostly within 1 s) or been sent again, and a host that was cut off is back. As
+# long again before all hosts are asked anew: at each try, 410 hosts would make 410
+# calls each in a second.
 LOST_AFTER_S = 5.0
 
 Listener = Callable[[int, Any, Verdict], None]
@@ -207,6 +209,7 @@
         if self._lost_at is None or now < self._lost_at:
             return False
         if not await self._source.is_lost(self.name, offset):
+            self._lost_at = now + LOST_AFTER_S
             return False
         log_event(Event.RECORD_LOST, stream=self.name, offset=offset)
         self.fold.skip(offset)
