--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -290,10 +290,13 @@
     def _close_lock(self, change: StockChange) -> None:
         """Use no locked tokens before the keeper has written the first promise.
 
-        It promises nothing once they are in use.
+        It promises nothing once they are in use. A lock that is closed stays as it
+        is: put off by each try to draw, it would open later in an outage.
         """
-        if change.locked > 0 and not self.has_touched_lock():
-            self._lock.promise(self._timer.now())
+        now = self._timer.now()
+        is_open = self._lock.is_open(now)
+        if change.locked > 0 and is_open and not self.has_touched_lock():
+            self._lock.promise(now)
 
     def _note_failure(self, workspace: str, error: StoreUnavailableError) -> None:
         self._records.forget_end(workspace)
