Ask about more targets where a prompt would be late at those asked about

Hypothesis: in a large fleet a host asks about three targets for a prompt, the same three for all prompts about one subject, and sends it to one of them however late it is there. Three targets read some 50 prompts of 3,700 own tokens a second, so a subject in demand binds there while the others stand idle.

Change: while a prompt would be late at each target asked about, as many more are asked about, 24 at most.

--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
@@ -9,6 +10,12 @@
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.messages import AskWork, WorkReport
 from trefoilstage.components.forwarding.models import PromptPart
+from trefoilstage.components.forwarding.placement import (
+    MAX_CANDIDATES,
+    PromptNeed,
+    Work,
+)
+from trefoilstage.components.forwarding.targets import TargetChooser
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -57,6 +64,54 @@
             await self.waiting.pop()
 
 
+class AskedTargets:
+    """Note which targets a chooser of a large fleet asks about."""
+
+    def __init__(self, work: Work) -> None:
+        self.work = work
+        self.asked: list[list[str]] = []
+        board = make_board("host-0", [f"host-{number}" for number in range(20)])
+        for number in range(30):
+            board.targets.add(make_target(f"i-{number}"))
+        workload = mock.Mock()
+        workload.refresh = self.refresh
+        workload.get_work.side_effect = lambda name: work
+        workload.get_pace.return_value = 60_000.0
+        workload.count_kept.return_value = 0
+        self.chooser = TargetChooser(
+            board=board,
+            membership=mock.Mock(),
+            settings=mock.Mock(),
+            timer=ManualTimer(),
+            workload=workload,
+        )
+
+    async def refresh(self, targets: list[str], _: object) -> dict[str, int]:
+        """Note what is asked about; nobody has anything in memory."""
+        self.asked.append(targets)
+        return {}
+
+    async def ask(self) -> list[int]:
+        """Return how many targets are asked about for one prompt, call by call."""
+        need = PromptNeed(subject="dossier", n_tokens=12_000, objective_s=0.8)
+        await self.chooser.refresh("assistant", need, ())
+        return [len(names) for names in self.asked]
+
+
+class SurveyTest(unittest.IsolatedAsyncioTestCase):
+    """Test how many targets are asked about for a prompt."""
+
+    async def test_few_targets_are_asked_in_a_large_fleet(self) -> None:
+        self.assertEqual(await AskedTargets(Work()).ask(), [3])
+
+    async def test_more_targets_are_asked_while_a_prompt_would_be_late(self) -> None:
+        """Let 60,000 tokens wait at each target; reading them takes 1 s."""
+        survey = AskedTargets(Work(prompt_tokens=60_000))
+        self.assertEqual(await survey.ask(), [3, 3, 6, 12])
+        names = [name for call in survey.asked for name in call]
+        self.assertEqual(len(set(names)), MAX_CANDIDATES)
+
+
 class Link:
     """Deliver messages to one host."""
 
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -81,6 +81,22 @@
         self.assertLess(day.engines.read, 3_500_000)
 
 
+class ManyTargetsTest(unittest.TestCase):
+    """Test what callers get of a large fleet before many engines."""
+
+    def test_callers_of_a_subject_in_demand_are_served_like_the_others(self) -> None:
+        """Ask for one subject 25 times a second, of 29 engines that stand mostly idle.
+
+        Hosts ask about three engines for a prompt, the same three for each subject. A
+        host that asked for no others sent all of them there: 7% of these callers were
+        in time, and 83% of those who asked for other subjects.
+        """
+        day = play(shorten(load_scenario("many-targets"), 14.0), SEED)
+        hot = count_share(pick(day, "hot-draft"), Result.IN_TIME)
+        others = count_share(pick(day, "draft"), Result.IN_TIME)
+        self.assertGreater(hot, others - 0.1)
+
+
 class OutagePolicyTest(unittest.TestCase):
     """Test what callers get while the store is out of reach."""
 
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -62,9 +62,7 @@
         # Asked beside the hold: both take a call, and neither needs the other's answer.
         refresh = asyncio.create_task(
             self._chooser.refresh(
-                run.service_name,
-                find_subject(run.request.prompt),
-                run.request.prompt,
+                run.service_name, self._find_need(run), run.request.prompt
             )
         )
         hold: Hold | Refusal | None = None
@@ -74,7 +72,7 @@
                 if isinstance(hold, Refusal):
                     return hold
                 run.held_at = asyncio.get_running_loop().time()
-                run.kept = await refresh
+                run.survey = await refresh
                 return await self._deliver(run, reply)
         except TimeoutError:
             return self._refuse_late(run)
@@ -162,7 +160,7 @@
             excluded=run.excluded,
             need=self._find_need(run),
             prompt=run.request.prompt,
-            kept=run.kept,
+            survey=run.survey,
             request=run.request.request,
         )
 
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -6,12 +6,12 @@
 be late there and in time elsewhere.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.reading_pace import FIRST_TOKENS_PER_S
-from trefoilstage.util.hashing import rank_by_rendezvous
+from trefoilstage.util.hashing import rank_by_rendezvous, rank_names
 
 # Each request under way makes the tokens of the others slower: with 64 at once a
 # step takes 1.5 times as long as alone.
@@ -22,9 +22,13 @@
 # What a second of reading costs besides the caller's own wait: the prompts behind it
 # wait as well, and what it reads takes the room of what others come back for.
 READING_WEIGHT = 2.0
-# In a large fleet only so many targets are asked about a prompt, the same for all
-# prompts about one subject.
+# In a large fleet only so many targets are asked about a prompt at first, the same for
+# all prompts about one subject.
 N_CANDIDATES = 3
+# Where a prompt would be late at each of them, as many more are asked, and again. Three
+# targets read 50 prompts about one subject a second; asked for alone, 1 in 4 callers of
+# a subject in demand was in time while the other targets stood idle.
+MAX_CANDIDATES = 24
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,6 +48,14 @@
     objective_s: float  # what is left of it
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Survey:
+    """Hold what the peers said of a prompt's candidates."""
+
+    kept: Mapping[str, int] = field(default_factory=dict)  # tokens, by incarnation
+    n_candidates: int = N_CANDIDATES  # that were asked about
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Option:
     """Pair a target with the work under way there."""
@@ -70,13 +82,16 @@
     return n_tokens / option.tokens_per_s + steps_s
 
 
-def rank_candidates(
-    targets: Sequence[TargetEntry], subject: str, *, is_large: bool
-) -> list[TargetEntry]:
+def rank_candidates(targets: Sequence[TargetEntry], subject: str) -> list[TargetEntry]:
     """Return the targets for a subject, in the same order at all hosts."""
     by_name = {target.name: target for target in targets}
-    ranked = [by_name[name] for name in rank_by_rendezvous(subject, by_name)]
-    return ranked[:N_CANDIDATES] if is_large else ranked
+    return [by_name[name] for name in rank_names(subject, tuple(by_name))]
+
+
+def is_late(option: Option, need: PromptNeed) -> bool:
+    """Tell whether a prompt's first token would be late at a target."""
+    wait_s = estimate_first_token(option, need.n_tokens - option.n_kept_tokens)
+    return wait_s > IN_TIME_SHARE * need.objective_s
 
 
 def choose_by_prompt(options: Sequence[Option], need: PromptNeed) -> TargetEntry:
@@ -89,9 +104,8 @@
     def weigh(option: Option) -> tuple[bool, float]:
         n_unread = need.n_tokens - option.n_kept_tokens
         wait_s = estimate_first_token(option, n_unread)
-        is_late = wait_s > IN_TIME_SHARE * need.objective_s
         reading_s = n_unread / option.tokens_per_s
-        return is_late, wait_s + READING_WEIGHT * reading_s
+        return is_late(option, need), wait_s + READING_WEIGHT * reading_s
 
     return min(options, key=weigh).target
 
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -1,6 +1,5 @@
 """Hold what became of one request so far; pure."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import (
@@ -9,6 +8,7 @@
     ServiceConfig,
     Workspace,
 )
+from trefoilstage.components.forwarding.placement import Survey
 
 # What a target may have made and sent before it learned that nobody reads.
 UNREAD_EVENTS = 3
@@ -27,7 +27,7 @@
     n_runs: int = 0  # targets that may have run it
     n_sends: int = 0
     excluded: set[str] = field(default_factory=set)  # incarnations that were tried
-    kept: Mapping[str, int] = field(default_factory=dict)  # tokens, by incarnation
+    survey: Survey = field(default_factory=Survey)  # of targets for its prompt
     last_event: int | None = None
     n_events: int = 0
     complete: bool = False
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -6,10 +6,14 @@
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.placement import (
+    MAX_CANDIDATES,
+    N_CANDIDATES,
     Option,
     PromptNeed,
+    Survey,
     choose_by_load,
     choose_by_prompt,
+    is_late,
     rank_candidates,
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
@@ -58,21 +62,30 @@
         excluded: set[str],
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
-        kept: Mapping[str, int],
+        survey: Survey,
         request: str,
     ) -> TargetEntry | None:
-        """Return the target for a request, None if there is none.
-
-        `kept` holds what the peers said of the prompt's tokens in memory.
-        """
+        """Return the target for a request, None if there is none."""
         usable = self._list_usable(service, excluded)
         if not usable:
             return None
         if need is None:
             options = [self._make_option(target) for target in usable]
             return choose_by_load(options, self._board.data_center, request)
-        is_large = self._workload.is_large()
-        options = [
+        candidates = rank_candidates(usable, need.subject)
+        if self._workload.is_large():
+            candidates = candidates[: survey.n_candidates]
+        options = self._list_options(candidates, prompt, survey.kept)
+        return choose_by_prompt(options, need)
+
+    def _list_options(
+        self,
+        targets: Sequence[TargetEntry],
+        prompt: Sequence[PromptPart],
+        kept: Mapping[str, int],
+    ) -> list[Option]:
+        """Return targets with what they have in memory of a prompt, as far as known."""
+        return [
             self._make_option(
                 target,
                 max(
@@ -80,9 +93,8 @@
                     self._workload.count_kept(target.incarnation, prompt),
                 ),
             )
-            for target in rank_candidates(usable, need.subject, is_large=is_large)
+            for target in targets
         ]
-        return choose_by_prompt(options, need)
 
     def _list_usable(self, service: str, excluded: set[str]) -> list[TargetEntry]:
         now = self._timer.now()
@@ -106,19 +118,27 @@
         )
 
     async def refresh(
-        self, service: str, subject: str, prompt: Sequence[PromptPart]
-    ) -> Mapping[str, int]:
+        self, service: str, need: PromptNeed | None, prompt: Sequence[PromptPart]
+    ) -> Survey:
         """Learn what other hosts know of a prompt's targets, before one is chosen.
 
-        Return the tokens of the prompt that each has in memory, as far as a peer
-        was asked. Calls without a prompt take 45 ms in the mean, and few of them meet.
+        Ask about more targets while the prompt would be late at all of them. Calls
+        without a prompt take 45 ms in the mean, and few of them meet.
         """
-        if not subject or not self._workload.is_large():
-            return {}
-        ready = self._board.targets.list_ready(service, self._timer.now())
-        candidates = rank_candidates(ready, subject, is_large=True)
-        names = [target.incarnation for target in candidates]
-        return await self._workload.refresh(names, prompt)
+        if need is None or not self._workload.is_large():
+            return Survey()
+        ranked = rank_candidates(self._list_usable(service, set()), need.subject)
+        kept: dict[str, int] = {}
+        n_asked = 0
+        while n_asked < min(len(ranked), MAX_CANDIDATES):
+            n_wanted = max(N_CANDIDATES, 2 * n_asked)
+            names = [target.incarnation for target in ranked[n_asked:n_wanted]]
+            kept |= await self._workload.refresh(names, prompt)
+            n_asked = n_wanted
+            options = self._list_options(ranked[:n_asked], prompt, kept)
+            if not all(is_late(option, need) for option in options):
+                break
+        return Survey(kept=kept, n_candidates=n_asked)
 
     def has_other(self, service: str, excluded: set[str]) -> bool:
         """Tell whether a service has a ready target besides some."""
