Spread lists of hosts over partitions, and write them once a second at most

Each home writes a list of all hosts, 12 KB with 195, at each change that it hears of, ten a second while a fleet starts; all lists of all homes lay in one partition, and each host that recovered an account read all of them.

Change: a list lies in the partition of its digest; a home of a large fleet names hosts that did not ask yet once a second; lists in memory are bounded (they were not). Lists of earlier versions are found.

Tests: RosterStoreTest (one list of 195 read without the others), NamingTest (30 lists before, 4 at most now).

--- /dev/null
+++ b/tests/components/escrow/test_rosters.py
@@ -0,0 +1,124 @@
+"""Test what lists of hosts cost a large fleet."""
+
+import unittest
+
+from standins.keyed_store import KeyedStore
+from tests.components.escrow.common import WORKSPACE, Bank
+from trefoilstage.components.escrow.rosters import (
+    MAX_KNOWN,
+    ROSTER_CODEC,
+    Roster,
+    RosterStore,
+    name_roster,
+)
+from trefoilstage.components.views.store import Listing, Topic
+
+N_HOSTS = 195
+N_PARTITIONS = 24
+# A home of a large fleet names hosts that did not ask yet once a second.
+MAX_LISTS_PER_S = 1
+
+
+def make_members(n_changed: int) -> dict[str, str]:
+    """Return a list of which some hosts have started again."""
+    return {
+        f"host-{number}": f"host-{number}-{int(number < n_changed)}"
+        for number in range(N_HOSTS)
+    }
+
+
+class CountingStore(KeyedStore):
+    """Count the bytes that listings hold."""
+
+    n_bytes = 0
+
+    async def list_newest(self, topic: Topic, partition: int = 0) -> Listing:
+        """Return the newest record of each key."""
+        listing = await super().list_newest(topic, partition)
+        self.n_bytes += sum(len(record.value or b"") for record in listing.records)
+        return listing
+
+
+class RosterStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Test lists of 195 hosts."""
+
+    async def test_one_list_is_read_without_all_others(self) -> None:
+        """Write a list at each of 195 restarts, then recover a home that names one.
+
+        With all lists in one partition each host that recovered an account read 2 MB,
+        which takes 1.6 s on a link of 10 Mbit/s, while callers waited for its tokens.
+        """
+        store = CountingStore()
+        writer = RosterStore(store=store, n_partitions=N_PARTITIONS)
+        for n_changed in range(N_HOSTS):
+            await writer.write(make_members(n_changed))
+        name = name_roster(make_members(7))
+        reader = RosterStore(store=store, n_partitions=N_PARTITIONS)
+        self.assertEqual(await reader.read(name), make_members(7))
+        one = len(ROSTER_CODEC.encode(Roster(members=make_members(7))))
+        # Lists spread over the partitions by hash; one gets three times its share.
+        self.assertLess(store.n_bytes, 3 * one * N_HOSTS / N_PARTITIONS)
+
+    async def test_list_of_an_earlier_version_is_found(self) -> None:
+        """Read a list that a host wrote before lists were spread over partitions."""
+        store = KeyedStore()
+        name = name_roster(make_members(7))
+        value = ROSTER_CODEC.encode(Roster(members=make_members(7)))
+        await store.put(Topic.ROSTERS, name, value)
+        reader = RosterStore(store=store, n_partitions=N_PARTITIONS)
+        self.assertEqual(await reader.read(name), make_members(7))
+
+    async def test_unreadable_and_missing_lists_are_told_apart_from_empty_ones(
+        self,
+    ) -> None:
+        store = KeyedStore()
+        await store.put(Topic.ROSTERS, "broken", b"\xff")
+        reader = RosterStore(store=store, n_partitions=1)
+        self.assertIsNone(await reader.read("broken"))
+        self.assertIsNone(await reader.read("missing"))
+        self.assertEqual(await reader.read(""), {})
+
+    async def test_lists_in_memory_are_bounded(self) -> None:
+        store = KeyedStore()
+        rosters = RosterStore(store=store, n_partitions=N_PARTITIONS)
+        for n_changed in range(2 * MAX_KNOWN):
+            await rosters.write(make_members(n_changed))
+        self.assertLessEqual(len(rosters._known), MAX_KNOWN)
+        self.assertLessEqual(len(rosters._written), MAX_KNOWN)
+        self.assertEqual(
+            await rosters.read(name_roster(make_members(0))), make_members(0)
+        )
+
+
+class NamingTest(unittest.IsolatedAsyncioTestCase):
+    """Test how often a home of a large fleet names the hosts that it serves."""
+
+    async def start(self) -> Bank:
+        """Return a home that hears of 30 more hosts, ten a second."""
+        bank = Bank(prepaid=200_000, home="brest-0")
+        for number in range(20):
+            bank.start(f"brest-{number}")
+        bank.meet_all()
+        for number in range(20, 50):
+            bank.start(f"brest-{number}")
+            bank.timer.time += 0.1
+            bank.meet_all()
+            await bank.homes["brest-0"]._tick()
+            draw = bank.homes["brest-0"]._draws.get(WORKSPACE)
+            if draw is not None:
+                await draw
+        return bank
+
+    async def test_starting_hosts_are_named_together(self) -> None:
+        """Start 30 hosts in 3 s; the home has no need to name each by itself."""
+        bank = await self.start()
+        listing = await bank.store.list_newest(Topic.ROSTERS)
+        self.assertLessEqual(len(listing.records), 1 + 3 * MAX_LISTS_PER_S)
+
+    async def test_host_that_asks_is_named_at_once(self) -> None:
+        bank = await self.start()
+        self.assertTrue(await bank.hold("brest-0", "brest-49", WORKSPACE, "a", 1_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -42,7 +42,7 @@
         self._timer = timer
         self._n_partitions = n_partitions
         self._accounts = accounts
-        self._rosters = RosterStore(store=store)
+        self._rosters = RosterStore(store=store, n_partitions=n_partitions)
         self._ends: dict[int, int] = {}
         self._read_at: dict[str, float] = {}
 
@@ -65,8 +65,7 @@
 
     async def find_served(self, holder: Holder) -> Mapping[str, str] | None:
         """Return who may have got grants of a holder, None if that can't be told."""
-        await self._rosters.read_missing({holder.roster})
-        return self._rosters.get(holder.roster)
+        return await self._rosters.read(holder.roster)
 
     async def refresh(self, workspace: str) -> None:
         """Read the records of an account's partition."""
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -37,6 +37,10 @@
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
 
+# When all hosts of a large fleet start, each home would write a list of them ten times
+# a second, 12 KB each with 195 hosts. A requester that is not on it yet and asks has
+# it written at once.
+NAMING_PAUSE_S = 1.0
 # Between two tries to recover an ended home's tokens; a witness may be out of reach.
 RECOVERY_PAUSE_S = 0.5
 
@@ -75,6 +79,7 @@
         self._draws: dict[str, asyncio.Task[None]] = {}
         self._paused_until: dict[str, float] = {}
         self._recover_at: dict[str, float] = {}
+        self._named_at: dict[str, float] = {}  # when requesters were written
         server.register(HoldTokens, self._answer_hold)
         server.register(SettleHolds, self._answer_settle)
 
@@ -239,7 +244,14 @@
     def _wants_record(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
         if account.plan_change(now, rank) is not None:
             return True
-        return rank is not HomeRank.NONE and self._lacks_requester(account)
+        if rank is HomeRank.NONE or not self._may_name(account.workspace, now):
+            return False
+        return self._lacks_requester(account)
+
+    def _may_name(self, workspace: str, now: float) -> bool:
+        """Tell whether requesters that did not ask yet may be written."""
+        named_at = self._named_at.get(workspace, float("-inf"))
+        return not self._board.is_large() or now - named_at >= NAMING_PAUSE_S
 
     def _start_recovery(self, workspace: str, now: float) -> None:
         draw = self._draws.get(workspace)
@@ -274,6 +286,7 @@
                 self._close_lock(change)
                 served = self._recovery.list_requesters()
                 if await self._records.change(account, change, served):
+                    self._named_at[workspace] = self._timer.now()
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
--- a/trefoilstage/components/escrow/rosters.py
+++ b/trefoilstage/components/escrow/rosters.py
@@ -1,9 +1,12 @@
 """Keep lists of the hosts that get grants in the store, each under its digest.
 
-With 66 hosts such a list is 4 KB. Written into each account's record, and read with all
-records of a partition at each conflict, it made draws take up to a second.
+With 66 hosts such a list is 4 KB, with 195 it is 12 KB. Written into each account's
+record, and read with all records of a partition at each conflict, it made draws take up
+to a second. In one partition, every host that recovered an account after a loss of all
+hosts read the lists that all homes had ever written.
 """
 
+from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -15,6 +18,12 @@
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.fields import Name
+from trefoilstage.util.hashing import pick_stream
+
+# Lists kept in memory, 20 KB each in a fleet of 195; others are read or written again.
+MAX_KNOWN = 64
+# Where earlier versions wrote all lists.
+FORMER_PARTITION = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,14 +48,15 @@
 class RosterStore:
     """Write each list once, before a record names it, and read those of others."""
 
-    def __init__(self, *, store: Store) -> None:
+    def __init__(self, *, store: Store, n_partitions: int) -> None:
         self._store = store
-        self._written: set[str] = set()
-        self._known: dict[str, Mapping[str, str]] = {"": NO_MEMBERS}
+        self._n_partitions = n_partitions
+        self._written: OrderedDict[str, None] = OrderedDict()
+        self._known: OrderedDict[str, Mapping[str, str]] = OrderedDict()
 
     def get(self, name: str) -> Mapping[str, str] | None:
         """Return a list, None if it was not read yet."""
-        return self._known.get(name)
+        return self._known.get(name) if name else NO_MEMBERS
 
     async def write(self, members: Mapping[str, str]) -> str:
         """Return the name of a list that the store holds."""
@@ -54,23 +64,33 @@
         if name and name not in self._written:
             # Any host writes the same under this name, so it may land twice.
             value = ROSTER_CODEC.encode(Roster(members=dict(members)))
-            await self._store.put(Topic.ROSTERS, name, value)
-            self._written.add(name)
-            self._known[name] = dict(members)
+            partition = pick_stream(name, self._n_partitions)
+            await self._store.put(Topic.ROSTERS, name, value, partition=partition)
+            self._written[name] = None
+            self._keep(name, dict(members))
+            if len(self._written) > MAX_KNOWN:
+                self._written.popitem(last=False)
         return name
 
-    async def read_missing(self, names: set[str]) -> None:
-        """Read the lists that other hosts have written, if one is not known."""
-        if names <= self._known.keys():
-            return
-        listing = await self._store.list_newest(Topic.ROSTERS)
+    async def read(self, name: str) -> Mapping[str, str] | None:
+        """Return a list that any host wrote, None if it can't be found."""
+        for partition in (pick_stream(name, self._n_partitions), FORMER_PARTITION):
+            if self.get(name) is None:
+                await self._read_partition(partition, name)
+        return self.get(name)
+
+    async def _read_partition(self, partition: int, name: str) -> None:
+        listing = await self._store.list_newest(Topic.ROSTERS, partition)
         for record in listing.records:
-            if record.value is None or record.key in self._known:
+            if record.key != name or record.value is None:
                 continue
             try:
-                roster = ROSTER_CODEC.decode(record.value)
+                self._keep(name, ROSTER_CODEC.decode(record.value).members)
             except MalformedMessageError as error:
                 # A home of whom it tells can't be recovered then.
                 log_event(Event.RECORD_MALFORMED, topic=Topic.ROSTERS, error=str(error))
-                continue
-            self._known[record.key] = roster.members
+
+    def _keep(self, name: str, members: Mapping[str, str]) -> None:
+        self._known[name] = members
+        if len(self._known) > MAX_KNOWN:
+            self._known.popitem(last=False)
