--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -9,11 +9,8 @@
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
-from trefoilstage.components.fleet.membership import (
-    PEERS_PER_BEAT,
-    FleetMembership,
-    HostRecord,
-)
+from trefoilstage.components.fleet.known_hosts import HostRecord
+from trefoilstage.components.fleet.membership import PEERS_PER_BEAT, FleetMembership
 from trefoilstage.components.fleet.messages import FLEET_CODEC, HostBeat
 from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.views.keyed_view import KeyedRecord
--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -6,10 +6,10 @@
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
+from trefoilstage.components.fleet.known_hosts import SILENT_LARGE_S
 from trefoilstage.components.fleet.membership import (
     BEAT_S,
     PEERS_PER_BEAT,
-    SILENT_LARGE_S,
     FleetMembership,
 )
 from trefoilstage.components.fleet.messages import HostBeat
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -2,19 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
+from collections.abc import Callable, Mapping
 
 from mode import Service
-from pydantic import BaseModel, ValidationError
+from pydantic import ValidationError
 
 from trefoilstage.components.escrow.messages import SealHome, SealReply
-from trefoilstage.components.fleet.gossip import (
-    HostTable,
-    HostTables,
-    encode_peer,
-    take_states,
-)
+from trefoilstage.components.fleet.known_hosts import HostRecord, KnownHosts
 from trefoilstage.components.fleet.messages import (
     HostBeat,
     ReadView,
@@ -32,11 +26,6 @@
 from trefoilstage.timer import TimerService
 
 BEAT_S = 0.5
-# Three beats: one lost datagram's retransmission takes up to two.
-SILENT_S = 1.5
-# In a large fleet most is heard through others. With two calls a beat from each of 66
-# hosts, none was heard longer than 1.5 s ago in 20 s of beats (played without faults).
-SILENT_LARGE_S = 3.0
 BEAT_TIMEOUT_S = 0.9
 ANNOUNCE_RETRY_S = 0.5
 # Of a large fleet only some hosts are called each beat. Called in turn, each of 66
@@ -48,14 +37,6 @@
 RECORDS_PAUSE_S = 0.25
 
 
-class HostRecord(BaseModel):
-    """Check a host's record in the store."""
-
-    incarnation: str
-    peer_url: str
-    data_center: str
-
-
 class FleetMembership(Service):
     """Announce this host, watch the others and relay what the store said."""
 
@@ -81,8 +62,7 @@
         self._address = address
         self._generator = generator
         self._announced_at = -1
-        self._tables = HostTables()
-        self._tables_are_stale = True
+        self._hosts = KnownHosts(board=board)
         self._beat_is_due = False
         self._calls: set[str] = set()  # peers that are asked how they stand
         server.register(HostBeat, self._answer_beat)
@@ -110,14 +90,14 @@
             if record.key == self._board.host:
                 continue
             if record.value is None:
-                self._forget(record.key)
+                self._hosts.forget(record.key)
                 continue
             try:
                 wire = HostRecord.model_validate_json(record.value)
             except ValidationError:
                 log_event(Event.RECORD_MALFORMED, topic=Topic.HOSTS, key=record.key)
                 continue
-            self._meet_recorded(record.key, wire, record.offset)
+            self._hosts.take_record(record.key, wire, record.offset)
         if not self._board.is_large():
             self.beat_soon()
         elif not self._beat_is_due:
@@ -131,10 +111,7 @@
 
     def list_live(self) -> tuple[str, ...]:
         """Return the hosts that answer and serve, this one among them."""
-        return self._board.list_live_hosts(self._timer.now(), self._get_silent_s())
-
-    def _get_silent_s(self) -> float:
-        return SILENT_LARGE_S if self._board.is_large() else SILENT_S
+        return self._hosts.list_live(self._timer.now())
 
     def count_hosts(self) -> int:
         """Return how many hosts share the fleet's limits."""
@@ -142,7 +119,7 @@
 
     def has_met_all(self) -> bool:
         """Tell whether every host that the store names was heard."""
-        return all(peer.was_heard for peer in self._board.peers.values())
+        return self._hosts.has_met_all()
 
     def beat_soon(self) -> None:
         """Tell the peers at once how this host stands."""
@@ -195,64 +172,6 @@
             # no work, so a stale record costs a heartbeat only.
             log_event(Event.STORE_WRITE_FAILED, topic=Topic.HOSTS, error=str(error))
 
-    def _forget(self, host: str) -> None:
-        if self._board.peers.pop(host, None) is not None:
-            self._note_hosts_changed()
-
-    def _meet_recorded(self, host: str, record: HostRecord, offset: int) -> None:
-        """Take in a host's record of the store.
-
-        It may be older than what the host said itself, or newer: a host that starts
-        again reaches the others of a large fleet by its record first.
-        """
-        known = self._board.peers.get(host)
-        if known is None:
-            self._add(host, record, offset)
-        elif known.incarnation == record.incarnation:
-            known.announced_at = max(known.announced_at, offset)
-        elif not known.was_heard or 0 <= known.announced_at < offset:
-            self._add(host, record, offset)
-
-    def _meet_calling(self, beat: HostBeat) -> PeerState | None:
-        """Take in a host that calls or answers; None if it has ended since.
-
-        The call of an incarnation that has ended may come after its successor's
-        record.
-        """
-        known = self._board.peers.get(beat.host)
-        if known is not None and known.incarnation == beat.incarnation:
-            known.announced_at = max(known.announced_at, beat.announced_at)
-            return known
-        if known is not None and 0 <= beat.announced_at < known.announced_at:
-            return None
-        return self._add(beat.host, beat, beat.announced_at)
-
-    def _add(self, host: str, found: HostRecord | HostBeat, offset: int) -> PeerState:
-        is_new = host not in self._board.peers
-        state = PeerState(
-            host=host,
-            incarnation=found.incarnation,
-            peer_url=found.peer_url,
-            data_center=found.data_center,
-            announced_at=offset,
-        )
-        self._board.peers[host] = state
-        self._board.note_peer_changed()
-        if is_new:
-            self._note_hosts_changed()
-        log_event(Event.PEER_MET, peer=host, peer_incarnation=found.incarnation)
-        return state
-
-    def _note_hosts_changed(self) -> None:
-        self._board.note_peer_changed()
-        self._tables_are_stale = True
-
-    def _get_tables(self) -> HostTables:
-        if self._tables_are_stale:
-            self._tables.set_hosts((*self._board.peers, self._board.host))
-            self._tables_are_stale = False
-        return self._tables
-
     async def _announce(self) -> None:
         record = HostRecord(
             incarnation=self._board.incarnation,
@@ -289,12 +208,7 @@
             return
         if isinstance(reply, HostBeat):
             await self._take_beat(reply)
-            self._note_confirmed(reply, started)
-
-    def _note_confirmed(self, reply: HostBeat, started: float) -> None:
-        known = self._board.peers.get(reply.host)
-        if known is not None and known.incarnation == reply.incarnation:
-            known.confirmed_at = max(known.confirmed_at, started)
+            self._hosts.note_confirmed(reply, started)
 
     async def _answer_beat(self, beat: HostBeat) -> HostBeat:
         self.add_future(self._take_beat(beat))
@@ -316,64 +230,14 @@
                 for topic, follower in self._followers.items()
             },
         )
-        if not self._board.is_large():
-            return beat
-        if answered is None:
-            table: HostTable | None = self._get_tables().current
-        else:
-            table = self._get_tables().find(answered.table)
-        now = self._timer.now()
-        peers = self._board.peers
-        if table is None:
-            named = {host: encode_peer(peer, now) for host, peer in peers.items()}
-            return replace(beat, named_states=named)
-        states = bytes([encode_peer(peers.get(host), now) for host in table.names])
-        return replace(beat, table=table.digest, states=states)
-
-    def _list_states(self, beat: HostBeat) -> Iterable[tuple[PeerState | None, int]]:
-        """Return the hosts that a peer tells of; none if its table isn't known here.
-
-        It is called again soon, and tells by name in its answers.
-        """
-        find = self._board.peers.get
-        table = self._get_tables().find(beat.table)
-        if table is None or len(table.names) != len(beat.states):
-            return zip(
-                map(find, beat.named_states), beat.named_states.values(), strict=True
-            )
-        return zip(map(find, table.names), beat.states, strict=True)
-
-    def _take_heard(self, beat: HostBeat) -> None:
-        """Take in what a peer passes on, where this host has heard nothing newer.
-
-        Of hosts that it doesn't know the store will tell.
-        """
-        states = self._list_states(beat)
-        if take_states(states, self._timer.now(), self._get_silent_s()):
-            self._board.note_peer_changed()
-
-    def _hear(self, peer: PeerState, beat: HostBeat) -> None:
-        now = self._timer.now()
-        silent_s = self._get_silent_s()
-        was_live = peer.is_live(now, silent_s)
-        if now - peer.last_heard > silent_s:
-            log_event(Event.PEER_BACK, peer=beat.host)
-        peer.last_heard = now
-        peer.failed = False
-        peer.serving = beat.serving
-        peer.store_in_reach = beat.store_in_reach
-        peer.untouched = beat.untouched
-        if peer.is_live(now, silent_s) != was_live:
-            self._board.note_peer_changed()
+        return self._hosts.add_heard(beat, answered, self._timer.now())
 
     async def _take_beat(self, beat: HostBeat) -> None:
         if beat.host == self._board.host:
             return
-        self._take_heard(beat)
-        peer = self._meet_calling(beat)
+        peer = self._hosts.take_beat(beat, self._timer.now())
         if peer is None:
             return
-        self._hear(peer, beat)
         for topic, offset in beat.next_offsets.items():
             await self._catch_up(peer, topic, offset)
 
