--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -96,6 +96,23 @@
         others = count_share(pick(day, "draft"), Result.IN_TIME)
         self.assertGreater(hot, others - 0.1)
 
+    def test_hosts_that_start_again_are_soon_served_by_all_homes(self) -> None:
+        """Kill half of 40 hosts for a second.
+
+        Homes grant tokens to the incarnations that they know. Going by what they had
+        heard before, they refused the new ones until one called the other by lot, and
+        14% of the callers of the next 6 s were late; a tenth may be.
+        """
+        kill = Fault(kind=FaultKind.HOSTS_KILLED, at_s=4.0, for_s=1.0, share=0.5)
+        scenario = shorten(load_scenario("many-targets"), 11.0, kill)
+        kinds = tuple(kind for kind in scenario.kinds if kind.name != "hot-draft")
+        scenario = scenario.model_copy(update={"n_hosts": 40, "kinds": kinds})
+        day = play(scenario, 1)
+        prompts = pick(day, "draft", "summary", "triage")
+        begin = min(item.asked_at for item in prompts)
+        after = [item for item in prompts if 5.0 <= item.asked_at - begin <= 11.0]
+        self.assertLess(count_share(after, Result.LATE), 0.1)
+
 
 class OutagePolicyTest(unittest.TestCase):
     """Test what callers get while the store is out of reach."""
