Refuse requests on a host whose link is full (a try)

Callers refused at once would come back to another host.

Change: the fastest of the last eight calls to peers tells how long messages wait; requests that would be late by that alone are refused, unless three in ten of the peers say the same of theirs.

By size of bodies instead of round trips (a trial before it): nothing was refused, as bodies don't wait where the host sees it.

--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -6,6 +6,7 @@
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.messages import WorkReport
 from trefoilstage.components.peers.link import PeerLink
+from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.exceptions import PeerUnavailableError
 
 
@@ -19,7 +20,12 @@
         peer: as an unexpected error it would end the whole host, and its callers
         with it.
         """
-        link = PeerLink(url="ws://peer", outbound_address="", codec=FLEET_CODEC)
+        link = PeerLink(
+            url="ws://peer",
+            outbound_address="",
+            codec=FLEET_CODEC,
+            round_trips=RoundTrips(),
+        )
         connection = mock.AsyncMock()
         connection.send.side_effect = RuntimeError("the handler is closed")
         link._connection = connection
--- a/trefoilstage/components/fleet/known_hosts.py
+++ b/trefoilstage/components/fleet/known_hosts.py
@@ -143,6 +143,7 @@
         peer.failed = False
         peer.serving = beat.serving
         peer.store_in_reach = beat.store_in_reach
+        peer.link_full = beat.link_full
         peer.untouched = beat.untouched
         if peer.is_live(now, self.silent_s) != was_live:
             self._board.note_peer_changed()
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -223,6 +223,7 @@
             data_center=self._board.data_center,
             serving=self._board.phase is Phase.SERVING,
             store_in_reach=not self._board.store.out_of_reach,
+            link_full=self._board.is_link_full(self._timer.now()),
             untouched=self._board.untouched,
             announced_at=self._announced_at,
             next_offsets={
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -34,6 +34,7 @@
     next_offsets: dict[Topic, int]
     # Predecessors that never touched their locked tokens; None until this is known.
     untouched: tuple[Name, ...] | None = None
+    link_full: bool = False
     # Where the store has this incarnation's record, -1 before it has one.
     announced_at: Offset = -1
     # In a large fleet, when others were heard: a byte for each host of the table that
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -114,6 +114,7 @@
             held=hold.tokens,
             spent=run.count_spent(),
             target=run.target,
+            body_s=run.body_s,
             hold_s=run.held_at - run.started,
             first_s=max(0.0, run.first_at - run.started),
             gap_s=run.longest_gap_s,
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -24,6 +24,7 @@
     workspace: Workspace | None
     started: float
     deadline: float
+    body_s: float = 0.0  # until its body had arrived
     n_runs: int = 0  # targets that may have run it
     n_sends: int = 0
     excluded: set[str] = field(default_factory=set)  # incarnations that were tried
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -7,6 +7,7 @@
 from websockets.exceptions import WebSocketException
 
 from trefoilstage.components.peers.frames import ErrorReply, Frame
+from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.exceptions import MalformedMessageError, PeerUnavailableError
 from trefoilstage.helpers.codec import Codec
@@ -20,10 +21,16 @@
     """Send calls to one peer and match its replies."""
 
     def __init__(
-        self, *, url: str, outbound_address: str, codec: Codec[Frame[Any]]
+        self,
+        *,
+        url: str,
+        outbound_address: str,
+        codec: Codec[Frame[Any]],
+        round_trips: RoundTrips,
     ) -> None:
         self.url = url
         self._codec = codec
+        self._round_trips = round_trips
         self._outbound_address = outbound_address
         self._connection: ClientConnection | None = None
         self._reader: asyncio.Task[None] | None = None
@@ -46,12 +53,15 @@
                 await send_data(connection, self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
+            self._round_trips.note_timeout(timeout_s, started + timeout_s)
             self._abandon_silent_connection(started)
             raise PeerUnavailableError(repr(error)) from error
         except (OSError, WebSocketException) as error:
             raise PeerUnavailableError(repr(error)) from error
         finally:
             self._waiting.pop(number, None)
+        ended = asyncio.get_running_loop().time()
+        self._round_trips.note_answer(ended - started, ended)
         if isinstance(reply, ErrorReply):
             raise PeerUnavailableError(reply.detail)
         return reply
--- a/trefoilstage/components/peers/links.py
+++ b/trefoilstage/components/peers/links.py
@@ -6,14 +6,22 @@
 
 from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.peers.link import PeerLink
+from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.helpers.codec import Codec
 
 
 class PeerLinks(Service):
     """Own the links to peers, opened when first used."""
 
-    def __init__(self, *, outbound_address: str, codec: Codec[Frame[Any]]) -> None:
+    def __init__(
+        self,
+        *,
+        outbound_address: str,
+        codec: Codec[Frame[Any]],
+        round_trips: RoundTrips | None = None,
+    ) -> None:
         super().__init__()
+        self._round_trips = round_trips or RoundTrips()
         self._codec = codec
         self._outbound_address = outbound_address
         self._links: dict[str, PeerLink] = {}
@@ -26,6 +34,7 @@
                 url=url,
                 outbound_address=self._outbound_address,
                 codec=self._codec,
+                round_trips=self._round_trips,
             )
             self._links[url] = link
         return link
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -4,6 +4,7 @@
 
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.directory import TargetDirectory
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.phase import Phase
@@ -11,6 +12,8 @@
 # A call or two may fail without an outage. Half a second of failures is one:
 # from then on peers are asked, and a silent target is no longer taken for gone.
 OUT_OF_REACH_S = 0.5
+# A call to a peer takes 1 to 5 ms on a link with room.
+LINK_FULL_S = 0.15
 # With more peers than this nothing goes from each host to all others any more: what
 # that costs a host grows with the square of the fleet.
 MAX_PEERS_TOLD = 12
@@ -63,6 +66,7 @@
     serving: bool = False
     failed: bool = False  # a call failed since it was last heard
     store_in_reach: bool = True
+    link_full: bool = False  # as it said itself, not passed on by others
     # Its predecessors that never touched their locked tokens; None until it knows.
     untouched: tuple[str, ...] | None = None
 
@@ -99,6 +103,7 @@
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # its follower
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
+    round_trips: RoundTrips = field(default_factory=RoundTrips)  # links to peers
     untouched: tuple[str, ...] | None = None  # lock keeper
     _live: dict[float, LiveHosts] = field(default_factory=dict)  # by silence allowed
 
@@ -137,6 +142,16 @@
             until=min((peer.last_heard for peer in live), default=now) + silent_s,
         )
 
+    def is_link_full(self, now: float) -> bool:
+        """Tell whether messages wait long on this host's own link."""
+        return self.round_trips.estimate(now) > LINK_FULL_S
+
+    def get_full_share(self) -> float:
+        """Return the share of the peers that said their links are full."""
+        if not self.peers:
+            return 1.0
+        return sum(peer.link_full for peer in self.peers.values()) / len(self.peers)
+
     def note_peer_changed(self) -> None:
         """Put the live hosts together anew when they are asked for next."""
         self._live.clear()
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -72,7 +72,11 @@
         """Build the parts and start them, inner ones first."""
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
-        links = PeerLinks(outbound_address=settings.address, codec=FLEET_CODEC)
+        links = PeerLinks(
+            outbound_address=settings.address,
+            codec=FLEET_CODEC,
+            round_trips=self._board.round_trips,
+        )
         peers = PeerServer(
             address=settings.address, port=settings.peer_port, codec=FLEET_CODEC
         )
