Leave the balancer's rotation while this host's link is full, in place of refusing

The share of connections is uneven by host; what moves callers is readiness, and that answers close their connections.

Change: a host whose fastest of the last eight answered calls to peers took over 0.15 s says that it isn't ready and lets callers open their next connection elsewhere, unless three in ten peers say the same of theirs. Nothing is refused for it. Calls without an answer don't count: a host that is cut off from the others is no host with a full link.

--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -292,7 +292,7 @@
             answer.head.status,
             answer.headers,
             b"".join(parts),
-            close=self._is_draining(),
+            close=self._is_closing(),
         )
 
     async def _relay_stream(
@@ -332,11 +332,14 @@
     async def _open(self, reply: CallerReply, answer: OpenAnswer) -> None:
         if not reply.is_open:
             await reply.open(
-                answer.head.status, answer.headers, close=self._is_draining()
+                answer.head.status, answer.headers, close=self._is_closing()
             )
 
-    def _is_draining(self) -> bool:
-        return self._board.phase is Phase.DRAINING
+    def _is_closing(self) -> bool:
+        """Tell whether callers are to open their next connection elsewhere."""
+        if self._board.phase is Phase.DRAINING:
+            return True
+        return self._board.sends_elsewhere(asyncio.get_running_loop().time())
 
 
 def make_failure(detail: str) -> Refusal:
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -8,7 +8,6 @@
 
 from trefoilstage.components.forwarding.answers import RefusalMaker
 from trefoilstage.components.forwarding.border import Border, MalformedRequestError
-from trefoilstage.components.forwarding.intake import has_room
 from trefoilstage.components.forwarding.models import CallerRequest, RouteKind
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.reply import WebReply
@@ -35,11 +34,6 @@
 # Another host takes the request at once.
 ELSEWHERE_AFTER_S = 0.05
 SHUTTING_DOWN = Refusal(reason=Reason.SHUTTING_DOWN, retry_after_s=ELSEWHERE_AFTER_S)
-LINK_FULL = Refusal(
-    reason=Reason.OVERLOADED,
-    retry_after_s=ELSEWHERE_AFTER_S,
-    detail="this host's link",
-)
 # The pipeline answers or says why not; should it do neither, nothing is promised.
 NO_ANSWER = Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN)
 NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
@@ -140,7 +134,9 @@
         self._refuses_all = True
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        ready = self._board.phase is Phase.SERVING
+        now = asyncio.get_running_loop().time()
+        serving = self._board.phase is Phase.SERVING
+        ready = serving and not self._board.sends_elsewhere(now)
         return web.Response(status=200 if ready else 503)
 
     async def _answer(self, web_request: web.BaseRequest) -> web.StreamResponse:
@@ -197,8 +193,6 @@
         limit = min(MAX_BODY_BYTES, configuration.limits.max_body_bytes)
         if length > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
-        if not has_room(self._board, route.objective_s, started):
-            return LINK_FULL
         body = await web_request.read()
         body_s = asyncio.get_running_loop().time() - started
         if len(body) > limit:
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -53,7 +53,6 @@
                 await send_data(connection, self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
-            self._round_trips.note_timeout(timeout_s, started + timeout_s)
             self._abandon_silent_connection(started)
             raise PeerUnavailableError(repr(error)) from error
         except (OSError, WebSocketException) as error:
--- a/trefoilstage/components/peers/round_trips.py
+++ b/trefoilstage/components/peers/round_trips.py
@@ -9,13 +9,11 @@
 MIN_CALLS = 4
 # Idle hosts of a large fleet make four calls a second.
 MAX_AGE_S = 2.0
-# A call that was given up earlier may have been given up by choice.
-MIN_TIMEOUT_S = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoundTrip:
-    """Hold how long a call took, or was waited for."""
+    """Hold how long a call took until it was answered."""
 
     seconds: float
     at: float
@@ -23,7 +21,10 @@
 
 @dataclass(kw_only=True, slots=True)
 class RoundTrips:
-    """Hold the last calls to any peer."""
+    """Hold the last calls that any peer answered.
+
+    Calls without an answer say nothing of the link: their peers may be gone or cut off.
+    """
 
     calls: deque[RoundTrip] = field(default_factory=lambda: deque(maxlen=N_CALLS))
 
@@ -31,11 +32,6 @@
         """Count a call that was answered."""
         self.calls.append(RoundTrip(seconds=seconds, at=now))
 
-    def note_timeout(self, seconds: float, now: float) -> None:
-        """Count a call that was not answered in some time."""
-        if seconds >= MIN_TIMEOUT_S:
-            self.note_answer(seconds, now)
-
     def estimate(self, now: float) -> float:
         """Return the seconds that a call takes at least, 0 if that is not known."""
         recent = [call.seconds for call in self.calls if now - call.at <= MAX_AGE_S]
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -14,6 +14,8 @@
 OUT_OF_REACH_S = 0.5
 # A call to a peer takes 1 to 5 ms on a link with room.
 LINK_FULL_S = 0.15
+# Where more of the peers stand no better, callers would meet the same at them.
+MAX_FULL_SHARE = 0.3
 # With more peers than this nothing goes from each host to all others any more: what
 # that costs a host grows with the square of the fleet.
 MAX_PEERS_TOLD = 12
@@ -146,11 +148,12 @@
         """Tell whether messages wait long on this host's own link."""
         return self.round_trips.estimate(now) > LINK_FULL_S
 
-    def get_full_share(self) -> float:
-        """Return the share of the peers that said their links are full."""
-        if not self.peers:
-            return 1.0
-        return sum(peer.link_full for peer in self.peers.values()) / len(self.peers)
+    def sends_elsewhere(self, now: float) -> bool:
+        """Tell whether callers do better at other hosts: only this link is full."""
+        if not self.peers or not self.is_link_full(now):
+            return False
+        n_full = sum(peer.link_full for peer in self.peers.values())
+        return n_full <= MAX_FULL_SHARE * len(self.peers)
 
     def note_peer_changed(self) -> None:
         """Put the live hosts together anew when they are asked for next."""
