--- a/trefoilstage/components/fleet/metrics.py
+++ b/trefoilstage/components/fleet/metrics.py
@@ -102,6 +102,11 @@
             "Version in force, 0 before the first.",
             lambda: board.configuration.version if board.configuration else 0,
         )
+        add(
+            "peer_call_seconds",
+            "Seconds that a call to a peer takes at least, 0 if not known.",
+            lambda: board.round_trips.estimate(self._timer.now()),
+        )
         add("peers_known", "Other hosts known.", lambda: len(board.peers))
         add(
             "targets_listed",
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -59,6 +59,7 @@
         self._refuses_streams = False
         self._refuses_all = False
         self._answering: set[asyncio.Task[Any]] = set()
+        self._link_was_full = False
         self.n_streams = 0
 
     @property
@@ -134,11 +135,24 @@
         self._refuses_all = True
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        now = asyncio.get_running_loop().time()
         serving = self._board.phase is Phase.SERVING
-        ready = serving and not self._board.sends_elsewhere(now)
+        ready = serving and not self._sends_elsewhere()
         return web.Response(status=200 if ready else 503)
 
+    def _sends_elsewhere(self) -> bool:
+        """Tell whether callers do better at other hosts, and log when that changes."""
+        now = asyncio.get_running_loop().time()
+        sends = self._board.sends_elsewhere(now)
+        if sends != self._link_was_full:
+            self._link_was_full = sends
+            log_event(
+                Event.LINK_FULL if sends else Event.LINK_HAS_ROOM,
+                host=self._board.host,
+                call_s=self._board.round_trips.estimate(now),
+                active=self.n_active,
+            )
+        return sends
+
     async def _answer(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         request: CallerRequest | None = None
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -26,6 +26,8 @@
     HOST_DRAINING = "host_draining"
     HOST_LEAVING = "host_leaving"
     HOST_STOPPED = "host_stopped"
+    LINK_FULL = "link_full"
+    LINK_HAS_ROOM = "link_has_room"
     HOST_STALLED = "host_stalled"
     REQUEST_DONE = "request_done"
     REQUEST_FAILED = "request_failed"
