Split ranking homes and telling callers when to return off the client of holds

Which hosts may hold a workspace's tokens (ranking.py) and when a refused caller comes back (returns.py) are decisions of their own, without a network; the home gets its rank without a detour over the client.

--- a/tests/components/escrow/test_client.py
+++ b/tests/components/escrow/test_client.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from trefoilstage.components.escrow.client import estimate_return, make_refusal
+from trefoilstage.components.escrow.returns import estimate_return, make_refusal
 from trefoilstage.fleet_board import StoreReach
 from trefoilstage.helpers.verdict import Reason
 
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -17,36 +17,27 @@
     SettleHolds,
 )
 from trefoilstage.components.escrow.patience import Patience
-from trefoilstage.components.escrow.stock import HomeRank
+from trefoilstage.components.escrow.ranking import HomeRanking
+from trefoilstage.components.escrow.returns import (
+    estimate_return,
+    make_refusal,
+    spread_return,
+)
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard, PeerState
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Refusal
-from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
-from trefoilstage.util.hashing import rank_names
 
 FLUSH_S = 0.05
 # The home's own wait for a draw is 1 s.
 HOLD_TIMEOUT_S = 1.1
 SETTLE_TIMEOUT_S = 1.0
-N_STAND_INS = 2
-HOME_RANKS = (HomeRank.FIRST, HomeRank.SECOND)  # of the first hosts by rendezvous
 # Settlements that the home did not take are kept this many; past it the oldest
 # are dropped, and their holds count as spent in full.
 MAX_UNSETTLED = 5_000
-# Nothing is left to draw. Only a higher balance or the return of another host's
-# tokens helps, which takes longer than any caller waits: coming back would be in vain.
-SPENT_RETRY_AFTER_S = 30.0
-# The store's outages last 7 to 9 s. Told to come back after 3 s, most callers came
-# before its end and were refused a second time; each comes once only.
-OUTAGE_S = 8.5
-MIN_RETRY_AFTER_S = 1.0
-# Callers that were refused at any time of an outage would come back in one moment, and
-# then wait for each other: within a second, the median of first tokens rose to 1.4 s.
-SPREAD_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,9 +74,11 @@
         links: PeerLinks,
         timer: TimerService,
         book: GrantBook,
+        ranking: HomeRanking,
         generator: random.Random,
     ) -> None:
         super().__init__()
+        self._ranking = ranking
         self._generator = generator
         self._book = book
         self._board = board
@@ -131,7 +124,7 @@
         self, workspace: str, request: str, tokens: int, *, repeat: bool
     ) -> Hold | HoldRefused:
         first: HoldRefused | None = None
-        for home in self._list_homes(workspace):
+        for home in self._ranking.list_homes(workspace):
             answer = await self._ask(home, workspace, request, tokens, repeat=repeat)
             if isinstance(answer, Hold):
                 return answer
@@ -152,9 +145,8 @@
     def _refuse(self, refused: HoldRefused, patience: Patience) -> Refusal:
         now = self._timer.now()
         return_s = estimate_return(self._board.store.get_silence(now))
-        room_s = max(0.0, patience.get_comeback(now) - return_s)
-        spread_s = self._generator.uniform(0.0, min(SPREAD_S, room_s))
-        return make_refusal(refused.reason, return_s + spread_s)
+        return_s = spread_return(return_s, patience, now, self._generator)
+        return make_refusal(refused.reason, return_s)
 
     def settle(self, hold: Hold, spent: int) -> None:
         """Count what a request spent of its hold."""
@@ -176,30 +168,6 @@
         """Pass on what is not settled yet."""
         await self._flush()
 
-    def rank_home(self, workspace: str) -> HomeRank:
-        """Return what this host is to a workspace, as far as it knows."""
-        if self._board.phase is not Phase.SERVING:
-            return HomeRank.NONE
-        ranked = rank_names(workspace, self._membership.list_live())
-        if self._board.host not in ranked[: len(HOME_RANKS)]:
-            return HomeRank.NONE
-        return HOME_RANKS[ranked.index(self._board.host)]
-
-    def _list_homes(self, workspace: str) -> list[str]:
-        """Return the home, then hosts that can draw in its place.
-
-        A home that is cut from the store spends its stock and then refuses at once.
-        The next hosts by rank may be cut as well, so those that say they reach the
-        store are asked. When nobody reaches it, the next by rank are.
-        """
-        ranked = rank_names(workspace, self._membership.list_live())
-        others = [host for host in ranked if host != self._board.host]
-        if not others:
-            return [self._board.host]
-        able = filter(self._board.reaches_store, others[1:])
-        stand_ins = list(itertools.islice(able, N_STAND_INS))
-        return others[:1] + (stand_ins or others[1 : 1 + N_STAND_INS])
-
     def _is_prepaid(self, workspace: str) -> bool:
         configuration = self._board.configuration
         config = configuration and configuration.workspaces.get(workspace)
@@ -318,19 +286,3 @@
 def make_undone(message: HoldTokens) -> SettledHold:
     """Return the settlement of a hold for which nothing is sent."""
     return SettledHold(workspace=message.workspace, request=message.request, spent=0)
-
-
-def estimate_return(silent_s: float) -> float:
-    """Return the seconds until tokens can probably be drawn, after a silence."""
-    if silent_s == 0.0:
-        return MIN_RETRY_AFTER_S
-    return max(MIN_RETRY_AFTER_S, OUTAGE_S - silent_s)
-
-
-def make_refusal(reason: Reason, retry_after_s: float) -> Refusal:
-    """Return the refusal of a hold, with the time to come back."""
-    if reason is Reason.BUDGET_EXHAUSTED:
-        return Refusal(reason=reason)
-    if reason is Reason.BUDGET_DRAWN:
-        return Refusal(reason=reason, retry_after_s=SPENT_RETRY_AFTER_S)
-    return Refusal(reason=reason, retry_after_s=retry_after_s)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -12,6 +12,7 @@
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.lock_keeper import LockKeeper
+from trefoilstage.components.escrow.ranking import HomeRanking
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.fleet.watcher import BoardWatcher
@@ -99,6 +100,7 @@
         address=settings.address,
         generator=generator,
     )
+    ranking = HomeRanking(board=board, membership=membership)
     book = GrantBook()
     recovery = EscrowRecovery(
         board=board,
@@ -115,7 +117,7 @@
         server=peers,
         timer=timer,
         n_partitions=settings.store_partitions,
-        rank_home=lambda workspace: escrow.rank_home(workspace),
+        rank_home=ranking.rank_here,
         recovery=recovery,
         lock=lock,
     )
@@ -135,6 +137,7 @@
         links=links,
         timer=timer,
         book=book,
+        ranking=ranking,
         generator=generator,
     )
     workload = WorkloadController(board=board, links=links, server=peers, timer=timer)
