--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from unittest import mock
 
+import cbor2
+
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from trefoilstage.components.fleet.known_hosts import HostRecord
@@ -14,6 +16,7 @@
 from trefoilstage.components.fleet.messages import FLEET_CODEC, HostBeat
 from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.exceptions import MalformedMessageError
 
 N_HOSTS = 200
 # A byte for its age and flags, and as much again for what a later version may add.
@@ -93,6 +96,37 @@
         self.assertLessEqual(growth, MAX_BYTES_PER_HOST * N_HOSTS)
 
 
+class OtherVersionsTest(unittest.TestCase):
+    """Test heartbeats of hosts that run another version, and bytes that are none."""
+
+    def change(self, **fields: object) -> bytes:
+        """Return a heartbeat with some fields changed, or left out for None."""
+        beat = make_beat_of("host-7", "seven-1", 5)
+        frame = Frame(number=1, reply=False, body=beat)
+        wire = cbor2.loads(FLEET_CODEC.encode(frame))
+        wire["body"].update(fields)
+        kept = {key: value for key, value in wire["body"].items() if value is not None}
+        return cbor2.dumps({**wire, "body": kept})
+
+    def test_fields_of_a_later_version_are_passed_over(self) -> None:
+        data = self.change(later_field=[1, 2])
+        self.assertEqual(FLEET_CODEC.decode(data).body.host, "host-7")
+
+    def test_fields_that_an_earlier_version_lacks_have_defaults(self) -> None:
+        fields = ("announced_at", "link_full", "table", "states", "named_states")
+        beat = FLEET_CODEC.decode(self.change(**dict.fromkeys(fields))).body
+        self.assertEqual((beat.announced_at, beat.states), (-1, b""))
+
+    def test_states_out_of_bounds_are_refused_by_their_place(self) -> None:
+        for field, value in (
+            ("states", bytes(20_000)),
+            ("named_states", {"host-1": 300}),
+            ("announced_at", -2),
+        ):
+            with self.assertRaisesRegex(MalformedMessageError, field):
+                FLEET_CODEC.decode(self.change(**{field: value}))
+
+
 class GossipTest(unittest.IsolatedAsyncioTestCase):
     """Test that hosts with other lists of hosts understand each other."""
 
