--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -12,7 +12,11 @@
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from trefoilstage.components.fleet.known_hosts import HostRecord
-from trefoilstage.components.fleet.membership import PEERS_PER_BEAT, FleetMembership
+from trefoilstage.components.fleet.membership import (
+    FAILED_PER_BEAT,
+    PEERS_PER_BEAT,
+    FleetMembership,
+)
 from trefoilstage.components.fleet.messages import FLEET_CODEC, HostBeat
 from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.views.keyed_view import KeyedRecord
@@ -221,6 +225,28 @@
         link.call.assert_awaited_once()
 
 
+class FailedPeerTest(unittest.TestCase):
+    """Test how soon a host is used again that left a call unanswered."""
+
+    def test_failed_peer_is_called_in_the_next_beat(self) -> None:
+        """Let a home leave a hold unanswered, for a stall of a second.
+
+        It gets no calls until it was heard directly. Called by lot, two of 200 a beat,
+        it was out of use for half a minute, and others drew in its place.
+        """
+        host = Host("host-0", list_names(N_HOSTS))
+        host.board.peers["host-9"].failed = True
+        called = [peer.host for peer in host.membership.pick_called()]
+        self.assertIn("host-9", called)
+
+    def test_calls_stay_few_when_many_peers_fail(self) -> None:
+        host = Host("host-0", list_names(N_HOSTS))
+        for peer in host.board.peers.values():
+            peer.failed = True
+        called = host.membership.pick_called()
+        self.assertEqual(len(called), PEERS_PER_BEAT + FAILED_PER_BEAT)
+
+
 class StartOfAllTest(unittest.IsolatedAsyncioTestCase):
     """Test a start of the whole fleet."""
 
