--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -239,6 +239,14 @@
         called = [peer.host for peer in host.membership.pick_called()]
         self.assertIn("host-9", called)
 
+    def test_host_that_has_ended_is_not_called_again_and_again(self) -> None:
+        """Lose hosts for good; they are called by lot, as all others are."""
+        host = Host("host-0", list_names(N_HOSTS))
+        host.timer.time = 60.0
+        for number in range(1, 100):
+            host.board.peers[f"host-{number}"].failed = True
+        self.assertEqual(len(host.membership.pick_called()), PEERS_PER_BEAT)
+
     def test_calls_stay_few_when_many_peers_fail(self) -> None:
         host = Host("host-0", list_names(N_HOSTS))
         for peer in host.board.peers.values():
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -32,8 +32,8 @@
 # would be heard every 8 s only, and homes of accounts would move all the time; so
 # the heartbeats of a large fleet pass on when each other host was heard.
 PEERS_PER_BEAT = 2
-# A host that left a call unanswered gets none until it was heard directly. Called by lot
-# only, the home of a workspace stayed out of use for 24 s in a fleet of 195.
+# A host that left a call unanswered gets none until it was heard directly. Called by
+# lot only, the home of a workspace stayed out of use for 24 s in a fleet of 195.
 FAILED_PER_BEAT = 4
 # When a large fleet starts, each host reads of hundreds of others within seconds. With
 # beats at each record, the start of all hosts costs the square of their number.
@@ -201,8 +201,17 @@
         if not self._board.is_large():
             return peers
         called = self._generator.sample(peers, PEERS_PER_BEAT)
-        failed = [peer for peer in peers if peer.failed and peer not in called]
-        return called + failed[:FAILED_PER_BEAT]
+        # Others have heard of them since; of a host that has ended nobody does.
+        now = self._timer.now()
+        failed = [
+            peer
+            for peer in peers
+            if peer.failed
+            and now - peer.last_heard <= self._hosts.silent_s
+            and peer not in called
+        ]
+        n_failed = min(FAILED_PER_BEAT, len(failed))
+        return called + self._generator.sample(failed, n_failed)
 
     async def _beat_peer(self, peer: PeerState) -> None:
         link = self._links.get_link(peer.peer_url)
