--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -17,6 +17,7 @@
 )
 from trefoilstage.components.forwarding.targets import TargetChooser
 from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
 
@@ -98,6 +99,38 @@
         return [len(names) for names in self.asked]
 
 
+class FullLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Test what a host of a large fleet learns of targets over a full link."""
+
+    async def ask(self, trip_s: float) -> float:
+        """Return how long a host waits for an answer about a target's work."""
+        board = make_board("host-0", [f"host-{number}" for number in range(20)])
+        timer = ManualTimer()
+        for _ in range(N_CALLS):
+            board.round_trips.note_answer(trip_s, timer.now())
+        link = mock.Mock()
+        link.call = mock.AsyncMock(side_effect=PeerUnavailableError("gone"))
+        links = mock.Mock()
+        links.get_link.return_value = link
+        workload = WorkloadController(
+            board=board, links=links, server=mock.Mock(), timer=timer
+        )
+        names = [f"i-{number}" for number in range(3)]
+        await workload.refresh(names, ())
+        return max(call.kwargs["timeout_s"] for call in link.call.await_args_list)
+
+    async def test_answers_are_waited_for_as_long_as_the_hold_takes(self) -> None:
+        """Ask over a link on which each call takes 0.3 s.
+
+        Given up after 0.05 s, the busiest hosts of a fleet chose targets without
+        knowing of any work but their own.
+        """
+        self.assertGreater(await self.ask(0.3), 0.3)
+
+    async def test_answers_are_soon_given_up_on_a_link_with_room(self) -> None:
+        self.assertEqual(await self.ask(0.002), 0.05)
+
+
 class SurveyTest(unittest.IsolatedAsyncioTestCase):
     """Test how many targets are asked about for a prompt."""
 
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -25,6 +25,9 @@
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
 
+# On a link that is full, asking again costs more of the objective than it may win.
+MAX_ASKING_S = 0.05
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SentPrompt:
@@ -130,13 +133,15 @@
         ranked = rank_candidates(self._list_usable(service, set()), need.subject)
         kept: dict[str, int] = {}
         n_asked = 0
+        until = self._timer.now() + MAX_ASKING_S
         while n_asked < min(len(ranked), MAX_CANDIDATES):
             n_wanted = max(N_CANDIDATES, 2 * n_asked)
             names = [target.incarnation for target in ranked[n_asked:n_wanted]]
             kept |= await self._workload.refresh(names, prompt)
             n_asked = n_wanted
             options = self._list_options(ranked[:n_asked], prompt, kept)
-            if not all(is_late(option, need) for option in options):
+            may_ask = self._timer.now() < until
+            if not may_ask or not all(is_late(option, need) for option in options):
                 break
         return Survey(kept=kept, n_candidates=n_asked)
 
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -46,6 +46,11 @@
 # The gathering host answers in 1 to 2 ms; a choice without its answer goes by what is
 # known here.
 ASK_TIMEOUT_S = 0.05
+# On a full link each call takes longer, the hold beside this one as well. Given up
+# earlier, the busiest hosts chose without knowing of the others' work, and their
+# prompts waited behind 70,000 tokens while a quarter of the targets stood idle.
+ASK_TIMEOUT_TRIPS = 1.5
+MAX_ASK_TIMEOUT_S = 0.5
 # What was asked for one request serves those that come just after it.
 TOTALS_AGE_S = 0.2
 NO_WORK = TargetWork(n_requests=0, prompt_tokens=0)
@@ -165,7 +170,7 @@
         )
         try:
             link = self._links.get_link(peer.peer_url)
-            reply = await link.call(message, timeout_s=ASK_TIMEOUT_S)
+            reply = await link.call(message, timeout_s=self._get_ask_timeout())
         except PeerUnavailableError:
             # The choice goes by this host's own work, as if the others had none.
             return {}
@@ -177,6 +182,11 @@
         self._readings.take(home, reply.readings, now)
         return reply.kept
 
+    def _get_ask_timeout(self) -> float:
+        trip_s = self._board.round_trips.estimate(self._timer.now())
+        wanted_s = max(ASK_TIMEOUT_S, ASK_TIMEOUT_TRIPS * trip_s)
+        return min(wanted_s, MAX_ASK_TIMEOUT_S)
+
     async def _answer_work(self, message: AskWork) -> WorkTotals:
         work = {
             target: add_up(
