Count unanswered calls for a full link, send callers on once out of rotation, keep homes then

The chain: - every call took 0.7 s and more, then longer than its limit; calls that nobody answered did not count, so the host took its link for free and came back into the rotation with 226 requests under way; - a call given up closed its connection, with all calls that waited on it, which had to be opened anew over the same link; - each unanswered home was taken for lost, and the next one asked in vain.

Change: unanswered calls count with the time they were waited for, while half of the peers are heard; a connection is closed only when the peer is silent for three times what others' answers take; a home is not taken for lost over a full link; and once the balancer has missed the host twice, requests that would be late by the link alone are refused at once, as their callers then reach another host.

Tests: FullLinkTest (three more cases), LinkTest, test_server, FailedHomeTest.

--- /dev/null
+++ b/tests/components/escrow/test_failed_homes.py
@@ -0,0 +1,61 @@
+"""Test which homes a host asks after a hold that nobody answered."""
+
+import random
+import unittest
+from unittest import mock
+
+from tests.components.boards import make_board
+from tests.components.escrow.common import WORKSPACE, ManualTimer, make_configuration
+from trefoilstage.components.escrow.client import EscrowClient
+from trefoilstage.components.escrow.grants import GrantBook
+from trefoilstage.components.escrow.patience import Patience
+from trefoilstage.components.peers.round_trips import N_CALLS
+from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.fleet_board import FleetBoard
+
+
+class FailedHomeTest(unittest.IsolatedAsyncioTestCase):
+    """Test a host whose home for a workspace leaves a hold unanswered."""
+
+    async def ask(self, trip_s: float) -> FleetBoard:
+        """Return the board after one request, with calls that take some time."""
+        board = make_board("host-0", [f"host-{number}" for number in range(5)])
+        board.configuration = make_configuration(1_000)
+        for _ in range(N_CALLS):
+            board.round_trips.note_answer(trip_s, 0.0)
+        links = mock.Mock()
+        links.get_link.return_value.call = mock.AsyncMock(
+            side_effect=PeerUnavailableError("no answer")
+        )
+        ranking = mock.Mock()
+        ranking.list_homes.return_value = ["host-1"]
+        client = EscrowClient(
+            board=board,
+            membership=mock.Mock(),
+            home=mock.Mock(),
+            links=links,
+            timer=ManualTimer(),
+            book=GrantBook(),
+            ranking=ranking,
+            generator=random.Random(1),
+        )
+        patience = Patience.start(now=0.0, silence_s=0.0, deadline=0.0)
+        await client.hold(WORKSPACE, "r-1", 10, patience)
+        return board
+
+    async def test_home_without_an_answer_is_left(self) -> None:
+        board = await self.ask(0.002)
+        self.assertTrue(board.peers["host-1"].failed)
+
+    async def test_home_stays_where_this_hosts_link_is_full(self) -> None:
+        """Ask over a link on which each call takes 0.7 s.
+
+        Two hosts of 90 took one home after the other for lost, 2,600 times in 12 s, and
+        refused their callers for want of tokens that lay ready.
+        """
+        board = await self.ask(0.7)
+        self.assertFalse(board.peers["host-1"].failed)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/forwarding/test_full_link.py
+++ b/tests/components/forwarding/test_full_link.py
@@ -70,6 +70,8 @@
         if ask_ready and number % int(POLL_S * PROMPTS_PER_S) == 0:
             for host in hosts:
                 host.take_answers(now)
+                for peer in host.board.peers.values():
+                    peer.last_heard = now
                 misses = host.n_misses + 1
                 host.n_misses = misses if host.board.sends_elsewhere(now) else 0
         host = next((host for host in hosts if host.n_misses < 2), hosts[0])
@@ -89,10 +91,16 @@
         self.assertGreater(play(ask_ready=True), 2 * play(ask_ready=False))
 
     def fill(self, board: FleetBoard, *seconds: float) -> None:
-        """Let calls take some times."""
+        """Let calls take some times, and all peers be heard."""
+        self.hear(board)
         for number in range(N_CALLS):
             board.round_trips.note_answer(seconds[number % len(seconds)], 10.0)
 
+    def hear(self, board: FleetBoard) -> None:
+        """Hear of all peers."""
+        for peer in board.peers.values():
+            peer.last_heard = 10.0
+
     def test_slow_peer_is_no_full_link(self) -> None:
         """Let all calls but a few wait at a home that draws from the store."""
         board = make_board("host-0", ["host-1", "host-2", "host-3", "host-4"])
@@ -117,6 +125,32 @@
         self.fill(board, 0.4)
         self.assertFalse(board.sends_elsewhere(13.0))
 
+    def test_link_on_which_nobody_answers_in_time_is_full(self) -> None:
+        """Let each call be given up, since the link is too full for any.
+
+        Left out, the host knew nothing of its link and came back into the rotation,
+        with 226 requests under way.
+        """
+        board = make_board("host-0", ["host-1", "host-2", "host-3", "host-4"])
+        self.hear(board)
+        for _ in range(N_CALLS):
+            board.round_trips.note_timeout(0.9, 10.0)
+        self.assertTrue(board.sends_elsewhere(10.0))
+        self.assertEqual(board.round_trips.estimate_answer(10.0), 0.0)
+
+    def test_last_host_after_a_loss_of_power_keeps_its_callers(self) -> None:
+        """Lose the power of all other hosts; no call is answered any more."""
+        board = make_board("host-0", ["host-1", "host-2", "host-3", "host-4"])
+        for _ in range(N_CALLS):
+            board.round_trips.note_timeout(0.9, 10.0)
+        self.assertFalse(board.sends_elsewhere(10.0))
+
+    def test_calls_that_are_soon_given_up_tell_nothing(self) -> None:
+        board = make_board("host-0", ["host-1", "host-2", "host-3", "host-4"])
+        for _ in range(N_CALLS):
+            board.round_trips.note_timeout(0.05, 10.0)
+        self.assertEqual(board.round_trips.estimate(10.0), 0.0)
+
     def test_one_fast_call_is_enough(self) -> None:
         trips = RoundTrips()
         for seconds in (0.9, 0.9, 0.002, 0.9):
--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -1,15 +1,26 @@
 """Test that a broken link to a peer is told as such."""
 
+import asyncio
 import unittest
 from unittest import mock
 
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.messages import WorkReport
 from trefoilstage.components.peers.link import PeerLink
-from trefoilstage.components.peers.round_trips import RoundTrips
+from trefoilstage.components.peers.round_trips import N_CALLS, RoundTrips
 from trefoilstage.exceptions import PeerUnavailableError
 
 
+def make_link(round_trips: RoundTrips) -> PeerLink:
+    """Return a link to a peer."""
+    return PeerLink(
+        url="ws://peer",
+        outbound_address="",
+        codec=FLEET_CODEC,
+        round_trips=round_trips,
+    )
+
+
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """Test calls over a connection that fails."""
 
@@ -20,12 +31,7 @@
         peer: as an unexpected error it would end the whole host, and its callers
         with it.
         """
-        link = PeerLink(
-            url="ws://peer",
-            outbound_address="",
-            codec=FLEET_CODEC,
-            round_trips=RoundTrips(),
-        )
+        link = make_link(RoundTrips())
         connection = mock.AsyncMock()
         connection.send.side_effect = RuntimeError("the handler is closed")
         link._connection = connection
@@ -35,6 +41,34 @@
         with self.assertRaises(PeerUnavailableError):
             await link.call(report, timeout_s=1.0)
 
+    async def call_silent_peer(self, other_answer_s: float) -> bool:
+        """Call a peer that answers nothing; tell whether its connection is closed."""
+        now = asyncio.get_running_loop().time()
+        trips = RoundTrips()
+        for _ in range(N_CALLS):
+            trips.note_answer(other_answer_s, now)
+        link = make_link(trips)
+        link._connection = connection = mock.AsyncMock()
+        connection.transport = mock.Mock()
+        with (
+            mock.patch("trefoilstage.components.peers.link.SILENCE_S", 0.02),
+            self.assertRaises(PeerUnavailableError),
+        ):
+            await link.call(WorkReport(host="host-0", work={}), timeout_s=0.03)
+        return bool(connection.transport.abort.called)
+
+    async def test_connection_of_a_peer_that_lost_its_power_is_closed(self) -> None:
+        self.assertTrue(await self.call_silent_peer(0.001))
+
+    async def test_connection_stays_where_all_answers_take_as_long(self) -> None:
+        """Call over a link that is full.
+
+        Closed, the connection took all calls that waited on it with it, homes were
+        taken for lost one after the other, and each had to be reached anew over the
+        same link: 2,600 holds were unanswered at two hosts of 90 in 12 s.
+        """
+        self.assertFalse(await self.call_silent_peer(0.02))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -232,8 +232,7 @@
         try:
             reply = await link.call(message, timeout_s=HOLD_TIMEOUT_S)
         except PeerUnavailableError as error:
-            peer.failed = True
-            self._board.note_peer_changed()
+            self._note_failed(peer)
             self._unsettled[home, peer.incarnation].append(undone)
             log_event(
                 Event.HOLD_UNANSWERED,
@@ -257,6 +256,16 @@
             return None
         return HoldRefused(reason=reply.refused, lock_wait_s=reply.lock_wait_s)
 
+    def _note_failed(self, peer: PeerState) -> None:
+        """Ask another home next time.
+
+        Not for a full link of this host: over that no home answers in time, and taken
+        for lost one after the other, all of them would be asked in vain.
+        """
+        if not self._board.is_link_full(self._timer.now()):
+            peer.failed = True
+            self._board.note_peer_changed()
+
     async def _flush(self) -> None:
         for (home, incarnation), holds in list(self._unsettled.items()):
             peer = self._board.peers.get(home)
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -10,6 +10,7 @@
 from trefoilstage.components.forwarding.border import Border, MalformedRequestError
 from trefoilstage.components.forwarding.models import CallerRequest, RouteKind
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
+from trefoilstage.components.forwarding.placement import IN_TIME_SHARE
 from trefoilstage.components.forwarding.reply import WebReply
 from trefoilstage.components.forwarding.run import Run
 from trefoilstage.fleet_board import FleetBoard
@@ -34,6 +35,15 @@
 # Another host takes the request at once.
 ELSEWHERE_AFTER_S = 0.05
 SHUTTING_DOWN = Refusal(reason=Reason.SHUTTING_DOWN, retry_after_s=ELSEWHERE_AFTER_S)
+# The balancer leaves a host after two misses of a question a second.
+BALANCER_MISSES = 2
+# A request waits on the link when its tokens are held and when it is sent on.
+LINK_TRIPS = 2
+LINK_FULL = Refusal(
+    reason=Reason.OVERLOADED,
+    retry_after_s=ELSEWHERE_AFTER_S,
+    detail="this host's link",
+)
 # The pipeline answers or says why not; should it do neither, nothing is promised.
 NO_ANSWER = Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN)
 NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
@@ -60,6 +70,7 @@
         self._refuses_all = False
         self._answering: set[asyncio.Task[Any]] = set()
         self._link_was_full = False
+        self._n_misses = 0  # in a row, of the balancer's questions
         self.n_streams = 0
 
     @property
@@ -137,8 +148,19 @@
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         serving = self._board.phase is Phase.SERVING
         ready = serving and not self._sends_elsewhere()
+        self._n_misses = 0 if ready else self._n_misses + 1
         return web.Response(status=200 if ready else 503)
 
+    def _must_leave(self, objective_s: float, now: float) -> bool:
+        """Tell whether a caller can be in time at other hosts only.
+
+        Refused before the balancer has left this host, it would come back here.
+        """
+        if self._n_misses < BALANCER_MISSES or not self._board.sends_elsewhere(now):
+            return False
+        waits_s = LINK_TRIPS * self._board.round_trips.estimate(now)
+        return waits_s > IN_TIME_SHARE * objective_s
+
     def _sends_elsewhere(self) -> bool:
         """Tell whether callers do better at other hosts, and log when that changes."""
         now = asyncio.get_running_loop().time()
@@ -207,6 +229,8 @@
         limit = min(MAX_BODY_BYTES, configuration.limits.max_body_bytes)
         if length > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
+        if self._must_leave(route.objective_s, started):
+            return LINK_FULL
         body = await web_request.read()
         body_s = asyncio.get_running_loop().time() - started
         if len(body) > limit:
@@ -235,7 +259,7 @@
             effect=refusal.effect,
             detail=refusal.detail,
         )
-        close = self._board.phase is Phase.DRAINING
+        close = self._board.phase is Phase.DRAINING or refusal is LINK_FULL
         return self._refusals.make(refusal, request, close=close)
 
     def _refuse_run(
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_S = 0.9
+SILENT_TRIPS = 3  # times what other peers' answers take
 
 
 class PeerLink:
@@ -53,6 +54,7 @@
                 await send_data(connection, self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
+            self._round_trips.note_timeout(timeout_s, started + timeout_s)
             self._abandon_silent_connection(started)
             raise PeerUnavailableError(repr(error)) from error
         except (OSError, WebSocketException) as error:
@@ -87,8 +89,11 @@
         # address would stay unheard until the kernel gives the old connection
         # up, many minutes later.
         connection = self._connection
-        waited_s = asyncio.get_running_loop().time() - since
-        if connection is None or waited_s < SILENCE_S:
+        # On a full link answers take as long from every peer; closed, the connection
+        # would take its waiting calls with it and have to be opened over that link.
+        now = asyncio.get_running_loop().time()
+        usual_s = self._round_trips.estimate_answer(now)
+        if connection is None or now - since < max(SILENCE_S, SILENT_TRIPS * usual_s):
             return
         if self._last_received < since:
             connection.transport.abort()
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -16,6 +16,10 @@
 LINK_FULL_S = 0.15
 # Where more of the peers stand no better, callers would meet the same at them.
 MAX_FULL_SHARE = 0.3
+# Calls that nobody answers tell of a full link only while the peers are heard. The last
+# hosts after a loss of power would send their callers to those that are gone.
+MIN_HEARD_SHARE = 0.5
+HEARD_S = 3.0
 # With more peers than this nothing goes from each host to all others any more: what
 # that costs a host grows with the square of the fleet.
 MAX_PEERS_TOLD = 12
@@ -161,8 +165,11 @@
         """Tell whether callers do better at other hosts: only this link is full."""
         if not self.peers or not self.is_link_full(now):
             return False
+        n_heard = sum(now - peer.last_heard <= HEARD_S for peer in self.peers.values())
         n_full = sum(peer.link_full for peer in self.peers.values())
-        return n_full <= MAX_FULL_SHARE * len(self.peers)
+        return n_heard >= MIN_HEARD_SHARE * len(
+            self.peers
+        ) and n_full <= MAX_FULL_SHARE * len(self.peers)
 
     def note_peer_changed(self) -> None:
         """Put the live hosts together anew when they are asked for next."""
