--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -37,14 +37,13 @@
 # given back by other hosts are seen.
 EXHAUSTED_CHECK_S = 0.5
 
-# When all hosts of a large fleet start, each home would write a list of them ten times
-# a second, 12 KB each with 195 hosts. A requester that is not on it yet and asks has
-# it written at once.
+# When all hosts of a large fleet start, each home would write a list of all of them at
+# every tick. A requester that is not on it yet and asks has it written at once.
 NAMING_PAUSE_S = 1.0
 # While a large fleet starts, each host knows some of the others only and takes itself
-# for the home of many workspaces: 83 hosts made 1,100 draws in a second that the store
-# refused, for 24 workspaces. Without a request that waits for it, an account is first
-# read once the live hosts have stayed the same this long.
+# for the home of many workspaces; their draws would pass what the store takes. Without
+# a request that waits for it, an account is first read once the live hosts have stayed
+# the same this long.
 SETTLE_S = 1.0
 # Between two tries to recover an ended home's tokens; a witness may be out of reach.
 RECOVERY_PAUSE_S = 0.5
--- a/trefoilstage/components/escrow/lock_keeper.py
+++ b/trefoilstage/components/escrow/lock_keeper.py
@@ -107,8 +107,8 @@
     def _has_reason(self) -> bool:
         """Tell whether a promise is of use to anybody.
 
-        In a large fleet most hosts are the home of no account. Renewed by all, the
-        promises were a third of all calls to the store.
+        In a large fleet most hosts are the home of no account, and their promises
+        would be calls to the store in vain.
         """
         return self._has_locked() or bool(self._board.untouched and not self._passed_on)
 
--- a/trefoilstage/components/escrow/rosters.py
+++ b/trefoilstage/components/escrow/rosters.py
@@ -1,9 +1,8 @@
 """Keep lists of the hosts that get grants in the store, each under its digest.
 
-With 66 hosts such a list is 4 KB, with 195 it is 12 KB. Written into each account's
-record, and read with all records of a partition at each conflict, it made draws take up
-to a second. In one partition, every host that recovered an account after a loss of all
-hosts read the lists that all homes had ever written.
+Such a list grows with the fleet. Written into each account's record, and read with all
+records of a partition at each conflict, it makes draws slow. With all lists in one
+partition, a host that recovers an account would read those that all homes ever wrote.
 """
 
 from collections import OrderedDict
@@ -20,7 +19,7 @@
 from trefoilstage.helpers.fields import Name
 from trefoilstage.util.hashing import pick_stream
 
-# Lists kept in memory, 20 KB each in a fleet of 195; others are read or written again.
+# Lists kept in memory; others are read or written again.
 MAX_KNOWN = 64
 # Where earlier versions wrote all lists.
 FORMER_PARTITION = 0
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -33,7 +33,7 @@
 # the heartbeats of a large fleet pass on when each other host was heard.
 PEERS_PER_BEAT = 2
 # A host that left a call unanswered gets none until it was heard directly. Called by
-# lot only, the home of a workspace stayed out of use for 24 s in a fleet of 195.
+# lot only, the home of a workspace would stay out of use for half a minute.
 FAILED_PER_BEAT = 4
 # When a large fleet starts, each host reads of hundreds of others within seconds. With
 # beats at each record, the start of all hosts costs the square of their number.
@@ -151,8 +151,8 @@
     def confirm(self, host: str) -> None:
         """Ask a host of a large fleet which incarnation it runs, outside the beats.
 
-        Called by lot, a host that started again stood unconfirmed for half a minute,
-        and what its predecessor had drawn was missing for as long.
+        Called by lot, a host that started again would stay unconfirmed for half a
+        minute, and what its predecessor had drawn be missing for as long.
         """
         peer = self._board.peers.get(host)
         if peer is None or host in self._calls or not self._board.is_large():
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -25,9 +25,8 @@
 # In a large fleet only so many targets are asked about a prompt at first, the same for
 # all prompts about one subject.
 N_CANDIDATES = 3
-# Where a prompt would be late at each of them, as many more are asked, and again. Three
-# targets read 50 prompts about one subject a second; asked for alone, 1 in 4 callers of
-# a subject in demand was in time while the other targets stood idle.
+# Where a prompt would be late at each of them, as many more are asked, and again. Else
+# callers of a subject in demand would wait for three targets while the others idle.
 MAX_CANDIDATES = 24
 
 
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -47,8 +47,7 @@
 # known here.
 ASK_TIMEOUT_S = 0.05
 # On a full link each call takes longer, the hold beside this one as well. Given up
-# earlier, the busiest hosts chose without knowing of the others' work, and their
-# prompts waited behind 70,000 tokens while a quarter of the targets stood idle.
+# earlier, the busiest hosts would choose without knowing of the others' work.
 ASK_TIMEOUT_TRIPS = 1.5
 MAX_ASK_TIMEOUT_S = 0.5
 # What was asked for one request serves those that come just after it.
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -39,7 +39,7 @@
 TARGET_READS_PER_DRAIN = 5
 HOSTS_WAIT_S = 3.0
 # When all hosts of a large fleet start, each one's record ends the waiting reads of all
-# others: 38,000 reads for 195 hosts, more than the store answers in 2 s.
+# others; read at once, that is the square of their number.
 HOSTS_PAUSE_S = 0.25
 
 
