--- a/trefoilstage/components/fleet/gossip.py
+++ b/trefoilstage/components/fleet/gossip.py
@@ -1,8 +1,8 @@
 """Tell in one byte a host when each host of a fleet was heard; pure.
 
 Load: in a fleet of hundreds each heartbeat passes on when every host was heard, four
-calls and four answers a second at each host. Both sides know the same names, so a digest
-of the names stands for them.
+calls and four answers a second at each host. Both sides know the same names, so a
+digest of the names stands for them.
 """
 
 from collections import OrderedDict
