Name a request by its caller, path and body in the log, and probe targets that cut requests

The lines could not tell whether two ids were the same request, nor a target that ended from an answer that broke off. request_sent and answer_broken bear a fingerprint; answer_broken is also written where no head came, and says for how long the target had been sending; target_ended says that the target takes no connections any more. Nothing is decided by them yet.

--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from bench.emulator.network import EmulatedLinks, Network, SharedStore, StoreDoor
-from bench.emulator.sender import EmulatedSender
+from bench.emulator.sender import EmulatedProbe, EmulatedSender
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.watcher import BoardWatcher
 from trefoilstage.components.forwarding.models import (
@@ -59,12 +59,14 @@
         shared: SharedStore,
         registry: Registry,
         sender: EmulatedSender,
+        probe: EmulatedProbe,
     ) -> None:
         self.name = name
         self._network = network
         self._shared = shared
         self._registry = registry
         self._sender = sender
+        self._probe = probe
         self._numbers = itertools.count(1)
         self._boot = 1
         self._requests: set[asyncio.Task[Refusal | None]] = set()
@@ -113,6 +115,7 @@
             links=EmulatedLinks(network=self._network),
             peers=peers,
             sender=self._sender,
+            probe=self._probe,
             process_start=ProcessStart(
                 boot=f"boot-{self._boot}",
                 at=asyncio.get_running_loop().time(),
@@ -166,7 +169,8 @@
         now = asyncio.get_running_loop().time()
         run = Run(
             request=request,
-            body=b"",
+            # Each caller asks for something else; its repeats bear the same id.
+            body=request.request.encode(),
             route=route,
             workspace=workspace,
             started=now,
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 from bench.emulator.engine import EmulatedEngine, Generation
+from trefoilstage.components.crashes.probe import ProbeResult
 from trefoilstage.components.forwarding.border import AnswerHead, ForwardOptions
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.sender import (
@@ -86,6 +87,22 @@
             await asyncio.sleep(self._generator.gammavariate(4.0, self._work_s / 4.0))
 
 
+class EmulatedProbe:
+    """Open connections to emulated targets."""
+
+    def __init__(
+        self, *, find_target: Callable[[str], EmulatedEngine | EmulatedService | None]
+    ) -> None:
+        self._find_target = find_target
+
+    async def connect(self, address: str) -> ProbeResult:
+        """Tell whether the target of an address runs."""
+        await asyncio.sleep(ONE_WAY_S)
+        found = self._find_target(address)
+        runs = found is not None and not found.down
+        return ProbeResult.ACCEPTED if runs else ProbeResult.REFUSED
+
+
 class EmulatedSender(TargetSender):
     """Bring requests to emulated targets."""
 
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -17,7 +17,7 @@
 from bench.emulator.host import CONFIGURATION_KEY, START_S, EmulatedHost, Registry
 from bench.emulator.network import Network, SharedStore
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
-from bench.emulator.sender import EmulatedSender, EmulatedService
+from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedService
 from trefoilstage.components.forwarding.models import (
     Engine,
     FleetConfiguration,
@@ -168,6 +168,7 @@
                 shared=self._shared,
                 registry=registry,
                 sender=sender,
+                probe=EmulatedProbe(find_target=self._targets.get),
             )
             for number in range(self._scenario.n_hosts)
         ]
@@ -193,7 +194,7 @@
         self._entries[data] = TargetEntry(
             name=target.name,
             service=ASSISTANT if is_engine else BOOKING,
-            address="",
+            address=target.name,
             data_center="brest",
             slots=self._scenario.engines.slots,
             phase=TargetPhase.READY,
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -100,6 +100,7 @@
             escrow=cast(Any, parts),
             chooser=cast(Any, parts),
             sender=cast(Any, parts),
+            crashes=cast(Any, parts),
             generator=random.Random(1),
         )
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/trefoilstage/components/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests crash the targets that run them."""
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, Hold
 from trefoilstage.components.escrow.patience import Patience
 from trefoilstage.components.forwarding.border import ForwardOptions
@@ -45,12 +46,14 @@
         escrow: EscrowClient,
         chooser: TargetChooser,
         sender: TargetSender,
+        crashes: CrashWatcher,
         generator: random.Random,
     ) -> None:
         self._board = board
         self._escrow = escrow
         self._chooser = chooser
         self._sender = sender
+        self._crashes = crashes
         self._generator = generator
         self._numbers = itertools.count()
 
@@ -189,9 +192,7 @@
             urgency=min(MAX_URGENCY, max(0, priority)) if run.request.prompt else None,
             resume_after=run.last_event,
         )
-        run.n_sends += 1
-        run.target = target.name
-        run.n_runs += 1
+        run.note_sent(target.name)
         sent = self._chooser.note_start(target, run.request.prompt)
         log_event(
             Event.REQUEST_SENT,
@@ -200,6 +201,7 @@
             target=target.name,
             service=service,
             attempt=run.n_sends,
+            fingerprint=run.fingerprint,
         )
         try:
             answer = await self._sender.send(run.request, run.body, target, options)
@@ -219,6 +221,10 @@
             run.excluded.add(target.incarnation)
         if isinstance(answer, NotSent):
             run.n_runs -= 1
+        elif isinstance(answer, Broken):
+            self._note_broken(run, target, answer.reason)
+        else:
+            run.note_target_data(asyncio.get_running_loop().time())
         self._chooser.note_answer(target, answer)
         return answer
 
@@ -253,20 +259,26 @@
         except (AnswerBrokenError, MalformedMessageError) as error:
             self._chooser.note_broken(target)
             run.excluded.add(target.incarnation)
-            log_event(
-                Event.ANSWER_BROKEN,
-                request=run.request.request,
-                workspace=run.workspace_name,
-                target=target.name,
-                error=str(error),
-                events=run.n_events,
-            )
+            self._note_broken(run, target, str(error))
             return False
         finally:
             answer.close()
             self._chooser.note_end(target)
         return True
 
+    def _note_broken(self, run: Run, target: TargetEntry, error: str) -> None:
+        log_event(
+            Event.ANSWER_BROKEN,
+            request=run.request.request,
+            fingerprint=run.fingerprint,
+            workspace=run.workspace_name,
+            target=target.name,
+            error=error,
+            events=run.n_events,
+            progress_s=run.progress_s,
+        )
+        self._crashes.note_cut(target)
+
     def _is_worth_repeating(
         self, run: Run, reply: CallerReply, answer: OpenAnswer, target: TargetEntry
     ) -> bool:
@@ -300,6 +312,7 @@
     ) -> None:
         splitter = EventSplitter()
         async for data in answer.read():
+            run.note_target_data(asyncio.get_running_loop().time())
             events = self._take_new(run, splitter.add(data))
             if not events:
                 continue
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from trefoilstage.components.crashes.fingerprint import fingerprint_request
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Route,
@@ -39,6 +40,20 @@
     target: str = ""
     service_name: str = ""
     service: ServiceConfig | None = None
+    fingerprint: str = field(init=False)  # the same for all its repeats
+    # When the present target sent data first and last, 0 if it sent none.
+    target_first_at: float = 0.0
+    target_last_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        request = self.request
+        self.fingerprint = fingerprint_request(
+            caller=self.workspace_name,
+            method=request.method,
+            host=request.host,
+            path=request.raw_target,
+            body=self.body,
+        )
 
     @property
     def workspace_name(self) -> str:
@@ -51,6 +66,23 @@
         engine = self.service.engine if self.service else None
         return engine.tokens_per_event if engine else 1
 
+    @property
+    def progress_s(self) -> float:
+        """Return how long the present target has been sending data."""
+        return self.target_last_at - self.target_first_at
+
+    def note_sent(self, target: str) -> None:
+        """Count that the request goes to a target, which may run it."""
+        self.n_sends += 1
+        self.n_runs += 1
+        self.target = target
+        self.target_first_at = self.target_last_at = 0.0
+
+    def note_target_data(self, now: float) -> None:
+        """Count when the present target sent the head or a part of its answer."""
+        self.target_first_at = self.target_first_at or now
+        self.target_last_at = now
+
     def note_data(self, now: float) -> None:
         """Count when data went on to the caller."""
         if not self.first_at:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from trefoilstage.components.crashes.probe import ConnectProbe
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.metrics import MetricsServer
 from trefoilstage.components.fleet.watcher import BoardWatcher
@@ -88,6 +89,7 @@
             links=links,
             peers=peers,
             sender=TargetSender(session=self._session, border=self._border),
+            probe=ConnectProbe(outbound_address=settings.address),
             process_start=self._process_start,
         )
         self._membership = parts.membership
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -7,6 +7,8 @@
 
 from mode import Service
 
+from trefoilstage.components.crashes.probe import TargetProbe
+from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient
 from trefoilstage.components.escrow.grants import GrantBook
 from trefoilstage.components.escrow.home import EscrowHome
@@ -54,6 +56,7 @@
     home: EscrowHome
     escrow: EscrowClient
     workload: WorkloadController
+    crashes: CrashWatcher
     pipeline: ForwardingPipeline
 
     def list_services(self) -> list[Service]:
@@ -65,6 +68,7 @@
             self.home,
             self.escrow,
             self.workload,
+            self.crashes,
         ]
 
 
@@ -77,6 +81,7 @@
     links: PeerLinks,
     peers: PeerServer,
     sender: TargetSender,
+    probe: TargetProbe,
     process_start: ProcessStart,
 ) -> FleetParts:
     """Return the parts of one host, not started yet."""
@@ -148,11 +153,13 @@
         timer=timer,
         workload=workload,
     )
+    crashes = CrashWatcher(probe=probe)
     pipeline = ForwardingPipeline(
         board=board,
         escrow=escrow,
         chooser=chooser,
         sender=sender,
+        crashes=crashes,
         generator=generator,
     )
     return FleetParts(
@@ -163,6 +170,7 @@
         home=home,
         escrow=escrow,
         workload=workload,
+        crashes=crashes,
         pipeline=pipeline,
     )
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -80,6 +80,7 @@
     HOLD_UNANSWERED = "hold_unanswered"
     REQUEST_SENT = "request_sent"
     ANSWER_BROKEN = "answer_broken"
+    TARGET_ENDED = "target_ended"
     TARGET_REPLACED = "target_replaced"
     TARGET_DROPPED = "target_dropped"
     TARGET_LISTED = "target_listed"
