--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import struct
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -19,13 +20,13 @@
 READ_POLL_S = 0.02
 
 
-async def serve(app: web.Application) -> tuple[web.AppRunner, int]:
-    """Serve an application on a port of the kernel's choice."""
+async def serve(app: web.Application, port: int = 0) -> tuple[web.AppRunner, int]:
+    """Serve an application, on a port of the kernel's choice if none is named."""
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, LOOPBACK, 0).start()
-    port: int = runner.addresses[0][1]
-    return runner, port
+    await web.TCPSite(runner, LOOPBACK, port).start()
+    bound: int = runner.addresses[0][1]
+    return runner, bound
 
 
 class StoreDoor:
@@ -115,6 +116,8 @@
     refuse: bool = False  # says that it did not run the request
     fail: bool = False  # runs it and answers 500
     unframed_reset: bool = False  # answers without a length and resets midway
+    crashes_on: bytes | None = None  # the body of a request that ends it
+    crash: Callable[[], Awaitable[None]] | None = None  # end and start again
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
 
@@ -125,7 +128,7 @@
         return app
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
-        await request.read()
+        body = await request.read()
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         if self.refuse:
@@ -138,6 +141,9 @@
         )
         self.runs.append(run)
         headers = {"Attempt-Id": run.request, "Response-Seal": f"{self.name}.seal"}
+        if self.crash is not None and body == self.crashes_on:
+            await self.crash()
+            await asyncio.Event().wait()  # until the server is gone
         if self.fail:
             return web.Response(status=500, headers=headers, body=b"failed")
         if self.unframed_reset:
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -235,13 +235,14 @@
         tokens: tuple[int, int] | None = None,
         key: str = "key",
         attempt: str = "",
+        body: bytes = b"{}",
     ) -> FleetAnswer:
         """Send a request as a caller does, with a key and an id of its own."""
         self.n_requests += 1
         number, began = self.n_requests, time.time()
         outcome = "no answer"
         try:
-            answer = await self._call(path, host, method, tokens, key, attempt)
+            answer = await self._call(path, host, method, tokens, key, attempt, body)
             outcome = f"{answer.status} whole={answer.whole}"
             return answer
         except aiohttp.ClientError as error:
@@ -261,6 +262,7 @@
         tokens: tuple[int, int] | None,
         key: str,
         attempt: str,
+        sent: bytes,
     ) -> FleetAnswer:
         # Only model calls spend tokens.
         default = (100, 10) if path.startswith("/stream") else (0, 0)
@@ -277,7 +279,7 @@
         body = b""
         async with (
             aiohttp.ClientSession() as session,
-            session.request(method, url, headers=headers, data=b"{}") as response,
+            session.request(method, url, headers=headers, data=sent) as response,
         ):
             whole = True
             try:
