Block requests that crash each target that begins to run them

Cause: a host forgets a request once it has ended, and health is kept by target only. Each target that ended was ejected and replaced; the request went to the next one. Ruled out: repeats by the hosts themselves (each id ended one target; the route can't be resumed), load (the first target had nothing else to do).

Each request has a fingerprint of caller, path and body. A host that loses an answer asks by a connection whether the target still listens. If not, the target is noted against the requests that had been sending for less than a second, in the store (which outlasts all hosts) and, in a fleet that each host can talk to, at the peers at once; a host that can't write asks a peer to. The request under which most targets ended explains those ends, only the rest counts against others; from three on it is refused at once, not run, with the time until it may come back. Any run that completes or goes on for a second clears it. 4,096 crashes are kept at most, those of blocked requests an hour, others ten minutes.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -167,6 +167,8 @@
                 await response.write(b"id: 9")
                 abort(request)
                 return response
+            if request.transport is None or request.transport.is_closing():
+                return response
             await response.write(f"id: {number}\ndata: {number}\n\n".encode())
             run.events += 1
             await asyncio.sleep(self.event_s)
--- /dev/null
+++ b/tests/components/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Test what is concluded from targets that end."""
--- a/tests/promises/test_crashes.py
+++ b/tests/promises/test_crashes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from standins.launcher import wait_for
 from tests.promises.crashing import AWAY_S, CRASHING_BODY, CrashingTargets
 from tests.promises.fleet import FleetAnswer, PlatformFleet
 
@@ -10,6 +11,7 @@
 # Three targets end before it can be told from the others, and as many more may while
 # the hosts hear of it.
 MAX_CRASHES = 6
+N_CUTS = 4
 
 
 async def repeat_crashing(fleet: PlatformFleet, n_attempts: int) -> list[FleetAnswer]:
@@ -22,6 +24,15 @@
     return answers
 
 
+async def wait_until_blocked(fleet: PlatformFleet) -> None:
+    """Wait until every host has blocked a request."""
+    for host in fleet.hosts.values():
+        await wait_for(
+            lambda host=host: host.has_logged("request_blocked"),
+            f"{host.name} to block the request",
+        )
+
+
 class CrashingRequestTest(unittest.IsolatedAsyncioTestCase):
     """Test what becomes of a request that crashes each target that runs it."""
 
@@ -37,6 +48,84 @@
             sound = await fleet.call("/stream/x")
             self.assertEqual(sound.status, 200)
 
+    async def test_repeat_within_one_attempt_stops_crashing_targets(self) -> None:
+        """Guard against a resumed stream that ends a second target each time."""
+        async with PlatformFleet(n_hosts=1, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            for _ in range(N_ATTEMPTS):
+                await fleet.call("/stream-again/x", body=CRASHING_BODY)
+                await asyncio.sleep(AWAY_S)
+            self.assertLessEqual(targets.n_crashes, MAX_CRASHES)
+
+    async def test_knowledge_outlasts_all_hosts(self) -> None:
+        """Guard against hosts that forget it when all of them start again."""
+        async with PlatformFleet(n_hosts=2, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            await repeat_crashing(fleet, 4)
+            await wait_until_blocked(fleet)
+            n_crashes = targets.n_crashes
+            for name in list(fleet.hosts):
+                await fleet.kill(name)
+            await asyncio.gather(*map(fleet.start_host, ("host-0", "host-1")))
+            await wait_until_blocked(fleet)
+            answers = await repeat_crashing(fleet, 2)
+            self.assertEqual([answer.status for answer in answers], [503, 503])
+            self.assertEqual(targets.n_crashes, n_crashes)
+
+    async def test_host_cut_from_the_store_tells_its_peers(self) -> None:
+        """Guard against crashes that only a host without the store knows of."""
+        async with PlatformFleet(n_hosts=2, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            fleet.hosts["host-1"].door.refuses = True
+            for _ in range(3):
+                await fleet.call("/look/x", host="host-1", body=CRASHING_BODY)
+                await asyncio.sleep(AWAY_S)
+            await wait_until_blocked(fleet)
+            n_crashes = targets.n_crashes
+            answer = await fleet.call("/look/x", host="host-0", body=CRASHING_BODY)
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(targets.n_crashes, n_crashes)
+            # Written by its peer, it is there for hosts that start.
+            await fleet.kill("host-0")
+            await fleet.start_host("host-0")
+            answer = await fleet.call("/look/x", host="host-0", body=CRASHING_BODY)
+            self.assertEqual(answer.status, 503)
+
+
+class SoundRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Test what becomes of sound requests under way where targets end."""
+
+    async def test_request_cut_again_and_again_is_served_when_targets_stay(
+        self,
+    ) -> None:
+        """Guard against blocking what was cut by targets that ended by themselves."""
+        async with PlatformFleet(n_hosts=1, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            for target in fleet.targets:
+                target.event_s = 0.2
+            for _ in range(N_CUTS):
+                cut = asyncio.create_task(fleet.call("/stream/x", body=b"sound"))
+                other = asyncio.create_task(fleet.call("/stream/x", body=b"other"))
+                await asyncio.sleep(0.3)
+                await targets.crash_all()
+                await asyncio.gather(cut, other)
+                await targets.settle()
+                await asyncio.sleep(AWAY_S)
+                # Its caller comes back between the crashes, as callers do.
+                answer = await fleet.call("/stream/x", body=b"sound")
+                self.assertEqual(answer.status, 200)
+
+    async def test_answers_that_break_off_at_living_targets_block_nothing(self) -> None:
+        """Guard against taking a target that resets answers for one that ended."""
+        async with PlatformFleet(n_hosts=1, n_targets=4) as fleet:
+            for target in fleet.targets:
+                target.break_after = 0
+            for _ in range(N_CUTS):
+                answer = await fleet.call("/stream/x", body=b"sound")
+                self.assertNotEqual(answer.status, 503)
+            self.assertFalse(fleet.hosts["host-0"].has_logged("target_ended"))
+            self.assertFalse(fleet.hosts["host-0"].has_logged("request_blocked"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
@@ -63,7 +64,13 @@
 
 
 FleetMessage = (
-    HostBeat | ReadView | ViewReply | EscrowMessage | WorkMessage | ErrorReply
+    HostBeat
+    | ReadView
+    | ViewReply
+    | EscrowMessage
+    | WorkMessage
+    | CrashReport
+    | ErrorReply
 )
 
 FLEET_CODEC: Codec[Frame[Any]] = make_frame_codec(FleetMessage)
--- a/trefoilstage/components/fleet/metrics.py
+++ b/trefoilstage/components/fleet/metrics.py
@@ -33,6 +33,7 @@
         port: int,
         get_accounts: Callable[[], Sequence[EscrowAccount]],
         count_active: Callable[[], int],
+        count_blocked: Callable[[], int],
     ) -> None:
         super().__init__()
         self._board = board
@@ -42,6 +43,7 @@
         self._port = port
         self._get_accounts = get_accounts
         self._count_active = count_active
+        self._count_blocked = count_blocked
         self._page = MetricsPage()
         self._stalls = StallWatch(interval_s=FLUSH_S)
         self._runner: web.ServerRunner | None = None
@@ -92,6 +94,11 @@
         board = self._board
         add = self._page.add_gauge
         add("requests_active", "Requests under way.", self._count_active)
+        add(
+            "requests_blocked",
+            "Requests that are refused as they crash targets.",
+            self._count_blocked,
+        )
         add(
             "store_silent_seconds",
             "Seconds since the store answered, 0 while it is in reach.",
--- a/trefoilstage/components/forwarding/answers.py
+++ b/trefoilstage/components/forwarding/answers.py
@@ -19,6 +19,7 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.BUDGET_DRAWN: 429,
     Reason.BUDGET_UNCONFIRMED: 429,
+    Reason.CRASHES_TARGETS: 503,
     Reason.OVERLOADED: 503,
     Reason.NO_TARGET: 503,
     Reason.NOT_READY: 503,
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -61,6 +61,9 @@
         """Answer a caller; return why it gets no answer, None once it has it."""
         if run.started >= run.deadline:
             return Refusal(reason=Reason.DEADLINE)
+        blocked = self._crashes.check(run.fingerprint)
+        if blocked is not None:
+            return blocked
         run.service_name = self._pick_service(run.route)
         # Asked beside the hold: both take a call, and neither needs the other's answer.
         refresh = asyncio.create_task(
@@ -137,6 +140,10 @@
         self._chooser.note_request(service)
         failure = NO_TARGET
         while True:
+            # A target may have ended under it, here or elsewhere, since it came.
+            blocked = self._crashes.check(run.fingerprint)
+            if blocked is not None:
+                return failure if run.n_runs else blocked
             target = self._choose(run, service)
             if target is None:
                 return failure
@@ -264,6 +271,8 @@
         finally:
             answer.close()
             self._chooser.note_end(target)
+        if answer.head.success:
+            self._crashes.note_sound(run.fingerprint)
         return True
 
     def _note_broken(self, run: Run, target: TargetEntry, error: str) -> None:
@@ -277,7 +286,12 @@
             events=run.n_events,
             progress_s=run.progress_s,
         )
-        self._crashes.note_cut(target)
+        self._crashes.note_cut(
+            run.fingerprint,
+            target=target.incarnation,
+            address=target.address,
+            progress_s=run.progress_s,
+        )
 
     def _is_worth_repeating(
         self, run: Run, reply: CallerReply, answer: OpenAnswer, target: TargetEntry
--- a/trefoilstage/components/views/keyed_view.py
+++ b/trefoilstage/components/views/keyed_view.py
@@ -65,6 +65,12 @@
         self.next_offset = max(self.next_offset, end_offset)
         return changed
 
+    def trim(self, max_records: int) -> None:
+        """Keep the newest records, dropped keys among them."""
+        if len(self.records) > 2 * max_records:
+            newest = sorted(self.records.values(), key=lambda item: item.offset)
+            self.records = {item.key: item for item in newest[-max_records:]}
+
     def list_since(self, offset: int) -> list[KeyedRecord]:
         """Return the records from an offset on, dropped keys among them."""
         return [item for item in self.records.values() if item.offset >= offset]
--- a/trefoilstage/components/views/store.py
+++ b/trefoilstage/components/views/store.py
@@ -17,6 +17,7 @@
     ACCOUNTS = "accounts"
     LOCKS = "locks"
     ROSTERS = "rosters"
+    CRASHES = "crashes"
 
 
 class StoreUnavailableError(NotReadyError):
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -7,7 +7,9 @@
 
 from mode import Service
 
+from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.probe import TargetProbe
+from trefoilstage.components.crashes.recorder import CrashRecorder
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient
 from trefoilstage.components.escrow.grants import GrantBook
@@ -40,6 +42,9 @@
 # requests, even a slow read finds it well before.
 TARGET_READS_PER_DRAIN = 5
 HOSTS_WAIT_S = 3.0
+# A host that missed a crash on a silent connection hears of it before targets that
+# ended under the same request are back.
+CRASHES_WAIT_S = 2.0
 # When all hosts of a large fleet start, each one's record ends the waiting reads of all
 # others; read at once, that is the square of their number.
 HOSTS_PAUSE_S = 0.25
@@ -56,6 +61,7 @@
     home: EscrowHome
     escrow: EscrowClient
     workload: WorkloadController
+    recorder: CrashRecorder
     crashes: CrashWatcher
     pipeline: ForwardingPipeline
 
@@ -68,6 +74,7 @@
             self.home,
             self.escrow,
             self.workload,
+            self.recorder,
             self.crashes,
         ]
 
@@ -91,6 +98,9 @@
     def take(topic: Topic, records: list[KeyedRecord]) -> None:
         if topic is Topic.HOSTS:
             membership.take_records(records)
+        elif topic is Topic.CRASHES:
+            crashes.take_records(records)
+            followers[topic].view.trim(MAX_CRASHES)
         else:
             watcher.take(topic, records, asyncio.get_running_loop().time())
 
@@ -153,7 +163,15 @@
         timer=timer,
         workload=workload,
     )
-    crashes = CrashWatcher(probe=probe)
+    recorder = CrashRecorder(board=board, store=store, links=links)
+    crashes = CrashWatcher(
+        host=board.host,
+        probe=probe,
+        recorder=recorder,
+        server=peers,
+        timer=timer,
+        list_live_hosts=membership.list_live,
+    )
     pipeline = ForwardingPipeline(
         board=board,
         escrow=escrow,
@@ -170,6 +188,7 @@
         home=home,
         escrow=escrow,
         workload=workload,
+        recorder=recorder,
         crashes=crashes,
         pipeline=pipeline,
     )
@@ -202,4 +221,7 @@
         Topic.HOSTS: make(
             Topic.HOSTS, HOSTS_WAIT_S, lambda: HOSTS_PAUSE_S * board.is_large()
         ),
+        Topic.CRASHES: make(
+            Topic.CRASHES, CRASHES_WAIT_S, lambda: HOSTS_PAUSE_S * board.is_large()
+        ),
     }
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -13,6 +13,7 @@
     BUDGET_DRAWN = "budget_drawn"  # free tokens are none, drawn ones not all spent
     BUDGET_UNCONFIRMED = "budget_unconfirmed"
     POWER_EXHAUSTED = "power_exhausted"
+    CRASHES_TARGETS = "crashes_targets"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -24,6 +24,7 @@
     Topic.ACCOUNTS: "keyed.accounts",
     Topic.LOCKS: "keyed.locks",
     Topic.ROSTERS: "keyed.rosters",
+    Topic.CRASHES: "keyed.crashes",
 }
 HTTP_OK = 200
 HTTP_GONE = 410
