Probe the target of a suspect whose caller has left

Read, not seen in a log: a caller that leaves within half a second, or whose deadline passes, cancels the request before its target ends, so that nobody notes the crash. Not covered: a request all of whose callers leave so early that not even its first crash is seen.

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -71,6 +71,10 @@
 
     def settle(self, *_: object) -> None: ...
 
+    def check(self, _: str) -> None: ...
+
+    def note_sound(self, _: str) -> None: ...
+
     async def send(self, *_: object) -> OpenAnswer:
         head = AnswerHead(
             status=self.status,
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -29,6 +29,8 @@
 # of the engine, also of a slow one.
 BEGINNING_S = 1.0
 EXPIRE_S = 5.0
+# A target whose caller has left ends this much later at most, if the request ends it.
+LEFT_S = 0.5
 
 ListHosts = Callable[[], tuple[str, ...]]
 
@@ -82,6 +84,24 @@
         if progress_s > BEGINNING_S:
             self.note_sound(fingerprint)
             return
+        self._suspect(fingerprint, target, address)
+
+    def note_left(
+        self, fingerprint: str, *, target: str, address: str, progress_s: float
+    ) -> None:
+        """Take in that a caller left, or its deadline passed, before the answer's end.
+
+        The target may have begun to run the request and end unseen. Only for a request
+        that has met an ended target, as many callers leave and each probe costs one.
+        """
+        if progress_s <= BEGINNING_S and self.evidence.knows(fingerprint):
+            self.add_future(self._suspect_later(fingerprint, target, address))
+
+    async def _suspect_later(self, fingerprint: str, target: str, address: str) -> None:
+        await asyncio.sleep(LEFT_S)
+        self._suspect(fingerprint, target, address)
+
+    def _suspect(self, fingerprint: str, target: str, address: str) -> None:
         is_probed = target in self._cut
         self._cut[target].add(fingerprint)
         if not is_probed:
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -215,6 +215,7 @@
         except BaseException:
             self._chooser.note_unread(target, sent)
             self._chooser.note_end(target)
+            self._note_left(run, target)
             raise
         if isinstance(answer, OpenAnswer) and answer.head.success:
             # A target sends the head of a stream with its first token.
@@ -268,6 +269,9 @@
             run.excluded.add(target.incarnation)
             self._note_broken(run, target, str(error))
             return False
+        except asyncio.CancelledError:
+            self._note_left(run, target)
+            raise
         finally:
             answer.close()
             self._chooser.note_end(target)
@@ -293,6 +297,14 @@
             progress_s=run.progress_s,
         )
 
+    def _note_left(self, run: Run, target: TargetEntry) -> None:
+        self._crashes.note_left(
+            run.fingerprint,
+            target=target.incarnation,
+            address=target.address,
+            progress_s=run.progress_s,
+        )
+
     def _is_worth_repeating(
         self, run: Run, reply: CallerReply, answer: OpenAnswer, target: TargetEntry
     ) -> bool:
