Play a request that crashes targets in the soak, beside kills, cuts and pauses of hosts

The crashing request comes again at random hosts while the other faults go on; then, 4 s calm, at most three of six repeats may end a target (what a killed host had seen is lost with it), and no sound request may be refused as one that crashes targets.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -143,7 +143,7 @@
         headers = {"Attempt-Id": run.request, "Response-Seal": f"{self.name}.seal"}
         if self.crash is not None and body == self.crashes_on:
             await self.crash()
-            await asyncio.Event().wait()  # until the server is gone
+            await self.stop.wait()  # until the server is gone
         if self.fail:
             return web.Response(status=500, headers=headers, body=b"failed")
         if self.unframed_reset:
@@ -189,9 +189,12 @@
 
 def abort(request: web.Request) -> None:
     """Reset a request's connection; a plain close would look like an end."""
-    transport = request.transport
-    if transport is None:
-        return
+    if request.transport is not None:
+        reset(request.transport)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection."""
     connection = transport.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     transport.abort()
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from standins.platform import PlatformTarget, serve
+from standins.platform import PlatformTarget, reset, serve
 from tests.promises.fleet import PlatformFleet
 from trefoilstage.components.views.store import Topic
 
@@ -55,7 +55,7 @@
         await runner.cleanup()
         await asyncio.sleep(AWAY_S)
         old = fleet.targets[number]
-        target = PlatformTarget(name=f"{old.name}+", event_s=old.event_s)
+        target = PlatformTarget(name=f"{old.name}+", event_s=old.event_s, runs=old.runs)
         self._runners[number], _ = await serve(target.make_app(), fleet.ports[number])
         fleet.runners.append(self._runners[number])
         fleet.targets[number] = target
@@ -65,8 +65,8 @@
 
 
 def end_connections(runner: web.AppRunner) -> None:
-    """End every connection of a server in the middle of its answers."""
+    """Reset every connection of a server, as its process ends."""
     assert runner.server is not None
     for connection in runner.server.connections:
         if connection.transport is not None:
-            connection.transport.abort()
+            reset(connection.transport)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from standins.platform import LOOPBACK
+from tests.promises.crashing import CRASHING_BODY
 from tests.promises.fleet import PlatformFleet
 
 # Longer than the 5 s that the hosts are told.
@@ -25,6 +26,7 @@
     request: str
     path: str
     status: int = 0  # 0 if no answer came
+    sent: bytes = b""
     body: bytes = b""
     whole: bool = False
     answered_request: str = ""
@@ -42,6 +44,7 @@
     fleet: PlatformFleet
     generator: random.Random
     outcomes: list[Outcome] = field(default_factory=list)
+    crashing: list[Outcome] = field(default_factory=list)
     stopping: bool = False
 
     async def run(self, number: int) -> None:
@@ -58,6 +61,22 @@
                 await self._call(session, outcome)
                 await asyncio.sleep(PAUSE_S)
 
+    async def repeat_crashing(self) -> None:
+        """Send the request that crashes targets again and again."""
+        while not self.stopping:
+            await self.send_crashing()
+            await asyncio.sleep(self.generator.uniform(0.1, 1.0))
+
+    async def send_crashing(self) -> None:
+        """Send the request that crashes targets once, to any host."""
+        number = len(self.crashing)
+        outcome = Outcome(
+            request=f"crashing-{number}", path="/stream/x", sent=CRASHING_BODY
+        )
+        self.crashing.append(outcome)
+        async with aiohttp.ClientSession() as session:
+            await self._call(session, outcome)
+
     async def _call(self, session: aiohttp.ClientSession, outcome: Outcome) -> None:
         hosts = sorted(self.fleet.hosts)
         if not hosts:
@@ -78,7 +97,7 @@
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
             async with session.request(
-                method, url, headers=headers, timeout=timeout
+                method, url, headers=headers, timeout=timeout, data=outcome.sent
             ) as response:
                 outcome.status = response.status
                 outcome.answered_request = response.headers.get("Attempt-Id", "")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass
 
+from tests.promises.crashing import CrashingTargets
 from tests.promises.fleet import PlatformFleet
 from tests.soak.callers import Callers, Outcome
 from tests.soak.faults import Faults
@@ -17,6 +18,11 @@
 OK = 200
 WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 WHOLE_ANSWER = b"whole answer"
+# After this without a fault, every host has heard of what crashed targets.
+CALM_S = 4.0
+N_PROBES = 6
+# What a host that was killed had seen is lost with it; as many repeats make it good.
+MAX_CALM_CRASHES = 3
 
 
 @dataclass(kw_only=True, slots=True)
@@ -39,11 +45,15 @@
         # Apart, so that the order of the faults is the seed's alone.
         callers = Callers(fleet=fleet, generator=random.Random(-seed))
         faults = Faults(fleet=fleet, generator=random.Random(seed))
+        targets = CrashingTargets(fleet=fleet)
         tasks = [asyncio.create_task(callers.run(n)) for n in range(N_CALLERS)]
+        tasks.append(asyncio.create_task(callers.repeat_crashing()))
         await faults.run(duration_s)
         callers.stopping = True
         await asyncio.gather(*tasks)
-        findings = check(fleet, callers.outcomes)
+        findings = check(fleet, callers.outcomes + callers.crashing)
+        findings += check_sound(callers.outcomes)
+        findings += await check_crashing(targets, callers)
         findings += [
             f"{host.name} ended by itself with {host.process.returncode}"
             for host in fleet.hosts.values()
@@ -73,6 +83,30 @@
     return findings
 
 
+def check_sound(outcomes: list[Outcome]) -> list[str]:
+    """Check that no sound request is taken for one that crashes targets."""
+    return [
+        f"{outcome.request} {outcome.path} got {outcome.body!r}"
+        for outcome in outcomes
+        if b"crashes_targets" in outcome.body
+    ]
+
+
+async def check_crashing(targets: CrashingTargets, callers: Callers) -> list[str]:
+    """Check that calm hosts stop sending the request that crashes targets."""
+    if targets.n_crashes < MAX_CALM_CRASHES:
+        return []
+    await asyncio.sleep(CALM_S)
+    before = targets.n_crashes
+    for _ in range(N_PROBES):
+        await callers.send_crashing()
+        await targets.settle()
+    n_crashes = targets.n_crashes - before
+    if n_crashes > MAX_CALM_CRASHES:
+        return [f"calm hosts let one request crash {n_crashes} of {N_PROBES} targets"]
+    return []
+
+
 def check_budget(fleet: PlatformFleet, outcomes: list[Outcome]) -> list[str]:
     """Count prompts once a request and the events that callers got."""
     prompts = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,9 +15,10 @@
         """Call three hosts while they are killed, stopped, paused and cut off.
 
         Callers send streams, bookings and lookups on kept connections; the store
-        loses answers, is slow or away, targets fail and leave, the budget runs out
-        and is raised. No budget is passed, nothing runs twice that may run once,
-        "not run" is true, and each answer is the caller's own and whole.
+        loses answers, is slow or away, targets fail and leave, one request crashes each
+        target that runs it, the budget runs out and is raised. No budget is passed,
+        nothing runs twice that may run once, "not run" is true, each answer is the
+        caller's own and whole, and the crashing request alone is blocked.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
