--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -16,7 +16,7 @@
     RouteKind,
     Workspace,
 )
-from trefoilstage.helpers.verdict import Effect, Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 # Callers come back within this share of the time that they have left.
 COMEBACK_SHARE = 1 / 3
@@ -46,6 +46,7 @@
     result: Result
     first_s: float | None
     n_tries: int
+    reason: Reason | None = None  # of the last refusal
 
 
 @dataclass(kw_only=True, slots=True)
@@ -182,6 +183,7 @@
             result=self._judge(result, asked_at),
             first_s=None if first_at is None else first_at - asked_at,
             n_tries=n_tries,
+            reason=result.reason if isinstance(result, Refusal) else None,
         )
 
     async def _try_once(self, deadline: float) -> Refusal | Exception | None:
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -70,6 +70,7 @@
     ENGINES_CRASHED = "engines_crashed"
     BURST = "burst"
     HOT_WORKSPACE = "hot_workspace"
+    CRASHING_REQUEST = "crashing_request"  # one, sent `factor` times a second
 
 
 class Fault(Model):
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -111,9 +111,11 @@
         *,
         find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
         pick_output: Callable[[CallerRequest], int],
+        note_start: Callable[[CallerRequest, EmulatedEngine], None],
     ) -> None:
         self._find_target = find_target
         self._pick_output = pick_output
+        self._note_start = note_start
 
     async def send(
         self,
@@ -151,6 +153,7 @@
             raise
         if first is None:
             return Broken(reason="reset")
+        self._note_start(request, engine)
         await asyncio.sleep(ONE_WAY_S)
         return EmulatedAnswer(
             head=HEAD,
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -19,6 +19,7 @@
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
 from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedService
 from trefoilstage.components.forwarding.models import (
+    CallerRequest,
     Engine,
     FleetConfiguration,
     Route,
@@ -36,6 +37,10 @@
 WARM_UP_S = 3.0  # hosts meet before the first caller
 SETTLE_S = 12.0  # callers that asked last get their answers
 HEARTBEAT_S = 1.2
+# A crashing request ends its engine this long after its first token; the engine comes
+# back after some seconds.
+CRASH_AFTER_S = 0.08
+CRASHED_S = 3.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -44,6 +49,7 @@
 
     outcomes: list[Outcome] = field(default_factory=list)
     engines: EngineTotals = field(default_factory=EngineTotals)
+    n_crashes: int = 0  # of engines under the crashing request
     n_store_calls: int = 0
     n_messages: int = 0
 
@@ -63,6 +69,7 @@
         self._hot: str = ""
         self._hot_factor = 1.0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._crashing: CallerRequest | None = None
         self.day = Day()
 
     async def play(self) -> Day:
@@ -160,6 +167,7 @@
         sender = EmulatedSender(
             find_target=self._targets.get,
             pick_output=lambda request: self._prompts.outputs[request.request],
+            note_start=self._note_start,
         )
         self._hosts = [
             EmulatedHost(
@@ -262,6 +270,41 @@
         for engine in crashed:
             engine.restart()
 
+    async def _repeat_crashing(self, fault: Fault) -> None:
+        """Send one request again and again, each time from a caller of its own."""
+        kind = next(kind for kind in self._scenario.kinds if kind.own_tokens)
+        self._crashing = self._prompts.draw_request(kind)
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + fault.for_s
+        while loop.time() < ends:
+            caller = Caller(
+                kind=kind,
+                route=self._routes[kind.name],
+                workspace=next(iter(self._workspaces.values())),
+                request=self._crashing,
+                hosts=self._hosts,
+                generator=self._generator,
+            )
+            self._start(self._ignore(caller))
+            await asyncio.sleep(1 / fault.factor)
+
+    async def _ignore(self, caller: Caller) -> None:
+        # Nobody misses its answer.
+        await caller.ask()
+
+    def _note_start(self, request: CallerRequest, engine: EmulatedEngine) -> None:
+        if request is self._crashing:
+            self._start(self._crash(engine))
+
+    async def _crash(self, engine: EmulatedEngine) -> None:
+        await asyncio.sleep(CRASH_AFTER_S)
+        if engine.down:
+            return
+        self.day.n_crashes += 1
+        engine.crash()
+        await asyncio.sleep(CRASHED_S)
+        engine.restart()
+
     async def _burst_traffic(self, fault: Fault) -> None:
         self._burst = fault.factor
         await asyncio.sleep(fault.for_s)
@@ -296,6 +339,7 @@
     FaultKind.ENGINES_CRASHED: World._crash_engines,
     FaultKind.BURST: World._burst_traffic,
     FaultKind.HOT_WORKSPACE: World._heat_workspace,
+    FaultKind.CRASHING_REQUEST: World._repeat_crashing,
 }
 
 
--- a/tests/emulator/test_world.py
+++ b/tests/emulator/test_world.py
@@ -9,8 +9,14 @@
 from bench.emulator.scenario import Fault, FaultKind, Scenario, load_scenario
 from bench.emulator.world import Day, play
 from trefoilstage.components.forwarding.models import RouteKind
+from trefoilstage.helpers.verdict import Reason
 
 SEED = 3
+# Three engines end before the request is told from the others, and it is allowed as
+# many repeats while the hosts hear of it.
+MAX_CRASHES = 6
+CRASHING_SEED = 2
+STOPPED_S = 8.0  # the engines that ended are back
 PLACEMENT_SEED = 2
 
 
@@ -114,6 +120,41 @@
         self.assertLess(count_share(after, Result.LATE), 0.1)
 
 
+class CrashingRequestTest(unittest.TestCase):
+    """Test what callers get while one request crashes each engine that runs it."""
+
+    def play_crashes(self, name: str, seconds: float) -> Day:
+        """Play a day on which the request comes twice a second."""
+        fault = Fault(
+            kind=FaultKind.CRASHING_REQUEST, at_s=1.0, for_s=seconds - 1.0, factor=2.0
+        )
+        return play(shorten(load_scenario(name), seconds, fault), CRASHING_SEED)
+
+    def test_small_fleet_stops_it_and_serves_the_others(self) -> None:
+        """Guard against streams of all callers that end with each engine."""
+        day = self.play_crashes("long-prompts", 15.0)
+        self.assertLessEqual(day.n_crashes, MAX_CRASHES)
+        begin = min(item.asked_at for item in day.outcomes)
+        later = [item for item in day.outcomes if item.asked_at - begin >= STOPPED_S]
+        self.assertLess(count_share(later, Result.FAILED), 0.05)
+
+    def test_large_fleet_stops_it(self) -> None:
+        """Guard against hosts that are too many to hear of it from each other."""
+        day = self.play_crashes("many-targets", 10.0)
+        self.assertLessEqual(day.n_crashes, MAX_CRASHES)
+
+    def test_engines_that_end_by_themselves_block_nobody(self) -> None:
+        """Guard against refusing callers whose requests were cut by chance."""
+        crashes = [
+            Fault(kind=FaultKind.ENGINES_CRASHED, at_s=at, for_s=1.0, share=0.34)
+            for at in (2.0, 4.0, 6.0, 8.0)
+        ]
+        day = play(shorten(load_scenario("long-prompts"), 11.0, *crashes), SEED)
+        self.assertGreater(count_share(day.outcomes, Result.FAILED), 0.0)
+        reasons = {item.reason for item in day.outcomes}
+        self.assertNotIn(Reason.CRASHES_TARGETS, reasons)
+
+
 class OutagePolicyTest(unittest.TestCase):
     """Test what callers get while the store is out of reach."""
 
