Judge a request again when its crashes are left out for want of room

Found by reading. With 4,096 crashes all of blocked requests, a new one was left out at once, so that a further crashing request was never noted, and one whose last crash was left out stayed blocked; its refusal then failed, as nothing told when it ends. The oldest now goes, whosever it is, but for the newest request's. test_request_whose_crashes_were_left_out_is_not_blocked failed before ({'a'} != {'b'}).

--- a/tests/components/crashes/test_evidence.py
+++ b/tests/components/crashes/test_evidence.py
@@ -92,6 +92,13 @@
         self.assertEqual(len(evidence.seen_at), 50)
         self.assertEqual(sum(map(len, evidence.targets.values())), 50)
 
+    def test_request_whose_crashes_were_left_out_is_not_blocked(self) -> None:
+        """Guard against a refusal that fails as nothing is left to tell its end."""
+        evidence = CrashEvidence(max_crashes=MIN_CRASHES)
+        add_all(evidence, "a", "xyz")
+        add_all(evidence, "b", "uvw")
+        self.assertEqual(evidence.blocked, {"b"})
+
     def test_suspects_expire_before_blocked_requests(self) -> None:
         evidence = CrashEvidence()
         add_all(evidence, "crashing", "xyz")
--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -38,7 +38,7 @@
         self.seen_at[crash] = now
         self.targets[crash.fingerprint].add(crash.target)
         while len(self.seen_at) > self.max_crashes:
-            self._drop(self._find_oldest())
+            self.remove(self._find_oldest(crash.fingerprint))
         self._judge(crash.fingerprint)
         return True
 
@@ -83,11 +83,10 @@
     def _get_age_limit(self, crash: Crash) -> float:
         return BLOCKED_AGE_S if crash.fingerprint in self.blocked else SUSPECT_AGE_S
 
-    def _find_oldest(self) -> Crash:
+    def _find_oldest(self, newest: str) -> Crash:
         # What is known of a blocked request must outlast a burst of other crashes.
-        suspects = (
-            crash for crash in self.seen_at if crash.fingerprint not in self.blocked
-        )
+        kept = self.blocked | {newest}
+        suspects = (crash for crash in self.seen_at if crash.fingerprint not in kept)
         return next(suspects, next(iter(self.seen_at)))
 
     def _drop(self, crash: Crash) -> None:
