Write later crashes to the store while it refuses one

Found by reading: the recorder tried the first unwritten record again and again, so that one which the store refuses for good kept all later ones out. It now goes behind the others. test_record_that_the_store_refuses_holds_up_no_other failed before ([] != ['b/y']); the recorder's other tests pass on both.

--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -84,11 +84,18 @@
         except StoreUnavailableError as error:
             log_event(Event.STORE_WRITE_FAILED, topic=Topic.CRASHES, error=str(error))
             await self._ask_peer()
+            self._put_behind(crash)
             return False
         if self._unwritten.get(crash) is keep:
             del self._unwritten[crash]
         return True
 
+    def _put_behind(self, crash: Crash) -> None:
+        # A record that the store refuses for good must not hold up the others.
+        keep = self._unwritten.pop(crash, None)
+        if keep is not None:
+            self._unwritten[crash] = keep
+
     async def _ask_peer(self) -> None:
         """Ask a peer that reaches the store to write what this host can't."""
         writer = self._pick_writer()
