--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -16,7 +16,7 @@
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard, PeerState
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, log_event, shorten
 from trefoilstage.util.hashing import rank_names
 
 TELL_TIMEOUT_S = 0.5
@@ -130,10 +130,5 @@
             await link.tell(report, timeout_s=TELL_TIMEOUT_S)
         except PeerUnavailableError as error:
             log_event(
-                Event.CRASH_REPORT_UNSENT, peer=peer.host, error=shorten_error(error)
+                Event.CRASH_REPORT_UNSENT, peer=peer.host, error=shorten(str(error))
             )
-
-
-def shorten_error(error: PeerUnavailableError) -> str:
-    """Return the beginning of an error's text."""
-    return str(error)[:100]
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -20,7 +20,7 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.exceptions import MalformedMessageError
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, log_event, shorten
 from trefoilstage.helpers.verdict import Reason, Refusal
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import rank_names
@@ -124,7 +124,7 @@
                     Event.RECORD_MALFORMED,
                     topic=Topic.CRASHES,
                     offset=record.offset,
-                    error=str(error)[:200],
+                    error=shorten(str(error)),
                 )
                 continue
             if record.value is None:
--- a/trefoilstage/components/fleet/watcher.py
+++ b/trefoilstage/components/fleet/watcher.py
@@ -8,10 +8,7 @@
 from trefoilstage.components.views.store import Topic
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
-from trefoilstage.helpers.events import Event, log_event
-
-# Bounds a log line about a record of another writer, in characters.
-MAX_LOGGED = 200
+from trefoilstage.helpers.events import Event, log_event, shorten
 
 DecodeConfiguration = Callable[[bytes], FleetConfiguration]
 DecodeTarget = Callable[[str, bytes], TargetEntry]
@@ -99,8 +96,3 @@
                 started_ms=entry.started_ms,
                 offset=record.offset,
             )
-
-
-def shorten(text: str) -> str:
-    """Return the beginning of a text that another writer may have made long."""
-    return text if len(text) <= MAX_LOGGED else f"{text[:MAX_LOGGED]}..."
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -18,6 +18,10 @@
 FIELDS_HIDDEN = frozenset({"task_uuid", "task_level"})
 
 
+# Bounds what a line quotes of another writer, in characters.
+MAX_QUOTED = 200
+
+
 class Event(StrEnum):
     """Name what a process reports."""
 
@@ -130,6 +134,11 @@
     return json.dumps(text)
 
 
+def shorten(text: str) -> str:
+    """Return the beginning of a text that another writer may have made long."""
+    return text if len(text) <= MAX_QUOTED else f"{text[:MAX_QUOTED]}..."
+
+
 def find_place(error: BaseException) -> str:
     """Return the function and line that raised an error."""
     frames = traceback.extract_tb(error.__traceback__)
