Ask a live host to write crashes as the fleet judges live; test the block at each place where it binds

The recorder had a limit of silence of its own (1.5 s), a second copy of the membership's and too short for a large fleet, where 3 s hold: live hosts that were heard through others were passed over. It now takes the membership's list. With each safeguard taken out in turn, no test failed when the block was checked only as a request comes: tests for a request that is blocked before, while it waits and between two attempts now fail so. The pause between reads in large fleets serves two topics and is named for that. Tests of failures that had a name only got their line; no check changed.

--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -289,7 +289,7 @@
             await asyncio.sleep(1 / fault.factor)
 
     async def _ignore(self, caller: Caller) -> None:
-        # Nobody misses its answer.
+        # Its answer is not counted.
         await caller.ask()
 
     def _note_start(self, request: CallerRequest, engine: EmulatedEngine) -> None:
--- a/tests/components/crashes/test_evidence.py
+++ b/tests/components/crashes/test_evidence.py
@@ -34,6 +34,7 @@
     """Test how requests are told apart."""
 
     def test_two_crashes_are_chance(self) -> None:
+        """Guard against blocking a request for bad luck."""
         evidence = CrashEvidence()
         add_all(evidence, "a", "xy")
         self.assertFalse(evidence.blocked)
@@ -41,6 +42,7 @@
         self.assertEqual(evidence.blocked, {"a"})
 
     def test_same_target_counts_once(self) -> None:
+        """Guard against counting one end that several hosts or copies saw."""
         evidence = CrashEvidence()
         for _ in range(2 * MIN_CRASHES):
             add_all(evidence, "a", "x")
@@ -54,6 +56,7 @@
         self.assertEqual(evidence.blocked, {"crashing"})
 
     def test_two_causes_are_both_found(self) -> None:
+        """Guard against one crashing request that hides another."""
         evidence = CrashEvidence()
         add_all(evidence, "a", "uvw")
         add_all(evidence, "b", "wxyz")
@@ -71,6 +74,7 @@
         self.assertEqual(evidence.blocked, {"crashing"})
 
     def test_request_that_ran_is_forgotten(self) -> None:
+        """Guard against a cleared request that stays blocked."""
         evidence = CrashEvidence()
         add_all(evidence, "a", "xyz")
         for crash in evidence.list_crashes("a"):
@@ -100,6 +104,7 @@
         self.assertEqual(evidence.blocked, {"b"})
 
     def test_suspects_expire_before_blocked_requests(self) -> None:
+        """Guard against records that are kept for good."""
         evidence = CrashEvidence()
         add_all(evidence, "crashing", "xyz")
         add_all(evidence, "suspect", "v")
@@ -109,6 +114,7 @@
         self.assertEqual(len(evidence.list_expired(BLOCKED_AGE_S + 1.0)), 4)
 
     def test_wait_ends_when_too_few_crashes_are_left(self) -> None:
+        """Guard against callers told to come back while they are still refused."""
         evidence = CrashEvidence()
         for number, target in enumerate("wxyz"):
             evidence.add(make_crash("a", target), 10.0 * number)
--- a/tests/components/crashes/test_recorder.py
+++ b/tests/components/crashes/test_recorder.py
@@ -57,11 +57,11 @@
         self.store = PickyStore()
         self.links = Links()
         self.board = make_board("host-0", names)
-        now = asyncio.get_running_loop().time()
-        for peer in self.board.peers.values():
-            peer.last_heard = now
         return CrashRecorder(
-            board=self.board, store=self.store, links=cast(Any, self.links)
+            board=self.board,
+            store=self.store,
+            links=cast(Any, self.links),
+            list_live_hosts=lambda: tuple(names),
         )
 
     def list_written(self) -> list[str]:
@@ -73,6 +73,7 @@
         await asyncio.sleep(seconds)
 
     async def test_small_fleet_is_told_at_once(self) -> None:
+        """Guard against hosts that hear of a crash from the store alone."""
         recorder = self.make(SMALL)
         crash = make_crash("a", "x")
         recorder.record([crash])
@@ -89,6 +90,7 @@
         self.assertEqual(self.list_written(), ["a/x"])
 
     async def test_host_without_the_store_asks_one_peer_to_write(self) -> None:
+        """Guard against crashes that only a host cut from the store knows of."""
         recorder = self.make(LARGE)
         self.store.down = True
         recorder.record([make_crash("a", "x")])
@@ -98,7 +100,19 @@
         await self.wait(1.1 * RETRY_S)
         self.assertEqual(self.list_written(), ["a/x"])
 
+    async def test_peer_that_lost_the_store_as_well_is_not_asked(self) -> None:
+        """Guard against a crash handed to a host that can't write it either."""
+        for lost, able in (("host-1", "host-2"), ("host-2", "host-1")):
+            recorder = self.make(SMALL)
+            self.board.peers[lost].store_in_reach = False
+            self.store.down = True
+            recorder.record([make_crash("a", "x")])
+            await self.wait()
+            asked = [host for host, report in self.links.told if report.relay]
+            self.assertEqual(asked, [able])
+
     async def test_cleared_request_leaves_the_store(self) -> None:
+        """Guard against a sound request that hosts suspect again as they start."""
         recorder = self.make(SMALL)
         crashes = [make_crash("a", target) for target in "xy"]
         recorder.record(crashes)
--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -67,6 +67,7 @@
         await asyncio.sleep(0)
 
     async def test_request_is_blocked_after_three_targets(self) -> None:
+        """Guard against a request that goes on to end one target after the other."""
         for target in ("x", "y"):
             await self.cut("a", target, BEGAN_S)
         self.assertIsNone(self.watcher.check("a"))
@@ -86,6 +87,7 @@
         self.assertIsNone(self.watcher.check("a"))
 
     async def test_requests_cut_together_cost_one_probe(self) -> None:
+        """Guard against a connection to the target for each request that it cut."""
         for fingerprint in ("a", "b", "c"):
             self.watcher.note_cut(
                 fingerprint, target="x", address="x:1", progress_s=0.0
@@ -105,6 +107,7 @@
         self.assertNotIn("v:1", self.parts.probed)
 
     async def test_completed_request_is_cleared_once(self) -> None:
+        """Guard against a suspect that stays one though a target completed it."""
         await self.cut("a", "x", BEGAN_S)
         for _ in range(2):
             self.watcher.note_sound("a")
@@ -121,6 +124,7 @@
         self.assertEqual(self.parts.recorded[1:], [make_crash("a", "y")])
 
     async def test_peers_and_the_store_count_like_own_crashes(self) -> None:
+        """Guard against hosts that count only the crashes that they saw themselves."""
         await self.cut("a", "x", BEGAN_S)
         report = CrashReport(host="host-1", crashes=(make_crash("a", "y"),), relay=True)
         await self.watcher._take_report(report)
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -19,8 +19,9 @@
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import Survey
 from trefoilstage.components.forwarding.run import Run
-from trefoilstage.components.forwarding.sender import OpenAnswer
+from trefoilstage.components.forwarding.sender import Broken, OpenAnswer
 from trefoilstage.components.forwarding.targets import SentPrompt
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 PROMPT = (PromptPart(name="dossier", n_tokens=17_000),)
 
@@ -93,43 +94,48 @@
     is_open = False
 
 
+async def ask(parts: "Parts", kind: RouteKind, *, max_attempts: int) -> Refusal | None:
+    """Send a prompt through a pipeline and return why it gets no answer."""
+    pipeline = ForwardingPipeline(
+        board=make_board("host-0", ["host-0"]),
+        escrow=cast(Any, parts),
+        chooser=cast(Any, parts),
+        sender=cast(Any, parts),
+        crashes=cast(Any, parts),
+        generator=random.Random(1),
+    )
+    now = asyncio.get_running_loop().time()
+    request = CallerRequest(
+        request="r-1",
+        method="POST",
+        host="club.example",
+        path="/x/",
+        raw_target="/x/",
+        key="",
+        deadline_s=5.0,
+        n_prompt_tokens=17_000,
+        max_output_tokens=10,
+        prompt=PROMPT,
+        headers=(),
+    )
+    run = Run(
+        request=request,
+        body=b"",
+        route=replace(make_route("/x/"), kind=kind, max_attempts=max_attempts),
+        workspace=None,
+        started=now,
+        deadline=now + 5.0,
+    )
+    return await pipeline.run(run, cast(Any, parts))
+
+
 class PaceTest(unittest.IsolatedAsyncioTestCase):
     """Test which answers tell a target's pace."""
 
     async def ask(self, status: int, kind: RouteKind) -> Parts:
         """Send a prompt that a target answers with a status."""
         parts = Parts(status=status)
-        pipeline = ForwardingPipeline(
-            board=make_board("host-0", ["host-0"]),
-            escrow=cast(Any, parts),
-            chooser=cast(Any, parts),
-            sender=cast(Any, parts),
-            crashes=cast(Any, parts),
-            generator=random.Random(1),
-        )
-        now = asyncio.get_running_loop().time()
-        request = CallerRequest(
-            request="r-1",
-            method="POST",
-            host="club.example",
-            path="/x/",
-            raw_target="/x/",
-            key="",
-            deadline_s=5.0,
-            n_prompt_tokens=17_000,
-            max_output_tokens=10,
-            prompt=PROMPT,
-            headers=(),
-        )
-        run = Run(
-            request=request,
-            body=b"",
-            route=replace(make_route("/x/"), kind=kind, max_attempts=1),
-            workspace=None,
-            started=now,
-            deadline=now + 5.0,
-        )
-        await pipeline.run(run, cast(Any, parts))
+        await ask(parts, kind, max_attempts=1)
         return parts
 
     async def test_quick_failure_is_no_reading(self) -> None:
@@ -146,5 +152,61 @@
         self.assertEqual((parts.n_read, parts.n_unread), ([17_000], []))
 
 
+BLOCKED = Refusal(reason=Reason.CRASHES_TARGETS, retry_after_s=60.0)
+
+
+@dataclass(kw_only=True)
+class BlockingParts(Parts):
+    """Break off each answer; block the request after it was asked about some times."""
+
+    n_passed: int
+    status: int = 200
+    n_held: int = 0
+    n_sent: int = 0
+
+    async def hold(self, *_: object) -> Hold:
+        self.n_held += 1
+        return await super().hold()
+
+    def check(self, _: str) -> Refusal | None:
+        self.n_passed -= 1
+        return BLOCKED if self.n_passed < 0 else None
+
+    def has_other(self, *_: object) -> bool:
+        return True
+
+    def take_repeat(self, _: str) -> bool:
+        return True
+
+    def note_cut(self, *_: object, **__: object) -> None: ...
+
+    async def send(self, *_: object) -> Any:
+        self.n_sent += 1
+        return Broken(reason="the target ended")
+
+
+class BlockedTest(unittest.IsolatedAsyncioTestCase):
+    """Test when a request that crashes targets is held back."""
+
+    async def test_blocked_request_holds_and_sends_nothing(self) -> None:
+        """Guard against a blocked request that reaches one more target."""
+        parts = BlockingParts(n_passed=0)
+        refusal = await ask(parts, RouteKind.IDEMPOTENT, max_attempts=2)
+        self.assertEqual((refusal, parts.n_held, parts.n_sent), (BLOCKED, 0, 0))
+
+    async def test_request_blocked_while_it_waits_is_not_sent(self) -> None:
+        """Guard against one that waited for tokens while it was blocked elsewhere."""
+        parts = BlockingParts(n_passed=1)
+        refusal = await ask(parts, RouteKind.IDEMPOTENT, max_attempts=2)
+        self.assertEqual((refusal, parts.n_sent), (BLOCKED, 0))
+
+    async def test_request_blocked_under_way_is_not_repeated(self) -> None:
+        """Guard against a further target that ends, and a false "not run"."""
+        parts = BlockingParts(n_passed=2)
+        refusal = await ask(parts, RouteKind.IDEMPOTENT, max_attempts=3)
+        assert refusal is not None
+        self.assertEqual((refusal.effect, parts.n_sent), (Effect.UNKNOWN, 1))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from mode import Service
 
@@ -21,20 +21,28 @@
 
 TELL_TIMEOUT_S = 0.5
 RETRY_S = 0.5
-# A host that was silent longer is not asked to write; three heartbeats.
-MAX_SILENT_S = 1.5
 # Stands in a record, whose key says all; without a value it would drop the key.
 PRESENT = b"1"
 
+ListHosts = Callable[[], tuple[str, ...]]
+
 
 class CrashRecorder(Service):
     """Write crashes to the store and tell peers of them."""
 
-    def __init__(self, *, board: FleetBoard, store: Store, links: PeerLinks) -> None:
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        store: Store,
+        links: PeerLinks,
+        list_live_hosts: ListHosts,
+    ) -> None:
         super().__init__()
         self._board = board
         self._store = store
         self._links = links
+        self._list_live_hosts = list_live_hosts
         self._unwritten: dict[Crash, bool] = {}  # whether it is to stay
         self._writing = False
 
@@ -106,14 +114,13 @@
         await self._tell(writer, report)
 
     def _pick_writer(self) -> PeerState | None:
-        now = asyncio.get_running_loop().time()
-        able = {
-            peer.host: peer
-            for peer in self._board.peers.values()
-            if peer.store_in_reach and peer.is_live(now, MAX_SILENT_S)
-        }
-        ranked = rank_names(self._board.host, tuple(sorted(able)))
-        return able[ranked[0]] if ranked else None
+        able = tuple(
+            host
+            for host in self._list_live_hosts()
+            if host in self._board.peers and self._board.reaches_store(host)
+        )
+        ranked = rank_names(self._board.host, able)
+        return self._board.peers[ranked[0]] if ranked else None
 
     def _tell_all(self, report: CrashReport) -> None:
         if self._board.is_large():
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from mode import Service
 
@@ -15,7 +15,7 @@
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import Crash, decode_crash, make_crash
 from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
-from trefoilstage.components.crashes.recorder import CrashRecorder
+from trefoilstage.components.crashes.recorder import CrashRecorder, ListHosts
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
@@ -32,8 +32,6 @@
 # A target whose caller has left ends this much later at most, if the request ends it.
 LEFT_S = 0.5
 
-ListHosts = Callable[[], tuple[str, ...]]
-
 
 class CrashWatcher(Service):
     """Judge requests by the targets that ended under them."""
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -45,9 +45,9 @@
 # A host that missed a crash on a silent connection hears of it before targets that
 # ended under the same request are back.
 CRASHES_WAIT_S = 2.0
-# When all hosts of a large fleet start, each one's record ends the waiting reads of all
-# others; read at once, that is the square of their number.
-HOSTS_PAUSE_S = 0.25
+# In a large fleet a record of each host ends the waiting reads of all others, as when
+# all hosts start; read at once, that is the square of their number.
+LARGE_PAUSE_S = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -163,7 +163,12 @@
         timer=timer,
         workload=workload,
     )
-    recorder = CrashRecorder(board=board, store=store, links=links)
+    recorder = CrashRecorder(
+        board=board,
+        store=store,
+        links=links,
+        list_live_hosts=membership.list_live,
+    )
     crashes = CrashWatcher(
         host=board.host,
         probe=probe,
@@ -219,9 +224,9 @@
         ),
         Topic.TARGETS: make(Topic.TARGETS, 0.0, lambda: targets_pause_s),
         Topic.HOSTS: make(
-            Topic.HOSTS, HOSTS_WAIT_S, lambda: HOSTS_PAUSE_S * board.is_large()
+            Topic.HOSTS, HOSTS_WAIT_S, lambda: LARGE_PAUSE_S * board.is_large()
         ),
         Topic.CRASHES: make(
-            Topic.CRASHES, CRASHES_WAIT_S, lambda: HOSTS_PAUSE_S * board.is_large()
+            Topic.CRASHES, CRASHES_WAIT_S, lambda: LARGE_PAUSE_S * board.is_large()
         ),
     }
