--- a/tests/components/fleet/test_watcher.py
+++ b/tests/components/fleet/test_watcher.py
@@ -9,7 +9,7 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.fleet_board import FleetBoard
-from trefoilstage.fleet_parts import HOSTS_PAUSE_S, make_followers
+from trefoilstage.fleet_parts import LARGE_PAUSE_S, make_followers
 from trefoilstage.fleet_settings import FleetSettings
 
 SERVICE = "model"
@@ -99,7 +99,7 @@
         Waiting reads that return for each record make 38,000 calls, more than twice
         what the store answers in a second.
         """
-        self.assertEqual(self.get_pause(Topic.HOSTS, 195, 4.0), HOSTS_PAUSE_S)
+        self.assertEqual(self.get_pause(Topic.HOSTS, 195, 4.0), LARGE_PAUSE_S)
         self.assertEqual(self.get_pause(Topic.HOSTS, 7, 2.0), 0.0)
 
 
