Count of a prompt in a large fleet only what its target has yet to read

The targets that had the subject looked four times as busy as they were, and prompts went where it had to be read again, until memory was full of running prompts there as well. The test counts 17000 for 4000 on the code before.

--- a/tests/components/forwarding/test_targets.py
+++ b/tests/components/forwarding/test_targets.py
@@ -2,11 +2,13 @@
 
 import unittest
 from typing import Any, cast
+from unittest import mock
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.models import PromptPart
 from trefoilstage.components.forwarding.placement import Survey
 from trefoilstage.components.forwarding.sender import NotSent
 from trefoilstage.components.forwarding.targets import TargetChooser
@@ -22,17 +24,21 @@
         self.board = make_board("host-0", ["host-0"])
         timer = ManualTimer()
         timer.time = 10.0
+        self.workload = WorkloadController(
+            board=self.board,
+            links=cast(Any, None),
+            server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
+            timer=timer,
+        )
+        self.workload.add_future = mock.Mock(  # type: ignore[method-assign]
+            side_effect=lambda report: report.close()
+        )
         self.chooser = TargetChooser(
             board=self.board,
             membership=cast(Any, None),
             settings=cast(Any, None),
             timer=timer,
-            workload=WorkloadController(
-                board=self.board,
-                links=cast(Any, None),
-                server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
-                timer=timer,
-            ),
+            workload=self.workload,
         )
 
     def choose(self) -> str:
@@ -55,7 +61,7 @@
         self.chooser.note_answer(old, NotSent(reason="timeout", silent=True))
         self.assertEqual(self.choose(), "i-2@1")
         busy = make_target("i-2", started_ms=1)
-        self.chooser.note_start(busy, ())
+        self.chooser.note_start(busy, (), Survey())
         self.board.targets.add(make_target("i-1", started_ms=2))
         self.assertEqual(self.choose(), "i-1@2")
 
@@ -79,9 +85,22 @@
         for number in range(100):
             target = make_target("i-1", started_ms=number)
             self.board.targets.add(target)
-            self.chooser.note_start(target, ())
+            self.chooser.note_start(target, (), Survey())
         self.assertLessEqual(len(self.chooser._healths), 2)
 
+    async def test_subject_that_another_host_sent_is_not_counted_as_work(self) -> None:
+        """Guard against a target that looks busy with what it has in memory."""
+        target = make_target("i-1")
+        prompt = (
+            PromptPart(name="dossier", n_tokens=13_000),
+            PromptPart(name="own", n_tokens=4_000),
+        )
+        survey = Survey(kept={target.incarnation: 13_000})
+        sent = self.chooser.note_start(target, prompt, survey)
+        self.assertEqual(sent.n_unread, 4_000)
+        work = self.workload.get_work(target.incarnation)
+        self.assertEqual(work.prompt_tokens, 4_000)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -199,7 +199,7 @@
             resume_after=run.last_event,
         )
         run.note_sent(target.name)
-        sent = self._chooser.note_start(target, run.request.prompt)
+        sent = self._chooser.note_start(target, run.request.prompt, run.survey)
         log_event(
             Event.REQUEST_SENT,
             request=run.request.request,
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -89,16 +89,19 @@
     ) -> list[Option]:
         """Return targets with what they have in memory of a prompt, as far as known."""
         return [
-            self._make_option(
-                target,
-                max(
-                    kept.get(target.incarnation, 0),
-                    self._workload.count_kept(target.incarnation, prompt),
-                ),
-            )
+            self._make_option(target, self._count_kept(target, prompt, kept))
             for target in targets
         ]
 
+    def _count_kept(
+        self,
+        target: TargetEntry,
+        prompt: Sequence[PromptPart],
+        kept: Mapping[str, int],
+    ) -> int:
+        known_here = self._workload.count_kept(target.incarnation, prompt)
+        return max(known_here, kept.get(target.incarnation, 0))
+
     def _list_usable(self, service: str, excluded: set[str]) -> list[TargetEntry]:
         now = self._timer.now()
         ready = self._board.targets.list_ready(service, now)
@@ -160,13 +163,13 @@
         return self._get_budget(service).take(self._timer.now(), n_hosts)
 
     def note_start(
-        self, target: TargetEntry, prompt: Sequence[PromptPart]
+        self, target: TargetEntry, prompt: Sequence[PromptPart], survey: Survey
     ) -> SentPrompt:
         """Count a request that is sent to a target; return what has to be read."""
         name = target.incarnation
         n_tokens = sum(part.n_tokens for part in prompt)
         sent = SentPrompt(
-            n_unread=n_tokens - self._workload.count_kept(name, prompt),
+            n_unread=n_tokens - self._count_kept(target, prompt, survey.kept),
             n_ahead=self._workload.get_work(name).prompt_tokens,
             at=self._timer.now(),
         )
