--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -208,6 +208,8 @@
             service=service,
             attempt=run.n_sends,
             fingerprint=run.fingerprint,
+            unread=sent.n_unread,
+            ahead=sent.n_ahead,
         )
         try:
             answer = await self._sender.send(run.request, run.body, target, options)
