Let an emulated engine find what an earlier prompt has read by the time its own reading begins

Cause: the emulated engine looked for kept parts when it admitted a prompt, at once where a slot is free; two prompts about one subject that came together read it twice.

--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -33,6 +33,7 @@
     prompt: Sequence[PromptPart]
     n_output: int
     urgency: int
+    begun: bool = False  # to read the prompt
     n_read: int = 0  # prompt tokens in memory
     n_made: int = 0  # output tokens
     events: asyncio.Queue[int | None] = field(default_factory=asyncio.Queue)
@@ -120,7 +121,7 @@
             ):
                 return
             self._waiting.pop(0)
-            generation.n_read = self._find_kept(generation)
+            generation.begun = False
             self._running.append(generation)
 
     def _count_kv(self) -> int:
@@ -142,6 +143,12 @@
         left = self.speed.chunk_tokens
         pairs = 0
         for generation in self._running:
+            if left <= 0:
+                break
+            if not generation.begun:
+                # What an earlier prompt has read by now is found.
+                generation.begun = True
+                generation.n_read = self._find_kept(generation)
             n_tokens = min(left, generation.n_prompt - generation.n_read)
             if n_tokens <= 0:
                 continue
--- a/tests/emulator/test_engine.py
+++ b/tests/emulator/test_engine.py
@@ -65,6 +65,20 @@
         self.assertLess(seconds, 0.03)
         self.assertEqual(n_again, 0)
 
+    def test_part_being_read_is_found_by_the_next_prompt(self) -> None:
+        """Send a second prompt while the first reads the dossier of both."""
+
+        async def use(engine: EmulatedEngine) -> int:
+            first = make_generation("r-1", ("dossier", 13_000))
+            second = make_generation("r-2", ("dossier", 13_000))
+            engine.admit(first)
+            engine.admit(second)
+            await wait_for_first(first)
+            await wait_for_first(second)
+            return engine.totals.read
+
+        self.assertLess(self.run_with(use), 14_000)
+
     def test_short_prompt_waits_behind_a_long_one(self) -> None:
         """Send a short prompt right after one of 40,000 tokens."""
 
