--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -155,6 +155,8 @@
             pairs += n_tokens * (generation.n_read + n_tokens // 2)
             generation.n_read += n_tokens
             left -= n_tokens
+            if generation.n_read == generation.n_prompt:
+                self._keep(generation)
         n_read = self.speed.chunk_tokens - left
         self.totals.read += n_read
         ms = self.speed.step_ms + self.speed.step_ms_per_request * len(self._running)
@@ -166,8 +168,6 @@
         for generation in running:
             if generation.n_read < generation.n_prompt:
                 continue
-            if generation.n_made == 0:
-                self._keep(generation)
             generation.n_made += 1
             is_last = generation.n_made >= generation.n_output
             if is_last or generation.n_made % self.speed.tokens_per_event == 1:
