Send a prompt to a full target only when all are full

Cause, from the engines' state at each admission: 20 to 28 prompts of 18,000 tokens held all of a target's memory, pushed the subject out of it and were preempted, while 17 of 29 targets stood idle. The choice knew what a target has to read, not its slots and memory. Hosts now count the tokens of the prompts under way at each target (a field that older hosts leave out), and a target without a slot or room comes last and is late. Seen failing with the rule switched off: the three new placement tests on room.

--- a/tests/components/forwarding/test_placement.py
+++ b/tests/components/forwarding/test_placement.py
@@ -19,6 +19,7 @@
 IDLE = Work()
 TARGETS = [make_target(f"engine-{number}") for number in range(9)]
 N_SHARED = 5_000
+KV_TOKENS = 400_000
 
 
 def place(
@@ -36,6 +37,7 @@
             target=target,
             work=(work or {}).get(target.name, IDLE),
             n_kept_tokens=N_SHARED if target.name in keepers else 0,
+            kv_tokens=KV_TOKENS,
         )
         for target in rank_candidates(targets, subject)
     ]
@@ -92,6 +94,27 @@
         found = place(keepers=("engine-3",), n_tokens=60_000)
         self.assertEqual(found, "engine-3")
 
+    def test_keeper_without_a_free_slot_is_left(self) -> None:
+        """Guard against prompts that queue for a slot while other targets idle."""
+        work = {"engine-3": Work(n_requests=TARGETS[3].slots)}
+        self.assertNotEqual(place(work=work, keepers=("engine-3",)), "engine-3")
+
+    def test_keeper_whose_memory_is_taken_is_left(self) -> None:
+        """Guard against prompts that push each other out of one target's memory."""
+        work = {"engine-3": Work(n_requests=32, held_tokens=380_000)}
+        self.assertNotEqual(place(work=work, keepers=("engine-3",)), "engine-3")
+
+    def test_prompt_that_finds_all_targets_full_keeps_its_target(self) -> None:
+        """Fill all targets; reading the subject once more would not help."""
+        work = {target.name: Work(held_tokens=KV_TOKENS) for target in TARGETS}
+        self.assertEqual(place(work=work, keepers=("engine-3",)), "engine-3")
+
+    def test_late_prompt_goes_where_there_is_room(self) -> None:
+        """Guard against a subject of 60,000 tokens that all wait for at one target."""
+        work = {"engine-3": Work(n_requests=6, held_tokens=360_000)}
+        found = place(work=work, keepers=("engine-3",), n_tokens=60_000)
+        self.assertNotEqual(found, "engine-3")
+
     def test_second_keeper_takes_over(self) -> None:
         """Let two targets keep a subject, the first of them being busy."""
         work = {"engine-3": Work(prompt_tokens=20_000)}
--- a/trefoilstage/components/forwarding/messages.py
+++ b/trefoilstage/components/forwarding/messages.py
@@ -17,7 +17,8 @@
     """Hold what one host has under way at a target."""
 
     n_requests: Count
-    prompt_tokens: Count
+    prompt_tokens: Count  # to be read yet
+    held_tokens: Count = 0  # of the prompts under way
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -12,7 +12,11 @@
     Route,
     TargetEntry,
 )
-from trefoilstage.components.forwarding.placement import PromptNeed, find_subject
+from trefoilstage.components.forwarding.placement import (
+    PromptNeed,
+    count_tokens,
+    find_subject,
+)
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.run import Run
@@ -180,7 +184,7 @@
         waited_s = asyncio.get_running_loop().time() - run.started
         return PromptNeed(
             subject=find_subject(run.request.prompt),
-            n_tokens=sum(part.n_tokens for part in run.request.prompt),
+            n_tokens=count_tokens(run.request.prompt),
             objective_s=run.route.objective_s - waited_s,
         )
 
@@ -215,7 +219,7 @@
             answer = await self._sender.send(run.request, run.body, target, options)
         except BaseException:
             self._chooser.note_unread(target, sent)
-            self._chooser.note_end(target)
+            self._chooser.note_end(target, run.request.prompt)
             self._note_left(run, target)
             raise
         if isinstance(answer, OpenAnswer) and answer.head.success:
@@ -226,7 +230,7 @@
             # the target look the fastest, and prompts went there to fail.
             self._chooser.note_unread(target, sent)
         if not isinstance(answer, OpenAnswer):
-            self._chooser.note_end(target)
+            self._chooser.note_end(target, run.request.prompt)
             run.excluded.add(target.incarnation)
         if isinstance(answer, NotSent):
             run.n_runs -= 1
@@ -272,7 +276,7 @@
             raise
         finally:
             answer.close()
-            self._chooser.note_end(target)
+            self._chooser.note_end(target, run.request.prompt)
         if answer.head.success:
             self._crashes.note_sound(run.fingerprint)
         return True
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -22,6 +22,8 @@
 # What a second of reading costs besides the caller's own wait: the prompts behind it
 # wait as well, and what it reads takes the room of what others come back for.
 READING_WEIGHT = 2.0
+# The rest of a target's memory is for the answers and for parts that others share.
+USABLE_SHARE = 0.9
 # In a large fleet only so many targets are asked about a prompt at first, the same for
 # all prompts about one subject.
 N_CANDIDATES = 3
@@ -36,6 +38,7 @@
 
     n_requests: int = 0
     prompt_tokens: int = 0  # to be read yet
+    held_tokens: int = 0  # of the prompts under way
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -63,6 +66,7 @@
     work: Work
     n_kept_tokens: int = 0  # of the prompt, in the target's memory
     tokens_per_s: float = FIRST_TOKENS_PER_S  # that it reads
+    kv_tokens: int | None = None  # of its memory, None for a target without prompts
 
 
 def find_subject(prompt: Sequence[PromptPart]) -> str:
@@ -74,6 +78,11 @@
     return shared[-1].name if shared else ""
 
 
+def count_tokens(prompt: Sequence[PromptPart]) -> int:
+    """Return the tokens of a prompt."""
+    return sum(part.n_tokens for part in prompt)
+
+
 def estimate_first_token(option: Option, n_unread_tokens: int) -> float:
     """Return the seconds until a target has read what waits and this prompt."""
     n_tokens = option.work.prompt_tokens + n_unread_tokens
@@ -87,8 +96,20 @@
     return [by_name[name] for name in rank_names(subject, tuple(by_name))]
 
 
+def is_full(option: Option, need: PromptNeed) -> bool:
+    """Tell whether a target has no slot or no memory for one more prompt."""
+    if option.work.n_requests >= option.target.slots:
+        return True
+    if option.kv_tokens is None:
+        return False
+    room = USABLE_SHARE * option.kv_tokens - option.work.held_tokens
+    return need.n_tokens > room
+
+
 def is_late(option: Option, need: PromptNeed) -> bool:
     """Tell whether a prompt's first token would be late at a target."""
+    if is_full(option, need):
+        return True
     wait_s = estimate_first_token(option, need.n_tokens - option.n_kept_tokens)
     return wait_s > IN_TIME_SHARE * need.objective_s
 
@@ -97,14 +118,16 @@
     """Return where a prompt costs least, in time if that can be; the first of equals.
 
     A subject that no target has in memory goes where least waits, and so becomes
-    known there.
+    known there. At a full target a prompt waits for others to end, and takes the
+    memory of what they come back for; it goes there only if all are full.
     """
 
-    def weigh(option: Option) -> tuple[bool, float]:
+    def weigh(option: Option) -> tuple[bool, bool, float]:
         n_unread = need.n_tokens - option.n_kept_tokens
         wait_s = estimate_first_token(option, n_unread)
         reading_s = n_unread / option.tokens_per_s
-        return is_late(option, need), wait_s + READING_WEIGHT * reading_s
+        cost = wait_s + READING_WEIGHT * reading_s
+        return is_full(option, need), is_late(option, need), cost
 
     return min(options, key=weigh).target
 
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -13,6 +13,7 @@
     Survey,
     choose_by_load,
     choose_by_prompt,
+    count_tokens,
     is_late,
     rank_candidates,
 )
@@ -121,6 +122,7 @@
             work=self._workload.get_work(target.incarnation),
             n_kept_tokens=n_kept_tokens,
             tokens_per_s=self._workload.get_pace(target.incarnation),
+            kv_tokens=self._get_kv_tokens(target),
         )
 
     async def refresh(
@@ -167,15 +169,18 @@
     ) -> SentPrompt:
         """Count a request that is sent to a target; return what has to be read."""
         name = target.incarnation
-        n_tokens = sum(part.n_tokens for part in prompt)
+        n_tokens = count_tokens(prompt)
         sent = SentPrompt(
             n_unread=n_tokens - self._count_kept(target, prompt, survey.kept),
             n_ahead=self._workload.get_work(name).prompt_tokens,
             at=self._timer.now(),
         )
         if prompt:
-            self._workload.add_prompt(name, self._get_kv_tokens(target), prompt)
-        self._workload.add(name, n_requests=1, prompt_tokens=sent.n_unread)
+            kv_tokens = self._get_kv_tokens(target) or 0
+            self._workload.add_prompt(name, kv_tokens, prompt)
+        self._workload.add(
+            name, n_requests=1, prompt_tokens=sent.n_unread, held_tokens=n_tokens
+        )
         self._get_health(target).start(retry=False)
         return sent
 
@@ -190,15 +195,17 @@
         """Count a prompt that a target need not read any more."""
         self._workload.add(target.incarnation, prompt_tokens=-sent.n_unread)
 
-    def _get_kv_tokens(self, target: TargetEntry) -> int:
+    def _get_kv_tokens(self, target: TargetEntry) -> int | None:
         configuration = self._board.configuration
         service = configuration and configuration.services.get(target.service)
         engine = service.engine if service else None
-        return engine.kv_tokens if engine else 0
+        return engine.kv_tokens if engine else None
 
-    def note_end(self, target: TargetEntry) -> None:
+    def note_end(self, target: TargetEntry, prompt: Sequence[PromptPart]) -> None:
         """Count a request that ended at a target."""
-        self._workload.add(target.incarnation, n_requests=-1)
+        self._workload.add(
+            target.incarnation, n_requests=-1, held_tokens=-count_tokens(prompt)
+        )
         self._get_health(target).note_dropped()
 
     def note_answer(
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -93,12 +93,20 @@
         """Stop reporting."""
         self._unsubscribe()
 
-    def add(self, target: str, *, n_requests: int = 0, prompt_tokens: int = 0) -> None:
+    def add(
+        self,
+        target: str,
+        *,
+        n_requests: int = 0,
+        prompt_tokens: int = 0,
+        held_tokens: int = 0,
+    ) -> None:
         """Count work that begins, or, below 0, ends at a target."""
         known = self._own.get(target, NO_WORK)
         changed = TargetWork(
             n_requests=known.n_requests + n_requests,
             prompt_tokens=known.prompt_tokens + prompt_tokens,
+            held_tokens=known.held_tokens + held_tokens,
         )
         if changed == NO_WORK:
             self._own.pop(target, None)
@@ -134,9 +142,11 @@
         now = self._timer.now()
         if now - self._totals_at.get(target, float("-inf")) <= TOTALS_AGE_S:
             items.append(self._totals[target])
+        total = add_up(items)
         return Work(
-            n_requests=sum(item.n_requests for item in items),
-            prompt_tokens=sum(item.prompt_tokens for item in items),
+            n_requests=total.n_requests,
+            prompt_tokens=total.prompt_tokens,
+            held_tokens=total.held_tokens,
         )
 
     async def refresh(
@@ -311,4 +321,5 @@
     return TargetWork(
         n_requests=sum(item.n_requests for item in known),
         prompt_tokens=sum(item.prompt_tokens for item in known),
+        held_tokens=sum(item.held_tokens for item in known),
     )
