Keep one type of the work under way at a target; a report of an older host counts no memory

Placement and messages had a class each with the same three fields. The new test reads a report without held_tokens; it passes on the code before as well, by the field's default.

--- a/tests/components/forwarding/test_placement.py
+++ b/tests/components/forwarding/test_placement.py
@@ -9,12 +9,12 @@
 from trefoilstage.components.forwarding.placement import (
     Option,
     PromptNeed,
-    Work,
     choose_by_load,
     choose_by_prompt,
     find_subject,
     rank_candidates,
 )
+from trefoilstage.components.forwarding.work import Work
 
 IDLE = Work()
 TARGETS = [make_target(f"engine-{number}") for number in range(9)]
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -4,6 +4,8 @@
 from typing import Any
 from unittest import mock
 
+import cbor2
+
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
@@ -13,10 +15,11 @@
 from trefoilstage.components.forwarding.placement import (
     MAX_CANDIDATES,
     PromptNeed,
-    Work,
 )
 from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.forwarding.work import Work
 from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -131,6 +134,20 @@
         self.assertEqual(await self.ask(0.002), 0.05)
 
 
+class OlderHostTest(unittest.TestCase):
+    """Test what a host takes from one of an older version."""
+
+    def test_report_without_memory_counts_none(self) -> None:
+        """Guard against reports that are refused while a fleet is being replaced."""
+        report = WorkReport(host="host-1", work={"i-1": Work(n_requests=2)})
+        wire = cbor2.loads(
+            FLEET_CODEC.encode(Frame(number=1, reply=False, body=report))
+        )
+        del wire["body"]["work"]["i-1"]["held_tokens"]
+        decoded = FLEET_CODEC.decode(cbor2.dumps(wire)).body
+        self.assertEqual(decoded, report)
+
+
 class SurveyTest(unittest.IsolatedAsyncioTestCase):
     """Test how many targets are asked about for a prompt."""
 
--- a/trefoilstage/components/forwarding/messages.py
+++ b/trefoilstage/components/forwarding/messages.py
@@ -1,24 +1,12 @@
 """Define the message about work under way."""
 
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
-
-from pydantic import Field
+from typing import Literal
 
 from trefoilstage.components.forwarding.models import PromptPart
 from trefoilstage.components.forwarding.reading_pace import Reading
-from trefoilstage.helpers.fields import Name
-
-Count = Annotated[int, Field(ge=0)]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TargetWork:
-    """Hold what one host has under way at a target."""
-
-    n_requests: Count
-    prompt_tokens: Count  # to be read yet
-    held_tokens: Count = 0  # of the prompts under way
+from trefoilstage.components.forwarding.work import Work
+from trefoilstage.helpers.fields import Count, Name
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,7 +23,7 @@
     """Tell what a host has under way at each target, and what it sent since last."""
 
     host: Name
-    work: dict[Name, TargetWork]
+    work: dict[Name, Work]
     readings: dict[Name, Reading] = field(default_factory=dict)  # new ones only
     prompts: tuple[ReadPrompt, ...] = ()
     kind: Literal["work_report"] = "work_report"
@@ -58,7 +46,7 @@
 class WorkTotals:
     """Answer with the work of all hosts but the asking one, by target."""
 
-    work: dict[Name, TargetWork]
+    work: dict[Name, Work]
     kept: dict[Name, Count] = field(default_factory=dict)  # tokens of the prompt
     readings: dict[Name, Reading] = field(default_factory=dict)
     kind: Literal["work_totals"] = "work_totals"
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -11,6 +11,7 @@
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.reading_pace import FIRST_TOKENS_PER_S
+from trefoilstage.components.forwarding.work import Work
 from trefoilstage.util.hashing import rank_by_rendezvous, rank_names
 
 # Each request under way makes the tokens of the others slower: with 64 at once a
@@ -32,15 +33,6 @@
 MAX_CANDIDATES = 24
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Work:
-    """Hold what is under way at a target, from all hosts as far as known."""
-
-    n_requests: int = 0
-    prompt_tokens: int = 0  # to be read yet
-    held_tokens: int = 0  # of the prompts under way
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PromptNeed:
     """Hold what a placement has to know of a prompt."""
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -14,15 +14,14 @@
 from trefoilstage.components.forwarding.messages import (
     AskWork,
     ReadPrompt,
-    TargetWork,
     WorkReport,
     WorkTotals,
 )
 from trefoilstage.components.forwarding.models import PromptPart
-from trefoilstage.components.forwarding.placement import Work
 from trefoilstage.components.forwarding.prompt_cache import PromptCaches
 from trefoilstage.components.forwarding.reading_board import ReadingBoard
 from trefoilstage.components.forwarding.reading_pace import Reading
+from trefoilstage.components.forwarding.work import Work, add_up
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -52,7 +51,7 @@
 MAX_ASK_TIMEOUT_S = 0.5
 # What was asked for one request serves those that come just after it.
 TOTALS_AGE_S = 0.2
-NO_WORK = TargetWork(n_requests=0, prompt_tokens=0)
+NO_WORK = Work()
 
 
 class WorkloadController(Service):
@@ -70,15 +69,15 @@
         self._board = board
         self._links = links
         self._timer = timer
-        self._own: dict[str, TargetWork] = {}
+        self._own: dict[str, Work] = {}
         self._others: dict[str, WorkReport] = {}
         self._heard_at: dict[str, float] = {}
-        self._told: dict[str, TargetWork] = {}
+        self._told: dict[str, Work] = {}
         self._telling = False
         self._caches = PromptCaches()
         self._prompts: list[ReadPrompt] = []  # sent and not told yet
         self._readings = ReadingBoard()
-        self._totals: dict[str, TargetWork] = {}
+        self._totals: dict[str, Work] = {}
         self._totals_at: dict[str, float] = {}
         server.register(WorkReport, self._take_report)
         server.register(AskWork, self._answer_work)
@@ -103,11 +102,12 @@
     ) -> None:
         """Count work that begins, or, below 0, ends at a target."""
         known = self._own.get(target, NO_WORK)
-        changed = TargetWork(
-            n_requests=known.n_requests + n_requests,
-            prompt_tokens=known.prompt_tokens + prompt_tokens,
-            held_tokens=known.held_tokens + held_tokens,
+        more = Work(
+            n_requests=n_requests,
+            prompt_tokens=prompt_tokens,
+            held_tokens=held_tokens,
         )
+        changed = add_up([known, more])
         if changed == NO_WORK:
             self._own.pop(target, None)
         else:
@@ -142,12 +142,7 @@
         now = self._timer.now()
         if now - self._totals_at.get(target, float("-inf")) <= TOTALS_AGE_S:
             items.append(self._totals[target])
-        total = add_up(items)
-        return Work(
-            n_requests=total.n_requests,
-            prompt_tokens=total.prompt_tokens,
-            held_tokens=total.held_tokens,
-        )
+        return add_up(items)
 
     async def refresh(
         self, targets: Sequence[str], prompt: Sequence[PromptPart]
@@ -217,7 +212,7 @@
         }
         return WorkTotals(work=work, kept=kept, readings=readings)
 
-    def _list_others(self, target: str, without: str = "") -> list[TargetWork]:
+    def _list_others(self, target: str, without: str = "") -> list[Work]:
         oldest = self._timer.now() - MAX_AGE_S
         return [
             report.work[target]
@@ -273,20 +268,20 @@
                 self.add_future(self._tell(peer.peer_url, report))
 
     def _pick_readings(
-        self, readings: dict[str, Reading], work: Mapping[str, TargetWork]
+        self, readings: dict[str, Reading], work: Mapping[str, Work]
     ) -> dict[str, Reading]:
         if not self.is_large():
             return readings
         return {name: item for name, item in readings.items() if name in work}
 
     def _pick_prompts(
-        self, prompts: list[ReadPrompt], work: Mapping[str, TargetWork]
+        self, prompts: list[ReadPrompt], work: Mapping[str, Work]
     ) -> tuple[ReadPrompt, ...]:
         if not self.is_large():
             return tuple(prompts)
         return tuple(sent for sent in prompts if sent.target in work)
 
-    def _pick_audience(self, changed: set[str]) -> dict[str, dict[str, TargetWork]]:
+    def _pick_audience(self, changed: set[str]) -> dict[str, dict[str, Work]]:
         """Return what each host is told: all of this host's work, or its part."""
         if not self.is_large():
             return dict.fromkeys(self._board.peers, self._told)
@@ -313,13 +308,3 @@
     def _take_prompts(self, prompts: Iterable[ReadPrompt]) -> None:
         for sent in prompts:
             self._caches.add(sent.target, sent.kv_tokens, sent.parts)
-
-
-def add_up(items: Iterable[TargetWork]) -> TargetWork:
-    """Return the sum of several hosts' work."""
-    known = list(items)
-    return TargetWork(
-        n_requests=sum(item.n_requests for item in known),
-        prompt_tokens=sum(item.prompt_tokens for item in known),
-        held_tokens=sum(item.held_tokens for item in known),
-    )
--- a/trefoilstage/helpers/fields.py
+++ b/trefoilstage/helpers/fields.py
@@ -6,3 +6,4 @@
 
 Tokens = Annotated[int, Field(ge=0, le=1 << 53)]
 Name = Annotated[str, Field(max_length=300)]
+Count = Annotated[int, Field(ge=0)]
