Check the types of the tests as well

Types of tests were not checked at all. Of 69 findings one was a fault of the tests: the stand-ins of the platform's list held entries of another class than the product's. The others are casts, a narrowed union, names; no check changed but for one assertion more (a record of limits is a SetLimit).

--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -220,7 +220,8 @@
         link.call = mock.AsyncMock(return_value=make_beat_of("host-7", "seven-2", 9))
         host.membership.confirm("host-7")
         host.membership.confirm("host-7")
-        await asyncio.gather(*host.membership._futures)
+        futures = host.membership._futures  # type: ignore[attr-defined]
+        await asyncio.gather(*futures)
         self.assertEqual(host.board.peers["host-7"].incarnation, "seven-2")
         link.call.assert_awaited_once()
 
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -72,7 +72,8 @@
 
     def settle(self, *_: object) -> None: ...
 
-    def check(self, _: str) -> None: ...
+    def check(self, _: str) -> Refusal | None:
+        return None
 
     def note_sound(self, _: str) -> None: ...
 
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -43,7 +43,7 @@
             server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
             timer=self.timer,
         )
-        workload.add_future = self.run_now  # type: ignore[method-assign]
+        workload.add_future = self.run_now  # type: ignore[assignment,method-assign]
         self.waiting: list[Any] = []
         return workload
 
@@ -120,7 +120,8 @@
         )
         names = [f"i-{number}" for number in range(3)]
         await workload.refresh(names, ())
-        return max(call.kwargs["timeout_s"] for call in link.call.await_args_list)
+        calls = link.call.await_args_list
+        return float(max(call.kwargs["timeout_s"] for call in calls))
 
     async def test_answers_are_waited_for_as_long_as_the_hold_takes(self) -> None:
         """Ask over a link on which each call takes 0.3 s.
--- a/tests/components/relays.py
+++ b/tests/components/relays.py
@@ -5,11 +5,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from trefoilstage.blackboard import Blackboard
+from trefoilstage.blackboard import Blackboard, ListedHost
 from trefoilstage.components.log_client.client import LogPage, LogRecord
 from trefoilstage.components.peers.messages import PeerMessage
 from trefoilstage.components.peers.relay import RelayedLog
-from trefoilstage.configuration.fold import HostEntry
 from trefoilstage.exceptions import (
     LogUnavailableError,
     NotReadyError,
@@ -80,15 +79,7 @@
         """Return the board of a host that knows the others by the platform's list."""
         board = Blackboard(host=host, incarnation=f"{host}-1", data_center="brest")
         for name in names:
-            board.listed[name] = HostEntry(
-                host=name,
-                incarnation=f"{name}-1",
-                data_center="brest",
-                caller_url="",
-                operator_url="",
-                peer_url=name,
-                offset=0,
-            )
+            board.listed[name] = ListedHost(host=name, peer_url=name)
         return board
 
     def cut_off(self, name: str) -> None:
--- a/tests/components/targets/test_health.py
+++ b/tests/components/targets/test_health.py
@@ -8,7 +8,7 @@
 class TargetHealthTest(unittest.TestCase):
     """Let a target fail."""
 
-    def fail(self, health: TargetHealth, now: float, n_times: int) -> None:
+    def fail_requests(self, health: TargetHealth, now: float, n_times: int) -> None:
         """Send requests that fail at once."""
         for _ in range(n_times):
             health.start(retry=False)
@@ -16,7 +16,7 @@
 
     def test_failures_in_a_row_eject_and_one_probe_brings_back(self) -> None:
         health = TargetHealth()
-        self.fail(health, 0.0, MAX_FAILURES)
+        self.fail_requests(health, 0.0, MAX_FAILURES)
         self.assertFalse(health.may_send(0.1, retry=False))
         later = health.count_wait(0.0) + 0.01
         self.assertTrue(health.may_send(later, retry=False))
@@ -40,14 +40,14 @@
 
     def test_a_failed_probe_doubles_the_pause(self) -> None:
         health = TargetHealth()
-        self.fail(health, 0.0, MAX_FAILURES)
+        self.fail_requests(health, 0.0, MAX_FAILURES)
         first = health.count_wait(0.0)
-        self.fail(health, first, 1)
+        self.fail_requests(health, first, 1)
         self.assertEqual(health.count_wait(first), 2 * first)
 
     def test_late_failures_do_not_prolong_an_ejection(self) -> None:
         health = TargetHealth()
-        self.fail(health, 0.0, MAX_FAILURES)
+        self.fail_requests(health, 0.0, MAX_FAILURES)
         before = health.ejected_until
         health.note_failure(0.2)
         self.assertEqual(health.ejected_until, before)
--- a/tests/components/test_relay.py
+++ b/tests/components/test_relay.py
@@ -4,12 +4,11 @@
 import unittest
 
 from tests.components.relays import RelayFleet, ShortLog
-from trefoilstage.blackboard import Blackboard
+from trefoilstage.blackboard import Blackboard, ListedHost
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import FRAME_CODEC
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.configuration.fold import HostEntry
 from trefoilstage.exceptions import (
     LogUnavailableError,
     PeerUnavailableError,
@@ -52,15 +51,7 @@
         """
         board = Blackboard(host="h", incarnation="h-1", data_center="brest")
         for name in ("a", "b"):
-            board.listed[name] = HostEntry(
-                host=name,
-                incarnation=f"{name}-1",
-                data_center="brest",
-                caller_url="",
-                operator_url="",
-                peer_url=f"ws://{name}",
-                offset=0,
-            )
+            board.listed[name] = ListedHost(host=name, peer_url=f"ws://{name}")
         relay = RelayedLog(
             client=ShortLog(),  # type: ignore[arg-type]
             blackboard=board,
--- a/tests/fuzz/test_codecs.py
+++ b/tests/fuzz/test_codecs.py
@@ -29,7 +29,12 @@
     ConfigFold,
     LedgerFold,
 )
-from trefoilstage.components.peers.messages import FRAME_CODEC, Frame, Heartbeat
+from trefoilstage.components.peers.frames import Frame
+from trefoilstage.components.peers.messages import (
+    FRAME_CODEC,
+    Heartbeat,
+    PeerMessage,
+)
 from trefoilstage.configuration.fold import ConfigState, FileState
 from trefoilstage.configuration.records import ConfigRecord
 from trefoilstage.exceptions import MalformedMessageError, UnsupportedVersionError
@@ -272,7 +277,7 @@
         writer.close()
         async with connect(url, proxy=None) as connection:
             body = Heartbeat(host="host-1", incarnation="host-1-x")
-            frame = Frame(number=1, reply=False, body=body)
+            frame: Frame[PeerMessage] = Frame(number=1, reply=False, body=body)
             await connection.send(FRAME_CODEC.encode(frame))
             async with asyncio.timeout(5):
                 reply = await connection.recv()
@@ -310,11 +315,13 @@
 def make_frames() -> list[bytes]:
     """Return a fixed set of bad bytes: random, deep, damaged and mistyped."""
     body = Heartbeat(host="h", incarnation="i")
-    good = FRAME_CODEC.encode(Frame(number=1, reply=False, body=body))
+    frame: Frame[PeerMessage] = Frame(number=1, reply=False, body=body)
+    good = FRAME_CODEC.encode(frame)
     damaged = [damage(good, position, 0xFF, False) for position in range(len(good))]
     cut = [good[:position] for position in range(0, len(good), 5)]
     deep = [b"\x81" * 100_000, b"\xa1\x61a" * 5_000]
-    mistyped = [cbor2.dumps(item) for item in (1, None, "x", [], {}, {"number": -1})]
+    items: list[object] = [1, None, "x", [], {}, {"number": -1}]
+    mistyped = [cbor2.dumps(item) for item in items]
     tagged = [bytes([0xC2, 0x59, 0xFF, 0xFF]), bytes([0xD8, 0x1C, 0x81, 0xD8, 0x1D, 0])]
     return [b"\x00", *damaged, *cut, *deep, *mistyped, *tagged]
 
--- a/tests/fuzz/test_configuration_machine.py
+++ b/tests/fuzz/test_configuration_machine.py
@@ -334,6 +334,7 @@
         newest: dict[str, int] = {}
         for offset, data in enumerate(self.limits):
             record = self.hosts[0].ledger.decode(data).record
+            assert isinstance(record, SetLimit)
             newest[record.account] = max(
                 newest.get(record.account, -1), record.revision
             )
@@ -388,10 +389,10 @@
             limits.append(host.blackboard.config.limits["budget:x"])
         order = [limits[0], limits[2], limits[1]]
         for number, limit in enumerate(order):
-            record = SetLimit(
+            change = SetLimit(
                 account="budget:x", limit=limit.limit, revision=limit.revision
             )
-            data = host.ledger.encode(f"writer-{number}", 0, record)
+            data = host.ledger.encode(f"writer-{number}", 0, change)
             host.ledger.fold(number, host.ledger.decode(data))
         self.assertEqual(host.ledger.state.accounts["budget:x"].limit, 100)
 
--- a/tests/promises/test_leaving.py
+++ b/tests/promises/test_leaving.py
@@ -175,4 +175,4 @@
     async def is_sending(self, fleet: Fleet, host: Running, n_requests: int) -> bool:
         """Tell whether a host has so many requests under way to targets."""
         targets = await fleet.launcher.get_json(f"{host.operator_url}/targets")
-        return sum(target["active"] for target in targets) >= n_requests
+        return bool(sum(target["active"] for target in targets) >= n_requests)
--- a/tests/promises/test_membership.py
+++ b/tests/promises/test_membership.py
@@ -110,7 +110,7 @@
             running = asyncio.create_task(fleet.chat(lost, max_tokens=1000))
 
             async def is_drawn() -> bool:
-                return (await fleet.get_budget(fleet.hosts[0]))["held"] > 0
+                return bool((await fleet.get_budget(fleet.hosts[0]))["held"] > 0)
 
             await wait_for(is_drawn, "the draw")
             await fleet.launcher.kill(lost.name)
--- a/tests/promises/test_power.py
+++ b/tests/promises/test_power.py
@@ -323,7 +323,7 @@
         draw = pool["current"] if pool else None
         holds = draw["holds"].values() if draw else ()
         held = [hold for hold in holds if hold["confirmed"]]
-        return sum(hold["tokens"] for hold in held) >= watts
+        return bool(sum(hold["tokens"] for hold in held) >= watts)
 
     async def is_sealed(self, fleet: Fleet, host: Running, *, released: bool) -> bool:
         """Tell whether the first host's draw is sealed, or released as well."""
--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -23,7 +23,8 @@
         budget = await fleet.get_budget(host)
         executed = await fleet.count_executed()
         whole = budget["free"] + budget["spent"] == budget["paid"]
-        return whole and budget["held"] == 0 and budget["spent"] == executed
+        settled = budget["held"] == 0 and budget["spent"] == executed
+        return bool(whole and settled)
 
     await wait_for(is_settled, "all draws to be handed back")
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -23,7 +23,13 @@
 from trefoilstage.settings import HostSettings, load_settings
 
 EXAMPLES = sorted((ROOT / "examples").iterdir())
-ENTRY_NAMES = {("workspaces",), ("budgets",), ("sites",), ("models",), ("targets",)}
+ENTRY_NAMES: set[tuple[str, ...]] = {
+    ("workspaces",),
+    ("budgets",),
+    ("sites",),
+    ("models",),
+    ("targets",),
+}
 ENTRY_NAMES |= {("services",), ("services", "operations")}
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -49,6 +49,6 @@
                 ]
                 spent = sum(budget["spent"] for budget in budgets)
                 held = sum(budget["held"] for budget in budgets)
-                return spent == executed and held == 0
+                return bool(spent == executed and held == 0)
 
             await wait_for(is_settled, "the spend to show on a new host")
