Forget reports of hosts that are gone and totals of targets that have ended

Cause, by reading: WorkloadController kept the last report of each host by its name and the last total of each target by its start, for ever. A host that is replaced comes back under another name, a target that restarts under another start, so that a host's memory grew with both. What others told is now kept by code of its own (heard_work.py), out of the controller that asks and reports.

--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -11,6 +11,7 @@
 
 from mode import Service
 
+from trefoilstage.components.forwarding.heard_work import AskedWork, HeardWork
 from trefoilstage.components.forwarding.messages import (
     AskWork,
     ReadPrompt,
@@ -38,8 +39,6 @@
 LONG_PROMPT_TOKENS = 2_000
 COALESCE_S = 0.003
 TELL_TIMEOUT_S = 0.5
-# A host that is silent this long is taken to have nothing under way.
-MAX_AGE_S = 1.5
 # A host that was silent longer gathers nothing; as long as a heartbeat may take.
 MAX_SILENT_S = 3.0
 # The gathering host answers in 1 to 2 ms; a choice without its answer goes by what is
@@ -49,8 +48,6 @@
 # earlier, the busiest hosts would choose without knowing of the others' work.
 ASK_TIMEOUT_TRIPS = 1.5
 MAX_ASK_TIMEOUT_S = 0.5
-# What was asked for one request serves those that come just after it.
-TOTALS_AGE_S = 0.2
 NO_WORK = Work()
 
 
@@ -70,15 +67,13 @@
         self._links = links
         self._timer = timer
         self._own: dict[str, Work] = {}
-        self._others: dict[str, WorkReport] = {}
-        self._heard_at: dict[str, float] = {}
+        self._heard = HeardWork()
+        self._asked = AskedWork()
         self._told: dict[str, Work] = {}
         self._telling = False
         self._caches = PromptCaches()
         self._prompts: list[ReadPrompt] = []  # sent and not told yet
         self._readings = ReadingBoard()
-        self._totals: dict[str, Work] = {}
-        self._totals_at: dict[str, float] = {}
         server.register(WorkReport, self._take_report)
         server.register(AskWork, self._answer_work)
 
@@ -138,11 +133,10 @@
 
     def get_work(self, target: str) -> Work:
         """Return the work of all hosts at a target, as far as it is known."""
-        items = [self._own.get(target, NO_WORK), *self._list_others(target)]
         now = self._timer.now()
-        if now - self._totals_at.get(target, float("-inf")) <= TOTALS_AGE_S:
-            items.append(self._totals[target])
-        return add_up(items)
+        own = self._own.get(target, NO_WORK)
+        heard = self._heard.list_work(target, now)
+        return add_up([own, *heard, *self._asked.list_work(target, now)])
 
     async def refresh(
         self, targets: Sequence[str], prompt: Sequence[PromptPart]
@@ -181,8 +175,7 @@
         if not isinstance(reply, WorkTotals):
             return {}
         now = self._timer.now()
-        self._totals.update(reply.work)
-        self._totals_at.update(dict.fromkeys(reply.work, now))
+        self._asked.take(reply.work, now)
         self._readings.take(home, reply.readings, now)
         return reply.kept
 
@@ -192,35 +185,24 @@
         return min(wanted_s, MAX_ASK_TIMEOUT_S)
 
     async def _answer_work(self, message: AskWork) -> WorkTotals:
+        now = self._timer.now()
         work = {
-            target: add_up(
-                [
-                    self._own.get(target, NO_WORK),
-                    *self._list_others(target, without=message.host),
-                ]
-            )
+            target: self._add_up_others(target, now, message.host)
             for target in message.targets
         }
         kept = {
             target: self._caches.count_kept(target, message.prompt)
             for target in message.targets
         }
-        now = self._timer.now()
         readings = {
             target: self._readings.add_up(target, now, without=message.host)
             for target in message.targets
         }
         return WorkTotals(work=work, kept=kept, readings=readings)
 
-    def _list_others(self, target: str, without: str = "") -> list[Work]:
-        oldest = self._timer.now() - MAX_AGE_S
-        return [
-            report.work[target]
-            for host, report in self._others.items()
-            if target in report.work
-            and self._heard_at[host] >= oldest
-            and host != without
-        ]
+    def _add_up_others(self, target: str, now: float, asking: str) -> Work:
+        own = self._own.get(target, NO_WORK)
+        return add_up([own, *self._heard.list_work(target, now, without=asking)])
 
     def is_large(self) -> bool:
         """Tell whether targets' work is gathered at one host each."""
@@ -241,10 +223,9 @@
         await self._report()
 
     async def _report(self) -> None:
-        listed = self._board.targets.list_incarnations()
-        self._caches.forget_others(listed)
-        self._readings.forget_others(listed)
-        readings = self._readings.take_new(self._timer.now())
+        now = self._timer.now()
+        self._forget_old(now)
+        readings = self._readings.take_new(now)
         if self._own == self._told and not self._prompts and not readings:
             return
         changed = {
@@ -267,6 +248,13 @@
                 )
                 self.add_future(self._tell(peer.peer_url, report))
 
+    def _forget_old(self, now: float) -> None:
+        listed = self._board.targets.list_incarnations()
+        self._caches.forget_others(listed)
+        self._readings.forget_others(listed)
+        self._heard.forget_old(now)
+        self._asked.forget_old(now)
+
     def _pick_readings(
         self, readings: dict[str, Reading], work: Mapping[str, Work]
     ) -> dict[str, Reading]:
@@ -300,10 +288,10 @@
             return
 
     async def _take_report(self, report: WorkReport) -> None:
-        self._others[report.host] = report
-        self._heard_at[report.host] = self._timer.now()
+        now = self._timer.now()
+        self._heard.take(report.host, report.work, now)
         self._take_prompts(report.prompts)
-        self._readings.take(report.host, report.readings, self._timer.now())
+        self._readings.take(report.host, report.readings, now)
 
     def _take_prompts(self, prompts: Iterable[ReadPrompt]) -> None:
         for sent in prompts:
