Tell work that goes on again before the other hosts take it for ended

Cause, by reading: a host's report of its work counts for 1.5 s, and a host reported only what had changed. A stream that ran longer counted as ended, in a large fleet mostly, where each pair of hosts has few changes to tell. The new test counts 0 for 17,000 tokens held, 2 s into a request, on the code before, in a fleet of 7 and of 66.

--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -241,6 +241,18 @@
         kept = await network.workloads["host-2"].refresh(["i-1@0"], prompt)
         self.assertEqual(kept.get("i-1@0"), 900)
 
+    async def test_long_request_is_known_while_it_runs(self) -> None:
+        """Guard against targets that look idle 1.5 s after their last request came."""
+        for n_hosts in (7, 66):
+            network = Network(n_hosts)
+            network.workloads["host-0"].add("i-1", n_requests=1, held_tokens=17_000)
+            for _ in range(20):
+                network.timer.time += 0.1
+                await network.report("host-0")
+            asking = network.workloads["host-2"]
+            await asking.refresh(["i-1"], ())
+            self.assertEqual(asking.get_work("i-1").held_tokens, 17_000, n_hosts)
+
     async def test_silent_gathering_host_holds_nothing_up(self) -> None:
         """Ask a host that does not answer; the choice goes by own work."""
         network = Network(66)
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -6,12 +6,17 @@
 """
 
 import asyncio
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from mode import Service
 
-from trefoilstage.components.forwarding.heard_work import AskedWork, HeardWork
+from trefoilstage.components.forwarding.heard_work import (
+    MAX_AGE_S,
+    AskedWork,
+    HeardWork,
+)
 from trefoilstage.components.forwarding.messages import (
     AskWork,
     ReadPrompt,
@@ -41,6 +46,8 @@
 TELL_TIMEOUT_S = 0.5
 # A host that was silent longer gathers nothing; as long as a heartbeat may take.
 MAX_SILENT_S = 3.0
+# Work that goes on is told again before the others take it for ended.
+REPEAT_S = MAX_AGE_S / 2
 # The gathering host answers in 1 to 2 ms; a choice without its answer goes by what is
 # known here.
 ASK_TIMEOUT_S = 0.05
@@ -70,6 +77,7 @@
         self._heard = HeardWork()
         self._asked = AskedWork()
         self._told: dict[str, Work] = {}
+        self._told_at: dict[str, float] = {}
         self._telling = False
         self._caches = PromptCaches()
         self._prompts: list[ReadPrompt] = []  # sent and not told yet
@@ -226,17 +234,14 @@
         now = self._timer.now()
         self._forget_old(now)
         readings = self._readings.take_new(now)
-        if self._own == self._told and not self._prompts and not readings:
-            return
-        changed = {
-            target
-            for target in self._own.keys() | self._told.keys()
-            if self._own.get(target) != self._told.get(target)
-        }
+        changed = self._pick_changed(now)
         prompts, self._prompts = self._prompts, []
         changed.update(sent.target for sent in prompts)
         changed.update(readings)
+        if not changed:
+            return
         self._told = dict(self._own)
+        self._note_told(changed, now)
         for host, work in self._pick_audience(changed).items():
             peer = self._board.peers.get(host)
             if peer is not None and peer.serving and not peer.failed:
@@ -248,6 +253,22 @@
                 )
                 self.add_future(self._tell(peer.peer_url, report))
 
+    def _pick_changed(self, now: float) -> set[str]:
+        """Return the targets whose work others don't know or would soon forget."""
+        return {
+            target
+            for target in self._own.keys() | self._told.keys()
+            if self._own.get(target) != self._told.get(target)
+            or now - self._told_at.get(target, -math.inf) >= REPEAT_S
+        }
+
+    def _note_told(self, changed: set[str], now: float) -> None:
+        told = changed if self.is_large() else self._told.keys()
+        self._told_at.update(dict.fromkeys(told, now))
+        self._told_at = {
+            target: at for target, at in self._told_at.items() if target in self._told
+        }
+
     def _forget_old(self, now: float) -> None:
         listed = self._board.targets.list_incarnations()
         self._caches.forget_others(listed)
