Ask about targets again when a prompt has waited since it asked

Cause, by reading: targets are surveyed when a request comes, beside its hold. A hold that waits out an outage takes seconds, the answers count for 0.2 s, and the choice then went by the host's own work; so did a second attempt. All that waited chose the same targets. Seen failing without the change: test_prompt_that_waited_asks_about_targets_again (1 survey in place of 2).

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, cast
 
+from bench.emulator.clock import run_virtually
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_route, make_target
 from trefoilstage.components.escrow.client import Hold
@@ -153,6 +154,39 @@
         self.assertEqual((parts.n_read, parts.n_unread), ([17_000], []))
 
 
+@dataclass(kw_only=True)
+class SlowParts(Parts):
+    """Grant the hold late, and count the surveys of targets."""
+
+    hold_s: float
+    n_surveys: int = 0
+
+    async def hold(self, *_: object) -> Hold:
+        await asyncio.sleep(self.hold_s)
+        return await super().hold()
+
+    async def refresh(self, *_: object) -> Survey:
+        self.n_surveys += 1
+        return Survey()
+
+
+class SurveyTest(unittest.TestCase):
+    """Test what a choice goes by."""
+
+    def count_surveys(self, hold_s: float) -> int:
+        """Return how often targets are surveyed for one prompt."""
+        parts = SlowParts(status=200, hold_s=hold_s)
+        run_virtually(ask(parts, RouteKind.ONCE, max_attempts=1))
+        return parts.n_surveys
+
+    def test_prompt_that_waited_asks_about_targets_again(self) -> None:
+        """Guard against all that waited out an outage choosing the same targets."""
+        self.assertEqual(self.count_surveys(2.0), 2)
+
+    def test_prompt_that_did_not_wait_asks_once(self) -> None:
+        self.assertEqual(self.count_surveys(0.01), 1)
+
+
 BLOCKED = Refusal(reason=Reason.CRASHES_TARGETS, retry_after_s=60.0)
 
 
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -8,6 +8,7 @@
 from trefoilstage.components.escrow.client import EscrowClient, Hold
 from trefoilstage.components.escrow.patience import Patience
 from trefoilstage.components.forwarding.border import ForwardOptions
+from trefoilstage.components.forwarding.heard_work import TOTALS_AGE_S
 from trefoilstage.components.forwarding.models import (
     Route,
     TargetEntry,
@@ -69,11 +70,7 @@
             return blocked
         run.service_name = self._pick_service(run.route)
         # Asked beside the hold: both take a call, and neither needs the other's answer.
-        refresh = asyncio.create_task(
-            self._chooser.refresh(
-                run.service_name, self._find_need(run), run.request.prompt
-            )
-        )
+        survey = asyncio.create_task(self._survey(run))
         hold: Hold | Refusal | None = None
         try:
             async with asyncio.timeout_at(run.deadline):
@@ -81,16 +78,22 @@
                 if isinstance(hold, Refusal):
                     return hold
                 run.held_at = asyncio.get_running_loop().time()
-                run.survey = await refresh
+                await survey
                 return await self._deliver(run, reply)
         except TimeoutError:
             return self._refuse_late(run)
         finally:
-            refresh.cancel()
+            survey.cancel()
             if isinstance(hold, Hold):
                 self._escrow.settle(hold, run.count_spent())
                 self._log_end(run, hold)
 
+    async def _survey(self, run: Run) -> None:
+        run.survey = await self._chooser.refresh(
+            run.service_name, self._find_need(run), run.request.prompt
+        )
+        run.surveyed_at = asyncio.get_running_loop().time()
+
     async def _hold(self, run: Run) -> Hold | Refusal:
         patience = Patience.start(
             now=run.started,
@@ -143,6 +146,10 @@
         self._chooser.note_request(service)
         failure = NO_TARGET
         while True:
+            now = asyncio.get_running_loop().time()
+            if now - run.surveyed_at > TOTALS_AGE_S:
+                # Else all that waited out one outage would choose the same targets.
+                await self._survey(run)
             # A target may have ended under it, here or elsewhere, since it came.
             blocked = self._crashes.check(run.fingerprint)
             if blocked is not None:
--- a/trefoilstage/components/forwarding/run.py
+++ b/trefoilstage/components/forwarding/run.py
@@ -30,6 +30,7 @@
     n_sends: int = 0
     excluded: set[str] = field(default_factory=set)  # incarnations that were tried
     survey: Survey = field(default_factory=Survey)  # of targets for its prompt
+    surveyed_at: float = 0.0
     last_event: int | None = None
     n_events: int = 0
     complete: bool = False
