Ask about targets again only where asking is quick

On a full link each call takes 0.3 s and more, and a prompt that waited there would be held up for one more answer. The rule is the chooser's now, tested for small and large fleets and full links.

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -50,6 +50,9 @@
     async def refresh(self, *_: object) -> Survey:
         return Survey()
 
+    def should_ask_again(self, asked_at: float) -> bool:
+        return asyncio.get_running_loop().time() - asked_at > 0.2
+
     def choose(self, **_: object) -> Any:
         return make_target("i-1")
 
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -135,6 +135,38 @@
         self.assertEqual(await self.ask(0.002), 0.05)
 
 
+class OutdatedSurveyTest(unittest.TestCase):
+    """Test when a host of a large fleet asks about targets once more."""
+
+    def should_ask(self, *, n_hosts: int, trip_s: float, age_s: float) -> bool:
+        """Return whether to ask again over a link, some time after the last answer."""
+        network = Network(n_hosts)
+        workload = network.workloads["host-0"]
+        board = workload._board
+        for _ in range(N_CALLS):
+            board.round_trips.note_answer(trip_s, 0.0)
+        chooser = TargetChooser(
+            board=board,
+            membership=mock.Mock(),
+            settings=mock.Mock(),
+            timer=network.timer,
+            workload=workload,
+        )
+        network.timer.time = age_s
+        return chooser.should_ask_again(0.0)
+
+    def test_old_answers_are_asked_for_again(self) -> None:
+        self.assertTrue(self.should_ask(n_hosts=66, trip_s=0.002, age_s=1.0))
+        self.assertFalse(self.should_ask(n_hosts=66, trip_s=0.002, age_s=0.1))
+
+    def test_small_fleet_knows_without_asking(self) -> None:
+        self.assertFalse(self.should_ask(n_hosts=7, trip_s=0.002, age_s=1.0))
+
+    def test_full_link_is_not_loaded_further(self) -> None:
+        """Guard against late prompts that wait for one more answer on a full link."""
+        self.assertFalse(self.should_ask(n_hosts=66, trip_s=0.4, age_s=1.0))
+
+
 class OlderHostTest(unittest.TestCase):
     """Test what a host takes from one of an older version."""
 
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -8,7 +8,6 @@
 from trefoilstage.components.escrow.client import EscrowClient, Hold
 from trefoilstage.components.escrow.patience import Patience
 from trefoilstage.components.forwarding.border import ForwardOptions
-from trefoilstage.components.forwarding.heard_work import TOTALS_AGE_S
 from trefoilstage.components.forwarding.models import (
     Route,
     TargetEntry,
@@ -146,9 +145,7 @@
         self._chooser.note_request(service)
         failure = NO_TARGET
         while True:
-            now = asyncio.get_running_loop().time()
-            if now - run.surveyed_at > TOTALS_AGE_S:
-                # Else all that waited out one outage would choose the same targets.
+            if self._chooser.should_ask_again(run.surveyed_at):
                 await self._survey(run)
             # A target may have ended under it, here or elsewhere, since it came.
             blocked = self._crashes.check(run.fingerprint)
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.forwarding.heard_work import TOTALS_AGE_S
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.placement import (
     MAX_CANDIDATES,
@@ -150,6 +151,17 @@
                 break
         return Survey(kept=kept, n_candidates=n_asked)
 
+    def should_ask_again(self, asked_at: float) -> bool:
+        """Tell whether what was learned of targets is too old to choose by.
+
+        All that waited out one outage would choose the same targets by it. On a full
+        link, asking once more would hold them up.
+        """
+        now = self._timer.now()
+        if not self._workload.is_large() or now - asked_at <= TOTALS_AGE_S:
+            return False
+        return self._board.round_trips.estimate(now) <= MAX_ASKING_S
+
     def has_other(self, service: str, excluded: set[str]) -> bool:
         """Tell whether a service has a ready target besides some."""
         ready = self._board.targets.list_ready(service, self._timer.now())
