--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
+from trefoilstage.components.forwarding.prompt_cache import USABLE_SHARE
 from trefoilstage.components.forwarding.reading_pace import FIRST_TOKENS_PER_S
 from trefoilstage.components.forwarding.work import Work
 from trefoilstage.util.hashing import rank_by_rendezvous, rank_names
@@ -23,8 +24,6 @@
 # What a second of reading costs besides the caller's own wait: the prompts behind it
 # wait as well, and what it reads takes the room of what others come back for.
 READING_WEIGHT = 2.0
-# The rest of a target's memory is for the answers and for parts that others share.
-USABLE_SHARE = 0.9
 # In a large fleet only so many targets are asked about a prompt at first, the same for
 # all prompts about one subject.
 N_CANDIDATES = 3
