--- a/tests/components/forwarding/test_targets.py
+++ b/tests/components/forwarding/test_targets.py
@@ -1,6 +1,7 @@
 """Test what the chooser keeps of targets."""
 
 import unittest
+from collections.abc import Sequence
 from typing import Any, cast
 from unittest import mock
 
@@ -8,10 +9,16 @@
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
-from trefoilstage.components.forwarding.models import PromptPart
-from trefoilstage.components.forwarding.placement import Survey
+from trefoilstage.components.forwarding.models import (
+    Engine,
+    FleetConfiguration,
+    PromptPart,
+    ServiceConfig,
+)
+from trefoilstage.components.forwarding.placement import PromptNeed, Survey
 from trefoilstage.components.forwarding.sender import NotSent
 from trefoilstage.components.forwarding.targets import TargetChooser
+from trefoilstage.components.forwarding.work import Work
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.server import PeerServer
 
@@ -53,6 +60,19 @@
         )
         return target.incarnation if target else ""
 
+    def choose_for(self, prompt: Sequence[PromptPart]) -> str:
+        """Return the incarnation that a prompt goes to."""
+        need = PromptNeed(subject="dossier", n_tokens=60_000, objective_s=10.0)
+        target = self.chooser.choose(
+            service="assistant",
+            excluded=set(),
+            need=need,
+            prompt=prompt,
+            survey=Survey(),
+            request="r-1",
+        )
+        return target.incarnation if target else ""
+
     async def test_restarted_target_is_forgiven(self) -> None:
         """Eject a target, then let it start again under its name beside another."""
         old = make_target("i-1", started_ms=1)
@@ -101,6 +121,34 @@
         work = self.workload.get_work(target.incarnation)
         self.assertEqual(work.prompt_tokens, 4_000)
 
+    async def test_memory_is_held_until_the_request_ends(self) -> None:
+        """Guard against targets that look full, or free, whatever runs there."""
+        target = make_target("i-1")
+        prompt = (PromptPart(name="own", n_tokens=17_000),)
+        sent = self.chooser.note_start(target, prompt, Survey())
+        self.chooser.note_first_token(target, sent)
+        work = self.workload.get_work(target.incarnation)
+        self.assertEqual(work, Work(n_requests=1, held_tokens=17_000))
+        self.chooser.note_end(target, prompt)
+        self.assertEqual(self.workload.get_work(target.incarnation), Work())
+
+    async def test_target_whose_memory_is_taken_is_left(self) -> None:
+        """Guard against a configured memory that the choice does not see."""
+        engine = Engine(slots=64, kv_tokens=100_000, tokens_per_event=5)
+        service = ServiceConfig(
+            name="assistant", health_path="/", max_connections=10, engine=engine
+        )
+        self.board.configuration = FleetConfiguration(services={"assistant": service})
+        targets = [make_target("i-1"), make_target("i-2")]
+        for target in targets:
+            self.board.targets.add(target)
+        prompt = (PromptPart(name="dossier", n_tokens=60_000),)
+        for target in targets:
+            sent = self.chooser.note_start(target, prompt, Survey())
+            self.chooser.note_first_token(target, sent)
+            self.assertNotEqual(self.choose_for(prompt), target.incarnation)
+            self.chooser.note_end(target, prompt)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -10,6 +10,7 @@
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.heard_work import MAX_AGE_S, TOTALS_AGE_S
 from trefoilstage.components.forwarding.messages import AskWork, WorkReport
 from trefoilstage.components.forwarding.models import PromptPart
 from trefoilstage.components.forwarding.placement import (
@@ -194,6 +195,11 @@
         names = [name for call in survey.asked for name in call]
         self.assertEqual(len(set(names)), MAX_CANDIDATES)
 
+    async def test_more_targets_are_asked_while_those_known_are_full(self) -> None:
+        """Guard against a subject that waits for three targets while others idle."""
+        survey = AskedTargets(Work(n_requests=make_target("i-0").slots))
+        self.assertEqual(await survey.ask(), [3, 3, 6, 12])
+
 
 class Link:
     """Deliver messages to one host."""
@@ -285,6 +291,21 @@
             await asking.refresh(["i-1"], ())
             self.assertEqual(asking.get_work("i-1").held_tokens, 17_000, n_hosts)
 
+    async def test_hosts_and_targets_that_are_gone_are_forgotten(self) -> None:
+        """Guard against memory that grows with each replaced host and target."""
+        network = Network(66)
+        workload = network.workloads["host-2"]
+        for number in range(100):
+            network.timer.time += 0.02
+            work = {f"i-1@{number}": Work(n_requests=1)}
+            await workload._take_report(WorkReport(host=f"new-{number}", work=work))
+            await workload.refresh(list(work), ())
+            await network.report("host-2")
+        network.timer.time += MAX_AGE_S + TOTALS_AGE_S
+        await network.report("host-2")
+        self.assertEqual(workload._heard.reports, {})
+        self.assertEqual(workload._asked.totals, {})
+
     async def test_silent_gathering_host_holds_nothing_up(self) -> None:
         """Ask a host that does not answer; the choice goes by own work."""
         network = Network(66)
