--- a/tests/fuzz/test_configuration_machine.py
+++ b/tests/fuzz/test_configuration_machine.py
@@ -1,8 +1,6 @@
 """Drive the configuration's fold on several hosts through every order of faults."""
 
-import asyncio
 import unittest
-from dataclasses import dataclass, field
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -13,18 +11,12 @@
     run_state_machine_as_test,
 )
 
-from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.log_client.checkpoints import (
-    CheckpointAssembly,
-    PackedState,
-    compress_state,
-    split_checkpoint,
-)
-from trefoilstage.components.log_client.folds import ConfigFold, LedgerFold
+from tests.fuzz.configuration_host import SimHost, pack
+from tests.fuzz.configuration_oracle import Oracle
+from trefoilstage.components.log_client.checkpoints import split_checkpoint
 from trefoilstage.configuration.merge import merge_files
 from trefoilstage.configuration.records import HostDown, HostUp, Publish, Remove
-from trefoilstage.exceptions import MalformedMessageError
-from trefoilstage.ledger.records import Checkpoint, SetLimit
+from trefoilstage.ledger.records import SetLimit
 
 N_HOSTS = 3
 PLACES = st.integers(min_value=0, max_value=N_HOSTS - 1)
@@ -64,113 +56,6 @@
 )
 
 
-@dataclass(kw_only=True)
-class Oracle:
-    """Judge changes in log order by the plain rules, with nothing remembered."""
-
-    contents: dict[str, str] = field(default_factory=dict)
-    revisions: dict[str, int] = field(default_factory=dict)
-    revision: int = -1
-    operations: set[str] = field(default_factory=set)
-    streams: int = 1
-    hosts: dict[str, str] = field(default_factory=dict)
-
-    def judge(self, offset: int, writer: str, record: object) -> None:
-        """Take the first landing of a record; repeats are never judged."""
-        if isinstance(record, Publish | Remove):
-            self.change(offset, record)
-        if isinstance(record, HostUp):
-            self.hosts[record.host] = writer
-        if isinstance(record, HostDown):
-            present = self.hosts.items()
-            self.hosts = {k: v for k, v in present if v != record.incarnation}
-
-    def change(self, offset: int, record: Publish | Remove) -> None:
-        """Take a change if its base is current and all files together are valid."""
-        if record.operation in self.operations:
-            return
-        self.operations.add(record.operation)
-        if record.base_revision != self.revisions.get(record.name, -1):
-            return
-        if isinstance(record, Remove) and record.name not in self.contents:
-            return
-        after = dict(self.contents)
-        after.pop(record.name, None)
-        if isinstance(record, Publish):
-            after[record.name] = record.content
-        merged = merge_files(after).configuration
-        if merged is None:
-            return
-        if self.contents and merged.fleet.ledger_streams != self.streams:
-            return
-        self.streams = merged.fleet.ledger_streams
-        self.revision = offset
-        self.contents = after
-        self.revisions.pop(record.name, None)
-        if isinstance(record, Publish):
-            self.revisions[record.name] = offset
-
-    def copy(self) -> "Oracle":
-        """Return the same verdicts to go on from."""
-        return Oracle(
-            contents=dict(self.contents),
-            revisions=dict(self.revisions),
-            revision=self.revision,
-            operations=set(self.operations),
-            streams=self.streams,
-            hosts=dict(self.hosts),
-        )
-
-
-class SimHost:
-    """Follow the simulated log as a host does, with the product's own folds."""
-
-    def __init__(self, *, incarnation: str) -> None:
-        self.incarnation = incarnation
-        self.sequence = 0
-        self.blackboard = Blackboard(host="h", incarnation=incarnation, data_center="d")
-        self.config = ConfigFold(blackboard=self.blackboard)
-        self.ledger = LedgerFold(blackboard=self.blackboard, number=0)
-
-    def encode(self, record: object) -> bytes:
-        """Return the record's bytes with this host's next sequence."""
-        self.sequence += 1
-        return self.config.encode(self.incarnation, self.sequence, record)
-
-    def read(self, log: dict[int, bytes], earliest: int, n_records: int) -> None:
-        """Fold some records, from a checkpoint where the first ones are gone."""
-        if self.config.next_offset < earliest and not self.restore(log):
-            return
-        for _ in range(n_records):
-            offset = self.config.next_offset
-            if offset not in log:
-                return
-            try:
-                self.config.fold(offset, self.config.decode(log[offset]))
-            except MalformedMessageError:
-                self.config.skip(offset)
-
-    def restore(self, log: dict[int, bytes]) -> bool:
-        """Take the first whole checkpoint that leads on from kept records."""
-        assembly = CheckpointAssembly()
-        for offset in sorted(log):
-            try:
-                envelope = self.config.decode(log[offset])
-            except MalformedMessageError:
-                continue
-            if not isinstance(envelope.record, Checkpoint):
-                continue
-            packed = assembly.add(envelope.incarnation, envelope.record)
-            if packed is not None and packed.offset >= min(log):
-                return self.config.restore(packed)
-        return False
-
-
-def pack(host: SimHost) -> PackedState:
-    """Return the checkpoint form of a host's configuration."""
-    return asyncio.run(compress_state(host.config.dump()))
-
-
 class ConfigurationMachine(RuleBasedStateMachine):
     """Let operators race at hosts that lag, die and start from checkpoints."""
 
