--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -109,10 +109,11 @@
     """Return where a prompt costs least, in time if that can be; the first of equals.
 
     A subject that no target has in memory goes where least waits, and so becomes
-    known there. At a full target a prompt waits for others to end, and takes the
-    memory of what they come back for; it goes there only if all are full.
+    known there.
     """
 
+    # At a full target a prompt waits until others end, and pushes out the parts that
+    # the next ones share.
     def weigh(option: Option) -> tuple[bool, bool, float]:
         n_unread = need.n_tokens - option.n_kept_tokens
         wait_s = estimate_first_token(option, n_unread)
--- a/trefoilstage/components/forwarding/targets.py
+++ b/trefoilstage/components/forwarding/targets.py
@@ -152,14 +152,12 @@
         return Survey(kept=kept, n_candidates=n_asked)
 
     def should_ask_again(self, asked_at: float) -> bool:
-        """Tell whether what was learned of targets is too old to choose by.
-
-        All that waited out one outage would choose the same targets by it. On a full
-        link, asking once more would hold them up.
-        """
+        """Tell whether what was learned of targets is too old to choose by."""
         now = self._timer.now()
+        # Else all that waited out one outage would choose the same targets.
         if not self._workload.is_large() or now - asked_at <= TOTALS_AGE_S:
             return False
+        # On a full link the answer would take longer than it is worth.
         return self._board.round_trips.estimate(now) <= MAX_ASKING_S
 
     def has_other(self, service: str, excluded: set[str]) -> bool:
