--- /dev/null
+++ b/tests/components/log_faults.py
@@ -0,0 +1,359 @@
+"""Play hosts before a short log under random faults, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from mode import Service
+
+from tests.components.relays import HandlerTable
+from trefoilstage.blackboard import Blackboard, ListedHost, PeerStatus, StreamStatus
+from trefoilstage.components.log_client.checkpoints import (
+    CheckpointSchedule,
+    PackedState,
+    compress_state,
+)
+from trefoilstage.components.log_client.client import LogPage, LogRecord
+from trefoilstage.components.log_client.folds import ConfigFold
+from trefoilstage.components.log_client.stream import StreamService
+from trefoilstage.components.peers.relay import RelayedLog
+from trefoilstage.components.peers.snapshots import SnapshotServer
+from trefoilstage.configuration.records import HostUp, Publish
+from trefoilstage.exceptions import (
+    LogUnavailableError,
+    NotReadyError,
+    PeerUnavailableError,
+    RecordsExpiredError,
+)
+from trefoilstage.helpers.verdict import Verdict
+
+STREAM = "config"
+CALL_S = 0.004
+POLL_S = 1.0
+LOG_TIMEOUT_S = 0.5
+HEARTBEAT_S = 0.3
+SUSPECT_S = 1.5
+SETTLE_S = 30.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Faults:
+    """Hold what befalls the calls of one host."""
+
+    cut: bool = False
+    frozen: bool = False
+    # Shares of the log's calls.
+    lose_requests: float = 0.0
+    lose_answers: float = 0.0
+    late_answers: float = 0.0
+    late_s: float = 0.0
+
+
+@dataclass(kw_only=True, slots=True)
+class FaultyLog:
+    """Keep the newest records of one stream."""
+
+    n_kept: int = 1
+    down: bool = False
+    records: list[bytes] = field(default_factory=list)
+
+    @property
+    def earliest(self) -> int:
+        """Return the first offset that is kept."""
+        return max(0, len(self.records) - self.n_kept)
+
+
+@dataclass(kw_only=True, slots=True)
+class FaultyLink:
+    """Reach the log as one host does."""
+
+    world: "World"
+    host: "Host"
+
+    async def append(
+        self, stream: str, records: list[bytes], *, timeout_s: float
+    ) -> int:
+        """Append a group and return its first offset."""
+        async with self._call(timeout_s) as log:
+            first = len(log.records)
+            log.records += records
+        return first
+
+    async def read(
+        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> LogPage:
+        """Return the records from an offset on, waiting for the first one."""
+        async with self._call(timeout_s + wait_s) as log:
+            until = self.world.now() + wait_s
+            while offset >= len(log.records) and self.world.now() < until:
+                await asyncio.sleep(CALL_S)
+            end, earliest = len(log.records), log.earliest
+            kept = tuple(
+                LogRecord(offset=place, data=log.records[place])
+                for place in range(max(offset, earliest), end)
+            )
+        if offset < earliest:
+            raise RecordsExpiredError(earliest=earliest)
+        return LogPage(records=kept, next_offset=end)
+
+    @asynccontextmanager
+    async def _call(self, timeout_s: float) -> AsyncIterator[FaultyLog]:
+        """Lose the request or the answer, or let it come late, as told."""
+        world, faults = self.world, self.host.faults
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(CALL_S)
+                await self._pass(faults.lose_requests)
+                if world.log.down:
+                    raise LogUnavailableError("status 503")
+                yield world.log
+                await asyncio.sleep(CALL_S)
+                if world.random.random() < faults.late_answers:
+                    await asyncio.sleep(faults.late_s)
+                await self._pass(faults.lose_answers)
+        except TimeoutError as error:
+            raise LogUnavailableError("timeout") from error
+
+    async def _pass(self, share: float) -> None:
+        if self.world.random.random() < share:
+            raise LogUnavailableError("connection lost")
+        while self.host.faults.cut or self.host.faults.frozen:
+            await asyncio.sleep(CALL_S)
+
+
+class Host(Service):
+    """Own the stream, relay and board of one incarnation."""
+
+    def __init__(self, *, world: "World", name: str, number: int) -> None:
+        super().__init__()
+        self.name = name
+        self.faults = Faults()
+        self.dead = False
+        self.handlers = HandlerTable()
+        self.incarnation = f"{name}-{number}"
+        self.board = Blackboard(
+            host=name, incarnation=self.incarnation, data_center="brest"
+        )
+        for other in world.names:
+            self.board.listed[other] = ListedHost(host=other, peer_url=other)
+        self.board.streams[STREAM] = StreamStatus()
+        generator = random.Random(f"{world.seed}{self.incarnation}")
+        self.relay = RelayedLog(
+            client=FaultyLink(world=world, host=self),  # type: ignore[arg-type]
+            blackboard=self.board,
+            links=Links(world=world, host=self),  # type: ignore[arg-type]
+            server=self.handlers,  # type: ignore[arg-type]
+            timeout_s=LOG_TIMEOUT_S,
+            generator=generator,
+        )
+        self.fold = RecordedFold(blackboard=self.board)
+        self.stream = StreamService(
+            name=STREAM,
+            incarnation=self.incarnation,
+            source=self.relay,
+            fold=self.fold,
+            status=self.board.streams[STREAM],
+            poll_s=POLL_S,
+            schedule=CheckpointSchedule(every=1_000, interval_s=world.checkpoint_s),
+            rank_writer=lambda _: world.names.index(name),
+            generator=generator,
+        )
+        SnapshotServer(server=self.handlers, pack=self.pack)  # type: ignore[arg-type]
+
+    async def pack(self, name: str) -> PackedState | None:
+        """Return the stream's state once it is whole."""
+        if not self.stream.status.caught_up:
+            return None
+        return await compress_state(self.stream.fold.dump())
+
+    async def on_start(self) -> None:
+        """Follow the stream and announce this host."""
+        await self.add_runtime_dependency(self.relay)
+        await self.add_runtime_dependency(self.stream)
+        self.stream.submit(
+            HostUp(
+                host=self.name,
+                data_center="brest",
+                caller_url="",
+                operator_url="",
+                peer_url=self.name,
+            )
+        )
+
+
+class RecordedFold(ConfigFold):
+    """Note at which offsets records were folded and which were passed over."""
+
+    def __init__(self, *, blackboard: Blackboard) -> None:
+        super().__init__(blackboard=blackboard)
+        self.folded: dict[int, object] = {}
+
+    def fold(self, offset: int, envelope: Any) -> Verdict:
+        """Note what was folded."""
+        if offset >= self.next_offset:
+            self.folded[offset] = (envelope.incarnation, envelope.sequence)
+        return super().fold(offset, envelope)
+
+    def skip(self, offset: int) -> None:
+        """Note what was passed over."""
+        if offset >= self.next_offset:
+            self.folded[offset] = None
+        super().skip(offset)
+
+
+@dataclass(kw_only=True, slots=True)
+class Links:
+    """Give the links of one host to its peers."""
+
+    world: "World"
+    host: Host
+
+    def get_link(self, url: str) -> "Link":
+        """Return the link to a peer."""
+        return Link(world=self.world, host=self.host, peer=url)
+
+
+@dataclass(kw_only=True, slots=True)
+class Link:
+    """Call one peer."""
+
+    world: "World"
+    host: Host
+    peer: str
+
+    async def call(self, message: Any, *, timeout_s: float) -> Any:
+        """Return the peer's answer, or none in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                peer = await self._reach()
+                reply = await peer.handlers.call(message, timeout_s=timeout_s)
+                if await self._reach() is not peer:
+                    raise PeerUnavailableError("replaced")
+                return reply
+        except (TimeoutError, NotReadyError, RecordsExpiredError) as error:
+            raise PeerUnavailableError(repr(error)) from error
+
+    async def _reach(self) -> Host:
+        await asyncio.sleep(CALL_S)
+        while not self.world.can_reach(self.host, self.peer):
+            await asyncio.sleep(CALL_S)
+        return self.world.hosts[self.peer]
+
+
+class World:
+    """Own the hosts and the log of one play."""
+
+    def __init__(
+        self, *, names: tuple[str, ...], seed: int = 0, checkpoint_s: float = 3600.0
+    ) -> None:
+        self.names = names
+        self.seed = seed
+        self.checkpoint_s = checkpoint_s
+        self.random = random.Random(seed)
+        self.log = FaultyLog(n_kept=1_000)
+        self.hosts: dict[str, Host] = {}
+        self.gone: list[Host] = []
+        self.apart: set[frozenset[str]] = set()
+        self._watch: asyncio.Task[None] | None = None
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def __aenter__(self) -> "World":
+        for name in self.names:
+            await self.start(name)
+        self._watch = asyncio.create_task(self._watch_peers())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+        for name in list(self.hosts):
+            await self.kill(name)
+
+    async def start(self, name: str) -> None:
+        """Start a host, or start it again."""
+        number = sum(host.name == name for host in self.gone) + 1
+        self.hosts[name] = Host(world=self, name=name, number=number)
+        await self.hosts[name].start()
+
+    async def kill(self, name: str) -> None:
+        """End a host with all that it knows."""
+        host = self.hosts.pop(name)
+        host.dead = True
+        self.gone.append(host)
+        await host.stop()
+
+    def can_reach(self, host: Host, peer: str) -> bool:
+        """Tell whether a call between two hosts gets through now."""
+        other = self.hosts.get(peer)
+        if other is None or host.dead or frozenset((host.name, peer)) in self.apart:
+            return False
+        return not (host.faults.frozen or other.faults.frozen)
+
+    async def _watch_peers(self) -> None:
+        heard: dict[tuple[str, str], float] = {}
+        while True:
+            for name, host in self.hosts.items():
+                for peer, entry in host.board.config.hosts.items():
+                    other = self.hosts.get(peer)
+                    is_same = other and other.incarnation == entry.incarnation
+                    if is_same and self.can_reach(host, peer):
+                        heard[name, entry.incarnation] = self.now()
+                    last = heard.get((name, entry.incarnation), 0.0)
+                    host.board.peers[peer] = PeerStatus(
+                        incarnation=entry.incarnation,
+                        last_heard=last,
+                        reachable=self.now() - last < SUSPECT_S,
+                    )
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def heal(self) -> None:
+        """End all faults."""
+        self.apart.clear()
+        self.log.down = False
+        for host in self.hosts.values():
+            host.faults = Faults()
+
+    def is_settled(self) -> bool:
+        """Tell whether every host knows all others and has folded the whole stream."""
+        end = len(self.log.records)
+        return all(
+            host.stream.status.caught_up
+            and host.fold.next_offset == end
+            and host.board.config.hosts.keys() == set(self.names)
+            for host in self.hosts.values()
+        )
+
+    async def settle(self, timeout_s: float = SETTLE_S) -> None:
+        """Wait until the hosts have folded the whole stream, or raise TimeoutError."""
+        async with asyncio.timeout(timeout_s):
+            while not self.is_settled():
+                await asyncio.sleep(CALL_S)
+
+    def submit(self, name: str, number: int) -> asyncio.Future[Verdict]:
+        """Publish a file of its own through a host."""
+        record = Publish(
+            operation=f"op-{number}",
+            name=f"{number:03d}-a.toml",
+            content="",
+            base_revision=-1,
+        )
+        return self.hosts[name].stream.submit(record).future
+
+    def find_parted(self) -> list[str]:
+        """Return the offsets at which two hosts have folded different records."""
+        seen: dict[int, tuple[str, object]] = {}
+        parted = []
+        for host in [*self.gone, *self.hosts.values()]:
+            for offset, record in host.fold.folded.items():
+                name, other = seen.setdefault(offset, (host.incarnation, record))
+                if other != record:
+                    parted.append(
+                        f"{offset}: {name} {other}, {host.incarnation} {record}"
+                    )
+        return parted
--- a/trefoilstage/components/peers/log_peers.py
+++ b/trefoilstage/components/peers/log_peers.py
@@ -20,6 +20,8 @@
         self._links = links
         self._favourite = ""
         self._n_picked = 0
+        self._n_unheard = 0
+        self._unheard = ""
 
     @property
     def host(self) -> str:
@@ -43,6 +45,8 @@
     async def call(self, name: str, message: PeerMessage) -> PeerMessage:
         """Return a live peer's reply."""
         url = self._find_urls().get(name)
+        if url is None and name == self._unheard:
+            url = self.find_all_urls().get(name)
         if url is None:
             # Lost while another peer was asked. Taken for a fault of the program, it
             # ended hosts that were cut from the log just as their peers were lost.
@@ -68,7 +72,21 @@
         names = sorted(self._find_urls())
         first = self._n_picked % len(names) if names else 0
         self._n_picked += MAX_PEERS_ASKED
-        return (names[first:] + names[:first])[:MAX_PEERS_ASKED]
+        picked = (names[first:] + names[:first])[:MAX_PEERS_ASKED]
+        return [*picked, *self.pick_unheard()]
+
+    def pick_unheard(self) -> list[str]:
+        """Return the next of the hosts that aren't known to live, if there is one.
+
+        A host that started again counts as lost until its announcement is folded, and
+        may be the only one that has the record before that.
+        """
+        names = sorted(self.find_all_urls().keys() - self._find_urls().keys())
+        if not names:
+            return []
+        self._unheard = names[self._n_unheard % len(names)]
+        self._n_unheard += 1
+        return [self._unheard]
 
     def find_all_urls(self) -> dict[str, str]:
         """Return the addresses of all other hosts, also of those taken for lost."""
--- a/trefoilstage/components/peers/state_transfer.py
+++ b/trefoilstage/components/peers/state_transfer.py
@@ -8,7 +8,7 @@
 
 async def fetch_state(peers: LogPeers, stream: str) -> PackedState | None:
     """Return a peer's state of a stream, or None when no peer gives it."""
-    for name in peers.rank():
+    for name in [*peers.rank(), *peers.pick_unheard()]:
         try:
             return await fetch_parts(peers, name, stream)
         except PeerUnavailableError:
