Send a group again whose beginning the log dropped, and fold a writer's records in order

Cause, from its trace: a group of three lands without an answer; the log drops the first two unread, the fleet passes over them and folds the third. The writer sends the whole group again, and the first two are below the last sequence folded: repeats, though nobody has folded them. The ledger's draws and settlements share that check. Another way to the same end: a record whose append was answered, and whose offset the fold then went past without it, was never sent again and its ticket never resolved. Change: the fold takes a writer's records in their order without gaps (out_of_order, else), and a host sends again all that lies before the fold's position without a verdict (records_sent_again). A verdict on a gap is new: hosts of before and after judge such records differently, which only matters where a record is lost while a fleet is being replaced.

--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -4,8 +4,10 @@
 import unittest
 
 from bench.emulator.clock import run_virtually
-from tests.components.log_faults import SUSPECT_S, World
+from tests.components.log_faults import SETTLE_S, SUSPECT_S, World
+from tests.components.test_stream import wait_until
 from trefoilstage.components.operators.server import VERDICT_WAIT_S
+from trefoilstage.components.peers.log_peers import PEER_TIMEOUT_S
 from trefoilstage.helpers.verdict import ACCEPTED
 
 NAMES = ("a", "b", "c")
@@ -41,6 +43,27 @@
 
         run_virtually(play())
 
+    def test_group_of_which_the_log_kept_the_end_is_accepted_whole(self) -> None:
+        """Guard against changes that count as repeats of a group's lost beginning."""
+
+        async def play() -> None:
+            async with World(names=NAMES) as world:
+                await start_short(world)
+                world.hosts["b"].faults.cut = world.hosts["c"].faults.cut = True
+                await asyncio.sleep(2 * PEER_TIMEOUT_S)
+                world.hosts["a"].faults.lose_answers = 1.0
+                futures = [world.submit("a", number) for number in range(3)]
+                await wait_until(lambda: len(world.log.records) == 6, "the group")
+                world.heal()
+                await wait_until(lambda: len(world.log.records) == 9, "a second copy")
+                world.log.n_kept = 4
+                async with asyncio.timeout(SETTLE_S):
+                    self.assertEqual(await asyncio.gather(*futures), [ACCEPTED] * 3)
+                await world.settle()
+                self.assertEqual(world.find_parted(), [])
+
+        run_virtually(play())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fuzz/configuration_host.py
+++ b/tests/fuzz/configuration_host.py
@@ -18,7 +18,8 @@
 
     def __init__(self, *, incarnation: str) -> None:
         self.incarnation = incarnation
-        self.sequence = 0
+        self.sequence = -1
+        self.ledger_sequence = -1
         self.blackboard = Blackboard(host="h", incarnation=incarnation, data_center="d")
         self.config = ConfigFold(blackboard=self.blackboard)
         self.ledger = LedgerFold(blackboard=self.blackboard, number=0)
--- a/tests/fuzz/ledger_world.py
+++ b/tests/fuzz/ledger_world.py
@@ -81,8 +81,9 @@
         )
 
     def _append_as_operator(self, record: LedgerRecord) -> None:
+        sequence = self.oracle.sequences.get(OPERATOR, -1) + 1
         self.append(
-            LedgerEnvelope(incarnation=OPERATOR, sequence=len(self.log), record=record)
+            LedgerEnvelope(incarnation=OPERATOR, sequence=sequence, record=record)
         )
 
     def flush(self, host: SimHost, n_records: int, *, lost: bool) -> None:
--- a/tests/fuzz/test_configuration_machine.py
+++ b/tests/fuzz/test_configuration_machine.py
@@ -183,9 +183,9 @@
                 record = SetLimit(
                     account=account, limit=wanted.limit, revision=wanted.revision
                 )
-                host.sequence += 1
+                host.ledger_sequence += 1
                 self.limits.append(
-                    host.ledger.encode(host.incarnation, host.sequence, record)
+                    host.ledger.encode(host.incarnation, host.ledger_sequence, record)
                 )
 
     @rule(place=PLACES, count=st.integers(min_value=1, max_value=5))
--- a/tests/promises/test_settlement.py
+++ b/tests/promises/test_settlement.py
@@ -7,7 +7,7 @@
 from tests.common import Fleet, pack_state
 from trefoilstage.components.log_client.checkpoints import unpack_state
 from trefoilstage.components.log_client.folds import LEDGER_STATE_ADAPTER
-from trefoilstage.helpers.verdict import Verdict
+from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
 from trefoilstage.ledger.fold import fold_envelope
 from trefoilstage.ledger.records import (
     BilledRequest,
@@ -35,7 +35,6 @@
 
     def setUp(self) -> None:
         self.state = LedgerState()
-        self.sequence = 0
         self.fold(SetLimit(account=ACCOUNT, limit=1_000, revision=0))
         for holder in (HOLDER, OTHER):
             self.fold(self.make_draw(holder), writer=holder)
@@ -53,11 +52,9 @@
         )
 
     def fold(self, record: LedgerRecord, *, writer: str = HOLDER) -> Verdict:
-        """Fold a record at the next offset under a sequence of its own."""
-        self.sequence += 1
-        envelope = LedgerEnvelope(
-            incarnation=writer, sequence=self.sequence, record=record
-        )
+        """Fold a record at the next offset under its writer's next sequence."""
+        sequence = self.state.sequences.get(writer, -1) + 1
+        envelope = LedgerEnvelope(incarnation=writer, sequence=sequence, record=record)
         return fold_envelope(self.state, self.state.next_offset, envelope)
 
     def settle(
@@ -107,6 +104,25 @@
         self.assertEqual(self.account.closed_spend, 30)
         self.assertEqual(self.account.credit, 0)
 
+    def test_record_after_a_missing_one_waits_for_it(self) -> None:
+        """Guard against a settlement that counts as a repeat of a later one."""
+        last = self.state.sequences[HOLDER]
+        records = [
+            LedgerEnvelope(
+                incarnation=HOLDER,
+                sequence=last + number,
+                record=Settle(draw=f"{HOLDER}/1", before=before, spent=spent),
+            )
+            for number, before, spent in ((2, 20, 30), (1, 0, 20), (2, 20, 30))
+        ]
+        verdicts = [
+            fold_envelope(self.state, self.state.next_offset, record)
+            for record in records
+        ]
+        early = Rejected(reason=Reason.OUT_OF_ORDER)
+        self.assertEqual(verdicts, [early, ACCEPTED, ACCEPTED])
+        self.assertEqual(self.state.draws[f"{HOLDER}/1"].spent, 30)
+
     def test_late_settlement_of_a_sealed_draw_is_counted_by_request(self) -> None:
         """A holder is sealed with two requests open; one is settled by its target.
 
@@ -136,10 +152,8 @@
         packed = pack_state(LEDGER_STATE_ADAPTER, self.state)
         replayed = unpack_state(LEDGER_STATE_ADAPTER, packed)
         states = (self.state, replayed)
-        sequence = self.sequence
         for state in states:
             self.state = state
-            self.sequence = sequence
             dearer = BilledRequest(key=FIRST.key, tokens=25, number=1)
             self.settle(dearer, writer=OTHER)
             self.settle(FIRST)
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -213,9 +213,14 @@
             return False
         log_event(Event.RECORD_LOST, stream=self.name, offset=offset)
         self.fold.skip(offset)
+        self._note_position()
         self._seek = None
         return True
 
+    def _note_position(self) -> None:
+        last = self.fold.get_last_sequence(self._incarnation)
+        self._writer.note_position(self.fold.next_offset, last)
+
     def _assemble(self, record: LogRecord) -> PackedState | None:
         envelope = self._decode(record)
         if envelope is None or not isinstance(envelope.record, Checkpoint):
@@ -245,6 +250,7 @@
             self.fold.get_last_sequence(self._incarnation),
             lambda record: self.fold.judge_restored(self._incarnation, record),
         )
+        self._note_position()
         log_event(Event.STATE_RESTORED, stream=self.name, offset=packed.offset)
         return True
 
@@ -264,6 +270,7 @@
                 await asyncio.sleep(0)
         self.status.next_offset = self.fold.next_offset
         self.status.caught_up = self.fold.next_offset >= page.next_offset
+        self._note_position()
         self._checkpoint_when_due()
 
     def _fold_record(self, record: LogRecord) -> bool:
--- a/trefoilstage/components/log_client/writer.py
+++ b/trefoilstage/components/log_client/writer.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from trefoilstage.const import MAX_RECORD_BYTES
-from trefoilstage.exceptions import LogUnavailableError
+from trefoilstage.const import MAX_RECORD_BYTES, NO_OFFSET
+from trefoilstage.exceptions import LogUnavailableError, SequenceForgottenError
+from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
 from trefoilstage.util.backoff import Backoff
 
@@ -32,6 +33,8 @@
     record: Any
     future: asyncio.Future[Verdict]
     sequence: int | None = None
+    # Where its newest copy lies, None before the log has answered.
+    offset: int | None = None
 
     @property
     def attempted(self) -> bool:
@@ -58,6 +61,7 @@
         self._backoff = backoff
         self._next_sequence = 0
         self._queue: deque[Ticket] = deque()
+        self._again: deque[Ticket] = deque()
         self._pending: dict[int, Ticket] = {}
         self._wake = asyncio.Event()
         self._progress = asyncio.Event()
@@ -95,11 +99,33 @@
         """Resolve the ticket of a folded record, if it is this host's."""
         if envelope.incarnation != self._incarnation:
             return
+        if isinstance(verdict, Rejected) and verdict.reason is Reason.OUT_OF_ORDER:
+            return
         ticket = self._pending.pop(envelope.sequence, None)
         if ticket is not None:
             resolve(ticket, verdict)
             self._progress.set()
 
+    def note_position(self, next_offset: int, last: int) -> None:
+        """Send again what lies before the offset and got no verdict there."""
+        first = next(iter(self._pending.values()), None)
+        if first is None or first.offset is None or first.offset >= next_offset:
+            return
+        if first.sequence and last < 0:
+            raise SequenceForgottenError(
+                f"stream {self._name} no longer knows incarnation {self._incarnation}"
+            )
+        log_event(
+            Event.RECORDS_SENT_AGAIN,
+            stream=self._name,
+            offset=first.offset,
+            records=len(self._pending),
+        )
+        self._again = deque(self._pending.values())
+        for ticket in self._again:
+            ticket.offset = None
+        self._wake.set()
+
     def take_restored(self, last: int, judge: Callable[[Any], Verdict]) -> None:
         """Resolve the tickets whose records lie inside a restored state."""
         for sequence in [number for number in self._pending if number <= last]:
@@ -112,21 +138,22 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            while self._queue:
+            while self._again or self._queue:
                 await self._send(*self._take_group())
 
     def _take_group(self) -> tuple[list[Ticket], list[bytes]]:
         group: list[Ticket] = []
         data: list[bytes] = []
         n_bytes = 0
-        while self._queue and len(group) < MAX_GROUP:
-            ticket = self._queue[0]
-            encoded = self._encode(
-                self._incarnation, self._next_sequence, ticket.record
-            )
+        while len(group) < MAX_GROUP and (queue := self._again or self._queue):
+            ticket = queue[0]
+            if ticket.attempted and ticket.sequence not in self._pending:
+                queue.popleft()
+                continue
+            encoded = self._encode_ticket(ticket)
             if group and n_bytes + len(encoded) > MAX_GROUP_BYTES:
                 break
-            self._queue.popleft()
+            queue.popleft()
             # The log refuses a record of this size each time it is sent, and
             # everything queued behind it would wait for ever.
             if len(encoded) > MAX_RECORD_BYTES:
@@ -139,7 +166,15 @@
             data.append(encoded)
         return group, data
 
+    def _encode_ticket(self, ticket: Ticket) -> bytes:
+        sequence = ticket.sequence
+        if sequence is None:
+            sequence = self._next_sequence
+        return self._encode(self._incarnation, sequence, ticket.record)
+
     def _number(self, ticket: Ticket) -> None:
+        if ticket.attempted:
+            return
         ticket.sequence = self._next_sequence
         self._pending[self._next_sequence] = ticket
         self._next_sequence += 1
@@ -150,11 +185,12 @@
         # the next group first would make this one look like a repeat.
         while any(ticket.sequence in self._pending for ticket in group):
             try:
-                await self._sink.append(self._name, data)
+                first = await self._sink.append(self._name, data)
             except LogUnavailableError:
                 await self._wait_for_verdict()
                 continue
             self._backoff.reset()
+            note_offsets(group, first)
             self.n_appends += 1
             self.bytes_appended += sum(map(len, data))
             return
@@ -173,6 +209,14 @@
     return Ticket(record=record, future=future)
 
 
+def note_offsets(group: list[Ticket], first: int) -> None:
+    """Note where the log has put a group, if it has told."""
+    if first == NO_OFFSET:
+        return
+    for offset, ticket in enumerate(group, start=first):
+        ticket.offset = offset
+
+
 def resolve(ticket: Ticket, verdict: Verdict) -> None:
     """Give a ticket its verdict unless its submitter has cancelled it."""
     if not ticket.future.done():
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -26,6 +26,7 @@
 from trefoilstage.components.peers.positions import may_pass_over
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.state_transfer import fetch_state
+from trefoilstage.const import NO_OFFSET
 from trefoilstage.exceptions import (
     LogUnavailableError,
     NotReadyError,
@@ -37,8 +38,6 @@
 RELAY_POLL_S = 0.1
 PROBE_FIRST_S = 0.2
 PROBE_MAX_S = 2.0
-# An append's answer that names no offset.
-NO_OFFSET = -1
 
 
 class RelayedLog(Service):
--- a/trefoilstage/configuration/fold.py
+++ b/trefoilstage/configuration/fold.py
@@ -16,9 +16,8 @@
 from trefoilstage.const import FOLD_VERSION
 from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.verdict import ACCEPTED, Reason, Rejected, Verdict
-from trefoilstage.ledger.fold import MAX_SEQUENCES
+from trefoilstage.ledger.fold import take_sequence
 from trefoilstage.ledger.records import Checkpoint, Upgrade
-from trefoilstage.util.mappings import drop_oldest
 
 MAX_HISTORY = 200
 MAX_FINDINGS = 20
@@ -87,11 +86,9 @@
     if offset < state.next_offset:
         return Rejected(reason=Reason.DUPLICATE)
     state.next_offset = offset + 1
-    if envelope.sequence <= state.sequences.get(envelope.incarnation, -1):
-        return Rejected(reason=Reason.DUPLICATE)
-    state.sequences.pop(envelope.incarnation, None)
-    state.sequences[envelope.incarnation] = envelope.sequence
-    drop_oldest(state.sequences, MAX_SEQUENCES)
+    rejected = take_sequence(state.sequences, envelope.incarnation, envelope.sequence)
+    if rejected is not None:
+        return rejected
     place = Place(
         writer=envelope.incarnation,
         offset=offset,
--- a/trefoilstage/const.py
+++ b/trefoilstage/const.py
@@ -10,6 +10,9 @@
 FOLD_VERSION: Final = 1
 RECORD_VERSION: Final = 1
 
+# The offset in the answer to an append when the log gave none.
+NO_OFFSET: Final = -1
+
 MAX_FULL_MESH: Final = 8
 
 MAX_RECORD_BYTES: Final = 1_000_000
--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -33,6 +33,10 @@
     """Report that a stream went over to a fold version this host does not know."""
 
 
+class SequenceForgottenError(TrefoilstageError):
+    """Report a state that has dropped this writer, so that it must start anew."""
+
+
 class PeerUnavailableError(NotReadyError):
     """Report that a peer gave no answer; it may have acted all the same."""
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -49,6 +49,7 @@
     STATE_EXPIRED = "state_expired"
     RECORD_MISSING = "record_missing"
     RECORD_LOST = "record_lost"
+    RECORDS_SENT_AGAIN = "records_sent_again"
     HOST_CRASHED = "host_crashed"
     DRAIN_INCOMPLETE = "drain_incomplete"
     RECORD_MALFORMED = "record_malformed"
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -38,6 +38,7 @@
     CONFLICT = "conflict"
     INVALID = "invalid"
     DUPLICATE = "duplicate"
+    OUT_OF_ORDER = "out_of_order"  # an earlier record of its writer is missing
     UNKNOWN_DRAW = "unknown_draw"
     UNKNOWN_ACCOUNT = "unknown_account"
     NOT_HOLDER = "not_holder"
--- a/trefoilstage/ledger/fold.py
+++ b/trefoilstage/ledger/fold.py
@@ -45,17 +45,30 @@
     if offset < state.next_offset:
         return Rejected(reason=Reason.DUPLICATE)
     state.next_offset = offset + 1
-    last = state.sequences.get(envelope.incarnation, -1)
+    rejected = take_sequence(state.sequences, envelope.incarnation, envelope.sequence)
+    if rejected is not None:
+        return rejected
+    return apply_record(envelope.record, state, envelope.incarnation, offset)
+
+
+def take_sequence(
+    sequences: dict[str, int], incarnation: str, sequence: int
+) -> Rejected | None:
+    """Note a writer's next record; reject a repeat and one that comes too early."""
+    last = sequences.get(incarnation, -1)
     # An append whose answer was lost is sent again and lands twice. Without
-    # this check a draw would be granted twice; a writer numbers its records
-    # and has one append under way, so the number alone tells a repeat.
-    if envelope.sequence <= last:
+    # this check a draw would be granted twice.
+    if sequence <= last:
         return Rejected(reason=Reason.DUPLICATE)
+    # The log may have dropped the beginning of a group unread. Its writer sends
+    # the whole group again, and the beginning would count as a repeat.
+    if sequence > last + 1:
+        return Rejected(reason=Reason.OUT_OF_ORDER)
     # Re-inserting keeps the mapping in order of last use for the pruning.
-    state.sequences.pop(envelope.incarnation, None)
-    state.sequences[envelope.incarnation] = envelope.sequence
-    drop_oldest(state.sequences, MAX_SEQUENCES)
-    return apply_record(envelope.record, state, envelope.incarnation, offset)
+    sequences.pop(incarnation, None)
+    sequences[incarnation] = sequence
+    drop_oldest(sequences, MAX_SEQUENCES)
+    return None
 
 
 def skip_offset(state: LedgerState, offset: int) -> None:
