Fence an offset at every host before one passes over it

The ledgers use the same code: tokens drawn by a record that some hosts have folded and others passed over count as free there, and can be spent twice. Cause, from a trace: host c appends a record; the answer is late by 10 s. The log drops the record unread. After 5 s host a asks all hosts; c stands no further and knows no record, so a passes over the offset. Then the answer comes, c learns that its record lies there, and folds it. A read that is under way does the same. Ruled out: waiting longer (a call may take 20 s, and a frozen process longer). Change: a second question to all hosts has each promise not to fold that record (fence); only when all have promised does one host pass over the offset. A late answer then names an offset behind the fence, and the writer sends the record again.

--- a/tests/components/log_faults.py
+++ b/tests/components/log_faults.py
@@ -50,6 +50,8 @@
     lose_answers: float = 0.0
     late_answers: float = 0.0
     late_s: float = 0.0
+    late_appends_s: float = 0.0
+    hold_reads: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,6 +82,7 @@
         async with self._call(timeout_s) as log:
             first = len(log.records)
             log.records += records
+            await asyncio.sleep(self.host.faults.late_appends_s)
         return first
 
     async def read(
@@ -87,6 +90,8 @@
     ) -> LogPage:
         """Return the records from an offset on, waiting for the first one."""
         async with self._call(timeout_s + wait_s) as log:
+            while self.host.faults.hold_reads:
+                await asyncio.sleep(CALL_S)
             until = self.world.now() + wait_s
             while offset >= len(log.records) and self.world.now() < until:
                 await asyncio.sleep(CALL_S)
@@ -146,7 +151,7 @@
             blackboard=self.board,
             links=Links(world=world, host=self),  # type: ignore[arg-type]
             server=self.handlers,  # type: ignore[arg-type]
-            timeout_s=LOG_TIMEOUT_S,
+            timeout_s=world.log_timeout_s,
             generator=generator,
         )
         self.fold = RecordedFold(blackboard=self.board)
@@ -247,11 +252,17 @@
     """Own the hosts and the log of one play."""
 
     def __init__(
-        self, *, names: tuple[str, ...], seed: int = 0, checkpoint_s: float = 3600.0
+        self,
+        *,
+        names: tuple[str, ...],
+        seed: int = 0,
+        checkpoint_s: float = 3600.0,
+        log_timeout_s: float = LOG_TIMEOUT_S,
     ) -> None:
         self.names = names
         self.seed = seed
         self.checkpoint_s = checkpoint_s
+        self.log_timeout_s = log_timeout_s
         self.random = random.Random(seed)
         self.log = FaultyLog(n_kept=1_000)
         self.hosts: dict[str, Host] = {}
@@ -312,6 +323,10 @@
                     )
             await asyncio.sleep(HEARTBEAT_S)
 
+    def part(self, name: str, *others: str) -> None:
+        """Cut a host from others."""
+        self.apart |= {frozenset((name, other)) for other in others}
+
     def heal(self) -> None:
         """End all faults."""
         self.apart.clear()
--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bench.emulator.clock import run_virtually
-from tests.components.log_faults import SETTLE_S, SUSPECT_S, World
+from tests.components.log_faults import POLL_S, SETTLE_S, SUSPECT_S, World
 from tests.components.test_stream import wait_until
 from trefoilstage.components.operators.server import VERDICT_WAIT_S
 from trefoilstage.components.peers.log_peers import PEER_TIMEOUT_S
@@ -12,6 +12,8 @@
 
 NAMES = ("a", "b", "c")
 STEP_S = 0.05
+# How long the log may take to answer; beyond what a record takes to count as lost.
+LATE_S = 20.0
 
 
 async def start_short(world: World) -> None:
@@ -64,6 +66,37 @@
 
         run_virtually(play())
 
+    def test_record_is_sent_again_when_its_answer_comes_after_the_loss(self) -> None:
+        """Guard against a change without a verdict, and a state that parts."""
+
+        async def play() -> None:
+            async with World(names=NAMES, log_timeout_s=LATE_S) as world:
+                await start_short(world)
+                host = world.hosts["c"]
+                for other in world.hosts.values():
+                    other.faults.hold_reads = True
+                # Reads that are under way end before the record lands.
+                await asyncio.sleep(POLL_S)
+                host.faults.late_appends_s = LATE_S / 2
+                late = world.submit("c", 1)
+                await asyncio.sleep(STEP_S)
+                world.submit("b", 2)
+                await asyncio.sleep(STEP_S)
+                for other in world.hosts.values():
+                    other.faults.hold_reads = False
+                lost = host.fold.next_offset
+                first = world.hosts["a"]
+                await wait_until(lambda: first.fold.next_offset > lost, "the loss")
+                world.part("c", "a", "b")
+                await asyncio.sleep(LATE_S / 2)
+                world.heal()
+                async with asyncio.timeout(SETTLE_S):
+                    self.assertEqual(await late, ACCEPTED)
+                await world.settle()
+                self.assertEqual(world.find_parted(), [])
+
+        run_virtually(play())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/log_client/appended.py
+++ b/trefoilstage/components/log_client/appended.py
@@ -1,7 +1,7 @@
 """Keep what this host has itself appended; pure."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from trefoilstage.components.log_client.client import LogPage, LogRecord
 
@@ -21,10 +21,10 @@
     def __init__(self) -> None:
         self._records: OrderedDict[int, LogRecord] = OrderedDict()
 
-    def add(self, first: int, records: Sequence[bytes]) -> None:
-        """Keep a group by the offset that the log gave to its first record."""
-        for offset, data in enumerate(records, start=first):
-            self._records[offset] = LogRecord(offset=offset, data=data)
+    def add(self, records: Iterable[LogRecord]) -> None:
+        """Keep records by the offsets that the log gave them."""
+        for record in records:
+            self._records[record.offset] = record
         while len(self._records) > MAX_KEPT:
             self._records.popitem(last=False)
 
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -267,6 +267,7 @@
                 return
             self._lost_at = None
             if number % RECORDS_PER_STEP == 0:
+                self.status.next_offset = self.fold.next_offset
                 await asyncio.sleep(0)
         self.status.next_offset = self.fold.next_offset
         self.status.caught_up = self.fold.next_offset >= page.next_offset
--- a/trefoilstage/components/peers/messages.py
+++ b/trefoilstage/components/peers/messages.py
@@ -32,10 +32,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReadRecords:
-    """Ask a peer for the records of a stream from an offset on."""
+    """Ask a peer for the records of a stream from an offset on.
+
+    With `fence`, a peer that has not folded the first of them and does not hold it
+    promises that it never will fold it.
+    """
 
     stream: Name
     offset: Tokens
+    fence: bool = False
     kind: Literal["read_records"] = "read_records"
 
 
@@ -53,6 +58,7 @@
     earliest: int = 0
     expired: bool = False
     fresh: bool = True
+    fenced: bool = False
     folded: int | None = None
     incarnation: str = ""
     kind: Literal["records_reply"] = "records_reply"
--- a/trefoilstage/components/peers/positions.py
+++ b/trefoilstage/components/peers/positions.py
@@ -9,9 +9,14 @@
 MAX_NAMES_LOGGED = 5
 
 
-async def may_pass_over(peers: LogPeers, stream: str, offset: int) -> bool:
-    """Tell whether this host is to go on without the record at an offset."""
-    message = ReadRecords(stream=stream, offset=offset)
+async def may_pass_over(
+    peers: LogPeers, stream: str, offset: int, *, fence: bool = False
+) -> bool:
+    """Tell whether this host is to go on without the record at an offset.
+
+    With `fence`, each host has promised not to fold that record.
+    """
+    message = ReadRecords(stream=stream, offset=offset, fence=fence)
     positions = {
         name: await find_position(peers, url, message)
         for name, url in sorted(peers.find_all_urls().items())
@@ -42,6 +47,9 @@
         return None
     if not isinstance(reply, RecordsReply) or reply.folded is None:
         return None
+    is_bound = reply.fenced or reply.records or reply.folded > message.offset
+    if message.fence and not is_bound:
+        return None
     return PeerPosition(
         incarnation=reply.incarnation,
         folded=reply.folded,
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -12,6 +12,7 @@
 from trefoilstage.components.log_client.appended import AppendedRecords
 from trefoilstage.components.log_client.checkpoints import PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
+from trefoilstage.components.log_client.fences import OffsetFences
 from trefoilstage.components.log_client.reach import LogReach
 from trefoilstage.components.log_client.tail import RecordTail
 from trefoilstage.components.peers.links import PeerLinks
@@ -67,6 +68,7 @@
         )
         self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
         self._appended: defaultdict[str, AppendedRecords] = defaultdict(AppendedRecords)
+        self._fences = OffsetFences()
         self._lost = asyncio.Event()
         self._probed = ""
         server.register(ReadRecords, self._answer_read)
@@ -92,6 +94,13 @@
 
     async def read(self, stream: str, offset: int, *, wait_s: float) -> LogPage:
         """Return records from an offset on."""
+        page = await self._read(stream, offset, wait_s)
+        # Also a record that was on its way when the offset was fenced.
+        if self._fences.covers(stream, offset):
+            raise RecordsExpiredError(earliest=self._fences.first_beyond(stream))
+        return page
+
+    async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
         if self._reach.up:
             try:
                 return await self._read_direct(stream, offset, wait_s)
@@ -100,7 +109,7 @@
             except RecordsExpiredError as error:
                 return await self._read_expired(stream, offset, error)
         page = await self._read_from_peers(stream, offset)
-        self._tails[stream].keep(page.records)
+        self._keep_read(stream, page)
         if not page.records:
             await asyncio.sleep(RELAY_POLL_S)
         return page
@@ -119,8 +128,9 @@
         page = self._appended[stream].read(offset)
         if page is None:
             page = await self._search_peers(stream, offset)
-        if page is not None:
-            self._tails[stream].keep(page.records)
+        if page is None or self._fences.covers(stream, offset):
+            return None
+        self._keep_read(stream, page)
         return page
 
     async def _search_peers(self, stream: str, offset: int) -> LogPage | None:
@@ -136,7 +146,21 @@
         """Tell whether this host is to go on without the record at an offset."""
         if not self._reach.up:
             return False
-        return await may_pass_over(self._peers, stream, offset)
+        if not await may_pass_over(self._peers, stream, offset):
+            return False
+        if not self._fence(stream, offset):
+            return False
+        return await may_pass_over(self._peers, stream, offset, fence=True)
+
+    def _fence(self, stream: str, offset: int) -> bool:
+        """Promise not to fold the record at an offset, unless it is known here."""
+        status = self._blackboard.streams.get(stream)
+        if status is None or status.next_offset > offset:
+            return False
+        if self._find_kept(stream, offset, self._tails.get(stream)) is not None:
+            return False
+        self._fences.add(stream, offset)
+        return True
 
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
@@ -152,8 +176,16 @@
         return first
 
     def _keep_appended(self, stream: str, first: int, records: Sequence[bytes]) -> None:
-        if first != NO_OFFSET:
-            self._appended[stream].add(first, records)
+        if first == NO_OFFSET:
+            return
+        kept = [
+            LogRecord(offset=offset, data=data)
+            for offset, data in enumerate(records, start=first)
+        ]
+        self._appended[stream].add(self._fences.drop(stream, kept))
+
+    def _keep_read(self, stream: str, page: LogPage) -> None:
+        self._tails[stream].keep(self._fences.drop(stream, page.records))
 
     async def _read_direct(self, stream: str, offset: int, wait_s: float) -> LogPage:
         started = asyncio.get_running_loop().time()
@@ -162,7 +194,7 @@
         )
         duration_s = asyncio.get_running_loop().time() - started
         self._note_answer(max(0.0, duration_s - wait_s))
-        self._tails[stream].keep(page.records)
+        self._keep_read(stream, page)
         return page
 
     def _note_answer(self, duration_s: float) -> None:
@@ -214,7 +246,10 @@
         return make_page(stale)
 
     async def _answer_read(self, message: ReadRecords) -> PeerMessage:
-        reply = await self._find_records(message)
+        if message.fence:
+            reply = self._answer_fence(message)
+        else:
+            reply = await self._find_records(message)
         status = self._blackboard.streams.get(message.stream)
         return replace(
             reply,
@@ -222,9 +257,18 @@
             incarnation=self._blackboard.incarnation,
         )
 
+    def _answer_fence(self, message: ReadRecords) -> RecordsReply:
+        if self._fence(message.stream, message.offset):
+            return RecordsReply(fenced=True)
+        tail = self._tails.get(message.stream)
+        page = self._find_kept(message.stream, message.offset, tail)
+        return make_reply(page, fresh=True) if page else RecordsReply()
+
     async def _find_records(self, message: ReadRecords) -> RecordsReply:
         tail = self._tails.get(message.stream)
-        page = self._find_kept(message, tail)
+        page = self._find_kept(message.stream, message.offset, tail)
+        if page is None and tail is not None and tail.holds(message.offset):
+            page = tail.read(message.offset)
         if page is not None:
             return make_reply(page, fresh=self._reach.up)
         if not self._reach.up:
@@ -241,15 +285,14 @@
         return make_reply(page, fresh=True)
 
     def _find_kept(
-        self, message: ReadRecords, tail: RecordTail | None
+        self, stream: str, offset: int, tail: RecordTail | None
     ) -> LogPage | None:
-        """Return what this host has read, or appended and not read yet."""
-        page = None
-        if tail is not None and tail.holds(message.offset):
-            page = tail.read(message.offset)
-        if page is not None and page.records:
-            return page
-        return self._appended[message.stream].read(message.offset) or page
+        """Return records that this host has read, or appended and not read yet."""
+        if tail is not None and tail.holds(offset):
+            page = tail.read(offset)
+            if page.records:
+                return page
+        return self._appended[stream].read(offset)
 
     def _answer_without_log(
         self, message: ReadRecords, tail: RecordTail | None
