--- a/trefoilstage/components/log_client/loss.py
+++ b/trefoilstage/components/log_client/loss.py
@@ -17,6 +17,17 @@
     has_record: bool = False
 
 
+def leaves_it_to(
+    position: PeerPosition | None, name: str, *, host: str, offset: int
+) -> bool:
+    """Tell whether a host leaves it to another one to pass over the record."""
+    if position is None:
+        return False
+    if position.has_record or position.folded > offset:
+        return True
+    return position.folded == offset and name < host
+
+
 def may_go_on(
     *,
     host: str,
@@ -41,9 +52,9 @@
         return False
     n_replaced = 0
     for name, position in positions.items():
-        if position is None or position.has_record or position.folded > offset:
+        if position is None:
             return False
-        if position.folded == offset and name < host:
+        if leaves_it_to(position, name, host=host, offset=offset):
             return False
         n_replaced += incarnations.get(name, position.incarnation) != (
             position.incarnation
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -35,11 +35,8 @@
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 1.0
 RECORDS_PER_STEP = 50
-# Before a record counts as lost, an append under way has ended at its sender (20 s at
-# most, mostly within 1 s) or been sent again, and a host that was cut off is back. As
-# long again before all hosts are asked anew: at each try, 410 hosts would make 410
-# calls each in a second.
-LOST_AFTER_S = 5.0
+# Most appends under way have been answered by then, so that few records are sent again.
+LOST_AFTER_S = 1.0
 
 Listener = Callable[[int, Any, Verdict], None]
 RankWriter = Callable[[str], int]
@@ -213,6 +210,7 @@
             return False
         log_event(Event.RECORD_LOST, stream=self.name, offset=offset)
         self.fold.skip(offset)
+        self.status.next_offset = self.fold.next_offset
         self._note_position()
         self._seek = None
         return True
--- a/trefoilstage/components/log_client/writer.py
+++ b/trefoilstage/components/log_client/writer.py
@@ -65,6 +65,9 @@
         self._pending: dict[int, Ticket] = {}
         self._wake = asyncio.Event()
         self._progress = asyncio.Event()
+        # The wait for the answer to an append, while there is one.
+        self._waiting: asyncio.Timeout | None = None
+        self._sending: list[Ticket] = []
         self.n_appends = 0
         self.bytes_appended = 0
 
@@ -104,7 +107,7 @@
         ticket = self._pending.pop(envelope.sequence, None)
         if ticket is not None:
             resolve(ticket, verdict)
-            self._progress.set()
+            self._note_progress()
 
     def note_position(self, next_offset: int, last: int) -> None:
         """Send again what lies before the offset and got no verdict there."""
@@ -131,7 +134,7 @@
         for sequence in [number for number in self._pending if number <= last]:
             ticket = self._pending.pop(sequence)
             resolve(ticket, judge(ticket.record))
-            self._progress.set()
+            self._note_progress()
 
     async def run(self) -> None:
         """Append what is queued, for ever."""
@@ -183,18 +186,39 @@
         # An append without an answer may have landed. Sending the same group
         # again is safe because the fold drops sequences it has seen; sending
         # the next group first would make this one look like a repeat.
-        while any(ticket.sequence in self._pending for ticket in group):
+        while self._has_open(group):
             try:
-                first = await self._sink.append(self._name, data)
+                first = await self._append(group, data)
             except LogUnavailableError:
                 await self._wait_for_verdict()
                 continue
+            except TimeoutError:
+                continue
             self._backoff.reset()
             note_offsets(group, first)
             self.n_appends += 1
             self.bytes_appended += sum(map(len, data))
             return
 
+    async def _append(self, group: list[Ticket], data: list[bytes]) -> int:
+        """Append a group; raise TimeoutError when it is folded before the answer."""
+        self._sending = group
+        try:
+            async with asyncio.timeout(None) as self._waiting:
+                return await self._sink.append(self._name, data)
+        finally:
+            self._waiting = None
+
+    def _note_progress(self) -> None:
+        self._progress.set()
+        if self._waiting is None or self._has_open(self._sending):
+            return
+        self._waiting.reschedule(asyncio.get_running_loop().time())
+        self._waiting = None
+
+    def _has_open(self, group: list[Ticket]) -> bool:
+        return any(ticket.sequence in self._pending for ticket in group)
+
     async def _wait_for_verdict(self) -> None:
         # The follower may show within the delay that the group has landed.
         self._progress.clear()
--- a/trefoilstage/components/peers/positions.py
+++ b/trefoilstage/components/peers/positions.py
@@ -1,6 +1,10 @@
 """Ask all hosts how far they have read a stream."""
 
-from trefoilstage.components.log_client.loss import PeerPosition, may_go_on
+from trefoilstage.components.log_client.loss import (
+    PeerPosition,
+    leaves_it_to,
+    may_go_on,
+)
 from trefoilstage.components.peers.log_peers import LogPeers
 from trefoilstage.components.peers.messages import ReadRecords, RecordsReply
 from trefoilstage.exceptions import PeerUnavailableError
@@ -17,10 +21,12 @@
     With `fence`, each host has promised not to fold that record.
     """
     message = ReadRecords(stream=stream, offset=offset, fence=fence)
-    positions = {
-        name: await find_position(peers, url, message)
-        for name, url in sorted(peers.find_all_urls().items())
-    }
+    positions: dict[str, PeerPosition | None] = {}
+    for name, url in sorted(peers.find_all_urls().items()):
+        positions[name] = await find_position(peers, url, message)
+        # All but the first by name end here, so that 410 hosts make few calls each.
+        if leaves_it_to(positions[name], name, host=peers.host, offset=offset):
+            return False
     silent = [name for name, position in positions.items() if position is None]
     if silent:
         log_event(
