Play random faults of the log, by seed, in virtual time

Cuts, pauses, lost and late answers, held reads, outages, hosts cut apart and one host killed and started again befall hosts before a log that keeps 1, 2 or 5 records; after the last fault the first publish must have a verdict within the 5 s that an operator waits, every change one verdict, all hosts one state. More than one replaced host is left out: two hold the stream up, by design, as they may have been the only ones that acted upon the lost record.

--- a/tests/components/log_faults.py
+++ b/tests/components/log_faults.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -275,6 +275,7 @@
         self.gone: list[Host] = []
         self.apart: set[frozenset[str]] = set()
         self._watch: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def now(self) -> float:
         """Return the virtual time in seconds."""
@@ -366,11 +367,18 @@
         )
         return self.hosts[name].stream.submit(record).future
 
-    def find_parted(self) -> list[str]:
+    def spawn(self, change: Coroutine[Any, Any, None]) -> None:
+        """Start or kill a host beside what goes on."""
+        task = asyncio.create_task(change)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def find_parted(self, *, live: bool = False) -> list[str]:
         """Return the offsets at which two hosts have folded different records."""
         seen: dict[int, tuple[str, object]] = {}
         parted = []
-        for host in [*self.gone, *self.hosts.values()]:
+        gone = [] if live else self.gone
+        for host in [*gone, *self.hosts.values()]:
             for offset, record in host.fold.folded.items():
                 name, other = seen.setdefault(offset, (host.incarnation, record))
                 if other != record:
--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bench.emulator.clock import run_virtually
+from tests.components.log_fault_play import play
 from tests.components.log_faults import POLL_S, SETTLE_S, SUSPECT_S, World
 from tests.components.test_stream import wait_until
 from trefoilstage.components.operators.server import VERDICT_WAIT_S
@@ -12,6 +13,7 @@
 
 NAMES = ("a", "b", "c")
 STEP_S = 0.05
+SEEDS = range(60, 110)
 # How long the log may take to answer; beyond what a record takes to count as lost.
 LATE_S = 20.0
 
@@ -28,7 +30,7 @@
     def test_record_that_only_a_restarted_host_has_is_asked_of_it(self) -> None:
         """Guard against a search that leaves out a host not yet announced."""
 
-        async def play() -> None:
+        async def act() -> None:
             async with World(names=NAMES) as world:
                 await start_short(world)
                 world.hosts["b"].faults.cut = world.hosts["c"].faults.cut = True
@@ -43,12 +45,12 @@
                     self.assertEqual(await world.submit("b", 2), ACCEPTED)
                 await world.settle()
 
-        run_virtually(play())
+        run_virtually(act())
 
     def test_group_of_which_the_log_kept_the_end_is_accepted_whole(self) -> None:
         """Guard against changes that count as repeats of a group's lost beginning."""
 
-        async def play() -> None:
+        async def act() -> None:
             async with World(names=NAMES) as world:
                 await start_short(world)
                 world.hosts["b"].faults.cut = world.hosts["c"].faults.cut = True
@@ -64,12 +66,12 @@
                 await world.settle()
                 self.assertEqual(world.find_parted(), [])
 
-        run_virtually(play())
+        run_virtually(act())
 
     def test_record_is_sent_again_when_its_answer_comes_after_the_loss(self) -> None:
         """Guard against a change without a verdict, and a state that parts."""
 
-        async def play() -> None:
+        async def act() -> None:
             async with World(names=NAMES, log_timeout_s=LATE_S) as world:
                 await start_short(world)
                 host = world.hosts["c"]
@@ -95,12 +97,12 @@
                 await world.settle()
                 self.assertEqual(world.find_parted(), [])
 
-        run_virtually(play())
+        run_virtually(act())
 
     def test_verdict_is_in_time_after_a_record_that_nobody_has(self) -> None:
         """Guard against a publish that waits longer than its operator does."""
 
-        async def play() -> None:
+        async def act() -> None:
             async with World(names=NAMES) as world:
                 await start_short(world)
                 for host in world.hosts.values():
@@ -116,12 +118,12 @@
                     self.assertEqual(await world.submit("a", 3), ACCEPTED)
                     self.assertEqual(await lost, ACCEPTED)
 
-        run_virtually(play())
+        run_virtually(act())
 
     def test_late_answer_does_not_hold_up_the_next_change(self) -> None:
         """Guard against waiting for the log's word on what is folded already."""
 
-        async def play() -> None:
+        async def act() -> None:
             async with World(names=NAMES, log_timeout_s=LATE_S) as world:
                 await world.settle()
                 world.hosts["a"].faults.late_appends_s = LATE_S / 2
@@ -130,7 +132,13 @@
                     self.assertEqual(await first, ACCEPTED)
                     self.assertEqual(await world.submit("a", 2), ACCEPTED)
 
-        run_virtually(play())
+        run_virtually(act())
+
+    def test_random_faults_part_no_hosts_and_lose_no_change(self) -> None:
+        """Guard against faults that come together, by seed."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_virtually(play(seed)), [])
 
 
 if __name__ == "__main__":
