Tell an operator 'accepted' only when a second host has folded the change

Cause, from traces: host a alone folds the change and says 'accepted'; the log, which keeps one record, drops it before the others read it; a is killed; the others pass over the offset, as one replaced host is borne, for a draw is used with its witness's word. A change of configuration or a top-up had no witness. Change: an operator's answer waits until another live host has folded as far, within the same 5 s; after that the answer is 'not known yet', as it is. test_accepted_change_outlives_the_host_that_said_so failed with the wait taken out. Also: connect_repeated names the workspace, as each line of a request must (tests/test_operators found it).

--- a/tests/components/log_faults.py
+++ b/tests/components/log_faults.py
@@ -143,6 +143,7 @@
         self.name = name
         self.faults = Faults()
         self.dead = False
+        self.answers: list[asyncio.Task[Verdict]] = []
         self.handlers = HandlerTable()
         self.incarnation = f"{name}-{number}"
         self.board = Blackboard(
@@ -303,6 +304,8 @@
         """End a host with all that it knows."""
         host = self.hosts.pop(name)
         host.dead = True
+        for answer in host.answers:
+            answer.cancel()
         self.gone.append(host)
         await host.stop()
 
@@ -358,14 +361,26 @@
                 await asyncio.sleep(CALL_S)
 
     def submit(self, name: str, number: int) -> asyncio.Future[Verdict]:
-        """Publish a file of its own through a host."""
+        """Publish a file of its own through a host, as an operator does."""
         record = Publish(
             operation=f"op-{number}",
             name=f"{number:03d}-a.toml",
             content="",
             base_revision=-1,
         )
-        return self.hosts[name].stream.submit(record).future
+        host = self.hosts[name]
+        answer = asyncio.create_task(
+            host.stream.wait_for_verdict(host.stream.submit(record))
+        )
+        host.answers.append(answer)
+        return answer
+
+    def list_hosts_with(self, number: int) -> list[str]:
+        """Return the hosts that have a published file in force."""
+        file = f"{number:03d}-a.toml"
+        return [
+            name for name, host in self.hosts.items() if file in host.board.config.files
+        ]
 
     def spawn(self, change: Coroutine[Any, Any, None]) -> None:
         """Start or kill a host beside what goes on."""
--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -134,6 +134,29 @@
 
         run_virtually(act())
 
+    def test_accepted_change_outlives_the_host_that_said_so(self) -> None:
+        """Guard against a verdict that only one host can remember."""
+
+        async def act() -> None:
+            async with World(names=NAMES) as world:
+                await start_short(world)
+                for name in ("b", "c"):
+                    world.hosts[name].faults.hold_reads = True
+                await asyncio.sleep(POLL_S)
+                told = world.submit("a", 1)
+                await asyncio.sleep(STEP_S)
+                world.submit("a", 2)
+                await asyncio.sleep(STEP_S)
+                was_told = told.done()
+                world.part("a", "b", "c")
+                await world.kill("a")
+                await world.start("a")
+                world.heal()
+                await world.settle()
+                self.assertFalse(was_told and not world.list_hosts_with(1))
+
+        run_virtually(act())
+
     def test_random_faults_part_no_hosts_and_lose_no_change(self) -> None:
         """Guard against faults that come together, by seed."""
         for seed in SEEDS:
--- a/tests/components/test_stream.py
+++ b/tests/components/test_stream.py
@@ -103,6 +103,10 @@
         """Find no record, as without peers."""
         return None
 
+    async def is_shared(self, stream: str, offset: int) -> bool:
+        """Live alone."""
+        return True
+
     async def is_lost(self, stream: str, offset: int) -> bool:
         """Wait for the log, as one who can't ask all hosts."""
         return False
--- a/trefoilstage/components/log_client/interfaces.py
+++ b/trefoilstage/components/log_client/interfaces.py
@@ -23,6 +23,9 @@
     async def is_lost(self, stream: str, offset: int) -> bool:
         """Tell whether this host is to go on without the record at an offset."""
 
+    async def is_shared(self, stream: str, offset: int) -> bool:
+        """Tell whether another host, if one lives, has folded up to an offset."""
+
 
 class StreamFold(Protocol):
     """Fold one kind of stream; hides its codec, state and checkpoint form."""
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -37,6 +37,7 @@
 RECORDS_PER_STEP = 50
 # Most appends under way have been answered by then, so that few records are sent again.
 LOST_AFTER_S = 1.0
+SHARED_POLL_S = 0.05
 
 Listener = Callable[[int, Any, Verdict], None]
 RankWriter = Callable[[str], int]
@@ -108,6 +109,20 @@
         """Take back a record that was never sent; tell whether that was so."""
         return self._writer.withdraw(ticket)
 
+    async def wait_for_verdict(self, ticket: Ticket) -> Verdict:
+        """Return a verdict that outlives this host.
+
+        A record that only this host has folded may be passed over once the log has
+        dropped it and this host is gone.
+        """
+        verdict = await asyncio.shield(ticket.future)
+        if isinstance(verdict, Rejected):
+            return verdict
+        offset = self.fold.next_offset
+        while not await self._source.is_shared(self.name, offset):
+            await asyncio.sleep(SHARED_POLL_S)
+        return verdict
+
     async def on_start(self) -> None:
         """Start following and appending."""
         self._schedule.seen_at = asyncio.get_running_loop().time()
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.log_client.stream import Ticket
+from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.models import (
     BudgetAnswer,
@@ -137,7 +137,7 @@
                 author=body.author,
             )
         )
-        return await self._wait_for_verdict(ticket, body.operation)
+        return await self._answer_verdict(self._streams.config, ticket, body.operation)
 
     async def _remove(self, request: web.Request) -> web.Response:
         body = await parse_body(request, RemoveBody)
@@ -149,7 +149,7 @@
                 author=body.author,
             )
         )
-        return await self._wait_for_verdict(ticket, body.operation)
+        return await self._answer_verdict(self._streams.config, ticket, body.operation)
 
     def _pick_base(self, name: str, base_revision: int | None) -> int:
         if base_revision is not None:
@@ -170,12 +170,15 @@
             number,
             TopUp(account=account, amount=body.amount, operation=body.operation),
         )
-        return await self._wait_for_verdict(ticket, body.operation)
+        stream = self._streams.ledgers[number]
+        return await self._answer_verdict(stream, ticket, body.operation)
 
-    async def _wait_for_verdict(self, ticket: Ticket, operation: str) -> web.Response:
+    async def _answer_verdict(
+        self, stream: StreamService, ticket: Ticket, operation: str
+    ) -> web.Response:
         try:
             async with asyncio.timeout(VERDICT_WAIT_S):
-                verdict = await asyncio.shield(ticket.future)
+                verdict = await stream.wait_for_verdict(ticket)
         except TimeoutError:
             # The record may still land. Saying "rejected" here would be false,
             # and the operation makes it safe to ask again.
--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -162,6 +162,15 @@
         self._fences.add(stream, offset)
         return True
 
+    async def is_shared(self, stream: str, offset: int) -> bool:
+        """Tell whether another host, if one lives, has folded up to an offset."""
+        names = self._peers.rank()
+        message = ReadRecords(stream=stream, offset=offset)
+        async for reply in self._peers.ask(message, names):
+            if isinstance(reply, RecordsReply) and (reply.folded or 0) >= offset:
+                return True
+        return not names
+
     async def fetch_state(self, stream: str) -> PackedState | None:
         """Return a peer's state of a stream, or None when no peer gives it."""
         return await fetch_state(self._peers, stream)
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -132,7 +132,12 @@
                 stalled = stood_still(started + CONNECT_TIMEOUT_S, now)
                 if not stalled or now >= give_up_at:
                     raise
-                log_event(Event.CONNECT_REPEATED, request=generation.request, url=url)
+                log_event(
+                    Event.CONNECT_REPEATED,
+                    request=generation.request,
+                    workspace=generation.workspace,
+                    url=url,
+                )
 
     async def cancel(self, target: TargetConfig, request: str) -> RequestAnswer | None:
         """End a request at its target; return how it stands, None if not known."""
