Let an operator declare hosts lost that hold the configuration up

It is by design that nobody goes on: a silent host may wake and hold a change that the others have passed over. But there was no way out. Change: trefoilstage host declare-lost names hosts that are gone for good; for two minutes the configuration does not wait for them. A stream of budgets waits on: tokens drawn by the lost record could be spent twice.

--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -157,6 +157,37 @@
 
         run_virtually(act())
 
+    def test_stream_goes_on_when_the_hosts_it_waits_for_are_declared_lost(self) -> None:
+        """Guard against a fleet that dead or replaced hosts stop for good."""
+        for is_replaced in (True, False):
+            with self.subTest(is_replaced=is_replaced):
+                run_virtually(self.lose_hosts(is_replaced=is_replaced))
+
+    async def lose_hosts(self, *, is_replaced: bool) -> None:
+        """Lose two hosts with a record that the log has dropped."""
+        async with World(names=(*NAMES, "d")) as world:
+            await start_short(world)
+            for name in ("a", "b"):
+                world.hosts[name].faults.hold_reads = True
+            await asyncio.sleep(POLL_S)
+            world.submit("d", 1)
+            await asyncio.sleep(STEP_S)
+            world.submit("d", 2)
+            await asyncio.sleep(STEP_S)
+            for name in ("c", "d"):
+                await world.kill(name)
+                if is_replaced:
+                    await world.start(name)
+            world.heal()
+            answer = world.submit("a", 3)
+            await asyncio.sleep(SETTLE_S)
+            self.assertFalse(answer.done())
+            until = world.now() + SETTLE_S
+            for host in world.hosts.values():
+                host.board.declared_lost = dict.fromkeys(("c", "d"), until)
+            async with asyncio.timeout(SETTLE_S):
+                self.assertEqual(await answer, ACCEPTED)
+
     def test_random_faults_part_no_hosts_and_lose_no_change(self) -> None:
         """Guard against faults that come together, by seed."""
         for seed in SEEDS:
--- a/tests/components/test_relay.py
+++ b/tests/components/test_relay.py
@@ -5,7 +5,7 @@
 
 from tests.components.relays import RelayFleet, ShortLog
 from tests.components.test_stream import wait_until
-from trefoilstage.blackboard import Blackboard, ListedHost
+from trefoilstage.blackboard import Blackboard, ListedHost, StreamStatus
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.messages import FRAME_CODEC
 from trefoilstage.components.peers.relay import RelayedLog
@@ -103,6 +103,17 @@
         self.fleet.silence("b", "c")
         self.assertEqual((await self.fleet.read("a", 1))[0], b"first")
 
+    async def test_budgets_wait_for_hosts_declared_lost(self) -> None:
+        """Guard against tokens spent twice upon an operator's word."""
+        board = self.fleet.boards["a"]
+        self.fleet.silence("b", "c")
+        board.declared_lost = dict.fromkeys(("b", "c"), float("inf"))
+        passed = []
+        for stream in ("config", "ledger-0"):
+            board.streams[stream] = StreamStatus(next_offset=1)
+            passed.append(await self.fleet.relays["a"].is_lost(stream, 1))
+        self.assertEqual(passed, [True, False])
+
     async def test_record_is_read_from_the_one_host_that_has_it(self) -> None:
         """Append a change at one host, then another at a second one.
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -32,6 +32,7 @@
     "host list",
     "host state",
     "host drain",
+    "host declare-lost",
     "request send",
     "request call",
     "key hash",
@@ -251,5 +252,10 @@
             drained = await run("host", "drain", "host-1", **env)
             self.assertEqual(drained.code, ExitCode.OK, drained.err)
             await asyncio.wait_for(fleet.hosts[1].process.wait(), TIMEOUT_S)
+            declared = await run("host", "declare-lost", "host-0", "--json", **env)
+            answers = {item["host"]: item["hosts"] for item in json.loads(declared.out)}
+            self.assertEqual(answers["host-0"], ["host-0"])
+            unknown = await run("host", "declare-lost", "host-9", **env)
+            self.assertEqual(unknown.code, ExitCode.REJECTED, unknown.err)
             for result in (sent, refused, called, full, tail):
                 self.assertNotIn(SECRET, result.out + result.err)
--- a/trefoilstage/blackboard.py
+++ b/trefoilstage/blackboard.py
@@ -71,6 +71,8 @@
     log_in_reach: bool = True  # relayed log
     listed: dict[str, ListedHost] = field(default_factory=dict)  # membership
     watched: frozenset[str] = frozenset()  # membership
+    # Hosts that an operator has declared lost, until a time of the loop.
+    declared_lost: dict[str, float] = field(default_factory=dict)  # operators
     peers: dict[str, PeerStatus] = field(default_factory=dict)  # membership
     targets: dict[str, TargetStatus] = field(default_factory=dict)  # router
     n_active: int = 0  # caller server
--- a/trefoilstage/cli/client.py
+++ b/trefoilstage/cli/client.py
@@ -9,6 +9,8 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 
 from trefoilstage.components.operators.models import (
+    DeclareLostAnswer,
+    DeclareLostBody,
     DrainAnswer,
     ErrorAnswer,
     VerdictAnswer,
@@ -72,6 +74,16 @@
             return answer
         raise NotReadyError("; ".join(problems))
 
+    def declare_lost(self, body: DeclareLostBody) -> DeclareLostAnswer:
+        """Tell the first host not to wait for lost ones; no other is tried."""
+        return self._call_host(
+            self._urls[0],
+            "POST",
+            "/hosts/declare-lost",
+            body.model_dump_json(),
+            DeclareLostAnswer.model_validate_json,
+        )
+
     def drain(self) -> DrainAnswer:
         """Tell the first host to drain; no other is tried."""
         return self._call_host(
--- a/trefoilstage/cli/common.py
+++ b/trefoilstage/cli/common.py
@@ -43,10 +43,15 @@
 
 def make_client(hosts: str) -> OperatorClient:
     """Return a client of the hosts in a comma separated list."""
+    return OperatorClient(urls=split_urls(hosts))
+
+
+def split_urls(hosts: str) -> list[str]:
+    """Return the addresses in a comma separated list."""
     urls = [url.strip() for url in hosts.split(",") if url.strip()]
     if not urls:
         fail(ExitCode.USAGE, "no host given")
-    return OperatorClient(urls=urls)
+    return urls
 
 
 def pick_operation(operation: str | None) -> str:
--- a/trefoilstage/cli/host.py
+++ b/trefoilstage/cli/host.py
@@ -8,9 +8,17 @@
 from pydantic import TypeAdapter
 
 from trefoilstage.cli.client import OperatorClient
-from trefoilstage.cli.common import HostOption, JsonOption, fail, make_client
-from trefoilstage.cli.output import ExitCode, print_model, print_rows
+from trefoilstage.cli.common import (
+    HostOption,
+    JsonOption,
+    fail,
+    make_client,
+    split_urls,
+)
+from trefoilstage.cli.output import ExitCode, print_error, print_model, print_rows
 from trefoilstage.cli.publish import HOSTS, STATUS
+from trefoilstage.components.operators.models import DeclareLostBody
+from trefoilstage.exceptions import NotReadyError
 
 STATE: TypeAdapter[dict[str, Any]] = TypeAdapter(dict[str, Any])
 LIST_COLUMNS = ("host", "data_center", "live", "caller_url", "operator_url")
@@ -35,6 +43,13 @@
 
     trefoilstage host state brest-1 --full
 """
+DECLARE_EXAMPLES = """Example:
+
+    trefoilstage host declare-lost brest-1 brest-2
+
+Only for hosts that never come back: a change of configuration that only they had
+accepted is lost. Streams of budgets wait on, as tokens could be spent twice.
+"""
 DRAIN_EXAMPLES = """Example:
 
     trefoilstage host drain brest-1
@@ -93,12 +108,43 @@
         print_model(answer, ("host", "draining"), as_json=self.json)
 
 
+@cappa.command(name="declare-lost", epilog=DECLARE_EXAMPLES)
+@dataclass(kw_only=True)
+class HostDeclareLostCommand:
+    """Let the configuration go on without what lost hosts may have read."""
+
+    names: Annotated[
+        list[str], cappa.Arg(help="hosts that are gone for good, also if replaced")
+    ]
+    host: HostOption
+    json: JsonOption = False
+
+    def __call__(self) -> None:
+        """Tell every host that can be reached."""
+        known = make_client(self.host).get("/hosts", HOSTS)
+        unknown = sorted(set(self.names) - {host.host for host in known})
+        if unknown:
+            fail(ExitCode.REJECTED, f"no host {', '.join(unknown)}")
+        body = DeclareLostBody(hosts=self.names)
+        # A host that started again may still be listed under its former address.
+        urls = [*split_urls(self.host), *(host.operator_url for host in known)]
+        answers = []
+        for url in dict.fromkeys(item.rstrip("/") for item in urls):
+            try:
+                answers.append(OperatorClient(urls=[url]).declare_lost(body))
+            except NotReadyError as error:
+                print_error(f"not told: {error}")
+        print_rows(answers, ("host", "hosts"), as_json=self.json)
+
+
 @cappa.command(name="host")
 @dataclass(kw_only=True)
 class HostCommand:
     """List hosts, show how one stands and drain it."""
 
-    command: cappa.Subcommands[HostListCommand | HostStateCommand | HostDrainCommand]
+    command: cappa.Subcommands[
+        HostListCommand | HostStateCommand | HostDrainCommand | HostDeclareLostCommand
+    ]
 
 
 def find_host(hosts: str, name: str) -> OperatorClient:
--- a/trefoilstage/components/operators/models.py
+++ b/trefoilstage/components/operators/models.py
@@ -4,6 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from trefoilstage.helpers.fields import Name
 from trefoilstage.helpers.finding import Finding
 
 Operation = Annotated[str, Field(min_length=8, max_length=64)]
@@ -130,6 +131,19 @@
     failures: int
 
 
+class DeclareLostBody(BaseModel):
+    """Name hosts that are gone for good."""
+
+    hosts: Annotated[list[Name], Field(min_length=1)]
+
+
+class DeclareLostAnswer(BaseModel):
+    """Tell that a host waits for others no more."""
+
+    host: str
+    hosts: list[str]
+
+
 class DrainAnswer(BaseModel):
     """Tell that a host has begun to drain."""
 
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -13,6 +13,8 @@
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.models import (
     BudgetAnswer,
+    DeclareLostAnswer,
+    DeclareLostBody,
     DrainAnswer,
     ErrorAnswer,
     FileAnswer,
@@ -35,6 +37,7 @@
 from trefoilstage.configuration.records import Publish, Remove
 from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
 from trefoilstage.helpers.dump import StateRegistry, dump_value
+from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.finding import Finding
 from trefoilstage.helpers.http import make_error_middleware
 from trefoilstage.helpers.verdict import Reason, Rejected
@@ -42,6 +45,8 @@
 
 BodyT = TypeVar("BodyT", bound=BaseModel)
 VERDICT_WAIT_S = 5.0
+# Long enough for a few rounds of questions to hundreds of hosts.
+DECLARED_S = 120.0
 MAX_BODY_BYTES = 1_000_000
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
@@ -87,6 +92,7 @@
         app.router.add_post("/config/remove", self._remove)
         app.router.add_post("/budgets/{name}/top-up", self._top_up)
         app.router.add_post("/drain", self._answer_drain)
+        app.router.add_post("/hosts/declare-lost", self._declare_lost)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
         await self._runner.setup()
         site = web.TCPSite(self._runner, self._address, self.port)
@@ -208,6 +214,15 @@
         self._drain()
         return answer_model(DrainAnswer(host=self._blackboard.host))
 
+    async def _declare_lost(self, request: web.Request) -> web.Response:
+        body = await parse_body(request, DeclareLostBody)
+        until = asyncio.get_running_loop().time() + DECLARED_S
+        self._blackboard.declared_lost |= dict.fromkeys(body.hosts, until)
+        log_event(Event.HOSTS_DECLARED_LOST, hosts=",".join(body.hosts))
+        return answer_model(
+            DeclareLostAnswer(host=self._blackboard.host, hosts=body.hosts)
+        )
+
 
 async def parse_body(request: web.Request, model: type[BodyT]) -> BodyT:
     """Return a checked body, or answer 400 with every finding."""
--- a/trefoilstage/components/peers/log_peers.py
+++ b/trefoilstage/components/peers/log_peers.py
@@ -1,5 +1,6 @@
 """Call the peers that stand in for the log."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from trefoilstage.blackboard import Blackboard
@@ -103,6 +104,12 @@
         hosts = self._blackboard.config.hosts.values()
         return {entry.host: entry.incarnation for entry in hosts}
 
+    def list_declared_lost(self) -> set[str]:
+        """Return the hosts that nobody is to wait for, by an operator's word."""
+        now = asyncio.get_running_loop().time()
+        declared = self._blackboard.declared_lost
+        return {name for name, until in declared.items() if now < until}
+
     def _find_urls(self) -> dict[str, str]:
         """Return live peers' addresses; a newcomer has only the platform's list."""
         urls = {
--- a/trefoilstage/components/peers/positions.py
+++ b/trefoilstage/components/peers/positions.py
@@ -7,6 +7,7 @@
 )
 from trefoilstage.components.peers.log_peers import LogPeers
 from trefoilstage.components.peers.messages import ReadRecords, RecordsReply
+from trefoilstage.const import CONFIG_STREAM
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.helpers.events import Event, log_event
 
@@ -22,10 +23,15 @@
     """
     message = ReadRecords(stream=stream, offset=offset, fence=fence)
     positions: dict[str, PeerPosition | None] = {}
+    # A lost draw would count as free, and its tokens be spent twice.
+    lost = peers.list_declared_lost() if stream == CONFIG_STREAM else set()
     for name, url in sorted(peers.find_all_urls().items()):
-        positions[name] = await find_position(peers, url, message)
+        position = await find_position(peers, url, message)
+        if position is None and name in lost:
+            continue
+        positions[name] = position
         # All but the first by name end here, so that 410 hosts make few calls each.
-        if leaves_it_to(positions[name], name, host=peers.host, offset=offset):
+        if leaves_it_to(position, name, host=peers.host, offset=offset):
             return False
     silent = [name for name, position in positions.items() if position is None]
     if silent:
@@ -39,7 +45,11 @@
         host=peers.host,
         offset=offset,
         positions=positions,
-        incarnations=peers.list_incarnations(),
+        incarnations={
+            name: incarnation
+            for name, incarnation in peers.list_incarnations().items()
+            if name not in lost
+        },
     )
 
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -48,6 +48,7 @@
     RECORD_FAILED = "record_failed"
     STREAM_HALTED = "stream_halted"
     STATE_EXPIRED = "state_expired"
+    HOSTS_DECLARED_LOST = "hosts_declared_lost"
     RECORD_MISSING = "record_missing"
     RECORD_LOST = "record_lost"
     RECORDS_SENT_AGAIN = "records_sent_again"
