--- a/tests/promises/test_forwarding.py
+++ b/tests/promises/test_forwarding.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import sys
-import time
 import unittest
 
 import aiohttp
@@ -15,6 +14,7 @@
 # How long after its last byte a request may still be cut by a shutdown, by the
 # platform's rules for a machine that is stopped on purpose.
 LOSS_SLACK_S = 0.2
+GRANTS_BACK_S = 10.0
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 
 
@@ -176,12 +176,12 @@
                 if burst == 0:
                     await fleet.kill("host-1")
                     await fleet.start_host("host-1")
-            # On a busy machine requests are refused for slowness as well, so callers
-            # go on until most of the budget is spent and one is refused after that.
+            # Grants of the killed host come back a while after it.
             status = 0
-            while status not in (402, 429) or fleet.count_runs() * 104 <= 3_000:
-                status = (await fleet.call("/stream/x")).status
-                self.assertIn(status, (200, 402, 429))
+            async with asyncio.timeout(GRANTS_BACK_S):
+                while status not in (402, 429) or fleet.count_runs() * 104 <= 3_000:
+                    status = (await fleet.call("/stream/x")).status
+                    self.assertIn(status, (200, 402, 429))
             self.assertLessEqual(fleet.count_runs() * 104, 5_000)
 
     async def test_requests_under_one_id_hold_tokens_each(self) -> None:
@@ -193,11 +193,9 @@
         async with PlatformFleet(n_hosts=2, prepaid=150) as fleet:
             for target in fleet.targets:
                 target.event_s = 0.2
-            # On a busy machine both may be refused for slowness; then they come again.
-            while fleet.count_runs() == 0:
-                answers = await asyncio.gather(
-                    *(fleet.call("/stream/x", attempt="same") for _ in range(2))
-                )
+            answers = await asyncio.gather(
+                *(fleet.call("/stream/x", attempt="same") for _ in range(2))
+            )
             self.assertEqual(fleet.count_runs(), 1)
             self.assertEqual(sorted(a.status == 200 for a in answers), [False, True])
 
@@ -271,17 +269,14 @@
             for target in fleet.targets:
                 target.event_s = 0.9
             host = fleet.hosts["host-0"]
-            n_done = len(host.list_times("request_done"))
             answer = await self.stop_under_stream(fleet)
             self.assertEqual((answer.whole, answer.body), (True, EVENTS))
-            await wait_for(
-                lambda: len(host.list_times("request_done")) > n_done, "its line"
-            )
-            # By the host's own clock, so that a test that is late calls less often.
-            ends = host.list_times("request_done")[n_done] + LOSS_SLACK_S
+            loop = asyncio.get_running_loop()
+            ends = loop.time() + LOSS_SLACK_S
             statuses: list[int] = []
-            while time.time() < ends:
+            while loop.time() < ends:
                 statuses.append((await fleet.call("/look/x", method="GET")).status)
+            self.assertTrue(statuses)
             self.assertLessEqual(set(statuses), {200, 503})
             self.assertEqual(await host.process.wait(), 0)
 
