Keep read, appended and fenced records in one place

RelayedLog held tails, appended records and fences beside each other, and passed them to its own methods. KeptRecords holds the three; the relay asks it.

--- a/trefoilstage/components/peers/relay.py
+++ b/trefoilstage/components/peers/relay.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import random
-from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from dataclasses import replace
 
 from mode import Service
 
 from trefoilstage.blackboard import Blackboard
-from trefoilstage.components.log_client.appended import AppendedRecords
 from trefoilstage.components.log_client.checkpoints import PackedState
 from trefoilstage.components.log_client.client import LogClient, LogPage, LogRecord
-from trefoilstage.components.log_client.fences import OffsetFences
+from trefoilstage.components.log_client.kept import KeptRecords
 from trefoilstage.components.log_client.reach import LogReach
-from trefoilstage.components.log_client.tail import RecordTail
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.log_peers import LogPeers
 from trefoilstage.components.peers.messages import (
@@ -27,7 +24,6 @@
 from trefoilstage.components.peers.positions import may_pass_over
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.state_transfer import fetch_state
-from trefoilstage.const import NO_OFFSET
 from trefoilstage.exceptions import (
     LogUnavailableError,
     NotReadyError,
@@ -66,9 +62,7 @@
         self._backoff = Backoff(
             initial_s=PROBE_FIRST_S, maximum_s=PROBE_MAX_S, generator=generator
         )
-        self._tails: defaultdict[str, RecordTail] = defaultdict(RecordTail)
-        self._appended: defaultdict[str, AppendedRecords] = defaultdict(AppendedRecords)
-        self._fences = OffsetFences()
+        self._kept = KeptRecords()
         self._lost = asyncio.Event()
         self._probed = ""
         server.register(ReadRecords, self._answer_read)
@@ -88,7 +82,7 @@
         message = AppendRecords(stream=stream, records=tuple(records))
         async for reply in self._peers.ask(message, self._peers.rank()):
             if isinstance(reply, AppendReply):
-                self._keep_appended(stream, reply.first, records)
+                self._kept.add_appended(stream, reply.first, records)
                 return reply.first
         raise LogUnavailableError("neither the log nor a peer appends")
 
@@ -96,8 +90,9 @@
         """Return records from an offset on."""
         page = await self._read(stream, offset, wait_s)
         # Also a record that was on its way when the offset was fenced.
-        if self._fences.covers(stream, offset):
-            raise RecordsExpiredError(earliest=self._fences.first_beyond(stream))
+        if self._kept.is_fenced(stream, offset):
+            earliest = self._kept.find_first_beyond(stream)
+            raise RecordsExpiredError(earliest=earliest)
         return page
 
     async def _read(self, stream: str, offset: int, wait_s: float) -> LogPage:
@@ -109,7 +104,7 @@
             except RecordsExpiredError as error:
                 return await self._read_expired(stream, offset, error)
         page = await self._read_from_peers(stream, offset)
-        self._keep_read(stream, page)
+        self._kept.add_read(stream, page)
         if not page.records:
             await asyncio.sleep(RELAY_POLL_S)
         return page
@@ -125,12 +120,12 @@
 
     async def search(self, stream: str, offset: int) -> LogPage | None:
         """Return records that the log dropped, from whoever appended or read them."""
-        page = self._find_kept(stream, offset, self._tails.get(stream))
+        page = self._kept.find(stream, offset)
         if page is None:
             page = await self._search_peers(stream, offset)
-        if page is None or self._fences.covers(stream, offset):
+        if page is None or self._kept.is_fenced(stream, offset):
             return None
-        self._keep_read(stream, page)
+        self._kept.add_read(stream, page)
         return page
 
     async def _search_peers(self, stream: str, offset: int) -> LogPage | None:
@@ -157,10 +152,7 @@
         status = self._blackboard.streams.get(stream)
         if status is None or status.next_offset > offset:
             return False
-        if self._find_kept(stream, offset, self._tails.get(stream)) is not None:
-            return False
-        self._fences.add(stream, offset)
-        return True
+        return self._kept.fence(stream, offset)
 
     async def is_shared(self, stream: str, offset: int) -> bool:
         """Tell whether another host, if one lives, has folded up to an offset."""
@@ -181,21 +173,9 @@
             stream, records, timeout_s=self._reach.timeout_s
         )
         self._note_answer(asyncio.get_running_loop().time() - started)
-        self._keep_appended(stream, first, records)
+        self._kept.add_appended(stream, first, records)
         return first
 
-    def _keep_appended(self, stream: str, first: int, records: Sequence[bytes]) -> None:
-        if first == NO_OFFSET:
-            return
-        kept = [
-            LogRecord(offset=offset, data=data)
-            for offset, data in enumerate(records, start=first)
-        ]
-        self._appended[stream].add(self._fences.drop(stream, kept))
-
-    def _keep_read(self, stream: str, page: LogPage) -> None:
-        self._tails[stream].keep(self._fences.drop(stream, page.records))
-
     async def _read_direct(self, stream: str, offset: int, wait_s: float) -> LogPage:
         started = asyncio.get_running_loop().time()
         page = await self._client.read(
@@ -203,7 +183,7 @@
         )
         duration_s = asyncio.get_running_loop().time() - started
         self._note_answer(max(0.0, duration_s - wait_s))
-        self._keep_read(stream, page)
+        self._kept.add_read(stream, page)
         return page
 
     def _note_answer(self, duration_s: float) -> None:
@@ -224,7 +204,7 @@
         while True:
             await self._lost.wait()
             await asyncio.sleep(self._backoff.next_delay())
-            offset = self._tails[self._probed].next_offset
+            offset = self._kept.get_next(self._probed)
             try:
                 await self._read_direct(self._probed, offset, 0.0)
             except RecordsExpiredError:
@@ -269,19 +249,16 @@
     def _answer_fence(self, message: ReadRecords) -> RecordsReply:
         if self._fence(message.stream, message.offset):
             return RecordsReply(fenced=True)
-        tail = self._tails.get(message.stream)
-        page = self._find_kept(message.stream, message.offset, tail)
+        page = self._kept.find(message.stream, message.offset)
         return make_reply(page, fresh=True) if page else RecordsReply()
 
     async def _find_records(self, message: ReadRecords) -> RecordsReply:
-        tail = self._tails.get(message.stream)
-        page = self._find_kept(message.stream, message.offset, tail)
-        if page is None and tail is not None and tail.holds(message.offset):
-            page = tail.read(message.offset)
+        page = self._kept.find(message.stream, message.offset)
+        page = page or self._kept.find_end(message.stream, message.offset)
         if page is not None:
             return make_reply(page, fresh=self._reach.up)
         if not self._reach.up:
-            return self._answer_without_log(message, tail)
+            return self._answer_without_log(message)
         try:
             page = await self._client.read(
                 message.stream,
@@ -293,20 +270,9 @@
             return RecordsReply(expired=True, earliest=error.earliest)
         return make_reply(page, fresh=True)
 
-    def _find_kept(
-        self, stream: str, offset: int, tail: RecordTail | None
-    ) -> LogPage | None:
-        """Return records that this host has read, or appended and not read yet."""
-        if tail is not None and tail.holds(offset):
-            page = tail.read(offset)
-            if page.records:
-                return page
-        return self._appended[stream].read(offset)
-
-    def _answer_without_log(
-        self, message: ReadRecords, tail: RecordTail | None
-    ) -> RecordsReply:
-        if tail is None or tail.next_offset == 0:
+    def _answer_without_log(self, message: ReadRecords) -> RecordsReply:
+        tail = self._kept.get_tail(message.stream)
+        if tail is None:
             raise NotReadyError("the log is out of reach")
         if message.offset < tail.earliest:
             return RecordsReply(expired=True, earliest=tail.earliest, fresh=False)
@@ -319,7 +285,7 @@
             message.stream, list(message.records), timeout_s=self._reach.timeout_s
         )
         # The host that asked may end before its answer arrives.
-        self._keep_appended(message.stream, first, message.records)
+        self._kept.add_appended(message.stream, first, message.records)
         return AppendReply(first=first)
 
 
