--- /dev/null
+++ b/tests/components/faulty_log.py
@@ -0,0 +1,114 @@
+"""Keep a log of which calls are lost, late or held, as told."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from trefoilstage.components.log_client.client import LogPage, LogRecord
+from trefoilstage.exceptions import LogUnavailableError, RecordsExpiredError
+
+CALL_S = 0.004
+
+
+def tell_time() -> float:
+    """Return the loop's time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+@dataclass(kw_only=True, slots=True)
+class Faults:
+    """Hold what befalls the calls of one host."""
+
+    cut: bool = False
+    frozen: bool = False
+    # Shares of the log's calls.
+    lose_requests: float = 0.0
+    lose_answers: float = 0.0
+    late_answers: float = 0.0
+    late_s: float = 0.0
+    late_appends_s: float = 0.0
+    hold_reads: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class FaultyLog:
+    """Keep the newest records of one stream."""
+
+    n_kept: int = 1
+    down: bool = False
+    records: list[bytes] = field(default_factory=list)
+
+    @property
+    def earliest(self) -> int:
+        """Return the first offset that is kept."""
+        return max(0, len(self.records) - self.n_kept)
+
+
+@dataclass(kw_only=True, slots=True)
+class FaultyLink:
+    """Reach the log as one host does."""
+
+    log: FaultyLog
+    generator: random.Random
+    get_faults: Callable[[], Faults]
+
+    async def append(
+        self, stream: str, records: list[bytes], *, timeout_s: float
+    ) -> int:
+        """Append a group and return its first offset."""
+        async with self._call(timeout_s) as log:
+            first = len(log.records)
+            log.records += records
+            await self._delay(self.get_faults().late_appends_s)
+        return first
+
+    async def read(
+        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
+    ) -> LogPage:
+        """Return the records from an offset on, waiting for the first one."""
+        async with self._call(timeout_s + wait_s) as log:
+            while self.get_faults().hold_reads:
+                await asyncio.sleep(CALL_S)
+            until = tell_time() + wait_s
+            while offset >= len(log.records) and tell_time() < until:
+                await asyncio.sleep(CALL_S)
+            end, earliest = len(log.records), log.earliest
+            kept = tuple(
+                LogRecord(offset=place, data=log.records[place])
+                for place in range(max(offset, earliest), end)
+            )
+        if offset < earliest:
+            raise RecordsExpiredError(earliest=earliest)
+        return LogPage(records=kept, next_offset=end)
+
+    @asynccontextmanager
+    async def _call(self, timeout_s: float) -> AsyncIterator[FaultyLog]:
+        """Lose the request or the answer, or let it come late, as told."""
+        faults = self.get_faults()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(CALL_S)
+                await self._pass(faults.lose_requests)
+                if self.log.down:
+                    raise LogUnavailableError("status 503")
+                yield self.log
+                await asyncio.sleep(CALL_S)
+                if self.generator.random() < faults.late_answers:
+                    await self._delay(faults.late_s)
+                await self._pass(faults.lose_answers)
+        except TimeoutError as error:
+            raise LogUnavailableError("timeout") from error
+
+    async def _delay(self, delay_s: float) -> None:
+        """Hold an answer back, at most until the faults end."""
+        faults, until = self.get_faults(), tell_time() + delay_s
+        while self.get_faults() is faults and tell_time() < until:
+            await asyncio.sleep(CALL_S)
+
+    async def _pass(self, share: float) -> None:
+        if self.generator.random() < share:
+            raise LogUnavailableError("connection lost")
+        while self.get_faults().cut or self.get_faults().frozen:
+            await asyncio.sleep(CALL_S)
--- a/tests/components/log_fault_play.py
+++ b/tests/components/log_fault_play.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from bench.emulator.clock import run_virtually
-from tests.components.log_faults import SETTLE_S, Faults, Host, World
+from tests.components.faulty_log import Faults
+from tests.components.log_faults import SETTLE_S, Host, World
 from trefoilstage.components.operators.server import VERDICT_WAIT_S
 from trefoilstage.helpers.verdict import ACCEPTED, Verdict
 
--- a/tests/components/log_faults.py
+++ b/tests/components/log_faults.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Coroutine
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from collections.abc import Coroutine
+from dataclasses import dataclass
 from typing import Any
 
 from mode import Service
 
+from tests.components.faulty_log import CALL_S, Faults, FaultyLink, FaultyLog
 from tests.components.relays import HandlerTable
 from trefoilstage.blackboard import Blackboard, ListedHost, PeerStatus, StreamStatus
 from trefoilstage.components.log_client.checkpoints import (
@@ -16,14 +16,12 @@
     PackedState,
     compress_state,
 )
-from trefoilstage.components.log_client.client import LogPage, LogRecord
 from trefoilstage.components.log_client.folds import ConfigFold
 from trefoilstage.components.log_client.stream import StreamService
 from trefoilstage.components.peers.relay import RelayedLog
 from trefoilstage.components.peers.snapshots import SnapshotServer
 from trefoilstage.configuration.records import HostUp, Publish
 from trefoilstage.exceptions import (
-    LogUnavailableError,
     NotReadyError,
     PeerUnavailableError,
     RecordsExpiredError,
@@ -31,7 +29,6 @@
 from trefoilstage.helpers.verdict import Verdict
 
 STREAM = "config"
-CALL_S = 0.004
 POLL_S = 1.0
 LOG_TIMEOUT_S = 0.5
 HEARTBEAT_S = 0.3
@@ -39,102 +36,6 @@
 SETTLE_S = 30.0
 
 
-@dataclass(kw_only=True, slots=True)
-class Faults:
-    """Hold what befalls the calls of one host."""
-
-    cut: bool = False
-    frozen: bool = False
-    # Shares of the log's calls.
-    lose_requests: float = 0.0
-    lose_answers: float = 0.0
-    late_answers: float = 0.0
-    late_s: float = 0.0
-    late_appends_s: float = 0.0
-    hold_reads: bool = False
-
-
-@dataclass(kw_only=True, slots=True)
-class FaultyLog:
-    """Keep the newest records of one stream."""
-
-    n_kept: int = 1
-    down: bool = False
-    records: list[bytes] = field(default_factory=list)
-
-    @property
-    def earliest(self) -> int:
-        """Return the first offset that is kept."""
-        return max(0, len(self.records) - self.n_kept)
-
-
-@dataclass(kw_only=True, slots=True)
-class FaultyLink:
-    """Reach the log as one host does."""
-
-    world: "World"
-    host: "Host"
-
-    async def append(
-        self, stream: str, records: list[bytes], *, timeout_s: float
-    ) -> int:
-        """Append a group and return its first offset."""
-        async with self._call(timeout_s) as log:
-            first = len(log.records)
-            log.records += records
-            await self._delay(self.host.faults.late_appends_s)
-        return first
-
-    async def read(
-        self, stream: str, offset: int, *, wait_s: float, timeout_s: float
-    ) -> LogPage:
-        """Return the records from an offset on, waiting for the first one."""
-        async with self._call(timeout_s + wait_s) as log:
-            while self.host.faults.hold_reads:
-                await asyncio.sleep(CALL_S)
-            until = self.world.now() + wait_s
-            while offset >= len(log.records) and self.world.now() < until:
-                await asyncio.sleep(CALL_S)
-            end, earliest = len(log.records), log.earliest
-            kept = tuple(
-                LogRecord(offset=place, data=log.records[place])
-                for place in range(max(offset, earliest), end)
-            )
-        if offset < earliest:
-            raise RecordsExpiredError(earliest=earliest)
-        return LogPage(records=kept, next_offset=end)
-
-    @asynccontextmanager
-    async def _call(self, timeout_s: float) -> AsyncIterator[FaultyLog]:
-        """Lose the request or the answer, or let it come late, as told."""
-        world, faults = self.world, self.host.faults
-        try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(CALL_S)
-                await self._pass(faults.lose_requests)
-                if world.log.down:
-                    raise LogUnavailableError("status 503")
-                yield world.log
-                await asyncio.sleep(CALL_S)
-                if world.random.random() < faults.late_answers:
-                    await self._delay(faults.late_s)
-                await self._pass(faults.lose_answers)
-        except TimeoutError as error:
-            raise LogUnavailableError("timeout") from error
-
-    async def _delay(self, delay_s: float) -> None:
-        """Hold an answer back, at most until the faults end."""
-        faults, until = self.host.faults, self.world.now() + delay_s
-        while self.host.faults is faults and self.world.now() < until:
-            await asyncio.sleep(CALL_S)
-
-    async def _pass(self, share: float) -> None:
-        if self.world.random.random() < share:
-            raise LogUnavailableError("connection lost")
-        while self.host.faults.cut or self.host.faults.frozen:
-            await asyncio.sleep(CALL_S)
-
-
 class Host(Service):
     """Own the stream, relay and board of one incarnation."""
 
@@ -154,7 +55,11 @@
         self.board.streams[STREAM] = StreamStatus()
         generator = random.Random(f"{world.seed}{self.incarnation}")
         self.relay = RelayedLog(
-            client=FaultyLink(world=world, host=self),  # type: ignore[arg-type]
+            client=FaultyLink(  # type: ignore[arg-type]
+                log=world.log,
+                generator=world.random,
+                get_faults=lambda: self.faults,
+            ),
             blackboard=self.board,
             links=Links(world=world, host=self),  # type: ignore[arg-type]
             server=self.handlers,  # type: ignore[arg-type]
