Tell the refusal in the test of a host killed mid-answer

It was a refusal that the test did not look at: 503 log_unavailable, not run, come back in 2 s, while the log's own process was suspended. The test now demands status 200 with the body as its message, before it reads the usage.

--- a/tests/promises/test_billing.py
+++ b/tests/promises/test_billing.py
@@ -120,6 +120,7 @@
         """
         for host in hosts:
             later = await fleet.chat(host, max_tokens=200)
+            self.assertEqual(later.status, 200, later.body)
             tokens += later.json["usage"]["total_tokens"]
         await fleet.wait_for_spend(tokens, hosts=hosts)
 
