Count a connection's stall from when it begins to open

The HTTP client's trace now notes when a connection begins to open. The four tests of stalled connections pass.

--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -1,6 +1,5 @@
 """Send a request to one target and read the head of its answer."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import cast
@@ -22,7 +21,6 @@
 from trefoilstage.exceptions import TrefoilstageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.sends import Attempt, RepeatedSendError, open_session
-from trefoilstage.util.stalls import stood_still
 
 # A target in the same region accepts within 2 ms. The kernel sends a lost opening
 # packet again after 1 s; another target is tried long before that.
@@ -96,11 +94,6 @@
     return open_session(connector, CheckedResponse)
 
 
-def is_own_stall(error: Exception, due: float, now: float) -> bool:
-    """Tell whether a connection timed out only because this host stood still."""
-    return isinstance(error, aiohttp.ConnectionTimeoutError) and stood_still(due, now)
-
-
 class TargetSender:
     """Send requests to targets."""
 
@@ -117,8 +110,6 @@
     ) -> OpenAnswer | NotSent | Broken:
         """Return a target's answer, or whether it can have run the request."""
         attempt = Attempt(once=True)
-        loop = asyncio.get_running_loop()
-        due = loop.time() + CONNECT_TIMEOUT_S
         try:
             response = await self._session.request(
                 request.method,
@@ -137,7 +128,8 @@
             name = type(error).__name__
             if attempt.n_sent:
                 return Broken(reason=name)
-            if is_own_stall(error, due, loop.time()):
+            timed_out = isinstance(error, aiohttp.ConnectionTimeoutError)
+            if timed_out and attempt.was_stalled(CONNECT_TIMEOUT_S):
                 return NotSent(reason=name, stalled=True)
             silent = isinstance(error, TimeoutError)
             return NotSent(reason=name, unreachable=True, silent=silent)
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -30,7 +30,7 @@
 )
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.util.stalls import stood_still
+from trefoilstage.helpers.sends import Attempt
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -115,22 +115,22 @@
         loop = asyncio.get_running_loop()
         give_up_at = loop.time() + generation.timeout_s
         while True:
-            started = loop.time()
+            attempt = Attempt(once=False)
             try:
                 return await self._session.post(
                     url,
                     data=generation.body,
                     headers=headers,
                     timeout=aiohttp.ClientTimeout(
-                        total=give_up_at - started, sock_connect=CONNECT_TIMEOUT_S
+                        total=give_up_at - loop.time(), sock_connect=CONNECT_TIMEOUT_S
                     ),
                     # A followed redirect would run the request at two targets.
                     allow_redirects=False,
+                    trace_request_ctx=attempt,
                 )
             except aiohttp.ConnectionTimeoutError:
-                now = loop.time()
-                stalled = stood_still(started + CONNECT_TIMEOUT_S, now)
-                if not stalled or now >= give_up_at:
+                stalled = attempt.was_stalled(CONNECT_TIMEOUT_S)
+                if not stalled or loop.time() >= give_up_at:
                     raise
                 log_event(
                     Event.CONNECT_REPEATED,
--- a/trefoilstage/helpers/sends.py
+++ b/trefoilstage/helpers/sends.py
@@ -1,11 +1,13 @@
-"""Count how often the HTTP client sends a request, and stop a second send."""
+"""Follow what the HTTP client does for a request, and stop a second send."""
 
+import asyncio
 from dataclasses import dataclass
 from types import SimpleNamespace
 
 import aiohttp
 
 from trefoilstage.exceptions import TrefoilstageError
+from trefoilstage.util.stalls import stood_still
 
 
 class RepeatedSendError(TrefoilstageError):
@@ -14,19 +16,40 @@
 
 @dataclass(kw_only=True, slots=True)
 class Attempt:
-    """Count how often a call's head went out; written by the trace."""
+    """Hold how far a call has come; written by the trace."""
 
     once: bool
     n_sent: int = 0
+    # When the opening of a connection began, by the loop's clock.
+    connecting_since: float | None = None
+
+    def was_stalled(self, timeout_s: float) -> bool:
+        """Tell whether this process stood still while its connection timed out."""
+        if self.connecting_since is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        return stood_still(self.connecting_since + timeout_s, now)
 
 
 def make_send_trace() -> aiohttp.TraceConfig:
     """Return a trace that counts sends and stops the second of a single one."""
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(note_connecting)
     trace.on_request_headers_sent.append(count_send)
     return trace
 
 
+async def note_connecting(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    """Note when a connection begins to open."""
+    attempt = context.trace_request_ctx
+    if isinstance(attempt, Attempt):
+        attempt.connecting_since = asyncio.get_running_loop().time()
+
+
 async def count_send(
     session: aiohttp.ClientSession,
     context: SimpleNamespace,
