Reject a record that no host could read before it is sent

Found in reading the diff: since a writer's records are folded without gaps, one that every host skips as malformed would hold up all later ones of its host, which would send them again for ever. A record is now decoded as hosts will decode it before it is numbered, and rejected as invalid if it can't be.

--- a/tests/components/test_stream.py
+++ b/tests/components/test_stream.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mode import Service
 
@@ -208,6 +208,18 @@
         self.assertIsInstance(verdicts[0], Rejected)
         self.assertEqual(verdicts[1], ACCEPTED)
 
+    async def test_record_that_no_host_can_read_does_not_block_the_next(self) -> None:
+        """Guard against a writer whose records all wait for a malformed one."""
+        follower = await self.start("a")
+        malformed = replace(make_publish(1), name="no file")
+        tickets = [
+            follower.stream.submit(item) for item in (malformed, make_publish(2))
+        ]
+        async with asyncio.timeout(TIMEOUT_S):
+            verdicts = [await ticket.future for ticket in tickets]
+        self.assertIsInstance(verdicts[0], Rejected)
+        self.assertEqual(verdicts[1], ACCEPTED)
+
     async def test_verdict_is_known_after_falling_behind_the_retention(self) -> None:
         """Lose the answer and the sight of the log until the record has expired.
 
--- a/trefoilstage/components/log_client/stream.py
+++ b/trefoilstage/components/log_client/stream.py
@@ -74,6 +74,7 @@
             incarnation=incarnation,
             sink=source,
             encode=fold.encode,
+            decode=fold.decode,
             backoff=make_backoff(generator),
         )
         self._listeners: list[Listener] = []
--- a/trefoilstage/components/log_client/writer.py
+++ b/trefoilstage/components/log_client/writer.py
@@ -8,7 +8,11 @@
 from typing import Any, Protocol
 
 from trefoilstage.const import MAX_RECORD_BYTES, NO_OFFSET
-from trefoilstage.exceptions import LogUnavailableError, SequenceForgottenError
+from trefoilstage.exceptions import (
+    LogUnavailableError,
+    MalformedMessageError,
+    SequenceForgottenError,
+)
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Rejected, Verdict
 from trefoilstage.util.backoff import Backoff
@@ -55,12 +59,14 @@
         incarnation: str,
         sink: RecordSink,
         encode: Encode,
+        decode: Callable[[bytes], Any],
         backoff: Backoff,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
         self._sink = sink
         self._encode = encode
+        self._decode = decode
         self._backoff = backoff
         self._next_sequence = 0
         self._queue: deque[Ticket] = deque()
@@ -160,11 +166,11 @@
             if group and n_bytes + len(encoded) > MAX_GROUP_BYTES:
                 break
             queue.popleft()
-            # The log refuses a record of this size each time it is sent, and
-            # everything queued behind it would wait for ever.
-            if len(encoded) > MAX_RECORD_BYTES:
-                detail = f"{len(encoded)} bytes, limit {MAX_RECORD_BYTES}"
-                resolve(ticket, Rejected(reason=Reason.INVALID, detail=detail))
+            # The log refuses such a record each time it is sent, or no host can fold
+            # it, and everything queued behind it would wait for ever.
+            fault = self._find_fault(encoded)
+            if fault:
+                resolve(ticket, Rejected(reason=Reason.INVALID, detail=fault))
                 continue
             n_bytes += len(encoded)
             self._number(ticket)
@@ -172,6 +178,16 @@
             data.append(encoded)
         return group, data
 
+    def _find_fault(self, encoded: bytes) -> str:
+        """Return why a record must not be sent, empty if it may."""
+        if len(encoded) > MAX_RECORD_BYTES:
+            return f"{len(encoded)} bytes, limit {MAX_RECORD_BYTES}"
+        try:
+            self._decode(encoded)
+        except MalformedMessageError as error:
+            return str(error)
+        return ""
+
     def _encode_ticket(self, ticket: Ticket) -> bytes:
         sequence = ticket.sequence
         if sequence is None:
