Announce a host once it has read the configuration

Seen: 1 of 68 runs of the strict test at a load of 15 to 23: the newcomer did not have the file in force in 5 s. Cause, from the kept lines: host-3 starts at 582.63, host-2 writes a checkpoint at 582.67, and host-3's own announcement drops it from a log that keeps one record before host-3 has read it (state_expired at 582.77, no state_restored). The next checkpoint was due after 3 s; the newcomer counted in the hosts' order for writing it, though it had no state.

--- a/trefoilstage/components/membership/controller.py
+++ b/trefoilstage/components/membership/controller.py
@@ -22,6 +22,7 @@
 from trefoilstage.util.hashing import rank_by_rendezvous
 
 N_RECOVERERS = 3
+ANNOUNCE_CHECK_S = 0.02
 # A call and its reply tell both sides of each other, so the second of a pair need
 # not call as well. Below one, or both would wait for the other at each beat.
 FRESH_SHARE = 0.8
@@ -161,9 +162,20 @@
             self._note_heard(reply)
 
     def set_announcement(self, record: HostUp) -> None:
-        """Announce this host, now and whenever the others have forgotten it."""
+        """Announce this host, once it is caught up and whenever it was forgotten."""
         self._announcement = record
-        self._streams.submit_config(record)
+        self._unsubscribe_first = self._timer.subscribe(
+            name="announcement",
+            interval_s=ANNOUNCE_CHECK_S,
+            callback=self._announce_first,
+        )
+
+    async def _announce_first(self) -> None:
+        # A log that keeps little drops the checkpoint that this host needs as it takes
+        # the announcement.
+        if self._streams.config.status.caught_up and self._announcement is not None:
+            self._unsubscribe_first()
+            self._streams.submit_config(self._announcement)
 
     def _note_heard(self, message: Heartbeat) -> None:
         status = self._blackboard.peers.get(message.host)
