Send nothing to the targets of an evacuated data centre

Cause: the operators' record about an evacuation was read and ignored, as the board updater passed over all keys but the configuration's.

Change: the directory of targets knows which data centres are evacuated and lists none of their targets. The record travels like the configuration: by a waiting read, and through peers to a host that is cut from the store. Its value is not looked at, so that a later format can't cost the evacuation. Streams under way go on.

Ruled out as another way: dropping the targets from the directory, as the evacuation's end would have to bring them back.

--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -29,6 +29,7 @@
 from trefoilstage.util.process_start import ProcessStart
 
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 # A process takes this long to start, in addition to the time that it stays down.
 RESTART_S = 0.5
 READY_POLL_S = 0.02
@@ -109,6 +110,7 @@
             board_updater=BoardUpdater(
                 board=board,
                 configuration_key=CONFIGURATION_KEY,
+                evacuation_prefix=EVACUATION_PREFIX,
                 decode_configuration=self._stored_objects.configurations.__getitem__,
                 decode_target=lambda name, data: self._stored_objects.entries[data],
             ),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -244,12 +244,13 @@
     service: str = "llm",
     sequence: int = 1,
     started_at_ms: int = 1_000,
+    data_center: str = "brest",
 ) -> bytes:
     """Return a target's encoded entry."""
     entry = {
         "service": service,
         "address": f"{LOOPBACK}:{port}",
-        "zone": "brest",
+        "zone": data_center,
         "version": "v1",
         "slots": 8,
         "state": state,
--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -37,6 +37,7 @@
         updater = BoardUpdater(
             board=board,
             configuration_key="config",
+            evacuation_prefix="evacuate/",
             decode_configuration=mock.Mock(),
             decode_target=decode_target,
         )
@@ -71,6 +72,54 @@
         self.assertEqual(self.list_ready(board, 20.0), [])
 
 
+class EvacuationTest(unittest.TestCase):
+    """Test how evacuations of a data centre take effect."""
+
+    def setUp(self) -> None:
+        """Create a host's updater, and a ready target in the data centre brest."""
+        self.board = make_board("host-0", ["host-1"])
+        self.updater = BoardUpdater(
+            board=self.board,
+            configuration_key="config",
+            evacuation_prefix="evacuate/",
+            decode_configuration=mock.Mock(),
+            decode_target=decode_target,
+        )
+        entry = KeyedRecord(key="i-1", offset=3, value=b"ready")
+        self.updater.apply_records(Topic.TARGETS, [entry], now=10.0)
+
+    def evacuate(self, data_center: str, value: bytes | None = b"{}") -> None:
+        """Apply the operators' record about a data centre; None ends an evacuation."""
+        record = KeyedRecord(key=f"evacuate/{data_center}", offset=5, value=value)
+        self.updater.apply_records(Topic.CONFIGURATION, [record], now=11.0)
+
+    def list_ready(self) -> list[str]:
+        """Return the names of the targets that get new work."""
+        ready = self.board.targets.list_ready(SERVICE, 12.0)
+        return [entry.name for entry in ready]
+
+    def test_targets_of_an_evacuated_data_centre_are_not_used(self) -> None:
+        """Guard against requests to a data centre that is being evacuated."""
+        self.evacuate("lorient")
+        self.assertEqual(self.list_ready(), ["i-1"])
+        self.evacuate("brest")
+        self.assertEqual(self.list_ready(), [])
+        self.evacuate("brest", None)
+        self.assertEqual(self.list_ready(), ["i-1"])
+
+    def test_target_that_registers_during_an_evacuation_is_not_used(self) -> None:
+        """Guard against new targets in a data centre that is being evacuated."""
+        self.evacuate("brest")
+        entry = KeyedRecord(key="i-2", offset=6, value=b"ready")
+        self.updater.apply_records(Topic.TARGETS, [entry], now=11.5)
+        self.assertEqual(self.list_ready(), [])
+
+    def test_evacuation_with_an_unknown_value_takes_effect(self) -> None:
+        """Guard against an evacuation that is ignored for a value of a later format."""
+        self.evacuate("brest", b"\xff not JSON")
+        self.assertEqual(self.list_ready(), [])
+
+
 class PauseTest(unittest.TestCase):
     """Test how often a host reads each topic of the store."""
 
--- a/tests/fuzz/test_target_entries.py
+++ b/tests/fuzz/test_target_entries.py
@@ -14,6 +14,7 @@
 from trefoilstage.components.views.store import Topic
 from trefoilstage.platform.configuration import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     decode_configuration,
     decode_target,
 )
@@ -64,6 +65,7 @@
         updater = BoardUpdater(
             board=board,
             configuration_key=CONFIGURATION_KEY,
+            evacuation_prefix=EVACUATION_PREFIX,
             decode_configuration=decode_configuration,
             decode_target=decode_target,
         )
@@ -94,6 +96,7 @@
         updater = BoardUpdater(
             board=board,
             configuration_key=CONFIGURATION_KEY,
+            evacuation_prefix=EVACUATION_PREFIX,
             decode_configuration=decode_configuration,
             decode_target=decode_target,
         )
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -34,6 +34,7 @@
 HTTP_OK = 200
 N_CALLS_KEPT = 1_000
 STALL_CHECK_S = 0.05
+DATA_CENTER = "brest"
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -109,6 +110,8 @@
     # Whether there is a fault-injecting proxy between each host and the store.
     use_proxies: bool = False
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
+    # Of targets, by number, that are not in the hosts' data centre.
+    target_data_centers: dict[int, str] = field(default_factory=dict)
 
     async def _watch_stalls(self) -> None:
         """Record stalls of this process, in which the callers and targets run."""
@@ -169,7 +172,11 @@
 
     async def write_target(self, number: int, *, state: str = "ready") -> None:
         """Write a target's entry to the store."""
-        value = encode_target(self.ports[number], state=state)
+        value = encode_target(
+            self.ports[number],
+            state=state,
+            data_center=self.target_data_centers.get(number, DATA_CENTER),
+        )
         await self.store.put(Topic.TARGETS, self.targets[number].name, value)
 
     async def write_configuration(self, version: int) -> None:
@@ -177,6 +184,14 @@
         value = encode_configuration(version, prepaid=self.prepaid)
         await self.store.put(Topic.CONFIGURATION, "config", value)
 
+    async def evacuate(self, data_center: str) -> None:
+        """Tell the hosts to send nothing more to the targets of a data centre."""
+        await self.store.put(Topic.CONFIGURATION, f"evacuate/{data_center}", b"{}")
+
+    async def end_evacuation(self, data_center: str) -> None:
+        """Let the hosts use the targets of a data centre again."""
+        await self.store.put(Topic.CONFIGURATION, f"evacuate/{data_center}", None)
+
     async def start_host(self, name: str) -> HostProcess:
         """Start a host and wait until it is ready and has listed all targets."""
         store_server = StoreServer(store=self.store)
@@ -186,7 +201,7 @@
             port = await self._put_proxy(name, port)
         path = Path(self.folder.name) / f"{name}.conf"
         path.write_text(
-            f"node_name={name}\nzone=brest\nlisten.front={LOOPBACK}:0\n"
+            f"node_name={name}\nzone={DATA_CENTER}\nlisten.front={LOOPBACK}:0\n"
             f"listen.ready={LOOPBACK}:0\ninternal_ports=0,0\n"
             f"platform.address={LOOPBACK}:{port}\nplatform.parts=3\n"
             f"bounds.grace_s={self.grace_s}\n"
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -22,11 +22,13 @@
         *,
         board: FleetBoard,
         configuration_key: str,
+        evacuation_prefix: str,
         decode_configuration: DecodeConfiguration,
         decode_target: DecodeTarget,
     ) -> None:
         self._board = board
         self._configuration_key = configuration_key
+        self._evacuation_prefix = evacuation_prefix
         self._decode_configuration = decode_configuration
         self._decode_target = decode_target
 
@@ -37,7 +39,7 @@
         for record in records:
             try:
                 if topic is Topic.CONFIGURATION:
-                    self._apply_configuration(record)
+                    self._apply_operator_record(record)
                 else:
                     self._apply_target(record, now)
             except MalformedMessageError as error:
@@ -52,8 +54,28 @@
                     error=truncate_text(str(error)),
                 )
 
+    def _apply_operator_record(self, record: KeyedRecord) -> None:
+        if record.key == self._configuration_key:
+            self._apply_configuration(record)
+        elif record.key.startswith(self._evacuation_prefix):
+            self._apply_evacuation(record)
+
+    def _apply_evacuation(self, record: KeyedRecord) -> None:
+        """Start or end an evacuation; only the key matters, whatever the value says."""
+        data_center = record.key.removeprefix(self._evacuation_prefix)
+        is_evacuated = record.value is not None
+        if is_evacuated:
+            self._board.targets.evacuated.add(data_center)
+        else:
+            self._board.targets.evacuated.discard(data_center)
+        log_event(
+            Event.EVACUATION_STARTED if is_evacuated else Event.EVACUATION_ENDED,
+            data_center=truncate_text(data_center),
+            offset=record.offset,
+        )
+
     def _apply_configuration(self, record: KeyedRecord) -> None:
-        if record.key != self._configuration_key or record.value is None:
+        if record.value is None:
             return
         configuration = self._decode_configuration(record.value)
         known = self._board.configuration
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -51,6 +51,8 @@
     listed: dict[str, ListedTarget] = field(default_factory=dict)
     # Includes names whose entries were removed.
     starts: dict[str, StartHistory] = field(default_factory=dict)
+    # Data centres whose targets receive no new requests, by order of the operators.
+    evacuated: set[str] = field(default_factory=set)
 
     def apply_entry(self, entry: TargetEntry) -> bool:
         """Apply a target's entry; return whether it belongs to the latest start.
@@ -150,5 +152,6 @@
             for _, item in sorted(self.listed.items())
             if item.entry.service == service
             and item.entry.phase is TargetPhase.READY
+            and item.entry.data_center not in self.evacuated
             and now <= item.usable_until
         ]
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -72,6 +72,8 @@
     TARGET_FAILED = "target_failed"
     TIMER_FAILED = "timer_failed"
     CONFIG_IN_FORCE = "config_in_force"
+    EVACUATION_STARTED = "evacuation_started"
+    EVACUATION_ENDED = "evacuation_ended"
     VIEW_LISTED = "view_listed"
     VIEW_RELAYED = "view_relayed"
     STORE_IN_REACH = "store_in_reach"
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -24,6 +24,8 @@
 
 MS_PER_S = 1000.0
 CONFIGURATION_KEY = "config"
+# The rest of the key is the zone, which is a data centre here.
+EVACUATION_PREFIX = "evacuate/"
 # The platform's "unsafe" means "at most once".
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
--- a/trefoilstage/platform/process.py
+++ b/trefoilstage/platform/process.py
@@ -22,6 +22,7 @@
 from trefoilstage.helpers.log_line_writer import LineWriter
 from trefoilstage.platform.configuration import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     decode_configuration,
     decode_target,
 )
@@ -58,6 +59,7 @@
             board_updater=BoardUpdater(
                 board=board,
                 configuration_key=CONFIGURATION_KEY,
+                evacuation_prefix=EVACUATION_PREFIX,
                 decode_configuration=decode_configuration,
                 decode_target=decode_target,
             ),
