Send requests only to targets in the regions of their route and workspace

Change: both are decoded, a target counts by the region of its data centre, which the settings name, and where route and workspace both have regions both bind. A data centre of unknown region is not allowed. Bodies never go to other hosts, so that nothing else can leave a region.

Seen failing with the check of the region taken out: test_target_outside_the_allowed_regions_is_not_used.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -40,19 +40,21 @@
         self.workload.add_future = mock.Mock(  # type: ignore[method-assign]
             side_effect=lambda report: report.close()
         )
+        self.settings = mock.Mock(regions={})
         self.chooser = TargetChooser(
             board=self.board,
             membership=cast(Any, None),
-            settings=cast(Any, None),
+            settings=self.settings,
             timer=timer,
             workload=self.workload,
         )
 
-    def choose(self) -> str:
+    def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
         """Return the incarnation chosen for a request without a prompt."""
         target = self.chooser.choose(
             service="assistant",
             excluded=set(),
+            allowed_regions=allowed_regions,
             need=None,
             prompt=(),
             candidate_info=CandidateInfo(),
@@ -73,6 +75,29 @@
         )
         return target.incarnation if target else ""
 
+    async def test_target_outside_the_allowed_regions_is_not_used(self) -> None:
+        """Guard against requests that leave the regions of their route or workspace.
+
+        The only target in an allowed region has failed; the others are not used
+        instead. The region of the data centre unknown is unknown.
+        """
+        allowed = make_target("i-1", data_center="brest")
+        for target in (
+            allowed,
+            make_target("i-2", data_center="lima"),
+            make_target("i-3", data_center="unknown"),
+        ):
+            self.board.targets.apply_entry(target)
+        self.settings.regions = {"brest": "west", "lima": "south"}
+        west = frozenset({"west"})
+        chosen = {self.choose(allowed_regions=west) for _ in range(10)}
+        self.assertEqual(chosen, {"i-1@0"})
+        self.chooser.record_answer(allowed, NotRun(reason="timeout", timed_out=True))
+        self.assertEqual(self.choose(allowed_regions=west), "i-1@0")
+        self.assertEqual(self.choose(allowed_regions=frozenset()), "")
+        tried = {allowed.incarnation}
+        self.assertFalse(self.chooser.has_other_target("assistant", tried, west))
+
     async def test_restart_clears_an_ejection(self) -> None:
         """Eject a target, then restart it under the same name."""
         old = make_target("i-1", started_ms=1)
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -102,7 +102,7 @@
     async def query(self) -> list[int]:
         """Return the number of targets queried for one prompt, by call."""
         need = PromptNeed(subject="dossier", n_tokens=12_000, objective_s=0.8)
-        await self.chooser.query_candidates("assistant", need, ())
+        await self.chooser.query_candidates("assistant", None, need, ())
         return [len(names) for names in self.queried]
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -105,6 +105,18 @@
         self.assertIn("tenants.0.name", str(caught.exception))
         self.assertNotIn("secret", str(caught.exception))
 
+    def test_allowed_regions_are_decoded(self) -> None:
+        """Decode the regions of routes and workspaces; none listed means all."""
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed["routes"][0]["allowed_regions"] = ["west"]
+        changed["tenants"][0]["allowed_regions"] = ["west", "east"]
+        configuration = decode_configuration(json.dumps(changed).encode())
+        self.assertEqual(configuration.routes[0].allowed_regions, {"west"})
+        workspace = configuration.workspaces_by_key["k1"]
+        self.assertEqual(workspace.allowed_regions, {"west", "east"})
+        unbound = decode_configuration(json.dumps(CONFIGURATION).encode())
+        self.assertEqual(unbound.routes[0].allowed_regions, frozenset())
+
     def test_entry_is_decoded(self) -> None:
         """Decode a target's entry, and reject an incomplete one."""
         entry = decode_target("i-1", encode_entry(state="draining"))
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -38,6 +38,8 @@
     resumable: bool
     gap_objective_s: float = 0.0  # longest pause between events that is in time
     silence_limit_s: float = 2.0  # callers give up after a longer time without data
+    # Regions whose targets may get the requests; empty if all may.
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_retryable(self) -> bool:
@@ -73,6 +75,8 @@
     name: str
     priority: int | None
     prepaid_tokens: int | None
+    # Regions whose targets may get the requests; empty if all may.
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -94,7 +94,10 @@
 
     async def _query_candidates(self, state: RequestState) -> None:
         state.candidate_info = await self._chooser.query_candidates(
-            state.service_name, self._make_prompt_need(state), state.request.prompt
+            state.service_name,
+            state.allowed_regions,
+            self._make_prompt_need(state),
+            state.request.prompt,
         )
         state.candidates_queried_at = asyncio.get_running_loop().time()
 
@@ -184,6 +187,7 @@
         return self._chooser.choose(
             service=service,
             excluded=state.excluded,
+            allowed_regions=state.allowed_regions,
             need=self._make_prompt_need(state),
             prompt=state.request.prompt,
             candidate_info=state.candidate_info,
@@ -355,7 +359,9 @@
             return False
         # Without another target, the caller gets this target's failure.
         tried = state.excluded | {target.incarnation}
-        return self._chooser.has_other_target(state.service_name, tried)
+        return self._chooser.has_other_target(
+            state.service_name, tried, state.allowed_regions
+        )
 
 
 def make_failure(detail: str) -> Refusal:
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -62,6 +62,15 @@
         """Return the name of the caller's workspace, empty on a public route."""
         return self.workspace.name if self.workspace else ""
 
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Return the regions that route and workspace both allow, None if all are."""
+        limits = [self.route.allowed_regions]
+        if self.workspace:
+            limits.append(self.workspace.allowed_regions)
+        bound = [regions for regions in limits if regions]
+        return frozenset.intersection(*bound) if bound else None
+
     @property
     def tokens_per_event(self) -> int:
         """Return the highest number of tokens in one event."""
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -66,13 +66,14 @@
         *,
         service: str,
         excluded: set[str],
+        allowed_regions: frozenset[str] | None = None,
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
         candidate_info: CandidateInfo,
         request_id: str,
     ) -> TargetEntry | None:
         """Return the target for a request, None if no target can be chosen."""
-        usable = self._list_usable(service, excluded)
+        usable = self._list_usable(service, excluded, allowed_regions)
         if not usable:
             return None
         if need is None:
@@ -105,10 +106,36 @@
         n_local = self._workload.count_cached(target.incarnation, prompt)
         return max(n_local, cached_tokens.get(target.incarnation, 0))
 
-    def _list_usable(self, service: str, excluded: set[str]) -> list[TargetEntry]:
+    def _list_allowed(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
+        ready = self._board.targets.list_ready(service, self._timer.now())
+        return [
+            target
+            for target in ready
+            if target.incarnation not in excluded
+            and self._is_in_region(target, allowed_regions)
+        ]
+
+    def _is_in_region(
+        self, target: TargetEntry, allowed_regions: frozenset[str] | None
+    ) -> bool:
+        if allowed_regions is None:
+            return True
+        # The region of an unknown data centre is unknown too, so it is not allowed.
+        return self._settings.regions.get(target.data_center) in allowed_regions
+
+    def _list_usable(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
         now = self._timer.now()
-        ready = self._board.targets.list_ready(service, now)
-        allowed = [target for target in ready if target.incarnation not in excluded]
+        allowed = self._list_allowed(service, excluded, allowed_regions)
         healthy = [
             target
             for target in allowed
@@ -130,7 +157,11 @@
         )
 
     async def query_candidates(
-        self, service: str, need: PromptNeed | None, prompt: Sequence[PromptPart]
+        self,
+        service: str,
+        allowed_regions: frozenset[str] | None,
+        need: PromptNeed | None,
+        prompt: Sequence[PromptPart],
     ) -> CandidateInfo:
         """Query the home hosts of a prompt's candidate targets for their state.
 
@@ -140,7 +171,8 @@
         """
         if need is None or not self._workload.is_fleet_large():
             return CandidateInfo()
-        ranked = rank_candidates(self._list_usable(service, set()), need.subject)
+        usable = self._list_usable(service, set(), allowed_regions)
+        ranked = rank_candidates(usable, need.subject)
         cached_tokens: dict[str, int] = {}
         n_queried = 0
         query_until = self._timer.now() + MAX_TOTAL_QUERY_S
@@ -165,10 +197,14 @@
         # On a full link, the reply would cost more time than it can save.
         return self._board.round_trips.estimate_call_s(now) <= MAX_TOTAL_QUERY_S
 
-    def has_other_target(self, service: str, excluded: set[str]) -> bool:
+    def has_other_target(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> bool:
         """Return whether a service has a ready target that is not excluded."""
-        ready = self._board.targets.list_ready(service, self._timer.now())
-        return any(target.incarnation not in excluded for target in ready)
+        return bool(self._list_allowed(service, excluded, allowed_regions))
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -19,6 +19,7 @@
 
     host: Name
     data_center: Name
+    regions: dict[Name, Name] = {}  # by data centre
     address: str
     caller_port: Port
     ready_port: Port
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -68,6 +68,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    allowed_regions: list[str] = []  # none listed: all are allowed
 
 
 class WireEngine(BaseModel):
@@ -94,6 +95,7 @@
     api_keys: list[str] = []
     priority: int | None = None
     prepaid: int | None = None  # tokens for the whole day
+    allowed_regions: list[str] = []  # none listed: all are allowed
 
 
 class WireLimits(BaseModel):
@@ -190,6 +192,7 @@
         public=wire.public,
         resumable=wire.resumable,
         gap_objective_s=wire.gap_aim_ms / MS_PER_S,
+        allowed_regions=frozenset(wire.allowed_regions),
         silence_limit_s=max(
             MIN_SILENCE_LIMIT_S,
             SILENCE_LIMIT_PER_OBJECTIVE * wire.target_latency_ms / MS_PER_S,
@@ -218,7 +221,10 @@
 def decode_workspace(wire: WireTenant) -> Workspace:
     """Convert a tenant to a workspace."""
     return Workspace(
-        name=wire.name, priority=wire.priority, prepaid_tokens=wire.prepaid
+        name=wire.name,
+        priority=wire.priority,
+        prepaid_tokens=wire.prepaid,
+        allowed_regions=frozenset(wire.allowed_regions),
     )
 
 
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -9,6 +9,7 @@
 from trefoilstage.fleet_settings import FleetSettings
 
 MS_PER_S = 1000.0
+ZONE_PREFIX = "zones."
 # Set by deploy/system.toml, which also configures where the platform reads metrics. The
 # platform assigns all other ports. If it is not set, the kernel assigns the metrics
 # port, and the host logs it.
@@ -46,6 +47,11 @@
     return {
         "host": fields["node_name"],
         "data_center": fields["zone"],
+        "regions": {
+            key.removeprefix(ZONE_PREFIX): region
+            for key, region in fields.items()
+            if key.startswith(ZONE_PREFIX)
+        },
         "address": caller_address,
         "caller_port": caller_port,
         "ready_port": ready_port,
