Limit the requests to cold targets over all hosts by permits of one home

Change: a target counts as cold by its entries, and for its service's cold time after an evacuation, whose end no entry can show yet. Cold targets get nothing while a warm one serves in time. Otherwise a request needs a permit of the target's home, the first by rendezvous hash over all hosts in the store's list, whether they run or not. Without a reply nothing is sent. The limit comes from the configuration's rate and the operators' bounds; where they state none, nothing changes.

Ways weighed: a share for each host (adds up: 4,000 a second with 400 hosts); homes among live hosts (600 where 60 hosts are cut apart); none at all while cold (nothing left when all targets return together). A cold target whose home is gone gets nothing until it is warm.

A refusal for want of a target now says how many are evacuated, outside and cold.

--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -79,8 +79,20 @@
         self.totals = EngineTotals()
         self.is_down = False
         self.started_ms = 1
+        self.cold_until = 0.0
+        # Times of the requests that arrived while it was cold.
+        self.cold_arrivals: list[float] = []
         self._task = asyncio.create_task(self._run())
 
+    def get_cold_s(self) -> float:
+        """Return how long the engine is still cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
+    def record_arrival(self) -> None:
+        """Record that a request arrives, if the engine is cold."""
+        if self.get_cold_s():
+            self.cold_arrivals.append(asyncio.get_running_loop().time())
+
     def enqueue(self, generation: Generation) -> None:
         """Queue a request by urgency, then by time of arrival."""
         self._waiting.append(generation)
--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -33,6 +33,9 @@
 # A process takes this long to start, in addition to the time that it stays down.
 RESTART_S = 0.5
 READY_POLL_S = 0.02
+# The limit on requests that reach a cold engine in a second, as on the platform.
+COLD_RATE_FACTOR = 1.5
+COLD_RATE_SLACK = 5.0
 MEET_PEERS_TIMEOUT_S = 0.6
 PORT = 1
 
@@ -95,6 +98,8 @@
             ready_port=PORT,
             peer_port=PORT,
             store_url="http://127.0.0.1:1",
+            cold_rate_factor=COLD_RATE_FACTOR,
+            cold_rate_slack=COLD_RATE_SLACK,
         )
         board = FleetBoard(
             host=self.name,
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -50,6 +50,9 @@
     n: Annotated[int, Field(ge=1)]
     kv_tokens: int = 435_000
     slots: int = 64
+    cold_s: float = 0.0  # after a start
+    # Requests a second that a cold engine tolerates; None without a limit.
+    cold_requests_per_s: float | None = None
 
 
 class Services(Model):
@@ -70,6 +73,10 @@
     ENGINES_CRASHED = "engines_crashed"
     BURST = "burst"
     HOT_WORKSPACE = "hot_workspace"
+    ENGINES_RETURN_COLD = "engines_return_cold"  # down, then back together
+    # Engines turn cold without a restart; their entries say so a heartbeat later.
+    ENGINES_TURN_COLD = "engines_turn_cold"
+    EVACUATION = "evacuation"  # of the first data centre
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
 
 
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -145,6 +145,7 @@
             n_output_tokens=self._get_n_output_tokens(request),
             urgency=5 if options.urgency is None else options.urgency,
         )
+        engine.record_arrival()
         engine.enqueue(generation)
         try:
             first = await generation.events.get()
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -16,6 +16,7 @@
 )
 from bench.emulator.host import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     RESTART_S,
     EmulatedHost,
     StoredObjects,
@@ -38,6 +39,7 @@
 from trefoilstage.components.views.store import Topic
 
 ASSISTANT = "assistant"
+DATA_CENTERS = ("brest", "quimper", "lorient")
 BOOKING = "booking"
 WARM_UP_S = 3.0  # hosts exchange heartbeats before the first request
 SETTLE_S = 12.0  # the last requests get their answers
@@ -56,6 +58,8 @@
     n_crashes: int = 0  # caused by the crashing request
     n_store_calls: int = 0
     n_messages: int = 0
+    # Times of requests that reached each engine while it was cold.
+    cold_arrivals: dict[str, list[float]] = field(default_factory=dict)
 
 
 class World:
@@ -140,6 +144,8 @@
                         kv_tokens=scenario.engines.kv_tokens,
                         tokens_per_event=5,
                     ),
+                    cold_s=scenario.engines.cold_s,
+                    cold_requests_per_s=scenario.engines.cold_requests_per_s,
                 ),
                 BOOKING: TargetService(
                     name=BOOKING, health_path="/", max_connections=110
@@ -210,15 +216,19 @@
             await self._shared_store.store.put(Topic.TARGETS, target.name, None)
             return
         is_engine = isinstance(target, EmulatedEngine)
-        data = f"{target.name} {target.started_ms} {sequence}".encode()
+        cold_s = target.get_cold_s() if isinstance(target, EmulatedEngine) else 0.0
+        data = f"{target.name} {target.started_ms} {sequence} {cold_s}".encode()
         self._entries[data] = TargetEntry(
             name=target.name,
             service=ASSISTANT if is_engine else BOOKING,
             address=target.name,
-            data_center="brest",
+            data_center=get_data_center(int(target.name.rpartition("-")[2]))
+            if is_engine
+            else DATA_CENTERS[0],
             slots=self._scenario.engines.slots,
             phase=TargetPhase.READY,
             started_ms=target.started_ms,
+            cold_s=cold_s,
         )
         await self._shared_store.store.put(Topic.TARGETS, target.name, data)
         self._shared_store.notify_change(Topic.TARGETS)
@@ -322,6 +332,40 @@
         await asyncio.sleep(CRASH_RESTART_S)
         engine.restart()
 
+    async def _return_cold(self, fault: Fault) -> None:
+        returned = self._sample_engines(fault.share)
+        for engine in returned:
+            engine.crash()
+        await asyncio.sleep(fault.for_s)
+        for engine in returned:
+            engine.restart()
+            self._turn_cold(engine)
+            await self._register(engine, 0)
+
+    async def _turn_engines_cold(self, fault: Fault) -> None:
+        for engine in self._sample_engines(fault.share):
+            self._turn_cold(engine)
+
+    def _turn_cold(self, engine: EmulatedEngine) -> None:
+        now = asyncio.get_running_loop().time()
+        engine.cold_until = now + self._scenario.engines.cold_s
+
+    def _sample_engines(self, share: float) -> list[EmulatedEngine]:
+        n = max(1, round(share * len(self._engines)))
+        return self._generator.sample(self._engines, n)
+
+    async def _evacuate(self, fault: Fault) -> None:
+        key = f"{EVACUATION_PREFIX}{DATA_CENTERS[0]}"
+        store = self._shared_store
+        await store.store.put(Topic.CONFIGURATION, key, b"{}")
+        store.notify_change(Topic.CONFIGURATION)
+        await asyncio.sleep(fault.for_s)
+        for number, engine in enumerate(self._engines):
+            if get_data_center(number) == DATA_CENTERS[0]:
+                self._turn_cold(engine)
+        await store.store.put(Topic.CONFIGURATION, key, None)
+        store.notify_change(Topic.CONFIGURATION)
+
     async def _raise_traffic(self, fault: Fault) -> None:
         self._traffic_factor = fault.factor
         await asyncio.sleep(fault.for_s)
@@ -344,6 +388,7 @@
             totals.n_prefilled_again += engine.totals.n_prefilled_again
             totals.n_found_in_cache += engine.totals.n_found_in_cache
             totals.n_preempted += engine.totals.n_preempted
+            self.day.cold_arrivals[engine.name] = engine.cold_arrivals
         self.day.n_store_calls = self._shared_store.n_calls
         self.day.n_messages = self._network.n_messages
 
@@ -356,10 +401,18 @@
     FaultKind.ENGINES_CRASHED: World._crash_engines,
     FaultKind.BURST: World._raise_traffic,
     FaultKind.HOT_WORKSPACE: World._raise_workspace_traffic,
+    FaultKind.ENGINES_RETURN_COLD: World._return_cold,
+    FaultKind.ENGINES_TURN_COLD: World._turn_engines_cold,
+    FaultKind.EVACUATION: World._evacuate,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
 
+def get_data_center(number: int) -> str:
+    """Return the data centre of an engine by its number."""
+    return DATA_CENTERS[number % len(DATA_CENTERS)]
+
+
 def make_route(kind: Kind) -> Route:
     """Return the route of a kind of request."""
     has_prompt = kind.kind is RouteKind.STREAM
--- /dev/null
+++ b/tests/components/cold_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Test the cold_targets package."""
--- /dev/null
+++ b/tests/components/cold_targets/test_permits.py
@@ -0,0 +1,192 @@
+"""Test how many permits a fleet grants for one cold target."""
+
+import random
+import unittest
+from dataclasses import dataclass, field
+from typing import Any, cast
+from unittest import mock
+
+from tests.components.boards import make_board
+from tests.components.escrow.common import ManualTimer
+from tests.components.forwarding.common import make_target
+from trefoilstage.components.cold_targets.controller import ColdPermits
+from trefoilstage.components.cold_targets.messages import PermitRequest
+from trefoilstage.components.cold_targets.permits import (
+    GRANT_WINDOW_S,
+    LIMIT_WINDOW_S,
+    PERMIT_LIFE_S,
+    compute_cold_limit,
+)
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.models import (
+    FleetConfiguration,
+    TargetService,
+)
+from trefoilstage.components.peers.frames import Frame
+from trefoilstage.exceptions import PeerUnavailableError
+
+SERVICE = TargetService(
+    name="assistant", health_path="/", max_connections=1, cold_requests_per_s=11.0
+)
+SETTINGS = mock.Mock(cold_rate_factor=1.5, cold_rate_slack=5.0)
+LIMIT = 21.5
+TARGET = make_target("i-1")
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """Connect the permits of several hosts."""
+
+    timer: ManualTimer = field(default_factory=ManualTimer)
+    permits: dict[str, ColdPermits] = field(default_factory=dict)
+    # Hosts that can't reach each other are in different parts; 0 without an entry.
+    parts: dict[str, int] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)  # hosts that read the store's list
+    n_grants: int = 0
+
+    async def start(self, name: str, names: list[str]) -> ColdPermits:
+        """Start a host that knows some hosts by their records."""
+        board = make_board(name, names)
+        board.configuration = FleetConfiguration(services={SERVICE.name: SERVICE})
+        permits = ColdPermits(
+            board=board,
+            settings=SETTINGS,
+            links=cast(Any, Links(fleet=self, caller=name)),
+            server=mock.Mock(),
+            timer=self.timer,
+            has_host_list=lambda: name in self.listed,
+        )
+        await permits.on_start()
+        self.permits[name] = permits
+        self.listed.add(name)
+        return permits
+
+    async def ask_all(self) -> None:
+        """Let each host ask for a permit, in random order."""
+        names = random.Random(self.timer.time).sample(
+            sorted(self.permits), len(self.permits)
+        )
+        for name in names:
+            self.n_grants += await self.permits[name].request(TARGET)
+
+    async def count_grants(self, seconds: float) -> int:
+        """Return the permits granted while all hosts go on asking."""
+        self.n_grants = 0
+        ends_at = self.timer.time + seconds
+        while self.timer.time < ends_at:
+            await self.ask_all()
+            self.timer.time += 0.05
+        return self.n_grants
+
+
+@dataclass(kw_only=True)
+class Links:
+    """Deliver one host's requests to the others that it reaches."""
+
+    fleet: Fleet
+    caller: str
+
+    def get_link(self, url: str) -> "Link":
+        return Link(fleet=self.fleet, caller=self.caller, name=url)
+
+
+@dataclass(kw_only=True)
+class Link:
+    """Deliver requests to one host."""
+
+    fleet: Fleet
+    caller: str
+    name: str
+
+    async def call(self, message: PermitRequest, *, timeout_s: float) -> Any:
+        parts = self.fleet.parts
+        permits = self.fleet.permits.get(self.name)
+        if permits is None or parts.get(self.caller, 0) != parts.get(self.name, 0):
+            raise PeerUnavailableError("cut off")
+        frame = Frame(number=1, reply=False, body=message)
+        decoded = FLEET_CODEC.decode(FLEET_CODEC.encode(frame)).body
+        reply = await permits._answer_request(decoded)
+        answer: Frame[Any] = Frame(number=1, reply=True, body=reply)
+        return FLEET_CODEC.decode(FLEET_CODEC.encode(answer)).body
+
+
+class PermitsTest(unittest.IsolatedAsyncioTestCase):
+    """Test the sum of the permits over all hosts."""
+
+    async def make_fleet(self, n_hosts: int) -> Fleet:
+        """Return a fleet whose hosts have run for some time."""
+        fleet = Fleet()
+        names = [f"host-{number}" for number in range(n_hosts)]
+        for name in names:
+            await fleet.start(name, names)
+        fleet.timer.time = 10.0
+        return fleet
+
+    async def test_sum_over_all_hosts_stays_below_the_limit(self) -> None:
+        """Guard against a limit for each host, which adds up in a large fleet."""
+        self.assertEqual(compute_cold_limit(SETTINGS, SERVICE), LIMIT)
+        for n_hosts in (1, 3, 400):
+            with self.subTest(n_hosts=n_hosts):
+                fleet = await self.make_fleet(n_hosts)
+                n_grants = await fleet.count_grants(LIMIT_WINDOW_S)
+                self.assertTrue(0 < n_grants <= LIMIT, n_grants)
+
+    async def test_hosts_cut_apart_grant_no_more(self) -> None:
+        """Guard against a home on each side of a cut that grants the whole rate."""
+        fleet = await self.make_fleet(60)
+        fleet.parts = {name: number for number, name in enumerate(fleet.permits)}
+        self.assertLessEqual(await fleet.count_grants(LIMIT_WINDOW_S), LIMIT)
+
+    async def test_old_and_new_home_together_stay_below_the_limit(self) -> None:
+        """Guard against hosts that join while those before are cut from the store.
+
+        The new hosts have read the whole list and agree on another home.
+        """
+        fleet = await self.make_fleet(8)
+        names = [f"host-{number}" for number in range(40)]
+        for name in names[8:]:
+            await fleet.start(name, names)
+        fleet.timer.time = 20.0
+        self.assertLessEqual(await fleet.count_grants(LIMIT_WINDOW_S), LIMIT)
+
+    async def test_restarted_home_grants_nothing_at_first(self) -> None:
+        """Guard against permits granted twice, by two incarnations of the home."""
+        fleet = await self.make_fleet(1)
+        await fleet.count_grants(0.1)
+        await fleet.start("host-0", ["host-0"])
+        self.assertEqual(await fleet.count_grants(GRANT_WINDOW_S - 0.2), 0)
+
+    async def test_host_without_the_list_of_hosts_gets_none(self) -> None:
+        """Guard against a starting host that takes itself for every target's home."""
+        fleet = await self.make_fleet(1)
+        fleet.listed.clear()
+        self.assertEqual(await fleet.count_grants(1.0), 0)
+
+    async def test_permit_that_comes_late_is_not_used(self) -> None:
+        """Guard against a host that freezes between a permit and its request."""
+        fleet = await self.make_fleet(2)
+        permits = {p._find_home(TARGET.incarnation): p for p in fleet.permits.values()}
+        home = next(iter(permits))
+        asking = next(p for name, p in fleet.permits.items() if name != home)
+
+        async def answer(incarnation: str, service: str) -> bool:
+            fleet.timer.time += PERMIT_LIFE_S + 0.01
+            return True
+
+        with mock.patch.object(asking, "_ask_home", answer):
+            self.assertFalse(await asking.request(TARGET))
+
+    async def test_refused_host_pauses_its_calls(self) -> None:
+        """Guard against a call for each request while a target's permits are used."""
+        fleet = await self.make_fleet(2)
+        asking = fleet.permits["host-0"]
+        with mock.patch.object(
+            asking, "_ask_home", mock.AsyncMock(return_value=False)
+        ) as ask:
+            for _ in range(20):
+                await asking.request(TARGET)
+        self.assertEqual(ask.call_count, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -5,7 +5,12 @@
 
 from tests.components.boards import make_board
 from trefoilstage.components.fleet.board_updater import BoardUpdater
-from trefoilstage.components.forwarding.models import TargetEntry, TargetPhase
+from trefoilstage.components.forwarding.models import (
+    FleetConfiguration,
+    TargetEntry,
+    TargetPhase,
+    TargetService,
+)
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.fleet_board import FleetBoard
@@ -114,6 +119,21 @@
         self.updater.apply_records(Topic.TARGETS, [entry], now=11.5)
         self.assertEqual(self.list_ready(), [])
 
+    def test_targets_count_as_cold_after_an_evacuation(self) -> None:
+        """Guard against trust in an entry that was written before the end."""
+        service = TargetService(
+            name=SERVICE, health_path="/", max_connections=1, cold_s=3.0
+        )
+        self.board.configuration = FleetConfiguration(services={SERVICE: service})
+        targets = self.board.targets
+        entry = targets.listed["i-1"].entry
+        self.evacuate("brest")
+        self.evacuate("brest", None)
+        stale = KeyedRecord(key="i-1", offset=7, value=b"ready")
+        self.updater.apply_records(Topic.TARGETS, [stale], now=11.1)
+        self.assertTrue(targets.is_cold(entry, 13.9))
+        self.assertFalse(targets.is_cold(entry, 14.1))
+
     def test_evacuation_with_an_unknown_value_takes_effect(self) -> None:
         """Guard against an evacuation that is ignored for a value of a later format."""
         self.evacuate("brest", b"\xff not JSON")
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -53,7 +53,7 @@
     def should_query_again(self, queried_at: float) -> bool:
         return asyncio.get_running_loop().time() - queried_at > 0.2
 
-    def choose(self, **_: object) -> Any:
+    async def choose(self, **_: object) -> Any:
         return make_target("i-1")
 
     def count_request(self, service: str) -> None: ...
--- a/tests/components/forwarding/test_placement.py
+++ b/tests/components/forwarding/test_placement.py
@@ -9,9 +9,9 @@
 from trefoilstage.components.forwarding.placement import (
     PromptNeed,
     TargetOption,
-    choose_by_load,
-    choose_by_prompt,
     find_subject,
+    rank_by_load,
+    rank_by_prompt,
     rank_candidates,
 )
 from trefoilstage.components.forwarding.work import Work
@@ -42,7 +42,7 @@
         for target in rank_candidates(targets, subject)
     ]
     need = PromptNeed(subject=subject, n_tokens=n_tokens, objective_s=objective_s)
-    return choose_by_prompt(options, need).name
+    return rank_by_prompt(options, need)[0].target.name
 
 
 class PromptPlacementTest(unittest.TestCase):
@@ -150,6 +150,6 @@
             TargetOption(target=far, work=IDLE),
             TargetOption(target=near, work=IDLE),
         ]
-        self.assertEqual(choose_by_load(options, "brest", "r").name, "near")
+        self.assertEqual(rank_by_load(options, "brest", "r")[0].target.name, "near")
         options[1] = TargetOption(target=near, work=Work(n_requests=1))
-        self.assertEqual(choose_by_load(options, "brest", "r").name, "far")
+        self.assertEqual(rank_by_load(options, "brest", "r")[0].target.name, "far")
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import Any, cast
 from unittest import mock
 
@@ -13,6 +14,7 @@
     Engine,
     FleetConfiguration,
     PromptPart,
+    TargetEntry,
     TargetService,
 )
 from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
@@ -40,18 +42,20 @@
         self.workload.add_future = mock.Mock(  # type: ignore[method-assign]
             side_effect=lambda report: report.close()
         )
-        self.settings = mock.Mock(regions={})
+        self.settings = mock.Mock(regions={}, cold_rate_factor=1.5, cold_rate_slack=5.0)
+        self.permits = mock.Mock(request=mock.AsyncMock(return_value=True))
         self.chooser = TargetChooser(
             board=self.board,
             membership=cast(Any, None),
             settings=self.settings,
             timer=timer,
             workload=self.workload,
+            permits=self.permits,
         )
 
-    def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
+    async def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
         """Return the incarnation chosen for a request without a prompt."""
-        target = self.chooser.choose(
+        target = await self.chooser.choose(
             service="assistant",
             excluded=set(),
             allowed_regions=allowed_regions,
@@ -62,10 +66,10 @@
         )
         return target.incarnation if target else ""
 
-    def choose_for(self, prompt: Sequence[PromptPart]) -> str:
+    async def choose_for(self, prompt: Sequence[PromptPart]) -> str:
         """Return the incarnation chosen for a prompt."""
         need = PromptNeed(subject="dossier", n_tokens=60_000, objective_s=10.0)
-        target = self.chooser.choose(
+        target = await self.chooser.choose(
             service="assistant",
             excluded=set(),
             need=need,
@@ -90,25 +94,71 @@
             self.board.targets.apply_entry(target)
         self.settings.regions = {"brest": "west", "lima": "south"}
         west = frozenset({"west"})
-        chosen = {self.choose(allowed_regions=west) for _ in range(10)}
+        chosen = {await self.choose(allowed_regions=west) for _ in range(10)}
         self.assertEqual(chosen, {"i-1@0"})
         self.chooser.record_answer(allowed, NotRun(reason="timeout", timed_out=True))
-        self.assertEqual(self.choose(allowed_regions=west), "i-1@0")
-        self.assertEqual(self.choose(allowed_regions=frozenset()), "")
+        self.assertEqual(await self.choose(allowed_regions=west), "i-1@0")
+        self.assertEqual(await self.choose(allowed_regions=frozenset()), "")
         tried = {allowed.incarnation}
         self.assertFalse(self.chooser.has_other_target("assistant", tried, west))
 
+    def list_cold_target(self, *warm: TargetEntry) -> TargetEntry:
+        """List a cold target of a service with a limit, and some warm ones."""
+        service = TargetService(
+            name="assistant", health_path="/", max_connections=1, cold_requests_per_s=11
+        )
+        self.board.configuration = FleetConfiguration(services={"assistant": service})
+        cold = make_target("i-cold")
+        for target in (cold, *warm):
+            self.board.targets.apply_entry(target)
+        self.board.targets.record_cold_time(replace(cold, cold_s=3.0), now=10.0)
+        return cold
+
+    async def test_cold_target_is_used_only_with_a_permit(self) -> None:
+        """Guard against requests to a cold target that its home does not count."""
+        cold = self.list_cold_target()
+        self.assertEqual(await self.choose(), cold.incarnation)
+        self.permits.request.assert_awaited_with(cold)
+        self.permits.request.return_value = False
+        self.assertEqual(await self.choose(), "")
+        text = self.chooser.explain_no_target("assistant", None)
+        self.assertIn("of 1 targets", text)
+        self.assertIn("1 are cold", text)
+
+    async def test_warm_target_in_time_goes_before_a_cold_one(self) -> None:
+        """Guard against permits spent, and calls made, although a warm target serves.
+
+        Once it would be late there, a permitted cold target in time is used.
+        """
+        warm = make_target("i-warm")
+        cold = self.list_cold_target(warm)
+        prompt = (PromptPart(name="dossier", n_tokens=60_000),)
+        self.assertEqual(await self.choose_for(prompt), warm.incarnation)
+        self.permits.request.assert_not_awaited()
+        busy = (PromptPart(name="other", n_tokens=900_000),)
+        self.chooser.add_request(warm, busy, CandidateInfo())
+        self.assertEqual(await self.choose_for(prompt), cold.incarnation)
+        self.permits.request.return_value = False
+        self.assertEqual(await self.choose_for(prompt), warm.incarnation)
+
+    async def test_cold_target_without_a_limit_is_used_like_the_others(self) -> None:
+        """Guard against limits that the operators did not set."""
+        cold = self.list_cold_target()
+        self.settings.cold_rate_factor = None
+        self.assertEqual(await self.choose(), cold.incarnation)
+        self.permits.request.assert_not_awaited()
+
     async def test_restart_clears_an_ejection(self) -> None:
         """Eject a target, then restart it under the same name."""
         old = make_target("i-1", started_ms=1)
         self.board.targets.apply_entry(old)
         self.board.targets.apply_entry(make_target("i-2", started_ms=1))
         self.chooser.record_answer(old, NotRun(reason="timeout", timed_out=True))
-        self.assertEqual(self.choose(), "i-2@1")
+        self.assertEqual(await self.choose(), "i-2@1")
         busy = make_target("i-2", started_ms=1)
         self.chooser.add_request(busy, (), CandidateInfo())
         self.board.targets.apply_entry(make_target("i-1", started_ms=2))
-        self.assertEqual(self.choose(), "i-1@2")
+        self.assertEqual(await self.choose(), "i-1@2")
 
     async def test_target_restarted_with_its_clock_set_back_is_used(self) -> None:
         """Restart a target at a new address, with its clock set back.
@@ -121,9 +171,9 @@
         self.board.targets.apply_entry(
             make_target("i-1", started_ms=3_000, address="127.0.0.1:2")
         )
-        self.assertEqual(self.choose(), "i-1@5000")
+        self.assertEqual(await self.choose(), "i-1@5000")
         self.chooser.record_answer(old, NotRun(reason="refused", unreachable=True))
-        self.assertEqual(self.choose(), "i-1@3000")
+        self.assertEqual(await self.choose(), "i-1@3000")
 
     async def test_health_of_ended_targets_is_removed(self) -> None:
         """Restart a target a hundred times; health records do not accumulate."""
@@ -173,7 +223,7 @@
         for target in targets:
             sent = self.chooser.add_request(target, prompt, CandidateInfo())
             self.chooser.record_first_token(target, sent)
-            self.assertNotEqual(self.choose_for(prompt), target.incarnation)
+            self.assertNotEqual(await self.choose_for(prompt), target.incarnation)
             self.chooser.remove_request(target, prompt)
 
 
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -92,6 +92,7 @@
             settings=mock.Mock(),
             timer=ManualTimer(),
             workload=workload,
+            permits=mock.Mock(),
         )
 
     async def query_homes(self, targets: list[str], _: object) -> dict[str, int]:
@@ -155,6 +156,7 @@
             settings=mock.Mock(),
             timer=network.timer,
             workload=workload,
+            permits=mock.Mock(),
         )
         network.timer.time = age_s
         return chooser.should_query_again(0.0)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -124,6 +124,20 @@
         with self.assertRaises(MalformedMessageError):
             decode_target("i-1", b'{"service":"x"}')
 
+    def test_cold_times_are_decoded(self) -> None:
+        """Decode how long a target is cold; another value is the same entry."""
+        cold = decode_target("i-1", encode_entry(cold_remaining_ms=1500))
+        self.assertEqual(cold.cold_s, 1.5)
+        self.assertEqual(cold, decode_target("i-1", encode_entry()))
+        with self.assertRaises(MalformedMessageError):
+            decode_target("i-1", encode_entry(cold_remaining_ms=1e30))
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed["services"][0].update({"cold_s": 3.0, "cold_per_s": 11.0})
+        services = decode_configuration(json.dumps(changed).encode()).services
+        self.assertEqual(services["x"].cold_s, 3.0)
+        self.assertEqual(services["x"].cold_requests_per_s, 11.0)
+        self.assertIsNone(services["y"].cold_requests_per_s)
+
     def test_start_time_distinguishes_incarnations(self) -> None:
         """Decode two entries with the same name and different start times."""
         first = decode_target("i-1", encode_entry(born=1_000))
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -39,7 +39,7 @@
         for record in records:
             try:
                 if topic is Topic.CONFIGURATION:
-                    self._apply_operator_record(record)
+                    self._apply_operator_record(record, now)
                 else:
                     self._apply_target(record, now)
             except MalformedMessageError as error:
@@ -54,13 +54,13 @@
                     error=truncate_text(str(error)),
                 )
 
-    def _apply_operator_record(self, record: KeyedRecord) -> None:
+    def _apply_operator_record(self, record: KeyedRecord, now: float) -> None:
         if record.key == self._configuration_key:
             self._apply_configuration(record)
         elif record.key.startswith(self._evacuation_prefix):
-            self._apply_evacuation(record)
+            self._apply_evacuation(record, now)
 
-    def _apply_evacuation(self, record: KeyedRecord) -> None:
+    def _apply_evacuation(self, record: KeyedRecord, now: float) -> None:
         """Start or end an evacuation; only the key matters, whatever the value says."""
         data_center = record.key.removeprefix(self._evacuation_prefix)
         is_evacuated = record.value is not None
@@ -68,12 +68,28 @@
             self._board.targets.evacuated.add(data_center)
         else:
             self._board.targets.evacuated.discard(data_center)
+            self._presume_cold(data_center, now)
         log_event(
             Event.EVACUATION_STARTED if is_evacuated else Event.EVACUATION_ENDED,
             data_center=truncate_text(data_center),
             offset=record.offset,
         )
 
+    def _presume_cold(self, data_center: str, now: float) -> None:
+        """Count a data centre's targets as cold after its evacuation.
+
+        They may have been restarted during it, and their entries say so up to a
+        heartbeat later than this host uses them again.
+        """
+        configuration, targets = self._board.configuration, self._board.targets
+        if configuration is None:
+            return
+        for item in list(targets.listed.values()):
+            service = configuration.services.get(item.entry.service)
+            if item.entry.data_center == data_center and service is not None:
+                until = now + service.cold_s
+                targets.presume_cold(item.entry.incarnation, until, now)
+
     def _apply_configuration(self, record: KeyedRecord) -> None:
         if record.value is None:
             return
@@ -102,6 +118,7 @@
             log_event(Event.TARGET_DROPPED, target=record.key, offset=record.offset)
             return
         entry = self._decode_target(record.key, record.value)
+        targets.record_cold_time(entry, now)
         known = targets.listed.get(record.key)
         if not targets.apply_entry(entry):
             log_event(
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from trefoilstage.components.cold_targets.messages import PermitMessage
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
@@ -71,6 +72,7 @@
     | EscrowMessage
     | WorkMessage
     | CrashReport
+    | PermitMessage
     | ErrorReply
 )
 
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -66,6 +66,9 @@
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    cold_s: float = 0.0  # how long its targets are cold after a start
+    # Requests a second that a cold target tolerates; None if the limit is unknown.
+    cold_requests_per_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,6 +120,9 @@
     slots: int
     phase: TargetPhase
     started_ms: int = 0  # Unix time of its start by its own clock, 0 if unknown
+    # How long it is cold from when the entry was written. Each entry has another value,
+    # which doesn't make it another entry.
+    cold_s: float = field(default=0.0, compare=False)
 
     @property
     def incarnation(self) -> str:
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import random
+from dataclasses import replace
 
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
@@ -162,9 +163,9 @@
             blocked = self._crashes.get_refusal(state.fingerprint)
             if blocked is not None:
                 return failure if state.n_possible_runs else blocked
-            target = self._choose_target(state, service)
+            target = await self._choose_target(state, service)
             if target is None:
-                return failure
+                return self._explain(failure, state)
             answer = await self._send(state, service, target)
             if isinstance(answer, OpenAnswer):
                 if await self._relay(state, reply, answer, target):
@@ -183,8 +184,18 @@
             return ""
         return self._generator.choices(route.shares, weights=weights)[0].service
 
-    def _choose_target(self, state: RequestState, service: str) -> TargetEntry | None:
-        return self._chooser.choose(
+    def _explain(self, failure: Refusal, state: RequestState) -> Refusal:
+        if failure is not NO_TARGET:
+            return failure
+        detail = self._chooser.explain_no_target(
+            state.service_name, state.allowed_regions
+        )
+        return replace(failure, detail=detail)
+
+    async def _choose_target(
+        self, state: RequestState, service: str
+    ) -> TargetEntry | None:
+        return await self._chooser.choose(
             service=service,
             excluded=state.excluded,
             allowed_regions=state.allowed_regions,
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -9,7 +9,7 @@
 The subject of a prompt is the last part that other requests share.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
@@ -113,10 +113,12 @@
     return wait_s > IN_TIME_OBJECTIVE_SHARE * need.objective_s
 
 
-def choose_by_prompt(options: Sequence[TargetOption], need: PromptNeed) -> TargetEntry:
-    """Return the target with the lowest cost, one that is in time if possible.
+def rank_by_prompt(
+    options: Iterable[TargetOption], need: PromptNeed
+) -> list[TargetOption]:
+    """Return the targets by their cost for a prompt, those that are in time first.
 
-    The first of equal targets is chosen. A prompt whose subject no target has cached
+    Equal targets keep their order. A prompt whose subject no target has cached
     goes to the target with the shortest queue, which then caches the subject.
     """
 
@@ -129,13 +131,16 @@
         cost = wait_s + PREFILL_COST_WEIGHT * prefill_s
         return is_full(option, need), is_late(option, need), cost
 
-    return min(options, key=rank).target
+    return sorted(options, key=rank)
 
 
-def choose_by_load(
+def rank_by_load(
     options: Sequence[TargetOption], data_center: str, request_id: str
-) -> TargetEntry:
-    """Return the target with the fewest requests; prefer this data center on a tie."""
+) -> list[TargetOption]:
+    """Return the targets by their number of requests, those in this data center first.
+
+    The order of equal targets depends on the request.
+    """
     order = rank_by_rendezvous(request_id, [option.target.name for option in options])
     position = {name: number for number, name in enumerate(order)}
 
@@ -143,4 +148,4 @@
         is_remote = option.target.data_center != data_center
         return option.work.n_requests, is_remote, position[option.target.name]
 
-    return min(options, key=rank).target
+    return sorted(options, key=rank)
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -3,8 +3,14 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from trefoilstage.components.cold_targets.controller import ColdPermits
+from trefoilstage.components.cold_targets.permits import compute_cold_limit
 from trefoilstage.components.fleet.membership import FleetMembership
-from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
+from trefoilstage.components.forwarding.models import (
+    PromptPart,
+    TargetEntry,
+    TargetService,
+)
 from trefoilstage.components.forwarding.peer_work import MAX_TOTALS_AGE_S
 from trefoilstage.components.forwarding.placement import (
     MAX_CANDIDATES,
@@ -12,10 +18,10 @@
     CandidateInfo,
     PromptNeed,
     TargetOption,
-    choose_by_load,
-    choose_by_prompt,
     count_tokens,
     is_late,
+    rank_by_load,
+    rank_by_prompt,
     rank_candidates,
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
@@ -30,6 +36,8 @@
 # The time for all queries about one prompt. On a full link, another query costs more of
 # the objective than it can save.
 MAX_TOTAL_QUERY_S = 0.05
+# Cold targets that a request asks permits for, one after another.
+N_COLD_ASKED = 3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,7 +60,9 @@
         settings: FleetSettings,
         timer: TimerService,
         workload: WorkloadController,
+        permits: ColdPermits,
     ) -> None:
+        self._permits = permits
         self._board = board
         self._membership = membership
         self._settings = settings
@@ -61,7 +71,7 @@
         self._healths: dict[str, TargetHealth] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
 
-    def choose(
+    async def choose(
         self,
         *,
         service: str,
@@ -72,18 +82,66 @@
         candidate_info: CandidateInfo,
         request_id: str,
     ) -> TargetEntry | None:
-        """Return the target for a request, None if no target can be chosen."""
+        """Return the target for a request, None if no target can be chosen.
+
+        A cold target is used only with a permit, and only while no warm one can serve
+        the request in time.
+        """
         usable = self._list_usable(service, excluded, allowed_regions)
-        if not usable:
-            return None
+        warm, cold = self._split_cold(usable)
         if need is None:
-            options = [self._make_option(target) for target in usable]
-            return choose_by_load(options, self._board.data_center, request_id)
-        candidates = rank_candidates(usable, need.subject)
-        if self._workload.is_fleet_large():
-            candidates = candidates[: candidate_info.n_candidates]
-        options = self._list_options(candidates, prompt, candidate_info.cached_tokens)
-        return choose_by_prompt(options, need)
+            ranked_warm = self._rank_for_call(warm, request_id)
+            ranked_cold = self._rank_for_call(cold, request_id)
+        else:
+            cached = candidate_info.cached_tokens
+            candidates = rank_candidates(warm, need.subject)
+            if self._workload.is_fleet_large():
+                candidates = candidates[: candidate_info.n_candidates]
+            ranked_warm = self._rank_for_prompt(candidates, need, prompt, cached)
+            cold = rank_candidates(cold, need.subject)
+            ranked_cold = self._rank_for_prompt(cold, need, prompt, cached)
+            if ranked_warm:
+                ranked_cold = [item for item in ranked_cold if not is_late(item, need)]
+        best = ranked_warm[0] if ranked_warm else None
+        if best is not None and (need is None or not is_late(best, need)):
+            return best.target
+        for option in ranked_cold[:N_COLD_ASKED]:
+            if await self._permits.request(option.target):
+                return option.target
+        return best.target if best else None
+
+    def _split_cold(
+        self, targets: Sequence[TargetEntry]
+    ) -> tuple[list[TargetEntry], list[TargetEntry]]:
+        """Return the warm targets, and the cold ones that have a limit."""
+        warm: list[TargetEntry] = []
+        cold: list[TargetEntry] = []
+        now = self._timer.now()
+        for target in targets:
+            is_cold = self._board.targets.is_cold(target, now)
+            (cold if is_cold and self._has_cold_limit(target) else warm).append(target)
+        return warm, cold
+
+    def _has_cold_limit(self, target: TargetEntry) -> bool:
+        service = self._get_service(target)
+        if service is None:
+            return False
+        return compute_cold_limit(self._settings, service) is not None
+
+    def _rank_for_call(
+        self, targets: Sequence[TargetEntry], request_id: str
+    ) -> list[TargetOption]:
+        options = [self._make_option(target) for target in targets]
+        return rank_by_load(options, self._board.data_center, request_id)
+
+    def _rank_for_prompt(
+        self,
+        targets: Sequence[TargetEntry],
+        need: PromptNeed,
+        prompt: Sequence[PromptPart],
+        cached_tokens: Mapping[str, int],
+    ) -> list[TargetOption]:
+        return rank_by_prompt(self._list_options(targets, prompt, cached_tokens), need)
 
     def _list_options(
         self,
@@ -172,7 +230,8 @@
         if need is None or not self._workload.is_fleet_large():
             return CandidateInfo()
         usable = self._list_usable(service, set(), allowed_regions)
-        ranked = rank_candidates(usable, need.subject)
+        warm, _ = self._split_cold(usable)
+        ranked = rank_candidates(warm, need.subject)
         cached_tokens: dict[str, int] = {}
         n_queried = 0
         query_until = self._timer.now() + MAX_TOTAL_QUERY_S
@@ -206,6 +265,23 @@
         """Return whether a service has a ready target that is not excluded."""
         return bool(self._list_allowed(service, excluded, allowed_regions))
 
+    def explain_no_target(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> str:
+        """Return how many of a service's targets are passed over, by reason."""
+        targets, now = self._board.targets, self._timer.now()
+        entries = [item.entry for item in targets.listed.values()]
+        entries = [entry for entry in entries if entry.service == service]
+        n_evacuated = sum(entry.data_center in targets.evacuated for entry in entries)
+        n_outside = sum(
+            not self._is_in_region(entry, allowed_regions) for entry in entries
+        )
+        n_cold = sum(targets.is_cold(entry, now) for entry in entries)
+        return (
+            f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
+            f"outside the allowed regions and {n_cold} are cold"
+        )
+
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
         self._get_retry_budget(service).count_request(self._timer.now())
@@ -255,9 +331,12 @@
             target.incarnation, prompt_tokens=-sent.n_uncached_tokens
         )
 
-    def _get_kv_tokens(self, target: TargetEntry) -> int | None:
+    def _get_service(self, target: TargetEntry) -> TargetService | None:
         configuration = self._board.configuration
-        service = configuration and configuration.services.get(target.service)
+        return configuration.services.get(target.service) if configuration else None
+
+    def _get_kv_tokens(self, target: TargetEntry) -> int | None:
+        service = self._get_service(target)
         engine = service.engine if service else None
         return engine.kv_tokens if engine else None
 
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -53,6 +53,10 @@
     starts: dict[str, StartHistory] = field(default_factory=dict)
     # Data centres whose targets receive no new requests, by order of the operators.
     evacuated: set[str] = field(default_factory=set)
+    # When targets become warm, by incarnation: as their entries say, and as presumed
+    # until an entry may have said so.
+    cold_until: dict[str, float] = field(default_factory=dict)
+    presumed_cold_until: dict[str, float] = field(default_factory=dict)
 
     def apply_entry(self, entry: TargetEntry) -> bool:
         """Apply a target's entry; return whether it belongs to the latest start.
@@ -73,6 +77,24 @@
         self.listed[entry.name] = ListedTarget(entry=entry)
         return True
 
+    def record_cold_time(self, entry: TargetEntry, now: float) -> None:
+        """Record how long a target is cold by its entry, which was just received."""
+        self.cold_until[entry.incarnation] = now + entry.cold_s
+        self.cold_until = drop_past(self.cold_until, now)
+
+    def presume_cold(self, incarnation: str, until: float, now: float) -> None:
+        """Count a target as cold until a given time, whatever its entry says."""
+        self.presumed_cold_until[incarnation] = until
+        self.presumed_cold_until = drop_past(self.presumed_cold_until, now)
+
+    def is_cold(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a target is or may be cold."""
+        incarnation = entry.incarnation
+        return now < max(
+            self.cold_until.get(incarnation, now),
+            self.presumed_cold_until.get(incarnation, now),
+        )
+
     def _get_or_create_history(self, entry: TargetEntry) -> StartHistory:
         history = self.starts.pop(entry.name, None)
         if history is None:
@@ -155,3 +177,8 @@
             and item.entry.data_center not in self.evacuated
             and now <= item.usable_until
         ]
+
+
+def drop_past(times: dict[str, float], now: float) -> dict[str, float]:
+    """Return the items whose time is still to come."""
+    return {name: time for name, time in times.items() if time > now}
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -43,7 +43,7 @@
         self._wait_s = wait_s  # the longest that the store may wait for new records
         self._get_pause = get_pause  # returns the seconds until the next read
         self._on_change = on_change
-        self._has_listing = False
+        self.has_listing = False  # whether the topic was read from the store
         self.view = KeyedView()
 
     async def on_start(self) -> None:
@@ -59,7 +59,7 @@
             try:
                 await self._read_changes()
             except OffsetExpiredError:
-                self._has_listing = False
+                self.has_listing = False
             except StoreUnavailableError as error:
                 self._board.store.record_failure(self._now(), str(error))
                 await asyncio.sleep(RETRY_INTERVAL_S)
@@ -67,11 +67,11 @@
                 await asyncio.sleep(self._get_pause())
 
     async def _read_changes(self) -> None:
-        if not self._has_listing:
+        if not self.has_listing:
             batch = await self._store.list_newest(self._topic)
             self._board.store.record_response(self._now())
             changed = self.view.merge_listing(batch.records, batch.end_offset)
-            self._has_listing = True
+            self.has_listing = True
             log_event(
                 Event.VIEW_LISTED, topic=self._topic, offset=self.view.next_offset
             )
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from trefoilstage.components.cold_targets.controller import ColdPermits
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.probe import TargetProbe
 from trefoilstage.components.crashes.recorder import CrashRecorder
@@ -62,6 +63,7 @@
     home: EscrowHome
     escrow: EscrowClient
     workload: WorkloadController
+    permits: ColdPermits
     crash_recorder: CrashRecorder
     crash_watcher: CrashWatcher
     pipeline: ForwardingPipeline
@@ -75,6 +77,7 @@
             self.home,
             self.escrow,
             self.workload,
+            self.permits,
             self.crash_recorder,
             self.crash_watcher,
         ]
@@ -161,12 +164,21 @@
     workload = WorkloadController(
         board=board, links=links, server=peer_server, timer=timer
     )
+    permits = ColdPermits(
+        board=board,
+        settings=settings,
+        links=links,
+        server=peer_server,
+        timer=timer,
+        has_host_list=lambda: followers[Topic.HOSTS].has_listing,
+    )
     chooser = TargetChooser(
         board=board,
         membership=membership,
         settings=settings,
         timer=timer,
         workload=workload,
+        permits=permits,
     )
     crash_recorder = CrashRecorder(
         board=board,
@@ -198,6 +210,7 @@
         home=home,
         escrow=escrow,
         workload=workload,
+        permits=permits,
         crash_recorder=crash_recorder,
         crash_watcher=crash_watcher,
         pipeline=pipeline,
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -32,3 +32,7 @@
     retry_ratio: Annotated[float, Field(ge=0)] = 0.2
     retry_slack: Annotated[float, Field(ge=0)] = 50.0
     retry_window_s: Seconds = 10.0
+    # A cold target may get its service's rate times the factor, plus the slack, in any
+    # second. Without them, cold targets are used like the others.
+    cold_rate_factor: Annotated[float, Field(ge=0)] | None = None
+    cold_rate_slack: Annotated[float, Field(ge=0)] | None = None  # requests
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -43,6 +43,7 @@
 MAX_NAME_LENGTH = 200
 MAX_SLOTS = 1_000_000
 MAX_UNIX_MS = 2**53
+MAX_COLD_MS = 86_400_000
 
 
 class WireSplit(BaseModel):
@@ -86,6 +87,8 @@
     health_path: str = "/health"
     max_connections: int = 100
     engine: WireEngine | None = None
+    cold_s: Annotated[float, Field(ge=0)] = 0.0
+    cold_per_s: Annotated[float, Field(ge=0)] | None = None
 
 
 class WireTenant(BaseModel):
@@ -131,7 +134,7 @@
     version: str
     slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    cold_remaining_ms: Annotated[float, Field(ge=0)]
+    cold_remaining_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS)]
     sequence: Annotated[int, Field(ge=0)]
     # Start time in Unix milliseconds; with the name, it identifies the incarnation.
     born: Annotated[int, Field(ge=0, le=MAX_UNIX_MS)] | None = None
@@ -215,6 +218,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_connections,
         engine=engine,
+        cold_s=wire.cold_s,
+        cold_requests_per_s=wire.cold_per_s,
     )
 
 
@@ -244,6 +249,7 @@
         slots=wire.slots,
         phase=TargetPhase(wire.state),
         started_ms=wire.born or 0,
+        cold_s=wire.cold_remaining_ms / MS_PER_S,
     )
 
 
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -65,6 +65,8 @@
         "retry_ratio": fields.get("bounds.retry_budget_ratio", "0.2"),
         "retry_slack": fields.get("bounds.retry_budget_slack", "50"),
         "retry_window_s": fields.get("bounds.budget_window_s", "10"),
+        "cold_rate_factor": fields.get("bounds.cold_over"),
+        "cold_rate_slack": fields.get("bounds.cold_slack"),
     }
 
 
