Soak: evacuate a data centre and let all targets return cold

Two more faults for real hosts: a data centre is evacuated for 7 s, after 5 s of which its target may begin no run; all targets go away for 3 s and return cold for 3 s, in which each may run at most its limit in any second, whatever else happens to hosts and store.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,7 @@
 LOOPBACK = "127.0.0.1"
 TOPICS_BY_NAME = {name: topic for topic, name in TOPIC_NAMES.items()}
 READ_POLL_S = 0.02
+COLD_S = 3.0  # how long a target is cold after its start
 
 
 async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, int]:
@@ -105,6 +107,7 @@
     tenant: str
     resumed_after: int
     prompt_tokens: int = 0
+    started_at: float = field(default_factory=time.monotonic)
     events: int = 0
     ended: bool = False
 
@@ -205,7 +208,13 @@
     transport.abort()
 
 
-def encode_configuration(version: int, *, prepaid: int, service: str = "llm") -> bytes:
+def encode_configuration(
+    version: int,
+    *,
+    prepaid: int,
+    service: str = "llm",
+    cold_requests_per_s: float | None = None,
+) -> bytes:
     """Return an encoded configuration with a route of each kind."""
 
     def make_route(name: str, kind: str, **more: object) -> dict[str, object]:
@@ -231,7 +240,14 @@
                 make_route("look", "safe"),
                 *([make_route("new", "safe")] if version > 1 else []),
             ],
-            "services": [{"name": service, "engine": {"slots": 8, "stride": 1}}],
+            "services": [
+                {
+                    "name": service,
+                    "engine": {"slots": 8, "stride": 1},
+                    "cold_s": COLD_S,
+                    "cold_per_s": cold_requests_per_s,
+                }
+            ],
             "tenants": [{"name": "school", "api_keys": ["key"], "prepaid": prepaid}],
         }
     ).encode()
@@ -245,6 +261,7 @@
     sequence: int = 1,
     started_at_ms: int = 1_000,
     data_center: str = "brest",
+    cold_s: float = 0.0,
 ) -> bytes:
     """Return a target's encoded entry."""
     entry = {
@@ -254,7 +271,7 @@
         "version": "v1",
         "slots": 8,
         "state": state,
-        "cold_remaining_ms": 0,
+        "cold_remaining_ms": int(cold_s * 1000),
         "sequence": sequence,
         "born": started_at_ms,
     }
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -35,6 +35,8 @@
 N_CALLS_KEPT = 1_000
 STALL_CHECK_S = 0.05
 DATA_CENTER = "brest"
+COLD_RATE_FACTOR = 1.5
+COLD_RATE_SLACK = 5.0  # requests
 ROOT = Path(__file__).parent.parent.parent
 
 
@@ -112,6 +114,9 @@
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
     # Of targets, by number, that are not in the hosts' data centre.
     target_data_centers: dict[int, str] = field(default_factory=dict)
+    # Requests a second that a cold target tolerates; without it, no limit is set.
+    cold_requests_per_s: float | None = None
+    cold_until: dict[int, float] = field(default_factory=dict)  # targets, by number
 
     async def _watch_stalls(self) -> None:
         """Record stalls of this process, in which the callers and targets run."""
@@ -176,12 +181,17 @@
             self.ports[number],
             state=state,
             data_center=self.target_data_centers.get(number, DATA_CENTER),
+            cold_s=max(0.0, self.cold_until.get(number, 0.0) - time.monotonic()),
         )
         await self.store.put(Topic.TARGETS, self.targets[number].name, value)
 
     async def write_configuration(self, version: int) -> None:
         """Write a version of the configuration to the store."""
-        value = encode_configuration(version, prepaid=self.prepaid)
+        value = encode_configuration(
+            version,
+            prepaid=self.prepaid,
+            cold_requests_per_s=self.cold_requests_per_s,
+        )
         await self.store.put(Topic.CONFIGURATION, "config", value)
 
     async def evacuate(self, data_center: str) -> None:
@@ -205,6 +215,8 @@
             f"listen.ready={LOOPBACK}:0\ninternal_ports=0,0\n"
             f"platform.address={LOOPBACK}:{port}\nplatform.parts=3\n"
             f"bounds.grace_s={self.grace_s}\n"
+            f"bounds.cold_over={COLD_RATE_FACTOR}\n"
+            f"bounds.cold_slack={COLD_RATE_SLACK}\n"
         )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from standins.platform import COLD_S
 from standins.proxy import FaultRule
 from tests.promises.fleet import PlatformFleet
 
@@ -18,9 +20,22 @@
     "event_interval_s",
     "unframed_reset",
 )
+EVACUATED_DATA_CENTER = "lorient"
+EVACUATED_TARGET = 2  # its number
+EVACUATION_S = 7.0
+# Longer than a host that is cut from the store takes to ask its peers.
+COLD_DOWN_S = 3.0
 Fault = Callable[[], Awaitable[None]]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Period:
+    """Describe when something held, by the steady clock."""
+
+    start: float
+    end: float
+
+
 @dataclass(kw_only=True, slots=True)
 class Faults:
     """Inject random faults, and undo each after a random time."""
@@ -31,6 +46,10 @@
     fault_names: list[str] = field(default_factory=list)
     # Hosts that a fault stops or pauses; any other host must not exit.
     reserved_hosts: set[str] = field(default_factory=set)
+    is_evacuated: bool = False
+    evacuations: list[Period] = field(default_factory=list)
+    is_cold: bool = False
+    cold_periods: list[Period] = field(default_factory=list)
 
     async def run(self, duration_s: float) -> None:
         """Inject faults one after another; they may overlap."""
@@ -56,6 +75,8 @@
             *[self._break_target] * TARGET_FAULT_WEIGHT,
             self._drain_target,
             self._top_up,
+            self._evacuate,
+            self._return_cold,
         ]
         fault = self.generator.choice(faults)
         self.fault_names.append(getattr(fault, "__name__", ""))
@@ -149,6 +170,35 @@
         await self._wait_randomly(2.0)
         await self.fleet.write_target(number)
 
+    async def _evacuate(self) -> None:
+        if self.is_evacuated:
+            return
+        self.is_evacuated = True
+        await self.fleet.evacuate(EVACUATED_DATA_CENTER)
+        began_at = time.monotonic()
+        await asyncio.sleep(EVACUATION_S)
+        self.evacuations.append(Period(start=began_at, end=time.monotonic()))
+        await self.fleet.end_evacuation(EVACUATED_DATA_CENTER)
+        self.is_evacuated = False
+
+    async def _return_cold(self) -> None:
+        """Take all targets down, and let them return together, cold."""
+        if self.is_cold:
+            return
+        self.is_cold = True
+        returns_at = time.monotonic() + COLD_DOWN_S
+        cold_until = returns_at + COLD_S
+        for number in range(self.fleet.n_targets):
+            self.fleet.cold_until[number] = cold_until
+            self.fleet.targets[number].refuse = True
+            await self.fleet.write_target(number)
+        await asyncio.sleep(max(0.0, returns_at - time.monotonic()))
+        for target in self.fleet.targets:
+            target.refuse = False
+        await asyncio.sleep(max(0.0, cold_until - time.monotonic()))
+        self.cold_periods.append(Period(start=returns_at, end=cold_until))
+        self.is_cold = False
+
     async def _top_up(self) -> None:
         self.configuration_version += 1
         self.fleet.prepaid += self.generator.randrange(500, 3_000)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,9 +5,13 @@
 from dataclasses import dataclass
 
 from tests.promises.crashing import CrashingTargets
-from tests.promises.fleet import PlatformFleet
+from tests.promises.fleet import (
+    COLD_RATE_FACTOR,
+    COLD_RATE_SLACK,
+    PlatformFleet,
+)
 from tests.soak.callers import Callers, Outcome
-from tests.soak.faults import Faults
+from tests.soak.faults import EVACUATED_DATA_CENTER, EVACUATED_TARGET, Faults
 
 N_HOSTS = 3
 N_CALLERS = 8
@@ -16,6 +20,9 @@
 # These statuses mean that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 HTTP_OK = 200
+COLD_REQUESTS_PER_S = 4.0
+# Hosts must send nothing to an evacuated data centre after this time.
+EVACUATION_LIMIT_S = 5.0
 WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
 WHOLE_ANSWER = b"whole answer"
 # After this time without a fault, every host has received the evidence of all crashes.
@@ -39,7 +46,12 @@
 async def run_soak_seed(seed: int, duration_s: float) -> SoakResult:
     """Start a fleet, call it under random faults, and check the results."""
     fleet = PlatformFleet(
-        n_hosts=N_HOSTS, n_targets=3, prepaid=PREPAID_TOKENS, use_proxies=True
+        n_hosts=N_HOSTS,
+        n_targets=3,
+        prepaid=PREPAID_TOKENS,
+        use_proxies=True,
+        target_data_centers={EVACUATED_TARGET: EVACUATED_DATA_CENTER},
+        cold_requests_per_s=COLD_REQUESTS_PER_S,
     )
     async with fleet:
         # Separate generators, so that the order of the faults depends on the seed only.
@@ -52,6 +64,8 @@
         callers.is_stopping = True
         await asyncio.gather(*tasks)
         findings = list_violations(fleet, callers.outcomes + callers.crashing_outcomes)
+        findings += list_runs_while_evacuated(fleet, faults)
+        findings += list_runs_above_cold_rate(fleet, faults)
         findings += list_blocked_harmless_requests(callers.outcomes)
         findings += await list_repeated_crashes(targets, callers)
         findings += [
@@ -85,6 +99,35 @@
     return findings
 
 
+def list_runs_while_evacuated(fleet: PlatformFleet, faults: Faults) -> list[str]:
+    """Return the runs at evacuated targets that began long after the evacuation."""
+    return [
+        f"{run.request} ran {run.started_at - period.start:.1f} s into an evacuation"
+        for run in fleet.targets[EVACUATED_TARGET].runs
+        for period in faults.evacuations
+        if period.start + EVACUATION_LIMIT_S < run.started_at < period.end
+    ]
+
+
+def list_runs_above_cold_rate(fleet: PlatformFleet, faults: Faults) -> list[str]:
+    """Return the targets that ran more than allowed in a second while cold."""
+    limit = COLD_RATE_FACTOR * COLD_REQUESTS_PER_S + COLD_RATE_SLACK
+    findings: list[str] = []
+    for target in fleet.targets:
+        for period in faults.cold_periods:
+            times = [
+                run.started_at
+                for run in target.runs
+                if period.start <= run.started_at < period.end
+            ]
+            n_most = max(
+                (sum(t <= other < t + 1.0 for other in times) for t in times), default=0
+            )
+            if n_most > limit:
+                findings.append(f"{target.name} ran {n_most} in a second while cold")
+    return findings
+
+
 def list_blocked_harmless_requests(outcomes: list[Outcome]) -> list[str]:
     """Return the harmless requests that were blocked as crashing targets."""
     return [
