--- a/trefoilstage/components/cold_targets/controller.py
+++ b/trefoilstage/components/cold_targets/controller.py
@@ -76,6 +76,10 @@
         # A late reply is of no use: the home counts newer permits by now.
         return self._timer.now() - now <= PERMIT_LIFE_S
 
+    def list_granted(self) -> dict[str, int]:
+        """Return the permits that this host granted lately, by target."""
+        return self._counter.count_granted(self._timer.now())
+
     def _remove_expired(self, now: float) -> None:
         self._refused_until = {
             target: until
--- a/trefoilstage/components/cold_targets/permits.py
+++ b/trefoilstage/components/cold_targets/permits.py
@@ -47,6 +47,11 @@
         self.granted_at[target] = granted_at
         return True
 
+    def count_granted(self, now: float) -> dict[str, int]:
+        """Return the permits granted within GRANT_WINDOW_S, by target."""
+        self._remove_expired(now)
+        return {target: len(times) for target, times in self.granted_at.items()}
+
     def _remove_expired(self, now: float) -> None:
         for target, granted_at in list(self.granted_at.items()):
             while granted_at and now - granted_at[0] > GRANT_WINDOW_S:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -116,6 +116,7 @@
         )
         self._registry.register("board", lambda: self._board)
         self._registry.register("crashes", parts.crash_watcher.evidence.get_seen_times)
+        self._registry.register("permits", parts.permits.list_granted)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", self._home.list_accounts)
         services: list[Service] = [parts.timer, metrics, links, peer_server]
