Mend three faults seen in reading: a lost partition end, dropped settlements, a key in progress

- AccountStore.change raised KeyError where a write to another account of the partition failed while it wrote its roster; the error reached the waiting request.
It now returns that nothing was stored, and the account is read again.
- Settlements that a home did not confirm went behind newer ones, so that above the limit the newest were dropped instead of the oldest, and their holds counted as spent.
- An unexpected error in the send of a call that may run once left its key in progress as long as the host ran, and its callers without an answer.
It now gets an unknown outcome.

--- a/tests/components/escrow/test_failed_homes.py
+++ b/tests/components/escrow/test_failed_homes.py
@@ -2,11 +2,17 @@
 
 import random
 import unittest
+from collections.abc import Coroutine
+from typing import Any
 from unittest import mock
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import WORKSPACE, ManualTimer, make_configuration
-from trefoilstage.components.escrow.client import EscrowClient
+from trefoilstage.components.escrow.client import (
+    MAX_KEPT_SETTLEMENTS,
+    EscrowClient,
+    EscrowHold,
+)
 from trefoilstage.components.escrow.grants import GrantRegistry
 from trefoilstage.components.escrow.wait_limits import WaitLimits
 from trefoilstage.components.peers.round_trips import N_CALLS
@@ -57,5 +63,49 @@
         self.assertFalse(board.peers["host-1"].failed)
 
 
+class UnsentSettlementsTest(unittest.IsolatedAsyncioTestCase):
+    """Test the settlements kept for a home that confirms none."""
+
+    async def test_oldest_settlements_are_dropped(self) -> None:
+        """Guard against new settlements dropped, as older ones are sent again."""
+        board = make_board("host-0", ["host-0", "host-1"])
+        links = mock.Mock()
+        links.get_link.return_value.call = mock.AsyncMock(
+            side_effect=PeerUnavailableError("no answer")
+        )
+        client = EscrowClient(
+            board=board,
+            membership=mock.Mock(),
+            home=mock.Mock(),
+            links=links,
+            timer=ManualTimer(),
+            grants=GrantRegistry(),
+            ranking=mock.Mock(),
+            generator=random.Random(1),
+        )
+        sending: list[Coroutine[Any, Any, None]] = []
+        client.add_future = sending.append  # type: ignore[method-assign,assignment]
+
+        def settle(number: int) -> None:
+            hold = EscrowHold(
+                workspace=WORKSPACE,
+                request=str(number),
+                tokens=1,
+                home="host-1",
+                incarnation="host-1",
+            )
+            client.settle(hold, 1)
+
+        for number in range(MAX_KEPT_SETTLEMENTS):
+            settle(number)
+        await client.flush()
+        settle(MAX_KEPT_SETTLEMENTS)
+        await sending.pop()
+        await client.flush()
+        await sending.pop()
+        kept = [int(item.request) for item in client._unsettled["host-1", "host-1"]]
+        self.assertEqual(kept, list(range(1, MAX_KEPT_SETTLEMENTS + 1)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/components/escrow/test_rosters.py
+++ b/tests/components/escrow/test_rosters.py
@@ -1,6 +1,8 @@
 """Test how many rosters a large fleet reads, writes and keeps in memory."""
 
 import unittest
+from collections.abc import Mapping
+from unittest import mock
 
 from standins.keyed_store import KeyedStore
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
@@ -69,6 +71,30 @@
         reader = RosterStore(store=store, n_partitions=N_PARTITIONS)
         self.assertEqual(await reader.read(name), make_members(7))
 
+    async def test_write_that_fails_while_a_roster_is_written(self) -> None:
+        """Guard against an error in a waiting request.
+
+        While a home writes the roster for one account, a write to another account of
+        the same partition fails, and the partition's end is forgotten.
+        """
+        cluster = EscrowCluster(prepaid=10_000)
+        home = cluster.start("host-0")
+        cluster.start("host-1")
+        cluster.home = "host-0"
+        accounts = home._account_store
+        write = accounts._rosters.write
+
+        async def fail_meanwhile(members: Mapping[str, str]) -> str:
+            name = await write(members)
+            accounts.forget_end_offset(WORKSPACE)
+            return name
+
+        with mock.patch.object(accounts._rosters, "write", fail_meanwhile):
+            held = await cluster.hold("host-0", "host-1", WORKSPACE, "r-1", 100)
+        self.assertFalse(held)
+        held = await cluster.hold("host-0", "host-1", WORKSPACE, "r-2", 100)
+        self.assertTrue(held)
+
     async def test_unreadable_and_missing_rosters_are_not_empty_ones(
         self,
     ) -> None:
--- a/trefoilstage/components/booking/controller.py
+++ b/trefoilstage/components/booking/controller.py
@@ -26,7 +26,7 @@
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.configuration.schema import OperationConfig, ServiceConfig
 from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, LEDGER_STREAM_PREFIX
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import (
     Accepted,
     Effect,
@@ -185,7 +185,17 @@
             return verdict if isinstance(verdict, Refusal) else None
         run: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
         self._runs[intent.key] = run
-        result = await self._send_at_most_once(context)
+        try:
+            result = await self._send_at_most_once(context)
+        except Exception as error:
+            # Without an outcome, the key would stay in progress while this host runs.
+            result = Refusal(reason=Reason.INTERNAL, effect=Effect.UNKNOWN)
+            log_event(
+                Event.REQUEST_FAILED,
+                request=context.caller.request,
+                workspace=context.caller.workspace,
+                error=describe_error(error),
+            )
         self._settle(context, reservation, result)
         run.set_result(result)
         self._record_outcome(stream_number, intent.key, result)
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -98,10 +98,12 @@
     ) -> bool:
         """Draw, return or lock tokens; return whether the write was stored."""
         roster = await self._rosters.write(members)
+        end_offset = self._end_offsets.get(self._get_partition(account.workspace))
+        if end_offset is None:
+            # A write to another account of the partition failed meanwhile.
+            return False
         record = account.make_record(change, members, roster)
-        account.start_change(
-            change, self._end_offsets[self._get_partition(account.workspace)]
-        )
+        account.start_change(change, end_offset)
         try:
             return await self.put(account, record)
         except StoreRefusedError:
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -298,7 +298,9 @@
             await link.call(message, timeout_s=SETTLE_TIMEOUT_S)
         except PeerUnavailableError:
             # The home counts a settlement only once, so it can be sent again.
-            self._unsettled[home, incarnation] += holds
+            # Older ones go first, as those are dropped when too many are kept.
+            newer = self._unsettled[home, incarnation]
+            self._unsettled[home, incarnation] = holds + newer
 
 
 def make_release(message: HoldTokens) -> SettledHold:
