--- a/tests/components/escrow/test_rosters.py
+++ b/tests/components/escrow/test_rosters.py
@@ -80,6 +80,7 @@
         cluster = EscrowCluster(prepaid=10_000)
         home = cluster.start("host-0")
         cluster.start("host-1")
+        cluster.update_all_peers()
         cluster.home = "host-0"
         accounts = home._account_store
         write = accounts._rosters.write
