--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -202,14 +202,17 @@
     def _make_option(
         self, target: TargetEntry, n_cached_tokens: int = 0
     ) -> TargetOption:
+        cold_rate = self._get_cold_rate(target)
         return TargetOption(
             target=target,
             work=self._workload.get_work(target.incarnation),
             n_cached_tokens=n_cached_tokens,
             prefill_tokens_per_s=self._workload.get_prefill_speed(target.incarnation),
             kv_tokens=self._get_kv_tokens(target),
-            n_recent=self._workload.count_recent(target.incarnation),
-            cold_requests_per_s=self._get_cold_rate(target),
+            n_recent=0
+            if cold_rate is None
+            else self._workload.count_recent(target.incarnation),
+            cold_requests_per_s=cold_rate,
         )
 
     def _get_cold_rate(self, target: TargetEntry) -> float | None:
