--- a/tests/components/forwarding/common.py
+++ b/tests/components/forwarding/common.py
@@ -1,6 +1,7 @@
 """Create routes and targets for the forwarding tests."""
 
 from trefoilstage.components.forwarding.models import (
+    CallerRequest,
     Route,
     RouteKind,
     ServiceShare,
@@ -8,6 +9,20 @@
     TargetPhase,
 )
 
+REQUEST = CallerRequest(
+    request_id="r-1",
+    method="GET",
+    host="club.example",
+    path="/x/",
+    raw_target="/x/",
+    key="",
+    deadline_s=5.0,
+    n_prompt_tokens=0,
+    max_output_tokens=0,
+    prompt=(),
+    headers=(),
+)
+
 
 def make_route(prefix: str, *, host: str = "club.example", name: str = "") -> Route:
     """Return a route for a host name and path prefix."""
--- a/tests/components/forwarding/test_request_state.py
+++ b/tests/components/forwarding/test_request_state.py
@@ -3,24 +3,10 @@
 import unittest
 from dataclasses import replace
 
-from tests.components.forwarding.common import make_route
-from trefoilstage.components.forwarding.models import CallerRequest, Workspace
+from tests.components.forwarding.common import REQUEST, make_route
+from trefoilstage.components.forwarding.models import Workspace
 from trefoilstage.components.forwarding.request_state import RequestState
 
-REQUEST = CallerRequest(
-    request_id="r-1",
-    method="GET",
-    host="club.example",
-    path="/x/",
-    raw_target="/x/",
-    key="",
-    deadline_s=5.0,
-    n_prompt_tokens=0,
-    max_output_tokens=0,
-    prompt=(),
-    headers=(),
-)
-
 
 class AllowedRegionsTest(unittest.TestCase):
     """Test which regions' targets may get a request."""
--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from tests.components.boards import make_board
-from trefoilstage.components.forwarding.server import ForwardingServer
+from tests.components.forwarding.common import REQUEST, make_route
+from trefoilstage.components.forwarding.models import FleetConfiguration
+from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.forwarding.server import BODY_LATE, ForwardingServer
 from trefoilstage.components.peers.round_trips import N_CALLS
+from trefoilstage.helpers.verdict import Refusal
 
 
 class FullLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -74,5 +80,56 @@
         self.assertFalse(self.server._should_send_elsewhere(0.6, now))
 
 
+class DeadlineTest(unittest.IsolatedAsyncioTestCase):
+    """Test until when a request may be answered."""
+
+    def setUp(self) -> None:
+        """Create a server with one route, whose requests may take 1 s."""
+        self.board = make_board("host-0", ["host-0", "host-1"])
+        self.route = make_route("/x/")
+        self.board.configuration = FleetConfiguration(routes=(self.route,))
+        self.board.routes = RouteTable(routes=(self.route,))
+        self.server = ForwardingServer(
+            board=self.board,
+            settings=mock.Mock(),
+            translator=mock.Mock(),
+            pipeline=mock.Mock(),
+        )
+
+    async def receive(self, body_s: float) -> RequestState | Refusal:
+        """Receive a request whose body arrives after some seconds."""
+
+        async def read() -> bytes:
+            await asyncio.sleep(body_s)
+            return b"body"
+
+        web_request: Any = mock.Mock(content_length=4, read=read)
+        request = replace(REQUEST, deadline_s=None)
+        started_at = asyncio.get_running_loop().time()
+        return await self.server._create_request_state(request, web_request, started_at)
+
+    async def test_body_that_does_not_arrive_is_refused_in_time(self) -> None:
+        """Guard against a request that is held past its route's timeout.
+
+        The body is waited for before the request has a deadline at the pipeline.
+        """
+        started_at = asyncio.get_running_loop().time()
+        self.assertIs(await self.receive(body_s=30.0), BODY_LATE)
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        self.assertLess(elapsed_s, self.route.timeout_s + 0.5)
+
+    async def test_time_on_a_full_link_counts(self) -> None:
+        """Guard against answers after the timeout, as the link held both ways up."""
+        now = asyncio.get_running_loop().time()
+        state = await self.receive(body_s=0.0)
+        assert isinstance(state, RequestState)
+        self.assertAlmostEqual(state.deadline, now + 1.0, delta=0.1)
+        for _ in range(N_CALLS):
+            self.board.round_trips.record_reply(0.6, now)
+        state = await self.receive(body_s=0.0)
+        assert isinstance(state, RequestState)
+        self.assertAlmostEqual(state.deadline, now + 0.4, delta=0.1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from mode import Service
 
-from trefoilstage.components.forwarding.models import CallerRequest, RouteKind
+from trefoilstage.components.forwarding.models import CallerRequest, Route, RouteKind
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import IN_TIME_OBJECTIVE_SHARE
 from trefoilstage.components.forwarding.refusal_responses import RefusalMaker
@@ -16,7 +16,7 @@
     MalformedRequestError,
     RequestTranslator,
 )
-from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_board import LINK_FULL_DELAY_S, FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
@@ -50,6 +50,11 @@
     retry_after_s=RETRY_ELSEWHERE_AFTER_S,
     detail="this host's link is full",
 )
+BODY_LATE = Refusal(
+    reason=Reason.DEADLINE,
+    retry_after_s=RETRY_ELSEWHERE_AFTER_S,
+    detail="the body did not arrive in time",
+)
 # Used if the pipeline returns neither an answer nor a refusal.
 NO_ANSWER = Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN)
 NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
@@ -245,13 +250,15 @@
             return Refusal(reason=Reason.BODY_TOO_LARGE)
         if self._should_send_elsewhere(route.objective_s, started_at):
             return LINK_FULL
-        body = await web_request.read()
+        deadline = self._compute_deadline(request, route, started_at)
+        try:
+            async with asyncio.timeout_at(deadline):
+                body = await web_request.read()
+        except TimeoutError:
+            return BODY_LATE
         body_s = asyncio.get_running_loop().time() - started_at
         if len(body) > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
         return RequestState(
             request=request,
             body=body,
@@ -259,9 +266,20 @@
             workspace=workspace,
             started_at=started_at,
             body_s=body_s,
-            deadline=started_at + timeout_s,
+            deadline=deadline,
         )
 
+    def _compute_deadline(
+        self, request: CallerRequest, route: Route, started_at: float
+    ) -> float:
+        timeout_s = route.timeout_s
+        if request.deadline_s is not None:
+            timeout_s = min(timeout_s, request.deadline_s)
+        # On a full link the request waited before this host saw it, and the answer will
+        # wait as well, together as long as a call to a peer takes.
+        link_s = self._board.round_trips.estimate_call_s(started_at)
+        return started_at + timeout_s - (link_s if link_s > LINK_FULL_DELAY_S else 0.0)
+
     def _refuse(
         self, refusal: Refusal, request: CallerRequest | None, workspace: str = ""
     ) -> web.StreamResponse:
@@ -273,7 +291,7 @@
             effect=refusal.effect,
             detail=refusal.detail,
         )
-        close = self._board.phase is Phase.DRAINING or refusal is LINK_FULL
+        close = self._board.phase is Phase.DRAINING or refusal in (LINK_FULL, BODY_LATE)
         return self._refusal_maker.make(refusal, request, close=close)
 
     def _refuse_or_abort(
