Revert counting the time on a full link; keep the bound on a body's arrival

The deadline is the route's and the caller's again. A body that does not arrive is refused when that has passed, which nothing bounded before: test_body_that_does_not_arrive_is_refused_in_time waited for its 30 s.

--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -16,7 +16,7 @@
     MalformedRequestError,
     RequestTranslator,
 )
-from trefoilstage.fleet_board import LINK_FULL_DELAY_S, FleetBoard
+from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
@@ -250,7 +250,7 @@
             return Refusal(reason=Reason.BODY_TOO_LARGE)
         if self._should_send_elsewhere(route.objective_s, started_at):
             return LINK_FULL
-        deadline = self._compute_deadline(request, route, started_at)
+        deadline = compute_deadline(request, route, started_at)
         try:
             async with asyncio.timeout_at(deadline):
                 body = await web_request.read()
@@ -269,17 +269,6 @@
             deadline=deadline,
         )
 
-    def _compute_deadline(
-        self, request: CallerRequest, route: Route, started_at: float
-    ) -> float:
-        timeout_s = route.timeout_s
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s)
-        # On a full link the request waited before this host saw it, and the answer will
-        # wait as well, together as long as a call to a peer takes.
-        link_s = self._board.round_trips.estimate_call_s(started_at)
-        return started_at + timeout_s - (link_s if link_s > LINK_FULL_DELAY_S else 0.0)
-
     def _refuse(
         self, refusal: Refusal, request: CallerRequest | None, workspace: str = ""
     ) -> web.StreamResponse:
@@ -313,6 +302,14 @@
         return reply.response
 
 
+def compute_deadline(request: CallerRequest, route: Route, started_at: float) -> float:
+    """Return when a request must be answered, by the loop's time."""
+    timeout_s = route.timeout_s
+    if request.deadline_s is not None:
+        timeout_s = min(timeout_s, request.deadline_s)
+    return started_at + timeout_s
+
+
 def make_web_request(
     message: Any, payload: Any, protocol: Any, writer: Any, task: Any
 ) -> web.BaseRequest:
