--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -181,7 +181,7 @@
             target = make_target("i-1", started_ms=number)
             self.board.targets.apply_entry(target)
             self.chooser.add_request(target, (), CandidateInfo())
-        self.assertLessEqual(len(self.chooser._healths), 2)
+        self.assertLessEqual(len(self.chooser._outcomes._healths), 2)
 
     async def test_tokens_cached_by_a_peers_prompt_are_not_counted_as_work(
         self,
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -27,11 +27,10 @@
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
-from trefoilstage.components.targets.health import TargetHealth
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
-from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
 
 # The time for all queries about one prompt. On a full link, another query costs more of
@@ -69,7 +68,7 @@
         self._settings = settings
         self._timer = timer
         self._workload = workload
-        self._healths: dict[str, TargetHealth] = {}
+        self._outcomes = TargetOutcomes(board=board, timer=timer)
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def choose(
@@ -193,7 +192,7 @@
         healthy = [
             target
             for target in allowed
-            if self._get_health(target).may_send(now, retry=False)
+            if self._outcomes.get_health(target).may_send(now, retry=False)
         ]
         # If all targets are ejected, use them anyway: one may have recovered, and
         # otherwise every request would be refused.
@@ -324,7 +323,7 @@
             prompt_tokens=sent.n_uncached_tokens,
             held_tokens=n_tokens,
         )
-        self._get_health(target).record_send(retry=False)
+        self._outcomes.get_health(target).record_send(retry=False)
         return sent
 
     def record_first_token(self, target: TargetEntry, sent: SentPrompt) -> None:
@@ -354,62 +353,17 @@
         self._workload.adjust_work(
             target.incarnation, n_requests=-1, held_tokens=-count_tokens(prompt)
         )
-        self._get_health(target).record_inconclusive_end()
+        self._outcomes.get_health(target).record_inconclusive_end()
 
     def record_answer(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
-        now = self._timer.now()
-        health = self._get_health(target)
-        if isinstance(answer, OpenAnswer):
-            if answer.head.status < 500:
-                health.record_success()
-                return
-            was_ejected = health.record_failure(now)
-        elif isinstance(answer, NotRun) and answer.misdirected:
-            self._board.targets.remove_incarnation(target)
-            log_event(Event.TARGET_REPLACED, target=target.name)
-            return
-        elif isinstance(answer, NotRun) and answer.busy:
-            health.record_busy(now)
-            return
-        elif isinstance(answer, NotRun) and answer.host_was_suspended:
-            return
-        elif isinstance(answer, NotRun) and answer.timed_out:
-            was_ejected = health.record_connect_timeout(now)
-        else:
-            was_ejected = health.record_failure(now)
-        unreachable = isinstance(answer, NotRun) and answer.unreachable
-        if unreachable and self._board.targets.switch_to_other_start(target):
-            log_event(
-                Event.TARGET_GAVE_WAY,
-                target=target.name,
-                started_ms=target.started_ms,
-                used_ms=self._board.targets.starts[target.name].latest,
-            )
-        if was_ejected:
-            log_event(Event.TARGET_EJECTED, target=target.name)
+        self._outcomes.record_answer(target, answer)
 
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
-        self._get_health(target).record_failure(self._timer.now())
-
-    def _get_health(self, target: TargetEntry) -> TargetHealth:
-        # Failures before a restart do not count against the restarted target.
-        health = self._healths.get(target.incarnation)
-        if health is None:
-            self._remove_ended()
-            health = self._healths[target.incarnation] = TargetHealth()
-        return health
-
-    def _remove_ended(self) -> None:
-        listed = self._board.targets.list_incarnations()
-        self._healths = {
-            incarnation: health
-            for incarnation, health in self._healths.items()
-            if incarnation in listed
-        }
+        self._outcomes.record_broken_answer(target)
 
     def _get_retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
--- /dev/null
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -0,0 +1,78 @@
+"""Record what became of requests at the targets: health, and entries that are wrong."""
+
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.targets.health import TargetHealth
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.timer import TimerService
+
+
+class TargetOutcomes:
+    """Keep each target's health, and correct the directory by what targets answer."""
+
+    def __init__(self, *, board: FleetBoard, timer: TimerService) -> None:
+        self._board = board
+        self._timer = timer
+        self._healths: dict[str, TargetHealth] = {}
+
+    def get_health(self, target: TargetEntry) -> TargetHealth:
+        """Return the health of a target's incarnation."""
+        # Failures before a restart do not count against the restarted target.
+        health = self._healths.get(target.incarnation)
+        if health is None:
+            self._remove_ended()
+            health = self._healths[target.incarnation] = TargetHealth()
+        return health
+
+    def _remove_ended(self) -> None:
+        listed = self._board.targets.list_incarnations()
+        self._healths = {
+            incarnation: health
+            for incarnation, health in self._healths.items()
+            if incarnation in listed
+        }
+
+    def record_answer(
+        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+    ) -> None:
+        """Update a target's health, and its directory entry, by a request's outcome."""
+        if isinstance(answer, NotRun) and answer.misdirected:
+            self._board.targets.remove_incarnation(target)
+            log_event(Event.TARGET_REPLACED, target=target.name)
+            return
+        if isinstance(answer, NotRun) and answer.unreachable:
+            self._use_other_start(target)
+        if self._update_health(target, answer):
+            log_event(Event.TARGET_EJECTED, target=target.name)
+
+    def _update_health(
+        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+    ) -> bool:
+        """Return whether the target was ejected."""
+        now = self._timer.now()
+        health = self.get_health(target)
+        if isinstance(answer, OpenAnswer) and answer.head.status < 500:
+            health.record_success()
+            return False
+        if isinstance(answer, NotRun) and answer.busy:
+            health.record_busy(now)
+            return False
+        if isinstance(answer, NotRun) and answer.host_was_suspended:
+            return False
+        if isinstance(answer, NotRun) and answer.timed_out:
+            return health.record_connect_timeout(now)
+        return health.record_failure(now)
+
+    def _use_other_start(self, target: TargetEntry) -> None:
+        if self._board.targets.switch_to_other_start(target):
+            log_event(
+                Event.TARGET_GAVE_WAY,
+                target=target.name,
+                started_ms=target.started_ms,
+                used_ms=self._board.targets.starts[target.name].latest,
+            )
+
+    def record_broken_answer(self, target: TargetEntry) -> None:
+        """Count an answer that broke off as a failure of its target."""
+        self.get_health(target).record_failure(self._timer.now())
