Listen for callers at the beginning of a start while the whole fleet is down

Cause: after the loss of all hosts their ports are closed for the time of a start, 1.2 s on half a core, nearly all of it imports. A caller is refused, tries once more, is refused again and fails.

--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -202,8 +202,22 @@
         """Let the hosts use the targets of a data centre again."""
         await self.store.put(Topic.CONFIGURATION, f"evacuate/{data_center}", None)
 
-    async def start_host(self, name: str) -> HostProcess:
+    async def start_host(self, name: str, *, caller_port: int = 0) -> HostProcess:
         """Start a host and wait until it is ready and has listed all targets."""
+        host = await self.launch_host(name, caller_port=caller_port)
+        await poll_until(
+            lambda: (
+                host.has_logged("host_ready")
+                and all(host.has_logged("target_listed", t.name) for t in self.targets)
+            ),
+            f"{name} to be ready",
+        )
+        host.caller_port = host.find_port("caller_port")
+        host.ready_port = host.find_port("ready_port")
+        return host
+
+    async def launch_host(self, name: str, *, caller_port: int) -> HostProcess:
+        """Launch a host's process."""
         store_server = StoreServer(store=self.store)
         runner, port = await start_app(store_server.make_app())
         self.runners.append(runner)
@@ -211,7 +225,7 @@
             port = await self._put_proxy(name, port)
         path = Path(self.folder.name) / f"{name}.conf"
         path.write_text(
-            f"node_name={name}\nzone={DATA_CENTER}\nlisten.front={LOOPBACK}:0\n"
+            f"node_name={name}\nzone={DATA_CENTER}\nlisten.front={LOOPBACK}:{caller_port}\n"
             f"listen.ready={LOOPBACK}:0\ninternal_ports=0,0\n"
             f"platform.address={LOOPBACK}:{port}\nplatform.parts=3\n"
             f"bounds.grace_s={self.grace_s}\n"
@@ -229,15 +243,6 @@
         host = HostProcess(name=name, store_server=store_server, process=process)
         host.reader = asyncio.create_task(host.read_lines())
         self.hosts[name] = host
-        await poll_until(
-            lambda: (
-                host.has_logged("host_ready")
-                and all(host.has_logged("target_listed", t.name) for t in self.targets)
-            ),
-            f"{name} to be ready",
-        )
-        host.caller_port = host.find_port("caller_port")
-        host.ready_port = host.find_port("ready_port")
         return host
 
     async def _put_proxy(self, name: str, port: int) -> int:
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -1,6 +1,7 @@
 """Serve callers' requests, and readiness checks by the load balancer."""
 
 import asyncio
+import socket
 from typing import Any
 
 from aiohttp import web
@@ -21,9 +22,13 @@
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.phase import Phase
+from trefoilstage.util.early_socket import BACKLOG
 
 RETRY_AFTER_S = 1.0
 DRAIN_POLL_S = 0.05
+READY_POLL_S = 0.02
+# Callers give up a connection that is not read for a second.
+MAX_EARLY_WAIT_S = 1.0
 # Requests in flight on open connections when the port closes arrive within a round
 # trip, 2 ms on the platform, and are refused. If the connections were closed
 # immediately, callers would not know whether their requests ran.
@@ -70,8 +75,10 @@
         settings: FleetSettings,
         translator: RequestTranslator,
         pipeline: ForwardingPipeline,
+        caller_socket: socket.socket | None = None,
     ) -> None:
         super().__init__()
+        self._caller_socket = caller_socket  # listens already, if there is one
         self._board = board
         self._settings = settings
         self._translator = translator
@@ -103,9 +110,13 @@
         )
         self._caller_runner = web.ServerRunner(caller_server, shutdown_timeout=0.5)
         await self._caller_runner.setup()
-        self.caller_port = await self._listen(
-            self._caller_runner, self._settings.caller_port
-        )
+        if self._caller_socket is None:
+            self.caller_port = await self._listen(
+                self._caller_runner, self._settings.caller_port
+            )
+        else:
+            self.caller_port = self._caller_socket.getsockname()[1]
+            self.add_future(self._accept_when_ready(self._caller_socket))
         ready_server = web.Server(self._handle_ready, access_log=None)
         self._ready_runner = web.ServerRunner(ready_server, shutdown_timeout=0.1)
         await self._ready_runner.setup()
@@ -114,11 +125,22 @@
         )
 
     async def _listen(self, runner: web.ServerRunner, port: int) -> int:
-        site = web.TCPSite(runner, self._settings.address, port, backlog=1024)
+        site = web.TCPSite(runner, self._settings.address, port, backlog=BACKLOG)
         await site.start()
         bound_port: int = runner.addresses[0][1]
         return bound_port
 
+    async def _accept_when_ready(self, caller_socket: socket.socket) -> None:
+        """Let early callers wait for a host that is about to be ready.
+
+        Accepted before, they would be refused for want of a configuration.
+        """
+        loop = asyncio.get_running_loop()
+        accept_at = loop.time() + MAX_EARLY_WAIT_S
+        while self._board.phase is Phase.STARTING and loop.time() < accept_at:
+            await asyncio.sleep(READY_POLL_S)
+        await web.SockSite(self._caller_runner, caller_socket, backlog=BACKLOG).start()
+
     async def on_stop(self) -> None:
         """Stop listening, refuse the requests in flight, then close."""
         self.refuse_all_requests()
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import sys
 import uuid
 
@@ -58,8 +59,10 @@
         board: FleetBoard,
         process_start: ProcessStart,
         line_writer: LineWriter,
+        caller_socket: socket.socket | None = None,
     ) -> None:
         super().__init__()
+        self._caller_socket = caller_socket
         self._line_writer = line_writer
         self._process_start = process_start
         self._settings = settings
@@ -101,6 +104,7 @@
             settings=settings,
             translator=self._translator,
             pipeline=parts.pipeline,
+            caller_socket=self._caller_socket,
         )
         metrics = MetricsServer(
             board=self._board,
@@ -131,6 +135,7 @@
             data_center=self._board.data_center,
             caller_port=self._server.caller_port,
             ready_port=self._server.ready_port,
+            listened_early=self._caller_socket is not None,
         )
 
     async def _become_ready(self) -> None:
--- a/trefoilstage/platform/process.py
+++ b/trefoilstage/platform/process.py
@@ -1,8 +1,8 @@
 """Run one host on the platform."""
 
 import asyncio
-import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -28,11 +28,14 @@
 )
 from trefoilstage.platform.headers import HeaderTranslator
 from trefoilstage.platform.settings import load_platform_settings
+from trefoilstage.platform.settings_file import (
+    SETTINGS_PATH_VARIABLE,
+    get_settings_path,
+)
 from trefoilstage.platform.store import StoreClient
 from trefoilstage.util.process_start import ProcessStart, read_process_start
 from trefoilstage.util.startup import enable_garbage_collector
 
-SETTINGS_PATH_VARIABLE = "TREFOILSTAGE_CONFIG"
 # Less than STOP_RESERVE_S of fleet_host, the part of the shutdown grace period that is
 # left after the drain and the return of tokens.
 STOP_TIMEOUT_S = 0.4
@@ -47,6 +50,7 @@
     settings: FleetSettings,
     process_start: ProcessStart,
     line_writer: LineWriter,
+    caller_socket: socket.socket | None,
 ) -> None:
     """Serve until SIGTERM or SIGINT requests a drain."""
     board = make_board(settings)
@@ -66,6 +70,7 @@
             board=board,
             process_start=process_start,
             line_writer=line_writer,
+            caller_socket=caller_socket,
         )
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -105,12 +110,15 @@
         log_event(Event.STOP_INCOMPLETE)
 
 
-def main() -> None:
-    """Run a host with the settings file that the platform names."""
+def main(caller_socket: socket.socket | None = None) -> None:
+    """Run a host with the settings file that the platform names.
+
+    Callers may already be connecting to the socket, if there is one.
+    """
     process_start = read_process_start()
     line_writer = set_up_event_log(STDOUT_DESCRIPTOR)
     try:
-        path = Path(os.environ[SETTINGS_PATH_VARIABLE])
+        path = get_settings_path()
         settings = load_platform_settings(path)
     except KeyError:
         sys.stderr.write(f"{SETTINGS_PATH_VARIABLE} is not set\n")
@@ -119,7 +127,7 @@
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
     try:
-        uvloop.run(run_host(path, settings, process_start, line_writer))
+        uvloop.run(run_host(path, settings, process_start, line_writer, caller_socket))
     except OSError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_CRASHED)
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -7,6 +7,7 @@
 
 from trefoilstage.exceptions import SettingsError
 from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.platform.settings_file import parse_lines
 
 MS_PER_S = 1000.0
 ZONE_PREFIX = "zones."
@@ -29,16 +30,6 @@
         raise SettingsError(describe_findings(path.name, error)) from error
 
 
-def parse_lines(text: str) -> list[tuple[str, str]]:
-    """Return the keys and values of a file, ignoring comments and other lines."""
-    pairs: list[tuple[str, str]] = []
-    for line in text.splitlines():
-        key, equals, value = line.partition("=")
-        if equals and not line.startswith("#"):
-            pairs.append((key.strip(), value.strip()))
-    return pairs
-
-
 def decode_fields(fields: dict[str, str]) -> dict[str, object]:
     """Return the settings under the names of FleetSettings, not yet validated."""
     caller_address, _, caller_port = fields["listen.front"].rpartition(":")
