Try: leave tokens to requests of more urgent routes in an outage

Hypothesis: in an outage the stock covers a part of the demand, and all kinds get the same small share of it, drafts of 12,000 tokens as well as questions of 1,100. Left to the operators' order, questions (priority 0) are all served.

Change: a home that is cut from the store keeps the expected demand of more urgent routes for the rest of the outage.

--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -6,6 +6,7 @@
 
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.record import AccountRecord, Holder
+from trefoilstage.components.escrow.reserve import PriorityDemand
 from trefoilstage.components.escrow.stock import (
     Demand,
     HomeRank,
@@ -44,6 +45,7 @@
     rosters: dict[str, dict[str, str]] = field(default_factory=dict)  # by name
     used_by_former: int = 0
     demand: Demand = field(default_factory=Demand)
+    priority_demand: PriorityDemand = field(default_factory=PriorityDemand)
     waiting: int = 0  # tokens that waiting requests need
     lock: ReserveLock = field(default_factory=ReserveLock)  # one for the whole host
     pending: list[StockChange] = field(default_factory=list)  # writes not confirmed
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -99,7 +99,12 @@
         self._unsubscribe()
 
     async def hold(
-        self, workspace: str, request: str, tokens: int, wait_limits: WaitLimits
+        self,
+        workspace: str,
+        request: str,
+        tokens: int,
+        wait_limits: WaitLimits,
+        priority: int = 0,
     ) -> EscrowHold | Refusal:
         """Return a hold for a request, or its refusal.
 
@@ -111,9 +116,15 @@
         for n_retries in itertools.count():
             # A refused hold may have been settled already; each attempt has a new name.
             hold_name = f"{request}/{n_retries}"
-            answer = await self._request_from_homes(
-                workspace, hold_name, tokens, repeat=n_retries > 0
+            message = HoldTokens(
+                workspace=workspace,
+                request=hold_name,
+                tokens=tokens,
+                requester=self._board.incarnation,
+                repeat=n_retries > 0,
+                priority=priority,
             )
+            answer = await self._request_from_homes(message)
             if isinstance(answer, EscrowHold):
                 return answer
             wait_s = self._plan_wait(answer, wait_limits)
@@ -123,13 +134,11 @@
         raise AssertionError("unreachable")
 
     async def _request_from_homes(
-        self, workspace: str, request: str, tokens: int, *, repeat: bool
+        self, message: HoldTokens
     ) -> EscrowHold | HoldRefused:
         first_refusal: HoldRefused | None = None
-        for home in self._ranking.list_homes_to_ask(workspace):
-            answer = await self._request_from_home(
-                home, workspace, request, tokens, repeat=repeat
-            )
+        for home in self._ranking.list_homes_to_ask(message.workspace):
+            answer = await self._request_from_home(home, message)
             if isinstance(answer, EscrowHold):
                 return answer
             # The fallbacks may still have tokens. If they refuse too, the home's
@@ -181,15 +190,8 @@
         return bool(config and config.prepaid_tokens is not None)
 
     async def _request_from_home(
-        self, home: str, workspace: str, request: str, tokens: int, *, repeat: bool
+        self, home: str, message: HoldTokens
     ) -> EscrowHold | HoldRefused:
-        message = HoldTokens(
-            workspace=workspace,
-            request=request,
-            tokens=tokens,
-            requester=self._board.incarnation,
-            repeat=repeat,
-        )
         peer = self._board.peers.get(home)
         if home == self._board.host:
             incarnation = self._board.incarnation
@@ -202,13 +204,13 @@
             refusal = await self._hold_at_peer(peer, message)
         if refusal is not None:
             return refusal
-        if not self._grants.accept(incarnation, workspace, tokens):
+        if not self._grants.accept(incarnation, message.workspace, message.tokens):
             # The home was sealed while its reply was in flight.
             return UNCONFIRMED
         return EscrowHold(
-            workspace=workspace,
-            request=request,
-            tokens=tokens,
+            workspace=message.workspace,
+            request=message.request,
+            tokens=message.tokens,
             home=home,
             incarnation=incarnation,
         )
@@ -221,6 +223,7 @@
                 message.tokens,
                 message.requester,
                 repeat=message.repeat,
+                priority=message.priority,
             )
         except asyncio.CancelledError:
             # The request is cancelled; release the tokens, in case they are held.
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -21,6 +21,7 @@
 )
 from trefoilstage.components.escrow.reclaim import Reclaimer
 from trefoilstage.components.escrow.recovery import EscrowRecovery
+from trefoilstage.components.escrow.retry_after import estimate_store_return
 from trefoilstage.components.escrow.stock import HomeRank, StockChange
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.store import Store, StoreUnavailableError
@@ -116,6 +117,7 @@
         requester: str,
         *,
         repeat: bool = False,
+        priority: int = 0,
     ) -> Reason | None:
         """Hold tokens for a request; return None, or the reason if refused."""
         account = self._get_account(workspace)
@@ -124,6 +126,9 @@
         now = self._timer.now()
         if not repeat:
             account.demand.add(tokens, now)
+            account.priority_demand.add(priority, tokens, now)
+        if self._must_leave_to_urgent(account, tokens, priority, now):
+            return self._refuse(account, request, tokens)
         if account.hold(request, tokens, requester, now):
             return None
         if self._is_paused(workspace):
@@ -140,6 +145,18 @@
             return None
         return self._refuse(account, request, tokens)
 
+    def _must_leave_to_urgent(
+        self, account: EscrowAccount, tokens: int, priority: int, now: float
+    ) -> bool:
+        """Return whether more urgent requests need the tokens in this outage."""
+        outage_s = self._board.store.get_outage_s(now)
+        if outage_s == 0.0:
+            return False
+        reserve = account.priority_demand.compute_reserve(
+            priority, estimate_store_return(outage_s), now
+        )
+        return account.unused - tokens < reserve
+
     def settle(self, holds: tuple[SettledHold, ...]) -> None:
         """Count what requests spent of their holds."""
         for item in holds:
@@ -179,6 +196,7 @@
             message.tokens,
             message.requester,
             repeat=message.repeat,
+            priority=message.priority,
         )
         return HoldReply(
             incarnation=self._board.incarnation,
