Leave tokens to shorter requests in an outage

Hypothesis: in an outage of the store the stock covers a part of the demand, and a few drafts of 12,000 tokens take most of it. Shorter requests serve more callers with the same tokens, and long ones have the time to wait or to come back. It takes the place of the try before, which went by the routes' priorities and left out those that can't wait.

Nothing is kept while it can draw.

--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -6,7 +6,7 @@
 
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.record import AccountRecord, Holder
-from trefoilstage.components.escrow.reserve import PriorityDemand
+from trefoilstage.components.escrow.reserve import SizeDemand
 from trefoilstage.components.escrow.stock import (
     Demand,
     HomeRank,
@@ -45,7 +45,7 @@
     rosters: dict[str, dict[str, str]] = field(default_factory=dict)  # by name
     used_by_former: int = 0
     demand: Demand = field(default_factory=Demand)
-    priority_demand: PriorityDemand = field(default_factory=PriorityDemand)
+    size_demand: SizeDemand = field(default_factory=SizeDemand)
     waiting: int = 0  # tokens that waiting requests need
     lock: ReserveLock = field(default_factory=ReserveLock)  # one for the whole host
     pending: list[StockChange] = field(default_factory=list)  # writes not confirmed
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -99,12 +99,7 @@
         self._unsubscribe()
 
     async def hold(
-        self,
-        workspace: str,
-        request: str,
-        tokens: int,
-        wait_limits: WaitLimits,
-        priority: int = 0,
+        self, workspace: str, request: str, tokens: int, wait_limits: WaitLimits
     ) -> EscrowHold | Refusal:
         """Return a hold for a request, or its refusal.
 
@@ -116,15 +111,9 @@
         for n_retries in itertools.count():
             # A refused hold may have been settled already; each attempt has a new name.
             hold_name = f"{request}/{n_retries}"
-            message = HoldTokens(
-                workspace=workspace,
-                request=hold_name,
-                tokens=tokens,
-                requester=self._board.incarnation,
-                repeat=n_retries > 0,
-                priority=priority,
+            answer = await self._request_from_homes(
+                workspace, hold_name, tokens, repeat=n_retries > 0
             )
-            answer = await self._request_from_homes(message)
             if isinstance(answer, EscrowHold):
                 return answer
             wait_s = self._plan_wait(answer, wait_limits)
@@ -134,11 +123,13 @@
         raise AssertionError("unreachable")
 
     async def _request_from_homes(
-        self, message: HoldTokens
+        self, workspace: str, request: str, tokens: int, *, repeat: bool
     ) -> EscrowHold | HoldRefused:
         first_refusal: HoldRefused | None = None
-        for home in self._ranking.list_homes_to_ask(message.workspace):
-            answer = await self._request_from_home(home, message)
+        for home in self._ranking.list_homes_to_ask(workspace):
+            answer = await self._request_from_home(
+                home, workspace, request, tokens, repeat=repeat
+            )
             if isinstance(answer, EscrowHold):
                 return answer
             # The fallbacks may still have tokens. If they refuse too, the home's
@@ -190,8 +181,15 @@
         return bool(config and config.prepaid_tokens is not None)
 
     async def _request_from_home(
-        self, home: str, message: HoldTokens
+        self, home: str, workspace: str, request: str, tokens: int, *, repeat: bool
     ) -> EscrowHold | HoldRefused:
+        message = HoldTokens(
+            workspace=workspace,
+            request=request,
+            tokens=tokens,
+            requester=self._board.incarnation,
+            repeat=repeat,
+        )
         peer = self._board.peers.get(home)
         if home == self._board.host:
             incarnation = self._board.incarnation
@@ -204,13 +202,13 @@
             refusal = await self._hold_at_peer(peer, message)
         if refusal is not None:
             return refusal
-        if not self._grants.accept(incarnation, message.workspace, message.tokens):
+        if not self._grants.accept(incarnation, workspace, tokens):
             # The home was sealed while its reply was in flight.
             return UNCONFIRMED
         return EscrowHold(
-            workspace=message.workspace,
-            request=message.request,
-            tokens=message.tokens,
+            workspace=workspace,
+            request=request,
+            tokens=tokens,
             home=home,
             incarnation=incarnation,
         )
@@ -223,7 +221,6 @@
                 message.tokens,
                 message.requester,
                 repeat=message.repeat,
-                priority=message.priority,
             )
         except asyncio.CancelledError:
             # The request is cancelled; release the tokens, in case they are held.
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -117,7 +117,6 @@
         requester: str,
         *,
         repeat: bool = False,
-        priority: int = 0,
     ) -> Reason | None:
         """Hold tokens for a request; return None, or the reason if refused."""
         account = self._get_account(workspace)
@@ -126,8 +125,8 @@
         now = self._timer.now()
         if not repeat:
             account.demand.add(tokens, now)
-            account.priority_demand.add(priority, tokens, now)
-        if self._must_leave_to_urgent(account, tokens, priority, now):
+            account.size_demand.add(tokens, now)
+        if self._must_leave_to_shorter(account, tokens, now):
             return self._refuse(account, request, tokens)
         if account.hold(request, tokens, requester, now):
             return None
@@ -145,15 +144,15 @@
             return None
         return self._refuse(account, request, tokens)
 
-    def _must_leave_to_urgent(
-        self, account: EscrowAccount, tokens: int, priority: int, now: float
+    def _must_leave_to_shorter(
+        self, account: EscrowAccount, tokens: int, now: float
     ) -> bool:
-        """Return whether more urgent requests need the tokens in this outage."""
+        """Return whether shorter requests need the tokens in this outage."""
         outage_s = self._board.store.get_outage_s(now)
         if outage_s == 0.0:
             return False
-        reserve = account.priority_demand.compute_reserve(
-            priority, estimate_store_return(outage_s), now
+        reserve = account.size_demand.compute_reserve(
+            tokens, estimate_store_return(outage_s), now
         )
         return account.unused - tokens < reserve
 
@@ -196,7 +195,6 @@
             message.tokens,
             message.requester,
             repeat=message.repeat,
-            priority=message.priority,
         )
         return HoldReply(
             incarnation=self._board.incarnation,
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -1,16 +1,11 @@
 """Define the peer messages about holds on prepaid budgets."""
 
 from dataclasses import dataclass
-from typing import Annotated, Literal
-
-from pydantic import Field
+from typing import Literal
 
 from trefoilstage.helpers.field_types import ShortText, UInt53
 from trefoilstage.helpers.verdict import Reason
 
-LOWEST_PRIORITY = 9
-Priority = Annotated[int, Field(ge=0, le=LOWEST_PRIORITY)]
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HoldTokens:
@@ -21,7 +16,6 @@
     tokens: UInt53
     requester: ShortText  # the requesting incarnation
     repeat: bool = False  # a further attempt for the same caller's request
-    priority: Priority = 0  # of the route, 0 is the most urgent
     kind: Literal["hold_tokens"] = "hold_tokens"
 
 
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -11,7 +11,6 @@
 
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
-from trefoilstage.components.escrow.messages import LOWEST_PRIORITY
 from trefoilstage.components.escrow.wait_limits import WaitLimits
 from trefoilstage.components.forwarding.models import (
     Route,
@@ -114,9 +113,6 @@
             self._make_hold_name(state),
             state.request.max_tokens,
             wait_limits,
-            # A workspace's own priority ranks it among others. Its tokens are shared
-            # by its routes only.
-            min(LOWEST_PRIORITY, max(0, state.route.priority)),
         )
 
     def _make_hold_name(self, state: RequestState) -> str:
