--- a/bench/emulator/clock.py
+++ b/bench/emulator/clock.py
@@ -35,7 +35,7 @@
         return self._jumping.now
 
 
-def run_virtually(main: Coroutine[Any, Any, ResultT]) -> ResultT:
+def run_in_virtual_time(main: Coroutine[Any, Any, ResultT]) -> ResultT:
     """Run a coroutine in virtual time and return its result."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from bench.emulator.callers import Caller, Outcome, RequestSampler
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.engine import (
     EmulatedEngine,
     EngineSpeed,
@@ -445,4 +445,4 @@
     async def main() -> DayResult:
         return await World(scenario=scenario, seed=seed).run_day()
 
-    return run_virtually(main())
+    return run_in_virtual_time(main())
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any, cast
 
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_route, make_target
 from trefoilstage.components.escrow.client import EscrowHold
@@ -187,7 +187,7 @@
     def count_queries(self, hold_s: float) -> int:
         """Return how often the candidates are queried for one prompt."""
         collaborators = SlowCollaborators(status=200, hold_s=hold_s)
-        run_virtually(send_prompt(collaborators, RouteKind.ONCE, max_attempts=1))
+        run_in_virtual_time(send_prompt(collaborators, RouteKind.ONCE, max_attempts=1))
         return collaborators.n_queries
 
     def test_candidates_are_queried_again_after_a_long_hold(self) -> None:
--- a/tests/components/random_log_faults.py
+++ b/tests/components/random_log_faults.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from tests.components.faulty_log import Faults
 from tests.components.log_faults import SYNC_TIMEOUT_S, Cluster, Host
 from trefoilstage.components.operators.server import VERDICT_TIMEOUT_S
@@ -168,7 +168,7 @@
     first, last = map(int, sys.argv[1:3])
     n_failed = 0
     for seed in range(first, last):
-        failures = run_virtually(run_seed(seed))
+        failures = run_in_virtual_time(run_seed(seed))
         n_failed += bool(failures)
         for text in failures:
             sys.stdout.write(f"seed={seed} {text}\n")
--- a/tests/components/test_log_faults.py
+++ b/tests/components/test_log_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from tests.components.log_faults import POLL_S, SUSPECT_S, SYNC_TIMEOUT_S, Cluster
 from tests.components.random_log_faults import run_seed
 from tests.components.test_stream import wait_until
@@ -45,7 +45,7 @@
                     self.assertEqual(await cluster.submit("b", 2), ACCEPTED)
                 await cluster.wait_until_in_sync()
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_group_whose_first_records_were_dropped_is_accepted_whole(self) -> None:
         """Guard against resent changes that are rejected as duplicates.
@@ -69,7 +69,7 @@
                 await cluster.wait_until_in_sync()
                 self.assertEqual(cluster.find_divergence(), [])
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_record_is_resent_when_the_response_arrives_after_its_loss(self) -> None:
         """Guard against a change without a verdict and a diverging state."""
@@ -102,7 +102,7 @@
                 await cluster.wait_until_in_sync()
                 self.assertEqual(cluster.find_divergence(), [])
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_verdict_is_in_time_after_a_record_that_no_host_has(self) -> None:
         """Guard against a publish that takes longer than its operator waits."""
@@ -123,7 +123,7 @@
                     self.assertEqual(await cluster.submit("a", 3), ACCEPTED)
                     self.assertEqual(await lost, ACCEPTED)
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_late_response_does_not_delay_the_next_change(self) -> None:
         """Guard against waiting for the response to a record that was read back."""
@@ -137,7 +137,7 @@
                     self.assertEqual(await first, ACCEPTED)
                     self.assertEqual(await cluster.submit("a", 2), ACCEPTED)
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_accepted_change_outlives_the_host_that_reported_it(self) -> None:
         """Guard against a verdict that is lost with the only host that knows it."""
@@ -160,13 +160,13 @@
                 await cluster.wait_until_in_sync()
                 self.assertFalse(was_reported and not cluster.list_hosts_with(1))
 
-        run_virtually(inject_faults())
+        run_in_virtual_time(inject_faults())
 
     def test_stream_resumes_when_the_hosts_it_waits_for_are_declared_lost(self) -> None:
         """Guard against lost or replaced hosts that block the stream permanently."""
         for is_replaced in (True, False):
             with self.subTest(is_replaced=is_replaced):
-                run_virtually(self.lose_hosts(is_replaced=is_replaced))
+                run_in_virtual_time(self.lose_hosts(is_replaced=is_replaced))
 
     async def lose_hosts(self, *, is_replaced: bool) -> None:
         """Lose two hosts with a record that the log has dropped."""
@@ -197,7 +197,7 @@
         """Guard against failures under combined faults, by seed."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                self.assertEqual(run_virtually(run_seed(seed)), [])
+                self.assertEqual(run_in_virtual_time(run_seed(seed)), [])
 
 
 if __name__ == "__main__":
--- a/tests/components/test_stalled_connects.py
+++ b/tests/components/test_stalled_connects.py
@@ -9,7 +9,7 @@
 import aiohttp
 from aiohttp import web
 
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from standins.platform import LOOPBACK, start_app
 from tests.components.forwarding.common import make_target
 from tests.components.forwarding.test_pipeline import FakeCollaborators, send_prompt
@@ -109,7 +109,7 @@
     def test_request_goes_to_the_same_target_after_a_stall(self) -> None:
         """Guard against excluding a healthy target."""
         collaborators = SuspendedCollaborators(status=200)
-        refusal = run_virtually(
+        refusal = run_in_virtual_time(
             send_prompt(collaborators, RouteKind.IDEMPOTENT, max_attempts=1)
         )
         self.assertIsNone(refusal)
--- a/tests/emulator/test_engine.py
+++ b/tests/emulator/test_engine.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from bench.emulator.clock import run_virtually
+from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.engine import EmulatedEngine, EngineSpeed, Generation
 from trefoilstage.components.forwarding.models import PromptPart
 
@@ -40,7 +40,7 @@
             return await use(engine)
 
         coroutine: Coroutine[Any, Any, Any] = main()
-        return run_virtually(coroutine)
+        return run_in_virtual_time(coroutine)
 
     def test_long_prompt_takes_longer_by_attention(self) -> None:
         """Prefill 13,000 tokens: 0.2 s at the prefill rate, more with attention."""
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -95,45 +95,60 @@
     def _add_gauges(self) -> None:
         board = self._board
         add = self._page.add_gauge
-        add("requests_active", "Requests under way.", self._count_active)
+        add("requests_active", "Requests in progress.", self._count_active)
         add(
             "requests_blocked",
-            "Requests that are refused as they crash targets.",
+            "Requests that are blocked because they crash targets.",
             self._count_blocked,
         )
         add(
             "store_silent_seconds",
-            "Seconds since the store answered, 0 while it is in reach.",
+            "Seconds since the store last responded, 0 while it is reachable.",
             lambda: board.store.get_outage_s(self._timer.now()),
         )
         add(
             "configuration_version",
-            "Version in force, 0 before the first.",
+            "Version of the configuration in force, 0 before the first.",
             lambda: board.configuration.version if board.configuration else 0,
         )
         add(
             "peer_call_seconds",
-            "Seconds that a call to a peer takes at least, 0 if not known.",
+            "Seconds of the fastest recent call to a peer, 0 if unknown.",
             lambda: board.round_trips.estimate_call_s(self._timer.now()),
         )
-        add("peers_known", "Other hosts known.", lambda: len(board.peers))
+        add(
+            "peers_known", "Other hosts that this host knows.", lambda: len(board.peers)
+        )
         add(
             "targets_listed",
             "Targets with an entry in the store.",
             lambda: len(board.targets.listed),
         )
+        add(
+            "targets_cold",
+            "Targets that are or may be cold.",
+            lambda: sum(
+                board.targets.is_cold(item.entry, self._timer.now())
+                for item in board.targets.listed.values()
+            ),
+        )
+        add(
+            "data_centers_evacuated",
+            "Data centres whose targets get no new requests.",
+            lambda: len(board.targets.evacuated),
+        )
         add(
             "tokens_unused",
-            "Tokens drawn here and not held or spent.",
+            "Tokens that this host has drawn and neither held nor spent.",
             lambda: sum(item.unused for item in self._get_accounts()),
         )
         add(
             "tokens_held",
-            "Tokens held here for requests under way.",
+            "Tokens that this host holds for requests in progress.",
             lambda: sum(item.held for item in self._get_accounts()),
         )
         add(
             "log_lines_left_out",
-            "Log lines that were over the rate or that nobody read.",
+            "Log lines dropped above the rate limit or for want of a reader.",
             lambda: self._line_writer.n_left_out,
         )
