Split the choice of a target into ranking and permits

The choice ranked warm and cold targets in two branches each. One function ranks either; nothing changes in what is chosen (tests of the forwarding parts).

--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -125,6 +125,11 @@
     return wait_s > IN_TIME_OBJECTIVE_SHARE * need.objective_s
 
 
+def is_in_time(option: TargetOption, need: PromptNeed | None) -> bool:
+    """Return whether a target is in time for a request, which may have no prompt."""
+    return need is None or not is_late(option, need)
+
+
 def rank_by_prompt(
     options: Iterable[TargetOption], need: PromptNeed
 ) -> list[TargetOption]:
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 from trefoilstage.components.cold_targets.controller import ColdPermits
 from trefoilstage.components.cold_targets.permits import compute_cold_limit
@@ -20,6 +21,7 @@
     TargetOption,
     count_tokens,
     exceeds_cold_rate,
+    is_in_time,
     is_late,
     rank_by_load,
     rank_by_prompt,
@@ -89,23 +91,24 @@
         """
         usable = self._list_usable(service, excluded, allowed_regions)
         warm, cold = self._split_cold(usable)
-        if need is None:
-            ranked_warm = self._rank_for_call(warm, request_id)
-            ranked_cold = self._rank_for_call(cold, request_id)
-        else:
-            cached = candidate_info.cached_tokens
-            candidates = rank_candidates(warm, need.subject)
-            if self._workload.is_fleet_large():
-                candidates = candidates[: candidate_info.n_candidates]
-            ranked_warm = self._rank_for_prompt(candidates, need, prompt, cached)
-            cold = rank_candidates(cold, need.subject)
-            ranked_cold = self._rank_for_prompt(cold, need, prompt, cached)
-            if ranked_warm:
-                ranked_cold = [item for item in ranked_cold if not is_late(item, need)]
-        best = ranked_warm[0] if ranked_warm else None
-        if best is not None and (need is None or not is_late(best, need)):
+        rank = partial(
+            self._rank,
+            need=need,
+            prompt=prompt,
+            cached_tokens=candidate_info.cached_tokens,
+            request_id=request_id,
+        )
+        is_large = self._workload.is_fleet_large()
+        ranked = rank(warm, candidate_info.n_candidates if is_large else len(warm))
+        best = ranked[0] if ranked else None
+        if best is not None and is_in_time(best, need):
             return best.target
-        for option in ranked_cold[:N_COLD_ASKED]:
+        useful = [
+            option
+            for option in rank(cold, len(cold))
+            if best is None or is_in_time(option, need)
+        ]
+        for option in useful[:N_COLD_ASKED]:
             if await self._permits.request(option.target):
                 return option.target
         return best.target if best else None
@@ -123,20 +126,24 @@
             (cold if has_limit else warm).append(target)
         return warm, cold
 
-    def _rank_for_call(
-        self, targets: Sequence[TargetEntry], request_id: str
-    ) -> list[TargetOption]:
-        options = [self._make_option(target) for target in targets]
-        return rank_by_load(options, self._board.data_center, request_id)
-
-    def _rank_for_prompt(
+    def _rank(
         self,
         targets: Sequence[TargetEntry],
-        need: PromptNeed,
+        n_candidates: int,
+        *,
+        need: PromptNeed | None,
         prompt: Sequence[PromptPart],
         cached_tokens: Mapping[str, int],
+        request_id: str,
     ) -> list[TargetOption]:
-        return rank_by_prompt(self._list_options(targets, prompt, cached_tokens), need)
+        """Return targets, the best first; of a prompt's, the first `n_candidates`."""
+        if need is None:
+            options = [self._make_option(target) for target in targets]
+            return rank_by_load(options, self._board.data_center, request_id)
+        candidates = rank_candidates(targets, need.subject)[:n_candidates]
+        return rank_by_prompt(
+            self._list_options(candidates, prompt, cached_tokens), need
+        )
 
     def _list_options(
         self,
