--- a/tests/components/test_stalled_connects.py
+++ b/tests/components/test_stalled_connects.py
@@ -123,7 +123,7 @@
         super().__init__(status=status)
         self.excluded: list[set[str]] = []
 
-    def choose(self, **options: object) -> Any:
+    async def choose(self, **options: object) -> Any:
         """Record which targets are excluded."""
         self.excluded.append(set(cast(set[str], options["excluded"])))
         return make_target("i-1")
