--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -117,6 +117,8 @@
         self, targets: Sequence[TargetEntry]
     ) -> tuple[list[TargetEntry], list[TargetEntry]]:
         """Return the warm targets, and the cold ones that have a limit."""
+        if not self._board.targets.may_have_cold():
+            return list(targets), []
         warm: list[TargetEntry] = []
         cold: list[TargetEntry] = []
         now = self._timer.now()
@@ -172,19 +174,18 @@
         excluded: set[str],
         allowed_regions: frozenset[str] | None,
     ) -> list[TargetEntry]:
-        ready = self._board.targets.list_ready(service, self._timer.now())
-        return [
-            target
-            for target in ready
-            if target.incarnation not in excluded
-            and self._is_in_region(target, allowed_regions)
-        ]
+        targets = self._board.targets.list_ready(service, self._timer.now())
+        if excluded:
+            targets = [item for item in targets if item.incarnation not in excluded]
+        if allowed_regions is not None:
+            targets = [
+                item for item in targets if self._is_in_region(item, allowed_regions)
+            ]
+        return targets
 
     def _is_in_region(
-        self, target: TargetEntry, allowed_regions: frozenset[str] | None
+        self, target: TargetEntry, allowed_regions: frozenset[str]
     ) -> bool:
-        if allowed_regions is None:
-            return True
         # The region of an unknown data centre is unknown too, so it is not allowed.
         return self._settings.regions.get(target.data_center) in allowed_regions
 
@@ -289,7 +290,9 @@
         entries = [entry for entry in entries if entry.service == service]
         n_evacuated = sum(entry.data_center in targets.evacuated for entry in entries)
         n_outside = sum(
-            not self._is_in_region(entry, allowed_regions) for entry in entries
+            allowed_regions is not None
+            and not self._is_in_region(entry, allowed_regions)
+            for entry in entries
         )
         n_cold = sum(targets.is_cold(entry, now) for entry in entries)
         return (
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -79,13 +79,27 @@
 
     def record_cold_time(self, entry: TargetEntry, now: float) -> None:
         """Record how long a target is cold by its entry, which was just received."""
-        self.cold_until[entry.incarnation] = now + entry.cold_s
-        self.cold_until = drop_past(self.cold_until, now)
+        if entry.cold_s > 0.0:
+            self.cold_until[entry.incarnation] = now + entry.cold_s
+            self._drop_past_times(now)
+        else:
+            self.cold_until.pop(entry.incarnation, None)
 
     def presume_cold(self, incarnation: str, until: float, now: float) -> None:
         """Count a target as cold until a given time, whatever its entry says."""
         self.presumed_cold_until[incarnation] = until
-        self.presumed_cold_until = drop_past(self.presumed_cold_until, now)
+        self._drop_past_times(now)
+
+    def _drop_past_times(self, now: float) -> None:
+        """Drop past times once there are more times than targets."""
+        if len(self.cold_until) > len(self.listed):
+            self.cold_until = drop_past(self.cold_until, now)
+        if len(self.presumed_cold_until) > len(self.listed):
+            self.presumed_cold_until = drop_past(self.presumed_cold_until, now)
+
+    def may_have_cold(self) -> bool:
+        """Return whether any target may be cold."""
+        return bool(self.cold_until or self.presumed_cold_until)
 
     def is_cold(self, entry: TargetEntry, now: float) -> bool:
         """Return whether a target is or may be cold."""
