--- a/tests/emulator/test_cold_targets.py
+++ b/tests/emulator/test_cold_targets.py
@@ -9,6 +9,7 @@
 from bench.emulator.world import DayResult, run_day
 
 SEED = 1
+BUSY_SEED = 2
 SECONDS = 8.0
 STREAMS = ("hot-ask", "ask")
 # A third of the engines is enough for the load of a third more.
@@ -101,6 +102,12 @@
                 streams = select_streams(day)
                 self.assertGreater(compute_share(streams, Result.IN_TIME), MIN_IN_TIME)
 
+    def test_engines_turn_cold_while_a_large_fleet_is_busy(self) -> None:
+        """Guard against a rate above the limit while hosts' counts are out of date."""
+        fault = Fault(kind=FaultKind.ENGINES_TURN_COLD, at_s=3.0, for_s=1.0)
+        day = run_day(make_day(40, fault), BUSY_SEED)
+        self.assertLessEqual(count_cold_peak(day), self.limit)
+
 
 if __name__ == "__main__":
     unittest.main()
