LIMIT: log when a target names a limit and when it ends

Each host now logs target_limit_named with the limit, and target_limit_ended, once per change. Nothing else acts on them yet.

An answer without a limit ends it only if its request was sent after the limit was named, as an older answer may still be on its way. A malformed value is logged (header_malformed) and ignored.

Tests of the chooser pass the time of the send, which record_answer now takes; what they check is the same.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -96,7 +96,9 @@
         west = frozenset({"west"})
         chosen = {await self.choose(allowed_regions=west) for _ in range(10)}
         self.assertEqual(chosen, {"i-1@0"})
-        self.chooser.record_answer(allowed, NotRun(reason="timeout", timed_out=True))
+        self.chooser.record_answer(
+            allowed, NotRun(reason="timeout", timed_out=True), 0.0
+        )
         self.assertEqual(await self.choose(allowed_regions=west), "i-1@0")
         self.assertEqual(await self.choose(allowed_regions=frozenset()), "")
         tried = {allowed.incarnation}
@@ -153,7 +155,7 @@
         old = make_target("i-1", started_ms=1)
         self.board.targets.apply_entry(old)
         self.board.targets.apply_entry(make_target("i-2", started_ms=1))
-        self.chooser.record_answer(old, NotRun(reason="timeout", timed_out=True))
+        self.chooser.record_answer(old, NotRun(reason="timeout", timed_out=True), 0.0)
         self.assertEqual(await self.choose(), "i-2@1")
         busy = make_target("i-2", started_ms=1)
         self.chooser.add_request(busy, (), CandidateInfo())
@@ -172,7 +174,7 @@
             make_target("i-1", started_ms=3_000, address="127.0.0.1:2")
         )
         self.assertEqual(await self.choose(), "i-1@5000")
-        self.chooser.record_answer(old, NotRun(reason="refused", unreachable=True))
+        self.chooser.record_answer(old, NotRun(reason="refused", unreachable=True), 0.0)
         self.assertEqual(await self.choose(), "i-1@3000")
 
     async def test_health_of_ended_targets_is_removed(self) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,12 +1,14 @@
 """Test the translation between HTTP headers and requests and answers."""
 
 import unittest
+from unittest import mock
 
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.forwarding.translator import (
     ForwardOptions,
     MalformedRequestError,
 )
+from trefoilstage.platform import headers
 from trefoilstage.platform.headers import HeaderTranslator
 
 TRANSLATOR = HeaderTranslator()
@@ -121,6 +123,23 @@
         ):
             self.assertFalse(TRANSLATOR.read_answer(request, 200, untrusted).trusted)
 
+    def test_limit_of_a_target_is_read(self) -> None:
+        """Guard against a target's limit that stays in the answer's headers."""
+        request = self.read_request()
+        for text, limit_per_s in (("1.6", 1.6), ("0", 0.0), ("12", 12.0)):
+            head = TRANSLATOR.read_answer(request, 200, {"Server-Limit": text})
+            self.assertEqual(head.limit_per_s, limit_per_s)
+        self.assertIsNone(TRANSLATOR.read_answer(request, 200, {}).limit_per_s)
+
+    def test_malformed_limit_is_logged_and_ignored(self) -> None:
+        """Guard against an answer that is lost because of its limit."""
+        request = self.read_request()
+        for text in ("", "soon", "-1", "nan", "inf", "1,6"):
+            with mock.patch.object(headers, "log_event") as log:
+                head = TRANSLATOR.read_answer(request, 200, {"Server-Limit": text})
+            self.assertIsNone(head.limit_per_s)
+            log.assert_called_once()
+
     def test_only_explicit_refusal_counts_as_not_run(self) -> None:
         """Distinguish a target's refusal from its failure."""
         request = self.read_request()
--- /dev/null
+++ b/trefoilstage/components/cold_targets/limits.py
@@ -0,0 +1,43 @@
+"""Store the limits on requests a second that targets name in their answers; pure."""
+
+from dataclasses import dataclass, field
+
+# Targets that ended are not removed, so only the most recent ones are kept.
+MAX_TARGETS = 2_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NamedLimit:
+    """Describe the limit that a target named at some time, None if it named none."""
+
+    limit_per_s: float | None  # requests a second from all hosts together
+    named_at: float
+
+
+@dataclass(kw_only=True, slots=True)
+class NamedLimits:
+    """Store the newest limit of each target that named one, by incarnation."""
+
+    limits: dict[str, NamedLimit] = field(default_factory=dict)
+
+    def record(self, target: str, limit: NamedLimit) -> bool:
+        """Store a limit unless a newer one is known; return whether it changed."""
+        known = self.limits.get(target)
+        if known is None and limit.limit_per_s is None:
+            return False
+        if known is not None and limit.named_at <= known.named_at:
+            return False
+        self.limits.pop(target, None)
+        self.limits[target] = limit
+        while len(self.limits) > MAX_TARGETS:
+            del self.limits[next(iter(self.limits))]
+        return known is None or known.limit_per_s != limit.limit_per_s
+
+    def get(self, target: str) -> NamedLimit | None:
+        """Return what is known of a target's limit, None if it never named one."""
+        return self.limits.get(target)
+
+    def get_limit(self, target: str) -> float | None:
+        """Return the limit of a target in requests a second, None without one."""
+        known = self.limits.get(target)
+        return known.limit_per_s if known else None
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -270,7 +270,7 @@
             self._record_invalid_answer(state, target, answer.reason)
         else:
             state.record_target_data(asyncio.get_running_loop().time())
-        self._chooser.record_answer(target, answer)
+        self._chooser.record_answer(target, answer, sent.sent_at)
         return answer
 
     def _may_retry(
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -40,6 +40,7 @@
     """Report that a target certainly did not run a request."""
 
     reason: str
+    head: AnswerHead | None = None  # None if the target did not answer
     misdirected: bool = False  # another target has this address
     busy: bool = False  # the target refused it for lack of capacity
     unreachable: bool = False  # no connection could be opened
@@ -52,6 +53,7 @@
     """Report that a target gave no valid answer; it may have run the request."""
 
     reason: str
+    head: AnswerHead | None = None  # None if there was no answer to this request
 
 
 class AnswerBrokenError(TrefoilstageError):
@@ -151,13 +153,15 @@
             response.discard()
             return NotRun(
                 reason=f"status {head.status}",
+                head=head,
                 misdirected=head.misdirected,
                 busy=not head.misdirected,
             )
         if not head.trusted:
             response.discard()
             return InvalidAnswer(
-                reason=f"status {head.status}, not a verified answer of the target"
+                reason=f"status {head.status}, not a verified answer of the target",
+                head=head if head.names_no_other_request else None,
             )
         headers = self._translator.write_answer(response.headers.items())
         return OpenAnswer(head=head, headers=headers, response=response)
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -366,10 +366,13 @@
         self._outcomes.get_health(target).record_inconclusive_end()
 
     def record_answer(
-        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+        self,
+        target: TargetEntry,
+        answer: OpenAnswer | NotRun | InvalidAnswer,
+        sent_at: float,
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
-        self._outcomes.record_answer(target, answer)
+        self._outcomes.record_answer(target, answer, sent_at)
 
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -1,5 +1,6 @@
 """Record what became of requests at the targets: health, and entries that are wrong."""
 
+from trefoilstage.components.cold_targets.limits import NamedLimit, NamedLimits
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.targets.health import TargetHealth
@@ -15,6 +16,7 @@
         self._board = board
         self._timer = timer
         self._healths: dict[str, TargetHealth] = {}
+        self._limits = NamedLimits()
 
     def get_health(self, target: TargetEntry) -> TargetHealth:
         """Return the health of a target's incarnation."""
@@ -34,9 +36,13 @@
         }
 
     def record_answer(
-        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+        self,
+        target: TargetEntry,
+        answer: OpenAnswer | NotRun | InvalidAnswer,
+        sent_at: float,
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
+        self._record_limit(target, answer, sent_at)
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
@@ -46,6 +52,25 @@
         if self._update_health(target, answer):
             log_event(Event.TARGET_EJECTED, target=target.name)
 
+    def _record_limit(
+        self,
+        target: TargetEntry,
+        answer: OpenAnswer | NotRun | InvalidAnswer,
+        sent_at: float,
+    ) -> None:
+        if answer.head is None or answer.head.misdirected:
+            return
+        limit_per_s = answer.head.limit_per_s
+        if limit_per_s is not None:
+            limit = NamedLimit(limit_per_s=limit_per_s, named_at=self._timer.now())
+        elif isinstance(answer, OpenAnswer):
+            # An answer may have been on its way while a later one named a limit.
+            limit = NamedLimit(limit_per_s=None, named_at=sent_at)
+        else:
+            return
+        if self._limits.record(target.incarnation, limit):
+            log_limit(target.incarnation, limit_per_s)
+
     def _update_health(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
     ) -> bool:
@@ -76,3 +101,11 @@
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
         self.get_health(target).record_failure(self._timer.now())
+
+
+def log_limit(incarnation: str, limit_per_s: float | None) -> None:
+    """Log that a target's limit on requests a second changed."""
+    if limit_per_s is None:
+        log_event(Event.TARGET_LIMIT_ENDED, target=incarnation)
+    else:
+        log_event(Event.TARGET_LIMIT_NAMED, target=incarnation, limit_per_s=limit_per_s)
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -34,6 +34,8 @@
     has_request_id: bool  # the answer carries the id of a request
     is_encoded: bool  # the body has a content encoding
     closing: bool
+    # Requests a second that the target takes from all hosts; None if it names no limit.
+    limit_per_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -1,5 +1,6 @@
 """Translate between HTTP headers and the pipeline's requests and answers."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -13,6 +14,7 @@
     ForwardOptions,
     MalformedRequestError,
 )
+from trefoilstage.helpers.events import Event, log_event, truncate_text
 
 MS_PER_S = 1000
 
@@ -27,6 +29,7 @@
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 HEADER_SEAL: Final = "Response-Seal"  # a target's signature of its answer
 HEADER_NOT_EXECUTED: Final = "Not-Executed"
+HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
 HTTP_MISDIRECTED: Final = 421
 # Ids seen from callers have 16 characters. Messages between hosts allow names of up to
 # 300.
@@ -134,6 +137,7 @@
             matches_request=headers.get(HEADER_ATTEMPT_ID) == request.request_id,
             is_encoded="Content-Encoding" in headers,
             closing=headers.get("Connection", "").lower() == "close",
+            limit_per_s=parse_amount(headers, HEADER_LIMIT),
         )
 
     def write_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
@@ -193,6 +197,21 @@
         raise MalformedRequestError("Deadline-Ms header: not a whole number") from error
 
 
+def parse_amount(headers: Mapping[str, str], name: str) -> float | None:
+    """Return the decimal number in a target's header, None if it has no valid one."""
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        amount = float(text)
+    except ValueError:
+        amount = math.nan
+    if math.isfinite(amount) and amount >= 0.0:
+        return amount
+    log_event(Event.HEADER_MALFORMED, header=name, value=truncate_text(text))
+    return None
+
+
 def parse_prompt_prefix(text: str | None) -> tuple[PromptPart, ...]:
     """Return a prompt's parts in order, without malformed ones."""
     parts: list[PromptPart] = []
