--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bench.emulator.limits import RequestLimit
 from trefoilstage.components.forwarding.models import PromptPart
 
 S_PER_MS = 0.001
@@ -80,6 +81,7 @@
         self.is_down = False
         self.started_ms = 1
         self.cold_until = 0.0
+        self.limit = RequestLimit()
         # Times of the requests that arrived while it was cold.
         self.cold_arrivals: list[float] = []
         self._task = asyncio.create_task(self._run())
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -77,6 +77,8 @@
     # Engines turn cold without a restart; their entries say so a heartbeat later.
     ENGINES_TURN_COLD = "engines_turn_cold"
     EVACUATION = "evacuation"  # of the first data centre
+    # Engines and services name a limit of `factor` requests a second in their answers.
+    TARGETS_NAME_LIMIT = "targets_name_limit"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
 
 
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 from bench.emulator.engine import EmulatedEngine, Generation
+from bench.emulator.limits import RequestLimit
 from trefoilstage.components.crashes.probe import ProbeResult
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.sender import (
@@ -16,19 +17,9 @@
     OpenAnswer,
     TargetSender,
 )
-from trefoilstage.components.forwarding.translator import AnswerHead, ForwardOptions
+from trefoilstage.components.forwarding.translator import ForwardOptions
 
 ONE_WAY_S = 0.0007
-ANSWER_HEAD = AnswerHead(
-    status=200,
-    not_run=False,
-    misdirected=False,
-    has_seal=True,
-    matches_request=True,
-    has_request_id=True,
-    is_encoded=False,
-    closing=False,
-)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -77,6 +68,7 @@
         self.name = name
         self.is_down = False
         self.started_ms = 1
+        self.limit = RequestLimit()
         self._work_s = work_s
         self._generator = generator
         self._slots = asyncio.Semaphore(slots)
@@ -129,12 +121,14 @@
         await asyncio.sleep(ONE_WAY_S)
         if found is None or found.is_down or found.started_ms != target.started_ms:
             return NotRun(reason="refused")
+        found.limit.record_arrival()
         if isinstance(found, EmulatedEngine):
             return await self._generate(found, request, options)
         await found.serve()
         if found.is_down:
             return InvalidAnswer(reason="reset")
-        return ServiceAnswer(head=ANSWER_HEAD, headers=[], response=cast(Any, None))
+        head = found.limit.make_head()
+        return ServiceAnswer(head=head, headers=[], response=cast(Any, None))
 
     async def _generate(
         self, engine: EmulatedEngine, request: CallerRequest, options: ForwardOptions
@@ -157,7 +151,7 @@
         self._on_start(request, engine)
         await asyncio.sleep(ONE_WAY_S)
         return EngineAnswer(
-            head=ANSWER_HEAD,
+            head=engine.limit.make_head(),
             headers=[],
             response=cast(Any, None),
             engine=engine,
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -60,6 +60,8 @@
     n_messages: int = 0
     # Times of requests that reached each engine while it was cold.
     cold_arrivals: dict[str, list[float]] = field(default_factory=dict)
+    # Times of requests that reached each target while its limit was binding.
+    limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
 
 
 class World:
@@ -354,6 +356,21 @@
         n = max(1, round(share * len(self._engines)))
         return self._generator.sample(self._engines, n)
 
+    async def _name_limits(self, fault: Fault) -> None:
+        limited: list[EmulatedEngine | EmulatedService] = [
+            *self._sample_engines(fault.share),
+            *self._sample_services(fault.share),
+        ]
+        for target in limited:
+            target.limit.begin(fault.factor)
+        await asyncio.sleep(fault.for_s)
+        for target in limited:
+            target.limit.end()
+
+    def _sample_services(self, share: float) -> list[EmulatedService]:
+        n = max(1, round(share * len(self._services)))
+        return self._generator.sample(self._services, n)
+
     async def _evacuate(self, fault: Fault) -> None:
         key = f"{EVACUATION_PREFIX}{DATA_CENTERS[0]}"
         store = self._shared_store
@@ -389,6 +406,8 @@
             totals.n_found_in_cache += engine.totals.n_found_in_cache
             totals.n_preempted += engine.totals.n_preempted
             self.day.cold_arrivals[engine.name] = engine.cold_arrivals
+        for target in self._targets.values():
+            self.day.limited_arrivals[target.name] = target.limit.arrivals
         self.day.n_store_calls = self._shared_store.n_calls
         self.day.n_messages = self._network.n_messages
 
@@ -404,6 +423,7 @@
     FaultKind.ENGINES_RETURN_COLD: World._return_cold,
     FaultKind.ENGINES_TURN_COLD: World._turn_engines_cold,
     FaultKind.EVACUATION: World._evacuate,
+    FaultKind.TARGETS_NAME_LIMIT: World._name_limits,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
