--- a/tests/components/cold_targets/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Test the cold_targets package."""
--- /dev/null
+++ b/tests/components/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Test the permits package."""
--- a/tests/components/cold_targets/test_limits.py
+++ b/tests/components/permits/test_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from trefoilstage.components.cold_targets.limits import (
+from trefoilstage.components.permits.limits import (
     MAX_TARGETS,
     NamedLimit,
     NamedLimits,
--- a/tests/components/cold_targets/test_permits.py
+++ b/tests/components/permits/test_permits.py
@@ -9,20 +9,20 @@
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
-from trefoilstage.components.cold_targets.controller import ColdPermits
-from trefoilstage.components.cold_targets.messages import PermitRequest
-from trefoilstage.components.cold_targets.permits import (
-    GRANT_WINDOW_S,
-    LIMIT_WINDOW_S,
-    PERMIT_LIFE_S,
-    compute_cold_limit,
-)
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import (
     FleetConfiguration,
     TargetService,
 )
 from trefoilstage.components.peers.frames import Frame
+from trefoilstage.components.permits.controller import TargetPermits
+from trefoilstage.components.permits.counter import (
+    GRANT_WINDOW_S,
+    LIMIT_WINDOW_S,
+    PERMIT_LIFE_S,
+    compute_cold_limit,
+)
+from trefoilstage.components.permits.messages import PermitRequest
 from trefoilstage.exceptions import PeerUnavailableError
 
 SERVICE = TargetService(
@@ -38,17 +38,17 @@
     """Connect the permits of several hosts."""
 
     timer: ManualTimer = field(default_factory=ManualTimer)
-    permits: dict[str, ColdPermits] = field(default_factory=dict)
+    permits: dict[str, TargetPermits] = field(default_factory=dict)
     # Hosts that can't reach each other are in different parts; 0 without an entry.
     parts: dict[str, int] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)  # hosts that read the store's list
     n_grants: int = 0
 
-    async def start(self, name: str, names: list[str]) -> ColdPermits:
+    async def start(self, name: str, names: list[str]) -> TargetPermits:
         """Start a host that knows some hosts by their records."""
         board = make_board(name, names)
         board.configuration = FleetConfiguration(services={SERVICE.name: SERVICE})
-        permits = ColdPermits(
+        permits = TargetPermits(
             board=board,
             settings=SETTINGS,
             links=cast(Any, Links(fleet=self, caller=name)),
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -5,11 +5,11 @@
 
 from pydantic import Field
 
-from trefoilstage.components.cold_targets.messages import PermitMessage
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
+from trefoilstage.components.permits.messages import PermitMessage
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.helpers.codec import Codec
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass
 from functools import partial
 
-from trefoilstage.components.cold_targets.controller import ColdPermits
-from trefoilstage.components.cold_targets.permits import compute_cold_limit
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import (
     PromptPart,
@@ -31,6 +29,8 @@
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.permits.controller import TargetPermits
+from trefoilstage.components.permits.counter import compute_cold_limit
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
@@ -62,7 +62,7 @@
         settings: FleetSettings,
         timer: TimerService,
         workload: WorkloadController,
-        permits: ColdPermits,
+        permits: TargetPermits,
     ) -> None:
         self._permits = permits
         self._board = board
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -1,8 +1,8 @@
 """Record what became of requests at the targets: health, and entries that are wrong."""
 
-from trefoilstage.components.cold_targets.limits import NamedLimit, NamedLimits
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.permits.limits import NamedLimit, NamedLimits
 from trefoilstage.components.targets.health import TargetHealth
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
--- a/trefoilstage/components/cold_targets/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -12,16 +12,16 @@
 
 from mode import Service
 
-from trefoilstage.components.cold_targets.messages import PermitReply, PermitRequest
-from trefoilstage.components.cold_targets.permits import (
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.counter import (
     GRANT_WINDOW_S,
     PERMIT_LIFE_S,
     PermitCounter,
     compute_cold_limit,
 )
-from trefoilstage.components.forwarding.models import TargetEntry
-from trefoilstage.components.peers.links import PeerLinks
-from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.messages import PermitReply, PermitRequest
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
@@ -34,7 +34,7 @@
 REFUSAL_PAUSE_S = 0.1
 
 
-class ColdPermits(Service):
+class TargetPermits(Service):
     """Ask the homes of cold targets for permits, and answer for the own ones."""
 
     def __init__(
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -7,7 +7,6 @@
 
 from mode import Service
 
-from trefoilstage.components.cold_targets.controller import ColdPermits
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.probe import TargetProbe
 from trefoilstage.components.crashes.recorder import CrashRecorder
@@ -27,6 +26,7 @@
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.views.follower import GetPause, ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
@@ -63,7 +63,7 @@
     home: EscrowHome
     escrow: EscrowClient
     workload: WorkloadController
-    permits: ColdPermits
+    permits: TargetPermits
     crash_recorder: CrashRecorder
     crash_watcher: CrashWatcher
     pipeline: ForwardingPipeline
@@ -164,7 +164,7 @@
     workload = WorkloadController(
         board=board, links=links, server=peer_server, timer=timer
     )
-    permits = ColdPermits(
+    permits = TargetPermits(
         board=board,
         settings=settings,
         links=links,
