--- a/tests/promises/test_refusal.py
+++ b/tests/promises/test_refusal.py
@@ -328,7 +328,11 @@
         return len(await fleet.list_executed_requests()) > n_before
 
     await poll_until(is_running, "the slow answer")
-    fleet.hosts[2].send_signal(signal.SIGTERM)
+    host = fleet.hosts[2]
+    host.send_signal(signal.SIGTERM)
+    await poll_until(
+        lambda: any("host_draining" in line for line in host.lines), "the drain"
+    )
 
 
 async def clear_faults(fleet: Fleet) -> None:
