LIMIT: keep the limits that targets name, over all hosts

What callers saw: slow answers from targets in need, which got up to three times the requests a second that they had named.

The class of fault: a demand in a target's answer that nothing in the design acts on.

Mend: permits, which keep the rate of cold targets over all hosts, keep named limits too. Each host asks the target's home before it sends to such a target; a host that keeps a limit for itself adds up over the fleet. The home grants two thirds of the limit. Hosts tell each other limits by their age, in permits and for 5 s in heartbeats. Requests without a permit go to other targets; with none left they are refused at once with the time until the next permit.

Tests of permits, chooser, membership and workload pass the limits that the constructors now take; _ask_home returns a reply in place of a boolean; what they check is the same.

--- a/tests/components/fleet/test_large_fleet.py
+++ b/tests/components/fleet/test_large_fleet.py
@@ -19,6 +19,7 @@
 )
 from trefoilstage.components.fleet.messages import FLEET_CODEC, HostHeartbeat
 from trefoilstage.components.peers.frames import Frame
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.exceptions import MalformedMessageError
 
@@ -46,6 +47,7 @@
             server=mock.Mock(port=1),
             timer=self.timer,
             followers={},
+            limits=KnownLimits(board=self.board, timer=self.timer),
             address="127.0.0.1",
             generator=random.Random(name),
         )
--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -13,6 +13,7 @@
     FleetMembership,
 )
 from trefoilstage.components.fleet.messages import HostHeartbeat
+from trefoilstage.components.permits.known_limits import SPREAD_S, KnownLimits
 
 N_HOSTS = 66
 
@@ -23,18 +24,22 @@
     def __init__(self) -> None:
         self.timer = ManualTimer()
         self.names = [f"host-{number}" for number in range(N_HOSTS)]
+        self.limits: dict[str, KnownLimits] = {}
         self.hosts = {name: self.make_membership(name) for name in self.names}
         self.down: set[str] = set()
 
     def make_membership(self, name: str) -> FleetMembership:
         """Return the membership of one host."""
+        board = make_board(name, self.names)
+        self.limits[name] = KnownLimits(board=board, timer=self.timer)
         return FleetMembership(
-            board=make_board(name, self.names),
+            board=board,
             store=mock.Mock(),
             links=mock.Mock(),
             server=mock.Mock(port=1),
             timer=self.timer,
             followers={},
+            limits=self.limits[name],
             address="127.0.0.1",
             generator=random.Random(name),
         )
@@ -87,6 +92,24 @@
             if name != "host-7":
                 self.assertNotIn("host-7", host.list_live_hosts())
 
+    async def test_limit_reaches_hosts_that_no_target_told(self) -> None:
+        """Guard against a target in need that has to tell each of many hosts itself."""
+        fleet = FakeFleet()
+        fleet.limits["host-0"].record_answer("i-1@0", 1.6, 0.0)
+        for _ in range(6):
+            await fleet.send_heartbeats()
+        for limits in fleet.limits.values():
+            self.assertEqual(limits.get_limit("i-1@0"), 1.6)
+
+    async def test_limits_in_heartbeats_are_bounded_in_time(self) -> None:
+        """Guard against heartbeats that grow with each limit that holds."""
+        fleet = FakeFleet()
+        fleet.limits["host-0"].record_answer("i-1@0", 1.6, 0.0)
+        while fleet.timer.time < 2 * SPREAD_S:
+            await fleet.send_heartbeats()
+        for host in fleet.hosts.values():
+            self.assertEqual(host._make_heartbeat().limits, ())
+
     def test_calls_do_not_grow_with_the_fleet(self) -> None:
         fleet = FakeFleet()
         self.assertEqual(
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 from unittest import mock
 
+from bench.emulator.limits import ANSWER_HEAD
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
@@ -18,11 +19,12 @@
     TargetService,
 )
 from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
-from trefoilstage.components.forwarding.sender import NotRun
+from trefoilstage.components.forwarding.sender import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.work import Work
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.known_limits import KnownLimits
 
 
 class TargetChooserTest(unittest.IsolatedAsyncioTestCase):
@@ -31,7 +33,7 @@
     def setUp(self) -> None:
         """Create a chooser and its workload controller."""
         self.board = make_board("host-0", ["host-0"])
-        timer = ManualTimer()
+        timer = self.timer = ManualTimer()
         timer.time = 10.0
         self.workload = WorkloadController(
             board=self.board,
@@ -43,7 +45,11 @@
             side_effect=lambda report: report.close()
         )
         self.settings = mock.Mock(regions={}, cold_rate_factor=1.5, cold_rate_slack=5.0)
-        self.permits = mock.Mock(request=mock.AsyncMock(return_value=True))
+        self.permits = mock.Mock(
+            request=mock.AsyncMock(return_value=True),
+            get_wait_s=mock.Mock(return_value=0.0),
+        )
+        self.limits = KnownLimits(board=self.board, timer=timer)
         self.chooser = TargetChooser(
             board=self.board,
             membership=cast(Any, None),
@@ -51,6 +57,7 @@
             timer=timer,
             workload=self.workload,
             permits=self.permits,
+            limits=self.limits,
         )
 
     async def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
@@ -120,7 +127,7 @@
         """Guard against requests to a cold target that its home does not count."""
         cold = self.list_cold_target()
         self.assertEqual(await self.choose(), cold.incarnation)
-        self.permits.request.assert_awaited_with(cold)
+        self.permits.request.assert_awaited_with(cold, is_cold=True)
         self.permits.request.return_value = False
         self.assertEqual(await self.choose(), "")
         text = self.chooser.explain_no_target("assistant", None)
@@ -150,6 +157,60 @@
         self.assertEqual(await self.choose(), cold.incarnation)
         self.permits.request.assert_not_awaited()
 
+    def name_limit(self, target: TargetEntry, limit_per_s: float | None) -> None:
+        """Record an answer of a target that names a limit, or names none any more."""
+        head = replace(ANSWER_HEAD, limit_per_s=limit_per_s)
+        answer = OpenAnswer(head=head, headers=[], response=cast(Any, None))
+        self.chooser.record_answer(target, answer, self.timer.time)
+        self.timer.time += 0.001
+
+    async def test_target_that_names_a_limit_is_used_only_with_a_permit(self) -> None:
+        """Guard against requests to a target in need that its home does not count.
+
+        Without a permit, the others get the request.
+        """
+        limited = make_target("i-1")
+        self.board.targets.apply_entry(limited)
+        self.name_limit(limited, 1.2)
+        self.assertEqual(await self.choose(), limited.incarnation)
+        self.permits.request.assert_awaited_with(limited, is_cold=False)
+        self.permits.request.return_value = False
+        self.assertEqual(await self.choose(), "")
+        self.assertIn(
+            "1 name a limit", self.chooser.explain_no_target("assistant", None)
+        )
+        self.board.targets.apply_entry(make_target("i-2"))
+        self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
+
+    async def test_target_whose_limit_has_ended_is_used_like_the_others(self) -> None:
+        """Guard against a limit that outlasts the target's need."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        self.name_limit(target, None)
+        self.assertEqual(await self.choose(), target.incarnation)
+        self.permits.request.assert_not_awaited()
+
+    async def test_refused_target_is_not_asked_for_each_request(self) -> None:
+        """Guard against a call to a home for each request while permits are used up."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        self.permits.get_wait_s.return_value = 0.7
+        self.assertEqual(await self.choose(), "")
+        self.permits.request.assert_not_awaited()
+        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 0.7)
+        self.board.targets.apply_entry(make_target("i-2"))
+        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 0.0)
+
+    async def test_misdirected_answer_names_no_limit(self) -> None:
+        """Guard against a limit of the target that took over an address."""
+        target = make_target("i-1")
+        head = replace(ANSWER_HEAD, limit_per_s=1.0, not_run=True, misdirected=True)
+        answer = NotRun(reason="status 421", head=head, misdirected=True)
+        self.chooser.record_answer(target, answer, 0.0)
+        self.assertIsNone(self.limits.get_limit(target.incarnation))
+
     async def test_restart_clears_an_ejection(self) -> None:
         """Eject a target, then restart it under the same name."""
         old = make_target("i-1", started_ms=1)
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -26,6 +26,7 @@
 from trefoilstage.components.peers.frames import Frame
 from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.exceptions import PeerUnavailableError
 
 
@@ -93,6 +94,7 @@
             timer=ManualTimer(),
             workload=workload,
             permits=mock.Mock(),
+            limits=KnownLimits(board=board, timer=ManualTimer()),
         )
 
     async def query_homes(self, targets: list[str], _: object) -> dict[str, int]:
@@ -157,6 +159,7 @@
             timer=network.timer,
             workload=workload,
             permits=mock.Mock(),
+            limits=KnownLimits(board=board, timer=ManualTimer()),
         )
         network.timer.time = age_s
         return chooser.should_query_again(0.0)
--- a/tests/components/permits/test_permits.py
+++ b/tests/components/permits/test_permits.py
@@ -22,7 +22,8 @@
     PERMIT_LIFE_S,
     compute_cold_limit,
 )
-from trefoilstage.components.permits.messages import PermitRequest
+from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.permits.messages import PermitReply, PermitRequest
 from trefoilstage.exceptions import PeerUnavailableError
 
 SERVICE = TargetService(
@@ -31,6 +32,7 @@
 SETTINGS = mock.Mock(cold_rate_factor=1.5, cold_rate_slack=5.0)
 LIMIT = 21.5
 TARGET = make_target("i-1")
+PERIOD_S = 4.0
 
 
 @dataclass(kw_only=True)
@@ -39,21 +41,25 @@
 
     timer: ManualTimer = field(default_factory=ManualTimer)
     permits: dict[str, TargetPermits] = field(default_factory=dict)
+    limits: dict[str, KnownLimits] = field(default_factory=dict)
     # Hosts that can't reach each other are in different parts; 0 without an entry.
     parts: dict[str, int] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)  # hosts that read the store's list
+    is_cold: bool = True
     n_grants: int = 0
 
     async def start(self, name: str, names: list[str]) -> TargetPermits:
         """Start a host that knows some hosts by their records."""
         board = make_board(name, names)
         board.configuration = FleetConfiguration(services={SERVICE.name: SERVICE})
+        limits = self.limits[name] = KnownLimits(board=board, timer=self.timer)
         permits = TargetPermits(
             board=board,
             settings=SETTINGS,
             links=cast(Any, Links(fleet=self, caller=name)),
             server=mock.Mock(),
             timer=self.timer,
+            limits=limits,
             has_host_list=lambda: name in self.listed,
         )
         await permits.on_start()
@@ -61,13 +67,20 @@
         self.listed.add(name)
         return permits
 
+    def name_limit(self, limit_per_s: float) -> None:
+        """Let the target name a limit to each host."""
+        for limits in self.limits.values():
+            limits.record_answer(TARGET.incarnation, limit_per_s, self.timer.time)
+
     async def ask_all(self) -> None:
         """Let each host ask for a permit, in random order."""
         names = random.Random(self.timer.time).sample(
             sorted(self.permits), len(self.permits)
         )
         for name in names:
-            self.n_grants += await self.permits[name].request(TARGET)
+            self.n_grants += await self.permits[name].request(
+                TARGET, is_cold=self.is_cold
+            )
 
     async def count_grants(self, seconds: float) -> int:
         """Return the permits granted while all hosts go on asking."""
@@ -110,6 +123,97 @@
         return FLEET_CODEC.decode(FLEET_CODEC.encode(answer)).body
 
 
+def compute_allowed(limit_per_s: float) -> float:
+    """Return the requests in PERIOD_S that a target that names a limit tolerates."""
+    return 1.5 * limit_per_s * PERIOD_S + 5
+
+
+class NamedLimitTest(unittest.IsolatedAsyncioTestCase):
+    """Test the sum of the permits for a target that names a limit."""
+
+    async def make_fleet(self, n_hosts: int, limit_per_s: float) -> Fleet:
+        """Return a fleet whose hosts were all told a limit."""
+        fleet = Fleet(is_cold=False)
+        names = [f"host-{number}" for number in range(n_hosts)]
+        for name in names:
+            await fleet.start(name, names)
+        fleet.timer.time = 10.0
+        fleet.name_limit(limit_per_s)
+        return fleet
+
+    async def test_sum_over_all_hosts_stays_below_the_limit(self) -> None:
+        """Guard against a limit that each host keeps by itself."""
+        for n_hosts, limit_per_s in ((1, 0.2), (3, 1.6), (3, 40.0), (400, 1.6)):
+            with self.subTest(n_hosts=n_hosts, limit_per_s=limit_per_s):
+                fleet = await self.make_fleet(n_hosts, limit_per_s)
+                n_grants = await fleet.count_grants(PERIOD_S)
+                self.assertLessEqual(n_grants, compute_allowed(limit_per_s))
+                self.assertGreaterEqual(n_grants, int(0.5 * limit_per_s * PERIOD_S))
+
+    async def test_old_and_new_home_together_stay_below_the_limit(self) -> None:
+        """Guard against hosts that join while those before are cut from the store."""
+        for limit_per_s in (0.2, 1.6, 40.0):
+            with self.subTest(limit_per_s=limit_per_s):
+                fleet = await self.make_fleet(8, limit_per_s)
+                names = [f"host-{number}" for number in range(40)]
+                for name in names[8:]:
+                    await fleet.start(name, names)
+                fleet.timer.time = 20.0
+                fleet.name_limit(limit_per_s)
+                n_grants = await fleet.count_grants(PERIOD_S)
+                self.assertLessEqual(n_grants, compute_allowed(limit_per_s))
+
+    async def test_hosts_cut_apart_grant_no_more(self) -> None:
+        """Guard against a home on each side of a cut that grants the whole rate."""
+        fleet = await self.make_fleet(60, 1.6)
+        fleet.parts = {name: number for number, name in enumerate(fleet.permits)}
+        n_grants = await fleet.count_grants(PERIOD_S)
+        self.assertLessEqual(n_grants, compute_allowed(1.6))
+
+    async def test_restarted_home_learns_the_limit_from_who_asks(self) -> None:
+        """Guard against a home that forgets a limit and permits each request."""
+        fleet = await self.make_fleet(3, 1.6)
+        home = fleet.permits["host-0"]._find_home(TARGET.incarnation)
+        assert home is not None
+        await fleet.start(home, sorted(fleet.permits))
+        fleet.timer.time += 2.0
+        n_grants = await fleet.count_grants(PERIOD_S)
+        self.assertGreater(n_grants, 0)
+        self.assertLessEqual(n_grants, compute_allowed(1.6))
+
+    async def test_hosts_learn_from_the_home_that_a_limit_has_ended(self) -> None:
+        """Guard against hosts that go on asking for a target that names no limit."""
+        fleet = await self.make_fleet(3, 1.6)
+        fleet.timer.time += 1.0
+        home = fleet.permits["host-0"]._find_home(TARGET.incarnation)
+        assert home is not None
+        sent_at = fleet.timer.time
+        fleet.timer.time += 1.0
+        fleet.limits[home].record_answer(TARGET.incarnation, None, sent_at)
+        await fleet.ask_all()
+        self.assertEqual(fleet.n_grants, 3)
+        for limits in fleet.limits.values():
+            self.assertIsNone(limits.get_limit(TARGET.incarnation))
+
+    async def test_refused_host_is_told_when_to_ask_again(self) -> None:
+        """Guard against hundreds of hosts that ask for the same permit in vain."""
+        fleet = await self.make_fleet(1, 1.0)
+        permits = fleet.permits["host-0"]
+        while await permits.request(TARGET, is_cold=False):
+            pass
+        wait_s = permits.get_wait_s(TARGET)
+        self.assertGreater(wait_s, 1.0)
+        fleet.timer.time += wait_s + 0.001
+        self.assertTrue(await permits.request(TARGET, is_cold=False))
+
+    async def test_cold_target_that_names_a_limit_keeps_both(self) -> None:
+        """Guard against a limit that is not kept while its target is cold."""
+        fleet = await self.make_fleet(3, 1.6)
+        fleet.is_cold = True
+        n_grants = await fleet.count_grants(PERIOD_S)
+        self.assertLessEqual(n_grants, compute_allowed(1.6))
+
+
 class PermitsTest(unittest.IsolatedAsyncioTestCase):
     """Test the sum of the permits over all hosts."""
 
@@ -169,22 +273,24 @@
         home = next(iter(permits))
         asking = next(p for name, p in fleet.permits.items() if name != home)
 
-        async def answer(incarnation: str, service: str) -> bool:
+        async def answer(request: PermitRequest) -> PermitReply:
             fleet.timer.time += PERMIT_LIFE_S + 0.01
-            return True
+            return PermitReply(granted=True)
 
         with mock.patch.object(asking, "_ask_home", answer):
-            self.assertFalse(await asking.request(TARGET))
+            self.assertFalse(await asking.request(TARGET, is_cold=True))
 
     async def test_refused_host_pauses_its_calls(self) -> None:
         """Guard against a call for each request while a target's permits are used."""
         fleet = await self.make_fleet(2)
         asking = fleet.permits["host-0"]
         with mock.patch.object(
-            asking, "_ask_home", mock.AsyncMock(return_value=False)
+            asking,
+            "_ask_home",
+            mock.AsyncMock(return_value=PermitReply(granted=False)),
         ) as ask:
             for _ in range(20):
-                await asking.request(TARGET)
+                await asking.request(TARGET, is_cold=True)
         self.assertEqual(ask.call_count, 1)
 
 
--- a/tests/components/targets/test_named_limits.py
+++ b/tests/components/targets/test_named_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from trefoilstage.components.permits.limits import (
+from trefoilstage.components.targets.named_limits import (
     MAX_TARGETS,
     NamedLimit,
     NamedLimits,
@@ -21,7 +21,7 @@
     def record(self, limit_per_s: float | None, named_at: float) -> bool:
         """Record a limit of the target; return whether it changed."""
         limit = NamedLimit(limit_per_s=limit_per_s, named_at=named_at)
-        return self.limits.record(TARGET, limit)
+        return self.limits.record(TARGET, limit, now=named_at)
 
     def test_newest_limit_holds(self) -> None:
         """Guard against older news that lifts or restores a limit."""
@@ -38,7 +38,7 @@
         """Guard against limits of ended targets that accumulate."""
         for number in range(MAX_TARGETS + 10):
             limit = NamedLimit(limit_per_s=1.0, named_at=float(number))
-            self.limits.record(f"i-{number}", limit)
+            self.limits.record(f"i-{number}", limit, now=0.0)
         self.assertEqual(len(self.limits.limits), MAX_TARGETS)
         self.assertIsNone(self.limits.get_limit("i-0"))
 
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -16,6 +16,7 @@
 )
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.views.follower import ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
@@ -54,6 +55,7 @@
         server: PeerServer,
         timer: TimerService,
         followers: Mapping[Topic, ViewFollower],
+        limits: KnownLimits,
         address: str,
         generator: random.Random,
     ) -> None:
@@ -64,6 +66,7 @@
         self._server = server
         self._timer = timer
         self._followers = followers
+        self._limits = limits
         self._address = address
         self._generator = generator
         self._announced_at = -1
@@ -253,12 +256,14 @@
                 topic: follower.view.next_offset
                 for topic, follower in self._followers.items()
             },
+            limits=self._limits.list_recent_reports(),
         )
         return self._known_hosts.add_peer_states(heartbeat, request, self._timer.now())
 
     async def _apply_heartbeat(self, heartbeat: HostHeartbeat) -> None:
         if heartbeat.host == self._board.host:
             return
+        self._limits.receive_reports(heartbeat.limits)
         peer = self._known_hosts.apply_heartbeat(heartbeat, self._timer.now())
         if peer is None:
             return
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -9,7 +9,7 @@
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
-from trefoilstage.components.permits.messages import PermitMessage
+from trefoilstage.components.permits.messages import LimitReport, PermitMessage
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.helpers.codec import Codec
@@ -45,6 +45,7 @@
     table: Digest = b""
     states: HostStates = b""
     named_states: dict[ShortText, HostState] = field(default_factory=dict)
+    limits: tuple[LimitReport, ...] = ()  # that the sender learned of lately
     kind: Literal["host_beat"] = "host_beat"
 
 
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -132,6 +132,11 @@
                 for item in board.targets.listed.values()
             ),
         )
+        add(
+            "targets_limited",
+            "Targets that name a limit on requests a second.",
+            lambda: len(board.limits.list_limited()),
+        )
         add(
             "data_centers_evacuated",
             "Data centres whose targets get no new requests.",
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -190,7 +190,8 @@
         detail = self._chooser.explain_no_target(
             state.service_name, state.allowed_regions
         )
-        return replace(failure, detail=detail)
+        wait_s = self._chooser.compute_wait_s(state.service_name, state.allowed_regions)
+        return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
 
     async def _choose_target(
         self, state: RequestState, service: str
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -1,7 +1,7 @@
 """Choose targets by their health and load as this host knows them."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from trefoilstage.components.fleet.membership import FleetMembership
@@ -31,6 +31,7 @@
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.counter import compute_cold_limit
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
@@ -38,8 +39,8 @@
 # The time for all queries about one prompt. On a full link, another query costs more of
 # the objective than it can save.
 MAX_TOTAL_QUERY_S = 0.05
-# Cold targets that a request asks permits for, one after another.
-N_COLD_ASKED = 3
+# Targets of each group that a request asks permits for, one after another.
+N_ASKED = 3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +52,16 @@
     sent_at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetGroups:
+    """Group targets by what a request needs to be sent there."""
+
+    free: list[TargetEntry] = field(default_factory=list)  # no permit
+    limited: list[TargetEntry] = field(default_factory=list)  # name a limit; a permit
+    # Have a limit until they are warm; a permit, and only if the others are late.
+    cold: list[TargetEntry] = field(default_factory=list)
+
+
 class TargetChooser:
     """Track the targets' health and this host's work there, and choose a target."""
 
@@ -63,14 +74,16 @@
         timer: TimerService,
         workload: WorkloadController,
         permits: TargetPermits,
+        limits: KnownLimits,
     ) -> None:
         self._permits = permits
+        self._limits = limits
         self._board = board
         self._membership = membership
         self._settings = settings
         self._timer = timer
         self._workload = workload
-        self._outcomes = TargetOutcomes(board=board, timer=timer)
+        self._outcomes = TargetOutcomes(board=board, timer=timer, limits=limits)
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def choose(
@@ -86,11 +99,10 @@
     ) -> TargetEntry | None:
         """Return the target for a request, None if no target can be chosen.
 
-        A cold target is used only with a permit, and only while no warm one can serve
-        the request in time.
+        Targets that name a limit and cold ones are used only with a permit, cold ones
+        only while no other target can serve the request in time.
         """
-        usable = self._list_usable(service, excluded, allowed_regions)
-        warm, cold = self._split_cold(usable)
+        groups = self._group(self._list_usable(service, excluded, allowed_regions))
         rank = partial(
             self._rank,
             need=need,
@@ -98,54 +110,77 @@
             cached_tokens=candidate_info.cached_tokens,
             request_id=request_id,
         )
-        is_large = self._workload.is_fleet_large()
-        ranked = rank(warm, candidate_info.n_candidates if is_large else len(warm))
-        best = ranked[0] if ranked else None
+        free = self._select_candidates(groups.free, need, candidate_info)
+        limited = self._list_askable(groups.limited)
+        best = await self._choose_warm(rank([*free, *limited]))
         if best is not None and is_in_time(best, need):
             return best.target
         useful = [
             option
-            for option in rank(cold, len(cold))
+            for option in rank(groups.cold)
             if best is None or is_in_time(option, need)
         ]
-        for option in useful[:N_COLD_ASKED]:
-            if await self._permits.request(option.target):
+        for option in useful[:N_ASKED]:
+            if await self._permits.request(option.target, is_cold=True):
                 return option.target
         return best.target if best else None
 
-    def _split_cold(
-        self, targets: Sequence[TargetEntry]
-    ) -> tuple[list[TargetEntry], list[TargetEntry]]:
-        """Return the warm targets, and the cold ones that have a limit."""
-        if not self._board.targets.may_have_cold():
-            return list(targets), []
-        warm: list[TargetEntry] = []
-        cold: list[TargetEntry] = []
+    async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
+        """Return the first target that needs no permit, or that permits a request."""
+        n_asked = 0
+        for option in ranked:
+            if self._limits.get_limit(option.target.incarnation) is None:
+                return option
+            if n_asked == N_ASKED:
+                continue
+            n_asked += 1
+            if await self._permits.request(option.target, is_cold=False):
+                return option
+        return None
+
+    def _list_askable(self, targets: Sequence[TargetEntry]) -> list[TargetEntry]:
+        """Return the targets for which a permit may be asked now."""
+        return [item for item in targets if not self._permits.get_wait_s(item)]
+
+    def _group(self, targets: Sequence[TargetEntry]) -> TargetGroups:
+        groups = TargetGroups()
         now = self._timer.now()
         for target in targets:
             is_cold = self._board.targets.is_cold(target, now)
-            has_limit = is_cold and self._get_cold_rate(target) is not None
-            (cold if has_limit else warm).append(target)
-        return warm, cold
+            if is_cold and self._get_cold_rate(target) is not None:
+                groups.cold.append(target)
+            elif self._limits.get_limit(target.incarnation) is not None:
+                groups.limited.append(target)
+            else:
+                groups.free.append(target)
+        return groups
+
+    def _select_candidates(
+        self,
+        targets: Sequence[TargetEntry],
+        need: PromptNeed | None,
+        candidate_info: CandidateInfo,
+    ) -> Sequence[TargetEntry]:
+        """Return the targets to compare: in a large fleet, the queried ones."""
+        if need is None or not self._workload.is_fleet_large():
+            return targets
+        return rank_candidates(targets, need.subject)[: candidate_info.n_candidates]
 
     def _rank(
         self,
         targets: Sequence[TargetEntry],
-        n_candidates: int,
         *,
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
         cached_tokens: Mapping[str, int],
         request_id: str,
     ) -> list[TargetOption]:
-        """Return targets, the best first; of a prompt's, the first `n_candidates`."""
+        """Return targets, the best first."""
         if need is None:
             options = [self._make_option(target) for target in targets]
             return rank_by_load(options, self._board.data_center, request_id)
-        candidates = rank_candidates(targets, need.subject)[:n_candidates]
-        return rank_by_prompt(
-            self._list_options(candidates, prompt, cached_tokens), need
-        )
+        ordered = rank_candidates(targets, need.subject)
+        return rank_by_prompt(self._list_options(ordered, prompt, cached_tokens), need)
 
     def _list_options(
         self,
@@ -244,8 +279,7 @@
         if need is None or not self._workload.is_fleet_large():
             return CandidateInfo()
         usable = self._list_usable(service, set(), allowed_regions)
-        warm, _ = self._split_cold(usable)
-        ranked = rank_candidates(warm, need.subject)
+        ranked = rank_candidates(self._group(usable).free, need.subject)
         cached_tokens: dict[str, int] = {}
         n_queried = 0
         query_until = self._timer.now() + MAX_TOTAL_QUERY_S
@@ -281,6 +315,18 @@
         """Return whether a service has a ready target that is not excluded."""
         return bool(self._list_allowed(service, excluded, allowed_regions))
 
+    def compute_wait_s(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> float:
+        """Return the seconds until a target without a free permit may have one."""
+        allowed = self._list_allowed(service, set(), allowed_regions)
+        waits = [
+            self._permits.get_wait_s(target)
+            for target in allowed
+            if self._limits.get_limit(target.incarnation) is not None
+        ]
+        return min(waits) if waits and len(waits) == len(allowed) else 0.0
+
     def explain_no_target(
         self, service: str, allowed_regions: frozenset[str] | None
     ) -> str:
@@ -295,9 +341,13 @@
             for entry in entries
         )
         n_cold = sum(targets.is_cold(entry, now) for entry in entries)
+        n_limited = sum(
+            self._limits.get_limit(entry.incarnation) is not None for entry in entries
+        )
         return (
             f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
-            f"outside the allowed regions and {n_cold} are cold"
+            f"outside the allowed regions, {n_cold} are cold and {n_limited} name "
+            "a limit"
         )
 
     def count_request(self, service: str) -> None:
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -2,7 +2,7 @@
 
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
-from trefoilstage.components.permits.limits import NamedLimit, NamedLimits
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.targets.health import TargetHealth
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -12,11 +12,13 @@
 class TargetOutcomes:
     """Keep each target's health, and correct the directory by what targets answer."""
 
-    def __init__(self, *, board: FleetBoard, timer: TimerService) -> None:
+    def __init__(
+        self, *, board: FleetBoard, timer: TimerService, limits: KnownLimits
+    ) -> None:
         self._board = board
         self._timer = timer
         self._healths: dict[str, TargetHealth] = {}
-        self._limits = NamedLimits()
+        self._limits = limits
 
     def get_health(self, target: TargetEntry) -> TargetHealth:
         """Return the health of a target's incarnation."""
@@ -61,15 +63,9 @@
         if answer.head is None or answer.head.misdirected:
             return
         limit_per_s = answer.head.limit_per_s
-        if limit_per_s is not None:
-            limit = NamedLimit(limit_per_s=limit_per_s, named_at=self._timer.now())
-        elif isinstance(answer, OpenAnswer):
-            # An answer may have been on its way while a later one named a limit.
-            limit = NamedLimit(limit_per_s=None, named_at=sent_at)
-        else:
-            return
-        if self._limits.record(target.incarnation, limit):
-            log_limit(target.incarnation, limit_per_s)
+        # Only a verified answer shows that the target names no limit any more.
+        if limit_per_s is not None or isinstance(answer, OpenAnswer):
+            self._limits.record_answer(target.incarnation, limit_per_s, sent_at)
 
     def _update_health(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
@@ -101,11 +97,3 @@
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
         self.get_health(target).record_failure(self._timer.now())
-
-
-def log_limit(incarnation: str, limit_per_s: float | None) -> None:
-    """Log that a target's limit on requests a second changed."""
-    if limit_per_s is None:
-        log_event(Event.TARGET_LIMIT_ENDED, target=incarnation)
-    else:
-        log_event(Event.TARGET_LIMIT_NAMED, target=incarnation, limit_per_s=limit_per_s)
--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -1,11 +1,12 @@
-"""Grant and obtain permits to send requests to cold targets.
-
-A cold target crashes under a rate that a warm one bears, and hosts can't see each
-other's requests in time to keep a common rate. One host, the target's home, therefore
-permits each request. The home is the first by rendezvous hash of all hosts in the
-store's list, whether they run or not: a choice among live hosts would differ from host
-to host while they are cut off from each other, and each could grant the whole rate.
-Without the home's reply a host sends nothing to the target until it is warm.
+"""Grant and obtain permits to send requests to targets that take few of them.
+
+A cold target crashes under a rate that a warm one bears, and a target in need names the
+rate that it takes. Hosts can't see each other's requests in time to keep a common rate.
+One host, the target's home, therefore permits each request. The home is the first by
+rendezvous hash of all hosts in the store's list, whether they run or not: a choice
+among live hosts would differ from host to host while they are cut off from each other,
+and each could grant the whole rate. Without the home's reply a host sends nothing to
+the target until it is warm, or names no limit any more.
 """
 
 from collections.abc import Callable
@@ -19,8 +20,12 @@
     GRANT_WINDOW_S,
     PERMIT_LIFE_S,
     PermitCounter,
+    PermitRate,
     compute_cold_limit,
+    compute_cold_rate,
+    compute_named_rate,
 )
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.permits.messages import PermitReply, PermitRequest
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard
@@ -32,10 +37,12 @@
 PERMIT_TIMEOUT_S = 0.1
 # Homes that refused are not asked again sooner: many requests choose targets at once.
 REFUSAL_PAUSE_S = 0.1
+# Each call to a home that does not reply costs a caller PERMIT_TIMEOUT_S.
+UNREACHABLE_PAUSE_S = 0.5
 
 
 class TargetPermits(Service):
-    """Ask the homes of cold targets for permits, and answer for the own ones."""
+    """Ask the homes of targets for permits, and answer for the own ones."""
 
     def __init__(
         self,
@@ -45,6 +52,7 @@
         links: PeerLinks,
         server: PeerServer,
         timer: TimerService,
+        limits: KnownLimits,
         has_host_list: Callable[[], bool],
     ) -> None:
         super().__init__()
@@ -52,6 +60,7 @@
         self._settings = settings
         self._links = links
         self._timer = timer
+        self._limits = limits
         self._has_host_list = has_host_list
         self._counter = PermitCounter()
         self._refused_until: dict[str, float] = {}
@@ -62,16 +71,29 @@
         """Grant nothing yet: the previous incarnation may just have granted permits."""
         self._grants_from = self._timer.now() + GRANT_WINDOW_S
 
-    async def request(self, target: TargetEntry) -> bool:
-        """Return whether one request may be sent to a cold target now."""
+    def get_wait_s(self, target: TargetEntry) -> float:
+        """Return the seconds until a permit for a target may be asked for again."""
+        now = self._timer.now()
+        return max(0.0, self._refused_until.get(target.incarnation, now) - now)
+
+    async def request(self, target: TargetEntry, *, is_cold: bool) -> bool:
+        """Return whether one request may be sent to a target now."""
         now = self._timer.now()
         incarnation = target.incarnation
-        if now < self._refused_until.get(incarnation, now):
+        if self.get_wait_s(target) > 0.0:
             return False
-        is_granted = await self._ask_home(incarnation, target.service)
-        if not is_granted:
+        reply = await self._ask_home(
+            PermitRequest(
+                target=incarnation,
+                service=target.service,
+                is_cold=is_cold,
+                limit=self._limits.make_report(incarnation),
+            )
+        )
+        if not reply.granted:
             self._remove_expired(now)
-            self._refused_until[incarnation] = now + REFUSAL_PAUSE_S
+            wait_s = max(reply.wait_s, REFUSAL_PAUSE_S)
+            self._refused_until[incarnation] = now + wait_s
             return False
         # A late reply is of no use: the home counts newer permits by now.
         return self._timer.now() - now <= PERMIT_LIFE_S
@@ -87,19 +109,22 @@
             if until > now
         }
 
-    async def _ask_home(self, incarnation: str, service: str) -> bool:
-        home = self._find_home(incarnation)
+    async def _ask_home(self, request: PermitRequest) -> PermitReply:
+        home = self._find_home(request.target)
         if home is None:
-            return False
+            return PermitReply(granted=False)
         if home == self._board.host:
-            return self._grant(incarnation, service)
-        request = PermitRequest(target=incarnation, service=service)
+            return self._grant(request)
         link = self._links.get_link(self._board.peers[home].peer_url)
         try:
             reply = await link.call(request, timeout_s=PERMIT_TIMEOUT_S)
         except PeerUnavailableError:
-            return False
-        return isinstance(reply, PermitReply) and reply.granted
+            return PermitReply(granted=False, wait_s=UNREACHABLE_PAUSE_S)
+        if not isinstance(reply, PermitReply):
+            return PermitReply(granted=False)
+        if reply.limit is not None:
+            self._limits.receive_reports([reply.limit])
+        return reply
 
     def _find_home(self, incarnation: str) -> str | None:
         """Return a target's home, None before the store's list of hosts was read."""
@@ -109,15 +134,38 @@
         return rank_by_rendezvous(incarnation, hosts)[0]
 
     async def _answer_request(self, request: PermitRequest) -> PermitReply:
-        is_home = self._find_home(request.target) == self._board.host
-        granted = is_home and self._grant(request.target, request.service)
-        return PermitReply(granted=granted)
-
-    def _grant(self, incarnation: str, service_name: str) -> bool:
+        if self._find_home(request.target) != self._board.host:
+            return PermitReply(granted=False)
+        if request.limit is not None:
+            self._limits.receive_reports([request.limit])
+        return self._grant(request)
+
+    def _grant(self, request: PermitRequest) -> PermitReply:
+        rates = self._list_rates(request)
         now = self._timer.now()
-        configuration = self._board.configuration
-        service = configuration and configuration.services.get(service_name)
-        limit = service and compute_cold_limit(self._settings, service)
-        if not limit or now < self._grants_from:
-            return False
-        return self._counter.take(incarnation, limit, now)
+        if rates is None:
+            wait_s = REFUSAL_PAUSE_S
+        elif now < self._grants_from:
+            wait_s = self._grants_from - now
+        else:
+            wait_s = self._counter.take(request.target, rates, now)
+        return PermitReply(
+            granted=wait_s <= 0.0,
+            wait_s=wait_s,
+            limit=self._limits.make_report(request.target),
+        )
+
+    def _list_rates(self, request: PermitRequest) -> list[PermitRate] | None:
+        """Return the rates that hold for a target, None if they are not known."""
+        rates: list[PermitRate] = []
+        if request.is_cold:
+            configuration = self._board.configuration
+            service = configuration and configuration.services.get(request.service)
+            limit = service and compute_cold_limit(self._settings, service)
+            if not limit:
+                return None
+            rates.append(compute_cold_rate(limit))
+        named = self._limits.get_limit(request.target)
+        if named is not None:
+            rates.append(compute_named_rate(named))
+        return rates
--- a/trefoilstage/components/permits/counter.py
+++ b/trefoilstage/components/permits/counter.py
@@ -1,10 +1,11 @@
-"""Count the permits that one host granted for cold targets; pure.
+"""Count the permits that one host granted for targets; pure.
 
 A permit allows one request. The limit on a cold target is a number of requests that
-arrive within a second.
+arrive within a second; a target in need names a number of requests a second.
 """
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import TargetService
@@ -17,6 +18,24 @@
 GRANT_WINDOW_S = LIMIT_WINDOW_S + PERMIT_LIFE_S
 # While hosts join or leave, two hosts may take themselves for a target's home.
 N_CONCURRENT_HOMES = 2
+# Targets that name a limit tolerate one and a half times as much over some seconds.
+# Two homes that each grant this share stay below that, with late permits included.
+SHARE_PER_HOME = 2 / 3
+# Requests that arrive together at a target that names a limit.
+N_PERMITS_AT_ONCE = 2
+# A target that takes less, or nothing, still gets a request now and then: only an
+# answer can end its limit.
+MIN_LIMIT_PER_S = 0.1
+# Longer than the window of any rate.
+MAX_WINDOW_S = 60.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitRate:
+    """Describe how many permits may be granted within a window."""
+
+    n_permits: int
+    window_s: float
 
 
 def compute_cold_limit(settings: FleetSettings, service: TargetService) -> float | None:
@@ -31,30 +50,60 @@
     return tolerated + settings.cold_rate_slack
 
 
+def compute_cold_rate(limit_per_s: float) -> PermitRate:
+    """Return the rate at which one home permits requests to a cold target."""
+    return PermitRate(
+        n_permits=int(limit_per_s / N_CONCURRENT_HOMES), window_s=GRANT_WINDOW_S
+    )
+
+
+def compute_named_rate(limit_per_s: float) -> PermitRate:
+    """Return the rate at which one home permits requests to a target in need."""
+    permits_per_s = SHARE_PER_HOME * max(limit_per_s, MIN_LIMIT_PER_S)
+    return PermitRate(
+        n_permits=N_PERMITS_AT_ONCE, window_s=N_PERMITS_AT_ONCE / permits_per_s
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class PermitCounter:
-    """Grant a limited number of permits for each target within GRANT_WINDOW_S."""
+    """Grant permits for each target within the rates that hold for it."""
 
     granted_at: dict[str, deque[float]] = field(default_factory=dict)  # by incarnation
 
-    def take(self, target: str, limit_per_s: float, now: float) -> bool:
-        """Return whether a permit is granted, and count it."""
+    def take(self, target: str, rates: Sequence[PermitRate], now: float) -> float:
+        """Grant and count a permit, and return 0; or return the seconds to wait."""
         self._remove_expired(now)
         granted_at = self.granted_at.get(target, deque())
-        if len(granted_at) >= int(limit_per_s / N_CONCURRENT_HOMES):
-            return False
+        wait_s = max(
+            (compute_wait_s(granted_at, rate, now) for rate in rates), default=0.0
+        )
+        if wait_s > 0.0:
+            return wait_s
         granted_at.append(now)
         self.granted_at[target] = granted_at
-        return True
+        return 0.0
 
     def count_granted(self, now: float) -> dict[str, int]:
         """Return the permits granted within GRANT_WINDOW_S, by target."""
         self._remove_expired(now)
-        return {target: len(times) for target, times in self.granted_at.items()}
+        return {
+            target: sum(now - time <= GRANT_WINDOW_S for time in times)
+            for target, times in self.granted_at.items()
+        }
 
     def _remove_expired(self, now: float) -> None:
         for target, granted_at in list(self.granted_at.items()):
-            while granted_at and now - granted_at[0] > GRANT_WINDOW_S:
+            while granted_at and now - granted_at[0] > MAX_WINDOW_S:
                 granted_at.popleft()
             if not granted_at:
                 del self.granted_at[target]
+
+
+def compute_wait_s(granted_at: Sequence[float], rate: PermitRate, now: float) -> float:
+    """Return the seconds until a rate allows a permit after those granted before."""
+    if rate.n_permits <= 0:
+        return rate.window_s
+    if len(granted_at) < rate.n_permits:
+        return 0.0
+    return max(0.0, granted_at[-rate.n_permits] + rate.window_s - now)
--- /dev/null
+++ b/trefoilstage/components/permits/known_limits.py
@@ -0,0 +1,65 @@
+"""Record the limits that targets name, as this host and its peers observe them."""
+
+from collections.abc import Iterable
+
+from trefoilstage.components.permits.messages import LimitReport
+from trefoilstage.components.targets.named_limits import NamedLimit
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.timer import TimerService
+
+# Heartbeats reach all hosts of a large fleet within this time.
+SPREAD_S = 5.0
+
+
+class KnownLimits:
+    """Record limits, and exchange them with peers by their age."""
+
+    def __init__(self, *, board: FleetBoard, timer: TimerService) -> None:
+        self._board = board
+        self._timer = timer
+
+    def record_answer(
+        self, target: str, limit_per_s: float | None, sent_at: float
+    ) -> None:
+        """Record the limit in an answer to a request that was sent at a given time."""
+        # An answer without a limit may have been on its way while a later one named it.
+        named_at = sent_at if limit_per_s is None else self._timer.now()
+        self._record(target, NamedLimit(limit_per_s=limit_per_s, named_at=named_at))
+
+    def receive_reports(self, reports: Iterable[LimitReport]) -> None:
+        """Record limits that a peer reported."""
+        now = self._timer.now()
+        for report in reports:
+            limit = NamedLimit(
+                limit_per_s=report.limit_per_s, named_at=now - report.age_s
+            )
+            self._record(report.target, limit)
+
+    def get_limit(self, target: str) -> float | None:
+        """Return the limit of a target in requests a second, None without one."""
+        return self._board.limits.get_limit(target)
+
+    def make_report(self, target: str) -> LimitReport | None:
+        """Return what is known of a target's limit, None if it never named one."""
+        known = self._board.limits.get(target)
+        if known is None:
+            return None
+        age_s = max(0.0, self._timer.now() - known.named_at)
+        return LimitReport(target=target, limit_per_s=known.limit_per_s, age_s=age_s)
+
+    def list_recent_reports(self) -> tuple[LimitReport, ...]:
+        """Return the limits that peers may not know of yet."""
+        targets = self._board.limits.list_recent(self._timer.now() - SPREAD_S)
+        reports = (self.make_report(target) for target in targets)
+        return tuple(report for report in reports if report is not None)
+
+    def _record(self, target: str, limit: NamedLimit) -> None:
+        if not self._board.limits.record(target, limit, self._timer.now()):
+            return
+        if limit.limit_per_s is None:
+            log_event(Event.TARGET_LIMIT_ENDED, target=target)
+        else:
+            log_event(
+                Event.TARGET_LIMIT_NAMED, target=target, limit_per_s=limit.limit_per_s
+            )
--- a/trefoilstage/components/permits/messages.py
+++ b/trefoilstage/components/permits/messages.py
@@ -1,25 +1,45 @@
-"""Define the messages with which hosts ask for permits to use cold targets."""
+"""Define the messages with which hosts ask for permits to send requests to targets."""
 
 from dataclasses import dataclass
-from typing import Literal
+from typing import Annotated, Literal
+
+from pydantic import Field
 
 from trefoilstage.helpers.field_types import ShortText
 
+RatePerS = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+Seconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+# Before homes returned a time, hosts waited this long after a refusal.
+DEFAULT_WAIT_S = 0.1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitReport:
+    """Report the newest limit that a target named, None if it named none any more."""
+
+    target: ShortText  # its incarnation
+    limit_per_s: RatePerS | None
+    age_s: Seconds
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PermitRequest:
-    """Ask the home of a cold target for a permit to send it one request."""
+    """Ask the home of a target for a permit to send it one request."""
 
     target: ShortText  # its incarnation
     service: ShortText
+    is_cold: bool = True
+    limit: LimitReport | None = None
     kind: Literal["ask_permit"] = "ask_permit"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PermitReply:
-    """Reply whether the permit was granted."""
+    """Reply whether the permit was granted, or else when to ask again."""
 
     granted: bool
+    wait_s: Seconds = DEFAULT_WAIT_S
+    limit: LimitReport | None = None
     kind: Literal["permit"] = "permit"
 
 
--- a/trefoilstage/components/targets/named_limits.py
+++ b/trefoilstage/components/targets/named_limits.py
@@ -19,20 +19,31 @@
     """Store the newest limit of each target that named one, by incarnation."""
 
     limits: dict[str, NamedLimit] = field(default_factory=dict)
+    # When each target that has a limit got it, as far as this host knows.
+    learned_at: dict[str, float] = field(default_factory=dict)
 
-    def record(self, target: str, limit: NamedLimit) -> bool:
+    def record(self, target: str, limit: NamedLimit, now: float) -> bool:
         """Store a limit unless a newer one is known; return whether it changed."""
         known = self.limits.get(target)
         if known is None and limit.limit_per_s is None:
             return False
         if known is not None and limit.named_at <= known.named_at:
             return False
+        self._update_learned(target, limit, now)
         self.limits.pop(target, None)
         self.limits[target] = limit
         while len(self.limits) > MAX_TARGETS:
-            del self.limits[next(iter(self.limits))]
+            oldest = next(iter(self.limits))
+            del self.limits[oldest]
+            self.learned_at.pop(oldest, None)
         return known is None or known.limit_per_s != limit.limit_per_s
 
+    def _update_learned(self, target: str, limit: NamedLimit, now: float) -> None:
+        if limit.limit_per_s is None:
+            self.learned_at.pop(target, None)
+        else:
+            self.learned_at.setdefault(target, now)
+
     def get(self, target: str) -> NamedLimit | None:
         """Return what is known of a target's limit, None if it never named one."""
         return self.limits.get(target)
@@ -41,3 +52,11 @@
         """Return the limit of a target in requests a second, None without one."""
         known = self.limits.get(target)
         return known.limit_per_s if known else None
+
+    def list_limited(self) -> list[str]:
+        """Return the targets that have a limit."""
+        return list(self.learned_at)
+
+    def list_recent(self, since: float) -> list[str]:
+        """Return the targets whose limit this host learned of since a given time."""
+        return [target for target, at in self.learned_at.items() if at >= since]
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -9,6 +9,7 @@
 from trefoilstage.components.forwarding.routes import RouteTable
 from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.directory import TargetDirectory
+from trefoilstage.components.targets.named_limits import NamedLimits
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.phase import Phase
 
@@ -116,6 +117,7 @@
     configuration: FleetConfiguration | None = None  # configuration follower
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # target follower
+    limits: NamedLimits = field(default_factory=NamedLimits)  # known limits
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
     round_trips: RoundTrips = field(default_factory=RoundTrips)  # links to peers
     # As in PeerState, but for the previous incarnations of this host.
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -27,6 +27,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.permits.controller import TargetPermits
+from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.views.follower import GetPause, ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
@@ -111,6 +112,7 @@
             )
 
     followers = make_followers(settings, board, store, apply_records)
+    limits = KnownLimits(board=board, timer=timer)
     membership = FleetMembership(
         board=board,
         store=store,
@@ -118,6 +120,7 @@
         server=peer_server,
         timer=timer,
         followers=followers,
+        limits=limits,
         address=settings.address,
         generator=generator,
     )
@@ -170,6 +173,7 @@
         links=links,
         server=peer_server,
         timer=timer,
+        limits=limits,
         has_host_list=lambda: followers[Topic.HOSTS].has_listing,
     )
     chooser = TargetChooser(
@@ -179,6 +183,7 @@
         timer=timer,
         workload=workload,
         permits=permits,
+        limits=limits,
     )
     crash_recorder = CrashRecorder(
         board=board,
