BUDGET: log the rest that a target asks for

Each refusal by a target that names one is now logged as target_asked_for_rest with its seconds. Nothing else acts on it yet.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -140,6 +140,17 @@
             self.assertIsNone(head.limit_per_s)
             log.assert_called_once()
 
+    def test_rest_that_a_target_asks_for_is_read(self) -> None:
+        """Guard against a refusal's time that stays in the answer's headers.
+
+        Only a refusal asks for rest; in another answer the header is for the caller.
+        """
+        request = self.read_request()
+        refused = {"Not-Executed": "1", "Retry-After": "2.5"}
+        self.assertEqual(TRANSLATOR.read_answer(request, 503, refused).rest_s, 2.5)
+        self.assertIsNone(TRANSLATOR.read_answer(request, 200, refused).rest_s)
+        self.assertIsNone(TRANSLATOR.read_answer(request, 503, {}).rest_s)
+
     def test_only_explicit_refusal_counts_as_not_run(self) -> None:
         """Distinguish a target's refusal from its failure."""
         request = self.read_request()
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -45,6 +45,12 @@
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
         self._record_limit(target, answer, sent_at)
+        if answer.head is not None and answer.head.rest_s is not None:
+            log_event(
+                Event.TARGET_ASKED_FOR_REST,
+                target=target.incarnation,
+                rest_s=answer.head.rest_s,
+            )
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -36,6 +36,9 @@
     closing: bool
     # Requests a second that the target takes from all hosts; None if it names no limit.
     limit_per_s: float | None = None
+    # How long the target, which turned the request away, wants no other one from this
+    # host; None if it does not say.
+    rest_s: float | None = None
 
     @property
     def success(self) -> bool:
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -14,6 +14,7 @@
     ForwardOptions,
     MalformedRequestError,
 )
+from trefoilstage.const import HEADER_RETRY_AFTER
 from trefoilstage.helpers.events import Event, log_event, truncate_text
 
 MS_PER_S = 1000
@@ -31,6 +32,7 @@
 HEADER_NOT_EXECUTED: Final = "Not-Executed"
 HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
 HTTP_MISDIRECTED: Final = 421
+HTTP_UNAVAILABLE: Final = 503
 # Ids seen from callers have 16 characters. Messages between hosts allow names of up to
 # 300.
 MAX_REQUEST_ID_LENGTH: Final = 128
@@ -138,6 +140,9 @@
             is_encoded="Content-Encoding" in headers,
             closing=headers.get("Connection", "").lower() == "close",
             limit_per_s=parse_amount(headers, HEADER_LIMIT),
+            rest_s=parse_amount(headers, HEADER_RETRY_AFTER)
+            if status == HTTP_UNAVAILABLE
+            else None,
         )
 
     def write_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
