--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from bench.emulator.limits import RequestLimit
+from bench.emulator.rests import Refusals
 from trefoilstage.components.forwarding.models import PromptPart
 
 S_PER_MS = 0.001
@@ -82,6 +83,7 @@
         self.started_ms = 1
         self.cold_until = 0.0
         self.limit = RequestLimit()
+        self.refusals = Refusals()
         # Times of the requests that arrived while it was cold.
         self.cold_arrivals: list[float] = []
         self._task = asyncio.create_task(self._run())
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -79,6 +79,8 @@
     EVACUATION = "evacuation"  # of the first data centre
     # Engines and services name a limit of `factor` requests a second in their answers.
     TARGETS_NAME_LIMIT = "targets_name_limit"
+    # Engines and services turn requests away and ask each host for `factor` s of rest.
+    TARGETS_ASK_FOR_REST = "targets_ask_for_rest"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
 
 
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -8,6 +8,7 @@
 
 from bench.emulator.engine import EmulatedEngine, Generation
 from bench.emulator.limits import RequestLimit
+from bench.emulator.rests import Refusals
 from trefoilstage.components.crashes.probe import ProbeResult
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.sender import (
@@ -69,6 +70,7 @@
         self.is_down = False
         self.started_ms = 1
         self.limit = RequestLimit()
+        self.refusals = Refusals()
         self._work_s = work_s
         self._generator = generator
         self._slots = asyncio.Semaphore(slots)
@@ -101,10 +103,12 @@
     def __init__(
         self,
         *,
+        host: str,
         find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
         get_n_output_tokens: Callable[[CallerRequest], int],
         on_start: Callable[[CallerRequest, EmulatedEngine], None],
     ) -> None:
+        self._host = host
         self._find_target = find_target
         self._get_n_output_tokens = get_n_output_tokens
         self._on_start = on_start
@@ -122,6 +126,10 @@
         if found is None or found.is_down or found.started_ms != target.started_ms:
             return NotRun(reason="refused")
         found.limit.record_arrival()
+        refused = found.refusals.refuse(self._host)
+        if refused is not None:
+            await asyncio.sleep(ONE_WAY_S)
+            return refused
         if isinstance(found, EmulatedEngine):
             return await self._generate(found, request, options)
         await found.serve()
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -62,6 +62,8 @@
     cold_arrivals: dict[str, list[float]] = field(default_factory=dict)
     # Times of requests that reached each target while its limit was binding.
     limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
+    # Most requests from one host in one rest, by target.
+    disturbances: dict[str, int] = field(default_factory=dict)
 
 
 class World:
@@ -182,20 +184,13 @@
         stored_objects = StoredObjects(
             configurations=self._configurations, entries=self._entries
         )
-        sender = EmulatedSender(
-            find_target=self._targets.get,
-            get_n_output_tokens=lambda request: (
-                self._request_sampler.n_output_tokens_by_request[request.request_id]
-            ),
-            on_start=self._crash_if_crashing_request,
-        )
         self._hosts = [
             EmulatedHost(
                 name=f"host-{number}",
                 network=self._network,
                 shared_store=self._shared_store,
                 stored_objects=stored_objects,
-                sender=sender,
+                sender=self._make_sender(f"host-{number}"),
                 probe=EmulatedProbe(find_target=self._targets.get),
             )
             for number in range(self._scenario.n_hosts)
@@ -203,6 +198,16 @@
         for host in self._hosts:
             await host.start()
 
+    def _make_sender(self, host: str) -> EmulatedSender:
+        return EmulatedSender(
+            host=host,
+            find_target=self._targets.get,
+            get_n_output_tokens=lambda request: (
+                self._request_sampler.n_output_tokens_by_request[request.request_id]
+            ),
+            on_start=self._crash_if_crashing_request,
+        )
+
     async def _register_targets(self) -> None:
         sequence = 0
         while True:
@@ -357,16 +362,25 @@
         return self._generator.sample(self._engines, n)
 
     async def _name_limits(self, fault: Fault) -> None:
-        limited: list[EmulatedEngine | EmulatedService] = [
-            *self._sample_engines(fault.share),
-            *self._sample_services(fault.share),
-        ]
+        limited = self._sample_targets(fault.share)
         for target in limited:
             target.limit.begin(fault.factor)
         await asyncio.sleep(fault.for_s)
         for target in limited:
             target.limit.end()
 
+    async def _ask_for_rest(self, fault: Fault) -> None:
+        refusing = self._sample_targets(fault.share)
+        for target in refusing:
+            target.refusals.begin(fault.factor)
+        await asyncio.sleep(fault.for_s)
+        for target in refusing:
+            target.refusals.end()
+
+    def _sample_targets(self, share: float) -> list[EmulatedEngine | EmulatedService]:
+        """Return a share of the engines and of the services."""
+        return [*self._sample_engines(share), *self._sample_services(share)]
+
     def _sample_services(self, share: float) -> list[EmulatedService]:
         n = max(1, round(share * len(self._services)))
         return self._generator.sample(self._services, n)
@@ -408,6 +422,7 @@
             self.day.cold_arrivals[engine.name] = engine.cold_arrivals
         for target in self._targets.values():
             self.day.limited_arrivals[target.name] = target.limit.arrivals
+            self.day.disturbances[target.name] = target.refusals.max_disturbances
         self.day.n_store_calls = self._shared_store.n_calls
         self.day.n_messages = self._network.n_messages
 
@@ -424,6 +439,7 @@
     FaultKind.ENGINES_TURN_COLD: World._turn_engines_cold,
     FaultKind.EVACUATION: World._evacuate,
     FaultKind.TARGETS_NAME_LIMIT: World._name_limits,
+    FaultKind.TARGETS_ASK_FOR_REST: World._ask_for_rest,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
