BUDGET: send nothing to a target in the rest that it asked for

What callers saw: up to 13 of 15 requests a second of one kind refused, with most engines idle. Two engines that turned everything away looked idle, took first attempts and with them the budget of retries.

Cause: a host avoided a target that turned a request away for 0.1 s, whatever time the refusal named, and used even such targets when no other was left. The class is the same as with limits: a demand in a target's answer that nothing acts on. The failing tests and the incident agree: sends come back after 0.1 s and a little.

Mend: the time in a refusal is kept by target and start, is not shortened by later answers, and binds also when no other target is left; the caller is then refused at once with the time until the first rest ends.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -203,6 +203,48 @@
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual(self.chooser.compute_wait_s("assistant", None), 0.0)
 
+    def ask_for_rest(self, target: TargetEntry, rest_s: float) -> None:
+        """Record a refusal by a target that asks for rest."""
+        head = replace(ANSWER_HEAD, status=503, not_run=True, rest_s=rest_s)
+        answer = NotRun(reason="status 503", head=head, busy=True)
+        self.chooser.record_answer(target, answer, self.timer.time)
+
+    async def test_resting_target_is_not_used(self) -> None:
+        """Guard against a target that is used in its rest as no other is left.
+
+        Callers are told when the rest ends, and no request waits for it.
+        """
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.ask_for_rest(target, 3.0)
+        self.timer.time += 2.0
+        self.assertEqual(await self.choose(), "")
+        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 1.0)
+        self.assertFalse(self.chooser.has_other_target("assistant", set(), None))
+        text = self.chooser.explain_no_target("assistant", None)
+        self.assertIn("1 asked for rest", text)
+        self.timer.time += 1.0
+        self.assertEqual(await self.choose(), target.incarnation)
+
+    async def test_later_answers_do_not_shorten_a_rest(self) -> None:
+        """Guard against answers to requests that were under way when a rest began."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.ask_for_rest(target, 3.0)
+        self.ask_for_rest(target, 0.5)
+        self.chooser.record_answer(target, NotRun(reason="full", busy=True), 0.0)
+        self.name_limit(target, None)
+        self.timer.time += 2.9
+        self.assertEqual(await self.choose(), "")
+
+    async def test_restart_ends_a_rest(self) -> None:
+        """Guard against a new start that is avoided for what the last one asked."""
+        target = make_target("i-1", started_ms=1)
+        self.board.targets.apply_entry(target)
+        self.ask_for_rest(target, 60.0)
+        self.board.targets.apply_entry(make_target("i-1", started_ms=2))
+        self.assertEqual(await self.choose(), "i-1@2")
+
     async def test_misdirected_answer_names_no_limit(self) -> None:
         """Guard against a limit of the target that took over an address."""
         target = make_target("i-1")
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -208,6 +208,20 @@
         service: str,
         excluded: set[str],
         allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
+        """Return the targets that a request may be sent to, if need be."""
+        now = self._timer.now()
+        return [
+            target
+            for target in self._list_ready(service, excluded, allowed_regions)
+            if not self._outcomes.get_health(target).is_resting(now)
+        ]
+
+    def _list_ready(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
     ) -> list[TargetEntry]:
         targets = self._board.targets.list_ready(service, self._timer.now())
         if excluded:
@@ -318,14 +332,17 @@
     def compute_wait_s(
         self, service: str, allowed_regions: frozenset[str] | None
     ) -> float:
-        """Return the seconds until a target without a free permit may have one."""
-        allowed = self._list_allowed(service, set(), allowed_regions)
-        waits = [
-            self._permits.get_wait_s(target)
-            for target in allowed
-            if self._limits.get_limit(target.incarnation) is not None
-        ]
-        return min(waits) if waits and len(waits) == len(allowed) else 0.0
+        """Return the seconds until a target may take a request again."""
+        ready = self._list_ready(service, set(), allowed_regions)
+        return min((self._compute_wait_s(target) for target in ready), default=0.0)
+
+    def _compute_wait_s(self, target: TargetEntry) -> float:
+        now = self._timer.now()
+        health = self._outcomes.get_health(target)
+        wait_s = health.compute_wait_s(now) if health.is_resting(now) else 0.0
+        if self._limits.get_limit(target.incarnation) is not None:
+            return max(wait_s, self._permits.get_wait_s(target))
+        return wait_s
 
     def explain_no_target(
         self, service: str, allowed_regions: frozenset[str] | None
@@ -344,10 +361,13 @@
         n_limited = sum(
             self._limits.get_limit(entry.incarnation) is not None for entry in entries
         )
+        n_resting = sum(
+            self._outcomes.get_health(entry).is_resting(now) for entry in entries
+        )
         return (
             f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
-            f"outside the allowed regions, {n_cold} are cold and {n_limited} name "
-            "a limit"
+            f"outside the allowed regions, {n_cold} are cold, {n_limited} name a limit "
+            f"and {n_resting} asked for rest"
         )
 
     def count_request(self, service: str) -> None:
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -45,12 +45,7 @@
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
         self._record_limit(target, answer, sent_at)
-        if answer.head is not None and answer.head.rest_s is not None:
-            log_event(
-                Event.TARGET_ASKED_FOR_REST,
-                target=target.incarnation,
-                rest_s=answer.head.rest_s,
-            )
+        self._record_rest(target, answer)
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
@@ -73,6 +68,15 @@
         if limit_per_s is not None or isinstance(answer, OpenAnswer):
             self._limits.record_answer(target.incarnation, limit_per_s, sent_at)
 
+    def _record_rest(
+        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+    ) -> None:
+        if answer.head is None or answer.head.rest_s is None:
+            return
+        rest_s = answer.head.rest_s
+        self.get_health(target).record_rest(rest_s, self._timer.now())
+        log_event(Event.TARGET_ASKED_FOR_REST, target=target.incarnation, rest_s=rest_s)
+
     def _update_health(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
     ) -> bool:
--- a/trefoilstage/components/targets/health.py
+++ b/trefoilstage/components/targets/health.py
@@ -22,6 +22,7 @@
     n_ejections: int = 0
     ejected_until: float | None = None
     busy_until: float = 0.0
+    resting_until: float = 0.0
     probing: bool = False
     retries: float = MAX_RETRY_CREDIT  # the remaining retry credit
 
@@ -29,13 +30,20 @@
         """Return whether a request may be sent to the target."""
         if retry and self.retries < 1.0:
             return False
+        if self.is_resting(now):
+            return False
         if self.ejected_until is not None:
             return now >= self.ejected_until and not self.probing
         return now >= self.busy_until
 
     def compute_wait_s(self, now: float) -> float:
         """Return the seconds until a request may be sent to the target again."""
-        return max(0.0, (self.ejected_until or self.busy_until) - now)
+        paused_until = self.ejected_until or self.busy_until
+        return max(0.0, max(paused_until, self.resting_until) - now)
+
+    def is_resting(self, now: float) -> bool:
+        """Return whether the target asked this host to send nothing for a time."""
+        return now < self.resting_until
 
     def record_send(self, *, retry: bool) -> None:
         """Record that a request is being sent."""
@@ -57,6 +65,10 @@
         self.probing = False
         self.busy_until = now + BUSY_PAUSE_S
 
+    def record_rest(self, rest_s: float, now: float) -> None:
+        """Record that the target wants no request from this host for a time."""
+        self.resting_until = max(self.resting_until, now + rest_s)
+
     def record_inconclusive_end(self) -> None:
         """Record that a request ended without showing whether the target works."""
         self.probing = False
