LIMIT: tell all hosts that a target's limit has ended

The host that got an answer without a limit forgot it, and asked no more for permits; the target's home and the others went on with it until each got such an answer itself, at two thirds of the limit over all hosts. With a limit of 1.6 a second, the last of 66 hosts would learn after a minute.

Heartbeats now tell for 5 s that a limit ended, as they told that it began. The new test fails without: all other 65 hosts still have the limit after six rounds; with it none has.

--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -101,6 +101,18 @@
         for limits in fleet.limits.values():
             self.assertEqual(limits.get_limit("i-1@0"), 1.6)
 
+    async def test_end_of_a_limit_reaches_hosts_that_no_target_told(self) -> None:
+        """Guard against hosts that ask for permits long after a target's need."""
+        fleet = FakeFleet()
+        for limits in fleet.limits.values():
+            limits.record_answer("i-1@0", 1.6, 0.0)
+        fleet.timer.time += 1.0
+        fleet.limits["host-0"].record_answer("i-1@0", None, fleet.timer.time)
+        for _ in range(6):
+            await fleet.send_heartbeats()
+        for limits in fleet.limits.values():
+            self.assertIsNone(limits.get_limit("i-1@0"))
+
     async def test_limits_in_heartbeats_are_bounded_in_time(self) -> None:
         """Guard against heartbeats that grow with each limit that holds."""
         fleet = FakeFleet()
--- a/trefoilstage/components/targets/named_limits.py
+++ b/trefoilstage/components/targets/named_limits.py
@@ -19,7 +19,7 @@
     """Store the newest limit of each target that named one, by incarnation."""
 
     limits: dict[str, NamedLimit] = field(default_factory=dict)
-    # When each target that has a limit got it, as far as this host knows.
+    # When this host learned that each target's limit began or ended.
     learned_at: dict[str, float] = field(default_factory=dict)
 
     def record(self, target: str, limit: NamedLimit, now: float) -> bool:
@@ -29,7 +29,8 @@
             return False
         if known is not None and limit.named_at <= known.named_at:
             return False
-        self._update_learned(target, limit, now)
+        if (limit.limit_per_s is None) != (self.get_limit(target) is None):
+            self.learned_at[target] = now
         self.limits.pop(target, None)
         self.limits[target] = limit
         while len(self.limits) > MAX_TARGETS:
@@ -38,12 +39,6 @@
             self.learned_at.pop(oldest, None)
         return known is None or known.limit_per_s != limit.limit_per_s
 
-    def _update_learned(self, target: str, limit: NamedLimit, now: float) -> None:
-        if limit.limit_per_s is None:
-            self.learned_at.pop(target, None)
-        else:
-            self.learned_at.setdefault(target, now)
-
     def get(self, target: str) -> NamedLimit | None:
         """Return what is known of a target's limit, None if it never named one."""
         return self.limits.get(target)
@@ -55,8 +50,12 @@
 
     def list_limited(self) -> list[str]:
         """Return the targets that have a limit."""
-        return list(self.learned_at)
+        return [
+            target
+            for target, limit in self.limits.items()
+            if limit.limit_per_s is not None
+        ]
 
     def list_recent(self, since: float) -> list[str]:
-        """Return the targets whose limit this host learned of since a given time."""
+        """Return the targets whose limit began or ended, as learned since a time."""
         return [target for target, at in self.learned_at.items() if at >= since]
