BUDGET: tell other hosts of a target that asks for rest

Each host finds out for itself, again after each rest, and uses up its budget of retries on it.

Mend: a refusal that asks for rest is told to the other hosts as a limit is. With no target left that is free, hosts try it between their own rests, as before.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -25,6 +25,7 @@
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.permits.messages import LimitReport
 
 
 class TargetChooserTest(unittest.IsolatedAsyncioTestCase):
@@ -245,6 +246,25 @@
         self.board.targets.apply_entry(make_target("i-1", started_ms=2))
         self.assertEqual(await self.choose(), "i-1@2")
 
+    async def test_target_that_refused_a_peer_is_used_with_a_permit(self) -> None:
+        """Guard against hosts that each find out that a target turns requests away.
+
+        If no other target is left, each host may try it once between two rests.
+        """
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        report = LimitReport(
+            target=target.incarnation, limit_per_s=None, age_s=0.1, refuses=True
+        )
+        self.limits.receive_reports([report])
+        self.permits.request.return_value = False
+        self.permits.get_wait_s.return_value = 0.5
+        self.assertEqual(await self.choose(), target.incarnation)
+        self.board.targets.apply_entry(make_target("i-2"))
+        self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
+        self.name_limit(target, None)
+        self.assertIn("i-1@0", {await self.choose() for _ in range(10)})
+
     async def test_misdirected_answer_names_no_limit(self) -> None:
         """Guard against a limit of the target that took over an address."""
         target = make_target("i-1")
--- a/tests/components/permits/test_permits.py
+++ b/tests/components/permits/test_permits.py
@@ -20,6 +20,7 @@
     GRANT_WINDOW_S,
     LIMIT_WINDOW_S,
     PERMIT_LIFE_S,
+    REFUSING_LIMIT_PER_S,
     compute_cold_limit,
 )
 from trefoilstage.components.permits.known_limits import KnownLimits
@@ -206,6 +207,15 @@
         fleet.timer.time += wait_s + 0.001
         self.assertTrue(await permits.request(TARGET, is_cold=False))
 
+    async def test_refusing_target_is_probed_at_one_rate_by_all_hosts(self) -> None:
+        """Guard against probes of a target that asked for rest by each of many hosts."""
+        fleet = await self.make_fleet(60, 40.0)
+        for limits in fleet.limits.values():
+            limits.record_answer(TARGET.incarnation, None, 10.0, refuses=True)
+        n_grants = await fleet.count_grants(PERIOD_S)
+        self.assertGreater(n_grants, 0)
+        self.assertLessEqual(n_grants, REFUSING_LIMIT_PER_S * PERIOD_S)
+
     async def test_cold_target_that_names_a_limit_keeps_both(self) -> None:
         """Guard against a limit that is not kept while its target is cold."""
         fleet = await self.make_fleet(3, 1.6)
--- a/tests/emulator/test_rests.py
+++ b/tests/emulator/test_rests.py
@@ -12,6 +12,7 @@
 REST_S = 3.0
 MAX_DISTURBANCES = 2
 MIN_IN_TIME = 0.9
+MAX_REFUSED = 0.01
 REST = Fault(
     kind=FaultKind.TARGETS_ASK_FOR_REST,
     at_s=2.0,
@@ -51,6 +52,17 @@
         day = self.run_and_check(40, REST)
         self.assertGreater(compute_share(day.outcomes, Result.IN_TIME), MIN_IN_TIME)
 
+    def test_hosts_do_not_each_find_out_for_themselves(self) -> None:
+        """Guard against retries used up on targets that have turned others away.
+
+        Two thirds of the targets have room for all requests.
+        """
+        for n_hosts in (22, 40):
+            with self.subTest(n_hosts=n_hosts):
+                day = self.run_and_check(n_hosts, REST)
+                refused = compute_share(day.outcomes, Result.REFUSED)
+                self.assertLess(refused, MAX_REFUSED)
+
     def test_rest_is_kept_while_all_targets_ask_for_it(self) -> None:
         """Guard against resting targets that are used when no other is left."""
         day = self.run_and_check(3, REST.model_copy(update={"share": 1.0}))
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -58,6 +58,8 @@
 
     free: list[TargetEntry] = field(default_factory=list)  # no permit
     limited: list[TargetEntry] = field(default_factory=list)  # name a limit; a permit
+    # Turned a request of some host away; a permit while others are free.
+    refusing: list[TargetEntry] = field(default_factory=list)
     # Have a limit until they are warm; a permit, and only if the others are late.
     cold: list[TargetEntry] = field(default_factory=list)
 
@@ -111,8 +113,7 @@
             request_id=request_id,
         )
         free = self._select_candidates(groups.free, need, candidate_info)
-        limited = self._list_askable(groups.limited)
-        best = await self._choose_warm(rank([*free, *limited]))
+        best = await self._choose_warm(rank([*free, *self._list_askable(groups)]))
         if best is not None and is_in_time(best, need):
             return best.target
         useful = [
@@ -127,9 +128,10 @@
 
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
+        has_free = any(self._is_free(option.target) for option in ranked)
         n_asked = 0
         for option in ranked:
-            if self._limits.get_limit(option.target.incarnation) is None:
+            if not self._needs_permit(option.target, has_free):
                 return option
             if n_asked == N_ASKED:
                 continue
@@ -138,9 +140,21 @@
                 return option
         return None
 
-    def _list_askable(self, targets: Sequence[TargetEntry]) -> list[TargetEntry]:
-        """Return the targets for which a permit may be asked now."""
-        return [item for item in targets if not self._permits.get_wait_s(item)]
+    def _is_free(self, target: TargetEntry) -> bool:
+        incarnation = target.incarnation
+        has_limit = self._limits.get_limit(incarnation) is not None
+        return not has_limit and not self._limits.is_refusing(incarnation)
+
+    def _needs_permit(self, target: TargetEntry, has_free: bool) -> bool:
+        if self._limits.get_limit(target.incarnation) is not None:
+            return True
+        return has_free and not self._is_free(target)
+
+    def _list_askable(self, groups: TargetGroups) -> list[TargetEntry]:
+        """Return the limited and refusing targets that may be tried now."""
+        asked = [*groups.limited, *(groups.refusing if groups.free else ())]
+        askable = [item for item in asked if not self._permits.get_wait_s(item)]
+        return askable if groups.free else [*askable, *groups.refusing]
 
     def _group(self, targets: Sequence[TargetEntry]) -> TargetGroups:
         groups = TargetGroups()
@@ -151,6 +165,8 @@
                 groups.cold.append(target)
             elif self._limits.get_limit(target.incarnation) is not None:
                 groups.limited.append(target)
+            elif self._limits.is_refusing(target.incarnation):
+                groups.refusing.append(target)
             else:
                 groups.free.append(target)
         return groups
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -64,9 +64,12 @@
         if answer.head is None or answer.head.misdirected:
             return
         limit_per_s = answer.head.limit_per_s
-        # Only a verified answer shows that the target names no limit any more.
-        if limit_per_s is not None or isinstance(answer, OpenAnswer):
-            self._limits.record_answer(target.incarnation, limit_per_s, sent_at)
+        refuses = answer.head.rest_s is not None
+        # Only a verified answer shows that the target takes requests without a limit.
+        if limit_per_s is not None or refuses or isinstance(answer, OpenAnswer):
+            self._limits.record_answer(
+                target.incarnation, limit_per_s, sent_at, refuses=refuses
+            )
 
     def _record_rest(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -19,6 +19,7 @@
 from trefoilstage.components.permits.counter import (
     GRANT_WINDOW_S,
     PERMIT_LIFE_S,
+    REFUSING_LIMIT_PER_S,
     PermitCounter,
     PermitRate,
     compute_cold_limit,
@@ -168,4 +169,6 @@
         named = self._limits.get_limit(request.target)
         if named is not None:
             rates.append(compute_named_rate(named))
+        if self._limits.is_refusing(request.target):
+            rates.append(compute_named_rate(REFUSING_LIMIT_PER_S))
         return rates
--- a/trefoilstage/components/permits/counter.py
+++ b/trefoilstage/components/permits/counter.py
@@ -23,6 +23,9 @@
 SHARE_PER_HOME = 2 / 3
 # Requests that arrive together at a target that names a limit.
 N_PERMITS_AT_ONCE = 2
+# All hosts together send this many requests a second to a target that turned one away
+# and asked for rest, while others serve, until it takes one.
+REFUSING_LIMIT_PER_S = 1.0
 # A target that takes less, or nothing, still gets a request now and then: only an
 # answer can end its limit.
 MIN_LIMIT_PER_S = 0.1
--- a/trefoilstage/components/permits/known_limits.py
+++ b/trefoilstage/components/permits/known_limits.py
@@ -20,19 +20,28 @@
         self._timer = timer
 
     def record_answer(
-        self, target: str, limit_per_s: float | None, sent_at: float
+        self,
+        target: str,
+        limit_per_s: float | None,
+        sent_at: float,
+        *,
+        refuses: bool = False,
     ) -> None:
         """Record the limit in an answer to a request that was sent at a given time."""
         # An answer without a limit may have been on its way while a later one named it.
-        named_at = sent_at if limit_per_s is None else self._timer.now()
-        self._record(target, NamedLimit(limit_per_s=limit_per_s, named_at=named_at))
+        is_none = limit_per_s is None and not refuses
+        named_at = sent_at if is_none else self._timer.now()
+        limit = NamedLimit(limit_per_s=limit_per_s, named_at=named_at, refuses=refuses)
+        self._record(target, limit)
 
     def receive_reports(self, reports: Iterable[LimitReport]) -> None:
         """Record limits that a peer reported."""
         now = self._timer.now()
         for report in reports:
             limit = NamedLimit(
-                limit_per_s=report.limit_per_s, named_at=now - report.age_s
+                limit_per_s=report.limit_per_s,
+                named_at=now - report.age_s,
+                refuses=report.refuses,
             )
             self._record(report.target, limit)
 
@@ -40,13 +49,22 @@
         """Return the limit of a target in requests a second, None without one."""
         return self._board.limits.get_limit(target)
 
+    def is_refusing(self, target: str) -> bool:
+        """Return whether a target last turned a request of any host away."""
+        return self._board.limits.is_refusing(target)
+
     def make_report(self, target: str) -> LimitReport | None:
         """Return what is known of a target's limit, None if it never named one."""
         known = self._board.limits.get(target)
         if known is None:
             return None
         age_s = max(0.0, self._timer.now() - known.named_at)
-        return LimitReport(target=target, limit_per_s=known.limit_per_s, age_s=age_s)
+        return LimitReport(
+            target=target,
+            limit_per_s=known.limit_per_s,
+            age_s=age_s,
+            refuses=known.refuses,
+        )
 
     def list_recent_reports(self) -> tuple[LimitReport, ...]:
         """Return the limits that peers may not know of yet."""
@@ -57,9 +75,11 @@
     def _record(self, target: str, limit: NamedLimit) -> None:
         if not self._board.limits.record(target, limit, self._timer.now()):
             return
-        if limit.limit_per_s is None:
-            log_event(Event.TARGET_LIMIT_ENDED, target=target)
-        else:
+        if limit.refuses:
+            log_event(Event.TARGET_REFUSES, target=target)
+        if limit.limit_per_s is not None:
             log_event(
                 Event.TARGET_LIMIT_NAMED, target=target, limit_per_s=limit.limit_per_s
             )
+        if limit.is_none:
+            log_event(Event.TARGET_LIMIT_ENDED, target=target)
--- a/trefoilstage/components/permits/messages.py
+++ b/trefoilstage/components/permits/messages.py
@@ -15,11 +15,12 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitReport:
-    """Report the newest limit that a target named, None if it named none any more."""
+    """Report what the newest answer of a target said of the requests it takes."""
 
     target: ShortText  # its incarnation
-    limit_per_s: RatePerS | None
+    limit_per_s: RatePerS | None  # None if it names no limit any more
     age_s: Seconds
+    refuses: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/targets/named_limits.py
+++ b/trefoilstage/components/targets/named_limits.py
@@ -8,10 +8,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NamedLimit:
-    """Describe the limit that a target named at some time, None if it named none."""
+    """Describe what a target's answer at some time said of the requests it takes."""
 
-    limit_per_s: float | None  # requests a second from all hosts together
+    limit_per_s: float | None  # from all hosts together, None without a limit
     named_at: float
+    refuses: bool = False  # it turned a request away and asked for rest
+
+    @property
+    def is_none(self) -> bool:
+        """Return whether the target takes requests without a limit."""
+        return self.limit_per_s is None and not self.refuses
 
 
 @dataclass(kw_only=True, slots=True)
@@ -25,11 +31,11 @@
     def record(self, target: str, limit: NamedLimit, now: float) -> bool:
         """Store a limit unless a newer one is known; return whether it changed."""
         known = self.limits.get(target)
-        if known is None and limit.limit_per_s is None:
+        if known is None and limit.is_none:
             return False
         if known is not None and limit.named_at <= known.named_at:
             return False
-        if (limit.limit_per_s is None) != (self.get_limit(target) is None):
+        if known is None or known.is_none != limit.is_none:
             self.learned_at[target] = now
         self.limits.pop(target, None)
         self.limits[target] = limit
@@ -37,7 +43,9 @@
             oldest = next(iter(self.limits))
             del self.limits[oldest]
             self.learned_at.pop(oldest, None)
-        return known is None or known.limit_per_s != limit.limit_per_s
+        if known is None:
+            return True
+        return (known.limit_per_s, known.refuses) != (limit.limit_per_s, limit.refuses)
 
     def get(self, target: str) -> NamedLimit | None:
         """Return what is known of a target's limit, None if it never named one."""
@@ -48,6 +56,11 @@
         known = self.limits.get(target)
         return known.limit_per_s if known else None
 
+    def is_refusing(self, target: str) -> bool:
+        """Return whether a target last turned a request away and asked for rest."""
+        known = self.limits.get(target)
+        return known is not None and known.refuses
+
     def list_limited(self) -> list[str]:
         """Return the targets that have a limit."""
         return [
