--- a/standins/platform.py
+++ b/standins/platform.py
@@ -122,6 +122,9 @@
     # Number of events after which a stream that isn't resumed is reset.
     break_after: int | None = None
     refuse: bool = False  # answers 503 with Not-Executed
+    n_refused: int = 0
+    # Added to all answers, such as what the target wants of the hosts.
+    headers: dict[str, str] = field(default_factory=dict)
     fail: bool = False  # runs the request and answers 500
     unframed_reset: bool = False  # answers without a length, resets midway
     crashes_on: bytes | None = None  # request body that crashes the target
@@ -140,7 +143,9 @@
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         if self.refuse:
-            return web.Response(status=503, headers={"Not-Executed": "1"})
+            self.n_refused += 1
+            refusal = {"Not-Executed": "1", **self.headers}
+            return web.Response(status=503, headers=refusal)
         run = TargetRun(
             request=request.headers["Attempt-Id"],
             tenant=request.headers.get("Tenant", ""),
@@ -148,7 +153,11 @@
             prompt_tokens=int(request.headers.get("Token-Count", "0").split(",")[0]),
         )
         self.runs.append(run)
-        headers = {"Attempt-Id": run.request, "Response-Seal": f"{self.name}.seal"}
+        headers = {
+            "Attempt-Id": run.request,
+            "Response-Seal": f"{self.name}.seal",
+            **self.headers,
+        }
         if self.crash is not None and body == self.crashes_on:
             await self.crash()
             await self.stop.wait()  # until the server is stopped
