BUDGET: test the rest of a target with a real host

A target that turns a request away and asks for 2 s gets none until they are over, while another serves; if it is the only one, callers are refused at once with the time that is left.

--- a/tests/promises/test_target_demands.py
+++ b/tests/promises/test_target_demands.py
@@ -6,12 +6,56 @@
 
 from tests.promises.fleet import PlatformFleet
 
+N_CALLS = 12
 LOOK = "/look/x"
+REST_S = 2.0
 LIMIT_PER_S = 1.0
 PERIOD_S = 4.0
 CALL_INTERVAL_S = 0.05
 
 
+async def call_until_run(fleet: PlatformFleet, number: int) -> None:
+    """Send requests until a target has run one."""
+    while not fleet.targets[number].runs:
+        await fleet.call(LOOK)
+
+
+class RestTest(unittest.IsolatedAsyncioTestCase):
+    """Let target i-0 turn requests away and ask for rest."""
+
+    async def test_target_that_asks_for_rest_gets_none_until_its_end(self) -> None:
+        """Guard against requests that come back to a target before its time."""
+        async with PlatformFleet() as fleet:
+            target = fleet.targets[0]
+            target.refuse = True
+            target.headers["Retry-After"] = str(REST_S)
+            while not target.n_refused:
+                rest_ends_at = time.monotonic() + REST_S
+                await fleet.call(LOOK)
+            answers = [await fleet.call(LOOK) for _ in range(N_CALLS)]
+            self.assertEqual({answer.status for answer in answers}, {200})
+            self.assertLess(time.monotonic(), rest_ends_at)
+            self.assertEqual(target.n_refused, 1)
+            target.refuse = False
+            target.headers.clear()
+            await call_until_run(fleet, 0)
+            self.assertGreaterEqual(time.monotonic(), rest_ends_at)
+
+    async def test_callers_are_told_when_the_rest_ends(self) -> None:
+        """Guard against callers that wait for resting targets or come back early."""
+        async with PlatformFleet(n_targets=1) as fleet:
+            target = fleet.targets[0]
+            target.refuse = True
+            target.headers["Retry-After"] = str(REST_S)
+            await fleet.call(LOOK)
+            began = time.monotonic()
+            answer = await fleet.call(LOOK)
+            self.assertLess(time.monotonic() - began, REST_S / 2)
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), REST_S / 2)
+            self.assertEqual(target.n_refused, 1)
+
+
 class LimitTest(unittest.IsolatedAsyncioTestCase):
     """Let target i-0 name a limit on the requests that it takes."""
 
