DRAIN: failing test of a target that says it leaves

A target may say in its answers that it leaves, before the store does. The host sent it 12 more of 12 requests, and used it when no other target was left.

--- a/tests/promises/test_target_demands.py
+++ b/tests/promises/test_target_demands.py
@@ -20,6 +20,34 @@
         await fleet.call(LOOK)
 
 
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """Let target i-0 say in its answers that it leaves."""
+
+    async def test_target_that_says_it_leaves_gets_no_request(self) -> None:
+        """Guard against a host that waits for the store's news of a leaving target.
+
+        The store's entry, which is written again, says that the target is ready.
+        """
+        async with PlatformFleet() as fleet:
+            fleet.targets[0].headers["Server-Leaving"] = "1"
+            await call_until_run(fleet, 0)
+            n_runs = len(fleet.targets[0].runs)
+            await fleet.write_target(0)
+            answers = [await fleet.call(LOOK) for _ in range(N_CALLS)]
+            self.assertEqual({answer.status for answer in answers}, {200})
+            self.assertEqual(len(fleet.targets[0].runs), n_runs)
+
+    async def test_callers_are_refused_at_once_if_all_targets_leave(self) -> None:
+        """Guard against requests to a leaving target for want of another one."""
+        async with PlatformFleet(n_targets=1) as fleet:
+            fleet.targets[0].headers["Server-Leaving"] = "1"
+            await call_until_run(fleet, 0)
+            answer = await fleet.call(LOOK)
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+            self.assertEqual(len(fleet.targets[0].runs), 1)
+
+
 class RestTest(unittest.IsolatedAsyncioTestCase):
     """Let target i-0 turn requests away and ask for rest."""
 
