DRAIN: send nothing to a target that says it leaves

What callers would see: requests cut off or refused by a target that is about to go, until the store's news of it arrive.

Cause: the answers' word of it was not read; the class is the same as with limits and rest. A host that gets such an answer now uses that start of the target no more, whatever its entry in the store says, also when no other target is left. Requests under way there go on.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -265,6 +265,18 @@
         self.name_limit(target, None)
         self.assertIn("i-1@0", {await self.choose() for _ in range(10)})
 
+    async def test_target_that_said_it_leaves_is_not_used(self) -> None:
+        """Guard against an entry, still ready, that brings a leaving target back."""
+        target = make_target("i-1", started_ms=1)
+        self.board.targets.apply_entry(target)
+        head = replace(ANSWER_HEAD, leaving=True)
+        answer = OpenAnswer(head=head, headers=[], response=cast(Any, None))
+        self.chooser.record_answer(target, answer, 0.0)
+        self.board.targets.apply_entry(target)
+        self.assertEqual(await self.choose(), "")
+        self.board.targets.apply_entry(make_target("i-1", started_ms=2))
+        self.assertEqual(await self.choose(), "i-1@2")
+
     async def test_misdirected_answer_names_no_limit(self) -> None:
         """Guard against a limit of the target that took over an address."""
         target = make_target("i-1")
--- a/tests/components/targets/test_directory.py
+++ b/tests/components/targets/test_directory.py
@@ -187,3 +187,10 @@
             self.targets.apply_entry(make_target(f"t-{number}", started_ms=1))
             self.targets.apply_removal(f"t-{number}", 100.0, NEVER)
         self.assertEqual(len(self.targets.starts), MAX_TRACKED_NAMES)
+
+    def test_number_of_leaving_targets_is_limited(self) -> None:
+        """Guard against memory that grows with each target that has left."""
+        for number in range(MAX_TRACKED_NAMES + 5):
+            self.assertTrue(self.targets.record_leaving(f"t-{number}@0"))
+            self.assertFalse(self.targets.record_leaving(f"t-{number}@0"))
+        self.assertEqual(len(self.targets.said_leaving), MAX_TRACKED_NAMES)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -151,6 +151,13 @@
         self.assertIsNone(TRANSLATOR.read_answer(request, 200, refused).rest_s)
         self.assertIsNone(TRANSLATOR.read_answer(request, 503, {}).rest_s)
 
+    def test_leaving_of_a_target_is_read(self) -> None:
+        """Guard against a target's leaving that stays in the answer's headers."""
+        request = self.read_request()
+        head = TRANSLATOR.read_answer(request, 200, {"Server-Leaving": "1"})
+        self.assertTrue(head.leaving)
+        self.assertFalse(TRANSLATOR.read_answer(request, 200, {}).leaving)
+
     def test_only_explicit_refusal_counts_as_not_run(self) -> None:
         """Distinguish a target's refusal from its failure."""
         request = self.read_request()
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -46,6 +46,7 @@
         """Update a target's health, and its directory entry, by a request's outcome."""
         self._record_limit(target, answer, sent_at)
         self._record_rest(target, answer)
+        self._record_leaving(target, answer)
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
@@ -71,6 +72,14 @@
                 target.incarnation, limit_per_s, sent_at, refuses=refuses
             )
 
+    def _record_leaving(
+        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
+    ) -> None:
+        if answer.head is None or answer.head.misdirected or not answer.head.leaving:
+            return
+        if self._board.targets.record_leaving(target.incarnation):
+            log_event(Event.TARGET_SAID_LEAVING, target=target.incarnation)
+
     def _record_rest(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
     ) -> None:
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -39,6 +39,7 @@
     # How long the target, which turned the request away, wants no other one from this
     # host; None if it does not say.
     rest_s: float | None = None
+    leaving: bool = False  # the target wants no new requests any more
 
     @property
     def success(self) -> bool:
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -57,6 +57,9 @@
     # until an entry may have said so.
     cold_until: dict[str, float] = field(default_factory=dict)
     presumed_cold_until: dict[str, float] = field(default_factory=dict)
+    # Incarnations that said in an answer that they leave, the latest last. Their
+    # entries may say so later.
+    said_leaving: dict[str, None] = field(default_factory=dict)
 
     def apply_entry(self, entry: TargetEntry) -> bool:
         """Apply a target's entry; return whether it belongs to the latest start.
@@ -90,6 +93,15 @@
         self.presumed_cold_until[incarnation] = until
         self._drop_past_times(now)
 
+    def record_leaving(self, incarnation: str) -> bool:
+        """Use an incarnation no more; return whether it was not known to leave."""
+        if incarnation in self.said_leaving:
+            return False
+        self.said_leaving[incarnation] = None
+        while len(self.said_leaving) > MAX_TRACKED_NAMES:
+            del self.said_leaving[next(iter(self.said_leaving))]
+        return True
+
     def _drop_past_times(self, now: float) -> None:
         """Drop past times once there are more times than targets."""
         if len(self.cold_until) > len(self.listed):
@@ -189,6 +201,7 @@
             if item.entry.service == service
             and item.entry.phase is TargetPhase.READY
             and item.entry.data_center not in self.evacuated
+            and item.entry.incarnation not in self.said_leaving
             and now <= item.usable_until
         ]
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -72,6 +72,7 @@
     TARGET_FAILED = "target_failed"
     TARGET_LIMIT_NAMED = "target_limit_named"
     TARGET_LIMIT_ENDED = "target_limit_ended"
+    TARGET_SAID_LEAVING = "target_said_leaving"
     TARGET_REFUSES = "target_refuses"
     TARGET_ASKED_FOR_REST = "target_asked_for_rest"
     HEADER_MALFORMED = "header_malformed"
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -30,6 +30,7 @@
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 HEADER_SEAL: Final = "Response-Seal"  # a target's signature of its answer
 HEADER_NOT_EXECUTED: Final = "Not-Executed"
+HEADER_LEAVING: Final = "Server-Leaving"
 HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
 HTTP_MISDIRECTED: Final = 421
 HTTP_UNAVAILABLE: Final = 503
@@ -143,6 +144,7 @@
             rest_s=parse_amount(headers, HEADER_RETRY_AFTER)
             if status == HTTP_UNAVAILABLE
             else None,
+            leaving=headers.get(HEADER_LEAVING) == "1",
         )
 
     def write_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
