Choose among targets that are free again after a query found none

In a large fleet a request queries the free targets' homes and then chooses among as many targets as it queried. If all were cold or limited at that time, that number was 0, so that it was refused although targets were free again within the 0.2 s before the next query. At least the first three are compared now. Found in reading; the new test got no target before.

--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -87,14 +87,16 @@
         workload.get_work.side_effect = lambda name: work
         workload.get_prefill_speed.return_value = 60_000.0
         workload.count_cached.return_value = 0
+        self.timer = ManualTimer()
+        self.limits = KnownLimits(board=board, timer=self.timer)
         self.chooser = TargetChooser(
             board=board,
             membership=mock.Mock(),
             settings=mock.Mock(),
-            timer=ManualTimer(),
+            timer=self.timer,
             workload=workload,
             permits=mock.Mock(),
-            limits=KnownLimits(board=board, timer=ManualTimer()),
+            limits=self.limits,
         )
 
     async def query_homes(self, targets: list[str], _: object) -> dict[str, int]:
@@ -109,6 +111,30 @@
         return [len(names) for names in self.queried]
 
 
+class FreedTargetsTest(unittest.IsolatedAsyncioTestCase):
+    """Test a chooser in a large fleet whose targets are freed after the query."""
+
+    async def test_target_that_is_free_again_is_chosen(self) -> None:
+        """Guard against a refusal because no target was free when it was queried."""
+        recorded = RecordedQueries(Work())
+        for number in range(30):
+            recorded.limits.record_answer(f"i-{number}@0", 1.0, 0.0)
+        need = PromptNeed(subject="dossier", n_tokens=12_000, objective_s=0.8)
+        info = await recorded.chooser.query_candidates("assistant", None, need, ())
+        recorded.timer.time = 0.1
+        for number in range(30):
+            recorded.limits.record_answer(f"i-{number}@0", None, 0.1)
+        target = await recorded.chooser.choose(
+            service="assistant",
+            excluded=set(),
+            need=need,
+            prompt=(),
+            candidate_info=info,
+            request_id="r-1",
+        )
+        self.assertIsNotNone(target)
+
+
 class FullLinkTest(unittest.IsolatedAsyncioTestCase):
     """Test the query timeout of a host in a large fleet."""
 
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -324,7 +324,9 @@
                 is_late(option, need) or exceeds_cold_rate(option) for option in options
             ):
                 break
-        return CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_queried)
+        # More targets may be free by the time that one is chosen.
+        n_candidates = max(n_queried, N_FIRST_CANDIDATES)
+        return CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_candidates)
 
     def should_query_again(self, queried_at: float) -> bool:
         """Return whether the candidate information is old and worth a new query."""
