BUDGET: failing test of engines that ask the product's own host for rest

The same class, looked for elsewhere: the product's own client of engines doesn't read the time in a refusal either. In 4 s of rest an engine got 5 requests, 1 expected; with no other engine, callers were told to come back after 1 s.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -41,6 +41,7 @@
 STATUS_STALE = 409
 STATUS_LEAVING = 410
 STATUS_FAILED = 500
+STATUS_UNAVAILABLE = 503
 CANCEL_WAIT_S = 0.5
 
 
@@ -173,6 +174,8 @@
     def _find_refusal_status(self, executed: ExecutedRequest) -> int | None:
         if self.control.fail_fast:
             return STATUS_FAILED
+        if self.control.rest_s is not None:
+            return STATUS_UNAVAILABLE
         if not self.options.forgets_cancels and executed.request in self._cancelled_ids:
             return STATUS_BUSY
         if self.options.checks_fencing:
@@ -204,7 +207,10 @@
         )
         status = self._find_refusal_status(executed)
         if status is not None:
-            return web.Response(status=status)
+            self.meter.n_refused += 1
+            rest_s = self.control.rest_s
+            headers = {} if rest_s is None else {"Retry-After": str(rest_s)}
+            return web.Response(status=status, headers=headers)
         blocks = hash_prefixes(contents)
         max_tokens = int(body.get("max_tokens", 16))
         self._requests_by_id[executed.request] = executed
--- a/standins/engine_meter.py
+++ b/standins/engine_meter.py
@@ -44,6 +44,7 @@
     idle_watts: int = 0
     watts_per_request: int = 0
     requests: list[ExecutedRequest] = field(default_factory=list)
+    n_refused: int = 0
     tokens: int = 0
     running: int = 0
     max_running: int = 0
--- a/standins/engine_models.py
+++ b/standins/engine_models.py
@@ -11,6 +11,7 @@
     batch_slowdown: float = Field(default=0.0, ge=0)
     max_running: int = Field(default=32, ge=1)
     fail_fast: bool = False
+    rest_s: float | None = Field(default=None, ge=0)  # refuse all, and ask for rest
     fail_after_prompt: bool = False
     break_after: int | None = Field(default=None, ge=0)
     close_at: int | None = Field(default=None, ge=0)
--- a/tests/common.py
+++ b/tests/common.py
@@ -255,6 +255,11 @@
         meter = await self.launcher.get_json(f"{engine.url}/meter")
         return list(meter["requests"])
 
+    async def count_refused(self, engine: RunningProcess) -> int:
+        """Return the number of requests that an engine has refused."""
+        meter = await self.launcher.get_json(f"{engine.url}/meter")
+        return int(meter["n_refused"])
+
     async def list_power_changes(self) -> list[tuple[float, int]]:
         """Return the changes of the engines' total watts as (time, new total)."""
         changes: list[tuple[float, int]] = []
--- a/tests/components/admission/test_overload.py
+++ b/tests/components/admission/test_overload.py
@@ -10,6 +10,7 @@
 from tests.common import Fleet
 
 TWO_SLOTS = "[targets.engine-0]\nmax_concurrent = 2\n"
+REST_S = 4.0
 LOW_PRIORITY = {"X-Priority": "1"}
 SLOW_ENGINE = ("--tokens-per-s", "20", "--max-running", "2")
 
@@ -77,6 +78,34 @@
         self.assertEqual((error["reason"], error["effect"]), ("overloaded", "not_run"))
         self.assertGreaterEqual(int(answer.headers["Retry-After"]), 1)
 
+    async def test_target_that_asks_for_rest_gets_none_until_its_end(self) -> None:
+        """Guard against requests that come back to a target before its time.
+
+        The other target serves meanwhile.
+        """
+        async with Fleet(n_hosts=1, n_engines=2) as fleet:
+            host, resting = fleet.hosts[0], fleet.engines[0]
+            await fleet.control_standin(resting, rest_s=REST_S)
+            while not await fleet.count_refused(resting):
+                await fleet.chat(host)
+            ends_at = time.monotonic() + REST_S
+            while time.monotonic() < ends_at - 1.0:
+                self.assertEqual((await fleet.chat(host)).status, 200)
+            self.assertEqual(await fleet.count_refused(resting), 1)
+
+    async def test_callers_are_told_when_the_rest_of_the_only_target_ends(self) -> None:
+        """Guard against callers that wait for a target that wants no request."""
+        async with Fleet(n_hosts=1) as fleet:
+            host, resting = fleet.hosts[0], fleet.engines[0]
+            await fleet.control_standin(resting, rest_s=REST_S)
+            while not await fleet.count_refused(resting):
+                await fleet.chat(host)
+            began = time.monotonic()
+            answer = await fleet.chat(host)
+            self.assertLess(time.monotonic() - began, 1.0)
+            self.assertGreater(int(answer.headers["Retry-After"]), 1)
+            self.assertEqual(await fleet.count_refused(resting), 1)
+
     async def test_target_that_fails_fast_attracts_no_traffic(self) -> None:
         """Guard against a target that looks idle because it refuses immediately.
 
