BUDGET: the product's own host keeps the rest that an engine asks for

What callers see without: requests tried again at an engine that has asked for rest (5 in 4 s), and a time to come back of 1 s when no other engine is left.

Cause: the same class, an answer's demand that nothing acts on: the client of engines raised a refusal without its time, and the dispatcher counted a 503 as a failure. A refusal with a time is now kept as rest, by the health that hosts on the platform use too; if all engines rest, the caller is refused at once with the time until the first one ends.

Looked for elsewhere as well: services that the booking client calls pass their refusals on to the caller unchanged, with nothing to keep; the platform's store names no time in its refusals; targets' Keep-Alive and Connection: close are read by the connections.

--- a/tests/components/targets/test_health.py
+++ b/tests/components/targets/test_health.py
@@ -38,6 +38,17 @@
         health.record_success()
         self.assertTrue(health.may_send(1.2, retry=False))
 
+    def test_rest_is_kept_whatever_happens_meanwhile(self) -> None:
+        """Guard against a rest that an answer, a refusal or a failure ends."""
+        health = TargetHealth()
+        health.record_rest(3.0, now=0.0)
+        health.record_rest(1.0, now=0.5)
+        health.record_busy(1.0)
+        health.record_success()
+        self.assertFalse(health.may_send(2.9, retry=False))
+        self.assertAlmostEqual(health.compute_wait_s(2.0), 1.0)
+        self.assertTrue(health.may_send(3.0, retry=False))
+
     def test_failed_probe_doubles_the_ejection(self) -> None:
         health = TargetHealth()
         self.fail_requests(health, 0.0, MAX_FAILURES)
--- a/trefoilstage/components/routing/router.py
+++ b/trefoilstage/components/routing/router.py
@@ -59,7 +59,7 @@
             if self.get_status(candidate.name).health.may_send(now, retry=retry)
         ]
         if not available and not retry:
-            available = self._list_probe_candidates(candidates)
+            available = self._list_probe_candidates(candidates, now)
         if not available:
             return self._make_refusal(candidates, now, retry=retry)
         blocks = hash_blocks(job.contents)
@@ -142,7 +142,9 @@
             and (not job.urls or candidate.config.url in job.urls)
         ]
 
-    def _list_probe_candidates(self, candidates: list[Candidate]) -> list[Candidate]:
+    def _list_probe_candidates(
+        self, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
         """Return the targets to probe early because every candidate is ejected.
 
         An ejection is useful only while another target can take the requests. With
@@ -151,7 +153,11 @@
         healths = [(item, self.get_status(item.name).health) for item in candidates]
         if any(health.ejected_until is None for _, health in healths):
             return []
-        return [item for item, health in healths if not health.probing]
+        return [
+            item
+            for item, health in healths
+            if not health.probing and not health.is_resting(now)
+        ]
 
     def _score_candidate(
         self, candidate: Candidate, job: Job, blocks: tuple[str, ...], now: float
@@ -175,7 +181,10 @@
     ) -> Refusal:
         healths = [self.get_status(item.name).health for item in candidates]
         # A target that is only at capacity is expected to have room again shortly.
-        if not retry and any(health.ejected_until is None for health in healths):
+        if not retry and any(
+            health.ejected_until is None and not health.is_resting(now)
+            for health in healths
+        ):
             return Refusal(reason=Reason.OVERLOADED)
         waits = [health.compute_wait_s(now) for health in healths]
         return Refusal(
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -25,11 +25,13 @@
     HEADER_INCARNATION,
     HEADER_PRIORITY,
     HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
     HEADER_REVISION,
     HEADER_WORKSPACE,
 )
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
 from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.http import parse_amount
 from trefoilstage.helpers.send_trace import SendAttempt
 
 HTTP_OK = 200
@@ -54,9 +56,12 @@
 class TargetRefusedError(NotReadyError):
     """Report that a target refused a request and ran no part of it."""
 
-    def __init__(self, detail: str, *, status: int | None = None) -> None:
+    def __init__(
+        self, detail: str, *, status: int | None = None, rest_s: float = 0.0
+    ) -> None:
         super().__init__(detail)
         self.status = status
+        self.rest_s = rest_s  # the target wants no request from this host for so long
 
     @property
     def is_fenced(self) -> bool:
@@ -104,7 +109,7 @@
         url = f"{target.url}/v1/chat/completions"
         try:
             async with await self._post(url, headers, generation_request) as response:
-                raise_for_status(response.status)
+                raise_for_status(response.status, response.headers)
                 async for chunk in read_chunks(
                     response.content, generation_request.request
                 ):
@@ -212,10 +217,11 @@
             return None
 
 
-def raise_for_status(status: int) -> None:
+def raise_for_status(status: int, headers: Mapping[str, str]) -> None:
     """Raise TargetRefusedError or TargetBrokenError for any status but 200."""
     if status in REFUSAL_STATUSES:
-        raise TargetRefusedError(f"status {status}", status=status)
+        rest_s = parse_amount(headers.get(HEADER_RETRY_AFTER, "")) or 0.0
+        raise TargetRefusedError(f"status {status}", status=status, rest_s=rest_s)
     # Any other status may be sent after the target has begun to run the request:
     # after a failure during the run, or by a gateway that lost the target. Treated as
     # a refusal, a request that used tokens would be reported to the caller as not run.
--- a/trefoilstage/components/targets/dispatcher.py
+++ b/trefoilstage/components/targets/dispatcher.py
@@ -192,13 +192,21 @@
 
     def _record_refusal(self, job: Job, slot: Slot, error: TargetRefusedError) -> None:
         status = self._router.get_status(slot.candidate.name)
-        if error.is_busy:
+        if error.rest_s:
+            self._record_rest(slot, error.rest_s)
+        elif error.is_busy:
             status.health.record_busy(self._timer.now())
         elif error.is_fenced:
             self._power.retire_draw(slot.candidate.config.site)
         elif not error.is_leaving:
             self._record_failure(job, slot, error)
 
+    def _record_rest(self, slot: Slot, rest_s: float) -> None:
+        name = slot.candidate.name
+        health = self._router.get_status(name).health
+        health.record_rest(rest_s, self._timer.now())
+        log_event(Event.TARGET_ASKED_FOR_REST, target=name, rest_s=rest_s)
+
     def _record_failure(self, job: Job, slot: Slot, error: Exception) -> None:
         name = slot.candidate.name
         status = self._router.get_status(name)
--- a/trefoilstage/helpers/http.py
+++ b/trefoilstage/helpers/http.py
@@ -1,5 +1,6 @@
 """Return typed error responses for requests that no handler answered."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -47,6 +48,15 @@
     return answer_errors
 
 
+def parse_amount(text: str) -> float | None:
+    """Return the decimal number in a header, None if it is malformed or below 0."""
+    try:
+        amount = float(text)
+    except ValueError:
+        return None
+    return amount if math.isfinite(amount) and amount >= 0.0 else None
+
+
 def get_route_pattern(request: web.Request) -> str:
     """Return the path pattern of a request's route, "" if none matched."""
     resource = request.match_info.route.resource
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -1,6 +1,5 @@
 """Translate between HTTP headers and the pipeline's requests and answers."""
 
-import math
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -16,6 +15,7 @@
 )
 from trefoilstage.const import HEADER_RETRY_AFTER
 from trefoilstage.helpers.events import Event, log_event, truncate_text
+from trefoilstage.helpers.http import parse_amount
 
 MS_PER_S = 1000
 
@@ -140,8 +140,8 @@
             matches_request=headers.get(HEADER_ATTEMPT_ID) == request.request_id,
             is_encoded="Content-Encoding" in headers,
             closing=headers.get("Connection", "").lower() == "close",
-            limit_per_s=parse_amount(headers, HEADER_LIMIT),
-            rest_s=parse_amount(headers, HEADER_RETRY_AFTER)
+            limit_per_s=read_amount(headers, HEADER_LIMIT),
+            rest_s=read_amount(headers, HEADER_RETRY_AFTER)
             if status == HTTP_UNAVAILABLE
             else None,
             leaving=headers.get(HEADER_LEAVING) == "1",
@@ -204,19 +204,15 @@
         raise MalformedRequestError("Deadline-Ms header: not a whole number") from error
 
 
-def parse_amount(headers: Mapping[str, str], name: str) -> float | None:
+def read_amount(headers: Mapping[str, str], name: str) -> float | None:
     """Return the decimal number in a target's header, None if it has no valid one."""
     text = headers.get(name)
     if text is None:
         return None
-    try:
-        amount = float(text)
-    except ValueError:
-        amount = math.nan
-    if math.isfinite(amount) and amount >= 0.0:
-        return amount
-    log_event(Event.HEADER_MALFORMED, header=name, value=truncate_text(text))
-    return None
+    amount = parse_amount(text)
+    if amount is None:
+        log_event(Event.HEADER_MALFORMED, header=name, value=truncate_text(text))
+    return amount
 
 
 def parse_prompt_prefix(text: str | None) -> tuple[PromptPart, ...]:
