--- /dev/null
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -0,0 +1,186 @@
+"""Find the targets that a request may be sent to, and say why there are none."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from trefoilstage.components.forwarding.models import TargetEntry, TargetService
+from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
+from trefoilstage.components.permits.controller import TargetPermits
+from trefoilstage.components.permits.counter import compute_cold_limit
+from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.fleet_settings import FleetSettings
+from trefoilstage.timer import TimerService
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetGroups:
+    """Group targets by what a request needs to be sent there."""
+
+    free: list[TargetEntry] = field(default_factory=list)  # no permit
+    limited: list[TargetEntry] = field(default_factory=list)  # name a limit; a permit
+    # Turned a request of some host away; a permit while others are free.
+    refusing: list[TargetEntry] = field(default_factory=list)
+    # Have a limit until they are warm; a permit, and only if the others are late.
+    cold: list[TargetEntry] = field(default_factory=list)
+
+
+class TargetAvailability:
+    """Judge targets by their entries, their answers and what they ask for."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        settings: FleetSettings,
+        timer: TimerService,
+        outcomes: TargetOutcomes,
+        permits: TargetPermits,
+        limits: KnownLimits,
+    ) -> None:
+        self._board = board
+        self._settings = settings
+        self._timer = timer
+        self._outcomes = outcomes
+        self._permits = permits
+        self._limits = limits
+
+    def is_free(self, target: TargetEntry) -> bool:
+        """Return whether a target takes requests without a permit."""
+        incarnation = target.incarnation
+        has_limit = self._limits.get_limit(incarnation) is not None
+        return not has_limit and not self._limits.is_refusing(incarnation)
+
+    def needs_permit(self, target: TargetEntry, has_free: bool) -> bool:
+        """Return whether a request to a target needs a permit of its home."""
+        if self._limits.get_limit(target.incarnation) is not None:
+            return True
+        return has_free and not self.is_free(target)
+
+    def list_askable(self, groups: TargetGroups) -> list[TargetEntry]:
+        """Return the limited and refusing targets that may be tried now."""
+        asked = [*groups.limited, *(groups.refusing if groups.free else ())]
+        askable = [item for item in asked if not self._permits.get_wait_s(item)]
+        return askable if groups.free else [*askable, *groups.refusing]
+
+    def group(self, targets: Sequence[TargetEntry]) -> TargetGroups:
+        """Return targets grouped by what a request needs to be sent there."""
+        groups = TargetGroups()
+        now = self._timer.now()
+        for target in targets:
+            is_cold = self._board.targets.is_cold(target, now)
+            if is_cold and self.get_cold_rate(target) is not None:
+                groups.cold.append(target)
+            elif self._limits.get_limit(target.incarnation) is not None:
+                groups.limited.append(target)
+            elif self._limits.is_refusing(target.incarnation):
+                groups.refusing.append(target)
+            else:
+                groups.free.append(target)
+        return groups
+
+    def list_allowed(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
+        """Return the targets that a request may be sent to, if need be."""
+        now = self._timer.now()
+        return [
+            target
+            for target in self._list_ready(service, excluded, allowed_regions)
+            if not self._outcomes.get_health(target).is_resting(now)
+        ]
+
+    def _list_ready(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
+        targets = self._board.targets.list_ready(service, self._timer.now())
+        if excluded:
+            targets = [item for item in targets if item.incarnation not in excluded]
+        if allowed_regions is not None:
+            targets = [
+                item for item in targets if self._is_in_region(item, allowed_regions)
+            ]
+        return targets
+
+    def _is_in_region(
+        self, target: TargetEntry, allowed_regions: frozenset[str]
+    ) -> bool:
+        # The region of an unknown data centre is unknown too, so it is not allowed.
+        return self._settings.regions.get(target.data_center) in allowed_regions
+
+    def list_usable(
+        self,
+        service: str,
+        excluded: set[str],
+        allowed_regions: frozenset[str] | None,
+    ) -> list[TargetEntry]:
+        """Return the targets to choose from, without failing ones if others work."""
+        now = self._timer.now()
+        allowed = self.list_allowed(service, excluded, allowed_regions)
+        healthy = [
+            target
+            for target in allowed
+            if self._outcomes.get_health(target).may_send(now, retry=False)
+        ]
+        # If all targets are ejected, use them anyway: one may have recovered, and
+        # otherwise every request would be refused.
+        return healthy or allowed
+
+    def get_cold_rate(self, target: TargetEntry) -> float | None:
+        """Return the requests a second that a cold target tolerates, if limited."""
+        service = self.get_service(target)
+        if service is None or compute_cold_limit(self._settings, service) is None:
+            return None
+        return service.cold_requests_per_s
+
+    def get_service(self, target: TargetEntry) -> TargetService | None:
+        """Return a target's service, None if the configuration has none."""
+        configuration = self._board.configuration
+        return configuration.services.get(target.service) if configuration else None
+
+    def compute_wait_s(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> float:
+        """Return the seconds until a target may take a request again."""
+        ready = self._list_ready(service, set(), allowed_regions)
+        return min((self._compute_wait_s(target) for target in ready), default=0.0)
+
+    def _compute_wait_s(self, target: TargetEntry) -> float:
+        now = self._timer.now()
+        health = self._outcomes.get_health(target)
+        wait_s = health.compute_wait_s(now) if health.is_resting(now) else 0.0
+        if self._limits.get_limit(target.incarnation) is not None:
+            return max(wait_s, self._permits.get_wait_s(target))
+        return wait_s
+
+    def explain_no_target(
+        self, service: str, allowed_regions: frozenset[str] | None
+    ) -> str:
+        """Return how many of a service's targets are passed over, by reason."""
+        targets, now = self._board.targets, self._timer.now()
+        entries = [item.entry for item in targets.listed.values()]
+        entries = [entry for entry in entries if entry.service == service]
+        n_evacuated = sum(entry.data_center in targets.evacuated for entry in entries)
+        n_outside = sum(
+            allowed_regions is not None
+            and not self._is_in_region(entry, allowed_regions)
+            for entry in entries
+        )
+        n_cold = sum(targets.is_cold(entry, now) for entry in entries)
+        n_limited = sum(
+            self._limits.get_limit(entry.incarnation) is not None for entry in entries
+        )
+        n_resting = sum(
+            self._outcomes.get_health(entry).is_resting(now) for entry in entries
+        )
+        return (
+            f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
+            f"outside the allowed regions, {n_cold} are cold, {n_limited} name a limit "
+            f"and {n_resting} asked for rest"
+        )
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -1,15 +1,11 @@
 """Choose targets by their health and load as this host knows them."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 from trefoilstage.components.fleet.membership import FleetMembership
-from trefoilstage.components.forwarding.models import (
-    PromptPart,
-    TargetEntry,
-    TargetService,
-)
+from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.peer_work import MAX_TOTALS_AGE_S
 from trefoilstage.components.forwarding.placement import (
     MAX_CANDIDATES,
@@ -27,10 +23,10 @@
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.forwarding.target_availability import TargetAvailability
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
-from trefoilstage.components.permits.counter import compute_cold_limit
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
@@ -52,18 +48,6 @@
     sent_at: float
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class TargetGroups:
-    """Group targets by what a request needs to be sent there."""
-
-    free: list[TargetEntry] = field(default_factory=list)  # no permit
-    limited: list[TargetEntry] = field(default_factory=list)  # name a limit; a permit
-    # Turned a request of some host away; a permit while others are free.
-    refusing: list[TargetEntry] = field(default_factory=list)
-    # Have a limit until they are warm; a permit, and only if the others are late.
-    cold: list[TargetEntry] = field(default_factory=list)
-
-
 class TargetChooser:
     """Track the targets' health and this host's work there, and choose a target."""
 
@@ -79,13 +63,20 @@
         limits: KnownLimits,
     ) -> None:
         self._permits = permits
-        self._limits = limits
         self._board = board
         self._membership = membership
         self._settings = settings
         self._timer = timer
         self._workload = workload
         self._outcomes = TargetOutcomes(board=board, timer=timer, limits=limits)
+        self._availability = TargetAvailability(
+            board=board,
+            settings=settings,
+            timer=timer,
+            outcomes=self._outcomes,
+            permits=permits,
+            limits=limits,
+        )
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def choose(
@@ -104,7 +95,9 @@
         Targets that name a limit and cold ones are used only with a permit, cold ones
         only while no other target can serve the request in time.
         """
-        groups = self._group(self._list_usable(service, excluded, allowed_regions))
+        groups = self._availability.group(
+            self._availability.list_usable(service, excluded, allowed_regions)
+        )
         rank = partial(
             self._rank,
             need=need,
@@ -113,7 +106,9 @@
             request_id=request_id,
         )
         free = self._select_candidates(groups.free, need, candidate_info)
-        best = await self._choose_warm(rank([*free, *self._list_askable(groups)]))
+        best = await self._choose_warm(
+            rank([*free, *self._availability.list_askable(groups)])
+        )
         if best is not None and is_in_time(best, need):
             return best.target
         useful = [
@@ -128,10 +123,10 @@
 
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
-        has_free = any(self._is_free(option.target) for option in ranked)
+        has_free = any(self._availability.is_free(option.target) for option in ranked)
         n_asked = 0
         for option in ranked:
-            if not self._needs_permit(option.target, has_free):
+            if not self._availability.needs_permit(option.target, has_free):
                 return option
             if n_asked == N_ASKED:
                 continue
@@ -140,37 +135,6 @@
                 return option
         return None
 
-    def _is_free(self, target: TargetEntry) -> bool:
-        incarnation = target.incarnation
-        has_limit = self._limits.get_limit(incarnation) is not None
-        return not has_limit and not self._limits.is_refusing(incarnation)
-
-    def _needs_permit(self, target: TargetEntry, has_free: bool) -> bool:
-        if self._limits.get_limit(target.incarnation) is not None:
-            return True
-        return has_free and not self._is_free(target)
-
-    def _list_askable(self, groups: TargetGroups) -> list[TargetEntry]:
-        """Return the limited and refusing targets that may be tried now."""
-        asked = [*groups.limited, *(groups.refusing if groups.free else ())]
-        askable = [item for item in asked if not self._permits.get_wait_s(item)]
-        return askable if groups.free else [*askable, *groups.refusing]
-
-    def _group(self, targets: Sequence[TargetEntry]) -> TargetGroups:
-        groups = TargetGroups()
-        now = self._timer.now()
-        for target in targets:
-            is_cold = self._board.targets.is_cold(target, now)
-            if is_cold and self._get_cold_rate(target) is not None:
-                groups.cold.append(target)
-            elif self._limits.get_limit(target.incarnation) is not None:
-                groups.limited.append(target)
-            elif self._limits.is_refusing(target.incarnation):
-                groups.refusing.append(target)
-            else:
-                groups.free.append(target)
-        return groups
-
     def _select_candidates(
         self,
         targets: Sequence[TargetEntry],
@@ -219,62 +183,10 @@
         n_local = self._workload.count_cached(target.incarnation, prompt)
         return max(n_local, cached_tokens.get(target.incarnation, 0))
 
-    def _list_allowed(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
-    ) -> list[TargetEntry]:
-        """Return the targets that a request may be sent to, if need be."""
-        now = self._timer.now()
-        return [
-            target
-            for target in self._list_ready(service, excluded, allowed_regions)
-            if not self._outcomes.get_health(target).is_resting(now)
-        ]
-
-    def _list_ready(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
-    ) -> list[TargetEntry]:
-        targets = self._board.targets.list_ready(service, self._timer.now())
-        if excluded:
-            targets = [item for item in targets if item.incarnation not in excluded]
-        if allowed_regions is not None:
-            targets = [
-                item for item in targets if self._is_in_region(item, allowed_regions)
-            ]
-        return targets
-
-    def _is_in_region(
-        self, target: TargetEntry, allowed_regions: frozenset[str]
-    ) -> bool:
-        # The region of an unknown data centre is unknown too, so it is not allowed.
-        return self._settings.regions.get(target.data_center) in allowed_regions
-
-    def _list_usable(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
-    ) -> list[TargetEntry]:
-        now = self._timer.now()
-        allowed = self._list_allowed(service, excluded, allowed_regions)
-        healthy = [
-            target
-            for target in allowed
-            if self._outcomes.get_health(target).may_send(now, retry=False)
-        ]
-        # If all targets are ejected, use them anyway: one may have recovered, and
-        # otherwise every request would be refused.
-        return healthy or allowed
-
     def _make_option(
         self, target: TargetEntry, n_cached_tokens: int = 0
     ) -> TargetOption:
-        cold_rate = self._get_cold_rate(target)
+        cold_rate = self._availability.get_cold_rate(target)
         return TargetOption(
             target=target,
             work=self._workload.get_work(target.incarnation),
@@ -287,12 +199,6 @@
             cold_requests_per_s=cold_rate,
         )
 
-    def _get_cold_rate(self, target: TargetEntry) -> float | None:
-        service = self._get_service(target)
-        if service is None or compute_cold_limit(self._settings, service) is None:
-            return None
-        return service.cold_requests_per_s
-
     async def query_candidates(
         self,
         service: str,
@@ -308,8 +214,8 @@
         """
         if need is None or not self._workload.is_fleet_large():
             return CandidateInfo()
-        usable = self._list_usable(service, set(), allowed_regions)
-        ranked = rank_candidates(self._group(usable).free, need.subject)
+        usable = self._availability.list_usable(service, set(), allowed_regions)
+        ranked = rank_candidates(self._availability.group(usable).free, need.subject)
         cached_tokens: dict[str, int] = {}
         n_queried = 0
         query_until = self._timer.now() + MAX_TOTAL_QUERY_S
@@ -345,48 +251,19 @@
         allowed_regions: frozenset[str] | None,
     ) -> bool:
         """Return whether a service has a ready target that is not excluded."""
-        return bool(self._list_allowed(service, excluded, allowed_regions))
+        return bool(self._availability.list_allowed(service, excluded, allowed_regions))
 
     def compute_wait_s(
         self, service: str, allowed_regions: frozenset[str] | None
     ) -> float:
         """Return the seconds until a target may take a request again."""
-        ready = self._list_ready(service, set(), allowed_regions)
-        return min((self._compute_wait_s(target) for target in ready), default=0.0)
-
-    def _compute_wait_s(self, target: TargetEntry) -> float:
-        now = self._timer.now()
-        health = self._outcomes.get_health(target)
-        wait_s = health.compute_wait_s(now) if health.is_resting(now) else 0.0
-        if self._limits.get_limit(target.incarnation) is not None:
-            return max(wait_s, self._permits.get_wait_s(target))
-        return wait_s
+        return self._availability.compute_wait_s(service, allowed_regions)
 
     def explain_no_target(
         self, service: str, allowed_regions: frozenset[str] | None
     ) -> str:
         """Return how many of a service's targets are passed over, by reason."""
-        targets, now = self._board.targets, self._timer.now()
-        entries = [item.entry for item in targets.listed.values()]
-        entries = [entry for entry in entries if entry.service == service]
-        n_evacuated = sum(entry.data_center in targets.evacuated for entry in entries)
-        n_outside = sum(
-            allowed_regions is not None
-            and not self._is_in_region(entry, allowed_regions)
-            for entry in entries
-        )
-        n_cold = sum(targets.is_cold(entry, now) for entry in entries)
-        n_limited = sum(
-            self._limits.get_limit(entry.incarnation) is not None for entry in entries
-        )
-        n_resting = sum(
-            self._outcomes.get_health(entry).is_resting(now) for entry in entries
-        )
-        return (
-            f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
-            f"outside the allowed regions, {n_cold} are cold, {n_limited} name a limit "
-            f"and {n_resting} asked for rest"
-        )
+        return self._availability.explain_no_target(service, allowed_regions)
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
@@ -437,12 +314,8 @@
             target.incarnation, prompt_tokens=-sent.n_uncached_tokens
         )
 
-    def _get_service(self, target: TargetEntry) -> TargetService | None:
-        configuration = self._board.configuration
-        return configuration.services.get(target.service) if configuration else None
-
     def _get_kv_tokens(self, target: TargetEntry) -> int | None:
-        service = self._get_service(target)
+        service = self._availability.get_service(target)
         engine = service.engine if service else None
         return engine.kv_tokens if engine else None
 
