--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -10,9 +10,7 @@
 from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.engine import (
     EmulatedEngine,
-    EngineSpeed,
     EngineTotals,
-    sample_duration_factor,
 )
 from bench.emulator.host import (
     CONFIGURATION_KEY,
@@ -21,9 +19,19 @@
     EmulatedHost,
     StoredObjects,
 )
+from bench.emulator.limits import RequestLimit
 from bench.emulator.network import Network, SharedStore
+from bench.emulator.rests import Refusals
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
-from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedService
+from bench.emulator.sender import EmulatedProbe, EmulatedSender
+from bench.emulator.targets import (
+    ASSISTANT,
+    BOOKING,
+    DATA_CENTERS,
+    EmulatedTargets,
+    get_data_center,
+    sample_share,
+)
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Engine,
@@ -32,18 +40,13 @@
     RouteKind,
     ServiceShare,
     TargetEntry,
-    TargetPhase,
     TargetService,
     Workspace,
 )
 from trefoilstage.components.views.store import Topic
 
-ASSISTANT = "assistant"
-DATA_CENTERS = ("brest", "quimper", "lorient")
-BOOKING = "booking"
 WARM_UP_S = 3.0  # hosts exchange heartbeats before the first request
 SETTLE_S = 12.0  # the last requests get their answers
-HEARTBEAT_S = 1.2
 # A crashing request ends its engine this long after its first token.
 CRASH_AFTER_S = 0.08
 CRASH_RESTART_S = 3.0
@@ -86,10 +89,15 @@
 
     async def run_day(self) -> DayResult:
         """Run the whole day and return its outcomes and totals."""
-        self._make_targets()
+        self._targets = EmulatedTargets(
+            scenario=self._scenario,
+            generator=self._generator,
+            shared_store=self._shared_store,
+            entries=self._entries,
+        )
         await self._publish_configuration()
         await self._start_hosts()
-        self._start_task(self._register_targets())
+        self._start_task(self._targets.register_all())
         await asyncio.sleep(WARM_UP_S)
         self._traffic_started_at = asyncio.get_running_loop().time()
         for fault in self._scenario.faults:
@@ -105,32 +113,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _make_targets(self) -> None:
-        engines, services = self._scenario.engines, self._scenario.services
-        speed = EngineSpeed(kv_tokens=engines.kv_tokens, slots=engines.slots)
-        self._engines = [
-            EmulatedEngine(
-                name=f"engine-{number}",
-                speed=speed,
-                duration_factor=sample_duration_factor(self._generator),
-            )
-            for number in range(engines.n)
-        ]
-        self._services = [
-            EmulatedService(
-                name=f"service-{number}",
-                slots=services.slots,
-                work_s=services.work_s,
-                generator=self._generator,
-            )
-            for number in range(services.n)
-        ]
-        targets: list[EmulatedEngine | EmulatedService] = [
-            *self._engines,
-            *self._services,
-        ]
-        self._targets = {item.name: item for item in targets}
-
     async def _publish_configuration(self) -> None:
         scenario = self._scenario
         self._routes = {kind.name: make_route(kind) for kind in scenario.kinds}
@@ -191,7 +173,7 @@
                 shared_store=self._shared_store,
                 stored_objects=stored_objects,
                 sender=self._make_sender(f"host-{number}"),
-                probe=EmulatedProbe(find_target=self._targets.get),
+                probe=EmulatedProbe(find_target=self._targets.by_name.get),
             )
             for number in range(self._scenario.n_hosts)
         ]
@@ -201,45 +183,13 @@
     def _make_sender(self, host: str) -> EmulatedSender:
         return EmulatedSender(
             host=host,
-            find_target=self._targets.get,
+            find_target=self._targets.by_name.get,
             get_n_output_tokens=lambda request: (
                 self._request_sampler.n_output_tokens_by_request[request.request_id]
             ),
             on_start=self._crash_if_crashing_request,
         )
 
-    async def _register_targets(self) -> None:
-        sequence = 0
-        while True:
-            sequence += 1
-            for target in self._targets.values():
-                await self._register(target, sequence)
-            await asyncio.sleep(HEARTBEAT_S)
-
-    async def _register(
-        self, target: EmulatedEngine | EmulatedService, sequence: int
-    ) -> None:
-        if target.is_down:
-            await self._shared_store.store.put(Topic.TARGETS, target.name, None)
-            return
-        is_engine = isinstance(target, EmulatedEngine)
-        cold_s = target.get_cold_s() if isinstance(target, EmulatedEngine) else 0.0
-        data = f"{target.name} {target.started_ms} {sequence} {cold_s}".encode()
-        self._entries[data] = TargetEntry(
-            name=target.name,
-            service=ASSISTANT if is_engine else BOOKING,
-            address=target.name,
-            data_center=get_data_center(int(target.name.rpartition("-")[2]))
-            if is_engine
-            else DATA_CENTERS[0],
-            slots=self._scenario.engines.slots,
-            phase=TargetPhase.READY,
-            started_ms=target.started_ms,
-            cold_s=cold_s,
-        )
-        await self._shared_store.store.put(Topic.TARGETS, target.name, data)
-        self._shared_store.notify_change(Topic.TARGETS)
-
     async def _send_requests(self, kind: Kind) -> None:
         loop = asyncio.get_running_loop()
         ends_at = self._traffic_started_at + self._scenario.duration_s
@@ -294,8 +244,7 @@
             await host.start()
 
     async def _crash_engines(self, fault: Fault) -> None:
-        n = max(1, round(fault.share * len(self._engines)))
-        crashed = self._generator.sample(self._engines, n)
+        crashed = self._targets.sample_engines(fault.share)
         for engine in crashed:
             engine.crash()
         await asyncio.sleep(fault.for_s)
@@ -340,50 +289,35 @@
         engine.restart()
 
     async def _return_cold(self, fault: Fault) -> None:
-        returned = self._sample_engines(fault.share)
+        returned = self._targets.sample_engines(fault.share)
         for engine in returned:
             engine.crash()
         await asyncio.sleep(fault.for_s)
         for engine in returned:
             engine.restart()
-            self._turn_cold(engine)
-            await self._register(engine, 0)
+            self._targets.turn_cold(engine)
+            await self._targets.register(engine, 0)
 
     async def _turn_engines_cold(self, fault: Fault) -> None:
-        for engine in self._sample_engines(fault.share):
-            self._turn_cold(engine)
-
-    def _turn_cold(self, engine: EmulatedEngine) -> None:
-        now = asyncio.get_running_loop().time()
-        engine.cold_until = now + self._scenario.engines.cold_s
-
-    def _sample_engines(self, share: float) -> list[EmulatedEngine]:
-        n = max(1, round(share * len(self._engines)))
-        return self._generator.sample(self._engines, n)
+        for engine in self._targets.sample_engines(fault.share):
+            self._targets.turn_cold(engine)
 
     async def _name_limits(self, fault: Fault) -> None:
-        limited = self._sample_targets(fault.share)
-        for target in limited:
-            target.limit.begin(fault.factor)
-        await asyncio.sleep(fault.for_s)
-        for target in limited:
-            target.limit.end()
+        limited = self._targets.sample(fault.share)
+        await self._impose([target.limit for target in limited], fault)
 
     async def _ask_for_rest(self, fault: Fault) -> None:
-        refusing = self._sample_targets(fault.share)
-        for target in refusing:
-            target.refusals.begin(fault.factor)
-        await asyncio.sleep(fault.for_s)
-        for target in refusing:
-            target.refusals.end()
-
-    def _sample_targets(self, share: float) -> list[EmulatedEngine | EmulatedService]:
-        """Return a share of the engines and of the services."""
-        return [*self._sample_engines(share), *self._sample_services(share)]
+        refusing = self._targets.sample(fault.share)
+        await self._impose([target.refusals for target in refusing], fault)
 
-    def _sample_services(self, share: float) -> list[EmulatedService]:
-        n = max(1, round(share * len(self._services)))
-        return self._generator.sample(self._services, n)
+    async def _impose(
+        self, demands: Sequence[RequestLimit | Refusals], fault: Fault
+    ) -> None:
+        for demand in demands:
+            demand.begin(fault.factor)
+        await asyncio.sleep(fault.for_s)
+        for demand in demands:
+            demand.end()
 
     async def _evacuate(self, fault: Fault) -> None:
         key = f"{EVACUATION_PREFIX}{DATA_CENTERS[0]}"
@@ -391,9 +325,9 @@
         await store.store.put(Topic.CONFIGURATION, key, b"{}")
         store.notify_change(Topic.CONFIGURATION)
         await asyncio.sleep(fault.for_s)
-        for number, engine in enumerate(self._engines):
+        for number, engine in enumerate(self._targets.engines):
             if get_data_center(number) == DATA_CENTERS[0]:
-                self._turn_cold(engine)
+                self._targets.turn_cold(engine)
         await store.store.put(Topic.CONFIGURATION, key, None)
         store.notify_change(Topic.CONFIGURATION)
 
@@ -409,18 +343,17 @@
         self._hot_workspace = ""
 
     def _sample_hosts(self, share: float) -> list[EmulatedHost]:
-        n = max(1, round(share * len(self._hosts)))
-        return self._generator.sample(self._hosts, n)
+        return sample_share(self._generator, self._hosts, share)
 
     def _collect_totals(self) -> None:
         totals = self.day.engine_totals
-        for engine in self._engines:
+        for engine in self._targets.engines:
             totals.n_prefilled += engine.totals.n_prefilled
             totals.n_prefilled_again += engine.totals.n_prefilled_again
             totals.n_found_in_cache += engine.totals.n_found_in_cache
             totals.n_preempted += engine.totals.n_preempted
             self.day.cold_arrivals[engine.name] = engine.cold_arrivals
-        for target in self._targets.values():
+        for target in self._targets.by_name.values():
             self.day.limited_arrivals[target.name] = target.limit.arrivals
             self.day.disturbances[target.name] = target.refusals.max_disturbances
         self.day.n_store_calls = self._shared_store.n_calls
@@ -444,11 +377,6 @@
 }
 
 
-def get_data_center(number: int) -> str:
-    """Return the data centre of an engine by its number."""
-    return DATA_CENTERS[number % len(DATA_CENTERS)]
-
-
 def make_route(kind: Kind) -> Route:
     """Return the route of a kind of request."""
     has_prompt = kind.kind is RouteKind.STREAM
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -51,11 +51,11 @@
         has_limit = self._limits.get_limit(incarnation) is not None
         return not has_limit and not self._limits.is_refusing(incarnation)
 
-    def needs_permit(self, target: TargetEntry, has_free: bool) -> bool:
+    def needs_permit(self, target: TargetEntry, *, others_are_free: bool) -> bool:
         """Return whether a request to a target needs a permit of its home."""
         if self._limits.get_limit(target.incarnation) is not None:
             return True
-        return has_free and not self.is_free(target)
+        return others_are_free and not self.is_free(target)
 
     def list_askable(self, groups: TargetGroups) -> list[TargetEntry]:
         """Return the limited and refusing targets that may be tried now."""
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -123,10 +123,11 @@
 
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
-        has_free = any(self._availability.is_free(option.target) for option in ranked)
+        availability = self._availability
+        has_free = any(availability.is_free(option.target) for option in ranked)
         n_asked = 0
         for option in ranked:
-            if not self._availability.needs_permit(option.target, has_free):
+            if not availability.needs_permit(option.target, others_are_free=has_free):
                 return option
             if n_asked == N_ASKED:
                 continue
