Soak: targets name limits and ask for rest

Random seeds now include a target that names a limit for some seconds, counted over all hosts from 3 s after, and targets that turn requests away and ask for rest, checked by each host's own lines. The faults of each seed differ from before, as two were added.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -25,6 +25,10 @@
 EVACUATION_S = 7.0
 # Longer than a host that is cut from the store takes to ask its peers.
 COLD_DOWN_S = 3.0
+# A target names its limit for this long before the limit binds all hosts.
+LIMIT_LEARNING_S = 3.0
+LIMIT_PER_S = 1.0
+REST_S = 2.0
 Fault = Callable[[], Awaitable[None]]
 
 
@@ -50,6 +54,9 @@
     evacuations: list[Period] = field(default_factory=list)
     is_cold: bool = False
     cold_periods: list[Period] = field(default_factory=list)
+    # Of targets, by name, whose limit all hosts should know.
+    limited_periods: dict[str, Period] = field(default_factory=dict)
+    resting_targets: set[str] = field(default_factory=set)
 
     async def run(self, duration_s: float) -> None:
         """Inject faults one after another; they may overlap."""
@@ -77,6 +84,8 @@
             self._top_up,
             self._evacuate,
             self._return_cold,
+            self._name_limit,
+            self._ask_for_rest,
         ]
         fault = self.generator.choice(faults)
         self.fault_names.append(getattr(fault, "__name__", ""))
@@ -199,6 +208,32 @@
         self.cold_periods.append(Period(start=returns_at, end=cold_until))
         self.is_cold = False
 
+    async def _name_limit(self) -> None:
+        """Let a target name a limit in its answers."""
+        target = self.generator.choice(self.fleet.targets)
+        if target.name in self.limited_periods:
+            return
+        binds_at = time.monotonic() + LIMIT_LEARNING_S
+        self.limited_periods[target.name] = Period(start=binds_at, end=binds_at)
+        target.headers["Server-Limit"] = str(LIMIT_PER_S)
+        await asyncio.sleep(LIMIT_LEARNING_S + self.generator.uniform(2.0, 5.0))
+        period = Period(start=binds_at, end=time.monotonic())
+        self.limited_periods[target.name] = period
+        del target.headers["Server-Limit"]
+
+    async def _ask_for_rest(self) -> None:
+        """Let a target turn all requests away and ask for rest."""
+        target = self.generator.choice(self.fleet.targets)
+        if target.name in self.resting_targets:
+            return
+        self.resting_targets.add(target.name)
+        target.headers["Retry-After"] = str(REST_S)
+        target.refuse = True
+        await self._wait_randomly(4.0)
+        target.refuse = False
+        del target.headers["Retry-After"]
+        self.resting_targets.discard(target.name)
+
     async def _top_up(self) -> None:
         self.configuration_version += 1
         self.fleet.prepaid += self.generator.randrange(500, 3_000)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,7 +11,12 @@
     PlatformFleet,
 )
 from tests.soak.callers import Callers, Outcome
-from tests.soak.faults import EVACUATED_DATA_CENTER, EVACUATED_TARGET, Faults
+from tests.soak.faults import (
+    EVACUATED_DATA_CENTER,
+    EVACUATED_TARGET,
+    LIMIT_PER_S,
+    Faults,
+)
 
 N_HOSTS = 3
 N_CALLERS = 8
@@ -28,6 +33,13 @@
 # After this time without a fault, every host has received the evidence of all crashes.
 SETTLE_S = 4.0
 N_PROBES = 6
+# What a target tolerates above a limit that it named, in any period of this length.
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
+LIMIT_PERIOD_S = 4.0
+# Requests that were under way when a target asked for rest reach it within this time.
+UNDER_WAY_S = 0.5
+MAX_SENDS_IN_REST = 2
 # A killed host's evidence of crashes is lost; this many more crashes replace it.
 MAX_SETTLED_CRASHES = 3
 
@@ -66,6 +78,9 @@
         findings = list_violations(fleet, callers.outcomes + callers.crashing_outcomes)
         findings += list_runs_while_evacuated(fleet, faults)
         findings += list_runs_above_cold_rate(fleet, faults)
+        findings += list_runs_above_named_limit(fleet, faults)
+        for host in fleet.hosts.values():
+            findings += list_sends_while_resting(host.lines)
         findings += list_blocked_harmless_requests(callers.outcomes)
         findings += await list_repeated_crashes(targets, callers)
         findings += [
@@ -128,6 +143,55 @@
     return findings
 
 
+def list_runs_above_named_limit(fleet: PlatformFleet, faults: Faults) -> list[str]:
+    """Return the targets that ran more than they tolerate above a limit they named."""
+    tolerated = LIMIT_TOLERANCE * LIMIT_PER_S * LIMIT_PERIOD_S + LIMIT_SLACK
+    findings: list[str] = []
+    for target in fleet.targets:
+        period = faults.limited_periods.get(target.name)
+        if period is None:
+            continue
+        times = [
+            run.started_at
+            for run in target.runs
+            if period.start <= run.started_at < period.end
+        ]
+        n_most = max(
+            (sum(t <= other < t + LIMIT_PERIOD_S for other in times) for t in times),
+            default=0,
+        )
+        if n_most > tolerated:
+            findings.append(f"{target.name} ran {n_most} in a period with a limit")
+    return findings
+
+
+def list_sends_while_resting(lines: list[str]) -> list[str]:
+    """Return a host's sends to targets in the rest that they had asked it for."""
+    findings: list[str] = []
+    fields = [parse_fields(line) for line in lines]
+    rests = [item for item in fields if item["message_type"] == "target_asked_for_rest"]
+    for rest in rests:
+        asked_at = float(rest["timestamp"])
+        sends = [
+            item
+            for item in fields
+            if item["message_type"] == "request_sent"
+            and item["target"] == rest["target"].partition("@")[0]
+            and asked_at + UNDER_WAY_S
+            < float(item["timestamp"])
+            < asked_at + float(rest["rest_s"])
+        ]
+        if len(sends) > MAX_SENDS_IN_REST:
+            findings.append(f"{len(sends)} sends to {rest['target']} in its rest")
+    return findings
+
+
+def parse_fields(line: str) -> dict[str, str]:
+    """Return the key=value pairs of a log line."""
+    pairs = (word.partition("=") for word in line.split())
+    return {"message_type": "", **{key: value for key, _, value in pairs}}
+
+
 def list_blocked_harmless_requests(outcomes: list[Outcome]) -> list[str]:
     """Return the harmless requests that were blocked as crashing targets."""
     return [
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,12 +15,12 @@
         """Call three hosts while they are killed, stopped, paused and cut off.
 
         Callers send streams, bookings and lookups on persistent connections. The store
-        loses replies, is slow or down, targets fail, drain and return cold, a data
-        centre is evacuated, one request crashes each target that runs it, the budget
-        runs out and is raised. The budget is never exceeded, evacuated targets get no
-        requests and cold ones few, no call that may run only once runs twice, a "not
-        run" is true, each answer is complete and the caller's own, and only the
-        crashing request is blocked.
+        loses replies, is slow or down, targets fail, drain, return cold, name limits
+        and ask for rest, a data centre is evacuated, one request crashes each target
+        that runs it, the budget runs out and is raised. The budget is never exceeded,
+        evacuated targets get no requests and cold ones few, limits and rests are kept,
+        no call that may run only once runs twice, a "not run" is true, each answer is
+        complete and the caller's own, and only the crashing request is blocked.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
