LIMIT: end a limit only by a success without one

A target's own failure was taken as the end of its limit if it named none. What a target in need puts into failures is not told; only a success is sure to show that it takes requests again. Found in reading; the new test had no limit left before.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -183,6 +183,17 @@
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
 
+    async def test_failure_does_not_end_a_limit(self) -> None:
+        """Guard against a target's failure, which may name no limit, that ends one."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        answer = OpenAnswer(
+            head=replace(ANSWER_HEAD, status=500), headers=[], response=cast(Any, None)
+        )
+        self.chooser.record_answer(target, answer, self.timer.time)
+        self.assertEqual(self.limits.get_limit(target.incarnation), 1.2)
+
     async def test_target_whose_limit_has_ended_is_used_like_the_others(self) -> None:
         """Guard against a limit that outlasts the target's need."""
         target = make_target("i-1")
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -66,8 +66,9 @@
             return
         limit_per_s = answer.head.limit_per_s
         refuses = answer.head.rest_s is not None
-        # Only a verified answer shows that the target takes requests without a limit.
-        if limit_per_s is not None or refuses or isinstance(answer, OpenAnswer):
+        # Only a verified success shows that the target takes requests without a limit.
+        is_success = isinstance(answer, OpenAnswer) and answer.head.success
+        if limit_per_s is not None or refuses or is_success:
             self._limits.record_answer(
                 target.incarnation, limit_per_s, sent_at, refuses=refuses
             )
