Tell other hosts at once that a target's limit or refusal begins or ends

What callers see without: in a large fleet the news takes 2 s in the usual rounds of heartbeats, in which hosts go on sending first attempts to targets that turn all away and have few retries left for them.

A host that learns of it now sends a round at once, ten rounds a second at most; those that did not know tell others in turn.

--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -10,6 +10,7 @@
 from trefoilstage.components.fleet.membership import (
     HEARTBEAT_INTERVAL_S,
     N_PEERS_PER_ROUND,
+    SPREAD_INTERVAL_S,
     FleetMembership,
 )
 from trefoilstage.components.fleet.messages import HostHeartbeat
@@ -122,6 +123,33 @@
         for host in fleet.hosts.values():
             self.assertEqual(host._make_heartbeat().limits, ())
 
+    async def test_limits_that_begin_and_end_are_told_at_once(self) -> None:
+        """Guard against hosts that go on sending to a target until the next round.
+
+        Another value of a limit, or a second limit just after, causes no round.
+        """
+        fleet = FakeFleet()
+        host, limits = fleet.hosts["host-0"], fleet.limits["host-0"]
+        with (
+            mock.patch.object(host, "add_future", lambda work: work.close()),
+            mock.patch.object(host, "send_heartbeats_now") as send,
+        ):
+            await host.on_start()
+            for n_intervals, target, limit_per_s, n_rounds in (
+                (0.0, "i-1", 1.6, 1),
+                (0.4, "i-1", 1.2, 1),
+                (0.8, "i-2", 1.0, 1),
+                (1.2, "i-3", 1.0, 2),
+                (2.4, "i-1", None, 3),
+            ):
+                fleet.timer.time = n_intervals * SPREAD_INTERVAL_S
+                limits.record_answer(target, limit_per_s, fleet.timer.time)
+                self.assertEqual(send.call_count, n_rounds, target)
+            await host.on_stop()
+            fleet.timer.time += 2 * SPREAD_INTERVAL_S
+            limits.record_answer("i-4", 1.0, fleet.timer.time)
+            self.assertEqual(send.call_count, 3)
+
     def test_calls_do_not_grow_with_the_fleet(self) -> None:
         fleet = FakeFleet()
         self.assertEqual(
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -41,6 +41,8 @@
 # When a large fleet starts, each host reads the records of hundreds of others within
 # seconds. A heartbeat round for each record would cost the square of the fleet's size.
 RECORDS_HEARTBEAT_DELAY_S = 0.25
+# Limits that begin and end one after another cause no more rounds of heartbeats.
+SPREAD_INTERVAL_S = 0.1
 
 
 class FleetMembership(Service):
@@ -72,6 +74,7 @@
         self._announced_at = -1
         self._known_hosts = KnownHosts(board=board)
         self._heartbeats_are_scheduled = False
+        self._limits_spread_at = float("-inf")
         self._confirming: set[str] = set()  # hosts whose incarnation is being asked for
         server.register(HostHeartbeat, self._answer_heartbeat)
         server.register(ReadView, self._answer_view)
@@ -88,11 +91,13 @@
             interval_s=HEARTBEAT_INTERVAL_S,
             callback=self._send_heartbeats,
         )
+        self._unsubscribe_limits = self._limits.subscribe(self._spread_limits)
         self.add_future(self._announce())
 
     async def on_stop(self) -> None:
         """Stop sending heartbeats."""
         self._unsubscribe()
+        self._unsubscribe_limits()
 
     def apply_records(self, records: list[KeyedRecord]) -> None:
         """Apply hosts' records from the store."""
@@ -135,6 +140,17 @@
         """Send a round of heartbeats immediately, outside the usual interval."""
         self.add_future(self._send_heartbeats())
 
+    def _spread_limits(self) -> None:
+        """Tell some peers at once that a target's limit began or ended.
+
+        Each that did not know tells others in turn. In a large fleet the usual rounds
+        would take 2 s, in which hosts go on sending to a target that refuses.
+        """
+        now = self._timer.now()
+        if now - self._limits_spread_at >= SPREAD_INTERVAL_S:
+            self._limits_spread_at = now
+            self.send_heartbeats_now()
+
     def set_seal_handler(self, seal: Callable[[SealHome], SealReply]) -> None:
         """Register the handler for peers that ask what an ended home granted here."""
 
--- a/trefoilstage/components/permits/known_limits.py
+++ b/trefoilstage/components/permits/known_limits.py
@@ -1,6 +1,6 @@
 """Record the limits that targets name, as this host and its peers observe them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from trefoilstage.components.permits.messages import LimitReport
 from trefoilstage.components.targets.named_limits import NamedLimit
@@ -10,6 +10,7 @@
 
 # Heartbeats reach all hosts of a large fleet within this time.
 SPREAD_S = 5.0
+Listener = Callable[[], None]
 
 
 class KnownLimits:
@@ -18,6 +19,12 @@
     def __init__(self, *, board: FleetBoard, timer: TimerService) -> None:
         self._board = board
         self._timer = timer
+        self._listeners: list[Listener] = []
+
+    def subscribe(self, listener: Listener) -> Callable[[], None]:
+        """Call a listener when a limit begins or ends; return a way to unsubscribe."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
 
     def record_answer(
         self,
@@ -73,8 +80,12 @@
         return tuple(report for report in reports if report is not None)
 
     def _record(self, target: str, limit: NamedLimit) -> None:
+        known = self._board.limits.get(target)
         if not self._board.limits.record(target, limit, self._timer.now()):
             return
+        if known is None or known.is_none != limit.is_none:
+            for listener in self._listeners:
+                listener()
         if limit.refuses:
             log_event(Event.TARGET_REFUSES, target=target)
         if limit.limit_per_s is not None:
