LIMIT: a refusal without a limit does not end one

A target in need that turned a request away and named no limit in that answer lost the limit it had named before. With no other target free, hosts would then have sent without permits.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -183,6 +183,14 @@
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
 
+    async def test_refusal_does_not_end_a_limit(self) -> None:
+        """Guard against a refusal, which may name no limit, that ends one."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        self.ask_for_rest(target, 0.1)
+        self.assertEqual(self.limits.get_limit(target.incarnation), 1.2)
+
     async def test_failure_does_not_end_a_limit(self) -> None:
         """Guard against a target's failure, which may name no limit, that ends one."""
         target = make_target("i-1")
--- a/trefoilstage/components/permits/known_limits.py
+++ b/trefoilstage/components/permits/known_limits.py
@@ -35,6 +35,8 @@
         refuses: bool = False,
     ) -> None:
         """Record the limit in an answer to a request that was sent at a given time."""
+        if refuses and limit_per_s is None:
+            limit_per_s = self.get_limit(target)
         # An answer without a limit may have been on its way while a later one named it.
         is_none = limit_per_s is None and not refuses
         named_at = sent_at if is_none else self._timer.now()
