Bound what limits cost: reports in a heartbeat, and the pause after a refusal

A fleet whose 60 targets all get in need at once would put 60 reports into each heartbeat, ten extra rounds a second: more than a link of 5 Mbit/s carries beside callers. A heartbeat now has 16 at most, a random choice. Over eight rounds, 66 hosts know more than nine tenths of 60 limits (test). A host that was refused a permit asks again after 2 s at the latest, as the target may name another limit by then (15 s and more before, for a limit near 0).

One check of an answer's head in place of three.

--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -9,6 +9,7 @@
 from trefoilstage.components.fleet.known_hosts import LOST_AFTER_LARGE_FLEET_S
 from trefoilstage.components.fleet.membership import (
     HEARTBEAT_INTERVAL_S,
+    MAX_LIMITS_PER_HEARTBEAT,
     N_PEERS_PER_ROUND,
     SPREAD_INTERVAL_S,
     FleetMembership,
@@ -123,6 +124,21 @@
         for host in fleet.hosts.values():
             self.assertEqual(host._make_heartbeat().limits, ())
 
+    async def test_many_limits_are_told_a_few_at_a_time(self) -> None:
+        """Guard against heartbeats that fill a link when all targets are in need."""
+        fleet = FakeFleet()
+        targets = [f"i-{number}@0" for number in range(60)]
+        for target in targets:
+            fleet.limits["host-0"].record_answer(target, 1.6, 0.0)
+        for _ in range(8):
+            await fleet.send_heartbeats()
+            for host in fleet.hosts.values():
+                self.assertLessEqual(
+                    len(host._make_heartbeat().limits), MAX_LIMITS_PER_HEARTBEAT
+                )
+        n_known = [len(limits._board.limits.limits) for limits in fleet.limits.values()]
+        self.assertGreater(sum(n_known) / len(n_known), 0.9 * len(targets))
+
     async def test_limits_that_begin_and_end_are_told_at_once(self) -> None:
         """Guard against hosts that go on sending to a target until the next round.
 
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -17,6 +17,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.permits.messages import LimitReport
 from trefoilstage.components.views.follower import ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
@@ -41,8 +42,10 @@
 # When a large fleet starts, each host reads the records of hundreds of others within
 # seconds. A heartbeat round for each record would cost the square of the fleet's size.
 RECORDS_HEARTBEAT_DELAY_S = 0.25
-# Limits that begin and end one after another cause no more rounds of heartbeats.
+# Shortest time between two extra rounds of heartbeats, which tell peers of limits.
 SPREAD_INTERVAL_S = 0.1
+# If more limits changed lately, each heartbeat carries a random choice of them.
+MAX_LIMITS_PER_HEARTBEAT = 16
 
 
 class FleetMembership(Service):
@@ -272,10 +275,16 @@
                 topic: follower.view.next_offset
                 for topic, follower in self._followers.items()
             },
-            limits=self._limits.list_recent_reports(),
+            limits=self._select_limits(),
         )
         return self._known_hosts.add_peer_states(heartbeat, request, self._timer.now())
 
+    def _select_limits(self) -> tuple[LimitReport, ...]:
+        reports = self._limits.list_recent_reports()
+        if len(reports) <= MAX_LIMITS_PER_HEARTBEAT:
+            return reports
+        return tuple(self._generator.sample(reports, MAX_LIMITS_PER_HEARTBEAT))
+
     async def _apply_heartbeat(self, heartbeat: HostHeartbeat) -> None:
         if heartbeat.host == self._board.host:
             return
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -2,6 +2,7 @@
 
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.forwarding.translator import AnswerHead
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.targets.health import TargetHealth
 from trefoilstage.fleet_board import FleetBoard
@@ -44,9 +45,10 @@
         sent_at: float,
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
-        self._record_limit(target, answer, sent_at)
-        self._record_rest(target, answer)
-        self._record_leaving(target, answer)
+        if answer.head is not None and not answer.head.misdirected:
+            self._record_limit(target, answer.head, sent_at)
+            self._record_rest(target, answer.head)
+            self._record_leaving(target, answer.head)
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
@@ -57,38 +59,29 @@
             log_event(Event.TARGET_EJECTED, target=target.name)
 
     def _record_limit(
-        self,
-        target: TargetEntry,
-        answer: OpenAnswer | NotRun | InvalidAnswer,
-        sent_at: float,
+        self, target: TargetEntry, head: AnswerHead, sent_at: float
     ) -> None:
-        if answer.head is None or answer.head.misdirected:
-            return
-        limit_per_s = answer.head.limit_per_s
-        refuses = answer.head.rest_s is not None
+        refuses = head.rest_s is not None
         # Only a verified success shows that the target takes requests without a limit.
-        is_success = isinstance(answer, OpenAnswer) and answer.head.success
-        if limit_per_s is not None or refuses or is_success:
+        is_success = head.trusted and head.success
+        if head.limit_per_s is not None or refuses or is_success:
             self._limits.record_answer(
-                target.incarnation, limit_per_s, sent_at, refuses=refuses
+                target.incarnation, head.limit_per_s, sent_at, refuses=refuses
             )
 
-    def _record_leaving(
-        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
-    ) -> None:
-        if answer.head is None or answer.head.misdirected or not answer.head.leaving:
+    def _record_rest(self, target: TargetEntry, head: AnswerHead) -> None:
+        if head.rest_s is None:
             return
-        if self._board.targets.record_leaving(target.incarnation):
-            log_event(Event.TARGET_SAID_LEAVING, target=target.incarnation)
+        self.get_health(target).record_rest(head.rest_s, self._timer.now())
+        log_event(
+            Event.TARGET_ASKED_FOR_REST,
+            target=target.incarnation,
+            rest_s=head.rest_s,
+        )
 
-    def _record_rest(
-        self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
-    ) -> None:
-        if answer.head is None or answer.head.rest_s is None:
-            return
-        rest_s = answer.head.rest_s
-        self.get_health(target).record_rest(rest_s, self._timer.now())
-        log_event(Event.TARGET_ASKED_FOR_REST, target=target.incarnation, rest_s=rest_s)
+    def _record_leaving(self, target: TargetEntry, head: AnswerHead) -> None:
+        if head.leaving and self._board.targets.record_leaving(target.incarnation):
+            log_event(Event.TARGET_SAID_LEAVING, target=target.incarnation)
 
     def _update_health(
         self, target: TargetEntry, answer: OpenAnswer | NotRun | InvalidAnswer
--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -38,6 +38,8 @@
 PERMIT_TIMEOUT_S = 0.1
 # Homes that refused are not asked again sooner: many requests choose targets at once.
 REFUSAL_PAUSE_S = 0.1
+# By then, the target may name another limit.
+MAX_PAUSE_S = 2.0
 # Each call to a home that does not reply costs a caller PERMIT_TIMEOUT_S.
 UNREACHABLE_PAUSE_S = 0.5
 
@@ -93,8 +95,8 @@
         )
         if not reply.granted:
             self._remove_expired(now)
-            wait_s = max(reply.wait_s, REFUSAL_PAUSE_S)
-            self._refused_until[incarnation] = now + wait_s
+            pause_s = min(MAX_PAUSE_S, max(reply.wait_s, REFUSAL_PAUSE_S))
+            self._refused_until[incarnation] = now + pause_s
             return False
         # A late reply is of no use: the home counts newer permits by now.
         return self._timer.now() - now <= PERMIT_LIFE_S
--- a/trefoilstage/components/permits/messages.py
+++ b/trefoilstage/components/permits/messages.py
@@ -9,7 +9,7 @@
 
 RatePerS = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Seconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
-# Before homes returned a time, hosts waited this long after a refusal.
+# For replies of homes that name no time.
 DEFAULT_WAIT_S = 0.1
 
 
