Choose as cheaply as before while no target is limited or rests

Limits of targets that ended are forgotten after 60 s unlisted, so that one does not cost a look for good; a target that returns sooner keeps its limit.

--- a/tests/components/targets/test_named_limits.py
+++ b/tests/components/targets/test_named_limits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from trefoilstage.components.targets.named_limits import (
+    FORGET_AFTER_S,
     MAX_TARGETS,
     NamedLimit,
     NamedLimits,
@@ -34,6 +35,19 @@
         self.assertFalse(self.record(2.0, 3.5))
         self.assertIsNone(self.limits.get_limit(TARGET))
 
+    def test_target_that_ended_is_forgotten_after_a_time(self) -> None:
+        """Guard against a look at limits for each request long after their targets.
+
+        A listed target keeps its limit, and one whose entry is missing for a time.
+        """
+        self.record(2.0, 1.0)
+        self.limits.remove_ended([], now=FORGET_AFTER_S)
+        self.assertEqual(self.limits.get_limit(TARGET), 2.0)
+        self.limits.remove_ended([TARGET], now=2 * FORGET_AFTER_S)
+        self.assertEqual(self.limits.get_limit(TARGET), 2.0)
+        self.limits.remove_ended([], now=2 * FORGET_AFTER_S)
+        self.assertEqual(self.limits, NamedLimits())
+
     def test_number_of_targets_is_bounded(self) -> None:
         """Guard against limits of ended targets that accumulate."""
         for number in range(MAX_TARGETS + 10):
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -134,8 +134,8 @@
         )
         add(
             "targets_limited",
-            "Targets that name a limit on requests a second.",
-            lambda: len(board.limits.list_limited()),
+            "Targets that name a limit, or turned a request of some host away.",
+            lambda: len(board.limits.limited),
         )
         add(
             "data_centers_evacuated",
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -1,6 +1,5 @@
 """Find the targets that a request may be sent to, and say why there are none."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import TargetEntry, TargetService
@@ -45,6 +44,10 @@
         self._permits = permits
         self._limits = limits
 
+    def has_limited(self) -> bool:
+        """Return whether any target has a limit or refuses requests."""
+        return self._limits.has_limited()
+
     def is_free(self, target: TargetEntry) -> bool:
         """Return whether a target takes requests without a permit."""
         incarnation = target.incarnation
@@ -63,8 +66,11 @@
         askable = [item for item in asked if not self._permits.get_wait_s(item)]
         return askable if groups.free else [*askable, *groups.refusing]
 
-    def group(self, targets: Sequence[TargetEntry]) -> TargetGroups:
+    def group(self, targets: list[TargetEntry]) -> TargetGroups:
         """Return targets grouped by what a request needs to be sent there."""
+        may_have_cold = self._board.targets.may_have_cold()
+        if not may_have_cold and not self._limits.has_limited():
+            return TargetGroups(free=targets)
         groups = TargetGroups()
         now = self._timer.now()
         for target in targets:
@@ -86,12 +92,8 @@
         allowed_regions: frozenset[str] | None,
     ) -> list[TargetEntry]:
         """Return the targets that a request may be sent to, if need be."""
-        now = self._timer.now()
-        return [
-            target
-            for target in self._list_ready(service, excluded, allowed_regions)
-            if not self._outcomes.get_health(target).is_resting(now)
-        ]
+        ready = self._list_ready(service, excluded, allowed_regions)
+        return self._outcomes.list_awake(ready)
 
     def _list_ready(
         self,
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -124,6 +124,8 @@
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
         availability = self._availability
+        if not availability.has_limited():
+            return ranked[0] if ranked else None
         has_free = any(availability.is_free(option.target) for option in ranked)
         n_asked = 0
         for option in ranked:
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -20,6 +20,7 @@
         self._timer = timer
         self._healths: dict[str, TargetHealth] = {}
         self._limits = limits
+        self._last_rest_ends_at = float("-inf")
 
     def get_health(self, target: TargetEntry) -> TargetHealth:
         """Return the health of a target's incarnation."""
@@ -30,6 +31,13 @@
             health = self._healths[target.incarnation] = TargetHealth()
         return health
 
+    def list_awake(self, targets: list[TargetEntry]) -> list[TargetEntry]:
+        """Return the targets that did not ask this host for rest."""
+        now = self._timer.now()
+        if now >= self._last_rest_ends_at:
+            return targets
+        return [item for item in targets if not self.get_health(item).is_resting(now)]
+
     def _remove_ended(self) -> None:
         listed = self._board.targets.list_incarnations()
         self._healths = {
@@ -72,7 +80,9 @@
     def _record_rest(self, target: TargetEntry, head: AnswerHead) -> None:
         if head.rest_s is None:
             return
-        self.get_health(target).record_rest(head.rest_s, self._timer.now())
+        now = self._timer.now()
+        self.get_health(target).record_rest(head.rest_s, now)
+        self._last_rest_ends_at = max(self._last_rest_ends_at, now + head.rest_s)
         log_event(
             Event.TARGET_ASKED_FOR_REST,
             target=target.incarnation,
--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -40,6 +40,7 @@
 REFUSAL_PAUSE_S = 0.1
 # By then, the target may name another limit.
 MAX_PAUSE_S = 2.0
+CLEAN_UP_INTERVAL_S = 10.0
 # Each call to a home that does not reply costs a caller PERMIT_TIMEOUT_S.
 UNREACHABLE_PAUSE_S = 0.5
 
@@ -73,6 +74,16 @@
     async def on_start(self) -> None:
         """Grant nothing yet: the previous incarnation may just have granted permits."""
         self._grants_from = self._timer.now() + GRANT_WINDOW_S
+        self._unsubscribe = self._timer.subscribe(
+            name="limits", interval_s=CLEAN_UP_INTERVAL_S, callback=self._clean_up
+        )
+
+    async def on_stop(self) -> None:
+        """Stop forgetting limits."""
+        self._unsubscribe()
+
+    async def _clean_up(self) -> None:
+        self._limits.remove_ended()
 
     def get_wait_s(self, target: TargetEntry) -> float:
         """Return the seconds until a permit for a target may be asked for again."""
--- a/trefoilstage/components/permits/known_limits.py
+++ b/trefoilstage/components/permits/known_limits.py
@@ -54,6 +54,15 @@
             )
             self._record(report.target, limit)
 
+    def remove_ended(self) -> None:
+        """Forget the limits of targets that ended long ago."""
+        listed = self._board.targets.list_incarnations()
+        self._board.limits.remove_ended(listed, self._timer.now())
+
+    def has_limited(self) -> bool:
+        """Return whether any target has a limit or refuses requests."""
+        return bool(self._board.limits.limited)
+
     def get_limit(self, target: str) -> float | None:
         """Return the limit of a target in requests a second, None without one."""
         return self._board.limits.get_limit(target)
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -195,13 +195,14 @@
 
     def list_ready(self, service: str, now: float) -> list[TargetEntry]:
         """Return a service's targets that may receive new requests, sorted by name."""
+        leaving = self.said_leaving
         return [
             item.entry
             for _, item in sorted(self.listed.items())
             if item.entry.service == service
             and item.entry.phase is TargetPhase.READY
             and item.entry.data_center not in self.evacuated
-            and item.entry.incarnation not in self.said_leaving
+            and (not leaving or item.entry.incarnation not in leaving)
             and now <= item.usable_until
         ]
 
