LIMIT: try a limited target whose home is lost now and then

The store lists hosts that were lost for good. A target that named a limit, or asked for rest, and whose home was one of them got nothing any more, and as only an answer ends a limit, it would have stayed unused after its need for as long as others served. Each caller also waited 0.1 s for the lost home, every 0.5 s.

While a home does not reply, hosts now try its limited targets at random times, all together once in 10 s on average; calls to the home become rarer, every 8 s in the end. Found in reading.

--- a/tests/components/permits/test_permits.py
+++ b/tests/components/permits/test_permits.py
@@ -15,7 +15,11 @@
     TargetService,
 )
 from trefoilstage.components.peers.frames import Frame
-from trefoilstage.components.permits.controller import MAX_PAUSE_S, TargetPermits
+from trefoilstage.components.permits.controller import (
+    MAX_PAUSE_S,
+    PROBE_INTERVAL_S,
+    TargetPermits,
+)
 from trefoilstage.components.permits.counter import (
     GRANT_WINDOW_S,
     LIMIT_WINDOW_S,
@@ -48,6 +52,7 @@
     listed: set[str] = field(default_factory=set)  # hosts that read the store's list
     is_cold: bool = True
     n_grants: int = 0
+    n_failed_calls: int = 0
 
     async def start(self, name: str, names: list[str]) -> TargetPermits:
         """Start a host that knows some hosts by their records."""
@@ -62,6 +67,7 @@
             timer=self.timer,
             limits=limits,
             has_host_list=lambda: name in self.listed,
+            generator=random.Random(name),
         )
         await permits.on_start()
         self.permits[name] = permits
@@ -116,6 +122,7 @@
         parts = self.fleet.parts
         permits = self.fleet.permits.get(self.name)
         if permits is None or parts.get(self.caller, 0) != parts.get(self.name, 0):
+            self.fleet.n_failed_calls += 1
             raise PeerUnavailableError("cut off")
         frame = Frame(number=1, reply=False, body=message)
         decoded = FLEET_CODEC.decode(FLEET_CODEC.encode(frame)).body
@@ -207,6 +214,36 @@
         fleet.timer.time += wait_s + 0.001
         self.assertTrue(await permits.request(TARGET, is_cold=False))
 
+    async def test_target_of_a_lost_home_is_tried_now_and_then(self) -> None:
+        """Guard against a limit that never ends, as its home was lost for good.
+
+        The store lists lost hosts for ever; only an answer can end a limit.
+        """
+        fleet = await self.make_fleet(3, 1.6)
+        home = fleet.permits["host-0"]._find_home(TARGET.incarnation)
+        assert home is not None
+        del fleet.permits[home]
+        n_grants = await fleet.count_grants(10 * PROBE_INTERVAL_S)
+        self.assertGreaterEqual(n_grants, 1)
+        self.assertLessEqual(n_grants, 12)
+
+    async def test_hosts_cut_apart_for_long_grant_no_more(self) -> None:
+        """Guard against hundreds of hosts that all try a limited target at once."""
+        fleet = await self.make_fleet(400, 1.6)
+        fleet.parts = {name: number for number, name in enumerate(fleet.permits)}
+        for _ in range(10):
+            n_grants = await fleet.count_grants(PERIOD_S)
+            self.assertLessEqual(n_grants, compute_allowed(1.6))
+
+    async def test_lost_home_is_called_less_and_less(self) -> None:
+        """Guard against callers that wait for a home's timeout again and again."""
+        fleet = await self.make_fleet(3, 1.6)
+        home = fleet.permits["host-0"]._find_home(TARGET.incarnation)
+        assert home is not None
+        del fleet.permits[home]
+        await fleet.count_grants(30.0)
+        self.assertLess(fleet.n_failed_calls, 2 * 15)
+
     async def test_pause_after_a_refusal_is_bounded(self) -> None:
         """Guard against a target left alone for long after a very low limit."""
         fleet = await self.make_fleet(1, 0.0)
--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -5,10 +5,11 @@
 One host, the target's home, therefore permits each request. The home is the first by
 rendezvous hash of all hosts in the store's list, whether they run or not: a choice
 among live hosts would differ from host to host while they are cut off from each other,
-and each could grant the whole rate. Without the home's reply a host sends nothing to
-the target until it is warm, or names no limit any more.
+and each could grant the whole rate. Without the home's reply a host sends nothing to a
+cold target until it is warm, and to one that names a limit a request now and then.
 """
 
+import random
 from collections.abc import Callable
 
 from mode import Service
@@ -32,6 +33,7 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
+from trefoilstage.util.backoff import Backoff
 from trefoilstage.util.hashing import rank_by_rendezvous
 
 # Leaves the rest of PERMIT_LIFE_S for the connection to the target.
@@ -42,7 +44,11 @@
 MAX_PAUSE_S = 2.0
 CLEAN_UP_INTERVAL_S = 10.0
 # Each call to a home that does not reply costs a caller PERMIT_TIMEOUT_S.
-UNREACHABLE_PAUSE_S = 0.5
+FIRST_UNREACHABLE_PAUSE_S = 0.5
+MAX_UNREACHABLE_PAUSE_S = 8.0
+# A limited target whose home does not reply is tried this often by all hosts together.
+# The store lists lost hosts permanently, and only an answer shows that a limit ended.
+PROBE_INTERVAL_S = 10.0
 
 
 class TargetPermits(Service):
@@ -58,6 +64,7 @@
         timer: TimerService,
         limits: KnownLimits,
         has_host_list: Callable[[], bool],
+        generator: random.Random,
     ) -> None:
         super().__init__()
         self._board = board
@@ -66,8 +73,12 @@
         self._timer = timer
         self._limits = limits
         self._has_host_list = has_host_list
+        self._generator = generator
         self._counter = PermitCounter()
         self._refused_until: dict[str, float] = {}
+        # While the home of a target does not reply, by incarnation.
+        self._unreachable_pauses: dict[str, Backoff] = {}
+        self._probe_at: dict[str, float] = {}
         self._grants_from = float("inf")
         server.register(PermitRequest, self._answer_request)
 
@@ -84,6 +95,10 @@
 
     async def _clean_up(self) -> None:
         self._limits.remove_ended()
+        listed = self._board.targets.list_incarnations()
+        for target in set(self._unreachable_pauses).difference(listed):
+            del self._unreachable_pauses[target]
+            self._probe_at.pop(target, None)
 
     def get_wait_s(self, target: TargetEntry) -> float:
         """Return the seconds until a permit for a target may be asked for again."""
@@ -104,10 +119,15 @@
                 limit=self._limits.make_report(incarnation),
             )
         )
+        if reply is None:
+            self._pause(incarnation, self._get_unreachable_pause(incarnation))
+            return not is_cold and self._take_probe(incarnation)
+        self._unreachable_pauses.pop(incarnation, None)
+        self._probe_at.pop(incarnation, None)
         if not reply.granted:
-            self._remove_expired(now)
-            pause_s = min(MAX_PAUSE_S, max(reply.wait_s, REFUSAL_PAUSE_S))
-            self._refused_until[incarnation] = now + pause_s
+            self._pause(
+                incarnation, min(MAX_PAUSE_S, max(reply.wait_s, REFUSAL_PAUSE_S))
+            )
             return False
         # A late reply is of no use: the home counts newer permits by now.
         return self._timer.now() - now <= PERMIT_LIFE_S
@@ -116,6 +136,38 @@
         """Return the permits that this host granted lately, by target."""
         return self._counter.count_granted(self._timer.now())
 
+    def _pause(self, incarnation: str, seconds: float) -> None:
+        now = self._timer.now()
+        self._remove_expired(now)
+        self._refused_until[incarnation] = now + seconds
+
+    def _get_unreachable_pause(self, incarnation: str) -> float:
+        backoff = self._unreachable_pauses.setdefault(
+            incarnation,
+            Backoff(
+                initial_s=FIRST_UNREACHABLE_PAUSE_S,
+                maximum_s=MAX_UNREACHABLE_PAUSE_S,
+                generator=self._generator,
+            ),
+        )
+        return backoff.next_delay()
+
+    def _take_probe(self, incarnation: str) -> bool:
+        """Return whether this host may try a target whose home does not reply.
+
+        Each host does so at its own random times. All of them together send one request
+        in PROBE_INTERVAL_S on average, however many they are and whoever is cut off.
+        """
+        now = self._timer.now()
+        period_s = PROBE_INTERVAL_S * (len(self._board.peers) + 1)
+        probe_at = self._probe_at.setdefault(
+            incarnation, now + self._generator.uniform(0.0, period_s)
+        )
+        if now < probe_at:
+            return False
+        self._probe_at[incarnation] = now + period_s
+        return True
+
     def _remove_expired(self, now: float) -> None:
         self._refused_until = {
             target: until
@@ -123,7 +175,8 @@
             if until > now
         }
 
-    async def _ask_home(self, request: PermitRequest) -> PermitReply:
+    async def _ask_home(self, request: PermitRequest) -> PermitReply | None:
+        """Return the home's reply, None without one."""
         home = self._find_home(request.target)
         if home is None:
             return PermitReply(granted=False)
@@ -133,7 +186,7 @@
         try:
             reply = await link.call(request, timeout_s=PERMIT_TIMEOUT_S)
         except PeerUnavailableError:
-            return PermitReply(granted=False, wait_s=UNREACHABLE_PAUSE_S)
+            return None
         if not isinstance(reply, PermitReply):
             return PermitReply(granted=False)
         if reply.limit is not None:
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -175,6 +175,7 @@
         timer=timer,
         limits=limits,
         has_host_list=lambda: followers[Topic.HOSTS].has_listing,
+        generator=generator,
     )
     chooser = TargetChooser(
         board=board,
