--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -22,6 +22,7 @@
 from bench.emulator.limits import RequestLimit
 from bench.emulator.network import Network, SharedStore
 from bench.emulator.rests import Refusals
+from bench.emulator.routes import compute_mean_tokens, make_route
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
 from bench.emulator.sender import EmulatedProbe, EmulatedSender
 from bench.emulator.targets import (
@@ -36,9 +37,6 @@
     CallerRequest,
     Engine,
     FleetConfiguration,
-    Route,
-    RouteKind,
-    ServiceShare,
     TargetEntry,
     TargetService,
     Workspace,
@@ -377,32 +375,6 @@
 }
 
 
-def make_route(kind: Kind) -> Route:
-    """Return the route of a kind of request."""
-    has_prompt = kind.kind is RouteKind.STREAM
-    return Route(
-        name=kind.name,
-        host="club.example",
-        path_prefix=f"/{kind.name}/",
-        kind=kind.kind,
-        shares=(ServiceShare(service=ASSISTANT if has_prompt else BOOKING, weight=1),),
-        timeout_s=kind.deadline_s,
-        objective_s=kind.objective_s,
-        priority=kind.priority,
-        max_attempts=kind.max_attempts,
-        public=False,
-        resumable=kind.resumable,
-        gap_objective_s=kind.gap_objective_s,
-        silence_limit_s=max(2.0, 4 * kind.objective_s, 8 * kind.gap_objective_s),
-    )
-
-
-def compute_mean_tokens(kind: Kind) -> float:
-    """Return the mean number of tokens that a request of a kind spends."""
-    shared = sum(part.tokens for part in kind.shared)
-    return shared + kind.own_tokens + kind.output_tokens
-
-
 def run_day(scenario: Scenario, seed: int) -> DayResult:
     """Run a scenario in virtual time; the same seed gives the same day."""
 
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 
 from bench.emulator.clock import run_in_virtual_time
+from bench.emulator.limits import ANSWER_HEAD
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_route, make_target
 from trefoilstage.components.escrow.client import EscrowHold
@@ -21,7 +22,6 @@
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.sender import InvalidAnswer, OpenAnswer
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
-from trefoilstage.components.forwarding.translator import AnswerHead
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 PROMPT = (PromptPart(name="dossier", n_tokens=17_000),)
@@ -82,16 +82,7 @@
     def record_harmless(self, _: str) -> None: ...
 
     async def send(self, *_: object) -> OpenAnswer:
-        head = AnswerHead(
-            status=self.status,
-            not_run=False,
-            misdirected=False,
-            has_seal=True,
-            matches_request=True,
-            has_request_id=True,
-            is_encoded=False,
-            closing=False,
-        )
+        head = replace(ANSWER_HEAD, status=self.status)
         return FixedAnswer(head=head, headers=[], response=cast(Any, None))
 
     def set_complete(self, *_: object, **__: object) -> None: ...
--- a/tests/emulator/test_named_limits.py
+++ b/tests/emulator/test_named_limits.py
@@ -4,8 +4,9 @@
 
 from bench.emulator.callers import Result
 from bench.emulator.results import compute_share
-from bench.emulator.scenario import Fault, FaultKind, Scenario, load_scenario
+from bench.emulator.scenario import Fault, FaultKind
 from bench.emulator.world import DayResult, run_day
+from tests.emulator.common import make_warm_day
 
 SEED = 1
 SECONDS = 14.0
@@ -24,14 +25,6 @@
 )
 
 
-def make_day(n_hosts: int, *faults: Fault) -> Scenario:
-    """Return a day with some hosts and faults."""
-    scenario = load_scenario("cold-engines")
-    engines = scenario.engines.model_copy(update={"cold_requests_per_s": None})
-    changes = {"n_hosts": n_hosts, "duration_s": SECONDS, "faults": faults}
-    return scenario.model_copy(update={**changes, "engines": engines})
-
-
 def count_peak(day: DayResult) -> int:
     """Return the most requests that reached a target that named a limit in a period."""
     return max(
@@ -46,7 +39,7 @@
 
     def run_and_check(self, n_hosts: int, *faults: Fault) -> DayResult:
         """Run a day and check that no target gets more than its limit allows."""
-        day = run_day(make_day(n_hosts, *faults), SEED)
+        day = run_day(make_warm_day(n_hosts, SECONDS, *faults), SEED)
         allowed = TOLERANCE * PERIOD_S * LIMIT_PER_S + SLACK
         self.assertLessEqual(count_peak(day), allowed)
         self.assertGreater(sum(map(len, day.limited_arrivals.values())), 0)
--- a/tests/emulator/test_rests.py
+++ b/tests/emulator/test_rests.py
@@ -4,8 +4,9 @@
 
 from bench.emulator.callers import Result
 from bench.emulator.results import compute_share
-from bench.emulator.scenario import Fault, FaultKind, Scenario, load_scenario
+from bench.emulator.scenario import Fault, FaultKind
 from bench.emulator.world import DayResult, run_day
+from tests.emulator.common import make_warm_day
 
 SEED = 1
 SECONDS = 12.0
@@ -22,20 +23,12 @@
 )
 
 
-def make_day(n_hosts: int, *faults: Fault) -> Scenario:
-    """Return a day with some hosts and faults."""
-    scenario = load_scenario("cold-engines")
-    engines = scenario.engines.model_copy(update={"cold_requests_per_s": None})
-    changes = {"n_hosts": n_hosts, "duration_s": SECONDS, "faults": faults}
-    return scenario.model_copy(update={**changes, "engines": engines})
-
-
 class RestsTest(unittest.TestCase):
     """Test how many requests reach targets that turned a host's request away."""
 
     def run_and_check(self, n_hosts: int, *faults: Fault) -> DayResult:
         """Run a day and check that no host disturbs a target's rest."""
-        day = run_day(make_day(n_hosts, *faults), SEED)
+        day = run_day(make_warm_day(n_hosts, SECONDS, *faults), SEED)
         self.assertLessEqual(max(day.disturbances.values()), MAX_DISTURBANCES)
         return day
 
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -233,7 +233,7 @@
                 is_late(option, need) or exceeds_cold_rate(option) for option in options
             ):
                 break
-        # More targets may be free by the time that one is chosen.
+        # More targets may be free when the request is sent.
         n_candidates = max(n_queried, N_FIRST_CANDIDATES)
         return CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_candidates)
 
