Test that older answers end no limit

Eleven safeguards of limits and rests were taken out one by one; each but one made a test fail: the time of the send, by which an answer without a limit is older than one with it. The new test fails without it.

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -183,6 +183,18 @@
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
 
+    async def test_answer_to_an_earlier_request_does_not_end_a_limit(self) -> None:
+        """Guard against an answer on its way while a later one named a limit."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        self.timer.time += 1.0
+        answer = OpenAnswer(head=ANSWER_HEAD, headers=[], response=cast(Any, None))
+        self.chooser.record_answer(target, answer, self.timer.time - 2.0)
+        self.assertEqual(self.limits.get_limit(target.incarnation), 1.2)
+        self.chooser.record_answer(target, answer, self.timer.time - 0.5)
+        self.assertIsNone(self.limits.get_limit(target.incarnation))
+
     async def test_refusal_does_not_end_a_limit(self) -> None:
         """Guard against a refusal, which may name no limit, that ends one."""
         target = make_target("i-1")
