--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -58,6 +58,7 @@
     longest_gap_s: float = 0.0
     is_complete: bool = False
     is_open: bool = False
+    give_up_later: Callable[[], None] = lambda: None
 
     async def open(
         self, status: int, headers: Sequence[tuple[str, str]], *, close: bool
@@ -67,6 +68,7 @@
 
     async def write(self, data: bytes) -> None:
         """Record the time of events."""
+        self.give_up_later()
         now = asyncio.get_running_loop().time()
         if self.first_event_at is None:
             self.first_event_at = now
@@ -193,7 +195,9 @@
         remaining_s = deadline - asyncio.get_running_loop().time()
         host = self._sample_host()
         try:
-            async with asyncio.timeout(remaining_s):
+            async with asyncio.timeout(remaining_s) as limit:
+                self._reply.give_up_later = self._make_give_up(limit)
+                self._reply.give_up_later()
                 return await host.serve(
                     request=self._request,
                     route=self._route,
@@ -203,6 +207,17 @@
         except (TimeoutError, HostLostError) as error:
             return error
 
+    def _make_give_up(self, limit: asyncio.Timeout) -> Callable[[], None]:
+        """Return a call that makes the caller give up after its next long silence."""
+        deadline = limit.when() or 0.0
+
+        def give_up_later() -> None:
+            if self._kind.kind is RouteKind.STREAM:
+                now = asyncio.get_running_loop().time()
+                limit.reschedule(min(deadline, now + self._route.silence_limit_s))
+
+        return give_up_later
+
     def _sample_host(self) -> EmulatedHost:
         serving = [host for host in self._hosts if host.is_serving]
         return self._generator.choice(serving or list(self._hosts))
