--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -214,7 +214,6 @@
             subject=find_subject(state.request.prompt),
             n_tokens=count_tokens(state.request.prompt),
             objective_s=state.route.objective_s - waited_s,
-            patience_s=state.route.silence_limit_s - waited_s,
         )
 
     async def _send(
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -25,7 +25,6 @@
 # rest is a margin for what this host does not know: the newest requests of peer hosts,
 # long prompts and the network.
 IN_TIME_OBJECTIVE_SHARE = 0.7
-PATIENCE_SHARE = 0.8
 # Weight of a second of prefill, in addition to the caller's own wait: prefill also
 # delays the queued prompts and evicts cached parts that later requests use.
 PREFILL_COST_WEIGHT = 2.0
@@ -45,7 +44,6 @@
     subject: str  # the last part that other requests share
     n_tokens: int
     objective_s: float  # remaining time until the first token is late
-    patience_s: float = float("inf")  # until the caller gives up without one
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -127,14 +125,6 @@
     return wait_s > IN_TIME_OBJECTIVE_SHARE * need.objective_s
 
 
-def is_hopeless(option: TargetOption, need: PromptNeed | None) -> bool:
-    """Return whether a caller would give up before a target's first token."""
-    if need is None:
-        return False
-    wait_s = estimate_first_token_s(option, need.n_tokens - option.n_cached_tokens)
-    return wait_s > PATIENCE_SHARE * need.patience_s
-
-
 def is_in_time(option: TargetOption, need: PromptNeed | None) -> bool:
     """Return whether a target is in time for a request, which may have no prompt."""
     return need is None or not is_late(option, need)
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -15,7 +15,6 @@
     TargetOption,
     count_tokens,
     exceeds_cold_rate,
-    is_hopeless,
     is_in_time,
     is_late,
     rank_by_load,
@@ -120,9 +119,7 @@
         for option in useful[:N_ASKED]:
             if await self._permits.request(option.target, is_cold=True):
                 return option.target
-        if best is None or is_hopeless(best, need):
-            return None
-        return best.target
+        return best.target if best else None
 
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
