--- a/tests/emulator/test_named_limits.py
+++ b/tests/emulator/test_named_limits.py
@@ -1,14 +1,17 @@
 """Test what reaches targets that name a limit, and what callers get, in emulation."""
 
 import unittest
+from statistics import fmean
 
 from bench.emulator.callers import Result
 from bench.emulator.results import compute_share
-from bench.emulator.scenario import Fault, FaultKind
+from bench.emulator.scenario import Fault, FaultKind, load_scenario
 from bench.emulator.world import DayResult, run_day
 from tests.emulator.common import make_warm_day
 
 SEED = 1
+SEEDS = (1, 2, 3)
+MAX_BEHIND = 0.05
 SECONDS = 14.0
 PERIOD_S = 4.0
 # The platform tolerates this much more than the limit, in each period.
@@ -34,6 +37,15 @@
     )
 
 
+def run_mixed_day(n_engines: int, seed: int, *faults: Fault) -> float:
+    """Return the share of requests in time on a day of long and short prompts."""
+    scenario = load_scenario("mixed-prompts")
+    engines = scenario.engines.model_copy(update={"n": n_engines})
+    changes = {"n_hosts": 7, "duration_s": 10.0, "faults": faults, "engines": engines}
+    day = run_day(scenario.model_copy(update=changes), seed)
+    return compute_share(day.outcomes, Result.IN_TIME)
+
+
 class NamedLimitsTest(unittest.TestCase):
     """Test the rate at which requests reach targets that name a limit."""
 
@@ -55,6 +67,16 @@
         day = self.run_and_check(40, LIMIT)
         self.assertGreater(compute_share(day.outcomes, Result.IN_TIME), MIN_IN_TIME)
 
+    def test_limited_targets_cost_callers_no_more_than_lost_ones(self) -> None:
+        """Guard against free targets that serve worse beside limited ones.
+
+        Two of nine engines name a limit; the other fleet has the other seven only.
+        """
+        limit = LIMIT.model_copy(update={"share": 0.22, "factor": 1.2})
+        limited = [run_mixed_day(9, seed, limit) for seed in SEEDS]
+        lost = [run_mixed_day(7, seed) for seed in SEEDS]
+        self.assertGreater(fmean(limited), fmean(lost) - MAX_BEHIND)
+
     def test_limit_holds_while_hosts_are_cut_and_started(self) -> None:
         """Guard against hosts that each keep the limit by themselves in a fault."""
         faults = (
