LIMIT: use the whole limit while only one host takes itself for the home

Homes granted two thirds of a limit at all times, so that a second home during a change of the list of hosts stays within what a target tolerates. A third of what limited targets take stayed unused, beside callers that were served late.

A home now grants the whole limit, and 0.4 of it for 5 s after its list of hosts has changed, and while it does not reach the store: a home with an old list is one of these, and both together stay below one and a half times the limit.

--- a/trefoilstage/components/permits/controller.py
+++ b/trefoilstage/components/permits/controller.py
@@ -21,6 +21,8 @@
     GRANT_WINDOW_S,
     PERMIT_LIFE_S,
     REFUSING_LIMIT_PER_S,
+    STEADY_SHARE,
+    UNSETTLED_SHARE,
     PermitCounter,
     PermitRate,
     compute_cold_limit,
@@ -34,7 +36,7 @@
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
 from trefoilstage.util.backoff import Backoff
-from trefoilstage.util.hashing import rank_by_rendezvous
+from trefoilstage.util.hashing import rank_by_rendezvous_cached
 
 # Leaves the rest of PERMIT_LIFE_S for the connection to the target.
 PERMIT_TIMEOUT_S = 0.1
@@ -42,7 +44,9 @@
 REFUSAL_PAUSE_S = 0.1
 # By then, the target may name another limit.
 MAX_PAUSE_S = 2.0
-CLEAN_UP_INTERVAL_S = 10.0
+CHECK_INTERVAL_S = 1.0
+# After a change of the store's list of hosts, all hosts read it within this time.
+SETTLE_S = 5.0
 # Each call to a home that does not reply costs a caller PERMIT_TIMEOUT_S.
 FIRST_UNREACHABLE_PAUSE_S = 0.5
 MAX_UNREACHABLE_PAUSE_S = 8.0
@@ -80,20 +84,23 @@
         self._unreachable_pauses: dict[str, Backoff] = {}
         self._probe_at: dict[str, float] = {}
         self._grants_from = float("inf")
+        self._hosts: tuple[str, ...] = ()  # that the store lists, sorted
+        self._hosts_changed_at = float("-inf")
         server.register(PermitRequest, self._answer_request)
 
     async def on_start(self) -> None:
         """Grant nothing yet: the previous incarnation may just have granted permits."""
         self._grants_from = self._timer.now() + GRANT_WINDOW_S
         self._unsubscribe = self._timer.subscribe(
-            name="limits", interval_s=CLEAN_UP_INTERVAL_S, callback=self._clean_up
+            name="limits", interval_s=CHECK_INTERVAL_S, callback=self._check
         )
 
     async def on_stop(self) -> None:
-        """Stop forgetting limits."""
+        """Stop the periodic check."""
         self._unsubscribe()
 
-    async def _clean_up(self) -> None:
+    async def _check(self) -> None:
+        self._update_hosts()
         self._limits.remove_ended()
         listed = self._board.targets.list_incarnations()
         for target in set(self._unreachable_pauses).difference(listed):
@@ -197,8 +204,14 @@
         """Return a target's home, None before the store's list of hosts was read."""
         if not self._has_host_list():
             return None
-        hosts = sorted([*self._board.peers, self._board.host])
-        return rank_by_rendezvous(incarnation, hosts)[0]
+        self._update_hosts()
+        return rank_by_rendezvous_cached(incarnation, self._hosts)[0]
+
+    def _update_hosts(self) -> None:
+        hosts = tuple(sorted([*self._board.peers, self._board.host]))
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._hosts_changed_at = self._timer.now()
 
     async def _answer_request(self, request: PermitRequest) -> PermitReply:
         if self._find_home(request.target) != self._board.host:
@@ -233,8 +246,17 @@
                 return None
             rates.append(compute_cold_rate(limit))
         named = self._limits.get_limit(request.target)
+        share = self._get_share()
         if named is not None:
-            rates.append(compute_named_rate(named))
+            rates.append(compute_named_rate(named, share))
         if self._limits.is_refusing(request.target):
-            rates.append(compute_named_rate(REFUSING_LIMIT_PER_S))
+            rates.append(compute_named_rate(REFUSING_LIMIT_PER_S, share))
         return rates
+
+    def _get_share(self) -> float:
+        """Return the share of a target's limit that this host grants as its home."""
+        is_listed_anew = self._timer.now() - self._hosts_changed_at < SETTLE_S
+        # A host that does not read the store may follow an old list of hosts.
+        if is_listed_anew or self._board.store.out_of_reach:
+            return UNSETTLED_SHARE
+        return STEADY_SHARE
--- a/trefoilstage/components/permits/counter.py
+++ b/trefoilstage/components/permits/counter.py
@@ -18,14 +18,15 @@
 GRANT_WINDOW_S = LIMIT_WINDOW_S + PERMIT_LIFE_S
 # While hosts join or leave, two hosts may take themselves for a target's home.
 N_CONCURRENT_HOMES = 2
-# Targets that name a limit tolerate one and a half times as much over some seconds.
-# Two homes that each grant this share stay below that, with late permits included.
-SHARE_PER_HOME = 2 / 3
+# A home grants what a target names, unless another one may do so too: both together
+# stay below one and a half times the limit, which targets tolerate over some seconds.
+STEADY_SHARE = 1.0
+UNSETTLED_SHARE = 0.4
 # Requests that arrive together at a target that names a limit.
 N_PERMITS_AT_ONCE = 2
 # All hosts together send this many requests a second to a target that turned one away
 # and asked for rest, while others serve, until it takes one.
-REFUSING_LIMIT_PER_S = 1.0
+REFUSING_LIMIT_PER_S = 2 / 3
 # A target that takes less, or nothing, still gets a request now and then: only an
 # answer can end its limit.
 MIN_LIMIT_PER_S = 0.1
@@ -60,9 +61,9 @@
     )
 
 
-def compute_named_rate(limit_per_s: float) -> PermitRate:
+def compute_named_rate(limit_per_s: float, share: float) -> PermitRate:
     """Return the rate at which one home permits requests to a target in need."""
-    permits_per_s = SHARE_PER_HOME * max(limit_per_s, MIN_LIMIT_PER_S)
+    permits_per_s = share * max(limit_per_s, MIN_LIMIT_PER_S)
     return PermitRate(
         n_permits=N_PERMITS_AT_ONCE, window_s=N_PERMITS_AT_ONCE / permits_per_s
     )
