RECOVER: log which connection a failed send used

A send that did not run left no line: the eight attempts of one request in 0.025 s showed as request_sent only. The new line send_failed says error, new or kept connection, whether the target may have run the request, and how long it took, so that hosts without any way to the targets can be told from hosts that lose time on dead connections. No logic changed.

--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_target
+from trefoilstage.components.forwarding import sender
 from trefoilstage.components.forwarding.connections import (
     limit_idle_connections,
     parse_idle_time,
@@ -285,5 +287,32 @@
         self.assertEqual(limit_idle_connections([], 9), 1)
 
 
+class SendFailedTest(unittest.IsolatedAsyncioTestCase):
+    """Test what a failed send says about the connection that it used."""
+
+    async def test_line_tells_a_refused_connection_from_a_broken_one(self) -> None:
+        """Guard against failed sends whose log doesn't show the connection used."""
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            if name == "r-1":
+                writer.close()
+            else:
+                writer.write(make_answer(name))
+
+        async with ScriptedTarget(serve) as target:
+            with mock.patch.object(sender, "log_event") as log:
+                self.assertEqual(await target.send("r-0"), b"whole")
+                log.assert_not_called()
+                self.assertIsInstance(await target.send("r-1"), InvalidAnswer)
+                fields = log.call_args.kwargs
+                self.assertEqual((fields["connection"], fields["sent"]), ("kept", True))
+                target.stop_listening()
+                self.assertIsInstance(await target.send("r-2"), NotRun)
+                fields = log.call_args.kwargs
+                self.assertEqual((fields["connection"], fields["sent"]), ("new", False))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -1,5 +1,6 @@
 """Send a request to one target and check the head of its answer."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import cast
@@ -20,6 +21,7 @@
 )
 from trefoilstage.exceptions import TrefoilstageError
 from trefoilstage.fleet_board import FleetBoard
+from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.send_trace import RepeatedSendError, SendAttempt, open_session
 
 # A target in the same region accepts within 2 ms. The kernel resends a lost SYN packet
@@ -120,6 +122,7 @@
     ) -> OpenAnswer | NotRun | InvalidAnswer:
         """Return a target's answer, or whether it may have run the request."""
         attempt = SendAttempt(at_most_once=True)
+        started_at = asyncio.get_running_loop().time()
         try:
             response = await self._session.request(
                 request.method,
@@ -136,6 +139,15 @@
             )
         except CONNECTION_ERRORS as error:
             name = type(error).__name__
+            log_event(
+                Event.SEND_FAILED,
+                request=request.request_id,
+                target=target.name,
+                error=name,
+                connection="kept" if attempt.connecting_since is None else "new",
+                sent=bool(attempt.n_sent),
+                waited_s=asyncio.get_running_loop().time() - started_at,
+            )
             if attempt.n_sent:
                 return InvalidAnswer(reason=name)
             is_connect_timeout = isinstance(error, aiohttp.ConnectionTimeoutError)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -93,6 +93,7 @@
     HOLD_REFUSED = "hold_refused"
     HOLD_UNANSWERED = "hold_unanswered"
     REQUEST_SENT = "request_sent"
+    SEND_FAILED = "send_failed"
     ANSWER_BROKEN = "answer_broken"
     REQUEST_BLOCKED = "request_blocked"
     REQUEST_UNBLOCKED = "request_unblocked"
