--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -47,6 +47,8 @@
     first_event_s: float | None
     n_attempts: int
     reason: Reason | None = None  # of the last refusal
+    first_host: str = ""  # that got the first attempt
+    is_first_served: bool = False  # whether the first attempt was answered
 
 
 @dataclass(kw_only=True, slots=True)
@@ -164,6 +166,7 @@
         self._hosts = hosts
         self._generator = generator
         self._reply = RecordedReply()
+        self._host = ""  # that got the last attempt
 
     async def run(self) -> Outcome:
         """Send the request and return the outcome after the last attempt."""
@@ -171,6 +174,8 @@
         deadline = requested_at + self._kind.deadline_s
         result = await self._send_once(deadline)
         n_attempts = 1
+        first_host = self._host
+        is_first_served = result is None and self._reply.is_complete
         if isinstance(result, Refusal | HostLostError):
             wait_s = self._compute_retry_wait(result, deadline)
             if wait_s is not None:
@@ -188,12 +193,15 @@
             else first_event_at - requested_at,
             n_attempts=n_attempts,
             reason=result.reason if isinstance(result, Refusal) else None,
+            first_host=first_host,
+            is_first_served=is_first_served,
         )
 
     async def _send_once(self, deadline: float) -> Refusal | Exception | None:
         self._reply = RecordedReply()
         remaining_s = deadline - asyncio.get_running_loop().time()
         host = self._sample_host()
+        self._host = host.name
         try:
             async with asyncio.timeout(remaining_s) as limit:
                 self._reply.give_up_later = self._make_give_up(limit)
--- /dev/null
+++ b/bench/emulator/links.py
@@ -0,0 +1,79 @@
+"""Emulate hosts that lose their links to all targets."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from standins.proxy import CutMode
+from trefoilstage.components.crashes.probe import ProbeResult
+from trefoilstage.components.forwarding.connections import MAX_UNACKNOWLEDGED_MS
+from trefoilstage.components.forwarding.sender import (
+    CONNECT_TIMEOUT_S,
+    AnswerBrokenError,
+    InvalidAnswer,
+    NotRun,
+)
+
+ONE_WAY_S = 0.0007
+# Idle connections are lost this long after a cut; until then requests use them.
+KEPT_S = 1.0
+DEAD_PATH_S = MAX_UNACKNOWLEDGED_MS / 1000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cut:
+    """Describe a cut of one host from all targets."""
+
+    mode: CutMode
+    since: float
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetLinks:
+    """Store which hosts are cut from the targets, and since when."""
+
+    cuts: dict[str, Cut] = field(default_factory=dict)
+
+    def cut(self, host: str, mode: CutMode) -> None:
+        """Cut a host from all targets."""
+        now = asyncio.get_running_loop().time()
+        self.cuts[host] = Cut(mode=mode, since=now)
+
+    def heal(self, host: str) -> None:
+        """End the cut of a host."""
+        self.cuts.pop(host, None)
+
+    async def send(self, host: str) -> NotRun | InvalidAnswer | None:
+        """Return how a send of a cut host fails, None if the host is not cut."""
+        await asyncio.sleep(ONE_WAY_S)
+        cut = self.cuts.get(host)
+        if cut is None:
+            return None
+        uses_kept = asyncio.get_running_loop().time() - cut.since < KEPT_S
+        if cut.mode is CutMode.HANG:
+            await asyncio.sleep(DEAD_PATH_S if uses_kept else CONNECT_TIMEOUT_S)
+        if uses_kept and cut.mode is not CutMode.REFUSE:
+            return InvalidAnswer(reason="ClientOSError")
+        timed_out = cut.mode is CutMode.HANG
+        return NotRun(reason="cut", unreachable=True, timed_out=timed_out)
+
+    async def receive(self, host: str) -> None:
+        """Wait for data to reach a host; raise AnswerBrokenError if it is lost."""
+        cut = self.cuts.get(host)
+        if cut is None or cut.mode is CutMode.REFUSE:
+            return
+        if cut.mode is CutMode.HANG:
+            await asyncio.sleep(DEAD_PATH_S)
+            if host not in self.cuts:
+                return
+        raise AnswerBrokenError("cut")
+
+    async def probe(self, host: str) -> ProbeResult | None:
+        """Return how a probe by a cut host ends, None if the host is not cut."""
+        await asyncio.sleep(ONE_WAY_S)
+        cut = self.cuts.get(host)
+        if cut is None:
+            return None
+        if cut.mode is CutMode.HANG:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return ProbeResult.SILENT
+        return ProbeResult.REFUSED
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -7,6 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from standins.proxy import CutMode
 from trefoilstage.components.forwarding.models import RouteKind
 
 FOLDER = Path(__file__).parent / "scenarios"
@@ -81,6 +82,8 @@
     TARGETS_NAME_LIMIT = "targets_name_limit"
     # Engines and services turn requests away and ask each host for `factor` s of rest.
     TARGETS_ASK_FOR_REST = "targets_ask_for_rest"
+    # Hosts lose their links to all targets; `mode` tells what connections do.
+    HOSTS_CUT_FROM_TARGETS = "hosts_cut_from_targets"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
 
 
@@ -92,6 +95,7 @@
     for_s: Positive
     share: Share = 1.0
     factor: Positive = 1.0
+    mode: CutMode = CutMode.RESET
 
 
 class Scenario(Model):
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -8,6 +8,7 @@
 
 from bench.emulator.engine import EmulatedEngine, Generation
 from bench.emulator.limits import RequestLimit
+from bench.emulator.links import ONE_WAY_S, TargetLinks
 from bench.emulator.rests import Refusals
 from trefoilstage.components.crashes.probe import ProbeResult
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
@@ -20,23 +21,24 @@
 )
 from trefoilstage.components.forwarding.translator import ForwardOptions
 
-ONE_WAY_S = 0.0007
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineAnswer(OpenAnswer):
     """Represent the stream of an emulated engine."""
 
+    host: str
+    links: TargetLinks
     engine: EmulatedEngine
     generation: Generation
     n_first_event_tokens: int
 
     async def read(self) -> AsyncIterator[bytes]:
-        """Yield events as they are generated; raise AnswerBrokenError on a crash."""
+        """Yield events as they come; raise AnswerBrokenError if one is lost."""
         n_generated: int | None = self.n_first_event_tokens
         number = 0
         while n_generated is not None:
             number += 1
+            await self.links.receive(self.host)
             yield f"id: {number}\ndata: x\n\n".encode()
             if n_generated >= self.generation.n_output_tokens:
                 return
@@ -85,13 +87,21 @@
     """Probe whether emulated targets accept connections."""
 
     def __init__(
-        self, *, find_target: Callable[[str], EmulatedEngine | EmulatedService | None]
+        self,
+        *,
+        host: str,
+        links: TargetLinks,
+        find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
     ) -> None:
+        self._host = host
+        self._links = links
         self._find_target = find_target
 
     async def connect(self, address: str) -> ProbeResult:
         """Return whether the target at an address accepts connections."""
-        await asyncio.sleep(ONE_WAY_S)
+        failed = await self._links.probe(self._host)
+        if failed is not None:
+            return failed
         found = self._find_target(address)
         is_running = found is not None and not found.is_down
         return ProbeResult.ACCEPTED if is_running else ProbeResult.REFUSED
@@ -104,11 +114,13 @@
         self,
         *,
         host: str,
+        links: TargetLinks,
         find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
         get_n_output_tokens: Callable[[CallerRequest], int],
         on_start: Callable[[CallerRequest, EmulatedEngine], None],
     ) -> None:
         self._host = host
+        self._links = links
         self._find_target = find_target
         self._get_n_output_tokens = get_n_output_tokens
         self._on_start = on_start
@@ -122,9 +134,11 @@
     ) -> OpenAnswer | NotRun | InvalidAnswer:
         """Return an answer, NotRun if not connected, InvalidAnswer after a crash."""
         found = self._find_target(target.name)
-        await asyncio.sleep(ONE_WAY_S)
+        failed = await self._links.send(self._host)
+        if failed is not None:
+            return failed
         if found is None or found.is_down or found.started_ms != target.started_ms:
-            return NotRun(reason="refused")
+            return NotRun(reason="refused", unreachable=True)
         found.limit.record_arrival()
         refused = found.refusals.refuse(self._host)
         if refused is not None:
@@ -162,6 +176,8 @@
             head=engine.limit.make_head(),
             headers=[],
             response=cast(Any, None),
+            host=self._host,
+            links=self._links,
             engine=engine,
             generation=generation,
             n_first_event_tokens=first,
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -20,6 +20,7 @@
     StoredObjects,
 )
 from bench.emulator.limits import RequestLimit
+from bench.emulator.links import TargetLinks
 from bench.emulator.network import Network, SharedStore
 from bench.emulator.rests import Refusals
 from bench.emulator.routes import compute_mean_tokens, make_route
@@ -65,6 +66,7 @@
     limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
     # Most requests from one host in one rest, by target.
     disturbances: dict[str, int] = field(default_factory=dict)
+    cut_hosts: set[str] = field(default_factory=set)  # from the targets, at any time
 
 
 class World:
@@ -75,6 +77,7 @@
         self._generator = random.Random(seed)
         self._request_sampler = RequestSampler(generator=random.Random(seed + 1))
         self._network = Network()
+        self._links = TargetLinks()
         self._shared_store = SharedStore()
         self._configurations: dict[bytes, FleetConfiguration] = {}
         self._entries: dict[bytes, TargetEntry] = {}
@@ -171,7 +174,11 @@
                 shared_store=self._shared_store,
                 stored_objects=stored_objects,
                 sender=self._make_sender(f"host-{number}"),
-                probe=EmulatedProbe(find_target=self._targets.by_name.get),
+                probe=EmulatedProbe(
+                    host=f"host-{number}",
+                    links=self._links,
+                    find_target=self._targets.by_name.get,
+                ),
             )
             for number in range(self._scenario.n_hosts)
         ]
@@ -181,6 +188,7 @@
     def _make_sender(self, host: str) -> EmulatedSender:
         return EmulatedSender(
             host=host,
+            links=self._links,
             find_target=self._targets.by_name.get,
             get_n_output_tokens=lambda request: (
                 self._request_sampler.n_output_tokens_by_request[request.request_id]
@@ -227,6 +235,15 @@
         await asyncio.sleep(fault.for_s)
         self._shared_store.cut_hosts.difference_update(host.name for host in cut)
 
+    async def _cut_from_targets(self, fault: Fault) -> None:
+        cut = [host.name for host in self._sample_hosts(fault.share)]
+        self.day.cut_hosts.update(cut)
+        for name in cut:
+            self._links.cut(name, fault.mode)
+        await asyncio.sleep(fault.for_s)
+        for name in cut:
+            self._links.heal(name)
+
     async def _slow_store(self, fault: Fault) -> None:
         self._shared_store.delay_factor = fault.factor
         await asyncio.sleep(fault.for_s)
@@ -371,6 +388,7 @@
     FaultKind.EVACUATION: World._evacuate,
     FaultKind.TARGETS_NAME_LIMIT: World._name_limits,
     FaultKind.TARGETS_ASK_FOR_REST: World._ask_for_rest,
+    FaultKind.HOSTS_CUT_FROM_TARGETS: World._cut_from_targets,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,8 +6,8 @@
 import socket
 import struct
 import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field, replace
 
 from aiohttp import web
 
@@ -32,10 +32,16 @@
 
 
 class StoreServer:
-    """Serve a shared store to one host; can refuse this host's calls alone."""
+    """Serve a shared store to one host; can refuse this host's calls alone.
 
-    def __init__(self, *, store: KeyedStore) -> None:
+    `target_ports` maps the targets' ports to those at which this host reaches them.
+    """
+
+    def __init__(
+        self, *, store: KeyedStore, target_ports: Mapping[int, int] | None = None
+    ) -> None:
         self._store = store
+        self._target_ports = target_ports or {}
         self.is_refusing = False
 
     def make_app(self) -> web.Application:
@@ -51,6 +57,22 @@
             raise web.HTTPServiceUnavailable
         return TOPICS_BY_NAME[request.query["topic"]], int(request.query["part"])
 
+    def _readdress(self, topic: Topic, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Return records with the targets' addresses as this host reaches them."""
+        if topic is not Topic.TARGETS:
+            return records
+        return [
+            replace(item, value=self._readdress_entry(item.value)) for item in records
+        ]
+
+    def _readdress_entry(self, value: bytes | None) -> bytes | None:
+        if value is None or not self._target_ports:
+            return value
+        entry = json.loads(value)
+        address, _, port = entry["address"].rpartition(":")
+        port = self._target_ports.get(int(port), port)
+        return json.dumps({**entry, "address": f"{address}:{port}"}).encode()
+
     async def _list_newest(self, request: web.Request) -> web.Response:
         topic, part = self._parse_partition(request)
         batch = await self._store.list_newest(topic, part)
@@ -60,7 +82,7 @@
                 "value": base64.b64encode(item.value or b"").decode(),
                 "offset": item.offset,
             }
-            for item in batch.records
+            for item in self._readdress(topic, batch.records)
         ]
         return web.json_response({"items": items, "end_offset": batch.end_offset})
 
@@ -73,7 +95,8 @@
         records: list[KeyedRecord] = []
         while not records:
             self._parse_partition(request)
-            records = (await self._store.read(topic, offset, 0, part)).records
+            batch = await self._store.read(topic, offset, 0, part)
+            records = self._readdress(topic, batch.records)
             if asyncio.get_running_loop().time() >= deadline:
                 break
             await asyncio.sleep(READ_POLL_S)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -2,14 +2,24 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.01
 LOOPBACK = "127.0.0.1"
 
 
+class CutMode(StrEnum):
+    """Name what happens to the connections of a host that loses its links."""
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"  # new connections; old ones live on
+
+
 @dataclass(kw_only=True, slots=True)
 class FaultRule:
     """Set the faults for connections from one source address.
@@ -36,6 +46,7 @@
     n_bytes: int = 0
     rules: dict[str, FaultRule] = field(default_factory=lambda: defaultdict(FaultRule))
     _server: asyncio.Server | None = None
+    _full_backlog: list[socket.socket] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
@@ -50,17 +61,40 @@
 
     async def start(self) -> None:
         """Listen on a port chosen by the kernel, or on the previous one again."""
+        for opened in self._full_backlog:
+            opened.close()
+        self._full_backlog.clear()
         self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Close every connection and stop listening."""
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones live on."""
+        if self._server is not None:
+            self._server.close()
+
+    def hang(self) -> None:
+        """Let new connections and the data of open ones hang."""
+        self.stop_listening()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((LOOPBACK, self.port))
+        listener.listen(0)
+        self._full_backlog.append(listener)
+        # The kernel queues one connection more than the backlog and drops the rest.
+        for _ in range(2):
+            opened = socket.socket()
+            opened.setblocking(False)
+            opened.connect_ex((LOOPBACK, self.port))
+            self._full_backlog.append(opened)
+        self.cut(LOOPBACK)
+
     def cut(self, *sources: str) -> None:
         """Hold all data from and to the given sources."""
         for source in sources:
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import chain
 from pathlib import Path
 from typing import Self
 
@@ -24,7 +25,7 @@
     encode_target,
     start_app,
 )
-from standins.proxy import FaultProxy
+from standins.proxy import CutMode, FaultProxy
 from tests.saved_output import save_process_output
 from trefoilstage.components.views.store import Topic
 from trefoilstage.util.stalls import StallDetector
@@ -112,6 +113,9 @@
     # Whether there is a fault-injecting proxy between each host and the store.
     use_proxies: bool = False
     proxies: dict[str, FaultProxy] = field(default_factory=dict)
+    # Whether there is a fault-injecting proxy between each host and each target.
+    use_target_proxies: bool = False
+    target_proxies: dict[str, list[FaultProxy]] = field(default_factory=dict)
     # Of targets, by number, that are not in the hosts' data centre.
     target_data_centers: dict[int, str] = field(default_factory=dict)
     # Requests a second that a cold target tolerates; without it, no limit is set.
@@ -169,7 +173,8 @@
         if kind is not None:
             lines = {host.name: host.lines for host in hosts}
             save_process_output({**lines, "callers": list(self.recent_calls)})
-        for proxy in self.proxies.values():
+        target_proxies = chain.from_iterable(self.target_proxies.values())
+        for proxy in [*self.proxies.values(), *target_proxies]:
             await proxy.stop()
         for runner in self.runners:
             await runner.cleanup()
@@ -218,7 +223,8 @@
 
     async def launch_host(self, name: str, *, caller_port: int) -> HostProcess:
         """Launch a host's process."""
-        store_server = StoreServer(store=self.store)
+        target_ports = await self._put_target_proxies(name)
+        store_server = StoreServer(store=self.store, target_ports=target_ports)
         runner, port = await start_app(store_server.make_app())
         self.runners.append(runner)
         if self.use_proxies:
@@ -253,6 +259,33 @@
         self.proxies[name] = proxy
         return proxy.port
 
+    async def _put_target_proxies(self, name: str) -> dict[int, int]:
+        """Return the ports at which a host reaches the targets, by target's port."""
+        if not self.use_target_proxies:
+            return {}
+        if name not in self.target_proxies:
+            proxies = [FaultProxy(upstream_port=port) for port in self.ports]
+            for proxy in proxies:
+                await proxy.start()
+            self.target_proxies[name] = proxies
+        return {proxy.upstream_port: proxy.port for proxy in self.target_proxies[name]}
+
+    async def cut_from_targets(self, name: str, mode: CutMode) -> None:
+        """Cut a host's links to all targets."""
+        for proxy in self.target_proxies[name]:
+            if mode is CutMode.HANG:
+                proxy.hang()
+            elif mode is CutMode.RESET:
+                await proxy.stop()
+            else:
+                proxy.stop_listening()
+
+    async def reconnect_to_targets(self, name: str) -> None:
+        """Restore a host's links to the targets."""
+        for proxy in self.target_proxies[name]:
+            proxy.heal()
+            await proxy.start()
+
     async def kill(self, name: str) -> None:
         """Kill a host with SIGKILL and wait until it has exited."""
         host = self.hosts.pop(name)
