Answers of targets in a module of their own

What a send may result in is needed by senders over another path than this host's own connections, which hold no HTTP response. No behaviour changes; a send now also says whether it opened a connection.

--- a/bench/emulator/links.py
+++ b/bench/emulator/links.py
@@ -5,13 +5,13 @@
 
 from standins.proxy import CutMode
 from trefoilstage.components.crashes.probe import ProbeResult
-from trefoilstage.components.forwarding.connections import MAX_UNACKNOWLEDGED_MS
-from trefoilstage.components.forwarding.sender import (
-    CONNECT_TIMEOUT_S,
+from trefoilstage.components.forwarding.answers import (
     AnswerBrokenError,
     InvalidAnswer,
     NotRun,
 )
+from trefoilstage.components.forwarding.connections import MAX_UNACKNOWLEDGED_MS
+from trefoilstage.components.forwarding.sender import CONNECT_TIMEOUT_S
 
 ONE_WAY_S = 0.0007
 # Idle connections are lost this long after a cut; until then requests use them.
--- a/bench/emulator/rests.py
+++ b/bench/emulator/rests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from bench.emulator.limits import ANSWER_HEAD
-from trefoilstage.components.forwarding.sender import NotRun
+from trefoilstage.components.forwarding.answers import NotRun
 
 # Requests that were under way when a target asked for rest arrive within this time.
 UNDER_WAY_S = 0.5
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -4,21 +4,20 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
-from typing import Any, cast
 
 from bench.emulator.engine import EmulatedEngine, Generation
 from bench.emulator.limits import RequestLimit
 from bench.emulator.links import ONE_WAY_S, TargetLinks
 from bench.emulator.rests import Refusals
 from trefoilstage.components.crashes.probe import ProbeResult
-from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
-from trefoilstage.components.forwarding.sender import (
+from trefoilstage.components.forwarding.answers import (
     AnswerBrokenError,
     InvalidAnswer,
     NotRun,
     OpenAnswer,
-    TargetSender,
 )
+from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
+from trefoilstage.components.forwarding.sender import TargetSender
 from trefoilstage.components.forwarding.translator import ForwardOptions
 
 
@@ -150,7 +149,7 @@
         if found.is_down:
             return InvalidAnswer(reason="reset")
         head = found.limit.make_head()
-        return ServiceAnswer(head=head, headers=[], response=cast(Any, None))
+        return ServiceAnswer(head=head, headers=[])
 
     async def _generate(
         self, engine: EmulatedEngine, request: CallerRequest, options: ForwardOptions
@@ -175,7 +174,6 @@
         return EngineAnswer(
             head=engine.limit.make_head(),
             headers=[],
-            response=cast(Any, None),
             host=self._host,
             links=self._links,
             engine=engine,
--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -8,18 +8,13 @@
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.forwarding import sender
+from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.connections import (
     limit_idle_connections,
     parse_idle_time,
 )
 from trefoilstage.components.forwarding.models import CallerRequest
-from trefoilstage.components.forwarding.sender import (
-    InvalidAnswer,
-    NotRun,
-    OpenAnswer,
-    TargetSender,
-    open_target_session,
-)
+from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.platform.headers import HeaderTranslator
 
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -12,6 +12,7 @@
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_route, make_target
 from trefoilstage.components.escrow.client import EscrowHold
+from trefoilstage.components.forwarding.answers import InvalidAnswer, OpenAnswer
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     PromptPart,
@@ -20,7 +21,6 @@
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import CandidateInfo
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.forwarding.sender import InvalidAnswer, OpenAnswer
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
@@ -83,7 +83,7 @@
 
     async def send(self, *_: object) -> OpenAnswer:
         head = replace(ANSWER_HEAD, status=self.status)
-        return FixedAnswer(head=head, headers=[], response=cast(Any, None))
+        return FixedAnswer(head=head, headers=[])
 
     def set_complete(self, *_: object, **__: object) -> None: ...
 
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -11,6 +11,7 @@
 from tests.components.escrow.common import ManualTimer
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.answers import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import (
     Engine,
     FleetConfiguration,
@@ -19,7 +20,6 @@
     TargetService,
 )
 from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
-from trefoilstage.components.forwarding.sender import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.work import Work
 from trefoilstage.components.forwarding.workload import WorkloadController
@@ -161,7 +161,7 @@
     def name_limit(self, target: TargetEntry, limit_per_s: float | None) -> None:
         """Record an answer of a target that names a limit, or names none any more."""
         head = replace(ANSWER_HEAD, limit_per_s=limit_per_s)
-        answer = OpenAnswer(head=head, headers=[], response=cast(Any, None))
+        answer = OpenAnswer(head=head, headers=[])
         self.chooser.record_answer(target, answer, self.timer.time)
         self.timer.time += 0.001
 
@@ -189,7 +189,7 @@
         self.board.targets.apply_entry(target)
         self.name_limit(target, 1.2)
         self.timer.time += 1.0
-        answer = OpenAnswer(head=ANSWER_HEAD, headers=[], response=cast(Any, None))
+        answer = OpenAnswer(head=ANSWER_HEAD, headers=[])
         self.chooser.record_answer(target, answer, self.timer.time - 2.0)
         self.assertEqual(self.limits.get_limit(target.incarnation), 1.2)
         self.chooser.record_answer(target, answer, self.timer.time - 0.5)
@@ -208,9 +208,7 @@
         target = make_target("i-1")
         self.board.targets.apply_entry(target)
         self.name_limit(target, 1.2)
-        answer = OpenAnswer(
-            head=replace(ANSWER_HEAD, status=500), headers=[], response=cast(Any, None)
-        )
+        answer = OpenAnswer(head=replace(ANSWER_HEAD, status=500), headers=[])
         self.chooser.record_answer(target, answer, self.timer.time)
         self.assertEqual(self.limits.get_limit(target.incarnation), 1.2)
 
@@ -301,7 +299,7 @@
         target = make_target("i-1", started_ms=1)
         self.board.targets.apply_entry(target)
         head = replace(ANSWER_HEAD, leaving=True)
-        answer = OpenAnswer(head=head, headers=[], response=cast(Any, None))
+        answer = OpenAnswer(head=head, headers=[])
         self.chooser.record_answer(target, answer, 0.0)
         self.board.targets.apply_entry(target)
         self.assertEqual(await self.choose(), "")
--- a/tests/components/test_stalled_connects.py
+++ b/tests/components/test_stalled_connects.py
@@ -17,11 +17,12 @@
     CONNECT_TIMEOUT_S as PROBE_TIMEOUT_S,
 )
 from trefoilstage.components.crashes.probe import ConnectProbe, ProbeResult
+from trefoilstage.components.forwarding.answers import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import RouteKind
 from trefoilstage.components.forwarding.sender import (
     CONNECT_TIMEOUT_S as FORWARDING_TIMEOUT_S,
 )
-from trefoilstage.components.forwarding.sender import NotRun, OpenAnswer, TargetSender
+from trefoilstage.components.forwarding.sender import TargetSender
 from trefoilstage.components.targets.client import (
     CONNECT_TIMEOUT_S,
     TargetClient,
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -12,6 +12,12 @@
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
 from trefoilstage.components.escrow.wait_limits import WaitLimits
+from trefoilstage.components.forwarding.answers import (
+    AnswerBrokenError,
+    InvalidAnswer,
+    NotRun,
+    OpenAnswer,
+)
 from trefoilstage.components.forwarding.models import (
     Route,
     TargetEntry,
@@ -24,13 +30,7 @@
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.forwarding.sender import (
-    AnswerBrokenError,
-    InvalidAnswer,
-    NotRun,
-    OpenAnswer,
-    TargetSender,
-)
+from trefoilstage.components.forwarding.sender import TargetSender
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.exceptions import MalformedMessageError
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
+from trefoilstage.components.forwarding.answers import AnswerBrokenError, OpenAnswer
 from trefoilstage.components.forwarding.event_splitter import EventSplitter, StreamEvent
 from trefoilstage.components.forwarding.models import RouteKind
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.forwarding.sender import AnswerBrokenError, OpenAnswer
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.phase import Phase
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -3,11 +3,18 @@
 import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 import aiohttp
 from yarl import URL
 
+from trefoilstage.components.forwarding.answers import (
+    AnswerBrokenError,
+    InvalidAnswer,
+    NotRun,
+    OpenAnswer,
+    SendOutcome,
+)
 from trefoilstage.components.forwarding.connections import (
     CheckedResponse,
     KeepAliveConnector,
@@ -15,11 +22,9 @@
 )
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.translator import (
-    AnswerHead,
     ForwardOptions,
     RequestTranslator,
 )
-from trefoilstage.exceptions import TrefoilstageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.send_trace import RepeatedSendError, SendAttempt, open_session
@@ -38,36 +43,9 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class NotRun:
-    """Report that a target certainly did not run a request."""
-
-    reason: str
-    head: AnswerHead | None = None  # None if the target did not answer
-    misdirected: bool = False  # another target has this address
-    busy: bool = False  # the target refused it for lack of capacity
-    unreachable: bool = False  # no connection could be opened
-    timed_out: bool = False  # the connection attempt timed out
-    host_was_suspended: bool = False  # this host was suspended while it connected
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class InvalidAnswer:
-    """Report that a target gave no valid answer; it may have run the request."""
-
-    reason: str
-    head: AnswerHead | None = None  # None if there was no answer to this request
-
-
-class AnswerBrokenError(TrefoilstageError):
-    """Raised when an answer ends before it is complete."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class OpenAnswer:
-    """Represent an answer whose head was checked and whose body is not read yet."""
+class DirectAnswer(OpenAnswer):
+    """Represent an answer that this host reads from the target itself."""
 
-    head: AnswerHead
-    headers: list[tuple[str, str]]
     response: CheckedResponse
 
     async def read(self) -> AsyncIterator[bytes]:
@@ -90,6 +68,19 @@
         self.response.close()
 
 
+class Sender(Protocol):
+    """Send a request to a target, on whatever path."""
+
+    async def send(
+        self,
+        request: CallerRequest,
+        body: bytes,
+        target: TargetEntry,
+        options: ForwardOptions,
+    ) -> SendOutcome:
+        """Return a target's answer, or whether it may have run the request."""
+
+
 def open_target_session(address: str, board: FleetBoard) -> aiohttp.ClientSession:
     """Return a session that reuses connections to targets while they are usable."""
 
@@ -119,7 +110,7 @@
         body: bytes,
         target: TargetEntry,
         options: ForwardOptions,
-    ) -> OpenAnswer | NotRun | InvalidAnswer:
+    ) -> SendOutcome:
         """Return a target's answer, or whether it may have run the request."""
         attempt = SendAttempt(at_most_once=True)
         started_at = asyncio.get_running_loop().time()
@@ -149,17 +140,19 @@
                 waited_s=asyncio.get_running_loop().time() - started_at,
             )
             if attempt.n_sent:
-                return InvalidAnswer(reason=name)
+                return InvalidAnswer(reason=name, connected=attempt.connected)
             is_connect_timeout = isinstance(error, aiohttp.ConnectionTimeoutError)
             if is_connect_timeout and attempt.was_stalled(CONNECT_TIMEOUT_S):
                 return NotRun(reason=name, host_was_suspended=True)
             timed_out = isinstance(error, TimeoutError)
             return NotRun(reason=name, unreachable=True, timed_out=timed_out)
-        return self._check_head(request, cast(CheckedResponse, response))
+        return self._check_head(
+            request, cast(CheckedResponse, response), connected=attempt.connected
+        )
 
     def _check_head(
-        self, request: CallerRequest, response: CheckedResponse
-    ) -> OpenAnswer | NotRun | InvalidAnswer:
+        self, request: CallerRequest, response: CheckedResponse, *, connected: bool
+    ) -> SendOutcome:
         head = self._translator.read_answer(request, response.status, response.headers)
         if head.not_run and head.names_no_other_request:
             response.discard()
@@ -168,12 +161,16 @@
                 head=head,
                 misdirected=head.misdirected,
                 busy=not head.misdirected,
+                connected=connected,
             )
         if not head.trusted:
             response.discard()
             return InvalidAnswer(
                 reason=f"status {head.status}, not a verified answer of the target",
                 head=head if head.names_no_other_request else None,
+                connected=connected,
             )
         headers = self._translator.write_answer(response.headers.items())
-        return OpenAnswer(head=head, headers=headers, response=response)
+        return DirectAnswer(
+            head=head, headers=headers, connected=connected, response=response
+        )
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.peer_work import MAX_TOTALS_AGE_S
 from trefoilstage.components.forwarding.placement import (
@@ -22,7 +23,6 @@
     rank_candidates,
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
-from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -1,7 +1,7 @@
 """Record what became of requests at the targets: health, and entries that are wrong."""
 
+from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import TargetEntry
-from trefoilstage.components.forwarding.sender import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.translator import AnswerHead
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.targets.health import TargetHealth
--- a/trefoilstage/helpers/send_trace.py
+++ b/trefoilstage/helpers/send_trace.py
@@ -22,6 +22,7 @@
     n_sent: int = 0
     # When the client began to open a connection, on the event loop's clock.
     connecting_since: float | None = None
+    connected: bool = False  # a connection was opened for this call
 
     def was_stalled(self, timeout_s: float) -> bool:
         """Return whether the process stalled while the call's connection timed out."""
@@ -35,6 +36,7 @@
     """Return a trace that counts sends and prevents repeats if `at_most_once`."""
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(record_connection_start)
+    trace.on_connection_create_end.append(record_connection)
     trace.on_request_headers_sent.append(count_send)
     return trace
 
@@ -50,6 +52,17 @@
         attempt.connecting_since = asyncio.get_running_loop().time()
 
 
+async def record_connection(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    """Record that the client opened a connection."""
+    attempt = context.trace_request_ctx
+    if isinstance(attempt, SendAttempt):
+        attempt.connected = True
+
+
 async def count_send(
     session: aiohttp.ClientSession,
     context: SimpleNamespace,
