RECOVER: send through peers while this host's own links are lost

A host now doubts its links when a connection times out or two targets fail within 2 s without a connection in between. It probes three targets, at once and four times a second, and sends through a live peer until one accepts. The peer sends over its own links only, to targets that it would use itself (it may know of a rest or a leaving that this host doesn't), and returns the answer part by part on a connection of its own; closing it cancels the run. The choice of the target, tokens, retries, crash evidence and the caller stay with the host that the caller asked. A peer that is lost after the request went there leaves an unknown outcome, so nothing runs twice. If no live peer reaches targets, the caller is refused at once with a time. Failures from before the loss was noticed no longer eject targets.

Ruled out: failing readiness of cut hosts (the balancer keeps using a zone of which most hosts fail, and peers already carry the load); passing the whole request to the peer (tokens and retries would be in doubt in two places); opening byte tunnels (the peer could not check what it knows of a target); multiplexing on the links between hosts (one slow caller would hold up all heartbeats).

--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bench.emulator.network import EmulatedLinks, Network, SharedStore, StoreClient
+from bench.emulator.network import (
+    EmulatedLinks,
+    EmulatedStreams,
+    Network,
+    SharedStore,
+    StoreClient,
+)
 from bench.emulator.sender import EmulatedProbe, EmulatedSender
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.messages import FLEET_CODEC
@@ -121,6 +127,7 @@
             ),
             links=EmulatedLinks(network=self._network),
             peer_server=peer_server,
+            streams=EmulatedStreams(network=self._network),
             sender=self._sender,
             probe=self._probe,
             process_start=ProcessStart(
--- a/bench/emulator/network.py
+++ b/bench/emulator/network.py
@@ -10,6 +10,7 @@
 from trefoilstage.components.peers.link import PeerLink
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.streams import PeerStream, PeerStreams
 from trefoilstage.components.views.store import (
     RecordBatch,
     StoreUnavailableError,
@@ -111,6 +112,7 @@
     def __init__(self) -> None:
         self.servers: dict[str, PeerServer] = {}
         self.n_messages = 0
+        self.n_streams = 0
 
 
 class EmulatedLink(PeerLink):
@@ -145,6 +147,59 @@
         return await server.handle(message)
 
 
+class EmulatedStream:
+    """Exchange the messages of one call with the host at one URL."""
+
+    def __init__(self, *, server: PeerServer) -> None:
+        self._server = server
+        self._received: asyncio.Queue[Any] = asyncio.Queue()
+        self._task: asyncio.Task[None] | None = None
+
+    async def send(self, message: Any) -> None:
+        """Send a message, and start to receive the replies."""
+        await asyncio.sleep(ONE_WAY_S)
+        handling = self._server.handle_stream(message, self._put)
+        self._task = asyncio.create_task(handling)
+
+    async def _put(self, message: Any) -> None:
+        self._received.put_nowait(message)
+
+    async def receive(self, timeout_s: float) -> Any:
+        """Return the next message, or raise PeerUnavailableError."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                message = await self._received.get()
+        except TimeoutError as error:
+            raise PeerUnavailableError("no reply") from error
+        await asyncio.sleep(ONE_WAY_S)
+        return message
+
+    def release(self) -> None:
+        """Do nothing, because streams share no connections."""
+
+    def close(self) -> None:
+        """Cancel the call."""
+        if self._task is not None:
+            self._task.cancel()
+
+
+class EmulatedStreams(PeerStreams):
+    """Open the streams of one host."""
+
+    def __init__(self, *, network: Network) -> None:
+        super().__init__(outbound_address="", codec=FLEET_CODEC)
+        self._network = network
+
+    async def open(self, url: str) -> PeerStream:
+        """Return a stream to a URL, or raise PeerUnavailableError."""
+        await asyncio.sleep(ONE_WAY_S)
+        server = self._network.servers.get(url)
+        if server is None:
+            raise PeerUnavailableError("refused")
+        self._network.n_streams += 1
+        return EmulatedStream(server=server)
+
+
 class EmulatedLinks(PeerLinks):
     """Provide the links of one host."""
 
--- /dev/null
+++ b/tests/components/peer_sends/__init__.py
@@ -0,0 +1,1 @@
+"""Test sends through peers."""
--- /dev/null
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -0,0 +1,270 @@
+"""Test sends through peers over real connections."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field, replace
+from typing import Any, cast
+from unittest import mock
+
+from bench.emulator.limits import ANSWER_HEAD
+from tests.components.boards import make_board
+from tests.components.forwarding.common import REQUEST, make_target
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.answers import (
+    AnswerBrokenError,
+    InvalidAnswer,
+    NotRun,
+    OpenAnswer,
+    SendOutcome,
+)
+from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
+from trefoilstage.components.forwarding.translator import ForwardOptions
+from trefoilstage.components.peer_sends import sender as peer_sender
+from trefoilstage.components.peer_sends.messages import MAX_BODY_BYTES
+from trefoilstage.components.peer_sends.path import PathSender
+from trefoilstage.components.peer_sends.sender import PeerSender
+from trefoilstage.components.peer_sends.server import PeerSendServer
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.streams import PeerStreams
+from trefoilstage.timer import TimerService
+
+LOOPBACK = "127.0.0.1"
+TARGET = make_target("i-1")
+OPTIONS = ForwardOptions(workspace="school", deadline_s=5.0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ScriptedAnswer(OpenAnswer):
+    """Yield parts of a body, then wait or break off if told to."""
+
+    parts: tuple[bytes, ...]
+    breaks: bool = False
+    hangs: bool = False
+    closed: asyncio.Event
+
+    async def read(self) -> AsyncIterator[bytes]:
+        for part in self.parts:
+            yield part
+        if self.hangs:
+            await asyncio.Event().wait()
+        if self.breaks:
+            raise AnswerBrokenError("reset")
+
+    def close(self) -> None:
+        self.closed.set()
+
+
+@dataclass(kw_only=True)
+class Peer:
+    """Serve sends of another host, with an answer that the test sets."""
+
+    name: str
+    outcome: Any = None
+    is_confirmed: bool = True
+    usable: TargetEntry | None = TARGET
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+    requests: list[CallerRequest] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Listen for sends."""
+        self.server = PeerServer(address=LOOPBACK, port=0, codec=FLEET_CODEC)
+        PeerSendServer(
+            chooser=cast(Any, self),
+            monitor=cast(Any, self),
+            sender=cast(Any, self),
+            server=self.server,
+            timer=TimerService(),
+        )
+        await self.server.on_start()
+
+    @property
+    def url(self) -> str:
+        return f"ws://{LOOPBACK}:{self.server.port}"
+
+    def find_usable(self, incarnation: str) -> TargetEntry | None:
+        return self.usable
+
+    def record_outcome(self, *_: object) -> None: ...
+
+    def record_answer(self, *_: object) -> None: ...
+
+    async def send(self, request: CallerRequest, *_: object) -> SendOutcome:
+        self.requests.append(request)
+        if self.outcome is None:
+            await asyncio.Event().wait()
+        return cast(SendOutcome, self.outcome)
+
+
+class PeerSendsTest(unittest.IsolatedAsyncioTestCase):
+    """Send a request of host-0 through its peers."""
+
+    async def asyncSetUp(self) -> None:
+        self.peers = [Peer(name="host-1"), Peer(name="host-2")]
+        names = ["host-0", *(peer.name for peer in self.peers)]
+        self.board = make_board("host-0", names)
+        for peer in self.peers:
+            await peer.start()
+            self.addAsyncCleanup(peer.server.on_stop)
+            self.board.peers[peer.name].peer_url = peer.url
+        streams = PeerStreams(outbound_address=LOOPBACK, codec=FLEET_CODEC)
+        self.addAsyncCleanup(streams.on_stop)
+        self.sender = PeerSender(
+            board=self.board,
+            membership=mock.Mock(list_live_hosts=lambda: tuple(names)),
+            streams=streams,
+            timer=TimerService(),
+            generator=random.Random(1),
+        )
+
+    def make_answer(self, peer: Peer, *parts: bytes, **more: bool) -> ScriptedAnswer:
+        return ScriptedAnswer(
+            head=ANSWER_HEAD,
+            headers=[("X", "1"), ("X", "2")],
+            parts=parts,
+            closed=peer.closed,
+            **more,
+        )
+
+    def keep_only(self, peer: Peer) -> None:
+        """Let all other peers say that they reach no target."""
+        for other in self.peers:
+            self.board.peers[other.name].targets_in_reach = other is peer
+
+    async def send(self, body: bytes = b"{}") -> SendOutcome:
+        return await self.sender.send(
+            replace(REQUEST, key="secret"), body, TARGET, OPTIONS
+        )
+
+    async def send_and_open(self) -> OpenAnswer:
+        outcome = await self.send()
+        assert isinstance(outcome, OpenAnswer)
+        return outcome
+
+    async def test_answer_arrives_whole_and_without_the_key_at_the_peer(self) -> None:
+        """Guard against lost parts, lost headers and keys that travel."""
+        for peer in self.peers:
+            peer.outcome = self.make_answer(peer, b"one", b"two")
+        for _ in range(3):
+            answer = await self.send_and_open()
+            self.assertEqual(answer.head, ANSWER_HEAD)
+            self.assertEqual(answer.headers, [("X", "1"), ("X", "2")])
+            self.assertEqual([part async for part in answer.read()], [b"one", b"two"])
+            answer.close()
+        keys = {item.key for peer in self.peers for item in peer.requests}
+        self.assertEqual(keys, {""})
+
+    async def test_broken_answer_is_broken_for_the_caller(self) -> None:
+        """Guard against an answer that ends early and looks complete."""
+        self.keep_only(self.peers[0])
+        self.peers[0].outcome = self.make_answer(self.peers[0], b"one", breaks=True)
+        answer = await self.send_and_open()
+        with self.assertRaises(AnswerBrokenError):
+            [part async for part in answer.read()]
+
+    async def test_peer_that_is_cut_too_is_passed_over(self) -> None:
+        """Guard against requests refused while another peer reaches the targets."""
+        self.peers[0].is_confirmed = False
+        self.peers[1].outcome = self.make_answer(self.peers[1], b"one")
+        for _ in range(4):
+            self.assertIsInstance(await self.send(), OpenAnswer)
+        self.assertEqual(self.peers[0].requests, [])
+
+    async def test_request_is_refused_at_once_if_no_peer_reaches_targets(self) -> None:
+        """Guard against requests that wait until their deadline."""
+        for peer in self.peers:
+            peer.is_confirmed = False
+        outcome = await self.send()
+        self.assertTrue(isinstance(outcome, NotRun) and outcome.path_lost)
+
+    async def test_peer_sends_nothing_to_a_target_that_it_does_not_use(self) -> None:
+        """Guard against requests to targets that asked that peer for rest or left."""
+        for peer in self.peers:
+            peer.usable = None
+        outcome = await self.send()
+        self.assertTrue(isinstance(outcome, NotRun) and not outcome.path_lost)
+        self.assertEqual([peer.requests for peer in self.peers], [[], []])
+
+    async def test_request_may_have_run_at_a_peer_that_is_lost(self) -> None:
+        """Guard against a second run of a request that may run once."""
+        self.keep_only(self.peers[0])
+        sending = asyncio.create_task(self.send())
+        while not self.peers[0].requests:
+            await asyncio.sleep(0.01)
+        await self.peers[0].server.on_stop()
+        self.assertIsInstance(await sending, InvalidAnswer)
+        self.assertEqual(self.peers[1].requests, [])
+
+    async def test_silent_peer_is_taken_for_lost(self) -> None:
+        """Guard against answers that hang at a peer whose connection went silent."""
+        self.keep_only(self.peers[0])
+        self.peers[0].outcome = self.make_answer(self.peers[0], b"one", hangs=True)
+        with mock.patch.object(peer_sender, "SILENCE_TIMEOUT_S", 0.1):
+            answer = await self.send_and_open()
+            with self.assertRaises(AnswerBrokenError):
+                [part async for part in answer.read()]
+
+    async def test_closed_answer_is_cancelled_at_the_target(self) -> None:
+        """Guard against targets that work on for callers who have left."""
+        self.keep_only(self.peers[0])
+        self.peers[0].outcome = self.make_answer(self.peers[0], b"one", hangs=True)
+        answer = await self.send_and_open()
+        answer.close()
+        async with asyncio.timeout(2.0):
+            await self.peers[0].closed.wait()
+
+    async def test_body_above_the_limit_of_messages_is_refused(self) -> None:
+        """Guard against a body that ends the connection to the peer."""
+        outcome = await self.send(b"x" * (MAX_BODY_BYTES + 1))
+        self.assertTrue(isinstance(outcome, NotRun) and outcome.path_lost)
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Test which path a request takes."""
+
+    async def send(
+        self, *, direct: SendOutcome, is_confirmed: bool, becomes_confirmed: bool
+    ) -> tuple[SendOutcome, int]:
+        """Return the outcome, and how many sends went through peers."""
+        through_peers = mock.AsyncMock()
+        through_peers.send.return_value = InvalidAnswer(reason="through a peer")
+        path = PathSender(
+            monitor=mock.Mock(
+                is_confirmed=is_confirmed,
+                is_lost=not is_confirmed,
+                wait_until_confirmed=mock.AsyncMock(return_value=becomes_confirmed),
+            ),
+            direct=mock.Mock(send=mock.AsyncMock(return_value=direct)),
+            through_peers=through_peers,
+        )
+        outcome = await path.send(REQUEST, b"", TARGET, OPTIONS)
+        return outcome, through_peers.send.await_count
+
+    async def test_target_that_is_down_is_not_tried_through_a_peer(self) -> None:
+        """Guard against callers who wait twice for a target that is down."""
+        refused = NotRun(reason="refused", unreachable=True)
+        outcome, n_through_peers = await self.send(
+            direct=refused, is_confirmed=True, becomes_confirmed=True
+        )
+        self.assertEqual((outcome, n_through_peers), (refused, 0))
+
+    async def test_first_request_after_a_cut_goes_through_a_peer(self) -> None:
+        """Guard against the loss of the requests by which a host notices a cut."""
+        refused = NotRun(reason="refused", unreachable=True)
+        _, n_through_peers = await self.send(
+            direct=refused, is_confirmed=True, becomes_confirmed=False
+        )
+        self.assertEqual(n_through_peers, 1)
+
+    async def test_request_that_may_have_run_is_not_sent_again(self) -> None:
+        """Guard against a second run over the other path."""
+        broken = InvalidAnswer(reason="reset")
+        outcome, n_through_peers = await self.send(
+            direct=broken, is_confirmed=True, becomes_confirmed=False
+        )
+        self.assertEqual((outcome, n_through_peers), (broken, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/promises/test_cut_from_targets.py
+++ b/tests/promises/test_cut_from_targets.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from standins.launcher import poll_until
 from standins.proxy import CutMode
 from tests.promises.fleet import PlatformFleet
 
@@ -14,6 +15,8 @@
 # Hosts may take this long to notice a cut.
 NOTICE_S = 3.0
 N_CALLS = 6
+# Targets must have stopped this long after their caller has left.
+LEAVE_S = 0.5
 
 
 async def call_for(fleet: PlatformFleet, seconds: float) -> None:
@@ -49,6 +52,41 @@
                         statuses = {answer.status for answer in answers}
                         self.assertEqual(statuses, {200}, path)
 
+    async def test_cut_host_uses_its_own_links_when_they_are_back(self) -> None:
+        """Guard against hosts that send through peers for good."""
+        async with self.make_fleet() as fleet:
+            host = fleet.hosts[CUT_HOST]
+            await fleet.cut_from_targets(CUT_HOST, CutMode.RESET)
+            while not host.has_logged("targets_out_of_reach"):
+                await fleet.call(LOOK, host=CUT_HOST)
+            await fleet.reconnect_to_targets(CUT_HOST)
+            await poll_until(
+                lambda: host.has_logged("targets_in_reach"), "the links to be back"
+            )
+            n_through_peers = len(host.list_times("sent_through_peer"))
+            for _ in range(N_CALLS):
+                answer = await fleet.call(LOOK, host=CUT_HOST)
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(len(host.list_times("sent_through_peer")), n_through_peers)
+
+    async def test_caller_who_leaves_ends_the_run_at_the_target(self) -> None:
+        """Guard against targets that work on for callers of a cut host."""
+        async with self.make_fleet() as fleet:
+            for target in fleet.targets:
+                target.n_events, target.event_interval_s = 100, 0.05
+            await fleet.cut_from_targets(CUT_HOST, CutMode.RESET)
+            call = asyncio.create_task(fleet.call(STREAM, host=CUT_HOST))
+            runs = [run for target in fleet.targets for run in target.runs]
+            while not any(run.events for run in runs):
+                await asyncio.sleep(0.02)
+                runs = [run for target in fleet.targets for run in target.runs]
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+            await asyncio.sleep(LEAVE_S)
+            n_events = sum(run.events for run in runs)
+            await asyncio.sleep(LEAVE_S)
+            self.assertEqual(sum(run.events for run in runs), n_events)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -8,6 +8,7 @@
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
+from trefoilstage.components.peer_sends.messages import PeerSendMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
 from trefoilstage.components.permits.messages import LimitReport, PermitMessage
 from trefoilstage.components.views.keyed_view import KeyedRecord
@@ -37,6 +38,7 @@
     # Previous incarnations that never used their locked tokens; None until known.
     untouched: tuple[ShortText, ...] | None = None
     link_full: bool = False
+    targets_in_reach: bool | None = None  # None from hosts that don't report it
     # The offset of this incarnation's record in the store, -1 before it has one.
     announced_at: Offset = -1
     # In a large fleet, the age of other hosts' last messages: a byte for each host of
@@ -74,6 +76,7 @@
     | WorkMessage
     | CrashReport
     | PermitMessage
+    | PeerSendMessage
     | ErrorReply
 )
 
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from trefoilstage.components.escrow.account import EscrowAccount
+from trefoilstage.components.forwarding.target_reach import Reach
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.log_line_writer import LineWriter
@@ -124,6 +125,11 @@
             "Targets with an entry in the store.",
             lambda: len(board.targets.listed),
         )
+        add(
+            "targets_in_reach",
+            "1 while this host's own links lead to targets, otherwise 0.",
+            lambda: int(board.reach.state is not Reach.LOST),
+        )
         add(
             "targets_cold",
             "Targets that are or may be cold.",
--- a/trefoilstage/components/forwarding/answers.py
+++ b/trefoilstage/components/forwarding/answers.py
@@ -18,10 +18,15 @@
     unreachable: bool = False  # no connection could be opened
     timed_out: bool = False  # the connection attempt timed out
     host_was_suspended: bool = False  # this host was suspended while it connected
-    # Neither this host's links nor the peers asked lead to the target, as far as known.
+    # Neither this host nor any peer that it asked reaches targets.
     path_lost: bool = False
     connected: bool = False  # a new connection was opened
 
+    @property
+    def says_nothing_of_target(self) -> bool:
+        """Return whether the reason for the failure lies at the hosts."""
+        return self.host_was_suspended or self.path_lost
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InvalidAnswer:
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -17,6 +17,7 @@
     InvalidAnswer,
     NotRun,
     OpenAnswer,
+    SendOutcome,
 )
 from trefoilstage.components.forwarding.models import (
     Route,
@@ -30,9 +31,9 @@
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.forwarding.sender import TargetSender
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.translator import ForwardOptions
+from trefoilstage.components.peer_sends.path import PathSender
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -40,6 +41,7 @@
 
 RETRY_AFTER_S = 0.5
 NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
+PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
 MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
 
 
@@ -52,7 +54,7 @@
         board: FleetBoard,
         escrow: EscrowClient,
         chooser: TargetChooser,
-        sender: TargetSender,
+        sender: PathSender,
         crashes: CrashWatcher,
         generator: random.Random,
     ) -> None:
@@ -167,12 +169,11 @@
             if target is None:
                 return self._explain(failure, state)
             answer = await self._send(state, service, target)
-            if isinstance(answer, OpenAnswer):
-                if await self._relay(state, reply, answer, target):
-                    return None
-                failure = make_failure("the answer broke off")
-            elif isinstance(answer, InvalidAnswer):
-                failure = make_failure(answer.reason)
+            if isinstance(answer, OpenAnswer) and await self._relay(
+                state, reply, answer, target
+            ):
+                return None
+            failure = describe_failure(answer, failure)
             if not self._may_retry(state, service, answer):
                 return failure
 
@@ -218,7 +219,7 @@
 
     async def _send(
         self, state: RequestState, service: str, target: TargetEntry
-    ) -> OpenAnswer | NotRun | InvalidAnswer:
+    ) -> SendOutcome:
         now = asyncio.get_running_loop().time()
         workspace = state.workspace
         priority = state.route.priority
@@ -263,7 +264,7 @@
             self._chooser.remove_pending_prefill(target, sent)
         if not isinstance(answer, OpenAnswer):
             self._chooser.remove_request(target, state.request.prompt)
-            if not (isinstance(answer, NotRun) and answer.host_was_suspended):
+            if not (isinstance(answer, NotRun) and answer.says_nothing_of_target):
                 state.excluded.add(target.incarnation)
         if isinstance(answer, NotRun):
             state.n_possible_runs -= 1
@@ -278,12 +279,14 @@
         self,
         state: RequestState,
         service: str,
-        answer: OpenAnswer | NotRun | InvalidAnswer,
+        answer: SendOutcome,
     ) -> bool:
         if state.n_possible_runs and not state.route.is_retryable:
             return False
         if state.n_possible_runs >= state.route.max_attempts:
             return False
+        if isinstance(answer, NotRun) and answer.path_lost:
+            return False
         if isinstance(answer, NotRun) and (
             answer.unreachable or answer.host_was_suspended
         ):
@@ -310,6 +313,7 @@
                 return False
             await self._answer_relay.relay(state, reply, answer)
         except (AnswerBrokenError, MalformedMessageError) as error:
+            self._sender.record_broken(target, answer)
             self._chooser.record_broken_answer(target)
             state.excluded.add(target.incarnation)
             self._record_invalid_answer(state, target, str(error))
@@ -376,6 +380,15 @@
         )
 
 
+def describe_failure(answer: SendOutcome, previous: Refusal) -> Refusal:
+    """Return the refusal after a failed send, if it is not repeated."""
+    if isinstance(answer, OpenAnswer):
+        return make_failure("the answer broke off")
+    if isinstance(answer, InvalidAnswer):
+        return make_failure(answer.reason)
+    return PATH_LOST if answer.path_lost and previous is NO_TARGET else previous
+
+
 def make_failure(detail: str) -> Refusal:
     """Return the refusal for a request that a target may have run."""
     return Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN, detail=detail)
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -133,6 +133,7 @@
             log_event(
                 Event.SEND_FAILED,
                 request=request.request_id,
+                workspace=options.workspace,
                 target=target.name,
                 error=name,
                 connection="kept" if attempt.connecting_since is None else "new",
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -268,6 +268,18 @@
         """Return how many of a service's targets are passed over, by reason."""
         return self._availability.explain_no_target(service, allowed_regions)
 
+    def find_usable(self, incarnation: str) -> TargetEntry | None:
+        """Return a target that takes requests, as far as known; None for others."""
+        entry = self._board.targets.find_incarnation(incarnation)
+        if entry is None:
+            return None
+        allowed = self._availability.list_allowed(entry.service, set(), None)
+        return entry if entry in allowed else None
+
+    def forget_failures(self) -> None:
+        """Forget the targets' failures, which this host's lost links explain."""
+        self._outcomes.forget_failures()
+
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
         self._get_retry_budget(service).count_request(self._timer.now())
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -38,6 +38,11 @@
             return targets
         return [item for item in targets if not self.get_health(item).is_resting(now)]
 
+    def forget_failures(self) -> None:
+        """Forget failures and ejections of all targets."""
+        for health in self._healths.values():
+            health.record_success()
+
     def _remove_ended(self) -> None:
         listed = self._board.targets.list_incarnations()
         self._healths = {
@@ -105,7 +110,7 @@
         if isinstance(answer, NotRun) and answer.busy:
             health.record_busy(now)
             return False
-        if isinstance(answer, NotRun) and answer.host_was_suspended:
+        if isinstance(answer, NotRun) and answer.says_nothing_of_target:
             return False
         if isinstance(answer, NotRun) and answer.timed_out:
             return health.record_connect_timeout(now)
--- /dev/null
+++ b/trefoilstage/components/peer_sends/server.py
@@ -0,0 +1,126 @@
+"""Send requests to targets for peers that have lost their own links."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from trefoilstage.components.forwarding.answers import (
+    AnswerBrokenError,
+    NotRun,
+    OpenAnswer,
+    SendOutcome,
+)
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
+from trefoilstage.components.forwarding.sender import Sender
+from trefoilstage.components.forwarding.target_chooser import TargetChooser
+from trefoilstage.components.peer_sends.messages import (
+    AnswerData,
+    AnswerEnded,
+    AnswerStarted,
+    SendFailed,
+    SendPending,
+    SendToTarget,
+)
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.timer import TimerService
+
+PENDING_INTERVAL_S = 0.5
+DRAIN_POLL_S = 0.05
+MAX_ERROR_CHARS = 200
+Reply = Callable[[Any], Awaitable[None]]
+
+
+class PeerSendServer:
+    """Pass peers' requests on to targets, and the targets' answers back."""
+
+    def __init__(
+        self,
+        *,
+        chooser: TargetChooser,
+        monitor: ReachMonitor,
+        sender: Sender,
+        server: PeerServer,
+        timer: TimerService,
+    ) -> None:
+        self._chooser = chooser
+        self._monitor = monitor
+        self._sender = sender
+        self._timer = timer
+        self.n_active = 0
+        server.register_stream(SendToTarget, self._serve)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Wait for the peers' requests under way."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.n_active:
+                    await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _serve(self, message: SendToTarget, reply: Reply) -> None:
+        await reply(SendPending())
+        self.n_active += 1
+        try:
+            async with keep_pending(reply):
+                outcome = await self._send(message)
+            await self._pass_back(outcome, reply)
+        finally:
+            self.n_active -= 1
+
+    async def _send(self, message: SendToTarget) -> SendOutcome:
+        """Send a request over this host's own links only, never through a third."""
+        if not self._monitor.is_confirmed:
+            return NotRun(reason="the peer is out of reach too", path_lost=True)
+        target = self._chooser.find_usable(message.target)
+        if target is None:
+            return NotRun(reason="the peer does not use the target", unreachable=True)
+        sent_at = self._timer.now()
+        outcome = await self._sender.send(
+            message.request, message.body, target, message.options
+        )
+        self._monitor.record_outcome(target, outcome)
+        self._record(target, outcome, sent_at)
+        return outcome
+
+    def _record(
+        self, target: TargetEntry, outcome: SendOutcome, sent_at: float
+    ) -> None:
+        if self._monitor.is_confirmed:
+            self._chooser.record_answer(target, outcome, sent_at)
+
+    async def _pass_back(self, outcome: SendOutcome, reply: Reply) -> None:
+        if isinstance(outcome, OpenAnswer):
+            await self._pass_answer_back(outcome, reply)
+        elif isinstance(outcome, NotRun):
+            await reply(SendFailed(not_run=outcome))
+        else:
+            await reply(SendFailed(invalid=outcome))
+
+    async def _pass_answer_back(self, answer: OpenAnswer, reply: Reply) -> None:
+        try:
+            await reply(AnswerStarted(head=answer.head, headers=answer.headers))
+            async with keep_pending(reply):
+                async for data in answer.read():
+                    await reply(AnswerData(data=data))
+            await reply(AnswerEnded())
+        except AnswerBrokenError as error:
+            await reply(AnswerEnded(error=str(error)[:MAX_ERROR_CHARS] or "broken"))
+        finally:
+            answer.close()
+
+
+@contextlib.asynccontextmanager
+async def keep_pending(reply: Reply) -> AsyncIterator[None]:
+    """Tell the peer regularly that this host is alive, while a target is silent."""
+
+    async def tell() -> None:
+        while True:
+            await asyncio.sleep(PENDING_INTERVAL_S)
+            await reply(SendPending())
+
+    task = asyncio.create_task(tell())
+    try:
+        yield
+    finally:
+        task.cancel()
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.connection import Connection
 from websockets.exceptions import WebSocketException
 
 from trefoilstage.components.peers.frames import ErrorReply, Frame
@@ -153,7 +154,7 @@
                 future.set_exception(ConnectionResetError("connection to peer lost"))
 
 
-async def send_data(connection: ClientConnection, data: bytes) -> None:
+async def send_data(connection: Connection, data: bytes) -> None:
     """Send one message, or raise OSError or WebSocketException."""
     try:
         await connection.send(data)
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -9,12 +9,16 @@
 from websockets.exceptions import WebSocketException
 
 from trefoilstage.components.peers.frames import ErrorReply, Frame
+from trefoilstage.components.peers.link import send_data
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
 from trefoilstage.exceptions import MalformedMessageError, NotReadyError
 from trefoilstage.helpers.codec import Codec
 from trefoilstage.helpers.events import Event, describe_error, log_event
 
 Handler = Callable[[Any], Awaitable[Any]]
+SendReply = Callable[[Any], Awaitable[None]]
+# Sends any number of replies until it returns.
+StreamHandler = Callable[[Any, SendReply], Awaitable[None]]
 
 
 class PeerServer(Service):
@@ -26,6 +30,7 @@
         self.address = address
         self.port = port
         self._handlers: dict[type[Any], Handler] = {}
+        self._stream_handlers: dict[type[Any], StreamHandler] = {}
         self._server: Server | None = None
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -33,6 +38,13 @@
         """Register the handler for messages of a type, replacing any previous one."""
         self._handlers[message_type] = handler
 
+    def register_stream(self, message_type: type[Any], handler: StreamHandler) -> None:
+        """Register the handler for messages of a type that get several replies.
+
+        It is cancelled when the caller closes the connection.
+        """
+        self._stream_handlers[message_type] = handler
+
     async def on_start(self) -> None:
         """Start listening for connections."""
         self._server = await serve(
@@ -53,13 +65,22 @@
             await self._server.wait_closed()
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
+        streams: set[asyncio.Task[None]] = set()
         try:
             async for data in connection:
-                self._start_call(connection, data)
+                self._start_call(connection, data, streams)
         except (OSError, WebSocketException):
             return
+        finally:
+            for task in streams:
+                task.cancel()
 
-    def _start_call(self, connection: ServerConnection, data: bytes | str) -> None:
+    def _start_call(
+        self,
+        connection: ServerConnection,
+        data: bytes | str,
+        streams: set[asyncio.Task[None]],
+    ) -> None:
         try:
             frame = self._codec.decode(data if isinstance(data, bytes) else b"")
         except MalformedMessageError as error:
@@ -69,9 +90,12 @@
                 error=str(error),
             )
             return
-        task = asyncio.create_task(self._process_frame(connection, frame))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        is_stream = type(frame.body) in self._stream_handlers
+        process = self._process_stream if is_stream else self._process_frame
+        task = asyncio.create_task(process(connection, frame))
+        for tasks in (self._calls, streams) if is_stream else (self._calls,):
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
 
     async def handle(self, message: Any) -> Any:
         """Return the reply to a message, or raise what its handler raises."""
@@ -80,6 +104,29 @@
             return ErrorReply(detail="no such call")
         return await handler(message)
 
+    async def handle_stream(self, message: Any, send: SendReply) -> None:
+        """Send the replies to a message that gets several."""
+        await self._stream_handlers[type(message)](message, send)
+
+    async def _process_stream(
+        self, connection: ServerConnection, frame: Frame[Any]
+    ) -> None:
+        async def send(body: Any) -> None:
+            reply = Frame(number=frame.number, reply=True, body=body)
+            await send_data(connection, self._codec.encode(reply))
+
+        try:
+            await self.handle_stream(frame.body, send)
+        except (OSError, WebSocketException):
+            return
+        except Exception as error:
+            log_event(
+                Event.PEER_CALL_FAILED,
+                kind=frame.body.kind,
+                error=describe_error(error),
+            )
+            connection.transport.abort()
+
     async def _handle_without_reply(self, message: Any) -> None:
         try:
             await self.handle(message)
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -193,6 +193,14 @@
         """Return the incarnations of all listed targets, including draining ones."""
         return {item.entry.incarnation for item in self.listed.values()}
 
+    def find_incarnation(self, incarnation: str) -> TargetEntry | None:
+        """Return the entry of a listed incarnation, None if it is not listed."""
+        name, _, _ = incarnation.rpartition("@")
+        item = self.listed.get(name)
+        if item is None or item.entry.incarnation != incarnation:
+            return None
+        return item.entry
+
     def list_ready(self, service: str, now: float) -> list[TargetEntry]:
         """Return a service's targets that may receive new requests, sorted by name."""
         leaving = self.said_leaving
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -7,6 +7,7 @@
 
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.forwarding.target_reach import TargetReach
 from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.directory import TargetDirectory
 from trefoilstage.components.targets.named_limits import NamedLimits
@@ -78,6 +79,8 @@
     failed: bool = False  # a call to it failed since its last message
     store_in_reach: bool = True
     link_full: bool = False  # reported by the peer itself, not relayed
+    # Reported by the peer itself, not relayed; None until then.
+    targets_in_reach: bool | None = None
     # The peer's previous incarnations that provably used none of their locked tokens;
     # None until the peer knows them.
     untouched: tuple[str, ...] | None = None
@@ -117,6 +120,7 @@
     configuration: FleetConfiguration | None = None  # configuration follower
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # target follower
+    reach: TargetReach = field(default_factory=TargetReach)  # reach monitor
     limits: NamedLimits = field(default_factory=NamedLimits)  # known limits
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
     round_trips: RoundTrips = field(default_factory=RoundTrips)  # links to peers
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -17,6 +17,7 @@
 from trefoilstage.components.forwarding.translator import RequestTranslator
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.streams import PeerStreams
 from trefoilstage.components.views.store import Store
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_parts import make_fleet_parts
@@ -85,6 +86,7 @@
         peer_server = PeerServer(
             address=settings.address, port=settings.peer_port, codec=FLEET_CODEC
         )
+        streams = PeerStreams(outbound_address=settings.address, codec=FLEET_CODEC)
         parts = make_fleet_parts(
             settings=settings,
             board=self._board,
@@ -92,6 +94,7 @@
             board_updater=self._board_updater,
             links=links,
             peer_server=peer_server,
+            streams=streams,
             sender=TargetSender(session=self._session, translator=self._translator),
             probe=ConnectProbe(outbound_address=settings.address),
             process_start=self._process_start,
@@ -99,6 +102,7 @@
         self._membership = parts.membership
         self._home = parts.home
         self._escrow = parts.escrow
+        self._peer_sends = parts.peer_sends
         self._server = ForwardingServer(
             board=self._board,
             settings=settings,
@@ -123,7 +127,7 @@
         self._registry.register("permits", parts.permits.list_granted)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", self._home.list_accounts)
-        services: list[Service] = [parts.timer, metrics, links, peer_server]
+        services: list[Service] = [parts.timer, metrics, links, streams, peer_server]
         services += [*parts.list_services(), self._server]
         for service in services:
             await self.add_runtime_dependency(service)
@@ -217,6 +221,7 @@
             grace_left_s=drain_deadline - loop.time(),
         )
         all_ended = await self._server.drain(max(0.0, drain_deadline - loop.time()))
+        await self._peer_sends.drain(max(0.0, drain_deadline - loop.time()))
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.cancel_requests()
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -21,11 +21,16 @@
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
-from trefoilstage.components.forwarding.sender import TargetSender
+from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
+from trefoilstage.components.forwarding.sender import Sender
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.workload import WorkloadController
+from trefoilstage.components.peer_sends.path import PathSender
+from trefoilstage.components.peer_sends.sender import PeerSender
+from trefoilstage.components.peer_sends.server import PeerSendServer
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.peers.streams import PeerStreams
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.views.follower import GetPause, ViewFollower
@@ -67,6 +72,8 @@
     permits: TargetPermits
     crash_recorder: CrashRecorder
     crash_watcher: CrashWatcher
+    reach_monitor: ReachMonitor
+    peer_sends: PeerSendServer
     pipeline: ForwardingPipeline
 
     def list_services(self) -> list[Service]:
@@ -79,6 +86,7 @@
             self.escrow,
             self.workload,
             self.permits,
+            self.reach_monitor,
             self.crash_recorder,
             self.crash_watcher,
         ]
@@ -92,7 +100,8 @@
     board_updater: BoardUpdater,
     links: PeerLinks,
     peer_server: PeerServer,
-    sender: TargetSender,
+    streams: PeerStreams,
+    sender: Sender,
     probe: TargetProbe,
     process_start: ProcessStart,
 ) -> FleetParts:
@@ -186,6 +195,28 @@
         permits=permits,
         limits=limits,
     )
+    reach_monitor = ReachMonitor(
+        board=board, timer=timer, probe=probe, generator=generator
+    )
+    reach_monitor.subscribe(chooser.forget_failures)
+    peer_sends = PeerSendServer(
+        chooser=chooser,
+        monitor=reach_monitor,
+        sender=sender,
+        server=peer_server,
+        timer=timer,
+    )
+    path_sender = PathSender(
+        monitor=reach_monitor,
+        direct=sender,
+        through_peers=PeerSender(
+            board=board,
+            membership=membership,
+            streams=streams,
+            timer=timer,
+            generator=generator,
+        ),
+    )
     crash_recorder = CrashRecorder(
         board=board,
         store=store,
@@ -204,7 +235,7 @@
         board=board,
         escrow=escrow,
         chooser=chooser,
-        sender=sender,
+        sender=path_sender,
         crashes=crash_watcher,
         generator=generator,
     )
@@ -219,6 +250,8 @@
         permits=permits,
         crash_recorder=crash_recorder,
         crash_watcher=crash_watcher,
+        reach_monitor=reach_monitor,
+        peer_sends=peer_sends,
         pipeline=pipeline,
     )
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -68,6 +68,8 @@
     WITNESS_LOST = "witness_lost"
     POWER_IN_DOUBT = "power_in_doubt"
     POWER_RELEASED = "power_released"
+    TARGETS_OUT_OF_REACH = "targets_out_of_reach"
+    TARGETS_IN_REACH = "targets_in_reach"
     TARGET_EJECTED = "target_ejected"
     TARGET_FAILED = "target_failed"
     TARGET_LIMIT_NAMED = "target_limit_named"
@@ -94,6 +96,7 @@
     HOLD_UNANSWERED = "hold_unanswered"
     REQUEST_SENT = "request_sent"
     SEND_FAILED = "send_failed"
+    SENT_THROUGH_PEER = "sent_through_peer"
     ANSWER_BROKEN = "answer_broken"
     REQUEST_BLOCKED = "request_blocked"
     REQUEST_UNBLOCKED = "request_unblocked"
@@ -117,6 +120,7 @@
 ROUTINE_EVENTS = frozenset(
     {
         Event.REQUEST_SENT.value,
+        Event.SENT_THROUGH_PEER.value,
         Event.REQUEST_DONE.value,
         Event.CALL_BILLED.value,
         Event.ESCROW_DRAWN.value,
