--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -94,6 +94,13 @@
         """Return whether the host's process is running."""
         return self._parts is not None
 
+    @property
+    def n_crash_reports(self) -> int:
+        """Return how many crashes of targets the host knows of."""
+        if self._parts is None:
+            return 0
+        return len(self._parts.crash_watcher.evidence.seen_at)
+
     async def start(self) -> None:
         """Start a new incarnation with no state of the previous one."""
         settings = FleetSettings(
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -66,6 +66,7 @@
     limited_arrivals: dict[str, list[float]] = field(default_factory=dict)
     # Most requests from one host in one rest, by target.
     disturbances: dict[str, int] = field(default_factory=dict)
+    n_crash_reports: int = 0  # known to the host that knows most
     cut_hosts: set[str] = field(default_factory=set)  # from the targets, at any time
 
 
@@ -371,6 +372,7 @@
         for target in self._targets.by_name.values():
             self.day.limited_arrivals[target.name] = target.limit.arrivals
             self.day.disturbances[target.name] = target.refusals.max_disturbances
+        self.day.n_crash_reports = max(host.n_crash_reports for host in self._hosts)
         self.day.n_store_calls = self._shared_store.n_calls
         self.day.n_messages = self._network.n_messages
 
--- a/tests/emulator/test_cut_from_targets.py
+++ b/tests/emulator/test_cut_from_targets.py
@@ -71,6 +71,18 @@
                     run_day(make_warm_day(40, SECONDS, fault), SEED)
                 )
 
+    def test_cut_hosts_report_no_crashes(self) -> None:
+        """Guard against lost links that are taken for crashes of targets.
+
+        Sound requests under way would be blocked on all hosts.
+        """
+        for n_hosts in (7, 40):
+            for mode in CutMode:
+                with self.subTest(n_hosts=n_hosts, mode=mode):
+                    fault = make_cut(mode, 4 / 7)
+                    day = run_day(make_warm_day(n_hosts, SECONDS, fault), SEED)
+                    self.assertEqual(day.n_crash_reports, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
