Ask peers before a target that only this host can't reach is reported as crashed

What callers saw: while some hosts had lost their links to all targets, a sound request was refused by all hosts, as three targets had crashed under it; none had. Cause: a host that can't connect to a target whose answer broke off takes it for ended, also when the host's own links are lost. Same class as the refused callers: own loss taken for the targets'.

If a probed target doesn't accept, the host now probes others. Only if none accepts either it asks peers, eight at a time, each of which says nothing if it reaches no target itself.

--- /dev/null
+++ b/tests/components/peer_sends/test_probe.py
@@ -0,0 +1,85 @@
+"""Test whether a host takes a target that it can't reach for ended."""
+
+import random
+import unittest
+from collections.abc import Sequence
+from typing import Any
+from unittest import mock
+
+from tests.components.boards import make_board
+from tests.components.forwarding.common import make_target
+from trefoilstage.components.crashes.probe import ProbeResult
+from trefoilstage.components.peer_sends.messages import ProbeReply
+from trefoilstage.components.peer_sends.probe import ConfirmedProbe
+from trefoilstage.exceptions import PeerUnavailableError
+
+TARGET = make_target("i-1", address="127.0.0.1:1")
+REFUSED = ProbeResult.REFUSED
+ACCEPTED = ProbeResult.ACCEPTED
+
+
+class ConfirmedProbeTest(unittest.IsolatedAsyncioTestCase):
+    """Probe a target that refuses this host's connections."""
+
+    async def probe(
+        self,
+        *,
+        other_accepts: bool,
+        replies: Sequence[ProbeResult | None] | PeerUnavailableError = (),
+        n_peers: int = 2,
+    ) -> ProbeResult:
+        """Return the result, by what other targets and the peers say."""
+        names = [f"host-{number}" for number in range(n_peers + 1)]
+        board = make_board("host-0", names)
+        board.targets.apply_entry(TARGET)
+        results: Any = replies
+        if not isinstance(replies, PeerUnavailableError):
+            results = [ProbeReply(result=result) for result in replies]
+        self.call = mock.AsyncMock(side_effect=results)
+        probe = ConfirmedProbe(
+            board=board,
+            probe=mock.Mock(connect=mock.AsyncMock(return_value=REFUSED)),
+            monitor=mock.Mock(check=mock.AsyncMock(return_value=other_accepts)),
+            membership=mock.Mock(list_live_hosts=lambda: tuple(names)),
+            links=mock.Mock(get_link=lambda _: mock.Mock(call=self.call)),
+            server=mock.Mock(),
+            generator=random.Random(1),
+        )
+        return await probe.connect(TARGET.address)
+
+    async def test_target_is_down_if_another_accepts(self) -> None:
+        """Guard against peers that are asked about each target that is down."""
+        self.assertIs(await self.probe(other_accepts=True), REFUSED)
+        self.call.assert_not_awaited()
+
+    async def test_target_runs_if_a_peer_reaches_it(self) -> None:
+        """Guard against lost links that are taken for the end of a target."""
+        replies = (None, ACCEPTED)
+        result = await self.probe(other_accepts=False, replies=replies)
+        self.assertIs(result, ACCEPTED)
+
+    async def test_target_is_down_if_nobody_reaches_any(self) -> None:
+        """Guard against a request that is not blocked as it crashed all targets."""
+        replies = (None, None)
+        result = await self.probe(other_accepts=False, replies=replies)
+        self.assertIs(result, REFUSED)
+
+    async def test_own_probe_decides_without_peers(self) -> None:
+        """Guard against a lone host that blocks nothing."""
+        self.assertIs(await self.probe(other_accepts=False, n_peers=0), REFUSED)
+
+    async def test_peers_that_do_not_answer_tell_nothing(self) -> None:
+        """Guard against an error of a peer that ends the probe."""
+        lost = PeerUnavailableError("lost")
+        result = await self.probe(other_accepts=False, replies=lost)
+        self.assertIs(result, REFUSED)
+
+    async def test_further_peers_are_asked_if_the_first_can_not_tell(self) -> None:
+        """Guard against a verdict of hosts that were all cut at once."""
+        replies = (None,) * 8 + (ACCEPTED,) * 8
+        result = await self.probe(other_accepts=False, replies=replies, n_peers=16)
+        self.assertIs(result, ACCEPTED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/peer_sends/messages.py
+++ b/trefoilstage/components/peer_sends/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from trefoilstage.components.crashes.probe import ProbeResult
 from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun
 from trefoilstage.components.forwarding.models import CallerRequest
 from trefoilstage.components.forwarding.translator import AnswerHead, ForwardOptions
@@ -65,6 +66,29 @@
     kind: Literal["answer_ended"] = "answer_ended"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeTarget:
+    """Ask a peer whether a target accepts its connections."""
+
+    target: ShortText  # its incarnation
+    kind: Literal["probe_target"] = "probe_target"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProbeReply:
+    """Reply with the result of a probe, None if the peer can't tell."""
+
+    result: ProbeResult | None
+    kind: Literal["probe_reply"] = "probe_reply"
+
+
 PeerSendMessage = (
-    SendToTarget | SendPending | SendFailed | AnswerStarted | AnswerData | AnswerEnded
+    SendToTarget
+    | SendPending
+    | SendFailed
+    | AnswerStarted
+    | AnswerData
+    | AnswerEnded
+    | ProbeTarget
+    | ProbeReply
 )
--- /dev/null
+++ b/trefoilstage/components/peer_sends/probe.py
@@ -0,0 +1,95 @@
+"""Tell a target that ended from one that only this host can't reach."""
+
+import asyncio
+import random
+
+from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
+from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
+from trefoilstage.components.peer_sends.messages import ProbeReply, ProbeTarget
+from trefoilstage.components.peers.links import PeerLinks
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.fleet_board import FleetBoard, PeerState
+
+# More than half of the hosts may have lost their links at once.
+N_ASKED_AT_ONCE = 8
+MAX_PEERS_ASKED = 24
+# A peer probes the target, and then others, each until the probe times out.
+ASK_TIMEOUT_S = 1.0
+
+
+class ConfirmedProbe:
+    """Probe targets, and ask peers while this host's own links are in doubt."""
+
+    def __init__(
+        self,
+        *,
+        board: FleetBoard,
+        probe: TargetProbe,
+        monitor: ReachMonitor,
+        membership: FleetMembership,
+        links: PeerLinks,
+        server: PeerServer,
+        generator: random.Random,
+    ) -> None:
+        self._board = board
+        self._probe = probe
+        self._monitor = monitor
+        self._membership = membership
+        self._links = links
+        self._generator = generator
+        server.register(ProbeTarget, self._answer)
+
+    async def connect(self, address: str) -> ProbeResult:
+        """Return whether a target accepts connections, as hosts with links find.
+
+        If no host that was asked reaches any target, the targets are down.
+        """
+        result = await self._probe.connect(address)
+        if await self._is_conclusive(result):
+            return result
+        entry = self._find_entry(address)
+        peers = self._pick_peers()
+        if entry is None or not peers:
+            return result
+        for first in range(0, len(peers), N_ASKED_AT_ONCE):
+            asked = peers[first : first + N_ASKED_AT_ONCE]
+            replies = await asyncio.gather(*(self._ask(peer, entry) for peer in asked))
+            known = [reply for reply in replies if reply is not None]
+            if known:
+                return known[0]
+        return result
+
+    async def _is_conclusive(self, result: ProbeResult) -> bool:
+        """Return whether the target explains a result of this host's own probe."""
+        return result is ProbeResult.ACCEPTED or await self._monitor.check()
+
+    def _find_entry(self, address: str) -> TargetEntry | None:
+        entries = (item.entry for item in self._board.targets.listed.values())
+        return next((entry for entry in entries if entry.address == address), None)
+
+    def _pick_peers(self) -> list[PeerState]:
+        live = self._membership.list_live_hosts()
+        peers = [self._board.peers[name] for name in live if name in self._board.peers]
+        peers = [peer for peer in peers if peer.targets_in_reach is not False]
+        return self._generator.sample(peers, min(MAX_PEERS_ASKED, len(peers)))
+
+    async def _ask(self, peer: PeerState, entry: TargetEntry) -> ProbeResult | None:
+        """Return what a peer finds, None if it can't tell."""
+        link = self._links.get_link(peer.peer_url)
+        try:
+            reply = await link.call(
+                ProbeTarget(target=entry.incarnation), timeout_s=ASK_TIMEOUT_S
+            )
+        except PeerUnavailableError:
+            return None
+        return reply.result if isinstance(reply, ProbeReply) else None
+
+    async def _answer(self, message: ProbeTarget) -> ProbeReply:
+        entry = self._board.targets.find_incarnation(message.target)
+        if entry is None or self._monitor.is_lost:
+            return ProbeReply(result=None)
+        result = await self._probe.connect(entry.address)
+        return ProbeReply(result=result if await self._is_conclusive(result) else None)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -26,6 +26,7 @@
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peer_sends.path import PathSender
+from trefoilstage.components.peer_sends.probe import ConfirmedProbe
 from trefoilstage.components.peer_sends.sender import PeerSender
 from trefoilstage.components.peer_sends.server import PeerSendServer
 from trefoilstage.components.peers.links import PeerLinks
@@ -225,7 +226,15 @@
     )
     crash_watcher = CrashWatcher(
         host=board.host,
-        probe=probe,
+        probe=ConfirmedProbe(
+            board=board,
+            probe=probe,
+            monitor=reach_monitor,
+            membership=membership,
+            links=links,
+            server=peer_server,
+            generator=generator,
+        ),
         recorder=crash_recorder,
         server=peer_server,
         timer=timer,
