Soak: cut hosts from all targets, at times all of them

Hosts reach the targets through proxies; a cut hangs, resets or refuses for up to 4 s and may meet any other fault.

--- a/standins/common.py
+++ b/standins/common.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 import signal
+import socket
+import struct
 import sys
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -50,3 +52,11 @@
         loop.add_signal_handler(number, stopped.set)
     await stopped.wait()
     await runner.cleanup()
+
+
+def reset_connection(transport: asyncio.BaseTransport) -> None:
+    """Close a connection with a TCP reset instead of a FIN."""
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    if isinstance(transport, asyncio.WriteTransport):
+        transport.abort()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import json
-import socket
 import struct
 import time
 from collections.abc import Awaitable, Callable, Mapping
@@ -11,6 +10,7 @@
 
 from aiohttp import web
 
+from standins.common import reset_connection
 from standins.keyed_store import KeyedStore
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
@@ -233,13 +233,6 @@
         reset_connection(request.transport)
 
 
-def reset_connection(transport: asyncio.Transport) -> None:
-    """Close a connection with a TCP reset instead of a FIN."""
-    connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    transport.abort()
-
-
 def encode_configuration(
     version: int,
     *,
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from standins.common import reset_connection
+
 CHUNK_BYTES = 65_536
 POLL_S = 0.01
 LOOPBACK = "127.0.0.1"
@@ -144,7 +146,7 @@
         *,
         is_reply: bool,
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(CHUNK_BYTES):
                 self.n_bytes += len(data)
                 await self._wait_while_held(source, is_reply=is_reply)
@@ -156,6 +158,9 @@
                     await asyncio.sleep(rule.delay_s)
                 writer.write(data)
                 await writer.drain()
+        except OSError:
+            reset_connection(writer.transport)
+            return
         if is_reply:
             writer.close()
         elif writer.can_write_eof():
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -4,7 +4,8 @@
 
 from aiohttp import web
 
-from standins.platform import PlatformTarget, reset_connection, start_app
+from standins.common import reset_connection
+from standins.platform import PlatformTarget, start_app
 from tests.promises.fleet import PlatformFleet
 from trefoilstage.components.views.store import Topic
 
@@ -45,6 +46,7 @@
         runner = self._runners[number]
         for site in list(runner.sites):
             await site.stop()
+        await self._fleet.stop_target_proxies(number)
         reset_connections(runner)
         task = asyncio.create_task(self._restart(number, runner))
         self._tasks.add(task)
@@ -62,6 +64,7 @@
             target.make_app(), fleet.ports[number]
         )
         fleet.runners.append(self._runners[number])
+        await fleet.start_target_proxies(number)
         fleet.targets[number] = target
         self._set_crash(number, target)
         await fleet.store.put(Topic.TARGETS, old.name, None)
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -116,6 +116,8 @@
     # Whether there is a fault-injecting proxy between each host and each target.
     use_target_proxies: bool = False
     target_proxies: dict[str, list[FaultProxy]] = field(default_factory=dict)
+    cut_hosts: set[str] = field(default_factory=set)  # from all targets
+    stopped_targets: set[int] = field(default_factory=set)
     # Of targets, by number, that are not in the hosts' data centre.
     target_data_centers: dict[int, str] = field(default_factory=dict)
     # Requests a second that a cold target tolerates; without it, no limit is set.
@@ -270,8 +272,22 @@
             self.target_proxies[name] = proxies
         return {proxy.upstream_port: proxy.port for proxy in self.target_proxies[name]}
 
+    async def stop_target_proxies(self, number: int) -> None:
+        """Refuse all hosts' connections to a target that is down."""
+        self.stopped_targets.add(number)
+        for proxies in self.target_proxies.values():
+            await proxies[number].stop()
+
+    async def start_target_proxies(self, number: int) -> None:
+        """Let the hosts that are not cut connect to a target again."""
+        self.stopped_targets.discard(number)
+        for name, proxies in self.target_proxies.items():
+            if name not in self.cut_hosts:
+                await proxies[number].start()
+
     async def cut_from_targets(self, name: str, mode: CutMode) -> None:
         """Cut a host's links to all targets."""
+        self.cut_hosts.add(name)
         for proxy in self.target_proxies[name]:
             if mode is CutMode.HANG:
                 proxy.hang()
@@ -282,9 +298,11 @@
 
     async def reconnect_to_targets(self, name: str) -> None:
         """Restore a host's links to the targets."""
-        for proxy in self.target_proxies[name]:
+        self.cut_hosts.discard(name)
+        for number, proxy in enumerate(self.target_proxies[name]):
             proxy.heal()
-            await proxy.start()
+            if number not in self.stopped_targets:
+                await proxy.start()
 
     async def kill(self, name: str) -> None:
         """Kill a host with SIGKILL and wait until it has exited."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from standins.platform import COLD_S
-from standins.proxy import FaultRule
+from standins.proxy import CutMode, FaultRule
 from tests.promises.fleet import PlatformFleet
 
 TARGET_FAULT_WEIGHT = 5
@@ -77,6 +77,7 @@
             self._lose_store_answers,
             self._slow_store,
             self._refuse_store_calls,
+            self._cut_from_targets,
             # Targets fail more often than hosts, and most requests that are wrongly
             # sent twice are sent after a target's failure.
             *[self._break_target] * TARGET_FAULT_WEIGHT,
@@ -164,6 +165,17 @@
         for store_server in store_servers:
             store_server.is_refusing = False
 
+    async def _cut_from_targets(self) -> None:
+        """Cut some hosts, at times all, from all targets."""
+        names = sorted(self.fleet.hosts.keys() - self.fleet.cut_hosts)
+        cut = self.generator.sample(names, self.generator.randint(0, len(names)))
+        mode = self.generator.choice(list(CutMode))
+        for name in cut:
+            await self.fleet.cut_from_targets(name, mode)
+        await self._wait_randomly(4.0)
+        for name in cut:
+            await self.fleet.reconnect_to_targets(name)
+
     async def _break_target(self) -> None:
         target = self.generator.choice(self.fleet.targets)
         fault = self.generator.choice(TARGET_FAULTS)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -62,6 +62,7 @@
         n_targets=3,
         prepaid=PREPAID_TOKENS,
         use_proxies=True,
+        use_target_proxies=True,
         target_data_centers={EVACUATED_TARGET: EVACUATED_DATA_CENTER},
         cold_requests_per_s=COLD_REQUESTS_PER_S,
     )
