Keep connections to targets that fall silent for a second or so

What callers saw: requests in prefill ended as their target had fallen silent and gone on. Cause: as on Linux, a TCP user timeout that is set decides when keep-alive probes give up, whatever their number: with 2 s, one unanswered probe was enough, and a silence of some milliseconds at the wrong moment ended a connection. Now 3.5 s: three probes in a row.

The test computes by that rule, with the sockets' real options, when a silence of 1.5 s ends a connection: at all 100 starts tried before, at none now; a dead path is given up after 4 s (2 before). Ruled out: 2.5 s, which ends it when two probes fall into the silence. Other sockets: links between hosts and to the store set no user timeout.

--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -1,8 +1,11 @@
 """Test which connections to targets are reused."""
 
 import asyncio
+import contextlib
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from unittest import mock
 
 from tests.components.boards import make_board
@@ -11,6 +14,7 @@
 from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun, OpenAnswer
 from trefoilstage.components.forwarding.connections import (
     limit_idle_connections,
+    open_socket,
     parse_idle_time,
 )
 from trefoilstage.components.forwarding.models import CallerRequest
@@ -19,6 +23,9 @@
 from trefoilstage.platform.headers import HeaderTranslator
 
 LOOPBACK = "127.0.0.1"
+# Targets may fall silent for a second or so and go on.
+SOUND_SILENCE_S = 1.5
+MAX_DEAD_S = 5.0
 OPTIONS = ForwardOptions(workspace="school", deadline_s=5.0)
 Serve = Callable[["ScriptedTarget", str, asyncio.StreamWriter], Awaitable[None]]
 
@@ -309,5 +316,63 @@
                 self.assertEqual((fields["connection"], fields["sent"]), ("new", False))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeepAliveOptions:
+    """Describe when Linux gives up a connection without data in flight, in seconds."""
+
+    idle_s: float
+    interval_s: float
+    user_timeout_s: float
+
+    def find_end(self, silent_from: float, silent_until: float) -> float | None:
+        """Return when a connection that last received at 0 is given up, if it is."""
+        last_received, now, n_unanswered = 0.0, self.idle_s, 0
+        while now < silent_until + self.idle_s:
+            if n_unanswered and now - last_received >= self.user_timeout_s:
+                return now
+            if silent_from <= now < silent_until:
+                n_unanswered += 1
+            else:
+                last_received, n_unanswered = now, 0
+            now += self.interval_s
+        return None
+
+
+def read_options() -> KeepAliveOptions:
+    """Return the options of the sockets that are connected to targets."""
+    address = (socket.AF_INET, socket.SOCK_STREAM, 0, "", ("", 0))
+    with contextlib.closing(open_socket(address)) as opened:
+
+        def read(option: int) -> int:
+            return opened.getsockopt(socket.IPPROTO_TCP, option)
+
+        return KeepAliveOptions(
+            idle_s=read(socket.TCP_KEEPIDLE),
+            interval_s=read(socket.TCP_KEEPINTVL),
+            user_timeout_s=read(socket.TCP_USER_TIMEOUT) / 1000,
+        )
+
+
+class SilentTargetTest(unittest.TestCase):
+    """Test when connections to targets that fall silent are given up.
+
+    A user timeout decides whatever the number of probes.
+    """
+
+    def test_target_that_goes_on_after_a_silence_keeps_its_connections(self) -> None:
+        """Guard against requests that end as their sound target was silent."""
+        options = read_options()
+        for step in range(100):
+            silent_from = step * 0.05
+            with self.subTest(silent_from=silent_from):
+                end = options.find_end(silent_from, silent_from + SOUND_SILENCE_S)
+                self.assertIsNone(end)
+
+    def test_dead_path_is_given_up(self) -> None:
+        """Guard against requests that wait at a path that is gone."""
+        end = read_options().find_end(0.0, 60.0)
+        self.assertLessEqual(end or 60.0, MAX_DEAD_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -27,14 +27,14 @@
 MAX_IDLE_S = 15.0
 # The share of a target's connection limit that idle connections may use.
 IDLE_CONNECTIONS_SHARE = 0.3
-# A network path without acknowledgements for this long counts as dead. Callers tolerate
-# a silence of 2 s and more. A shorter limit ended requests that a network interruption
-# of a second had only delayed.
-MAX_UNACKNOWLEDGED_MS = 2_000
 # During prefill no data is in flight, so only keep-alive probes detect a dead path.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-N_KEEPALIVE_PROBES = 2
+# One silence of a sound target may hide two probes.
+N_KEEPALIVE_PROBES = 3
+# A network path without acknowledgements for this long counts as dead. It also ends the
+# probes, whatever their number, so it lies between the last probe and its timeout.
+MAX_UNACKNOWLEDGED_MS = 3_500
 KEEP_ALIVE_PATTERN = re.compile(r"(?:timeout=)?(\d+)")
 
 
