CONFIG: log refused reads of a topic, and the end that a listing names

A read that the store refused as it lacks the offset left no line, and view_listed showed the offset that the host goes on from, not the end that the store named. With both, a store that is older than its readers can be told from one whose history expired. No logic changed.

--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -59,7 +59,8 @@
         while True:
             try:
                 await self._read_changes()
-            except OffsetExpiredError:
+            except OffsetExpiredError as error:
+                log_event(Event.VIEW_EXPIRED, topic=self._topic, error=str(error))
                 self.has_listing = False
             except StoreUnavailableError as error:
                 self._board.store.record_failure(self._now(), str(error))
@@ -74,7 +75,10 @@
             changed = self.view.merge_listing(batch.records, batch.end_offset)
             self.has_listing = True
             log_event(
-                Event.VIEW_LISTED, topic=self._topic, offset=self.view.next_offset
+                Event.VIEW_LISTED,
+                topic=self._topic,
+                offset=self.view.next_offset,
+                end_offset=batch.end_offset,
             )
         else:
             batch = await self._store.read(
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -83,6 +83,7 @@
     EVACUATION_STARTED = "evacuation_started"
     EVACUATION_ENDED = "evacuation_ended"
     VIEW_LISTED = "view_listed"
+    VIEW_EXPIRED = "view_expired"
     VIEW_RELAYED = "view_relayed"
     STORE_IN_REACH = "store_in_reach"
     STORE_OUT_OF_REACH = "store_out_of_reach"
