--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -2,7 +2,8 @@
 
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import (
@@ -11,6 +12,8 @@
     StoreRefusedError,
     StoreUnavailableError,
     Topic,
+    make_position,
+    split_position,
 )
 
 
@@ -45,8 +48,12 @@
 
 @dataclass(kw_only=True, slots=True)
 class KeyedStore:
-    """Store keyed topics; can refuse calls, lose replies and delay writes."""
+    """Store keyed topics; can refuse calls, lose replies, and come back older.
 
+    The offsets are positions, which rise also when the store comes back from a copy.
+    """
+
+    era: int = 0  # how often it came back from a copy
     is_down: bool = False
     refused_call_share: float = 0.0
     lost_reply_share: float = 0.0
@@ -61,7 +68,10 @@
         """Return the newest record of each key."""
         self._check_available()
         found = self.partitions[topic, partition]
-        return RecordBatch(records=found.list_newest(), end_offset=found.end_offset)
+        return RecordBatch(
+            records=self._place(found.list_newest()),
+            end_offset=make_position(self.era, found.end_offset),
+        )
 
     async def read(
         self, topic: Topic, offset: int, wait_s: float, partition: int = 0
@@ -69,9 +79,14 @@
         """Return the records from an offset on."""
         self._check_available()
         found = self.partitions[topic, partition]
-        if offset < found.first_kept_offset:
+        era, first = split_position(offset)
+        is_kept = found.first_kept_offset <= first <= found.end_offset
+        if era != self.era or not is_kept:
             raise OffsetExpiredError(str(offset))
-        return RecordBatch(records=found.records[offset:], end_offset=found.end_offset)
+        return RecordBatch(
+            records=self._place(found.records[first:]),
+            end_offset=make_position(self.era, found.end_offset),
+        )
 
     async def put(
         self,
@@ -103,6 +118,23 @@
             raise StoreUnavailableError("the reply to an applied write was lost")
         return offset
 
+    def make_copy(self) -> dict[tuple[Topic, int], int]:
+        """Return a copy to restore later: the end of each partition."""
+        return {key: found.end_offset for key, found in self.partitions.items()}
+
+    def restore(self, copy: Mapping[tuple[Topic, int], int]) -> None:
+        """Lose all that was written since a copy, and give its offsets out again."""
+        self.era += 1
+        self.delayed_writes.clear()
+        for key, found in self.partitions.items():
+            del found.records[copy.get(key, 0) :]
+
+    def _place(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        return [
+            replace(item, offset=make_position(self.era, item.offset))
+            for item in records
+        ]
+
     def apply_delayed_write(self) -> None:
         """Apply one delayed write if its expected offset still matches."""
         if self.delayed_writes:
@@ -114,16 +146,14 @@
 
     def _apply(self, write: DelayedWrite) -> int | None:
         found = self.partitions[write.topic, write.partition]
-        if (
-            write.expected_offset is not None
-            and write.expected_offset != found.end_offset
-        ):
+        end = make_position(self.era, found.end_offset)
+        if write.expected_offset is not None and write.expected_offset != end:
             return None
         offset = found.end_offset
         found.records.append(
             KeyedRecord(key=write.key, offset=offset, value=write.value)
         )
-        return offset
+        return end
 
     def _check_available(self) -> None:
         if self.is_down:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,12 @@
 from standins.common import reset_connection
 from standins.keyed_store import KeyedStore
 from trefoilstage.components.views.keyed_view import KeyedRecord
-from trefoilstage.components.views.store import Topic
+from trefoilstage.components.views.store import (
+    OffsetExpiredError,
+    Topic,
+    make_position,
+    split_position,
+)
 from trefoilstage.platform.store import TOPIC_NAMES, decode_keyed_record, encode_record
 
 LOOPBACK = "127.0.0.1"
@@ -47,11 +52,17 @@
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_get("/trefoilstage/log-newest", self._list_newest)
         app.router.add_get("/trefoilstage/log-read", self._read)
         app.router.add_post("/trefoilstage/log-append", self._append)
         return app
 
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self._store.era)
+
     def _parse_partition(self, request: web.Request) -> tuple[Topic, int]:
         if self.is_refusing:
             raise web.HTTPServiceUnavailable
@@ -76,15 +87,16 @@
     async def _list_newest(self, request: web.Request) -> web.Response:
         topic, part = self._parse_partition(request)
         batch = await self._store.list_newest(topic, part)
+        end_offset = split_position(batch.end_offset)[1]
         items = [
             {
                 "key": item.key,
                 "value": base64.b64encode(item.value or b"").decode(),
-                "offset": item.offset,
+                "offset": split_position(item.offset)[1],
             }
             for item in self._readdress(topic, batch.records)
         ]
-        return web.json_response({"items": items, "end_offset": batch.end_offset})
+        return web.json_response({"items": items, "end_offset": end_offset})
 
     async def _read(self, request: web.Request) -> web.Response:
         topic, part = self._parse_partition(request)
@@ -95,7 +107,11 @@
         records: list[KeyedRecord] = []
         while not records:
             self._parse_partition(request)
-            batch = await self._store.read(topic, offset, 0, part)
+            position = make_position(self._store.era, offset)
+            try:
+                batch = await self._store.read(topic, position, 0, part)
+            except OffsetExpiredError as error:
+                raise web.HTTPGone from error
             records = self._readdress(topic, batch.records)
             if asyncio.get_running_loop().time() >= deadline:
                 break
@@ -108,17 +124,18 @@
         topic, part = self._parse_partition(request)
         record = decode_keyed_record((await request.read())[4:], 0)
         expected_offset = request.query.get("at")
-        offset = await self._store.put(
+        position = await self._store.put(
             topic,
             record.key,
             record.value,
             partition=part,
             expected_end_offset=None
             if expected_offset is None
-            else int(expected_offset),
+            else make_position(self._store.era, int(expected_offset)),
         )
-        if offset is None:
+        if position is None:
             return web.json_response({"end_offset": 0}, status=412)
+        offset = split_position(position)[1]
         return web.json_response({"offset": offset, "end_offset": offset + 1})
 
 
--- a/trefoilstage/components/views/store.py
+++ b/trefoilstage/components/views/store.py
@@ -7,6 +7,9 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
 
+# Messages between hosts carry positions of up to 53 bits.
+OFFSET_BITS = 40
+
 
 class Topic(StrEnum):
     """List the keyed topics of the store."""
@@ -20,6 +23,19 @@
     CRASHES = "crashes"
 
 
+def make_position(n_restored: int, offset: int) -> int:
+    """Return the position of an offset of a store that came back that often.
+
+    Offsets are given out again after the store came back from a copy, positions never.
+    """
+    return (n_restored << OFFSET_BITS) | offset
+
+
+def split_position(position: int) -> tuple[int, int]:
+    """Return how often the store had come back from a copy, and the offset."""
+    return position >> OFFSET_BITS, position & ((1 << OFFSET_BITS) - 1)
+
+
 class StoreUnavailableError(NotReadyError):
     """Report that the store did not reply; a write may have taken effect."""
 
