CONFIG: read on after the store came back from an older copy

What callers saw: 404 as an older version says, 2.7 s after a newer one was confirmed. Cause: hosts took offsets for positions that only rise. A restored store gives offsets out again: each read at the offset that a host had reached was refused (410), each listing was merged by the highest offset, so that new records with lower offsets lost, and the next read was refused again, about 75 times a second and host, until as many records were written as had been read. Evidence: view_listed offset=16 every 0.013 s, 73 to 85 refused reads a second and host, until the end of the topic passed 16.

The adapter now makes positions of the store's era and offset, which rise always, also from host to host; a read or a conditional write across eras is refused, so that its caller reads anew. Keys that a restored listing lacks are kept until they must have been written again (5 s, targets 2 s): an evacuation would end, peers would be forgotten. Hosts announce themselves again.

Ruled out: taking the lower offset of a listing as it comes (a stale listing, or a peer that lags, would restore older records); forgetting all on a restoration (targets, peers and evacuations would be gone until they are written again).

--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -156,7 +156,9 @@
             target_drain_s=drain_s,
         )
         board = make_board("host-0", [f"host-{n}" for n in range(n_hosts)])
-        followers = make_followers(settings, board, mock.Mock(), mock.Mock())
+        followers = make_followers(
+            settings, board, mock.Mock(), mock.Mock(), mock.Mock()
+        )
         return followers[topic]._get_pause()
 
     def test_targets_are_read_several_times_within_the_drain_time(self) -> None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -214,8 +214,8 @@
         found = validate_items(items, Topic.TARGETS)
         self.assertEqual([item.key for item in found], ["i-1", "i-1"])
         with self.assertRaises(MalformedMessageError):
-            decode_target("i-1", decode_item(found[0]).value or b"")
-        self.assertEqual(decode_item(found[1]).value, b"v")
+            decode_target("i-1", decode_item(found[0], 0).value or b"")
+        self.assertEqual(decode_item(found[1], 0).value, b"v")
 
     def test_truncated_response_is_store_unavailable(self) -> None:
         for data in (b"", b"\0" * 15, struct.pack(">QQ", 9, 0) + b"\0\0"):
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -207,6 +207,11 @@
             # respond gets no work, so a stale record costs only heartbeats.
             log_event(Event.STORE_WRITE_FAILED, topic=Topic.HOSTS, error=str(error))
 
+    def announce_again(self) -> None:
+        """Write this host's record again, which a restored store may lack."""
+        if self._board.phase is not Phase.DRAINING:
+            self.add_future(self._announce())
+
     async def _announce(self) -> None:
         record = HostRecord(
             incarnation=self._board.incarnation,
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -11,6 +11,7 @@
     Store,
     StoreUnavailableError,
     Topic,
+    split_position,
 )
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -19,6 +20,10 @@
 # outage. During the outage, a follower calls the store at most five times per second.
 RETRY_INTERVAL_S = 0.2
 
+# What is written to a restored store again is there after this time.
+REWRITE_S = 5.0
+TARGETS_REWRITE_S = 2.0
+
 ChangeCallback = Callable[[list[KeyedRecord]], None]
 GetPause = Callable[[], float]
 
@@ -35,6 +40,7 @@
         wait_s: float,
         get_pause: GetPause,
         on_change: ChangeCallback,
+        on_restored: Callable[[], None],
     ) -> None:
         super().__init__()
         self._board = board
@@ -43,6 +49,10 @@
         self._wait_s = wait_s  # the longest that the store may wait for new records
         self._get_pause = get_pause  # returns the seconds until the next read
         self._on_change = on_change
+        self._on_restored = on_restored
+        self._rewrite_s = TARGETS_REWRITE_S if topic is Topic.TARGETS else REWRITE_S
+        # When records that a restored store lacks count as deleted.
+        self._list_again_at = float("inf")
         self.has_listing = False  # whether the topic was read from the store
         # A target's entry says how long it is cold from when the entry was written.
         self.view = KeyedView(reports_repeats=topic is Topic.TARGETS)
@@ -68,12 +78,31 @@
             else:
                 await asyncio.sleep(self._get_pause())
 
+    def _is_restored(self, end_offset: int) -> bool:
+        """Return whether the store came back from a copy since the view was read."""
+        n_restored, _ = split_position(end_offset)
+        return bool(self.view.records) and n_restored > self._get_n_restored()
+
+    def _get_n_restored(self) -> int:
+        return split_position(self.view.next_offset)[0]
+
     async def _read_changes(self) -> None:
+        if self._now() >= self._list_again_at:
+            self._list_again_at = float("inf")
+            self.has_listing = False
         if not self.has_listing:
             batch = await self._store.list_newest(self._topic)
-            self._board.store.record_response(self._now())
-            changed = self.view.merge_listing(batch.records, batch.end_offset)
+            now = self._now()
+            self._board.store.record_response(now)
+            is_restored = self._is_restored(batch.end_offset)
+            changed = self.view.merge_listing(
+                batch.records, batch.end_offset, keeps_missing=is_restored
+            )
             self.has_listing = True
+            if is_restored:
+                self._list_again_at = now + self._rewrite_s
+            if self._board.store.record_position(batch.end_offset, now):
+                self._on_restored()
             log_event(
                 Event.VIEW_LISTED,
                 topic=self._topic,
--- a/trefoilstage/components/views/keyed_view.py
+++ b/trefoilstage/components/views/keyed_view.py
@@ -53,14 +53,22 @@
         return changed
 
     def merge_listing(
-        self, records: list[KeyedRecord], end_offset: int
+        self,
+        records: list[KeyedRecord],
+        end_offset: int,
+        *,
+        keeps_missing: bool = False,
     ) -> list[KeyedRecord]:
-        """Merge a complete listing; a missing key was deleted before `end_offset`."""
+        """Merge a complete listing; a missing key was deleted before `end_offset`.
+
+        With `keeps_missing`, it may only not have been written again yet.
+        """
         listed = {record.key for record in records}
         deleted = [
             KeyedRecord(key=key, offset=end_offset - 1, value=None)
             for key, known in self.records.items()
-            if key not in listed
+            if not keeps_missing
+            and key not in listed
             and known.value is not None
             and known.offset < end_offset - 1
         ]
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -11,6 +11,7 @@
 from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.directory import TargetDirectory
 from trefoilstage.components.targets.named_limits import NamedLimits
+from trefoilstage.components.views.store import split_position
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.phase import Phase
 
@@ -39,6 +40,23 @@
     failing_since: float | None = None
     back_at: float = float("-inf")
     out_of_reach: bool = False
+    # How often the store came back from an older copy, None before the first answer.
+    n_restored: int | None = None
+    restored_at: float = float("-inf")  # when this host noticed the last time
+
+    def record_position(self, position: int, now: float) -> bool:
+        """Record a position in the store; return whether it shows a restoration."""
+        n_restored, _ = split_position(position)
+        # A host that starts has read nothing that a copy could lack.
+        is_first = self.n_restored is None
+        if not is_first and n_restored <= (self.n_restored or 0):
+            return False
+        self.n_restored = n_restored
+        if is_first:
+            return False
+        self.restored_at = now
+        log_event(Event.STORE_RESTORED, n_restored=n_restored)
+        return True
 
     def get_outage_s(self, now: float) -> float:
         """Return the seconds since the store last answered, 0 while it is reachable."""
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -121,7 +121,11 @@
                 topic, records, asyncio.get_running_loop().time()
             )
 
-    followers = make_followers(settings, board, store, apply_records)
+    def write_again() -> None:
+        """Write again what a restored store may lack."""
+        membership.announce_again()
+
+    followers = make_followers(settings, board, store, apply_records, write_again)
     limits = KnownLimits(board=board, timer=timer)
     membership = FleetMembership(
         board=board,
@@ -270,6 +274,7 @@
     board: FleetBoard,
     store: Store,
     apply_records: Callable[[Topic, list[KeyedRecord]], None],
+    on_restored: Callable[[], None],
 ) -> dict[Topic, ViewFollower]:
     """Create a follower for each topic that all hosts read."""
 
@@ -281,6 +286,7 @@
             wait_s=wait_s,
             get_pause=get_pause,
             on_change=lambda records: apply_records(topic, records),
+            on_restored=on_restored,
         )
 
     targets_pause_s = settings.target_drain_s / TARGET_READS_PER_DRAIN
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -86,6 +86,7 @@
     VIEW_EXPIRED = "view_expired"
     VIEW_RELAYED = "view_relayed"
     STORE_IN_REACH = "store_in_reach"
+    STORE_RESTORED = "store_restored"
     STORE_OUT_OF_REACH = "store_out_of_reach"
     STORE_WRITE_FAILED = "store_write_failed"
     PEER_MET = "peer_met"
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import struct
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Annotated, Any, Final, TypeVar
 
 import aiohttp
@@ -14,8 +16,10 @@
     StoreRefusedError,
     StoreUnavailableError,
     Topic,
+    make_position,
+    split_position,
 )
-from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.events import Event, log_event, truncate_text
 
 TOPIC_NAMES: Final = {
     Topic.CONFIGURATION: "keyed.op",
@@ -26,6 +30,10 @@
     Topic.ROSTERS: "keyed.rosters",
     Topic.CRASHES: "keyed.crashes",
 }
+HEADER_STORE_ERA: Final = "Store-Era"
+# Positions of higher eras would not fit into messages between hosts.
+MAX_ERAS = 8_192
+MAX_ERA_DIGITS = 9
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
@@ -64,12 +72,26 @@
     offset: Annotated[int, Field(ge=0)]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreAnswer:
+    """Describe an answer of the store."""
+
+    status: int
+    era: int  # how often the store has come back from a copy
+    data: bytes
+
+
 class StoreClient:
-    """Read and write the store over HTTP, with one connection per pending call."""
+    """Read and write the store over HTTP, with one connection per pending call.
+
+    The store names its era in each answer, and counts offsets anew in each; positions
+    hold both.
+    """
 
     def __init__(self, *, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
         self._url = url
+        self._era = 0  # in the latest answer
 
     async def list_newest(self, topic: Topic, partition: int = 0) -> RecordBatch:
         """Return the newest record of each key, from all pages."""
@@ -77,46 +99,52 @@
         after: str | None = None
         end_offset: int | None = None
         while True:
-            page = await self._list_page(topic, partition, after)
+            era, page = await self._list_page(topic, partition, after)
             # The pages are not one snapshot: the listing is complete only up to the end
             # offset of the first page.
-            end_offset = page.end_offset if end_offset is None else end_offset
+            if end_offset is None:
+                end_offset = make_position(era, page.end_offset)
+            elif split_position(end_offset)[0] != era:
+                raise StoreUnavailableError("restored while it listed a topic")
             items = validate_items(page.items, topic)
-            records += [decode_item(item) for item in items]
+            records += [decode_item(item, era) for item in items]
             if not page.has_more or not items:
                 return RecordBatch(records=records, end_offset=end_offset)
             after = items[-1].key
 
     async def _list_page(
         self, topic: Topic, partition: int, after: str | None
-    ) -> WirePage:
+    ) -> tuple[int, WirePage]:
+        """Return the store's era, and a page of the newest records."""
         params = {"topic": TOPIC_NAMES[topic], "part": str(partition)}
         if after is not None:
             params["after"] = after
-        status, data = await self._call("GET", "/trefoilstage/log-newest", params)
-        check_status(status)
-        return decode_model(WirePage, data)
+        answer = await self._call("GET", "/trefoilstage/log-newest", params)
+        check_status(answer.status)
+        return answer.era, decode_model(WirePage, answer.data)
 
     async def read(
         self, topic: Topic, offset: int, wait_s: float, partition: int = 0
     ) -> RecordBatch:
         """Return the records from an offset on; wait up to `wait_s` for the first.
 
-        Raise OffsetExpiredError if the store no longer keeps the offset.
+        Raise OffsetExpiredError if the store no longer has the offset.
         """
+        era, first = split_position(offset)
         params = {
             "topic": TOPIC_NAMES[topic],
             "part": str(partition),
-            "from": str(offset),
+            "from": str(first),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        status, data = await self._call(
+        answer = await self._call(
             "GET", "/trefoilstage/log-read", params, wait_s=wait_s
         )
-        if status == HTTP_GONE:
-            raise OffsetExpiredError(f"offset {offset} of {topic} has expired")
-        check_status(status)
-        return decode_records(data, offset)
+        # The records before a restored store's end may differ from those read before.
+        if answer.status == HTTP_GONE or answer.era != era:
+            raise OffsetExpiredError(f"offset {first} in era {era}, now {answer.era}")
+        check_status(answer.status)
+        return decode_records(answer.data, offset)
 
     async def put(
         self,
@@ -130,15 +158,19 @@
         """Write a key; return its offset, or None if the end offset differs."""
         params = {"topic": TOPIC_NAMES[topic], "part": str(partition)}
         if expected_end_offset is not None:
-            params["at"] = str(expected_end_offset)
+            era, end_offset = split_position(expected_end_offset)
+            if era != self._era:
+                return None
+            params["at"] = str(end_offset)
         body = encode_record(key, value)
-        status, data = await self._call(
-            "POST", "/trefoilstage/log-append", params, body=body
-        )
-        if status == HTTP_PRECONDITION_FAILED:
+        answer = await self._call("POST", "/trefoilstage/log-append", params, body=body)
+        if answer.status == HTTP_PRECONDITION_FAILED:
+            return None
+        check_status(answer.status)
+        if expected_end_offset is not None and answer.era != era:
+            # The offset was given out again: what the record was based on is gone.
             return None
-        check_status(status)
-        return decode_model(WireAppended, data).offset
+        return make_position(answer.era, decode_model(WireAppended, answer.data).offset)
 
     async def _call(
         self,
@@ -148,7 +180,7 @@
         *,
         body: bytes | None = None,
         wait_s: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> "StoreAnswer":
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -156,10 +188,28 @@
             async with self._session.request(
                 method, f"{self._url}{path}", params=params, data=body, timeout=timeout
             ) as response:
-                return response.status, await response.read()
+                data = await response.read()
+                era = self._read_era(response.headers)
+                return StoreAnswer(status=response.status, era=era, data=data)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(type(error).__name__) from error
 
+    def _read_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era of an answer, the latest known one if it names none."""
+        text = headers.get(HEADER_STORE_ERA)
+        if text is None:
+            return self._era
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+        if not is_number or int(text) >= MAX_ERAS:
+            log_event(
+                Event.HEADER_MALFORMED,
+                header=HEADER_STORE_ERA,
+                value=truncate_text(text),
+            )
+            return self._era
+        self._era = max(self._era, int(text))
+        return int(text)
+
 
 def check_status(status: int) -> None:
     """Raise StoreRefusedError for any status but success."""
@@ -191,13 +241,14 @@
     return valid
 
 
-def decode_item(item: WireItem) -> KeyedRecord:
+def decode_item(item: WireItem, era: int) -> KeyedRecord:
     """Convert a listed item to a record; invalid base64 becomes UNREADABLE_VALUE."""
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
         value = UNREADABLE_VALUE
-    return KeyedRecord(key=item.key, offset=item.offset, value=value or None)
+    position = make_position(era, item.offset)
+    return KeyedRecord(key=item.key, offset=position, value=value or None)
 
 
 def encode_record(key: str, value: bytes | None) -> bytes:
