CONFIG: write draws again that a restored store lacks

A copy lacks the draws made since; others saw these tokens as free and drew them again, while the first home went on granting them.

When the store came back from a copy, homes write again what they know: each its own draws exactly, what they had read of others as the higher of both. Nobody draws for 1.5 s, and for 4 s nothing is retired. Stocks go on serving meanwhile; what they can't cover is refused at once as unconfirmed. Too much counted is corrected when its holder writes again or is retired, too little would be spent twice. Rosters are written again before a record names them, and so are proofs about locked tokens.

Not covered: draws of a home that ended between the copy and the restoration and that no other host had read; a host that starts while others still settle.

--- a/tests/components/escrow/common.py
+++ b/tests/components/escrow/common.py
@@ -1,11 +1,12 @@
 """Run escrow homes on an in-memory store, with a clock that the test sets."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from standins.keyed_store import KeyedStore
 from trefoilstage.components.escrow.grants import GrantRegistry
-from trefoilstage.components.escrow.home import EscrowHome
+from trefoilstage.components.escrow.home import SETTLE_S, EscrowHome
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.lock_keeper import LockKeeper
 from trefoilstage.components.escrow.messages import SealHome, SealReply, SettledHold
@@ -15,7 +16,7 @@
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import FleetConfiguration, Workspace
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.views.store import Topic
+from trefoilstage.components.views.store import Topic, make_position
 from trefoilstage.fleet_board import FleetBoard, PeerState
 from trefoilstage.helpers.verdict import Reason
 from trefoilstage.phase import Phase
@@ -91,6 +92,8 @@
             phase=Phase.SERVING,
             configuration=make_configuration(self.prepaid),
         )
+        position = make_position(self.store.era, 0)
+        board.store.record_position(position, self.timer.time)
         grants = GrantRegistry()
         recovery = EscrowRecovery(
             board=board,
@@ -154,6 +157,19 @@
             for other in self.boards:
                 self.update_peer(host, other)
 
+    async def restore_store(self, copy: Mapping[tuple[Topic, int], int]) -> None:
+        """Let the store come back from a copy, and homes write their draws again."""
+        self.store.restore(copy)
+        position = make_position(self.store.era, 0)
+        for host, home in self.homes.items():
+            if self.boards[host].store.record_position(position, self.timer.time):
+                home.make_good()
+        for _ in range(2):
+            for home in self.homes.values():
+                for account in home.list_accounts():
+                    await home._draw(account.workspace)
+        self.timer.time += SETTLE_S
+
     async def run_lock_keeper(self, host: str) -> None:
         """Let a host read its predecessor's promise, or later renew its own."""
         keeper = self.keepers[host]
--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -31,6 +31,7 @@
 }
 N_SEEDS = 60
 N_STEPS = 400
+STEPS_PER_COPY = 20
 
 
 class OverspendFuzz(unittest.IsolatedAsyncioTestCase):
@@ -49,13 +50,29 @@
             with self.subTest(seed=seed):
                 await self._run_seed(seed)
 
-    async def _run_seed(self, seed: int) -> None:
+    async def test_no_restored_store_spends_more_than_was_prepaid(self) -> None:
+        """Guard against draws that a copy of the store lacks and others draw again."""
+        for seed in range(N_SEEDS):
+            with self.subTest(seed=seed):
+                await self._run_seed(seed, restores=True)
+
+    async def _run_seed(self, seed: int, *, restores: bool = False) -> None:
         generator = random.Random(seed)
         cluster = EscrowCluster(prepaid=PREPAID, home=generator.choice(HOSTS))
         cluster.store.generator = random.Random(seed + 1_000)
         for host in HOSTS:
             cluster.start(host)
+        copy, n_starts = cluster.store.make_copy(), cluster.n_starts
         for step in range(N_STEPS):
+            if restores and step % STEPS_PER_COPY == 0:
+                # Draws of a home that ended since the copy are known to nobody.
+                if cluster.n_starts == n_starts and step:
+                    cluster.store.is_down = False
+                    cluster.store.refused_call_share = 0.0
+                    cluster.store.lost_reply_share = 0.0
+                    cluster.store.delayed_write_share = 0.0
+                    await cluster.restore_store(copy)
+                copy, n_starts = cluster.store.make_copy(), cluster.n_starts
             await self._run_step(cluster, generator, f"request-{step}")
             for workspace, spent in cluster.spent.items():
                 self.assertLessEqual(spent, PREPAID, (seed, step, workspace))
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -7,6 +7,10 @@
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.record import AccountRecord, Holder
 from trefoilstage.components.escrow.reserve import SizeDemand
+from trefoilstage.components.escrow.restored_record import (
+    is_own_current,
+    join_records,
+)
 from trefoilstage.components.escrow.stock import (
     Demand,
     HomeRank,
@@ -50,6 +54,9 @@
     lock: ReserveLock = field(default_factory=ReserveLock)  # one for the whole host
     pending: list[StockChange] = field(default_factory=list)  # writes not confirmed
     pending_at: int = -1  # the partition's end offset when they were sent
+    # The record before the store came back older, until all homes wrote theirs again.
+    known_before: AccountRecord | None = None
+    lacks_known: bool = False  # whether the stored record lacks part of that one
 
     @property
     def drawn(self) -> int:
@@ -107,9 +114,48 @@
     def update_record(self, record: AccountRecord, offset: int) -> None:
         """Replace the record by the store's, unless that is older."""
         if offset > self.record_offset:
-            self.record = record
+            self.record = self._make_good(record)
             self.record_offset = offset
 
+    def record_own_write(self, record: AccountRecord, offset: int) -> None:
+        """Replace the record by one that this incarnation has written."""
+        self.clear_pending()
+        own = record.holders.get(self.incarnation)
+        if self.known_before is not None and own is not None:
+            self.known_before = self.known_before.set_holder(self.incarnation, own)
+        self.update_record(record, offset)
+
+    def record_missing(self, end_offset: int) -> None:
+        """Record that the store has no record of the account, as its copy had none."""
+        if self.known_before is not None:
+            self.update_record(AccountRecord(), end_offset - 1)
+
+    def begin_making_good(self) -> None:
+        """Keep to the record as known, as the store came back from an older copy."""
+        if self.record_offset >= 0:
+            self.known_before = self.record
+
+    def end_making_good(self) -> None:
+        """Take records as the store has them, unless they still lack own draws."""
+        if not self.lacks_known:
+            self.known_before = None
+
+    def _make_good(self, stored: AccountRecord) -> AccountRecord:
+        """Return a stored record with what it lacks of the one known before."""
+        known = self.known_before
+        if known is None:
+            return stored
+        own = known.holders.get(self.incarnation)
+        stored_own = stored.holders.get(self.incarnation)
+        if own is not None:
+            returned = {own.drawn + change.tokens for change in self.pending}
+            if is_own_current(stored_own, own, returned) and stored_own is not None:
+                known = known.set_holder(self.incarnation, stored_own)
+        joined = join_records(stored, known)
+        self.known_before = known
+        self.lacks_known = joined != stored
+        return joined
+
     def start_change(self, change: StockChange, end_offset: int) -> None:
         """Reserve the tokens that a write may return or lock, until it is confirmed."""
         self.pending.append(change)
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -66,6 +66,11 @@
         """Forget a partition's end, so that it is read again before the next write."""
         self._end_offsets.pop(self._get_partition(workspace), None)
 
+    def forget_stored(self) -> None:
+        """Forget what the store has, which came back from an older copy."""
+        self._end_offsets.clear()
+        self._rosters.forget_written()
+
     async def read_roster(self, holder: Holder) -> Mapping[str, str] | None:
         """Return the requesters that a holder lists, None if the roster is missing."""
         return await self._rosters.read(holder.roster)
@@ -89,6 +94,11 @@
                     Event.RECORD_MALFORMED, topic=Topic.ACCOUNTS, error=str(error)
                 )
                 raise StoreUnavailableError("malformed account record") from error
+        listed = {record.key for record in batch.records}
+        for account in self._accounts.values():
+            is_here = self._get_partition(account.workspace) == partition
+            if is_here and account.workspace not in listed:
+                account.record_missing(batch.end_offset)
         self._end_offsets[partition] = batch.end_offset
         self._read_at[workspace] = self._timer.now()
         self._accounts[workspace].resolve_pending(batch.end_offset)
@@ -126,9 +136,8 @@
             # it returned stay reserved until the record is read again.
             return False
         # The partition has grown, so earlier writes can no longer be stored.
-        account.clear_pending()
         self._end_offsets[partition] = offset + 1
-        account.update_record(record, offset)
+        account.record_own_write(record, offset)
         return True
 
     def _get_partition(self, workspace: str) -> int:
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -51,6 +51,11 @@
 # Unless a request waits for it, an account is first read when the live hosts have not
 # changed for this long.
 STABLE_FLEET_S = 1.0
+# After the store came back from an older copy, hosts notice within half a second, and
+# write their draws again within another. Tokens that look free until then may be drawn.
+SETTLE_S = 1.5
+# Records lack draws of homes that were slower than that for some time more.
+MAKE_GOOD_S = 4.0
 # Attempts to recover an ended home's tokens are repeated at this interval, because a
 # witness may be out of reach.
 RECOVERY_RETRY_INTERVAL_S = 0.5
@@ -130,7 +135,7 @@
             return self._refuse(account, request, tokens)
         if account.hold(request, tokens, requester, now):
             return None
-        if self._is_paused(workspace):
+        if self._is_paused(workspace) or self._is_settling():
             return self._refuse(account, request, tokens)
         if not account.can_cover(tokens) and not self._may_reread(workspace):
             return self._refuse(account, request, tokens)
@@ -144,6 +149,20 @@
             return None
         return self._refuse(account, request, tokens)
 
+    def make_good(self) -> None:
+        """Write own draws again, which a restored store may lack."""
+        self._account_store.forget_stored()
+        for account in self._accounts.values():
+            account.begin_making_good()
+
+    def _is_settling(self) -> bool:
+        """Return whether other homes may not have written their draws again yet."""
+        return self._get_restored_s() < SETTLE_S
+
+    def _get_restored_s(self) -> float:
+        """Return the seconds since the store came back from an older copy."""
+        return self._timer.now() - self._board.store.restored_at
+
     def _must_leave_to_shorter(
         self, account: EscrowAccount, tokens: int, now: float
     ) -> bool:
@@ -226,7 +245,7 @@
         return account
 
     def _refuse(self, account: EscrowAccount, request: str, tokens: int) -> Reason:
-        is_confirmed = not self._is_paused(account.workspace)
+        is_confirmed = not (self._is_paused(account.workspace) or self._is_settling())
         can_cover = account.can_cover(tokens)
         reason = Reason.BUDGET_UNCONFIRMED
         if is_confirmed and not can_cover:
@@ -273,7 +292,7 @@
         return task
 
     def _needs_write(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
-        if account.plan_change(now, rank) is not None:
+        if account.lacks_known or account.plan_change(now, rank) is not None:
             return True
         if rank is HomeRank.NONE or not self._may_update_roster(account.workspace, now):
             return False
@@ -303,7 +322,13 @@
 
     async def _draw(self, workspace: str) -> None:
         def plan(account: EscrowAccount) -> StockChange | None:
-            return account.plan_change(self._timer.now(), self._get_own_rank(workspace))
+            now = self._timer.now()
+            change = None
+            if not self._is_settling():
+                change = account.plan_change(now, self._get_own_rank(workspace))
+            if change is None and account.lacks_known:
+                change = StockChange(tokens=0, locked=account.locked)
+            return change
 
         await self._change_stock(workspace, plan)
 
@@ -400,11 +425,21 @@
             is_unread = account.record_offset < 0
             if is_unread and self._is_fleet_changing(now):
                 continue
-            if rank is HomeRank.FIRST and self._reclaimer.has_ended_holder(account):
+            if account.known_before is not None:
+                self._make_account_good(account)
+            elif rank is HomeRank.FIRST and self._reclaimer.has_ended_holder(account):
                 self._start_recovery(workspace, now)
             elif is_unread or self._needs_write(account, now, rank):
                 self._start_draw(workspace)
 
+    def _make_account_good(self, account: EscrowAccount) -> None:
+        """Write own draws again, and draw as usual once others had time for theirs."""
+        if self._get_restored_s() >= MAKE_GOOD_S:
+            account.end_making_good()
+        is_unread = not self._account_store.can_write(account.workspace)
+        if is_unread or account.lacks_known or not self._is_settling():
+            self._start_draw(account.workspace)
+
 
 def plan_full_return(account: EscrowAccount) -> StockChange:
     """Return the change that returns all unused tokens."""
--- a/trefoilstage/components/escrow/lock_keeper.py
+++ b/trefoilstage/components/escrow/lock_keeper.py
@@ -59,6 +59,10 @@
         """Stop renewing the promise."""
         self._unsubscribe()
 
+    def forget_stored(self) -> None:
+        """Write the proofs about predecessors again, as the store may lack them."""
+        self._are_proofs_stored = False
+
     async def read_predecessor(self) -> None:
         """Read which earlier incarnations of this host used no locked tokens."""
         while self._board.untouched is None:
--- a/trefoilstage/components/escrow/rosters.py
+++ b/trefoilstage/components/escrow/rosters.py
@@ -58,6 +58,10 @@
         """Return a cached roster, None if it is not cached."""
         return self._cached.get(name) if name else NO_MEMBERS
 
+    def forget_written(self) -> None:
+        """Write each roster again before a record names it."""
+        self._written.clear()
+
     async def write(self, members: Mapping[str, str]) -> str:
         """Store a roster if needed and return its name."""
         name = get_roster_name(members)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -124,6 +124,8 @@
     def write_again() -> None:
         """Write again what a restored store may lack."""
         membership.announce_again()
+        lock_keeper.forget_stored()
+        home.make_good()
 
     followers = make_followers(settings, board, store, apply_records, write_again)
     limits = KnownLimits(board=board, timer=timer)
