--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -33,7 +33,7 @@
     probed: list[str] = field(default_factory=list)
     recorded: list[Crash] = field(default_factory=list)
     cleared: list[str] = field(default_factory=list)
-    written_for_peer: list[Crash] = field(default_factory=list)
+    written: list[Crash] = field(default_factory=list)
 
     async def connect(self, address: str) -> ProbeResult:
         self.probed.append(address)
@@ -47,8 +47,8 @@
     def clear(self, fingerprint: str, _: Sequence[Crash]) -> None:
         self.cleared.append(fingerprint)
 
-    def write_for_peer(self, crashes: Sequence[Crash]) -> None:
-        self.written_for_peer += crashes
+    def write(self, crashes: Sequence[Crash]) -> None:
+        self.written += crashes
 
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
@@ -137,7 +137,7 @@
         await self.interrupt("a", "x", SHORT_PROGRESS_S)
         report = CrashReport(host="host-1", crashes=(make_crash("a", "y"),), relay=True)
         await self.watcher._handle_report(report)
-        self.assertEqual(self.parts.written_for_peer, list(report.crashes))
+        self.assertEqual(self.parts.written, list(report.crashes))
         record = KeyedRecord(key=make_crash("a", "z").key, offset=1, value=b"1")
         self.watcher.apply_records([record])
         self.assertIsNotNone(self.watcher.get_refusal("a"))
@@ -153,6 +153,15 @@
         self.watcher.apply_records(records)
         self.assertEqual(list(self.watcher.evidence.get_seen_times()), ["a/x"])
 
+    async def test_crashes_are_written_again_to_a_restored_store(self) -> None:
+        """Guard against a blocked request that hosts which start later run again."""
+        for target in ("x", "y", "z"):
+            await self.interrupt("a", target, SHORT_PROGRESS_S)
+        self.watcher.write_again()
+        known = [make_crash("a", target) for target in ("x", "y", "z")]
+        self.assertCountEqual(self.parts.written, known)
+        self.assertIsNotNone(self.watcher.get_refusal("a"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -59,8 +59,8 @@
         self._schedule_writes(crashes, keep=False)
         self._report_to_peers(CrashReport(host=self._board.host, sound=(fingerprint,)))
 
-    def write_for_peer(self, crashes: Iterable[Crash]) -> None:
-        """Write crashes to the store for a peer that can't reach it."""
+    def write(self, crashes: Iterable[Crash]) -> None:
+        """Write crashes to the store that all hosts know of."""
         self._schedule_writes(crashes, keep=True)
 
     def delete(self, crashes: Iterable[Crash]) -> None:
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -139,6 +139,20 @@
             else:
                 self._add_crash(crash)
 
+    def write_again(self) -> None:
+        """Write crashes to the store again, which came back from an older copy."""
+        known = list(self.evidence.seen_at)
+        self._recorder.write(self._select_assigned(known))
+
+    def _select_assigned(self, crashes: Iterable[Crash]) -> list[Crash]:
+        """Return the crashes that this host writes or deletes for all hosts."""
+        live = self._list_live_hosts()
+        return [
+            crash
+            for crash in crashes
+            if rank_by_rendezvous_cached(crash.fingerprint, live)[:1] == (self._host,)
+        ]
+
     async def _probe_target(self, target: str, address: str) -> None:
         result = await self._probe.connect(address)
         fingerprints = self._interrupted.pop(target)
@@ -159,7 +173,7 @@
         for fingerprint in report.sound:
             self._remove_crashes(self.evidence.list_crashes(fingerprint), "ran")
         if report.relay:
-            self._recorder.write_for_peer(report.crashes)
+            self._recorder.write(report.crashes)
 
     def _add_crash(self, crash: Crash) -> None:
         previously_blocked = self.evidence.blocked_fingerprints
@@ -190,14 +204,7 @@
         if not expired:
             return
         self._remove_crashes(expired, "expired")
-        live = self._list_live_hosts()
-        # One host deletes each record; deletions by the others would be redundant.
-        assigned = [
-            crash
-            for crash in expired
-            if rank_by_rendezvous_cached(crash.fingerprint, live)[:1] == (self._host,)
-        ]
-        self._recorder.delete(assigned)
+        self._recorder.delete(self._select_assigned(expired))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -126,6 +126,7 @@
         membership.announce_again()
         lock_keeper.forget_stored()
         home.make_good()
+        crash_watcher.write_again()
 
     followers = make_followers(settings, board, store, apply_records, write_again)
     limits = KnownLimits(board=board, timer=timer)
