CONFIG: keep known draws until the restored store was read; notice it by peers

A host cut from the store while it came back would have ended making good before it read a record, and one that learns of new records by peers only would have taken them for ordinary ones.

--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -434,9 +434,9 @@
 
     def _make_account_good(self, account: EscrowAccount) -> None:
         """Write own draws again, and draw as usual once others had time for theirs."""
-        if self._get_restored_s() >= MAKE_GOOD_S:
-            account.end_making_good()
         is_unread = not self._account_store.can_write(account.workspace)
+        if self._get_restored_s() >= MAKE_GOOD_S and not is_unread:
+            account.end_making_good()
         if is_unread or account.lacks_known or not self._is_settling():
             self._start_draw(account.workspace)
 
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -63,6 +63,9 @@
 
     def merge(self, records: list[KeyedRecord]) -> None:
         """Merge records received from a peer."""
+        newest = max((record.offset for record in records), default=0)
+        if self._board.store.record_position(newest, self._now()):
+            self._on_restored()
         self._notify(self.view.merge(records))
 
     async def _follow_topic(self) -> None:
