CONFIG: don't take a restored store's word for targets that left since

For 5 s after a restoration an entry counts only if its sequence is not below the newest seen of that start, or above it if the target was removed; at other times as before, as an entry of another writer may hold any sequence. Two of the four tests fail without it.

--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -1,6 +1,7 @@
 """Test how a host applies relayed records, and how often it reads the store."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from tests.components.boards import make_board
@@ -12,7 +13,7 @@
     TargetService,
 )
 from trefoilstage.components.views.keyed_view import KeyedRecord
-from trefoilstage.components.views.store import Topic
+from trefoilstage.components.views.store import Topic, make_position
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_parts import LARGE_FLEET_PAUSE_S, make_followers
 from trefoilstage.fleet_settings import FleetSettings
@@ -176,5 +177,60 @@
         self.assertEqual(self.get_pause(Topic.HOSTS, 7, 2.0), 0.0)
 
 
+def decode_numbered_target(name: str, data: bytes) -> TargetEntry:
+    """Return the entry of a target in the encoded phase, with its sequence."""
+    phase, _, sequence = data.decode().partition(" ")
+    return replace(decode_target(name, phase.encode()), sequence=int(sequence))
+
+
+class RestoredTargetsTest(unittest.TestCase):
+    """Read a target's entries after the store came back from an older copy."""
+
+    def list_ready_after(self, *values: str, restored_before: int) -> list[str]:
+        """Return the usable targets after entries, some of a restored store.
+
+        An empty value removes the entry.
+        """
+        board = make_board("host-0", ["host-1"])
+        updater = BoardUpdater(
+            board=board,
+            configuration_key="config",
+            evacuation_prefix="evacuate/",
+            decode_configuration=mock.Mock(),
+            decode_target=decode_numbered_target,
+        )
+        board.store.record_position(make_position(0, 1), 10.0)
+        for number, value in enumerate(values):
+            if number == restored_before:
+                board.store.record_position(make_position(1, 1), 10.0)
+            record = KeyedRecord(key="i-1", offset=number, value=value.encode() or None)
+            updater.apply_records(Topic.TARGETS, [record], now=10.0)
+        return [entry.name for entry in board.targets.list_ready(SERVICE, 20.0)]
+
+    def test_leaving_target_stays_so_until_it_says_otherwise(self) -> None:
+        """Guard against requests to a target that leaves, as a copy calls it ready."""
+        listed = self.list_ready_after(
+            "ready 5", "draining 6", "ready 5", restored_before=2
+        )
+        self.assertEqual(listed, [])
+
+    def test_target_that_is_gone_is_not_used_again(self) -> None:
+        """Guard against requests to a target that was removed since the copy."""
+        listed = self.list_ready_after("ready 5", "", "ready 5", restored_before=2)
+        self.assertEqual(listed, [])
+
+    def test_entry_that_is_written_after_it_is_used(self) -> None:
+        """Guard against a live target that is never used again."""
+        for values in (("ready 5", "", "ready 6"), ("ready 5", "ready 4", "ready 6")):
+            with self.subTest(values=values):
+                listed = self.list_ready_after(*values, restored_before=2)
+                self.assertEqual(listed, ["i-1"])
+
+    def test_sequence_does_not_matter_otherwise(self) -> None:
+        """Guard against an entry of another writer that stops all later ones."""
+        listed = self.list_ready_after("draining 900", "ready 5", restored_before=9)
+        self.assertEqual(listed, ["i-1"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -4,6 +4,7 @@
 
 from trefoilstage.components.forwarding.models import FleetConfiguration, TargetEntry
 from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.views.follower import REWRITE_S
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.exceptions import MalformedMessageError
@@ -106,6 +107,10 @@
             routes=len(configuration.routes),
         )
 
+    def _may_be_from_copy(self, now: float) -> bool:
+        """Return whether the store may still have what its copy had."""
+        return now - self._board.store.restored_at < REWRITE_S
+
     def _apply_target(self, record: KeyedRecord, now: float) -> None:
         targets = self._board.targets
         if record.value is None:
@@ -113,14 +118,18 @@
             # A peer that reaches the store again first passes on that entries expired
             # in the outage. If the targets were dropped immediately, this host would
             # refuse every request until they register again.
-            back_at = now if store.out_of_reach else store.back_at
+            back_at = max(store.back_at, store.restored_at)
+            if store.out_of_reach:
+                back_at = now
             targets.apply_removal(record.key, now, back_at)
             log_event(Event.TARGET_DROPPED, target=record.key, offset=record.offset)
             return
         entry = self._decode_target(record.key, record.value)
-        targets.record_cold_time(entry, now)
         known = targets.listed.get(record.key)
-        if not targets.apply_entry(entry):
+        is_older = self._may_be_from_copy(now) and targets.is_older(entry)
+        if not is_older:
+            targets.record_cold_time(entry, now)
+        if is_older or not targets.apply_entry(entry):
             log_event(
                 Event.TARGET_ENTRY_STALE,
                 target=entry.name,
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -120,6 +120,7 @@
     slots: int
     phase: TargetPhase
     started_ms: int = 0  # Unix time of its start by its own clock, 0 if unknown
+    sequence: int = field(default=0, compare=False)  # rises with each entry of a start
     # How long it is cold from when the entry was written. Each entry has another value,
     # which doesn't make it another entry.
     cold_s: float = field(default=0.0, compare=False)
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -30,17 +30,19 @@
     """Describe the known starts under one name, in ms by the target's clock."""
 
     latest: int
+    sequence: int = 0  # of the newest entry of that start
     # Starts that were replaced by a later one, newest last.
     former: tuple[int, ...] = ()
     # The entry of an earlier start that this host had not seen before, or the entry
     # that it replaced; cleared once an entry of the latest start is received again.
     other: TargetEntry | None = None
 
-    def set_latest(self, started_ms: int) -> None:
-        """Set the start that is now in use."""
+    def set_latest(self, started_ms: int, sequence: int) -> None:
+        """Set the start that is now in use, and the sequence of its entry."""
         if started_ms > self.latest:
             self.former = (*self.former, self.latest)[-MAX_FORMER_STARTS:]
         self.latest = started_ms
+        self.sequence = sequence
         self.other = None
 
 
@@ -76,10 +78,22 @@
             # the entry is kept in case the latest start can't be reached.
             history.other = entry
             return False
-        history.set_latest(entry.started_ms)
+        history.set_latest(entry.started_ms, entry.sequence)
         self.listed[entry.name] = ListedTarget(entry=entry)
         return True
 
+    def is_older(self, entry: TargetEntry) -> bool:
+        """Return whether an entry is older than what is known of its start.
+
+        A store that came back from a copy has the entries of targets that have left or
+        begun to leave since.
+        """
+        history = self.starts.get(entry.name)
+        if history is None or entry.started_ms != history.latest:
+            return False
+        is_removed = entry.name not in self.listed
+        return entry.sequence < history.sequence + is_removed
+
     def record_cold_time(self, entry: TargetEntry, now: float) -> None:
         """Record how long a target is cold by its entry, which was just received."""
         if entry.cold_s > 0.0:
@@ -147,6 +161,7 @@
         if history is None or other is None or other.phase is not TargetPhase.READY:
             return False
         history.latest = other.started_ms
+        history.sequence = other.sequence
         history.other = instead_of
         self.listed[name] = ListedTarget(entry=other)
         return True
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -249,6 +249,7 @@
         slots=wire.slots,
         phase=TargetPhase(wire.state),
         started_ms=wire.born or 0,
+        sequence=wire.sequence,
         cold_s=wire.cold_remaining_ms / MS_PER_S,
     )
 
