Soak: let the store come back from an older copy

The copy is up to 3 s old, the store refuses calls for up to 1 s, and what the operators and the targets wrote is written again.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -50,6 +50,7 @@
     fault_names: list[str] = field(default_factory=list)
     # Hosts that a fault stops or pauses; any other host must not exit.
     reserved_hosts: set[str] = field(default_factory=set)
+    is_restoring: bool = False
     is_evacuated: bool = False
     evacuations: list[Period] = field(default_factory=list)
     is_cold: bool = False
@@ -78,6 +79,7 @@
             self._slow_store,
             self._refuse_store_calls,
             self._cut_from_targets,
+            self._restore_store,
             # Targets fail more often than hosts, and most requests that are wrongly
             # sent twice are sent after a target's failure.
             *[self._break_target] * TARGET_FAULT_WEIGHT,
@@ -157,11 +159,11 @@
             FaultRule(delay_s=self.generator.uniform(0.05, 0.5)), 2.0
         )
 
-    async def _refuse_store_calls(self) -> None:
+    async def _refuse_store_calls(self, longest_s: float = 3.0) -> None:
         store_servers = [host.store_server for host in self.fleet.hosts.values()]
         for store_server in store_servers:
             store_server.is_refusing = True
-        await self._wait_randomly(3.0)
+        await self._wait_randomly(longest_s)
         for store_server in store_servers:
             store_server.is_refusing = False
 
@@ -176,6 +178,27 @@
         for name in cut:
             await self.fleet.reconnect_to_targets(name)
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from an older copy.
+
+        What the operators and the targets wrote is written again.
+        """
+        if self.is_restoring:
+            return
+        self.is_restoring = True
+        copy = self.fleet.store.make_copy()
+        await self._wait_randomly(3.0)
+        await self._refuse_store_calls(1.0)
+        self.fleet.store.restore(copy)
+        await self.fleet.write_configuration(self.configuration_version)
+        if self.is_evacuated:
+            await self.fleet.evacuate(EVACUATED_DATA_CENTER)
+        else:
+            await self.fleet.end_evacuation(EVACUATED_DATA_CENTER)
+        for number in range(self.fleet.n_targets):
+            await self.fleet.write_target(number)
+        self.is_restoring = False
+
     async def _break_target(self) -> None:
         target = self.generator.choice(self.fleet.targets)
         fault = self.generator.choice(TARGET_FAULTS)
