--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from bench.emulator.brittle import Brittleness
 from bench.emulator.limits import RequestLimit
 from bench.emulator.rests import Refusals
 from trefoilstage.components.forwarding.models import PromptPart
@@ -84,10 +85,21 @@
         self.cold_until = 0.0
         self.limit = RequestLimit()
         self.refusals = Refusals()
+        self.brittleness = Brittleness()
         # Times of the requests that arrived while it was cold.
         self.cold_arrivals: list[float] = []
         self._task = asyncio.create_task(self._run())
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests the engine runs at once."""
+        return self.speed.slots
+
+    @property
+    def n_requests(self) -> int:
+        """Return how many requests run or wait."""
+        return len(self._running) + len(self._waiting)
+
     def get_cold_s(self) -> float:
         """Return how long the engine is still cold."""
         return max(0.0, self.cold_until - asyncio.get_running_loop().time())
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -82,6 +82,9 @@
     TARGETS_NAME_LIMIT = "targets_name_limit"
     # Engines and services turn requests away and ask each host for `factor` s of rest.
     TARGETS_ASK_FOR_REST = "targets_ask_for_rest"
+    # Engines and services fall over when they turn away more than `factor` requests in
+    # a second for want of room.
+    TARGETS_BRITTLE = "targets_brittle"
     # Hosts lose their links to all targets; `mode` tells what connections do.
     HOSTS_CUT_FROM_TARGETS = "hosts_cut_from_targets"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from bench.emulator.brittle import Brittleness
 from bench.emulator.engine import EmulatedEngine, Generation
 from bench.emulator.limits import RequestLimit
 from bench.emulator.links import ONE_WAY_S, TargetLinks
@@ -18,7 +19,7 @@
 )
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.sender import TargetSender
-from trefoilstage.components.forwarding.translator import ForwardOptions
+from trefoilstage.components.forwarding.translator import AnswerHead, ForwardOptions
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,14 +73,29 @@
         self.started_ms = 1
         self.limit = RequestLimit()
         self.refusals = Refusals()
+        self.brittleness = Brittleness()
+        self.slots = slots
+        self.n_requests = 0
         self._work_s = work_s
         self._generator = generator
         self._slots = asyncio.Semaphore(slots)
 
     async def serve(self) -> None:
         """Wait for a slot and for the duration of one call."""
-        async with self._slots:
-            await asyncio.sleep(self._generator.gammavariate(4.0, self._work_s / 4.0))
+        self.n_requests += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(
+                    self._generator.gammavariate(4.0, self._work_s / 4.0)
+                )
+        finally:
+            self.n_requests -= 1
+
+
+def make_head(target: EmulatedEngine | EmulatedService) -> AnswerHead:
+    """Return the head of a target's successful answer."""
+    refusals = target.brittleness.max_refusals
+    return replace(target.limit.make_head(), max_refusals_per_s=refusals)
 
 
 class EmulatedProbe:
@@ -139,7 +155,9 @@
         if found is None or found.is_down or found.started_ms != target.started_ms:
             return NotRun(reason="refused", unreachable=True)
         found.limit.record_arrival()
-        refused = found.refusals.refuse(self._host)
+        refused = found.refusals.refuse(self._host) or found.brittleness.refuse(
+            found.n_requests, found.slots
+        )
         if refused is not None:
             await asyncio.sleep(ONE_WAY_S)
             return refused
@@ -148,8 +166,7 @@
         await found.serve()
         if found.is_down:
             return InvalidAnswer(reason="reset")
-        head = found.limit.make_head()
-        return ServiceAnswer(head=head, headers=[])
+        return ServiceAnswer(head=make_head(found), headers=[])
 
     async def _generate(
         self, engine: EmulatedEngine, request: CallerRequest, options: ForwardOptions
@@ -172,7 +189,7 @@
         self._on_start(request, engine)
         await asyncio.sleep(ONE_WAY_S)
         return EngineAnswer(
-            head=engine.limit.make_head(),
+            head=make_head(engine),
             headers=[],
             host=self._host,
             links=self._links,
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 from bench.emulator.callers import Caller, Outcome, RequestSampler
@@ -30,6 +31,7 @@
     ASSISTANT,
     BOOKING,
     DATA_CENTERS,
+    EmulatedTarget,
     EmulatedTargets,
     get_data_center,
     sample_share,
@@ -67,6 +69,7 @@
     # Most requests from one host in one rest, by target.
     disturbances: dict[str, int] = field(default_factory=dict)
     n_crash_reports: int = 0  # known to the host that knows most
+    falls: dict[str, int] = field(default_factory=dict)  # of brittle targets
     cut_hosts: set[str] = field(default_factory=set)  # from the targets, at any time
 
 
@@ -326,6 +329,27 @@
         refusing = self._targets.sample(fault.share)
         await self._impose([target.refusals for target in refusing], fault)
 
+    async def _turn_brittle(self, fault: Fault) -> None:
+        targets = self._targets.sample(fault.share)
+        for target in targets:
+            fall = partial(self._fall, target)
+            target.brittleness.begin(round(fault.factor), fall)
+        await asyncio.sleep(fault.for_s)
+        for target in targets:
+            target.brittleness.end()
+
+    def _fall(self, target: EmulatedTarget) -> None:
+        self._start_task(self._restart_after_fall(target))
+
+    async def _restart_after_fall(self, target: EmulatedTarget) -> None:
+        if isinstance(target, EmulatedEngine):
+            target.crash()
+        target.is_down = True
+        await asyncio.sleep(CRASH_RESTART_S)
+        if isinstance(target, EmulatedEngine):
+            target.restart()
+        target.is_down = False
+
     async def _impose(
         self, demands: Sequence[RequestLimit | Refusals], fault: Fault
     ) -> None:
@@ -371,6 +395,7 @@
             self.day.cold_arrivals[engine.name] = engine.cold_arrivals
         for target in self._targets.by_name.values():
             self.day.limited_arrivals[target.name] = target.limit.arrivals
+            self.day.falls[target.name] = target.brittleness.n_falls
             self.day.disturbances[target.name] = target.refusals.max_disturbances
         self.day.n_crash_reports = max(host.n_crash_reports for host in self._hosts)
         self.day.n_store_calls = self._shared_store.n_calls
@@ -391,6 +416,7 @@
     FaultKind.TARGETS_NAME_LIMIT: World._name_limits,
     FaultKind.TARGETS_ASK_FOR_REST: World._ask_for_rest,
     FaultKind.HOSTS_CUT_FROM_TARGETS: World._cut_from_targets,
+    FaultKind.TARGETS_BRITTLE: World._turn_brittle,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
--- /dev/null
+++ b/tests/emulator/test_brittle_targets.py
@@ -0,0 +1,60 @@
+"""Test how often brittle targets fall over, and what callers get, in emulation."""
+
+import unittest
+
+from bench.emulator.callers import Result
+from bench.emulator.results import compute_share
+from bench.emulator.scenario import Fault, FaultKind, Scenario
+from bench.emulator.world import DayResult, run_day
+from tests.emulator.common import make_warm_day
+
+SEEDS = (1, 2)
+SECONDS = 14.0
+SLOTS = 4  # of an engine, so that the burst fills all
+MAX_REFUSALS = 2
+FIXED_FALLS = 2
+FALLS_PER_TARGET = 0.1
+MIN_IN_TIME = 0.5
+BRITTLE = Fault(
+    kind=FaultKind.TARGETS_BRITTLE, at_s=1.0, for_s=13.0, factor=MAX_REFUSALS
+)
+BURST = Fault(kind=FaultKind.BURST, at_s=5.0, for_s=7.0, factor=4.0)
+
+
+def make_brittle_day(n_hosts: int) -> Scenario:
+    """Return a day on which all targets are brittle and many callers come at once."""
+    day = make_warm_day(n_hosts, SECONDS, BRITTLE, BURST)
+    engines = day.engines.model_copy(update={"slots": SLOTS})
+    return day.model_copy(update={"engines": engines})
+
+
+class BrittleTargetsTest(unittest.TestCase):
+    """Bring more callers than the targets have room for."""
+
+    def count_falls(self, day: DayResult, *, of_engines: bool) -> tuple[int, int]:
+        """Return how often the targets of one service fell over, and their number."""
+        falls = [
+            n_falls
+            for name, n_falls in day.falls.items()
+            if name.startswith("engine") is of_engines
+        ]
+        return sum(falls), len(falls)
+
+    def test_brittle_targets_stay_up_in_a_burst(self) -> None:
+        """Guard against hosts that find out by refusals that targets are full."""
+        for n_hosts in (7, 40):
+            for seed in SEEDS:
+                with self.subTest(n_hosts=n_hosts, seed=seed):
+                    day = run_day(make_brittle_day(n_hosts), seed)
+                    for of_engines in (True, False):
+                        n_falls, n_targets = self.count_falls(
+                            day, of_engines=of_engines
+                        )
+                        allowed = FIXED_FALLS + FALLS_PER_TARGET * n_targets
+                        self.assertLessEqual(n_falls, allowed)
+                    in_time = compute_share(day.outcomes, Result.IN_TIME)
+                    self.assertGreater(in_time, MIN_IN_TIME)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -39,6 +39,9 @@
     # How long the target, which turned the request away, wants no other one from this
     # host; None if it does not say.
     rest_s: float | None = None
+    # How many requests a second it may turn away for want of room before it falls over;
+    # None from a sound target.
+    max_refusals_per_s: float | None = None
     leaving: bool = False  # the target wants no new requests any more
 
     @property
