LIMIT: keep brittle targets from turning requests away

Cause: hosts find out by refusals that a target is full, and hear of each other's requests too late to leave room for them.

While a service's targets say that they are brittle, and 5 s more, each host fills only its share of each target's slots; the shares add up to the slots. One that turns a request away nevertheless gets two permits in three seconds, told to all hosts, also if no other target is left. Callers without a slot are refused at once, with a time.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -131,6 +131,15 @@
             self.assertEqual(head.limit_per_s, limit_per_s)
         self.assertIsNone(TRANSLATOR.read_answer(request, 200, {}).limit_per_s)
 
+    def test_brittle_target_is_recognized(self) -> None:
+        """Guard against a brittle target that is taken for a sound one."""
+        request = self.read_request()
+        for status, extra in ((200, {}), (503, {"Not-Executed": "1"})):
+            answer = {"Server-Brittle": "4", **extra}
+            head = TRANSLATOR.read_answer(request, status, answer)
+            self.assertEqual(head.max_refusals_per_s, 4.0)
+        self.assertIsNone(TRANSLATOR.read_answer(request, 200, {}).max_refusals_per_s)
+
     def test_malformed_limit_is_logged_and_ignored(self) -> None:
         """Guard against an answer that is lost because of its limit."""
         request = self.read_request()
--- a/tests/promises/test_target_demands.py
+++ b/tests/promises/test_target_demands.py
@@ -11,6 +11,7 @@
 REST_S = 2.0
 LIMIT_PER_S = 1.0
 PERIOD_S = 4.0
+MAX_REFUSALS = 2  # a second
 CALL_INTERVAL_S = 0.05
 
 
@@ -113,5 +114,42 @@
         return statuses
 
 
+class BrittleTest(unittest.IsolatedAsyncioTestCase):
+    """Let targets say that they fall over when they turn requests away."""
+
+    async def test_brittle_target_that_is_full_gets_few_requests(self) -> None:
+        """Guard against hosts that each try a full target again and again."""
+        async with PlatformFleet(n_hosts=3) as fleet:
+            for target in fleet.targets:
+                target.headers["Server-Brittle"] = str(MAX_REFUSALS)
+            for host in fleet.hosts:
+                await fleet.call(LOOK, host=host)
+            full = fleet.targets[0]
+            full.refuse = True
+            while not full.n_refused:
+                await fleet.call(LOOK)
+            n_before = full.n_refused
+            ends_at = time.monotonic() + PERIOD_S
+            while time.monotonic() < ends_at:
+                calls = [fleet.call(LOOK, host=host) for host in fleet.hosts]
+                answers = await asyncio.gather(*calls)
+                self.assertEqual({answer.status for answer in answers}, {200})
+                await asyncio.sleep(CALL_INTERVAL_S)
+            self.assertLessEqual(full.n_refused - n_before, MAX_REFUSALS * PERIOD_S)
+
+    async def test_callers_are_refused_if_all_brittle_targets_are_full(self) -> None:
+        """Guard against full brittle targets that are tried as no other is left."""
+        async with PlatformFleet() as fleet:
+            for target in fleet.targets:
+                target.headers["Server-Brittle"] = str(MAX_REFUSALS)
+                target.refuse = True
+            answers = [await fleet.call(LOOK) for _ in range(N_CALLS)]
+            self.assertEqual({answer.status for answer in answers}, {503})
+            for answer in answers:
+                self.assertIn("Retry-After", answer.headers)
+            for target in fleet.targets:
+                self.assertLessEqual(target.n_refused, MAX_REFUSALS)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -1,5 +1,6 @@
 """Find the targets that a request may be sent to, and say why there are none."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import TargetEntry, TargetService
@@ -36,6 +37,7 @@
         outcomes: TargetOutcomes,
         permits: TargetPermits,
         limits: KnownLimits,
+        has_own_room: Callable[[TargetEntry], bool],
     ) -> None:
         self._board = board
         self._settings = settings
@@ -43,6 +45,7 @@
         self._outcomes = outcomes
         self._permits = permits
         self._limits = limits
+        self._has_own_room = has_own_room
 
     def has_limited(self) -> bool:
         """Return whether any target has a limit or refuses requests."""
@@ -58,8 +61,14 @@
         """Return whether a request to a target needs a permit of its home."""
         if self._limits.get_limit(target.incarnation) is not None:
             return True
+        if self.is_brittle(target.service) and not self.is_free(target):
+            return True
         return others_are_free and not self.is_free(target)
 
+    def is_brittle(self, service: str) -> bool:
+        """Return whether a service's targets fall over when they refuse requests."""
+        return self._board.brittle.is_brittle(service, self._timer.now())
+
     def list_askable(self, groups: TargetGroups) -> list[TargetEntry]:
         """Return the limited and refusing targets that may be tried now."""
         asked = [*groups.limited, *(groups.refusing if groups.free else ())]
@@ -80,7 +89,10 @@
             elif self._limits.get_limit(target.incarnation) is not None:
                 groups.limited.append(target)
             elif self._limits.is_refusing(target.incarnation):
-                groups.refusing.append(target)
+                # A brittle target must not turn another request away, even if no other
+                # target is left.
+                group = groups.limited if self.is_brittle(target.service) else None
+                (groups.refusing if group is None else group).append(target)
             else:
                 groups.free.append(target)
         return groups
@@ -125,6 +137,8 @@
         """Return the targets to choose from, without failing ones if others work."""
         now = self._timer.now()
         allowed = self.list_allowed(service, excluded, allowed_regions)
+        if self.is_brittle(service):
+            allowed = [target for target in allowed if self._has_own_room(target)]
         healthy = [
             target
             for target in allowed
@@ -157,7 +171,7 @@
         now = self._timer.now()
         health = self._outcomes.get_health(target)
         wait_s = health.compute_wait_s(now) if health.is_resting(now) else 0.0
-        if self._limits.get_limit(target.incarnation) is not None:
+        if self.needs_permit(target, others_are_free=False):
             return max(wait_s, self._permits.get_wait_s(target))
         return wait_s
 
@@ -184,5 +198,5 @@
         return (
             f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
             f"outside the allowed regions, {n_cold} are cold, {n_limited} name a limit "
-            f"and {n_resting} asked for rest"
+            f"and {n_resting} asked for rest; brittle: {self.is_brittle(service)}"
         )
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -28,6 +28,7 @@
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.targets.brittle import count_own_slots
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
@@ -76,9 +77,17 @@
             outcomes=self._outcomes,
             permits=permits,
             limits=limits,
+            has_own_room=self._has_own_room,
         )
         self._retry_budgets: dict[str, RetryBudget] = {}
 
+    def _has_own_room(self, target: TargetEntry) -> bool:
+        """Return whether this host has a slot of its own left at a target."""
+        incarnation = target.incarnation
+        hosts = self._membership.list_live_hosts()
+        n_slots = count_own_slots(self._board.host, hosts, incarnation, target.slots)
+        return self._workload.count_own_requests(incarnation) < n_slots
+
     async def choose(
         self,
         *,
@@ -106,9 +115,8 @@
             request_id=request_id,
         )
         free = self._select_candidates(groups.free, need, candidate_info)
-        best = await self._choose_warm(
-            rank([*free, *self._availability.list_askable(groups)])
-        )
+        ranked = rank([*free, *self._availability.list_askable(groups)])
+        best = await self._choose_warm(ranked)
         if best is not None and is_in_time(best, need):
             return best.target
         useful = [
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -59,6 +59,7 @@
     ) -> None:
         """Update a target's health, and its directory entry, by a request's outcome."""
         if answer.head is not None and not answer.head.misdirected:
+            self._record_brittle(target, answer.head)
             self._record_limit(target, answer.head, sent_at)
             self._record_rest(target, answer.head)
             self._record_leaving(target, answer.head)
@@ -74,7 +75,9 @@
     def _record_limit(
         self, target: TargetEntry, head: AnswerHead, sent_at: float
     ) -> None:
-        refuses = head.rest_s is not None
+        refuses = head.rest_s is not None or (
+            head.not_run and head.max_refusals_per_s is not None
+        )
         # Only a verified success shows that the target takes requests without a limit.
         is_success = head.trusted and head.success
         if head.limit_per_s is not None or refuses or is_success:
@@ -82,6 +85,17 @@
                 target.incarnation, head.limit_per_s, sent_at, refuses=refuses
             )
 
+    def _record_brittle(self, target: TargetEntry, head: AnswerHead) -> None:
+        if head.max_refusals_per_s is None:
+            return
+        if self._board.brittle.record(target.service, self._timer.now()):
+            log_event(
+                Event.SERVICE_BRITTLE,
+                service=target.service,
+                target=target.incarnation,
+                max_refusals_per_s=head.max_refusals_per_s,
+            )
+
     def _record_rest(self, target: TargetEntry, head: AnswerHead) -> None:
         if head.rest_s is None:
             return
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -150,6 +150,10 @@
         peers = self._peer_work.list_work(target, now)
         return sum_work([own, *peers, *self._home_totals.list_work(target, now)])
 
+    def count_own_requests(self, target: str) -> int:
+        """Return how many requests this host has under way at a target."""
+        return self._own.get(target, NO_WORK).n_requests
+
     def count_recent(self, target: str) -> int:
         """Return the known number of prompts sent to a target in the last second."""
         now = self._timer.now()
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -9,6 +9,7 @@
 from trefoilstage.components.forwarding.routes import RouteTable
 from trefoilstage.components.forwarding.target_reach import TargetReach
 from trefoilstage.components.peers.round_trips import RoundTrips
+from trefoilstage.components.targets.brittle import BrittleServices
 from trefoilstage.components.targets.directory import TargetDirectory
 from trefoilstage.components.targets.named_limits import NamedLimits
 from trefoilstage.components.views.store import split_position
@@ -139,6 +140,7 @@
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # target follower
     reach: TargetReach = field(default_factory=TargetReach)  # reach monitor
+    brittle: BrittleServices = field(default_factory=BrittleServices)  # target outcomes
     limits: NamedLimits = field(default_factory=NamedLimits)  # known limits
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
     round_trips: RoundTrips = field(default_factory=RoundTrips)  # links to peers
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -75,6 +75,7 @@
     TARGET_LIMIT_NAMED = "target_limit_named"
     TARGET_LIMIT_ENDED = "target_limit_ended"
     TARGET_SAID_LEAVING = "target_said_leaving"
+    SERVICE_BRITTLE = "service_brittle"
     TARGET_REFUSES = "target_refuses"
     TARGET_ASKED_FOR_REST = "target_asked_for_rest"
     HEADER_MALFORMED = "header_malformed"
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -31,6 +31,7 @@
 HEADER_SEAL: Final = "Response-Seal"  # a target's signature of its answer
 HEADER_NOT_EXECUTED: Final = "Not-Executed"
 HEADER_LEAVING: Final = "Server-Leaving"
+HEADER_BRITTLE: Final = "Server-Brittle"  # falls over above these refusals a second
 HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
 HTTP_MISDIRECTED: Final = 421
 HTTP_UNAVAILABLE: Final = 503
@@ -144,6 +145,7 @@
             rest_s=read_amount(headers, HEADER_RETRY_AFTER)
             if status == HTTP_UNAVAILABLE
             else None,
+            max_refusals_per_s=read_amount(headers, HEADER_BRITTLE),
             leaving=headers.get(HEADER_LEAVING) == "1",
         )
 
