RECOVER: failing test of hosts that are cut from one service only

What remained of the mend: reach is judged by all targets together, so that the links to engines hide the loss of those to a plain service.

--- a/bench/emulator/links.py
+++ b/bench/emulator/links.py
@@ -25,27 +25,32 @@
 
     mode: CutMode
     since: float
+    targets: str  # the beginning of the names of the targets that are cut off
 
 
 @dataclass(kw_only=True, slots=True)
 class TargetLinks:
-    """Store which hosts are cut from the targets, and since when."""
+    """Store which hosts are cut from which targets, and since when."""
 
     cuts: dict[str, Cut] = field(default_factory=dict)
 
-    def cut(self, host: str, mode: CutMode) -> None:
-        """Cut a host from all targets."""
+    def cut(self, host: str, mode: CutMode, targets: str) -> None:
+        """Cut a host from all targets whose names begin so."""
         now = asyncio.get_running_loop().time()
-        self.cuts[host] = Cut(mode=mode, since=now)
+        self.cuts[host] = Cut(mode=mode, since=now, targets=targets)
+
+    def _find(self, host: str, target: str) -> Cut | None:
+        cut = self.cuts.get(host)
+        return cut if cut is not None and target.startswith(cut.targets) else None
 
     def heal(self, host: str) -> None:
         """End the cut of a host."""
         self.cuts.pop(host, None)
 
-    async def send(self, host: str) -> NotRun | InvalidAnswer | None:
+    async def send(self, host: str, target: str) -> NotRun | InvalidAnswer | None:
         """Return how a send of a cut host fails, None if the host is not cut."""
         await asyncio.sleep(ONE_WAY_S)
-        cut = self.cuts.get(host)
+        cut = self._find(host, target)
         if cut is None:
             return None
         uses_kept = asyncio.get_running_loop().time() - cut.since < KEPT_S
@@ -56,21 +61,21 @@
         timed_out = cut.mode is CutMode.HANG
         return NotRun(reason="cut", unreachable=True, timed_out=timed_out)
 
-    async def receive(self, host: str) -> None:
+    async def receive(self, host: str, target: str) -> None:
         """Wait for data to reach a host; raise AnswerBrokenError if it is lost."""
-        cut = self.cuts.get(host)
+        cut = self._find(host, target)
         if cut is None or cut.mode is CutMode.REFUSE:
             return
         if cut.mode is CutMode.HANG:
             await asyncio.sleep(DEAD_PATH_S)
-            if host not in self.cuts:
+            if self._find(host, target) is None:
                 return
         raise AnswerBrokenError("cut")
 
-    async def probe(self, host: str) -> ProbeResult | None:
+    async def probe(self, host: str, target: str) -> ProbeResult | None:
         """Return how a probe by a cut host ends, None if the host is not cut."""
         await asyncio.sleep(ONE_WAY_S)
-        cut = self.cuts.get(host)
+        cut = self._find(host, target)
         if cut is None:
             return None
         if cut.mode is CutMode.HANG:
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -85,7 +85,8 @@
     # Engines and services fall over when they turn away more than `factor` requests in
     # a second for want of room.
     TARGETS_BRITTLE = "targets_brittle"
-    # Hosts lose their links to all targets; `mode` tells what connections do.
+    # Hosts lose their links to all targets, or to those whose names begin with
+    # `targets`; `mode` tells what connections do.
     HOSTS_CUT_FROM_TARGETS = "hosts_cut_from_targets"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
 
@@ -99,6 +100,7 @@
     share: Share = 1.0
     factor: Positive = 1.0
     mode: CutMode = CutMode.RESET
+    targets: str = ""
 
 
 class Scenario(Model):
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -38,7 +38,7 @@
         number = 0
         while n_generated is not None:
             number += 1
-            await self.links.receive(self.host)
+            await self.links.receive(self.host, self.engine.name)
             yield f"id: {number}\ndata: x\n\n".encode()
             if n_generated >= self.generation.n_output_tokens:
                 return
@@ -114,7 +114,7 @@
 
     async def connect(self, address: str) -> ProbeResult:
         """Return whether the target at an address accepts connections."""
-        failed = await self._links.probe(self._host)
+        failed = await self._links.probe(self._host, address)
         if failed is not None:
             return failed
         found = self._find_target(address)
@@ -149,7 +149,7 @@
     ) -> OpenAnswer | NotRun | InvalidAnswer:
         """Return an answer, NotRun if not connected, InvalidAnswer after a crash."""
         found = self._find_target(target.name)
-        failed = await self._links.send(self._host)
+        failed = await self._links.send(self._host, target.name)
         if failed is not None:
             return failed
         if found is None or found.is_down or found.started_ms != target.started_ms:
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -243,7 +243,7 @@
         cut = [host.name for host in self._sample_hosts(fault.share)]
         self.day.cut_hosts.update(cut)
         for name in cut:
-            self._links.cut(name, fault.mode)
+            self._links.cut(name, fault.mode, fault.targets)
         await asyncio.sleep(fault.for_s)
         for name in cut:
             self._links.heal(name)
--- a/tests/emulator/test_cut_from_targets.py
+++ b/tests/emulator/test_cut_from_targets.py
@@ -62,6 +62,16 @@
                     run_day(make_warm_day(7, SECONDS, fault), SEED)
                 )
 
+    def test_callers_of_hosts_cut_from_one_service_are_served(self) -> None:
+        """Guard against links to one service that are judged by those to another."""
+        for targets in ("engine", "service"):
+            for mode in CutMode:
+                with self.subTest(targets=targets, mode=mode):
+                    cut = make_cut(mode, 4 / 7)
+                    fault = cut.model_copy(update={"targets": targets})
+                    day = run_day(make_warm_day(7, SECONDS, fault), SEED)
+                    self.check_first_attempts(day)
+
     def test_callers_of_cut_hosts_are_served_in_a_large_fleet(self) -> None:
         """Guard against hosts that find no peer that reaches the targets."""
         for mode in CutMode:
