RECOVER: judge the reach of each service by itself

A host cut from one service only went back to its own links each time that a target of another one accepted a connection. Reach, probes, the choice of peers and crash reports now go by service; peers report the services that they don't reach.

--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -62,7 +62,7 @@
 
     name: str
     outcome: Any = None
-    is_confirmed: bool = True
+    reaches_targets: bool = True
     usable: TargetEntry | None = TARGET
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     requests: list[CallerRequest] = field(default_factory=list)
@@ -83,6 +83,9 @@
     def url(self) -> str:
         return f"ws://{LOOPBACK}:{self.server.port}"
 
+    def is_confirmed(self, service: str) -> bool:
+        return self.reaches_targets
+
     def find_usable(self, incarnation: str) -> TargetEntry | None:
         return self.usable
 
@@ -130,7 +133,8 @@
     def keep_only(self, peer: Peer) -> None:
         """Let all other peers say that they reach no target."""
         for other in self.peers:
-            self.board.peers[other.name].targets_in_reach = other is peer
+            lost = () if other is peer else (TARGET.service,)
+            self.board.peers[other.name].lost_services = lost
 
     async def send(self, body: bytes = b"{}") -> SendOutcome:
         return await self.sender.send(
@@ -165,7 +169,7 @@
 
     async def test_peer_that_is_cut_too_is_passed_over(self) -> None:
         """Guard against requests refused while another peer reaches the targets."""
-        self.peers[0].is_confirmed = False
+        self.peers[0].reaches_targets = False
         self.peers[1].outcome = self.make_answer(self.peers[1], b"one")
         for _ in range(4):
             self.assertIsInstance(await self.send(), OpenAnswer)
@@ -174,7 +178,7 @@
     async def test_request_is_refused_at_once_if_no_peer_reaches_targets(self) -> None:
         """Guard against requests that wait until their deadline."""
         for peer in self.peers:
-            peer.is_confirmed = False
+            peer.reaches_targets = False
         outcome = await self.send()
         self.assertTrue(isinstance(outcome, NotRun) and outcome.path_lost)
 
@@ -231,8 +235,8 @@
         through_peers.send.return_value = InvalidAnswer(reason="through a peer")
         path = PathSender(
             monitor=mock.Mock(
-                is_confirmed=is_confirmed,
-                is_lost=not is_confirmed,
+                is_confirmed=lambda service: is_confirmed,
+                is_lost=lambda service: not is_confirmed,
                 wait_until_confirmed=mock.AsyncMock(return_value=becomes_confirmed),
             ),
             direct=mock.Mock(send=mock.AsyncMock(return_value=direct)),
--- a/trefoilstage/components/fleet/known_hosts.py
+++ b/trefoilstage/components/fleet/known_hosts.py
@@ -154,7 +154,7 @@
         peer.serving = heartbeat.serving
         peer.store_in_reach = heartbeat.store_in_reach
         peer.link_full = heartbeat.link_full
-        peer.targets_in_reach = heartbeat.targets_in_reach
+        peer.lost_services = heartbeat.lost_services
         peer.untouched = heartbeat.untouched
         if peer.is_live(now, self.lost_after_s) != was_live:
             self._board.invalidate_live_hosts()
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -14,7 +14,6 @@
     ReadView,
     ViewReply,
 )
-from trefoilstage.components.forwarding.target_reach import Reach
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.permits.known_limits import KnownLimits
@@ -275,7 +274,7 @@
             serving=self._board.phase is Phase.SERVING,
             store_in_reach=not self._board.store.out_of_reach,
             link_full=self._board.is_link_full(self._timer.now()),
-            targets_in_reach=self._board.reach.state is not Reach.LOST,
+            lost_services=self._board.list_lost_services(),
             untouched=self._board.untouched,
             announced_at=self._announced_at,
             next_offsets={
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -38,7 +38,8 @@
     # Previous incarnations that never used their locked tokens; None until known.
     untouched: tuple[ShortText, ...] | None = None
     link_full: bool = False
-    targets_in_reach: bool | None = None  # None from hosts that don't report it
+    # Services of which the sender reaches no target; None if it doesn't report them.
+    lost_services: tuple[ShortText, ...] | None = None
     # The offset of this incarnation's record in the store, -1 before it has one.
     announced_at: Offset = -1
     # In a large fleet, the age of other hosts' last messages: a byte for each host of
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -8,7 +8,6 @@
 from mode import Service
 
 from trefoilstage.components.escrow.account import EscrowAccount
-from trefoilstage.components.forwarding.target_reach import Reach
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.log_line_writer import LineWriter
@@ -126,9 +125,9 @@
             lambda: len(board.targets.listed),
         )
         add(
-            "targets_in_reach",
-            "1 while this host's own links lead to targets, otherwise 0.",
-            lambda: int(board.reach.state is not Reach.LOST),
+            "services_out_of_reach",
+            "Services of which this host's own links lead to no target.",
+            lambda: len(board.list_lost_services()),
         )
         add(
             "targets_cold",
--- a/trefoilstage/components/forwarding/reach_monitor.py
+++ b/trefoilstage/components/forwarding/reach_monitor.py
@@ -1,9 +1,9 @@
-"""Probe targets while it is in doubt whether this host reaches any."""
+"""Probe targets while it is in doubt whether this host reaches any of a service."""
 
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from mode import Service
 
@@ -23,11 +23,11 @@
 # Few, as hundreds of hosts may lose their links at once. Targets are drawn anew for
 # each round, so that some that are down don't hide the others.
 N_PROBED = 3
-Listener = Callable[[], None]
+Listener = Callable[[str], None]
 
 
 class ReachMonitor(Service):
-    """Update on the board whether this host reaches the targets."""
+    """Update on the board of which services this host reaches targets."""
 
     def __init__(
         self,
@@ -43,36 +43,35 @@
         self._probe = probe
         self._generator = generator
         self._listeners: list[Listener] = []
-        self._confirmed = asyncio.Event()  # set when a connection succeeds
-        self._check: asyncio.Task[bool] | None = None
+        # By service: set when a connection succeeds, and checks under way.
+        self._confirmed: dict[str, asyncio.Event] = {}
+        self._checks: dict[str, asyncio.Task[bool]] = {}
 
     def subscribe(self, listener: Listener) -> Callable[[], None]:
-        """Call a listener when the reach is lost or back; return an unsubscribe."""
+        """Call a listener when a service is lost or back; return an unsubscribe."""
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
-    @property
-    def is_confirmed(self) -> bool:
-        """Return whether nothing speaks against this host's links to the targets."""
-        return self._board.reach.state is Reach.CONFIRMED
+    def is_confirmed(self, service: str) -> bool:
+        """Return whether nothing speaks against this host's links to a service."""
+        return self._board.get_reach(service).state is Reach.CONFIRMED
 
-    @property
-    def is_lost(self) -> bool:
-        """Return whether no probed target accepts connections of this host."""
-        return self._board.reach.state is Reach.LOST
+    def is_lost(self, service: str) -> bool:
+        """Return whether no probed target of a service accepts connections."""
+        return self._board.get_reach(service).state is Reach.LOST
 
-    async def wait_until_confirmed(self, timeout_s: float) -> bool:
+    async def wait_until_confirmed(self, service: str, timeout_s: float) -> bool:
         """Return whether the reach is confirmed, now or within some time."""
-        if not self.is_confirmed:
+        if not self.is_confirmed(service):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(timeout_s):
-                    await self._confirmed.wait()
-        return self.is_confirmed
+                    await self._get_event(service).wait()
+        return self.is_confirmed(service)
 
     def record_outcome(self, target: TargetEntry, outcome: SendOutcome) -> None:
         """Record what a send over this host's own links shows of them."""
         if outcome.connected:
-            self._record_connected()
+            self._record_connected(target.service)
         elif isinstance(outcome, NotRun) and outcome.unreachable:
             self.record_failure(target, timed_out=outcome.timed_out)
         elif isinstance(outcome, InvalidAnswer) and outcome.head is None:
@@ -81,65 +80,73 @@
     def record_failure(self, target: TargetEntry, *, timed_out: bool = False) -> None:
         """Record that a connection to a target failed or broke."""
         now = self._timer.now()
-        reach = self._board.reach
+        reach = self._board.get_reach(target.service)
         if reach.record_failure(target.incarnation, now, timed_out=timed_out):
-            self._confirmed.clear()
-            self.add_future(self._probe_until_confirmed())
+            self._get_event(target.service).clear()
+            self.add_future(self._probe_until_confirmed(target.service))
 
-    async def check(self) -> bool:
+    async def check(self, service: str) -> bool:
         """Return whether any target that is probed now accepts; share a check."""
-        if self._check is None or self._check.done():
-            self._check = asyncio.create_task(self._probe_targets())
-        return await asyncio.shield(self._check)
+        check = self._checks.get(service)
+        if check is None or check.done():
+            check = asyncio.create_task(self._probe_targets(service))
+            self._checks[service] = check
+        return await asyncio.shield(check)
 
-    async def check_within(self, timeout_s: float) -> bool:
+    async def check_within(self, service: str, timeout_s: float) -> bool:
         """Return whether a target that is probed now accepts within some time."""
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.check()
+                return await self.check(service)
         except TimeoutError:
             return False
 
-    def _record_connected(self) -> None:
-        self._confirmed.set()
-        if self._board.reach.record_connected():
-            log_event(Event.TARGETS_IN_REACH, host=self._board.host)
-            self._notify()
+    def _get_event(self, service: str) -> asyncio.Event:
+        return self._confirmed.setdefault(service, asyncio.Event())
 
-    async def _probe_until_confirmed(self) -> None:
-        while not await self.check() and not self.is_confirmed:
-            if self._board.reach.record_lost():
+    def _record_connected(self, service: str) -> None:
+        self._get_event(service).set()
+        if self._board.get_reach(service).record_connected():
+            log_event(Event.TARGETS_IN_REACH, host=self._board.host, service=service)
+            self._notify(service)
+
+    async def _probe_until_confirmed(self, service: str) -> None:
+        reach = self._board.get_reach(service)
+        while not await self.check(service) and not self.is_confirmed(service):
+            if reach.record_lost():
                 log_event(
                     Event.TARGETS_OUT_OF_REACH,
                     host=self._board.host,
-                    failed=",".join(sorted(self._board.reach.failed_at)),
+                    service=service,
+                    failed=",".join(sorted(reach.failed_at)),
                 )
-                self._notify()
+                self._notify(service)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
-    def _notify(self) -> None:
+    def _notify(self, service: str) -> None:
         for listener in self._listeners:
-            listener()
+            listener(service)
 
-    async def _probe_targets(self) -> bool:
+    async def _probe_targets(self, service: str) -> bool:
         """Probe some targets at once; return as soon as one accepts."""
         probes = [
             asyncio.ensure_future(self._probe.connect(entry.address))
-            for entry in self._pick_targets()
+            for entry in self._pick_targets(service)
         ]
         try:
             for probed in asyncio.as_completed(probes):
                 if await probed is ProbeResult.ACCEPTED:
-                    self._record_connected()
+                    self._record_connected(service)
                     return True
         finally:
             for probe in probes:
                 probe.cancel()
         return False
 
-    def _pick_targets(self) -> list[TargetEntry]:
+    def _pick_targets(self, service: str) -> list[TargetEntry]:
         """Return targets to probe, preferably some that are not known to fail."""
-        entries = [item.entry for item in self._board.targets.listed.values()]
+        listed = (item.entry for item in self._board.targets.listed.values())
+        entries = [entry for entry in listed if entry.service == service]
         self._generator.shuffle(entries)
-        failed: Iterable[str] = self._board.reach.failed_at
+        failed = self._board.get_reach(service).failed_at
         return sorted(entries, key=lambda entry: entry.incarnation in failed)[:N_PROBED]
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -284,9 +284,9 @@
         allowed = self._availability.list_allowed(entry.service, set(), None)
         return entry if entry in allowed else None
 
-    def forget_failures(self) -> None:
-        """Forget the targets' failures, which this host's lost links explain."""
-        self._outcomes.forget_failures()
+    def forget_failures(self, service: str) -> None:
+        """Forget a service's failures, which this host's lost links explain."""
+        self._outcomes.forget_failures(service)
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -38,10 +38,11 @@
             return targets
         return [item for item in targets if not self.get_health(item).is_resting(now)]
 
-    def forget_failures(self) -> None:
-        """Forget failures and ejections of all targets."""
-        for health in self._healths.values():
-            health.record_success()
+    def forget_failures(self, service: str) -> None:
+        """Forget failures and ejections of a service's targets."""
+        for item in self._board.targets.listed.values():
+            if item.entry.service == service:
+                self.get_health(item.entry).record_success()
 
     def _remove_ended(self) -> None:
         listed = self._board.targets.list_incarnations()
--- a/trefoilstage/components/forwarding/target_reach.py
+++ b/trefoilstage/components/forwarding/target_reach.py
@@ -1,6 +1,6 @@
-"""Judge by this host's own connections whether it reaches the targets; pure.
+"""Judge by own connections whether a host reaches the targets of a service; pure.
 
-A host whose links to all targets are lost sees each target fail, like a target that is
+A host whose links to all of them are lost sees each target fail, like a target that is
 down. Other targets tell the two apart: a host that can connect to none of them has lost
 its own links, or all targets are down and no path leads to them.
 """
--- a/trefoilstage/components/peer_sends/path.py
+++ b/trefoilstage/components/peer_sends/path.py
@@ -16,7 +16,7 @@
 
 
 class PathSender:
-    """Send requests through peers while this host reaches no target itself."""
+    """Send requests through peers while this host reaches no target of a service."""
 
     def __init__(
         self, *, monitor: ReachMonitor, direct: Sender, through_peers: Sender
@@ -33,18 +33,19 @@
         options: ForwardOptions,
     ) -> SendOutcome:
         """Return a target's answer, or whether it may have run the request."""
-        if not self._monitor.is_confirmed:
+        service = target.service
+        if not self._monitor.is_confirmed(service):
             outcome = await self._through_peers.send(request, body, target, options)
             if not is_path_lost(outcome) or (
-                self._monitor.is_lost
-                and not await self._monitor.check_within(CONFIRM_TIMEOUT_S)
+                self._monitor.is_lost(service)
+                and not await self._monitor.check_within(service, CONFIRM_TIMEOUT_S)
             ):
                 return outcome
         outcome = await self._direct.send(request, body, target, options)
         self._monitor.record_outcome(target, outcome)
         is_unreachable = isinstance(outcome, NotRun) and outcome.unreachable
         if not is_unreachable or await self._monitor.wait_until_confirmed(
-            CONFIRM_TIMEOUT_S
+            service, CONFIRM_TIMEOUT_S
         ):
             return outcome
         through_peer = await self._through_peers.send(request, body, target, options)
--- a/trefoilstage/components/peer_sends/probe.py
+++ b/trefoilstage/components/peer_sends/probe.py
@@ -48,12 +48,10 @@
         If no host that was asked reaches any target, the targets are down.
         """
         result = await self._probe.connect(address)
-        if await self._is_conclusive(result):
-            return result
         entry = self._find_entry(address)
-        peers = self._pick_peers()
-        if entry is None or not peers:
+        if entry is None or await self._is_conclusive(result, entry.service):
             return result
+        peers = self._pick_peers(entry.service)
         for first in range(0, len(peers), N_ASKED_AT_ONCE):
             asked = peers[first : first + N_ASKED_AT_ONCE]
             replies = await asyncio.gather(*(self._ask(peer, entry) for peer in asked))
@@ -62,18 +60,18 @@
                 return known[0]
         return result
 
-    async def _is_conclusive(self, result: ProbeResult) -> bool:
+    async def _is_conclusive(self, result: ProbeResult, service: str) -> bool:
         """Return whether the target explains a result of this host's own probe."""
-        return result is ProbeResult.ACCEPTED or await self._monitor.check()
+        return result is ProbeResult.ACCEPTED or await self._monitor.check(service)
 
     def _find_entry(self, address: str) -> TargetEntry | None:
         entries = (item.entry for item in self._board.targets.listed.values())
         return next((entry for entry in entries if entry.address == address), None)
 
-    def _pick_peers(self) -> list[PeerState]:
+    def _pick_peers(self, service: str) -> list[PeerState]:
         live = self._membership.list_live_hosts()
         peers = [self._board.peers[name] for name in live if name in self._board.peers]
-        peers = [peer for peer in peers if peer.targets_in_reach is not False]
+        peers = [peer for peer in peers if service not in (peer.lost_services or ())]
         return self._generator.sample(peers, min(MAX_PEERS_ASKED, len(peers)))
 
     async def _ask(self, peer: PeerState, entry: TargetEntry) -> ProbeResult | None:
@@ -89,7 +87,8 @@
 
     async def _answer(self, message: ProbeTarget) -> ProbeReply:
         entry = self._board.targets.find_incarnation(message.target)
-        if entry is None or self._monitor.is_lost:
+        if entry is None or self._monitor.is_lost(entry.service):
             return ProbeReply(result=None)
         result = await self._probe.connect(entry.address)
-        return ProbeReply(result=result if await self._is_conclusive(result) else None)
+        is_conclusive = await self._is_conclusive(result, entry.service)
+        return ProbeReply(result=result if is_conclusive else None)
--- a/trefoilstage/components/peer_sends/sender.py
+++ b/trefoilstage/components/peer_sends/sender.py
@@ -85,7 +85,8 @@
         self._streams = streams
         self._timer = timer
         self._generator = generator
-        self._out_of_reach_at: dict[str, float] = {}  # by incarnation of the peer
+        # By incarnation of the peer and service.
+        self._out_of_reach_at: dict[tuple[str, str], float] = {}
 
     async def send(
         self,
@@ -104,30 +105,32 @@
             options=options,
         )
         outcome: SendOutcome = NotRun(reason="no peer is known", path_lost=True)
-        for peer in self._pick_peers():
+        for peer in self._pick_peers(target.service):
             outcome = await self._send_through(peer, message)
             if not (isinstance(outcome, NotRun) and outcome.path_lost):
                 break
-            self._out_of_reach_at[peer.incarnation] = self._timer.now()
+            said = peer.incarnation, target.service
+            self._out_of_reach_at[said] = self._timer.now()
         return outcome
 
-    def _pick_peers(self) -> list[PeerState]:
-        """Return peers to ask, those first that say that they reach the targets."""
+    def _pick_peers(self, service: str) -> list[PeerState]:
+        """Return peers to ask, those first that report which services they reach."""
         now = self._timer.now()
         live = [
             self._board.peers[name]
             for name in self._membership.list_live_hosts()
             if name in self._board.peers
         ]
-        peers = [peer for peer in live if self._may_reach_targets(peer, now)]
+        peers = [peer for peer in live if self._may_reach(peer, service, now)]
         self._generator.shuffle(peers)
-        peers.sort(key=lambda peer: not peer.targets_in_reach)
+        peers.sort(key=lambda peer: peer.lost_services is None)
         return peers[:MAX_PEERS_ASKED]
 
-    def _may_reach_targets(self, peer: PeerState, now: float) -> bool:
-        if peer.targets_in_reach is False:
+    def _may_reach(self, peer: PeerState, service: str, now: float) -> bool:
+        if service in (peer.lost_services or ()):
             return False
-        said_at = self._out_of_reach_at.get(peer.incarnation, float("-inf"))
+        said = peer.incarnation, service
+        said_at = self._out_of_reach_at.get(said, float("-inf"))
         return now - said_at > ASK_AGAIN_AFTER_S
 
     async def _send_through(
--- a/trefoilstage/components/peer_sends/server.py
+++ b/trefoilstage/components/peer_sends/server.py
@@ -70,11 +70,11 @@
 
     async def _send(self, message: SendToTarget) -> SendOutcome:
         """Send a request over this host's own links only, never through a third."""
-        if not self._monitor.is_confirmed:
-            return NotRun(reason="the peer is out of reach too", path_lost=True)
         target = self._chooser.find_usable(message.target)
         if target is None:
             return NotRun(reason="the peer does not use the target", unreachable=True)
+        if not self._monitor.is_confirmed(target.service):
+            return NotRun(reason="the peer is out of reach too", path_lost=True)
         sent_at = self._timer.now()
         outcome = await self._sender.send(
             message.request, message.body, target, message.options
@@ -86,7 +86,7 @@
     def _record(
         self, target: TargetEntry, outcome: SendOutcome, sent_at: float
     ) -> None:
-        if self._monitor.is_confirmed:
+        if self._monitor.is_confirmed(target.service):
             self._chooser.record_answer(target, outcome, sent_at)
 
     async def _pass_back(self, outcome: SendOutcome, reply: Reply) -> None:
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -7,7 +7,7 @@
 
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.routes import RouteTable
-from trefoilstage.components.forwarding.target_reach import TargetReach
+from trefoilstage.components.forwarding.target_reach import Reach, TargetReach
 from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.brittle import BrittleServices
 from trefoilstage.components.targets.directory import TargetDirectory
@@ -99,7 +99,7 @@
     store_in_reach: bool = True
     link_full: bool = False  # reported by the peer itself, not relayed
     # Reported by the peer itself, not relayed; None until then.
-    targets_in_reach: bool | None = None
+    lost_services: tuple[str, ...] | None = None
     # The peer's previous incarnations that provably used none of their locked tokens;
     # None until the peer knows them.
     untouched: tuple[str, ...] | None = None
@@ -139,7 +139,8 @@
     configuration: FleetConfiguration | None = None  # configuration follower
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
     targets: TargetDirectory = field(default_factory=TargetDirectory)  # target follower
-    reach: TargetReach = field(default_factory=TargetReach)  # reach monitor
+    # Of this host's links to each service's targets; reach monitor.
+    reach: dict[str, TargetReach] = field(default_factory=dict)
     brittle: BrittleServices = field(default_factory=BrittleServices)  # target outcomes
     limits: NamedLimits = field(default_factory=NamedLimits)  # known limits
     peers: dict[str, PeerState] = field(default_factory=dict)  # membership
@@ -151,6 +152,20 @@
     _live: dict[float, LiveHosts] = field(default_factory=dict)  # by lost_after_s
     _n_peer_changes: int = 0
 
+    def get_reach(self, service: str) -> TargetReach:
+        """Return what is known of this host's links to a service's targets."""
+        return self.reach.setdefault(service, TargetReach())
+
+    def list_lost_services(self) -> tuple[str, ...]:
+        """Return the services of which this host reaches no target."""
+        return tuple(
+            sorted(
+                service
+                for service, reach in self.reach.items()
+                if reach.state is Reach.LOST
+            )
+        )
+
     def is_too_large_to_broadcast(self) -> bool:
         """Return whether there are too many hosts for each to send to all others."""
         return len(self.peers) > MAX_BROADCAST_PEERS
