--- a/tests/components/escrow/common.py
+++ b/tests/components/escrow/common.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 
 from standins.keyed_store import KeyedStore
+from trefoilstage.components.escrow.draw_pauses import SETTLE_S
 from trefoilstage.components.escrow.grants import GrantRegistry
-from trefoilstage.components.escrow.home import SETTLE_S, EscrowHome
+from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.lock_keeper import LockKeeper
 from trefoilstage.components.escrow.messages import SealHome, SealReply, SettledHold
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -11,6 +11,8 @@
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
+from trefoilstage.components.escrow.draw_pauses import DrawPauses
+from trefoilstage.components.escrow.hold_refusals import find_reason, log_refusal
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.messages import (
     HoldReply,
@@ -35,10 +37,6 @@
 # request that waits for it is late, but a refused one would not be served at all.
 DRAW_WAIT_S = 1.0
 MAX_WRITE_TRIES = 8
-# After a failed draw the home makes no calls for the account for this long: each call
-# is charged, and requests are refused immediately instead of waiting for a draw that
-# fails.
-FAILED_DRAW_PAUSE_S = 0.3
 # An account without free tokens is read again at this interval, to find tokens that
 # other hosts returned.
 EXHAUSTED_REREAD_INTERVAL_S = 0.5
@@ -51,11 +49,6 @@
 # Unless a request waits for it, an account is first read when the live hosts have not
 # changed for this long.
 STABLE_FLEET_S = 1.0
-# After the store came back from an older copy, hosts notice within half a second, and
-# write their draws again within another. Tokens that look free until then may be drawn.
-SETTLE_S = 1.5
-# Records lack draws of homes that were slower than that for some time more.
-MAKE_GOOD_S = 4.0
 # Attempts to recover an ended home's tokens are repeated at this interval, because a
 # witness may be out of reach.
 RECOVERY_RETRY_INTERVAL_S = 0.5
@@ -96,7 +89,7 @@
         )
         # Draws and recoveries by workspace; those of one account do not overlap.
         self._account_tasks: dict[str, asyncio.Task[None]] = {}
-        self._paused_until: dict[str, float] = {}
+        self._pauses = DrawPauses(board=board, timer=timer)
         self._next_recovery_at: dict[str, float] = {}
         self._roster_written_at: dict[str, float] = {}
         server.register(HoldTokens, self._handle_hold)
@@ -135,7 +128,7 @@
             return self._refuse(account, request, tokens)
         if account.hold(request, tokens, requester, now):
             return None
-        if self._is_paused(workspace) or self._is_settling():
+        if self._pauses.is_paused(workspace) or self._pauses.is_settling():
             return self._refuse(account, request, tokens)
         if not account.can_cover(tokens) and not self._may_reread(workspace):
             return self._refuse(account, request, tokens)
@@ -155,14 +148,6 @@
         for account in self._accounts.values():
             account.begin_making_good()
 
-    def _is_settling(self) -> bool:
-        """Return whether other homes may not have written their draws again yet."""
-        return self._get_restored_s() < SETTLE_S
-
-    def _get_restored_s(self) -> float:
-        """Return the seconds since the store came back from an older copy."""
-        return self._timer.now() - self._board.store.restored_at
-
     def _must_leave_to_shorter(
         self, account: EscrowAccount, tokens: int, now: float
     ) -> bool:
@@ -245,34 +230,14 @@
         return account
 
     def _refuse(self, account: EscrowAccount, request: str, tokens: int) -> Reason:
-        is_confirmed = not (self._is_paused(account.workspace) or self._is_settling())
-        can_cover = account.can_cover(tokens)
-        reason = Reason.BUDGET_UNCONFIRMED
-        if is_confirmed and not can_cover:
-            is_spent = account.is_nearly_spent(tokens)
-            reason = Reason.BUDGET_EXHAUSTED if is_spent else Reason.BUDGET_DRAWN
-        log_event(
-            Event.HOLD_REFUSED,
-            request=request,
-            workspace=account.workspace,
-            reason=reason,
-            tokens=tokens,
-            available=account.get_available(self._timer.now()),
-            locked=account.locked,
-            free=account.free,
-            drawn_by_all=account.record.drawn,
-            spent_by_all=account.record.spent,
-            prepaid=account.prepaid,
-            confirmed=is_confirmed,
+        is_confirmed = not (
+            self._pauses.is_paused(account.workspace) or self._pauses.is_settling()
         )
+        reason = find_reason(account, tokens, is_confirmed=is_confirmed)
+        available = account.get_available(self._timer.now())
+        log_refusal(account, request, tokens, reason, available, is_confirmed)
         return reason
 
-    def _is_paused(self, workspace: str) -> bool:
-        # No draw can succeed; a waiting request would be refused a second later.
-        if self._board.store.out_of_reach:
-            return True
-        return self._timer.now() < self._paused_until.get(workspace, 0.0)
-
     def _may_reread(self, workspace: str) -> bool:
         return self._account_store.get_age_s(workspace) >= EXHAUSTED_REREAD_INTERVAL_S
 
@@ -324,7 +289,7 @@
         def plan(account: EscrowAccount) -> StockChange | None:
             now = self._timer.now()
             change = None
-            if not self._is_settling():
+            if not self._pauses.is_settling():
                 change = account.plan_change(now, self._get_own_rank(workspace))
             if change is None and account.lacks_known:
                 change = StockChange(tokens=0, locked=account.locked)
@@ -380,10 +345,7 @@
         self, workspace: str, error: StoreUnavailableError
     ) -> None:
         self._account_store.forget_end_offset(workspace)
-        now = self._timer.now()
-        self._paused_until[workspace] = now + FAILED_DRAW_PAUSE_S
-        self._board.store.record_failure(now, str(error))
-        log_event(Event.ESCROW_DRAW_FAILED, workspace=workspace, error=str(error))
+        self._pauses.record_failure(workspace, error)
 
     def _must_update_roster(self, account: EscrowAccount) -> bool:
         rank = self._get_own_rank(account.workspace)
@@ -418,7 +380,7 @@
             account = self._get_account(workspace) if is_home else None
             # Stock is returned when this host is no longer the home.
             account = account or self._accounts.get(workspace)
-            if account is None or self._is_paused(workspace):
+            if account is None or self._pauses.is_paused(workspace):
                 continue
             if account.record_offset < 0 and not self._may_reread(workspace):
                 continue
@@ -435,9 +397,9 @@
     def _make_account_good(self, account: EscrowAccount) -> None:
         """Write own draws again, and draw as usual once others had time for theirs."""
         is_unread = not self._account_store.can_write(account.workspace)
-        if self._get_restored_s() >= MAKE_GOOD_S and not is_unread:
+        if self._pauses.is_made_good() and not is_unread:
             account.end_making_good()
-        if is_unread or account.lacks_known or not self._is_settling():
+        if is_unread or account.lacks_known or not self._pauses.is_settling():
             self._start_draw(account.workspace)
 
 
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -91,8 +91,8 @@
             elif self._limits.is_refusing(target.incarnation):
                 # A brittle target must not turn another request away, even if no other
                 # target is left.
-                group = groups.limited if self.is_brittle(target.service) else None
-                (groups.refusing if group is None else group).append(target)
+                is_brittle = self.is_brittle(target.service)
+                (groups.limited if is_brittle else groups.refusing).append(target)
             else:
                 groups.free.append(target)
         return groups
