Bound what a send through peers may cost

Found by reading: a host that is cut from its peers too tried up to five silent ones for 0.5 s each before it refused; now 0.5 s in all. A header that holds no text ended the request with an error of the encoder. Idle connections to peers stayed open until used again: up to 8 for each of hundreds of peers; closed after 5 s now. Each has a test; the first two fail without the change.

--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -26,8 +26,10 @@
 from trefoilstage.components.peer_sends.path import PathSender
 from trefoilstage.components.peer_sends.sender import PeerSender
 from trefoilstage.components.peer_sends.server import PeerSendServer
+from trefoilstage.components.peers import streams
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.streams import PeerStreams
+from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.timer import TimerService
 
 LOOPBACK = "127.0.0.1"
@@ -111,12 +113,12 @@
             await peer.start()
             self.addAsyncCleanup(peer.server.on_stop)
             self.board.peers[peer.name].peer_url = peer.url
-        streams = PeerStreams(outbound_address=LOOPBACK, codec=FLEET_CODEC)
-        self.addAsyncCleanup(streams.on_stop)
+        peer_streams = PeerStreams(outbound_address=LOOPBACK, codec=FLEET_CODEC)
+        self.addAsyncCleanup(peer_streams.on_stop)
         self.sender = PeerSender(
             board=self.board,
             membership=mock.Mock(list_live_hosts=lambda: tuple(names)),
-            streams=streams,
+            streams=peer_streams,
             timer=TimerService(),
             generator=random.Random(1),
         )
@@ -218,6 +220,38 @@
         async with asyncio.timeout(2.0):
             await self.peers[0].closed.wait()
 
+    async def test_request_is_refused_soon_if_all_peers_are_silent(self) -> None:
+        """Guard against a host cut from everything that tries one peer after another.
+
+        A request that was not sent is not told as possibly run.
+        """
+        open_stream = mock.AsyncMock(side_effect=PeerUnavailableError("silent"))
+        with (
+            mock.patch.object(self.sender._streams, "open", open_stream),
+            mock.patch.object(peer_sender, "MAX_ASK_S", 0.0),
+        ):
+            outcome = await self.send()
+        self.assertTrue(isinstance(outcome, NotRun) and outcome.path_lost)
+        open_stream.assert_not_awaited()
+
+    async def test_header_that_is_no_text_fails_only_its_request(self) -> None:
+        """Guard against an error of the encoder that reaches the caller's handler."""
+        request = replace(REQUEST, headers=(("X", "\udc80"),))
+        outcome = await self.sender.send(request, b"", TARGET, OPTIONS)
+        self.assertTrue(isinstance(outcome, NotRun) and not outcome.unreachable)
+
+    async def test_idle_connections_are_closed(self) -> None:
+        """Guard against descriptors used up by connections to hundreds of peers."""
+        self.peers[0].outcome = self.make_answer(self.peers[0], b"one")
+        self.keep_only(self.peers[0])
+        with mock.patch.object(streams, "MAX_IDLE_S", 0.05):
+            answer = await self.send_and_open()
+            self.assertEqual([part async for part in answer.read()], [b"one"])
+            idle = self.sender._streams._idle[self.peers[0].url]
+            self.assertEqual(len(idle), 1)
+            await asyncio.sleep(0.1)
+            self.assertEqual(idle, [])
+
     async def test_body_above_the_limit_of_messages_is_refused(self) -> None:
         """Guard against a body that ends the connection to the peer."""
         outcome = await self.send(b"x" * (MAX_BODY_BYTES + 1))
--- a/trefoilstage/components/peer_sends/sender.py
+++ b/trefoilstage/components/peer_sends/sender.py
@@ -24,13 +24,15 @@
     SendToTarget,
 )
 from trefoilstage.components.peers.streams import PeerStream, PeerStreams
-from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.exceptions import MessageNotSentError, PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard, PeerState
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.timer import TimerService
 
 # Each peer that doesn't reach the targets either says so within a round trip.
 MAX_PEERS_ASKED = 5
+# A host that is cut from its peers too finds each of them silent.
+MAX_ASK_S = 0.5
 # Longer than a call takes on a full link.
 ACCEPT_TIMEOUT_S = 1.0
 # A peer sends something four times as often.
@@ -105,7 +107,10 @@
             options=options,
         )
         outcome: SendOutcome = NotRun(reason="no peer is known", path_lost=True)
+        ask_until = self._timer.now() + MAX_ASK_S
         for peer in self._pick_peers(target.service):
+            if self._timer.now() >= ask_until:
+                break
             outcome = await self._send_through(peer, message)
             if not (isinstance(outcome, NotRun) and outcome.path_lost):
                 break
@@ -149,6 +154,9 @@
             return NotRun(reason=str(error), path_lost=True)
         try:
             return await self._receive_outcome(stream, message)
+        except MessageNotSentError as error:
+            stream.close()
+            return NotRun(reason=str(error), path_lost=True)
         except PeerUnavailableError as error:
             stream.close()
             return InvalidAnswer(reason=f"peer lost: {error}")
--- a/trefoilstage/components/peers/streams.py
+++ b/trefoilstage/components/peers/streams.py
@@ -16,7 +16,11 @@
 from trefoilstage.components.peers.frames import ErrorReply, Frame
 from trefoilstage.components.peers.link import send_data
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
-from trefoilstage.exceptions import MalformedMessageError, PeerUnavailableError
+from trefoilstage.exceptions import (
+    MalformedMessageError,
+    MessageNotSentError,
+    PeerUnavailableError,
+)
 from trefoilstage.helpers.codec import Codec
 
 CONNECT_TIMEOUT_S = 0.5
@@ -31,7 +35,10 @@
     """Exchange the messages of one call with a peer."""
 
     async def send(self, message: Any) -> None:
-        """Send a message; raise PeerUnavailableError if it can't be sent."""
+        """Send a message; raise PeerUnavailableError if it may not have arrived.
+
+        Raise MessageNotSentError if it was not sent.
+        """
 
     async def receive(self, timeout_s: float) -> Any:
         """Return the next message; raise PeerUnavailableError if there is none."""
@@ -92,7 +99,17 @@
         if len(idle) >= MAX_IDLE_CONNECTIONS:
             connection.transport.abort()
             return
-        idle.append((connection, asyncio.get_running_loop().time()))
+        loop = asyncio.get_running_loop()
+        idle.append((connection, loop.time()))
+        loop.call_later(MAX_IDLE_S, self._close_expired, url)
+
+    def _close_expired(self, url: str) -> None:
+        """Close the connections that were idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for connection, since in list(self._idle[url]):
+            if now - since >= MAX_IDLE_S:
+                self._idle[url].remove((connection, since))
+                connection.transport.abort()
 
     async def on_stop(self) -> None:
         """Close the idle connections."""
@@ -120,11 +137,19 @@
         self._is_released = False
 
     async def send(self, message: Any) -> None:
-        """Send a message; raise PeerUnavailableError if it can't be sent."""
+        """Send a message; raise PeerUnavailableError if it may not have arrived.
+
+        Raise MessageNotSentError if it was not sent.
+        """
         frame = Frame(number=0, reply=False, body=message)
+        try:
+            data = self._codec.encode(frame)
+        except ValueError as error:
+            # A caller's header may hold bytes that are no text.
+            raise MessageNotSentError("the message can't be encoded") from error
         try:
             async with asyncio.timeout(SEND_TIMEOUT_S):
-                await send_data(self._connection, self._codec.encode(frame))
+                await send_data(self._connection, data)
         except (TimeoutError, OSError, WebSocketException) as error:
             raise PeerUnavailableError(repr(error)) from error
 
--- a/trefoilstage/exceptions.py
+++ b/trefoilstage/exceptions.py
@@ -41,6 +41,10 @@
     """Report that a peer did not reply; it may still have processed the call."""
 
 
+class MessageNotSentError(TrefoilstageError):
+    """Report that a message to a peer was not sent."""
+
+
 class HostCrashedError(TrefoilstageError):
     """Report that a component of the host failed, so that the process must exit."""
 
