--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Any
 
 from bench.emulator.callers import Caller, Outcome, RequestSampler
@@ -20,18 +19,16 @@
     EmulatedHost,
     StoredObjects,
 )
-from bench.emulator.limits import RequestLimit
 from bench.emulator.links import TargetLinks
 from bench.emulator.network import Network, SharedStore
-from bench.emulator.rests import Refusals
 from bench.emulator.routes import compute_mean_tokens, make_route
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
 from bench.emulator.sender import EmulatedProbe, EmulatedSender
+from bench.emulator.target_faults import TARGET_FAULT_HANDLERS, TargetFaults
 from bench.emulator.targets import (
     ASSISTANT,
     BOOKING,
     DATA_CENTERS,
-    EmulatedTarget,
     EmulatedTargets,
     get_data_center,
     sample_share,
@@ -100,6 +97,9 @@
             shared_store=self._shared_store,
             entries=self._entries,
         )
+        self._target_faults = TargetFaults(
+            targets=self._targets, start_task=self._start_task
+        )
         await self._publish_configuration()
         await self._start_hosts()
         self._start_task(self._targets.register_all())
@@ -231,7 +231,11 @@
 
     async def _run_fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s)
-        await FAULT_HANDLERS[fault.kind](self, fault)
+        handler = TARGET_FAULT_HANDLERS.get(fault.kind)
+        if handler is not None:
+            await handler(self._target_faults, fault)
+        else:
+            await FAULT_HANDLERS[fault.kind](self, fault)
 
     async def _cut_store(self, fault: Fault) -> None:
         cut = self._sample_hosts(fault.share)
@@ -262,14 +266,6 @@
         for host in killed:
             await host.start()
 
-    async def _crash_engines(self, fault: Fault) -> None:
-        crashed = self._targets.sample_engines(fault.share)
-        for engine in crashed:
-            engine.crash()
-        await asyncio.sleep(fault.for_s)
-        for engine in crashed:
-            engine.restart()
-
     async def _repeat_crashing_request(self, fault: Fault) -> None:
         """Send the same request repeatedly, each time from a new caller."""
         kind = next(kind for kind in self._scenario.kinds if kind.own_tokens)
@@ -307,58 +303,6 @@
         await asyncio.sleep(CRASH_RESTART_S)
         engine.restart()
 
-    async def _return_cold(self, fault: Fault) -> None:
-        returned = self._targets.sample_engines(fault.share)
-        for engine in returned:
-            engine.crash()
-        await asyncio.sleep(fault.for_s)
-        for engine in returned:
-            engine.restart()
-            self._targets.turn_cold(engine)
-            await self._targets.register(engine, 0)
-
-    async def _turn_engines_cold(self, fault: Fault) -> None:
-        for engine in self._targets.sample_engines(fault.share):
-            self._targets.turn_cold(engine)
-
-    async def _name_limits(self, fault: Fault) -> None:
-        limited = self._targets.sample(fault.share)
-        await self._impose([target.limit for target in limited], fault)
-
-    async def _ask_for_rest(self, fault: Fault) -> None:
-        refusing = self._targets.sample(fault.share)
-        await self._impose([target.refusals for target in refusing], fault)
-
-    async def _turn_brittle(self, fault: Fault) -> None:
-        targets = self._targets.sample(fault.share)
-        for target in targets:
-            fall = partial(self._fall, target)
-            target.brittleness.begin(round(fault.factor), fall)
-        await asyncio.sleep(fault.for_s)
-        for target in targets:
-            target.brittleness.end()
-
-    def _fall(self, target: EmulatedTarget) -> None:
-        self._start_task(self._restart_after_fall(target))
-
-    async def _restart_after_fall(self, target: EmulatedTarget) -> None:
-        if isinstance(target, EmulatedEngine):
-            target.crash()
-        target.is_down = True
-        await asyncio.sleep(CRASH_RESTART_S)
-        if isinstance(target, EmulatedEngine):
-            target.restart()
-        target.is_down = False
-
-    async def _impose(
-        self, demands: Sequence[RequestLimit | Refusals], fault: Fault
-    ) -> None:
-        for demand in demands:
-            demand.begin(fault.factor)
-        await asyncio.sleep(fault.for_s)
-        for demand in demands:
-            demand.end()
-
     async def _evacuate(self, fault: Fault) -> None:
         key = f"{EVACUATION_PREFIX}{DATA_CENTERS[0]}"
         store = self._shared_store
@@ -407,16 +351,10 @@
     FaultKind.STORE_SLOW: World._slow_store,
     FaultKind.HOSTS_KILLED: World._kill_hosts,
     FaultKind.POWER_LOST: World._kill_hosts,
-    FaultKind.ENGINES_CRASHED: World._crash_engines,
     FaultKind.BURST: World._raise_traffic,
     FaultKind.HOT_WORKSPACE: World._raise_workspace_traffic,
-    FaultKind.ENGINES_RETURN_COLD: World._return_cold,
-    FaultKind.ENGINES_TURN_COLD: World._turn_engines_cold,
     FaultKind.EVACUATION: World._evacuate,
-    FaultKind.TARGETS_NAME_LIMIT: World._name_limits,
-    FaultKind.TARGETS_ASK_FOR_REST: World._ask_for_rest,
     FaultKind.HOSTS_CUT_FROM_TARGETS: World._cut_from_targets,
-    FaultKind.TARGETS_BRITTLE: World._turn_brittle,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
 }
 
