Escrow: no idle draws after the store came back older

For 2.5 s after a restoration each home started a draw of each account ten times a second, which reads the account anew where a budget is drawn: up to ten reads a second for each. The test fails without it.

--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from tests.components.escrow.common import (
     OTHER_WORKSPACE,
@@ -280,6 +281,17 @@
             await cluster.hold("brest-1", "lorient-1", WORKSPACE, "c", 1_000)
         )
 
+    async def test_account_that_lacks_nothing_is_not_read_again_and_again(self) -> None:
+        """Guard against calls of all homes to a store that just came back."""
+        cluster = EscrowCluster(prepaid=PREPAID, home=HOSTS[0])
+        home = cluster.start(HOSTS[0])
+        await cluster.hold(HOSTS[0], HOSTS[0], WORKSPACE, "request-1", 10)
+        await cluster.restore_store(cluster.store.make_copy())
+        with mock.patch.object(home, "_start_draw") as start_draw:
+            await home._check_stocks()
+            workspaces = [call.args[0] for call in start_draw.call_args_list]
+            self.assertNotIn(WORKSPACE, workspaces)
+
     async def test_settlement_may_arrive_before_its_hold(self) -> None:
         """Settle a hold whose message is delayed; it must not be held permanently."""
         cluster = EscrowCluster(prepaid=10_000, home="brest-1")
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -388,18 +388,22 @@
             if is_unread and self._is_fleet_changing(now):
                 continue
             if account.known_before is not None:
-                self._make_account_good(account)
+                self._make_account_good(account, now, rank)
             elif rank is HomeRank.FIRST and self._reclaimer.has_ended_holder(account):
                 self._start_recovery(workspace, now)
             elif is_unread or self._needs_write(account, now, rank):
                 self._start_draw(workspace)
 
-    def _make_account_good(self, account: EscrowAccount) -> None:
+    def _make_account_good(
+        self, account: EscrowAccount, now: float, rank: HomeRank
+    ) -> None:
         """Write own draws again, and draw as usual once others had time for theirs."""
         is_unread = not self._account_store.can_write(account.workspace)
         if self._pauses.is_made_good() and not is_unread:
             account.end_making_good()
-        if is_unread or account.lacks_known or not self._pauses.is_settling():
+        needs_write = self._needs_write(account, now, rank)
+        may_draw = needs_write and not self._pauses.is_settling()
+        if is_unread or account.lacks_known or may_draw:
             self._start_draw(account.workspace)
 
 
