--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -11,6 +11,7 @@
     make_configuration,
     pick_faults,
 )
+from trefoilstage.components.views.store import make_position
 from trefoilstage.helpers.verdict import Reason
 
 HOSTS = ("brest-1", "quimper-1", "lorient-1")
@@ -281,6 +282,31 @@
             await cluster.hold("brest-1", "lorient-1", WORKSPACE, "c", 1_000)
         )
 
+    async def test_nobody_draws_until_others_wrote_their_draws_again(self) -> None:
+        """Guard against tokens that look free in a copy and are drawn a second time.
+
+        The second home has read nothing of the first one's draws, and is first to
+        notice that the store came back.
+        """
+        cluster = EscrowCluster(prepaid=20_000, home=HOSTS[0])
+        first, second = (cluster.start(host) for host in HOSTS[:2])
+        for home in (first, second):
+            home._get_account(WORKSPACE)
+        copy = cluster.store.make_copy()
+        cluster.update_all_peers()
+        self.assertTrue(
+            await cluster.hold(HOSTS[0], HOSTS[1], WORKSPACE, "request-1", 3_000)
+        )
+        cluster.store.restore(copy)
+        for host, home in ((HOSTS[1], second), (HOSTS[0], first)):
+            cluster.home = host
+            position = make_position(cluster.store.era, 0)
+            cluster.boards[host].store.record_position(position, cluster.timer.time)
+            home.make_good()
+            await home._draw(WORKSPACE)
+        drawn = {home._accounts[WORKSPACE].drawn for home in (first, second)}
+        self.assertIn(0, drawn)
+
     async def test_account_that_lacks_nothing_is_not_read_again_and_again(self) -> None:
         """Guard against calls of all homes to a store that just came back."""
         cluster = EscrowCluster(prepaid=PREPAID, home=HOSTS[0])
--- a/tests/components/escrow/test_lock.py
+++ b/tests/components/escrow/test_lock.py
@@ -4,6 +4,7 @@
 
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
 from trefoilstage.components.escrow.lock import (
+    LOCK_CODEC,
     LOCK_DURATION_S,
     LockRecord,
     ReserveLock,
@@ -105,6 +106,26 @@
             await cluster.run_lock_keeper("brest-1")
         self.assertIn(first, cluster.boards["brest-1"].untouched or ())
 
+    async def test_proof_is_written_again_to_a_restored_store(self) -> None:
+        """Guard against locked tokens lost for good, as a copy lacks their proof."""
+        cluster = EscrowCluster(prepaid=200_000, home="brest-1")
+        cluster.start("brest-1")
+        cluster.start("lorient-1")
+        await cluster.run_lock_keeper("brest-1")
+        await cluster.hold("brest-1", "lorient-1", WORKSPACE, "a", 1_000)
+        await cluster.run_lock_keeper("brest-1")
+        copy = cluster.store.make_copy()
+        first = cluster.boards["brest-1"].incarnation
+        cluster.timer.time += 1.0
+        cluster.start("brest-1")
+        for _ in range(2):
+            await cluster.run_lock_keeper("brest-1")
+        cluster.store.restore(copy)
+        cluster.keepers["brest-1"].forget_stored()
+        await cluster.run_lock_keeper("brest-1")
+        batch = await cluster.store.list_newest(Topic.LOCKS)
+        self.assertIn(first, LOCK_CODEC.decode(batch.records[0].value or b"").untouched)
+
 
 class LockedStockTest(unittest.IsolatedAsyncioTestCase):
     """Test a stock with locked tokens in outages and after restarts of all hosts."""
--- a/tests/components/escrow/test_rosters.py
+++ b/tests/components/escrow/test_rosters.py
@@ -44,6 +44,18 @@
 class RosterStoreTest(unittest.IsolatedAsyncioTestCase):
     """Test rosters of 195 hosts."""
 
+    async def test_roster_is_written_again_to_a_restored_store(self) -> None:
+        """Guard against records that name a roster which a copy lacks."""
+        store = KeyedStore()
+        rosters = RosterStore(store=store, n_partitions=1)
+        copy = store.make_copy()
+        name = await rosters.write(make_members(0))
+        store.restore(copy)
+        rosters.forget_written()
+        await rosters.write(make_members(0))
+        other = RosterStore(store=store, n_partitions=1)
+        self.assertEqual(await other.read(name), make_members(0))
+
     async def test_one_roster_is_read_without_all_others(self) -> None:
         """Write a roster after each of 195 restarts, then read one as in a recovery.
 
--- a/tests/components/fleet/test_membership.py
+++ b/tests/components/fleet/test_membership.py
@@ -1,5 +1,6 @@
 """Test how hosts of a large fleet learn which others are live."""
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -67,6 +68,22 @@
         await caller._apply_heartbeat(reply)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """Let the store come back from a copy that lacks a host's record."""
+
+    async def test_host_announces_itself_again(self) -> None:
+        """Guard against hosts that others forget, as a copy lacks their records."""
+        membership = FakeFleet().hosts["host-0"]
+        put = mock.AsyncMock(return_value=7)
+        membership._store = mock.Mock(put=put)
+        membership.announce_again()
+        await asyncio.sleep(0)
+        put.assert_awaited_once()
+        self.assertEqual(put.await_args_list[0].args[1], "host-0")
+        await asyncio.sleep(0)
+        self.assertEqual(membership._make_heartbeat().announced_at, 7)
+
+
 class LargeFleetTest(unittest.IsolatedAsyncioTestCase):
     """Test a fleet in which each host calls two others per heartbeat round."""
 
--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -22,6 +22,7 @@
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends import sender as peer_sender
+from trefoilstage.components.peer_sends import server
 from trefoilstage.components.peer_sends.messages import MAX_BODY_BYTES
 from trefoilstage.components.peer_sends.path import PathSender
 from trefoilstage.components.peer_sends.sender import PeerSender
@@ -65,6 +66,7 @@
     name: str
     outcome: Any = None
     reaches_targets: bool = True
+    delay_s: float = 0.0  # until the target answers
     usable: TargetEntry | None = TARGET
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     requests: list[CallerRequest] = field(default_factory=list)
@@ -72,7 +74,7 @@
     async def start(self) -> None:
         """Listen for sends."""
         self.server = PeerServer(address=LOOPBACK, port=0, codec=FLEET_CODEC)
-        PeerSendServer(
+        self.sends = PeerSendServer(
             chooser=cast(Any, self),
             monitor=cast(Any, self),
             sender=cast(Any, self),
@@ -97,6 +99,7 @@
 
     async def send(self, request: CallerRequest, *_: object) -> SendOutcome:
         self.requests.append(request)
+        await asyncio.sleep(self.delay_s)
         if self.outcome is None:
             await asyncio.Event().wait()
         return cast(SendOutcome, self.outcome)
@@ -211,6 +214,33 @@
             with self.assertRaises(AnswerBrokenError):
                 [part async for part in answer.read()]
 
+    async def test_peer_of_a_slow_target_is_not_taken_for_lost(self) -> None:
+        """Guard against prompts that end as their target reads them for long."""
+        peer = self.peers[0]
+        self.keep_only(peer)
+        peer.outcome = self.make_answer(peer, b"one")
+        peer.delay_s = 0.4
+        with (
+            mock.patch.object(peer_sender, "SILENCE_TIMEOUT_S", 0.2),
+            mock.patch.object(server, "PENDING_INTERVAL_S", 0.05),
+        ):
+            answer = await self.send_and_open()
+            self.assertEqual([part async for part in answer.read()], [b"one"])
+
+    async def test_peer_that_stops_waits_for_what_it_sends(self) -> None:
+        """Guard against requests cut off by the planned stop of a peer."""
+        peer = self.peers[0]
+        self.keep_only(peer)
+        peer.outcome = self.make_answer(peer, b"one")
+        peer.delay_s = 0.2
+        sending = asyncio.create_task(self.send())
+        while not peer.requests:
+            await asyncio.sleep(0.01)
+        self.assertEqual(peer.sends.n_active, 1)
+        await peer.sends.drain(5.0)
+        await peer.server.on_stop()
+        self.assertIsInstance(await sending, OpenAnswer)
+
     async def test_closed_answer_is_cancelled_at_the_target(self) -> None:
         """Guard against targets that work on for callers who have left."""
         self.keep_only(self.peers[0])
