--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -298,14 +298,15 @@
             await cluster.hold(HOSTS[0], HOSTS[1], WORKSPACE, "request-1", 3_000)
         )
         cluster.store.restore(copy)
-        for host, home in ((HOSTS[1], second), (HOSTS[0], first)):
-            cluster.home = host
+        cluster.home = HOSTS[1]
+        for host in (HOSTS[1], HOSTS[0]):
             position = make_position(cluster.store.era, 0)
             cluster.boards[host].store.record_position(position, cluster.timer.time)
-            home.make_good()
-            await home._draw(WORKSPACE)
-        drawn = {home._accounts[WORKSPACE].drawn for home in (first, second)}
-        self.assertIn(0, drawn)
+            cluster.homes[host].make_good()
+            refused = await cluster.request_grant(
+                host, HOSTS[0], WORKSPACE, f"request-{host}", 18_000
+            )
+            self.assertIs(refused, Reason.BUDGET_UNCONFIRMED)
 
     async def test_account_that_lacks_nothing_is_not_read_again_and_again(self) -> None:
         """Guard against calls of all homes to a store that just came back."""
