--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -3,14 +3,10 @@
 import unittest
 from collections.abc import Sequence
 from dataclasses import replace
-from typing import Any, cast
-from unittest import mock
 
 from bench.emulator.limits import ANSWER_HEAD
-from tests.components.boards import make_board
-from tests.components.escrow.common import ManualTimer
+from tests.components.forwarding.chooser_case import ChooserCase
 from tests.components.forwarding.common import make_target
-from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.answers import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import (
     Engine,
@@ -20,60 +16,13 @@
     TargetService,
 )
 from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
-from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.work import Work
-from trefoilstage.components.forwarding.workload import WorkloadController
-from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.permits.messages import LimitReport
 
 
-class TargetChooserTest(unittest.IsolatedAsyncioTestCase):
+class TargetChooserTest(ChooserCase):
     """Test a chooser on a host without peers."""
 
-    def setUp(self) -> None:
-        """Create a chooser and its workload controller."""
-        self.board = make_board("host-0", ["host-0"])
-        timer = self.timer = ManualTimer()
-        timer.time = 10.0
-        self.workload = WorkloadController(
-            board=self.board,
-            links=cast(Any, None),
-            server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
-            timer=timer,
-        )
-        self.workload.add_future = mock.Mock(  # type: ignore[method-assign]
-            side_effect=lambda report: report.close()
-        )
-        self.settings = mock.Mock(regions={}, cold_rate_factor=1.5, cold_rate_slack=5.0)
-        self.permits = mock.Mock(
-            request=mock.AsyncMock(return_value=True),
-            get_wait_s=mock.Mock(return_value=0.0),
-        )
-        self.limits = KnownLimits(board=self.board, timer=timer)
-        self.chooser = TargetChooser(
-            board=self.board,
-            membership=cast(Any, None),
-            settings=self.settings,
-            timer=timer,
-            workload=self.workload,
-            permits=self.permits,
-            limits=self.limits,
-        )
-
-    async def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
-        """Return the incarnation chosen for a request without a prompt."""
-        target = await self.chooser.choose(
-            service="assistant",
-            excluded=set(),
-            allowed_regions=allowed_regions,
-            need=None,
-            prompt=(),
-            candidate_info=CandidateInfo(),
-            request_id="r-1",
-        )
-        return target.incarnation if target else ""
-
     async def choose_for(self, prompt: Sequence[PromptPart]) -> str:
         """Return the incarnation chosen for a prompt."""
         need = PromptNeed(subject="dossier", n_tokens=60_000, objective_s=10.0)
@@ -112,38 +61,6 @@
         tried = {allowed.incarnation}
         self.assertFalse(self.chooser.has_other_target("assistant", tried, west))
 
-    async def test_failures_of_lost_links_eject_no_target(self) -> None:
-        """Guard against targets that stay ejected once a host sends through peers."""
-        failing, other = make_target("i-1"), make_target("i-2", service="booking")
-        for target in (failing, other):
-            self.board.targets.apply_entry(target)
-            timed_out = NotRun(reason="timeout", timed_out=True)
-            self.chooser.record_answer(target, timed_out, 0.0)
-        self.chooser.forget_failures("assistant")
-        health = self.chooser._outcomes.get_health
-        self.assertTrue(health(failing).may_send(10.0, retry=False))
-        self.assertFalse(health(other).may_send(10.0, retry=False))
-
-    async def test_target_that_leaves_is_not_used_for_a_peer(self) -> None:
-        """Guard against a peer's request to a target that this host must not use."""
-        target = make_target("i-1")
-        self.board.targets.apply_entry(target)
-        self.assertEqual(self.chooser.find_usable("i-1@0"), target)
-        self.assertIsNone(self.chooser.find_usable("i-1@5"))
-        self.assertIsNone(self.chooser.find_usable("i-2@0"))
-        self.board.targets.record_leaving("i-1@0")
-        self.assertIsNone(self.chooser.find_usable("i-1@0"))
-
-    async def test_lost_path_ejects_no_target(self) -> None:
-        """Guard against targets that are blamed as no peer reached them."""
-        target = make_target("i-1")
-        self.board.targets.apply_entry(target)
-        for _ in range(5):
-            lost = NotRun(reason="no peer is known", path_lost=True)
-            self.chooser.record_answer(target, lost, 0.0)
-        health = self.chooser._outcomes.get_health(target)
-        self.assertTrue(health.may_send(10.0, retry=False))
-
     def list_cold_target(self, *warm: TargetEntry) -> TargetEntry:
         """List a cold target of a service with a limit, and some warm ones."""
         service = TargetService(
