Stand-in: start a proxy once when two faults end together

A host that is connected again and a target that restarts may both start the proxy between them; the second start binds a port that listens.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -48,6 +48,7 @@
     n_bytes: int = 0
     rules: dict[str, FaultRule] = field(default_factory=lambda: defaultdict(FaultRule))
     _server: asyncio.Server | None = None
+    _start_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _full_backlog: list[socket.socket] = field(default_factory=list)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -63,6 +64,11 @@
 
     async def start(self) -> None:
         """Listen on a port chosen by the kernel, or on the previous one again."""
+        async with self._start_lock:
+            if not self.is_listening:
+                await self._listen()
+
+    async def _listen(self) -> None:
         for opened in self._full_backlog:
             opened.close()
         self._full_backlog.clear()
