--- a/tests/emulator/test_brittle_targets.py
+++ b/tests/emulator/test_brittle_targets.py
@@ -14,6 +14,7 @@
 MAX_REFUSALS = 2
 FIXED_FALLS = 2
 FALLS_PER_TARGET = 0.1
+MIN_IN_TIME = 0.5
 BRITTLE = Fault(
     kind=FaultKind.TARGETS_BRITTLE, at_s=1.0, for_s=13.0, factor=MAX_REFUSALS
 )
@@ -52,6 +53,22 @@
                         allowed = FIXED_FALLS + FALLS_PER_TARGET * n_targets
                         self.assertLessEqual(n_falls, allowed)
 
+    def check_in_time(self, n_hosts: int) -> None:
+        """Check the share of requests in time on the brittle days of all seeds."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                day = run_day(make_burst_day(n_hosts, BRITTLE), seed)
+                in_time = compute_share(day.outcomes, Result.IN_TIME)
+                self.assertGreater(in_time, MIN_IN_TIME)
+
+    def test_callers_of_brittle_targets_are_served_in_time(self) -> None:
+        """Guard against callers refused by hosts that share few slots."""
+        self.check_in_time(7)
+
+    def test_callers_of_brittle_targets_are_served_by_a_large_fleet(self) -> None:
+        """Guard against callers refused by hosts with hardly a slot of their own."""
+        self.check_in_time(40)
+
     def test_callers_lose_nothing_by_what_is_kept_from_brittle_targets(self) -> None:
         """Guard against slots that are left free while callers are refused."""
         for n_hosts in (7, 40):
