--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -120,6 +120,7 @@
     def test_entry_is_decoded(self) -> None:
         """Decode a target's entry, and reject an incomplete one."""
         entry = decode_target("i-1", encode_entry(state="draining"))
+        self.assertEqual(entry.version, "v1")
         self.assertIs(entry.phase, TargetPhase.DRAINING)
         with self.assertRaises(MalformedMessageError):
             decode_target("i-1", b'{"service":"x"}')
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -91,6 +91,14 @@
         headers = self.write_request(options, Last_Event_Id="7")
         self.assertEqual(headers["Last-Event-Id"], "9")
 
+    def test_resumption_names_the_request_that_began_the_stream(self) -> None:
+        """Guard against a resumed stream that is taken for a new one."""
+        request = self.read_request(Resumes="77ab", Last_Event_Id="7")
+        self.assertEqual((request.resumes, request.last_event_id), ("77ab", "7"))
+        self.assertTrue(request.is_resumption)
+        self.assertTrue(self.read_request(Last_Event_Id="7").is_resumption)
+        self.assertFalse(self.read_request().is_resumption)
+
     def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         """Remove hop-by-hop headers and those that Connection names."""
         options = ForwardOptions(workspace="", deadline_s=None)
@@ -101,12 +109,14 @@
             self.assertNotIn(name, headers)
 
     def test_malformed_values_are_rejected(self) -> None:
-        """Reject invalid numbers and an Attempt-Id that is too long."""
+        """Reject invalid numbers and ids that are too long."""
         for extra in (
             {"Token_Count": "many"},
             {"Token_Count": "-5,1"},
             {"Deadline_Ms": "soon"},
             {"Attempt_Id": "x" * 129},
+            {"Resumes": "x" * 129},
+            {"Last_Event_Id": "9" * 129},
         ):
             with self.assertRaises(MalformedRequestError):
                 self.read_request(**extra)
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -143,6 +143,7 @@
                 target=entry.name,
                 service=entry.service,
                 phase=entry.phase,
+                version=entry.version,
                 started_ms=entry.started_ms,
                 offset=record.offset,
             )
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -119,6 +119,7 @@
     data_center: str
     slots: int
     phase: TargetPhase
+    version: str = ""  # of the target's software
     started_ms: int = 0  # Unix time of its start by its own clock, 0 if unknown
     sequence: int = field(default=0, compare=False)  # rises with each entry of a start
     # How long it is cold from when the entry was written. Each entry has another value,
@@ -157,6 +158,14 @@
     max_output_tokens: int
     prompt: tuple[PromptPart, ...]
     headers: tuple[tuple[str, str], ...]  # those passed on to the target
+    # Id of the earlier request that brought the stream's first event; empty if none.
+    resumes: str = ""
+    last_event_id: str = ""  # of the stream to continue; empty for a new one
+
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether the caller holds events of this stream already."""
+        return bool(self.resumes or self.last_event_id)
 
     @property
     def max_tokens(self) -> int:
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -131,7 +131,7 @@
     service: Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
     address: str
     zone: Annotated[str, Field(max_length=MAX_NAME_LENGTH)]  # the data centre
-    version: str
+    version: Annotated[str, Field(max_length=MAX_NAME_LENGTH)]  # of its software
     slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_remaining_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS)]
@@ -248,6 +248,7 @@
         data_center=wire.zone,
         slots=wire.slots,
         phase=TargetPhase(wire.state),
+        version=wire.version,
         started_ms=wire.born or 0,
         sequence=wire.sequence,
         cold_s=wire.cold_remaining_ms / MS_PER_S,
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -28,6 +28,7 @@
 HEADER_EXPECT_INSTANCE: Final = "Expect-Instance"
 HEADER_URGENCY: Final = "Request-Urgency"  # 0 is the most urgent
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
+HEADER_RESUMES: Final = "Resumes"  # Attempt-Id that brought the first event
 HEADER_SEAL: Final = "Response-Seal"  # a target's signature of its answer
 HEADER_NOT_EXECUTED: Final = "Not-Executed"
 HEADER_LEAVING: Final = "Server-Leaving"
@@ -87,9 +88,9 @@
             values.get("token-count")
         )
         path, _, _ = raw_target.partition("?")
-        request_id = values.get("attempt-id", "")
-        if len(request_id) > MAX_REQUEST_ID_LENGTH:
-            raise MalformedRequestError("the Attempt-Id header is too long")
+        request_id = read_id(values, HEADER_ATTEMPT_ID)
+        resumes = read_id(values, HEADER_RESUMES)
+        last_event_id = read_id(values, HEADER_LAST_EVENT_ID)
         return CallerRequest(
             request_id=request_id,
             method=method,
@@ -102,6 +103,8 @@
             max_output_tokens=max_output_tokens,
             prompt=parse_prompt_prefix(values.get("prompt-prefix")),
             headers=tuple(select_end_to_end(pairs, RESERVED_HEADERS)),
+            resumes=resumes,
+            last_event_id=last_event_id,
         )
 
     def write_request(
@@ -162,6 +165,17 @@
         )
 
 
+def read_id(values: Mapping[str, str], name: str) -> str:
+    """Return an id that a caller sent, empty if there is none.
+
+    `values` has lower-case names. Raises MalformedRequestError if the id is too long.
+    """
+    value = values.get(name.lower(), "")
+    if len(value) > MAX_REQUEST_ID_LENGTH:
+        raise MalformedRequestError(f"the {name} header is too long")
+    return value
+
+
 def select_end_to_end(
     headers: Iterable[tuple[str, str]], excluded: frozenset[str]
 ) -> Iterable[tuple[str, str]]:
