--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -36,6 +36,27 @@
     FAILED = "failed"
 
 
+@dataclass(kw_only=True, slots=True)
+class HeldStream:
+    """Describe the events of a stream that a caller holds, over all its attempts."""
+
+    first_id: str = ""  # of the attempt that brought the first event
+    last_event_id: int = 0
+    versions: set[str] = field(default_factory=set)  # of the targets that wrote them
+    n_taken_up: int = 0
+    n_gone_on: int = 0
+
+    def add(self, request_id: str, data: bytes) -> None:
+        """Add the events that an attempt brought."""
+        self.first_id = self.first_id or request_id
+        for line in data.decode().splitlines():
+            name, _, value = line.partition(": ")
+            if name == "id":
+                self.last_event_id = int(value)
+            elif name == "data":
+                self.versions.add(value)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Outcome:
     """Describe the result of a request over all its attempts; times are virtual."""
@@ -49,6 +70,7 @@
     reason: Reason | None = None  # of the last refusal
     first_host: str = ""  # that got the first attempt
     is_first_served: bool = False  # whether the first attempt was answered
+    stream: HeldStream = field(default_factory=HeldStream)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -61,6 +83,8 @@
     is_complete: bool = False
     is_open: bool = False
     give_up_later: Callable[[], None] = lambda: None
+    stream: HeldStream = field(default_factory=HeldStream)
+    request_id: str = ""
 
     async def open(
         self, status: int, headers: Sequence[tuple[str, str]], *, close: bool
@@ -71,6 +95,7 @@
     async def write(self, data: bytes) -> None:
         """Record the time of events."""
         self.give_up_later()
+        self.stream.add(self.request_id, data)
         now = asyncio.get_running_loop().time()
         if self.first_event_at is None:
             self.first_event_at = now
@@ -167,6 +192,7 @@
         self._generator = generator
         self._reply = RecordedReply()
         self._host = ""  # that got the last attempt
+        self._stream = HeldStream()
 
     async def run(self) -> Outcome:
         """Send the request and return the outcome after the last attempt."""
@@ -195,10 +221,13 @@
             reason=result.reason if isinstance(result, Refusal) else None,
             first_host=first_host,
             is_first_served=is_first_served,
+            stream=self._stream,
         )
 
     async def _send_once(self, deadline: float) -> Refusal | Exception | None:
-        self._reply = RecordedReply()
+        self._reply = RecordedReply(
+            stream=self._stream, request_id=self._request.request_id
+        )
         remaining_s = deadline - asyncio.get_running_loop().time()
         host = self._sample_host()
         self._host = host.name
--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -9,7 +9,7 @@
 from bench.emulator.brittle import Brittleness
 from bench.emulator.limits import RequestLimit
 from bench.emulator.rests import Refusals
-from trefoilstage.components.forwarding.models import PromptPart
+from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 
 S_PER_MS = 0.001
 
@@ -82,6 +82,8 @@
         self.totals = EngineTotals()
         self.is_down = False
         self.started_ms = 1
+        self.version = ""
+        self.keeps_address = False  # over restarts, under the same name
         self.cold_until = 0.0
         self.limit = RequestLimit()
         self.refusals = Refusals()
@@ -100,6 +102,10 @@
         """Return how many requests run or wait."""
         return len(self._running) + len(self._waiting)
 
+    def answers_to(self, target: TargetEntry) -> bool:
+        """Return whether an entry leads to this start of the engine."""
+        return self.keeps_address or self.started_ms == target.started_ms
+
     def get_cold_s(self) -> float:
         """Return how long the engine is still cold."""
         return max(0.0, self.cold_until - asyncio.get_running_loop().time())
--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bench.emulator.attempts import get_first_id
 from bench.emulator.network import (
     EmulatedLinks,
     EmulatedStreams,
@@ -191,7 +192,7 @@
         state = RequestState(
             request=request,
             # Callers send different bodies; retries of one caller repeat its body.
-            body=request.request_id.encode(),
+            body=get_first_id(request.request_id).encode(),
             route=route,
             workspace=workspace,
             started_at=now,
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -54,6 +54,7 @@
     cold_s: float = 0.0  # after a start
     # Requests a second that a cold engine tolerates; None without a limit.
     cold_requests_per_s: float | None = None
+    n_versions: Annotated[int, Field(ge=1)] = 1  # of their software, side by side
 
 
 class Services(Model):
@@ -75,6 +76,9 @@
     BURST = "burst"
     HOT_WORKSPACE = "hot_workspace"
     ENGINES_RETURN_COLD = "engines_return_cold"  # down, then back together
+    # Engines crash, and return under their names with another version; until the end of
+    # the fault, nothing tells the hosts.
+    ENGINES_RETURN_CHANGED = "engines_return_changed"
     # Engines turn cold without a restart; their entries say so a heartbeat later.
     ENGINES_TURN_COLD = "engines_turn_cold"
     EVACUATION = "evacuation"  # of the first data centre
@@ -115,6 +119,7 @@
     services: Services
     kinds: tuple[Kind, ...]
     faults: tuple[Fault, ...] = ()
+    callers_resume: bool = False  # whether callers take broken streams up
 
 
 def load_scenario(name: str) -> Scenario:
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -31,6 +31,7 @@
     engine: EmulatedEngine
     generation: Generation
     n_first_event_tokens: int
+    resume_after: int  # id of the last event that the caller has
 
     async def read(self) -> AsyncIterator[bytes]:
         """Yield events as they come; raise AnswerBrokenError if one is lost."""
@@ -39,7 +40,8 @@
         while n_generated is not None:
             number += 1
             await self.links.receive(self.host, self.engine.name)
-            yield f"id: {number}\ndata: x\n\n".encode()
+            if number > self.resume_after:
+                yield f"id: {number}\ndata: {self.engine.version}\n\n".encode()
             if n_generated >= self.generation.n_output_tokens:
                 return
             n_generated = await self.generation.events.get()
@@ -80,6 +82,10 @@
         self._generator = generator
         self._slots = asyncio.Semaphore(slots)
 
+    def answers_to(self, target: TargetEntry) -> bool:
+        """Return whether an entry leads to this start of the service."""
+        return self.started_ms == target.started_ms
+
     async def serve(self) -> None:
         """Wait for a slot and for the duration of one call."""
         self.n_requests += 1
@@ -152,7 +158,7 @@
         failed = await self._links.send(self._host, target.name)
         if failed is not None:
             return failed
-        if found is None or found.is_down or found.started_ms != target.started_ms:
+        if found is None or found.is_down or not found.answers_to(target):
             return NotRun(reason="refused", unreachable=True)
         found.limit.record_arrival()
         refused = found.refusals.refuse(self._host) or found.brittleness.refuse(
@@ -196,4 +202,5 @@
             engine=engine,
             generation=generation,
             n_first_event_tokens=first,
+            resume_after=options.resume_after or int(request.last_event_id or 0),
         )
--- a/bench/emulator/target_faults.py
+++ b/bench/emulator/target_faults.py
@@ -31,6 +31,20 @@
         for engine in crashed:
             engine.restart()
 
+    async def return_changed(self, fault: Fault) -> None:
+        """Crash engines, and let them return under their names with another version."""
+        changed = self._targets.sample_engines(fault.share)
+        for engine in changed:
+            engine.crash()
+        self._targets.unregistered.update(engine.name for engine in changed)
+        await asyncio.sleep(FALL_RESTART_S)
+        for engine in changed:
+            engine.restart()
+            engine.keeps_address = True
+            engine.version = f"{engine.version}-changed"
+        await asyncio.sleep(fault.for_s)
+        self._targets.unregistered.difference_update(e.name for e in changed)
+
     async def return_cold(self, fault: Fault) -> None:
         """Crash engines, and let them return together, cold."""
         returned = self._targets.sample_engines(fault.share)
@@ -94,6 +108,7 @@
 ] = {
     FaultKind.ENGINES_CRASHED: TargetFaults.crash_engines,
     FaultKind.ENGINES_RETURN_COLD: TargetFaults.return_cold,
+    FaultKind.ENGINES_RETURN_CHANGED: TargetFaults.return_changed,
     FaultKind.ENGINES_TURN_COLD: TargetFaults.turn_engines_cold,
     FaultKind.TARGETS_NAME_LIMIT: TargetFaults.name_limits,
     FaultKind.TARGETS_ASK_FOR_REST: TargetFaults.ask_for_rest,
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -45,6 +45,8 @@
             )
             for number in range(engines.n)
         ]
+        for number, engine in enumerate(self.engines):
+            engine.version = f"v{number % engines.n_versions + 1}"
         self.services = [
             EmulatedService(
                 name=f"service-{number}",
@@ -56,6 +58,7 @@
         ]
         targets: list[EmulatedTarget] = [*self.engines, *self.services]
         self.by_name = {item.name: item for item in targets}
+        self.unregistered: set[str] = set()  # names whose entries don't change
 
     async def register_all(self) -> None:
         """Register all targets again and again."""
@@ -63,7 +66,8 @@
         while True:
             sequence += 1
             for target in self.by_name.values():
-                await self.register(target, sequence)
+                if target.name not in self.unregistered:
+                    await self.register(target, sequence)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def register(self, target: EmulatedTarget, sequence: int) -> None:
@@ -73,7 +77,9 @@
             return
         is_engine = isinstance(target, EmulatedEngine)
         cold_s = target.get_cold_s() if isinstance(target, EmulatedEngine) else 0.0
-        data = f"{target.name} {target.started_ms} {sequence} {cold_s}".encode()
+        version = target.version if isinstance(target, EmulatedEngine) else "v1"
+        start = f"{target.name} {target.started_ms} {version}"
+        data = f"{start} {sequence} {cold_s}".encode()
         self._entries[data] = TargetEntry(
             name=target.name,
             service=ASSISTANT if is_engine else BOOKING,
@@ -83,6 +89,7 @@
             else DATA_CENTERS[0],
             slots=self._scenario.engines.slots,
             phase=TargetPhase.READY,
+            version=version,
             started_ms=target.started_ms,
             cold_s=cold_s,
         )
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from bench.emulator.attempts import get_first_id
 from bench.emulator.callers import Caller, Outcome, RequestSampler
 from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.engine import (
@@ -21,6 +22,7 @@
 )
 from bench.emulator.links import TargetLinks
 from bench.emulator.network import Network, SharedStore
+from bench.emulator.resuming_callers import ResumingCaller
 from bench.emulator.routes import compute_mean_tokens, make_route
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
 from bench.emulator.sender import EmulatedProbe, EmulatedSender
@@ -195,7 +197,9 @@
             links=self._links,
             find_target=self._targets.by_name.get,
             get_n_output_tokens=lambda request: (
-                self._request_sampler.n_output_tokens_by_request[request.request_id]
+                self._request_sampler.n_output_tokens_by_request[
+                    get_first_id(request.request_id)
+                ]
             ),
             on_start=self._crash_if_crashing_request,
         )
@@ -210,7 +214,8 @@
             self._start_task(self._send_request(kind))
 
     async def _send_request(self, kind: Kind) -> None:
-        caller = Caller(
+        resumes = self._scenario.callers_resume and kind.resumable
+        caller = (ResumingCaller if resumes else Caller)(
             kind=kind,
             route=self._routes[kind.name],
             workspace=self._sample_workspace(),
