ORDER: continue a broken stream only at the version that began it

Cause: the chooser knew which service and regions a request may go to, but no version. A request now carries one filter of targets; the first event that is passed on to the caller binds the filter to the version of its target, and query, choice, retries and the explanation of a refusal all use it. If no target of the version is left, the answer breaks off, and the caller may take it up.

Tests changed that were there before: arguments only (one filter in place of service and regions).

--- a/tests/components/forwarding/chooser_case.py
+++ b/tests/components/forwarding/chooser_case.py
@@ -1,11 +1,13 @@
 """Create a chooser of targets on a host without peers."""
 
 import unittest
+from dataclasses import replace
 from typing import Any, cast
 from unittest import mock
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
+from tests.components.forwarding.common import ASSISTANT
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.placement import CandidateInfo
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
@@ -47,12 +49,18 @@
             limits=self.limits,
         )
 
-    async def choose(self, *, allowed_regions: frozenset[str] | None = None) -> str:
+    async def choose(
+        self,
+        *,
+        allowed_regions: frozenset[str] | None = None,
+        version: str | None = None,
+    ) -> str:
         """Return the incarnation chosen for a request without a prompt."""
         target = await self.chooser.choose(
-            service="assistant",
+            target_filter=replace(
+                ASSISTANT, allowed_regions=allowed_regions, version=version
+            ),
             excluded=set(),
-            allowed_regions=allowed_regions,
             need=None,
             prompt=(),
             candidate_info=CandidateInfo(),
--- a/tests/components/forwarding/common.py
+++ b/tests/components/forwarding/common.py
@@ -8,6 +8,7 @@
     TargetEntry,
     TargetPhase,
 )
+from trefoilstage.components.forwarding.target_filter import TargetFilter
 
 REQUEST = CallerRequest(
     request_id="r-1",
@@ -23,6 +24,8 @@
     headers=(),
 )
 
+ASSISTANT = TargetFilter(service="assistant")
+
 
 def make_route(prefix: str, *, host: str = "club.example", name: str = "") -> Route:
     """Return a route for a host name and path prefix."""
@@ -49,6 +52,7 @@
     phase: TargetPhase = TargetPhase.READY,
     address: str = "127.0.0.1:1",
     started_ms: int = 0,
+    version: str = "v1",
 ) -> TargetEntry:
     """Return the registry entry of a target."""
     return TargetEntry(
@@ -59,4 +63,5 @@
         slots=64,
         phase=phase,
         started_ms=started_ms,
+        version=version,
     )
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -6,7 +6,7 @@
 
 from bench.emulator.limits import ANSWER_HEAD
 from tests.components.forwarding.chooser_case import ChooserCase
-from tests.components.forwarding.common import make_target
+from tests.components.forwarding.common import ASSISTANT, make_target
 from trefoilstage.components.forwarding.answers import NotRun, OpenAnswer
 from trefoilstage.components.forwarding.models import (
     Engine,
@@ -27,7 +27,7 @@
         """Return the incarnation chosen for a prompt."""
         need = PromptNeed(subject="dossier", n_tokens=60_000, objective_s=10.0)
         target = await self.chooser.choose(
-            service="assistant",
+            target_filter=ASSISTANT,
             excluded=set(),
             need=need,
             prompt=prompt,
@@ -59,7 +59,11 @@
         self.assertEqual(await self.choose(allowed_regions=west), "i-1@0")
         self.assertEqual(await self.choose(allowed_regions=frozenset()), "")
         tried = {allowed.incarnation}
-        self.assertFalse(self.chooser.has_other_target("assistant", tried, west))
+        self.assertFalse(
+            self.chooser.has_other_target(
+                replace(ASSISTANT, allowed_regions=west), tried
+            )
+        )
 
     def list_cold_target(self, *warm: TargetEntry) -> TargetEntry:
         """List a cold target of a service with a limit, and some warm ones."""
@@ -80,7 +84,7 @@
         self.permits.request.assert_awaited_with(cold, is_cold=True)
         self.permits.request.return_value = False
         self.assertEqual(await self.choose(), "")
-        text = self.chooser.explain_no_target("assistant", None)
+        text = self.chooser.explain_no_target(ASSISTANT)
         self.assertIn("of 1 targets", text)
         self.assertIn("1 are cold", text)
 
@@ -126,9 +130,7 @@
         self.permits.request.assert_awaited_with(limited, is_cold=False)
         self.permits.request.return_value = False
         self.assertEqual(await self.choose(), "")
-        self.assertIn(
-            "1 name a limit", self.chooser.explain_no_target("assistant", None)
-        )
+        self.assertIn("1 name a limit", self.chooser.explain_no_target(ASSISTANT))
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual({await self.choose() for _ in range(10)}, {"i-2@0"})
 
@@ -178,9 +180,21 @@
         self.permits.get_wait_s.return_value = 0.7
         self.assertEqual(await self.choose(), "")
         self.permits.request.assert_not_awaited()
-        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 0.7)
+        self.assertEqual(self.chooser.compute_wait_s(ASSISTANT), 0.7)
         self.board.targets.apply_entry(make_target("i-2"))
-        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 0.0)
+        self.assertEqual(self.chooser.compute_wait_s(ASSISTANT), 0.0)
+
+    async def test_stream_goes_on_only_at_its_version(self) -> None:
+        """Guard against a broken stream that goes on at another version."""
+        for name, version in (("i-1", "v1"), ("i-2", "v2"), ("i-3", "v2")):
+            self.board.targets.apply_entry(make_target(name, version=version))
+        chosen = {await self.choose(version="v1") for _ in range(10)}
+        self.assertEqual(chosen, {"i-1@0"})
+        self.assertEqual(await self.choose(version="v3"), "")
+        bound = replace(ASSISTANT, version="v1")
+        self.assertFalse(self.chooser.has_other_target(bound, {"i-1@0"}))
+        text = self.chooser.explain_no_target(bound)
+        self.assertIn("2 run another version than v1", text)
 
     def ask_for_rest(self, target: TargetEntry, rest_s: float) -> None:
         """Record a refusal by a target that asks for rest."""
@@ -198,9 +212,9 @@
         self.ask_for_rest(target, 3.0)
         self.timer.time += 2.0
         self.assertEqual(await self.choose(), "")
-        self.assertEqual(self.chooser.compute_wait_s("assistant", None), 1.0)
-        self.assertFalse(self.chooser.has_other_target("assistant", set(), None))
-        text = self.chooser.explain_no_target("assistant", None)
+        self.assertEqual(self.chooser.compute_wait_s(ASSISTANT), 1.0)
+        self.assertFalse(self.chooser.has_other_target(ASSISTANT, set()))
+        text = self.chooser.explain_no_target(ASSISTANT)
         self.assertIn("1 asked for rest", text)
         self.timer.time += 1.0
         self.assertEqual(await self.choose(), target.incarnation)
--- a/tests/components/forwarding/test_workload.py
+++ b/tests/components/forwarding/test_workload.py
@@ -8,7 +8,7 @@
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import ManualTimer
-from tests.components.forwarding.common import make_target
+from tests.components.forwarding.common import ASSISTANT, make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.messages import WorkQuery, WorkReport
 from trefoilstage.components.forwarding.models import PromptPart
@@ -107,7 +107,7 @@
     async def query(self) -> list[int]:
         """Return the number of targets queried for one prompt, by call."""
         need = PromptNeed(subject="dossier", n_tokens=12_000, objective_s=0.8)
-        await self.chooser.query_candidates("assistant", None, need, ())
+        await self.chooser.query_candidates(ASSISTANT, need, ())
         return [len(names) for names in self.queried]
 
 
@@ -120,12 +120,12 @@
         for number in range(30):
             recorded.limits.record_answer(f"i-{number}@0", 1.0, 0.0)
         need = PromptNeed(subject="dossier", n_tokens=12_000, objective_s=0.8)
-        info = await recorded.chooser.query_candidates("assistant", None, need, ())
+        info = await recorded.chooser.query_candidates(ASSISTANT, need, ())
         recorded.timer.time = 0.1
         for number in range(30):
             recorded.limits.record_answer(f"i-{number}@0", None, 0.1)
         target = await recorded.chooser.choose(
-            service="assistant",
+            target_filter=ASSISTANT,
             excluded=set(),
             need=need,
             prompt=(),
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -97,8 +97,7 @@
 
     async def _query_candidates(self, state: RequestState) -> None:
         state.candidate_info = await self._chooser.query_candidates(
-            state.service_name,
-            state.allowed_regions,
+            state.target_filter,
             self._make_prompt_need(state),
             state.request.prompt,
         )
@@ -165,7 +164,7 @@
             blocked = self._crashes.get_refusal(state.fingerprint)
             if blocked is not None:
                 return failure if state.n_possible_runs else blocked
-            target = await self._choose_target(state, service)
+            target = await self._choose_target(state)
             if target is None:
                 return self._explain(failure, state)
             answer = await self._send(state, service, target)
@@ -188,19 +187,14 @@
     def _explain(self, failure: Refusal, state: RequestState) -> Refusal:
         if failure is not NO_TARGET:
             return failure
-        detail = self._chooser.explain_no_target(
-            state.service_name, state.allowed_regions
-        )
-        wait_s = self._chooser.compute_wait_s(state.service_name, state.allowed_regions)
+        detail = self._chooser.explain_no_target(state.target_filter)
+        wait_s = self._chooser.compute_wait_s(state.target_filter)
         return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
 
-    async def _choose_target(
-        self, state: RequestState, service: str
-    ) -> TargetEntry | None:
+    async def _choose_target(self, state: RequestState) -> TargetEntry | None:
         return await self._chooser.choose(
-            service=service,
+            target_filter=state.target_filter,
             excluded=state.excluded,
-            allowed_regions=state.allowed_regions,
             need=self._make_prompt_need(state),
             prompt=state.request.prompt,
             candidate_info=state.candidate_info,
@@ -233,7 +227,7 @@
             else None,
             resume_after=state.last_event_id,
         )
-        state.record_send(target.name)
+        state.record_send(target)
         sent = self._chooser.add_request(
             target, state.request.prompt, state.candidate_info
         )
@@ -379,9 +373,7 @@
             return False
         # Without another target, the caller gets this target's failure.
         tried = state.excluded | {target.incarnation}
-        return self._chooser.has_other_target(
-            state.service_name, tried, state.allowed_regions
-        )
+        return self._chooser.has_other_target(state.target_filter, tried)
 
 
 def describe_failure(answer: SendOutcome, previous: Refusal) -> Refusal:
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -54,6 +54,7 @@
             events = self._select_new(state, splitter.add(data))
             if not events:
                 continue
+            state.bind_stream()
             await self._open_reply(reply, answer)
             state.record_caller_data(asyncio.get_running_loop().time())
             await reply.write(b"".join(event.data for event in events))
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -6,10 +6,15 @@
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Route,
+    TargetEntry,
     TargetService,
     Workspace,
 )
 from trefoilstage.components.forwarding.placement import CandidateInfo
+from trefoilstage.components.forwarding.target_filter import (
+    StreamVersion,
+    TargetFilter,
+)
 
 # Events that a target may have sent before it noticed that the connection closed.
 MAX_UNREAD_EVENTS = 3
@@ -40,6 +45,9 @@
     caller_last_data_at: float = 0.0
     longest_gap_s: float = 0.0
     target: str = ""
+    target_version: StreamVersion | None = None  # of the target in `target`
+    # Where the first event came from that the caller holds; None before one.
+    stream_version: StreamVersion | None = None
     service_name: str = ""
     service: TargetService | None = None
     fingerprint: str = field(init=False)  # the same for all retries
@@ -71,6 +79,15 @@
         bound = [regions for regions in limits if regions]
         return frozenset.intersection(*bound) if bound else None
 
+    @property
+    def target_filter(self) -> TargetFilter:
+        """Return which targets may get the request, or continue its stream."""
+        return TargetFilter(
+            service=self.service_name,
+            allowed_regions=self.allowed_regions,
+            version=self.stream_version.version if self.stream_version else None,
+        )
+
     @property
     def tokens_per_event(self) -> int:
         """Return the highest number of tokens in one event."""
@@ -82,11 +99,14 @@
         """Return the seconds from the current target's first data to its last."""
         return self.target_last_data_at - self.target_first_data_at
 
-    def record_send(self, target: str) -> None:
+    def record_send(self, target: TargetEntry) -> None:
         """Record that the request is sent to a target, which may run it."""
         self.n_sends += 1
         self.n_possible_runs += 1
-        self.target = target
+        self.target = target.name
+        self.target_version = StreamVersion(
+            service=target.service, version=target.version
+        )
         self.target_first_data_at = self.target_last_data_at = 0.0
 
     def record_target_data(self, now: float) -> None:
@@ -94,6 +114,10 @@
         self.target_first_data_at = self.target_first_data_at or now
         self.target_last_data_at = now
 
+    def bind_stream(self) -> None:
+        """Bind the stream to the version of the current target, unless it is bound."""
+        self.stream_version = self.stream_version or self.target_version
+
     def record_caller_data(self, now: float) -> None:
         """Record when data was passed on to the caller."""
         if not self.caller_first_data_at:
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -1,9 +1,10 @@
 """Find the targets that a request may be sent to, and say why there are none."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import TargetEntry, TargetService
+from trefoilstage.components.forwarding.target_filter import TargetFilter
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.counter import compute_cold_limit
@@ -98,46 +99,41 @@
         return groups
 
     def list_allowed(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
+        self, target_filter: TargetFilter, excluded: Set[str] = frozenset()
     ) -> list[TargetEntry]:
         """Return the targets that a request may be sent to, if need be."""
-        ready = self._list_ready(service, excluded, allowed_regions)
-        return self._outcomes.list_awake(ready)
+        return self._outcomes.list_awake(self._list_ready(target_filter, excluded))
 
     def _list_ready(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
+        self, target_filter: TargetFilter, excluded: Set[str] = frozenset()
     ) -> list[TargetEntry]:
-        targets = self._board.targets.list_ready(service, self._timer.now())
+        now = self._timer.now()
+        targets = self._board.targets.list_ready(target_filter.service, now)
         if excluded:
             targets = [item for item in targets if item.incarnation not in excluded]
-        if allowed_regions is not None:
+        if target_filter.allowed_regions is not None:
+            targets = [item for item in targets if self._is_in(item, target_filter)]
+        if target_filter.version is not None:
             targets = [
-                item for item in targets if self._is_in_region(item, allowed_regions)
+                item for item in targets if item.version == target_filter.version
             ]
         return targets
 
-    def _is_in_region(
-        self, target: TargetEntry, allowed_regions: frozenset[str]
-    ) -> bool:
+    def _is_in(self, target: TargetEntry, target_filter: TargetFilter) -> bool:
+        """Return whether a target is in a region that the filter allows."""
+        allowed = target_filter.allowed_regions
         # The region of an unknown data centre is unknown too, so it is not allowed.
-        return self._settings.regions.get(target.data_center) in allowed_regions
+        return (
+            allowed is None or self._settings.regions.get(target.data_center) in allowed
+        )
 
     def list_usable(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
+        self, target_filter: TargetFilter, excluded: Set[str] = frozenset()
     ) -> list[TargetEntry]:
         """Return the targets to choose from, without failing ones if others work."""
         now = self._timer.now()
-        allowed = self.list_allowed(service, excluded, allowed_regions)
-        if self.is_brittle(service):
+        allowed = self.list_allowed(target_filter, excluded)
+        if self.is_brittle(target_filter.service):
             allowed = [target for target in allowed if self._has_own_room(target)]
         healthy = [
             target
@@ -160,11 +156,9 @@
         configuration = self._board.configuration
         return configuration.services.get(target.service) if configuration else None
 
-    def compute_wait_s(
-        self, service: str, allowed_regions: frozenset[str] | None
-    ) -> float:
+    def compute_wait_s(self, target_filter: TargetFilter) -> float:
         """Return the seconds until a target may take a request again."""
-        ready = self._list_ready(service, set(), allowed_regions)
+        ready = self._list_ready(target_filter)
         return min((self._compute_wait_s(target) for target in ready), default=0.0)
 
     def _compute_wait_s(self, target: TargetEntry) -> float:
@@ -175,19 +169,15 @@
             return max(wait_s, self._permits.get_wait_s(target))
         return wait_s
 
-    def explain_no_target(
-        self, service: str, allowed_regions: frozenset[str] | None
-    ) -> str:
+    def explain_no_target(self, target_filter: TargetFilter) -> str:
         """Return how many of a service's targets are passed over, by reason."""
         targets, now = self._board.targets, self._timer.now()
+        service, version = target_filter.service, target_filter.version
         entries = [item.entry for item in targets.listed.values()]
         entries = [entry for entry in entries if entry.service == service]
         n_evacuated = sum(entry.data_center in targets.evacuated for entry in entries)
-        n_outside = sum(
-            allowed_regions is not None
-            and not self._is_in_region(entry, allowed_regions)
-            for entry in entries
-        )
+        n_outside = sum(not self._is_in(entry, target_filter) for entry in entries)
+        n_other = sum(version not in (None, entry.version) for entry in entries)
         n_cold = sum(targets.is_cold(entry, now) for entry in entries)
         n_limited = sum(
             self._limits.get_limit(entry.incarnation) is not None for entry in entries
@@ -197,6 +187,7 @@
         )
         return (
             f"of {len(entries)} targets, {n_evacuated} are evacuated, {n_outside} are "
-            f"outside the allowed regions, {n_cold} are cold, {n_limited} name a limit "
+            f"outside the allowed regions, {n_other} run another version than "
+            f"{version}, {n_cold} are cold, {n_limited} name a limit "
             f"and {n_resting} asked for rest; brittle: {self.is_brittle(service)}"
         )
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -1,6 +1,6 @@
 """Choose targets by their health and load as this host knows them."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass
 from functools import partial
 
@@ -24,6 +24,7 @@
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
+from trefoilstage.components.forwarding.target_filter import TargetFilter
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
@@ -91,9 +92,8 @@
     async def choose(
         self,
         *,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None = None,
+        target_filter: TargetFilter,
+        excluded: Set[str],
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
         candidate_info: CandidateInfo,
@@ -105,7 +105,7 @@
         only while no other target can serve the request in time.
         """
         groups = self._availability.group(
-            self._availability.list_usable(service, excluded, allowed_regions)
+            self._availability.list_usable(target_filter, excluded)
         )
         rank = partial(
             self._rank,
@@ -212,8 +212,7 @@
 
     async def query_candidates(
         self,
-        service: str,
-        allowed_regions: frozenset[str] | None,
+        target_filter: TargetFilter,
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
     ) -> CandidateInfo:
@@ -225,7 +224,7 @@
         """
         if need is None or not self._workload.is_fleet_large():
             return CandidateInfo()
-        usable = self._availability.list_usable(service, set(), allowed_regions)
+        usable = self._availability.list_usable(target_filter)
         ranked = rank_candidates(self._availability.group(usable).free, need.subject)
         cached_tokens: dict[str, int] = {}
         n_queried = 0
@@ -255,33 +254,24 @@
         # On a full link, the reply would cost more time than it can save.
         return self._board.round_trips.estimate_call_s(now) <= MAX_TOTAL_QUERY_S
 
-    def has_other_target(
-        self,
-        service: str,
-        excluded: set[str],
-        allowed_regions: frozenset[str] | None,
-    ) -> bool:
+    def has_other_target(self, target_filter: TargetFilter, excluded: Set[str]) -> bool:
         """Return whether a service has a ready target that is not excluded."""
-        return bool(self._availability.list_allowed(service, excluded, allowed_regions))
+        return bool(self._availability.list_allowed(target_filter, excluded))
 
-    def compute_wait_s(
-        self, service: str, allowed_regions: frozenset[str] | None
-    ) -> float:
+    def compute_wait_s(self, target_filter: TargetFilter) -> float:
         """Return the seconds until a target may take a request again."""
-        return self._availability.compute_wait_s(service, allowed_regions)
+        return self._availability.compute_wait_s(target_filter)
 
-    def explain_no_target(
-        self, service: str, allowed_regions: frozenset[str] | None
-    ) -> str:
+    def explain_no_target(self, target_filter: TargetFilter) -> str:
         """Return how many of a service's targets are passed over, by reason."""
-        return self._availability.explain_no_target(service, allowed_regions)
+        return self._availability.explain_no_target(target_filter)
 
     def find_usable(self, incarnation: str) -> TargetEntry | None:
         """Return a target that takes requests, as far as known; None for others."""
         entry = self._board.targets.find_incarnation(incarnation)
         if entry is None:
             return None
-        allowed = self._availability.list_allowed(entry.service, set(), None)
+        allowed = self._availability.list_allowed(TargetFilter(service=entry.service))
         return entry if entry in allowed else None
 
     def forget_failures(self, service: str) -> None:
