ORDER: know at every host which version began a stream

Callers who took a broken stream up at another host got events of another software version: the host knew nothing of the earlier request.

Cause: what a caller holds was known only to the host that had brought it, and not even there. With the first event of a resumable stream its host now keeps (service, version) under the request's id and within 0.1 s reports it to the stream's homes: three hosts by rendezvous hash in a large fleet, all hosts in a small one. A host that is asked to continue a stream asks up to five homes at once, takes the first answer, and sends only to that version. Not known: 503, not run, with a time, before tokens are held. Streams under way are reported again when their homes change. A host keeps streams for 60 s, 20,000 at most; an id that was used for two streams counts as unknown.

Ruled out: a record in the store for each stream (writes grow with requests, and the store may be away); choosing the version by a hash of the id (ties placing to it, and differs while hosts see different targets); asking all hosts.

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -22,6 +22,7 @@
 from trefoilstage.components.forwarding.placement import CandidateInfo
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
+from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 PROMPT = (PromptPart(name="dossier", n_tokens=17_000),)
@@ -44,6 +45,9 @@
     """Replace the pipeline's collaborators and record its calls."""
 
     status: int
+    found: StreamVersion | None = None
+    n_holds: int = 0
+    chosen_filters: list[Any] = field(default_factory=list)
     prefilled_tokens: list[int] = field(default_factory=list)
     removed_tokens: list[int] = field(default_factory=list)
 
@@ -53,7 +57,8 @@
     def should_query_again(self, queried_at: float) -> bool:
         return asyncio.get_running_loop().time() - queried_at > 0.2
 
-    async def choose(self, **_: object) -> Any:
+    async def choose(self, **arguments: object) -> Any:
+        self.chosen_filters.append(arguments["target_filter"])
         return make_target("i-1")
 
     def count_request(self, service: str) -> None: ...
@@ -71,7 +76,11 @@
 
     def record_answer(self, *_: object) -> None: ...
 
+    async def find(self, *_: object) -> StreamVersion | None:
+        return self.found
+
     async def hold(self, *_: object) -> EscrowHold:
+        self.n_holds += 1
         return EscrowHold(workspace="school", request="r-1", tokens=0)
 
     def settle(self, *_: object) -> None: ...
@@ -81,6 +90,10 @@
 
     def record_harmless(self, _: str) -> None: ...
 
+    def record(self, *_: object) -> None: ...
+
+    def end(self, *_: object) -> None: ...
+
     async def send(self, *_: object) -> OpenAnswer:
         head = replace(ANSWER_HEAD, status=self.status)
         return FixedAnswer(head=head, headers=[])
@@ -91,7 +104,11 @@
 
 
 async def send_prompt(
-    collaborators: "FakeCollaborators", kind: RouteKind, *, max_attempts: int
+    collaborators: "FakeCollaborators",
+    kind: RouteKind,
+    *,
+    max_attempts: int,
+    resumes: str = "",
 ) -> Refusal | None:
     """Send a prompt through a pipeline and return the refusal, if any."""
     pipeline = ForwardingPipeline(
@@ -100,6 +117,7 @@
         chooser=cast(Any, collaborators),
         sender=cast(Any, collaborators),
         crashes=cast(Any, collaborators),
+        stream_versions=cast(Any, collaborators),
         generator=random.Random(1),
     )
     now = asyncio.get_running_loop().time()
@@ -115,6 +133,7 @@
         max_output_tokens=10,
         prompt=PROMPT,
         headers=(),
+        resumes=resumes,
     )
     state = RequestState(
         request=request,
@@ -127,6 +146,47 @@
     return await pipeline.run(state, cast(Any, collaborators))
 
 
+class ResumptionTest(unittest.IsolatedAsyncioTestCase):
+    """Take up streams whose version is known, and others."""
+
+    async def resume(
+        self, found: StreamVersion | None
+    ) -> tuple[Refusal | None, FakeCollaborators]:
+        """Take up a stream; return the refusal and the calls."""
+        collaborators = FakeCollaborators(status=400, found=found)
+        refusal = await send_prompt(
+            collaborators, RouteKind.STREAM, max_attempts=1, resumes="r-0"
+        )
+        return refusal, collaborators
+
+    async def test_stream_of_unknown_version_is_refused_at_once(self) -> None:
+        """Guard against a guess at the version, and against a wait for nothing."""
+        refusal, collaborators = await self.resume(None)
+        assert refusal is not None
+        self.assertIs(refusal.reason, Reason.STREAM_UNKNOWN)
+        self.assertIs(refusal.effect, Effect.NOT_RUN)
+        self.assertIsNotNone(refusal.retry_after_s)
+        self.assertEqual(collaborators.n_holds, 0)
+
+    async def test_stream_of_another_service_is_refused_at_once(self) -> None:
+        """Guard against a stream that goes on at the service its route moved to."""
+        refusal, collaborators = await self.resume(
+            StreamVersion(service="assistant", version="v1")
+        )
+        assert refusal is not None
+        self.assertIs(refusal.reason, Reason.NO_TARGET)
+        self.assertIs(refusal.effect, Effect.NOT_RUN)
+        self.assertEqual(collaborators.n_holds, 0)
+
+    async def test_stream_goes_on_at_the_version_that_began_it(self) -> None:
+        """Guard against a version that is found and not used."""
+        _, collaborators = await self.resume(
+            StreamVersion(service="booking", version="v7")
+        )
+        chosen = collaborators.chosen_filters[0]
+        self.assertEqual((chosen.service, chosen.version), ("booking", "v7"))
+
+
 class PrefillSampleTest(unittest.IsolatedAsyncioTestCase):
     """Test which answers count as prefill samples."""
 
--- /dev/null
+++ b/tests/components/stream_versions/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stream versions package."""
--- /dev/null
+++ b/tests/components/stream_versions/test_controller.py
@@ -0,0 +1,215 @@
+"""Test that hosts find the version of streams that other hosts began."""
+
+import asyncio
+import unittest
+from collections.abc import Coroutine
+from typing import Any, cast
+from unittest import mock
+
+from bench.emulator.clock import run_in_virtual_time
+from bench.emulator.network import EmulatedLinks, Network
+from tests.components.boards import make_board
+from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.target_filter import StreamVersion
+from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.components.stream_versions.controller import (
+    CHECK_INTERVAL_S,
+    N_COPIES,
+    REPORT_DELAY_S,
+    StreamVersions,
+)
+from trefoilstage.components.stream_versions.messages import FindStream
+from trefoilstage.timer import TimerService
+
+WORKSPACE = "school"
+V1 = StreamVersion(service="assistant", version="v1")
+SETTLE_S = CHECK_INTERVAL_S + 3 * REPORT_DELAY_S
+N_LARGE = 40
+
+
+class Fleet:
+    """Run the stream versions of several hosts in an emulated network."""
+
+    def __init__(self, n_hosts: int) -> None:
+        self.network = Network()
+        self.names = [f"host-{number}" for number in range(n_hosts)]
+        self.live = tuple(self.names)
+        self.hosts = {name: self._make(name) for name in self.names}
+
+    def _make(self, name: str) -> StreamVersions:
+        server = PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC)
+        self.network.servers[name] = server
+        self.timer = TimerService()
+        return StreamVersions(
+            board=make_board(name, self.names),
+            membership=mock.Mock(list_live_hosts=lambda: self.live),
+            links=EmulatedLinks(network=self.network),
+            server=server,
+            timer=self.timer,
+        )
+
+    async def begin(self, host: str, request_id: str) -> None:
+        """Begin a stream and wait until its homes know it."""
+        self.hosts[host].record(WORKSPACE, [request_id], V1)
+        await asyncio.sleep(SETTLE_S)
+
+    def kill(self, *names: str) -> None:
+        """Kill hosts, which the others notice at once."""
+        for name in names:
+            self.network.servers.pop(name, None)
+        self.live = tuple(name for name in self.live if name not in names)
+
+    def silence(self, *names: str) -> None:
+        """Let hosts neither store nor answer anything."""
+
+        async def be_silent(message: object) -> None:
+            if isinstance(message, FindStream):
+                await asyncio.sleep(60.0)
+
+        for name in names:
+            server = cast(Any, self.network.servers[name])
+            server.handle = be_silent
+
+    async def check_homes(self) -> None:
+        """Let all hosts check the homes, as their timer does."""
+        for host in self.hosts.values():
+            await host._check_homes()
+        await asyncio.sleep(SETTLE_S)
+
+    async def find(self, host: str, request_id: str) -> StreamVersion | None:
+        """Ask a host for a stream's version."""
+        return await self.hosts[host].find(WORKSPACE, request_id)
+
+    def list_holders(self) -> list[str]:
+        """Return the hosts that know a stream."""
+        return [name for name, host in self.hosts.items() if host.n_known]
+
+
+class StreamVersionsTest(unittest.TestCase):
+    """Ask hosts for streams of others, in small and large fleets."""
+
+    def run_fleet(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a test in virtual time."""
+        run_in_virtual_time(coroutine)
+
+    def test_version_is_known_after_its_host_was_killed(self) -> None:
+        """Guard against a version that only the host knows that began the stream."""
+
+        async def check(n_hosts: int) -> None:
+            fleet = Fleet(n_hosts)
+            await fleet.begin("host-0", "r-1")
+            fleet.kill("host-0")
+            for name in fleet.live:
+                self.assertEqual(await fleet.find(name, "r-1"), V1)
+                self.assertIsNone(await fleet.find(name, "r-2"))
+            self.assertIsNone(await fleet.hosts["host-1"].find("other", "r-1"))
+
+        for n_hosts in (2, 7, N_LARGE):
+            with self.subTest(n_hosts=n_hosts):
+                self.run_fleet(check(n_hosts))
+
+    def test_no_broadcast_in_a_large_fleet(self) -> None:
+        """Guard against messages for each stream that grow with the fleet."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            await fleet.begin("host-0", "r-1")
+            self.assertEqual(len(fleet.list_holders()), N_COPIES + 1)
+            self.assertEqual(fleet.network.n_messages, N_COPIES)
+
+        self.run_fleet(check())
+
+    def test_one_survivor_of_a_small_fleet_knows_all_streams(self) -> None:
+        """Guard against too few copies when nearly all hosts are killed at once."""
+
+        async def check() -> None:
+            fleet = Fleet(7)
+            await fleet.begin("host-0", "r-1")
+            fleet.kill(*fleet.names[:6])
+            self.assertEqual(await fleet.find("host-6", "r-1"), V1)
+
+        self.run_fleet(check())
+
+    def test_streams_under_way_move_to_new_homes(self) -> None:
+        """Guard against homes that are replaced one by one while a stream lasts."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            await fleet.check_homes()
+            await fleet.begin("host-0", "r-1")
+            for _ in range(3):
+                homes = [name for name in fleet.list_holders() if name in fleet.live]
+                fleet.kill(*(name for name in homes if name != "host-0"))
+                await fleet.check_homes()
+            fleet.kill("host-0")
+            self.assertEqual(await fleet.find(fleet.live[0], "r-1"), V1)
+
+        self.run_fleet(check())
+
+    def test_ended_streams_are_not_reported_again(self) -> None:
+        """Guard against a report of each former stream when a host joins."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            await fleet.check_homes()
+            await fleet.begin("host-0", "r-1")
+            fleet.hosts["host-0"].end(WORKSPACE, ["r-1", ""])
+            holders = fleet.list_holders()
+            fleet.kill(*(name for name in holders if name != "host-0"))
+            await fleet.check_homes()
+            self.assertEqual(fleet.list_holders(), holders)
+
+        self.run_fleet(check())
+
+    def test_version_is_unknown_without_homes(self) -> None:
+        """Guard against a guess by a host that is cut from all others."""
+
+        async def check() -> None:
+            fleet = Fleet(7)
+            await fleet.begin("host-0", "r-1")
+            fleet.network.servers.clear()
+            cut = StreamVersions(
+                board=make_board("host-9", fleet.names),
+                membership=mock.Mock(list_live_hosts=lambda: fleet.live),
+                links=EmulatedLinks(network=fleet.network),
+                server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
+                timer=cast(Any, fleet.timer),
+            )
+            self.assertIsNone(await cut.find(WORKSPACE, "r-1"))
+            self.assertIsNone(await fleet.find("host-1", ""))
+
+        self.run_fleet(check())
+
+    def test_hosts_of_an_earlier_build_are_passed_over(self) -> None:
+        """Guard against a roll of builds in which no version is known."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            fleet.silence(*fleet.names[1:20])
+            for number in range(20):
+                await fleet.begin("host-0", f"r-{number}")
+            fleet.kill("host-0")
+            found = [await fleet.find("host-30", f"r-{n}") for n in range(20)]
+            self.assertGreater(found.count(V1), 14)
+
+        self.run_fleet(check())
+
+    def test_first_answer_is_enough(self) -> None:
+        """Guard against a caller that waits for homes that are silent."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            await fleet.begin("host-0", "r-1")
+            holders = [name for name in fleet.list_holders() if name != "host-0"]
+            asking = next(name for name in fleet.names if name not in holders)
+
+            fleet.silence("host-0", *holders[1:])
+            began_at = asyncio.get_running_loop().time()
+            self.assertEqual(await fleet.find(asking, "r-1"), V1)
+            self.assertLess(asyncio.get_running_loop().time() - began_at, 0.01)
+
+        self.run_fleet(check())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -11,6 +11,7 @@
 from trefoilstage.components.peer_sends.messages import PeerSendMessage
 from trefoilstage.components.peers.frames import ErrorReply, Frame, make_frame_codec
 from trefoilstage.components.permits.messages import LimitReport, PermitMessage
+from trefoilstage.components.stream_versions.messages import StreamVersionMessage
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
 from trefoilstage.helpers.codec import Codec
@@ -78,6 +79,7 @@
     | CrashReport
     | PermitMessage
     | PeerSendMessage
+    | StreamVersionMessage
     | ErrorReply
 )
 
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -34,6 +34,7 @@
         get_accounts: Callable[[], Sequence[EscrowAccount]],
         count_active: Callable[[], int],
         count_blocked: Callable[[], int],
+        count_known_streams: Callable[[], int],
     ) -> None:
         super().__init__()
         self._board = board
@@ -44,6 +45,7 @@
         self._get_accounts = get_accounts
         self._count_active = count_active
         self._count_blocked = count_blocked
+        self._count_known_streams = count_known_streams
         self._page = MetricsPage()
         self._stalls = StallDetector(interval_s=FLUSH_INTERVAL_S)
         self._runner: web.ServerRunner | None = None
@@ -101,6 +103,11 @@
             "Requests that are blocked because they crash targets.",
             self._count_blocked,
         )
+        add(
+            "streams_known",
+            "Streams of this and other hosts whose version is known here.",
+            self._count_known_streams,
+        )
         add(
             "store_silent_seconds",
             "Seconds since the store last responded, 0 while it is reachable.",
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -21,6 +21,7 @@
 )
 from trefoilstage.components.forwarding.models import (
     Route,
+    RouteKind,
     TargetEntry,
 )
 from trefoilstage.components.forwarding.placement import (
@@ -34,6 +35,7 @@
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends.path import PathSender
+from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -42,6 +44,14 @@
 RETRY_AFTER_S = 0.5
 NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
 PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
+STREAM_UNKNOWN = Refusal(
+    reason=Reason.STREAM_UNKNOWN,
+    retry_after_s=RETRY_AFTER_S,
+    detail="no host that was asked knows which version began the stream",
+)
+STREAM_MOVED = replace(
+    NO_TARGET, detail="the route no longer leads to the service that began the stream"
+)
 MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
 
 
@@ -56,6 +66,7 @@
         chooser: TargetChooser,
         sender: PathSender,
         crashes: CrashWatcher,
+        stream_versions: StreamVersions,
         generator: random.Random,
     ) -> None:
         self._board = board
@@ -64,7 +75,8 @@
         self._sender = sender
         self._crashes = crashes
         self._generator = generator
-        self._answer_relay = AnswerRelay(board=board)
+        self._stream_versions = stream_versions
+        self._answer_relay = AnswerRelay(board=board, stream_versions=stream_versions)
         self._hold_numbers = itertools.count()
 
     async def run(self, state: RequestState, reply: CallerReply) -> Refusal | None:
@@ -74,7 +86,12 @@
         blocked = self._crashes.get_refusal(state.fingerprint)
         if blocked is not None:
             return blocked
-        state.service_name = self._pick_service(state.route)
+        if state.route.kind is RouteKind.STREAM and state.request.is_resumption:
+            refusal = await self._find_stream(state)
+            if refusal is not None:
+                return refusal
+        else:
+            state.service_name = self._pick_service(state.route)
         # The query and the hold run in parallel: each takes a call to a peer, and
         # neither needs the other's result.
         query = asyncio.create_task(self._query_candidates(state))
@@ -91,10 +108,26 @@
             return self._make_deadline_refusal(state)
         finally:
             query.cancel()
+            if state.has_passed_events:
+                self._stream_versions.end(state.workspace_name, state.stream_ids)
             if isinstance(hold, EscrowHold):
                 self._escrow.settle(hold, state.count_spent())
                 self._log_done(state, hold)
 
+    async def _find_stream(self, state: RequestState) -> Refusal | None:
+        """Bind a request to the version that began its stream, or refuse it."""
+        found = await self._stream_versions.find(
+            state.workspace_name, state.request.resumes
+        )
+        if found is None:
+            return STREAM_UNKNOWN
+        services = {share.service for share in state.route.shares if share.weight}
+        if found.service not in services:
+            return STREAM_MOVED
+        state.stream_version = found
+        state.service_name = found.service
+        return None
+
     async def _query_candidates(self, state: RequestState) -> None:
         state.candidate_info = await self._chooser.query_candidates(
             state.target_filter,
--- a/trefoilstage/components/forwarding/refusal_responses.py
+++ b/trefoilstage/components/forwarding/refusal_responses.py
@@ -22,6 +22,7 @@
     Reason.CRASHES_TARGETS: 503,
     Reason.OVERLOADED: 503,
     Reason.NO_TARGET: 503,
+    Reason.STREAM_UNKNOWN: 503,
     Reason.NOT_READY: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.DEADLINE: 503,
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -7,6 +7,7 @@
 from trefoilstage.components.forwarding.models import RouteKind
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.phase import Phase
@@ -15,8 +16,9 @@
 class AnswerRelay:
     """Pass on streams event by event, and other answers as a whole."""
 
-    def __init__(self, *, board: FleetBoard) -> None:
+    def __init__(self, *, board: FleetBoard, stream_versions: StreamVersions) -> None:
         self._board = board
+        self._stream_versions = stream_versions
 
     async def relay(
         self, state: RequestState, reply: CallerReply, answer: OpenAnswer
@@ -54,7 +56,7 @@
             events = self._select_new(state, splitter.add(data))
             if not events:
                 continue
-            state.bind_stream()
+            self._bind_stream(state)
             await self._open_reply(reply, answer)
             state.record_caller_data(asyncio.get_running_loop().time())
             await reply.write(b"".join(event.data for event in events))
@@ -64,6 +66,17 @@
         state.complete = True
         await reply.end()
 
+    def _bind_stream(self, state: RequestState) -> None:
+        """Bind the stream to the version of its target at the first event."""
+        if state.has_passed_events:
+            return
+        state.has_passed_events = True
+        state.stream_version = state.stream_version or state.target_version
+        if state.route.resumable and state.stream_version is not None:
+            self._stream_versions.record(
+                state.workspace_name, state.stream_ids, state.stream_version
+            )
+
     def _select_new(
         self, state: RequestState, events: list[StreamEvent]
     ) -> list[StreamEvent]:
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -48,6 +48,7 @@
     target_version: StreamVersion | None = None  # of the target in `target`
     # Where the first event came from that the caller holds; None before one.
     stream_version: StreamVersion | None = None
+    has_passed_events: bool = False  # to the caller
     service_name: str = ""
     service: TargetService | None = None
     fingerprint: str = field(init=False)  # the same for all retries
@@ -114,9 +115,10 @@
         self.target_first_data_at = self.target_first_data_at or now
         self.target_last_data_at = now
 
-    def bind_stream(self) -> None:
-        """Bind the stream to the version of the current target, unless it is bound."""
-        self.stream_version = self.stream_version or self.target_version
+    @property
+    def stream_ids(self) -> tuple[str, ...]:
+        """Return the requests by which callers may name the stream."""
+        return self.request.request_id, self.request.resumes
 
     def record_caller_data(self, now: float) -> None:
         """Record when data was passed on to the caller."""
--- /dev/null
+++ b/trefoilstage/components/stream_versions/__init__.py
@@ -0,0 +1,1 @@
+"""Remember, over all hosts, which version of a target began each stream."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -121,9 +121,13 @@
             count_blocked=lambda: len(
                 parts.crash_watcher.evidence.blocked_fingerprints
             ),
+            count_known_streams=lambda: parts.stream_versions.n_known,
         )
         self._registry.register("board", lambda: self._board)
         self._registry.register("crashes", parts.crash_watcher.evidence.get_seen_times)
+        self._registry.register(
+            "stream_versions", parts.stream_versions.count_by_version
+        )
         self._registry.register("permits", parts.permits.list_granted)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", self._home.list_accounts)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -34,6 +34,7 @@
 from trefoilstage.components.peers.streams import PeerStreams
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.components.views.follower import GetPause, ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
@@ -75,6 +76,7 @@
     crash_watcher: CrashWatcher
     reach_monitor: ReachMonitor
     peer_sends: PeerSendServer
+    stream_versions: StreamVersions
     pipeline: ForwardingPipeline
 
     def list_services(self) -> list[Service]:
@@ -88,6 +90,7 @@
             self.workload,
             self.permits,
             self.reach_monitor,
+            self.stream_versions,
             self.crash_recorder,
             self.crash_watcher,
         ]
@@ -247,12 +250,20 @@
         timer=timer,
         list_live_hosts=membership.list_live_hosts,
     )
+    stream_versions = StreamVersions(
+        board=board,
+        membership=membership,
+        links=links,
+        server=peer_server,
+        timer=timer,
+    )
     pipeline = ForwardingPipeline(
         board=board,
         escrow=escrow,
         chooser=chooser,
         sender=path_sender,
         crashes=crash_watcher,
+        stream_versions=stream_versions,
         generator=generator,
     )
     return FleetParts(
@@ -268,6 +279,7 @@
         crash_watcher=crash_watcher,
         reach_monitor=reach_monitor,
         peer_sends=peer_sends,
+        stream_versions=stream_versions,
         pipeline=pipeline,
     )
 
--- a/trefoilstage/helpers/verdict.py
+++ b/trefoilstage/helpers/verdict.py
@@ -19,6 +19,7 @@
     POWER_EXHAUSTED = "power_exhausted"
     CRASHES_TARGETS = "crashes_targets"
     NO_TARGET = "no_target"
+    STREAM_UNKNOWN = "stream_unknown"  # which version of a target began it
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     LOG_UNAVAILABLE = "log_unavailable"
