ORDER: failing test of targets that return with another version

A target may start again under its name and address with another version of its software. Its entry says so, but while the store is out of reach hosts go by the old one: streams that began at the former version go on there, and new ones are kept as the former version's.

--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -76,8 +76,7 @@
     BURST = "burst"
     HOT_WORKSPACE = "hot_workspace"
     ENGINES_RETURN_COLD = "engines_return_cold"  # down, then back together
-    # Engines crash, and return under their names with another version; until the end of
-    # the fault, nothing tells the hosts.
+    # Engines crash, and return under their names and addresses with another version.
     ENGINES_RETURN_CHANGED = "engines_return_changed"
     # Engines turn cold without a restart; their entries say so a heartbeat later.
     ENGINES_TURN_COLD = "engines_turn_cold"
--- a/bench/emulator/target_faults.py
+++ b/bench/emulator/target_faults.py
@@ -36,14 +36,12 @@
         changed = self._targets.sample_engines(fault.share)
         for engine in changed:
             engine.crash()
-        self._targets.unregistered.update(engine.name for engine in changed)
-        await asyncio.sleep(FALL_RESTART_S)
+        await asyncio.sleep(fault.for_s)
         for engine in changed:
             engine.restart()
             engine.keeps_address = True
             engine.version = f"{engine.version}-changed"
-        await asyncio.sleep(fault.for_s)
-        self._targets.unregistered.difference_update(e.name for e in changed)
+            await self._targets.register(engine, 0)
 
     async def return_cold(self, fault: Fault) -> None:
         """Crash engines, and let them return together, cold."""
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -58,7 +58,6 @@
         ]
         targets: list[EmulatedTarget] = [*self.engines, *self.services]
         self.by_name = {item.name: item for item in targets}
-        self.unregistered: set[str] = set()  # names whose entries don't change
 
     async def register_all(self) -> None:
         """Register all targets again and again."""
@@ -66,8 +65,7 @@
         while True:
             sequence += 1
             for target in self.by_name.values():
-                if target.name not in self.unregistered:
-                    await self.register(target, sequence)
+                await self.register(target, sequence)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def register(self, target: EmulatedTarget, sequence: int) -> None:
--- a/tests/emulator/test_versions.py
+++ b/tests/emulator/test_versions.py
@@ -92,6 +92,26 @@
         """Guard against a version that only the hosts know that a fault ended."""
         self.check_over_attempts(40)
 
+    def check_changed_targets(self, n_hosts: int, *faults: Fault) -> None:
+        """Check streams while engines return under their names with another version."""
+        kind = FaultKind.ENGINES_RETURN_CHANGED
+        changed = Fault(kind=kind, at_s=1.5, for_s=2.0, share=0.4)
+        later = [kill_hosts(0.4)[1], *crash_engines(4.5, 5.0)]
+        day = run_mixed_day(n_hosts, changed, *later, *faults, callers_resume=True)
+        self.assertEqual(count_mixed(day.outcomes), 0)
+
+    def test_target_that_changes_its_version_is_noticed(self) -> None:
+        """Guard against the version of an entry that its target has outlived."""
+        self.check_changed_targets(7)
+
+    def test_target_that_changes_its_version_is_noticed_without_the_store(self) -> None:
+        """Guard against entries that are old while no host reaches the store."""
+        kind = FaultKind.STORE_CUT
+        cut = Fault(kind=kind, at_s=1.0, for_s=6.0, share=1.0)
+        for n_hosts in (7, 40):
+            with self.subTest(n_hosts=n_hosts):
+                self.check_changed_targets(n_hosts, cut)
+
 
 if __name__ == "__main__":
     unittest.main()
