ORDER: don't go by the version of a start that a target has outlived

A target may come back under its name and address with another version. Hosts that have not read its new entry continued streams there that began at the former version, and kept new ones as the former version's.

Cause: nothing tied an answer to the start of a target that its entry names; the platform checks the name only. A connection now counts as proven once the start surely ran after it was opened: a later entry with a higher sequence, data on a connection that was proven before, or a read of all entries that still lists the start while no failure speaks against it. Where none of these comes, as in an outage of the store, the target is asked for its report, which names its start. A stream is continued only over a proven connection, and a new one counts as unknown until its connection is proven; its homes prove it for themselves. Names that are never reused need no proof and cost nothing.

Tests changed that were there before: doubles and arguments only.

--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -14,7 +14,7 @@
     SharedStore,
     StoreClient,
 )
-from bench.emulator.sender import EmulatedProbe, EmulatedSender
+from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedStartProbe
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import (
@@ -71,6 +71,7 @@
         stored_objects: StoredObjects,
         sender: EmulatedSender,
         probe: EmulatedProbe,
+        start_probe: EmulatedStartProbe,
     ) -> None:
         self.name = name
         self._network = network
@@ -78,9 +79,11 @@
         self._stored_objects = stored_objects
         self._sender = sender
         self._probe = probe
+        self._start_probe = start_probe
         self._incarnation_numbers = itertools.count(1)
         self._n_boots = 1
-        self._requests: set[asyncio.Task[Refusal | None]] = set()
+        # A dictionary, because sets of tasks have another order in each run.
+        self._requests: dict[asyncio.Task[Refusal | None], None] = {}
         self._parts: FleetParts | None = None
         self._board: FleetBoard | None = None
         self._store_client: StoreClient | None = None
@@ -138,6 +141,7 @@
             streams=EmulatedStreams(network=self._network),
             sender=self._sender,
             probe=self._probe,
+            start_probe=self._start_probe,
             process_start=ProcessStart(
                 boot=f"boot-{self._n_boots}",
                 monotonic_s=asyncio.get_running_loop().time(),
@@ -199,8 +203,8 @@
             deadline=now + min(route.timeout_s, request.deadline_s or route.timeout_s),
         )
         task: asyncio.Task[Any] = asyncio.create_task(parts.pipeline.run(state, reply))
-        self._requests.add(task)
-        task.add_done_callback(self._requests.discard)
+        self._requests[task] = None
+        task.add_done_callback(self._requests.pop)
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -128,6 +128,28 @@
         return ProbeResult.ACCEPTED if is_running else ProbeResult.REFUSED
 
 
+class EmulatedStartProbe:
+    """Read when emulated targets started."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        links: TargetLinks,
+        find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
+    ) -> None:
+        self._host = host
+        self._links = links
+        self._find_target = find_target
+
+    async def read_start(self, target: TargetEntry) -> int | None:
+        """Return a target's start, None if it doesn't answer."""
+        if await self._links.probe(self._host, target.name) is not None:
+            return None
+        found = self._find_target(target.name)
+        return None if found is None or found.is_down else found.started_ms
+
+
 class EmulatedSender(TargetSender):
     """Send requests to emulated targets."""
 
@@ -183,6 +205,8 @@
             n_output_tokens=self._get_n_output_tokens(request),
             urgency=5 if options.urgency is None else options.urgency,
         )
+        # Each request opens a connection, which is the hardest case to prove.
+        connected_at = asyncio.get_running_loop().time()
         engine.record_arrival()
         engine.enqueue(generation)
         try:
@@ -198,6 +222,7 @@
             head=make_head(engine),
             headers=[],
             host=self._host,
+            connected_at=connected_at,
             links=self._links,
             engine=engine,
             generation=generation,
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -21,6 +21,8 @@
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import CandidateInfo
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.start_prover import StartProver
+from trefoilstage.components.forwarding.stream_binding import StreamBinder
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
 from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
@@ -111,13 +113,18 @@
     resumes: str = "",
 ) -> Refusal | None:
     """Send a prompt through a pipeline and return the refusal, if any."""
+    board = make_board("host-0", ["host-0"])
     pipeline = ForwardingPipeline(
-        board=make_board("host-0", ["host-0"]),
+        board=board,
         escrow=cast(Any, collaborators),
         chooser=cast(Any, collaborators),
         sender=cast(Any, collaborators),
         crashes=cast(Any, collaborators),
-        stream_versions=cast(Any, collaborators),
+        binder=StreamBinder(
+            board=board,
+            prover=StartProver(board=board, probe=cast(Any, collaborators)),
+            stream_versions=cast(Any, collaborators),
+        ),
         generator=random.Random(1),
     )
     now = asyncio.get_running_loop().time()
--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -68,6 +68,7 @@
     reaches_targets: bool = True
     delay_s: float = 0.0  # until the target answers
     usable: TargetEntry | None = TARGET
+    is_proven: bool = True
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     requests: list[CallerRequest] = field(default_factory=list)
 
@@ -93,6 +94,9 @@
     def find_usable(self, incarnation: str) -> TargetEntry | None:
         return self.usable
 
+    def is_start_proven(self, *_: object) -> bool:
+        return self.is_proven
+
     def record_outcome(self, *_: object) -> None: ...
 
     def record_answer(self, *_: object) -> None: ...
@@ -164,6 +168,16 @@
         keys = {item.key for peer in self.peers for item in peer.requests}
         self.assertEqual(keys, {""})
 
+    async def test_peer_says_whether_it_knows_which_start_answered(self) -> None:
+        """Guard against a restarted target that answers through a peer unnoticed."""
+        self.keep_only(self.peers[0])
+        for is_proven in (True, False):
+            self.peers[0].is_proven = is_proven
+            self.peers[0].outcome = self.make_answer(self.peers[0], b"one")
+            answer = await self.send_and_open()
+            self.assertEqual(answer.connected_at == float("-inf"), is_proven)
+            answer.close()
+
     async def test_broken_answer_is_broken_for_the_caller(self) -> None:
         """Guard against an answer that ends early and looks complete."""
         self.keep_only(self.peers[0])
--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -10,6 +10,7 @@
 from bench.emulator.network import EmulatedLinks, Network
 from tests.components.boards import make_board
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.stream_versions.controller import (
@@ -19,6 +20,7 @@
     StreamVersions,
 )
 from trefoilstage.components.stream_versions.messages import FindStream
+from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
 
 WORKSPACE = "school"
@@ -34,18 +36,23 @@
         self.network = Network()
         self.names = [f"host-{number}" for number in range(n_hosts)]
         self.live = tuple(self.names)
+        self.boards: dict[str, FleetBoard] = {}
+        self.probe = mock.Mock(read_start=mock.AsyncMock(return_value=None))
         self.hosts = {name: self._make(name) for name in self.names}
 
     def _make(self, name: str) -> StreamVersions:
         server = PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC)
         self.network.servers[name] = server
         self.timer = TimerService()
+        board = make_board(name, self.names)
+        self.boards[name] = board
         return StreamVersions(
-            board=make_board(name, self.names),
+            board=board,
             membership=mock.Mock(list_live_hosts=lambda: self.live),
             links=EmulatedLinks(network=self.network),
             server=server,
             timer=self.timer,
+            prover=StartProver(board=board, probe=self.probe),
         )
 
     async def begin(self, host: str, request_id: str) -> None:
@@ -169,11 +176,12 @@
             await fleet.begin("host-0", "r-1")
             fleet.network.servers.clear()
             cut = StreamVersions(
-                board=make_board("host-9", fleet.names),
+                board=fleet.boards["host-1"],
                 membership=mock.Mock(list_live_hosts=lambda: fleet.live),
                 links=EmulatedLinks(network=fleet.network),
                 server=PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC),
-                timer=cast(Any, fleet.timer),
+                timer=fleet.timer,
+                prover=StartProver(board=fleet.boards["host-1"], probe=fleet.probe),
             )
             self.assertIsNone(await cut.find(WORKSPACE, "r-1"))
             self.assertIsNone(await fleet.find("host-1", ""))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -150,6 +150,13 @@
             self.assertEqual(head.max_refusals_per_s, 4.0)
         self.assertIsNone(TRANSLATOR.read_answer(request, 200, {}).max_refusals_per_s)
 
+    def test_start_of_a_target_is_read_from_its_report(self) -> None:
+        """Guard against a restarted target that passes for the former one."""
+        self.assertEqual(TRANSLATOR.read_report(b'{"born": 17, "busy": false}'), 17)
+        for data in (b"{}", b'{"born": "17"}', b'{"born": -1}', b"[]", b"\xff", b""):
+            with mock.patch.object(headers, "log_event"):
+                self.assertIsNone(TRANSLATOR.read_report(data))
+
     def test_malformed_limit_is_logged_and_ignored(self) -> None:
         """Guard against an answer that is lost because of its limit."""
         request = self.read_request()
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -34,15 +34,19 @@
         self._decode_target = decode_target
 
     def apply_records(
-        self, topic: Topic, records: list[KeyedRecord], now: float
+        self,
+        topic: Topic,
+        records: list[KeyedRecord],
+        now: float,
+        written_after: float = float("-inf"),
     ) -> None:
-        """Apply the records of a topic."""
+        """Apply the records of a topic, which were written after a given time."""
         for record in records:
             try:
                 if topic is Topic.CONFIGURATION:
                     self._apply_operator_record(record, now)
                 else:
-                    self._apply_target(record, now)
+                    self._apply_target(record, now, written_after)
             except MalformedMessageError as error:
                 # If a configuration is malformed, the previous one stays in force.
                 if topic is Topic.TARGETS:
@@ -111,7 +115,14 @@
         """Return whether the store may still have what its copy had."""
         return now - self._board.store.restored_at < REWRITE_S
 
-    def _apply_target(self, record: KeyedRecord, now: float) -> None:
+    def record_read(self, began_at: float, now: float) -> None:
+        """Record that all targets' entries were read, by a read that began then."""
+        if not self._may_be_from_copy(now):
+            self._board.targets.proofs.record_read(began_at)
+
+    def _apply_target(
+        self, record: KeyedRecord, now: float, written_after: float
+    ) -> None:
         targets = self._board.targets
         if record.value is None:
             store = self._board.store
@@ -129,7 +140,10 @@
         is_older = self._may_be_from_copy(now) and targets.is_older(entry)
         if not is_older:
             targets.record_cold_time(entry, now)
-        if is_older or not targets.apply_entry(entry):
+        is_applied = not is_older and targets.apply_entry(entry)
+        if is_applied and not self._may_be_from_copy(now):
+            targets.proofs.record_entry(entry, written_after)
+        if not is_applied:
             log_event(
                 Event.TARGET_ENTRY_STALE,
                 target=entry.name,
--- a/trefoilstage/components/forwarding/answers.py
+++ b/trefoilstage/components/forwarding/answers.py
@@ -48,6 +48,7 @@
     head: AnswerHead
     headers: list[tuple[str, str]]
     connected: bool = False  # a new connection was opened
+    connected_at: float = float("inf")  # when its connection was opened, at the latest
 
     def read(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -47,6 +47,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.connected_at = loop.time()
         self._idle_s = DEFAULT_IDLE_S
         self._answered_at = loop.time()
         self._is_awaiting_answer = False
@@ -72,6 +73,11 @@
             self._is_awaiting_answer = False
             self._answered_at = self._loop.time()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record when the connection was opened."""
+        self.connected_at = self._loop.time()
+        super().connection_made(transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an incomplete body before the library marks it complete."""
         if exc is not None and self._payload is not None:
@@ -116,7 +122,7 @@
 class CheckedResponse(aiohttp.ClientResponse):
     """Keep a reference to the connection after the end of the answer."""
 
-    protocol: ResponseHandler | None = None
+    protocol: CheckedResponseHandler | None = None
 
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
         """Read the head of the answer."""
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -126,6 +126,14 @@
     # which doesn't make it another entry.
     cold_s: float = field(default=0.0, compare=False)
 
+    @property
+    def has_reusable_name(self) -> bool:
+        """Return whether the target may start again under its name.
+
+        One that doesn't say when it started gets a new name at each start.
+        """
+        return self.started_ms != 0
+
     @property
     def incarnation(self) -> str:
         """Return an id that changes with each restart, while `name` stays the same.
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -32,10 +32,13 @@
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.stream_binding import (
+    StartUnprovenError,
+    StreamBinder,
+)
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends.path import PathSender
-from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -44,14 +47,6 @@
 RETRY_AFTER_S = 0.5
 NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
 PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
-STREAM_UNKNOWN = Refusal(
-    reason=Reason.STREAM_UNKNOWN,
-    retry_after_s=RETRY_AFTER_S,
-    detail="no host that was asked knows which version began the stream",
-)
-STREAM_MOVED = replace(
-    NO_TARGET, detail="the route no longer leads to the service that began the stream"
-)
 MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
 
 
@@ -66,7 +61,7 @@
         chooser: TargetChooser,
         sender: PathSender,
         crashes: CrashWatcher,
-        stream_versions: StreamVersions,
+        binder: StreamBinder,
         generator: random.Random,
     ) -> None:
         self._board = board
@@ -75,8 +70,8 @@
         self._sender = sender
         self._crashes = crashes
         self._generator = generator
-        self._stream_versions = stream_versions
-        self._answer_relay = AnswerRelay(board=board, stream_versions=stream_versions)
+        self._binder = binder
+        self._answer_relay = AnswerRelay(board=board, binder=binder)
         self._hold_numbers = itertools.count()
 
     async def run(self, state: RequestState, reply: CallerReply) -> Refusal | None:
@@ -87,7 +82,7 @@
         if blocked is not None:
             return blocked
         if state.route.kind is RouteKind.STREAM and state.request.is_resumption:
-            refusal = await self._find_stream(state)
+            refusal = await self._binder.find(state)
             if refusal is not None:
                 return refusal
         else:
@@ -108,26 +103,11 @@
             return self._make_deadline_refusal(state)
         finally:
             query.cancel()
-            if state.has_passed_events:
-                self._stream_versions.end(state.workspace_name, state.stream_ids)
+            self._binder.end(state)
             if isinstance(hold, EscrowHold):
                 self._escrow.settle(hold, state.count_spent())
                 self._log_done(state, hold)
 
-    async def _find_stream(self, state: RequestState) -> Refusal | None:
-        """Bind a request to the version that began its stream, or refuse it."""
-        found = await self._stream_versions.find(
-            state.workspace_name, state.request.resumes
-        )
-        if found is None:
-            return STREAM_UNKNOWN
-        services = {share.service for share in state.route.shares if share.weight}
-        if found.service not in services:
-            return STREAM_MOVED
-        state.stream_version = found
-        state.service_name = found.service
-        return None
-
     async def _query_candidates(self, state: RequestState) -> None:
         state.candidate_info = await self._chooser.query_candidates(
             state.target_filter,
@@ -208,6 +188,8 @@
             failure = describe_failure(answer, failure)
             if not self._may_retry(state, service, answer):
                 return failure
+            if not self._binder.may_continue(state):
+                return failure
 
     def _pick_service(self, route: Route) -> str:
         if len(route.shares) == 1:
@@ -260,7 +242,7 @@
             else None,
             resume_after=state.last_event_id,
         )
-        state.record_send(target)
+        state.record_send(target.name)
         sent = self._chooser.add_request(
             target, state.request.prompt, state.candidate_info
         )
@@ -341,7 +323,10 @@
                 # The target would most likely fail again.
                 state.excluded.add(target.incarnation)
                 return False
-            await self._answer_relay.relay(state, reply, answer)
+            await self._answer_relay.relay(state, reply, answer, target)
+        except StartUnprovenError:
+            state.excluded.add(target.incarnation)
+            return False
         except (AnswerBrokenError, MalformedMessageError) as error:
             self._sender.record_broken(target, answer)
             self._chooser.record_broken_answer(target)
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -4,10 +4,10 @@
 
 from trefoilstage.components.forwarding.answers import AnswerBrokenError, OpenAnswer
 from trefoilstage.components.forwarding.event_splitter import EventSplitter, StreamEvent
-from trefoilstage.components.forwarding.models import RouteKind
+from trefoilstage.components.forwarding.models import RouteKind, TargetEntry
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.stream_versions.controller import StreamVersions
+from trefoilstage.components.forwarding.stream_binding import StreamBinder
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.phase import Phase
@@ -16,20 +16,25 @@
 class AnswerRelay:
     """Pass on streams event by event, and other answers as a whole."""
 
-    def __init__(self, *, board: FleetBoard, stream_versions: StreamVersions) -> None:
+    def __init__(self, *, board: FleetBoard, binder: StreamBinder) -> None:
         self._board = board
-        self._stream_versions = stream_versions
+        self._binder = binder
 
     async def relay(
-        self, state: RequestState, reply: CallerReply, answer: OpenAnswer
+        self,
+        state: RequestState,
+        reply: CallerReply,
+        answer: OpenAnswer,
+        target: TargetEntry,
     ) -> None:
-        """Pass on an answer.
+        """Pass on a target's answer.
 
         Raises AnswerBrokenError if the answer is incomplete, MalformedMessageError if
-        its events are malformed or out of order.
+        its events are malformed or out of order, StartUnprovenError if the target may
+        run another version than the stream needs.
         """
         if state.route.kind is RouteKind.STREAM and answer.head.success:
-            await self._relay_stream(state, reply, answer)
+            await self._relay_stream(state, reply, answer, target)
         else:
             await self._relay_body(state, reply, answer)
 
@@ -48,15 +53,23 @@
         )
 
     async def _relay_stream(
-        self, state: RequestState, reply: CallerReply, answer: OpenAnswer
+        self,
+        state: RequestState,
+        reply: CallerReply,
+        answer: OpenAnswer,
+        target: TargetEntry,
     ) -> None:
         splitter = EventSplitter()
+        is_bound = False
         async for data in answer.read():
             state.record_target_data(asyncio.get_running_loop().time())
+            self._binder.record_data(target, answer)
             events = self._select_new(state, splitter.add(data))
             if not events:
                 continue
-            self._bind_stream(state)
+            if not is_bound:
+                await self._binder.bind(state, target, answer)
+                is_bound = True
             await self._open_reply(reply, answer)
             state.record_caller_data(asyncio.get_running_loop().time())
             await reply.write(b"".join(event.data for event in events))
@@ -66,17 +79,6 @@
         state.complete = True
         await reply.end()
 
-    def _bind_stream(self, state: RequestState) -> None:
-        """Bind the stream to the version of its target at the first event."""
-        if state.has_passed_events:
-            return
-        state.has_passed_events = True
-        state.stream_version = state.stream_version or state.target_version
-        if state.route.resumable and state.stream_version is not None:
-            self._stream_versions.record(
-                state.workspace_name, state.stream_ids, state.stream_version
-            )
-
     def _select_new(
         self, state: RequestState, events: list[StreamEvent]
     ) -> list[StreamEvent]:
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -20,6 +20,14 @@
 MAX_UNREAD_EVENTS = 3
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StreamSource:
+    """Describe the answer that brought a stream's first event."""
+
+    target: TargetEntry
+    connected_at: float  # when the connection to the target was opened
+
+
 @dataclass(kw_only=True, slots=True)
 class RequestState:
     """Track the progress of one request, over all targets that it is sent to."""
@@ -45,9 +53,10 @@
     caller_last_data_at: float = 0.0
     longest_gap_s: float = 0.0
     target: str = ""
-    target_version: StreamVersion | None = None  # of the target in `target`
     # Where the first event came from that the caller holds; None before one.
     stream_version: StreamVersion | None = None
+    # The answer that brought the first event, if this request did.
+    stream_source: StreamSource | None = None
     has_passed_events: bool = False  # to the caller
     service_name: str = ""
     service: TargetService | None = None
@@ -100,14 +109,11 @@
         """Return the seconds from the current target's first data to its last."""
         return self.target_last_data_at - self.target_first_data_at
 
-    def record_send(self, target: TargetEntry) -> None:
+    def record_send(self, target: str) -> None:
         """Record that the request is sent to a target, which may run it."""
         self.n_sends += 1
         self.n_possible_runs += 1
-        self.target = target.name
-        self.target_version = StreamVersion(
-            service=target.service, version=target.version
-        )
+        self.target = target
         self.target_first_data_at = self.target_last_data_at = 0.0
 
     def record_target_data(self, now: float) -> None:
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -172,6 +172,11 @@
                 connected=connected,
             )
         headers = self._translator.write_answer(response.headers.items())
+        protocol = response.protocol
         return DirectAnswer(
-            head=head, headers=headers, connected=connected, response=response
+            head=head,
+            headers=headers,
+            connected=connected,
+            connected_at=protocol.connected_at if protocol else float("inf"),
+            response=response,
         )
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -113,11 +113,9 @@
             targets = [item for item in targets if item.incarnation not in excluded]
         if target_filter.allowed_regions is not None:
             targets = [item for item in targets if self._is_in(item, target_filter)]
-        if target_filter.version is not None:
-            targets = [
-                item for item in targets if item.version == target_filter.version
-            ]
-        return targets
+        if target_filter.version is None:
+            return targets
+        return [item for item in targets if item.version == target_filter.version]
 
     def _is_in(self, target: TargetEntry, target_filter: TargetFilter) -> bool:
         """Return whether a target is in a region that the filter allows."""
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -84,5 +84,12 @@
     def write_answer(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the headers of a target's answer that are passed to the caller."""
 
+    @property
+    def report_path(self) -> str:
+        """Return the path at which a target reports on itself."""
+
+    def read_report(self, data: bytes) -> int | None:
+        """Return when a target started, in Unix ms; None if its report doesn't say."""
+
     def write_refusal(self, request: CallerRequest | None) -> list[tuple[str, str]]:
         """Return the headers that identify the request in a refusal."""
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -303,6 +303,7 @@
     def _remove_expired(self, now: float) -> None:
         listed = self._board.targets.list_incarnations()
         self._caches.keep_only(listed)
+        self._board.targets.proofs.keep_only(listed)
         self._prefill_speeds.keep_only(listed)
         self._peer_work.remove_expired(now)
         self._home_totals.remove_expired(now)
--- a/trefoilstage/components/peer_sends/messages.py
+++ b/trefoilstage/components/peer_sends/messages.py
@@ -47,6 +47,8 @@
 
     head: AnswerHead
     headers: list[tuple[str, str]]
+    # Whether the peer's connection surely leads to the incarnation that was named.
+    is_proven: bool = False
     kind: Literal["answer_started"] = "answer_started"
 
 
--- a/trefoilstage/components/peer_sends/sender.py
+++ b/trefoilstage/components/peer_sends/sender.py
@@ -176,7 +176,12 @@
                 continue
             if isinstance(received, AnswerStarted):
                 return PeerAnswer(
-                    head=received.head, headers=received.headers, stream=stream
+                    head=received.head,
+                    headers=received.headers,
+                    connected_at=float("-inf")
+                    if received.is_proven
+                    else self._timer.now(),
+                    stream=stream,
                 )
             stream.release()
             if isinstance(received, SendFailed):
--- a/trefoilstage/components/peer_sends/server.py
+++ b/trefoilstage/components/peer_sends/server.py
@@ -64,7 +64,7 @@
         try:
             async with keep_pending(reply):
                 outcome = await self._send(message)
-            await self._pass_back(outcome, reply)
+            await self._pass_back(outcome, message, reply)
         finally:
             self.n_active -= 1
 
@@ -89,17 +89,28 @@
         if self._monitor.is_confirmed(target.service):
             self._chooser.record_answer(target, outcome, sent_at)
 
-    async def _pass_back(self, outcome: SendOutcome, reply: Reply) -> None:
+    async def _pass_back(
+        self, outcome: SendOutcome, message: SendToTarget, reply: Reply
+    ) -> None:
         if isinstance(outcome, OpenAnswer):
-            await self._pass_answer_back(outcome, reply)
+            started = AnswerStarted(
+                head=outcome.head,
+                headers=outcome.headers,
+                is_proven=self._chooser.is_start_proven(
+                    message.target, outcome.connected_at
+                ),
+            )
+            await self._pass_answer_back(outcome, started, reply)
         elif isinstance(outcome, NotRun):
             await reply(SendFailed(not_run=outcome))
         else:
             await reply(SendFailed(invalid=outcome))
 
-    async def _pass_answer_back(self, answer: OpenAnswer, reply: Reply) -> None:
+    async def _pass_answer_back(
+        self, answer: OpenAnswer, started: AnswerStarted, reply: Reply
+    ) -> None:
         try:
-            await reply(AnswerStarted(head=answer.head, headers=answer.headers))
+            await reply(started)
             async with keep_pending(reply):
                 async for data in answer.read():
                     await reply(AnswerData(data=data))
--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -10,10 +10,13 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from mode import Service
 
 from trefoilstage.components.fleet.membership import FleetMembership
+from trefoilstage.components.forwarding.request_state import StreamSource
+from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
@@ -37,13 +40,36 @@
 N_ASKED = N_COPIES + 2
 # Streams of a bucket have the same homes, so that few rankings are computed.
 N_BUCKETS = 128
-REPORT_DELAY_S = 0.1
+REPORT_DELAY_S = 0.2
 REPORT_TIMEOUT_S = 0.5
-# A home replies in 1 to 2 ms. On a full link, each call takes longer.
-FIND_TIMEOUT_S = 0.25
+# A home waits for a proof, if it needs one.
+PROOF_TIMEOUT_S = 0.5
+# Without that, it replies in 1 to 2 ms. On a full link, each call takes longer.
+FIND_TIMEOUT_S = PROOF_TIMEOUT_S + 0.25
 FIND_TIMEOUT_ROUND_TRIPS = 2.0
 MAX_FIND_TIMEOUT_S = 1.0
 CHECK_INTERVAL_S = 0.5
+PROOF_INTERVAL_S = 0.1
+# By then the entries of all targets were read again, unless the store is out of reach.
+ASK_AFTER_S = 1.2
+# A target that shows no sign of life for longer has ended.
+MAX_PROOF_S = 10.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServedStream:
+    """Describe a stream that began; `source` is None if its version is certain."""
+
+    version: StreamVersion
+    source: StreamSource | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UnprovenStream:
+    """Describe a stream whose target may have restarted before it began."""
+
+    stream: ServedStream
+    recorded_at: float
 
 
 class StreamVersions(Service):
@@ -57,15 +83,19 @@
         links: PeerLinks,
         server: PeerServer,
         timer: TimerService,
+        prover: StartProver,
     ) -> None:
         super().__init__()
         self._board = board
+        self._prover = prover
         self._membership = membership
         self._links = links
         self._timer = timer
         self._table = StreamTable()
-        self._active: dict[str, StreamVersion] = {}  # streams that this host serves
-        self._unreported: dict[str, StreamVersion] = {}
+        self._active: dict[str, ServedStream] = {}  # that this host serves
+        self._unreported: dict[str, ServedStream] = {}
+        self._unproven: dict[str, UnprovenStream] = {}
+        self._is_proof_scheduled = False
         self._is_report_scheduled = False
         self._live: tuple[str, ...] = ()  # when homes were last checked
         server.register(StreamsBegan, self._receive_streams)
@@ -93,14 +123,60 @@
         return self._table.count_by_version()
 
     def record(
-        self, workspace: str, request_ids: Iterable[str], version: StreamVersion
+        self,
+        workspace: str,
+        request_ids: Iterable[str],
+        version: StreamVersion,
+        source: StreamSource | None = None,
     ) -> None:
-        """Record a stream that this host serves, under each request that brought it."""
+        """Record a stream that this host serves, under each request that brought it.
+
+        If the version is that of a `source` which may have restarted, the stream counts
+        as unknown until a sign of life proves which start answered.
+        """
         keys = [hash_idempotency_key(workspace, item) for item in request_ids if item]
-        self._table.add(keys, version, self._timer.now())
-        for key in keys:
-            self._active[key] = self._unreported[key] = version
+        stream = ServedStream(version=version, source=source)
+        self._active.update(dict.fromkeys(keys, stream))
+        self._unreported.update(dict.fromkeys(keys, stream))
         self._schedule_report()
+        self._add(keys, stream)
+
+    def _add(self, keys: Iterable[str], stream: ServedStream) -> None:
+        now = self._timer.now()
+        if self._is_proven(stream):
+            self._table.add(keys, stream.version, now)
+            return
+        unproven = UnprovenStream(stream=stream, recorded_at=now)
+        self._unproven.update(dict.fromkeys(keys, unproven))
+        if not self._is_proof_scheduled:
+            self._is_proof_scheduled = True
+            self.add_future(self._prove_streams())
+
+    def _is_proven(self, stream: ServedStream) -> bool:
+        source = stream.source
+        return source is None or self._prover.is_proven(
+            source.target, source.connected_at
+        )
+
+    async def _prove_streams(self) -> None:
+        """Add streams to the table once the start of their target is proven."""
+        while self._unproven:
+            await asyncio.sleep(PROOF_INTERVAL_S)
+            now = self._timer.now()
+            late: dict[str, StreamSource] = {}
+            for key, item in list(self._unproven.items()):
+                age_s = now - item.recorded_at
+                if self._is_proven(item.stream):
+                    del self._unproven[key]
+                    self._table.add([key], item.stream.version, now)
+                elif age_s > MAX_PROOF_S:
+                    del self._unproven[key]
+                elif age_s > ASK_AFTER_S and item.stream.source is not None:
+                    source = item.stream.source
+                    late[source.target.incarnation] = source
+            for source in late.values():
+                self.add_future(self._prover.prove(source.target, source.connected_at))
+        self._is_proof_scheduled = False
 
     def end(self, workspace: str, request_ids: Iterable[str]) -> None:
         """Record that this host no longer serves a stream."""
@@ -112,7 +188,7 @@
         if not request_id:
             return None
         key = hash_idempotency_key(workspace, request_id)
-        known = self._table.get(key)
+        known = await self._get_when_proven(key)
         if known is not None or key in self._table.streams:
             return known
         known = await self._ask_homes(key)
@@ -122,21 +198,17 @@
 
     async def _ask_homes(self, key: str) -> StreamVersion | None:
         homes = [home for home in self._rank_homes(key) if home != self._board.host]
-        pending = {
+        tasks = [
             asyncio.create_task(self._ask(home, FindStream(stream=key)))
             for home in homes[:N_ASKED]
-        }
+        ]
         try:
-            while pending:
-                done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                found = [task.result() for task in done]
-                known = next((item for item in found if item is not None), None)
+            for next_done in asyncio.as_completed(tasks):
+                known = await next_done
                 if known is not None:
                     return known
         finally:
-            for task in pending:
+            for task in tasks:
                 task.cancel()
         return None
 
@@ -156,10 +228,23 @@
         return reply.version if isinstance(reply, StreamFound) else None
 
     async def _answer_find(self, message: FindStream) -> StreamFound:
-        return StreamFound(version=self._table.get(message.stream))
+        return StreamFound(version=await self._get_when_proven(message.stream))
+
+    async def _get_when_proven(self, key: str) -> StreamVersion | None:
+        wait_until = self._timer.now() + PROOF_TIMEOUT_S
+        while key in self._unproven and self._timer.now() < wait_until:
+            await asyncio.sleep(PROOF_INTERVAL_S)
+        return self._table.get(key)
 
     async def _receive_streams(self, message: StreamsBegan) -> None:
-        self._table.add(message.streams, message.version, self._timer.now())
+        source = None
+        if message.unproven:
+            target = self._board.targets.find_incarnation(message.unproven)
+            if target is None:
+                return
+            # The connection to the target was opened before this message was sent.
+            source = StreamSource(target=target, connected_at=self._timer.now())
+        self._add(message.streams, ServedStream(version=message.version, source=source))
 
     def _rank_homes(self, key: str) -> tuple[str, ...]:
         return self._rank_bucket(key, self._membership.list_live_hosts())
@@ -179,10 +264,10 @@
         if live is self._live or live == self._live:
             return
         before, self._live = self._live, live
-        for key, version in self._active.items():
+        for key, stream in self._active.items():
             known = self._select_homes(key, before)
             if set(self._select_homes(key, live)).difference(known):
-                self._unreported[key] = version
+                self._unreported[key] = stream
         self._schedule_report()
 
     def _schedule_report(self) -> None:
@@ -195,12 +280,17 @@
         self._is_report_scheduled = False
         unreported, self._unreported = self._unreported, {}
         live = self._membership.list_live_hosts()
-        groups: dict[tuple[str, StreamVersion], list[str]] = defaultdict(list)
-        for key, version in unreported.items():
+        groups: dict[tuple[str, StreamVersion, str], list[str]] = defaultdict(list)
+        for key, stream in unreported.items():
+            unproven = ""
+            if stream.source is not None and not self._is_proven(stream):
+                unproven = stream.source.target.incarnation
             for home in self._select_homes(key, live):
-                groups[home, version].append(key)
-        for (home, version), keys in groups.items():
-            message = StreamsBegan(version=version, streams=tuple(keys))
+                groups[home, stream.version, unproven].append(key)
+        for (home, version, unproven), keys in groups.items():
+            message = StreamsBegan(
+                version=version, streams=tuple(keys), unproven=unproven
+            )
             self.add_future(self._report(home, message))
 
     async def _report(self, home: str, message: StreamsBegan) -> None:
--- a/trefoilstage/components/stream_versions/messages.py
+++ b/trefoilstage/components/stream_versions/messages.py
@@ -13,6 +13,8 @@
 
     version: StreamVersion
     streams: tuple[ShortText, ...]
+    # The incarnation that began them, if it may have restarted shortly before.
+    unproven: ShortText = ""
     kind: Literal["streams_began"] = "streams_began"
 
 
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from trefoilstage.components.forwarding.models import TargetEntry, TargetPhase
+from trefoilstage.components.targets.start_proofs import StartProofs
 
 # Entries expire while the store is unreachable, and live targets register again within
 # about 2 s after it returns. Without this grace period, all targets would be unlisted
@@ -62,6 +63,7 @@
     # Incarnations that said in an answer that they leave, the latest last. Their
     # entries may say so later.
     said_leaving: dict[str, None] = field(default_factory=dict)
+    proofs: StartProofs = field(default_factory=StartProofs)
 
     def apply_entry(self, entry: TargetEntry) -> bool:
         """Apply a target's entry; return whether it belongs to the latest start.
@@ -216,6 +218,17 @@
             return None
         return item.entry
 
+    def is_start_proven(self, entry: TargetEntry, connected_at: float) -> bool:
+        """Return whether a connection leads to the start that an entry names."""
+        item = self.listed.get(entry.name)
+        return self.proofs.is_proven(
+            entry,
+            connected_at,
+            is_listed=item is not None
+            and item.entry.incarnation == entry.incarnation
+            and item.usable_until == float("inf"),
+        )
+
     def list_ready(self, service: str, now: float) -> list[TargetEntry]:
         """Return a service's targets that may receive new requests, sorted by name."""
         leaving = self.said_leaving
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -28,6 +28,10 @@
 GetPause = Callable[[], float]
 
 
+def ignore_read(began_at: float) -> None:
+    """Do nothing when a topic was read."""
+
+
 class ViewFollower(Service):
     """Merge a topic's records into a view and pass changes to a callback."""
 
@@ -41,6 +45,7 @@
         get_pause: GetPause,
         on_change: ChangeCallback,
         on_restored: Callable[[], None],
+        on_read: Callable[[float], None] = ignore_read,
     ) -> None:
         super().__init__()
         self._board = board
@@ -50,9 +55,13 @@
         self._get_pause = get_pause  # returns the seconds until the next read
         self._on_change = on_change
         self._on_restored = on_restored
+        self._on_read = on_read  # gets when a read began that left nothing unread
         self._rewrite_s = TARGETS_REWRITE_S if topic is Topic.TARGETS else REWRITE_S
         # When records that a restored store lacks count as deleted.
         self._list_again_at = float("inf")
+        # When the records that are being applied were written, at the earliest.
+        self.written_after = float("-inf")
+        self._read_began_at = float("-inf")  # of the last one that left nothing unread
         self.has_listing = False  # whether the topic was read from the store
         # A target's entry says how long it is cold from when the entry was written.
         self.view = KeyedView(reports_repeats=topic is Topic.TARGETS)
@@ -66,6 +75,7 @@
         newest = max((record.offset for record in records), default=0)
         if self._board.store.record_position(newest, self._now()):
             self._on_restored()
+        self.written_after = float("-inf")
         self._notify(self.view.merge(records))
 
     async def _follow_topic(self) -> None:
@@ -93,7 +103,9 @@
         if self._now() >= self._list_again_at:
             self._list_again_at = float("inf")
             self.has_listing = False
+        began_at = self._now()
         if not self.has_listing:
+            self._read_began_at = float("-inf")
             batch = await self._store.list_newest(self._topic)
             now = self._now()
             self._board.store.record_response(now)
@@ -120,7 +132,11 @@
             # a target whose entry expired during the outage may register again.
             self._board.store.record_response(self._now())
             changed = self.view.merge(batch.records)
+        self.written_after = self._read_began_at
         self._notify(changed)
+        if batch.is_whole:
+            self._read_began_at = began_at
+            self._on_read(began_at)
 
     def _notify(self, changed: list[KeyedRecord]) -> None:
         if changed:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -12,6 +12,7 @@
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.metrics_server import MetricsServer
+from trefoilstage.components.forwarding.report_probe import ReportProbe
 from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
 from trefoilstage.components.forwarding.server import ForwardingServer
 from trefoilstage.components.forwarding.translator import RequestTranslator
@@ -97,6 +98,7 @@
             streams=streams,
             sender=TargetSender(session=self._session, translator=self._translator),
             probe=ConnectProbe(outbound_address=settings.address),
+            start_probe=ReportProbe(session=self._session, translator=self._translator),
             process_start=self._process_start,
         )
         self._membership = parts.membership
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -23,6 +23,8 @@
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
 from trefoilstage.components.forwarding.sender import Sender
+from trefoilstage.components.forwarding.start_prover import StartProbe, StartProver
+from trefoilstage.components.forwarding.stream_binding import StreamBinder
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.peer_sends.path import PathSender
@@ -35,7 +37,11 @@
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.stream_versions.controller import StreamVersions
-from trefoilstage.components.views.follower import GetPause, ViewFollower
+from trefoilstage.components.views.follower import (
+    GetPause,
+    ViewFollower,
+    ignore_read,
+)
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
 from trefoilstage.fleet_board import FleetBoard
@@ -107,6 +113,7 @@
     streams: PeerStreams,
     sender: Sender,
     probe: TargetProbe,
+    start_probe: StartProbe,
     process_start: ProcessStart,
 ) -> FleetParts:
     """Create the components of a forwarding host without starting them."""
@@ -121,9 +128,15 @@
             followers[topic].view.drop_oldest_records(MAX_CRASHES)
         else:
             board_updater.apply_records(
-                topic, records, asyncio.get_running_loop().time()
+                topic,
+                records,
+                asyncio.get_running_loop().time(),
+                followers[topic].written_after,
             )
 
+    def record_targets_read(began_at: float) -> None:
+        board_updater.record_read(began_at, asyncio.get_running_loop().time())
+
     def write_again() -> None:
         """Write again what a restored store may lack."""
         membership.announce_again()
@@ -131,7 +144,9 @@
         home.make_good()
         crash_watcher.write_again()
 
-    followers = make_followers(settings, board, store, apply_records, write_again)
+    followers = make_followers(
+        settings, board, store, apply_records, write_again, record_targets_read
+    )
     limits = KnownLimits(board=board, timer=timer)
     membership = FleetMembership(
         board=board,
@@ -250,12 +265,14 @@
         timer=timer,
         list_live_hosts=membership.list_live_hosts,
     )
+    prover = StartProver(board=board, probe=start_probe)
     stream_versions = StreamVersions(
         board=board,
         membership=membership,
         links=links,
         server=peer_server,
         timer=timer,
+        prover=prover,
     )
     pipeline = ForwardingPipeline(
         board=board,
@@ -263,7 +280,9 @@
         chooser=chooser,
         sender=path_sender,
         crashes=crash_watcher,
-        stream_versions=stream_versions,
+        binder=StreamBinder(
+            board=board, prover=prover, stream_versions=stream_versions
+        ),
         generator=generator,
     )
     return FleetParts(
@@ -290,6 +309,7 @@
     store: Store,
     apply_records: Callable[[Topic, list[KeyedRecord]], None],
     on_restored: Callable[[], None],
+    on_targets_read: Callable[[float], None],
 ) -> dict[Topic, ViewFollower]:
     """Create a follower for each topic that all hosts read."""
 
@@ -302,6 +322,7 @@
             get_pause=get_pause,
             on_change=lambda records: apply_records(topic, records),
             on_restored=on_restored,
+            on_read=on_targets_read if topic is Topic.TARGETS else ignore_read,
         )
 
     targets_pause_s = settings.target_drain_s / TARGET_READS_PER_DRAIN
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -1,7 +1,9 @@
 """Translate between HTTP headers and the pipeline's requests and answers."""
 
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Annotated, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
@@ -16,6 +18,7 @@
 from trefoilstage.const import HEADER_RETRY_AFTER
 from trefoilstage.helpers.events import Event, log_event, truncate_text
 from trefoilstage.helpers.http import parse_amount
+from trefoilstage.platform.configuration import describe_locations
 
 MS_PER_S = 1000
 
@@ -75,8 +78,26 @@
 )
 
 
+class WireReport(BaseModel):
+    """Describe what a target reports on itself, as far as it is used here."""
+
+    model_config = ConfigDict(strict=True)
+
+    born: Annotated[int, Field(ge=0)] | None = None
+
+
 class HeaderTranslator:
-    """Translate between the platform's headers and the pipeline's types."""
+    """Translate between the platform's messages and the pipeline's types."""
+
+    report_path = "/trefoilstage/report"
+
+    def read_report(self, data: bytes) -> int | None:
+        """Return when a target started, in Unix ms; None if its report doesn't say."""
+        try:
+            return WireReport.model_validate_json(data).born
+        except ValidationError as error:
+            log_event(Event.REPORT_MALFORMED, error=describe_locations(error))
+            return None
 
     def read_request(
         self, *, method: str, raw_target: str, headers: Iterable[tuple[str, str]]
