ORDER: read when a connection was opened; tests with real hosts

Real hosts could prove no connection to a target whose name may be reused: the protocol object of the HTTP client is empty, hence false, while no data waits, and the connection counted as never opened. Streams that were taken up there broke off after 1 s with 502 (the new test failed so). The emulator has no such connections and didn't show it.

A broken stream whose version is not proven yet is now proven before the host gives up: a target that only lost a connection is asked for its start and the stream goes on.

The stand-ins' targets report their start and may run several versions.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -157,6 +157,8 @@
     """Run requests and inject the faults that the test sets."""
 
     name: str
+    version: str = "v1"  # of its software
+    started_at_ms: int = 1_000
     n_events: int = 4
     event_interval_s: float = 0.0
     # Number of events after which a stream that isn't resumed is reset.
@@ -180,6 +182,8 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        if request.path == "/trefoilstage/report":
+            return web.json_response({"born": self.started_at_ms, "busy": False})
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
         if self.refuse:
@@ -304,13 +308,14 @@
     started_at_ms: int = 1_000,
     data_center: str = "brest",
     cold_s: float = 0.0,
+    version: str = "v1",
 ) -> bytes:
     """Return a target's encoded entry."""
     entry = {
         "service": service,
         "address": f"{LOOPBACK}:{port}",
         "zone": data_center,
-        "version": "v1",
+        "version": version,
         "slots": 8,
         "state": state,
         "cold_remaining_ms": int(cold_s * 1000),
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from itertools import chain
 from pathlib import Path
@@ -96,6 +97,7 @@
 
     n_hosts: int = 1
     n_targets: int = 2
+    n_versions: int = 1  # of the targets' software, side by side
     prepaid: int = 1_000_000
     grace_s: int = 8
     store: KeyedStore = field(default_factory=KeyedStore)
@@ -140,7 +142,9 @@
         asyncio.get_running_loop().set_debug(False)
         self.stall_watcher = asyncio.create_task(self._watch_stalls())
         for number in range(self.n_targets):
-            target = PlatformTarget(name=f"i-{number}")
+            target = PlatformTarget(
+                name=f"i-{number}", version=f"v{number % self.n_versions + 1}"
+            )
             runner, port = await start_app(target.make_app())
             self.runners.append(runner)
             self.targets.append(target)
@@ -189,6 +193,8 @@
             state=state,
             data_center=self.target_data_centers.get(number, DATA_CENTER),
             cold_s=max(0.0, self.cold_until.get(number, 0.0) - time.monotonic()),
+            version=self.targets[number].version,
+            started_at_ms=self.targets[number].started_at_ms,
         )
         await self.store.put(Topic.TARGETS, self.targets[number].name, value)
 
@@ -323,13 +329,16 @@
         key: str = "key",
         attempt: str = "",
         body: bytes = b"{}",
+        more_headers: Mapping[str, str] | None = None,
     ) -> FleetAnswer:
         """Send a request as a caller does, with an API key and an attempt id."""
         self.n_requests += 1
         number, began = self.n_requests, time.time()
         outcome = "no answer"
         try:
-            answer = await self._call(path, host, method, tokens, key, attempt, body)
+            answer = await self._call(
+                path, host, method, tokens, key, attempt, body, more_headers or {}
+            )
             outcome = f"{answer.status} whole={answer.is_whole}"
             return answer
         except aiohttp.ClientError as error:
@@ -350,6 +359,7 @@
         key: str,
         attempt: str,
         sent: bytes,
+        more_headers: Mapping[str, str],
     ) -> FleetAnswer:
         # Only model calls spend tokens.
         default = (100, 10) if path.startswith("/stream") else (0, 0)
@@ -361,6 +371,7 @@
             "Key": key,
             "Token-Count": f"{n_prompt},{n_output}",
             "Prompt-Prefix": f"aa:50,{self.n_requests:x}:50",
+            **more_headers,
         }
         url = f"http://{LOOPBACK}:{self.hosts[host].caller_port}{path}"
         body = b""
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -188,7 +188,7 @@
             failure = describe_failure(answer, failure)
             if not self._may_retry(state, service, answer):
                 return failure
-            if not self._binder.may_continue(state):
+            if not await self._binder.may_continue(state):
                 return failure
 
     def _pick_service(self, route: Route) -> str:
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -177,6 +177,7 @@
             head=head,
             headers=headers,
             connected=connected,
-            connected_at=protocol.connected_at if protocol else float("inf"),
+            # The protocol is empty, hence false, while no data waits in it.
+            connected_at=float("inf") if protocol is None else protocol.connected_at,
             response=response,
         )
--- a/trefoilstage/components/forwarding/stream_binding.py
+++ b/trefoilstage/components/forwarding/stream_binding.py
@@ -99,12 +99,12 @@
                 target, answer.connected_at, asyncio.get_running_loop().time()
             )
 
-    def may_continue(self, state: RequestState) -> bool:
+    async def may_continue(self, state: RequestState) -> bool:
         """Return whether the version of the events that the caller holds is certain."""
         source = state.stream_source
         if not state.has_passed_events or source is None:
             return True
-        return self._prover.is_proven(source.target, source.connected_at)
+        return await self._prover.prove(source.target, source.connected_at)
 
     def end(self, state: RequestState) -> None:
         """Record that this host no longer serves a stream."""
