--- a/standins/platform.py
+++ b/standins/platform.py
@@ -158,6 +158,7 @@
 
     name: str
     version: str = "v1"  # of its software
+    names_version: bool = False  # in each event of a stream
     started_at_ms: int = 1_000
     n_events: int = 4
     event_interval_s: float = 0.0
@@ -230,7 +231,9 @@
                 return response
             if request.transport is None or request.transport.is_closing():
                 return response
-            await response.write(f"id: {number}\ndata: {number}\n\n".encode())
+            version = f"version: {self.version}\n" if self.names_version else ""
+            event = f"id: {number}\n{version}data: {number}\n\n"
+            await response.write(event.encode())
             run.events += 1
             await asyncio.sleep(self.event_interval_s)
         run.ended = True
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -1,4 +1,4 @@
-"""Targets that crash when they run one request and restart under a new name."""
+"""Targets that crash when they run one request and restart."""
 
 import asyncio
 
@@ -11,13 +11,17 @@
 
 CRASHING_BODY = b'{"crashes": true}'
 RESTART_DELAY_S = 0.3
+OTHER_VERSIONS = {"v1": "v2", "v2": "v1"}
 
 
 class CrashingTargets:
     """Crash a fleet's targets when they run one request, and restart them."""
 
-    def __init__(self, *, fleet: PlatformFleet) -> None:
+    def __init__(self, *, fleet: PlatformFleet, changes_versions: bool = False) -> None:
         self._fleet = fleet
+        # Whether each second restart keeps the name and changes the version.
+        self._changes_versions = changes_versions
+        self._n_restarts = 0
         self._runners = {
             number: fleet.runners[number] for number in range(fleet.n_targets)
         }
@@ -57,8 +61,16 @@
         await runner.cleanup()
         await asyncio.sleep(RESTART_DELAY_S)
         old = fleet.targets[number]
+        self._n_restarts += 1
+        keeps_name = self._changes_versions and self._n_restarts % 2 == 0
         target = PlatformTarget(
-            name=f"{old.name}+", event_interval_s=old.event_interval_s, runs=old.runs
+            name=old.name if keeps_name else f"{old.name}+",
+            version=OTHER_VERSIONS[old.version] if keeps_name else old.version,
+            names_version=old.names_version,
+            started_at_ms=old.started_at_ms + 1,
+            n_events=old.n_events,
+            event_interval_s=old.event_interval_s,
+            runs=old.runs,
         )
         self._runners[number], _ = await start_app(
             target.make_app(), fleet.ports[number]
@@ -67,7 +79,8 @@
         await fleet.start_target_proxies(number)
         fleet.targets[number] = target
         self._set_crash(number, target)
-        await fleet.store.put(Topic.TARGETS, old.name, None)
+        if not keeps_name:
+            await fleet.store.put(Topic.TARGETS, old.name, None)
         await fleet.write_target(number)
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -16,7 +17,9 @@
 # Prompts of different subjects go to different targets, so all targets get some.
 N_SUBJECTS = 12
 PROMPT_AND_OUTPUT_TOKENS = (100, 10)
-PATHS = ("/stream/x", "/stream-again/x", "/book/x", "/look/x")
+RESUMABLE_PATH = "/stream-again/x"
+VERSION_PATTERN = re.compile("^version: (.*)$", re.MULTILINE)
+PATHS = ("/stream/x", RESUMABLE_PATH, "/book/x", "/look/x")
 
 
 @dataclass(kw_only=True, slots=True)
@@ -30,6 +33,18 @@
     body: bytes = b""
     is_whole: bool = False
     answered_request: str = ""
+    resumes: str = ""  # the request whose stream the caller takes up
+    last_event_id: int = 0  # of that stream, so far
+
+    @property
+    def stream(self) -> str:
+        """Return the request that brought the first event of the stream."""
+        return self.resumes or self.request
+
+    @property
+    def versions(self) -> set[str]:
+        """Return the versions of the targets that wrote the events."""
+        return set(VERSION_PATTERN.findall(self.body.decode()))
 
     @property
     def n_events(self) -> int:
@@ -60,6 +75,22 @@
                 self.outcomes.append(outcome)
                 await self._call(session, outcome)
                 await asyncio.sleep(CALL_INTERVAL_S)
+                if outcome.path == RESUMABLE_PATH and not outcome.is_whole:
+                    await self._take_up(session, outcome)
+
+    async def _take_up(self, session: aiohttp.ClientSession, broken: Outcome) -> None:
+        """Ask any host for the rest of a stream that broke."""
+        n_events = broken.n_events
+        if n_events == 0:
+            return
+        outcome = Outcome(
+            request=f"{broken.request}-again",
+            path=broken.path,
+            resumes=broken.request,
+            last_event_id=n_events,
+        )
+        self.outcomes.append(outcome)
+        await self._call(session, outcome)
 
     async def repeat_crashing(self) -> None:
         """Send the request that crashes targets repeatedly."""
@@ -94,6 +125,9 @@
             "Token-Count": f"{tokens[0]},{tokens[1]}",
             "Prompt-Prefix": f"{self.generator.randrange(N_SUBJECTS):x}:50,{own}:50",
         }
+        if outcome.resumes:
+            headers["Resumes"] = outcome.resumes
+            headers["Last-Event-Id"] = str(outcome.last_event_id)
         method = "GET" if outcome.path.startswith("/look") else "POST"
         url = f"http://{LOOPBACK}:{host.caller_port}{outcome.path}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,7 @@
     "event_interval_s",
     "unframed_reset",
 )
+EVENT_INTERVAL_S = 0.05  # of a stream without a fault
 EVACUATED_DATA_CENTER = "lorient"
 EVACUATED_TARGET = 2  # its number
 EVACUATION_S = 7.0
@@ -203,10 +204,10 @@
         target = self.generator.choice(self.fleet.targets)
         fault = self.generator.choice(TARGET_FAULTS)
         value = {"break_after": 2, "event_interval_s": 0.3}.get(fault, True)
-        previous = getattr(target, fault)
+        usual = {"break_after": None, "event_interval_s": EVENT_INTERVAL_S}
         setattr(target, fault, value)
         await self._wait_randomly(2.0)
-        setattr(target, fault, None if fault == "break_after" else type(previous)(0))
+        setattr(target, fault, usual.get(fault, False))
 
     async def _drain_target(self) -> None:
         number = self.generator.randrange(self.fleet.n_targets)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import re
+from collections import defaultdict
 from dataclasses import dataclass
 
 from tests.promises.crashing import CrashingTargets
@@ -14,6 +16,7 @@
 from tests.soak.faults import (
     EVACUATED_DATA_CENTER,
     EVACUATED_TARGET,
+    EVENT_INTERVAL_S,
     LIMIT_PER_S,
     Faults,
 )
@@ -28,7 +31,10 @@
 COLD_REQUESTS_PER_S = 4.0
 # Hosts must send nothing to an evacuated data centre after this time.
 EVACUATION_LIMIT_S = 5.0
-WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5))
+# A stream takes 0.6 s.
+N_EVENTS = 12
+WHOLE_STREAM = [b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, N_EVENTS + 1)]
+VERSION_LINE = re.compile(rb"^version: .*\n", re.MULTILINE)
 WHOLE_ANSWER = b"whole answer"
 # After this time without a fault, every host has received the evidence of all crashes.
 SETTLE_S = 4.0
@@ -60,6 +66,7 @@
     fleet = PlatformFleet(
         n_hosts=N_HOSTS,
         n_targets=3,
+        n_versions=2,
         prepaid=PREPAID_TOKENS,
         use_proxies=True,
         use_target_proxies=True,
@@ -70,13 +77,18 @@
         # Separate generators, so that the order of the faults depends on the seed only.
         callers = Callers(fleet=fleet, generator=random.Random(-seed))
         faults = Faults(fleet=fleet, generator=random.Random(seed))
-        targets = CrashingTargets(fleet=fleet)
+        for target in fleet.targets:
+            target.names_version = True
+            target.n_events = N_EVENTS
+            target.event_interval_s = EVENT_INTERVAL_S
+        targets = CrashingTargets(fleet=fleet, changes_versions=True)
         tasks = [asyncio.create_task(callers.run(n)) for n in range(N_CALLERS)]
         tasks.append(asyncio.create_task(callers.repeat_crashing()))
         await faults.run(duration_s)
         callers.is_stopping = True
         await asyncio.gather(*tasks)
         findings = list_violations(fleet, callers.outcomes + callers.crashing_outcomes)
+        findings += list_mixed_streams(callers.outcomes)
         findings += list_runs_while_evacuated(fleet, faults)
         findings += list_runs_above_cold_rate(fleet, faults)
         findings += list_runs_above_named_limit(fleet, faults)
@@ -115,6 +127,18 @@
     return findings
 
 
+def list_mixed_streams(outcomes: list[Outcome]) -> list[str]:
+    """Return the streams that hold events of several versions."""
+    versions: dict[str, set[str]] = defaultdict(set)
+    for outcome in outcomes:
+        versions[outcome.stream] |= outcome.versions
+    return [
+        f"{stream} holds events of {sorted(found)}"
+        for stream, found in versions.items()
+        if len(found) > 1
+    ]
+
+
 def list_runs_while_evacuated(fleet: PlatformFleet, faults: Faults) -> list[str]:
     """Return the runs at evacuated targets that began long after the evacuation."""
     return [
@@ -245,8 +269,11 @@
     if outcome.status != HTTP_OK or not outcome.is_whole:
         return []
     stream = outcome.path.startswith("/stream")
-    expected = WHOLE_STREAM if stream else WHOLE_ANSWER
-    if outcome.body != expected:
+    events = VERSION_LINE.sub(b"", outcome.body)
+    expected = WHOLE_ANSWER
+    if stream:
+        expected = b"".join(WHOLE_STREAM[outcome.last_event_id :])
+    if events != expected:
         return [f"{outcome.request} {outcome.path} looks whole: {outcome.body!r}"]
     return []
 
