LIMIT: hand the slots of brittle targets out one by one in a large fleet

Each host had one or two slots in all and refused callers while other hosts' slots were free.

In a large fleet a host now asks the home of a target for a slot, six targets at most; the home counts the hosts' reports of their work and what it granted in the last 0.15 s. A home that is new (1.5 s) or silent leaves each host its share, as before.

The bound is as it was; the four tests of the module pass.

--- a/tests/components/forwarding/chooser_case.py
+++ b/tests/components/forwarding/chooser_case.py
@@ -46,6 +46,7 @@
             timer=timer,
             workload=self.workload,
             permits=self.permits,
+            slots=mock.Mock(is_used=mock.Mock(return_value=False)),
             limits=self.limits,
         )
 
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -29,6 +29,7 @@
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.permits.slots import SlotPool
 from trefoilstage.components.targets.brittle import count_own_slots
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
@@ -39,6 +40,8 @@
 MAX_TOTAL_QUERY_S = 0.05
 # Targets of each group that a request asks permits for, one after another.
 N_ASKED = 3
+# Each costs a round trip; without a slot, the caller is refused.
+N_ASKED_FOR_SLOTS = 6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,9 +65,11 @@
         timer: TimerService,
         workload: WorkloadController,
         permits: TargetPermits,
+        slots: SlotPool,
         limits: KnownLimits,
     ) -> None:
         self._permits = permits
+        self._slots = slots
         self._board = board
         self._membership = membership
         self._settings = settings
@@ -78,7 +83,7 @@
             outcomes=self._outcomes,
             permits=permits,
             limits=limits,
-            has_own_room=self._has_own_room,
+            has_own_room=lambda target: slots.is_used() or self._has_own_room(target),
         )
         self._retry_budgets: dict[str, RetryBudget] = {}
 
@@ -114,8 +119,13 @@
             cached_tokens=candidate_info.cached_tokens,
             request_id=request_id,
         )
+        askable = self._availability.list_askable(groups)
+        if self._slots.is_used() and self._availability.is_brittle(
+            target_filter.service
+        ):
+            return await self._take_slot(rank([*groups.free, *askable]))
         free = self._select_candidates(groups.free, need, candidate_info)
-        ranked = rank([*free, *self._availability.list_askable(groups)])
+        ranked = rank([*free, *askable])
         best = await self._choose_warm(ranked)
         if best is not None and is_in_time(best, need):
             return best.target
@@ -129,6 +139,21 @@
                 return option.target
         return best.target if best else None
 
+    async def _take_slot(self, ranked: Sequence[TargetOption]) -> TargetEntry | None:
+        """Return the first of some brittle targets that has a slot free."""
+        n_asked = 0
+        for option in ranked:
+            target = option.target
+            if self._workload.get_work(target.incarnation).n_requests >= target.slots:
+                continue
+            if n_asked == N_ASKED_FOR_SLOTS:
+                return None
+            n_asked += 1
+            is_free = await self._slots.take(target)
+            if is_free or (is_free is None and self._has_own_room(target)):
+                return target
+        return None
+
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
         """Return the first target that needs no permit, or that permits a request."""
         availability = self._availability
--- a/trefoilstage/components/permits/messages.py
+++ b/trefoilstage/components/permits/messages.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field
 
-from trefoilstage.helpers.field_types import ShortText
+from trefoilstage.helpers.field_types import Count, ShortText
 
 RatePerS = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Seconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
@@ -44,4 +44,21 @@
     kind: Literal["permit"] = "permit"
 
 
-PermitMessage = PermitRequest | PermitReply
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotRequest:
+    """Ask the home of a brittle target for one of its slots."""
+
+    target: ShortText  # its incarnation
+    n_slots: Count
+    kind: Literal["ask_slot"] = "ask_slot"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SlotReply:
+    """Reply whether a slot is free, None if the asked host doesn't know."""
+
+    granted: bool | None
+    kind: Literal["slot"] = "slot"
+
+
+PermitMessage = PermitRequest | PermitReply | SlotRequest | SlotReply
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -36,6 +36,7 @@
 from trefoilstage.components.peers.streams import PeerStreams
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
+from trefoilstage.components.permits.slots import SlotPool
 from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.components.views.follower import (
     GetPause,
@@ -219,6 +220,13 @@
         timer=timer,
         workload=workload,
         permits=permits,
+        slots=SlotPool(
+            board=board,
+            workload=workload,
+            links=links,
+            server=peer_server,
+            timer=timer,
+        ),
         limits=limits,
     )
     reach_monitor = ReachMonitor(
