ORDER: a failure proves nothing of a start that the store no longer lists

A stream on a connection to a restarted target, opened before the new entry was read, counted as the former start's once it broke: recording the failure first kept what the last read had proven, also for a start that this read no longer listed. The test failed before (the connection of 1.5 counted as proven by the read of 2.0).

--- a/tests/components/targets/test_start_proofs.py
+++ b/tests/components/targets/test_start_proofs.py
@@ -39,7 +39,7 @@
 
     def test_read_after_a_failure_proves_nothing(self) -> None:
         """Guard against the entry of a crashed target, which stays for seconds."""
-        self.proofs.record_failure(FIRST)
+        self.directory.record_failure(FIRST)
         self.proofs.record_read(2.0)
         self.assertTrue(self.is_proven(1.0))
         self.assertFalse(self.is_proven(1.5))
@@ -49,7 +49,7 @@
 
     def test_entry_that_is_not_new_proves_nothing(self) -> None:
         """Guard against an entry that somebody else writes again."""
-        self.proofs.record_failure(FIRST)
+        self.directory.record_failure(FIRST)
         self.proofs.record_entry(FIRST, 3.0)
         self.assertFalse(self.is_proven(1.5))
 
@@ -66,13 +66,23 @@
 
         Its failure is forgotten then.
         """
-        self.proofs.record_failure(FIRST)
+        self.directory.record_failure(FIRST)
         self.directory.apply_entry(SECOND)
         self.proofs.keep_only(self.directory.list_incarnations())
         self.proofs.record_read(3.0)
         self.assertFalse(self.is_proven(2.0))
         self.assertTrue(self.directory.is_start_proven(SECOND, 2.5))
 
+    def test_failure_of_a_former_start_proves_nothing(self) -> None:
+        """Guard against a stream of the new start that breaks and counts as old.
+
+        The connection was opened before the entry of the new start was read.
+        """
+        self.directory.apply_entry(SECOND)
+        self.proofs.record_read(2.0)
+        self.directory.record_failure(FIRST)
+        self.assertFalse(self.is_proven(1.5))
+
     def test_expired_entry_is_no_proof(self) -> None:
         """Guard against a target that is listed only until it registers again."""
         self.directory.apply_removal("i-1", 2.0, store_back_at=1.5)
--- a/trefoilstage/components/targets/start_proofs.py
+++ b/trefoilstage/components/targets/start_proofs.py
@@ -46,12 +46,12 @@
         """Record that a target that was asked at a given time named this start."""
         self._prove(target.incarnation, asked_at)
 
-    def record_failure(self, target: TargetEntry) -> None:
+    def record_failure(self, target: TargetEntry, *, is_listed: bool) -> None:
         """Record a failure that a restart of the target may have caused."""
         incarnation = target.incarnation
-        if incarnation not in self.doubted:
+        if is_listed and incarnation not in self.doubted:
             self._prove(incarnation, self.read_at)
-            self.doubted.add(incarnation)
+        self.doubted.add(incarnation)
 
     def is_proven(
         self, target: TargetEntry, connected_at: float, *, is_listed: bool
