Forwarding: failures in a module of their own; homes are not waited for beyond the deadline

A host that asks homes for a stream's version stops at the caller's deadline and refuses, not run; before, it went on up to 1 s.

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -111,6 +111,7 @@
     *,
     max_attempts: int,
     resumes: str = "",
+    timeout_s: float = 5.0,
 ) -> Refusal | None:
     """Send a prompt through a pipeline and return the refusal, if any."""
     board = make_board("host-0", ["host-0"])
@@ -148,7 +149,7 @@
         route=replace(make_route("/x/"), kind=kind, max_attempts=max_attempts),
         workspace=None,
         started_at=now,
-        deadline=now + 5.0,
+        deadline=now + timeout_s,
     )
     return await pipeline.run(state, cast(Any, collaborators))
 
@@ -185,6 +186,27 @@
         self.assertIs(refusal.effect, Effect.NOT_RUN)
         self.assertEqual(collaborators.n_holds, 0)
 
+    async def test_silent_homes_are_not_waited_for_beyond_the_deadline(self) -> None:
+        """Guard against callers that wait for homes after their own time limit."""
+        collaborators = FakeCollaborators(status=400)
+        loop = asyncio.get_running_loop()
+
+        async def hang(*_: object) -> None:
+            await asyncio.sleep(60.0)
+
+        collaborators.find = hang  # type: ignore[method-assign]
+        began_at = loop.time()
+        refusal = await send_prompt(
+            collaborators,
+            RouteKind.STREAM,
+            max_attempts=1,
+            resumes="r-0",
+            timeout_s=0.05,
+        )
+        assert refusal is not None
+        self.assertIs(refusal.effect, Effect.NOT_RUN)
+        self.assertLess(loop.time() - began_at, 30.0)
+
     async def test_stream_goes_on_at_the_version_that_began_it(self) -> None:
         """Guard against a version that is found and not used."""
         _, collaborators = await self.resume(
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -19,6 +19,11 @@
     OpenAnswer,
     SendOutcome,
 )
+from trefoilstage.components.forwarding.failures import (
+    NO_TARGET,
+    RETRY_AFTER_S,
+    describe_failure,
+)
 from trefoilstage.components.forwarding.models import (
     Route,
     RouteKind,
@@ -44,9 +49,6 @@
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
-RETRY_AFTER_S = 0.5
-NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
-PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
 MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
 
 
@@ -392,17 +394,3 @@
         # Without another target, the caller gets this target's failure.
         tried = state.excluded | {target.incarnation}
         return self._chooser.has_other_target(state.target_filter, tried)
-
-
-def describe_failure(answer: SendOutcome, previous: Refusal) -> Refusal:
-    """Return the refusal after a failed send, if it is not repeated."""
-    if isinstance(answer, OpenAnswer):
-        return make_failure("the answer broke off")
-    if isinstance(answer, InvalidAnswer):
-        return make_failure(answer.reason)
-    return PATH_LOST if answer.path_lost and previous is NO_TARGET else previous
-
-
-def make_failure(detail: str) -> Refusal:
-    """Return the refusal for a request that a target may have run."""
-    return Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN, detail=detail)
--- a/trefoilstage/components/forwarding/stream_binding.py
+++ b/trefoilstage/components/forwarding/stream_binding.py
@@ -1,9 +1,13 @@
 """Bind streams to the version of the target that began them."""
 
 import asyncio
-from dataclasses import replace
+import contextlib
 
 from trefoilstage.components.forwarding.answers import OpenAnswer
+from trefoilstage.components.forwarding.failures import (
+    STREAM_MOVED,
+    STREAM_UNKNOWN,
+)
 from trefoilstage.components.forwarding.models import RouteKind, TargetEntry
 from trefoilstage.components.forwarding.request_state import (
     RequestState,
@@ -14,19 +18,8 @@
 from trefoilstage.components.stream_versions.controller import StreamVersions
 from trefoilstage.exceptions import TrefoilstageError
 from trefoilstage.fleet_board import FleetBoard
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Refusal
 
-RETRY_AFTER_S = 0.5
-STREAM_UNKNOWN = Refusal(
-    reason=Reason.STREAM_UNKNOWN,
-    retry_after_s=RETRY_AFTER_S,
-    detail="no host that was asked knows which version began the stream",
-)
-STREAM_MOVED = replace(
-    STREAM_UNKNOWN,
-    reason=Reason.NO_TARGET,
-    detail="the route no longer leads to the service that began the stream",
-)
 # Longer than the pause between two reads of the targets' entries.
 PROOF_TIMEOUT_S = 1.0
 PROOF_POLL_S = 0.02
@@ -52,9 +45,12 @@
 
     async def find(self, state: RequestState) -> Refusal | None:
         """Bind a request that takes a stream up, or return why it can't go on."""
-        found = await self._stream_versions.find(
-            state.workspace_name, state.request.resumes
-        )
+        found: StreamVersion | None = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(state.deadline):
+                found = await self._stream_versions.find(
+                    state.workspace_name, state.request.resumes
+                )
         if found is None:
             return STREAM_UNKNOWN
         services = {share.service for share in state.route.shares if share.weight}
