--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -115,6 +115,23 @@
             with self.subTest(n_hosts=n_hosts):
                 self.run_fleet(check(n_hosts))
 
+    def test_version_is_known_over_a_chain_of_attempts(self) -> None:
+        """Guard against a stream that is forgotten once it was taken up."""
+
+        async def check() -> None:
+            fleet = Fleet(N_LARGE)
+            await fleet.begin("host-0", "r-1")
+            fleet.kill("host-0")
+            found = await fleet.find("host-1", "r-1")
+            assert found is not None
+            fleet.hosts["host-1"].record(WORKSPACE, ["r-2", "r-1"], found)
+            await asyncio.sleep(SETTLE_S)
+            fleet.kill("host-1")
+            for request_id in ("r-1", "r-2"):
+                self.assertEqual(await fleet.find("host-9", request_id), V1)
+
+        self.run_fleet(check())
+
     def test_no_broadcast_in_a_large_fleet(self) -> None:
         """Guard against messages for each stream that grow with the fleet."""
 
