LIMIT: a slot of a brittle target does not replace a permit

A limited or refusing target now needs its permit too, a cold one a slot beside its permit. The own share that remains without a home lies with the pool. test_pooled_slot_is_no_permit failed before by reading only: the chooser then asked for no permit (not run on the earlier code).

--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -184,6 +184,19 @@
         self.board.targets.apply_entry(make_target("i-2"))
         self.assertEqual(self.chooser.compute_wait_s(ASSISTANT), 0.0)
 
+    async def test_pooled_slot_is_no_permit(self) -> None:
+        """Guard against a brittle target whose own limit is passed over."""
+        target = make_target("i-1")
+        self.board.targets.apply_entry(target)
+        self.name_limit(target, 1.2)
+        self.slots.is_pooled.return_value = True
+        self.permits.request.return_value = False
+        self.assertEqual(await self.choose(), "")
+        self.permits.request.return_value = True
+        self.assertEqual(await self.choose(), target.incarnation)
+        self.slots.take.return_value = False
+        self.assertEqual(await self.choose(), "")
+
     async def test_stream_goes_on_only_at_its_version(self) -> None:
         """Guard against a broken stream that goes on at another version."""
         for name, version in (("i-1", "v1"), ("i-2", "v2"), ("i-3", "v2")):
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -38,7 +38,7 @@
         outcomes: TargetOutcomes,
         permits: TargetPermits,
         limits: KnownLimits,
-        has_own_room: Callable[[TargetEntry], bool],
+        may_have_room: Callable[[TargetEntry], bool],
     ) -> None:
         self._board = board
         self._settings = settings
@@ -46,7 +46,7 @@
         self._outcomes = outcomes
         self._permits = permits
         self._limits = limits
-        self._has_own_room = has_own_room
+        self._may_have_room = may_have_room
 
     def has_limited(self) -> bool:
         """Return whether any target has a limit or refuses requests."""
@@ -132,7 +132,7 @@
         now = self._timer.now()
         allowed = self.list_allowed(target_filter, excluded)
         if self.is_brittle(target_filter.service):
-            allowed = [target for target in allowed if self._has_own_room(target)]
+            allowed = [target for target in allowed if self._may_have_room(target)]
         healthy = [
             target
             for target in allowed
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -30,7 +30,6 @@
 from trefoilstage.components.permits.controller import TargetPermits
 from trefoilstage.components.permits.known_limits import KnownLimits
 from trefoilstage.components.permits.slots import SlotPool
-from trefoilstage.components.targets.brittle import count_own_slots
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
@@ -83,17 +82,10 @@
             outcomes=self._outcomes,
             permits=permits,
             limits=limits,
-            has_own_room=lambda target: slots.is_used() or self._has_own_room(target),
+            may_have_room=slots.may_have_room,
         )
         self._retry_budgets: dict[str, RetryBudget] = {}
 
-    def _has_own_room(self, target: TargetEntry) -> bool:
-        """Return whether this host has a slot of its own left at a target."""
-        incarnation = target.incarnation
-        hosts = self._membership.list_live_hosts()
-        n_slots = count_own_slots(self._board.host, hosts, incarnation, target.slots)
-        return self._workload.count_own_requests(incarnation) < n_slots
-
     async def choose(
         self,
         *,
@@ -120,14 +112,13 @@
             request_id=request_id,
         )
         askable = self._availability.list_askable(groups)
-        if self._slots.is_used() and self._availability.is_brittle(
-            target_filter.service
-        ):
-            return await self._take_slot(rank([*groups.free, *askable]))
-        free = self._select_candidates(groups.free, need, candidate_info)
-        ranked = rank([*free, *askable])
-        best = await self._choose_warm(ranked)
-        if best is not None and is_in_time(best, need):
+        is_pooled = self._slots.is_pooled(target_filter.service)
+        if is_pooled:
+            best = await self._choose_pooled(rank([*groups.free, *askable]))
+        else:
+            free = self._select_candidates(groups.free, need, candidate_info)
+            best = await self._choose_warm(rank([*free, *askable]))
+        if best is not None and (is_pooled or is_in_time(best, need)):
             return best.target
         useful = [
             option
@@ -135,23 +126,28 @@
             if best is None or is_in_time(option, need)
         ]
         for option in useful[:N_ASKED]:
+            if is_pooled and not await self._slots.take(option.target):
+                continue
             if await self._permits.request(option.target, is_cold=True):
                 return option.target
         return best.target if best else None
 
-    async def _take_slot(self, ranked: Sequence[TargetOption]) -> TargetEntry | None:
+    async def _choose_pooled(
+        self, ranked: Sequence[TargetOption]
+    ) -> TargetOption | None:
         """Return the first of some brittle targets that has a slot free."""
-        n_asked = 0
-        for option in ranked:
+        has_free = any(self._availability.is_free(item.target) for item in ranked)
+        with_room = [
+            item for item in ranked if item.work.n_requests < item.target.slots
+        ]
+        for option in with_room[:N_ASKED_FOR_SLOTS]:
             target = option.target
-            if self._workload.get_work(target.incarnation).n_requests >= target.slots:
+            if not await self._slots.take(target):
                 continue
-            if n_asked == N_ASKED_FOR_SLOTS:
-                return None
-            n_asked += 1
-            is_free = await self._slots.take(target)
-            if is_free or (is_free is None and self._has_own_room(target)):
-                return target
+            if not self._availability.needs_permit(
+                target, others_are_free=has_free
+            ) or await self._permits.request(target, is_cold=False):
+                return option
         return None
 
     async def _choose_warm(self, ranked: Sequence[TargetOption]) -> TargetOption | None:
--- a/trefoilstage/components/permits/slots.py
+++ b/trefoilstage/components/permits/slots.py
@@ -9,6 +9,7 @@
 
 from collections import defaultdict, deque
 
+from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.workload import (
     MAX_HOME_SILENCE_S,
@@ -17,6 +18,7 @@
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.permits.messages import SlotReply, SlotRequest
+from trefoilstage.components.targets.brittle import count_own_slots
 from trefoilstage.exceptions import PeerUnavailableError
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
@@ -36,24 +38,45 @@
         self,
         *,
         board: FleetBoard,
+        membership: FleetMembership,
         workload: WorkloadController,
         links: PeerLinks,
         server: PeerServer,
         timer: TimerService,
     ) -> None:
         self._board = board
+        self._membership = membership
         self._workload = workload
         self._links = links
         self._timer = timer
         self._granted: dict[str, deque[float]] = defaultdict(deque)
         server.register(SlotRequest, self._answer)
 
-    def is_used(self) -> bool:
-        """Return whether slots are handed out one by one, not split among hosts."""
-        return self._workload.is_fleet_large()
+    def is_pooled(self, service: str) -> bool:
+        """Return whether a service's slots are handed out one by one."""
+        is_brittle = self._board.brittle.is_brittle(service, self._timer.now())
+        return is_brittle and self._workload.is_fleet_large()
 
-    async def take(self, target: TargetEntry) -> bool | None:
-        """Return whether this host may send a target a request, None if unknown."""
+    def may_have_room(self, target: TargetEntry) -> bool:
+        """Return whether this host may have a slot of a brittle target."""
+        return self._workload.is_fleet_large() or self._has_own_room(target)
+
+    def _has_own_room(self, target: TargetEntry) -> bool:
+        """Return whether this host's own share of a target's slots has one left."""
+        incarnation = target.incarnation
+        hosts = self._membership.list_live_hosts()
+        n_slots = count_own_slots(self._board.host, hosts, incarnation, target.slots)
+        return self._workload.count_own_requests(incarnation) < n_slots
+
+    async def take(self, target: TargetEntry) -> bool:
+        """Return whether this host may send a target a request.
+
+        Without a home that knows, the host has its own share of the slots.
+        """
+        is_free = await self._ask_home(target)
+        return self._has_own_room(target) if is_free is None else is_free
+
+    async def _ask_home(self, target: TargetEntry) -> bool | None:
         request = SlotRequest(target=target.incarnation, n_slots=target.slots)
         home = self._find_home(request.target)
         if home is None:
@@ -65,7 +88,7 @@
                 request, timeout_s=SLOT_TIMEOUT_S
             )
         except PeerUnavailableError:
-            # The caller falls back to this host's own share of the slots.
+            # This host's own share remains.
             return None
         return reply.granted if isinstance(reply, SlotReply) else None
 
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -222,6 +222,7 @@
         permits=permits,
         slots=SlotPool(
             board=board,
+            membership=membership,
             workload=workload,
             links=links,
             server=peer_server,
