--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -14,7 +14,7 @@
     SharedStore,
     StoreClient,
 )
-from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedStartProbe
+from bench.emulator.sender import EmulatedProbe, EmulatedSender
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import (
@@ -71,7 +71,6 @@
         stored_objects: StoredObjects,
         sender: EmulatedSender,
         probe: EmulatedProbe,
-        start_probe: EmulatedStartProbe,
     ) -> None:
         self.name = name
         self._network = network
@@ -79,7 +78,6 @@
         self._stored_objects = stored_objects
         self._sender = sender
         self._probe = probe
-        self._start_probe = start_probe
         self._incarnation_numbers = itertools.count(1)
         self._n_boots = 1
         # A dictionary, because sets of tasks have another order in each run.
@@ -141,7 +139,7 @@
             streams=EmulatedStreams(network=self._network),
             sender=self._sender,
             probe=self._probe,
-            start_probe=self._start_probe,
+            start_probe=self._probe,
             process_start=ProcessStart(
                 boot=f"boot-{self._n_boots}",
                 monotonic_s=asyncio.get_running_loop().time(),
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -105,7 +105,7 @@
 
 
 class EmulatedProbe:
-    """Probe whether emulated targets accept connections."""
+    """Probe whether emulated targets accept connections, and when they started."""
 
     def __init__(
         self,
@@ -127,21 +127,6 @@
         is_running = found is not None and not found.is_down
         return ProbeResult.ACCEPTED if is_running else ProbeResult.REFUSED
 
-
-class EmulatedStartProbe:
-    """Read when emulated targets started."""
-
-    def __init__(
-        self,
-        *,
-        host: str,
-        links: TargetLinks,
-        find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
-    ) -> None:
-        self._host = host
-        self._links = links
-        self._find_target = find_target
-
     async def read_start(self, target: TargetEntry) -> int | None:
         """Return a target's start, None if it doesn't answer."""
         if await self._links.probe(self._host, target.name) is not None:
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -25,7 +25,7 @@
 from bench.emulator.resuming_callers import ResumingCaller
 from bench.emulator.routes import compute_mean_tokens, make_route
 from bench.emulator.scenario import Fault, FaultKind, Kind, Scenario
-from bench.emulator.sender import EmulatedProbe, EmulatedSender, EmulatedStartProbe
+from bench.emulator.sender import EmulatedProbe, EmulatedSender
 from bench.emulator.target_faults import TARGET_FAULT_HANDLERS, TargetFaults
 from bench.emulator.targets import (
     ASSISTANT,
@@ -185,11 +185,6 @@
                     links=self._links,
                     find_target=self._targets.by_name.get,
                 ),
-                start_probe=EmulatedStartProbe(
-                    host=f"host-{number}",
-                    links=self._links,
-                    find_target=self._targets.by_name.get,
-                ),
             )
             for number in range(self._scenario.n_hosts)
         ]
