--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -133,13 +133,16 @@
             writer.transport.abort()
             return
         try:
+            await asyncio.gather(
+                self._forward(reader, up_writer, source, is_reply=False),
+                self._forward(up_reader, writer, source, is_reply=True),
+            )
+        except asyncio.CancelledError:
             # Only stop() cancels this task; asyncio's server would log the
-            # cancellation as an error.
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.gather(
-                    self._forward(reader, up_writer, source, is_reply=False),
-                    self._forward(up_reader, writer, source, is_reply=True),
-                )
+            # cancellation as an error. Closed without a reset, an answer without a
+            # length would look complete.
+            reset_connection(writer.transport)
+            reset_connection(up_writer.transport)
         finally:
             writer.transport.abort()
             up_writer.transport.abort()
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -1,6 +1,7 @@
 """Test the proxy that injects faults into connections."""
 
 import asyncio
+import contextlib
 import unittest
 
 from standins.proxy import FaultProxy
@@ -22,5 +23,31 @@
         await proxy.stop()
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Stop a proxy while an answer passes through it."""
+
+    async def test_stopped_proxy_resets_an_answer_under_way(self) -> None:
+        """Guard against a cut that looks like the end of an answer without a length."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b"half")
+            with contextlib.suppress(OSError):
+                await reader.read()
+            writer.close()
+
+        upstream = await asyncio.start_server(answer, "127.0.0.1", 0)
+        proxy = FaultProxy(upstream_port=upstream.sockets[0].getsockname()[1])
+        await proxy.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        self.assertEqual(await reader.readexactly(4), b"half")
+        await proxy.stop()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        upstream.close()
+
+
 if __name__ == "__main__":
     unittest.main()
