ORDER: count an event as passed on only once its target is proven

A stream that a caller took up lacked an event: the host counted the first event of a target whose start it then could not prove, and let the next target go on after it.

Binding now comes before the events are selected.

--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -64,12 +64,13 @@
         async for data in answer.read():
             state.record_target_data(asyncio.get_running_loop().time())
             self._binder.record_data(target, answer)
-            events = self._select_new(state, splitter.add(data))
-            if not events:
-                continue
-            if not is_bound:
+            received = splitter.add(data)
+            if received and not is_bound:
                 await self._binder.bind(state, target, answer)
                 is_bound = True
+            events = self._select_new(state, received)
+            if not events:
+                continue
             await self._open_reply(reply, answer)
             state.record_caller_data(asyncio.get_running_loop().time())
             await reply.write(b"".join(event.data for event in events))
