BUDGET: don't block a frequent request that ran lately

Many callers send the same request there, so that one is always under way; when three targets end within the time of a stream, by another request, it is suspected with three crashes, and once blocked nothing can run to show that it is harmless.

Cause: that a request ran was used only to take back crashes that were known already. A host now remembers for 30 s which requests ran (4,096 at most): it doesn't report them after a crash, and doesn't refuse them on others' reports; the next run clears them everywhere. A request that crashes each target never runs, and is blocked as before.

--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -16,6 +16,7 @@
 from trefoilstage.components.crashes.watcher import (
     MAX_SUSPECT_PROGRESS_S,
     PROBE_DELAY_S,
+    RAN_LATELY_S,
     CrashWatcher,
 )
 from trefoilstage.components.views.keyed_view import KeyedRecord
@@ -87,6 +88,34 @@
         )
         self.assertEqual(len(self.parts.recorded), MIN_CRASHED_TARGETS)
 
+    async def test_request_that_ran_lately_is_not_suspected(self) -> None:
+        """Guard against a frequent request that is under way at each of three crashes.
+
+        Once blocked, it could not run to show that it is harmless.
+        """
+        self.watcher.record_harmless("a")
+        for target in ("x", "y", "z"):
+            await self.interrupt("a", target, SHORT_PROGRESS_S)
+        self.assertIsNone(self.watcher.get_refusal("a"))
+        self.assertEqual(self.parts.recorded, [])
+
+    async def test_request_that_ran_lately_is_not_blocked_by_reports(self) -> None:
+        """Guard against a harmless request that another host has not seen running."""
+        self.watcher.record_harmless("a")
+        crashes = tuple(make_crash("a", target) for target in ("x", "y", "z"))
+        await self.watcher._handle_report(CrashReport(host="host-1", crashes=crashes))
+        self.assertIsNone(self.watcher.get_refusal("a"))
+        self.watcher.record_harmless("a")
+        self.assertEqual(self.parts.cleared, ["a"])
+
+    async def test_request_that_ran_long_ago_is_blocked(self) -> None:
+        """Guard against a request that begins to crash targets and is never blocked."""
+        self.watcher.record_harmless("a")
+        self.watcher._ran_at["a"] -= RAN_LATELY_S + 1.0
+        for target in ("x", "y", "z"):
+            await self.interrupt("a", target, SHORT_PROGRESS_S)
+        self.assertIsNotNone(self.watcher.get_refusal("a"))
+
     async def test_running_target_counts_against_no_request(self) -> None:
         """Guard against blocking requests for broken responses of running targets."""
         self.parts.result = ProbeResult.ACCEPTED
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Sequence
 
 from mode import Service
@@ -32,6 +32,9 @@
 EXPIRY_INTERVAL_S = 5.0
 # If a request crashes its target after the caller has left, it does so by this time.
 PROBE_DELAY_S = 0.5
+# A request that ran within this time crashes no targets.
+RAN_LATELY_S = 30.0
+MAX_RAN = 4_096
 
 
 class CrashWatcher(Service):
@@ -55,6 +58,8 @@
         self._list_live_hosts = list_live_hosts
         # Fingerprints of interrupted requests, by the target being probed.
         self._interrupted: dict[str, set[str]] = defaultdict(set)
+        # When the latest requests ran without crashing a target, by fingerprint.
+        self._ran_at: OrderedDict[str, float] = OrderedDict()
         self.evidence = CrashEvidence()
         server.register(CrashReport, self._handle_report)
 
@@ -70,13 +75,19 @@
 
     def get_refusal(self, fingerprint: str) -> Refusal | None:
         """Return a refusal for a blocked request, None for any other."""
-        if fingerprint not in self.evidence.blocked_fingerprints:
+        if fingerprint not in self.evidence.blocked_fingerprints or self._ran_lately(
+            fingerprint
+        ):
             return None
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
             retry_after_s=self.evidence.compute_wait_s(fingerprint, self._now()),
         )
 
+    def _ran_lately(self, fingerprint: str) -> bool:
+        ran_at = self._ran_at.get(fingerprint)
+        return ran_at is not None and self._now() - ran_at <= RAN_LATELY_S
+
     def record_interruption(
         self, fingerprint: str, *, target: str, address: str, progress_s: float
     ) -> None:
@@ -116,6 +127,10 @@
 
     def record_harmless(self, fingerprint: str) -> None:
         """Record that a target ran a request without crashing."""
+        self._ran_at[fingerprint] = self._now()
+        self._ran_at.move_to_end(fingerprint)
+        if len(self._ran_at) > MAX_RAN:
+            self._ran_at.popitem(last=False)
         if self.evidence.has_crashes(fingerprint):
             crashes = self.evidence.list_crashes(fingerprint)
             self._remove_crashes(crashes, "ran")
@@ -155,7 +170,9 @@
 
     async def _probe_target(self, target: str, address: str) -> None:
         result = await self._probe.connect(address)
-        fingerprints = self._interrupted.pop(target)
+        fingerprints = {
+            item for item in self._interrupted.pop(target) if not self._ran_lately(item)
+        }
         if result is ProbeResult.ACCEPTED:
             # The target broke off responses but is still running.
             return
