--- a/standins/platform.py
+++ b/standins/platform.py
@@ -175,6 +175,11 @@
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
 
+    @property
+    def incarnation(self) -> str:
+        """Return the target's name and start, as hosts name it."""
+        return f"{self.name}@{self.started_at_ms}"
+
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
