--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -141,8 +141,9 @@
             # Only stop() cancels this task; asyncio's server would log the
             # cancellation as an error. Closed without a reset, an answer without a
             # length would look complete.
-            reset_connection(writer.transport)
-            reset_connection(up_writer.transport)
+            for transport in (writer.transport, up_writer.transport):
+                if not transport.is_closing():
+                    reset_connection(transport)
         finally:
             writer.transport.abort()
             up_writer.transport.abort()
