Lines name the shared parts of a prompt

The lines of the incident could not tell a crashing part from one caller's crashing requests, as none said of which parts a prompt consists. request_sent and answer_broken now bear parts, the names of all parts but the last, which belongs to the request. Test: the lines of a broken answer hold both names.

--- a/tests/promises/test_crashes.py
+++ b/tests/promises/test_crashes.py
@@ -105,6 +105,24 @@
             self.assertEqual(answer.status, 503)
 
 
+class LogTest(unittest.IsolatedAsyncioTestCase):
+    """Test what the lines tell of interrupted requests."""
+
+    async def test_lines_name_the_shared_parts_of_a_prompt(self) -> None:
+        """Guard against crashes whose common prompt part no line names."""
+        async with PlatformFleet(n_hosts=1) as fleet:
+            for target in fleet.targets:
+                target.break_after = 0
+            headers = {"Prompt-Prefix": "aa:60,bb:30,cc:10"}
+            await fleet.call("/stream/x", more_headers=headers)
+            host = fleet.hosts["host-0"]
+            for event in ("request_sent", "answer_broken"):
+                await poll_until(
+                    lambda event=event: host.has_logged(event, "parts=aa,bb "),
+                    f"the parts in a line of {event}",
+                )
+
+
 class HarmlessRequestTest(unittest.IsolatedAsyncioTestCase):
     """Test harmless requests that run on targets that crash."""
 
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -175,6 +175,14 @@
         """Return whether the caller holds events of this stream already."""
         return bool(self.resumes or self.last_event_id)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the names of the parts that other requests may share.
+
+        The last part of a prompt is specific to the request or its session.
+        """
+        return tuple(part.name for part in self.prompt[:-1])
+
     @property
     def max_tokens(self) -> int:
         """Return the highest number of tokens that the request can spend."""
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -37,6 +37,10 @@
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.run_recorder import (
+    RunRecorder,
+    describe_parts,
+)
 from trefoilstage.components.forwarding.stream_binding import (
     StartUnprovenError,
     StreamBinder,
@@ -71,6 +75,7 @@
         self._chooser = chooser
         self._sender = sender
         self._crashes = crashes
+        self._runs = RunRecorder(crashes=crashes)
         self._generator = generator
         self._binder = binder
         self._answer_relay = AnswerRelay(board=board, binder=binder)
@@ -259,6 +264,7 @@
             events=state.n_events,
             attempt=state.n_sends,
             fingerprint=state.fingerprint,
+            parts=describe_parts(state.request.shared_parts),
             unread=sent.n_uncached_tokens,
             ahead=sent.n_queued_tokens,
         )
@@ -267,7 +273,7 @@
         except BaseException:
             self._chooser.remove_pending_prefill(target, sent)
             self._chooser.remove_request(target, state.request.prompt)
-            self._record_cancelled(state, target)
+            self._runs.record_cancelled(state, target)
             raise
         if isinstance(answer, OpenAnswer) and answer.head.success:
             # A target sends the head of a stream together with the first token.
@@ -283,7 +289,7 @@
         if isinstance(answer, NotRun):
             state.n_possible_runs -= 1
         elif isinstance(answer, InvalidAnswer):
-            self._record_invalid_answer(state, target, answer.reason)
+            self._runs.record_broken(state, target, answer.reason)
         else:
             state.record_target_data(asyncio.get_running_loop().time())
         self._chooser.record_answer(target, answer, sent.sent_at)
@@ -333,47 +339,18 @@
             self._sender.record_broken(target, answer)
             self._chooser.record_broken_answer(target)
             state.excluded.add(target.incarnation)
-            self._record_invalid_answer(state, target, str(error))
+            self._runs.record_broken(state, target, str(error))
             return False
         except asyncio.CancelledError:
-            self._record_cancelled(state, target)
+            self._runs.record_cancelled(state, target)
             raise
         finally:
             answer.close()
             self._chooser.remove_request(target, state.request.prompt)
         if answer.head.success:
-            self._crashes.record_harmless(state.fingerprint)
+            self._runs.record_completed(state)
         return True
 
-    def _record_invalid_answer(
-        self, state: RequestState, target: TargetEntry, error: str
-    ) -> None:
-        log_event(
-            Event.ANSWER_BROKEN,
-            request=state.request.request_id,
-            fingerprint=state.fingerprint,
-            workspace=state.workspace_name,
-            target=target.name,
-            version=target.version,
-            error=error,
-            events=state.n_events,
-            progress_s=state.progress_s,
-        )
-        self._crashes.record_interruption(
-            state.fingerprint,
-            target=target.incarnation,
-            address=target.address,
-            progress_s=state.progress_s,
-        )
-
-    def _record_cancelled(self, state: RequestState, target: TargetEntry) -> None:
-        self._crashes.record_caller_left(
-            state.fingerprint,
-            target=target.incarnation,
-            address=target.address,
-            progress_s=state.progress_s,
-        )
-
     def _should_retry_failure(
         self,
         state: RequestState,
--- /dev/null
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -0,0 +1,56 @@
+"""Record how the runs of requests ended, to find those that crash targets."""
+
+from collections.abc import Sequence
+
+from trefoilstage.components.crashes.watcher import CrashWatcher
+from trefoilstage.components.forwarding.models import TargetEntry
+from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.helpers.events import Event, log_event, truncate_text
+
+
+class RunRecorder:
+    """Report to the crash watcher which runs were interrupted and which were not."""
+
+    def __init__(self, *, crashes: CrashWatcher) -> None:
+        self._crashes = crashes
+
+    def record_broken(
+        self, state: RequestState, target: TargetEntry, error: str
+    ) -> None:
+        """Record that a target broke off a response or sent none."""
+        log_event(
+            Event.ANSWER_BROKEN,
+            request=state.request.request_id,
+            fingerprint=state.fingerprint,
+            parts=describe_parts(state.request.shared_parts),
+            workspace=state.workspace_name,
+            target=target.name,
+            version=target.version,
+            error=error,
+            events=state.n_events,
+            progress_s=state.progress_s,
+        )
+        self._crashes.record_interruption(
+            state.fingerprint,
+            target=target.incarnation,
+            address=target.address,
+            progress_s=state.progress_s,
+        )
+
+    def record_cancelled(self, state: RequestState, target: TargetEntry) -> None:
+        """Record that a caller left, or its deadline passed, before the end."""
+        self._crashes.record_caller_left(
+            state.fingerprint,
+            target=target.incarnation,
+            address=target.address,
+            progress_s=state.progress_s,
+        )
+
+    def record_completed(self, state: RequestState) -> None:
+        """Record that a target ran a request to its end."""
+        self._crashes.record_harmless(state.fingerprint)
+
+
+def describe_parts(parts: Sequence[str]) -> str:
+    """Return the names of a prompt's parts as one field of a log line."""
+    return truncate_text(",".join(parts))
