Failing tests: a part of prompts that crashes each target

The emulator's crashing requests move to a module of their own; the stand-in target can crash on a part after it has sent the head of its answer.

--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -81,6 +81,7 @@
         self._has_work = asyncio.Event()
         self.totals = EngineTotals()
         self.is_down = False
+        self.keeps_port = False  # accepts connections while it is down
         self.started_ms = 1
         self.version = ""
         self.keeps_address = False  # over restarts, under the same name
@@ -127,9 +128,10 @@
             if generation in queue:
                 queue.remove(generation)
 
-    def crash(self) -> None:
+    def crash(self, *, keeps_port: bool = False) -> None:
         """Stop the engine; all requests and the cache are lost."""
         self.is_down = True
+        self.keeps_port = keeps_port
         for generation in [*self._running, *self._waiting]:
             generation.events.put_nowait(None)
         self._running.clear()
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -92,6 +92,15 @@
     # `targets`; `mode` tells what connections do.
     HOSTS_CUT_FROM_TARGETS = "hosts_cut_from_targets"
     CRASHING_REQUEST = "crashing_request"  # the same request, `factor` times a second
+    # Different requests that share one part of their prompts, `factor` times a second.
+    CRASHING_PART = "crashing_part"
+
+
+class PartPosition(StrEnum):
+    """Name where in a prompt a crashing part lies."""
+
+    FIRST = "first"
+    MIDDLE = "middle"
 
 
 class Fault(Model):
@@ -104,6 +113,9 @@
     factor: Positive = 1.0
     mode: CutMode = CutMode.RESET
     targets: str = ""
+    position: PartPosition = PartPosition.MIDDLE  # of a crashing part
+    # Whether a crashed engine's port accepts connections that it doesn't answer.
+    keeps_port: bool = False
 
 
 class Scenario(Model):
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -21,6 +21,9 @@
 from trefoilstage.components.forwarding.sender import TargetSender
 from trefoilstage.components.forwarding.translator import AnswerHead, ForwardOptions
 
+# The kernel resets a connection that no process takes, but only after this time.
+OPEN_PORT_SILENCE_S = 3.0
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineAnswer(OpenAnswer):
@@ -104,6 +107,11 @@
     return replace(target.limit.make_head(), max_refusals_per_s=refusals)
 
 
+def is_silent(target: EmulatedEngine | EmulatedService | None) -> bool:
+    """Return whether a target is down, but its port still accepts connections."""
+    return isinstance(target, EmulatedEngine) and target.is_down and target.keeps_port
+
+
 class EmulatedProbe:
     """Probe whether emulated targets accept connections, and when they started."""
 
@@ -124,7 +132,7 @@
         if failed is not None:
             return failed
         found = self._find_target(address)
-        is_running = found is not None and not found.is_down
+        is_running = found is not None and not found.is_down or is_silent(found)
         return ProbeResult.ACCEPTED if is_running else ProbeResult.REFUSED
 
     async def read_start(self, target: TargetEntry) -> int | None:
@@ -145,12 +153,14 @@
         links: TargetLinks,
         find_target: Callable[[str], EmulatedEngine | EmulatedService | None],
         get_n_output_tokens: Callable[[CallerRequest], int],
+        on_arrival: Callable[[CallerRequest], None],
         on_start: Callable[[CallerRequest, EmulatedEngine], None],
     ) -> None:
         self._host = host
         self._links = links
         self._find_target = find_target
         self._get_n_output_tokens = get_n_output_tokens
+        self._on_arrival = on_arrival
         self._on_start = on_start
 
     async def send(
@@ -165,6 +175,9 @@
         failed = await self._links.send(self._host, target.name)
         if failed is not None:
             return failed
+        if is_silent(found):
+            await self._wait_at_open_port()
+            return InvalidAnswer(reason="reset")
         if found is None or found.is_down or not found.answers_to(target):
             return NotRun(reason="refused", unreachable=True)
         found.limit.record_arrival()
@@ -181,6 +194,9 @@
             return InvalidAnswer(reason="reset")
         return ServiceAnswer(head=make_head(found), headers=[])
 
+    async def _wait_at_open_port(self) -> None:
+        await asyncio.sleep(OPEN_PORT_SILENCE_S)
+
     async def _generate(
         self, engine: EmulatedEngine, request: CallerRequest, options: ForwardOptions
     ) -> OpenAnswer | InvalidAnswer:
@@ -193,6 +209,7 @@
         # Each request opens a connection, which is the hardest case to prove.
         connected_at = asyncio.get_running_loop().time()
         engine.record_arrival()
+        self._on_arrival(request)
         engine.enqueue(generation)
         try:
             first = await generation.events.get()
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -9,10 +9,8 @@
 from bench.emulator.attempts import get_first_id
 from bench.emulator.callers import Caller, Outcome, RequestSampler
 from bench.emulator.clock import run_in_virtual_time
-from bench.emulator.engine import (
-    EmulatedEngine,
-    EngineTotals,
-)
+from bench.emulator.crashing_requests import CrashingRequests, CrashTimes
+from bench.emulator.engine import EngineTotals
 from bench.emulator.host import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -47,9 +45,6 @@
 
 WARM_UP_S = 3.0  # hosts exchange heartbeats before the first request
 SETTLE_S = 12.0  # the last requests get their answers
-# A crashing request ends its engine this long after its first token.
-CRASH_AFTER_S = 0.08
-CRASH_RESTART_S = 3.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -58,7 +53,8 @@
 
     outcomes: list[Outcome] = field(default_factory=list)
     engine_totals: EngineTotals = field(default_factory=EngineTotals)
-    n_crashes: int = 0  # caused by the crashing request
+    n_crashes: int = 0  # caused by crashing requests
+    crashing_parts: dict[str, CrashTimes] = field(default_factory=dict)
     n_store_calls: int = 0
     n_messages: int = 0
     # Times of requests that reached each engine while it was cold.
@@ -88,7 +84,13 @@
         self._hot_workspace: str = ""
         self._hot_workspace_factor = 1.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._crashing_request: CallerRequest | None = None
+        self._crashing = CrashingRequests(
+            kinds=scenario.kinds,
+            sampler=self._request_sampler,
+            generator=self._generator,
+            make_caller=self._make_crashing_caller,
+            start_task=self._start_task,
+        )
         self.day = DayResult()
 
     async def run_day(self) -> DayResult:
@@ -201,7 +203,18 @@
                     get_first_id(request.request_id)
                 ]
             ),
-            on_start=self._crash_if_crashing_request,
+            on_arrival=self._crashing.record_arrival,
+            on_start=self._crashing.crash_if_crashing,
+        )
+
+    def _make_crashing_caller(self, kind: Kind, request: CallerRequest) -> Caller:
+        return Caller(
+            kind=kind,
+            route=self._routes[kind.name],
+            workspace=next(iter(self._workspaces.values())),
+            request=request,
+            hosts=self._hosts,
+            generator=self._generator,
         )
 
     async def _send_requests(self, kind: Kind) -> None:
@@ -272,41 +285,10 @@
             await host.start()
 
     async def _repeat_crashing_request(self, fault: Fault) -> None:
-        """Send the same request repeatedly, each time from a new caller."""
-        kind = next(kind for kind in self._scenario.kinds if kind.own_tokens)
-        self._crashing_request = self._request_sampler.sample_request(kind)
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + fault.for_s
-        while loop.time() < ends_at:
-            caller = Caller(
-                kind=kind,
-                route=self._routes[kind.name],
-                workspace=next(iter(self._workspaces.values())),
-                request=self._crashing_request,
-                hosts=self._hosts,
-                generator=self._generator,
-            )
-            self._start_task(self._send_uncounted(caller))
-            await asyncio.sleep(1 / fault.factor)
-
-    async def _send_uncounted(self, caller: Caller) -> None:
-        # The outcome is not counted.
-        await caller.run()
-
-    def _crash_if_crashing_request(
-        self, request: CallerRequest, engine: EmulatedEngine
-    ) -> None:
-        if request is self._crashing_request:
-            self._start_task(self._crash_engine(engine))
-
-    async def _crash_engine(self, engine: EmulatedEngine) -> None:
-        await asyncio.sleep(CRASH_AFTER_S)
-        if engine.is_down:
-            return
-        self.day.n_crashes += 1
-        engine.crash()
-        await asyncio.sleep(CRASH_RESTART_S)
-        engine.restart()
+        await self._crashing.repeat_request(fault)
+
+    async def _repeat_crashing_part(self, fault: Fault) -> None:
+        await self._crashing.repeat_part(fault)
 
     async def _evacuate(self, fault: Fault) -> None:
         key = f"{EVACUATION_PREFIX}{DATA_CENTERS[0]}"
@@ -346,6 +328,8 @@
             self.day.limited_arrivals[target.name] = target.limit.arrivals
             self.day.falls[target.name] = target.brittleness.n_falls
             self.day.disturbances[target.name] = target.refusals.max_disturbances
+        self.day.n_crashes = self._crashing.n_crashes
+        self.day.crashing_parts = self._crashing.times_by_part
         self.day.n_crash_reports = max(host.n_crash_reports for host in self._hosts)
         self.day.n_store_calls = self._shared_store.n_calls
         self.day.n_messages = self._network.n_messages
@@ -361,6 +345,7 @@
     FaultKind.EVACUATION: World._evacuate,
     FaultKind.HOSTS_CUT_FROM_TARGETS: World._cut_from_targets,
     FaultKind.CRASHING_REQUEST: World._repeat_crashing_request,
+    FaultKind.CRASHING_PART: World._repeat_crashing_part,
 }
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -171,6 +171,7 @@
     fail: bool = False  # runs the request and answers 500
     unframed_reset: bool = False  # answers without a length, resets midway
     crashes_on: bytes | None = None  # request body that crashes the target
+    crashing_part: str = ""  # of prompts; crashes the target as an answer begins
     crash: Callable[[], Awaitable[None]] | None = None  # stops and restarts it
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
@@ -211,6 +212,10 @@
         if self.crash is not None and body == self.crashes_on:
             await self.crash()
             await self.stop.wait()  # until the server is stopped
+        if self.crash is not None and self.crashing_part in list_shared_parts(request):
+            await self._begin_stream(request, headers)
+            await self.crash()
+            await self.stop.wait()
         if self.fail:
             return web.Response(status=500, headers=headers, body=b"failed")
         if self.unframed_reset:
@@ -223,10 +228,7 @@
     async def _stream(
         self, request: web.Request, run: TargetRun, headers: dict[str, str]
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={**headers, "Content-Type": "text/event-stream"}
-        )
-        await response.prepare(request)
+        response = await self._begin_stream(request, headers)
         for number in range(run.resumed_after + 1, self.n_events + 1):
             is_breaking = self.break_after is not None and run.resumed_after == 0
             if is_breaking and number > (self.break_after or 0):
@@ -244,6 +246,15 @@
         run.ended = True
         return response
 
+    async def _begin_stream(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, "Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        return response
+
     async def _answer_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -256,6 +267,12 @@
         return response
 
 
+def list_shared_parts(request: web.Request) -> list[str]:
+    """Return the names of the parts of a request's prompt, except the last one."""
+    parts = request.headers.get("Prompt-Prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 def reset_request(request: web.Request) -> None:
     """Reset a request's connection; a normal close would look like a complete end."""
     if request.transport is not None:
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -1,4 +1,4 @@
-"""Targets that crash when they run one request and restart."""
+"""Targets that crash when they run one request, or a prompt part, and restart."""
 
 import asyncio
 
@@ -10,12 +10,13 @@
 from trefoilstage.components.views.store import Topic
 
 CRASHING_BODY = b'{"crashes": true}'
+CRASHING_PART = "dead"  # of prompts
 RESTART_DELAY_S = 0.3
 OTHER_VERSIONS = {"v1": "v2", "v2": "v1"}
 
 
 class CrashingTargets:
-    """Crash a fleet's targets when they run one request, and restart them."""
+    """Crash a fleet's targets on one request and one prompt part; restart them."""
 
     def __init__(self, *, fleet: PlatformFleet, changes_versions: bool = False) -> None:
         self._fleet = fleet
@@ -44,6 +45,7 @@
             await self._crash(number)
 
         target.crashes_on = CRASHING_BODY
+        target.crashing_part = CRASHING_PART
         target.crash = crash
 
     async def _crash(self, number: int) -> None:
--- a/tests/promises/test_crashes.py
+++ b/tests/promises/test_crashes.py
@@ -4,7 +4,12 @@
 import unittest
 
 from standins.launcher import poll_until
-from tests.promises.crashing import CRASHING_BODY, RESTART_DELAY_S, CrashingTargets
+from tests.promises.crashing import (
+    CRASHING_BODY,
+    CRASHING_PART,
+    RESTART_DELAY_S,
+    CrashingTargets,
+)
 from tests.promises.fleet import FleetAnswer, PlatformFleet
 
 N_ATTEMPTS = 12
@@ -105,6 +110,39 @@
             self.assertEqual(answer.status, 503)
 
 
+class CrashingPartTest(unittest.IsolatedAsyncioTestCase):
+    """Test different requests that share a part that crashes each target."""
+
+    async def test_part_in_ever_new_requests_stops_crashing_targets(self) -> None:
+        """Guard against hosts that know only whole requests that crash targets."""
+        async with PlatformFleet(n_hosts=2, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            answers = [
+                await self.call(fleet, number, f"aa:50,{CRASHING_PART}:30")
+                for number in range(N_ATTEMPTS)
+            ]
+            self.assertLessEqual(targets.n_crashes, MAX_CRASHES)
+            self.assertEqual(answers[-1].status, 503)
+            self.assertIn("Retry-After", answers[-1].headers)
+            await targets.wait_until_restarted()
+            await wait_until_listed(fleet)
+            sound = await self.call(fleet, N_ATTEMPTS, "aa:50,bb:30")
+            self.assertEqual(sound.status, 200)
+
+    async def call(
+        self, fleet: PlatformFleet, number: int, shared_parts: str
+    ) -> FleetAnswer:
+        """Send a request that no other one is like, to each host in turn."""
+        answer = await fleet.call(
+            "/stream/x",
+            host=f"host-{number % fleet.n_hosts}",
+            body=f"body-{number}".encode(),
+            more_headers={"Prompt-Prefix": f"{shared_parts},own{number}:20"},
+        )
+        await asyncio.sleep(RESTART_DELAY_S)
+        return answer
+
+
 class LogTest(unittest.IsolatedAsyncioTestCase):
     """Test what the lines tell of interrupted requests."""
 
