--- a/tests/components/crashes/test_evidence.py
+++ b/tests/components/crashes/test_evidence.py
@@ -4,9 +4,10 @@
 import unittest
 from collections import Counter
 
+from trefoilstage.components.crashes.causes import MIN_CRASHED_TARGETS
 from trefoilstage.components.crashes.evidence import (
     BLOCKED_RETENTION_S,
-    MIN_CRASHED_TARGETS,
+    NO_PARTS,
     SUSPECT_RETENTION_S,
     CrashEvidence,
 )
@@ -118,7 +119,43 @@
         evidence = CrashEvidence()
         for number, target in enumerate("wxyz"):
             evidence.add(make_crash("a", target), 10.0 * number)
-        self.assertEqual(evidence.compute_wait_s("a", 30.0), BLOCKED_RETENTION_S - 20.0)
+        wait_s = evidence.compute_wait_s("a", NO_PARTS, 30.0)
+        self.assertEqual(wait_s, BLOCKED_RETENTION_S - 20.0)
+
+    def test_blocked_part_outlasts_a_burst_of_crashes(self) -> None:
+        """Guard against unblocking a crashing part when many targets crash."""
+        evidence = CrashEvidence(max_crashes=50)
+        for target in "xyz":
+            evidence.add(make_crash(f"r-{target}", target, parts=("dead",)), 0.0)
+        for number in range(1_000):
+            other = make_crash(f"o-{number}", "t", parts=(f"p-{number}",))
+            evidence.add(other, 1.0)
+        self.assertEqual(evidence.causes.part_sets, {frozenset({"dead"})})
+        self.assertEqual(len(evidence.seen_at), 50)
+        self.assertLessEqual(len(evidence.crashes_by_part), 48)
+        expired = evidence.list_expired(SUSPECT_RETENTION_S + 2.0)
+        self.assertEqual(len(expired), 47)
+
+    def test_wait_for_a_part_ends_when_too_few_crashes_remain(self) -> None:
+        """Guard against asking callers to retry while they would still be refused."""
+        evidence = CrashEvidence()
+        for number, target in enumerate("wxyz"):
+            crash = make_crash(f"r-{target}", target, parts=("dead",))
+            evidence.add(crash, 10.0 * number)
+        wait_s = evidence.compute_wait_s("new", frozenset({"dead", "s"}), 30.0)
+        self.assertEqual(wait_s, BLOCKED_RETENTION_S - 20.0)
+
+    def test_removed_crashes_leave_no_parts(self) -> None:
+        """Guard against memory that parts of forgotten crashes keep."""
+        evidence = CrashEvidence()
+        for target in "xyz":
+            evidence.add(make_crash("a", target, parts=("p", "q")), 0.0)
+        evidence.remove_part("p")
+        self.assertEqual(list(evidence.crashes_by_part), ["q"])
+        for crash in evidence.list_crashes("a"):
+            evidence.remove(crash)
+        self.assertFalse(evidence.crashes_by_part)
+        self.assertFalse(evidence.list_all())
 
     def test_long_target_name_fits_into_a_key(self) -> None:
         """Guard against keys that the store permanently refuses."""
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -87,10 +87,12 @@
 
     def settle(self, *_: object) -> None: ...
 
-    def get_refusal(self, _: str) -> Refusal | None:
+    def get_refusal(self, *_: object) -> Refusal | None:
         return None
 
-    def record_harmless(self, _: str) -> None: ...
+    def record_harmless(self, *_: object) -> None: ...
+
+    def record_completed(self, *_: object, **__: object) -> None: ...
 
     def record(self, *_: object) -> None: ...
 
@@ -294,7 +296,7 @@
         self.n_held += 1
         return await super().hold()
 
-    def get_refusal(self, _: str) -> Refusal | None:
+    def get_refusal(self, *_: object) -> Refusal | None:
         self.n_passed -= 1
         return BLOCKED if self.n_passed < 0 else None
 
--- a/tests/components/forwarding/test_relay.py
+++ b/tests/components/forwarding/test_relay.py
@@ -37,7 +37,9 @@
     async def test_event_of_an_unproven_target_counts_as_not_passed_on(self) -> None:
         """Guard against an event that is lost when another target continues."""
         binder = mock.Mock(bind=mock.AsyncMock(side_effect=StartUnprovenError("i-1")))
-        relay = AnswerRelay(board=make_board("host-0", ["host-0"]), binder=binder)
+        relay = AnswerRelay(
+            board=make_board("host-0", ["host-0"]), binder=binder, runs=mock.Mock()
+        )
         state = RequestState(
             request=replace(REQUEST, resumes="r-0", last_event_id="2"),
             body=b"",
--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -1,4 +1,4 @@
-"""Distinguish requests that crash targets from those interrupted by chance; pure.
+"""Keep which targets crashed under which requests and prompt parts; pure.
 
 Expected load: while one request crashes a target every second, each crash interrupts a
 dozen harmless requests, some of them repeatedly as they are retried at other targets.
@@ -6,14 +6,16 @@
 """
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from trefoilstage.components.crashes.causes import (
+    MIN_CRASHED_TARGETS,
+    Causes,
+    find_causes,
+)
 from trefoilstage.components.crashes.models import Crash
 
-# Two targets may crash under a harmless request by chance. From three on, the crashes
-# have a cause.
-MIN_CRASHED_TARGETS = 3
 # Limits the memory of a host and the records in the store when hundreds of targets stop
 # while each runs dozens of requests.
 MAX_CRASHES = 4_096
@@ -22,17 +24,44 @@
 # After this time a blocked request may run again, as the cause may have been fixed.
 BLOCKED_RETENTION_S = 3_600.0
 
+NO_PARTS: frozenset[str] = frozenset()
+
+
+def exonerate_none(part: str) -> bool:
+    """Return that no part is known to be harmless."""
+    return False
+
 
 @dataclass(kw_only=True, slots=True)
 class CrashEvidence:
     """Record which targets crashed under which requests, the oldest crash first."""
 
     max_crashes: int = MAX_CRASHES
+    # Returns whether this host knows that a part ran lately without crashing a target.
+    is_exonerated: Callable[[str], bool] = exonerate_none
     seen_at: "OrderedDict[Crash, float]" = field(default_factory=OrderedDict)
     targets_by_fingerprint: dict[str, set[str]] = field(
         default_factory=lambda: defaultdict(set)
     )
-    blocked_fingerprints: frozenset[str] = frozenset()
+    crashes_by_part: dict[str, set[Crash]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    _parts: dict[Crash, frozenset[str]] = field(default_factory=dict)
+    _causes: Causes = field(default_factory=Causes)
+    _are_causes_stale: bool = False
+
+    @property
+    def causes(self) -> Causes:
+        """Return which requests and parts are blocked."""
+        if self._are_causes_stale:
+            self._causes = find_causes(self._select_suspected_parts())
+            self._are_causes_stale = False
+        return self._causes
+
+    @property
+    def blocked_fingerprints(self) -> frozenset[str]:
+        """Return the requests that are blocked as a whole."""
+        return self.causes.fingerprints
 
     def add(self, crash: Crash, now: float) -> bool:
         """Add a crash; return whether it is new."""
@@ -40,16 +69,48 @@
             return False
         self.seen_at[crash] = now
         self.targets_by_fingerprint[crash.fingerprint].add(crash.target)
+        self._parts[crash] = frozenset(crash.parts)
+        for part in crash.parts:
+            self.crashes_by_part[part].add(crash)
         while len(self.seen_at) > self.max_crashes:
-            self.remove(self._select_crash_to_drop(crash.fingerprint))
-        self._update_blocked(crash.fingerprint)
+            self.remove(self._select_crash_to_drop(crash))
+        self._are_causes_stale |= self._may_change_causes(crash)
         return True
 
     def remove(self, crash: Crash) -> None:
         """Remove a crash."""
-        if crash in self.seen_at:
-            self._delete(crash)
-            self._update_blocked(crash.fingerprint)
+        if crash not in self.seen_at:
+            return
+        self._are_causes_stale |= self._may_change_causes(crash)
+        del self.seen_at[crash]
+        targets = self.targets_by_fingerprint[crash.fingerprint]
+        targets.discard(crash.target)
+        if not targets:
+            del self.targets_by_fingerprint[crash.fingerprint]
+        for part in self._parts.pop(crash):
+            self._unlink(part, crash)
+
+    def remove_part(self, part: str) -> None:
+        """Remove a part that ran without a crash from all crashes."""
+        self._are_causes_stale |= self._has_enough_crashes(part)
+        for crash in list(self.crashes_by_part.get(part, ())):
+            self._parts[crash] -= {part}
+            self._unlink(part, crash)
+
+    def _may_change_causes(self, crash: Crash) -> bool:
+        n_targets = len(self.targets_by_fingerprint.get(crash.fingerprint, ()))
+        return n_targets >= MIN_CRASHED_TARGETS or any(
+            map(self._has_enough_crashes, self._parts.get(crash, ()))
+        )
+
+    def _has_enough_crashes(self, part: str) -> bool:
+        return len(self.crashes_by_part.get(part, ())) >= MIN_CRASHED_TARGETS
+
+    def _unlink(self, part: str, crash: Crash) -> None:
+        crashes = self.crashes_by_part[part]
+        crashes.discard(crash)
+        if not crashes:
+            del self.crashes_by_part[part]
 
     def get_seen_times(self) -> dict[str, float]:
         """Return the loop time at which each crash was added, by the crash's key."""
@@ -62,18 +123,49 @@
             for target in sorted(self.targets_by_fingerprint.get(fingerprint, ()))
         ]
 
-    def compute_wait_s(self, fingerprint: str, now: float) -> float:
+    def list_all(self) -> list[Crash]:
+        """Return all crashes, with the parts that are still suspected."""
+        return [
+            replace(crash, parts=tuple(sorted(parts)))
+            for crash, parts in self._parts.items()
+        ]
+
+    def list_targets(self, parts: frozenset[str]) -> list[str]:
+        """Return the targets that crashed under requests with all of some parts."""
+        return sorted({crash.target for crash in self._list_with_parts(parts)})
+
+    def compute_wait_s(
+        self, fingerprint: str, parts: frozenset[str], now: float
+    ) -> float:
         """Return the seconds until a blocked request may run again."""
-        seen_at = sorted(
-            self.seen_at[crash] for crash in self.list_crashes(fingerprint)
+        blocked_parts = self.causes.find_parts(parts)
+        crashes = (
+            self.list_crashes(fingerprint)
+            if blocked_parts is None
+            else self._list_with_parts(blocked_parts)
         )
+        seen_at: dict[str, float] = {}
+        for crash in crashes:
+            known = seen_at.get(crash.target, float("-inf"))
+            seen_at[crash.target] = max(known, self.seen_at[crash])
         # Once this crash expires, too few are left to block the request.
-        decisive_crash_at = seen_at[len(seen_at) - MIN_CRASHED_TARGETS]
+        decisive_crash_at = sorted(seen_at.values())[-MIN_CRASHED_TARGETS]
         return max(0.0, decisive_crash_at + BLOCKED_RETENTION_S - now)
 
-    def has_crashes(self, fingerprint: str) -> bool:
-        """Return whether a target crashed under a request."""
-        return fingerprint in self.targets_by_fingerprint
+    def _list_with_parts(self, parts: frozenset[str]) -> list[Crash]:
+        part = next(iter(parts))
+        crashes = self.crashes_by_part.get(part, ())
+        return [crash for crash in crashes if parts <= self._parts[crash]]
+
+    def has_crashes(self, fingerprint: str, parts: frozenset[str] = NO_PARTS) -> bool:
+        """Return whether a target crashed under a request or one of some parts."""
+        return fingerprint in self.targets_by_fingerprint or any(
+            part in self.crashes_by_part for part in parts
+        )
+
+    def count_targets(self, part: str) -> int:
+        """Return how many targets crashed under requests with a part."""
+        return len({crash.target for crash in self.crashes_by_part.get(part, ())})
 
     def list_expired(self, now: float) -> list[Crash]:
         """Return the crashes whose retention time has passed."""
@@ -84,53 +176,20 @@
         ]
 
     def _get_retention_s(self, crash: Crash) -> float:
-        return (
-            BLOCKED_RETENTION_S
-            if crash.fingerprint in self.blocked_fingerprints
-            else SUSPECT_RETENTION_S
-        )
+        return BLOCKED_RETENTION_S if self._is_blocked(crash) else SUSPECT_RETENTION_S
+
+    def _is_blocked(self, crash: Crash) -> bool:
+        return self.causes.includes(crash.fingerprint, self._parts[crash])
 
-    def _select_crash_to_drop(self, added_fingerprint: str) -> Crash:
+    def _select_crash_to_drop(self, added: Crash) -> Crash:
         # The crashes of a blocked request must outlast a burst of other crashes.
-        kept = self.blocked_fingerprints | {added_fingerprint}
-        suspects = (crash for crash in self.seen_at if crash.fingerprint not in kept)
+        suspects = (
+            crash
+            for crash in self.seen_at
+            if crash.fingerprint != added.fingerprint and not self._is_blocked(crash)
+        )
         return next(suspects, next(iter(self.seen_at)))
 
-    def _delete(self, crash: Crash) -> None:
-        del self.seen_at[crash]
-        targets = self.targets_by_fingerprint[crash.fingerprint]
-        targets.discard(crash.target)
-        if not targets:
-            del self.targets_by_fingerprint[crash.fingerprint]
-
-    def _update_blocked(self, changed_fingerprint: str) -> None:
-        n_crashes = len(self.targets_by_fingerprint.get(changed_fingerprint, ()))
-        if (
-            n_crashes >= MIN_CRASHED_TARGETS
-            or changed_fingerprint in self.blocked_fingerprints
-        ):
-            self.blocked_fingerprints = find_causes(self.targets_by_fingerprint)
-
-
-def find_causes(targets_by_fingerprint: Mapping[str, Iterable[str]]) -> frozenset[str]:
-    """Return the fingerprints of the requests that explain why targets crashed.
-
-    The request under which most targets crashed explains those crashes, and only the
-    remaining ones count against other requests. Otherwise, harmless requests that were
-    interrupted together with a crashing one would be blocked as well.
-    """
-    unexplained = {
-        fingerprint: set(crashed)
-        for fingerprint, crashed in targets_by_fingerprint.items()
-        if len(set(crashed)) >= MIN_CRASHED_TARGETS
-    }
-    causes: set[str] = set()
-    while unexplained:
-        likeliest = max(unexplained, key=lambda item: (len(unexplained[item]), item))
-        explained = unexplained.pop(likeliest)
-        if len(explained) < MIN_CRASHED_TARGETS:
-            break
-        causes.add(likeliest)
-        for remaining in unexplained.values():
-            remaining.difference_update(explained)
-    return frozenset(causes)
+    def _select_suspected_parts(self) -> dict[Crash, frozenset[str]]:
+        exonerated = {part for part in self.crashes_by_part if self.is_exonerated(part)}
+        return {crash: parts - exonerated for crash, parts in self._parts.items()}
--- a/trefoilstage/components/crashes/fingerprint.py
+++ b/trefoilstage/components/crashes/fingerprint.py
@@ -1,8 +1,12 @@
-"""Recognize repeated requests; pure."""
+"""Recognize repeated requests, and parts that prompts share; pure."""
 
 import hashlib
+from collections.abc import Iterable
 
 FINGERPRINT_BYTES = 12
+# Limits the memory that the parts of one prompt take.
+MAX_PARTS = 64
+MAX_PART_NAME_LENGTH = 64
 
 
 def fingerprint_request(
@@ -16,3 +20,15 @@
         digest.update(f"{len(text)}:{text}".encode())
     digest.update(body)
     return digest.hexdigest()
+
+
+def identify_parts(names: Iterable[str]) -> tuple[str, ...]:
+    """Return identifiers of a prompt's parts, without repeats and of limited size."""
+    identifiers = dict.fromkeys(map(_limit_name, names))
+    return tuple(identifiers)[:MAX_PARTS]
+
+
+def _limit_name(name: str) -> str:
+    if name.isalnum() and name.isascii() and len(name) <= MAX_PART_NAME_LENGTH:
+        return name
+    return hashlib.blake2b(name.encode(), digest_size=FINGERPRINT_BYTES).hexdigest()
--- a/trefoilstage/components/crashes/messages.py
+++ b/trefoilstage/components/crashes/messages.py
@@ -20,6 +20,7 @@
     host: ShortText
     crashes: Crashes = ()
     sound: Fingerprints = ()  # the harmless requests
+    sound_parts: Fingerprints = ()  # harmless parts of prompts that were suspect
     # Asks the receiver to write the crashes to the store, which the sender can't reach.
     relay: bool = False
     kind: Literal["crash_report"] = "crash_report"
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -12,7 +12,7 @@
 
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.messages import CrashReport
-from trefoilstage.components.crashes.models import Crash
+from trefoilstage.components.crashes.models import Crash, CrashRecord, SoundPart
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
 from trefoilstage.exceptions import PeerUnavailableError
@@ -22,8 +22,6 @@
 
 REPORT_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.5
-# The key holds all data of a record, but a record without a value deletes its key.
-RECORD_VALUE = b"1"
 
 HostLister = Callable[[], tuple[str, ...]]
 
@@ -44,7 +42,8 @@
         self._store = store
         self._links = links
         self._list_live_hosts = list_live_hosts
-        self._pending_writes: dict[Crash, bool] = {}  # True writes, False deletes
+        # True writes, False deletes.
+        self._pending_writes: dict[CrashRecord, bool] = {}
         self._is_writing = False
 
     def record(self, crashes: Sequence[Crash]) -> None:
@@ -59,18 +58,23 @@
         self._schedule_writes(crashes, keep=False)
         self._report_to_peers(CrashReport(host=self._board.host, sound=(fingerprint,)))
 
-    def write(self, crashes: Iterable[Crash]) -> None:
-        """Write crashes to the store that all hosts know of."""
-        self._schedule_writes(crashes, keep=True)
+    def clear_part(self, part: str) -> None:
+        """Share that a suspect part of prompts is harmless."""
+        self._schedule_writes([SoundPart(part=part)], keep=True)
+        self._report_to_peers(CrashReport(host=self._board.host, sound_parts=(part,)))
 
-    def delete(self, crashes: Iterable[Crash]) -> None:
-        """Delete crashes that no longer count from the store."""
-        self._schedule_writes(crashes, keep=False)
+    def write(self, records: Iterable[CrashRecord]) -> None:
+        """Write records to the store that all hosts know of."""
+        self._schedule_writes(records, keep=True)
 
-    def _schedule_writes(self, crashes: Iterable[Crash], *, keep: bool) -> None:
-        for crash in crashes:
-            self._pending_writes.pop(crash, None)
-            self._pending_writes[crash] = keep
+    def delete(self, records: Iterable[CrashRecord]) -> None:
+        """Delete records that no longer count from the store."""
+        self._schedule_writes(records, keep=False)
+
+    def _schedule_writes(self, records: Iterable[CrashRecord], *, keep: bool) -> None:
+        for record in records:
+            self._pending_writes.pop(record, None)
+            self._pending_writes[record] = keep
         while len(self._pending_writes) > MAX_CRASHES:
             dropped = next(iter(self._pending_writes))
             del self._pending_writes[dropped]
@@ -82,40 +86,47 @@
     async def _write_all(self) -> None:
         try:
             while self._pending_writes:
-                crash, keep = next(iter(self._pending_writes.items()))
-                if not await self._write(crash, keep=keep):
+                record, keep = next(iter(self._pending_writes.items()))
+                if not await self._write(record, keep=keep):
                     await asyncio.sleep(RETRY_INTERVAL_S)
         finally:
             self._is_writing = False
 
-    async def _write(self, crash: Crash, *, keep: bool) -> bool:
+    async def _write(self, record: CrashRecord, *, keep: bool) -> bool:
         """Write or delete one record; return whether the store accepted it."""
         try:
             await self._store.put(
-                Topic.CRASHES, crash.key, RECORD_VALUE if keep else None
+                Topic.CRASHES, record.key, record.value if keep else None
             )
         except StoreUnavailableError as error:
             log_event(Event.STORE_WRITE_FAILED, topic=Topic.CRASHES, error=str(error))
             await self._ask_peer_to_write()
-            self._move_to_end(crash)
+            self._move_to_end(record)
             return False
-        if self._pending_writes.get(crash) is keep:
-            del self._pending_writes[crash]
+        if self._pending_writes.get(record) is keep:
+            del self._pending_writes[record]
         return True
 
-    def _move_to_end(self, crash: Crash) -> None:
+    def _move_to_end(self, record: CrashRecord) -> None:
         # A record that the store permanently refuses must not block the others.
-        keep = self._pending_writes.pop(crash, None)
+        keep = self._pending_writes.pop(record, None)
         if keep is not None:
-            self._pending_writes[crash] = keep
+            self._pending_writes[record] = keep
 
     async def _ask_peer_to_write(self) -> None:
         """Ask a peer that reaches the store to write the pending crashes."""
         writer = self._select_writer()
-        crashes = tuple(crash for crash, keep in self._pending_writes.items() if keep)
-        if writer is None or not crashes:
+        pending = [record for record, keep in self._pending_writes.items() if keep]
+        if writer is None or not pending:
             return
-        report = CrashReport(host=self._board.host, crashes=crashes, relay=True)
+        report = CrashReport(
+            host=self._board.host,
+            crashes=tuple(item for item in pending if isinstance(item, Crash)),
+            sound_parts=tuple(
+                item.part for item in pending if isinstance(item, SoundPart)
+            ),
+            relay=True,
+        )
         await self._send_report(writer, report)
 
     def _select_writer(self) -> PeerState | None:
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -1,27 +1,46 @@
-"""Detect requests that crash targets, and block them.
+"""Detect requests and prompt parts that crash targets, and block them.
 
 A target that stops interrupts all its running requests. A request that had been running
 for a while did not crash the target by starting, and a request that ever completes does
-not crash its targets. All other interrupted requests are recorded with the target on
-all hosts, and `evidence` decides which of them to block.
+not crash its targets; the same holds for each part of its prompt. All other interrupted
+requests are recorded with the target on all hosts, and `causes` decides which of them,
+or of their parts, to block.
 """
 
 import asyncio
-from collections import OrderedDict, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
 from mode import Service
 
-from trefoilstage.components.crashes.evidence import CrashEvidence
+from trefoilstage.components.crashes.completed_runs import (
+    CONFIRM_AFTER_S,
+    CompletedRuns,
+    Run,
+)
+from trefoilstage.components.crashes.evidence import (
+    MAX_CRASHES,
+    SUSPECT_RETENTION_S,
+    CrashEvidence,
+)
+from trefoilstage.components.crashes.evidence_log import (
+    decode_or_log,
+    describe_parts,
+    log_changes,
+)
 from trefoilstage.components.crashes.messages import CrashReport
-from trefoilstage.components.crashes.models import Crash, decode_crash, make_crash
+from trefoilstage.components.crashes.models import (
+    Crash,
+    CrashRecord,
+    SoundPart,
+    make_crash,
+)
 from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
+from trefoilstage.components.crashes.recent_runs import RecentRuns
 from trefoilstage.components.crashes.recorder import CrashRecorder, HostLister
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.keyed_view import KeyedRecord
-from trefoilstage.components.views.store import Topic
-from trefoilstage.exceptions import MalformedMessageError
-from trefoilstage.helpers.events import Event, log_event, truncate_text
+from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason, Refusal
 from trefoilstage.timer import TimerService
 from trefoilstage.util.hashing import rank_by_rendezvous_cached
@@ -34,11 +53,15 @@
 PROBE_DELAY_S = 0.5
 # A request that ran within this time crashes no targets.
 RAN_LATELY_S = 30.0
-MAX_RAN = 4_096
+# Parts come in many more requests, so that a sound one soon runs again.
+PART_RAN_LATELY_S = 10.0
+# A part with fewer crashes is not about to be blocked.
+MIN_CRASHES_TO_CLEAR = 2
+MS_PER_S = 1_000
 
 
 class CrashWatcher(Service):
-    """Block requests under which several targets have crashed."""
+    """Block requests and prompt parts under which several targets have crashed."""
 
     def __init__(
         self,
@@ -49,18 +72,22 @@
         server: PeerServer,
         timer: TimerService,
         list_live_hosts: HostLister,
+        unix_offset_s: float,
     ) -> None:
         super().__init__()
         self._host = host
+        self._unix_offset_s = unix_offset_s  # Unix time minus loop time
         self._probe = probe
         self._recorder = recorder
         self._timer = timer
         self._list_live_hosts = list_live_hosts
-        # Fingerprints of interrupted requests, by the target being probed.
-        self._interrupted: dict[str, set[str]] = defaultdict(set)
-        # When the latest requests ran without crashing a target, by fingerprint.
-        self._ran_at: OrderedDict[str, float] = OrderedDict()
-        self.evidence = CrashEvidence()
+        self._interrupted: dict[str, list[Run]] = defaultdict(list)  # by target
+        self._completed = CompletedRuns()
+        self._ran_requests = RecentRuns(retention_s=RAN_LATELY_S)
+        self._ran_parts = RecentRuns(retention_s=PART_RAN_LATELY_S)
+        # When this host learned that a part is harmless whose record is in the store.
+        self._sound_parts: dict[str, float] = {}
+        self.evidence = CrashEvidence(is_exonerated=self._has_part_run_lately)
         server.register(CrashReport, self._handle_report)
 
     async def on_start(self) -> None:
@@ -73,155 +100,222 @@
         """Stop removing expired crashes."""
         self._unsubscribe()
 
-    def get_refusal(self, fingerprint: str) -> Refusal | None:
-        """Return a refusal for a blocked request, None for any other."""
-        if fingerprint not in self.evidence.blocked_fingerprints or self._ran_lately(
-            fingerprint
-        ):
+    def get_refusal(
+        self, fingerprint: str, parts: Sequence[str] = ()
+    ) -> Refusal | None:
+        """Return a refusal for a blocked request, None for any other.
+
+        `parts` are those of its prompt that other requests may share.
+        """
+        causes = self.evidence.causes
+        blocked_parts = causes.find_parts(frozenset(parts))
+        is_request_blocked = fingerprint in causes.fingerprints
+        if not (blocked_parts or is_request_blocked):
+            return None
+        if self._ran_requests.includes(fingerprint, self._now()):
             return None
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
-            retry_after_s=self.evidence.compute_wait_s(fingerprint, self._now()),
+            detail=describe_parts(blocked_parts or ()),
+            retry_after_s=self.evidence.compute_wait_s(
+                fingerprint, frozenset(parts), self._now()
+            ),
         )
 
-    def _ran_lately(self, fingerprint: str) -> bool:
-        ran_at = self._ran_at.get(fingerprint)
-        return ran_at is not None and self._now() - ran_at <= RAN_LATELY_S
-
-    def record_interruption(
-        self, fingerprint: str, *, target: str, address: str, progress_s: float
-    ) -> None:
+    def record_interruption(self, run: Run, *, progress_s: float) -> None:
         """Record that a target broke off a response or sent none.
 
         `progress_s` is the time for which the response had been arriving.
         """
         if progress_s > MAX_SUSPECT_PROGRESS_S:
-            self.record_harmless(fingerprint)
+            self.record_harmless(run.fingerprint, run.parts)
             return
-        self._suspect(fingerprint, target, address)
+        self._suspect(run)
 
-    def record_caller_left(
-        self, fingerprint: str, *, target: str, address: str, progress_s: float
-    ) -> None:
+    def record_caller_left(self, run: Run, *, progress_s: float) -> None:
         """Record that a caller left, or its deadline passed, before the response ended.
 
         The request may crash the target unobserved. Only requests with a recorded crash
         are checked, because many callers leave and each check costs a connection.
         """
-        if progress_s <= MAX_SUSPECT_PROGRESS_S and self.evidence.has_crashes(
-            fingerprint
-        ):
-            self.add_future(self._suspect_after_delay(fingerprint, target, address))
+        if progress_s <= MAX_SUSPECT_PROGRESS_S and self._is_suspect(run):
+            self.add_future(self._suspect_after_delay(run))
 
-    async def _suspect_after_delay(
-        self, fingerprint: str, target: str, address: str
-    ) -> None:
+    async def _suspect_after_delay(self, run: Run) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        self._suspect(fingerprint, target, address)
+        self._suspect(run)
+
+    def record_completed(
+        self, run: Run, *, progress_s: float, is_end_certain: bool
+    ) -> None:
+        """Record that a target completed a response.
+
+        If its end isn't certain, the target may have stopped while it sent it.
+        """
+        self._confirm_old_runs()
+        if progress_s > MAX_SUSPECT_PROGRESS_S:
+            self.record_harmless(run.fingerprint, run.parts)
+        elif is_end_certain and not self._is_suspect(run):
+            self._completed.add(run, self._now())
+        else:
+            self.add_future(self._confirm(run))
 
-    def _suspect(self, fingerprint: str, target: str, address: str) -> None:
-        is_being_probed = target in self._interrupted
-        self._interrupted[target].add(fingerprint)
+    def _confirm_old_runs(self) -> None:
+        for run in self._completed.pop_old(self._now()):
+            self.record_harmless(run.fingerprint, run.parts)
+
+    async def _confirm(self, run: Run) -> None:
+        """Record a completed run as harmless if its target goes on."""
+        await asyncio.sleep(CONFIRM_AFTER_S)
+        if await self._probe.connect(run.address) is ProbeResult.ACCEPTED:
+            self.record_harmless(run.fingerprint, run.parts)
+        else:
+            self._suspect(run)
+
+    def _is_suspect(self, run: Run) -> bool:
+        suspected = frozenset(self._select_suspected(run.parts))
+        return self.evidence.has_crashes(run.fingerprint, suspected)
+
+    def _suspect(self, run: Run) -> None:
+        is_being_probed = run.target in self._interrupted
+        self._interrupted[run.target].append(run)
         if not is_being_probed:
-            self.add_future(self._probe_target(target, address))
+            self.add_future(self._probe_target(run.target, run.address))
 
-    def record_harmless(self, fingerprint: str) -> None:
+    def record_harmless(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
         """Record that a target ran a request without crashing."""
-        self._ran_at[fingerprint] = self._now()
-        self._ran_at.move_to_end(fingerprint)
-        if len(self._ran_at) > MAX_RAN:
-            self._ran_at.popitem(last=False)
+        now = self._now()
+        self._ran_requests.record(fingerprint, now)
         if self.evidence.has_crashes(fingerprint):
             crashes = self.evidence.list_crashes(fingerprint)
-            self._remove_crashes(crashes, "ran")
+            self._change_evidence("ran", remove=crashes)
             self._recorder.clear(fingerprint, crashes)
+        for part in parts:
+            self._ran_parts.record(part, now)
+            if self.evidence.count_targets(part) >= MIN_CRASHES_TO_CLEAR:
+                self._change_evidence("ran", remove_parts=[part])
+                self._recorder.clear_part(part)
 
     def apply_records(self, records: Iterable[KeyedRecord]) -> None:
-        """Apply crash records from the store."""
-        for record in records:
-            try:
-                crash = decode_crash(record)
-            except MalformedMessageError as error:
-                log_event(
-                    Event.RECORD_MALFORMED,
-                    topic=Topic.CRASHES,
-                    offset=record.offset,
-                    error=truncate_text(str(error)),
-                )
+        """Apply records from the store, the oldest first."""
+        added: list[Crash] = []
+        for record in sorted(records, key=lambda item: item.offset):
+            item = decode_or_log(record)
+            if item is None:
+                continue
+            if isinstance(item, Crash) and record.value is not None:
+                added.append(item)
                 continue
-            if record.value is None:
-                self._remove_crashes([crash], "erased")
+            self._change_evidence("crashed", add=added)
+            added = []
+            if isinstance(item, Crash):
+                self._change_evidence("erased", remove=[item])
+            elif record.value is not None:
+                self._accept_sound_parts([item.part])
             else:
-                self._add_crash(crash)
+                self._sound_parts.pop(item.part, None)
+        self._change_evidence("crashed", add=added)
 
     def write_again(self) -> None:
         """Write crashes to the store again, which came back from an older copy."""
-        known = list(self.evidence.seen_at)
-        self._recorder.write(self._select_assigned(known))
+        self._recorder.write(self._select_assigned(self.evidence.list_all()))
+        sound = [SoundPart(part=part) for part in self._sound_parts]
+        self._recorder.write(self._select_assigned(sound))
 
-    def _select_assigned(self, crashes: Iterable[Crash]) -> list[Crash]:
-        """Return the crashes that this host writes or deletes for all hosts."""
+    def _select_assigned(self, records: Iterable[CrashRecord]) -> list[CrashRecord]:
+        """Return the records that this host writes or deletes for all hosts."""
         live = self._list_live_hosts()
         return [
-            crash
-            for crash in crashes
-            if rank_by_rendezvous_cached(crash.fingerprint, live)[:1] == (self._host,)
+            record
+            for record in records
+            if rank_by_rendezvous_cached(get_subject(record), live)[:1] == (self._host,)
         ]
 
     async def _probe_target(self, target: str, address: str) -> None:
         result = await self._probe.connect(address)
-        fingerprints = {
-            item for item in self._interrupted.pop(target) if not self._ran_lately(item)
-        }
+        self._confirm_old_runs()
+        interrupted = self._interrupted.pop(target)
         if result is ProbeResult.ACCEPTED:
             # The target broke off responses but is still running.
             return
-        log_event(
-            Event.TARGET_ENDED, target=target, connect=result, n_cut=len(fingerprints)
-        )
-        crashes = [make_crash(name, target) for name in sorted(fingerprints)]
-        for crash in crashes:
-            self._add_crash(crash)
+        now = self._now()
+        at_ms = int((now + self._unix_offset_s) * MS_PER_S)
+        parts_by_fingerprint = {
+            run.fingerprint: self._select_suspected(run.parts)
+            for run in [*interrupted, *self._completed.pop_target(target)]
+            if not self._ran_requests.includes(run.fingerprint, now)
+        }
+        crashes = [
+            make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
+            for fingerprint, parts in sorted(parts_by_fingerprint.items())
+        ]
+        log_event(Event.TARGET_ENDED, target=target, connect=result, n_cut=len(crashes))
+        self._change_evidence("crashed", add=crashes)
         self._recorder.record(crashes)
 
     async def _handle_report(self, report: CrashReport) -> None:
-        for crash in report.crashes:
-            self._add_crash(crash)
+        self._change_evidence("crashed", add=report.crashes)
         for fingerprint in report.sound:
-            self._remove_crashes(self.evidence.list_crashes(fingerprint), "ran")
+            crashes = self.evidence.list_crashes(fingerprint)
+            self._change_evidence("ran", remove=crashes)
+        self._accept_sound_parts(report.sound_parts)
         if report.relay:
-            self._recorder.write(report.crashes)
+            sound = [SoundPart(part=part) for part in report.sound_parts]
+            self._recorder.write([*report.crashes, *sound])
 
-    def _add_crash(self, crash: Crash) -> None:
-        previously_blocked = self.evidence.blocked_fingerprints
-        if self.evidence.add(crash, self._now()):
-            self._log_changes(previously_blocked, "crashed")
+    def _accept_sound_parts(self, parts: Iterable[str]) -> None:
+        for part in parts:
+            self._sound_parts[part] = self._now()
+            self._change_evidence("ran", remove_parts=[part])
+        while len(self._sound_parts) > MAX_CRASHES:
+            self._sound_parts.pop(next(iter(self._sound_parts)))
 
-    def _remove_crashes(self, crashes: Sequence[Crash], reason: str) -> None:
-        previously_blocked = self.evidence.blocked_fingerprints
-        for crash in crashes:
+    def _change_evidence(
+        self,
+        reason: str,
+        *,
+        add: Sequence[Crash] = (),
+        remove: Sequence[Crash] = (),
+        remove_parts: Sequence[str] = (),
+    ) -> None:
+        """Change the evidence, and log what is blocked or unblocked by it."""
+        if not (add or remove or remove_parts):
+            return
+        previous = self.evidence.causes
+        now = self._now()
+        for crash in add:
+            self.evidence.add(crash, now)
+        for crash in remove:
             self.evidence.remove(crash)
-        self._log_changes(previously_blocked, reason)
-
-    def _log_changes(self, previously_blocked: frozenset[str], reason: str) -> None:
-        blocked = self.evidence.blocked_fingerprints
-        for fingerprint in blocked - previously_blocked:
-            log_event(
-                Event.REQUEST_BLOCKED,
-                fingerprint=fingerprint,
-                targets=",".join(
-                    sorted(self.evidence.targets_by_fingerprint[fingerprint])
-                ),
-            )
-        for fingerprint in previously_blocked - blocked:
-            log_event(Event.REQUEST_UNBLOCKED, fingerprint=fingerprint, reason=reason)
+        for part in remove_parts:
+            self.evidence.remove_part(part)
+        log_changes(previous, self.evidence, reason)
+
+    def _select_suspected(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return the parts that did not run here lately."""
+        return tuple(part for part in parts if not self._has_part_run_lately(part))
+
+    def _has_part_run_lately(self, part: str) -> bool:
+        return self._ran_parts.includes(part, self._now())
 
     async def _expire(self) -> None:
-        expired = self.evidence.list_expired(self._now())
-        if not expired:
-            return
-        self._remove_crashes(expired, "expired")
-        self._recorder.delete(self._select_assigned(expired))
+        self._confirm_old_runs()
+        now = self._now()
+        expired = self.evidence.list_expired(now)
+        self._change_evidence("expired", remove=expired)
+        sound = [
+            SoundPart(part=part)
+            for part, sound_at in self._sound_parts.items()
+            if now - sound_at > SUSPECT_RETENTION_S
+        ]
+        for item in sound:
+            del self._sound_parts[item.part]
+        self._recorder.delete(self._select_assigned([*expired, *sound]))
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
+
+
+def get_subject(record: CrashRecord) -> str:
+    """Return the request or the part that a record is about."""
+    return record.fingerprint if isinstance(record, Crash) else record.part
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -100,7 +100,7 @@
         add("requests_active", "Requests in progress.", self._count_active)
         add(
             "requests_blocked",
-            "Requests that are blocked because they crash targets.",
+            "Requests and prompt parts that are blocked because they crash targets.",
             self._count_blocked,
         )
         add(
--- a/trefoilstage/components/forwarding/answers.py
+++ b/trefoilstage/components/forwarding/answers.py
@@ -49,6 +49,8 @@
     headers: list[tuple[str, str]]
     connected: bool = False  # a new connection was opened
     connected_at: float = float("inf")  # when its connection was opened, at the latest
+    # Whether the answer has a length or chunks; else only its connection's end ends it.
+    is_framed: bool = True
 
     def read(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -78,14 +78,14 @@
         self._runs = RunRecorder(crashes=crashes)
         self._generator = generator
         self._binder = binder
-        self._answer_relay = AnswerRelay(board=board, binder=binder)
+        self._answer_relay = AnswerRelay(board=board, binder=binder, runs=self._runs)
         self._hold_numbers = itertools.count()
 
     async def run(self, state: RequestState, reply: CallerReply) -> Refusal | None:
         """Answer a caller; return a refusal if it got no answer, otherwise None."""
         if state.started_at >= state.deadline:
             return Refusal(reason=Reason.DEADLINE)
-        blocked = self._crashes.get_refusal(state.fingerprint)
+        blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
         if blocked is not None:
             return blocked
         if state.route.kind is RouteKind.STREAM and state.request.is_resumption:
@@ -181,7 +181,7 @@
                 await self._query_candidates(state)
             # The request may have crashed a target since it arrived, sent by this or
             # another host.
-            blocked = self._crashes.get_refusal(state.fingerprint)
+            blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
             if blocked is not None:
                 return failure if state.n_possible_runs else blocked
             target = await self._choose_target(state)
@@ -264,7 +264,7 @@
             events=state.n_events,
             attempt=state.n_sends,
             fingerprint=state.fingerprint,
-            parts=describe_parts(state.request.shared_parts),
+            parts=describe_parts(state.parts),
             unread=sent.n_uncached_tokens,
             ahead=sent.n_queued_tokens,
         )
@@ -348,7 +348,7 @@
             answer.close()
             self._chooser.remove_request(target, state.request.prompt)
         if answer.head.success:
-            self._runs.record_completed(state)
+            self._runs.record_completed(state, target, answer)
         return True
 
     def _should_retry_failure(
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -7,6 +7,7 @@
 from trefoilstage.components.forwarding.models import RouteKind, TargetEntry
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.run_recorder import RunRecorder
 from trefoilstage.components.forwarding.stream_binding import StreamBinder
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.fleet_board import FleetBoard
@@ -16,9 +17,12 @@
 class AnswerRelay:
     """Pass on streams event by event, and other answers as a whole."""
 
-    def __init__(self, *, board: FleetBoard, binder: StreamBinder) -> None:
+    def __init__(
+        self, *, board: FleetBoard, binder: StreamBinder, runs: RunRecorder
+    ) -> None:
         self._board = board
         self._binder = binder
+        self._runs = runs
 
     async def relay(
         self,
@@ -63,6 +67,7 @@
         is_bound = False
         async for data in answer.read():
             state.record_target_data(asyncio.get_running_loop().time())
+            self._runs.record_progress(state)
             self._binder.record_data(target, answer)
             received = splitter.add(data)
             if received and not is_bound:
@@ -76,6 +81,8 @@
             await reply.write(b"".join(event.data for event in events))
         if splitter.has_partial_event:
             raise AnswerBrokenError("the stream ended in the middle of an event")
+        if not answer.is_framed and state.last_event_id is None and not state.n_events:
+            raise AnswerBrokenError("the connection ended before the first event")
         await self._open_reply(reply, answer)
         state.complete = True
         await reply.end()
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from trefoilstage.components.crashes.fingerprint import fingerprint_request
+from trefoilstage.components.crashes.fingerprint import (
+    fingerprint_request,
+    identify_parts,
+)
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Route,
@@ -58,9 +61,11 @@
     # The answer that brought the first event, if this request did.
     stream_source: StreamSource | None = None
     has_passed_events: bool = False  # to the caller
+    is_proven_harmless: bool = False  # a target has been answering for a while
     service_name: str = ""
     service: TargetService | None = None
     fingerprint: str = field(init=False)  # the same for all retries
+    parts: tuple[str, ...] = field(init=False)  # of the prompt that others may share
     # When the current target first and last sent data, 0 if it sent none.
     target_first_data_at: float = 0.0
     target_last_data_at: float = 0.0
@@ -74,6 +79,7 @@
             path=request.raw_target,
             body=self.body,
         )
+        self.parts = identify_parts(request.shared_parts)
 
     @property
     def workspace_name(self) -> str:
--- a/trefoilstage/components/forwarding/run_recorder.py
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Sequence
 
-from trefoilstage.components.crashes.watcher import CrashWatcher
+from trefoilstage.components.crashes.completed_runs import Run
+from trefoilstage.components.crashes.watcher import (
+    MAX_SUSPECT_PROGRESS_S,
+    CrashWatcher,
+)
+from trefoilstage.components.forwarding.answers import OpenAnswer
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.helpers.events import Event, log_event, truncate_text
@@ -22,7 +27,7 @@
             Event.ANSWER_BROKEN,
             request=state.request.request_id,
             fingerprint=state.fingerprint,
-            parts=describe_parts(state.request.shared_parts),
+            parts=describe_parts(state.parts),
             workspace=state.workspace_name,
             target=target.name,
             version=target.version,
@@ -31,24 +36,40 @@
             progress_s=state.progress_s,
         )
         self._crashes.record_interruption(
-            state.fingerprint,
-            target=target.incarnation,
-            address=target.address,
-            progress_s=state.progress_s,
+            make_run(state, target), progress_s=state.progress_s
         )
 
     def record_cancelled(self, state: RequestState, target: TargetEntry) -> None:
         """Record that a caller left, or its deadline passed, before the end."""
         self._crashes.record_caller_left(
-            state.fingerprint,
-            target=target.incarnation,
-            address=target.address,
-            progress_s=state.progress_s,
+            make_run(state, target), progress_s=state.progress_s
         )
 
-    def record_completed(self, state: RequestState) -> None:
+    def record_progress(self, state: RequestState) -> None:
+        """Record that a target has been answering for a while."""
+        if state.progress_s > MAX_SUSPECT_PROGRESS_S and not state.is_proven_harmless:
+            state.is_proven_harmless = True
+            self._crashes.record_harmless(state.fingerprint, state.parts)
+
+    def record_completed(
+        self, state: RequestState, target: TargetEntry, answer: OpenAnswer
+    ) -> None:
         """Record that a target ran a request to its end."""
-        self._crashes.record_harmless(state.fingerprint)
+        self._crashes.record_completed(
+            make_run(state, target),
+            progress_s=state.progress_s,
+            is_end_certain=answer.is_framed,
+        )
+
+
+def make_run(state: RequestState, target: TargetEntry) -> Run:
+    """Return a request at a target as the crash watcher knows it."""
+    return Run(
+        fingerprint=state.fingerprint,
+        parts=state.parts,
+        target=target.incarnation,
+        address=target.address,
+    )
 
 
 def describe_parts(parts: Sequence[str]) -> str:
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -1,7 +1,7 @@
 """Send a request to one target and check the head of its answer."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -95,6 +95,11 @@
     return open_session(connector, CheckedResponse)
 
 
+def is_framed(headers: Mapping[str, str]) -> bool:
+    """Return whether an answer says where it ends."""
+    return any(name in headers for name in ("Content-Length", "Transfer-Encoding"))
+
+
 class TargetSender:
     """Send requests to targets."""
 
@@ -179,5 +184,6 @@
             connected=connected,
             # The protocol is empty, hence false, while no data waits in it.
             connected_at=float("inf") if protocol is None else protocol.connected_at,
+            is_framed=is_framed(response.headers),
             response=response,
         )
--- a/trefoilstage/components/peer_sends/messages.py
+++ b/trefoilstage/components/peer_sends/messages.py
@@ -49,6 +49,7 @@
     headers: list[tuple[str, str]]
     # Whether the peer's connection surely leads to the incarnation that was named.
     is_proven: bool = False
+    is_framed: bool = True  # as of OpenAnswer
     kind: Literal["answer_started"] = "answer_started"
 
 
--- a/trefoilstage/components/peer_sends/sender.py
+++ b/trefoilstage/components/peer_sends/sender.py
@@ -181,6 +181,7 @@
                     connected_at=float("-inf")
                     if received.is_proven
                     else self._timer.now(),
+                    is_framed=received.is_framed,
                     stream=stream,
                 )
             stream.release()
--- a/trefoilstage/components/peer_sends/server.py
+++ b/trefoilstage/components/peer_sends/server.py
@@ -99,6 +99,7 @@
                 is_proven=self._chooser.is_start_proven(
                     message.target, outcome.connected_at
                 ),
+                is_framed=outcome.is_framed,
             )
             await self._pass_answer_back(outcome, started, reply)
         elif isinstance(outcome, NotRun):
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -120,9 +120,7 @@
             port=settings.metrics_port,
             get_accounts=self._home.list_accounts,
             count_active=lambda: self._server.n_active,
-            count_blocked=lambda: len(
-                parts.crash_watcher.evidence.blocked_fingerprints
-            ),
+            count_blocked=lambda: parts.crash_watcher.evidence.causes.n_causes,
             count_known_streams=lambda: parts.stream_versions.n_known,
         )
         self._registry.register("board", lambda: self._board)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -273,6 +273,7 @@
         server=peer_server,
         timer=timer,
         list_live_hosts=membership.list_live_hosts,
+        unix_offset_s=process_start.offset,
     )
     prover = StartProver(board=board, probe=start_probe)
     stream_versions = StreamVersions(
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -106,6 +106,8 @@
     ANSWER_BROKEN = "answer_broken"
     REQUEST_BLOCKED = "request_blocked"
     REQUEST_UNBLOCKED = "request_unblocked"
+    PARTS_BLOCKED = "parts_blocked"
+    PARTS_UNBLOCKED = "parts_unblocked"
     CRASH_LEFT_OUT = "crash_left_out"
     CRASH_REPORT_UNSENT = "crash_report_unsent"
     TARGET_ENDED = "target_ended"
