Soak: a part of prompts that crashes targets, in ever new requests

Half of the crashing requests now share only a part of their prompt, first or in the middle, and are otherwise unlike each other. After the faults both kinds are sent six times without faults, each with the bound that the first had.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from standins.platform import LOOPBACK
-from tests.promises.crashing import CRASHING_BODY
+from tests.promises.crashing import CRASHING_BODY, CRASHING_PART
 from tests.promises.fleet import PlatformFleet
 
 # Longer than the 5 s of the Deadline-Ms header.
@@ -30,6 +30,7 @@
     path: str
     status: int = 0  # 0 if there was no answer
     sent: bytes = b""
+    crashing_parts: str = ""  # of the prompt, before its last part
     body: bytes = b""
     is_whole: bool = False
     answered_request: str = ""
@@ -93,21 +94,37 @@
         await self._call(session, outcome)
 
     async def repeat_crashing(self) -> None:
-        """Send the request that crashes targets repeatedly."""
+        """Send requests that crash targets repeatedly."""
         while not self.is_stopping:
-            await self.send_crashing()
+            send = self.generator.choice((self.send_crashing, self.send_crashing_part))
+            await send()
             await asyncio.sleep(self.generator.uniform(0.1, 1.0))
 
     async def send_crashing(self) -> None:
         """Send the request that crashes targets once, to a random host."""
-        number = len(self.crashing_outcomes)
+        await self._send_crashing(CRASHING_BODY, "")
+
+    async def send_crashing_part(self) -> None:
+        """Send a request unlike all others with the part that crashes targets."""
+        subject = self._sample_subject()
+        parts = [f"{CRASHING_PART}:50,{subject}", f"{subject},{CRASHING_PART}:50"]
+        body = f"unlike {len(self.crashing_outcomes)}".encode()
+        await self._send_crashing(body, self.generator.choice(parts))
+
+    async def _send_crashing(self, body: bytes, parts: str) -> None:
         outcome = Outcome(
-            request=f"crashing-{number}", path="/stream/x", sent=CRASHING_BODY
+            request=f"crashing-{len(self.crashing_outcomes)}",
+            path="/stream/x",
+            sent=body,
+            crashing_parts=parts,
         )
         self.crashing_outcomes.append(outcome)
         async with aiohttp.ClientSession() as session:
             await self._call(session, outcome)
 
+    def _sample_subject(self) -> str:
+        return f"{self.generator.randrange(N_SUBJECTS):x}:50"
+
     async def _call(self, session: aiohttp.ClientSession, outcome: Outcome) -> None:
         hosts = sorted(self.fleet.hosts)
         if not hosts:
@@ -117,13 +134,14 @@
             PROMPT_AND_OUTPUT_TOKENS if outcome.path.startswith("/stream") else (0, 0)
         )
         own = outcome.request.replace("caller-", "")
+        parts = outcome.crashing_parts or self._sample_subject()
         headers = {
             "Host": "club.example",
             "Attempt-Id": outcome.request,
             "Deadline-Ms": "5000",
             "Key": "key",
             "Token-Count": f"{tokens[0]},{tokens[1]}",
-            "Prompt-Prefix": f"{self.generator.randrange(N_SUBJECTS):x}:50,{own}:50",
+            "Prompt-Prefix": f"{parts},{own}:50",
         }
         if outcome.resumes:
             headers["Resumes"] = outcome.resumes
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -237,20 +237,26 @@
 async def list_repeated_crashes(
     targets: CrashingTargets, callers: Callers
 ) -> list[str]:
-    """Return a finding if hosts without faults keep sending the crashing request."""
+    """Return a finding if hosts without faults keep sending crashing requests."""
     if targets.n_crashes < MAX_SETTLED_CRASHES:
         return []
     await asyncio.sleep(SETTLE_S)
-    before = targets.n_crashes
-    for _ in range(N_PROBES):
-        await callers.send_crashing()
-        await targets.wait_until_restarted()
-    n_crashes = targets.n_crashes - before
-    if n_crashes > MAX_SETTLED_CRASHES:
-        return [
-            f"after the faults one request crashed {n_crashes} of {N_PROBES} targets"
-        ]
-    return []
+    findings: list[str] = []
+    for cause, send in (
+        ("request", callers.send_crashing),
+        ("part", callers.send_crashing_part),
+    ):
+        before = targets.n_crashes
+        for _ in range(N_PROBES):
+            await send()
+            await targets.wait_until_restarted()
+        n_crashes = targets.n_crashes - before
+        if n_crashes > MAX_SETTLED_CRASHES:
+            findings.append(
+                f"after the faults one {cause} crashed {n_crashes} targets"
+                f" in {N_PROBES} sends"
+            )
+    return findings
 
 
 def list_overspending(fleet: PlatformFleet, outcomes: list[Outcome]) -> list[str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,13 +16,14 @@
 
         Callers send streams, bookings and lookups on persistent connections. The store
         loses replies, is slow or down, targets fail, drain, return cold, name limits
-        and ask for rest, a data centre is evacuated, one request crashes each target
-        that runs it, and half of these return under their names with another version,
-        the budget runs out and is raised. Callers take broken streams up at other
-        hosts. The budget is never exceeded, no stream holds events of two versions,
-        evacuated targets get no requests and cold ones few, limits and rests are kept,
-        no call that may run only once runs twice, a "not run" is true, each answer is
-        complete and the caller's own, and only the crashing request is blocked.
+        and ask for rest, a data centre is evacuated, one request and one part of
+        prompts crash each target that runs them, and half of these return under their
+        names with another version, the budget runs out and is raised. Callers take
+        broken streams up at other hosts. The budget is never exceeded, no stream holds
+        events of two versions, evacuated targets get no requests and cold ones few,
+        limits and rests are kept, no call that may run only once runs twice, a "not
+        run" is true, each answer is complete and the caller's own, and only crashing
+        requests are blocked.
         """
         for seed in SEEDS:
             with self.subTest(seed=seed):
