--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -27,6 +27,7 @@
             number: fleet.runners[number] for number in range(fleet.n_targets)
         }
         self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped: set[int] = set()  # numbers of targets until they restart
         self.n_crashes = 0
         for number, target in enumerate(fleet.targets):
             self._set_crash(number, target)
@@ -49,6 +50,9 @@
         target.crash = crash
 
     async def _crash(self, number: int) -> None:
+        if number in self._stopped:
+            return
+        self._stopped.add(number)
         runner = self._runners[number]
         for site in list(runner.sites):
             await site.stop()
@@ -80,6 +84,7 @@
         fleet.runners.append(self._runners[number])
         await fleet.start_target_proxies(number)
         fleet.targets[number] = target
+        self._stopped.discard(number)
         self._set_crash(number, target)
         if not keeps_name:
             await fleet.store.put(Topic.TARGETS, old.name, None)
