Crashes: answers that took a while clear at once; hosts clear what ran there lately

What crashes a target does so soon after the answer's first data: 0.3 s from there now. - A host that knows that a request or part ran there lately kept that to itself until it ran again, while others refused it. It now tells them once it sees three crashes, in a large fleet after a random delay, so that not all hosts write the same.

--- a/trefoilstage/components/crashes/completed_runs.py
+++ b/trefoilstage/components/crashes/completed_runs.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-# A request that crashes its target does so within this time of a short answer.
-CONFIRM_AFTER_S = 0.2
+# A request that crashes its target does so within this time of the answer's first data.
+CONFIRM_AFTER_S = 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,7 +28,7 @@
         self._runs: deque[tuple[float, Run]] = deque()
 
     def add(self, run: Run, now: float) -> None:
-        """Add a run that a target completed."""
+        """Add a run that a target has just completed."""
         self._runs.append((now, run))
 
     def pop_old(self, now: float) -> list[Run]:
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -8,11 +8,14 @@
 """
 
 import asyncio
+import random
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from itertools import chain
 
 from mode import Service
 
+from trefoilstage.components.crashes.causes import MIN_CRASHED_TARGETS
 from trefoilstage.components.crashes.completed_runs import (
     CONFIRM_AFTER_S,
     CompletedRuns,
@@ -57,6 +60,8 @@
 PART_RAN_LATELY_S = 10.0
 # A part with fewer crashes is not about to be blocked.
 MIN_CRASHES_TO_CLEAR = 2
+# The time for a record to reach all hosts, divided by the largest number of writers.
+CLEAR_DELAY_S = 0.005
 MS_PER_S = 1_000
 
 
@@ -73,9 +78,11 @@
         timer: TimerService,
         list_live_hosts: HostLister,
         unix_offset_s: float,
+        generator: random.Random,
     ) -> None:
         super().__init__()
         self._host = host
+        self._generator = generator
         self._unix_offset_s = unix_offset_s  # Unix time minus loop time
         self._probe = probe
         self._recorder = recorder
@@ -153,7 +160,8 @@
         If its end isn't certain, the target may have stopped while it sent it.
         """
         self._confirm_old_runs()
-        if progress_s > MAX_SUSPECT_PROGRESS_S:
+        min_progress_s = CONFIRM_AFTER_S if is_end_certain else MAX_SUSPECT_PROGRESS_S
+        if progress_s > min_progress_s:
             self.record_harmless(run.fingerprint, run.parts)
         elif is_end_certain and not self._is_suspect(run):
             self._completed.add(run, self._now())
@@ -187,14 +195,11 @@
         now = self._now()
         self._ran_requests.record(fingerprint, now)
         if self.evidence.has_crashes(fingerprint):
-            crashes = self.evidence.list_crashes(fingerprint)
-            self._change_evidence("ran", remove=crashes)
-            self._recorder.clear(fingerprint, crashes)
+            self._clear_request(fingerprint)
         for part in parts:
             self._ran_parts.record(part, now)
             if self.evidence.count_targets(part) >= MIN_CRASHES_TO_CLEAR:
-                self._change_evidence("ran", remove_parts=[part])
-                self._recorder.clear_part(part)
+                self._clear_part(part)
 
     def apply_records(self, records: Iterable[KeyedRecord]) -> None:
         """Apply records from the store, the oldest first."""
@@ -290,6 +295,45 @@
         for part in remove_parts:
             self.evidence.remove_part(part)
         log_changes(previous, self.evidence, reason)
+        if any(map(self._is_wrongly_suspected, add)):
+            self.add_future(self._clear_wrongly_suspected(add))
+
+    def _is_wrongly_suspected(self, crash: Crash) -> bool:
+        """Return whether other hosts may block what ran here lately."""
+        return self._is_request_wrongly_suspected(crash.fingerprint) or any(
+            map(self._is_part_wrongly_suspected, crash.parts)
+        )
+
+    def _is_request_wrongly_suspected(self, fingerprint: str) -> bool:
+        n_targets = len(self.evidence.targets_by_fingerprint.get(fingerprint, ()))
+        return n_targets >= MIN_CRASHED_TARGETS and self._ran_requests.includes(
+            fingerprint, self._now()
+        )
+
+    def _is_part_wrongly_suspected(self, part: str) -> bool:
+        n_targets = self.evidence.count_targets(part)
+        return n_targets >= MIN_CRASHED_TARGETS and self._has_part_run_lately(part)
+
+    async def _clear_wrongly_suspected(self, crashes: Sequence[Crash]) -> None:
+        # Hosts of a large fleet that know the same answer one after another, so that
+        # the first answer reaches most of the others before they write.
+        n_hosts = len(self._list_live_hosts())
+        await asyncio.sleep(self._generator.uniform(0.0, n_hosts * CLEAR_DELAY_S))
+        for fingerprint in {crash.fingerprint for crash in crashes}:
+            if self._is_request_wrongly_suspected(fingerprint):
+                self._clear_request(fingerprint)
+        for part in set(chain.from_iterable(crash.parts for crash in crashes)):
+            if self._is_part_wrongly_suspected(part):
+                self._clear_part(part)
+
+    def _clear_request(self, fingerprint: str) -> None:
+        crashes = self.evidence.list_crashes(fingerprint)
+        self._change_evidence("ran", remove=crashes)
+        self._recorder.clear(fingerprint, crashes)
+
+    def _clear_part(self, part: str) -> None:
+        self._change_evidence("ran", remove_parts=[part])
+        self._recorder.clear_part(part)
 
     def _select_suspected(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Return the parts that did not run here lately."""
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -274,6 +274,7 @@
         timer=timer,
         list_live_hosts=membership.list_live_hosts,
         unix_offset_s=process_start.offset,
+        generator=generator,
     )
     prover = StartProver(board=board, probe=start_probe)
     stream_versions = StreamVersions(
