Crashes: a target whose port stays open has ended if it doesn't answer

A target that broke off answers counted as running as soon as its port accepted, which a supervisor's port or a quick restart does as well, and its crash was not recorded. Plain services, whose answers wait for a slot, are judged as before.

--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -142,6 +142,10 @@
         found = self._find_target(target.name)
         return None if found is None or found.is_down else found.started_ms
 
+    async def is_answering(self, target: TargetEntry) -> bool:
+        """Return whether the start of a target that an entry names answers."""
+        return await self.read_start(target) == target.started_ms
+
 
 class EmulatedSender(TargetSender):
     """Send requests to emulated targets."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -173,6 +173,7 @@
     crashes_on: bytes | None = None  # request body that crashes the target
     crashing_part: str = ""  # of prompts; crashes the target as an answer begins
     crash: Callable[[], Awaitable[None]] | None = None  # stops and restarts it
+    is_mute: bool = False  # accepts connections and answers nothing
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
 
@@ -189,6 +190,8 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        if self.is_mute:
+            await self.stop.wait()
         if request.path == "/trefoilstage/report":
             return web.json_response({"born": self.started_at_ms, "busy": False})
         if request.headers.get("Expect-Instance") != self.name:
--- a/tests/components/peer_sends/test_probe.py
+++ b/tests/components/peer_sends/test_probe.py
@@ -9,6 +9,11 @@
 from tests.components.boards import make_board
 from tests.components.forwarding.common import make_target
 from trefoilstage.components.crashes.probe import ProbeResult
+from trefoilstage.components.forwarding.models import (
+    Engine,
+    FleetConfiguration,
+    TargetService,
+)
 from trefoilstage.components.peer_sends.messages import ProbeReply
 from trefoilstage.components.peer_sends.probe import ConfirmedProbe
 from trefoilstage.exceptions import PeerUnavailableError
@@ -27,18 +32,28 @@
         other_accepts: bool,
         replies: Sequence[ProbeResult | None] | PeerUnavailableError = (),
         n_peers: int = 2,
+        own_result: ProbeResult = REFUSED,
+        is_answering: bool = False,
+        engine: Engine | None = None,
     ) -> ProbeResult:
         """Return the result, by what other targets and the peers say."""
         names = [f"host-{number}" for number in range(n_peers + 1)]
         board = make_board("host-0", names)
         board.targets.apply_entry(TARGET)
+        service = TargetService(
+            name=TARGET.service, health_path="/", max_connections=1, engine=engine
+        )
+        board.configuration = FleetConfiguration(services={TARGET.service: service})
         results: Any = replies
         if not isinstance(replies, PeerUnavailableError):
             results = [ProbeReply(result=result) for result in replies]
         self.call = mock.AsyncMock(side_effect=results)
         probe = ConfirmedProbe(
             board=board,
-            probe=mock.Mock(connect=mock.AsyncMock(return_value=REFUSED)),
+            probe=mock.Mock(connect=mock.AsyncMock(return_value=own_result)),
+            start_probe=mock.Mock(
+                is_answering=mock.AsyncMock(return_value=is_answering)
+            ),
             monitor=mock.Mock(check=mock.AsyncMock(return_value=other_accepts)),
             membership=mock.Mock(list_live_hosts=lambda: tuple(names)),
             links=mock.Mock(get_link=lambda _: mock.Mock(call=self.call)),
@@ -52,6 +67,23 @@
         self.assertIs(await self.probe(other_accepts=True), REFUSED)
         self.call.assert_not_awaited()
 
+    async def test_engine_with_an_open_port_that_does_not_answer_ended(self) -> None:
+        """Guard against a crash that goes unnoticed as the port stays open."""
+        for is_answering, expected in ((False, ProbeResult.MUTE), (True, ACCEPTED)):
+            result = await self.probe(
+                other_accepts=False,
+                own_result=ACCEPTED,
+                is_answering=is_answering,
+                engine=Engine(slots=1, kv_tokens=1, tokens_per_event=1),
+            )
+            self.assertIs(result, expected)
+            self.call.assert_not_awaited()
+
+    async def test_service_without_reports_runs_if_its_port_is_open(self) -> None:
+        """Guard against a plain service that counts as ended without a free slot."""
+        result = await self.probe(other_accepts=False, own_result=ACCEPTED)
+        self.assertIs(result, ACCEPTED)
+
     async def test_target_runs_if_a_peer_reaches_it(self) -> None:
         """Guard against lost links that are taken for the end of a target."""
         replies = (None, ACCEPTED)
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -12,14 +12,23 @@
 CRASHING_BODY = b'{"crashes": true}'
 CRASHING_PART = "dead"  # of prompts
 RESTART_DELAY_S = 0.3
+MUTE_S = 2.0  # longer than hosts wait for a report
 OTHER_VERSIONS = {"v1": "v2", "v2": "v1"}
 
 
 class CrashingTargets:
     """Crash a fleet's targets on one request and one prompt part; restart them."""
 
-    def __init__(self, *, fleet: PlatformFleet, changes_versions: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: PlatformFleet,
+        changes_versions: bool = False,
+        keeps_ports: bool = False,
+    ) -> None:
         self._fleet = fleet
+        # Whether crashed targets' ports accept connections that nothing answers.
+        self._keeps_ports = keeps_ports
         # Whether each second restart keeps the name and changes the version.
         self._changes_versions = changes_versions
         self._n_restarts = 0
@@ -54,16 +63,25 @@
             return
         self._stopped.add(number)
         runner = self._runners[number]
-        for site in list(runner.sites):
-            await site.stop()
-        await self._fleet.stop_target_proxies(number)
+        if self._keeps_ports:
+            self._fleet.targets[number].is_mute = True
+        else:
+            await self._stop(number)
         reset_connections(runner)
         task = asyncio.create_task(self._restart(number, runner))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _stop(self, number: int) -> None:
+        for site in list(self._runners[number].sites):
+            await site.stop()
+        await self._fleet.stop_target_proxies(number)
+
     async def _restart(self, number: int, runner: web.AppRunner) -> None:
         fleet = self._fleet
+        if self._keeps_ports:
+            await asyncio.sleep(MUTE_S)
+            await self._stop(number)
         await runner.cleanup()
         await asyncio.sleep(RESTART_DELAY_S)
         old = fleet.targets[number]
--- a/tests/promises/test_crashes.py
+++ b/tests/promises/test_crashes.py
@@ -29,11 +29,13 @@
     return answers
 
 
-async def wait_until_blocked(fleet: PlatformFleet) -> None:
+async def wait_until_blocked(
+    fleet: PlatformFleet, event: str = "request_blocked"
+) -> None:
     """Wait until every host has blocked a request."""
     for host in fleet.hosts.values():
         await poll_until(
-            lambda host=host: host.has_logged("request_blocked"),
+            lambda host=host: host.has_logged(event),
             f"{host.name} to block the request",
         )
 
@@ -129,6 +131,16 @@
             sound = await self.call(fleet, N_ATTEMPTS, "aa:50,bb:30")
             self.assertEqual(sound.status, 200)
 
+    async def test_part_is_found_although_the_ports_stay_open(self) -> None:
+        """Guard against crashes that go unnoticed as targets' ports stay open."""
+        async with PlatformFleet(n_hosts=1, n_targets=4) as fleet:
+            targets = CrashingTargets(fleet=fleet, keeps_ports=True)
+            for number in range(MAX_CRASHES):
+                await self.call(fleet, number, f"{CRASHING_PART}:30")
+                await targets.wait_until_restarted()
+            self.assertLess(targets.n_crashes, MAX_CRASHES)
+            await wait_until_blocked(fleet, "parts_blocked")
+
     async def call(
         self, fleet: PlatformFleet, number: int, shared_parts: str
     ) -> FleetAnswer:
--- a/trefoilstage/components/crashes/probe.py
+++ b/trefoilstage/components/crashes/probe.py
@@ -16,6 +16,7 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     SILENT = "silent"
+    MUTE = "mute"  # accepts connections, but doesn't answer as the target that is meant
 
 
 class TargetProbe(Protocol):
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -19,6 +19,7 @@
     CheckedResponse,
     KeepAliveConnector,
     limit_idle_connections,
+    open_socket,
 )
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.components.forwarding.translator import (
@@ -95,6 +96,14 @@
     return open_session(connector, CheckedResponse)
 
 
+def open_probe_session(address: str) -> aiohttp.ClientSession:
+    """Return a session that opens a connection to a target for each request."""
+    connector = aiohttp.TCPConnector(
+        limit=0, local_addr=(address, 0), force_close=True, socket_factory=open_socket
+    )
+    return open_session(connector)
+
+
 def is_framed(headers: Mapping[str, str]) -> bool:
     """Return whether an answer says where it ends."""
     return any(name in headers for name in ("Content-Length", "Transfer-Encoding"))
--- a/trefoilstage/components/forwarding/start_prover.py
+++ b/trefoilstage/components/forwarding/start_prover.py
@@ -19,6 +19,9 @@
     async def read_start(self, target: TargetEntry) -> int | None:
         """Return a target's start in Unix ms, None if it doesn't say."""
 
+    async def is_answering(self, target: TargetEntry) -> bool:
+        """Return whether the start that an entry names answers a new connection."""
+
 
 class StartProver:
     """Prove which start of a target a connection leads to."""
--- a/trefoilstage/components/peer_sends/probe.py
+++ b/trefoilstage/components/peer_sends/probe.py
@@ -7,6 +7,7 @@
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
+from trefoilstage.components.forwarding.start_prover import StartProbe
 from trefoilstage.components.peer_sends.messages import ProbeReply, ProbeTarget
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
@@ -17,7 +18,7 @@
 N_ASKED_AT_ONCE = 8
 MAX_PEERS_ASKED = 24
 # A peer probes the target, and then others, each until the probe times out.
-ASK_TIMEOUT_S = 1.0
+ASK_TIMEOUT_S = 2.5
 
 
 class ConfirmedProbe:
@@ -28,6 +29,7 @@
         *,
         board: FleetBoard,
         probe: TargetProbe,
+        start_probe: StartProbe,
         monitor: ReachMonitor,
         membership: FleetMembership,
         links: PeerLinks,
@@ -36,6 +38,7 @@
     ) -> None:
         self._board = board
         self._probe = probe
+        self._start_probe = start_probe
         self._monitor = monitor
         self._membership = membership
         self._links = links
@@ -43,13 +46,15 @@
         server.register(ProbeTarget, self._answer)
 
     async def connect(self, address: str) -> ProbeResult:
-        """Return whether a target accepts connections, as hosts with links find.
+        """Return whether a target takes requests, as hosts with links find.
 
         If no host that was asked reaches any target, the targets are down.
         """
-        result = await self._probe.connect(address)
         entry = self._find_entry(address)
-        if entry is None or await self._is_conclusive(result, entry.service):
+        if entry is None:
+            return await self._probe.connect(address)
+        result = await self._probe_entry(entry)
+        if await self._is_conclusive(result, entry.service):
             return result
         peers = self._pick_peers(entry.service)
         for first in range(0, len(peers), N_ASKED_AT_ONCE):
@@ -60,9 +65,25 @@
                 return known[0]
         return result
 
+    async def _probe_entry(self, entry: TargetEntry) -> ProbeResult:
+        result = await self._probe.connect(entry.address)
+        if result is not ProbeResult.ACCEPTED or not self._runs_engine(entry):
+            return result
+        if await self._start_probe.is_answering(entry):
+            return ProbeResult.ACCEPTED
+        return ProbeResult.MUTE
+
+    def _runs_engine(self, entry: TargetEntry) -> bool:
+        """Return whether a target reports on itself without a free slot."""
+        configuration = self._board.configuration
+        service = configuration.services.get(entry.service) if configuration else None
+        return service is not None and service.engine is not None
+
     async def _is_conclusive(self, result: ProbeResult, service: str) -> bool:
         """Return whether the target explains a result of this host's own probe."""
-        return result is ProbeResult.ACCEPTED or await self._monitor.check(service)
+        if result in (ProbeResult.ACCEPTED, ProbeResult.MUTE):
+            return True
+        return await self._monitor.check(service)
 
     def _find_entry(self, address: str) -> TargetEntry | None:
         entries = (item.entry for item in self._board.targets.listed.values())
@@ -89,6 +110,6 @@
         entry = self._board.targets.find_incarnation(message.target)
         if entry is None or self._monitor.is_lost(entry.service):
             return ProbeReply(result=None)
-        result = await self._probe.connect(entry.address)
+        result = await self._probe_entry(entry)
         is_conclusive = await self._is_conclusive(result, entry.service)
         return ProbeReply(result=result if is_conclusive else None)
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -13,7 +13,11 @@
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.fleet.metrics_server import MetricsServer
 from trefoilstage.components.forwarding.report_probe import ReportProbe
-from trefoilstage.components.forwarding.sender import TargetSender, open_target_session
+from trefoilstage.components.forwarding.sender import (
+    TargetSender,
+    open_probe_session,
+    open_target_session,
+)
 from trefoilstage.components.forwarding.server import ForwardingServer
 from trefoilstage.components.forwarding.translator import RequestTranslator
 from trefoilstage.components.peers.links import PeerLinks
@@ -79,6 +83,7 @@
         """Create the components and start each after those that it depends on."""
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
+        self._probe_session = open_probe_session(settings.address)
         links = PeerLinks(
             outbound_address=settings.address,
             codec=FLEET_CODEC,
@@ -98,7 +103,11 @@
             streams=streams,
             sender=TargetSender(session=self._session, translator=self._translator),
             probe=ConnectProbe(outbound_address=settings.address),
-            start_probe=ReportProbe(session=self._session, translator=self._translator),
+            start_probe=ReportProbe(
+                session=self._session,
+                new_session=self._probe_session,
+                translator=self._translator,
+            ),
             process_start=self._process_start,
         )
         self._membership = parts.membership
@@ -243,6 +252,7 @@
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
         await self._session.close()
+        await self._probe_session.close()
         log_event(Event.HOST_STOPPED, host=self._board.host)
 
     def write_state_dump(self) -> None:
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -263,6 +263,7 @@
         probe=ConfirmedProbe(
             board=board,
             probe=probe,
+            start_probe=start_probe,
             monitor=reach_monitor,
             membership=membership,
             links=links,
