Crashes: two parts at once, and short answers before a crash that others notice

Two are enough for a part that is blocked. - A short whole answer on a crashing part counted as a run if no other request of that host was under way at the target; the host then told all others that the part is sound.

--- a/tests/components/crashes/test_causes.py
+++ b/tests/components/crashes/test_causes.py
@@ -1,6 +1,7 @@
 """Test which requests and prompt parts explain crashes."""
 
 import unittest
+from collections.abc import Iterable
 
 from trefoilstage.components.crashes.causes import (
     MIN_CRASHED_TARGETS,
@@ -19,9 +20,14 @@
     return make_crash(fingerprint, target, parts=tuple(parts.split()), at_ms=at_ms)
 
 
+def as_parts(crashes: Iterable[Crash]) -> dict[Crash, frozenset[str]]:
+    """Return crashes with the parts that they were recorded with."""
+    return {item: frozenset(item.parts) for item in crashes}
+
+
 def find(*crashes: Crash) -> Causes:
-    """Return the causes of crashes, with the parts that they were recorded with."""
-    return find_causes({item: frozenset(item.parts) for item in crashes})
+    """Return the causes of crashes."""
+    return find_causes(as_parts(crashes))
 
 
 class PartTest(unittest.TestCase):
@@ -84,6 +90,21 @@
             self.assertTrue(causes.includes("new", frozenset({"all", part})), part)
         self.assertFalse(causes.includes("new", frozenset({"all"})))
 
+    def test_part_stays_blocked_when_another_explains_a_crash(self) -> None:
+        """Guard against a part that is served again as another crashed its target."""
+        first = [crash(f"a-{item}", item, "dead") for item in "xyz"]
+        both = [*first, *(crash(f"b-{item}", item, "deadly") for item in "zuvw")]
+        self.assertEqual(find_causes(as_parts(both)).part_sets, {frozenset({"deadly"})})
+        causes = find_causes(as_parts(both), find(*first))
+        self.assertEqual(causes.part_sets, {DEAD, frozenset({"deadly"})})
+
+    def test_wrongly_blocked_part_is_served_when_another_explains_all(self) -> None:
+        """Guard against a harmless part that stays blocked beside the cause."""
+        wrong = [crash(f"a-{item}", item, "harmless") for item in "xyz"]
+        both = [*wrong, *(crash(f"b-{item}", item, "dead") for item in "wxyz")]
+        causes = find_causes(as_parts(both), find(*wrong))
+        self.assertEqual(causes.part_sets, {DEAD})
+
     def test_part_is_blocked_beside_companions_that_come_often(self) -> None:
         """Guard against a part that is blocked only beside its usual companions."""
         causes = find(
--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -24,6 +24,7 @@
 from trefoilstage.components.crashes.watcher import (
     CLEAR_DELAY_S,
     MAX_SUSPECT_PROGRESS_S,
+    MIN_RUNS_TO_CLEAR,
     PROBE_DELAY_S,
     RAN_LATELY_S,
     CrashWatcher,
@@ -139,7 +140,8 @@
     async def test_request_that_ran_long_ago_is_blocked(self) -> None:
         """Guard against a request that begins to crash targets and is never blocked."""
         self.watcher.record_harmless("a")
-        self.watcher._ran_requests._ran_at["a"] -= RAN_LATELY_S + 1.0
+        ran_at, n_runs = self.watcher._ran_requests._runs["a"]
+        self.watcher._ran_requests._runs["a"] = ran_at - RAN_LATELY_S - 1.0, n_runs
         for target in ("x", "y", "z"):
             await self.interrupt("a", target, SHORT_PROGRESS_S)
         self.assertIsNotNone(self.watcher.get_refusal("a"))
@@ -253,7 +255,8 @@
 
     async def test_what_ran_here_lately_is_cleared_on_all_hosts(self) -> None:
         """Guard against hosts that block what others know to be harmless."""
-        self.watcher.record_harmless("a", ["p"])
+        for _ in range(MIN_RUNS_TO_CLEAR):
+            self.watcher.record_harmless("a", ["p"])
         for other in ("a", "r"):
             crashes = tuple(
                 make_crash(other if other == "a" else f"r-{item}", item, parts=("p",))
@@ -330,6 +333,27 @@
             await asyncio.sleep(1.5 * CONFIRM_AFTER_S)
         self.assertIsNotNone(self.watcher.get_refusal("new", ("dead",)))
 
+    async def test_short_answer_of_a_target_that_others_saw_stop_is_suspect(
+        self,
+    ) -> None:
+        """Guard against a crash that only the other hosts notice."""
+        run = make_run("r", "x", "dead")
+        self.watcher.record_completed(run, progress_s=0.0, is_end_certain=True)
+        report = CrashReport(host="host-1", crashes=(make_crash("other", "x"),))
+        await self.watcher._handle_report(report)
+        await asyncio.sleep(1.1 * CONFIRM_AFTER_S)
+        await self.watcher._expire()
+        self.assertEqual([item.parts for item in self.parts.recorded], [("dead",)])
+
+    async def test_one_run_clears_nothing_on_other_hosts(self) -> None:
+        """Guard against a crashing part that all hosts serve for one short answer."""
+        self.watcher.record_harmless("a", ["dead"])
+        crashes = [make_crash(f"r-{item}", item, parts=("dead",)) for item in "xyz"]
+        report = CrashReport(host="host-1", crashes=tuple(crashes))
+        await self.watcher._handle_report(report)
+        await asyncio.sleep(2 * CLEAR_DELAY_S)
+        self.assertEqual(self.parts.cleared_parts, [])
+
     async def test_whole_answer_clears_once_its_target_went_on(self) -> None:
         """Guard against a sound part that is never cleared by short answers."""
         await self.crash_under_part("sound", "xy")
--- a/tests/emulator/test_crashing_parts.py
+++ b/tests/emulator/test_crashing_parts.py
@@ -4,10 +4,14 @@
 
 from bench.emulator.callers import Outcome
 from bench.emulator.crashing_requests import CrashTimes
-from bench.emulator.scenario import Fault, FaultKind, load_scenario
+from bench.emulator.scenario import Fault, FaultKind, PartPosition, load_scenario
 from bench.emulator.world import DayResult, run_day
+from trefoilstage.helpers.verdict import Reason
 
 SEEDS = (1, 2)
+# In each, one part crashed a target together with the other, or answered once.
+TWO_PARTS_SEEDS = (2, 4)
+DURATION_S = 22.0
 PART_AT_S = 5.0  # requests with the part begin
 PARTS_PER_S = 2.0
 # The platform's terms: from this time after the fifth crash on, at most three requests
@@ -20,6 +24,7 @@
 MIN_SERVED_SHARE = 0.5
 MIN_SAMPLE = 20
 AFFECTED_KIND = "summary"  # on whose route the part comes
+POPULAR_KIND = "hot-draft"  # all about one subject
 
 
 def make_part_fault(duration_s: float, **changes: object) -> Fault:
@@ -82,8 +87,67 @@
         """Guard against a part that crashes engines in ever new requests."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
-                fault = make_part_fault(22.0)
-                self.check(run_part_day("long-prompts", 22.0, seed, fault))
+                fault = make_part_fault(DURATION_S)
+                self.check(run_part_day("long-prompts", DURATION_S, seed, fault))
+
+    def check_small_day(self, seed: int, *faults: Fault) -> None:
+        """Check a day of a small fleet with the given faults."""
+        self.check(run_part_day("long-prompts", DURATION_S, seed, *faults))
+
+    def test_part_is_found_although_ports_stay_open(self) -> None:
+        """Guard against crashes that go unnoticed as engines' ports stay open."""
+        fault = make_part_fault(DURATION_S, keeps_port=True)
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.check_small_day(seed, fault)
+
+    def test_first_part_of_prompts_is_blocked(self) -> None:
+        """Guard against a part that is looked for only behind others."""
+        fault = make_part_fault(DURATION_S, position=PartPosition.FIRST)
+        self.check_small_day(SEEDS[0], fault)
+
+    def test_two_parts_at_once_are_blocked(self) -> None:
+        """Guard against a crashing part whose crashes another one explains."""
+        faults = (
+            make_part_fault(DURATION_S),
+            make_part_fault(
+                DURATION_S, at_s=PART_AT_S + 0.3, position=PartPosition.FIRST
+            ),
+        )
+        for seed in TWO_PARTS_SEEDS:
+            with self.subTest(seed=seed):
+                self.check_small_day(seed, *faults)
+
+    def test_part_is_blocked_while_hosts_are_killed(self) -> None:
+        """Guard against evidence that is lost with the hosts that saw the crashes."""
+        killed = [
+            Fault(kind=FaultKind.HOSTS_KILLED, at_s=at, for_s=1.0, share=share)
+            for at, share in ((5.5, 0.34), (7.0, 0.34), (9.0, 1.0))
+        ]
+        self.check_small_day(SEEDS[0], make_part_fault(DURATION_S), *killed)
+
+    def test_part_is_blocked_while_hosts_are_cut_off(self) -> None:
+        """Guard against hosts that learn of crashes from the store only."""
+        cuts = (
+            (FaultKind.STORE_CUT, 1.0),
+            (FaultKind.HOSTS_CUT_FROM_TARGETS, 0.5),
+        )
+        for kind, share in cuts:
+            with self.subTest(kind=kind):
+                cut = Fault(kind=kind, at_s=PART_AT_S - 1.0, for_s=8.0, share=share)
+                self.check_small_day(SEEDS[1], make_part_fault(DURATION_S), cut)
+
+    def test_popular_part_is_served_when_engines_end_by_themselves(self) -> None:
+        """Guard against refusing a part that is under way whenever a target ends."""
+        ends = [
+            Fault(kind=FaultKind.ENGINES_CRASHED, at_s=at, for_s=1.0, share=0.2)
+            for at in (2.0, 3.0, 4.0, 5.0, 6.0, 7.0)
+        ]
+        day = run_part_day("many-targets", 9.0, SEEDS[0], *ends)
+        popular = [item for item in day.outcomes if item.kind == POPULAR_KIND]
+        self.assertGreater(len(popular), MIN_SAMPLE)
+        reasons = {item.reason for item in popular}
+        self.assertNotIn(Reason.CRASHES_TARGETS, reasons)
 
     def test_large_fleet_stops_the_part(self) -> None:
         """Guard against crashes under a part that only some of many hosts know."""
--- a/trefoilstage/components/crashes/causes.py
+++ b/trefoilstage/components/crashes/causes.py
@@ -14,6 +14,9 @@
 # Two targets may crash under a harmless request by chance. From three on, the crashes
 # have a cause.
 MIN_CRASHED_TARGETS = 3
+# A blocked part may have crashed some targets together with another part, which then
+# explains these.
+MIN_TARGETS_TO_STAY = 2
 # Targets that crash together, as those of a rack do, count as one.
 SAME_MOMENT_MS = 100
 # Crashes of repeats of one request are explained by the request.
@@ -43,6 +46,9 @@
         return fingerprint in self.fingerprints or bool(self.find_parts(parts))
 
 
+NO_CAUSES = Causes()
+
+
 @dataclass(kw_only=True, slots=True)
 class Suspect:
     """Describe the crashes under one request, or under requests with one part."""
@@ -75,13 +81,13 @@
                 moment_ms = at_ms
         return n_moments
 
-    def may_be_cause(self) -> bool:
+    def may_be_cause(self, min_targets: int = MIN_CRASHED_TARGETS) -> bool:
         """Return whether the crashes are too many for a coincidence."""
         if not self.is_part:
             return len(self.crashed_at) >= MIN_CRASHED_TARGETS
         return (
             len(self.fingerprints) >= MIN_REQUESTS_WITH_PART
-            and self.count_moments() >= MIN_CRASHED_TARGETS
+            and self.count_moments() >= min_targets
         )
 
     def explain(self, targets: Iterable[str]) -> None:
@@ -94,14 +100,20 @@
         return len(self.crashed_at), self.is_part, len(self.common_parts), self.name
 
 
-def find_causes(parts_by_crash: Mapping[Crash, frozenset[str]]) -> Causes:
+def find_causes(
+    parts_by_crash: Mapping[Crash, frozenset[str]], previous: Causes = NO_CAUSES
+) -> Causes:
     """Return the requests and parts that explain why targets crashed.
 
+    `previous` are those that were blocked before the last crashes.
+
     The suspect under which most targets crashed explains those crashes, and only the
     remaining ones count against others. Otherwise, harmless requests and parts that
     were interrupted together with a crashing one would be blocked as well.
     """
-    suspects = select_causes(collect_suspects(parts_by_crash))
+    suspects = [
+        item for item in collect_suspects(parts_by_crash) if item.may_be_cause()
+    ]
     suspects = [item for item in suspects if not is_refined(item, suspects)]
     fingerprints: set[str] = set()
     part_sets: set[frozenset[str]] = set()
@@ -114,13 +126,18 @@
         explained = tuple(likeliest.crashed_at)
         for suspect in suspects:
             suspect.explain(explained)
-        suspects = select_causes(suspects)
+        suspects = [
+            item
+            for item in suspects
+            if item.may_be_cause(get_min_targets(item, previous))
+        ]
     return Causes(fingerprints=frozenset(fingerprints), part_sets=frozenset(part_sets))
 
 
-def select_causes(suspects: Iterable[Suspect]) -> list[Suspect]:
-    """Return the suspects whose crashes are too many for a coincidence."""
-    return [suspect for suspect in suspects if suspect.may_be_cause()]
+def get_min_targets(suspect: Suspect, previous: Causes) -> int:
+    """Return how many crashes must remain that no other suspect explains."""
+    is_blocked = suspect.common_parts in previous.part_sets
+    return MIN_TARGETS_TO_STAY if is_blocked else MIN_CRASHED_TARGETS
 
 
 def is_refined(general: Suspect, suspects: Iterable[Suspect]) -> bool:
--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -5,7 +5,7 @@
 Other targets stop for unrelated reasons at the same time.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -14,7 +14,7 @@
     Causes,
     find_causes,
 )
-from trefoilstage.components.crashes.models import Crash
+from trefoilstage.components.crashes.models import Crash, make_crash
 
 # Limits the memory of a host and the records in the store when hundreds of targets stop
 # while each runs dozens of requests.
@@ -46,6 +46,7 @@
     crashes_by_part: dict[str, set[Crash]] = field(
         default_factory=lambda: defaultdict(set)
     )
+    _n_crashes_by_target: Counter[str] = field(default_factory=Counter)
     _parts: dict[Crash, frozenset[str]] = field(default_factory=dict)
     _causes: Causes = field(default_factory=Causes)
     _are_causes_stale: bool = False
@@ -54,7 +55,8 @@
     def causes(self) -> Causes:
         """Return which requests and parts are blocked."""
         if self._are_causes_stale:
-            self._causes = find_causes(self._select_suspected_parts())
+            suspected = self._select_suspected_parts()
+            self._causes = find_causes(suspected, self._causes)
             self._are_causes_stale = False
         return self._causes
 
@@ -69,6 +71,7 @@
             return False
         self.seen_at[crash] = now
         self.targets_by_fingerprint[crash.fingerprint].add(crash.target)
+        self._n_crashes_by_target[crash.target] += 1
         self._parts[crash] = frozenset(crash.parts)
         for part in crash.parts:
             self.crashes_by_part[part].add(crash)
@@ -87,6 +90,7 @@
         targets.discard(crash.target)
         if not targets:
             del self.targets_by_fingerprint[crash.fingerprint]
+        self._n_crashes_by_target -= Counter([crash.target])
         for part in self._parts.pop(crash):
             self._unlink(part, crash)
 
@@ -163,6 +167,10 @@
             part in self.crashes_by_part for part in parts
         )
 
+    def has_target(self, target: str) -> bool:
+        """Return whether an incarnation of a target is known to have crashed."""
+        return make_crash("", target).target in self._n_crashes_by_target
+
     def count_targets(self, part: str) -> int:
         """Return how many targets crashed under requests with a part."""
         return len({crash.target for crash in self.crashes_by_part.get(part, ())})
--- a/trefoilstage/components/crashes/recent_runs.py
+++ b/trefoilstage/components/crashes/recent_runs.py
@@ -11,16 +11,18 @@
 
     def __init__(self, *, retention_s: float) -> None:
         self._retention_s = retention_s
-        self._ran_at: OrderedDict[str, float] = OrderedDict()
+        # The time of the last run, and the number of runs without a longer pause.
+        self._runs: OrderedDict[str, tuple[float, int]] = OrderedDict()
 
     def record(self, name: str, now: float) -> None:
         """Record a run."""
-        self._ran_at[name] = now
-        self._ran_at.move_to_end(name)
-        if len(self._ran_at) > MAX_RUNS:
-            self._ran_at.popitem(last=False)
+        n_before = self.count(name, now)
+        self._runs[name] = now, n_before + 1
+        self._runs.move_to_end(name)
+        if len(self._runs) > MAX_RUNS:
+            self._runs.popitem(last=False)
 
-    def includes(self, name: str, now: float) -> bool:
-        """Return whether the last run is recent."""
-        ran_at = self._ran_at.get(name)
-        return ran_at is not None and now - ran_at <= self._retention_s
+    def count(self, name: str, now: float) -> int:
+        """Return the number of recent runs."""
+        ran_at, n_runs = self._runs.get(name, (float("-inf"), 0))
+        return n_runs if now - ran_at <= self._retention_s else 0
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -60,6 +60,8 @@
 PART_RAN_LATELY_S = 10.0
 # A part with fewer crashes is not about to be blocked.
 MIN_CRASHES_TO_CLEAR = 2
+# One run may be a short answer whose target crashed unnoticed.
+MIN_RUNS_TO_CLEAR = 3
 # The time for a record to reach all hosts, divided by the largest number of writers.
 CLEAR_DELAY_S = 0.005
 MS_PER_S = 1_000
@@ -119,7 +121,7 @@
         is_request_blocked = fingerprint in causes.fingerprints
         if not (blocked_parts or is_request_blocked):
             return None
-        if self._ran_requests.includes(fingerprint, self._now()):
+        if self._ran_requests.count(fingerprint, self._now()):
             return None
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
@@ -170,7 +172,11 @@
 
     def _confirm_old_runs(self) -> None:
         for run in self._completed.pop_old(self._now()):
-            self.record_harmless(run.fingerprint, run.parts)
+            if self.evidence.has_target(run.target):
+                # Another host noticed that the target stopped.
+                self._record_crashes(run.target, [run])
+            else:
+                self.record_harmless(run.fingerprint, run.parts)
 
     async def _confirm(self, run: Run) -> None:
         """Record a completed run as harmless if its target goes on."""
@@ -243,20 +249,26 @@
         if result is ProbeResult.ACCEPTED:
             # The target broke off responses but is still running.
             return
+        runs = [*interrupted, *self._completed.pop_target(target)]
+        n_cut = self._record_crashes(target, runs)
+        log_event(Event.TARGET_ENDED, target=target, connect=result, n_cut=n_cut)
+
+    def _record_crashes(self, target: str, runs: Sequence[Run]) -> int:
+        """Record that a target stopped under some runs; return how many are suspect."""
         now = self._now()
         at_ms = int((now + self._unix_offset_s) * MS_PER_S)
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
-            for run in [*interrupted, *self._completed.pop_target(target)]
-            if not self._ran_requests.includes(run.fingerprint, now)
+            for run in runs
+            if not self._ran_requests.count(run.fingerprint, now)
         }
         crashes = [
             make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
             for fingerprint, parts in sorted(parts_by_fingerprint.items())
         ]
-        log_event(Event.TARGET_ENDED, target=target, connect=result, n_cut=len(crashes))
         self._change_evidence("crashed", add=crashes)
         self._recorder.record(crashes)
+        return len(crashes)
 
     async def _handle_report(self, report: CrashReport) -> None:
         self._change_evidence("crashed", add=report.crashes)
@@ -306,13 +318,13 @@
 
     def _is_request_wrongly_suspected(self, fingerprint: str) -> bool:
         n_targets = len(self.evidence.targets_by_fingerprint.get(fingerprint, ()))
-        return n_targets >= MIN_CRASHED_TARGETS and self._ran_requests.includes(
-            fingerprint, self._now()
-        )
+        n_runs = self._ran_requests.count(fingerprint, self._now())
+        return n_targets >= MIN_CRASHED_TARGETS and n_runs >= MIN_RUNS_TO_CLEAR
 
     def _is_part_wrongly_suspected(self, part: str) -> bool:
         n_targets = self.evidence.count_targets(part)
-        return n_targets >= MIN_CRASHED_TARGETS and self._has_part_run_lately(part)
+        n_runs = self._ran_parts.count(part, self._now())
+        return n_targets >= MIN_CRASHED_TARGETS and n_runs >= MIN_RUNS_TO_CLEAR
 
     async def _clear_wrongly_suspected(self, crashes: Sequence[Crash]) -> None:
         # Hosts of a large fleet that know the same answer one after another, so that
@@ -340,7 +352,7 @@
         return tuple(part for part in parts if not self._has_part_run_lately(part))
 
     def _has_part_run_lately(self, part: str) -> bool:
-        return self._ran_parts.includes(part, self._now())
+        return self._ran_parts.count(part, self._now()) > 0
 
     async def _expire(self) -> None:
         self._confirm_old_runs()
