Tests of a favoured host and of answers that only their connection ends

Real hosts: streams without chunks that end whole, inside an event, and before the first event; the last fails without the check in the relay (200 in place of 502).

--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -21,6 +21,7 @@
 # Callers wait at most this share of their remaining time before a retry.
 MAX_RETRY_WAIT_SHARE = 1 / 3
 RETRY_PAUSE_S = 0.1
+FAVOURED_SHARE = 0.8  # of new connections that a balancer hands to one host
 MIN_SAMPLE_TOKENS = 16
 SIZE_SIGMA = 0.8  # standard deviation of the logarithm of sizes
 MAX_SIZE_FACTOR = 4.0  # relative to the mean
@@ -182,6 +183,7 @@
         workspace: Workspace,
         request: CallerRequest,
         hosts: Sequence[EmulatedHost],
+        favoured_hosts: Sequence[EmulatedHost],
         generator: random.Random,
     ) -> None:
         self._kind = kind
@@ -189,6 +191,7 @@
         self._workspace = workspace
         self._request = request
         self._hosts = hosts
+        self._favoured_hosts = favoured_hosts
         self._generator = generator
         self._reply = RecordedReply()
         self._host = ""  # that got the last attempt
@@ -256,6 +259,10 @@
         return give_up_later
 
     def _sample_host(self) -> EmulatedHost:
+        favoured = [host for host in self._favoured_hosts if host.is_serving]
+        is_first = not self._host
+        if is_first and favoured and self._generator.random() < FAVOURED_SHARE:
+            return favoured[0]
         serving = [host for host in self._hosts if host.is_serving]
         return self._generator.choice(serving or list(self._hosts))
 
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -73,6 +73,8 @@
     HOSTS_KILLED = "hosts_killed"
     POWER_LOST = "power_lost"
     ENGINES_CRASHED = "engines_crashed"
+    # The balancer hands most new connections to one host, to the next if it is out.
+    HOST_FAVOURED = "host_favoured"
     BURST = "burst"
     HOT_WORKSPACE = "hot_workspace"
     ENGINES_RETURN_COLD = "engines_return_cold"  # down, then back together
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -84,6 +84,7 @@
         self._hot_workspace: str = ""
         self._hot_workspace_factor = 1.0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._favoured_hosts: list[EmulatedHost] = []
         self._crashing = CrashingRequests(
             kinds=scenario.kinds,
             sampler=self._request_sampler,
@@ -214,6 +215,7 @@
             workspace=next(iter(self._workspaces.values())),
             request=request,
             hosts=self._hosts,
+            favoured_hosts=self._favoured_hosts,
             generator=self._generator,
         )
 
@@ -234,6 +236,7 @@
             workspace=self._sample_workspace(),
             request=self._request_sampler.sample_request(kind),
             hosts=self._hosts,
+            favoured_hosts=self._favoured_hosts,
             generator=self._generator,
         )
         self.day.outcomes.append(await caller.run())
@@ -270,6 +273,11 @@
         for name in cut:
             self._links.heal(name)
 
+    async def _favour_host(self, fault: Fault) -> None:
+        self._favoured_hosts += self._sample_hosts(fault.share)
+        await asyncio.sleep(fault.for_s)
+        self._favoured_hosts.clear()
+
     async def _slow_store(self, fault: Fault) -> None:
         self._shared_store.delay_factor = fault.factor
         await asyncio.sleep(fault.for_s)
@@ -340,6 +348,7 @@
     FaultKind.STORE_SLOW: World._slow_store,
     FaultKind.HOSTS_KILLED: World._kill_hosts,
     FaultKind.POWER_LOST: World._kill_hosts,
+    FaultKind.HOST_FAVOURED: World._favour_host,
     FaultKind.BURST: World._raise_traffic,
     FaultKind.HOT_WORKSPACE: World._raise_workspace_traffic,
     FaultKind.EVACUATION: World._evacuate,
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -173,6 +173,8 @@
     crashes_on: bytes | None = None  # request body that crashes the target
     crashing_part: str = ""  # of prompts; crashes the target as an answer begins
     crash: Callable[[], Awaitable[None]] | None = None  # stops and restarts it
+    # Streams without chunks, which only the end of their connection ends.
+    is_unframed: bool = False
     is_mute: bool = False  # accepts connections and answers nothing
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
@@ -212,6 +214,15 @@
             "Response-Seal": f"{self.name}.seal",
             **self.headers,
         }
+        return await self._answer_run(request, body, run, headers)
+
+    async def _answer_run(
+        self,
+        request: web.Request,
+        body: bytes,
+        run: TargetRun,
+        headers: dict[str, str],
+    ) -> web.StreamResponse:
         if self.crash is not None and body == self.crashes_on:
             await self.crash()
             await self.stop.wait()  # until the server is stopped
@@ -221,6 +232,8 @@
             await self.stop.wait()
         if self.fail:
             return web.Response(status=500, headers=headers, body=b"failed")
+        if self.is_unframed and request.path.startswith("/stream"):
+            return await self._stream_unframed(request, run, headers)
         if self.unframed_reset:
             return await self._answer_unframed(request, headers)
         if not request.path.startswith("/stream"):
@@ -258,6 +271,26 @@
         await response.prepare(request)
         return response
 
+    async def _stream_unframed(
+        self, request: web.Request, run: TargetRun, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Close the connection after the last event, or within the one that breaks."""
+        response = web.StreamResponse(headers=headers)
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        assert request.transport is not None
+        request.transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        is_breaking = self.break_after is not None and run.resumed_after == 0
+        n_events = self.break_after if is_breaking else self.n_events
+        for number in range(run.resumed_after + 1, (n_events or 0) + 1):
+            request.transport.write(f"id: {number}\ndata: {number}\n\n".encode())
+            run.events += 1
+            await asyncio.sleep(self.event_interval_s)
+        if is_breaking and n_events:
+            request.transport.write(b"id: 9")
+        run.ended = not is_breaking
+        request.transport.close()
+        return response
+
     async def _answer_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
