LIMIT: a home that grants less than the limit spreads its permits

The hosts had met 0.04 s before the first call, so that the home granted 0.4 of the limit of 1 request a second: two at once, in the second before the period, and none for 5 s. The target stood idle meanwhile, beside callers that were refused or sent elsewhere. One permit at a time at the same rate now.

--- a/tests/components/permits/test_permits.py
+++ b/tests/components/permits/test_permits.py
@@ -286,6 +286,14 @@
         self.assertGreater(n_grants, 0)
         self.assertLessEqual(n_grants, 0.4 * 1.6 * PERIOD_S + 2)
 
+    async def test_home_whose_list_of_hosts_changed_grants_in_each_period(self) -> None:
+        """Guard against a limited target that is left idle after a burst of permits."""
+        fleet = await self.make_fleet(3, 1.0)
+        for permits in fleet.permits.values():
+            permits._board.peers["host-9"] = mock.Mock(peer_url="host-9")
+        await fleet.count_grants(1.0)
+        self.assertGreater(await fleet.count_grants(PERIOD_S), 0)
+
     async def test_cold_target_that_names_a_limit_keeps_both(self) -> None:
         """Guard against a limit that is not kept while its target is cold."""
         fleet = await self.make_fleet(3, 1.6)
--- a/trefoilstage/components/permits/counter.py
+++ b/trefoilstage/components/permits/counter.py
@@ -22,8 +22,10 @@
 # stay below one and a half times the limit, which targets tolerate over some seconds.
 STEADY_SHARE = 1.0
 UNSETTLED_SHARE = 0.4
-# Requests that arrive together at a target that names a limit.
+# Requests that arrive together at a target that names a limit. A home that grants less
+# than the limit spreads its permits, or the target would be idle for long after two.
 N_PERMITS_AT_ONCE = 2
+N_UNSETTLED_PERMITS_AT_ONCE = 1
 # All hosts together send this many requests a second to a target that turned one away
 # and asked for rest, while others serve, until it takes one.
 REFUSING_LIMIT_PER_S = 2 / 3
@@ -64,9 +66,9 @@
 def compute_named_rate(limit_per_s: float, share: float) -> PermitRate:
     """Return the rate at which one home permits requests to a target in need."""
     permits_per_s = share * max(limit_per_s, MIN_LIMIT_PER_S)
-    return PermitRate(
-        n_permits=N_PERMITS_AT_ONCE, window_s=N_PERMITS_AT_ONCE / permits_per_s
-    )
+    is_steady = share >= STEADY_SHARE
+    n_permits = N_PERMITS_AT_ONCE if is_steady else N_UNSETTLED_PERMITS_AT_ONCE
+    return PermitRate(n_permits=n_permits, window_s=n_permits / permits_per_s)
 
 
 @dataclass(kw_only=True, slots=True)
