--- a/trefoilstage/components/crashes/evidence_log.py
+++ b/trefoilstage/components/crashes/evidence_log.py
@@ -1,9 +1,8 @@
 """Log changes of what is blocked, and records that can't be read."""
 
-from collections.abc import Iterable
-
 from trefoilstage.components.crashes.causes import Causes
 from trefoilstage.components.crashes.evidence import CrashEvidence
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.models import CrashRecord, decode_record
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic
@@ -36,15 +35,12 @@
     for parts in causes.part_sets - previous.part_sets:
         log_event(
             Event.PARTS_BLOCKED,
-            parts=describe_parts(parts),
+            parts=describe_parts(sorted(parts)),
             targets=",".join(evidence.list_targets(parts)),
         )
     for fingerprint in previous.fingerprints - causes.fingerprints:
         log_event(Event.REQUEST_UNBLOCKED, fingerprint=fingerprint, reason=reason)
     for parts in previous.part_sets - causes.part_sets:
-        log_event(Event.PARTS_UNBLOCKED, parts=describe_parts(parts), reason=reason)
-
-
-def describe_parts(parts: Iterable[str]) -> str:
-    """Return a set of parts as one field of a log line."""
-    return truncate_text(",".join(sorted(parts)))
+        log_event(
+            Event.PARTS_UNBLOCKED, parts=describe_parts(sorted(parts)), reason=reason
+        )
--- a/trefoilstage/components/crashes/fingerprint.py
+++ b/trefoilstage/components/crashes/fingerprint.py
@@ -3,6 +3,8 @@
 import hashlib
 from collections.abc import Iterable
 
+from trefoilstage.helpers.events import truncate_text
+
 FINGERPRINT_BYTES = 12
 # Limits the memory that the parts of one prompt take.
 MAX_PARTS = 64
@@ -28,6 +30,11 @@
     return tuple(identifiers)[:MAX_PARTS]
 
 
+def describe_parts(parts: Iterable[str]) -> str:
+    """Return parts of prompts as one field of a log line."""
+    return truncate_text(",".join(parts))
+
+
 def _limit_name(name: str) -> str:
     if name.isalnum() and name.isascii() and len(name) <= MAX_PART_NAME_LENGTH:
         return name
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -26,11 +26,8 @@
     SUSPECT_RETENTION_S,
     CrashEvidence,
 )
-from trefoilstage.components.crashes.evidence_log import (
-    decode_or_log,
-    describe_parts,
-    log_changes,
-)
+from trefoilstage.components.crashes.evidence_log import decode_or_log, log_changes
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import (
     Crash,
@@ -125,7 +122,7 @@
             return None
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
-            detail=describe_parts(blocked_parts or ()),
+            detail=describe_parts(sorted(blocked_parts or ())),
             retry_after_s=self.evidence.compute_wait_s(
                 fingerprint, frozenset(parts), self._now()
             ),
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import replace
 
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
 from trefoilstage.components.escrow.wait_limits import WaitLimits
@@ -37,10 +38,7 @@
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.components.forwarding.run_recorder import (
-    RunRecorder,
-    describe_parts,
-)
+from trefoilstage.components.forwarding.run_recorder import RunRecorder
 from trefoilstage.components.forwarding.stream_binding import (
     StartUnprovenError,
     StreamBinder,
--- a/trefoilstage/components/forwarding/run_recorder.py
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -1,8 +1,7 @@
 """Record how the runs of requests ended, to find those that crash targets."""
 
-from collections.abc import Sequence
-
 from trefoilstage.components.crashes.completed_runs import Run
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import (
     MAX_SUSPECT_PROGRESS_S,
     CrashWatcher,
@@ -10,7 +9,7 @@
 from trefoilstage.components.forwarding.answers import OpenAnswer
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.request_state import RequestState
-from trefoilstage.helpers.events import Event, log_event, truncate_text
+from trefoilstage.helpers.events import Event, log_event
 
 
 class RunRecorder:
@@ -70,8 +69,3 @@
         target=target.incarnation,
         address=target.address,
     )
-
-
-def describe_parts(parts: Sequence[str]) -> str:
-    """Return the names of a prompt's parts as one field of a log line."""
-    return truncate_text(",".join(parts))
