Crashes: a part cleared a second time, and after a restored store

Found by reading. A record that a part is harmless had always the same value, and hosts don't notice a record that is written again unchanged: in a large fleet a second clearing reached nobody. It holds its time now. After a restored store such records were written again later than the crashes that came after them, and cleared these; a part that has crashes since is left out. No report is sent without a crash.

--- a/tests/components/crashes/test_recorder.py
+++ b/tests/components/crashes/test_recorder.py
@@ -9,7 +9,7 @@
 from tests.components.boards import make_board
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.messages import CrashReport
-from trefoilstage.components.crashes.models import Crash, make_crash
+from trefoilstage.components.crashes.models import Crash, SoundPart, make_crash
 from trefoilstage.components.crashes.recorder import RETRY_INTERVAL_S, CrashRecorder
 from trefoilstage.components.views.store import StoreRefusedError, Topic
 
@@ -121,6 +121,14 @@
         self.assertEqual(self.list_written(), [])
         self.assertEqual(self.links.sent[-1][1].sound, ("a",))
 
+    async def test_harmless_part_is_written_and_reported(self) -> None:
+        """Guard against a harmless part that only one host knows."""
+        recorder = self.make_recorder(SMALL)
+        recorder.clear_part(SoundPart(part="p", at_ms=17))
+        await self.wait()
+        self.assertEqual(self.list_written(), ["sound|p"])
+        self.assertEqual(self.links.sent[-1][1].sound_parts, ("p",))
+
     async def test_refused_record_does_not_block_others(self) -> None:
         """Guard against one refused key that keeps later crashes from the store."""
         recorder = self.make_recorder(SMALL)
--- a/tests/components/crashes/test_records.py
+++ b/tests/components/crashes/test_records.py
@@ -8,7 +8,6 @@
 from trefoilstage.components.crashes.fingerprint import MAX_PARTS, identify_parts
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import (
-    EMPTY_VALUE,
     Crash,
     SoundPart,
     decode_record,
@@ -16,7 +15,7 @@
 )
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.peers.frames import Frame
-from trefoilstage.components.views.keyed_view import KeyedRecord
+from trefoilstage.components.views.keyed_view import KeyedRecord, KeyedView
 from trefoilstage.exceptions import MalformedMessageError
 
 MAX_KEY_BYTES = 255
@@ -35,7 +34,16 @@
         """Guard against hosts that learn of a crash without its prompt's parts."""
         read = decode(CRASH.key, CRASH.value)
         self.assertEqual(asdict(read), asdict(CRASH))
-        self.assertEqual(decode("sound|p", EMPTY_VALUE), SoundPart(part="p"))
+        self.assertEqual(decode("sound|p", b"17"), SoundPart(part="p"))
+
+    def test_part_that_is_cleared_again_is_noticed(self) -> None:
+        """Guard against a second clearing that hosts take for the first."""
+        view = KeyedView()
+        records = [
+            KeyedRecord(key=sound.key, offset=sound.at_ms, value=sound.value)
+            for sound in (SoundPart(part="p", at_ms=1), SoundPart(part="p", at_ms=2))
+        ]
+        self.assertEqual([len(view.merge([record])) for record in records], [1, 1])
 
     def test_record_of_an_earlier_build_counts_without_parts(self) -> None:
         """Guard against crashes that are lost while two builds run."""
--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -60,8 +60,8 @@
     def clear(self, fingerprint: str, _: Sequence[Crash]) -> None:
         self.cleared.append(fingerprint)
 
-    def clear_part(self, part: str) -> None:
-        self.cleared_parts.append(part)
+    def clear_part(self, sound: SoundPart) -> None:
+        self.cleared_parts.append(sound.part)
 
     def write(self, records: Sequence[CrashRecord]) -> None:
         self.written += records
@@ -388,6 +388,15 @@
         self.watcher._unix_offset_s += 1.0
         self.assertEqual(len(self.parts.recorded), 3)
 
+    async def test_part_that_crashed_targets_since_is_not_cleared_again(self) -> None:
+        """Guard against a restored store that clears a part of its later crashes."""
+        report = CrashReport(host="host-1", sound_parts=("p",))
+        await self.watcher._handle_report(report)
+        await self.crash_under_part("p")
+        self.watcher.write_again()
+        self.assertNotIn(SoundPart(part="p"), self.parts.written)
+        self.assertEqual(len(self.parts.written), MIN_CRASHED_TARGETS)
+
     async def test_sound_parts_are_written_again_and_expire(self) -> None:
         """Guard against records that a restored store lacks, or keeps forever."""
         report = CrashReport(host="host-1", sound_parts=("p",))
--- a/trefoilstage/components/crashes/models.py
+++ b/trefoilstage/components/crashes/models.py
@@ -58,6 +58,9 @@
     """Represent that a part of prompts ran, which earlier crashes made suspect."""
 
     part: ShortText
+    # When a host learned it, in Unix ms; 0 if unknown. Hosts don't notice a record that
+    # is written again with the same value.
+    at_ms: UInt53 = field(default=0, compare=False)
 
     @property
     def key(self) -> str:
@@ -67,7 +70,7 @@
     @property
     def value(self) -> bytes:
         """Return the value of the part's record in the store."""
-        return EMPTY_VALUE
+        return str(self.at_ms).encode()
 
 
 CrashRecord = Crash | SoundPart
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -58,10 +58,11 @@
         self._schedule_writes(crashes, keep=False)
         self._report_to_peers(CrashReport(host=self._board.host, sound=(fingerprint,)))
 
-    def clear_part(self, part: str) -> None:
+    def clear_part(self, sound: SoundPart) -> None:
         """Share that a suspect part of prompts is harmless."""
-        self._schedule_writes([SoundPart(part=part)], keep=True)
-        self._report_to_peers(CrashReport(host=self._board.host, sound_parts=(part,)))
+        self._schedule_writes([sound], keep=True)
+        report = CrashReport(host=self._board.host, sound_parts=(sound.part,))
+        self._report_to_peers(report)
 
     def write(self, records: Iterable[CrashRecord]) -> None:
         """Write records to the store that all hosts know of."""
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -227,7 +227,12 @@
     def write_again(self) -> None:
         """Write crashes to the store again, which came back from an older copy."""
         self._recorder.write(self._select_assigned(self.evidence.list_all()))
-        sound = [SoundPart(part=part) for part in self._sound_parts]
+        # Written later than the crashes, it would clear those that came after it.
+        sound = [
+            self._make_sound_part(part)
+            for part in self._sound_parts
+            if not self.evidence.count_targets(part)
+        ]
         self._recorder.write(self._select_assigned(sound))
 
     def _select_assigned(self, records: Iterable[CrashRecord]) -> list[CrashRecord]:
@@ -253,7 +258,7 @@
     def _record_crashes(self, target: str, runs: Sequence[Run]) -> int:
         """Record that a target stopped under some runs; return how many are suspect."""
         now = self._now()
-        at_ms = int((now + self._unix_offset_s) * MS_PER_S)
+        at_ms = self._get_unix_ms()
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
             for run in runs
@@ -263,8 +268,9 @@
             make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
             for fingerprint, parts in sorted(parts_by_fingerprint.items())
         ]
-        self._change_evidence("crashed", add=crashes)
-        self._recorder.record(crashes)
+        if crashes:
+            self._change_evidence("crashed", add=crashes)
+            self._recorder.record(crashes)
         return len(crashes)
 
     async def _handle_report(self, report: CrashReport) -> None:
@@ -274,7 +280,7 @@
             self._change_evidence("ran", remove=crashes)
         self._accept_sound_parts(report.sound_parts)
         if report.relay:
-            sound = [SoundPart(part=part) for part in report.sound_parts]
+            sound = [self._make_sound_part(part) for part in report.sound_parts]
             self._recorder.write([*report.crashes, *sound])
 
     def _accept_sound_parts(self, parts: Iterable[str]) -> None:
@@ -342,7 +348,10 @@
 
     def _clear_part(self, part: str) -> None:
         self._change_evidence("ran", remove_parts=[part])
-        self._recorder.clear_part(part)
+        self._recorder.clear_part(self._make_sound_part(part))
+
+    def _make_sound_part(self, part: str) -> SoundPart:
+        return SoundPart(part=part, at_ms=self._get_unix_ms())
 
     def _select_suspected(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Return the parts that did not run here lately."""
@@ -368,6 +377,9 @@
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def _get_unix_ms(self) -> int:
+        return int((self._now() + self._unix_offset_s) * MS_PER_S)
+
 
 def get_subject(record: CrashRecord) -> str:
     """Return the request or the part that a record is about."""
