Crashes: a request that targets keep answering is no suspect

Three targets ended under a request that all callers send before any host counted a run of it, as whole answers count 0.3 s later. Two answers of the last moments from targets that are not known to have ended speak for it now.

--- a/tests/components/crashes/test_watcher.py
+++ b/tests/components/crashes/test_watcher.py
@@ -354,6 +354,17 @@
         await asyncio.sleep(2 * CLEAR_DELAY_S)
         self.assertEqual(self.parts.cleared_parts, [])
 
+    async def test_request_that_targets_keep_answering_is_not_suspected(self) -> None:
+        """Guard against blocking a frequent request when targets end at a start."""
+        for target in "uv":
+            self.watcher.record_completed(
+                make_run("a", target), progress_s=0.0, is_end_certain=True
+            )
+        for target in "xyz":
+            await self.interrupt("a", target, 0.0)
+        self.assertIsNone(self.watcher.get_refusal("a"))
+        self.assertEqual(self.parts.recorded, [])
+
     async def test_whole_answer_clears_once_its_target_went_on(self) -> None:
         """Guard against a sound part that is never cleared by short answers."""
         await self.crash_under_part("sound", "xy")
--- a/trefoilstage/components/crashes/completed_runs.py
+++ b/trefoilstage/components/crashes/completed_runs.py
@@ -31,6 +31,10 @@
         """Add a run that a target has just completed."""
         self._runs.append((now, run))
 
+    def count(self, fingerprint: str) -> int:
+        """Return how many runs of a request are kept."""
+        return sum(run.fingerprint == fingerprint for _, run in self._runs)
+
     def pop_old(self, now: float) -> list[Run]:
         """Remove and return the runs whose target went on for long enough."""
         old: list[Run] = []
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -59,6 +59,8 @@
 MIN_CRASHES_TO_CLEAR = 2
 # One run may be a short answer whose target crashed unnoticed.
 MIN_RUNS_TO_CLEAR = 3
+# A request that several targets answered in the last moments is a frequent one.
+MIN_COMPLETED_RUNS = 2
 # The time for a record to reach all hosts, divided by the largest number of writers.
 CLEAR_DELAY_S = 0.005
 MS_PER_S = 1_000
@@ -118,7 +120,7 @@
         is_request_blocked = fingerprint in causes.fingerprints
         if not (blocked_parts or is_request_blocked):
             return None
-        if self._ran_requests.count(fingerprint, self._now()):
+        if self._has_request_run_lately(fingerprint):
             return None
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
@@ -257,12 +259,11 @@
 
     def _record_crashes(self, target: str, runs: Sequence[Run]) -> int:
         """Record that a target stopped under some runs; return how many are suspect."""
-        now = self._now()
         at_ms = self._get_unix_ms()
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
             for run in runs
-            if not self._ran_requests.count(run.fingerprint, now)
+            if not self._has_request_run_lately(run.fingerprint)
         }
         crashes = [
             make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
@@ -357,6 +358,10 @@
         """Return the parts that did not run here lately."""
         return tuple(part for part in parts if not self._has_part_run_lately(part))
 
+    def _has_request_run_lately(self, fingerprint: str) -> bool:
+        n_runs = self._ran_requests.count(fingerprint, self._now())
+        return n_runs > 0 or self._completed.count(fingerprint) >= MIN_COMPLETED_RUNS
+
     def _has_part_run_lately(self, part: str) -> bool:
         return self._ran_parts.count(part, self._now()) > 0
 
