Crashes: a short answer alone does not make a part sound

Cause: a whole answer of under 0.3 s counted as a run if nobody noticed its target's end. One such answer made the host take the part as sound for 10 s, so that its next ones were not probed, and the first of these cleared the part on all hosts. Change: a run that is certain (an answer that went on, or whose target was probed) counts as before; one that isn't counts a third, for what the host believes and for what it tells. Ruled out: probing the target of each short answer (a connection a request).

--- a/tests/components/crashes/test_watched_parts.py
+++ b/tests/components/crashes/test_watched_parts.py
@@ -186,7 +186,7 @@
 
     async def test_one_run_clears_nothing_on_other_hosts(self) -> None:
         """Guard against a crashing part that all hosts serve for one short answer."""
-        self.watcher.record_harmless("a", ["dead"])
+        self.watcher.record_harmless("a", ["dead"], is_certain=False)
         crashes = [make_crash(f"r-{item}", item, parts=("dead",)) for item in "xyz"]
         report = CrashReport(host="host-1", crashes=tuple(crashes))
         await self.watcher._handle_report(report)
--- a/trefoilstage/components/crashes/recent_runs.py
+++ b/trefoilstage/components/crashes/recent_runs.py
@@ -14,10 +14,10 @@
         # The time of the last run, and the number of runs without a longer pause.
         self._runs: OrderedDict[str, tuple[float, int]] = OrderedDict()
 
-    def record(self, name: str, now: float) -> None:
-        """Record a run."""
+    def record(self, name: str, now: float, *, n_runs: int = 1) -> None:
+        """Record one run, or one that counts as several."""
         n_before = self.count(name, now)
-        self._runs[name] = now, n_before + 1
+        self._runs[name] = now, n_before + n_runs
         self._runs.move_to_end(name)
         if len(self._runs) > MAX_RUNS:
             self._runs.popitem(last=False)
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -56,7 +56,7 @@
 PART_RAN_LATELY_S = 10.0
 # A part with fewer crashes is not about to be blocked.
 MIN_CRASHES_TO_CLEAR = 2
-# One run may be a short answer whose target crashed unnoticed.
+# One run may be a short answer whose target crashed unnoticed, unless that is excluded.
 MIN_RUNS_TO_CLEAR = 3
 # A request that several targets answered in the last moments is a frequent one.
 MIN_COMPLETED_RUNS = 2
@@ -174,7 +174,7 @@
                 # Another host noticed that the target stopped.
                 self._record_crashes(run.target, [run])
             else:
-                self.record_harmless(run.fingerprint, run.parts)
+                self.record_harmless(run.fingerprint, run.parts, is_certain=False)
 
     async def _confirm(self, run: Run) -> None:
         """Record a completed run as harmless if its target goes on."""
@@ -194,15 +194,23 @@
         if not is_being_probed:
             self.add_future(self._probe_target(run.target, run.address))
 
-    def record_harmless(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
-        """Record that a target ran a request without crashing."""
+    def record_harmless(
+        self, fingerprint: str, parts: Sequence[str] = (), *, is_certain: bool = True
+    ) -> None:
+        """Record that a target ran a request without crashing.
+
+        If that isn't certain, the target may have stopped unnoticed.
+        """
         now = self._now()
-        self._ran_requests.record(fingerprint, now)
+        n_runs = MIN_RUNS_TO_CLEAR if is_certain else 1
+        self._ran_requests.record(fingerprint, now, n_runs=n_runs)
         if self.evidence.has_crashes(fingerprint):
             self._clear_request(fingerprint)
         for part in parts:
-            self._ran_parts.record(part, now)
-            if self.evidence.count_targets(part) >= MIN_CRASHES_TO_CLEAR:
+            self._ran_parts.record(part, now, n_runs=n_runs)
+            if self.evidence.count_targets(
+                part
+            ) >= MIN_CRASHES_TO_CLEAR and self._has_part_run_lately(part):
                 self._clear_part(part)
 
     def apply_records(self, records: Iterable[KeyedRecord]) -> None:
@@ -326,8 +334,7 @@
 
     def _is_part_wrongly_suspected(self, part: str) -> bool:
         n_targets = self.evidence.count_targets(part)
-        n_runs = self._ran_parts.count(part, self._now())
-        return n_targets >= MIN_CRASHED_TARGETS and n_runs >= MIN_RUNS_TO_CLEAR
+        return n_targets >= MIN_CRASHED_TARGETS and self._has_part_run_lately(part)
 
     async def _clear_wrongly_suspected(self, crashes: Sequence[Crash]) -> None:
         # Hosts of a large fleet that know the same answer one after another, so that
@@ -362,7 +369,7 @@
         return n_runs > 0 or self._completed.count(fingerprint) >= MIN_COMPLETED_RUNS
 
     def _has_part_run_lately(self, part: str) -> bool:
-        return self._ran_parts.count(part, self._now()) > 0
+        return self._ran_parts.count(part, self._now()) >= MIN_RUNS_TO_CLEAR
 
     async def _expire(self) -> None:
         self._confirm_old_runs()
