--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -11,6 +11,8 @@
     make_configuration,
     pick_faults,
 )
+from trefoilstage.components.escrow import hold_refusals
+from trefoilstage.components.escrow.messages import HoldTokens
 from trefoilstage.components.views.store import make_position
 from trefoilstage.helpers.verdict import Reason
 
@@ -65,6 +67,7 @@
         for host in HOSTS:
             cluster.start(host)
         copy, n_starts = cluster.store.make_copy(), cluster.n_starts
+        self.gone: dict[str, int] = {}
         for step in range(N_STEPS):
             if restores and step % STEPS_PER_COPY == 0:
                 # Draws of a home that ended since the copy are known to nobody.
@@ -90,7 +93,10 @@
         action = generator.choices(list(WEIGHTS), weights=list(WEIGHTS.values()))[0]
         if action == "hold":
             tokens = generator.randrange(1, 9_000)
-            await cluster.request_grant(host, other, workspace, request, tokens)
+            refused = await cluster.request_grant(
+                host, other, workspace, request, tokens
+            )
+            self._check_gone_for_good(cluster, host, workspace, tokens, refused)
         elif action == "return_unused":
             await cluster.homes[host].return_unused()
         elif action == "recover":
@@ -102,6 +108,22 @@
         else:
             apply_action(cluster, generator, action, host, other)
 
+    def _check_gone_for_good(
+        self,
+        cluster: EscrowCluster,
+        host: str,
+        workspace: str,
+        tokens: int,
+        refused: Reason | None,
+    ) -> None:
+        """Check that no home grants what another one called gone for good."""
+        account = cluster.homes[host]._accounts[workspace]
+        gone = self.gone.get(workspace, PREPAID + 1)
+        if refused is None:
+            self.assertLess(tokens, gone)
+        elif refused is Reason.BUDGET_EXHAUSTED and account.is_gone_for_good(tokens):
+            self.gone[workspace] = min(gone, tokens)
+
     async def _restart_all(
         self, cluster: EscrowCluster, generator: random.Random
     ) -> None:
@@ -162,6 +184,60 @@
         )
         self.assertIs(refused, Reason.BUDGET_EXHAUSTED)
 
+    async def test_tokens_that_running_requests_hold_are_named(self) -> None:
+        """Guard against 30 s for a request that the end of another one will serve."""
+        cluster = EscrowCluster(prepaid=100_000, home=HOSTS[0])
+        for host in HOSTS:
+            cluster.start(host)
+        cluster.update_all_peers()
+        # The other home draws 1,000 more to keep them ready, and reports none as spent.
+        await cluster.hold(HOSTS[1], HOSTS[2], WORKSPACE, "other", 40_000)
+        await cluster.hold(HOSTS[0], HOSTS[2], WORKSPACE, "running", 50_000)
+        request = HoldTokens(
+            workspace=WORKSPACE,
+            request="next",
+            tokens=20_000,
+            requester=cluster.boards[HOSTS[2]].incarnation,
+        )
+        with mock.patch.object(hold_refusals, "log_event") as log:
+            reply = await cluster.homes[HOSTS[0]]._handle_hold(request)
+        fields = log.call_args.kwargs
+        self.assertEqual((fields["held"], fields["held_by_live"]), (50_000, 50_000))
+        self.assertEqual(fields["unreported_by_others"], 41_000)
+        self.assertEqual(fields["obtainable"], 100_000)
+        self.assertIs(reply.refused, Reason.BUDGET_DRAWN)
+        self.assertEqual(reply.held, 50_000)
+
+    async def test_tokens_lost_with_all_hosts_are_gone_for_good(self) -> None:
+        """Guard against retries all day after a loss of power.
+
+        The home had spent 90% of the budget and held the rest for a request, of which
+        nobody knows whether it ran.
+        """
+        cluster = EscrowCluster(prepaid=100_000, home=HOSTS[0])
+        for host in HOSTS:
+            cluster.start(host)
+        cluster.update_all_peers()
+        await cluster.hold(HOSTS[0], HOSTS[2], WORKSPACE, "first", 90_000)
+        cluster.settle("first", 90_000)
+        await cluster.hold(HOSTS[0], HOSTS[2], WORKSPACE, "last", 10_000)
+        for host in HOSTS:
+            cluster.start(host)
+        cluster.home = HOSTS[1]
+
+        async def request(name: str) -> Reason | None:
+            cluster.timer.time += 1.0
+            cluster.update_all_peers()
+            return await cluster.request_grant(
+                HOSTS[1], HOSTS[2], WORKSPACE, name, 5_000
+            )
+
+        # The ended home's tokens may be recovered until it is retired.
+        self.assertIs(await request("before"), Reason.BUDGET_DRAWN)
+        for _ in HOSTS:
+            await cluster.recover(HOSTS[1], WORKSPACE)
+        self.assertIs(await request("after"), Reason.BUDGET_EXHAUSTED)
+
     async def test_last_tokens_serve_short_requests(self) -> None:
         """Make long and short requests with 12,000 tokens left of 200,000.
 
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -111,6 +111,35 @@
         """Return the prepaid tokens that no host has drawn."""
         return max(0, self.prepaid - self.record.drawn)
 
+    @property
+    def is_read(self) -> bool:
+        """Return whether the store's record is known, with no write unconfirmed."""
+        is_made_good = self.known_before is None and not self.lacks_known
+        return self.record_offset >= 0 and is_made_good and not self.pending
+
+    @property
+    def unreported_by_others(self) -> int:
+        """Return the tokens that other holders drew and have not reported as spent.
+
+        An ended holder counts until it is retired, because its unused tokens may be
+        drawn again then.
+        """
+        return sum(
+            max(0, holder.drawn - holder.spent)
+            for incarnation, holder in self.record.holders.items()
+            if incarnation != self.incarnation
+        )
+
+    @property
+    def obtainable(self) -> int:
+        """Return the most tokens that requests may still get, whoever has them now.
+
+        Nothing but a higher balance raises this, so that an old record is no risk.
+        """
+        own = self.drawn - self.spent
+        returning = self.unreported_by_others + own
+        return self.prepaid - self.record.drawn + returning
+
     def update_record(self, record: AccountRecord, offset: int) -> None:
         """Replace the record by the store's, unless that is older."""
         if offset > self.record_offset:
@@ -241,13 +270,36 @@
     def is_nearly_spent(self, tokens: int) -> bool:
         """Return whether the tokens spent or held leave no room for a request.
 
-        Tokens drawn by lost hosts make a budget look used up. The refusal states
-        a low balance only if the tokens were really spent or held.
+        Tokens drawn by lost hosts make a budget look used up, but may be recovered;
+        see `is_gone_for_good`.
         """
         spent_by_others = self.record.spent - self._get_reported_spent()
         used = spent_by_others + self.spent + self.held
         return used + tokens > EXHAUSTED_SHARE * self.prepaid
 
+    def is_gone_for_good(self, tokens: int) -> bool:
+        """Return whether no return or end of a request makes room for a request.
+
+        What ended holders drew and nobody can account for counts as used. Callers
+        refused with a time to retry came back all day for such tokens.
+        """
+        return self.is_read and tokens > self.obtainable
+
+    def count_held_for_live(self, tokens: int) -> int:
+        """Return the tokens held for requests of live hosts, as far as they may help.
+
+        The holds of an ended host are never settled. The result is 0 if a request for
+        `tokens` would exceed the limit of a low balance even if all of them were freed.
+        """
+        listed = set(self.listed_requesters.values()) & set(self.used)
+        held = sum(
+            amount
+            for request, amount in self.holds.items()
+            if self.requesters[request] in listed
+        )
+        left = self.unused + self.free + held
+        return 0 if self._exceeds_low_balance_limit(tokens, left) else held
+
     def plan_change(self, now: float, rank: HomeRank) -> StockChange | None:
         """Return what to draw, return or lock now, None if nothing."""
         state = StockState(
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -18,7 +18,9 @@
 )
 from trefoilstage.components.escrow.ranking import HomeRanking
 from trefoilstage.components.escrow.retry_after import (
+    BUDGET_HELD_RETRY_AFTER_S,
     add_retry_jitter,
+    choose_retry_in_outage,
     estimate_store_return,
     make_refusal,
 )
@@ -53,10 +55,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HoldRefused:
-    """Describe why a home refused a hold, and when it may use its locked tokens."""
+    """Describe why a home refused a hold, and what tokens it may have later."""
 
     reason: Reason
-    lock_wait_s: float = 0.0
+    lock_wait_s: float = 0.0  # until the home may use its locked tokens
+    held: int = 0  # tokens that running requests may free
 
 
 UNCONFIRMED = HoldRefused(reason=Reason.BUDGET_UNCONFIRMED)
@@ -87,6 +90,7 @@
         self._links = links
         self._timer = timer
         self._unsettled: dict[tuple[str, str], list[SettledHold]] = defaultdict(list)
+        self.n_waiting = 0  # requests that wait for tokens
 
     async def on_start(self) -> None:
         """Start to send settlements periodically."""
@@ -108,6 +112,7 @@
         """
         if not self._is_prepaid(workspace) or tokens == 0:
             return EscrowHold(workspace=workspace, request=request, tokens=0)
+        began_at = self._timer.now()
         for n_retries in itertools.count():
             # A refused hold may have been settled already; each attempt has a new name.
             hold_name = f"{request}/{n_retries}"
@@ -115,13 +120,26 @@
                 workspace, hold_name, tokens, repeat=n_retries > 0
             )
             if isinstance(answer, EscrowHold):
+                if n_retries:
+                    self._log_wait(workspace, request, began_at, wait_limits)
                 return answer
             wait_s = self._plan_wait(answer, wait_limits)
             if wait_s is None:
-                return self._refuse(answer, wait_limits)
-            await asyncio.sleep(wait_s)
+                refusal = self._refuse(answer, tokens, wait_limits)
+                # The home has logged why there are no tokens; see `hold_refused`.
+                if n_retries or refusal.reason is Reason.BUDGET_UNCONFIRMED:
+                    self._log_wait(workspace, request, began_at, wait_limits, refusal)
+                return refusal
+            await self._wait(wait_s)
         raise AssertionError("unreachable")
 
+    async def _wait(self, wait_s: float) -> None:
+        self.n_waiting += 1
+        try:
+            await asyncio.sleep(wait_s)
+        finally:
+            self.n_waiting -= 1
+
     async def _request_from_homes(
         self, workspace: str, request: str, tokens: int, *, repeat: bool
     ) -> EscrowHold | HoldRefused:
@@ -147,13 +165,40 @@
             store_return_s=estimate_store_return(self._board.store.get_outage_s(now)),
         )
 
-    def _refuse(self, refusal: HoldRefused, wait_limits: WaitLimits) -> Refusal:
+    def _refuse(
+        self, refusal: HoldRefused, tokens: int, wait_limits: WaitLimits
+    ) -> Refusal:
         now = self._timer.now()
-        retry_after_s = estimate_store_return(self._board.store.get_outage_s(now))
-        retry_after_s = add_retry_jitter(
-            retry_after_s, wait_limits, now, self._generator
+        is_held = refusal.held >= tokens
+        outage_s = self._board.store.get_outage_s(now)
+        choose = choose_retry_in_outage if outage_s > 0.0 else add_retry_jitter
+        retry_after_s = estimate_store_return(outage_s)
+        if refusal.reason is Reason.BUDGET_DRAWN and is_held:
+            choose, retry_after_s = add_retry_jitter, BUDGET_HELD_RETRY_AFTER_S
+        retry_after_s = choose(retry_after_s, wait_limits, now, self._generator)
+        return make_refusal(refusal.reason, retry_after_s, is_held=is_held)
+
+    def _log_wait(
+        self,
+        workspace: str,
+        request: str,
+        began_at: float,
+        wait_limits: WaitLimits,
+        refusal: Refusal | None = None,
+    ) -> None:
+        """Log how a request's wait for tokens ended; no refusal if it got them."""
+        now = self._timer.now()
+        log_event(
+            Event.HOLD_WAIT_ENDED,
+            request=request,
+            workspace=workspace,
+            reason=refusal.reason if refusal else "",
+            retry_after_s=refusal.retry_after_s if refusal else None,
+            waited_s=now - began_at,
+            left_s=wait_limits.deadline - now,
+            outage_s=self._board.store.get_outage_s(now),
+            second_wait=wait_limits.has_second_wait,
         )
-        return make_refusal(refusal.reason, retry_after_s)
 
     def settle(self, hold: EscrowHold, spent: int) -> None:
         """Settle a hold with what its request spent."""
@@ -228,7 +273,13 @@
             raise
         if reason is None:
             return None
-        return HoldRefused(reason=reason, lock_wait_s=self._home.get_lock_wait_s())
+        is_drawn = reason is Reason.BUDGET_DRAWN
+        held = self._home.count_held(message.workspace, message.tokens)
+        return HoldRefused(
+            reason=reason,
+            lock_wait_s=self._home.get_lock_wait_s(),
+            held=held if is_drawn else 0,
+        )
 
     async def _hold_at_peer(
         self, peer: PeerState, message: HoldTokens
@@ -261,7 +312,9 @@
             return UNCONFIRMED
         if reply.refused is None:
             return None
-        return HoldRefused(reason=reply.refused, lock_wait_s=reply.lock_wait_s)
+        return HoldRefused(
+            reason=reply.refused, lock_wait_s=reply.lock_wait_s, held=reply.held
+        )
 
     def _mark_failed(self, peer: PeerState) -> None:
         """Mark a peer as failed, so that another home is asked next time.
--- a/trefoilstage/components/escrow/hold_refusals.py
+++ b/trefoilstage/components/escrow/hold_refusals.py
@@ -12,7 +12,7 @@
     """
     if not is_confirmed or account.can_cover(tokens):
         return Reason.BUDGET_UNCONFIRMED
-    if account.is_nearly_spent(tokens):
+    if account.is_nearly_spent(tokens) or account.is_gone_for_good(tokens):
         return Reason.BUDGET_EXHAUSTED
     return Reason.BUDGET_DRAWN
 
@@ -34,7 +34,12 @@
         tokens=tokens,
         available=available,
         locked=account.locked,
+        held=account.held,
+        held_by_live=account.count_held_for_live(tokens),
         free=account.free,
+        unreported_by_others=account.unreported_by_others,
+        obtainable=account.obtainable,
+        account_read=account.is_read,
         drawn_by_all=account.record.drawn,
         spent_by_all=account.record.spent,
         prepaid=account.prepaid,
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -192,6 +192,11 @@
         """Return the seconds until locked tokens may be used, 0 if they may be now."""
         return max(0.0, self._lock.until - self._timer.now())
 
+    def count_held(self, workspace: str, tokens: int) -> int:
+        """Return the tokens held here that may be freed for a request."""
+        account = self._accounts.get(workspace)
+        return account.count_held_for_live(tokens) if account else 0
+
     async def _handle_hold(self, message: HoldTokens) -> HoldReply:
         reason = await self.hold(
             message.workspace,
@@ -204,6 +209,11 @@
             incarnation=self._board.incarnation,
             refused=reason,
             lock_wait_s=self.get_lock_wait_s(),
+            held=(
+                self.count_held(message.workspace, message.tokens)
+                if reason is Reason.BUDGET_DRAWN
+                else 0
+            ),
         )
 
     async def _handle_settle(self, message: SettleHolds) -> SettleReply:
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -26,6 +26,8 @@
     incarnation: ShortText
     refused: Reason | None = None
     lock_wait_s: float = 0.0  # until the home may use its locked tokens
+    # Tokens that running requests hold and may free; 0 from a host that does not say.
+    held: UInt53 = 0
     kind: Literal["hold_reply"] = "hold_reply"
 
 
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -33,6 +33,7 @@
         port: int,
         get_accounts: Callable[[], Sequence[EscrowAccount]],
         count_active: Callable[[], int],
+        count_waiting: Callable[[], int],
         count_blocked: Callable[[], int],
         count_known_streams: Callable[[], int],
     ) -> None:
@@ -44,6 +45,7 @@
         self._port = port
         self._get_accounts = get_accounts
         self._count_active = count_active
+        self._count_waiting = count_waiting
         self._count_blocked = count_blocked
         self._count_known_streams = count_known_streams
         self._page = MetricsPage()
@@ -98,6 +100,11 @@
         board = self._board
         add = self._page.add_gauge
         add("requests_active", "Requests in progress.", self._count_active)
+        add(
+            "requests_waiting_for_tokens",
+            "Requests that wait for tokens in an outage of the store.",
+            self._count_waiting,
+        )
         add(
             "requests_blocked",
             "Requests and prompt parts that are blocked because they crash targets.",
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -129,6 +129,7 @@
             port=settings.metrics_port,
             get_accounts=self._home.list_accounts,
             count_active=lambda: self._server.n_active,
+            count_waiting=lambda: parts.escrow.n_waiting,
             count_blocked=lambda: parts.crash_watcher.evidence.causes.n_causes,
             count_known_streams=lambda: parts.stream_versions.n_known,
         )
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -100,6 +100,7 @@
     ESCROW_RECOVERED = "escrow_recovered"
     HOLD_REFUSED = "hold_refused"
     HOLD_UNANSWERED = "hold_unanswered"
+    HOLD_WAIT_ENDED = "hold_wait_ended"
     REQUEST_SENT = "request_sent"
     SEND_FAILED = "send_failed"
     SENT_THROUGH_PEER = "sent_through_peer"
