Release unread answers at the deadline, and test slow callers and targets

Cause: a closed transport stays open while it has unsent data, so a host held a stream or a whole answer for a caller that does not read, past the deadline and for as long as the caller stayed (30 s waited). Each unread stream took 3.2 MB, as parts of any size were copied. A target's own signed 408, 429 or 503 that does not state that the request did not run was passed on to callers whose request may run only once, although these statuses promise that it never ran.

Change: what is unread is discarded at the deadline (1 s at least for refusals); parts have 16 KiB at most; such a status becomes 502 with an unknown effect.

Open: a whole answer is held whatever its length until it is complete; only streams are bounded.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -150,6 +150,7 @@
     started_at: float = field(default_factory=time.monotonic)
     events: int = 0
     ended: bool = False
+    cut_off: bool = False  # the response remained unread for too long
 
 
 @dataclass(kw_only=True, slots=True)
@@ -162,13 +163,21 @@
     started_at_ms: int = 1_000
     n_events: int = 4
     event_interval_s: float = 0.0
+    padding_bytes: int = 0  # added to each event of a stream
+    # How long a part of a stream may remain unread; then the connection is reset.
+    max_unread_s: float | None = None
+    reads_bodies: bool = True  # of requests; else they wait, unread, for the stop
+    n_unread_bodies: int = 0
+    answer: bytes = b"whole answer"
     # Number of events after which a stream that isn't resumed is reset.
     break_after: int | None = None
     refuse: bool = False  # answers 503 with Not-Executed
     n_refused: int = 0
     # Added to all answers, such as what the target wants of the hosts.
     headers: dict[str, str] = field(default_factory=dict)
-    fail: bool = False  # runs the request and answers 500
+    fail: bool = False  # runs the request and answers with the status below
+    fail_status: int = 500
+    has_seal: bool = True  # its answers are signed
     unframed_reset: bool = False  # answers without a length, resets midway
     crashes_on: bytes | None = None  # request body that crashes the target
     crashing_part: str = ""  # of prompts; crashes the target as an answer begins
@@ -191,6 +200,9 @@
         return app
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
+        if not self.reads_bodies and request.method == "POST":
+            self.n_unread_bodies += 1
+            await self.stop.wait()
         body = await request.read()
         if self.is_mute:
             await self.stop.wait()
@@ -211,7 +223,7 @@
         self.runs.append(run)
         headers = {
             "Attempt-Id": run.request,
-            "Response-Seal": f"{self.name}.seal",
+            **({"Response-Seal": f"{self.name}.seal"} if self.has_seal else {}),
             **self.headers,
         }
         return await self._answer_run(request, body, run, headers)
@@ -231,14 +243,16 @@
             await self.crash()
             await self.stop.wait()
         if self.fail:
-            return web.Response(status=500, headers=headers, body=b"failed")
+            return web.Response(
+                status=self.fail_status, headers=headers, body=b"failed"
+            )
         if self.is_unframed and request.path.startswith("/stream"):
             return await self._stream_unframed(request, run, headers)
         if self.unframed_reset:
             return await self._answer_unframed(request, headers)
         if not request.path.startswith("/stream"):
             run.ended = True
-            return web.Response(headers=headers, body=b"whole answer")
+            return web.Response(headers=headers, body=self.answer)
         return await self._stream(request, run, headers)
 
     async def _stream(
@@ -255,8 +269,15 @@
             if request.transport is None or request.transport.is_closing():
                 return response
             version = f"version: {self.version}\n" if self.names_version else ""
-            event = f"id: {number}\n{version}data: {number}\n\n"
-            await response.write(event.encode())
+            padding = "." * self.padding_bytes
+            event = f"id: {number}\n{version}data: {number}{padding}\n\n"
+            try:
+                async with asyncio.timeout(self.max_unread_s):
+                    await response.write(event.encode())
+            except TimeoutError:
+                run.cut_off = True
+                reset_request(request)
+                return response
             run.events += 1
             await asyncio.sleep(self.event_interval_s)
         run.ended = True
@@ -282,9 +303,17 @@
         is_breaking = self.break_after is not None and run.resumed_after == 0
         n_events = self.break_after if is_breaking else self.n_events
         for number in range(run.resumed_after + 1, (n_events or 0) + 1):
-            request.transport.write(f"id: {number}\ndata: {number}\n\n".encode())
+            padding = "." * self.padding_bytes
+            event = f"id: {number}\ndata: {number}{padding}\n\n"
+            request.transport.write(event.encode())
             run.events += 1
             await asyncio.sleep(self.event_interval_s)
+        if self.max_unread_s is not None:
+            await asyncio.sleep(self.max_unread_s)
+            if request.transport.get_write_buffer_size():
+                run.cut_off = True
+                reset_request(request)
+                return response
         if is_breaking and n_events:
             request.transport.write(b"id: 9")
         run.ended = not is_breaking
--- a/trefoilstage/components/forwarding/failures.py
+++ b/trefoilstage/components/forwarding/failures.py
@@ -10,6 +10,8 @@
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 RETRY_AFTER_S = 0.5
+# Callers read these statuses as a promise that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
 PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
 STREAM_UNKNOWN = Refusal(
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -22,8 +22,10 @@
 )
 from trefoilstage.components.forwarding.failures import (
     NO_TARGET,
+    NOT_RUN_STATUSES,
     RETRY_AFTER_S,
     describe_failure,
+    make_failure,
 )
 from trefoilstage.components.forwarding.models import (
     Route,
@@ -186,6 +188,10 @@
             if target is None:
                 return self._explain(failure, state)
             answer = await self._send(state, service, target)
+            if isinstance(answer, OpenAnswer) and is_unproven_refusal(state, answer):
+                answer.close()
+                self._chooser.remove_request(target, state.request.prompt)
+                return make_failure(f"status {answer.head.status} without proof")
             if isinstance(answer, OpenAnswer) and await self._relay(
                 state, reply, answer, target
             ):
@@ -369,3 +375,11 @@
         # Without another target, the caller gets this target's failure.
         tried = state.excluded | {target.incarnation}
         return self._chooser.has_other_target(state.target_filter, tried)
+
+
+def is_unproven_refusal(state: RequestState, answer: OpenAnswer) -> bool:
+    """Return whether a request that may run only once would be said not to have run.
+
+    An answer that states that the request did not run is not passed on as an answer.
+    """
+    return answer.head.status in NOT_RUN_STATUSES and not state.route.is_retryable
--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -1,5 +1,6 @@
 """Answer one caller over HTTP."""
 
+import asyncio
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -84,10 +85,38 @@
             response.force_close()
         self.response = response
 
-    def abort(self) -> None:
-        """Close the connection, so that the caller detects the incomplete answer."""
-        if self._web_request.transport is not None:
-            self._web_request.transport.close()
+    def abort(self, discard_at: float) -> None:
+        """Close the connection, so that the caller detects the incomplete answer.
+
+        What the caller has not read is discarded at `discard_at`, by the loop's time.
+        """
+        transport = self._web_request.transport
+        if transport is not None:
+            # A closed transport remains as long as it has unsent data.
+            transport.close()
+            asyncio.get_running_loop().call_at(discard_at, transport.abort)
+
+
+def limit_unsent_data(web_request: web.BaseRequest) -> None:
+    """Let a write wait until the kernel has taken what was written before.
+
+    Otherwise, an unread end of an answer would remain after the request has ended.
+    """
+    if web_request.transport is not None:
+        web_request.transport.set_write_buffer_limits(high=0)
+
+
+async def send_response(
+    web_request: web.BaseRequest, response: web.StreamResponse, discard_at: float
+) -> None:
+    """Send a complete answer; discard it if it is still unread at `discard_at`."""
+    try:
+        async with asyncio.timeout_at(discard_at):
+            await response.prepare(web_request)
+            await response.write_eof()
+    except TimeoutError:
+        if web_request.transport is not None:
+            web_request.transport.abort()
 
 
 def set_headers(
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -33,6 +33,9 @@
 # A target in the same region accepts within 2 ms. The kernel resends a lost SYN packet
 # only after 1 s; another target is tried long before that.
 CONNECT_TIMEOUT_S = 0.4
+# While a caller does not read, the part that is being passed on exists in several
+# copies. With parts of any size, each unread stream held 3.2 MB.
+MAX_PART_BYTES = 16 * 1024
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 CONNECTION_ERRORS = (
     aiohttp.ClientError,
@@ -55,7 +58,7 @@
         Raises AnswerBrokenError if the answer ends early.
         """
         try:
-            async for data in self.response.content.iter_any():
+            async for data in self.response.content.iter_chunked(MAX_PART_BYTES):
                 yield data
         except CONNECTION_ERRORS as error:
             raise AnswerBrokenError(type(error).__name__) from error
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -11,7 +11,11 @@
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import IN_TIME_OBJECTIVE_SHARE
 from trefoilstage.components.forwarding.refusal_responses import RefusalMaker
-from trefoilstage.components.forwarding.reply import WebReply
+from trefoilstage.components.forwarding.reply import (
+    WebReply,
+    limit_unsent_data,
+    send_response,
+)
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.translator import (
     MalformedRequestError,
@@ -40,6 +44,9 @@
 # This timeout only ends connections whose callers are gone. It must be longer: if this
 # host closed first, a request could be in flight.
 IDLE_TIMEOUT_S = 120.0
+# Refusals are sent at the deadline and after it. They fit into the kernel's buffers
+# unless a caller has left earlier answers unread.
+MIN_SEND_S = 1.0
 # Another host accepts the request immediately.
 RETRY_ELSEWHERE_AFTER_S = 0.05
 SHUTTING_DOWN = Refusal(
@@ -218,10 +225,25 @@
 
     async def _handle_request(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started_at = asyncio.get_running_loop().time()
-        request: CallerRequest | None = None
         task = asyncio.current_task()
         assert task is not None
         self._request_tasks.add(task)
+        try:
+            limit_unsent_data(web_request)
+            response, deadline = await self._answer(web_request, started_at)
+            if not response.prepared:
+                now = asyncio.get_running_loop().time()
+                discard_at = max(deadline, now + MIN_SEND_S)
+                await send_response(web_request, response, discard_at)
+            return response
+        finally:
+            self._request_tasks.discard(task)
+
+    async def _answer(
+        self, web_request: web.BaseRequest, started_at: float
+    ) -> tuple[web.StreamResponse, float]:
+        """Return the answer, which is sent if it is a stream, and its deadline."""
+        request: CallerRequest | None = None
         try:
             request = self._translator.read_request(
                 method=web_request.method,
@@ -230,17 +252,16 @@
             )
             state = await self._create_request_state(request, web_request, started_at)
             if isinstance(state, Refusal):
-                return self._refuse(state, request)
+                return self._refuse(state, request), started_at
             reply = WebReply(web_request=web_request)
             refusal = await self._run(state, reply)
             if refusal is not None or reply.response is None:
-                return self._refuse_or_abort(refusal or NO_ANSWER, state, reply)
-            return reply.response
+                refusal = refusal or NO_ANSWER
+                return self._refuse_or_abort(refusal, state, reply), state.deadline
+            return reply.response, state.deadline
         except MalformedRequestError as error:
             refusal = Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
-            return self._refuse(refusal, request)
-        finally:
-            self._request_tasks.discard(task)
+            return self._refuse(refusal, request), started_at
 
     async def _run(self, state: RequestState, reply: WebReply) -> Refusal | None:
         is_stream = state.route.kind is RouteKind.STREAM
@@ -320,7 +341,7 @@
             effect=refusal.effect,
             detail=refusal.detail,
         )
-        reply.abort()
+        reply.abort(state.deadline)
         return reply.response
 
 
