Prefix fetch: targets fetch KV cache where that costs little

Cause: a part that many prompts share is processed at each target they reach, and placement therefore queues them at the target that keeps it.

--- a/bench/emulator/engine.py
+++ b/bench/emulator/engine.py
@@ -1,9 +1,10 @@
 """Emulate a model engine with continuous batching and a prefix cache."""
 
 import asyncio
+import itertools
 import random
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, field
 
 from bench.emulator.brittle import Brittleness
@@ -12,6 +13,8 @@
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 
 S_PER_MS = 0.001
+FETCH_SET_UP_S = 0.005
+DARK_SOURCE_S = 3.0  # until an engine gives up a fetch from a source that is silent
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,6 +29,9 @@
     slots: int = 64
     kv_tokens: int = 435_000
     tokens_per_event: int = 5
+    # Of transfers of KV cache between engines; 0 if they can't fetch.
+    kv_bytes_per_token: float = 0.0
+    transfer_bytes_per_s: float = 0.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -63,6 +69,9 @@
     n_prefilled_again: int = 0
     n_found_in_cache: int = 0
     n_preempted: int = 0
+    n_fetched: int = 0  # tokens that came from other engines
+    n_fetches: int = 0
+    n_empty_fetches: int = 0  # that found nothing
 
 
 class EmulatedEngine:
@@ -81,6 +90,8 @@
         self._has_work = asyncio.Event()
         self.totals = EngineTotals()
         self.is_down = False
+        self.is_dark = False  # serves requests, but no fetches
+        self.is_link_free_at = 0.0  # when its last transfer ends
         self.keeps_port = False  # accepts connections while it is down
         self.started_ms = 1
         self.version = ""
@@ -122,6 +133,41 @@
         self._waiting.sort(key=lambda item: item.urgency)
         self._has_work.set()
 
+    async def fetch(
+        self, prompt: Sequence[PromptPart], source: "EmulatedEngine | None"
+    ) -> None:
+        """Transfer the leading parts of a prompt that only the source has cached.
+
+        Transfers at an engine run one after another.
+        """
+        self.totals.n_fetches += 1
+        await asyncio.sleep(FETCH_SET_UP_S)
+        if source is not None and (source.is_dark or source.keeps_port):
+            await asyncio.sleep(DARK_SOURCE_S)
+            source = None
+        missing = [] if source is None else source.list_missing(prompt, self._cache)
+        if source is None or not missing:
+            self.totals.n_empty_fetches += 1
+            return
+        n_tokens = sum(part.n_tokens for part in missing)
+        self.totals.n_fetched += n_tokens
+        now = asyncio.get_running_loop().time()
+        begins_at = max(now, self.is_link_free_at, source.is_link_free_at)
+        n_bytes = n_tokens * self.speed.kv_bytes_per_token
+        ends_at = begins_at + n_bytes / self.speed.transfer_bytes_per_s
+        self.is_link_free_at = source.is_link_free_at = ends_at
+        await asyncio.sleep(ends_at - now)
+        for part in missing:
+            self._seen_parts.add(part.name)
+            self._cache[part.name] = part.n_tokens
+
+    def list_missing(
+        self, prompt: Sequence[PromptPart], cached: Container[str]
+    ) -> list[PromptPart]:
+        """Return the leading cached parts of a prompt that another cache lacks."""
+        kept = itertools.takewhile(lambda part: part.name in self._cache, prompt)
+        return [part for part in kept if part.name not in cached]
+
     def cancel(self, generation: Generation) -> None:
         """Remove a request whose host has closed its connection."""
         for queue in (self._waiting, self._running):
@@ -141,6 +187,7 @@
     def restart(self) -> None:
         """Start the engine again under the same name, with a new start time."""
         self.is_down = False
+        self.keeps_port = False
         self.started_ms += 1
 
     async def _run(self) -> None:
--- a/bench/emulator/results.py
+++ b/bench/emulator/results.py
@@ -71,6 +71,8 @@
         f"of these again {engines.n_prefilled_again}; "
         f"found in cache {engines.n_found_in_cache}; "
         f"requests preempted {engines.n_preempted}; "
+        f"tokens fetched {engines.n_fetched} in {engines.n_fetches} fetches, "
+        f"{engines.n_empty_fetches} of them empty; "
         f"store calls {day.n_store_calls}; messages {day.n_messages}"
     )
     return "\n".join(lines)
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -55,6 +55,9 @@
     # Requests a second that a cold engine tolerates; None without a limit.
     cold_requests_per_s: float | None = None
     n_versions: Annotated[int, Field(ge=1)] = 1  # of their software, side by side
+    # Of transfers of KV cache between engines; without both, none fetches.
+    kv_bytes: float = 0.0  # of one token
+    link_mbps: float = 0.0
 
 
 class Services(Model):
@@ -82,6 +85,8 @@
     ENGINES_RETURN_CHANGED = "engines_return_changed"
     # Engines turn cold without a restart; their entries say so a heartbeat later.
     ENGINES_TURN_COLD = "engines_turn_cold"
+    # Engines serve requests, but don't answer those that fetch KV cache from them.
+    ENGINES_DARK = "engines_dark"
     EVACUATION = "evacuation"  # of the first data centre
     # Engines and services name a limit of `factor` requests a second in their answers.
     TARGETS_NAME_LIMIT = "targets_name_limit"
--- a/bench/emulator/sender.py
+++ b/bench/emulator/sender.py
@@ -198,6 +198,12 @@
             return InvalidAnswer(reason="reset")
         return ServiceAnswer(head=make_head(found), headers=[])
 
+    def _find_source(self, address: str) -> EmulatedEngine | None:
+        found = self._find_target(address)
+        if not isinstance(found, EmulatedEngine):
+            return None
+        return None if found.is_down and not found.keeps_port else found
+
     async def _wait_at_open_port(self) -> None:
         await asyncio.sleep(OPEN_PORT_SILENCE_S)
 
@@ -214,6 +220,11 @@
         connected_at = asyncio.get_running_loop().time()
         engine.record_arrival()
         self._on_arrival(request)
+        if options.fetch_from:
+            started_ms = engine.started_ms
+            await engine.fetch(request.prompt, self._find_source(options.fetch_from))
+            if engine.is_down or engine.started_ms != started_ms:
+                return InvalidAnswer(reason="reset")
         engine.enqueue(generation)
         try:
             first = await generation.events.get()
--- a/bench/emulator/target_faults.py
+++ b/bench/emulator/target_faults.py
@@ -59,6 +59,15 @@
         for engine in self._targets.sample_engines(fault.share):
             self._targets.turn_cold(engine)
 
+    async def darken_engines(self, fault: Fault) -> None:
+        """Let engines leave fetches from them without an answer."""
+        darkened = self._targets.sample_engines(fault.share)
+        for engine in darkened:
+            engine.is_dark = True
+        await asyncio.sleep(fault.for_s)
+        for engine in darkened:
+            engine.is_dark = False
+
     async def name_limits(self, fault: Fault) -> None:
         """Let targets name a limit on requests a second."""
         limited = self._targets.sample(fault.share)
@@ -108,6 +117,7 @@
     FaultKind.ENGINES_RETURN_COLD: TargetFaults.return_cold,
     FaultKind.ENGINES_RETURN_CHANGED: TargetFaults.return_changed,
     FaultKind.ENGINES_TURN_COLD: TargetFaults.turn_engines_cold,
+    FaultKind.ENGINES_DARK: TargetFaults.darken_engines,
     FaultKind.TARGETS_NAME_LIMIT: TargetFaults.name_limits,
     FaultKind.TARGETS_ASK_FOR_REST: TargetFaults.ask_for_rest,
     FaultKind.TARGETS_BRITTLE: TargetFaults.turn_brittle,
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -15,6 +15,7 @@
 BOOKING = "booking"
 DATA_CENTERS = ("brest", "quimper", "lorient")
 HEARTBEAT_S = 1.2
+BYTES_PER_MEGABIT = 125_000
 
 EmulatedTarget = EmulatedEngine | EmulatedService
 ItemT = TypeVar("ItemT")
@@ -36,7 +37,12 @@
         self._shared_store = shared_store
         self._entries = entries
         engines, services = scenario.engines, scenario.services
-        speed = EngineSpeed(kv_tokens=engines.kv_tokens, slots=engines.slots)
+        speed = EngineSpeed(
+            kv_tokens=engines.kv_tokens,
+            slots=engines.slots,
+            kv_bytes_per_token=engines.kv_bytes,
+            transfer_bytes_per_s=BYTES_PER_MEGABIT * engines.link_mbps,
+        )
         self.engines = [
             EmulatedEngine(
                 name=f"engine-{number}",
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -28,6 +28,7 @@
 from bench.emulator.targets import (
     ASSISTANT,
     BOOKING,
+    BYTES_PER_MEGABIT,
     DATA_CENTERS,
     EmulatedTargets,
     get_data_center,
@@ -139,6 +140,9 @@
                         slots=scenario.engines.slots,
                         kv_tokens=scenario.engines.kv_tokens,
                         tokens_per_event=5,
+                        kv_bytes_per_token=scenario.engines.kv_bytes,
+                        transfer_bytes_per_s=BYTES_PER_MEGABIT
+                        * scenario.engines.link_mbps,
                     ),
                     cold_s=scenario.engines.cold_s,
                     cold_requests_per_s=scenario.engines.cold_requests_per_s,
@@ -331,6 +335,9 @@
             totals.n_prefilled_again += engine.totals.n_prefilled_again
             totals.n_found_in_cache += engine.totals.n_found_in_cache
             totals.n_preempted += engine.totals.n_preempted
+            totals.n_fetched += engine.totals.n_fetched
+            totals.n_fetches += engine.totals.n_fetches
+            totals.n_empty_fetches += engine.totals.n_empty_fetches
             self.day.cold_arrivals[engine.name] = engine.cold_arrivals
         for target in self._targets.by_name.values():
             self.day.limited_arrivals[target.name] = target.limit.arrivals
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -20,6 +20,7 @@
 )
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import CandidateInfo
+from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.stream_binding import StreamBinder
@@ -63,6 +64,11 @@
         self.chosen_filters.append(arguments["target_filter"])
         return make_target("i-1")
 
+    def plan_fetch(self, *_: object, **__: object) -> PrefixFetch | None:
+        return None
+
+    def end_fetch(self, *_: object) -> None: ...
+
     def count_request(self, service: str) -> None: ...
 
     def add_request(self, *_: object) -> SentPrompt:
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -56,6 +56,9 @@
     slots: int
     kv_tokens: int
     tokens_per_event: int
+    # Both are 0 if unknown; then no target fetches KV cache from another.
+    kv_bytes_per_token: float = 0.0
+    transfer_bytes_per_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -35,6 +35,10 @@
     count_tokens,
     find_subject,
 )
+from trefoilstage.components.forwarding.prefix_fetch import (
+    PrefixFetch,
+    describe_fetch,
+)
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
@@ -229,6 +233,19 @@
             subject=find_subject(state.request.prompt),
             n_tokens=count_tokens(state.request.prompt),
             objective_s=state.route.objective_s - waited_s,
+            may_fetch=state.n_sends == 0,
+        )
+
+    def _plan_fetch(
+        self, state: RequestState, target: TargetEntry
+    ) -> PrefixFetch | None:
+        return self._chooser.plan_fetch(
+            target,
+            target_filter=state.target_filter,
+            excluded=state.excluded,
+            need=self._make_prompt_need(state),
+            prompt=state.request.prompt,
+            candidate_info=state.candidate_info,
         )
 
     async def _send(
@@ -239,6 +256,7 @@
         priority = state.route.priority
         if workspace and workspace.priority is not None:
             priority = workspace.priority
+        fetch = self._plan_fetch(state, target)
         options = ForwardOptions(
             workspace=state.workspace_name,
             deadline_s=state.deadline - now,
@@ -246,10 +264,11 @@
             if state.request.prompt
             else None,
             resume_after=state.last_event_id,
+            fetch_from=fetch.source.address if fetch else "",
         )
         state.record_send(target.name)
         sent = self._chooser.add_request(
-            target, state.request.prompt, state.candidate_info
+            target, state.request.prompt, state.candidate_info, fetch
         )
         log_event(
             Event.REQUEST_SENT,
@@ -265,14 +284,17 @@
             parts=describe_parts(state.parts),
             unread=sent.n_uncached_tokens,
             ahead=sent.n_queued_tokens,
+            **describe_fetch(fetch),
         )
         try:
             answer = await self._sender.send(state.request, state.body, target, options)
         except BaseException:
             self._chooser.remove_pending_prefill(target, sent)
+            self._chooser.end_fetch(sent, None)
             self._chooser.remove_request(target, state.request.prompt)
             self._runs.record_cancelled(state, target)
             raise
+        self._chooser.end_fetch(sent, answer)
         if isinstance(answer, OpenAnswer) and answer.head.success:
             # A target sends the head of a stream together with the first token.
             self._chooser.record_first_token(target, sent)
--- a/trefoilstage/components/forwarding/placement.py
+++ b/trefoilstage/components/forwarding/placement.py
@@ -14,6 +14,7 @@
 
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.prefill_speed import DEFAULT_TOKENS_PER_S
+from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
 from trefoilstage.components.forwarding.prompt_cache import USABLE_KV_CACHE_SHARE
 from trefoilstage.components.forwarding.work import Work
 from trefoilstage.util.hashing import rank_by_rendezvous, rank_by_rendezvous_cached
@@ -44,6 +45,8 @@
     subject: str  # the last part that other requests share
     n_tokens: int
     objective_s: float  # remaining time until the first token is late
+    # A retry fetches nothing: it would hang if the source of the first try hangs.
+    may_fetch: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +70,17 @@
     n_recent: int = 0  # prompts sent to it in the last second
     # Requests a second that it would tolerate if it turned cold; None without a limit.
     cold_requests_per_s: float | None = None
+    fetch: PrefixFetch | None = None  # of tokens that it has not cached
+
+    def count_unprocessed(self, n_tokens: int) -> int:
+        """Return the tokens that it processes for a prompt of `n_tokens`."""
+        n_fetched = self.fetch.n_tokens if self.fetch else 0
+        return n_tokens - self.n_cached_tokens - n_fetched
+
+    @property
+    def transfer_s(self) -> float:
+        """Return the seconds until the fetched tokens have arrived."""
+        return self.fetch.total_s if self.fetch else 0.0
 
 
 def find_subject(prompt: Sequence[PromptPart]) -> str:
@@ -84,10 +98,13 @@
 
 
 def estimate_first_token_s(option: TargetOption, n_uncached_tokens: int) -> float:
-    """Return the seconds until a target has processed its queue and this prompt."""
+    """Return the seconds until a target has processed its queue and this prompt.
+
+    This includes the transfer of tokens that it fetches.
+    """
     n_tokens = option.work.prompt_tokens + n_uncached_tokens
     steps_s = DELAY_PER_REQUEST_S * option.work.n_requests
-    return n_tokens / option.prefill_tokens_per_s + steps_s
+    return n_tokens / option.prefill_tokens_per_s + steps_s + option.transfer_s
 
 
 def rank_candidates(targets: Sequence[TargetEntry], subject: str) -> list[TargetEntry]:
@@ -121,7 +138,7 @@
     """Return whether a prompt's first token would be late at a target."""
     if is_full(option, need):
         return True
-    wait_s = estimate_first_token_s(option, need.n_tokens - option.n_cached_tokens)
+    wait_s = estimate_first_token_s(option, option.count_unprocessed(need.n_tokens))
     return wait_s > IN_TIME_OBJECTIVE_SHARE * need.objective_s
 
 
@@ -141,8 +158,9 @@
 
     # At a full target, a prompt waits until other requests end, and evicts cached parts
     # that the next prompts share.
-    def rank(option: TargetOption) -> tuple[bool, bool, bool, float]:
-        n_uncached = need.n_tokens - option.n_cached_tokens
+    # Between equals, the target that keeps the prefix itself comes first.
+    def rank(option: TargetOption) -> tuple[bool, bool, bool, float, bool]:
+        n_uncached = option.count_unprocessed(need.n_tokens)
         wait_s = estimate_first_token_s(option, n_uncached)
         prefill_s = n_uncached / option.prefill_tokens_per_s
         cost = wait_s + PREFILL_COST_WEIGHT * prefill_s
@@ -151,6 +169,7 @@
             exceeds_cold_rate(option),
             is_late(option, need),
             cost,
+            option.fetch is not None,
         )
 
     return sorted(options, key=rank)
--- a/trefoilstage/components/forwarding/prompt_cache.py
+++ b/trefoilstage/components/forwarding/prompt_cache.py
@@ -24,6 +24,7 @@
     capacity_tokens: int
     n_tokens: int = 0
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    added_at: dict[str, float] = field(default_factory=dict)  # when first sent there
 
     def count_cached(self, prompt: Sequence[PromptPart]) -> int:
         """Return the number of a prompt's tokens that are cached.
@@ -37,14 +38,25 @@
             n_cached += part.n_tokens
         return n_cached
 
-    def add(self, prompt: Sequence[PromptPart]) -> None:
+    def count_settled(self, prompt: Sequence[PromptPart], before: float) -> int:
+        """Return the number of a prompt's tokens cached since before a time."""
+        n_settled = 0
+        for part in prompt:
+            if self.added_at.get(part.name, before) >= before:
+                break
+            n_settled += part.n_tokens
+        return n_settled
+
+    def add(self, prompt: Sequence[PromptPart], now: float = 0.0) -> None:
         """Add a prompt that the target processes; evict parts above the capacity."""
         for part in prompt:
+            self.added_at.setdefault(part.name, now)
             self.n_tokens -= self.parts.pop(part.name, 0)
             self.parts[part.name] = part.n_tokens
             self.n_tokens += part.n_tokens
         while self.n_tokens > self.capacity_tokens and len(self.parts) > 1:
-            _, n_tokens = self.parts.popitem(last=False)
+            name, n_tokens = self.parts.popitem(last=False)
+            del self.added_at[name]
             self.n_tokens -= n_tokens
 
 
@@ -59,13 +71,26 @@
         cache = self.caches.get(target)
         return cache.count_cached(prompt) if cache else 0
 
-    def add(self, target: str, kv_tokens: int, prompt: Sequence[PromptPart]) -> None:
+    def count_settled(
+        self, target: str, prompt: Sequence[PromptPart], before: float
+    ) -> int:
+        """Return the number of a prompt's tokens cached since before a time."""
+        cache = self.caches.get(target)
+        return cache.count_settled(prompt, before) if cache else 0
+
+    def add(
+        self,
+        target: str,
+        kv_tokens: int,
+        prompt: Sequence[PromptPart],
+        now: float = 0.0,
+    ) -> None:
         """Add a prompt that a target processes."""
         cache = self.caches.get(target)
         if cache is None:
             cache = PromptCache(capacity_tokens=int(USABLE_KV_CACHE_SHARE * kv_tokens))
             self.caches[target] = cache
-        cache.add(prompt)
+        cache.add(prompt, now)
 
     def keep_only(self, targets: Collection[str]) -> None:
         """Remove all other targets; a restarted target has an empty cache."""
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -142,6 +142,21 @@
         # otherwise every request would be refused.
         return healthy or allowed
 
+    def list_fetch_sources(
+        self, target_filter: TargetFilter, excluded: Set[str]
+    ) -> list[TargetEntry]:
+        """Return the targets from which another one may fetch KV cache.
+
+        A busy target is one of them: a fetch takes no slot there.
+        """
+        now = self._timer.now()
+        return [
+            target
+            for target in self.list_allowed(target_filter, excluded)
+            if not self._outcomes.get_health(target).is_ejected
+            and not self._board.targets.is_cold(target, now)
+        ]
+
     def get_cold_rate(self, target: TargetEntry) -> float | None:
         """Return the requests a second that a cold target tolerates, if limited."""
         service = self.get_service(target)
@@ -151,8 +166,12 @@
 
     def get_service(self, target: TargetEntry) -> TargetService | None:
         """Return a target's service, None if the configuration has none."""
+        return self.find_service(target.service)
+
+    def find_service(self, name: str) -> TargetService | None:
+        """Return a service by its name, None if the configuration has none."""
         configuration = self._board.configuration
-        return configuration.services.get(target.service) if configuration else None
+        return configuration.services.get(name) if configuration else None
 
     def compute_wait_s(self, target_filter: TargetFilter) -> float:
         """Return the seconds until a target may take a request again."""
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -5,7 +5,13 @@
 from functools import partial
 
 from trefoilstage.components.fleet.membership import FleetMembership
-from trefoilstage.components.forwarding.answers import InvalidAnswer, NotRun, OpenAnswer
+from trefoilstage.components.forwarding.answers import (
+    InvalidAnswer,
+    NotRun,
+    OpenAnswer,
+    SendOutcome,
+)
+from trefoilstage.components.forwarding.fetch_planner import FetchPlanner
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
 from trefoilstage.components.forwarding.peer_work import MAX_TOTALS_AGE_S
 from trefoilstage.components.forwarding.placement import (
@@ -22,6 +28,11 @@
     rank_by_prompt,
     rank_candidates,
 )
+from trefoilstage.components.forwarding.prefix_fetch import (
+    FetchSource,
+    PendingFetch,
+    PrefixFetch,
+)
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
 from trefoilstage.components.forwarding.target_filter import TargetFilter
@@ -47,9 +58,10 @@
 class SentPrompt:
     """Describe the prefill queue of a target when a prompt was sent to it."""
 
-    n_uncached_tokens: int  # of the prompt itself
+    n_uncached_tokens: int  # of the prompt itself, without those fetched
     n_queued_tokens: int  # of prompts sent earlier, by all hosts as far as known
     sent_at: float
+    fetch: PendingFetch | None = None
 
 
 class TargetChooser:
@@ -84,6 +96,9 @@
             limits=limits,
             may_have_room=slots.may_have_room,
         )
+        self._fetches = FetchPlanner(
+            timer=timer, workload=workload, availability=self._availability
+        )
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def choose(
@@ -110,6 +125,9 @@
             prompt=prompt,
             cached_tokens=candidate_info.cached_tokens,
             request_id=request_id,
+            sources=self._list_sources(
+                target_filter, excluded, need, prompt, candidate_info
+            ),
         )
         askable = self._availability.list_askable(groups)
         is_pooled = self._slots.is_pooled(target_filter.service)
@@ -186,23 +204,65 @@
         prompt: Sequence[PromptPart],
         cached_tokens: Mapping[str, int],
         request_id: str,
+        sources: Sequence[FetchSource],
     ) -> list[TargetOption]:
         """Return targets, the best first."""
         if need is None:
             options = [self._make_option(target) for target in targets]
             return rank_by_load(options, self._board.data_center, request_id)
         ordered = rank_candidates(targets, need.subject)
-        return rank_by_prompt(self._list_options(ordered, prompt, cached_tokens), need)
+        options = self._list_options(ordered, prompt, cached_tokens, sources)
+        return rank_by_prompt(options, need)
+
+    def _list_sources(
+        self,
+        target_filter: TargetFilter,
+        excluded: Set[str],
+        need: PromptNeed | None,
+        prompt: Sequence[PromptPart],
+        candidate_info: CandidateInfo,
+    ) -> Sequence[FetchSource]:
+        if not self._fetches.is_active(target_filter, need):
+            return ()
+        return self._fetches.list_sources(
+            target_filter,
+            excluded,
+            prompt,
+            candidate_info.cached_tokens,
+            select=lambda targets: self._select_candidates(
+                targets, need, candidate_info
+            ),
+        )
+
+    def plan_fetch(
+        self,
+        target: TargetEntry,
+        *,
+        target_filter: TargetFilter,
+        excluded: Set[str],
+        need: PromptNeed | None,
+        prompt: Sequence[PromptPart],
+        candidate_info: CandidateInfo,
+    ) -> PrefixFetch | None:
+        """Return the fetch with which a prompt is sent to a target, if any."""
+        sources = self._list_sources(
+            target_filter, excluded, need, prompt, candidate_info
+        )
+        n_cached = self._count_cached(target, prompt, candidate_info.cached_tokens)
+        return self._fetches.plan(target, n_cached, sources)
 
     def _list_options(
         self,
         targets: Sequence[TargetEntry],
         prompt: Sequence[PromptPart],
         cached_tokens: Mapping[str, int],
+        sources: Sequence[FetchSource],
     ) -> list[TargetOption]:
         """Return targets with the tokens of a prompt that each has cached."""
         return [
-            self._make_option(target, self._count_cached(target, prompt, cached_tokens))
+            self._make_option(
+                target, self._count_cached(target, prompt, cached_tokens), sources
+            )
             for target in targets
         ]
 
@@ -216,7 +276,10 @@
         return max(n_local, cached_tokens.get(target.incarnation, 0))
 
     def _make_option(
-        self, target: TargetEntry, n_cached_tokens: int = 0
+        self,
+        target: TargetEntry,
+        n_cached_tokens: int = 0,
+        sources: Sequence[FetchSource] = (),
     ) -> TargetOption:
         cold_rate = self._availability.get_cold_rate(target)
         return TargetOption(
@@ -229,6 +292,7 @@
             if cold_rate is None
             else self._workload.count_recent(target.incarnation),
             cold_requests_per_s=cold_rate,
+            fetch=self._fetches.plan(target, n_cached_tokens, sources),
         )
 
     async def query_candidates(
@@ -255,7 +319,11 @@
             incarnations = [target.incarnation for target in ranked[n_queried:n_wanted]]
             cached_tokens |= await self._workload.query_homes(incarnations, prompt)
             n_queried = n_wanted
-            options = self._list_options(ranked[:n_queried], prompt, cached_tokens)
+            info = CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_queried)
+            sources = self._list_sources(target_filter, set(), need, prompt, info)
+            options = self._list_options(
+                ranked[:n_queried], prompt, cached_tokens, sources
+            )
             may_query = self._timer.now() < query_until
             if not may_query or not all(
                 is_late(option, need) or exceeds_cold_rate(option) for option in options
@@ -319,15 +387,18 @@
         target: TargetEntry,
         prompt: Sequence[PromptPart],
         candidate_info: CandidateInfo,
+        fetch: PrefixFetch | None = None,
     ) -> SentPrompt:
         """Count a request sent to a target; return the prefill queue that it meets."""
         incarnation = target.incarnation
         n_tokens = count_tokens(prompt)
         sent = SentPrompt(
             n_uncached_tokens=n_tokens
-            - self._count_cached(target, prompt, candidate_info.cached_tokens),
+            - self._count_cached(target, prompt, candidate_info.cached_tokens)
+            - (fetch.n_tokens if fetch else 0),
             n_queued_tokens=self._workload.get_work(incarnation).prompt_tokens,
             sent_at=self._timer.now(),
+            fetch=self._fetches.add(fetch, target) if fetch else None,
         )
         if prompt:
             kv_tokens = self._get_kv_tokens(target) or 0
@@ -343,11 +414,18 @@
 
     def record_first_token(self, target: TargetEntry, sent: SentPrompt) -> None:
         """Record that a target sent a prompt's first token, and the time it took."""
-        seconds = self._timer.now() - sent.sent_at
-        n_tokens = sent.n_queued_tokens + sent.n_uncached_tokens
-        self._workload.add_prefill_sample(target.incarnation, n_tokens, seconds)
+        # With a fetch, an unknown part of the time is not prefill.
+        if sent.fetch is None:
+            seconds = self._timer.now() - sent.sent_at
+            n_tokens = sent.n_queued_tokens + sent.n_uncached_tokens
+            self._workload.add_prefill_sample(target.incarnation, n_tokens, seconds)
         self.remove_pending_prefill(target, sent)
 
+    def end_fetch(self, sent: SentPrompt, outcome: SendOutcome | None) -> None:
+        """Record the outcome of a send's fetch, if any; None if it was cancelled."""
+        if sent.fetch is not None:
+            self._fetches.end(sent.fetch, outcome)
+
     def remove_pending_prefill(self, target: TargetEntry, sent: SentPrompt) -> None:
         """Remove a prompt's uncached tokens from the target's pending prefill."""
         self._workload.adjust_work(
--- a/trefoilstage/components/forwarding/translator.py
+++ b/trefoilstage/components/forwarding/translator.py
@@ -6,6 +6,7 @@
 
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
 from trefoilstage.exceptions import TrefoilstageError
+from trefoilstage.helpers.field_types import LocalText
 
 
 class MalformedRequestError(TrefoilstageError):
@@ -20,6 +21,9 @@
     deadline_s: float | None
     urgency: int | None = None  # 0 is the most urgent
     resume_after: int | None = None  # id of the last event that the caller got
+    # Address of the engine from which the target fetches the prompt's KV cache. Left
+    # out of messages to peers, which may run a build that does not know it.
+    fetch_from: LocalText = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -58,6 +58,8 @@
 # time. With a shorter timeout, the busiest hosts would choose without the peers' work.
 QUERY_TIMEOUT_ROUND_TRIPS = 1.5
 MAX_QUERY_TIMEOUT_S = 0.5
+# A target has processed most prompts this long after they were sent.
+SETTLED_AFTER_S = 1.0
 NO_WORK = Work()
 
 
@@ -135,6 +137,11 @@
         """Return the number of a prompt's tokens that a target has cached."""
         return self._caches.count_cached(target, prompt)
 
+    def count_settled(self, target: str, prompt: Sequence[PromptPart]) -> int:
+        """Return the number of a prompt's tokens that a target has processed."""
+        before = self._timer.now() - SETTLED_AFTER_S
+        return self._caches.count_settled(target, prompt, before)
+
     def add_prefill_sample(self, target: str, n_tokens: int, seconds: float) -> None:
         """Record the tokens and seconds until a prompt's first token."""
         self._prefill_speeds.add_sample(target, n_tokens, seconds, self._timer.now())
@@ -351,5 +358,5 @@
     def _add_sent_prompts(self, host: str, prompts: Iterable[CachedPrompt]) -> None:
         now = self._timer.now()
         for prompt in prompts:
-            self._caches.add(prompt.target, prompt.kv_tokens, prompt.parts)
+            self._caches.add(prompt.target, prompt.kv_tokens, prompt.parts, now)
             self._recent_sends.add(prompt.target, host, now)
--- a/trefoilstage/components/targets/health.py
+++ b/trefoilstage/components/targets/health.py
@@ -36,6 +36,11 @@
             return now >= self.ejected_until and not self.probing
         return now >= self.busy_until
 
+    @property
+    def is_ejected(self) -> bool:
+        """Return whether the target failed and has not answered since."""
+        return self.ejected_until is not None
+
     def compute_wait_s(self, now: float) -> float:
         """Return the seconds until a request may be sent to the target again."""
         paused_until = self.ejected_until or self.busy_until
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -101,6 +101,7 @@
     HOLD_REFUSED = "hold_refused"
     HOLD_UNANSWERED = "hold_unanswered"
     REQUEST_SENT = "request_sent"
+    FETCH_SOURCE_EJECTED = "fetch_source_ejected"
     SEND_FAILED = "send_failed"
     SENT_THROUGH_PEER = "sent_through_peer"
     ANSWER_BROKEN = "answer_broken"
--- a/trefoilstage/helpers/field_types.py
+++ b/trefoilstage/helpers/field_types.py
@@ -7,3 +7,4 @@
 UInt53 = Annotated[int, Field(ge=0, le=1 << 53)]
 ShortText = Annotated[str, Field(max_length=300)]
 Count = Annotated[int, Field(ge=0)]
+LocalText = Annotated[str, Field(exclude=True)]  # left out of messages
--- a/trefoilstage/platform/configuration.py
+++ b/trefoilstage/platform/configuration.py
@@ -4,7 +4,7 @@
 """
 
 import ipaddress
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
@@ -44,6 +44,8 @@
 MAX_SLOTS = 1_000_000
 MAX_UNIX_MS = 2**53
 MAX_COLD_MS = 86_400_000
+MAX_ENGINE_AMOUNT = 2**53
+BYTES_PER_MEGABIT = 125_000
 
 
 class WireSplit(BaseModel):
@@ -78,6 +80,9 @@
     slots: int = 1
     kv_tokens: int = 0
     stride: int = 1  # maximum tokens in one event of a stream
+    # Not validated here: a malformed value must not put off a whole configuration.
+    kv_bytes: Any = None  # of one token in the KV cache
+    link_mbps: Any = None  # megabits a second between two engines
 
 
 class WireService(BaseModel):
@@ -212,6 +217,9 @@
             slots=wire.engine.slots,
             kv_tokens=wire.engine.kv_tokens,
             tokens_per_event=max(1, wire.engine.stride),
+            kv_bytes_per_token=read_positive(wire.engine.kv_bytes),
+            transfer_bytes_per_s=BYTES_PER_MEGABIT
+            * read_positive(wire.engine.link_mbps),
         )
     return TargetService(
         name=wire.name,
@@ -223,6 +231,13 @@
     )
 
 
+def read_positive(value: object) -> float:
+    """Return a positive number, 0 for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0.0
+    return float(value) if 0 < value <= MAX_ENGINE_AMOUNT else 0.0
+
+
 def decode_workspace(wire: WireTenant) -> Workspace:
     """Convert a tenant to a workspace."""
     return Workspace(
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -30,6 +30,7 @@
 HEADER_PROMPT_PREFIX: Final = "Prompt-Prefix"
 HEADER_EXPECT_INSTANCE: Final = "Expect-Instance"
 HEADER_URGENCY: Final = "Request-Urgency"  # 0 is the most urgent
+HEADER_KV_FETCH: Final = "Kv-Fetch"  # address of the engine to fetch KV cache from
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 HEADER_RESUMES: Final = "Resumes"  # Attempt-Id that brought the first event
 HEADER_SEAL: Final = "Response-Seal"  # a target's signature of its answer
@@ -148,6 +149,8 @@
             headers.append((HEADER_URGENCY, str(options.urgency)))
         if options.resume_after is not None:
             headers.append((HEADER_LAST_EVENT_ID, str(options.resume_after)))
+        if options.fetch_from:
+            headers.append((HEADER_KV_FETCH, options.fetch_from))
         return headers
 
     def read_answer(
