--- a/tests/components/forwarding/test_fetch_planner.py
+++ b/tests/components/forwarding/test_fetch_planner.py
@@ -149,6 +149,8 @@
         self.timer.time += 0.1
         self.assertEqual(self.get_source(), "")
         self.timer.time += SETTLED_S
+        self.assertEqual(self.get_source(), "")  # 15,000 tokens still wait there
+        self.timer.time += 0.5
         self.assertEqual(self.get_source(), "i-3")
 
     def test_restarted_source_is_no_source(self) -> None:
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
 from typing import Any, cast
+from unittest import mock
 
 from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.limits import ANSWER_HEAD
@@ -19,15 +20,18 @@
     RouteKind,
 )
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
-from trefoilstage.components.forwarding.placement import CandidateInfo
+from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
 from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.stream_binding import StreamBinder
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
 from trefoilstage.components.forwarding.target_filter import StreamVersion
+from trefoilstage.components.forwarding.translator import ForwardOptions
+from trefoilstage.helpers.events import Event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
+PIPELINE = "trefoilstage.components.forwarding.pipeline"
 PROMPT = (PromptPart(name="dossier", n_tokens=17_000),)
 
 
@@ -253,6 +257,75 @@
         )
 
 
+FETCH = PrefixFetch(
+    source=make_target("i-9", address="127.0.0.1:9"),
+    n_tokens=9_000,
+    own_s=0.01,
+    total_s=0.01,
+)
+
+
+@dataclass(kw_only=True)
+class FetchingCollaborators(FakeCollaborators):
+    """Plan a fetch where one is allowed; the first send fails."""
+
+    status: int = 200
+    addresses: list[str] = field(default_factory=list)
+    outcomes: list[object] = field(default_factory=list)
+
+    def plan_fetch(self, *_: object, **arguments: object) -> PrefixFetch | None:
+        need = arguments["need"]
+        return FETCH if isinstance(need, PromptNeed) and need.may_fetch else None
+
+    def end_fetch(self, *arguments: object) -> None:
+        self.outcomes.append(arguments[-1])
+
+    def record_caller_left(self, *_: object, **__: object) -> None: ...
+
+    def take_retry(self, _: str) -> bool:
+        return True
+
+    def record_interruption(self, *_: object, **__: object) -> None: ...
+
+    async def send(self, *arguments: object) -> Any:
+        options = arguments[-1]
+        assert isinstance(options, ForwardOptions)
+        self.addresses.append(options.fetch_from)
+        if len(self.addresses) == 1:
+            return InvalidAnswer(reason="reset")
+        return await super().send()
+
+
+class FetchTest(unittest.IsolatedAsyncioTestCase):
+    """Test which sends carry a fetch."""
+
+    async def test_retry_fetches_nothing(self) -> None:
+        """Guard against a second try that hangs at the source of the first."""
+        collaborators = FetchingCollaborators()
+        with mock.patch(f"{PIPELINE}.log_event") as log:
+            await send_prompt(collaborators, RouteKind.IDEMPOTENT, max_attempts=2)
+        self.assertEqual(collaborators.addresses, ["127.0.0.1:9", ""])
+        self.assertIsInstance(collaborators.outcomes[0], InvalidAnswer)
+        sent = [
+            {name: call.kwargs.get(name) for name in ("fetch_from", "fetched")}
+            for call in log.call_args_list
+            if call.args[0] is Event.REQUEST_SENT
+        ]
+        self.assertEqual(sent[0], {"fetch_from": "i-9", "fetched": 9_000})
+        self.assertEqual(sent[1], {"fetch_from": None, "fetched": None})
+
+    async def test_caller_that_leaves_ends_its_fetch(self) -> None:
+        """Guard against a transfer that counts as under way for ever."""
+        collaborators = FetchingCollaborators()
+
+        async def hang(*_: object) -> None:
+            await asyncio.sleep(60.0)
+
+        collaborators.send = hang  # type: ignore[method-assign]
+        await send_prompt(collaborators, RouteKind.ONCE, max_attempts=1, timeout_s=0.05)
+        self.assertEqual(collaborators.outcomes, [None])
+
+
 @dataclass(kw_only=True)
 class SlowCollaborators(FakeCollaborators):
     """Grant the token hold after a delay, and count the candidate queries."""
--- a/tests/helpers/test_request_history.py
+++ b/tests/helpers/test_request_history.py
@@ -61,8 +61,12 @@
         message = {"message_type": "request_done", "duration_s": 0.3, "hold_s": 0.001}
         page(message)
         page({"message_type": "hold_refused", "reason": "budget_drawn"})
+        page({"message_type": "request_sent", "fetched": 5_382})
+        page({"message_type": "request_sent"})
         text = page.render().decode()
         for line in (
+            "trefoilstage_prefix_fetches_total 1.0",
+            "trefoilstage_prefix_fetched_tokens_total 5382.0",
             'trefoilstage_events_total{event="hold_refused",reason="budget_drawn"} 1.0',
             'trefoilstage_request_seconds_bucket{le="0.4",phase="whole"} 1.0',
             'trefoilstage_request_seconds_bucket{le="0.2",phase="whole"} 0.0',
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -88,6 +88,35 @@
         engine = configuration.services["x"].engine
         self.assertEqual(engine and engine.tokens_per_event, 5)
 
+    def decode_transfers(self, **fields: object) -> tuple[float, float]:
+        """Return the two amounts of the engine with the given fields added."""
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed["services"][0]["engine"].update(fields)
+        configuration = decode_configuration(json.dumps(changed).encode())
+        self.assertEqual(configuration.version, 7)
+        engine = configuration.services["x"].engine
+        assert engine is not None
+        self.assertEqual(engine.slots, 64)
+        return engine.kv_bytes_per_token, engine.transfer_bytes_per_s
+
+    def test_transfer_cost_is_decoded(self) -> None:
+        transfers = self.decode_transfers(kv_bytes=18432, link_mbps=740000)
+        self.assertEqual(transfers, (18_432.0, 92.5e9))
+        self.assertEqual(self.decode_transfers(), (0.0, 0.0))
+
+    def test_malformed_transfer_cost_is_treated_as_absent(self) -> None:
+        """Guard against a whole configuration refused for an optional number."""
+        texts: list[object] = ["18432", "", None, True, [], {"bytes": 1}]
+        numbers: list[object] = [0, -5, -0.5, 1e300, 10**400]
+        not_finite = [float("nan"), float("inf"), float("-inf")]
+        for value in (*texts, *numbers, *not_finite):
+            self.assertEqual(
+                self.decode_transfers(kv_bytes=value, link_mbps=8), (0.0, 1e6), value
+            )
+            self.assertEqual(
+                self.decode_transfers(kv_bytes=1, link_mbps=value), (1.0, 0.0), value
+            )
+
     def test_unknown_route_kind_is_at_most_once(self) -> None:
         changed = json.loads(json.dumps(CONFIGURATION))
         changed["routes"][0]["kind"] = "new"
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -85,6 +85,14 @@
         self.assertEqual(headers["X-Other"], "1")
         self.assertEqual(headers["Last-Event-Id"], "7")
 
+    def test_fetch_is_written_and_callers_own_is_not_forwarded(self) -> None:
+        """Guard against callers that make a target fetch from an address of theirs."""
+        options = ForwardOptions(workspace="", deadline_s=1.0, fetch_from="127.0.0.1:7")
+        for name in ("Kv_Fetch", "kv_fetch"):
+            headers = self.write_request(options, **{name: "1.2.3.4:1"})
+            self.assertEqual(headers["Kv-Fetch"], "127.0.0.1:7")
+            self.assertNotIn("kv-fetch", headers)
+
     def test_resumption_replaces_last_event_id_of_caller(self) -> None:
         """Resume a stream after event 9 that the caller resumed after event 7."""
         options = ForwardOptions(workspace="", deadline_s=1.0, resume_after=9)
--- a/trefoilstage/components/forwarding/fetch_planner.py
+++ b/trefoilstage/components/forwarding/fetch_planner.py
@@ -24,6 +24,9 @@
 from trefoilstage.timer import TimerService
 
 FIRST_SERVER_ERROR = 500
+# A target has processed a prompt this long after it was sent, and after the time that
+# the tokens queued there now take.
+SETTLED_AFTER_S = 1.0
 
 
 class FetchPlanner:
@@ -119,14 +122,17 @@
     ) -> int:
         """Return the tokens of a prompt that a target has processed, not only got."""
         incarnation = target.incarnation
-        n_settled = self._workload.count_settled(incarnation, prompt)
         n_known = max(
             self._workload.count_cached(incarnation, prompt),
             cached_tokens.get(incarnation, 0),
         )
         # A prefix that is not processed yet is part of the tokens queued there.
         n_queued = self._workload.get_work(incarnation).prompt_tokens
-        return n_known if n_queued < n_known else n_settled
+        if n_queued < n_known:
+            return n_known
+        queued_s = n_queued / self._workload.get_prefill_speed(incarnation)
+        before = self._timer.now() - SETTLED_AFTER_S - queued_s
+        return self._workload.count_settled(incarnation, prompt, before)
 
     def _get_cost(self, service: str) -> TransferCost | None:
         found = self._availability.find_service(service)
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -58,8 +58,6 @@
 # time. With a shorter timeout, the busiest hosts would choose without the peers' work.
 QUERY_TIMEOUT_ROUND_TRIPS = 1.5
 MAX_QUERY_TIMEOUT_S = 0.5
-# A target has processed most prompts this long after they were sent.
-SETTLED_AFTER_S = 1.0
 NO_WORK = Work()
 
 
@@ -137,9 +135,10 @@
         """Return the number of a prompt's tokens that a target has cached."""
         return self._caches.count_cached(target, prompt)
 
-    def count_settled(self, target: str, prompt: Sequence[PromptPart]) -> int:
-        """Return the number of a prompt's tokens that a target has processed."""
-        before = self._timer.now() - SETTLED_AFTER_S
+    def count_settled(
+        self, target: str, prompt: Sequence[PromptPart], before: float
+    ) -> int:
+        """Return the number of a prompt's tokens cached since before a time."""
         return self._caches.count_settled(target, prompt, before)
 
     def add_prefill_sample(self, target: str, n_tokens: int, seconds: float) -> None:
--- a/trefoilstage/helpers/metrics_page.py
+++ b/trefoilstage/helpers/metrics_page.py
@@ -46,10 +46,24 @@
             registry=self._registry,
         )
 
+        self._fetches = Counter(
+            "trefoilstage_prefix_fetches",
+            "Requests sent with a fetch of KV cache from another target.",
+            registry=self._registry,
+        )
+        self._fetched_tokens = Counter(
+            "trefoilstage_prefix_fetched_tokens",
+            "Prompt tokens that targets were told to fetch.",
+            registry=self._registry,
+        )
+
     def __call__(self, message: Mapping[str, Any]) -> None:
         """Count one event and observe its durations."""
         event = str(message.get("message_type", "unknown"))
         self._events.labels(event, str(message.get("reason", ""))).inc()
+        if "fetched" in message:
+            self._fetches.inc()
+            self._fetched_tokens.inc(int(message["fetched"]))
         for name, phase in PHASE_BY_FIELD.items():
             if name in message:
                 self._request_seconds.labels(phase).observe(float(message[name]))
