Tests of prefix fetches: transfer time in the ranking, virtual time

Cause: with the transfer left out of the ranking, no test failed; a test with a time limit of 50 ms of real time failed once on the busy machine. Measured: with the transfer left out, test_transfer_counts_as_a_wait fails; 25 pass.

--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -296,14 +296,16 @@
         return await super().send()
 
 
-class FetchTest(unittest.IsolatedAsyncioTestCase):
+class FetchTest(unittest.TestCase):
     """Test which sends carry a fetch."""
 
-    async def test_retry_fetches_nothing(self) -> None:
+    def test_retry_fetches_nothing(self) -> None:
         """Guard against a second try that hangs at the source of the first."""
         collaborators = FetchingCollaborators()
         with mock.patch(f"{PIPELINE}.log_event") as log:
-            await send_prompt(collaborators, RouteKind.IDEMPOTENT, max_attempts=2)
+            run_in_virtual_time(
+                send_prompt(collaborators, RouteKind.IDEMPOTENT, max_attempts=2)
+            )
         self.assertEqual(collaborators.addresses, ["127.0.0.1:9", ""])
         self.assertIsInstance(collaborators.outcomes[0], InvalidAnswer)
         sent = [
@@ -314,7 +316,7 @@
         self.assertEqual(sent[0], {"fetch_from": "i-9", "fetched": 9_000})
         self.assertEqual(sent[1], {"fetch_from": None, "fetched": None})
 
-    async def test_caller_that_leaves_ends_its_fetch(self) -> None:
+    def test_caller_that_leaves_ends_its_fetch(self) -> None:
         """Guard against a transfer that counts as under way for ever."""
         collaborators = FetchingCollaborators()
 
@@ -322,7 +324,9 @@
             await asyncio.sleep(60.0)
 
         collaborators.send = hang  # type: ignore[method-assign]
-        await send_prompt(collaborators, RouteKind.ONCE, max_attempts=1, timeout_s=0.05)
+        run_in_virtual_time(
+            send_prompt(collaborators, RouteKind.ONCE, max_attempts=1, timeout_s=0.05)
+        )
         self.assertEqual(collaborators.outcomes, [None])
 
 
--- a/tests/components/forwarding/test_prefix_fetch.py
+++ b/tests/components/forwarding/test_prefix_fetch.py
@@ -163,10 +163,14 @@
 class RankingTest(unittest.TestCase):
     """Test how a possible fetch changes the ranking of targets."""
 
-    def rank(self, keeper_queue: int, *, can_fetch: bool) -> list[str]:
+    def rank(
+        self, keeper_queue: int, *, can_fetch: bool, total_s: float = 0.006
+    ) -> list[str]:
         """Rank an idle target that may fetch, and the one that keeps the prefix."""
         keeper = make_target("keeper")
-        fetch = PrefixFetch(source=keeper, n_tokens=N_KEPT, own_s=0.006, total_s=0.006)
+        fetch = PrefixFetch(
+            source=keeper, n_tokens=N_KEPT, own_s=0.006, total_s=total_s
+        )
         options = [
             TargetOption(
                 target=make_target("idle"),
@@ -187,6 +191,12 @@
         self.assertEqual(self.rank(6_000, can_fetch=False)[0], "keeper")
         self.assertEqual(self.rank(6_000, can_fetch=True)[0], "idle")
 
+    def test_transfer_counts_as_a_wait(self) -> None:
+        """Guard against a target that is idle, but waits for other transfers."""
+        self.assertEqual(self.rank(3_000, can_fetch=True)[0], "idle")
+        slow = self.rank(3_000, can_fetch=True, total_s=0.1)
+        self.assertEqual(slow[0], "keeper")
+
     def test_target_that_keeps_the_prefix_comes_first_between_equals(self) -> None:
         self.assertEqual(self.rank(0, can_fetch=True)[0], "keeper")
 
