--- a/tests/components/forwarding/test_fetch_planner.py
+++ b/tests/components/forwarding/test_fetch_planner.py
@@ -25,7 +25,11 @@
     TargetEntry,
     TargetService,
 )
-from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
+from trefoilstage.components.forwarding.placement import (
+    CandidateInfo,
+    PromptNeed,
+    rank_candidates,
+)
 from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
 from trefoilstage.components.forwarding.target_chooser import SentPrompt
 from trefoilstage.components.forwarding.translator import ForwardOptions
@@ -203,6 +207,23 @@
             )
             self.timer.time += 5.1
 
+    def test_sources_in_a_large_fleet_are_the_candidates_that_were_asked(self) -> None:
+        """Guard against a source of which no home told what it keeps now."""
+        targets = [self.source, *(self.add_target(f"i-{n}") for n in range(3, 9))]
+        ranked = rank_candidates([*targets, self.receiver], "dossier")
+        position = ranked.index(self.source)
+        with mock.patch.object(self.workload, "is_fleet_large", return_value=True):
+            for n_candidates, is_planned in ((position, False), (position + 1, True)):
+                fetch = self.chooser.plan_fetch(
+                    self.receiver,
+                    target_filter=ASSISTANT,
+                    excluded=set(),
+                    need=NEED,
+                    prompt=PROMPT,
+                    candidate_info=CandidateInfo(n_candidates=n_candidates),
+                )
+                self.assertEqual(fetch is not None, is_planned)
+
     def test_sample_with_a_fetch_is_not_used(self) -> None:
         """Guard against fetched tokens, or waits for them, taken for prefill speed."""
         for need, is_sample in ((NEED, False), (None, True)):
