--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -135,6 +135,12 @@
         """Return the number of a prompt's tokens that a target has cached."""
         return self._caches.count_cached(target, prompt)
 
+    def count_settled(
+        self, target: str, prompt: Sequence[PromptPart], before: float
+    ) -> int:
+        """Return the number of a prompt's tokens cached since before a time."""
+        return self._caches.count_settled(target, prompt, before)
+
     def add_prefill_sample(self, target: str, n_tokens: int, seconds: float) -> None:
         """Record the tokens and seconds until a prompt's first token."""
         self._prefill_speeds.add_sample(target, n_tokens, seconds, self._timer.now())
@@ -351,5 +357,5 @@
     def _add_sent_prompts(self, host: str, prompts: Iterable[CachedPrompt]) -> None:
         now = self._timer.now()
         for prompt in prompts:
-            self._caches.add(prompt.target, prompt.kv_tokens, prompt.parts)
+            self._caches.add(prompt.target, prompt.kv_tokens, prompt.parts, now)
             self._recent_sends.add(prompt.target, host, now)
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -102,6 +102,7 @@
     HOLD_UNANSWERED = "hold_unanswered"
     HOLD_WAIT_ENDED = "hold_wait_ended"
     REQUEST_SENT = "request_sent"
+    FETCH_SOURCE_EJECTED = "fetch_source_ejected"
     SEND_FAILED = "send_failed"
     SENT_THROUGH_PEER = "sent_through_peer"
     ANSWER_BROKEN = "answer_broken"
