Setting of the admission queue; Length-Hint decoded

Cause: the admission queue is needed only under the platform's contract on pressure, and sizes requests by their callers' estimate of output tokens, which was passed on to targets but not read.

Without the checks of ASCII and length, the hint of 9,000 digits raised ValueError in test_malformed_length_hint_is_ignored_with_one_bounded_line.

--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -248,6 +248,20 @@
         self.assertEqual(settings.store_url, "http://10.200.1.7:8223")
         self.assertEqual(settings.store_partitions, 12)
 
+    def test_admission_queue_is_on_only_under_the_contract_on_pressure(self) -> None:
+        """Guard against a queue where no target needs it, or none where one does."""
+        self.assertFalse(self.load(SETTINGS).has_admission_queue)
+        for text, is_on in (
+            ("", False),
+            ("rests", False),
+            ("pressured,rests", False),
+            ("pressure", True),
+            ("rests, pressure,hints", True),
+        ):
+            with self.subTest(text=text):
+                settings = self.load(f"{SETTINGS}contracts={text}\n")
+                self.assertIs(settings.has_admission_queue, is_on)
+
     def test_error_names_every_invalid_setting(self) -> None:
         """Reject settings, naming both of two invalid values."""
         with self.assertRaises(SettingsError) as caught:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -51,6 +51,26 @@
         self.assertEqual(request.deadline_s, 15.0)
         self.assertEqual([part.n_tokens for part in request.prompt], [800, 410, 250])
 
+    def test_length_hint_is_decoded_and_forwarded(self) -> None:
+        """Guard against a hint that is lost on its way to the target."""
+        self.assertIsNone(self.read_request().length_hint)
+        self.assertEqual(self.read_request(Length_Hint="0").length_hint, 0)
+        self.assertEqual(self.read_request(Length_Hint="412").length_hint, 412)
+        options = ForwardOptions(workspace="brest", deadline_s=1.0)
+        sent = self.write_request(options, Length_Hint="412")
+        self.assertEqual(sent["Length-Hint"], "412")
+
+    def test_malformed_length_hint_is_ignored_with_one_bounded_line(self) -> None:
+        """Guard against callers refused, or logs filled, by a malformed estimate."""
+        for text in ("-1", "1.5", "many", "", "٣", "9" * 9_000):
+            with (
+                self.subTest(text=text[:9]),
+                mock.patch.object(headers, "log_event") as log_event,
+            ):
+                self.assertIsNone(self.read_request(Length_Hint=text).length_hint)
+                log_event.assert_called_once()
+                self.assertLess(len(log_event.call_args.kwargs["value"]), 300)
+
     def test_reserved_headers_of_callers_are_not_forwarded(self) -> None:
         """Send headers that only this system may set.
 
--- a/trefoilstage/components/forwarding/models.py
+++ b/trefoilstage/components/forwarding/models.py
@@ -3,6 +3,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Annotated
+
+from pydantic import Field
 
 
 class RouteKind(StrEnum):
@@ -169,6 +172,8 @@
     # Id of the earlier request that brought the stream's first event; empty if none.
     resumes: str = ""
     last_event_id: str = ""  # of the stream to continue; empty for a new one
+    # The caller's estimate of output tokens, None without one. Peers don't need it.
+    length_hint: Annotated[int | None, Field(exclude=True)] = None
 
     @property
     def is_resumption(self) -> bool:
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -36,3 +36,6 @@
     # second. Without them, cold targets are used like the others.
     cold_rate_factor: Annotated[float, Field(ge=0)] | None = None
     cold_rate_slack: Annotated[float, Field(ge=0)] | None = None  # requests
+    # For targets that crash when their requests need more memory than they have: while
+    # a service is nearly full, its requests wait in one queue of the fleet.
+    has_admission_queue: bool = False
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -27,6 +27,7 @@
 HEADER_KEY: Final = "Key"
 HEADER_TENANT: Final = "Tenant"  # the workspace that owns the key
 HEADER_TOKEN_COUNT: Final = "Token-Count"  # prompt tokens, maximum output tokens
+HEADER_LENGTH_HINT: Final = "Length-Hint"  # the caller's estimate of output tokens
 HEADER_PROMPT_PREFIX: Final = "Prompt-Prefix"
 HEADER_EXPECT_INSTANCE: Final = "Expect-Instance"
 HEADER_URGENCY: Final = "Request-Urgency"  # 0 is the most urgent
@@ -42,6 +43,8 @@
 # Ids seen from callers have 16 characters. Messages between hosts allow names of up to
 # 300.
 MAX_REQUEST_ID_LENGTH: Final = 128
+# Far above the output of any model.
+MAX_HINT_DIGITS: Final = 9
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -126,6 +129,7 @@
             headers=tuple(select_end_to_end(pairs, RESERVED_HEADERS)),
             resumes=resumes,
             last_event_id=last_event_id,
+            length_hint=parse_length_hint(values.get("length-hint")),
         )
 
     def write_request(
@@ -231,6 +235,18 @@
     return counts
 
 
+def parse_length_hint(text: str | None) -> int | None:
+    """Return the caller's estimate of output tokens, None without a valid one."""
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit() and len(text) <= MAX_HINT_DIGITS:
+        return int(text)
+    log_event(
+        Event.HEADER_MALFORMED, header=HEADER_LENGTH_HINT, value=truncate_text(text)
+    )
+    return None
+
+
 def parse_deadline(text: str | None) -> float | None:
     """Return the caller's deadline in seconds from now, or None without one."""
     if text is None:
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -11,6 +11,8 @@
 
 MS_PER_S = 1000.0
 ZONE_PREFIX = "zones."
+# Targets under this contract crash when their requests exceed their memory.
+PRESSURE_CONTRACT = "pressure"
 # Set by deploy/system.toml, which also configures where the platform reads metrics. The
 # platform assigns all other ports. If it is not set, the kernel assigns the metrics
 # port, and the host logs it.
@@ -58,9 +60,15 @@
         "retry_window_s": fields.get("bounds.budget_window_s", "10"),
         "cold_rate_factor": fields.get("bounds.cold_over"),
         "cold_rate_slack": fields.get("bounds.cold_slack"),
+        "has_admission_queue": PRESSURE_CONTRACT in read_names(fields, "contracts"),
     }
 
 
+def read_names(fields: dict[str, str], name: str) -> list[str]:
+    """Return the names in a comma-joined field, an empty list without it."""
+    return [item.strip() for item in fields.get(name, "").split(",")]
+
+
 def read_ms_as_s(fields: dict[str, str], name: str, default_ms: float) -> float:
     """Return a field that is given in milliseconds, in seconds."""
     return float(fields.get(name, default_ms)) / MS_PER_S
