--- /dev/null
+++ b/tests/components/admission_queue/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission queue of the fleet."""
