Admission queue: messages, home and client, used before the choice of target

Cause: with full targets, hosts send requests anyway, and the target decides their order; one workspace can take the time of all others.

A host reports its work to the home of each service, and asks the home for a place while the service is contended. A place is returned when the request ends, fails or is cancelled. Without the setting nothing of this is created. Long polls are left out of the round-trip times: they would make a host believe that its own link is full.

Ruled out: recording places by reports alone.

--- a/bench/emulator/host.py
+++ b/bench/emulator/host.py
@@ -71,7 +71,9 @@
         stored_objects: StoredObjects,
         sender: EmulatedSender,
         probe: EmulatedProbe,
+        has_admission_queue: bool = False,
     ) -> None:
+        self._has_admission_queue = has_admission_queue
         self.name = name
         self._network = network
         self._shared_store = shared_store
@@ -115,6 +117,7 @@
             store_url="http://127.0.0.1:1",
             cold_rate_factor=COLD_RATE_FACTOR,
             cold_rate_slack=COLD_RATE_SLACK,
+            has_admission_queue=self._has_admission_queue,
         )
         board = FleetBoard(
             host=self.name,
--- a/bench/emulator/network.py
+++ b/bench/emulator/network.py
@@ -122,7 +122,9 @@
         self.url = url
         self._network = network
 
-    async def call(self, message: Any, *, timeout_s: float) -> Any:
+    async def call(
+        self, message: Any, *, timeout_s: float, is_long_poll: bool = False
+    ) -> Any:
         """Return the peer's reply, or raise PeerUnavailableError."""
         try:
             async with asyncio.timeout(timeout_s):
--- a/bench/emulator/scenario.py
+++ b/bench/emulator/scenario.py
@@ -133,6 +133,7 @@
     kinds: tuple[Kind, ...]
     faults: tuple[Fault, ...] = ()
     callers_resume: bool = False  # whether callers take broken streams up
+    has_admission_queue: bool = False
 
 
 def load_scenario(name: str) -> Scenario:
--- a/bench/emulator/world.py
+++ b/bench/emulator/world.py
@@ -188,6 +188,7 @@
                     links=self._links,
                     find_target=self._targets.by_name.get,
                 ),
+                has_admission_queue=self._scenario.has_admission_queue,
             )
             for number in range(self._scenario.n_hosts)
         ]
--- /dev/null
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -0,0 +1,243 @@
+"""Decide which requests to one service get its places; the home has one a service.
+
+Answers the load of more requests than the targets of a service have room for.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+from trefoilstage.components.admission_queue.messages import (
+    AdmissionReport,
+    PlaceReply,
+    PlaceRequest,
+)
+from trefoilstage.components.admission_queue.places import (
+    FREED_WINDOW_S,
+    REPORT_LIFE_S,
+    PlaceTable,
+    PlaceUse,
+    TargetCapacity,
+)
+from trefoilstage.components.admission_queue.queue import FairQueue, WaitingRequest
+from trefoilstage.components.forwarding.request_state import MAX_URGENCY
+from trefoilstage.helpers.events import Event, log_event
+
+MAX_WAITING = 1_000
+# A new home knows all work after this time: all hosts report to it when they see that
+# the home changed.
+SETTLE_S = 0.3
+CONTENDED_LOAD = 0.8
+RELAXED_LOAD = 0.7
+MIN_RETRY_AFTER_S = 0.2
+# The rate at which places are freed says little about a later time.
+MAX_RETRY_AFTER_S = 10.0
+# In a shorter time, too few places are freed to tell their rate.
+MIN_MEASURED_S = 0.3
+# Two repeated reports of a host without work may be due within it.
+PRESENCE_S = 11.0
+WITHDRAWN = PlaceReply(granted=False, retry_after_s=MIN_RETRY_AFTER_S)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Surroundings:
+    """Describe what a home sees of a service's targets and of the fleet."""
+
+    targets: Mapping[str, TargetCapacity]  # ready ones, by incarnation
+    live_hosts: Collection[str]
+
+
+class ServiceQueue:
+    """Grant the places of one service in the order of its queue."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        look_round: Callable[[], Surroundings],
+        generator: random.Random,
+        now: float,
+    ) -> None:
+        self._service = service
+        self._look_round = look_round
+        self._generator = generator
+        self._queue = FairQueue(max_length=MAX_WAITING)
+        self._places = PlaceTable()
+        self._replies: dict[str, asyncio.Future[PlaceReply]] = {}
+        # Hosts that use this home, and until when without another report.
+        self._present: dict[str, float] = {}
+        self._grants_from = now + SETTLE_S
+        self._contended_since: float | None = None
+        self.update(now)
+
+    @property
+    def is_contended(self) -> bool:
+        """Return whether requests need places."""
+        return self._contended_since is not None
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether no host uses this home for the service."""
+        return not self._present and not len(self._queue)
+
+    @property
+    def n_waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._queue)
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return the number of waiting requests by workspace."""
+        return self._queue.count_waiting()
+
+    def pause(self, now: float) -> None:
+        """Grant nothing until the hosts have reported again."""
+        self._grants_from = now + SETTLE_S
+
+    def update(self, now: float) -> None:
+        """Drop what is too old, and grant what is free."""
+        self._present = {
+            host: until for host, until in self._present.items() if now <= until
+        }
+        self._places.expire(now)
+        around = self._look_round()
+        self._places.set_capacity(around.targets)
+        # Hosts without work have no report that counts, although they use this home.
+        idle = self._present.keys() - self._places.reports.keys()
+        self._places.set_live_hosts(set(around.live_hosts).difference(idle))
+        self._refuse(self._queue.expire(now), now, reason="waited")
+        self._grant(now)
+
+    def receive_report(self, report: AdmissionReport, now: float) -> None:
+        """Replace what a host holds, and grant what it freed."""
+        life_s = REPORT_LIFE_S if report.work else PRESENCE_S
+        self._present[report.host] = now + life_s
+        self._places.receive_report(report.host, report.work, now, report.places)
+        self._grant(now)
+
+    def add(self, request: PlaceRequest, now: float) -> asyncio.Future[PlaceReply]:
+        """Queue a request; return the reply to it, when there is one."""
+        reply = asyncio.get_running_loop().create_future()
+        if not self._places.can_hold(request.kv_tokens):
+            reply.set_result(PlaceReply(granted=True))
+            return reply
+        waiting = WaitingRequest(
+            request_id=request.request,
+            host=request.host,
+            workspace=request.workspace,
+            # The queue counts the other way round.
+            urgency=max(0, MAX_URGENCY - request.urgency),
+            kv_tokens=request.kv_tokens,
+            queued_at=now,
+            wait_until=now + request.wait_s,
+        )
+        self._replies[request.request] = reply
+        self._refuse(self._queue.add(waiting, now), now, reason="queue full")
+        self._grant(now)
+        if not reply.done() and self._estimate_wait_s(waiting, now) > request.wait_s:
+            self._queue.remove(request.request)
+            self._refuse([waiting], now, reason="too long")
+        return reply
+
+    def release(self, requests: Iterable[str], now: float) -> None:
+        """End places, and withdraw requests that still wait."""
+        for request in requests:
+            self.withdraw(request)
+            self._places.release(request, now)
+        self._grant(now)
+
+    def withdraw(self, request: str) -> None:
+        """Remove a request whose caller has stopped waiting from the queue."""
+        self._queue.remove(request)
+        reply = self._replies.pop(request, None)
+        if reply is not None and not reply.done():
+            reply.set_result(WITHDRAWN)
+
+    def _grant(self, now: float) -> None:
+        while now >= self._grants_from:
+            found = self._queue.pop_next(self._find_room, now)
+            if found is None:
+                break
+            waiting, target = found
+            use = PlaceUse(n_requests=1, kv_tokens=waiting.kv_tokens)
+            self._places.grant(waiting.request_id, waiting.host, target, use, now)
+            self._log(Event.PLACE_GRANTED, waiting, now, target=target)
+            self._reply(waiting, PlaceReply(granted=True, target=target))
+        self._update_contention(now)
+
+    def _find_room(self, waiting: WaitingRequest) -> str | None:
+        reserved = self._queue.reserved_kv_tokens
+        return self._places.find_room(waiting.kv_tokens, reserved)
+
+    def _refuse(
+        self, refused: Iterable[WaitingRequest], now: float, *, reason: str
+    ) -> None:
+        for waiting in refused:
+            wait_s = self._estimate_wait_s(waiting, now)
+            spread_s = min(wait_s, MAX_RETRY_AFTER_S) * self._generator.uniform(1, 2)
+            retry_after_s = max(MIN_RETRY_AFTER_S, spread_s)
+            self._log(
+                Event.PLACE_REFUSED,
+                waiting,
+                now,
+                refused=reason,
+                estimated_s=wait_s,
+                retry_after_s=retry_after_s,
+            )
+            reply = PlaceReply(granted=False, retry_after_s=retry_after_s)
+            self._reply(waiting, reply)
+
+    def _reply(self, waiting: WaitingRequest, message: PlaceReply) -> None:
+        reply = self._replies.pop(waiting.request_id, None)
+        if reply is not None and not reply.done():
+            reply.set_result(message)
+
+    def _estimate_wait_s(self, waiting: WaitingRequest, now: float) -> float:
+        """Return the seconds until a request has a place, 0 if nothing is known."""
+        freed_per_s = self._places.get_freed_per_s(now)
+        since = self._contended_since
+        measured_s = 0.0 if since is None else now - since
+        if measured_s < FREED_WINDOW_S:
+            # Places are granted, and so freed, only since the service is contended.
+            if freed_per_s <= 0.0 or measured_s < MIN_MEASURED_S:
+                return 0.0
+            freed_per_s *= FREED_WINDOW_S / measured_s
+        return self._queue.estimate_wait_s(waiting, freed_per_s, now)
+
+    def _update_contention(self, now: float) -> None:
+        load = self._places.get_load(now)
+        limit = RELAXED_LOAD if self.is_contended else CONTENDED_LOAD
+        is_contended = load > limit or self.n_waiting > 0
+        if is_contended == self.is_contended:
+            return
+        self._contended_since = now if is_contended else None
+        log_event(
+            Event.SERVICE_CONTENDED if is_contended else Event.SERVICE_RELAXED,
+            service=self._service,
+            load=load,
+            n_waiting=self.n_waiting,
+            share=self._places.get_share(),
+            oldest_report_s=self._get_oldest_report_s(now),
+        )
+
+    def _get_oldest_report_s(self, now: float) -> float:
+        reports = self._places.reports.values()
+        return max((now - report.received_at for report in reports), default=0.0)
+
+    def _log(
+        self, event: Event, waiting: WaitingRequest, now: float, **fields: object
+    ) -> None:
+        """Log a decision with its inputs and their age."""
+        log_event(
+            event,
+            request=waiting.request_id,
+            service=self._service,
+            workspace=waiting.workspace,
+            urgency=MAX_URGENCY - waiting.urgency,
+            kv_tokens=waiting.kv_tokens,
+            queue_s=now - waiting.queued_at,
+            n_waiting=self.n_waiting,
+            load=self._places.get_load(now),
+            oldest_report_s=self._get_oldest_report_s(now),
+            **fields,
+        )
--- a/trefoilstage/components/fleet/messages.py
+++ b/trefoilstage/components/fleet/messages.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field
 
+from trefoilstage.components.admission_queue.messages import AdmissionMessage
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.escrow.messages import EscrowMessage
 from trefoilstage.components.forwarding.messages import WorkMessage
@@ -80,6 +81,7 @@
     | PermitMessage
     | PeerSendMessage
     | StreamVersionMessage
+    | AdmissionMessage
     | ErrorReply
 )
 
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -35,6 +35,7 @@
         count_active: Callable[[], int],
         count_blocked: Callable[[], int],
         count_known_streams: Callable[[], int],
+        count_waiting: Callable[[], int] | None = None,  # without an admission queue
     ) -> None:
         super().__init__()
         self._board = board
@@ -46,6 +47,7 @@
         self._count_active = count_active
         self._count_blocked = count_blocked
         self._count_known_streams = count_known_streams
+        self._count_waiting = count_waiting
         self._page = MetricsPage()
         self._stalls = StallDetector(interval_s=FLUSH_INTERVAL_S)
         self._runner: web.ServerRunner | None = None
@@ -108,6 +110,12 @@
             "Streams of this and other hosts whose version is known here.",
             self._count_known_streams,
         )
+        if self._count_waiting is not None:
+            add(
+                "requests_waiting",
+                "Requests that wait in the admission queues of this host.",
+                self._count_waiting,
+            )
         add(
             "store_silent_seconds",
             "Seconds since the store last responded, 0 while it is reachable.",
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -7,8 +7,11 @@
 import asyncio
 import itertools
 import random
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 
+from trefoilstage.components.admission_queue.client import AdmissionClient
+from trefoilstage.components.admission_queue.own_work import Place
 from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
@@ -51,8 +54,6 @@
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
-MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
-
 
 class ForwardingPipeline:
     """Send requests to targets and relay their answers to callers."""
@@ -67,7 +68,9 @@
         crashes: CrashWatcher,
         binder: StreamBinder,
         generator: random.Random,
+        admission: AdmissionClient | None = None,
     ) -> None:
+        self._admission = admission
         self._board = board
         self._escrow = escrow
         self._chooser = chooser
@@ -175,21 +178,29 @@
         self._chooser.count_request(service)
         failure = NO_TARGET
         while True:
-            if self._chooser.should_query_again(state.candidates_queried_at):
-                await self._query_candidates(state)
-            # The request may have crashed a target since it arrived, sent by this or
-            # another host.
-            blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
-            if blocked is not None:
-                return failure if state.n_possible_runs else blocked
-            target = await self._choose_target(state)
-            if target is None:
-                return self._explain(failure, state)
-            answer = await self._send(state, service, target)
-            if isinstance(answer, OpenAnswer) and await self._relay(
-                state, reply, answer, target
-            ):
-                return None
+            place = await self._acquire_place(state)
+            if isinstance(place, Refusal):
+                # Only a request that no target may have run is promised never to run.
+                return failure if state.n_possible_runs else place
+            try:
+                if self._chooser.should_query_again(state.candidates_queried_at):
+                    await self._query_candidates(state)
+                # The request may have crashed a target since it arrived, sent by this
+                # or another host.
+                blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
+                if blocked is not None:
+                    return failure if state.n_possible_runs else blocked
+                target = await self._choose_target(state, place)
+                if target is None:
+                    return self._explain(failure, state)
+                with self._count_use(state, target, place):
+                    answer = await self._send(state, service, target)
+                    if isinstance(answer, OpenAnswer) and await self._relay(
+                        state, reply, answer, target
+                    ):
+                        return None
+            finally:
+                self._release_place(place)
             failure = describe_failure(answer, failure)
             if not self._may_retry(state, service, answer):
                 return failure
@@ -211,7 +222,30 @@
         wait_s = self._chooser.compute_wait_s(state.target_filter)
         return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
 
-    async def _choose_target(self, state: RequestState) -> TargetEntry | None:
+    async def _acquire_place(self, state: RequestState) -> Place | Refusal | None:
+        return await self._admission.acquire(state) if self._admission else None
+
+    def _release_place(self, place: Place | None, *, used: bool = True) -> None:
+        if self._admission is not None and place is not None:
+            self._admission.release(place, used=used)
+
+    def _count_use(
+        self, state: RequestState, target: TargetEntry, place: Place | None
+    ) -> AbstractContextManager[None]:
+        if self._admission is None:
+            return nullcontext()
+        return self._admission.count(state, target, place)
+
+    async def _choose_target(
+        self, state: RequestState, place: Place | None
+    ) -> TargetEntry | None:
+        if place is not None:
+            target = self._chooser.find_free(
+                place.target, state.target_filter, state.excluded
+            )
+            if target is not None:
+                return target
+            self._release_place(place, used=False)
         return await self._chooser.choose(
             target_filter=state.target_filter,
             excluded=state.excluded,
@@ -235,16 +269,10 @@
         self, state: RequestState, service: str, target: TargetEntry
     ) -> SendOutcome:
         now = asyncio.get_running_loop().time()
-        workspace = state.workspace
-        priority = state.route.priority
-        if workspace and workspace.priority is not None:
-            priority = workspace.priority
         options = ForwardOptions(
             workspace=state.workspace_name,
             deadline_s=state.deadline - now,
-            urgency=min(MAX_URGENCY, max(0, priority))
-            if state.request.prompt
-            else None,
+            urgency=state.urgency if state.request.prompt else None,
             resume_after=state.last_event_id,
         )
         state.record_send(target.name)
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -21,6 +21,7 @@
 
 # Events that a target may have sent before it noticed that the connection closed.
 MAX_UNREAD_EVENTS = 3
+MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +87,14 @@
         """Return the name of the caller's workspace, empty on a public route."""
         return self.workspace.name if self.workspace else ""
 
+    @property
+    def urgency(self) -> int:
+        """Return how urgent the request is, by its workspace or else its route."""
+        priority = self.workspace.priority if self.workspace else None
+        if priority is None:
+            priority = self.route.priority
+        return min(MAX_URGENCY, max(0, priority))
+
     @property
     def allowed_regions(self) -> frozenset[str] | None:
         """Return the regions that route and workspace both allow, None if all are."""
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -142,6 +142,20 @@
         # otherwise every request would be refused.
         return healthy or allowed
 
+    def find_free(
+        self, incarnation: str, target_filter: TargetFilter, excluded: Set[str]
+    ) -> TargetEntry | None:
+        """Return a target that may get a request without a permit, None for others."""
+        now = self._timer.now()
+        allowed = self.list_allowed(target_filter, excluded)
+        for target in self.group(allowed).free:
+            is_wanted = target.incarnation == incarnation
+            if is_wanted and self._outcomes.get_health(target).may_send(
+                now, retry=False
+            ):
+                return target
+        return None
+
     def get_cold_rate(self, target: TargetEntry) -> float | None:
         """Return the requests a second that a cold target tolerates, if limited."""
         service = self.get_service(target)
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -295,6 +295,12 @@
         allowed = self._availability.list_allowed(TargetFilter(service=entry.service))
         return entry if entry in allowed else None
 
+    def find_free(
+        self, incarnation: str, target_filter: TargetFilter, excluded: Set[str]
+    ) -> TargetEntry | None:
+        """Return a target that may get a request without a permit, None for others."""
+        return self._availability.find_free(incarnation, target_filter, excluded)
+
     def is_start_proven(self, incarnation: str, connected_at: float) -> bool:
         """Return whether a connection leads to an incarnation of a target."""
         targets = self._board.targets
--- a/trefoilstage/components/peers/link.py
+++ b/trefoilstage/components/peers/link.py
@@ -41,8 +41,10 @@
         self._connect_lock = asyncio.Lock()
         self._last_received = 0.0
 
-    async def call(self, message: Any, *, timeout_s: float) -> Any:
-        """Return the peer's reply.
+    async def call(
+        self, message: Any, *, timeout_s: float, is_long_poll: bool = False
+    ) -> Any:
+        """Return the peer's reply, which a long poll gets only when there is news.
 
         Raise PeerUnavailableError if the peer does not reply in time or reports an
         error, or if the connection fails.
@@ -59,7 +61,8 @@
                 await send_data(connection, self._codec.encode(frame))
                 reply = await future
         except TimeoutError as error:
-            self._round_trips.record_timeout(timeout_s, started + timeout_s)
+            if not is_long_poll:
+                self._round_trips.record_timeout(timeout_s, started + timeout_s)
             self._close_unresponsive_connection(started)
             raise PeerUnavailableError(repr(error)) from error
         except (OSError, WebSocketException) as error:
@@ -67,7 +70,8 @@
         finally:
             self._pending_calls.pop(number, None)
         ended = asyncio.get_running_loop().time()
-        self._round_trips.record_reply(ended - started, ended)
+        if not is_long_poll:
+            self._round_trips.record_reply(ended - started, ended)
         if isinstance(reply, ErrorReply):
             raise PeerUnavailableError(reply.detail)
         return reply
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -131,6 +131,9 @@
             count_active=lambda: self._server.n_active,
             count_blocked=lambda: parts.crash_watcher.evidence.causes.n_causes,
             count_known_streams=lambda: parts.stream_versions.n_known,
+            count_waiting=parts.admission_home.count_waiting
+            if parts.admission_home
+            else None,
         )
         self._registry.register("board", lambda: self._board)
         self._registry.register("crashes", parts.crash_watcher.evidence.get_seen_times)
@@ -138,6 +141,8 @@
             "stream_versions", parts.stream_versions.count_by_version
         )
         self._registry.register("permits", parts.permits.list_granted)
+        if parts.admission_home is not None:
+            self._registry.register("admission", parts.admission_home.describe)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", self._home.list_accounts)
         services: list[Service] = [parts.timer, metrics, links, streams, peer_server]
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -7,6 +7,8 @@
 
 from mode import Service
 
+from trefoilstage.components.admission_queue.client import AdmissionClient
+from trefoilstage.components.admission_queue.home import AdmissionHome
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.probe import TargetProbe
 from trefoilstage.components.crashes.recorder import CrashRecorder
@@ -85,6 +87,9 @@
     peer_sends: PeerSendServer
     stream_versions: StreamVersions
     pipeline: ForwardingPipeline
+    # Only if the settings ask for an admission queue.
+    admission_home: AdmissionHome | None = None
+    admission: AdmissionClient | None = None
 
     def list_services(self) -> list[Service]:
         """Return the services to start, each after those that it depends on."""
@@ -100,6 +105,7 @@
             self.stream_versions,
             self.crash_recorder,
             self.crash_watcher,
+            *(part for part in (self.admission_home, self.admission) if part),
         ]
 
 
@@ -286,6 +292,24 @@
         timer=timer,
         prover=prover,
     )
+    admission_home: AdmissionHome | None = None
+    admission: AdmissionClient | None = None
+    if settings.has_admission_queue:
+        admission_home = AdmissionHome(
+            board=board,
+            membership=membership,
+            server=peer_server,
+            timer=timer,
+            generator=generator,
+        )
+        admission = AdmissionClient(
+            board=board,
+            membership=membership,
+            home=admission_home,
+            links=links,
+            timer=timer,
+            generator=generator,
+        )
     pipeline = ForwardingPipeline(
         board=board,
         escrow=escrow,
@@ -296,6 +320,7 @@
             board=board, prover=prover, stream_versions=stream_versions
         ),
         generator=generator,
+        admission=admission,
     )
     return FleetParts(
         timer=timer,
@@ -312,6 +337,8 @@
         peer_sends=peer_sends,
         stream_versions=stream_versions,
         pipeline=pipeline,
+        admission_home=admission_home,
+        admission=admission,
     )
 
 
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -79,6 +79,13 @@
     SERVICE_BRITTLE = "service_brittle"
     TARGET_REFUSES = "target_refuses"
     TARGET_ASKED_FOR_REST = "target_asked_for_rest"
+    SERVICE_CONTENDED = "service_contended"
+    SERVICE_RELAXED = "service_relaxed"
+    PLACE_GRANTED = "place_granted"
+    PLACE_REFUSED = "place_refused"
+    PLACE_UNUSED = "place_unused"
+    ADMISSION_HOME_SILENT = "admission_home_silent"
+    ADMISSION_FAILED = "admission_failed"
     REPORT_FAILED = "report_failed"
     REPORT_MALFORMED = "report_malformed"
     HEADER_MALFORMED = "header_malformed"
@@ -133,6 +140,9 @@
         Event.CALL_BILLED.value,
         Event.ESCROW_DRAWN.value,
         Event.DRAW_GRANTED.value,
+        Event.PLACE_GRANTED.value,
+        Event.PLACE_REFUSED.value,
+        Event.PLACE_UNUSED.value,
     }
 )
 
--- a/trefoilstage/helpers/metrics_page.py
+++ b/trefoilstage/helpers/metrics_page.py
@@ -20,6 +20,7 @@
     "first_s": "first_event",
     "gap_s": "longest_gap",
     "duration_s": "whole",
+    "queue_s": "admission_queue",
 }
 
 
