--- a/tests/components/admission_queue/fleet.py
+++ b/tests/components/admission_queue/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Mapping, Sequence
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import ExitStack
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
@@ -101,9 +101,7 @@
         )
         for target in self.targets:
             board.targets.apply_entry(target)
-        membership = cast(
-            Any, SimpleNamespace(list_live_hosts=lambda: self.live[name])
-        )
+        membership = cast(Any, SimpleNamespace(list_live_hosts=lambda: self.live[name]))
         server = PeerServer(address="127.0.0.1", port=0, codec=FLEET_CODEC)
         self.network.servers[name] = server
         timer = self.timers[name] = TimerService()
@@ -171,9 +169,7 @@
         stack.callback(self.clients[name].release, place)
         stack.enter_context(self.clients[name].count(state, target, place))
 
-    def send(
-        self, name: str, target: TargetEntry | None = None
-    ) -> AbstractContextManager[None]:
+    def send(self, name: str, target: TargetEntry | None = None) -> ExitStack:
         """Count a request that a host sent without a place until it is closed."""
         sent = ExitStack()
         count = self.clients[name].count(
@@ -185,7 +181,7 @@
     async def fill(self, hosts: Sequence[str]) -> list[ExitStack]:
         """Fill all slots by requests without places, and let the hosts report."""
         sent = [
-            cast(ExitStack, self.send(hosts[n % len(hosts)], target))
+            self.send(hosts[n % len(hosts)], target)
             for n, target in enumerate(self.targets * SLOTS)
         ]
         await asyncio.sleep(0.25)
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from trefoilstage.components.admission_queue.freed_places import FREED_WINDOW_S
 from trefoilstage.components.admission_queue.messages import (
     AdmissionReport,
     PlaceReply,
     PlaceRequest,
 )
 from trefoilstage.components.admission_queue.places import (
-    FREED_WINDOW_S,
     REPORT_LIFE_S,
     PlaceTable,
     PlaceUse,
@@ -103,8 +103,12 @@
         around = self._look_round()
         self._places.set_capacity(around.targets)
         # Hosts without work have no report that counts, although they use this home.
-        idle = self._present.keys() - self._places.reports.keys()
-        self._places.set_live_hosts(set(around.live_hosts).difference(idle))
+        # Before all have reported, their number says nothing of this home's share.
+        live = set() if now < self._grants_from else set(around.live_hosts)
+        reporting = {
+            host for host, state in self._places.hosts.items() if state.is_reporting
+        }
+        self._places.set_live_hosts(live - (self._present.keys() - reporting))
         self._refuse(self._queue.expire(now), now, reason="waited")
         self._grant(now)
 
@@ -118,7 +122,7 @@
     def add(self, request: PlaceRequest, now: float) -> asyncio.Future[PlaceReply]:
         """Queue a request; return the reply to it, when there is one."""
         reply = asyncio.get_running_loop().create_future()
-        if not self._places.can_hold(request.kv_tokens):
+        if not self._can_ever_hold(request.kv_tokens):
             reply.set_result(PlaceReply(granted=True))
             return reply
         waiting = WaitingRequest(
@@ -153,6 +157,13 @@
         if reply is not None and not reply.done():
             reply.set_result(WITHDRAWN)
 
+    def _can_ever_hold(self, kv_tokens: int) -> bool:
+        """Return whether a target could hold a request if all hosts had this home."""
+        return any(
+            item.slots and kv_tokens <= (item.kv_tokens or kv_tokens)
+            for item in self._places.capacity.values()
+        )
+
     def _grant(self, now: float) -> None:
         while now >= self._grants_from:
             found = self._queue.pop_next(self._find_room, now)
@@ -205,7 +216,8 @@
         return self._queue.estimate_wait_s(waiting, freed_per_s, now)
 
     def _update_contention(self, now: float) -> None:
-        load = self._places.get_load(now)
+        # A home that no host with work uses has no share, so that it seems full.
+        load = self._places.get_load(now) if self._places.taken else 0.0
         limit = RELAXED_LOAD if self.is_contended else CONTENDED_LOAD
         is_contended = load > limit or self.n_waiting > 0
         if is_contended == self.is_contended:
@@ -216,13 +228,14 @@
             service=self._service,
             load=load,
             n_waiting=self.n_waiting,
-            share=self._places.get_share(),
+            share=self._places.share,
             oldest_report_s=self._get_oldest_report_s(now),
         )
 
     def _get_oldest_report_s(self, now: float) -> float:
-        reports = self._places.reports.values()
-        return max((now - report.received_at for report in reports), default=0.0)
+        hosts = self._places.hosts.values()
+        reported = [state.expires_at for state in hosts if state.is_reporting]
+        return now + REPORT_LIFE_S - min(reported) if reported else 0.0
 
     def _log(
         self, event: Event, waiting: WaitingRequest, now: float, **fields: object
