--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -93,6 +93,9 @@
     def pause(self, now: float) -> None:
         """Grant nothing until the hosts have reported again."""
         self._grants_from = now + SETTLE_S
+        if self.is_contended:
+            # Nothing is known of the rate at which places were freed meanwhile.
+            self._contended_since = now
 
     def update(self, now: float) -> None:
         """Drop what is too old, and grant what is free."""
@@ -102,22 +105,28 @@
         self._places.expire(now)
         around = self._look_round()
         self._places.set_capacity(around.targets)
-        # Hosts without work have no report that counts, although they use this home.
         # Before all have reported, their number says nothing of this home's share.
-        live = set() if now < self._grants_from else set(around.live_hosts)
-        reporting = {
-            host for host, state in self._places.hosts.items() if state.is_reporting
-        }
-        self._places.set_live_hosts(live - (self._present.keys() - reporting))
+        is_settled = now >= self._grants_from
+        self._places.set_live_hosts(around.live_hosts if is_settled else ())
+        self._renew_idle(now)
         self._refuse(self._queue.expire(now), now, reason="waited")
         self._grant(now)
 
+    def _renew_idle(self, now: float) -> None:
+        """Count hosts that use this home although they rarely report without work."""
+        for host in self._present:
+            state = self._places.hosts.get(host)
+            if state is None or not state.is_reporting:
+                self._places.receive_report(host, {}, now, ())
+
     def receive_report(self, report: AdmissionReport, now: float) -> None:
         """Replace what a host holds, and grant what it freed."""
-        life_s = REPORT_LIFE_S if report.work else PRESENCE_S
-        self._present[report.host] = now + life_s
         self._places.receive_report(report.host, report.work, now, report.places)
         self._grant(now)
+        # Hosts repeat their reports soon if they have work or need places.
+        is_repeated_soon = bool(report.work) or self.is_contended
+        life_s = REPORT_LIFE_S if is_repeated_soon else PRESENCE_S
+        self._present[report.host] = now + life_s
 
     def add(self, request: PlaceRequest, now: float) -> asyncio.Future[PlaceReply]:
         """Queue a request; return the reply to it, when there is one."""
