--- a/tests/components/admission_queue/test_failures.py
+++ b/tests/components/admission_queue/test_failures.py
@@ -138,6 +138,25 @@
         for n_hosts in FLEET_SIZES:
             self.run_with(n_hosts, check)
 
+    def test_new_home_takes_no_service_for_contended(self) -> None:
+        """Guard against callers that wait as only few hosts have reported yet."""
+
+        async def check(fleet: AdmissionFleet) -> None:
+            home, *others = fleet.rank_homes()
+            self.end_sent(N_SLOTS - len(others[:N_ASKING]) // 2)
+            await asyncio.sleep(IDLE_REPEAT_INTERVAL_S + 1.0)
+            await fleet.kill(home)
+            fleet.set_live(sorted(others))
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                now = asyncio.get_running_loop().time()
+                for name in others:
+                    work = fleet.clients[name]._services[SERVICE]
+                    self.assertFalse(work.is_contended(now))
+
+        for n_hosts in FLEET_SIZES:
+            self.run_with(n_hosts, check)
+
     def test_hosts_report_to_a_new_home_at_once(self) -> None:
         """Guard against a home that does not know of most work."""
 
--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -23,6 +23,8 @@
     PlaceRequest,
     ReturnPlaces,
     ServiceState,
+    get_caller_id,
+    name_request,
 )
 from trefoilstage.components.admission_queue.own_work import OwnWork, Place
 from trefoilstage.components.admission_queue.places import PlaceUse
@@ -120,7 +122,7 @@
         if not used:
             log_event(
                 Event.PLACE_UNUSED,
-                request=place.request,
+                request=get_caller_id(place.request),
                 service=place.service,
                 target=place.target,
                 home=place.home,
@@ -175,11 +177,10 @@
         return self._take_own_share(state, request)
 
     def _make_request(self, state: RequestState) -> PlaceRequest:
-        # Callers may send the same id twice, and to several hosts.
-        number = next(self._numbers)
+        caller_id, number = state.request.request_id, next(self._numbers)
         return PlaceRequest(
             service=state.service_name,
-            request=f"{state.request.request_id}/{self._board.incarnation}/{number}",
+            request=name_request(caller_id, self._board.incarnation, number),
             host=self._board.host,
             workspace=state.workspace_name,
             urgency=state.urgency,
--- a/trefoilstage/components/admission_queue/home.py
+++ b/trefoilstage/components/admission_queue/home.py
@@ -27,8 +27,6 @@
 
 # Waiting requests learn this late that their time is over, or that a target returned.
 UPDATE_INTERVAL_S = 0.05
-# A host that misses its updates for longer was suspended: reports are overdue.
-SUSPENDED_S = 1.0
 
 
 class AdmissionHome(Service):
@@ -49,7 +47,6 @@
         self._timer = timer
         self._generator = generator
         self._queues: dict[str, ServiceQueue] = {}
-        self._updated_at = float("inf")
         server.register(AdmissionReport, self.receive_report)
         server.register(PlaceRequest, self.answer_request)
         server.register(ReturnPlaces, self.receive_returns)
@@ -96,11 +93,7 @@
 
     async def _update(self) -> None:
         now = self._timer.now()
-        was_suspended = now - self._updated_at > SUSPENDED_S
-        self._updated_at = now
         for service, queue in list(self._queues.items()):
-            if was_suspended:
-                queue.pause(now)
             queue.update(now)
             if queue.is_unused:
                 del self._queues[service]
--- a/trefoilstage/components/admission_queue/messages.py
+++ b/trefoilstage/components/admission_queue/messages.py
@@ -35,7 +35,7 @@
     """Ask for a place; the reply comes when there is one, `wait_s` later at most."""
 
     service: ShortText
-    request: ShortText  # unique among the requests of all hosts
+    request: ShortText  # made by name_request
     host: ShortText
     workspace: ShortText
     urgency: Count  # 0 is the most urgent
@@ -65,6 +65,19 @@
     kind: Literal["return_places"] = "return_places"
 
 
+def name_request(caller_id: str, incarnation: str, number: int) -> str:
+    """Return an id for a request of a host that no other request has.
+
+    Callers may send the same id twice, and to several hosts.
+    """
+    return f"{caller_id}/{incarnation}/{number}"
+
+
+def get_caller_id(request: str) -> str:
+    """Return the id that the caller of a named request sent."""
+    return request.rsplit("/", 2)[0]
+
+
 AdmissionMessage = (
     AdmissionReport | ServiceState | PlaceRequest | PlaceReply | ReturnPlaces
 )
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -13,6 +13,7 @@
     AdmissionReport,
     PlaceReply,
     PlaceRequest,
+    get_caller_id,
 )
 from trefoilstage.components.admission_queue.places import (
     REPORT_LIFE_S,
@@ -90,13 +91,6 @@
         """Return the number of waiting requests by workspace."""
         return self._queue.count_waiting()
 
-    def pause(self, now: float) -> None:
-        """Grant nothing until the hosts have reported again."""
-        self._grants_from = now + SETTLE_S
-        if self.is_contended:
-            # Nothing is known of the rate at which places were freed meanwhile.
-            self._contended_since = now
-
     def update(self, now: float) -> None:
         """Drop what is too old, and grant what is free."""
         self._present = {
@@ -252,7 +246,7 @@
         """Log a decision with its inputs and their age."""
         log_event(
             event,
-            request=waiting.request_id,
+            request=get_caller_id(waiting.request_id),
             service=self._service,
             workspace=waiting.workspace,
             urgency=MAX_URGENCY - waiting.urgency,
