--- a/trefoilstage/components/admission_queue/places.py
+++ b/trefoilstage/components/admission_queue/places.py
@@ -171,6 +171,7 @@
         """
         self.expire(now)
         state = self.hosts.setdefault(host, HostPlaces())
+        was_reporting = state.is_reporting
         before = state.sum_by_target()
         if places is None:
             state.remove_old_grants(now)
@@ -185,7 +186,8 @@
         )
         self.freed.add(sum(max(0, n_requests) for n_requests in ended), now)
         self.next_expiry_at = min(self.next_expiry_at, state.expires_at)
-        self._update_share()
+        if not was_reporting:
+            self._update_share()
 
     def grant(
         self, request_id: str, host: str, target: str, use: PlaceUse, now: float
--- a/trefoilstage/components/admission_queue/queue.py
+++ b/trefoilstage/components/admission_queue/queue.py
@@ -49,6 +49,13 @@
             yield start, number, request
             start += request.cost
 
+    def list_before(self, rank: tuple[float, float]) -> Iterator[WaitingRequest]:
+        """Yield the requests whose virtual start and number are below others."""
+        for start, number, request in self.list_tags():
+            if (start, number) >= rank:
+                return
+            yield request
+
     def get_end(self) -> float:
         """Return the virtual time at which the next request to arrive starts."""
         return self.start + sum(item.cost for _, item in self.requests.values())
@@ -118,9 +125,9 @@
         """Return how many requests go before one, which may be about to be added."""
         rank = self._get_rank(request)
         return sum(
-            (start, number) < rank and item.wait_until > now
+            item.wait_until > now
             for flow in self.flows.values()
-            for start, number, item in flow.list_tags()
+            for item in flow.list_before(rank)
         )
 
     def _get_rank(self, request: WaitingRequest) -> tuple[float, float]:
@@ -128,10 +135,13 @@
         flow = self.flows.get(request.workspace)
         if flow is None:
             return self._get_start(request.workspace), math.inf
-        for start, number, item in flow.list_tags():
-            if item.request_id == request.request_id:
-                return start, number
-        return flow.get_end(), math.inf
+        if request.request_id not in flow.requests:
+            return flow.get_end(), math.inf
+        return next(
+            (start, number)
+            for start, number, item in flow.list_tags()
+            if item.request_id == request.request_id
+        )
 
     def _get_start(self, workspace: str) -> float:
         return max(self.virtual_time, self.ends.get(workspace, 0.0))
@@ -194,8 +204,8 @@
     ) -> tuple[WaitingRequest, str] | None:
         """Remove and return the next request for which there is a place, and the place.
 
-        `find_place` must leave the target with the most free memory to the request that
-        `reserved_kv_tokens` is for:
+        `find_place` has no effects. It must leave the target with the most free memory
+        to the request that `reserved_kv_tokens` is for:
         `lambda request: table.find_room(request.kv_tokens, queue.reserved_kv_tokens)`.
         """
         self.reserved_kv_tokens = 0
@@ -212,9 +222,9 @@
             if smallest_without == math.inf:
                 self._levels[request.urgency].blocked = request
                 self.reserved_kv_tokens = request.kv_tokens
+                if not self._may_smaller_find(find_place, request, now):
+                    break
             smallest_without = request.kv_tokens
-            if smallest_without <= 0:
-                break
         return None
 
     def estimate_wait_s(
@@ -240,6 +250,20 @@
         for urgency in sorted(self._levels, reverse=True):
             yield from self._levels[urgency].list_in_order()
 
+    def _may_smaller_find(
+        self, find_place: FindPlace, first: WaitingRequest, now: float
+    ) -> bool:
+        """Return whether any request may find a place if the first one does not.
+
+        Without this test of the smallest one, each change at a full service would
+        put the whole queue in order.
+        """
+        smallest = min(
+            (item for item in self._requests.values() if item.wait_until > now),
+            key=lambda item: item.kv_tokens,
+        )
+        return smallest.kv_tokens < first.kv_tokens and find_place(smallest) is not None
+
     def _find_newest_of_most(self) -> WaitingRequest:
         most = max(self._counts.values())
         return next(
