--- a/trefoilstage/components/admission_queue/places.py
+++ b/trefoilstage/components/admission_queue/places.py
@@ -165,6 +165,7 @@
     ) -> None:
         """Replace what a host holds; `places` lists the granted requests in `work`.
 
+        Each counts in `work` with the KV tokens that it was granted with.
         Without `places`, the report is taken to contain the places that were granted
         PENDING_S before. A host without work reports too: it counts as one that has
         this home.
