--- a/trefoilstage/components/admission_queue/places.py
+++ b/trefoilstage/components/admission_queue/places.py
@@ -165,12 +165,14 @@
     ) -> None:
         """Replace what a host holds; `places` lists the granted requests in `work`.
 
+        Each counts in `work` with the KV tokens that it was granted with.
         Without `places`, the report is taken to contain the places that were granted
         PENDING_S before. A host without work reports too: it counts as one that has
         this home.
         """
         self.expire(now)
         state = self.hosts.setdefault(host, HostPlaces())
+        was_reporting = state.is_reporting
         before = state.sum_by_target()
         if places is None:
             state.remove_old_grants(now)
@@ -185,7 +187,8 @@
         )
         self.freed.add(sum(max(0, n_requests) for n_requests in ended), now)
         self.next_expiry_at = min(self.next_expiry_at, state.expires_at)
-        self._update_share()
+        if not was_reporting:
+            self._update_share()
 
     def grant(
         self, request_id: str, host: str, target: str, use: PlaceUse, now: float
