Tests of the pipeline's places, of one service's queue and of its messages; words for operators

Cause: what the pipeline does with a place, and when the home refuses, was tested by whole fleets only.

Ruled out: a pause of a home that resumes after a suspension.

--- /dev/null
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -0,0 +1,157 @@
+"""Test which requests the home of a service refuses, and when."""
+
+import asyncio
+import random
+import unittest
+
+from bench.emulator.clock import run_in_virtual_time
+from trefoilstage.components.admission_queue.messages import (
+    AdmissionReport,
+    PlaceReply,
+    PlaceRequest,
+)
+from trefoilstage.components.admission_queue.places import PlaceUse, TargetCapacity
+from trefoilstage.components.admission_queue.service_queue import (
+    MAX_WAITING,
+    MIN_RETRY_AFTER_S,
+    ServiceQueue,
+    Surroundings,
+)
+
+SLOTS = 6
+KV_TOKENS = 10_000
+WAIT_S = 0.4
+FREED_PER_S = 50.0
+
+
+class ServiceQueueTest(unittest.TestCase):
+    """Ask for the places of one target that is full."""
+
+    def setUp(self) -> None:
+        """Describe a service with one target and one host."""
+        self.capacity = {"t": TargetCapacity(slots=SLOTS, kv_tokens=KV_TOKENS)}
+        self.n_requests = 0
+
+    def make_queue(self) -> ServiceQueue:
+        """Return the queue of a target that is full since 10 s."""
+        queue = ServiceQueue(
+            service="booking",
+            look_round=lambda: Surroundings(
+                targets=self.capacity, live_hosts=("host-0",)
+            ),
+            generator=random.Random(1),
+            now=0.0,
+        )
+        for now in (1.0, 9.0, 10.0):
+            self.report(queue, SLOTS, now)
+            queue.update(now)
+        return queue
+
+    def report(self, queue: ServiceQueue, n_requests: int, now: float) -> None:
+        """Report the work of the only host."""
+        work = {"t": PlaceUse(n_requests=n_requests)}
+        report = AdmissionReport(service="booking", host="host-0", work=work)
+        queue.receive_report(report, now)
+
+    def ask(
+        self,
+        queue: ServiceQueue,
+        now: float,
+        kv_tokens: int = 0,
+        wait_s: float = WAIT_S,
+    ) -> "asyncio.Future[PlaceReply]":
+        """Ask for a place."""
+        self.n_requests += 1
+        request = PlaceRequest(
+            service="booking",
+            request=f"r-{self.n_requests}/host-0/0",
+            host="host-0",
+            workspace="school",
+            urgency=1,
+            kv_tokens=kv_tokens,
+            wait_s=wait_s,
+        )
+        return queue.add(request, now)
+
+    def free_places(self, queue: ServiceQueue, now: float) -> None:
+        """Free places at a known rate up to a time."""
+        for _ in range(round(2 * FREED_PER_S)):
+            queue._places.freed.add(1, now)
+
+    def test_request_that_cannot_be_in_time_is_refused_at_once(self) -> None:
+        """Guard against callers that wait for a refusal."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.free_places(queue, 10.0)
+            replies = [self.ask(queue, 10.0) for _ in range(100)]
+            refused = [item.result() for item in replies if item.done()]
+            self.assertEqual(len(refused), 100 - WAIT_S * FREED_PER_S)
+            for reply in refused:
+                self.assertFalse(reply.granted)
+                self.assertGreaterEqual(reply.retry_after_s, WAIT_S)
+                self.assertLessEqual(reply.retry_after_s, 2 * WAIT_S + 0.1)
+            self.assertGreater(len({item.retry_after_s for item in refused}), 50)
+
+        run_in_virtual_time(check())
+
+    def test_request_whose_time_is_over_is_refused(self) -> None:
+        """Guard against callers that wait to their limit for a reply."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.free_places(queue, 10.0)
+            reply = self.ask(queue, 10.0)
+            self.assertFalse(reply.done())
+            queue.update(10.0 + WAIT_S)
+            self.assertFalse(reply.result().granted)
+            self.assertGreaterEqual(reply.result().retry_after_s, MIN_RETRY_AFTER_S)
+            self.assertEqual(queue.n_waiting, 0)
+
+        run_in_virtual_time(check())
+
+    def test_request_larger_than_any_target_goes_on(self) -> None:
+        """Guard against requests refused for ever, as no target could hold them."""
+
+        async def check() -> None:
+            reply = self.ask(self.make_queue(), 10.0, kv_tokens=KV_TOKENS + 1)
+            self.assertEqual(reply.result(), PlaceReply(granted=True))
+            self.capacity = {}
+            queue = self.make_queue()
+            self.assertEqual(self.ask(queue, 10.0).result().target, "")
+
+        run_in_virtual_time(check())
+
+    def test_waiting_requests_are_bounded(self) -> None:
+        """Guard against a queue that grows with its load."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            queue._contended_since = 10.0
+            replies = [self.ask(queue, 10.0) for _ in range(MAX_WAITING + 5)]
+            self.assertEqual(queue.n_waiting, MAX_WAITING)
+            self.assertEqual(sum(item.done() for item in replies), 5)
+            self.assertEqual(queue.count_waiting(), {"school": MAX_WAITING})
+
+        run_in_virtual_time(check())
+
+    def test_contention_ends_later_than_it_begins(self) -> None:
+        """Guard against a service that is contended and not with each request."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.assertTrue(queue.is_contended)
+            self.report(queue, 5, 10.0)
+            self.assertTrue(queue.is_contended)
+            self.report(queue, 4, 10.0)
+            self.assertFalse(queue.is_contended)
+            self.report(queue, 4, 10.0)
+            self.assertFalse(queue.is_contended)
+            self.report(queue, 5, 10.0)
+            self.assertTrue(queue.is_contended)
+
+        run_in_virtual_time(check())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/components/forwarding/test_admitted_requests.py
+++ b/tests/components/forwarding/test_admitted_requests.py
@@ -17,6 +17,7 @@
 from trefoilstage.components.forwarding.models import RouteKind, TargetEntry
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.target_filter import TargetFilter
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 PLACE = Place(service="booking", request="r-1/host-0/0", home="host-1", target="i-2@0")
@@ -32,6 +33,7 @@
     send_s: float = 0.0
     fails: bool = False  # whether targets give invalid answers
     sent_to: list[str] = field(default_factory=list)
+    checked: list[tuple[str, str, int]] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
 
     async def acquire(self, _: RequestState) -> Place | Refusal | None:
@@ -48,7 +50,10 @@
         finally:
             self.log.append("ended")
 
-    def find_free(self, incarnation: str, *_: object) -> TargetEntry | None:
+    def find_free(
+        self, incarnation: str, target_filter: TargetFilter, excluded: set[str]
+    ) -> TargetEntry | None:
+        self.checked.append((incarnation, target_filter.service, len(excluded)))
         return make_target("i-2") if self.may_use_target else None
 
     def take_retry(self, _: str) -> bool:
@@ -56,7 +61,7 @@
 
     def record_interruption(self, *_: object, **__: object) -> None: ...
 
-    def record_cancelled(self, *_: object, **__: object) -> None: ...
+    def record_caller_left(self, *_: object, **__: object) -> None: ...
 
     async def may_continue(self, _: RequestState) -> bool:
         return True
@@ -116,6 +121,14 @@
         self.assertEqual(fake.sent_to, ["i-1"])
         self.assertEqual(fake.log[0], "unused")
 
+    def test_each_place_is_checked_against_what_was_tried(self) -> None:
+        """Guard against a retry at the target that just failed."""
+        fake = FakeAdmission(status=200, answers=[PLACE, PLACE], fails=True)
+        run(fake)
+        self.assertEqual(
+            fake.checked, [("i-2@0", "booking", 0), ("i-2@0", "booking", 1)]
+        )
+
     def test_request_without_a_place_goes_on(self) -> None:
         """Guard against a queue that changes what is not contended."""
         fake = FakeAdmission(status=200, answers=[None])
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -172,6 +172,27 @@
         self.assertEqual(await self.choose(), target.incarnation)
         self.permits.request.assert_not_awaited()
 
+    async def test_granted_target_is_used_only_if_it_would_be_chosen(self) -> None:
+        """Guard against a place that leads past what a target or caller asked for."""
+        self.settings.regions = {"brest": "west"}
+        granted = make_target("i-1")
+        self.board.targets.apply_entry(granted)
+        name = granted.incarnation
+        find = self.chooser.find_free
+        self.assertEqual(find(name, ASSISTANT, set()), granted)
+        self.assertIsNone(find("i-1@5", ASSISTANT, set()))
+        self.assertIsNone(find(name, ASSISTANT, {name}))
+        self.assertIsNone(find(name, replace(ASSISTANT, version="v2"), set()))
+        east = replace(ASSISTANT, allowed_regions=frozenset({"east"}))
+        self.assertIsNone(find(name, east, set()))
+        self.assertIsNone(find(name, replace(ASSISTANT, service="booking"), set()))
+        self.name_limit(granted, 1.2)
+        self.assertIsNone(find(name, ASSISTANT, set()))
+        self.name_limit(granted, None)
+        self.assertEqual(find(name, ASSISTANT, set()), granted)
+        self.ask_for_rest(granted, 2.0)
+        self.assertIsNone(find(name, ASSISTANT, set()))
+
     async def test_refused_target_is_not_asked_for_each_request(self) -> None:
         """Guard against a call to a home for each request while permits are used up."""
         target = make_target("i-1")
