--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -18,7 +18,7 @@
     Surroundings,
 )
 
-SLOTS = 6
+SLOTS = 8
 KV_TOKENS = 10_000
 WAIT_S = 0.4
 FREED_PER_S = 50.0
@@ -141,14 +141,15 @@
         async def check() -> None:
             queue = self.make_queue()
             self.assertTrue(queue.is_contended)
-            self.report(queue, 5, 10.0)
-            self.assertTrue(queue.is_contended)
-            self.report(queue, 4, 10.0)
-            self.assertFalse(queue.is_contended)
-            self.report(queue, 4, 10.0)
-            self.assertFalse(queue.is_contended)
-            self.report(queue, 5, 10.0)
-            self.assertTrue(queue.is_contended)
+            for n_requests, is_contended in (
+                (7, True),
+                (6, True),
+                (5, False),
+                (6, False),
+                (7, True),
+            ):
+                self.report(queue, n_requests, 10.0)
+                self.assertIs(queue.is_contended, is_contended, n_requests)
 
         run_in_virtual_time(check())
 
--- a/tests/components/peers/test_link.py
+++ b/tests/components/peers/test_link.py
@@ -43,6 +43,27 @@
         with self.assertRaises(PeerUnavailableError):
             await link.call(report, timeout_s=1.0)
 
+    async def test_long_polls_say_nothing_of_the_link(self) -> None:
+        """Guard against a host that takes its link for full while requests wait."""
+        trips = RoundTrips()
+        link = make_link(trips)
+        connection = link._connection = mock.AsyncMock()
+        report = WorkReport(host="host-0", work={})
+
+        async def reply(_: object) -> None:
+            for future in link._pending_calls.values():
+                future.set_result(report)
+
+        connection.send.side_effect = reply
+        await link.call(report, timeout_s=0.6, is_long_poll=True)
+        connection.send.side_effect = None
+        with self.assertRaises(PeerUnavailableError):
+            await link.call(report, timeout_s=0.6, is_long_poll=True)
+        self.assertFalse(trips.calls)
+        connection.send.side_effect = reply
+        await link.call(report, timeout_s=0.6)
+        self.assertTrue(trips.calls)
+
     async def call_unresponsive_peer(self, other_reply_s: float) -> bool:
         """Call a peer that does not reply; return whether its connection is closed."""
         now = asyncio.get_running_loop().time()
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -125,6 +125,7 @@
     # Requests a second that a cold target tolerates; without it, no limit is set.
     cold_requests_per_s: float | None = None
     cold_until: dict[int, float] = field(default_factory=dict)  # targets, by number
+    contracts: str = ""  # of the platform's settings; empty for none
 
     async def _watch_stalls(self) -> None:
         """Record stalls of this process, in which the callers and targets run."""
@@ -245,6 +246,7 @@
             f"bounds.grace_s={self.grace_s}\n"
             f"bounds.cold_over={COLD_RATE_FACTOR}\n"
             f"bounds.cold_slack={COLD_RATE_SLACK}\n"
+            + (f"contracts={self.contracts}\n" if self.contracts else "")
         )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
