--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -33,9 +33,11 @@
         port: int,
         get_accounts: Callable[[], Sequence[EscrowAccount]],
         count_active: Callable[[], int],
-        count_waiting: Callable[[], int],
+        count_waiting_for_tokens: Callable[[], int],
         count_blocked: Callable[[], int],
         count_known_streams: Callable[[], int],
+        # None without an admission queue.
+        count_waiting_for_places: Callable[[], int] | None = None,
     ) -> None:
         super().__init__()
         self._board = board
@@ -45,9 +47,10 @@
         self._port = port
         self._get_accounts = get_accounts
         self._count_active = count_active
-        self._count_waiting = count_waiting
+        self._count_waiting_for_tokens = count_waiting_for_tokens
         self._count_blocked = count_blocked
         self._count_known_streams = count_known_streams
+        self._count_waiting_for_places = count_waiting_for_places
         self._page = MetricsPage()
         self._stalls = StallDetector(interval_s=FLUSH_INTERVAL_S)
         self._runner: web.ServerRunner | None = None
@@ -103,7 +106,7 @@
         add(
             "requests_waiting_for_tokens",
             "Requests that wait for tokens in an outage of the store.",
-            self._count_waiting,
+            self._count_waiting_for_tokens,
         )
         add(
             "requests_blocked",
@@ -115,6 +118,12 @@
             "Streams of this and other hosts whose version is known here.",
             self._count_known_streams,
         )
+        if self._count_waiting_for_places is not None:
+            add(
+                "requests_waiting",
+                "Requests that wait in the admission queues of this host.",
+                self._count_waiting_for_places,
+            )
         add(
             "store_silent_seconds",
             "Seconds since the store last responded, 0 while it is reachable.",
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -129,9 +129,12 @@
             port=settings.metrics_port,
             get_accounts=self._home.list_accounts,
             count_active=lambda: self._server.n_active,
-            count_waiting=lambda: parts.escrow.n_waiting,
+            count_waiting_for_tokens=lambda: parts.escrow.n_waiting,
             count_blocked=lambda: parts.crash_watcher.evidence.causes.n_causes,
             count_known_streams=lambda: parts.stream_versions.n_known,
+            count_waiting_for_places=parts.admission_home.count_waiting
+            if parts.admission_home
+            else None,
         )
         self._registry.register("board", lambda: self._board)
         self._registry.register("crashes", parts.crash_watcher.evidence.get_seen_times)
@@ -139,6 +142,8 @@
             "stream_versions", parts.stream_versions.count_by_version
         )
         self._registry.register("permits", parts.permits.list_granted)
+        if parts.admission_home is not None:
+            self._registry.register("admission", parts.admission_home.describe)
         self._registry.register("settings", lambda: settings)
         self._registry.register("accounts", self._home.list_accounts)
         services: list[Service] = [parts.timer, metrics, links, streams, peer_server]
