Escrow: write an older roster or locked tokens of a restored record again

Cause: after the store came back from a copy, a home compared its own stored holder with the known one by the draws alone. A write may replace the roster, or unlock tokens, without a draw. If the copy lacked such a write, the home took the older holder for current and did not write its own again. When it ended, it was retired by the older roster: hosts that only the lost roster lists were not asked, and what they were granted was drawn again. In the same way, tokens that had been unlocked and used were proven unused by a promise that the copy kept.

Change: the known holder keeps the roster, what former requesters used and the locked tokens as last stated, also over a second restoration, reads of others' writes and own writes that retire a holder. The record counts as lacking until a write that restates them is confirmed. Which tokens count as free and who gets grants meanwhile is decided as before.

Tests with real hosts and the soak were not run.

--- /dev/null
+++ b/tests/components/escrow/test_restored_holders.py
@@ -0,0 +1,142 @@
+"""Test what a home states besides its draws when the store comes back from a copy."""
+
+import unittest
+from dataclasses import replace
+
+from tests.components.escrow.common import WORKSPACE, EscrowCluster
+from trefoilstage.components.escrow.draw_pauses import MAKE_GOOD_S
+from trefoilstage.components.escrow.record import Holder
+from trefoilstage.components.escrow.rosters import get_roster_name
+from trefoilstage.components.views.store import make_position
+
+PREPAID = 200_000
+HOME, OTHER, LISTED_LATER = "brest-1", "quimper-1", "lorient-1"
+
+
+class RestoredRosterTest(unittest.IsolatedAsyncioTestCase):
+    """Test a home whose last write replaced its roster and drew nothing."""
+
+    async def asyncSetUp(self) -> None:
+        """Grant to one host, make a copy, then list and grant to another one."""
+        self.cluster = EscrowCluster(prepaid=PREPAID, home=HOME)
+        self.home = self.cluster.start(HOME)
+        self.cluster.start(OTHER)
+        self.cluster.update_peer(HOME, OTHER)
+        self.cluster.start(LISTED_LATER)
+        self.assertTrue(await self.cluster.hold(HOME, OTHER, WORKSPACE, "a", 1_000))
+        self.account = self.home.list_accounts()[0]
+        self.copy = self.cluster.store.make_copy()
+        drawn = self.account.drawn
+        self.cluster.update_peer(HOME, LISTED_LATER)
+        await self.home._draw(WORKSPACE)
+        self.assertTrue(
+            await self.cluster.hold(HOME, LISTED_LATER, WORKSPACE, "b", 2_000)
+        )
+        self.assertEqual(drawn, self.account.drawn)
+        # A host that is no longer the home does not update its roster.
+        self.cluster.home = OTHER
+
+    async def end_home(self) -> None:
+        """End the home, let another host recover its tokens, and check the count."""
+        self.cluster.timer.time += MAKE_GOOD_S
+        self.cluster.start(HOME)
+        self.cluster.update_all_peers()
+        await self.cluster.hold(OTHER, LISTED_LATER, WORKSPACE, "c", 1)
+        await self.cluster.recover(OTHER, WORKSPACE)
+        self.assertLessEqual(
+            self.cluster.spent[WORKSPACE], self.cluster.count_unavailable(WORKSPACE)
+        )
+
+    async def test_roster_that_a_copy_lacks_is_written_again(self) -> None:
+        """Guard against grants whose witness is not asked when the home has ended.
+
+        The copy has all draws, but the roster before the last one. Tokens granted to a
+        host that only the last one lists would be drawn again.
+        """
+        await self.cluster.restore_store(self.copy)
+        await self.end_home()
+
+    async def test_roster_lacking_in_two_copies_is_written_again(self) -> None:
+        """Guard against a lost roster that a second restoration makes the home forget.
+
+        The home reads the first restored record but cannot write.
+        """
+        self.cluster.store.delayed_write_share = 1.0
+        await self.cluster.restore_store(self.copy)
+        self.cluster.store.delayed_write_share = 0.0
+        await self.cluster.restore_store(self.copy)
+        await self.end_home()
+
+    async def test_lost_roster_is_remembered_until_it_is_written(self) -> None:
+        """Guard against a lost roster that is forgotten when the account is written.
+
+        The home reads a write of another host, and retires a holder, before it can
+        write its own roster.
+        """
+        latest = self.account.record
+        former = latest.holders[self.account.incarnation]
+        roster = get_roster_name({OTHER: self.cluster.boards[OTHER].incarnation})
+        copied = latest.set_holder(
+            self.account.incarnation, replace(former, roster=roster)
+        )
+        other = Holder(host=OTHER, drawn=1, spent=0)
+        self.account.begin_making_good()
+        self.account.update_record(copied, make_position(1, 0))
+        self.assertTrue(self.account.lacks_known)
+        self.account.update_record(
+            copied.set_holder("other", other), make_position(1, 1)
+        )
+        self.assertTrue(self.account.lacks_known)
+        self.account.record_own_write(
+            copied.set_holder("other", other), make_position(1, 2), restates_own=False
+        )
+        self.assertTrue(self.account.lacks_known)
+        self.account.record_own_write(
+            latest.set_holder("other", other), make_position(1, 3), restates_own=True
+        )
+        self.assertFalse(self.account.lacks_known)
+
+
+class RestoredLockedTokensTest(unittest.IsolatedAsyncioTestCase):
+    """Test a home whose last write unlocked tokens and drew nothing."""
+
+    async def test_tokens_that_a_copy_calls_locked_are_not_drawn_again(self) -> None:
+        """Guard against used tokens that a promise of the copy proves to be unused.
+
+        The copy has all draws, and tokens as locked that were granted since. All hosts
+        end before the home's promise expires.
+        """
+        cluster = EscrowCluster(prepaid=20_000, home=HOME)
+        home = cluster.start(HOME)
+        cluster.start(OTHER)
+        cluster.start(LISTED_LATER)
+        cluster.update_all_peers()
+        for host in cluster.homes:
+            await cluster.run_lock_keeper(host)
+        self.assertTrue(await cluster.hold(HOME, OTHER, WORKSPACE, "a", 1_000))
+        account = home.list_accounts()[0]
+        self.assertGreater(account.locked, 0)
+        await cluster.run_lock_keeper(HOME)
+        free = account.free
+        self.assertTrue(await cluster.hold(OTHER, LISTED_LATER, WORKSPACE, "b", free))
+        copy = cluster.store.make_copy()
+        rest = account.unused
+        self.assertTrue(await cluster.hold(HOME, OTHER, WORKSPACE, "c", rest))
+        self.assertEqual((account.locked, account.unused), (0, 0))
+        await cluster.restore_store(copy)
+        for host in list(cluster.homes):
+            cluster.start(host)
+        for host in cluster.homes:
+            await cluster.run_lock_keeper(host)
+        cluster.home = OTHER
+        cluster.update_all_peers()
+        await cluster.hold(OTHER, LISTED_LATER, WORKSPACE, "d", 1)
+        for _ in cluster.homes:
+            await cluster.recover(OTHER, WORKSPACE)
+        self.assertLessEqual(
+            cluster.spent[WORKSPACE], cluster.count_unavailable(WORKSPACE)
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -9,7 +9,9 @@
 from trefoilstage.components.escrow.reserve import SizeDemand
 from trefoilstage.components.escrow.restored_record import (
     is_own_current,
+    is_own_stated,
     join_records,
+    keep_stated,
 )
 from trefoilstage.components.escrow.stock import (
     Demand,
@@ -82,6 +84,16 @@
         pending_locked = (change.locked for change in self.pending)
         return max(holder.locked if holder else 0, *pending_locked, 0)
 
+    @property
+    def restated_locked(self) -> int:
+        """Return the locked tokens to write again once the store came back older.
+
+        The restored record may name as locked what was unlocked and used since.
+        """
+        known = self.known_before
+        own = known.holders.get(self.incarnation) if known else None
+        return min(self.locked, own.locked) if own else self.locked
+
     @property
     def returning(self) -> int:
         """Return the most tokens that an unconfirmed write may return."""
@@ -146,11 +158,17 @@
             self.record = self._make_good(record)
             self.record_offset = offset
 
-    def record_own_write(self, record: AccountRecord, offset: int) -> None:
-        """Replace the record by one that this incarnation has written."""
+    def record_own_write(
+        self, record: AccountRecord, offset: int, *, restates_own: bool
+    ) -> None:
+        """Replace the record by one that this incarnation has written.
+
+        A write that retires another holder copies the stored one of this incarnation,
+        which may be older than what it stated last.
+        """
         self.clear_pending()
         own = record.holders.get(self.incarnation)
-        if self.known_before is not None and own is not None:
+        if self.known_before is not None and own is not None and restates_own:
             self.known_before = self.known_before.set_holder(self.incarnation, own)
         self.update_record(record, offset)
 
@@ -161,8 +179,14 @@
 
     def begin_making_good(self) -> None:
         """Keep to the record as known, as the store came back from an older copy."""
-        if self.record_offset >= 0:
-            self.known_before = self.record
+        if self.record_offset < 0:
+            return
+        known = self.record
+        if self.known_before is not None:
+            # The record may have the roster and locked tokens of an earlier copy.
+            own = self.known_before.holders.get(self.incarnation)
+            known = known.set_holder(self.incarnation, own) if own else known
+        self.known_before = known
 
     def end_making_good(self) -> None:
         """Take records as the store has them, unless they still lack own draws."""
@@ -179,10 +203,11 @@
         if own is not None:
             returned = {own.drawn + change.tokens for change in self.pending}
             if is_own_current(stored_own, own, returned) and stored_own is not None:
-                known = known.set_holder(self.incarnation, stored_own)
+                kept = keep_stated(stored_own, own)
+                known = known.set_holder(self.incarnation, kept)
         joined = join_records(stored, known)
         self.known_before = known
-        self.lacks_known = joined != stored
+        self.lacks_known = joined != stored or not is_own_stated(stored_own, own)
         return joined
 
     def start_change(self, change: StockChange, end_offset: int) -> None:
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -115,12 +115,18 @@
         record = account.make_record(change, members, roster)
         account.start_change(change, end_offset)
         try:
-            return await self.put(account, record)
+            return await self.put(account, record, restates_own=True)
         except StoreRefusedError:
             account.drop_last_change()
             raise
 
-    async def put(self, account: EscrowAccount, record: AccountRecord) -> bool:
+    async def put(
+        self,
+        account: EscrowAccount,
+        record: AccountRecord,
+        *,
+        restates_own: bool = False,
+    ) -> bool:
         """Write a record; return whether it was stored."""
         partition = self._get_partition(account.workspace)
         end_offset = self._end_offsets[partition]
@@ -137,7 +143,7 @@
             return False
         # The partition has grown, so earlier writes can no longer be stored.
         self._end_offsets[partition] = offset + 1
-        account.record_own_write(record, offset)
+        account.record_own_write(record, offset, restates_own=restates_own)
         return True
 
     def _get_partition(self, workspace: str) -> int:
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -302,7 +302,7 @@
             if not self._pauses.is_settling():
                 change = account.plan_change(now, self._get_own_rank(workspace))
             if change is None and account.lacks_known:
-                change = StockChange(tokens=0, locked=account.locked)
+                change = StockChange(tokens=0, locked=account.restated_locked)
             return change
 
         await self._change_stock(workspace, plan)
--- a/trefoilstage/components/escrow/restored_record.py
+++ b/trefoilstage/components/escrow/restored_record.py
@@ -36,3 +36,25 @@
     return stored is not None and (
         stored.drawn >= own.drawn or stored.drawn in returned
     )
+
+
+def is_own_stated(stored: Holder | None, own: Holder | None) -> bool:
+    """Return whether a record holds what this incarnation stated last beside its draws.
+
+    A write may replace the roster, or unlock tokens, without a draw. Grants to hosts
+    that only the lost roster lists, or of the unlocked tokens, would not be counted
+    when this incarnation is retired.
+    """
+    if own is None:
+        return True
+    return stored is not None and stored == keep_stated(stored, own)
+
+
+def keep_stated(stored: Holder, own: Holder) -> Holder:
+    """Return a stored holder with what its incarnation stated last beside its draws."""
+    return replace(
+        stored,
+        locked=min(stored.locked, own.locked),
+        roster=own.roster,
+        used_by_former=own.used_by_former,
+    )
