Set no timer for a broken-off answer without unsent data

Cause: each broken-off answer set a timer to discard unread data at the deadline. It kept the closed transport in memory until then, although almost all broken-off answers have no unsent data: a write waits until the kernel has taken it. Ruled out: cancelling the timer when the connection is lost, which needs a handler of that event for each connection. Conclusion: the timer is set only while the transport has unsent data.

--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -92,9 +92,11 @@
         """
         transport = self._web_request.transport
         if transport is not None:
-            # A closed transport remains as long as it has unsent data.
             transport.close()
-            asyncio.get_running_loop().call_at(discard_at, transport.abort)
+            # A closed transport remains as long as it has unsent data. Without any, a
+            # timer would only keep the transport until the deadline.
+            if transport.get_write_buffer_size():
+                asyncio.get_running_loop().call_at(discard_at, transport.abort)
 
 
 def limit_unsent_data(web_request: web.BaseRequest) -> None:
