Keep the times of prompt parts only for targets that fetch

Cause: the model of a target's KV cache kept for each part the time at which it was first sent there. Only the choice of a fetch's source reads these times, but they were kept on all deployments. Ruled out: dropping times by their age. A part counts as processed after a time that grows with the target's queue, which has no fixed limit. The two new tests of it fail before this change and pass after it. Conclusion: a time is kept only for a target at which transfers cost little by its learned prefill speed.

--- a/tests/components/forwarding/test_fetch_planner.py
+++ b/tests/components/forwarding/test_fetch_planner.py
@@ -114,6 +114,28 @@
         return target
 
 
+class PartTimesTest(FetchCase):
+    """Test for which targets a host keeps the times at which parts were sent."""
+
+    def count_times(self) -> int:
+        """Send a prompt to a target; return how many of its parts have a time."""
+        target = self.add_target("i-1")
+        self.send(target)
+        return len(self.workload._caches.caches[target.incarnation].added_at)
+
+    def test_times_are_kept_for_targets_that_fetch(self) -> None:
+        """Send a prompt where transfers cost little: each part needs its time."""
+        self.configure()
+        self.assertEqual(self.count_times(), len(PROMPT))
+
+    def test_times_take_no_memory_where_fetches_are_not_active(self) -> None:
+        """Send prompts where transfers cost too much, or their cost is not known."""
+        self.configure(kv_bytes=327_680.0, per_s=1_100_000 * 125_000.0)
+        self.assertEqual(self.count_times(), 0)
+        self.configure(kv_bytes=0.0)
+        self.assertEqual(self.count_times(), 0)
+
+
 class SourceTest(FetchCase):
     """Test which targets are sources."""
 
--- a/tests/components/forwarding/test_prompt_cache.py
+++ b/tests/components/forwarding/test_prompt_cache.py
@@ -43,6 +43,18 @@
         self.assertEqual(self.cache.count_cached(make_prompt("b")), 1_000)
         self.assertLessEqual(self.cache.n_tokens, 4_000)
 
+    def test_part_without_a_time_is_not_settled(self) -> None:
+        """Add a part without a time, then with one: it may not be processed before.
+
+        A part taken for processed too early would be fetched where it is missing.
+        """
+        prompt = make_prompt("a")
+        self.cache.add(prompt)
+        self.assertEqual(self.cache.count_settled(prompt, before=9.0), 0)
+        self.cache.add(prompt, now=5.0)
+        self.assertEqual(self.cache.count_settled(prompt, before=5.0), 0)
+        self.assertEqual(self.cache.count_settled(prompt, before=9.0), 1_000)
+
 
 class PromptCachesTest(unittest.TestCase):
     """Test the caches of all targets."""
--- a/trefoilstage/components/forwarding/prompt_cache.py
+++ b/trefoilstage/components/forwarding/prompt_cache.py
@@ -24,7 +24,8 @@
     capacity_tokens: int
     n_tokens: int = 0
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    added_at: dict[str, float] = field(default_factory=dict)  # when first sent there
+    # When parts were first sent there, only of those added with a time.
+    added_at: dict[str, float] = field(default_factory=dict)
 
     def count_cached(self, prompt: Sequence[PromptPart]) -> int:
         """Return the number of a prompt's tokens that are cached.
@@ -39,7 +40,10 @@
         return n_cached
 
     def count_settled(self, prompt: Sequence[PromptPart], before: float) -> int:
-        """Return the number of a prompt's tokens cached since before a time."""
+        """Return the number of a prompt's tokens cached since before a time.
+
+        A part that was added without a time does not count.
+        """
         n_settled = 0
         for part in prompt:
             if self.added_at.get(part.name, before) >= before:
@@ -47,16 +51,17 @@
             n_settled += part.n_tokens
         return n_settled
 
-    def add(self, prompt: Sequence[PromptPart], now: float = 0.0) -> None:
+    def add(self, prompt: Sequence[PromptPart], now: float | None = None) -> None:
         """Add a prompt that the target processes; evict parts above the capacity."""
         for part in prompt:
-            self.added_at.setdefault(part.name, now)
+            if now is not None:
+                self.added_at.setdefault(part.name, now)
             self.n_tokens -= self.parts.pop(part.name, 0)
             self.parts[part.name] = part.n_tokens
             self.n_tokens += part.n_tokens
         while self.n_tokens > self.capacity_tokens and len(self.parts) > 1:
             name, n_tokens = self.parts.popitem(last=False)
-            del self.added_at[name]
+            self.added_at.pop(name, None)
             self.n_tokens -= n_tokens
 
 
@@ -83,7 +88,7 @@
         target: str,
         kv_tokens: int,
         prompt: Sequence[PromptPart],
-        now: float = 0.0,
+        now: float | None = None,
     ) -> None:
         """Add a prompt that a target processes."""
         cache = self.caches.get(target)
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -26,6 +26,7 @@
     PeerWork,
 )
 from trefoilstage.components.forwarding.prefill_speed import PrefillTotals
+from trefoilstage.components.forwarding.prefix_fetch import get_transfer_cost
 from trefoilstage.components.forwarding.prompt_cache import PromptCaches
 from trefoilstage.components.forwarding.recent_sends import RecentSends
 from trefoilstage.components.forwarding.shared_prefill_speeds import SharedPrefillSpeeds
@@ -357,5 +358,20 @@
     def _add_sent_prompts(self, host: str, prompts: Iterable[CachedPrompt]) -> None:
         now = self._timer.now()
         for prompt in prompts:
-            self._caches.add(prompt.target, prompt.kv_tokens, prompt.parts, now)
-            self._recent_sends.add(prompt.target, host, now)
+            target = prompt.target
+            added_at = now if self._may_fetch_at(target) else None
+            self._caches.add(target, prompt.kv_tokens, prompt.parts, added_at)
+            self._recent_sends.add(target, host, now)
+
+    def _may_fetch_at(self, incarnation: str) -> bool:
+        """Return whether fetches of KV cache are active at a target.
+
+        Only fetches need the times at which parts were sent to a target.
+        """
+        entry = self._board.targets.find_incarnation(incarnation)
+        configuration = self._board.configuration
+        if entry is None or configuration is None:
+            return False
+        service = configuration.services.get(entry.service)
+        cost = get_transfer_cost(service.engine if service else None)
+        return cost is not None and cost.is_low(self.get_prefill_speed(incarnation))
