Log no error of the server when a caller leaves before its answer

Cause: a whole answer is sent within the handler of the HTTP server. If the caller's connection is closing, the write raises ConnectionError, which the server logged with a traceback as an error of the handler, and it tried to send a 500 instead. Ruled out: answers that are sent twice: the server does not send an answer again that is complete, nor on a closing connection. Conclusion: the error ends the send; the server closes the connection.

--- a/tests/components/forwarding/test_reply.py
+++ b/tests/components/forwarding/test_reply.py
@@ -4,7 +4,10 @@
 import unittest
 from unittest import mock
 
-from trefoilstage.components.forwarding.reply import WebReply
+import aiohttp
+from aiohttp import web
+
+from trefoilstage.components.forwarding.reply import WebReply, send_response
 
 DISCARD_AFTER_S = 0.02
 
@@ -34,5 +37,33 @@
         transport.abort.assert_not_called()
 
 
+class SendTest(unittest.IsolatedAsyncioTestCase):
+    """Send a whole answer."""
+
+    async def handle(self, web_request: web.BaseRequest) -> web.StreamResponse:
+        """Send an answer on a connection that is being closed."""
+        assert web_request.transport is not None
+        web_request.transport.close()
+        response = web.Response(body=b"answer")
+        discard_at = asyncio.get_running_loop().time() + 1.0
+        await send_response(web_request, response, discard_at)
+        return response
+
+    async def test_caller_that_left_is_no_error(self) -> None:
+        """Send to a caller that just left: no error of the server may be logged."""
+        server = web.Server(self.handle, access_log=None, handler_cancellation=True)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        async with aiohttp.ClientSession() as session:
+            with (
+                self.assertNoLogs("aiohttp.server", "ERROR"),
+                self.assertRaises(aiohttp.ServerDisconnectedError),
+            ):
+                await session.get(f"http://127.0.0.1:{port}/")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -119,6 +119,9 @@
     except TimeoutError:
         if web_request.transport is not None:
             web_request.transport.abort()
+    except ConnectionError:
+        # The caller has left. The HTTP server would log an error of its handler.
+        return
 
 
 def set_headers(
