Say what the shortest cancelled wait of a fetch decides

Cause: the comment gave the reason of the constant but not its meaning. Ruled out: another value; cancelled sends must count before SLOW_START_S. Measured: nothing; a comment only. Conclusion: the comment says both.

--- a/trefoilstage/components/forwarding/prefix_fetch.py
+++ b/trefoilstage/components/forwarding/prefix_fetch.py
@@ -22,7 +22,8 @@
 MAX_TRANSFER_AGE_S = 1.0
 # A first token this long after the send shows that the source may be unreachable.
 SLOW_START_S = 2.0
-# Callers leave after 2 s of silence, shortly before a send is SLOW_START_S old.
+# A cancelled send counts as failed from this age on. Callers leave after 2 s of
+# silence, shortly before the send is SLOW_START_S old.
 MIN_CANCELLED_WAIT_S = 1.0
 SOURCE_EJECTION_S = 5.0
 
