Prefix fetch: look for sources only where transfers are cheap at the mean speed

Cause: where the configuration has both fields but transfers cost too much, sources were listed for each query, choice and send, and the prefill speeds were read at other times. Ruled out: the slowest engine's speed, which takes all speeds for each request.

--- a/trefoilstage/components/forwarding/fetch_planner.py
+++ b/trefoilstage/components/forwarding/fetch_planner.py
@@ -45,10 +45,15 @@
         self._transfers = TransferTracker()
 
     def is_active(self, target_filter: TargetFilter, need: PromptNeed | None) -> bool:
-        """Return whether a request's prefix may be fetched at all."""
+        """Return whether a request's prefix may be fetched at all.
+
+        Where transfers are too expensive at the targets' mean speed, requests spend no
+        time on looking for sources.
+        """
         if need is None or not need.may_fetch:
             return False
-        return self._get_cost(target_filter.service) is not None
+        cost = self._get_cost(target_filter.service)
+        return cost is not None and cost.is_low(self._workload.mean_prefill_speed)
 
     def list_sources(
         self,
--- a/trefoilstage/components/forwarding/workload.py
+++ b/trefoilstage/components/forwarding/workload.py
@@ -150,6 +150,11 @@
         """Return a target's estimated prefill speed in tokens per second."""
         return self._prefill_speeds.get_speed(target, self._timer.now())
 
+    @property
+    def mean_prefill_speed(self) -> float:
+        """Return the targets' mean prefill speed as of the last choice of a target."""
+        return self._prefill_speeds.fleet_speed
+
     def get_work(self, target: str) -> Work:
         """Return the known work of all hosts at a target."""
         now = self._timer.now()
@@ -374,4 +379,4 @@
             return False
         service = configuration.services.get(entry.service)
         cost = get_transfer_cost(service.engine if service else None)
-        return cost is not None and cost.is_low(self.get_prefill_speed(incarnation))
+        return cost is not None and cost.is_low(self.mean_prefill_speed)
