Count urgency in the admission queue as everywhere else

Cause: the pure queue put the highest urgency first, while messages, requests and logs count 0 as the most urgent. The service queue converted both ways. Ruled out: keeping the clamp of urgencies above 9; levels without requests are removed, so their number is bounded by the queue's length. Measured: with the former code, the adapted tests of the queue fail; with only the queue changed, the new test of the service queue fails; with both, all pass. Conclusion: 0 is the most urgent in queue.py, and no conversion remains.

--- a/trefoilstage/components/admission_queue/queue.py
+++ b/trefoilstage/components/admission_queue/queue.py
@@ -24,7 +24,7 @@
     request_id: str
     host: str
     workspace: str
-    urgency: int  # the highest goes first
+    urgency: int  # 0 is the most urgent
     kv_tokens: int  # 0 for plain calls
     queued_at: float
     wait_until: float
@@ -235,7 +235,7 @@
         `freed_per_s` is the rate at which places are freed.
         """
         n_ahead = sum(
-            item.urgency > request.urgency and item.wait_until > now
+            item.urgency < request.urgency and item.wait_until > now
             for item in self._requests.values()
         )
         if request.urgency in self._levels:
@@ -247,7 +247,7 @@
         return dict(self._counts)
 
     def _list_in_order(self) -> Iterator[WaitingRequest]:
-        for urgency in sorted(self._levels, reverse=True):
+        for urgency in sorted(self._levels):
             yield from self._levels[urgency].list_in_order()
 
     def _may_smaller_find(
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -22,7 +22,6 @@
     TargetCapacity,
 )
 from trefoilstage.components.admission_queue.queue import FairQueue, WaitingRequest
-from trefoilstage.components.forwarding.request_state import MAX_URGENCY
 from trefoilstage.helpers.events import Event, log_event
 
 MAX_WAITING = 1_000
@@ -132,8 +131,7 @@
             request_id=request.request,
             host=request.host,
             workspace=request.workspace,
-            # The queue counts the other way round.
-            urgency=max(0, MAX_URGENCY - request.urgency),
+            urgency=request.urgency,
             kv_tokens=request.kv_tokens,
             queued_at=now,
             wait_until=now + request.wait_s,
@@ -249,7 +247,7 @@
             request=get_caller_id(waiting.request_id),
             service=self._service,
             workspace=waiting.workspace,
-            urgency=MAX_URGENCY - waiting.urgency,
+            urgency=waiting.urgency,
             kv_tokens=waiting.kv_tokens,
             queue_s=now - waiting.queued_at,
             n_waiting=self.n_waiting,
