Load the admission queue only on hosts that use it

Cause: fleet_parts.py and pipeline.py imported the whole package, also where the settings switch the queue off. Ruled out: leaving the messages out of the codec; it is made before the settings are read, and hosts must be able to decode what their peers may send. Conclusion: make_admission_queue imports the parts that it creates. PlaceUse is in a module of its own, so that the codec loads only messages.py and place_use.py.

--- a/tests/components/admission_queue/test_places.py
+++ b/tests/components/admission_queue/test_places.py
@@ -5,12 +5,12 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from trefoilstage.components.admission_queue.place_use import PlaceUse
 from trefoilstage.components.admission_queue.places import (
     GRANT_LIFE_S,
     PENDING_S,
     REPORT_LIFE_S,
     PlaceTable,
-    PlaceUse,
     TargetCapacity,
 )
 
--- a/tests/components/admission_queue/test_queue.py
+++ b/tests/components/admission_queue/test_queue.py
@@ -5,11 +5,8 @@
 from collections import defaultdict
 from heapq import heappop, heappush
 
-from trefoilstage.components.admission_queue.places import (
-    PlaceTable,
-    PlaceUse,
-    TargetCapacity,
-)
+from trefoilstage.components.admission_queue.place_use import PlaceUse
+from trefoilstage.components.admission_queue.places import PlaceTable, TargetCapacity
 from trefoilstage.components.admission_queue.queue import FairQueue, WaitingRequest
 
 CALL_S = 0.09
--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -10,7 +10,8 @@
     PlaceReply,
     PlaceRequest,
 )
-from trefoilstage.components.admission_queue.places import PlaceUse, TargetCapacity
+from trefoilstage.components.admission_queue.place_use import PlaceUse
+from trefoilstage.components.admission_queue.places import TargetCapacity
 from trefoilstage.components.admission_queue.service_queue import (
     MAX_WAITING,
     MIN_RETRY_AFTER_S,
--- a/tests/components/admission_queue/test_wait_time.py
+++ b/tests/components/admission_queue/test_wait_time.py
@@ -13,7 +13,7 @@
     name_request,
 )
 from trefoilstage.components.admission_queue.own_work import OwnWork, Place
-from trefoilstage.components.admission_queue.places import PlaceUse
+from trefoilstage.components.admission_queue.place_use import PlaceUse
 from trefoilstage.components.admission_queue.wait_time import compute_wait_s
 from trefoilstage.components.fleet.messages import FLEET_CODEC
 from trefoilstage.components.forwarding.models import RouteKind
--- a/trefoilstage/components/admission_queue/messages.py
+++ b/trefoilstage/components/admission_queue/messages.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field
 
-from trefoilstage.components.admission_queue.places import PlaceUse
+from trefoilstage.components.admission_queue.place_use import PlaceUse
 from trefoilstage.helpers.field_types import Count, ShortText
 
 Seconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
--- a/trefoilstage/components/admission_queue/own_work.py
+++ b/trefoilstage/components/admission_queue/own_work.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from trefoilstage.components.admission_queue.places import NO_USE, PlaceUse
+from trefoilstage.components.admission_queue.place_use import NO_USE, PlaceUse
 
 # Two repeated reports may be due within it.
 CONTENDED_LIFE_S = 1.5
--- a/trefoilstage/components/admission_queue/places.py
+++ b/trefoilstage/components/admission_queue/places.py
@@ -11,6 +11,12 @@
 from dataclasses import dataclass, field, replace
 
 from trefoilstage.components.admission_queue.freed_places import FreedPlaces
+from trefoilstage.components.admission_queue.place_use import (
+    NO_USE,
+    PlaceUse,
+    add_use,
+    subtract_use,
+)
 from trefoilstage.helpers.field_types import Count
 
 # Two repeated reports (every 0.75 s) may be due within it.
@@ -31,33 +37,6 @@
     kv_tokens: Count = 0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlaceUse:
-    """Describe what requests take of a target: slots, and prompt and output tokens."""
-
-    n_requests: Count = 0
-    kv_tokens: Count = 0
-
-
-NO_USE = PlaceUse()
-
-
-def add_use(one: PlaceUse, other: PlaceUse) -> PlaceUse:
-    """Return the sum of two uses."""
-    return PlaceUse(
-        n_requests=one.n_requests + other.n_requests,
-        kv_tokens=one.kv_tokens + other.kv_tokens,
-    )
-
-
-def subtract_use(one: PlaceUse, other: PlaceUse) -> PlaceUse:
-    """Return what one use exceeds another by, 0 where it does not."""
-    return PlaceUse(
-        n_requests=max(0, one.n_requests - other.n_requests),
-        kv_tokens=max(0, one.kv_tokens - other.kv_tokens),
-    )
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GrantedPlace:
     """Describe a place that the home granted and that has not ended."""
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -15,10 +15,10 @@
     PlaceRequest,
     get_caller_id,
 )
+from trefoilstage.components.admission_queue.place_use import PlaceUse
 from trefoilstage.components.admission_queue.places import (
     REPORT_LIFE_S,
     PlaceTable,
-    PlaceUse,
     TargetCapacity,
 )
 from trefoilstage.components.admission_queue.queue import FairQueue, WaitingRequest
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -9,9 +9,8 @@
 import random
 from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
-from trefoilstage.components.admission_queue.client import AdmissionClient
-from trefoilstage.components.admission_queue.own_work import Place
 from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
@@ -60,6 +59,11 @@
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
+if TYPE_CHECKING:
+    # Hosts without an admission queue do not load its modules, to save memory.
+    from trefoilstage.components.admission_queue.client import AdmissionClient
+    from trefoilstage.components.admission_queue.own_work import Place
+
 
 class ForwardingPipeline:
     """Send requests to targets and relay their answers to callers."""
@@ -74,7 +78,7 @@
         crashes: CrashWatcher,
         binder: StreamBinder,
         generator: random.Random,
-        admission: AdmissionClient | None = None,
+        admission: "AdmissionClient | None" = None,
     ) -> None:
         self._admission = admission
         self._board = board
@@ -204,7 +208,7 @@
         self,
         state: RequestState,
         reply: CallerReply,
-        place: Place | None,
+        place: "Place | None",
         failure: Refusal,
     ) -> SendOutcome | Refusal | None:
         """Send a request to one target, and relay its answer.
@@ -248,22 +252,22 @@
         wait_s = self._chooser.compute_wait_s(state.target_filter)
         return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
 
-    async def _acquire_place(self, state: RequestState) -> Place | Refusal | None:
+    async def _acquire_place(self, state: RequestState) -> "Place | Refusal | None":
         return await self._admission.acquire(state) if self._admission else None
 
-    def _release_place(self, place: Place | None, *, used: bool = True) -> None:
+    def _release_place(self, place: "Place | None", *, used: bool = True) -> None:
         if self._admission is not None and place is not None:
             self._admission.release(place, used=used)
 
     def _count_use(
-        self, state: RequestState, target: TargetEntry, place: Place | None
+        self, state: RequestState, target: TargetEntry, place: "Place | None"
     ) -> AbstractContextManager[None]:
         if self._admission is None:
             return nullcontext()
         return self._admission.count(state, target, place)
 
     async def _choose_target(
-        self, state: RequestState, place: Place | None
+        self, state: RequestState, place: "Place | None"
     ) -> TargetEntry | None:
         if place is not None:
             target = self._chooser.find_free(
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -4,11 +4,10 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from mode import Service
 
-from trefoilstage.components.admission_queue.client import AdmissionClient
-from trefoilstage.components.admission_queue.home import AdmissionHome
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.probe import TargetProbe
 from trefoilstage.components.crashes.recorder import CrashRecorder
@@ -52,6 +51,10 @@
 from trefoilstage.timer import TimerService
 from trefoilstage.util.process_start import ProcessStart
 
+if TYPE_CHECKING:
+    from trefoilstage.components.admission_queue.client import AdmissionClient
+    from trefoilstage.components.admission_queue.home import AdmissionHome
+
 # A configuration must be in force within 2 s of its acceptance. The store answers a
 # long-poll read immediately on a change; this bounds the wait on a dead connection.
 CONFIGURATION_WAIT_S = 1.0
@@ -88,8 +91,8 @@
     stream_versions: StreamVersions
     pipeline: ForwardingPipeline
     # Only if the settings ask for an admission queue.
-    admission_home: AdmissionHome | None = None
-    admission: AdmissionClient | None = None
+    admission_home: "AdmissionHome | None" = None
+    admission: "AdmissionClient | None" = None
 
     def list_services(self) -> list[Service]:
         """Return the services to start, each after those that it depends on."""
@@ -292,24 +295,11 @@
         timer=timer,
         prover=prover,
     )
-    admission_home: AdmissionHome | None = None
-    admission: AdmissionClient | None = None
-    if settings.has_admission_queue:
-        admission_home = AdmissionHome(
-            board=board,
-            membership=membership,
-            server=peer_server,
-            timer=timer,
-            generator=generator,
-        )
-        admission = AdmissionClient(
-            board=board,
-            membership=membership,
-            home=admission_home,
-            links=links,
-            timer=timer,
-            generator=generator,
-        )
+    admission_home, admission = (
+        make_admission_queue(board, membership, links, peer_server, timer, generator)
+        if settings.has_admission_queue
+        else (None, None)
+    )
     pipeline = ForwardingPipeline(
         board=board,
         escrow=escrow,
@@ -342,6 +332,37 @@
     )
 
 
+def make_admission_queue(
+    board: FleetBoard,
+    membership: FleetMembership,
+    links: PeerLinks,
+    server: PeerServer,
+    timer: TimerService,
+    generator: random.Random,
+) -> "tuple[AdmissionHome, AdmissionClient]":
+    """Create the components that share the capacity of services by queues."""
+    # Hosts without an admission queue do not load its modules, to save memory.
+    from trefoilstage.components.admission_queue.client import AdmissionClient
+    from trefoilstage.components.admission_queue.home import AdmissionHome
+
+    home = AdmissionHome(
+        board=board,
+        membership=membership,
+        server=server,
+        timer=timer,
+        generator=generator,
+    )
+    client = AdmissionClient(
+        board=board,
+        membership=membership,
+        home=home,
+        links=links,
+        timer=timer,
+        generator=generator,
+    )
+    return home, client
+
+
 def make_followers(
     settings: FleetSettings,
     board: FleetBoard,
