Grant no places by expired reports

Cause: places were granted at each message, but reports expired only at the next update. A home that was suspended gets messages before it, and granted by reports of before the suspension. Ruled out: more frequent updates; the first message after a suspension may still come earlier. Measured: the new test fails without the change and passes with it. Conclusion: reports expire before each grant, as find_room requires.

--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -11,7 +11,10 @@
     PlaceRequest,
 )
 from trefoilstage.components.admission_queue.place_use import PlaceUse
-from trefoilstage.components.admission_queue.places import TargetCapacity
+from trefoilstage.components.admission_queue.places import (
+    REPORT_LIFE_S,
+    TargetCapacity,
+)
 from trefoilstage.components.admission_queue.service_queue import (
     MAX_WAITING,
     MIN_RETRY_AFTER_S,
@@ -127,6 +130,17 @@
 
         run_in_virtual_time(check())
 
+    def test_places_are_not_granted_by_reports_that_are_too_old(self) -> None:
+        """Guard against a resumed home that takes long-ago reports for the present."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.report(queue, 0, 10.0)
+            reply = self.ask(queue, 10.0 + REPORT_LIFE_S, wait_s=100.0)
+            self.assertFalse(reply.done())
+
+        run_in_virtual_time(check())
+
     def test_request_larger_than_any_target_goes_on(self) -> None:
         """Guard against requests refused for ever, as no target could hold them."""
 
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -166,6 +166,8 @@
         )
 
     def _grant(self, now: float) -> None:
+        # A host that was suspended may get messages before its next update.
+        self._places.expire(now)
         while now >= self._grants_from:
             found = self._queue.pop_next(self._find_room, now)
             if found is None:
