Renew the presence of idle hosts before it expires

Cause: hosts without work were renewed only at the update after their report had expired. Until then, any report saw a home with too small a share, and replied that the service is contended although its slots were half free. Ruled out: a renewal at each message; it would look at all hosts for each report. Conclusion: hosts without work and places are renewed 0.3 s before, if their presence lasts longer; those that repeat their reports soon are not.

--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bench.emulator.clock import run_in_virtual_time
+from trefoilstage.components.admission_queue.home import UPDATE_INTERVAL_S
 from trefoilstage.components.admission_queue.messages import (
     AdmissionReport,
     PlaceReply,
@@ -141,6 +142,44 @@
 
         run_in_virtual_time(check())
 
+    def test_idle_hosts_count_between_two_updates(self) -> None:
+        """Guard against contention seen only as idle hosts are counted too late.
+
+        Their reports expire between two updates, with all others' of that time.
+        """
+
+        async def check() -> None:
+            queue = ServiceQueue(
+                service="booking",
+                look_round=lambda: Surroundings(
+                    targets=self.capacity, live_hosts=("host-0", "host-1")
+                ),
+                generator=random.Random(1),
+                now=0.0,
+            )
+            idle = AdmissionReport(service="booking", host="host-1", work={})
+            queue.receive_report(idle, 0.0)
+            for step in range(1, 80):
+                now = (step + 0.2) * UPDATE_INTERVAL_S
+                queue.update(now)
+                self.report(queue, SLOTS // 2, now + UPDATE_INTERVAL_S * 0.9)
+                self.assertFalse(queue.is_contended, now)
+
+        run_in_virtual_time(check())
+
+    def test_report_of_a_host_that_stopped_reporting_is_not_renewed(self) -> None:
+        """Guard against the share of a dead host, counted for longer than a report."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.assertTrue(queue.is_contended)
+            self.report(queue, 0, 10.0)
+            queue.update(10.0 + 0.9 * REPORT_LIFE_S)
+            state = queue._places.hosts["host-0"]
+            self.assertLessEqual(state.expires_at, 10.0 + REPORT_LIFE_S)
+
+        run_in_virtual_time(check())
+
     def test_request_larger_than_any_target_goes_on(self) -> None:
         """Guard against requests refused for ever, as no target could hold them."""
 
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -37,6 +37,9 @@
 MIN_MEASURED_S = 0.3
 # Two repeated reports of a host without work may be due within it.
 PRESENCE_S = 11.0
+# Updates are 0.05 s apart, or more on a busy host. Hosts that are missing between two
+# of them make the home's share too small, so that the service seems contended.
+RENEW_BEFORE_S = 0.3
 WITHDRAWN = PlaceReply(granted=False, retry_after_s=MIN_RETRY_AFTER_S)
 
 
@@ -107,11 +110,18 @@
 
     def _renew_idle(self, now: float) -> None:
         """Count hosts that use this home although they rarely report without work."""
-        for host in self._present:
-            state = self._places.hosts.get(host)
-            if state is None or not state.is_reporting:
+        for host, until in self._present.items():
+            if self._needs_renewal(host, until, now):
                 self._places.receive_report(host, {}, now, ())
 
+    def _needs_renewal(self, host: str, until: float, now: float) -> bool:
+        state = self._places.hosts.get(host)
+        if state is None or not state.is_reporting:
+            return True
+        is_idle = not state.work and not state.grants
+        expires_soon = state.expires_at - now < RENEW_BEFORE_S
+        return is_idle and expires_soon and until > state.expires_at
+
     def receive_report(self, report: AdmissionReport, now: float) -> None:
         """Replace what a host holds, and grant what it freed."""
         self._places.receive_report(report.host, report.work, now, report.places)
