Spread retry times also while the wait is unknown

Cause: the random factor was applied to the estimated wait and then raised to the minimum. Without an estimate, all refused callers retried after exactly 0.2 s. Ruled out: a larger minimum; it delays callers without spreading them. Measured: 20 refused requests have one retry time without the change, and more than 10 between 0.2 and 0.4 s with it.

--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -180,6 +180,21 @@
 
         run_in_virtual_time(check())
 
+    def test_retries_are_spread_while_the_rate_is_unknown(self) -> None:
+        """Guard against callers that all retry at the same time."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            queue._contended_since = 10.0
+            replies = [self.ask(queue, 10.0) for _ in range(20)]
+            queue.update(10.0 + WAIT_S)
+            times = {reply.result().retry_after_s for reply in replies}
+            self.assertGreater(len(times), 10)
+            self.assertGreaterEqual(min(times), MIN_RETRY_AFTER_S)
+            self.assertLessEqual(max(times), 2 * MIN_RETRY_AFTER_S)
+
+        run_in_virtual_time(check())
+
     def test_request_larger_than_any_target_goes_on(self) -> None:
         """Guard against requests refused for ever, as no target could hold them."""
 
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -198,8 +198,8 @@
     ) -> None:
         for waiting in refused:
             wait_s = self._estimate_wait_s(waiting, now)
-            spread_s = min(wait_s, MAX_RETRY_AFTER_S) * self._generator.uniform(1, 2)
-            retry_after_s = max(MIN_RETRY_AFTER_S, spread_s)
+            least_s = max(MIN_RETRY_AFTER_S, min(wait_s, MAX_RETRY_AFTER_S))
+            retry_after_s = least_s * self._generator.uniform(1, 2)
             self._log(
                 Event.PLACE_REFUSED,
                 waiting,
