Grant free places to requests that have no time to wait

Cause: a request with a wait of 0 s was refused as if the queue was full, before places were looked for. A stream whose caller had been silent for 0.7 of its limit lost its second attempt at a contended service, also where a slot was free. Ruled out: a longer wait for such streams; their callers are about to give up. Measured: the new test fails without the change and passes with it. Conclusion: such a request gets a place that is free at once, otherwise it is refused at once with the reason 'too long'.

--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -195,6 +195,20 @@
 
         run_in_virtual_time(check())
 
+    def test_request_without_time_to_wait_gets_a_place_that_is_free(self) -> None:
+        """Guard against a stream's second attempt, refused although there is room."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            reply = self.ask(queue, 10.0, wait_s=0.0)
+            self.assertFalse(reply.result().granted)
+            self.assertEqual(queue.n_waiting, 0)
+            self.report(queue, SLOTS - 1, 10.0)
+            reply = self.ask(queue, 10.0, wait_s=0.0)
+            self.assertEqual(reply.result().target, "t")
+
+        run_in_virtual_time(check())
+
     def test_request_larger_than_any_target_goes_on(self) -> None:
         """Guard against requests refused for ever, as no target could hold them."""
 
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -37,6 +37,8 @@
 MIN_MEASURED_S = 0.3
 # Two repeated reports of a host without work may be due within it.
 PRESENCE_S = 11.0
+# A request without time to wait may get a place that is free when it arrives.
+MIN_WAIT_S = 0.001
 # Updates are 0.05 s apart, or more on a busy host. Hosts that are missing between two
 # of them make the home's share too small, so that the service seems contended.
 RENEW_BEFORE_S = 0.3
@@ -144,16 +146,19 @@
             urgency=request.urgency,
             kv_tokens=request.kv_tokens,
             queued_at=now,
-            wait_until=now + request.wait_s,
+            wait_until=now + max(MIN_WAIT_S, request.wait_s),
         )
         self._replies[request.request] = reply
         self._refuse(self._queue.add(waiting, now), now, reason="queue full")
         self._grant(now)
-        if not reply.done() and self._estimate_wait_s(waiting, now) > request.wait_s:
+        if not reply.done() and not self._may_wait(waiting, request.wait_s, now):
             self._queue.remove(request.request)
             self._refuse([waiting], now, reason="too long")
         return reply
 
+    def _may_wait(self, waiting: WaitingRequest, wait_s: float, now: float) -> bool:
+        return wait_s > 0.0 and self._estimate_wait_s(waiting, now) <= wait_s
+
     def release(self, requests: Iterable[str], now: float) -> None:
         """End places, and withdraw requests that still wait."""
         for request in requests:
