--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -20,7 +20,7 @@
     MAX_WAITING,
     MIN_RETRY_AFTER_S,
     ServiceQueue,
-    Surroundings,
+    ServiceSnapshot,
 )
 
 SLOTS = 8
@@ -41,7 +41,7 @@
         """Return the queue of a target that is full since 10 s."""
         queue = ServiceQueue(
             service="booking",
-            look_round=lambda: Surroundings(
+            take_snapshot=lambda: ServiceSnapshot(
                 targets=self.capacity, live_hosts=("host-0",)
             ),
             generator=random.Random(1),
@@ -151,7 +151,7 @@
         async def check() -> None:
             queue = ServiceQueue(
                 service="booking",
-                look_round=lambda: Surroundings(
+                take_snapshot=lambda: ServiceSnapshot(
                     targets=self.capacity, live_hosts=("host-0", "host-1")
                 ),
                 generator=random.Random(1),
--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -45,7 +45,8 @@
 REPORT_INTERVAL_S = 0.1
 # A reply takes 1 to 5 ms. Until the time is over, a silent home is asked for places.
 REPORT_TIMEOUT_S = 0.3
-# Calls end this long before a place is granted in vain: the home's updates, a reply.
+# A call for a place ends this long after the request's wait. The home refuses at its
+# next update, up to 0.05 s later, and the reply takes its time.
 REPLY_MARGIN_S = 0.1
 # Freed places of several requests are returned together.
 COALESCE_DELAY_S = 0.003
--- a/trefoilstage/components/admission_queue/home.py
+++ b/trefoilstage/components/admission_queue/home.py
@@ -18,7 +18,7 @@
 from trefoilstage.components.admission_queue.places import TargetCapacity
 from trefoilstage.components.admission_queue.service_queue import (
     ServiceQueue,
-    Surroundings,
+    ServiceSnapshot,
 )
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.peers.server import PeerServer
@@ -103,19 +103,19 @@
         if queue is None:
             queue = ServiceQueue(
                 service=service,
-                look_round=partial(self._look_round, service),
+                take_snapshot=partial(self._take_snapshot, service),
                 generator=self._generator,
                 now=now,
             )
             self._queues[service] = queue
         return queue
 
-    def _look_round(self, service: str) -> Surroundings:
+    def _take_snapshot(self, service: str) -> ServiceSnapshot:
         configuration = self._board.configuration
         configured = configuration.services.get(service) if configuration else None
         engine = configured.engine if configured else None
         ready = self._board.targets.list_ready(service, self._timer.now())
-        return Surroundings(
+        return ServiceSnapshot(
             targets={
                 target.incarnation: TargetCapacity(
                     slots=target.slots, kv_tokens=engine.kv_tokens if engine else 0
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Surroundings:
+class ServiceSnapshot:
     """Describe what a home sees of a service's targets and of the fleet."""
 
     targets: Mapping[str, TargetCapacity]  # ready ones, by incarnation
@@ -60,12 +60,12 @@
         self,
         *,
         service: str,
-        look_round: Callable[[], Surroundings],
+        take_snapshot: Callable[[], ServiceSnapshot],
         generator: random.Random,
         now: float,
     ) -> None:
         self._service = service
-        self._look_round = look_round
+        self._take_snapshot = take_snapshot
         self._generator = generator
         self._queue = FairQueue(max_length=MAX_WAITING)
         self._places = PlaceTable()
@@ -101,11 +101,11 @@
             host: until for host, until in self._present.items() if now <= until
         }
         self._places.expire(now)
-        around = self._look_round()
-        self._places.set_capacity(around.targets)
+        snapshot = self._take_snapshot()
+        self._places.set_capacity(snapshot.targets)
         # Before all have reported, their number says nothing of this home's share.
         is_settled = now >= self._grants_from
-        self._places.set_live_hosts(around.live_hosts if is_settled else ())
+        self._places.set_live_hosts(snapshot.live_hosts if is_settled else ())
         self._renew_idle(now)
         self._refuse(self._queue.expire(now), now, reason="waited")
         self._grant(now)
