--- a/tests/components/admission_queue/test_service_queue.py
+++ b/tests/components/admission_queue/test_service_queue.py
@@ -5,17 +5,22 @@
 import unittest
 
 from bench.emulator.clock import run_in_virtual_time
+from trefoilstage.components.admission_queue.home import UPDATE_INTERVAL_S
 from trefoilstage.components.admission_queue.messages import (
     AdmissionReport,
     PlaceReply,
     PlaceRequest,
 )
-from trefoilstage.components.admission_queue.places import PlaceUse, TargetCapacity
+from trefoilstage.components.admission_queue.place_use import PlaceUse
+from trefoilstage.components.admission_queue.places import (
+    REPORT_LIFE_S,
+    TargetCapacity,
+)
 from trefoilstage.components.admission_queue.service_queue import (
     MAX_WAITING,
     MIN_RETRY_AFTER_S,
     ServiceQueue,
-    Surroundings,
+    ServiceSnapshot,
 )
 
 SLOTS = 8
@@ -36,7 +41,7 @@
         """Return the queue of a target that is full since 10 s."""
         queue = ServiceQueue(
             service="booking",
-            look_round=lambda: Surroundings(
+            take_snapshot=lambda: ServiceSnapshot(
                 targets=self.capacity, live_hosts=("host-0",)
             ),
             generator=random.Random(1),
@@ -59,6 +64,7 @@
         now: float,
         kv_tokens: int = 0,
         wait_s: float = WAIT_S,
+        urgency: int = 1,
     ) -> "asyncio.Future[PlaceReply]":
         """Ask for a place."""
         self.n_requests += 1
@@ -67,7 +73,7 @@
             request=f"r-{self.n_requests}/host-0/0",
             host="host-0",
             workspace="school",
-            urgency=1,
+            urgency=urgency,
             kv_tokens=kv_tokens,
             wait_s=wait_s,
         )
@@ -95,6 +101,21 @@
 
         run_in_virtual_time(check())
 
+    def test_urgency_0_gets_the_first_place_that_is_freed(self) -> None:
+        """Guard against an order of the queue that is not the one of the messages."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            replies = {
+                item: self.ask(queue, 10.0, wait_s=100.0, urgency=item)
+                for item in (9, 0, 5)
+            }
+            self.report(queue, SLOTS - 1, 10.1)
+            self.assertEqual([item for item in replies if replies[item].done()], [0])
+            self.assertTrue(replies[0].result().granted)
+
+        run_in_virtual_time(check())
+
     def test_request_whose_time_is_over_is_refused(self) -> None:
         """Guard against callers that wait to their limit for a reply."""
 
@@ -110,6 +131,84 @@
 
         run_in_virtual_time(check())
 
+    def test_places_are_not_granted_by_reports_that_are_too_old(self) -> None:
+        """Guard against a resumed home that takes long-ago reports for the present."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.report(queue, 0, 10.0)
+            reply = self.ask(queue, 10.0 + REPORT_LIFE_S, wait_s=100.0)
+            self.assertFalse(reply.done())
+
+        run_in_virtual_time(check())
+
+    def test_idle_hosts_count_between_two_updates(self) -> None:
+        """Guard against contention seen only as idle hosts are counted too late.
+
+        Their reports expire between two updates, with all others' of that time.
+        """
+
+        async def check() -> None:
+            queue = ServiceQueue(
+                service="booking",
+                take_snapshot=lambda: ServiceSnapshot(
+                    targets=self.capacity, live_hosts=("host-0", "host-1")
+                ),
+                generator=random.Random(1),
+                now=0.0,
+            )
+            idle = AdmissionReport(service="booking", host="host-1", work={})
+            queue.receive_report(idle, 0.0)
+            for step in range(1, 80):
+                now = (step + 0.2) * UPDATE_INTERVAL_S
+                queue.update(now)
+                self.report(queue, SLOTS // 2, now + UPDATE_INTERVAL_S * 0.9)
+                self.assertFalse(queue.is_contended, now)
+
+        run_in_virtual_time(check())
+
+    def test_report_of_a_host_that_stopped_reporting_is_not_renewed(self) -> None:
+        """Guard against the share of a dead host, counted for longer than a report."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            self.assertTrue(queue.is_contended)
+            self.report(queue, 0, 10.0)
+            queue.update(10.0 + 0.9 * REPORT_LIFE_S)
+            state = queue._places.hosts["host-0"]
+            self.assertLessEqual(state.expires_at, 10.0 + REPORT_LIFE_S)
+
+        run_in_virtual_time(check())
+
+    def test_retries_are_spread_while_the_rate_is_unknown(self) -> None:
+        """Guard against callers that all retry at the same time."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            queue._contended_since = 10.0
+            replies = [self.ask(queue, 10.0) for _ in range(20)]
+            queue.update(10.0 + WAIT_S)
+            times = {reply.result().retry_after_s for reply in replies}
+            self.assertGreater(len(times), 10)
+            self.assertGreaterEqual(min(times), MIN_RETRY_AFTER_S)
+            self.assertLessEqual(max(times), 2 * MIN_RETRY_AFTER_S)
+
+        run_in_virtual_time(check())
+
+    def test_request_without_time_to_wait_gets_a_place_that_is_free(self) -> None:
+        """Guard against a stream's second attempt, refused although there is room."""
+
+        async def check() -> None:
+            queue = self.make_queue()
+            reply = self.ask(queue, 10.0, wait_s=0.0)
+            self.assertFalse(reply.result().granted)
+            self.assertEqual(queue.n_waiting, 0)
+            self.report(queue, SLOTS - 1, 10.0)
+            reply = self.ask(queue, 10.0, wait_s=0.0)
+            self.assertEqual(reply.result().target, "t")
+
+        run_in_virtual_time(check())
+
     def test_request_larger_than_any_target_goes_on(self) -> None:
         """Guard against requests refused for ever, as no target could hold them."""
 
--- a/trefoilstage/components/admission_queue/service_queue.py
+++ b/trefoilstage/components/admission_queue/service_queue.py
@@ -15,14 +15,13 @@
     PlaceRequest,
     get_caller_id,
 )
+from trefoilstage.components.admission_queue.place_use import PlaceUse
 from trefoilstage.components.admission_queue.places import (
     REPORT_LIFE_S,
     PlaceTable,
-    PlaceUse,
     TargetCapacity,
 )
 from trefoilstage.components.admission_queue.queue import FairQueue, WaitingRequest
-from trefoilstage.components.forwarding.request_state import MAX_URGENCY
 from trefoilstage.helpers.events import Event, log_event
 
 MAX_WAITING = 1_000
@@ -38,11 +37,16 @@
 MIN_MEASURED_S = 0.3
 # Two repeated reports of a host without work may be due within it.
 PRESENCE_S = 11.0
+# A request without time to wait may get a place that is free when it arrives.
+MIN_WAIT_S = 0.001
+# Updates are 0.05 s apart, or more on a busy host. Hosts that are missing between two
+# of them make the home's share too small, so that the service seems contended.
+RENEW_BEFORE_S = 0.3
 WITHDRAWN = PlaceReply(granted=False, retry_after_s=MIN_RETRY_AFTER_S)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Surroundings:
+class ServiceSnapshot:
     """Describe what a home sees of a service's targets and of the fleet."""
 
     targets: Mapping[str, TargetCapacity]  # ready ones, by incarnation
@@ -56,12 +60,12 @@
         self,
         *,
         service: str,
-        look_round: Callable[[], Surroundings],
+        take_snapshot: Callable[[], ServiceSnapshot],
         generator: random.Random,
         now: float,
     ) -> None:
         self._service = service
-        self._look_round = look_round
+        self._take_snapshot = take_snapshot
         self._generator = generator
         self._queue = FairQueue(max_length=MAX_WAITING)
         self._places = PlaceTable()
@@ -97,22 +101,29 @@
             host: until for host, until in self._present.items() if now <= until
         }
         self._places.expire(now)
-        around = self._look_round()
-        self._places.set_capacity(around.targets)
+        snapshot = self._take_snapshot()
+        self._places.set_capacity(snapshot.targets)
         # Before all have reported, their number says nothing of this home's share.
         is_settled = now >= self._grants_from
-        self._places.set_live_hosts(around.live_hosts if is_settled else ())
+        self._places.set_live_hosts(snapshot.live_hosts if is_settled else ())
         self._renew_idle(now)
         self._refuse(self._queue.expire(now), now, reason="waited")
         self._grant(now)
 
     def _renew_idle(self, now: float) -> None:
         """Count hosts that use this home although they rarely report without work."""
-        for host in self._present:
-            state = self._places.hosts.get(host)
-            if state is None or not state.is_reporting:
+        for host, until in self._present.items():
+            if self._needs_renewal(host, until, now):
                 self._places.receive_report(host, {}, now, ())
 
+    def _needs_renewal(self, host: str, until: float, now: float) -> bool:
+        state = self._places.hosts.get(host)
+        if state is None or not state.is_reporting:
+            return True
+        is_idle = not state.work and not state.grants
+        expires_soon = state.expires_at - now < RENEW_BEFORE_S
+        return is_idle and expires_soon and until > state.expires_at
+
     def receive_report(self, report: AdmissionReport, now: float) -> None:
         """Replace what a host holds, and grant what it freed."""
         self._places.receive_report(report.host, report.work, now, report.places)
@@ -132,20 +143,22 @@
             request_id=request.request,
             host=request.host,
             workspace=request.workspace,
-            # The queue counts the other way round.
-            urgency=max(0, MAX_URGENCY - request.urgency),
+            urgency=request.urgency,
             kv_tokens=request.kv_tokens,
             queued_at=now,
-            wait_until=now + request.wait_s,
+            wait_until=now + max(MIN_WAIT_S, request.wait_s),
         )
         self._replies[request.request] = reply
         self._refuse(self._queue.add(waiting, now), now, reason="queue full")
         self._grant(now)
-        if not reply.done() and self._estimate_wait_s(waiting, now) > request.wait_s:
+        if not reply.done() and not self._may_wait(waiting, request.wait_s, now):
             self._queue.remove(request.request)
             self._refuse([waiting], now, reason="too long")
         return reply
 
+    def _may_wait(self, waiting: WaitingRequest, wait_s: float, now: float) -> bool:
+        return wait_s > 0.0 and self._estimate_wait_s(waiting, now) <= wait_s
+
     def release(self, requests: Iterable[str], now: float) -> None:
         """End places, and withdraw requests that still wait."""
         for request in requests:
@@ -168,6 +181,8 @@
         )
 
     def _grant(self, now: float) -> None:
+        # A host that was suspended may get messages before its next update.
+        self._places.expire(now)
         while now >= self._grants_from:
             found = self._queue.pop_next(self._find_room, now)
             if found is None:
@@ -188,8 +203,8 @@
     ) -> None:
         for waiting in refused:
             wait_s = self._estimate_wait_s(waiting, now)
-            spread_s = min(wait_s, MAX_RETRY_AFTER_S) * self._generator.uniform(1, 2)
-            retry_after_s = max(MIN_RETRY_AFTER_S, spread_s)
+            least_s = max(MIN_RETRY_AFTER_S, min(wait_s, MAX_RETRY_AFTER_S))
+            retry_after_s = least_s * self._generator.uniform(1, 2)
             self._log(
                 Event.PLACE_REFUSED,
                 waiting,
@@ -249,7 +264,7 @@
             request=get_caller_id(waiting.request_id),
             service=self._service,
             workspace=waiting.workspace,
-            urgency=MAX_URGENCY - waiting.urgency,
+            urgency=waiting.urgency,
             kv_tokens=waiting.kv_tokens,
             queue_s=now - waiting.queued_at,
             n_waiting=self.n_waiting,
