Soak: admission queue with surges, and prefix fetches

Cause: the soak played neither the admission queue nor prefix fetches. Now a seed's kind, drawn apart from its faults, may run targets with few slots that refuse or crash above them and let one workspace surge, or let prompts share parts that targets fetch while sources restart, are dark or unlisted.

Ruled out: a kind drawn from the generator of the faults, which would have changed the faults of all seeds.

--- a/scripts/run_soak.py
+++ b/scripts/run_soak.py
@@ -21,7 +21,10 @@
         result = asyncio.run(run_soak_seed(seed, arguments.seconds))
         n_failed += bool(result.findings)
         print(
-            f"seed={seed} requests={result.n_requests} served={result.n_served}"
+            f"seed={seed} kind={result.kind} fetches={result.n_fetches}"
+            f" overloaded={result.n_overloaded} requests={result.n_requests}"
+            f" served={result.n_served}"
+            f" statuses={result.statuses}"
             f" faults={len(result.faults)} findings={len(result.findings)}",
             flush=True,
         )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,9 +5,10 @@
 import json
 import struct
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
+import aiohttp
 from aiohttp import web
 
 from standins.common import reset_connection
@@ -25,6 +26,8 @@
 TOPICS_BY_NAME = {name: topic for topic, name in TOPIC_NAMES.items()}
 READ_POLL_S = 0.02
 COLD_S = 3.0  # how long a target is cold after its start
+N_SLOTS = 8  # of a target
+FETCH_TIMEOUT_S = 1.0  # after which a target processes the prefix itself
 
 
 async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, int]:
@@ -151,6 +154,7 @@
     events: int = 0
     ended: bool = False
     cut_off: bool = False  # the response remained unread for too long
+    fetch_from: str = ""  # the address in the header Kv-Fetch
 
 
 @dataclass(kw_only=True, slots=True)
@@ -182,6 +186,10 @@
     crashes_on: bytes | None = None  # request body that crashes the target
     crashing_part: str = ""  # of prompts; crashes the target as an answer begins
     crash: Callable[[], Awaitable[None]] | None = None  # stops and restarts it
+    max_running: int | None = None  # above it, the target refuses or crashes
+    crashes_above_limit: bool = False
+    processing_s: float = 0.0  # before an answer begins
+    n_running: int = 0
     # Streams without chunks, which only the end of their connection ends.
     is_unframed: bool = False
     is_mute: bool = False  # accepts connections and answers nothing
@@ -210,7 +218,8 @@
             return web.json_response({"born": self.started_at_ms, "busy": False})
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
-        if self.refuse:
+        is_full = self.max_running is not None and self.n_running >= self.max_running
+        if self.refuse or (is_full and not self.crashes_above_limit):
             self.n_refused += 1
             refusal = {"Not-Executed": "1", **self.headers}
             return web.Response(status=503, headers=refusal)
@@ -219,6 +228,7 @@
             tenant=request.headers.get("Tenant", ""),
             resumed_after=int(request.headers.get("Last-Event-Id", 0)),
             prompt_tokens=int(request.headers.get("Token-Count", "0").split(",")[0]),
+            fetch_from=request.headers.get("Kv-Fetch", ""),
         )
         self.runs.append(run)
         headers = {
@@ -226,7 +236,19 @@
             **({"Response-Seal": f"{self.name}.seal"} if self.has_seal else {}),
             **self.headers,
         }
-        return await self._answer_run(request, body, run, headers)
+        self.n_running += 1
+        try:
+            if is_full and self.crash is not None:
+                await self.crash()
+                await self.stop.wait()  # until the server is stopped
+            if run.fetch_from:
+                await fetch_prefix(run.fetch_from)
+            await asyncio.sleep(self.processing_s)
+            if request.transport is None or request.transport.is_closing():
+                return web.Response()  # to a host that left
+            return await self._answer_run(request, body, run, headers)
+        finally:
+            self.n_running -= 1
 
     async def _answer_run(
         self,
@@ -338,6 +360,20 @@
     return [part.partition(":")[0] for part in parts[:-1]]
 
 
+async def fetch_prefix(address: str) -> None:
+    """Connect to a source as an engine does; go on without it if it fails."""
+    timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
+    url = f"http://{address}/trefoilstage/report"
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url) as response,
+        ):
+            await response.read()
+    except (aiohttp.ClientError, TimeoutError):
+        return
+
+
 def reset_request(request: web.Request) -> None:
     """Reset a request's connection; a normal close would look like a complete end."""
     if request.transport is not None:
@@ -350,6 +386,8 @@
     prepaid: int,
     service: str = "llm",
     cold_requests_per_s: float | None = None,
+    engine: Mapping[str, object] | None = None,
+    more_tenants: Sequence[Mapping[str, object]] = (),
 ) -> bytes:
     """Return an encoded configuration with a route of each kind."""
 
@@ -379,12 +417,15 @@
             "services": [
                 {
                     "name": service,
-                    "engine": {"slots": 8, "stride": 1},
+                    "engine": {"slots": N_SLOTS, "stride": 1, **(engine or {})},
                     "cold_s": COLD_S,
                     "cold_per_s": cold_requests_per_s,
                 }
             ],
-            "tenants": [{"name": "school", "api_keys": ["key"], "prepaid": prepaid}],
+            "tenants": [
+                {"name": "school", "api_keys": ["key"], "prepaid": prepaid},
+                *more_tenants,
+            ],
         }
     ).encode()
 
@@ -399,6 +440,7 @@
     data_center: str = "brest",
     cold_s: float = 0.0,
     version: str = "v1",
+    slots: int = N_SLOTS,
 ) -> bytes:
     """Return a target's encoded entry."""
     entry = {
@@ -406,7 +448,7 @@
         "address": f"{LOOPBACK}:{port}",
         "zone": data_center,
         "version": version,
-        "slots": 8,
+        "slots": slots,
         "state": state,
         "cold_remaining_ms": int(cold_s * 1000),
         "sequence": sequence,
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -95,6 +95,9 @@
             n_events=old.n_events,
             event_interval_s=old.event_interval_s,
             runs=old.runs,
+            max_running=old.max_running,
+            crashes_above_limit=old.crashes_above_limit,
+            processing_s=old.processing_s,
         )
         self._runners[number], _ = await start_app(
             target.make_app(), fleet.ports[number]
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -20,6 +20,7 @@
 from standins.launcher import poll_until
 from standins.platform import (
     LOOPBACK,
+    N_SLOTS,
     PlatformTarget,
     StoreServer,
     encode_configuration,
@@ -120,12 +121,16 @@
     target_proxies: dict[str, list[FaultProxy]] = field(default_factory=dict)
     cut_hosts: set[str] = field(default_factory=set)  # from all targets
     stopped_targets: set[int] = field(default_factory=set)
+    unlisted_targets: set[int] = field(default_factory=set)
     # Of targets, by number, that are not in the hosts' data centre.
     target_data_centers: dict[int, str] = field(default_factory=dict)
     # Requests a second that a cold target tolerates; without it, no limit is set.
     cold_requests_per_s: float | None = None
     cold_until: dict[int, float] = field(default_factory=dict)  # targets, by number
     contracts: str = ""  # of the platform's settings; empty for none
+    n_slots: int = N_SLOTS  # of each target
+    engine: dict[str, object] = field(default_factory=dict)  # more of its fields
+    more_tenants: list[dict[str, object]] = field(default_factory=list)
 
     async def _watch_stalls(self) -> None:
         """Record stalls of this process, in which the callers and targets run."""
@@ -196,8 +201,11 @@
             cold_s=max(0.0, self.cold_until.get(number, 0.0) - time.monotonic()),
             version=self.targets[number].version,
             started_at_ms=self.targets[number].started_at_ms,
+            slots=self.n_slots,
         )
-        await self.store.put(Topic.TARGETS, self.targets[number].name, value)
+        is_listed = number not in self.unlisted_targets
+        name = self.targets[number].name
+        await self.store.put(Topic.TARGETS, name, value if is_listed else None)
 
     async def write_configuration(self, version: int) -> None:
         """Write a version of the configuration to the store."""
@@ -205,6 +213,8 @@
             version,
             prepaid=self.prepaid,
             cold_requests_per_s=self.cold_requests_per_s,
+            engine={"slots": self.n_slots, **self.engine},
+            more_tenants=self.more_tenants,
         )
         await self.store.put(Topic.CONFIGURATION, "config", value)
 
@@ -222,7 +232,11 @@
         await poll_until(
             lambda: (
                 host.has_logged("host_ready")
-                and all(host.has_logged("target_listed", t.name) for t in self.targets)
+                and all(
+                    host.has_logged("target_listed", target.name)
+                    for number, target in enumerate(self.targets)
+                    if number not in self.unlisted_targets
+                )
             ),
             f"{name} to be ready",
         )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import re
+import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -11,11 +12,15 @@
 from tests.promises.crashing import CRASHING_BODY, CRASHING_PART
 from tests.promises.fleet import PlatformFleet
 
-# Longer than the 5 s of the Deadline-Ms header.
+DEADLINE_MS = 5_000
+# Longer than the deadline.
 CALL_TIMEOUT_S = 7.0
 CALL_INTERVAL_S = 0.02
 # Prompts of different subjects go to different targets, so all targets get some.
 N_SUBJECTS = 12
+N_SURGE_CALLERS = 40
+SURGE_KEY = "surge-key"
+SURGE_PATHS = ("/stream/x", "/book/x")
 PROMPT_AND_OUTPUT_TOKENS = (100, 10)
 RESUMABLE_PATH = "/stream-again/x"
 VERSION_PATTERN = re.compile("^version: (.*)$", re.MULTILINE)
@@ -28,7 +33,10 @@
 
     request: str
     path: str
+    key: str = "key"
     status: int = 0  # 0 if there was no answer
+    began_at: float = 0.0  # by the steady clock
+    ended_at: float = 0.0
     sent: bytes = b""
     crashing_parts: str = ""  # of the prompt, before its last part
     body: bytes = b""
@@ -62,6 +70,9 @@
     outcomes: list[Outcome] = field(default_factory=list)
     crashing_outcomes: list[Outcome] = field(default_factory=list)
     is_stopping: bool = False
+    n_subjects: int = N_SUBJECTS
+    subject_tokens: int = 50
+    prompt_tokens: int = PROMPT_AND_OUTPUT_TOKENS[0]
 
     async def run(self, number: int) -> None:
         """Send one request after another on persistent connections."""
@@ -122,24 +133,47 @@
         async with aiohttp.ClientSession() as session:
             await self._call(session, outcome)
 
+    async def surge(self, duration_s: float) -> None:
+        """Send many times the usual requests of one workspace."""
+        ends_at = time.monotonic() + duration_s
+        callers = [self._call_until(ends_at) for _ in range(N_SURGE_CALLERS)]
+        await asyncio.gather(*callers)
+
+    async def _call_until(self, ends_at: float) -> None:
+        while time.monotonic() < ends_at:
+            await self.call_in_surge()
+            await asyncio.sleep(CALL_INTERVAL_S)
+
+    async def call_in_surge(self) -> Outcome:
+        """Send one request of the workspace that surges."""
+        outcome = Outcome(
+            request=f"surge-{len(self.outcomes)}",
+            path=self.generator.choice(SURGE_PATHS),
+            key=SURGE_KEY,
+        )
+        self.outcomes.append(outcome)
+        async with aiohttp.ClientSession() as session:
+            await self._call(session, outcome)
+        return outcome
+
     def _sample_subject(self) -> str:
-        return f"{self.generator.randrange(N_SUBJECTS):x}:50"
+        return f"{self.generator.randrange(self.n_subjects):x}:{self.subject_tokens}"
 
     async def _call(self, session: aiohttp.ClientSession, outcome: Outcome) -> None:
         hosts = sorted(self.fleet.hosts)
         if not hosts:
             return
         host = self.fleet.hosts[self.generator.choice(hosts)]
-        tokens = (
-            PROMPT_AND_OUTPUT_TOKENS if outcome.path.startswith("/stream") else (0, 0)
-        )
+        tokens = (self.prompt_tokens, PROMPT_AND_OUTPUT_TOKENS[1])
+        if not outcome.path.startswith("/stream"):
+            tokens = (0, 0)
         own = outcome.request.replace("caller-", "")
         parts = outcome.crashing_parts or self._sample_subject()
         headers = {
             "Host": "club.example",
             "Attempt-Id": outcome.request,
-            "Deadline-Ms": "5000",
-            "Key": "key",
+            "Deadline-Ms": str(DEADLINE_MS),
+            "Key": outcome.key,
             "Token-Count": f"{tokens[0]},{tokens[1]}",
             "Prompt-Prefix": f"{parts},{own}:50",
         }
@@ -149,6 +183,7 @@
         method = "GET" if outcome.path.startswith("/look") else "POST"
         url = f"http://{LOOPBACK}:{host.caller_port}{outcome.path}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        outcome.began_at = time.monotonic()
         try:
             async with session.request(
                 method, url, headers=headers, timeout=timeout, data=outcome.sent
@@ -161,3 +196,5 @@
         except (aiohttp.ClientError, TimeoutError):
             # No host or an incomplete answer; `status` and `is_whole` show it.
             return
+        finally:
+            outcome.ended_at = time.monotonic()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,7 @@
 LIMIT_LEARNING_S = 3.0
 LIMIT_PER_S = 1.0
 REST_S = 2.0
+REMOVAL_S = 7.0
 Fault = Callable[[], Awaitable[None]]
 
 
@@ -59,6 +60,11 @@
     # Of targets, by incarnation, whose limit all hosts should know.
     limited_periods: dict[str, Period] = field(default_factory=dict)
     resting_targets: set[str] = field(default_factory=set)
+    # Injected in addition to the faults of all seeds.
+    more_faults: list[Fault] = field(default_factory=list)
+    pauses: list[Period] = field(default_factory=list)
+    # When targets, by number, were not listed.
+    removals: list[tuple[int, Period]] = field(default_factory=list)
 
     async def run(self, duration_s: float) -> None:
         """Inject faults one after another; they may overlap."""
@@ -90,6 +96,7 @@
             self._return_cold,
             self._name_limit,
             self._ask_for_rest,
+            *self.more_faults,
         ]
         fault = self.generator.choice(faults)
         self.fault_names.append(getattr(fault, "__name__", ""))
@@ -134,7 +141,9 @@
         if name is not None:
             host = self.fleet.hosts[name]
             host.process.send_signal(signal.SIGSTOP)
+            began_at = time.monotonic()
             await self._wait_randomly(2.0)
+            self.pauses.append(Period(start=began_at, end=time.monotonic()))
             host.process.send_signal(signal.SIGCONT)
             self.reserved_hosts.discard(name)
 
@@ -270,6 +279,29 @@
         del target.headers["Retry-After"]
         self.resting_targets.discard(target.name)
 
+    async def break_source(self) -> None:
+        """Restart a target, which then keeps no prefix, or let it answer nothing."""
+        target = self.generator.choice(self.fleet.targets)
+        if target.crash is not None and self.generator.random() < 0.5:
+            await target.crash()
+            return
+        target.is_mute = True
+        await self._wait_randomly(2.0)
+        target.is_mute = False
+
+    async def remove_source(self) -> None:
+        """Remove a target's entry for a time; the target itself goes on."""
+        number = self.generator.randrange(self.fleet.n_targets)
+        if number in self.fleet.unlisted_targets:
+            return
+        self.fleet.unlisted_targets.add(number)
+        await self.fleet.write_target(number)
+        began_at = time.monotonic()
+        await asyncio.sleep(REMOVAL_S)
+        self.removals.append((number, Period(start=began_at, end=time.monotonic())))
+        self.fleet.unlisted_targets.discard(number)
+        await self.fleet.write_target(number)
+
     async def _top_up(self) -> None:
         self.configuration_version += 1
         self.fleet.prepaid += self.generator.randrange(500, 3_000)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,9 +3,12 @@
 import asyncio
 import random
 import re
-from collections import defaultdict
+import time
+from collections import Counter, defaultdict
 from dataclasses import dataclass
+from enum import StrEnum
 
+from standins.platform import LOOPBACK, N_SLOTS
 from tests.promises.crashing import CrashingTargets
 from tests.promises.fleet import (
     COLD_RATE_FACTOR,
@@ -13,15 +16,26 @@
     PlatformFleet,
 )
 from tests.saved_output import save_process_output
-from tests.soak.callers import Callers, Outcome
+from tests.soak.callers import DEADLINE_MS, SURGE_KEY, Callers, Outcome
 from tests.soak.faults import (
     EVACUATED_DATA_CENTER,
     EVACUATED_TARGET,
     EVENT_INTERVAL_S,
     LIMIT_PER_S,
+    Fault,
     Faults,
 )
 
+
+class SeedKind(StrEnum):
+    """Name the parts that are active in a seed, besides those of all seeds."""
+
+    PLAIN = "plain"
+    QUEUE = "queue"  # full targets refuse
+    CRASH_QUEUE = "crash_queue"  # full targets crash
+    FETCH = "fetch"
+
+
 N_HOSTS = 3
 N_CALLERS = 8
 # Spent within a seed's duration, so that requests without budget are tested too.
@@ -29,6 +43,8 @@
 # These statuses mean that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+PROBE_INTERVAL_S = 0.1
 COLD_REQUESTS_PER_S = 4.0
 # Hosts must send nothing to an evacuated data centre after this time.
 EVACUATION_LIMIT_S = 5.0
@@ -49,6 +65,31 @@
 MAX_SENDS_IN_REST = 2
 # A killed host's evidence of crashes is lost; this many more crashes replace it.
 MAX_SETTLED_CRASHES = 3
+# In seeds with the admission queue.
+SLOTS = {SeedKind.QUEUE: 4, SeedKind.CRASH_QUEUE: 4, SeedKind.FETCH: 2}
+SCARCE_PROCESSING_S = 0.1
+SURGE_S = 2.0
+SURGE_PREPAID_TOKENS = 10_000_000
+# A busy machine delays an answer by up to 1 s.
+MAX_REFUSAL_S = DEADLINE_MS / 1000 / 2 + 1.0
+RECOVERY_S = 5.0
+# In seeds with fetches. Processing a shared part takes longer than fetching it.
+FETCH_ENGINE: dict[str, object] = {
+    "kv_tokens": 40_000,
+    "kv_bytes": 1,
+    "link_mbps": 1_000_000,
+}
+FETCH_PROCESSING_S = 0.05
+N_FETCH_SUBJECTS = 12
+FETCH_SUBJECT_TOKENS = 4_000
+FETCH_PREPAID_TOKENS = 2_000_000
+# Of the faults of a kind of seed, compared with one of the others.
+KIND_FAULT_WEIGHT = 6
+
+
+def draw_kind(seed: int) -> SeedKind:
+    """Return a seed's kind, drawn apart from its faults so that those stay as is."""
+    return random.Random(f"kind of {seed}").choice(list(SeedKind))
 
 
 @dataclass(kw_only=True, slots=True)
@@ -56,24 +97,68 @@
     """Describe the requests, faults and findings of one seed."""
 
     seed: int
+    kind: SeedKind
+    n_fetches: int
+    n_overloaded: int
+    statuses: dict[int, int]
     n_requests: int
     n_served: int
     faults: list[str]
     findings: list[str]
 
 
-async def run_soak_seed(seed: int, duration_s: float) -> SoakResult:
-    """Start a fleet, call it under random faults, and check the results."""
-    fleet = PlatformFleet(
+def make_fleet(kind: SeedKind) -> PlatformFleet:
+    """Return the fleet of a kind of seed."""
+    has_queue = kind in (SeedKind.QUEUE, SeedKind.CRASH_QUEUE)
+    surging = {"name": "surging", "api_keys": [SURGE_KEY]}
+    return PlatformFleet(
         n_hosts=N_HOSTS,
         n_targets=3,
-        n_versions=2,
-        prepaid=PREPAID_TOKENS,
+        n_versions=1 if kind is SeedKind.FETCH else 2,
+        prepaid=FETCH_PREPAID_TOKENS if kind is SeedKind.FETCH else PREPAID_TOKENS,
         use_proxies=True,
         use_target_proxies=True,
         target_data_centers={EVACUATED_TARGET: EVACUATED_DATA_CENTER},
         cold_requests_per_s=COLD_REQUESTS_PER_S,
+        contracts="pressure" if has_queue else "",
+        n_slots=SLOTS.get(kind, N_SLOTS),
+        engine=FETCH_ENGINE if kind is SeedKind.FETCH else {},
+        more_tenants=[{**surging, "prepaid": SURGE_PREPAID_TOKENS}] * has_queue,
     )
+
+
+def set_kind(kind: SeedKind, fleet: PlatformFleet, faults: Faults, c: Callers) -> None:
+    """Set the targets, the callers and the added faults of a kind of seed."""
+
+    async def surge() -> None:
+        await c.surge(SURGE_S)
+
+    added: list[Fault] = []
+    if kind is SeedKind.FETCH:
+        c.n_subjects = N_FETCH_SUBJECTS
+        c.subject_tokens = c.prompt_tokens = FETCH_SUBJECT_TOKENS
+        added = [faults.break_source, faults.remove_source]
+    elif kind is not SeedKind.PLAIN:
+        added = [surge]
+    faults.more_faults = added * KIND_FAULT_WEIGHT
+    for target in fleet.targets:
+        if kind is SeedKind.FETCH:
+            target.processing_s = FETCH_PROCESSING_S
+        elif kind is not SeedKind.PLAIN:
+            target.processing_s = SCARCE_PROCESSING_S
+            target.max_running = fleet.n_slots
+            target.crashes_above_limit = kind is SeedKind.CRASH_QUEUE
+
+
+async def run_soak_seed(
+    seed: int, duration_s: float, kind: SeedKind | None = None
+) -> SoakResult:
+    """Start a fleet, call it under random faults, and check the results.
+
+    Without a kind, the seed's own is used.
+    """
+    kind = kind or draw_kind(seed)
+    fleet = make_fleet(kind)
     async with fleet:
         # Separate generators, so that the order of the faults depends on the seed only.
         callers = Callers(fleet=fleet, generator=random.Random(-seed))
@@ -82,6 +167,7 @@
             target.names_version = True
             target.n_events = N_EVENTS
             target.event_interval_s = EVENT_INTERVAL_S
+        set_kind(kind, fleet, faults, callers)
         targets = CrashingTargets(fleet=fleet, changes_versions=True)
         tasks = [asyncio.create_task(callers.run(n)) for n in range(N_CALLERS)]
         tasks.append(asyncio.create_task(callers.repeat_crashing()))
@@ -96,6 +182,10 @@
         for host in fleet.hosts.values():
             findings += list_sends_while_resting(host.lines)
         findings += list_blocked_harmless_requests(callers.outcomes)
+        findings += list_late_refusals(callers.outcomes, faults)
+        findings += list_wrong_sources(fleet, faults)
+        if kind in (SeedKind.QUEUE, SeedKind.CRASH_QUEUE):
+            findings += await list_unserved_after_surges(callers)
         findings += await list_repeated_crashes(targets, callers)
         findings += [
             f"{host.name} ended by itself with {host.process.returncode}"
@@ -108,6 +198,10 @@
             save_process_output({name: h.lines for name, h in fleet.hosts.items()})
     return SoakResult(
         seed=seed,
+        kind=kind,
+        n_fetches=sum(bool(r.fetch_from) for t in fleet.targets for r in t.runs),
+        n_overloaded=sum(is_overloaded(item) for item in callers.outcomes),
+        statuses=dict(Counter(item.status for item in callers.outcomes)),
         n_requests=len(callers.outcomes),
         n_served=sum(
             item.status == HTTP_OK and item.is_whole for item in callers.outcomes
@@ -228,6 +322,63 @@
     return {"message_type": "", **{key: value for key, _, value in pairs}}
 
 
+def is_overloaded(outcome: Outcome) -> bool:
+    """Return whether the admission queue refused a request."""
+    return outcome.status == HTTP_UNAVAILABLE and b"overloaded" in outcome.body
+
+
+def list_late_refusals(outcomes: list[Outcome], faults: Faults) -> list[str]:
+    """Return the refusals that took over half of a deadline, without paused hosts.
+
+    Requests that may be sent again can be refused on a later attempt.
+    """
+    findings: list[str] = []
+    for outcome in outcomes:
+        if not is_overloaded(outcome) or outcome.path not in ("/book/x", "/stream/x"):
+            continue
+        paused_s = sum(
+            max(0.0, min(outcome.ended_at, p.end) - max(outcome.began_at, p.start))
+            for p in faults.pauses
+        )
+        waited_s = outcome.ended_at - outcome.began_at - paused_s
+        if waited_s > MAX_REFUSAL_S:
+            findings.append(f"{outcome.request} was refused after {waited_s:.2f} s")
+    return findings
+
+
+async def list_unserved_after_surges(callers: Callers) -> list[str]:
+    """Return a finding if callers are not served soon after all faults."""
+    ends_at = time.monotonic() + RECOVERY_S
+    statuses: list[int] = []
+    while time.monotonic() < ends_at:
+        statuses.append((await callers.call_in_surge()).status)
+        if statuses[-N_PROBES:] == [HTTP_OK] * N_PROBES:
+            return []
+        await asyncio.sleep(PROBE_INTERVAL_S)
+    return [f"after the surges callers got {statuses}"]
+
+
+def list_wrong_sources(fleet: PlatformFleet, faults: Faults) -> list[str]:
+    """Return the fetches from the target itself, or from one not listed for long."""
+    numbers = {f"{LOOPBACK}:{port}": n for n, port in enumerate(fleet.ports)}
+    for proxies in fleet.target_proxies.values():
+        numbers |= {f"{LOOPBACK}:{p.port}": n for n, p in enumerate(proxies)}
+    findings: list[str] = []
+    for number, target in enumerate(fleet.targets):
+        for run in target.runs:
+            if not run.fetch_from:
+                continue
+            source = numbers.get(run.fetch_from)
+            is_removed = any(
+                removed == source
+                and period.start + EVACUATION_LIMIT_S < run.started_at < period.end
+                for removed, period in faults.removals
+            )
+            if source is None or source == number or is_removed:
+                findings.append(f"{run.request} at {number} fetched from {source}")
+    return findings
+
+
 def list_blocked_harmless_requests(outcomes: list[Outcome]) -> list[str]:
     """Return the harmless requests that were blocked as crashing targets."""
     return [
@@ -271,9 +422,14 @@
         run.request: run.prompt_tokens
         for target in fleet.targets
         for run in target.runs
+        if run.tenant != "surging"
     }
     spent = sum(prompts.values())
-    spent += sum(o.n_events for o in outcomes if o.path.startswith("/stream"))
+    spent += sum(
+        o.n_events
+        for o in outcomes
+        if o.path.startswith("/stream") and o.key != SURGE_KEY
+    )
     if spent > fleet.prepaid:
         return [f"{spent} tokens spent of {fleet.prepaid} prepaid"]
     return []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,9 +2,15 @@
 
 import unittest
 
-from tests.soak.soak import run_soak_seed
-
-SEEDS = (1, 2, 16)
+from tests.soak.soak import SeedKind, run_soak_seed
+
+SEEDS = (
+    (1, SeedKind.PLAIN),
+    (2, SeedKind.PLAIN),
+    (16, SeedKind.PLAIN),
+    (3, SeedKind.QUEUE),
+    (4, SeedKind.FETCH),
+)
 DURATION_S = 8.0
 
 
@@ -21,13 +27,15 @@
         names with another version, the budget runs out and is raised. Callers take
         broken streams up at other hosts. The budget is never exceeded, no stream holds
         events of two versions, evacuated targets get no requests and cold ones few,
-        limits and rests are kept, no call that may run only once runs twice, a "not
-        run" is true, each answer is complete and the caller's own, and only crashing
-        requests are blocked.
+        limits and rests are kept. With the admission queue, a workspace surges at
+        targets with few slots: it is refused in time and served afterwards. With
+        fetches, sources are other listed targets. No call that may run only once runs
+        twice, a "not run" is true, each answer is complete and the caller's own, and
+        only crashing requests are blocked.
         """
-        for seed in SEEDS:
-            with self.subTest(seed=seed):
-                result = await run_soak_seed(seed, DURATION_S)
+        for seed, kind in SEEDS:
+            with self.subTest(seed=seed, kind=kind):
+                result = await run_soak_seed(seed, DURATION_S, kind)
                 self.assertEqual(result.findings, [], result)
                 self.assertGreater(result.n_served, 0)
 
