--- a/tests/components/forwarding/common.py
+++ b/tests/components/forwarding/common.py
@@ -1,5 +1,7 @@
 """Create routes and targets for the forwarding tests."""
 
+from zlib import crc32
+
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     Route,
@@ -24,6 +26,7 @@
     headers=(),
 )
 
+MAX_PORT = 65_535
 ASSISTANT = TargetFilter(service="assistant")
 
 
@@ -50,15 +53,15 @@
     service: str = "assistant",
     data_center: str = "brest",
     phase: TargetPhase = TargetPhase.READY,
-    address: str = "127.0.0.1:1",
+    address: str = "",
     started_ms: int = 0,
     version: str = "v1",
 ) -> TargetEntry:
-    """Return the registry entry of a target."""
+    """Return the registry entry of a target; without an address, its own one."""
     return TargetEntry(
         name=name,
         service=service,
-        address=address,
+        address=address or f"127.0.0.1:{1 + crc32(name.encode()) % MAX_PORT}",
         data_center=data_center,
         slots=64,
         phase=phase,
--- a/tests/components/forwarding/test_prefix_fetch.py
+++ b/tests/components/forwarding/test_prefix_fetch.py
@@ -99,6 +99,15 @@
         sources = [FetchSource(target=item, n_kept_tokens=N_KEPT) for item in entries]
         self.assertIsNone(self.plan(sources))
 
+    def test_former_target_at_the_same_address_is_no_source(self) -> None:
+        """Guard against a target that is named as its own source.
+
+        A target that replaces another at its address is listed beside it for a while.
+        """
+        former = replace(make_target("i-9"), address=RECEIVER.address)
+        source = FetchSource(target=former, n_kept_tokens=N_KEPT)
+        self.assertIsNone(self.plan([source]))
+
     def test_transfers_under_way_at_both_ends_delay_a_fetch(self) -> None:
         """Guard against a source that many prompts of this host fetch from at once."""
         sources = [make_source("i-1")]
--- a/trefoilstage/components/forwarding/prefix_fetch.py
+++ b/trefoilstage/components/forwarding/prefix_fetch.py
@@ -154,6 +154,8 @@
         source
         for source in sources
         if source.target.name != target.name
+        # One that ended may be listed beside its successor at the same address.
+        and source.target.address != target.address
         and source.target.service == target.service
         and source.target.version == target.version
         and source.n_kept_tokens - n_cached_tokens >= MIN_FETCHED_TOKENS
