--- a/tests/helpers/test_fleet_dump.py
+++ b/tests/helpers/test_fleet_dump.py
@@ -4,6 +4,8 @@
 import unittest
 
 from standins.platform import encode_configuration
+from tests.components.forwarding.common import make_target
+from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch, TransferTracker
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.dump import dump_value
 from trefoilstage.platform.configuration import decode_configuration
@@ -24,3 +26,13 @@
         text = json.dumps(dump_value(board))
         self.assertIn("school", text)
         self.assertNotIn("s3cret", text)
+
+    def test_fetches_under_way_are_shown(self) -> None:
+        """Guard against operators who can't see which source holds prompts up."""
+        transfers = TransferTracker()
+        source = make_target("i-1")
+        fetch = PrefixFetch(source=source, n_tokens=5_000, own_s=0.01, total_s=0.01)
+        transfers.add(fetch, "i-0@0", 1.0)
+        text = json.dumps(dump_value(transfers))
+        self.assertIn(source.incarnation, text)
+        self.assertIn("i-0@0", text)
--- a/trefoilstage/components/forwarding/fetch_planner.py
+++ b/trefoilstage/components/forwarding/fetch_planner.py
@@ -44,6 +44,11 @@
         self._availability = availability
         self._transfers = TransferTracker()
 
+    @property
+    def transfers(self) -> TransferTracker:
+        """Return the fetches under way and the ejected sources."""
+        return self._transfers
+
     def is_active(self, target_filter: TargetFilter, need: PromptNeed | None) -> bool:
         """Return whether a request's prefix may be fetched at all.
 
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -32,6 +32,7 @@
     FetchSource,
     PendingFetch,
     PrefixFetch,
+    TransferTracker,
 )
 from trefoilstage.components.forwarding.retries import RetryBudget
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
@@ -234,6 +235,10 @@
             ),
         )
 
+    def get_transfers(self) -> TransferTracker:
+        """Return this host's fetches under way and the ejected sources."""
+        return self._fetches.transfers
+
     def plan_fetch(
         self,
         target: TargetEntry,
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -142,6 +142,7 @@
             "stream_versions", parts.stream_versions.count_by_version
         )
         self._registry.register("permits", parts.permits.list_granted)
+        self._registry.register("fetches", parts.chooser.get_transfers)
         if parts.admission_home is not None:
             self._registry.register("admission", parts.admission_home.describe)
         self._registry.register("settings", lambda: settings)
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -89,6 +89,7 @@
     reach_monitor: ReachMonitor
     peer_sends: PeerSendServer
     stream_versions: StreamVersions
+    chooser: TargetChooser
     pipeline: ForwardingPipeline
     # Only if the settings ask for an admission queue.
     admission_home: "AdmissionHome | None" = None
@@ -326,6 +327,7 @@
         reach_monitor=reach_monitor,
         peer_sends=peer_sends,
         stream_versions=stream_versions,
+        chooser=chooser,
         pipeline=pipeline,
         admission_home=admission_home,
         admission=admission,
