--- a/tests/components/admission_queue/test_wait_time.py
+++ b/tests/components/admission_queue/test_wait_time.py
@@ -58,7 +58,7 @@
     def test_only_places_in_use_are_reported(self) -> None:
         """Guard against a home that counts a request twice, or not at all."""
         work = OwnWork()
-        place = Place(service="s", request="r", home="h", target="t")
+        place = Place(service="s", request="r", workspace="w", home="h", target="t")
         work.places["r"] = place
         self.assertEqual(work.describe().places, frozenset())
         self.assertEqual(work.count_taken("t"), 1)
--- a/tests/components/forwarding/test_admitted_requests.py
+++ b/tests/components/forwarding/test_admitted_requests.py
@@ -20,7 +20,13 @@
 from trefoilstage.components.forwarding.target_filter import TargetFilter
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
-PLACE = Place(service="booking", request="r-1/host-0/0", home="host-1", target="i-2@0")
+PLACE = Place(
+    service="booking",
+    request="r-1/host-0/0",
+    workspace="school",
+    home="host-1",
+    target="i-2@0",
+)
 OVERLOADED = Refusal(reason=Reason.OVERLOADED, retry_after_s=0.4)
 
 
--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -111,7 +111,10 @@
             return await self._acquire(state)
         except Exception as error:
             log_failure(
-                error, request=state.request.request_id, service=state.service_name
+                error,
+                request=state.request.request_id,
+                workspace=state.workspace_name,
+                service=state.service_name,
             )
             return None
 
@@ -124,6 +127,7 @@
             log_event(
                 Event.PLACE_UNUSED,
                 request=get_caller_id(place.request),
+                workspace=place.workspace,
                 service=place.service,
                 target=place.target,
                 home=place.home,
@@ -204,7 +208,11 @@
 
     def _hold(self, request: PlaceRequest, home: str, target: str) -> Place:
         place = Place(
-            service=request.service, request=request.request, home=home, target=target
+            service=request.service,
+            request=request.request,
+            workspace=request.workspace,
+            home=home,
+            target=target,
         )
         self._services[place.service].places[place.request] = place
         return place
--- a/trefoilstage/components/admission_queue/own_work.py
+++ b/trefoilstage/components/admission_queue/own_work.py
@@ -19,6 +19,7 @@
 
     service: str
     request: str
+    workspace: str
     home: str  # that granted it; empty if it is of this host's own share
     target: str  # its incarnation; empty for any target
 
