--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -15,7 +15,7 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Topic, make_position
 from trefoilstage.fleet_board import FleetBoard
-from trefoilstage.fleet_parts import LARGE_FLEET_PAUSE_S, make_followers
+from trefoilstage.fleet_followers import LARGE_FLEET_PAUSE_S, make_followers
 from trefoilstage.fleet_settings import FleetSettings
 
 SERVICE = "model"
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -21,12 +21,12 @@
 from standins.platform import (
     LOOPBACK,
     N_SLOTS,
-    PlatformTarget,
     StoreServer,
     encode_configuration,
     encode_target,
     start_app,
 )
+from standins.platform_target import PlatformTarget
 from standins.proxy import CutMode, FaultProxy
 from tests.saved_output import save_process_output
 from trefoilstage.components.views.store import Topic
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,9 +6,8 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass
-from enum import StrEnum
 
-from standins.platform import LOOPBACK, N_SLOTS
+from standins.platform import LOOPBACK
 from tests.promises.crashing import CrashingTargets
 from tests.promises.fleet import (
     COLD_RATE_FACTOR,
@@ -18,34 +17,25 @@
 from tests.saved_output import save_process_output
 from tests.soak.callers import DEADLINE_MS, SURGE_KEY, Callers, Outcome
 from tests.soak.faults import (
-    EVACUATED_DATA_CENTER,
     EVACUATED_TARGET,
     EVENT_INTERVAL_S,
     LIMIT_PER_S,
-    Fault,
     Faults,
 )
+from tests.soak.kinds import (
+    COLD_REQUESTS_PER_S,
+    SeedKind,
+    draw_kind,
+    make_fleet,
+    set_kind,
+)
 
-
-class SeedKind(StrEnum):
-    """Name the parts that are active in a seed, besides those of all seeds."""
-
-    PLAIN = "plain"
-    QUEUE = "queue"  # full targets refuse
-    CRASH_QUEUE = "crash_queue"  # full targets crash
-    FETCH = "fetch"
-
-
-N_HOSTS = 3
 N_CALLERS = 8
-# Spent within a seed's duration, so that requests without budget are tested too.
-PREPAID_TOKENS = 50_000
 # These statuses mean that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 PROBE_INTERVAL_S = 0.1
-COLD_REQUESTS_PER_S = 4.0
 # Hosts must send nothing to an evacuated data centre after this time.
 EVACUATION_LIMIT_S = 5.0
 # A stream takes 0.6 s.
@@ -65,31 +55,9 @@
 MAX_SENDS_IN_REST = 2
 # A killed host's evidence of crashes is lost; this many more crashes replace it.
 MAX_SETTLED_CRASHES = 3
-# In seeds with the admission queue.
-SLOTS = {SeedKind.QUEUE: 4, SeedKind.CRASH_QUEUE: 4, SeedKind.FETCH: 2}
-SCARCE_PROCESSING_S = 0.1
-SURGE_S = 2.0
-SURGE_PREPAID_TOKENS = 10_000_000
 # A busy machine delays an answer by up to 1 s.
 MAX_REFUSAL_S = DEADLINE_MS / 1000 / 2 + 1.0
 RECOVERY_S = 5.0
-# In seeds with fetches. Processing a shared part takes longer than fetching it.
-FETCH_ENGINE: dict[str, object] = {
-    "kv_tokens": 40_000,
-    "kv_bytes": 1,
-    "link_mbps": 1_000_000,
-}
-FETCH_PROCESSING_S = 0.05
-N_FETCH_SUBJECTS = 12
-FETCH_SUBJECT_TOKENS = 4_000
-FETCH_PREPAID_TOKENS = 2_000_000
-# Of the faults of a kind of seed, compared with one of the others.
-KIND_FAULT_WEIGHT = 6
-
-
-def draw_kind(seed: int) -> SeedKind:
-    """Return a seed's kind, drawn apart from its faults so that those stay as is."""
-    return random.Random(f"kind of {seed}").choice(list(SeedKind))
 
 
 @dataclass(kw_only=True, slots=True)
@@ -107,49 +75,6 @@
     findings: list[str]
 
 
-def make_fleet(kind: SeedKind) -> PlatformFleet:
-    """Return the fleet of a kind of seed."""
-    has_queue = kind in (SeedKind.QUEUE, SeedKind.CRASH_QUEUE)
-    surging = {"name": "surging", "api_keys": [SURGE_KEY]}
-    return PlatformFleet(
-        n_hosts=N_HOSTS,
-        n_targets=3,
-        n_versions=1 if kind is SeedKind.FETCH else 2,
-        prepaid=FETCH_PREPAID_TOKENS if kind is SeedKind.FETCH else PREPAID_TOKENS,
-        use_proxies=True,
-        use_target_proxies=True,
-        target_data_centers={EVACUATED_TARGET: EVACUATED_DATA_CENTER},
-        cold_requests_per_s=COLD_REQUESTS_PER_S,
-        contracts="pressure" if has_queue else "",
-        n_slots=SLOTS.get(kind, N_SLOTS),
-        engine=FETCH_ENGINE if kind is SeedKind.FETCH else {},
-        more_tenants=[{**surging, "prepaid": SURGE_PREPAID_TOKENS}] * has_queue,
-    )
-
-
-def set_kind(kind: SeedKind, fleet: PlatformFleet, faults: Faults, c: Callers) -> None:
-    """Set the targets, the callers and the added faults of a kind of seed."""
-
-    async def surge() -> None:
-        await c.surge(SURGE_S)
-
-    added: list[Fault] = []
-    if kind is SeedKind.FETCH:
-        c.n_subjects = N_FETCH_SUBJECTS
-        c.subject_tokens = c.prompt_tokens = FETCH_SUBJECT_TOKENS
-        added = [faults.break_source, faults.remove_source]
-    elif kind is not SeedKind.PLAIN:
-        added = [surge]
-    faults.more_faults = added * KIND_FAULT_WEIGHT
-    for target in fleet.targets:
-        if kind is SeedKind.FETCH:
-            target.processing_s = FETCH_PROCESSING_S
-        elif kind is not SeedKind.PLAIN:
-            target.processing_s = SCARCE_PROCESSING_S
-            target.max_running = fleet.n_slots
-            target.crashes_above_limit = kind is SeedKind.CRASH_QUEUE
-
-
 async def run_soak_seed(
     seed: int, duration_s: float, kind: SeedKind | None = None
 ) -> SoakResult:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.soak.soak import SeedKind, run_soak_seed
+from tests.soak.kinds import SeedKind
+from tests.soak.soak import run_soak_seed
 
 SEEDS = (
     (1, SeedKind.PLAIN),
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -7,7 +7,6 @@
 import asyncio
 import itertools
 import random
-from contextlib import AbstractContextManager, nullcontext
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -45,6 +44,7 @@
 )
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
+from trefoilstage.components.forwarding.request_places import RequestPlaces
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.run_recorder import RunRecorder
 from trefoilstage.components.forwarding.stream_binding import (
@@ -80,7 +80,7 @@
         generator: random.Random,
         admission: "AdmissionClient | None" = None,
     ) -> None:
-        self._admission = admission
+        self._places = RequestPlaces(admission=admission)
         self._board = board
         self._escrow = escrow
         self._chooser = chooser
@@ -188,14 +188,14 @@
         self._chooser.count_request(service)
         failure = NO_TARGET
         while True:
-            place = await self._acquire_place(state)
+            place = await self._places.acquire(state)
             if isinstance(place, Refusal):
                 # Only a request that no target may have run is promised never to run.
                 return failure if state.n_possible_runs else place
             try:
                 answer = await self._send_once(state, reply, place, failure)
             finally:
-                self._release_place(place)
+                self._places.release(place)
             if answer is None or isinstance(answer, Refusal):
                 return answer
             failure = describe_failure(answer, failure)
@@ -226,7 +226,7 @@
         target = await self._choose_target(state, place)
         if target is None:
             return self._explain(failure, state)
-        with self._count_use(state, target, place):
+        with self._places.count(state, target, place):
             answer = await self._send(state, state.service_name, target)
             if not isinstance(answer, OpenAnswer):
                 return answer
@@ -252,20 +252,6 @@
         wait_s = self._chooser.compute_wait_s(state.target_filter)
         return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
 
-    async def _acquire_place(self, state: RequestState) -> "Place | Refusal | None":
-        return await self._admission.acquire(state) if self._admission else None
-
-    def _release_place(self, place: "Place | None", *, used: bool = True) -> None:
-        if self._admission is not None and place is not None:
-            self._admission.release(place, used=used)
-
-    def _count_use(
-        self, state: RequestState, target: TargetEntry, place: "Place | None"
-    ) -> AbstractContextManager[None]:
-        if self._admission is None:
-            return nullcontext()
-        return self._admission.count(state, target, place)
-
     async def _choose_target(
         self, state: RequestState, place: "Place | None"
     ) -> TargetEntry | None:
@@ -275,7 +261,7 @@
             )
             if target is not None:
                 return target
-            self._release_place(place, used=False)
+            self._places.release(place, used=False)
         return await self._chooser.choose(
             target_filter=state.target_filter,
             excluded=state.excluded,
--- a/trefoilstage/components/forwarding/retries.py
+++ b/trefoilstage/components/forwarding/retries.py
@@ -43,3 +43,23 @@
         for times in (self.requests, self.retries):
             while times and times[0] < now - self.window_s:
                 times.popleft()
+
+
+@dataclass(kw_only=True, slots=True)
+class RetryBudgets:
+    """Hold the retry budget of each service."""
+
+    ratio: float
+    slack: float
+    window_s: float
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+    def get(self, service: str) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.ratio, slack=self.slack, window_s=self.window_s
+            )
+            self.budgets[service] = budget
+        return budget
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -34,7 +34,7 @@
     PrefixFetch,
     TransferTracker,
 )
-from trefoilstage.components.forwarding.retries import RetryBudget
+from trefoilstage.components.forwarding.retries import RetryBudgets
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
 from trefoilstage.components.forwarding.target_filter import TargetFilter
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
@@ -100,7 +100,11 @@
         self._fetches = FetchPlanner(
             timer=timer, workload=workload, availability=self._availability
         )
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._retry_budgets = RetryBudgets(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            window_s=settings.retry_window_s,
+        )
 
     async def choose(
         self,
@@ -386,12 +390,12 @@
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for the retry budget."""
-        self._get_retry_budget(service).count_request(self._timer.now())
+        self._retry_budgets.get(service).count_request(self._timer.now())
 
     def take_retry(self, service: str) -> bool:
         """Return whether the retry budget allows one more retry, and count it."""
         n_hosts = self._membership.count_hosts()
-        return self._get_retry_budget(service).take_retry(self._timer.now(), n_hosts)
+        return self._retry_budgets.get(service).take_retry(self._timer.now(), n_hosts)
 
     def add_request(
         self,
@@ -467,14 +471,3 @@
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
         self._outcomes.record_broken_answer(target)
-
-    def _get_retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(
-                ratio=self._settings.retry_ratio,
-                slack=self._settings.retry_slack,
-                window_s=self._settings.retry_window_s,
-            )
-            self._retry_budgets[service] = budget
-        return budget
