Admission queue: all attempts of a request share one limit of waiting

Cause: each attempt waited for half of the time that was left. Ruled out: the wait for tokens (hold_s 0.001).

--- a/tests/components/admission_queue/test_wait_time.py
+++ b/tests/components/admission_queue/test_wait_time.py
@@ -51,6 +51,18 @@
         stream.caller_last_data_at = 3.0
         self.assertAlmostEqual(compute_wait_s(stream, 3.0), 1.4)
 
+    def test_attempts_together_wait_no_longer_than_one(self) -> None:
+        """Guard against a refusal after most of the time, at the fifth attempt."""
+        for kind in (RouteKind.ONCE, RouteKind.STREAM):
+            state = self.make_state(kind, 5.0)
+            now = 0.0
+            for _ in range(5):
+                wait_s = compute_wait_s(state, now)
+                state.waited_for_places_s += wait_s
+                now += wait_s + 0.05
+            with self.subTest(kind=kind):
+                self.assertLessEqual(state.waited_for_places_s, 2.5)
+
 
 class OwnWorkTest(unittest.TestCase):
     """Track a host's requests."""
--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -180,9 +180,11 @@
             return None
         request = self._make_request(state)
         for home in list(islice(self._rank_homes(service), N_HOMES_ASKED)):
-            wait_s = compute_wait_s(state, self._timer.now())
+            asked_at = self._timer.now()
+            wait_s = compute_wait_s(state, asked_at)
             reply = await self._ask(home, replace(request, wait_s=wait_s), state)
             if reply is not None:
+                state.waited_for_places_s += self._timer.now() - asked_at
                 return self._accept(home, request, reply)
         return self._take_own_share(state, request)
 
--- a/trefoilstage/components/admission_queue/wait_time.py
+++ b/trefoilstage/components/admission_queue/wait_time.py
@@ -13,8 +13,14 @@
 
 
 def compute_wait_s(state: RequestState, now: float) -> float:
-    """Return the seconds that a request may wait from now on."""
-    wait_s = MAX_DEADLINE_SHARE * (state.deadline - now)
+    """Return the seconds that a request may wait from now on.
+
+    Its attempts share one limit: a request that several targets turned away would
+    otherwise be refused only after most of its caller's time.
+    """
+    total_s = MAX_DEADLINE_SHARE * (state.deadline - state.started_at)
+    left_s = MAX_DEADLINE_SHARE * (state.deadline - now)
+    wait_s = min(left_s, total_s - state.waited_for_places_s)
     if state.route.kind is RouteKind.STREAM:
         silent_s = now - (state.caller_last_data_at or state.started_at)
         limit_s = MAX_SILENCE_SHARE * state.route.silence_limit_s
