Admission queue: two places a slot at plain targets; hosts with a full link need places

Cause, from the hosts' lines: a slot is idle from a call's end until its place has gone to the home, to another host and its call to the target; and one host with a full link went on without places. It sent 158 calls in 2.5 s, the home counted 2.6 times the places and granted none, and 9 calls ended in a second in place of 130. Its state of the service was lost as well when replies came late.

--- a/tests/emulator/test_admission_queue.py
+++ b/tests/emulator/test_admission_queue.py
@@ -40,6 +40,8 @@
 SETTLED_S = 0.5  # after a burst, the last waiting requests have got their places
 MIN_OTHERS_IN_TIME = 0.95
 MIN_GAIN = 3.0
+SLOW_ONE_WAY_S = 0.01  # between busy hosts of half a core
+MIN_SLOT_USE = 0.9
 OWN_MESSAGES = (AdmissionReport, PlaceRequest, ReturnPlaces)
 
 
@@ -88,6 +90,11 @@
     return [item for item in outcomes if item.workspace != HOT_WORKSPACE]
 
 
+def count_served(outcomes: Iterable[Outcome]) -> int:
+    """Return the number of requests that were served, in time or late."""
+    return sum(item.result in (Result.IN_TIME, Result.LATE) for item in outcomes)
+
+
 class AdmissionQueueTest(unittest.TestCase):
     """Bring more calls than three small targets serve, most of one workspace."""
 
@@ -110,6 +117,24 @@
             with self.subTest(n_hosts=n_hosts):
                 self.check_gain(n_hosts)
 
+    def test_slots_are_not_idle_while_places_are_granted(self) -> None:
+        """Guard against fewer served calls than the targets' own queues give."""
+        capacity = N_TARGETS * SLOTS / CALL_S * (BURST_S - LEARNING_S)
+        for n_hosts in (3, 67):
+            with (
+                self.subTest(n_hosts=n_hosts),
+                mock.patch("bench.emulator.network.ONE_WAY_S", SLOW_ONE_WAY_S),
+            ):
+                days = [
+                    run_day(make_day(n_hosts, BURST, HOT, has_queue=has_queue), SEED)
+                    for has_queue in (False, True)
+                ]
+                before, after = (select_burst(day.outcomes) for day in days)
+                self.assertGreaterEqual(count_served(after), count_served(before))
+                self.assertGreater(count_served(after), MIN_SLOT_USE * capacity)
+                others = compute_share(select_others(after), Result.IN_TIME)
+                self.assertGreater(others, MIN_OTHERS_IN_TIME)
+
     def test_refusals_of_the_queue_may_be_retried(self) -> None:
         """Guard against callers that lose requests which no target has run."""
         day = run_day(make_day(7, BURST, HOT, has_queue=True), SEED)
--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -15,8 +15,10 @@
 
 from mode import Service
 
+from trefoilstage.components.admission_queue.capacity import count_capacity
 from trefoilstage.components.admission_queue.expected_output import ExpectedOutput
 from trefoilstage.components.admission_queue.home import AdmissionHome
+from trefoilstage.components.admission_queue.home_ranking import HomeRanking
 from trefoilstage.components.admission_queue.messages import (
     AdmissionReport,
     PlaceReply,
@@ -39,8 +41,6 @@
 from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.verdict import Reason, Refusal
 from trefoilstage.timer import TimerService
-from trefoilstage.util.backoff import Backoff
-from trefoilstage.util.hashing import rank_by_rendezvous_cached
 
 REPORT_INTERVAL_S = 0.1
 # A reply takes 1 to 5 ms. Until the time is over, a silent home is asked for places.
@@ -51,8 +51,6 @@
 # Freed places of several requests are returned together.
 COALESCE_DELAY_S = 0.003
 N_HOMES_ASKED = 2
-FIRST_SILENT_PAUSE_S = 0.5
-MAX_SILENT_PAUSE_S = 8.0
 MIN_RETRY_AFTER_S = 0.2
 RETRY_SPREAD = 2.0
 
@@ -85,9 +83,9 @@
         self._services: dict[str, OwnWork] = defaultdict(OwnWork)
         self._expected = ExpectedOutput()
         self._numbers = count()
-        # Hosts that did not reply, with the times from which they are asked again.
-        self._silent_until: dict[str, float] = {}
-        self._silent_pauses: dict[str, Backoff] = {}
+        self._homes = HomeRanking(
+            board=board, membership=membership, timer=timer, generator=generator
+        )
         # Places to return, by home and service.
         self._returns: dict[tuple[str, str], list[str]] = defaultdict(list)
         self._reporting: set[tuple[str, str]] = set()  # home and service
@@ -175,11 +173,11 @@
         service, now = state.service_name, self._timer.now()
         if not self._services[service].is_contended(now):
             return None
-        if self._board.is_link_full(now):
-            # A reply would cost more of the caller's time than the queue saves.
-            return None
         request = self._make_request(state)
-        for home in list(islice(self._rank_homes(service), N_HOMES_ASKED)):
+        # Over a full link no home replies in time; asked too, the next one would grant
+        # places beside the first.
+        n_homes = 1 if self._board.is_link_full(now) else N_HOMES_ASKED
+        for home in list(islice(self._homes.rank(service), n_homes)):
             asked_at = self._timer.now()
             wait_s = compute_wait_s(state, asked_at)
             reply = await self._ask(home, replace(request, wait_s=wait_s), state)
@@ -230,12 +228,13 @@
     ) -> PlaceReply | None:
         """Return a home's reply, None if it does not reply in time."""
         left_s = max(0.0, state.deadline - self._timer.now())
-        timeout_s = min(request.wait_s + REPLY_MARGIN_S, left_s)
+        margin_s = REPLY_MARGIN_S + self._get_link_delay_s()
+        timeout_s = min(request.wait_s + margin_s, left_s)
         reply: PlaceReply | None = None
         try:
             reply = await self._call(home, request, PlaceReply, timeout_s)
         except PeerUnavailableError as error:
-            self._record_silent(home, str(error))
+            self._homes.record_silent(home, str(error))
         finally:
             if reply is None:
                 # The home may grant the place after this host has stopped waiting.
@@ -265,7 +264,7 @@
         link = self._links.get_link(peer.peer_url)
         is_long_poll = isinstance(message, PlaceRequest)
         reply = await link.call(message, timeout_s=timeout_s, is_long_poll=is_long_poll)
-        self._silent_pauses.pop(home, None)
+        self._homes.record_reply(home)
         return reply
 
     async def _call_own_home(
@@ -279,30 +278,12 @@
         except TimeoutError as error:
             raise PeerUnavailableError("no reply") from error
 
-    def _record_silent(self, host: str, error: str) -> None:
-        now = self._timer.now()
-        # Over a full link no home replies in time; marked, each would pass for silent,
-        # and the fleet's places would be granted by many homes.
-        if self._silent_until.get(host, now) > now or self._board.is_link_full(now):
-            return
-        pause = self._silent_pauses.setdefault(
-            host,
-            Backoff(
-                initial_s=FIRST_SILENT_PAUSE_S,
-                maximum_s=MAX_SILENT_PAUSE_S,
-                generator=self._generator,
-            ),
-        ).next_delay()
-        self._silent_until[host] = now + pause
-        log_event(Event.ADMISSION_HOME_SILENT, peer=host, pause_s=pause, error=error)
-
-    def _rank_homes(self, service: str) -> Iterator[str]:
-        """Yield the hosts that may be a service's home, the first one first."""
+    def _get_link_delay_s(self) -> float:
+        """Return the seconds that a call takes on a full link, 0 on one with room."""
         now = self._timer.now()
-        live = self._membership.list_live_hosts()
-        for host in rank_by_rendezvous_cached(service, live):
-            if self._silent_until.get(host, now) <= now:
-                yield host
+        if not self._board.is_link_full(now):
+            return 0.0
+        return self._board.round_trips.estimate_call_s(now)
 
     def _take_own_share(
         self, state: RequestState, request: PlaceRequest
@@ -316,7 +297,8 @@
             return None
         for target in usable:
             name = target.incarnation
-            n_slots = count_own_slots(self._board.host, hosts, name, target.slots)
+            capacity = count_capacity(self._board, target, self._timer.now())
+            n_slots = count_own_slots(self._board.host, hosts, name, capacity.slots)
             if work.count_taken(name) < n_slots:
                 return self._hold(request, "", name)
         spread = self._generator.uniform(1.0, RETRY_SPREAD)
@@ -357,7 +339,7 @@
         now = self._timer.now()
         configuration = self._board.configuration
         for service in configuration.services if configuration else ():
-            home = next(self._rank_homes(service), None)
+            home = next(self._homes.rank(service), None)
             if home is None or (home, service) in self._reporting:
                 continue
             self._services[service].unusable = self._list_unusable(service)
@@ -369,6 +351,8 @@
         work = self._services[service]
         holdings = work.describe()
         work.record_report(home, holdings, self._timer.now())
+        if self._board.is_link_full(self._timer.now()):
+            work.keep_state(self._timer.now())
         report = AdmissionReport(
             service=service,
             host=self._board.host,
@@ -376,12 +360,13 @@
             places=tuple(item for granter, item in holdings.places if granter == home),
             unusable=tuple(holdings.unusable),
         )
+        timeout_s = REPORT_TIMEOUT_S + self._get_link_delay_s()
         try:
-            reply = await self._call(home, report, ServiceState, REPORT_TIMEOUT_S)
+            reply = await self._call(home, report, ServiceState, timeout_s)
             now = self._timer.now()
             work.record_state(home, now, contended=reply.contended)
         except PeerUnavailableError as error:
-            self._record_silent(home, str(error))
+            self._homes.record_silent(home, str(error))
         except Exception as error:
             # An error in a task of this service would end the host.
             log_failure(error, service=service, home=home)
--- a/trefoilstage/components/admission_queue/home.py
+++ b/trefoilstage/components/admission_queue/home.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from trefoilstage.components.admission_queue.capacity import count_capacity
 from trefoilstage.components.admission_queue.messages import (
     AdmissionReport,
     PlaceReply,
@@ -15,7 +16,6 @@
     ReturnPlaces,
     ServiceState,
 )
-from trefoilstage.components.admission_queue.places import TargetCapacity
 from trefoilstage.components.admission_queue.service_queue import (
     ServiceQueue,
     ServiceSnapshot,
@@ -111,16 +111,11 @@
         return queue
 
     def _take_snapshot(self, service: str) -> ServiceSnapshot:
-        configuration = self._board.configuration
-        configured = configuration.services.get(service) if configuration else None
-        engine = configured.engine if configured else None
-        ready = self._board.targets.list_ready(service, self._timer.now())
+        now = self._timer.now()
         return ServiceSnapshot(
             targets={
-                target.incarnation: TargetCapacity(
-                    slots=target.slots, kv_tokens=engine.kv_tokens if engine else 0
-                )
-                for target in ready
+                target.incarnation: count_capacity(self._board, target, now)
+                for target in self._board.targets.list_ready(service, now)
             },
             live_hosts=self._membership.list_live_hosts(),
         )
--- a/trefoilstage/components/admission_queue/own_work.py
+++ b/trefoilstage/components/admission_queue/own_work.py
@@ -98,6 +98,15 @@
         if home == self.home:
             self.contended_until = now + CONTENDED_LIFE_S if contended else now
 
+    def keep_state(self, now: float) -> None:
+        """Keep the last known state for another period, as its reply may be late.
+
+        A host with a full link has the most requests. Without places, they would take
+        the slots of all others.
+        """
+        if self.is_contended(now):
+            self.contended_until = now + CONTENDED_LIFE_S
+
     def is_contended(self, now: float) -> bool:
         """Return whether requests need places, as far as known."""
         return now < self.contended_until
