Admission queue: a full link holds no caller to its limit

Cause: such a host waited for the reply as long as for the place, and in addition as long as a call takes on its link (front-gs-a-4 and -a-20: half of 0.4 s, 0.1 s and 0.2 to 0.3 s). Now the home is asked to reply sooner by that time; if no reply can come within the wait, the host uses its own share at once. Ruled out: homes that reply late (their refusals are 0.1 s before the end in the lines).

--- a/trefoilstage/components/admission_queue/client.py
+++ b/trefoilstage/components/admission_queue/client.py
@@ -179,7 +179,11 @@
         n_homes = 1 if self._board.is_link_full(now) else N_HOMES_ASKED
         for home in list(islice(self._homes.rank(service), n_homes)):
             asked_at = self._timer.now()
-            wait_s = compute_wait_s(state, asked_at)
+            link_s = self._get_link_delay_s(home)
+            wait_s = compute_wait_s(state, asked_at) - link_s
+            if link_s and wait_s <= 0.0:
+                # The reply would come too late, and hold the caller to its limit.
+                continue
             reply = await self._ask(home, replace(request, wait_s=wait_s), state)
             if reply is not None:
                 state.waited_for_places_s += self._timer.now() - asked_at
@@ -228,7 +232,7 @@
     ) -> PlaceReply | None:
         """Return a home's reply, None if it does not reply in time."""
         left_s = max(0.0, state.deadline - self._timer.now())
-        margin_s = REPLY_MARGIN_S + self._get_link_delay_s()
+        margin_s = REPLY_MARGIN_S + self._get_link_delay_s(home)
         timeout_s = min(request.wait_s + margin_s, left_s)
         reply: PlaceReply | None = None
         try:
@@ -278,10 +282,10 @@
         except TimeoutError as error:
             raise PeerUnavailableError("no reply") from error
 
-    def _get_link_delay_s(self) -> float:
-        """Return the seconds that a call takes on a full link, 0 on one with room."""
+    def _get_link_delay_s(self, home: str) -> float:
+        """Return the seconds that a call takes on a full link, 0 without one."""
         now = self._timer.now()
-        if not self._board.is_link_full(now):
+        if home == self._board.host or not self._board.is_link_full(now):
             return 0.0
         return self._board.round_trips.estimate_call_s(now)
 
@@ -360,7 +364,7 @@
             places=tuple(item for granter, item in holdings.places if granter == home),
             unusable=tuple(holdings.unusable),
         )
-        timeout_s = REPORT_TIMEOUT_S + self._get_link_delay_s()
+        timeout_s = REPORT_TIMEOUT_S + self._get_link_delay_s(home)
         try:
             reply = await self._call(home, report, ServiceState, timeout_s)
             now = self._timer.now()
