Forwarding: count sent requests apart from the choice of a target

Cause: the parts for prompts, queries and fetches were added to the class that held the state. Change: SentRequests (sent_requests.py) counts requests and tokens, TargetOptions (target_options.py) describes and ranks targets, CandidateQueries (candidate_queries.py) asks the targets' homes. The code moved as it was; the capacity of a target's KV cache is read from TargetAvailability. TargetChooser keeps its methods and passes them on, because the tests call them and stay unchanged: two tests import SentPrompt from its new module, nothing else. Ruled out: a collaborator of its own for the accounting in the pipeline; 32 calls in tests would change. Tests of forwarding, peer sends, the admission queue and two emulated modules: 282 passed, 1 known red as before.

--- a/tests/components/forwarding/test_fetch_planner.py
+++ b/tests/components/forwarding/test_fetch_planner.py
@@ -31,7 +31,7 @@
     rank_candidates,
 )
 from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
-from trefoilstage.components.forwarding.target_chooser import SentPrompt
+from trefoilstage.components.forwarding.sent_requests import SentPrompt
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends.messages import SendToTarget
 from trefoilstage.components.peers.frames import Frame
--- a/tests/components/forwarding/test_pipeline.py
+++ b/tests/components/forwarding/test_pipeline.py
@@ -23,9 +23,9 @@
 from trefoilstage.components.forwarding.placement import CandidateInfo, PromptNeed
 from trefoilstage.components.forwarding.prefix_fetch import PrefixFetch
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.sent_requests import SentPrompt
 from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.stream_binding import StreamBinder
-from trefoilstage.components.forwarding.target_chooser import SentPrompt
 from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.helpers.events import Event
--- a/trefoilstage/components/forwarding/target_availability.py
+++ b/trefoilstage/components/forwarding/target_availability.py
@@ -190,6 +190,12 @@
             return None
         return service.cold_requests_per_s
 
+    def get_kv_tokens(self, target: TargetEntry) -> int | None:
+        """Return the capacity of a target's KV cache, None if it runs no engine."""
+        service = self.get_service(target)
+        engine = service.engine if service else None
+        return engine.kv_tokens if engine else None
+
     def get_service(self, target: TargetEntry) -> TargetService | None:
         """Return a target's service, None if the configuration has none."""
         return self.find_service(target.service)
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -1,7 +1,6 @@
 """Choose targets by their health and load as this host knows them."""
 
-from collections.abc import Mapping, Sequence, Set
-from dataclasses import dataclass
+from collections.abc import Sequence, Set
 from functools import partial
 
 from trefoilstage.components.fleet.membership import FleetMembership
@@ -11,32 +10,24 @@
     OpenAnswer,
     SendOutcome,
 )
+from trefoilstage.components.forwarding.candidate_queries import CandidateQueries
 from trefoilstage.components.forwarding.fetch_planner import FetchPlanner
 from trefoilstage.components.forwarding.models import PromptPart, TargetEntry
-from trefoilstage.components.forwarding.peer_work import MAX_TOTALS_AGE_S
 from trefoilstage.components.forwarding.placement import (
-    MAX_CANDIDATES,
-    N_FIRST_CANDIDATES,
     CandidateInfo,
     PromptNeed,
     TargetOption,
-    count_tokens,
-    exceeds_cold_rate,
     is_in_time,
-    is_late,
-    rank_by_load,
-    rank_by_prompt,
-    rank_candidates,
 )
 from trefoilstage.components.forwarding.prefix_fetch import (
-    FetchSource,
-    PendingFetch,
     PrefixFetch,
     TransferTracker,
 )
 from trefoilstage.components.forwarding.retries import RetryBudgets
+from trefoilstage.components.forwarding.sent_requests import SentPrompt, SentRequests
 from trefoilstage.components.forwarding.target_availability import TargetAvailability
 from trefoilstage.components.forwarding.target_filter import TargetFilter
+from trefoilstage.components.forwarding.target_options import TargetOptions
 from trefoilstage.components.forwarding.target_outcomes import TargetOutcomes
 from trefoilstage.components.forwarding.workload import WorkloadController
 from trefoilstage.components.permits.controller import TargetPermits
@@ -46,27 +37,14 @@
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.timer import TimerService
 
-# The time for all queries about one prompt. On a full link, another query costs more of
-# the objective than it can save.
-MAX_TOTAL_QUERY_S = 0.05
 # Targets of each group that a request asks permits for, one after another.
 N_ASKED = 3
 # Each costs a round trip; without a slot, the caller is refused.
 N_ASKED_FOR_SLOTS = 6
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SentPrompt:
-    """Describe the prefill queue of a target when a prompt was sent to it."""
-
-    n_uncached_tokens: int  # of the prompt itself, without those fetched
-    n_queued_tokens: int  # of prompts sent earlier, by all hosts as far as known
-    sent_at: float
-    fetch: PendingFetch | None = None
-
-
 class TargetChooser:
-    """Track the targets' health and this host's work there, and choose a target."""
+    """Choose targets, and tell the parts that count it what becomes of requests."""
 
     def __init__(
         self,
@@ -84,9 +62,7 @@
         self._slots = slots
         self._board = board
         self._membership = membership
-        self._settings = settings
         self._timer = timer
-        self._workload = workload
         self._outcomes = TargetOutcomes(board=board, timer=timer, limits=limits)
         self._availability = TargetAvailability(
             board=board,
@@ -100,6 +76,26 @@
         self._fetches = FetchPlanner(
             timer=timer, workload=workload, availability=self._availability
         )
+        self._options = TargetOptions(
+            board=board,
+            workload=workload,
+            availability=self._availability,
+            fetches=self._fetches,
+        )
+        self._queries = CandidateQueries(
+            board=board,
+            timer=timer,
+            workload=workload,
+            availability=self._availability,
+            options=self._options,
+        )
+        self._sent = SentRequests(
+            timer=timer,
+            workload=workload,
+            outcomes=self._outcomes,
+            availability=self._availability,
+            fetches=self._fetches,
+        )
         self._retry_budgets = RetryBudgets(
             ratio=settings.retry_ratio,
             slack=settings.retry_slack,
@@ -125,12 +121,12 @@
             self._availability.list_usable(target_filter, excluded)
         )
         rank = partial(
-            self._rank,
+            self._options.rank,
             need=need,
             prompt=prompt,
             cached_tokens=candidate_info.cached_tokens,
             request_id=request_id,
-            sources=self._list_sources(
+            sources=self._options.list_sources(
                 target_filter, excluded, need, prompt, candidate_info
             ),
         )
@@ -139,7 +135,7 @@
         if is_pooled:
             best = await self._choose_pooled(rank([*groups.free, *askable]))
         else:
-            free = self._select_candidates(groups.free, need, candidate_info)
+            free = self._options.select_candidates(groups.free, need, candidate_info)
             best = await self._choose_warm(rank([*free, *askable]))
         if best is not None and (is_pooled or is_in_time(best, need)):
             return best.target
@@ -190,58 +186,22 @@
                 return option
         return None
 
-    def _select_candidates(
-        self,
-        targets: Sequence[TargetEntry],
-        need: PromptNeed | None,
-        candidate_info: CandidateInfo,
-    ) -> Sequence[TargetEntry]:
-        """Return the targets to compare: in a large fleet, the queried ones."""
-        if need is None or not self._workload.is_fleet_large():
-            return targets
-        return rank_candidates(targets, need.subject)[: candidate_info.n_candidates]
-
-    def _rank(
-        self,
-        targets: Sequence[TargetEntry],
-        *,
-        need: PromptNeed | None,
-        prompt: Sequence[PromptPart],
-        cached_tokens: Mapping[str, int],
-        request_id: str,
-        sources: Sequence[FetchSource],
-    ) -> list[TargetOption]:
-        """Return targets, the best first."""
-        if need is None:
-            options = [self._make_option(target) for target in targets]
-            return rank_by_load(options, self._board.data_center, request_id)
-        ordered = rank_candidates(targets, need.subject)
-        options = self._list_options(ordered, prompt, cached_tokens, sources)
-        return rank_by_prompt(options, need)
+    def get_transfers(self) -> TransferTracker:
+        """Return this host's fetches under way and the ejected sources."""
+        return self._fetches.transfers
 
-    def _list_sources(
+    async def query_candidates(
         self,
         target_filter: TargetFilter,
-        excluded: Set[str],
         need: PromptNeed | None,
         prompt: Sequence[PromptPart],
-        candidate_info: CandidateInfo,
-    ) -> Sequence[FetchSource]:
-        if not self._fetches.is_active(target_filter, need):
-            return ()
-        return self._fetches.list_sources(
-            target_filter,
-            excluded,
-            prompt,
-            candidate_info.cached_tokens,
-            select=lambda targets: self._select_candidates(
-                targets, need, candidate_info
-            ),
-        )
+    ) -> CandidateInfo:
+        """Query the home hosts of a prompt's candidate targets for their state."""
+        return await self._queries.query(target_filter, need, prompt)
 
-    def get_transfers(self) -> TransferTracker:
-        """Return this host's fetches under way and the ejected sources."""
-        return self._fetches.transfers
+    def should_query_again(self, queried_at: float) -> bool:
+        """Return whether the candidate information is old and worth a new query."""
+        return self._queries.should_query_again(queried_at)
 
     def plan_fetch(
         self,
@@ -254,104 +214,15 @@
         candidate_info: CandidateInfo,
     ) -> PrefixFetch | None:
         """Return the fetch with which a prompt is sent to a target, if any."""
-        sources = self._list_sources(
-            target_filter, excluded, need, prompt, candidate_info
-        )
-        n_cached = self._count_cached(target, prompt, candidate_info.cached_tokens)
-        return self._fetches.plan(target, n_cached, sources)
-
-    def _list_options(
-        self,
-        targets: Sequence[TargetEntry],
-        prompt: Sequence[PromptPart],
-        cached_tokens: Mapping[str, int],
-        sources: Sequence[FetchSource],
-    ) -> list[TargetOption]:
-        """Return targets with the tokens of a prompt that each has cached."""
-        return [
-            self._make_option(
-                target, self._count_cached(target, prompt, cached_tokens), sources
-            )
-            for target in targets
-        ]
-
-    def _count_cached(
-        self,
-        target: TargetEntry,
-        prompt: Sequence[PromptPart],
-        cached_tokens: Mapping[str, int],
-    ) -> int:
-        n_local = self._workload.count_cached(target.incarnation, prompt)
-        return max(n_local, cached_tokens.get(target.incarnation, 0))
-
-    def _make_option(
-        self,
-        target: TargetEntry,
-        n_cached_tokens: int = 0,
-        sources: Sequence[FetchSource] = (),
-    ) -> TargetOption:
-        cold_rate = self._availability.get_cold_rate(target)
-        return TargetOption(
-            target=target,
-            work=self._workload.get_work(target.incarnation),
-            n_cached_tokens=n_cached_tokens,
-            prefill_tokens_per_s=self._workload.get_prefill_speed(target.incarnation),
-            kv_tokens=self._get_kv_tokens(target),
-            n_recent=0
-            if cold_rate is None
-            else self._workload.count_recent(target.incarnation),
-            cold_requests_per_s=cold_rate,
-            fetch=self._fetches.plan(target, n_cached_tokens, sources),
+        return self._options.plan_fetch(
+            target,
+            target_filter=target_filter,
+            excluded=excluded,
+            need=need,
+            prompt=prompt,
+            candidate_info=candidate_info,
         )
 
-    async def query_candidates(
-        self,
-        target_filter: TargetFilter,
-        need: PromptNeed | None,
-        prompt: Sequence[PromptPart],
-    ) -> CandidateInfo:
-        """Query the home hosts of a prompt's candidate targets for their state.
-
-        Query more targets while the prompt would be late at all known ones. Requests
-        without a prompt need no query: they take 45 ms on average, and few of them
-        overlap at a target.
-        """
-        if need is None or not self._workload.is_fleet_large():
-            return CandidateInfo()
-        usable = self._availability.list_usable(target_filter)
-        ranked = rank_candidates(self._availability.group(usable).free, need.subject)
-        cached_tokens: dict[str, int] = {}
-        n_queried = 0
-        query_until = self._timer.now() + MAX_TOTAL_QUERY_S
-        while n_queried < min(len(ranked), MAX_CANDIDATES):
-            n_wanted = max(N_FIRST_CANDIDATES, 2 * n_queried)
-            incarnations = [target.incarnation for target in ranked[n_queried:n_wanted]]
-            cached_tokens |= await self._workload.query_homes(incarnations, prompt)
-            n_queried = n_wanted
-            info = CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_queried)
-            sources = self._list_sources(target_filter, set(), need, prompt, info)
-            options = self._list_options(
-                ranked[:n_queried], prompt, cached_tokens, sources
-            )
-            may_query = self._timer.now() < query_until
-            if not may_query or not all(
-                is_late(option, need) or exceeds_cold_rate(option) for option in options
-            ):
-                break
-        # More targets may be free when the request is sent.
-        n_candidates = max(n_queried, N_FIRST_CANDIDATES)
-        return CandidateInfo(cached_tokens=cached_tokens, n_candidates=n_candidates)
-
-    def should_query_again(self, queried_at: float) -> bool:
-        """Return whether the candidate information is old and worth a new query."""
-        now = self._timer.now()
-        # All requests that waited for the end of one outage would otherwise choose the
-        # same targets.
-        if not self._workload.is_fleet_large() or now - queried_at <= MAX_TOTALS_AGE_S:
-            return False
-        # On a full link, the reply would cost more time than it can save.
-        return self._board.round_trips.estimate_call_s(now) <= MAX_TOTAL_QUERY_S
-
     def has_other_target(self, target_filter: TargetFilter, excluded: Set[str]) -> bool:
         """Return whether a service has a ready target that is not excluded."""
         return bool(self._availability.list_allowed(target_filter, excluded))
@@ -409,59 +280,26 @@
         fetch: PrefixFetch | None = None,
     ) -> SentPrompt:
         """Count a request sent to a target; return the prefill queue that it meets."""
-        incarnation = target.incarnation
-        n_tokens = count_tokens(prompt)
-        sent = SentPrompt(
-            n_uncached_tokens=n_tokens
-            - self._count_cached(target, prompt, candidate_info.cached_tokens)
-            - (fetch.n_tokens if fetch else 0),
-            n_queued_tokens=self._workload.get_work(incarnation).prompt_tokens,
-            sent_at=self._timer.now(),
-            fetch=self._fetches.add(fetch, target) if fetch else None,
+        n_cached = self._options.count_cached(
+            target, prompt, candidate_info.cached_tokens
         )
-        if prompt:
-            kv_tokens = self._get_kv_tokens(target) or 0
-            self._workload.add_prompt(incarnation, kv_tokens, prompt)
-        self._workload.adjust_work(
-            incarnation,
-            n_requests=1,
-            prompt_tokens=sent.n_uncached_tokens,
-            held_tokens=n_tokens,
-        )
-        self._outcomes.get_health(target).record_send(retry=False)
-        return sent
+        return self._sent.add_request(target, prompt, n_cached, fetch)
 
     def record_first_token(self, target: TargetEntry, sent: SentPrompt) -> None:
         """Record that a target sent a prompt's first token, and the time it took."""
-        # With a fetch, an unknown part of the time is not prefill.
-        if sent.fetch is None:
-            seconds = self._timer.now() - sent.sent_at
-            n_tokens = sent.n_queued_tokens + sent.n_uncached_tokens
-            self._workload.add_prefill_sample(target.incarnation, n_tokens, seconds)
-        self.remove_pending_prefill(target, sent)
+        self._sent.record_first_token(target, sent)
 
     def end_fetch(self, sent: SentPrompt, outcome: SendOutcome | None) -> None:
         """Record the outcome of a send's fetch, if any; None if it was cancelled."""
-        if sent.fetch is not None:
-            self._fetches.end(sent.fetch, outcome)
+        self._sent.end_fetch(sent, outcome)
 
     def remove_pending_prefill(self, target: TargetEntry, sent: SentPrompt) -> None:
         """Remove a prompt's uncached tokens from the target's pending prefill."""
-        self._workload.adjust_work(
-            target.incarnation, prompt_tokens=-sent.n_uncached_tokens
-        )
-
-    def _get_kv_tokens(self, target: TargetEntry) -> int | None:
-        service = self._availability.get_service(target)
-        engine = service.engine if service else None
-        return engine.kv_tokens if engine else None
+        self._sent.remove_pending_prefill(target, sent)
 
     def remove_request(self, target: TargetEntry, prompt: Sequence[PromptPart]) -> None:
         """Remove a request that ended from the target's work."""
-        self._workload.adjust_work(
-            target.incarnation, n_requests=-1, held_tokens=-count_tokens(prompt)
-        )
-        self._outcomes.get_health(target).record_inconclusive_end()
+        self._sent.remove_request(target, prompt)
 
     def record_answer(
         self,
