Forwarding: holds and targets of requests leave the pipeline

Cause: each part that a request needs was added to the class that runs the steps. Change: RequestHolds (request_holds.py) holds and settles the tokens and logs the request; RequestTargets (request_targets.py) queries candidates, chooses a target and plans its fetch. The code moved as it was. The constructor is unchanged, so no test changed. Ruled out: moving the sends too; a test reads the line request_sent of this module.

--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -5,15 +5,12 @@
 """
 
 import asyncio
-import itertools
 import random
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
-from trefoilstage.components.escrow.wait_limits import WaitLimits
 from trefoilstage.components.forwarding.answers import (
     AnswerBrokenError,
     InvalidAnswer,
@@ -33,19 +30,13 @@
     RouteKind,
     TargetEntry,
 )
-from trefoilstage.components.forwarding.placement import (
-    PromptNeed,
-    count_tokens,
-    find_subject,
-)
-from trefoilstage.components.forwarding.prefix_fetch import (
-    PrefixFetch,
-    describe_fetch,
-)
+from trefoilstage.components.forwarding.prefix_fetch import describe_fetch
 from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.reply import CallerReply
+from trefoilstage.components.forwarding.request_holds import RequestHolds
 from trefoilstage.components.forwarding.request_places import RequestPlaces
 from trefoilstage.components.forwarding.request_state import RequestState
+from trefoilstage.components.forwarding.request_targets import RequestTargets
 from trefoilstage.components.forwarding.run_recorder import RunRecorder
 from trefoilstage.components.forwarding.stream_binding import (
     StartUnprovenError,
@@ -80,17 +71,17 @@
         generator: random.Random,
         admission: "AdmissionClient | None" = None,
     ) -> None:
-        self._places = RequestPlaces(admission=admission)
         self._board = board
-        self._escrow = escrow
+        self._holds = RequestHolds(board=board, escrow=escrow)
         self._chooser = chooser
+        self._places = RequestPlaces(admission=admission)
+        self._targets = RequestTargets(chooser=chooser, places=self._places)
         self._sender = sender
         self._crashes = crashes
         self._runs = RunRecorder(crashes=crashes)
         self._generator = generator
         self._binder = binder
         self._answer_relay = AnswerRelay(board=board, binder=binder, runs=self._runs)
-        self._hold_numbers = itertools.count()
 
     async def run(self, state: RequestState, reply: CallerReply) -> Refusal | None:
         """Answer a caller; return a refusal if it got no answer, otherwise None."""
@@ -107,11 +98,11 @@
             state.service_name = self._pick_service(state.route)
         # The query and the hold run in parallel: each takes a call to a peer, and
         # neither needs the other's result.
-        query = asyncio.create_task(self._query_candidates(state))
+        query = asyncio.create_task(self._targets.query_candidates(state))
         hold: EscrowHold | Refusal | None = None
         try:
             async with asyncio.timeout_at(state.deadline):
-                hold = await self._hold_tokens(state)
+                hold = await self._holds.hold(state)
                 if isinstance(hold, Refusal):
                     return hold
                 state.held_at = asyncio.get_running_loop().time()
@@ -123,55 +114,7 @@
             query.cancel()
             self._binder.end(state)
             if isinstance(hold, EscrowHold):
-                self._escrow.settle(hold, state.count_spent())
-                self._log_done(state, hold)
-
-    async def _query_candidates(self, state: RequestState) -> None:
-        state.candidate_info = await self._chooser.query_candidates(
-            state.target_filter,
-            self._make_prompt_need(state),
-            state.request.prompt,
-        )
-        state.candidates_queried_at = asyncio.get_running_loop().time()
-
-    async def _hold_tokens(self, state: RequestState) -> EscrowHold | Refusal:
-        wait_limits = WaitLimits.compute(
-            now=state.started_at,
-            max_silence_s=state.route.silence_limit_s,
-            deadline=state.deadline,
-        )
-        return await self._escrow.hold(
-            state.workspace_name,
-            self._make_hold_name(state),
-            state.request.max_tokens,
-            wait_limits,
-        )
-
-    def _make_hold_name(self, state: RequestState) -> str:
-        # A number keeps holds apart if a caller sends two requests with the same id.
-        # Otherwise the second request would spend the tokens held for the first.
-        number = next(self._hold_numbers)
-        return f"{state.request.request_id}/{self._board.host}/{number}"
-
-    def _log_done(self, state: RequestState, hold: EscrowHold) -> None:
-        log_event(
-            Event.REQUEST_DONE,
-            request=state.request.request_id,
-            route=state.route.name,
-            workspace=hold.workspace,
-            home=hold.home,
-            complete=state.complete,
-            attempts=state.n_sends,
-            events=state.n_events,
-            held=hold.tokens,
-            spent=state.count_spent(),
-            target=state.target,
-            body_s=state.body_s,
-            hold_s=state.held_at - state.started_at,
-            first_s=max(0.0, state.caller_first_data_at - state.started_at),
-            gap_s=state.longest_gap_s,
-            duration_s=asyncio.get_running_loop().time() - state.started_at,
-        )
+                self._holds.settle(state, hold)
 
     def _make_deadline_refusal(self, state: RequestState) -> Refusal:
         if state.n_possible_runs == 0:
@@ -216,16 +159,15 @@
         Returns None if the caller got the answer, a refusal if no other target may get
         the request, otherwise the outcome of the send.
         """
-        if self._chooser.should_query_again(state.candidates_queried_at):
-            await self._query_candidates(state)
+        await self._targets.refresh_candidates(state)
         # The request may have crashed a target since it arrived, sent by this or
         # another host.
         blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
         if blocked is not None:
             return failure if state.n_possible_runs else blocked
-        target = await self._choose_target(state, place)
+        target = await self._targets.choose(state, place)
         if target is None:
-            return self._explain(failure, state)
+            return self._targets.explain(failure, state)
         with self._places.count(state, target, place):
             answer = await self._send(state, state.service_name, target)
             if not isinstance(answer, OpenAnswer):
@@ -245,60 +187,11 @@
             return ""
         return self._generator.choices(route.shares, weights=weights)[0].service
 
-    def _explain(self, failure: Refusal, state: RequestState) -> Refusal:
-        if failure is not NO_TARGET:
-            return failure
-        detail = self._chooser.explain_no_target(state.target_filter)
-        wait_s = self._chooser.compute_wait_s(state.target_filter)
-        return replace(failure, detail=detail, retry_after_s=max(RETRY_AFTER_S, wait_s))
-
-    async def _choose_target(
-        self, state: RequestState, place: "Place | None"
-    ) -> TargetEntry | None:
-        if place is not None:
-            target = self._chooser.find_free(
-                place.target, state.target_filter, state.excluded
-            )
-            if target is not None:
-                return target
-            self._places.release(place, used=False)
-        return await self._chooser.choose(
-            target_filter=state.target_filter,
-            excluded=state.excluded,
-            need=self._make_prompt_need(state),
-            prompt=state.request.prompt,
-            candidate_info=state.candidate_info,
-            request_id=state.request.request_id,
-        )
-
-    def _make_prompt_need(self, state: RequestState) -> PromptNeed | None:
-        if not state.request.prompt:
-            return None
-        waited_s = asyncio.get_running_loop().time() - state.started_at
-        return PromptNeed(
-            subject=find_subject(state.request.prompt),
-            n_tokens=count_tokens(state.request.prompt),
-            objective_s=state.route.objective_s - waited_s,
-            may_fetch=state.n_sends == 0,
-        )
-
-    def _plan_fetch(
-        self, state: RequestState, target: TargetEntry
-    ) -> PrefixFetch | None:
-        return self._chooser.plan_fetch(
-            target,
-            target_filter=state.target_filter,
-            excluded=state.excluded,
-            need=self._make_prompt_need(state),
-            prompt=state.request.prompt,
-            candidate_info=state.candidate_info,
-        )
-
     async def _send(
         self, state: RequestState, service: str, target: TargetEntry
     ) -> SendOutcome:
         now = asyncio.get_running_loop().time()
-        fetch = self._plan_fetch(state, target)
+        fetch = self._targets.plan_fetch(state, target)
         options = ForwardOptions(
             workspace=state.workspace_name,
             deadline_s=state.deadline - now,
