Escrow: how often a home calls the store leaves the home

Cause: each limit on calls to the store was added to the class that makes them. Change: CallIntervals (call_intervals.py) has the four intervals with their reasons and the times they are counted from. The code moved as it was; only the calls to it changed. One test imports STABLE_FLEET_S from its new module. Ruled out: a class for the handlers of peers' calls; a test calls _handle_hold at the home.

--- a/tests/components/escrow/test_start.py
+++ b/tests/components/escrow/test_start.py
@@ -4,7 +4,7 @@
 
 from tests.components.boards import make_board
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
-from trefoilstage.components.escrow.home import STABLE_FLEET_S
+from trefoilstage.components.escrow.call_intervals import STABLE_FLEET_S
 
 N_HOSTS = 20
 SILENT_S = 3.0
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -11,6 +11,7 @@
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
+from trefoilstage.components.escrow.call_intervals import CallIntervals
 from trefoilstage.components.escrow.draw_pauses import DrawPauses
 from trefoilstage.components.escrow.hold_refusals import find_reason, log_refusal
 from trefoilstage.components.escrow.lock import ReserveLock
@@ -37,21 +38,6 @@
 # request that waits for it is late, but a refused one would not be served at all.
 DRAW_WAIT_S = 1.0
 MAX_WRITE_TRIES = 8
-# An account without free tokens is read again at this interval, to find tokens that
-# other hosts returned.
-EXHAUSTED_REREAD_INTERVAL_S = 0.5
-
-# When all hosts of a large fleet start, each home would otherwise write a roster at
-# every stock check. For a request from an unlisted host, it writes one immediately.
-ROSTER_UPDATE_INTERVAL_S = 1.0
-# While a large fleet starts, each host knows only some of the others and considers
-# itself the home of many workspaces; the draws would exceed what the store accepts.
-# Unless a request waits for it, an account is first read when the live hosts have not
-# changed for this long.
-STABLE_FLEET_S = 1.0
-# Attempts to recover an ended home's tokens are repeated at this interval, because a
-# witness may be out of reach.
-RECOVERY_RETRY_INTERVAL_S = 0.5
 
 GetOwnRank = Callable[[str], HomeRank]
 
@@ -90,8 +76,7 @@
         # Draws and recoveries by workspace; those of one account do not overlap.
         self._account_tasks: dict[str, asyncio.Task[None]] = {}
         self._pauses = DrawPauses(board=board, timer=timer)
-        self._next_recovery_at: dict[str, float] = {}
-        self._roster_written_at: dict[str, float] = {}
+        self._intervals = CallIntervals(board=board, account_store=self._account_store)
         server.register(HoldTokens, self._handle_hold)
         server.register(SettleHolds, self._handle_settle)
 
@@ -130,7 +115,7 @@
             return None
         if self._pauses.is_paused(workspace) or self._pauses.is_settling():
             return self._refuse(account, request, tokens)
-        if not account.can_cover(tokens) and not self._may_reread(workspace):
+        if not account.can_cover(tokens) and not self._intervals.may_reread(workspace):
             return self._refuse(account, request, tokens)
         self._recovery.record_requester(requester)
         account.waiting += tokens
@@ -248,9 +233,6 @@
         log_refusal(account, request, tokens, reason, available, is_confirmed)
         return reason
 
-    def _may_reread(self, workspace: str) -> bool:
-        return self._account_store.get_age_s(workspace) >= EXHAUSTED_REREAD_INTERVAL_S
-
     async def _wait_for_draw(self, workspace: str) -> None:
         draw = self._start_draw(workspace)
         try:
@@ -269,30 +251,18 @@
     def _needs_write(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
         if account.lacks_known or account.plan_change(now, rank) is not None:
             return True
-        if rank is HomeRank.NONE or not self._may_update_roster(account.workspace, now):
+        if rank is HomeRank.NONE or not self._intervals.may_update_roster(
+            account.workspace, now
+        ):
             return False
         return self._has_unlisted_requester(account)
 
-    def _is_fleet_changing(self, now: float) -> bool:
-        """Return whether the live hosts of a large fleet changed recently."""
-        has_changed_recently = now - self._board.live_changed_at < STABLE_FLEET_S
-        return has_changed_recently and self._board.is_too_large_to_broadcast()
-
-    def _may_update_roster(self, workspace: str, now: float) -> bool:
-        """Return whether a roster may be written without a waiting request."""
-        written_at = self._roster_written_at.get(workspace, float("-inf"))
-        return (
-            not self._board.is_too_large_to_broadcast()
-            or now - written_at >= ROSTER_UPDATE_INTERVAL_S
-        )
-
     def _start_recovery(self, workspace: str, now: float) -> None:
         task = self._account_tasks.get(workspace)
         if task is not None and not task.done():
             return
-        if now < self._next_recovery_at.get(workspace, 0.0):
+        if not self._intervals.take_recovery(workspace, now):
             return
-        self._next_recovery_at[workspace] = now + RECOVERY_RETRY_INTERVAL_S
         self._account_tasks[workspace] = asyncio.create_task(self._recover(workspace))
 
     async def _draw(self, workspace: str) -> None:
@@ -325,7 +295,7 @@
                 self._close_lock(change)
                 requesters = self._recovery.list_requesters()
                 if await self._account_store.change(account, change, requesters):
-                    self._roster_written_at[workspace] = self._timer.now()
+                    self._intervals.record_roster_written(workspace, self._timer.now())
                     log_event(
                         Event.ESCROW_DRAWN,
                         workspace=workspace,
@@ -392,10 +362,10 @@
             account = account or self._accounts.get(workspace)
             if account is None or self._pauses.is_paused(workspace):
                 continue
-            if account.record_offset < 0 and not self._may_reread(workspace):
+            if account.record_offset < 0 and not self._intervals.may_reread(workspace):
                 continue
             is_unread = account.record_offset < 0
-            if is_unread and self._is_fleet_changing(now):
+            if is_unread and self._intervals.is_fleet_changing(now):
                 continue
             if account.known_before is not None:
                 self._make_account_good(account, now, rank)
