Stand-ins: keep the port of a crashed target until it restarts

Cause: the port is unbound for 0.3 s, in which the kernel may give it to a connection of another process. Ruled out: two restarts of one target (they have a guard, with a test). Measured: the new test fails before and passes; tests.promises.test_crashes 11 of 11.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import socket
 import struct
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
@@ -26,11 +27,27 @@
 N_SLOTS = 8  # of a target
 
 
-async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, int]:
-    """Start to serve an application; port 0 lets the kernel choose one."""
+def reserve_port(port: int) -> socket.socket:
+    """Bind a port that refuses connections until its socket is served.
+
+    Otherwise the kernel may give it to a connection of another process.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((LOOPBACK, port))
+    return reserved
+
+
+async def start_app(
+    app: web.Application, reserved: socket.socket | None = None
+) -> tuple[web.AppRunner, int]:
+    """Start to serve an application, at a free port unless one is reserved."""
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    await web.TCPSite(runner, LOOPBACK, port).start()
+    if reserved is None:
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+    else:
+        await web.SockSite(runner, reserved).start()
     bound: int = runner.addresses[0][1]
     return runner, bound
 
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from standins.common import reset_connection
-from standins.platform import start_app
+from standins.platform import reserve_port, start_app
 from standins.platform_target import PlatformTarget
 from tests.promises.fleet import PlatformFleet
 from trefoilstage.components.views.store import Topic
@@ -84,6 +84,7 @@
             await asyncio.sleep(MUTE_S)
             await self._stop(number)
         await runner.cleanup()
+        reserved = reserve_port(fleet.ports[number])
         await asyncio.sleep(RESTART_DELAY_S)
         old = fleet.targets[number]
         self._n_restarts += 1
@@ -100,9 +101,7 @@
             crashes_above_limit=old.crashes_above_limit,
             processing_s=old.processing_s,
         )
-        self._runners[number], _ = await start_app(
-            target.make_app(), fleet.ports[number]
-        )
+        self._runners[number], _ = await start_app(target.make_app(), reserved)
         fleet.runners.append(self._runners[number])
         await fleet.start_target_proxies(number)
         fleet.targets[number] = target
--- a/tests/promises/test_crashes.py
+++ b/tests/promises/test_crashes.py
@@ -1,9 +1,12 @@
 """Test that hosts identify and block a request that crashes its targets."""
 
 import asyncio
+import contextlib
+import socket
 import unittest
 
 from standins.launcher import poll_until
+from standins.platform import LOOPBACK
 from tests.promises.crashing import (
     CRASHING_BODY,
     CRASHING_PART,
@@ -168,6 +171,18 @@
             await targets.wait_until_restarted()
             self.assertEqual(fleet.targets[0].name, "i-0+")
 
+    async def test_port_of_a_crashed_target_is_not_taken(self) -> None:
+        """Guard against other processes' connections that get the port meanwhile."""
+        async with PlatformFleet(n_hosts=0, n_targets=1) as fleet:
+            targets = CrashingTargets(fleet=fleet)
+            await targets.crash_all()
+            await asyncio.sleep(RESTART_DELAY_S / 2)
+            with socket.socket() as other:
+                with contextlib.suppress(OSError):
+                    other.bind((LOOPBACK, fleet.ports[0]))
+                await targets.wait_until_restarted()
+            self.assertEqual(fleet.targets[0].name, "i-0+")
+
 
 class LogTest(unittest.IsolatedAsyncioTestCase):
     """Test what the lines tell of interrupted requests."""
