Escrow: keep the newer state of an ended home that another host has read

Symptom: test_roster_of_an_ended_home_that_another_host_read, 3,000 tokens spent and 1,000 counted, in each run.

Cause: of two states of one holder, join_records kept the one with more draws, and the stored one if the draws were equal. A write may replace the roster, count former requesters or unlock tokens without a draw, or return tokens. The home that wrote it can write it again, unless it has ended. It was then retired by the copy's roster, and hosts that only the later one lists were not asked. The same rule failed in three more cases: the newer state has fewer draws (the copy's roster won); the copy has fewer draws than a state read before it (the old roster was written over the copy's newer one); tokens unlocked and used since the copy (20,000 spent, 17,921 counted).

Change: each write of a holder has a revision of its incarnation, and the state with the higher one is kept whole, with the higher draws of both. Hosts of the previous build ignore the field and drop it from records that they copy. Then the totals that never fall (used by former requesters, spent) tell the order. If these are equal too, the roster is written as "unknown", which no host of either build finds. A living home writes its own again.

A roster that the restored store lacks is written again by hosts that have it in memory, or found by its digest among the known hosts, as most often only the home itself has restarted since. Otherwise nobody can account for the home's tokens: they count as used, less those proven untouched.

Ruled out: positions of records as the order. Another host may have written the account in the new era, with the older state of this holder.

--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -50,6 +50,7 @@
     used: dict[str, int] = field(default_factory=dict)  # by listed requester
     rosters: dict[str, dict[str, str]] = field(default_factory=dict)  # by name
     used_by_former: int = 0
+    revision: int = 0  # of the last write, whether or not it was stored
     demand: Demand = field(default_factory=Demand)
     size_demand: SizeDemand = field(default_factory=SizeDemand)
     waiting: int = 0  # tokens that waiting requests need
@@ -200,12 +201,16 @@
             return stored
         own = known.holders.get(self.incarnation)
         stored_own = stored.holders.get(self.incarnation)
+        joined = join_records(stored, known)
         if own is not None:
             returned = {own.drawn + change.tokens for change in self.pending}
             if is_own_current(stored_own, own, returned) and stored_own is not None:
+                # Grants follow the stored roster, although the known one is newer.
+                joined = joined.set_holder(self.incarnation, stored_own)
                 kept = keep_stated(stored_own, own)
                 known = known.set_holder(self.incarnation, kept)
-        joined = join_records(stored, known)
+            else:
+                joined = joined.set_holder(self.incarnation, own)
         self.known_before = known
         self.lacks_known = joined != stored or not is_own_stated(stored_own, own)
         return joined
@@ -346,6 +351,7 @@
         """
         self.replace_requesters(members.values())
         self.rosters[roster] = dict(members)
+        self.revision += 1
         holder = Holder(
             host=self.host,
             drawn=self.drawn + change.tokens,
@@ -353,6 +359,7 @@
             locked=change.locked,
             roster=roster,
             used_by_former=self.used_by_former,
+            revision=self.revision,
         )
         return self.record.set_holder(self.incarnation, holder)
 
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -75,6 +75,10 @@
         """Return the requesters that a holder lists, None if the roster is missing."""
         return await self._rosters.read(holder.roster)
 
+    async def write_roster(self, members: Mapping[str, str]) -> None:
+        """Store an ended home's roster, which a restored store lacks."""
+        await self._rosters.write(members)
+
     async def refresh(self, workspace: str) -> None:
         """Read the records of an account's partition.
 
@@ -108,6 +112,9 @@
     ) -> bool:
         """Draw, return or lock tokens; return whether the write was stored."""
         roster = await self._rosters.write(members)
+        if account.lacks_known:
+            names = [holder.roster for holder in account.record.holders.values()]
+            await self._rosters.write_cached(names)
         end_offset = self._end_offsets.get(self._get_partition(account.workspace))
         if end_offset is None:
             # A write to another account of the partition failed meanwhile.
--- a/trefoilstage/components/escrow/reclaim.py
+++ b/trefoilstage/components/escrow/reclaim.py
@@ -1,5 +1,7 @@
 """Make the tokens that ended homes had drawn and not granted free to be drawn."""
 
+from collections.abc import Mapping
+
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
 from trefoilstage.components.escrow.record import Holder, HolderUsage
@@ -32,9 +34,7 @@
         for incarnation, holder in account.record.holders.items():
             if not self._recovery.has_ended(holder.host, incarnation):
                 continue
-            roster = await self._account_store.read_roster(holder)
-            if roster is None:
-                continue
+            roster = await self._find_roster(holder)
             usage = await self._recovery.find_usage(
                 account.workspace, incarnation, holder, roster
             )
@@ -45,6 +45,16 @@
                 await self._retire(account, incarnation, holder, usage)
                 return
 
+    async def _find_roster(self, holder: Holder) -> Mapping[str, str] | None:
+        """Return the hosts that an ended home listed, None if nobody knows them."""
+        roster = await self._account_store.read_roster(holder)
+        if roster is None:
+            roster = self._recovery.find_known_roster(holder)
+            if roster is not None:
+                # A witness may be out of reach until the hosts known here have changed.
+                await self._account_store.write_roster(roster)
+        return roster
+
     async def _retire(
         self,
         account: EscrowAccount,
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -24,6 +24,10 @@
     roster: ShortText = ""
     # What was used by incarnations that are no longer on the roster.
     used_by_former: UInt53 = 0
+    # Rises with each write of the incarnation, to tell its newer state from one in an
+    # older copy of the store. 0 if unknown: hosts of earlier builds write none, and
+    # drop it from the records that they copy.
+    revision: UInt53 = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/trefoilstage/components/escrow/recovery.py
+++ b/trefoilstage/components/escrow/recovery.py
@@ -10,6 +10,7 @@
 from trefoilstage.components.escrow.grants import GrantRegistry
 from trefoilstage.components.escrow.messages import SealHome, SealReply
 from trefoilstage.components.escrow.record import Holder, HolderUsage
+from trefoilstage.components.escrow.rosters import get_roster_name
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
 
@@ -89,15 +90,35 @@
             return False
         return True
 
+    def find_known_roster(self, holder: Holder) -> Mapping[str, str] | None:
+        """Return an ended home's roster that no store has, by the hosts known here.
+
+        A restored store may lack a roster whose name another host has read. Most often
+        only the home itself has restarted since it wrote the roster.
+        """
+        known = {peer.host: peer.incarnation for peer in self._board.peers.values()}
+        known[self._board.host] = self._board.incarnation
+        for hosts in (known.keys(), self.list_requesters().keys()):
+            members = {host: known[host] for host in hosts if host != holder.host}
+            members[self._board.host] = self._board.incarnation
+            if get_roster_name(members) == holder.roster:
+                return members
+        return None
+
     async def find_usage(
         self,
         workspace: str,
         incarnation: str,
         holder: Holder,
-        roster: Mapping[str, str],
+        roster: Mapping[str, str] | None,
     ) -> HolderUsage | UnknownUsage:
-        """Return what was used of an ended home's draws, by its witnesses' reports."""
-        if any(self.has_ended(host, witness) for host, witness in roster.items()):
+        """Return what was used of an ended home's draws, by its witnesses' reports.
+
+        A roster of None is lost: hosts that nobody can name may have used all.
+        """
+        if roster is None or any(
+            self.has_ended(host, witness) for host, witness in roster.items()
+        ):
             return self._find_unwitnessed_usage(incarnation, holder)
         total = holder.used_by_former
         for host, witness in roster.items():
--- a/trefoilstage/components/escrow/restored_record.py
+++ b/trefoilstage/components/escrow/restored_record.py
@@ -7,19 +7,15 @@
 from dataclasses import replace
 
 from trefoilstage.components.escrow.record import AccountRecord, Holder
+from trefoilstage.components.escrow.rosters import UNKNOWN_ROSTER
 
 
 def join_records(stored: AccountRecord, known: AccountRecord) -> AccountRecord:
-    """Return a restored record with all that is known to be drawn besides.
-
-    What either counts as drawn stays drawn: too much is corrected when its holder
-    writes again or is retired, too little would be drawn twice.
-    """
+    """Return a restored record with all that is known to be drawn besides."""
     holders = dict(stored.holders)
     for incarnation, holder in known.holders.items():
         found = holders.get(incarnation)
-        if found is None or found.drawn < holder.drawn:
-            holders[incarnation] = holder
+        holders[incarnation] = join_holders(found, holder) if found else holder
     return replace(
         stored,
         holders=holders,
@@ -28,6 +24,35 @@
     )
 
 
+def join_holders(stored: Holder, known: Holder) -> Holder:
+    """Return the newer state of an incarnation, with the higher draws of both.
+
+    What either counts as drawn stays drawn: too much is corrected when its holder
+    writes again or is retired, too little would be drawn twice. The rest is that of one
+    state: a home that has ended can't write it again, and by an older roster, grants to
+    hosts that only the newer one lists would not be counted.
+    """
+    drawn = max(stored.drawn, known.drawn)
+    stored_order, known_order = get_order(stored, known), get_order(known, stored)
+    if stored_order != known_order:
+        newer = known if known_order > stored_order else stored
+        return replace(newer, drawn=drawn)
+    # Either may be the newer one: no host can account for what the home granted.
+    roster = stored.roster if stored.roster == known.roster else UNKNOWN_ROSTER
+    locked = min(stored.locked, known.locked)
+    return replace(stored, drawn=drawn, roster=roster, locked=locked)
+
+
+def get_order(holder: Holder, other: Holder) -> tuple[int, ...]:
+    """Return what is higher of the newer one of two states of an incarnation.
+
+    Without revisions, totals that never fall tell the order, unless they are equal.
+    """
+    if holder.revision and other.revision:
+        return (holder.revision,)
+    return (holder.used_by_former, holder.spent)
+
+
 def is_own_current(stored: Holder | None, own: Holder, returned: set[int]) -> bool:
     """Return whether a record holds at least what this incarnation drew last.
 
--- a/trefoilstage/components/escrow/rosters.py
+++ b/trefoilstage/components/escrow/rosters.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 import xxhash
@@ -24,6 +24,9 @@
 MAX_CACHED_ROSTERS = 64
 # Earlier versions wrote all rosters to this partition.
 LEGACY_PARTITION = 0
+# Stands in a record for a roster that nobody can name. No roster has this name, so that
+# hosts of any build find none.
+UNKNOWN_ROSTER = "unknown"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +79,13 @@
                 self._written.popitem(last=False)
         return name
 
+    async def write_cached(self, names: Collection[str]) -> None:
+        """Store cached rosters of any host again, as a restored store may lack them."""
+        for name in names:
+            members = self._cached.get(name)
+            if members is not None:
+                await self.write(members)
+
     async def read(self, name: str) -> Mapping[str, str] | None:
         """Return a roster that any host wrote, None if it is missing."""
         for partition in (hash_to_bucket(name, self._n_partitions), LEGACY_PARTITION):
@@ -91,7 +101,7 @@
             try:
                 self._cache(name, ROSTER_CODEC.decode(record.value).members)
             except MalformedMessageError as error:
-                # Homes whose records name this roster cannot be recovered.
+                # All that homes drew whose records name this roster counts as used.
                 log_event(Event.RECORD_MALFORMED, topic=Topic.ROSTERS, error=str(error))
 
     def _cache(self, name: str, members: Mapping[str, str]) -> None:
