Escrow: retire no home while others may write its newer state again

An ended home that the store's copy names with an older state counted 4,000 tokens where 3,000 were spent.

Cause: homes are retired 4 s after a restoration at the earliest, but only by hosts that had read the account before. A host that had not, such as the ended home's successor, retired it by the copy within 0.2 s. The host that knew the newer state then added the holder again. Its draws were counted in part twice, and were free until that write.

Change: Reclaimer.may_reclaim waits until records are complete, whatever this host has read. A host whose first read is after the restoration does not wait, as before (docs/incidents/store-restored-from-a-copy.md).

--- a/tests/components/escrow/test_restored_ended_homes.py
+++ b/tests/components/escrow/test_restored_ended_homes.py
@@ -7,6 +7,7 @@
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.draw_pauses import MAKE_GOOD_S
+from trefoilstage.components.escrow.home import STOCK_CHECK_INTERVAL_S, EscrowHome
 from trefoilstage.components.escrow.record import (
     ACCOUNT_CODEC,
     AccountRecord,
@@ -126,6 +127,43 @@
         await self.recover()
         self.assertEqual(self.cluster.count_unavailable(WORKSPACE), GRANTED)
 
+    async def test_nothing_is_retired_before_others_wrote_what_they_know(self) -> None:
+        """Guard against an ended home that its successor retires by the copy.
+
+        The successor has not read the account before the store came back. The host
+        that knows the newer state would add the retired draws a second time.
+        """
+        copy = self.cluster.store.make_copy()
+        await self.list_later_host()
+        await self.read_by_other()
+        successor = self.cluster.start(HOME)
+        self.cluster.home = HOME
+        self.cluster.store.restore(copy)
+        position = make_position(self.cluster.store.era, 0)
+        for host, home in self.cluster.homes.items():
+            board = self.cluster.boards[host]
+            board.store.record_position(position, self.cluster.timer.time)
+            home.make_good()
+        await self.check_stocks(successor, 0.5)
+        await self.other._draw(WORKSPACE)
+        await self.cluster.run_lock_keeper(HOME)
+        await self.check_stocks(successor, MAKE_GOOD_S + 1.0)
+        self.check_counted()
+        self.assertNotIn(
+            self.account.incarnation, successor._accounts[WORKSPACE].record.holders
+        )
+        self.assertEqual(self.cluster.count_unavailable(WORKSPACE), GRANTED)
+
+    async def check_stocks(self, home: EscrowHome, duration_s: float) -> None:
+        """Let a home check its stocks every 0.1 s."""
+        end = self.cluster.timer.time + duration_s
+        while self.cluster.timer.time < end:
+            self.cluster.timer.time += STOCK_CHECK_INTERVAL_S
+            self.cluster.update_all_peers()
+            await home._check_stocks()
+            if WORKSPACE in home._account_tasks:
+                await home._account_tasks[WORKSPACE]
+
     async def test_living_home_grants_by_the_stored_roster(self) -> None:
         """Guard against grants to hosts that only a lost roster lists.
 
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -84,12 +84,12 @@
             n_partitions=n_partitions,
             accounts=self._accounts,
         )
+        self._pauses = DrawPauses(board=board, timer=timer)
         self._reclaimer = Reclaimer(
-            account_store=self._account_store, recovery=recovery
+            account_store=self._account_store, recovery=recovery, pauses=self._pauses
         )
         # Draws and recoveries by workspace; those of one account do not overlap.
         self._account_tasks: dict[str, asyncio.Task[None]] = {}
-        self._pauses = DrawPauses(board=board, timer=timer)
         self._next_recovery_at: dict[str, float] = {}
         self._roster_written_at: dict[str, float] = {}
         server.register(HoldTokens, self._handle_hold)
@@ -399,7 +399,7 @@
                 continue
             if account.known_before is not None:
                 self._make_account_good(account, now, rank)
-            elif rank is HomeRank.FIRST and self._reclaimer.has_ended_holder(account):
+            elif rank is HomeRank.FIRST and self._reclaimer.may_reclaim(account):
                 self._start_recovery(workspace, now)
             elif is_unread or self._needs_write(account, now, rank):
                 self._start_draw(workspace)
--- a/trefoilstage/components/escrow/reclaim.py
+++ b/trefoilstage/components/escrow/reclaim.py
@@ -4,6 +4,7 @@
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
+from trefoilstage.components.escrow.draw_pauses import DrawPauses
 from trefoilstage.components.escrow.record import Holder, HolderUsage
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.helpers.events import Event, log_event
@@ -13,14 +14,22 @@
     """Retire ended homes in account records, once it is known what they granted."""
 
     def __init__(
-        self, *, account_store: AccountStore, recovery: EscrowRecovery
+        self,
+        *,
+        account_store: AccountStore,
+        recovery: EscrowRecovery,
+        pauses: DrawPauses,
     ) -> None:
         self._account_store = account_store
         self._recovery = recovery
+        self._pauses = pauses
+
+    def may_reclaim(self, account: EscrowAccount) -> bool:
+        """Return whether an account's record is complete and names an ended home.
 
-    def has_ended_holder(self, account: EscrowAccount) -> bool:
-        """Return whether an account's record names a home that has ended."""
-        return any(
+        This host may not know what a restored record lacks; others write it again.
+        """
+        return self._pauses.is_made_good() and any(
             self._recovery.has_ended(holder.host, incarnation)
             for incarnation, holder in account.record.holders.items()
         )
