Store: connect again if this process stalled while connecting

Symptom: test_malformed_era_is_ignored_and_logged, the subtest with the era ² ended once with a connection timeout, among 238 tests at a load of 15 on 7 cores. It did not come by load alone: 0 of 60 runs beside 14 busy processes (load 14 to 21) and 0 of 120 beside 22, four at a time (load 20 to 27).

Cause: the connect timeout of 0.5 s counts a stall of the own process. A loop that resumes runs its due timers before the tasks that events of the stall have woken, so that the connection is open and the call ends with ConnectionTimeoutError. A stall of 0.55, 0.7, 0.9 or 1.2 s placed in the connect brings just this error each time, one of 0.4 s none. Steps of one process took 0.67 and 0.86 s at a load of 14 to 21. The era, the stand-in and its shutdown have no part in it. It is a fault of the product: a host counts such a call as a failure of the store.

Change: StoreClient connects again once, as senders to targets do; nothing was sent without a connection. Their rule, a timeout that fires 0.25 s late, misses stalls that end with the timeout. StallWatch looks at a tick 0.25 s before it. A store that is silent is still called once.

Left: a stall of 1.5 s or more ends the call's whole time, as before. The senders to targets and the probe keep their rule.

--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -20,6 +20,7 @@
     split_position,
 )
 from trefoilstage.helpers.events import Event, log_event, truncate_text
+from trefoilstage.util.stalls import StallWatch
 
 TOPIC_NAMES: Final = {
     Topic.CONFIGURATION: "keyed.op",
@@ -181,16 +182,28 @@
         body: bytes | None = None,
         wait_s: float = 0.0,
     ) -> "StoreAnswer":
+        """Call the store; connect again once if this process stalled meanwhile."""
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
-        try:
+
+        async def send() -> "StoreAnswer":
             async with self._session.request(
                 method, f"{self._url}{path}", params=params, data=body, timeout=timeout
             ) as response:
                 data = await response.read()
                 era = self._read_era(response.headers)
                 return StoreAnswer(status=response.status, era=era, data=data)
+
+        try:
+            with StallWatch(timeout_s=CONNECT_TIMEOUT_S) as watch:
+                try:
+                    return await send()
+                except aiohttp.ConnectionTimeoutError:
+                    # Without a connection, nothing was sent.
+                    if not watch.has_seen_stall():
+                        raise
+            return await send()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreUnavailableError(type(error).__name__) from error
 
--- a/trefoilstage/util/stalls.py
+++ b/trefoilstage/util/stalls.py
@@ -1,6 +1,8 @@
 """Detect that a process did not run between two ticks; no I/O."""
 
+import asyncio
 from dataclasses import dataclass
+from typing import Self
 
 # Heartbeat intervals and latency objectives are of this order: a shorter stall can't be
 # distinguished from a busy host.
@@ -20,6 +22,38 @@
     return now - due >= MIN_STALL_S
 
 
+class StallWatch:
+    """Tell whether the process stalled before a timeout fired.
+
+    A loop that resumes runs the timers that are due before the tasks that events of the
+    stall have woken. A timeout then fires though what it waited for has come, and if
+    the stall was about as long as the timeout, it fires hardly late. An earlier tick
+    shows such a stall.
+    """
+
+    def __init__(self, *, timeout_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._due = self._loop.time() + max(0.0, timeout_s - MIN_STALL_S)
+        self._ticked_at: float | None = None
+
+    def __enter__(self) -> Self:
+        """Start to watch, before what the timeout limits."""
+        self._tick = self._loop.call_at(self._due, self._record_tick)
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Stop watching."""
+        self._tick.cancel()
+
+    def has_seen_stall(self) -> bool:
+        """Return whether the tick came so late that the process must have stalled."""
+        ticked_at = self._loop.time() if self._ticked_at is None else self._ticked_at
+        return was_process_stalled(self._due, ticked_at)
+
+    def _record_tick(self) -> None:
+        self._ticked_at = self._loop.time()
+
+
 class StallDetector:
     """Detect stalls by comparing the time between ticks with their interval.
 
