--- a/trefoilstage/components/escrow/reclaim.py
+++ b/trefoilstage/components/escrow/reclaim.py
@@ -1,7 +1,10 @@
 """Make the tokens that ended homes had drawn and not granted free to be drawn."""
 
+from collections.abc import Mapping
+
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
+from trefoilstage.components.escrow.draw_pauses import DrawPauses
 from trefoilstage.components.escrow.record import Holder, HolderUsage
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.helpers.events import Event, log_event
@@ -11,14 +14,22 @@
     """Retire ended homes in account records, once it is known what they granted."""
 
     def __init__(
-        self, *, account_store: AccountStore, recovery: EscrowRecovery
+        self,
+        *,
+        account_store: AccountStore,
+        recovery: EscrowRecovery,
+        pauses: DrawPauses,
     ) -> None:
         self._account_store = account_store
         self._recovery = recovery
+        self._pauses = pauses
+
+    def may_reclaim(self, account: EscrowAccount) -> bool:
+        """Return whether an account's record is complete and names an ended home.
 
-    def has_ended_holder(self, account: EscrowAccount) -> bool:
-        """Return whether an account's record names a home that has ended."""
-        return any(
+        This host may not know what a restored record lacks; others write it again.
+        """
+        return self._pauses.is_made_good() and any(
             self._recovery.has_ended(holder.host, incarnation)
             for incarnation, holder in account.record.holders.items()
         )
@@ -32,9 +43,7 @@
         for incarnation, holder in account.record.holders.items():
             if not self._recovery.has_ended(holder.host, incarnation):
                 continue
-            roster = await self._account_store.read_roster(holder)
-            if roster is None:
-                continue
+            roster = await self._find_roster(holder)
             usage = await self._recovery.find_usage(
                 account.workspace, incarnation, holder, roster
             )
@@ -45,6 +54,16 @@
                 await self._retire(account, incarnation, holder, usage)
                 return
 
+    async def _find_roster(self, holder: Holder) -> Mapping[str, str] | None:
+        """Return the hosts that an ended home listed, None if nobody knows them."""
+        roster = await self._account_store.read_roster(holder)
+        if roster is None:
+            roster = self._recovery.find_known_roster(holder)
+            if roster is not None:
+                # A witness may be out of reach until the hosts known here have changed.
+                await self._account_store.write_roster(roster)
+        return roster
+
     async def _retire(
         self,
         account: EscrowAccount,
