--- a/standins/common.py
+++ b/standins/common.py
@@ -15,6 +15,17 @@
 ControlT = TypeVar("ControlT", bound=BaseModel)
 
 
+def reserve_port(port: int) -> socket.socket:
+    """Bind a port that refuses connections until its socket is served.
+
+    Otherwise the kernel may give it to a connection of another process.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", port))
+    return reserved
+
+
 def make_json_response(value: Any) -> web.Response:
     """Return a JSON response with a data class's fields."""
     return web.json_response(dataclasses.asdict(value))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,17 +27,6 @@
 N_SLOTS = 8  # of a target
 
 
-def reserve_port(port: int) -> socket.socket:
-    """Bind a port that refuses connections until its socket is served.
-
-    Otherwise the kernel may give it to a connection of another process.
-    """
-    reserved = socket.socket()
-    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    reserved.bind((LOOPBACK, port))
-    return reserved
-
-
 async def start_app(
     app: web.Application, reserved: socket.socket | None = None
 ) -> tuple[web.AppRunner, int]:
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from standins.common import reset_connection
+from standins.common import reserve_port, reset_connection
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.01
@@ -50,6 +50,7 @@
     _server: asyncio.Server | None = None
     _start_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _full_backlog: list[socket.socket] = field(default_factory=list)
+    _reserved: socket.socket | None = None  # while it doesn't listen
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
@@ -72,7 +73,9 @@
         for opened in self._full_backlog:
             opened.close()
         self._full_backlog.clear()
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+        reserved = self._reserved or reserve_port(self.port)
+        self._reserved = None
+        self._server = await asyncio.start_server(self._serve, sock=reserved)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -86,13 +89,15 @@
         """Refuse new connections; open ones live on."""
         if self._server is not None:
             self._server.close()
+            is_reserved = self._reserved is not None or self._full_backlog
+            if not is_reserved:
+                self._reserved = reserve_port(self.port)
 
     def hang(self) -> None:
         """Let new connections and the data of open ones hang."""
         self.stop_listening()
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((LOOPBACK, self.port))
+        listener = self._reserved or reserve_port(self.port)
+        self._reserved = None
         listener.listen(0)
         self._full_backlog.append(listener)
         # The kernel queues one connection more than the backlog and drops the rest.
--- a/tests/promises/crashing.py
+++ b/tests/promises/crashing.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
-from standins.common import reset_connection
-from standins.platform import reserve_port, start_app
+from standins.common import reserve_port, reset_connection
+from standins.platform import start_app
 from standins.platform_target import PlatformTarget
 from tests.promises.fleet import PlatformFleet
 from trefoilstage.components.views.store import Topic
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 
 from standins.proxy import FaultProxy
@@ -22,6 +23,20 @@
         self.assertTrue(proxy.is_listening)
         await proxy.stop()
 
+    async def test_port_of_a_stopped_proxy_is_not_taken(self) -> None:
+        """Guard against other processes' connections that get the port meanwhile."""
+        proxy = FaultProxy()
+        await proxy.start()
+        for stop in (proxy.stop_listening, proxy.hang):
+            stop()
+            with socket.socket() as other:
+                with contextlib.suppress(OSError):
+                    other.bind(("127.0.0.1", proxy.port))
+                await proxy.start()
+            self.assertTrue(proxy.is_listening)
+        proxy.hang()
+        await proxy.stop()
+
 
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """Stop a proxy while an answer passes through it."""
