Crash causes: targets that ran a single suspected request count first

Cause: the suspect with most crashed targets explained the crashes of all others, also of targets that ran only the crashing request. Frequent requests and subjects reach more targets than the cause. Ruled out: lost reports; all hosts logged the same change within 6 ms. Now targets that ran one suspected request only rank before the number of targets.

--- a/trefoilstage/components/crashes/causes.py
+++ b/trefoilstage/components/crashes/causes.py
@@ -59,6 +59,8 @@
     crashed_at: dict[str, int | None] = field(default_factory=dict)
     fingerprints: set[str] = field(default_factory=set)
     common_parts: frozenset[str] = frozenset()
+    # The targets that no other suspected request was starting to run at.
+    lone_targets: set[str] = field(default_factory=set)
 
     def add(self, crash: Crash, parts: frozenset[str]) -> None:
         """Add a crash under a request with the given parts."""
@@ -95,9 +97,20 @@
         for target in targets:
             self.crashed_at.pop(target, None)
 
-    def rank(self) -> tuple[int, bool, int, str]:
-        """Return a key that is highest for the suspect that explains most."""
-        return len(self.crashed_at), self.is_part, len(self.common_parts), self.name
+    def rank(self) -> tuple[int, int, bool, int, str]:
+        """Return a key that is highest for the likeliest cause.
+
+        A target that ran only one suspected request was crashed by that request or a
+        part of it. A harmless request that is sent often is interrupted at more targets
+        than the cause, but always beside others.
+        """
+        return (
+            len(self.lone_targets & self.crashed_at.keys()),
+            len(self.crashed_at),
+            self.is_part,
+            len(self.common_parts),
+            self.name,
+        )
 
 
 def find_causes(
@@ -107,8 +120,8 @@
 
     `previous` are those that were blocked before the last crashes.
 
-    The suspect under which most targets crashed explains those crashes, and only the
-    remaining ones count against others. Otherwise, harmless requests and parts that
+    The likeliest suspect explains the crashes under it, and only the remaining ones
+    count against others. Otherwise, harmless requests and parts that
     were interrupted together with a crashing one would be blocked as well.
     """
     suspects = [
@@ -160,11 +173,19 @@
     n_by_part = Counter(chain.from_iterable(parts_by_crash.values()))
     requests = make_suspects(n_by_request, is_part=False)
     with_part = make_suspects(n_by_part, is_part=True)
+    n_by_target = Counter(crash.target for crash in parts_by_crash)
     for crash, parts in parts_by_crash.items():
         if crash.fingerprint in requests:
             requests[crash.fingerprint].add(crash, parts)
         for part in parts & with_part.keys():
             with_part[part].add(crash, parts)
+        if n_by_target[crash.target] == 1:
+            for suspect in (
+                requests.get(crash.fingerprint),
+                *map(with_part.get, parts),
+            ):
+                if suspect is not None:
+                    suspect.lone_targets.add(crash.target)
     return [*requests.values(), *with_part.values()]
 
 
