Crashes: overload explains the crash of a full target; starts not listed yet count

Ruled out: lost reports (all hosts log the same changes within some ms).

Now each host reports how many of its requests a target cut, and how many it knew of all hosts. Crashes of a target with as many requests as slots count as weak evidence, as do those of the last 0.25 s, until the hosts' reports are in. A suspect by weak evidence that ran nowhere for 4 s after its third crash is sent by one host at a time, and blocked after three further crashes. A run that was sent after a target's crash and is cut while the target's port is closed counts as the crash of another start.

--- /dev/null
+++ b/tests/components/crashes/test_overload.py
@@ -0,0 +1,221 @@
+"""Test which requests hosts block when targets crash above their slots."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from tests.components.crashes.common import StubParts
+from trefoilstage.components.crashes.causes import GRACE_MS, MAX_TRIAL_CRASHES
+from trefoilstage.components.crashes.completed_runs import Run
+from trefoilstage.components.crashes.messages import CrashReport
+from trefoilstage.components.crashes.models import Crash, TargetLoad
+from trefoilstage.components.crashes.target_loads import SETTLE_S
+from trefoilstage.components.crashes.watcher import MIN_RUNS_TO_CLEAR, CrashWatcher
+from trefoilstage.helpers.verdict import Reason
+
+HOSTS = ("host-0", "host-1", "host-2")
+N_SLOTS = 4
+# Virtual time between the requests of a caller that repeats a crashing request.
+REPEAT_S = 0.1
+REPEATS_S = 60.0
+
+
+@dataclass(kw_only=True)
+class ConnectedParts(StubParts):
+    """Deliver one host's reports to the other hosts."""
+
+    host: str
+    watchers: dict[str, CrashWatcher]
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def record(self, crashes: Sequence[Crash]) -> None:
+        super().record(crashes)
+        self._send(CrashReport(host=self.host, crashes=tuple(crashes)))
+
+    def record_load(self, load: TargetLoad) -> None:
+        self._send(CrashReport(host=self.host, loads=(load,)))
+
+    def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
+        super().clear(fingerprint, crashes)
+        self._send(CrashReport(host=self.host, sound=(fingerprint,)))
+
+    def _send(self, report: CrashReport) -> None:
+        for host, watcher in self.watchers.items():
+            if host != self.host:
+                task = asyncio.create_task(watcher._handle_report(report))
+                self.tasks.add(task)
+
+
+class OverloadTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run the watchers of three hosts without a network."""
+
+    n_known_requests = 0  # of all hosts, at each target
+
+    async def asyncSetUp(self) -> None:
+        self.watchers: dict[str, CrashWatcher] = {}
+        for host in HOSTS:
+            part = cast(Any, ConnectedParts(host=host, watchers=self.watchers))
+            self.watchers[host] = CrashWatcher(
+                host=host,
+                probe=part,
+                recorder=part,
+                server=part,
+                timer=part,
+                list_live_hosts=lambda: HOSTS,
+                unix_offset_s=1_000.0,
+                generator=random.Random(1),
+                count_requests=lambda _: self.n_known_requests,
+            )
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass on all hosts' clocks."""
+        for watcher in self.watchers.values():
+            watcher._unix_offset_s += seconds
+            watcher.evidence.unix_offset_s += seconds
+
+    async def crash(
+        self,
+        target: str,
+        *requests: tuple[str, str, Sequence[str]],
+        progress_s: float = 0.0,
+    ) -> None:
+        """Let a target crash under requests, each with its host and its parts."""
+        for fingerprint, host, parts in requests:
+            run = Run(
+                fingerprint=fingerprint,
+                parts=parts,
+                target=target,
+                address=f"{target}:1",
+                n_slots=N_SLOTS,
+            )
+            self.watchers[host].record_interruption(run, progress_s=progress_s)
+        await asyncio.sleep(0.02)
+
+    async def crash_full(
+        self, target: str, fingerprint: str, parts: Sequence[str] = ()
+    ) -> None:
+        """Let a target crash under a request and others that fill it."""
+        others = [
+            (f"{target}-{number}", HOSTS[number % 3], ()) for number in range(N_SLOTS)
+        ]
+        await self.crash(target, (fingerprint, HOSTS[0], parts), *others)
+
+    def get_reasons(
+        self, fingerprint: str, parts: Sequence[str] = (), request: str = ""
+    ) -> list[Reason | None]:
+        """Return why each host refuses a request, None if it does not."""
+        refusals = [
+            watcher.get_refusal(fingerprint, parts, request)
+            for watcher in self.watchers.values()
+        ]
+        return [refusal.reason if refusal else None for refusal in refusals]
+
+
+class HarmlessRequestTest(OverloadTestCase):
+    """Test requests that are under way at targets that crash above their slots."""
+
+    async def test_request_is_served_whose_targets_were_full(self) -> None:
+        """Guard against blocking what runs at overloaded targets.
+
+        In soak seed 107, 877 harmless requests were refused, as a surge crashed each
+        target within 0.5 s of its start and no request ran to its end in between.
+        """
+        for target in "uvwxyz":
+            runs = [("often", host, ("subject",)) for host in HOSTS]
+            await self.crash(target, *runs, ("book", "host-1", ()))
+            self.assertEqual(self.get_reasons("often", ("subject",)), [None] * 3)
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.assertEqual(self.get_reasons("often", ("subject",)), [None] * 3)
+        self.assertEqual(self.get_reasons("new", ("subject",)), [None] * 3)
+
+    async def test_requests_that_had_been_answered_for_a_while_count(self) -> None:
+        """Guard against a full target that looks empty as its streams had begun."""
+        for target in "xyz":
+            await self.crash(target, ("often", "host-0", ()))
+            streams = [(f"s-{number}", "host-1", ()) for number in range(N_SLOTS)]
+            await self.crash(target, *streams, progress_s=0.5)
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.assertEqual(self.get_reasons("often"), [None] * 3)
+
+    async def test_requests_that_ran_lately_count(self) -> None:
+        """Guard against a full target whose other requests are known as harmless."""
+        for _ in range(MIN_RUNS_TO_CLEAR):
+            self.watchers["host-1"].record_harmless("sound")
+        for target in "xyz":
+            others = [("sound", "host-1", ())] * N_SLOTS
+            await self.crash(target, ("often", "host-0", ()), *others)
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.assertEqual(self.get_reasons("often"), [None] * 3)
+
+    async def test_requests_of_hosts_that_report_nothing_count(self) -> None:
+        """Guard against a large fleet's hosts that see one request each."""
+        self.n_known_requests = N_SLOTS
+        for target in "xyz":
+            await self.crash(target, ("often", "host-0", ()))
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.assertEqual(self.get_reasons("often"), [None] * 3)
+
+    async def test_request_that_runs_in_its_trial_is_served_by_all(self) -> None:
+        """Guard against a harmless request that hosts keep sending one at a time."""
+        for target in "xyz":
+            await self.crash_full(target, "often")
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.pass_time(GRACE_MS / 1_000)
+        reasons = self.get_reasons("often", request="r-1")
+        self.assertCountEqual(reasons, [None, Reason.OVERLOADED, Reason.OVERLOADED])
+        self.assertEqual(self.get_reasons("often", request="r-1"), reasons)
+        self.assertNotIn(None, self.get_reasons("often", request="r-2"))
+        self.watchers[HOSTS[reasons.index(None)]].record_harmless("often")
+        await asyncio.sleep(0)
+        self.assertEqual(self.get_reasons("often", request="r-2"), [None] * 3)
+
+
+class CrashingRequestTest(OverloadTestCase):
+    """Test requests that crash each target that runs them."""
+
+    async def repeat(self, fingerprint: str, parts: Sequence[str] = ()) -> None:
+        """Send a request that crashes full targets to all hosts."""
+        n_sent = 0
+        for number in range(int(REPEATS_S / REPEAT_S)):
+            name = f"{fingerprint}-{number}" if parts else fingerprint
+            for reason in self.get_reasons(name, parts, f"r-{number}"):
+                if reason is None:
+                    n_sent += 1
+                    await self.crash_full(f"t-{number}-{n_sent}", name, parts)
+                    await asyncio.sleep(1.2 * SETTLE_S)
+                    self.assertLessEqual(n_sent, MAX_TRIAL_CRASHES)
+            self.pass_time(REPEAT_S)
+
+    async def test_request_is_blocked_although_its_targets_were_full(self) -> None:
+        """Guard against a request that crashes targets for as long as they are full."""
+        for target in "xyz":
+            await self.crash_full(target, "dead")
+        self.pass_time(GRACE_MS / 1_000)
+        await self.repeat("dead")
+        blocked = [Reason.CRASHES_TARGETS] * 3
+        self.assertEqual(self.get_reasons("dead"), blocked)
+
+    async def test_part_is_blocked_although_its_targets_were_full(self) -> None:
+        """Guard against a part that crashes targets in ever new requests."""
+        for target in "xyz":
+            await self.crash_full(target, f"first-{target}", ("dead",))
+            self.pass_time(1.0)
+        self.pass_time(GRACE_MS / 1_000)
+        await self.repeat("more", ("dead",))
+        blocked = [Reason.CRASHES_TARGETS] * 3
+        self.assertEqual(self.get_reasons("new", ("dead",)), blocked)
+
+    async def test_request_at_targets_with_free_slots_is_blocked_soon(self) -> None:
+        """Guard against overload that excuses a request at idle targets."""
+        for target in "xyz":
+            await self.crash(target, ("dead", "host-0", ()), ("a", "host-1", ()))
+        await asyncio.sleep(1.2 * SETTLE_S)
+        blocked = [Reason.CRASHES_TARGETS] * 3
+        self.assertEqual(self.get_reasons("dead"), blocked)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/crashes/causes.py
+++ b/trefoilstage/components/crashes/causes.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -19,6 +19,11 @@
 MIN_TARGETS_TO_STAY = 2
 # Targets that crash together, as those of a rack do, count as one.
 SAME_MOMENT_MS = 100
+# Most harmless requests run within this time after the surge that crashed the targets.
+GRACE_MS = 4_000
+# A request that never ran and crashed as many targets again, sent once at a time, is a
+# cause also if other requests were under way there.
+MAX_TRIAL_CRASHES = 3
 # Crashes of repeats of one request are explained by the request.
 MIN_REQUESTS_WITH_PART = 2
 
@@ -147,6 +152,15 @@
     return Causes(fingerprints=frozenset(fingerprints), part_sets=frozenset(part_sets))
 
 
+def count_trial_crashes(crashed_at: Sequence[int]) -> int:
+    """Return how many targets crashed long after a suspect had enough crashes.
+
+    `crashed_at` has the sorted times in ms at which the targets crashed.
+    """
+    begin_ms = crashed_at[MIN_CRASHED_TARGETS - 1] + GRACE_MS
+    return sum(at_ms > begin_ms for at_ms in crashed_at)
+
+
 def get_min_targets(suspect: Suspect, previous: Causes) -> int:
     """Return how many crashes must remain that no other suspect explains."""
     is_blocked = suspect.common_parts in previous.part_sets
--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -10,11 +10,21 @@
 from dataclasses import dataclass, field, replace
 
 from trefoilstage.components.crashes.causes import (
+    MAX_TRIAL_CRASHES,
     MIN_CRASHED_TARGETS,
+    NO_CAUSES,
+    SAME_MOMENT_MS,
     Causes,
+    count_trial_crashes,
     find_causes,
 )
-from trefoilstage.components.crashes.models import Crash, make_crash
+from trefoilstage.components.crashes.models import (
+    Crash,
+    TargetLoad,
+    make_crash,
+    name_restart,
+)
+from trefoilstage.components.crashes.target_loads import TargetLoads
 
 # Limits the memory of a host and the records in the store when hundreds of targets stop
 # while each runs dozens of requests.
@@ -27,6 +37,8 @@
 # Finding the causes takes 0.06 s at the bound of crashes.
 DROPS_BETWEEN_REFRESHES = 256
 
+MS_PER_S = 1_000
+
 NO_PARTS: frozenset[str] = frozenset()
 
 
@@ -49,20 +61,60 @@
     crashes_by_part: dict[str, set[Crash]] = field(
         default_factory=lambda: defaultdict(set)
     )
+    loads: TargetLoads = field(default_factory=TargetLoads)
+    unix_offset_s: float = 0.0  # Unix time minus loop time
     _n_crashes_by_target: Counter[str] = field(default_factory=Counter)
+    _at_ms: dict[Crash, int] = field(default_factory=dict)
+    # When each target was first seen to have crashed.
+    _target_crashed_at_ms: dict[str, int] = field(default_factory=dict)
     _parts: dict[Crash, frozenset[str]] = field(default_factory=dict)
     _causes: Causes = field(default_factory=Causes)
+    _weak_causes: Causes = field(default_factory=Causes)
     _are_causes_stale: bool = False
     _n_drops_until_refresh: int = 0
 
     @property
     def causes(self) -> Causes:
         """Return which requests and parts are blocked."""
+        self._refresh()
+        return self._causes
+
+    @property
+    def weak_causes(self) -> Causes:
+        """Return the requests and parts whose crashes overload may explain.
+
+        They are the causes if crashes of overloaded targets count too.
+        """
+        self._refresh()
+        return self._weak_causes
+
+    def _refresh(self) -> None:
         if self._are_causes_stale:
-            suspected = self._select_suspected_parts()
-            self._causes = find_causes(suspected, self._causes)
+            self._find_causes()
             self._are_causes_stale = False
-        return self._causes
+
+    def _find_causes(self) -> None:
+        suspected = self._select_suspected_parts()
+        firm = {
+            crash: parts
+            for crash, parts in suspected.items()
+            if self.loads.is_firm(crash.target)
+        }
+        causes = self._causes = find_causes(firm, self._causes)
+        if len(firm) == len(suspected):
+            self._weak_causes = NO_CAUSES
+            return
+        explained = {
+            crash.target
+            for crash, parts in suspected.items()
+            if causes.includes(crash.fingerprint, parts)
+        }
+        remaining = {
+            crash: parts
+            for crash, parts in suspected.items()
+            if crash.target not in explained
+        }
+        self._weak_causes = find_causes(remaining, self._weak_causes)
 
     @property
     def blocked_fingerprints(self) -> frozenset[str]:
@@ -71,9 +123,15 @@
 
     def add(self, crash: Crash, now: float) -> bool:
         """Add a crash; return whether it is new."""
+        if crash.load is not None:
+            self.add_load(crash.load)
         if crash in self.seen_at:
             return False
         self.seen_at[crash] = now
+        self._at_ms[crash] = crash.at_ms
+        if crash.at_ms:
+            known_ms = self._target_crashed_at_ms.get(crash.target, crash.at_ms)
+            self._target_crashed_at_ms[crash.target] = min(known_ms, crash.at_ms)
         self.targets_by_fingerprint[crash.fingerprint].add(crash.target)
         self._n_crashes_by_target[crash.target] += 1
         self._parts[crash] = frozenset(crash.parts)
@@ -89,15 +147,26 @@
         if crash not in self.seen_at:
             return
         self._are_causes_stale |= self._may_change_causes(crash)
-        del self.seen_at[crash]
+        del self.seen_at[crash], self._at_ms[crash]
         targets = self.targets_by_fingerprint[crash.fingerprint]
         targets.discard(crash.target)
         if not targets:
             del self.targets_by_fingerprint[crash.fingerprint]
         self._n_crashes_by_target -= Counter([crash.target])
+        if crash.target not in self._n_crashes_by_target:
+            self._target_crashed_at_ms.pop(crash.target, None)
         for part in self._parts.pop(crash):
             self._unlink(part, crash)
 
+    def add_load(self, load: TargetLoad) -> None:
+        """Add how many requests a target had under way when it stopped."""
+        self._are_causes_stale |= self.loads.add(load)
+
+    def close_loads(self, target: str) -> None:
+        """Decide whether overload explains a target's crashes."""
+        self.loads.close(target)
+        self._are_causes_stale = True
+
     def remove_part(self, part: str) -> None:
         """Remove a part that ran without a crash from all crashes."""
         self._are_causes_stale |= self._has_enough_crashes(part)
@@ -146,12 +215,7 @@
         self, fingerprint: str, parts: frozenset[str], now: float
     ) -> float:
         """Return the seconds until a blocked request may run again."""
-        blocked_parts = self.causes.find_parts(parts)
-        crashes = (
-            self.list_crashes(fingerprint)
-            if blocked_parts is None
-            else self._list_with_parts(blocked_parts)
-        )
+        crashes = self._list_suspect_crashes(fingerprint, parts)
         seen_at: dict[str, float] = {}
         for crash in crashes:
             known = seen_at.get(crash.target, float("-inf"))
@@ -160,6 +224,45 @@
         decisive_crash_at = sorted(seen_at.values())[-MIN_CRASHED_TARGETS]
         return max(0.0, decisive_crash_at + BLOCKED_RETENTION_S - now)
 
+    def list_crash_times(self, fingerprint: str, parts: frozenset[str]) -> list[int]:
+        """Return when targets crashed under a suspect, in Unix ms, sorted."""
+        times: dict[str, int] = {}
+        for crash in self._list_suspect_crashes(fingerprint, parts):
+            seen_s = self.seen_at[crash] + self.unix_offset_s
+            at_ms = self._at_ms[crash] or int(seen_s * MS_PER_S)
+            times[crash.target] = min(at_ms, times.get(crash.target, at_ms))
+        return sorted(times.values())
+
+    def is_suspect(self, fingerprint: str, parts: frozenset[str]) -> bool:
+        """Return whether a request is a cause of crashes, or may be one."""
+        return self.causes.includes(fingerprint, parts) or self.weak_causes.includes(
+            fingerprint, parts
+        )
+
+    def is_blocked(self, fingerprint: str, parts: frozenset[str]) -> bool:
+        """Return whether a request must not be sent."""
+        if self.causes.includes(fingerprint, parts):
+            return True
+        if not self.weak_causes.includes(fingerprint, parts):
+            return False
+        crashed_at = self.list_crash_times(fingerprint, parts)
+        return count_trial_crashes(crashed_at) >= MAX_TRIAL_CRASHES
+
+    def find_suspect_parts(
+        self, fingerprint: str, parts: frozenset[str]
+    ) -> frozenset[str] | None:
+        """Return the parts for which a request is suspect, None if it is itself."""
+        is_firm = self.causes.includes(fingerprint, parts)
+        return (self.causes if is_firm else self.weak_causes).find_parts(parts)
+
+    def _list_suspect_crashes(
+        self, fingerprint: str, parts: frozenset[str]
+    ) -> list[Crash]:
+        suspect_parts = self.find_suspect_parts(fingerprint, parts)
+        if suspect_parts is None:
+            return self.list_crashes(fingerprint)
+        return self._list_with_parts(suspect_parts)
+
     def _list_with_parts(self, parts: frozenset[str]) -> list[Crash]:
         part = next(iter(parts))
         crashes = self.crashes_by_part.get(part, ())
@@ -175,6 +278,24 @@
         """Return whether an incarnation of a target is known to have crashed."""
         return make_crash("", target).target in self._n_crashes_by_target
 
+    def find_start(self, target: str, sent_at: float) -> str:
+        """Return the start of a target that a request reached at a loop time.
+
+        A target that restarts under its name takes requests before hosts read its new
+        entry, which they send to the incarnation that has crashed. Its next crash is
+        another one.
+        """
+        sent_ms = (sent_at + self.unix_offset_s) * MS_PER_S if sent_at else 0.0
+        n_crashes = 0
+        start = name_restart(target, n_crashes)
+        while (
+            self._target_crashed_at_ms.get(start, float("inf")) + SAME_MOMENT_MS
+            < sent_ms
+        ):
+            n_crashes += 1
+            start = name_restart(target, n_crashes)
+        return start
+
     def count_targets(self, part: str) -> int:
         """Return how many targets crashed under requests with a part."""
         return len({crash.target for crash in self.crashes_by_part.get(part, ())})
@@ -191,7 +312,7 @@
         return BLOCKED_RETENTION_S if self._is_blocked(crash) else SUSPECT_RETENTION_S
 
     def _is_blocked(self, crash: Crash) -> bool:
-        return self.causes.includes(crash.fingerprint, self._parts[crash])
+        return self.is_blocked(crash.fingerprint, self._parts[crash])
 
     def _select_crash_to_drop(self, added: Crash) -> Crash:
         # The crashes of a blocked request must outlast a burst of other crashes.
--- a/trefoilstage/components/crashes/models.py
+++ b/trefoilstage/components/crashes/models.py
@@ -1,5 +1,6 @@
 """Define the crash of a target under a request, and its record in the store."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -10,10 +11,13 @@
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.helpers.field_types import ShortText, UInt53
+from trefoilstage.util.hashing import rank_by_rendezvous_cached
 
 SEPARATOR = "/"
 # Hosts of builds that know only crashes skip a key without their separator.
 SOUND_PART_PREFIX = "sound|"
+# Between an incarnation and the number of its crashes.
+RESTART_MARK = "~"
 # Keeps a record's key within the 255 bytes that the store accepts.
 MAX_TARGET_NAME_BYTES = 150
 # A record without a value deletes its key. Hosts of earlier builds write this one.
@@ -22,6 +26,17 @@
 Parts = Annotated[tuple[ShortText, ...], Field(max_length=MAX_PARTS)]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetLoad:
+    """Represent what one host knows of the requests under way at a target's stop."""
+
+    target: ShortText  # its incarnation, or a digest, as in a crash
+    host: ShortText
+    n_own: UInt53  # requests of this host
+    n_all: UInt53  # requests of all hosts, as far as known
+    n_slots: UInt53
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash:
     """Represent that a target stopped while a request was starting to run there."""
@@ -33,6 +48,8 @@
     parts: Parts = field(default=(), compare=False)
     # When the observing host noticed it, by its clock in Unix ms; 0 if unknown.
     at_ms: UInt53 = field(default=0, compare=False)
+    # None if the observing host is of an earlier build.
+    load: TargetLoad | None = field(default=None, compare=False)
 
     @property
     def key(self) -> str:
@@ -42,7 +59,13 @@
     @property
     def value(self) -> bytes:
         """Return the value of the crash's record in the store."""
-        return DETAILS.dump_json(CrashDetails(parts=self.parts, at_ms=self.at_ms))
+        details = CrashDetails(parts=self.parts, at_ms=self.at_ms, load=self.load)
+        return DETAILS.dump_json(details)
+
+    @property
+    def subject(self) -> str:
+        """Return the request that the crash is about."""
+        return self.fingerprint
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +74,7 @@
 
     parts: Parts = ()
     at_ms: UInt53 = 0
+    load: TargetLoad | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,11 +96,27 @@
         """Return the value of the part's record in the store."""
         return str(self.at_ms).encode()
 
+    @property
+    def subject(self) -> str:
+        """Return the part that the record is about."""
+        return self.part
+
 
 CrashRecord = Crash | SoundPart
 DETAILS = TypeAdapter(CrashDetails)
 
 
+def select_assigned(
+    records: Iterable[CrashRecord], host: str, live: tuple[str, ...]
+) -> list[CrashRecord]:
+    """Return the records that a host writes or deletes for all live hosts."""
+    return [
+        record
+        for record in records
+        if rank_by_rendezvous_cached(record.subject, live)[:1] == (host,)
+    ]
+
+
 def decode_record(record: KeyedRecord) -> CrashRecord:
     """Return what a record represents, or raise MalformedMessageError."""
     if record.key.startswith(SOUND_PART_PREFIX):
@@ -90,6 +130,7 @@
         target=target,
         parts=details.parts,
         at_ms=details.at_ms,
+        load=details.load,
     )
 
 
@@ -106,13 +147,31 @@
 
 
 def make_crash(
-    fingerprint: str, target: str, *, parts: tuple[str, ...] = (), at_ms: int = 0
+    fingerprint: str,
+    target: str,
+    *,
+    parts: tuple[str, ...] = (),
+    at_ms: int = 0,
+    load: TargetLoad | None = None,
 ) -> Crash:
-    """Return the crash of a target's incarnation under a request.
+    """Return the crash of a target's incarnation under a request."""
+    return Crash(
+        fingerprint=fingerprint,
+        target=shorten_target(target),
+        parts=parts,
+        at_ms=at_ms,
+        load=load,
+    )
+
+
+def name_restart(target: str, n_crashes: int) -> str:
+    """Return a name for a start that is known only to follow crashes of a target."""
+    return shorten_target(f"{target}{RESTART_MARK}{n_crashes}" if n_crashes else target)
+
 
-    A name too long for a record's key is replaced by its digest.
-    """
+def shorten_target(target: str) -> str:
+    """Return a target's incarnation, or its digest if it is too long for a key."""
     name = target.encode()
     if len(name) > MAX_TARGET_NAME_BYTES:
-        target = xxhash.xxh3_64_hexdigest(name)
-    return Crash(fingerprint=fingerprint, target=target, parts=parts, at_ms=at_ms)
+        return xxhash.xxh3_64_hexdigest(name)
+    return target
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -12,7 +12,12 @@
 
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.messages import CrashReport
-from trefoilstage.components.crashes.models import Crash, CrashRecord, SoundPart
+from trefoilstage.components.crashes.models import (
+    Crash,
+    CrashRecord,
+    SoundPart,
+    TargetLoad,
+)
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
 from trefoilstage.exceptions import PeerUnavailableError
@@ -53,6 +58,10 @@
             CrashReport(host=self._board.host, crashes=tuple(crashes))
         )
 
+    def record_load(self, load: TargetLoad) -> None:
+        """Share how many requests a target had under way when it stopped."""
+        self._report_to_peers(CrashReport(host=self._board.host, loads=(load,)))
+
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         """Share that a request is harmless, and delete its crashes from the store."""
         self._schedule_writes(crashes, keep=False)
--- /dev/null
+++ b/trefoilstage/components/crashes/target_loads.py
@@ -0,0 +1,112 @@
+"""Tell crashes that overload explains from others, by what ran at the target; pure.
+
+A target that had as many requests under way as it has slots may have crashed because of
+their number. No host alone sees all of them, so each reports how many of its own the
+target cut.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+from trefoilstage.components.crashes.completed_runs import Run
+from trefoilstage.components.crashes.models import TargetLoad, shorten_target
+
+# Limits the memory of a host.
+MAX_TARGETS = 4_096
+# The connections that a crashed target cuts end within this time.
+CUT_TOGETHER_S = 0.25
+# All hosts in touch have reported a crash after this time. A report takes a few ms,
+# on a busy machine up to 0.1 s.
+SETTLE_S = 0.25
+
+
+def count_none(target: str) -> int:
+    """Return that no requests are known at a target."""
+    return 0
+
+
+class TargetLoads:
+    """Keep how many requests targets had under way when they stopped."""
+
+    def __init__(self) -> None:
+        # By target and host.
+        self._loads: OrderedDict[str, dict[str, TargetLoad]] = OrderedDict()
+        # Whether hosts may still report their requests at a target that stopped.
+        self._is_open: OrderedDict[str, bool] = OrderedDict()
+
+    def add(self, load: TargetLoad) -> bool:
+        """Add what a host knows; return whether a target now counts as overloaded."""
+        was_overloaded = self.is_overloaded(load.target)
+        loads = self._loads.setdefault(load.target, {})
+        known = loads.get(load.host)
+        if known is None or (known.n_own, known.n_all) < (load.n_own, load.n_all):
+            loads[load.host] = load
+        if len(self._loads) > MAX_TARGETS:
+            self._loads.popitem(last=False)
+        return self.is_overloaded(load.target) and not was_overloaded
+
+    def open(self, target: str) -> bool:
+        """Wait for reports of a target's requests; return False if it did already."""
+        if target in self._is_open:
+            return False
+        self._is_open[target] = True
+        if len(self._is_open) > MAX_TARGETS:
+            self._is_open.popitem(last=False)
+        return True
+
+    def close(self, target: str) -> None:
+        """Stop waiting for reports of a target's requests."""
+        if target in self._is_open:
+            self._is_open[target] = False
+
+    def count_running(self, target: str) -> int:
+        """Return how many requests a target had under way, as far as known."""
+        loads = self._loads.get(target, {}).values()
+        n_all = max((load.n_all for load in loads), default=0)
+        return max(n_all, sum(load.n_own for load in loads))
+
+    def is_overloaded(self, target: str) -> bool:
+        """Return whether as many requests were under way as the target has slots."""
+        loads = self._loads.get(target, {}).values()
+        n_slots = max((load.n_slots for load in loads), default=0)
+        return 0 < n_slots <= self.count_running(target)
+
+    def is_firm(self, target: str) -> bool:
+        """Return whether a crash of the target is not explained by overload."""
+        return not (self._is_open.get(target, False) or self.is_overloaded(target))
+
+
+class CutRequests:
+    """Count this host's requests that targets cut together."""
+
+    def __init__(self, *, host: str, count_requests: Callable[[str], int]) -> None:
+        self._host = host
+        self._count_requests = count_requests  # of all hosts at a target
+        # When a target cut a request, and how many were under way there by then.
+        self._cuts: deque[tuple[float, str, int]] = deque()
+
+    def add(self, target: str, now: float) -> None:
+        """Add a request that a target cut."""
+        self._cuts.append((now, target, self._count_requests(target)))
+        while now - self._cuts[0][0] > CUT_TOGETHER_S:
+            self._cuts.popleft()
+
+    def make_load(self, run: Run, start: str, now: float) -> TargetLoad | None:
+        """Return what this host knows of a start of a run's target that stopped.
+
+        None if the target's slots are unknown.
+        """
+        counts = [
+            n_all
+            for cut_at, other, n_all in self._cuts
+            if other == run.target and now - cut_at <= CUT_TOGETHER_S
+        ]
+        if not run.n_slots:
+            return None
+        return TargetLoad(
+            target=shorten_target(start),
+            host=self._host,
+            n_own=len(counts),
+            n_all=max(counts, default=0),
+            n_slots=run.n_slots,
+        )
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from itertools import chain
 
 from mode import Service
@@ -21,29 +21,28 @@
     CompletedRuns,
     Run,
 )
-from trefoilstage.components.crashes.evidence import (
-    MAX_CRASHES,
-    SUSPECT_RETENTION_S,
-    CrashEvidence,
-)
+from trefoilstage.components.crashes.evidence import CrashEvidence
 from trefoilstage.components.crashes.evidence_log import decode_or_log, log_changes
-from trefoilstage.components.crashes.fingerprint import describe_parts
+from trefoilstage.components.crashes.load_reports import LoadReports
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import (
     Crash,
     CrashRecord,
     SoundPart,
     make_crash,
+    select_assigned,
 )
 from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
 from trefoilstage.components.crashes.recent_runs import RecentRuns
 from trefoilstage.components.crashes.recorder import CrashRecorder, HostLister
+from trefoilstage.components.crashes.refusals import CrashRefusals
+from trefoilstage.components.crashes.sound_parts import SoundParts
+from trefoilstage.components.crashes.target_loads import CutRequests, count_none
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Refusal
 from trefoilstage.timer import TimerService
-from trefoilstage.util.hashing import rank_by_rendezvous_cached
 
 # An answer that went on for longer is not the cause, even on a slow engine.
 MAX_SUSPECT_PROGRESS_S = 1.0
@@ -79,6 +78,7 @@
         list_live_hosts: HostLister,
         unix_offset_s: float,
         generator: random.Random,
+        count_requests: Callable[[str], int] = count_none,
     ) -> None:
         super().__init__()
         self._host = host
@@ -92,9 +92,13 @@
         self._completed = CompletedRuns()
         self._ran_requests = RecentRuns(retention_s=RAN_LATELY_S)
         self._ran_parts = RecentRuns(retention_s=PART_RAN_LATELY_S)
-        # When this host learned that a part is harmless whose record is in the store.
-        self._sound_parts: dict[str, float] = {}
-        self.evidence = CrashEvidence(is_exonerated=self._has_part_run_lately)
+        self._sound_parts = SoundParts()
+        self.evidence = CrashEvidence(
+            is_exonerated=self._has_part_run_lately, unix_offset_s=unix_offset_s
+        )
+        self._cuts = CutRequests(host=host, count_requests=count_requests)
+        self._loads = LoadReports(evidence=self.evidence, start=self.add_future)
+        self._refusals = CrashRefusals(host=host, list_live_hosts=list_live_hosts)
         server.register(CrashReport, self._handle_report)
 
     async def on_start(self) -> None:
@@ -108,25 +112,18 @@
         self._unsubscribe()
 
     def get_refusal(
-        self, fingerprint: str, parts: Sequence[str] = ()
+        self, fingerprint: str, parts: Sequence[str] = (), request_id: str = ""
     ) -> Refusal | None:
-        """Return a refusal for a blocked request, None for any other.
+        """Return a refusal for a request that must not be sent now, None for any other.
 
         `parts` are those of its prompt that other requests may share.
         """
-        causes = self.evidence.causes
-        blocked_parts = causes.find_parts(frozenset(parts))
-        is_request_blocked = fingerprint in causes.fingerprints
-        if not (blocked_parts or is_request_blocked):
-            return None
-        if self._has_request_run_lately(fingerprint):
+        names = frozenset(parts)
+        is_suspect = self.evidence.is_suspect(fingerprint, names)
+        if not is_suspect or self._has_request_run_lately(fingerprint):
             return None
-        return Refusal(
-            reason=Reason.CRASHES_TARGETS,
-            detail=describe_parts(sorted(blocked_parts or ())),
-            retry_after_s=self.evidence.compute_wait_s(
-                fingerprint, frozenset(parts), self._now()
-            ),
+        return self._refusals.get_refusal(
+            self.evidence, fingerprint, names, request_id, self._now()
         )
 
     def record_interruption(self, run: Run, *, progress_s: float) -> None:
@@ -134,10 +131,14 @@
 
         `progress_s` is the time for which the response had been arriving.
         """
+        self._cuts.add(run.target, self._now())
         if progress_s > MAX_SUSPECT_PROGRESS_S:
             self.record_harmless(run.fingerprint, run.parts)
-        elif progress_s <= CRASHES_WITHIN_S:
+        if progress_s <= CRASHES_WITHIN_S:
             self._suspect(run)
+        elif run.n_slots:
+            # The other hosts count this request if the target crashed.
+            self._check_target(run)
 
     def record_caller_left(self, run: Run, *, progress_s: float) -> None:
         """Record that a caller left, or its deadline passed, before the response ended.
@@ -170,9 +171,10 @@
 
     def _confirm_old_runs(self) -> None:
         for run in self._completed.pop_old(self._now()):
-            if self.evidence.has_target(run.target):
+            start = self.evidence.find_start(run.target, run.sent_at)
+            if self.evidence.has_target(start):
                 # Another host noticed that the target stopped.
-                self._record_crashes(run.target, [run])
+                self._record_crashes(start, [run], run)
             else:
                 self.record_harmless(run.fingerprint, run.parts, is_certain=False)
 
@@ -189,10 +191,13 @@
         return self.evidence.has_crashes(run.fingerprint, suspected)
 
     def _suspect(self, run: Run) -> None:
+        self._check_target(run, run)
+
+    def _check_target(self, run: Run, *suspected: Run) -> None:
         is_being_probed = run.target in self._interrupted
-        self._interrupted[run.target].append(run)
+        self._interrupted[run.target] += suspected
         if not is_being_probed:
-            self.add_future(self._probe_target(run.target, run.address))
+            self.add_future(self._probe_target(run))
 
     def record_harmless(
         self, fingerprint: str, parts: Sequence[str] = (), *, is_certain: bool = True
@@ -245,43 +250,48 @@
         self._recorder.write(self._select_assigned(sound))
 
     def _select_assigned(self, records: Iterable[CrashRecord]) -> list[CrashRecord]:
-        """Return the records that this host writes or deletes for all hosts."""
-        live = self._list_live_hosts()
-        return [
-            record
-            for record in records
-            if rank_by_rendezvous_cached(get_subject(record), live)[:1] == (self._host,)
-        ]
+        return select_assigned(records, self._host, self._list_live_hosts())
 
-    async def _probe_target(self, target: str, address: str) -> None:
-        result = await self._probe.connect(address)
+    async def _probe_target(self, run: Run) -> None:
+        target = run.target
+        result = await self._probe.connect(run.address)
         self._confirm_old_runs()
         interrupted = self._interrupted.pop(target)
         if result is ProbeResult.ACCEPTED:
-            # The target broke off responses but is still running.
-            return
+            return  # The target broke off responses but is still running.
         runs = [*interrupted, *self._completed.pop_target(target)]
-        n_cut = self._record_crashes(target, runs)
+        if result is ProbeResult.REFUSED:
+            sent_at = max((item.sent_at for item in interrupted), default=0.0)
+            target = self.evidence.find_start(target, sent_at)
+        n_cut = self._record_crashes(target, runs, run)
         log_event(Event.TARGET_ENDED, target=target, connect=result, n_cut=n_cut)
 
-    def _record_crashes(self, target: str, runs: Sequence[Run]) -> int:
-        """Record that a target stopped under some runs; return how many are suspect."""
+    def _record_crashes(self, target: str, runs: Sequence[Run], cut: Run) -> int:
+        """Record that a target stopped under some runs; return how many are suspect.
+
+        `cut` is a run that the target cut, which need not be suspect.
+        """
         at_ms = self._get_unix_ms()
+        load = self._cuts.make_load(cut, target, self._now())
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
             for run in runs
             if not self._has_request_run_lately(run.fingerprint)
         }
         crashes = [
-            make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
+            make_crash(fingerprint, target, parts=parts, at_ms=at_ms, load=load)
             for fingerprint, parts in sorted(parts_by_fingerprint.items())
         ]
         if crashes:
             self._change_evidence("crashed", add=crashes)
             self._recorder.record(crashes)
+        elif load is not None:
+            self._loads.add([load])
+            self._recorder.record_load(load)
         return len(crashes)
 
     async def _handle_report(self, report: CrashReport) -> None:
+        self._loads.add(report.loads)
         self._change_evidence("crashed", add=report.crashes)
         for fingerprint in report.sound:
             crashes = self.evidence.list_crashes(fingerprint)
@@ -293,10 +303,8 @@
 
     def _accept_sound_parts(self, parts: Iterable[str]) -> None:
         for part in parts:
-            self._sound_parts[part] = self._now()
+            self._sound_parts.add(part, self._now())
             self._change_evidence("ran", remove_parts=[part])
-        while len(self._sound_parts) > MAX_CRASHES:
-            self._sound_parts.pop(next(iter(self._sound_parts)))
 
     def _change_evidence(
         self,
@@ -312,6 +320,7 @@
         previous = self.evidence.causes
         now = self._now()
         for crash in add:
+            self._loads.wait_for_others(crash, self._get_unix_ms())
             self.evidence.add(crash, now)
         for crash in remove:
             self.evidence.remove(crash)
@@ -376,13 +385,7 @@
         now = self._now()
         expired = self.evidence.list_expired(now)
         self._change_evidence("expired", remove=expired)
-        sound = [
-            SoundPart(part=part)
-            for part, sound_at in self._sound_parts.items()
-            if now - sound_at > SUSPECT_RETENTION_S
-        ]
-        for item in sound:
-            del self._sound_parts[item.part]
+        sound = self._sound_parts.pop_expired(now)
         self._recorder.delete(self._select_assigned([*expired, *sound]))
 
     def _now(self) -> float:
@@ -390,8 +393,3 @@
 
     def _get_unix_ms(self) -> int:
         return int((self._now() + self._unix_offset_s) * MS_PER_S)
-
-
-def get_subject(record: CrashRecord) -> str:
-    """Return the request or the part that a record is about."""
-    return record.fingerprint if isinstance(record, Crash) else record.part
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -96,7 +96,9 @@
         """Answer a caller; return a refusal if it got no answer, otherwise None."""
         if state.started_at >= state.deadline:
             return Refusal(reason=Reason.DEADLINE)
-        blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
+        blocked = self._crashes.get_refusal(
+            state.fingerprint, state.parts, state.request.request_id
+        )
         if blocked is not None:
             return blocked
         if state.route.kind is RouteKind.STREAM and state.request.is_resumption:
@@ -220,7 +222,9 @@
             await self._query_candidates(state)
         # The request may have crashed a target since it arrived, sent by this or
         # another host.
-        blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
+        blocked = self._crashes.get_refusal(
+            state.fingerprint, state.parts, state.request.request_id
+        )
         if blocked is not None:
             return failure if state.n_possible_runs else blocked
         target = await self._choose_target(state, place)
@@ -306,7 +310,7 @@
             resume_after=state.last_event_id,
             fetch_from=fetch.source.address if fetch else "",
         )
-        state.record_send(target.name)
+        state.record_send(target.name, now)
         sent = self._chooser.add_request(
             target, state.request.prompt, state.candidate_info, fetch
         )
--- a/trefoilstage/components/forwarding/run_recorder.py
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -68,4 +68,6 @@
         parts=state.parts,
         target=target.incarnation,
         address=target.address,
+        n_slots=target.slots,
+        sent_at=state.sent_at,
     )
