Crashes: starts that hosts name differently are one target

Cause: while a target restarts under its name, some hosts know its new start and others don't; they reported the same crash as that of i-0@1000~1 and i-0@1001, so that each looked idle. Starts of one name that crashed within 0.25 s now count as one.

--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -65,8 +65,6 @@
     unix_offset_s: float = 0.0  # Unix time minus loop time
     _n_crashes_by_target: Counter[str] = field(default_factory=Counter)
     _at_ms: dict[Crash, int] = field(default_factory=dict)
-    # When each target was first seen to have crashed.
-    _target_crashed_at_ms: dict[str, int] = field(default_factory=dict)
     _parts: dict[Crash, frozenset[str]] = field(default_factory=dict)
     _causes: Causes = field(default_factory=Causes)
     _weak_causes: Causes = field(default_factory=Causes)
@@ -94,7 +92,7 @@
             self._are_causes_stale = False
 
     def _find_causes(self) -> None:
-        suspected = self._select_suspected_parts()
+        suspected = self._merge_aliases(self._select_suspected_parts())
         firm = {
             crash: parts
             for crash, parts in suspected.items()
@@ -121,6 +119,17 @@
         """Return the requests that are blocked as a whole."""
         return self.causes.fingerprints
 
+    def _merge_aliases(
+        self, parts_by_crash: dict[Crash, frozenset[str]]
+    ) -> dict[Crash, frozenset[str]]:
+        """Return crashes with one name for each start of a target."""
+        merged: dict[Crash, frozenset[str]] = {}
+        for crash, parts in parts_by_crash.items():
+            start = self.loads.list_aliases(crash.target)[0]
+            item = crash if start == crash.target else replace(crash, target=start)
+            merged[item] = merged.get(item, parts) & parts
+        return merged
+
     def add(self, crash: Crash, now: float) -> bool:
         """Add a crash; return whether it is new."""
         if crash.load is not None:
@@ -129,9 +138,9 @@
             return False
         self.seen_at[crash] = now
         self._at_ms[crash] = crash.at_ms
-        if crash.at_ms:
-            known_ms = self._target_crashed_at_ms.get(crash.target, crash.at_ms)
-            self._target_crashed_at_ms[crash.target] = min(known_ms, crash.at_ms)
+        self.loads.add_time(crash.target, crash.at_ms)
+        # Two targets become one if they are starts that hosts took for different ones.
+        has_aliases = len(self.loads.list_aliases(crash.target)) > 1
         self.targets_by_fingerprint[crash.fingerprint].add(crash.target)
         self._n_crashes_by_target[crash.target] += 1
         self._parts[crash] = frozenset(crash.parts)
@@ -139,7 +148,7 @@
             self.crashes_by_part[part].add(crash)
         while len(self.seen_at) > self.max_crashes:
             self.remove(self._select_crash_to_drop(crash))
-        self._are_causes_stale |= self._may_change_causes(crash)
+        self._are_causes_stale |= has_aliases or self._may_change_causes(crash)
         return True
 
     def remove(self, crash: Crash) -> None:
@@ -153,8 +162,6 @@
         if not targets:
             del self.targets_by_fingerprint[crash.fingerprint]
         self._n_crashes_by_target -= Counter([crash.target])
-        if crash.target not in self._n_crashes_by_target:
-            self._target_crashed_at_ms.pop(crash.target, None)
         for part in self._parts.pop(crash):
             self._unlink(part, crash)
 
@@ -230,7 +237,8 @@
         for crash in self._list_suspect_crashes(fingerprint, parts):
             seen_s = self.seen_at[crash] + self.unix_offset_s
             at_ms = self._at_ms[crash] or int(seen_s * MS_PER_S)
-            times[crash.target] = min(at_ms, times.get(crash.target, at_ms))
+            start = self.loads.list_aliases(crash.target)[0]
+            times[start] = min(at_ms, times.get(start, at_ms))
         return sorted(times.values())
 
     def is_suspect(self, fingerprint: str, parts: frozenset[str]) -> bool:
@@ -288,9 +296,8 @@
         sent_ms = (sent_at + self.unix_offset_s) * MS_PER_S if sent_at else 0.0
         n_crashes = 0
         start = name_restart(target, n_crashes)
-        while (
-            self._target_crashed_at_ms.get(start, float("inf")) + SAME_MOMENT_MS
-            < sent_ms
+        while (at_ms := self.loads.get_at_ms(start)) and (
+            at_ms + SAME_MOMENT_MS < sent_ms
         ):
             n_crashes += 1
             start = name_restart(target, n_crashes)
--- a/trefoilstage/components/crashes/models.py
+++ b/trefoilstage/components/crashes/models.py
@@ -35,6 +35,7 @@
     n_own: UInt53  # requests of this host
     n_all: UInt53  # requests of all hosts, as far as known
     n_slots: UInt53
+    at_ms: UInt53 = 0  # when the host noticed it, in Unix ms; 0 if unknown
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -169,6 +170,11 @@
     return shorten_target(f"{target}{RESTART_MARK}{n_crashes}" if n_crashes else target)
 
 
+def get_target_name(target: str) -> str:
+    """Return the name that all starts of a target share, if that is known."""
+    return target.partition("@")[0]
+
+
 def shorten_target(target: str) -> str:
     """Return a target's incarnation, or its digest if it is too long for a key."""
     name = target.encode()
--- a/trefoilstage/components/crashes/target_loads.py
+++ b/trefoilstage/components/crashes/target_loads.py
@@ -9,12 +9,18 @@
 from collections.abc import Callable
 
 from trefoilstage.components.crashes.completed_runs import Run
-from trefoilstage.components.crashes.models import TargetLoad, shorten_target
+from trefoilstage.components.crashes.models import (
+    TargetLoad,
+    get_target_name,
+    shorten_target,
+)
 
 # Limits the memory of a host.
 MAX_TARGETS = 4_096
 # The connections that a crashed target cuts end within this time.
 CUT_TOGETHER_S = 0.25
+# Hosts notice a crash within this time of each other. A target takes longer to restart.
+SAME_CRASH_MS = 250
 # All hosts in touch have reported a crash after this time. A report takes a few ms,
 # on a busy machine up to 0.1 s.
 SETTLE_S = 0.25
@@ -31,19 +37,50 @@
     def __init__(self) -> None:
         # By target and host.
         self._loads: OrderedDict[str, dict[str, TargetLoad]] = OrderedDict()
+        # When each start of a target was first seen to have crashed, by the name.
+        self._at_ms: OrderedDict[str, dict[str, int]] = OrderedDict()
         # Whether hosts may still report their requests at a target that stopped.
         self._is_open: OrderedDict[str, bool] = OrderedDict()
 
     def add(self, load: TargetLoad) -> bool:
-        """Add what a host knows; return whether a target now counts as overloaded."""
-        was_overloaded = self.is_overloaded(load.target)
+        """Add what a host knows; return whether it is new."""
+        self.add_time(load.target, load.at_ms)
         loads = self._loads.setdefault(load.target, {})
         known = loads.get(load.host)
-        if known is None or (known.n_own, known.n_all) < (load.n_own, load.n_all):
-            loads[load.host] = load
+        if known and (known.n_own, known.n_all) >= (load.n_own, load.n_all):
+            return False
+        loads[load.host] = load
         if len(self._loads) > MAX_TARGETS:
             self._loads.popitem(last=False)
-        return self.is_overloaded(load.target) and not was_overloaded
+        return True
+
+    def add_time(self, target: str, at_ms: int) -> None:
+        """Add when a host noticed that a target had crashed."""
+        if not at_ms:
+            return
+        times = self._at_ms.setdefault(get_target_name(target), {})
+        times[target] = min(at_ms, times.get(target, at_ms))
+        if len(self._at_ms) > MAX_TARGETS:
+            self._at_ms.popitem(last=False)
+
+    def get_at_ms(self, target: str) -> int | None:
+        """Return when a target was first seen to have crashed, None if unknown."""
+        return self._at_ms.get(get_target_name(target), {}).get(target)
+
+    def list_aliases(self, target: str) -> list[str]:
+        """Return the starts by which hosts name one crash of a target, sorted.
+
+        Hosts that read entries late take a later start for the one that they know.
+        """
+        times = self._at_ms.get(get_target_name(target), {})
+        at_ms = times.get(target)
+        if at_ms is None:
+            return [target]
+        return sorted(
+            other
+            for other, other_ms in times.items()
+            if abs(other_ms - at_ms) <= SAME_CRASH_MS
+        )
 
     def open(self, target: str) -> bool:
         """Wait for reports of a target's requests; return False if it did already."""
@@ -61,19 +98,29 @@
 
     def count_running(self, target: str) -> int:
         """Return how many requests a target had under way, as far as known."""
-        loads = self._loads.get(target, {}).values()
+        loads = self._list_loads(target)
+        n_own: dict[str, int] = {}
+        for load in loads:
+            n_own[load.host] = max(load.n_own, n_own.get(load.host, 0))
         n_all = max((load.n_all for load in loads), default=0)
-        return max(n_all, sum(load.n_own for load in loads))
+        return max(n_all, sum(n_own.values()))
 
     def is_overloaded(self, target: str) -> bool:
         """Return whether as many requests were under way as the target has slots."""
-        loads = self._loads.get(target, {}).values()
-        n_slots = max((load.n_slots for load in loads), default=0)
+        n_slots = max((load.n_slots for load in self._list_loads(target)), default=0)
         return 0 < n_slots <= self.count_running(target)
 
     def is_firm(self, target: str) -> bool:
         """Return whether a crash of the target is not explained by overload."""
-        return not (self._is_open.get(target, False) or self.is_overloaded(target))
+        is_open = any(self._is_open.get(item) for item in self.list_aliases(target))
+        return not (is_open or self.is_overloaded(target))
+
+    def _list_loads(self, target: str) -> list[TargetLoad]:
+        return [
+            load
+            for alias in self.list_aliases(target)
+            for load in self._loads.get(alias, {}).values()
+        ]
 
 
 class CutRequests:
@@ -91,7 +138,9 @@
         while now - self._cuts[0][0] > CUT_TOGETHER_S:
             self._cuts.popleft()
 
-    def make_load(self, run: Run, start: str, now: float) -> TargetLoad | None:
+    def make_load(
+        self, run: Run, start: str, now: float, at_ms: int
+    ) -> TargetLoad | None:
         """Return what this host knows of a start of a run's target that stopped.
 
         None if the target's slots are unknown.
@@ -109,4 +158,5 @@
             n_own=len(counts),
             n_all=max(counts, default=0),
             n_slots=run.n_slots,
+            at_ms=at_ms,
         )
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -272,7 +272,7 @@
         `cut` is a run that the target cut, which need not be suspect.
         """
         at_ms = self._get_unix_ms()
-        load = self._cuts.make_load(cut, target, self._now())
+        load = self._cuts.make_load(cut, target, self._now(), at_ms)
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
             for run in runs
