Crashes: hosts claim trials of suspects, so that one soon runs

Now a host that sends a suspect tells the others, and each host may take the turn 0.15 s after the one before it. Large fleets, whose hosts send no reports to all, keep the fixed order.

--- a/tests/components/crashes/test_overload.py
+++ b/tests/components/crashes/test_overload.py
@@ -12,6 +12,7 @@
 from trefoilstage.components.crashes.completed_runs import Run
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import Crash, TargetLoad
+from trefoilstage.components.crashes.refusals import FIRST_TURN_MS
 from trefoilstage.components.crashes.target_loads import SETTLE_S
 from trefoilstage.components.crashes.watcher import MIN_RUNS_TO_CLEAR, CrashWatcher
 from trefoilstage.helpers.verdict import Reason
@@ -29,6 +30,7 @@
 
     host: str
     watchers: dict[str, CrashWatcher]
+    test: "OverloadTestCase"
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def record(self, crashes: Sequence[Crash]) -> None:
@@ -38,6 +40,13 @@
     def record_load(self, load: TargetLoad) -> None:
         self._send(CrashReport(host=self.host, loads=(load,)))
 
+    def are_shared(self) -> bool:
+        return self.test.are_claims_shared
+
+    def share_trial(self, name: str) -> None:
+        if self.are_shared():
+            self._send(CrashReport(host=self.host, trials=(name,)))
+
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         super().clear(fingerprint, crashes)
         self._send(CrashReport(host=self.host, sound=(fingerprint,)))
@@ -53,11 +62,14 @@
     """Run the watchers of three hosts without a network."""
 
     n_known_requests = 0  # of all hosts, at each target
+    are_claims_shared = True
 
     async def asyncSetUp(self) -> None:
         self.watchers: dict[str, CrashWatcher] = {}
         for host in HOSTS:
-            part = cast(Any, ConnectedParts(host=host, watchers=self.watchers))
+            part = cast(
+                Any, ConnectedParts(host=host, watchers=self.watchers, test=self)
+            )
             self.watchers[host] = CrashWatcher(
                 host=host,
                 probe=part,
@@ -103,14 +115,14 @@
         ]
         await self.crash(target, (fingerprint, HOSTS[0], parts), *others)
 
-    def get_reasons(
+    async def get_reasons(
         self, fingerprint: str, parts: Sequence[str] = (), request: str = ""
     ) -> list[Reason | None]:
         """Return why each host refuses a request, None if it does not."""
-        refusals = [
-            watcher.get_refusal(fingerprint, parts, request)
-            for watcher in self.watchers.values()
-        ]
+        refusals = []
+        for watcher in self.watchers.values():
+            refusals.append(watcher.get_refusal(fingerprint, parts, request))
+            await asyncio.sleep(0)  # for reports to arrive
         return [refusal.reason if refusal else None for refusal in refusals]
 
 
@@ -126,10 +138,10 @@
         for target in "uvwxyz":
             runs = [("often", host, ("subject",)) for host in HOSTS]
             await self.crash(target, *runs, ("book", "host-1", ()))
-            self.assertEqual(self.get_reasons("often", ("subject",)), [None] * 3)
+            self.assertEqual(await self.get_reasons("often", ("subject",)), [None] * 3)
         await asyncio.sleep(1.2 * SETTLE_S)
-        self.assertEqual(self.get_reasons("often", ("subject",)), [None] * 3)
-        self.assertEqual(self.get_reasons("new", ("subject",)), [None] * 3)
+        self.assertEqual(await self.get_reasons("often", ("subject",)), [None] * 3)
+        self.assertEqual(await self.get_reasons("new", ("subject",)), [None] * 3)
 
     async def test_requests_that_had_been_answered_for_a_while_count(self) -> None:
         """Guard against a full target that looks empty as its streams had begun."""
@@ -138,7 +150,7 @@
             streams = [(f"s-{number}", "host-1", ()) for number in range(N_SLOTS)]
             await self.crash(target, *streams, progress_s=0.5)
         await asyncio.sleep(1.2 * SETTLE_S)
-        self.assertEqual(self.get_reasons("often"), [None] * 3)
+        self.assertEqual(await self.get_reasons("often"), [None] * 3)
 
     async def test_requests_that_ran_lately_count(self) -> None:
         """Guard against a full target whose other requests are known as harmless."""
@@ -148,7 +160,7 @@
             others = [("sound", "host-1", ())] * N_SLOTS
             await self.crash(target, ("often", "host-0", ()), *others)
         await asyncio.sleep(1.2 * SETTLE_S)
-        self.assertEqual(self.get_reasons("often"), [None] * 3)
+        self.assertEqual(await self.get_reasons("often"), [None] * 3)
 
     async def test_requests_of_hosts_that_report_nothing_count(self) -> None:
         """Guard against a large fleet's hosts that see one request each."""
@@ -156,7 +168,23 @@
         for target in "xyz":
             await self.crash(target, ("often", "host-0", ()))
         await asyncio.sleep(1.2 * SETTLE_S)
-        self.assertEqual(self.get_reasons("often"), [None] * 3)
+        self.assertEqual(await self.get_reasons("often"), [None] * 3)
+
+    async def test_hosts_without_reports_take_turns(self) -> None:
+        """Guard against trials of all hosts of a large fleet at once."""
+        for target in "xyz":
+            await self.crash_full(target, "often")
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.pass_time(GRACE_MS / 1_000)
+        self.are_claims_shared = False
+        sent_by = set()
+        for number in range(20):
+            reasons = await self.get_reasons("often", request=f"r-{number}")
+            self.assertLessEqual(reasons.count(None), 1)
+            if None in reasons:
+                sent_by.add(reasons.index(None))
+            self.pass_time(FIRST_TURN_MS / 1_000)
+        self.assertEqual(sent_by, {0, 1, 2})
 
     async def test_request_that_runs_in_its_trial_is_served_by_all(self) -> None:
         """Guard against a harmless request that hosts keep sending one at a time."""
@@ -164,13 +192,13 @@
             await self.crash_full(target, "often")
         await asyncio.sleep(1.2 * SETTLE_S)
         self.pass_time(GRACE_MS / 1_000)
-        reasons = self.get_reasons("often", request="r-1")
+        reasons = await self.get_reasons("often", request="r-1")
         self.assertCountEqual(reasons, [None, Reason.OVERLOADED, Reason.OVERLOADED])
-        self.assertEqual(self.get_reasons("often", request="r-1"), reasons)
-        self.assertNotIn(None, self.get_reasons("often", request="r-2"))
+        self.assertEqual(await self.get_reasons("often", request="r-1"), reasons)
+        self.assertNotIn(None, await self.get_reasons("often", request="r-2"))
         self.watchers[HOSTS[reasons.index(None)]].record_harmless("often")
         await asyncio.sleep(0)
-        self.assertEqual(self.get_reasons("often", request="r-2"), [None] * 3)
+        self.assertEqual(await self.get_reasons("often", request="r-2"), [None] * 3)
 
 
 class CrashingRequestTest(OverloadTestCase):
@@ -181,7 +209,7 @@
         n_sent = 0
         for number in range(int(REPEATS_S / REPEAT_S)):
             name = f"{fingerprint}-{number}" if parts else fingerprint
-            for reason in self.get_reasons(name, parts, f"r-{number}"):
+            for reason in await self.get_reasons(name, parts, f"r-{number}"):
                 if reason is None:
                     n_sent += 1
                     await self.crash_full(f"t-{number}-{n_sent}", name, parts)
@@ -196,7 +224,7 @@
         self.pass_time(GRACE_MS / 1_000)
         await self.repeat("dead")
         blocked = [Reason.CRASHES_TARGETS] * 3
-        self.assertEqual(self.get_reasons("dead"), blocked)
+        self.assertEqual(await self.get_reasons("dead"), blocked)
 
     async def test_part_is_blocked_although_its_targets_were_full(self) -> None:
         """Guard against a part that crashes targets in ever new requests."""
@@ -206,7 +234,7 @@
         self.pass_time(GRACE_MS / 1_000)
         await self.repeat("more", ("dead",))
         blocked = [Reason.CRASHES_TARGETS] * 3
-        self.assertEqual(self.get_reasons("new", ("dead",)), blocked)
+        self.assertEqual(await self.get_reasons("new", ("dead",)), blocked)
 
     async def test_request_at_targets_with_free_slots_is_blocked_soon(self) -> None:
         """Guard against overload that excuses a request at idle targets."""
@@ -214,7 +242,7 @@
             await self.crash(target, ("dead", "host-0", ()), ("a", "host-1", ()))
         await asyncio.sleep(1.2 * SETTLE_S)
         blocked = [Reason.CRASHES_TARGETS] * 3
-        self.assertEqual(self.get_reasons("dead"), blocked)
+        self.assertEqual(await self.get_reasons("dead"), blocked)
 
 
 if __name__ == "__main__":
--- a/trefoilstage/components/crashes/messages.py
+++ b/trefoilstage/components/crashes/messages.py
@@ -24,6 +24,8 @@
     loads: Loads = ()
     sound: Fingerprints = ()  # the harmless requests
     sound_parts: Fingerprints = ()  # harmless parts of prompts that were suspect
+    # Requests or parts that the sender sends once although targets crashed under them.
+    trials: Fingerprints = ()
     # Asks the receiver to write the crashes to the store, which the sender can't reach.
     relay: bool = False
     kind: Literal["crash_report"] = "crash_report"
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -62,6 +62,14 @@
         """Share how many requests a target had under way when it stopped."""
         self._report_to_peers(CrashReport(host=self._board.host, loads=(load,)))
 
+    def are_shared(self) -> bool:
+        """Return whether all other hosts receive this host's reports."""
+        return not self._board.is_too_large_to_broadcast()
+
+    def share_trial(self, name: str) -> None:
+        """Tell the other hosts that this host sends a suspect once."""
+        self._report_to_peers(CrashReport(host=self._board.host, trials=(name,)))
+
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         """Share that a request is harmless, and delete its crashes from the store."""
         self._schedule_writes(crashes, keep=False)
@@ -149,7 +157,7 @@
         return self._board.peers[ranked[0]] if ranked else None
 
     def _report_to_peers(self, report: CrashReport) -> None:
-        if self._board.is_too_large_to_broadcast():
+        if not self.are_shared():
             # Every host reads crashes from the store. If each of hundreds of hosts also
             # reported a target's crash, each would receive hundreds of messages.
             return
--- a/trefoilstage/components/crashes/refusals.py
+++ b/trefoilstage/components/crashes/refusals.py
@@ -8,7 +8,8 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from trefoilstage.components.crashes.causes import (
     GRACE_MS,
@@ -24,22 +25,39 @@
 # A crash is known to all hosts within this time of the send. The time doubles with each
 # crash, as a surge that goes on may crash the targets of harmless requests.
 FIRST_TURN_MS = 1_000
+# A claim reaches the other hosts within this time.
+CLAIM_MS = 150
 MIN_RETRY_S = 0.2
 # Limits the memory of a host.
 MAX_SUSPECTS = 4_096
 MS_PER_S = 1_000
 
 
+class TrialClaims(Protocol):
+    """Tell other hosts which suspects this host sends."""
+
+    def are_shared(self) -> bool:
+        """Return whether all other hosts receive a claim at once."""
+
+    def share_trial(self, name: str) -> None:
+        """Tell the other hosts that this host sends a suspect."""
+
+
 class CrashRefusals:
     """Refuse causes of crashes, and take turns with other hosts at sending suspects."""
 
     def __init__(
-        self, *, host: str, list_live_hosts: Callable[[], tuple[str, ...]]
+        self,
+        *,
+        host: str,
+        list_live_hosts: Callable[[], tuple[str, ...]],
+        claims: TrialClaims,
     ) -> None:
         self._host = host
         self._list_live_hosts = list_live_hosts
-        # The request that was sent in the last turn of this host, by suspect.
-        self._sent: OrderedDict[str, tuple[tuple[int, int], str]] = OrderedDict()
+        self._claims = claims
+        # When a suspect was last sent, and by which request if by this host.
+        self._sent: OrderedDict[str, tuple[int, str]] = OrderedDict()
 
     def get_refusal(
         self,
@@ -75,8 +93,7 @@
         name = describe_parts(sorted(suspected)) if suspected else fingerprint
         n_crashes = count_trial_crashes(crashed_at)
         turn_ms = FIRST_TURN_MS << n_crashes
-        turn = (n_crashes, now_ms // turn_ms)
-        if self._take_turn(name, turn, request_id):
+        if self._take_turn(name, now_ms, turn_ms, request_id):
             return None
         wait_ms = turn_ms - now_ms % turn_ms
         return Refusal(
@@ -85,22 +102,30 @@
             retry_after_s=max(MIN_RETRY_S, wait_ms / MS_PER_S),
         )
 
-    def _take_turn(self, name: str, turn: tuple[int, int], request_id: str) -> bool:
-        # The turn moves to another host each time, as only one host may have callers
+    def receive_claims(self, names: Iterable[str], now_ms: int) -> None:
+        """Record that another host sends suspects."""
+        for name in names:
+            self._set_sent(name, now_ms, "")
+
+    def _take_turn(self, name: str, now_ms: int, turn_ms: int, request_id: str) -> bool:
+        turn, passed_ms = divmod(now_ms, turn_ms)
+        sent_ms, sent = self._sent.get(name, (0, ""))
+        if sent_ms >= now_ms - passed_ms:
+            # A request is checked when it arrives and again before it is sent.
+            return bool(sent) and sent == request_id
+        # Hosts come first in another order in each turn, as only some may have callers
         # that send the request.
-        hosts = self._list_live_hosts()
-        ranked = rank_by_rendezvous(f"{name}/{turn[0]}/{turn[1]}", hosts)
-        if list(ranked[:1]) != [self._host]:
+        ranked = rank_by_rendezvous(f"{name}/{turn}", self._list_live_hosts())
+        place = list(ranked).index(self._host) if self._host in ranked else len(ranked)
+        if place and (not self._claims.are_shared() or passed_ms < place * CLAIM_MS):
             return False
-        last_turn, sent = self._sent.get(name, ((-1, -1), ""))
-        if last_turn == turn:
-            # A request is checked when it arrives and again before it is sent.
-            return sent == request_id
-        self._sent[name] = turn, request_id
+        self._set_sent(name, now_ms, request_id)
+        self._claims.share_trial(name)
+        log_event(Event.CRASH_TRIAL, suspect=name, request=request_id)
+        return True
+
+    def _set_sent(self, name: str, now_ms: int, request_id: str) -> None:
+        self._sent[name] = now_ms, request_id
         self._sent.move_to_end(name)
         if len(self._sent) > MAX_SUSPECTS:
             self._sent.popitem(last=False)
-        log_event(
-            Event.CRASH_TRIAL, suspect=name, request=request_id, n_crashes=turn[0]
-        )
-        return True
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -98,7 +98,9 @@
         )
         self._cuts = CutRequests(host=host, count_requests=count_requests)
         self._loads = LoadReports(evidence=self.evidence, start=self.add_future)
-        self._refusals = CrashRefusals(host=host, list_live_hosts=list_live_hosts)
+        self._refusals = CrashRefusals(
+            host=host, list_live_hosts=list_live_hosts, claims=recorder
+        )
         server.register(CrashReport, self._handle_report)
 
     async def on_start(self) -> None:
@@ -292,6 +294,7 @@
 
     async def _handle_report(self, report: CrashReport) -> None:
         self._loads.add(report.loads)
+        self._refusals.receive_claims(report.trials, self._get_unix_ms())
         self._change_evidence("crashed", add=report.crashes)
         for fingerprint in report.sound:
             crashes = self.evidence.list_crashes(fingerprint)
