--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -93,10 +93,12 @@
 
     def _find_causes(self) -> None:
         suspected = self._merge_aliases(self._select_suspected_parts())
+        targets = {crash.target for crash in suspected}
+        firm_targets = set(filter(self.loads.is_firm, targets))
         firm = {
             crash: parts
             for crash, parts in suspected.items()
-            if self.loads.is_firm(crash.target)
+            if crash.target in firm_targets
         }
         causes = self._causes = find_causes(firm, self._causes)
         if len(firm) == len(suspected):
@@ -124,8 +126,10 @@
     ) -> dict[Crash, frozenset[str]]:
         """Return crashes with one name for each start of a target."""
         merged: dict[Crash, frozenset[str]] = {}
+        targets = {crash.target for crash in parts_by_crash}
+        starts = {target: self.loads.list_aliases(target)[0] for target in targets}
         for crash, parts in parts_by_crash.items():
-            start = self.loads.list_aliases(crash.target)[0]
+            start = starts[crash.target]
             item = crash if start == crash.target else replace(crash, target=start)
             merged[item] = merged.get(item, parts) & parts
         return merged
--- a/trefoilstage/components/crashes/target_loads.py
+++ b/trefoilstage/components/crashes/target_loads.py
@@ -17,6 +17,7 @@
 
 # Limits the memory of a host.
 MAX_TARGETS = 4_096
+MAX_STARTS = 64  # of a target
 # The connections that a crashed target cuts end within this time.
 CUT_TOGETHER_S = 0.25
 # Hosts notice a crash within this time of each other. A target takes longer to restart.
@@ -60,6 +61,8 @@
             return
         times = self._at_ms.setdefault(get_target_name(target), {})
         times[target] = min(at_ms, times.get(target, at_ms))
+        if len(times) > MAX_STARTS:
+            del times[next(iter(times))]
         if len(self._at_ms) > MAX_TARGETS:
             self._at_ms.popitem(last=False)
 
