Crashes: only trials decide on suspects that overload may explain

Cause: as long as another weak suspect explained its crashes, the request was sent by all hosts; their crashes 4 s after its third one counted as if it had been sent once at a time. No crash_trial line names it. Now weak suspects don't explain each other's crashes, and only crashes of requests sent as trials count towards the block (is_trial of a crash's record). A crashing request beside a more frequent harmless one comes to its trials too. Tests: test_crashes_that_no_trial_shows_block_nothing and test_request_is_blocked_beside_a_more_frequent_one fail without the two rules.

--- a/tests/components/crashes/test_overload.py
+++ b/tests/components/crashes/test_overload.py
@@ -43,9 +43,9 @@
     def are_shared(self) -> bool:
         return self.test.are_claims_shared
 
-    def share_trial(self, name: str) -> None:
+    def share_trials(self, names: Sequence[str]) -> None:
         if self.are_shared():
-            self._send(CrashReport(host=self.host, trials=(name,)))
+            self._send(CrashReport(host=self.host, trials=tuple(names)))
 
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         super().clear(fingerprint, crashes)
@@ -93,8 +93,12 @@
         target: str,
         *requests: tuple[str, str, Sequence[str]],
         progress_s: float = 0.0,
+        request: str = "",
     ) -> None:
-        """Let a target crash under requests, each with its host and its parts."""
+        """Let a target crash under requests, each with its host and its parts.
+
+        `request` is the id of the first one.
+        """
         for fingerprint, host, parts in requests:
             run = Run(
                 fingerprint=fingerprint,
@@ -102,18 +106,25 @@
                 target=target,
                 address=f"{target}:1",
                 n_slots=N_SLOTS,
+                request_id=request,
             )
+            request = ""
             self.watchers[host].record_interruption(run, progress_s=progress_s)
         await asyncio.sleep(0.02)
 
     async def crash_full(
-        self, target: str, fingerprint: str, parts: Sequence[str] = ()
+        self,
+        target: str,
+        fingerprint: str,
+        parts: Sequence[str] = (),
+        host: str = HOSTS[0],
+        request: str = "",
     ) -> None:
         """Let a target crash under a request and others that fill it."""
         others = [
             (f"{target}-{number}", HOSTS[number % 3], ()) for number in range(N_SLOTS)
         ]
-        await self.crash(target, (fingerprint, HOSTS[0], parts), *others)
+        await self.crash(target, (fingerprint, host, parts), *others, request=request)
 
     async def get_reasons(
         self, fingerprint: str, parts: Sequence[str] = (), request: str = ""
@@ -170,6 +181,20 @@
         await asyncio.sleep(1.2 * SETTLE_S)
         self.assertEqual(await self.get_reasons("often"), [None] * 3)
 
+    async def test_crashes_that_no_trial_shows_block_nothing(self) -> None:
+        """Guard against blocking a harmless request in a long surge.
+
+        In soak seed 306, requests that had been sent before hosts suspected them, or by
+        hosts that had been paused, were cut 4 s after the third crash.
+        """
+        for target in "uvwxyz":
+            await self.crash_full(target, "often")
+            await asyncio.sleep(1.2 * SETTLE_S)
+            self.pass_time(GRACE_MS / 1_000)
+        reasons = await self.get_reasons("often", request="r-1")
+        self.assertNotIn(Reason.CRASHES_TARGETS, reasons)
+        self.assertIn(None, reasons)
+
     async def test_hosts_without_reports_take_turns(self) -> None:
         """Guard against trials of all hosts of a large fleet at once."""
         for target in "xyz":
@@ -209,10 +234,13 @@
         n_sent = 0
         for number in range(int(REPEATS_S / REPEAT_S)):
             name = f"{fingerprint}-{number}" if parts else fingerprint
-            for reason in await self.get_reasons(name, parts, f"r-{number}"):
+            request = f"r-{number}"
+            reasons = await self.get_reasons(name, parts, request)
+            for host, reason in zip(HOSTS, reasons, strict=True):
                 if reason is None:
                     n_sent += 1
-                    await self.crash_full(f"t-{number}-{n_sent}", name, parts)
+                    target = f"t-{number}-{n_sent}"
+                    await self.crash_full(target, name, parts, host, request)
                     await asyncio.sleep(1.2 * SETTLE_S)
                     self.assertLessEqual(n_sent, MAX_TRIAL_CRASHES)
             self.pass_time(REPEAT_S)
@@ -226,6 +254,18 @@
         blocked = [Reason.CRASHES_TARGETS] * 3
         self.assertEqual(await self.get_reasons("dead"), blocked)
 
+    async def test_request_is_blocked_beside_a_more_frequent_one(self) -> None:
+        """Guard against a request whose crashes a harmless one explains."""
+        for target in "uvwxyz":
+            others = [("often", host, ()) for host in HOSTS]
+            dead = [("dead", "host-0", ())] if target in "xyz" else []
+            await self.crash(target, *others, *dead, (target, "host-1", ()))
+        await asyncio.sleep(1.2 * SETTLE_S)
+        self.pass_time(GRACE_MS / 1_000)
+        await self.repeat("dead")
+        blocked = [Reason.CRASHES_TARGETS] * 3
+        self.assertEqual(await self.get_reasons("dead"), blocked)
+
     async def test_part_is_blocked_although_its_targets_were_full(self) -> None:
         """Guard against a part that crashes targets in ever new requests."""
         for target in "xyz":
--- a/trefoilstage/components/crashes/causes.py
+++ b/trefoilstage/components/crashes/causes.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -21,7 +21,7 @@
 SAME_MOMENT_MS = 100
 # Most harmless requests run within this time after the surge that crashed the targets.
 GRACE_MS = 4_000
-# A request that never ran and crashed as many targets again, sent once at a time, is a
+# A suspect that never ran and crashed as many targets again, sent once at a time, is a
 # cause also if other requests were under way there.
 MAX_TRIAL_CRASHES = 3
 # Crashes of repeats of one request are explained by the request.
@@ -54,6 +54,21 @@
 NO_CAUSES = Causes()
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WeakSuspect:
+    """Describe a request or parts whose crashes overload may explain."""
+
+    name: str
+    parts: frozenset[str] | None  # None for a request
+    suspect_since_ms: int  # when enough targets had crashed, in Unix ms
+    n_trial_crashes: int  # of targets to which hosts sent it once at a time
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the suspect is taken for a cause."""
+        return self.n_trial_crashes >= MAX_TRIAL_CRASHES
+
+
 @dataclass(kw_only=True, slots=True)
 class Suspect:
     """Describe the crashes under one request, or under requests with one part."""
@@ -152,13 +167,19 @@
     return Causes(fingerprints=frozenset(fingerprints), part_sets=frozenset(part_sets))
 
 
-def count_trial_crashes(crashed_at: Sequence[int]) -> int:
-    """Return how many targets crashed long after a suspect had enough crashes.
+def find_suspects(parts_by_crash: Mapping[Crash, frozenset[str]]) -> Causes:
+    """Return all requests and parts under which enough targets crashed to be a cause.
 
-    `crashed_at` has the sorted times in ms at which the targets crashed.
+    None explains the crashes of others: under overload, a harmless request is under way
+    at more crashes than the cause.
     """
-    begin_ms = crashed_at[MIN_CRASHED_TARGETS - 1] + GRACE_MS
-    return sum(at_ms > begin_ms for at_ms in crashed_at)
+    suspects = [
+        item for item in collect_suspects(parts_by_crash) if item.may_be_cause()
+    ]
+    return Causes(
+        fingerprints=frozenset(item.name for item in suspects if not item.is_part),
+        part_sets=frozenset(item.common_parts for item in suspects if item.is_part),
+    )
 
 
 def get_min_targets(suspect: Suspect, previous: Causes) -> int:
--- a/trefoilstage/components/crashes/completed_runs.py
+++ b/trefoilstage/components/crashes/completed_runs.py
@@ -22,6 +22,7 @@
     address: str
     n_slots: int = 0  # of the target, 0 if unknown
     sent_at: float = 0.0  # loop time, 0 if unknown
+    request_id: str = ""
 
 
 class CompletedRuns:
--- a/trefoilstage/components/crashes/evidence.py
+++ b/trefoilstage/components/crashes/evidence.py
@@ -6,18 +6,19 @@
 """
 
 from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from trefoilstage.components.crashes.causes import (
-    MAX_TRIAL_CRASHES,
     MIN_CRASHED_TARGETS,
     NO_CAUSES,
     SAME_MOMENT_MS,
     Causes,
-    count_trial_crashes,
+    WeakSuspect,
     find_causes,
+    find_suspects,
 )
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.models import (
     Crash,
     TargetLoad,
@@ -65,6 +66,7 @@
     unix_offset_s: float = 0.0  # Unix time minus loop time
     _n_crashes_by_target: Counter[str] = field(default_factory=Counter)
     _at_ms: dict[Crash, int] = field(default_factory=dict)
+    _trials: set[Crash] = field(default_factory=set)
     _parts: dict[Crash, frozenset[str]] = field(default_factory=dict)
     _causes: Causes = field(default_factory=Causes)
     _weak_causes: Causes = field(default_factory=Causes)
@@ -79,10 +81,7 @@
 
     @property
     def weak_causes(self) -> Causes:
-        """Return the requests and parts whose crashes overload may explain.
-
-        They are the causes if crashes of overloaded targets count too.
-        """
+        """Return the requests and parts whose crashes overload may explain."""
         self._refresh()
         return self._weak_causes
 
@@ -114,7 +113,7 @@
             for crash, parts in suspected.items()
             if crash.target not in explained
         }
-        self._weak_causes = find_causes(remaining, self._weak_causes)
+        self._weak_causes = find_suspects(remaining)
 
     @property
     def blocked_fingerprints(self) -> frozenset[str]:
@@ -138,6 +137,8 @@
         """Add a crash; return whether it is new."""
         if crash.load is not None:
             self.add_load(crash.load)
+        if crash.is_trial:
+            self._trials.add(crash)
         if crash in self.seen_at:
             return False
         self.seen_at[crash] = now
@@ -161,6 +162,7 @@
             return
         self._are_causes_stale |= self._may_change_causes(crash)
         del self.seen_at[crash], self._at_ms[crash]
+        self._trials.discard(crash)
         targets = self.targets_by_fingerprint[crash.fingerprint]
         targets.discard(crash.target)
         if not targets:
@@ -226,7 +228,12 @@
         self, fingerprint: str, parts: frozenset[str], now: float
     ) -> float:
         """Return the seconds until a blocked request may run again."""
-        crashes = self._list_suspect_crashes(fingerprint, parts)
+        blocked_parts = self.find_blocked_parts(fingerprint, parts)
+        crashes = (
+            self.list_crashes(fingerprint)
+            if blocked_parts is None
+            else self._list_with_parts(blocked_parts)
+        )
         seen_at: dict[str, float] = {}
         for crash in crashes:
             known = seen_at.get(crash.target, float("-inf"))
@@ -235,16 +242,6 @@
         decisive_crash_at = sorted(seen_at.values())[-MIN_CRASHED_TARGETS]
         return max(0.0, decisive_crash_at + BLOCKED_RETENTION_S - now)
 
-    def list_crash_times(self, fingerprint: str, parts: frozenset[str]) -> list[int]:
-        """Return when targets crashed under a suspect, in Unix ms, sorted."""
-        times: dict[str, int] = {}
-        for crash in self._list_suspect_crashes(fingerprint, parts):
-            seen_s = self.seen_at[crash] + self.unix_offset_s
-            at_ms = self._at_ms[crash] or int(seen_s * MS_PER_S)
-            start = self.loads.list_aliases(crash.target)[0]
-            times[start] = min(at_ms, times.get(start, at_ms))
-        return sorted(times.values())
-
     def is_suspect(self, fingerprint: str, parts: frozenset[str]) -> bool:
         """Return whether a request is a cause of crashes, or may be one."""
         return self.causes.includes(fingerprint, parts) or self.weak_causes.includes(
@@ -253,27 +250,51 @@
 
     def is_blocked(self, fingerprint: str, parts: frozenset[str]) -> bool:
         """Return whether a request must not be sent."""
-        if self.causes.includes(fingerprint, parts):
-            return True
-        if not self.weak_causes.includes(fingerprint, parts):
-            return False
-        crashed_at = self.list_crash_times(fingerprint, parts)
-        return count_trial_crashes(crashed_at) >= MAX_TRIAL_CRASHES
+        return self.causes.includes(fingerprint, parts) or any(
+            suspect.is_blocked for suspect in self.list_weak(fingerprint, parts)
+        )
 
-    def find_suspect_parts(
+    def find_blocked_parts(
         self, fingerprint: str, parts: frozenset[str]
     ) -> frozenset[str] | None:
-        """Return the parts for which a request is suspect, None if it is itself."""
-        is_firm = self.causes.includes(fingerprint, parts)
-        return (self.causes if is_firm else self.weak_causes).find_parts(parts)
-
-    def _list_suspect_crashes(
-        self, fingerprint: str, parts: frozenset[str]
-    ) -> list[Crash]:
-        suspect_parts = self.find_suspect_parts(fingerprint, parts)
-        if suspect_parts is None:
-            return self.list_crashes(fingerprint)
-        return self._list_with_parts(suspect_parts)
+        """Return the parts for which a request is blocked, None if it is itself."""
+        if self.causes.includes(fingerprint, parts):
+            return self.causes.find_parts(parts)
+        weak = self.list_weak(fingerprint, parts)
+        return next((suspect.parts for suspect in weak if suspect.is_blocked), None)
+
+    def list_weak(self, fingerprint: str, parts: frozenset[str]) -> list[WeakSuspect]:
+        """Return a request and its parts that overload may have made suspect."""
+        weak = self.weak_causes
+        found: list[WeakSuspect] = []
+        if fingerprint in weak.fingerprints:
+            crashes = self.list_crashes(fingerprint)
+            found.append(self._describe_weak(fingerprint, None, crashes))
+        for names in weak.part_sets:
+            if names <= parts:
+                name = describe_parts(sorted(names))
+                crashes = self._list_with_parts(names)
+                found.append(self._describe_weak(name, names, crashes))
+        return found
+
+    def _describe_weak(
+        self, name: str, parts: frozenset[str] | None, crashes: Iterable[Crash]
+    ) -> WeakSuspect:
+        times: dict[str, int] = {}
+        trials: set[str] = set()
+        for crash in crashes:
+            seen_s = self.seen_at[crash] + self.unix_offset_s
+            at_ms = self._at_ms[crash] or int(seen_s * MS_PER_S)
+            start = self.loads.list_aliases(crash.target)[0]
+            times[start] = min(at_ms, times.get(start, at_ms))
+            if crash in self._trials:
+                trials.add(start)
+        return WeakSuspect(
+            name=name,
+            parts=parts,
+            suspect_since_ms=sorted(times.values())[:MIN_CRASHED_TARGETS][-1],
+            n_trial_crashes=len(trials),
+        )
 
     def _list_with_parts(self, parts: frozenset[str]) -> list[Crash]:
         part = next(iter(parts))
--- a/trefoilstage/components/crashes/models.py
+++ b/trefoilstage/components/crashes/models.py
@@ -51,6 +51,8 @@
     at_ms: UInt53 = field(default=0, compare=False)
     # None if the observing host is of an earlier build.
     load: TargetLoad | None = field(default=None, compare=False)
+    # Whether the request was sent alone to find out whether it crashes targets.
+    is_trial: bool = field(default=False, compare=False)
 
     @property
     def key(self) -> str:
@@ -60,7 +62,12 @@
     @property
     def value(self) -> bytes:
         """Return the value of the crash's record in the store."""
-        details = CrashDetails(parts=self.parts, at_ms=self.at_ms, load=self.load)
+        details = CrashDetails(
+            parts=self.parts,
+            at_ms=self.at_ms,
+            load=self.load,
+            is_trial=self.is_trial,
+        )
         return DETAILS.dump_json(details)
 
     @property
@@ -76,6 +83,7 @@
     parts: Parts = ()
     at_ms: UInt53 = 0
     load: TargetLoad | None = None
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -132,6 +140,7 @@
         parts=details.parts,
         at_ms=details.at_ms,
         load=details.load,
+        is_trial=details.is_trial,
     )
 
 
@@ -154,6 +163,7 @@
     parts: tuple[str, ...] = (),
     at_ms: int = 0,
     load: TargetLoad | None = None,
+    is_trial: bool = False,
 ) -> Crash:
     """Return the crash of a target's incarnation under a request."""
     return Crash(
@@ -162,6 +172,7 @@
         parts=parts,
         at_ms=at_ms,
         load=load,
+        is_trial=is_trial,
     )
 
 
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -66,9 +66,9 @@
         """Return whether all other hosts receive this host's reports."""
         return not self._board.is_too_large_to_broadcast()
 
-    def share_trial(self, name: str) -> None:
-        """Tell the other hosts that this host sends a suspect once."""
-        self._report_to_peers(CrashReport(host=self._board.host, trials=(name,)))
+    def share_trials(self, names: Sequence[str]) -> None:
+        """Tell the other hosts that this host sends a request with some suspects."""
+        self._report_to_peers(CrashReport(host=self._board.host, trials=tuple(names)))
 
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         """Share that a request is harmless, and delete its crashes from the store."""
--- a/trefoilstage/components/crashes/refusals.py
+++ b/trefoilstage/components/crashes/refusals.py
@@ -8,14 +8,13 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from trefoilstage.components.crashes.causes import (
     GRACE_MS,
-    MIN_CRASHED_TARGETS,
-    count_trial_crashes,
 )
+from trefoilstage.components.crashes.completed_runs import Run
 from trefoilstage.components.crashes.evidence import CrashEvidence
 from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.helpers.events import Event, log_event
@@ -39,8 +38,8 @@
     def are_shared(self) -> bool:
         """Return whether all other hosts receive a claim at once."""
 
-    def share_trial(self, name: str) -> None:
-        """Tell the other hosts that this host sends a suspect."""
+    def share_trials(self, names: Sequence[str]) -> None:
+        """Tell the other hosts that this host sends a request with some suspects."""
 
 
 class CrashRefusals:
@@ -70,7 +69,7 @@
         """Return a refusal for a suspect, None if it may be sent now."""
         if not evidence.is_blocked(fingerprint, parts):
             return self._refuse_in_turn(evidence, fingerprint, parts, request_id, now)
-        blocked_parts = evidence.find_suspect_parts(fingerprint, parts)
+        blocked_parts = evidence.find_blocked_parts(fingerprint, parts)
         return Refusal(
             reason=Reason.CRASHES_TARGETS,
             detail=describe_parts(sorted(blocked_parts or ())),
@@ -86,14 +85,17 @@
         now: float,
     ) -> Refusal | None:
         now_ms = int((now + evidence.unix_offset_s) * MS_PER_S)
-        crashed_at = evidence.list_crash_times(fingerprint, parts)
-        if now_ms <= crashed_at[MIN_CRASHED_TARGETS - 1] + GRACE_MS:
+        suspects = [
+            item
+            for item in evidence.list_weak(fingerprint, parts)
+            if now_ms > item.suspect_since_ms + GRACE_MS
+        ]
+        if not suspects:
             return None
-        suspected = evidence.find_suspect_parts(fingerprint, parts)
-        name = describe_parts(sorted(suspected)) if suspected else fingerprint
-        n_crashes = count_trial_crashes(crashed_at)
+        n_crashes = max(item.n_trial_crashes for item in suspects)
         turn_ms = FIRST_TURN_MS << n_crashes
-        if self._take_turn(name, now_ms, turn_ms, request_id):
+        names = [item.name for item in suspects]
+        if self._take_turn(names, now_ms, turn_ms, request_id):
             return None
         wait_ms = turn_ms - now_ms % turn_ms
         return Refusal(
@@ -102,26 +104,35 @@
             retry_after_s=max(MIN_RETRY_S, wait_ms / MS_PER_S),
         )
 
+    def list_trials(self, runs: Iterable[Run]) -> frozenset[str]:
+        """Return the fingerprints of runs that this host sent as trials."""
+        sent = {request_id for _, request_id in self._sent.values()} - {""}
+        return frozenset(run.fingerprint for run in runs if run.request_id in sent)
+
     def receive_claims(self, names: Iterable[str], now_ms: int) -> None:
         """Record that another host sends suspects."""
         for name in names:
             self._set_sent(name, now_ms, "")
 
-    def _take_turn(self, name: str, now_ms: int, turn_ms: int, request_id: str) -> bool:
+    def _take_turn(
+        self, names: Sequence[str], now_ms: int, turn_ms: int, request_id: str
+    ) -> bool:
         turn, passed_ms = divmod(now_ms, turn_ms)
-        sent_ms, sent = self._sent.get(name, (0, ""))
-        if sent_ms >= now_ms - passed_ms:
+        sent = [self._sent.get(name, (0, "")) for name in names]
+        sent_in_turn = {other for at_ms, other in sent if at_ms >= now_ms - passed_ms}
+        if sent_in_turn:
             # A request is checked when it arrives and again before it is sent.
-            return bool(sent) and sent == request_id
+            return bool(request_id) and sent_in_turn == {request_id}
         # Hosts come first in another order in each turn, as only some may have callers
         # that send the request.
-        ranked = rank_by_rendezvous(f"{name}/{turn}", self._list_live_hosts())
+        ranked = rank_by_rendezvous(f"{names[0]}/{turn}", self._list_live_hosts())
         place = list(ranked).index(self._host) if self._host in ranked else len(ranked)
         if place and (not self._claims.are_shared() or passed_ms < place * CLAIM_MS):
             return False
-        self._set_sent(name, now_ms, request_id)
-        self._claims.share_trial(name)
-        log_event(Event.CRASH_TRIAL, suspect=name, request=request_id)
+        for name in names:
+            self._set_sent(name, now_ms, request_id)
+        self._claims.share_trials(names)
+        log_event(Event.CRASH_TRIAL, suspects=describe_parts(names), request=request_id)
         return True
 
     def _set_sent(self, name: str, now_ms: int, request_id: str) -> None:
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -11,6 +11,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 from itertools import chain
 
 from mode import Service
@@ -137,7 +138,7 @@
         if progress_s > MAX_SUSPECT_PROGRESS_S:
             self.record_harmless(run.fingerprint, run.parts)
         if progress_s <= CRASHES_WITHIN_S:
-            self._suspect(run)
+            self._check_target(run, run)
         elif run.n_slots:
             # The other hosts count this request if the target crashed.
             self._check_target(run)
@@ -153,7 +154,7 @@
 
     async def _suspect_after_delay(self, run: Run) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        self._suspect(run)
+        self._check_target(run, run)
 
     def record_completed(
         self, run: Run, *, progress_s: float, is_end_certain: bool
@@ -186,15 +187,12 @@
         if await self._probe.connect(run.address) is ProbeResult.ACCEPTED:
             self.record_harmless(run.fingerprint, run.parts)
         else:
-            self._suspect(run)
+            self._check_target(run, run)
 
     def _is_suspect(self, run: Run) -> bool:
         suspected = frozenset(self._select_suspected(run.parts))
         return self.evidence.has_crashes(run.fingerprint, suspected)
 
-    def _suspect(self, run: Run) -> None:
-        self._check_target(run, run)
-
     def _check_target(self, run: Run, *suspected: Run) -> None:
         is_being_probed = run.target in self._interrupted
         self._interrupted[run.target] += suspected
@@ -280,8 +278,10 @@
             for run in runs
             if not self._has_request_run_lately(run.fingerprint)
         }
+        trials = self._refusals.list_trials(runs)
+        make = partial(make_crash, target=target, at_ms=at_ms, load=load)
         crashes = [
-            make_crash(fingerprint, target, parts=parts, at_ms=at_ms, load=load)
+            make(fingerprint, parts=parts, is_trial=fingerprint in trials)
             for fingerprint, parts in sorted(parts_by_fingerprint.items())
         ]
         if crashes:
--- a/trefoilstage/components/forwarding/run_recorder.py
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -70,4 +70,5 @@
         address=target.address,
         n_slots=target.slots,
         sent_at=state.sent_at,
+        request_id=state.request.request_id,
     )
