--- a/tests/components/crashes/test_target_loads.py
+++ b/tests/components/crashes/test_target_loads.py
@@ -99,15 +99,21 @@
 
     def test_records_and_reports_keep_the_load(self) -> None:
         """Guard against hosts that start later and block for overload."""
-        crash = make_crash("a", "x", at_ms=1, load=make_load("x", "h", N_SLOTS))
+        load = make_load("x", "h", N_SLOTS)
+        crash = make_crash("a", "x", at_ms=1, load=load, is_trial=True)
         read = decode_record(KeyedRecord(key=crash.key, offset=1, value=crash.value))
         self.assertEqual(asdict(read), asdict(crash))
-        assert crash.load is not None
-        report = CrashReport(host="h", crashes=(crash,), loads=(crash.load,))
+        report = CrashReport(host="h", crashes=(crash,), loads=(load,), trials=("a",))
         frame = Frame(number=1, reply=False, body=report)
         decoded = FLEET_CODEC.decode(FLEET_CODEC.encode(frame)).body
         self.assertEqual(asdict(decoded), asdict(report))
 
+    def test_fields_of_a_later_build_are_skipped(self) -> None:
+        """Guard against crashes that a host of an earlier build refuses to read."""
+        value = b'{"at_ms": 1, "later": {"n": 1}, "load": null}'
+        read = decode_record(KeyedRecord(key="a/x", offset=1, value=value))
+        self.assertEqual(asdict(read), asdict(make_crash("a", "x", at_ms=1)))
+
     def test_load_of_a_known_crash_counts(self) -> None:
         """Guard against hosts whose equal requests were cut at the same target."""
         evidence = CrashEvidence()
--- a/trefoilstage/components/crashes/refusals.py
+++ b/trefoilstage/components/crashes/refusals.py
@@ -2,9 +2,8 @@
 
 Under overload, harmless requests are under way at each crash as well as a request that
 crashes each target. The next sends tell them apart: a harmless one soon runs
-successfully, which clears it on all hosts. After `GRACE_MS`, hosts take turns and send
-one such request each at most. After `MAX_TRIAL_CRASHES` further crashes, the request is
-blocked.
+successfully, which clears it on all hosts. After `GRACE_MS`, hosts take turns, and one
+such request is sent at a time. After `MAX_TRIAL_CRASHES` crashes, it is blocked.
 """
 
 import asyncio
@@ -12,9 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
-from trefoilstage.components.crashes.causes import (
-    GRACE_MS,
-)
+from trefoilstage.components.crashes.causes import GRACE_MS
 from trefoilstage.components.crashes.completed_runs import Run
 from trefoilstage.components.crashes.evidence import CrashEvidence
 from trefoilstage.components.crashes.fingerprint import describe_parts
