Crashes: records of overloaded targets hold the load of all hosts

Cause: a record holds the load that one host knows, and loads of hosts without suspects are not in the store. Test: test_host_that_starts_later_knows_the_load fails without the rule.

--- a/tests/components/crashes/test_overload.py
+++ b/tests/components/crashes/test_overload.py
@@ -11,6 +11,7 @@
 from tests.components.crashes.common import StubParts
 from trefoilstage.components.crashes.causes import GRACE_MS, MAX_TRIAL_CRASHES
 from trefoilstage.components.crashes.completed_runs import Run
+from trefoilstage.components.crashes.evidence import CrashEvidence
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import Crash, TargetLoad
 from trefoilstage.components.crashes.refusals import FIRST_TURN_MS, wait_for_trial
@@ -67,10 +68,11 @@
 
     async def asyncSetUp(self) -> None:
         self.watchers: dict[str, CrashWatcher] = {}
+        self.stubs: list[ConnectedParts] = []
         for host in HOSTS:
-            part = cast(
-                Any, ConnectedParts(host=host, watchers=self.watchers, test=self)
-            )
+            stub = ConnectedParts(host=host, watchers=self.watchers, test=self)
+            self.stubs.append(stub)
+            part = cast(Any, stub)
             self.watchers[host] = CrashWatcher(
                 host=host,
                 probe=part,
@@ -155,6 +157,26 @@
         self.assertEqual(await self.get_reasons("often", ("subject",)), [None] * 3)
         self.assertEqual(await self.get_reasons("new", ("subject",)), [None] * 3)
 
+    async def test_host_that_starts_later_knows_the_load(self) -> None:
+        """Guard against a new host that blocks for crashes of full targets.
+
+        In soak seed 301, a restarted host read records with the load of one host each
+        and refused a harmless request.
+        """
+        for target in "xyz":
+            await self.crash(target, *(("often", host, ()) for host in HOSTS))
+            await self.crash(target, ("book", "host-1", ()))
+        await asyncio.sleep(1.5 * SETTLE_S)
+        # The store keeps the last record of a key.
+        records = [item for stub in self.stubs for item in stub.recorded]
+        for stub in self.stubs:
+            records += [item for item in stub.written if isinstance(item, Crash)]
+        evidence = CrashEvidence()
+        for crash in {item.key: item for item in records}.values():
+            evidence.add(crash, 0.0)
+        self.assertFalse(evidence.blocked_fingerprints)
+        self.assertEqual(evidence.weak_causes.fingerprints, {"often", "book"})
+
     async def test_requests_that_had_been_answered_for_a_while_count(self) -> None:
         """Guard against a full target that looks empty as its streams had begun."""
         for target in "xyz":
--- a/trefoilstage/components/crashes/load_reports.py
+++ b/trefoilstage/components/crashes/load_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import replace
 
 from trefoilstage.components.crashes.evidence import CrashEvidence
 from trefoilstage.components.crashes.evidence_log import log_changes, log_load
@@ -17,12 +18,15 @@
 
     def __init__(
         self,
-        *,
         evidence: CrashEvidence,
         start: Callable[[Coroutine[None, None, None]], object],
+        write: Callable[[Iterable[Crash]], object],
+        is_writer: Callable[[str], bool],
     ) -> None:
         self._evidence = evidence
         self._start = start  # starts a task
+        self._write = write  # writes crashes to the store
+        self._is_writer = is_writer  # for all hosts, of a target
 
     def add(self, loads: Iterable[TargetLoad]) -> None:
         """Add what a host knows of targets that stopped."""
@@ -44,3 +48,12 @@
         self._evidence.close_loads(target)
         log_load(target, self._evidence)
         log_changes(previous, self._evidence, "crashed")
+        if self._is_writer(target):
+            # Each record has the load that one host knows. A host that starts later
+            # would take the crash for that of an idle target.
+            self._write(self._list_overloaded(target))
+
+    def _list_overloaded(self, target: str) -> list[Crash]:
+        load = self._evidence.loads.sum_loads(target)
+        crashes = self._evidence.list_all() if load else []
+        return [replace(item, load=load) for item in crashes if item.target == target]
--- a/trefoilstage/components/crashes/models.py
+++ b/trefoilstage/components/crashes/models.py
@@ -1,6 +1,6 @@
 """Define the crash of a target under a request, and its record in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -116,14 +116,17 @@
 
 
 def select_assigned(
-    records: Iterable[CrashRecord], host: str, live: tuple[str, ...]
+    records: Iterable[CrashRecord], is_writer: Callable[[str], bool]
 ) -> list[CrashRecord]:
     """Return the records that a host writes or deletes for all live hosts."""
-    return [
-        record
-        for record in records
-        if rank_by_rendezvous_cached(record.subject, live)[:1] == (host,)
-    ]
+    return [record for record in records if is_writer(record.subject)]
+
+
+def is_assigned(
+    subject: str, host: str, list_hosts: Callable[[], tuple[str, ...]]
+) -> bool:
+    """Return whether a host writes what concerns a subject for all live hosts."""
+    return rank_by_rendezvous_cached(subject, list_hosts())[:1] == (host,)
 
 
 def decode_record(record: KeyedRecord) -> CrashRecord:
--- a/trefoilstage/components/crashes/target_loads.py
+++ b/trefoilstage/components/crashes/target_loads.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from trefoilstage.components.crashes.completed_runs import Run
 from trefoilstage.components.crashes.models import (
@@ -137,6 +138,16 @@
         n_slots = max((load.n_slots for load in self._list_loads(target)), default=0)
         return 0 < n_slots <= self.count_running(target)
 
+    def sum_loads(self, target: str) -> TargetLoad | None:
+        """Return the load of a target that was overloaded, None for any other."""
+        if not self.is_overloaded(target):
+            return None
+        return replace(
+            self._list_loads(target)[0],
+            target=target,
+            n_all=self.count_running(target),
+        )
+
     def is_firm(self, target: str) -> bool:
         """Return whether a crash of the target is not explained by overload."""
         is_open = any(self._is_open.get(item) for item in self.list_aliases(target))
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -28,8 +28,8 @@
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import (
     Crash,
-    CrashRecord,
     SoundPart,
+    is_assigned,
     make_crash,
     select_assigned,
 )
@@ -82,7 +82,6 @@
         count_requests: Callable[[str], int] = count_none,
     ) -> None:
         super().__init__()
-        self._host = host
         self._generator = generator
         self._unix_offset_s = unix_offset_s  # Unix time minus loop time
         self._probe = probe
@@ -98,7 +97,11 @@
             is_exonerated=self._has_part_run_lately, unix_offset_s=unix_offset_s
         )
         self._cuts = CutRequests(host=host, count_requests=count_requests)
-        self._loads = LoadReports(evidence=self.evidence, start=self.add_future)
+        is_writer = partial(is_assigned, host=host, list_hosts=list_live_hosts)
+        self._select_assigned = partial(select_assigned, is_writer=is_writer)
+        self._loads = LoadReports(
+            self.evidence, self.add_future, recorder.write, is_writer
+        )
         self._refusals = CrashRefusals(
             host=host, list_live_hosts=list_live_hosts, claims=recorder
         )
@@ -251,9 +254,6 @@
         ]
         self._recorder.write(self._select_assigned(sound))
 
-    def _select_assigned(self, records: Iterable[CrashRecord]) -> list[CrashRecord]:
-        return select_assigned(records, self._host, self._list_live_hosts())
-
     async def _probe_target(self, run: Run) -> None:
         target = run.target
         result = await self._probe.connect(run.address)
