Revert the two merges of the crash evidence

Ruled out: keeping only the part for the contract pressure; the changed order of causes and the attribution of runs to starts are not confined to it.

--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -280,7 +280,6 @@
     def test_admission_queue_is_on_only_under_the_contract_on_pressure(self) -> None:
         """Guard against a queue where no target needs it, or none where one does."""
         self.assertFalse(self.load(SETTINGS).has_admission_queue)
-        self.assertFalse(self.load(SETTINGS).has_overload_crashes)
         for text, is_on in (
             ("", False),
             ("rests", False),
@@ -291,7 +290,6 @@
             with self.subTest(text=text):
                 settings = self.load(f"{SETTINGS}contracts={text}\n")
                 self.assertIs(settings.has_admission_queue, is_on)
-                self.assertIs(settings.has_overload_crashes, is_on)
 
     def test_error_names_every_invalid_setting(self) -> None:
         """Reject settings, naming both of two invalid values."""
--- a/trefoilstage/components/crashes/causes.py
+++ b/trefoilstage/components/crashes/causes.py
@@ -19,11 +19,6 @@
 MIN_TARGETS_TO_STAY = 2
 # Targets that crash together, as those of a rack do, count as one.
 SAME_MOMENT_MS = 100
-# Most harmless requests run within this time after the surge that crashed the targets.
-GRACE_MS = 4_000
-# A suspect that never ran and crashed as many targets again, sent once at a time, is a
-# cause also if other requests were under way there.
-MAX_TRIAL_CRASHES = 3
 # Crashes of repeats of one request are explained by the request.
 MIN_REQUESTS_WITH_PART = 2
 
@@ -54,21 +49,6 @@
 NO_CAUSES = Causes()
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class WeakSuspect:
-    """Describe a request or parts whose crashes overload may explain."""
-
-    name: str
-    parts: frozenset[str] | None  # None for a request
-    suspect_since_ms: int  # when enough targets had crashed, in Unix ms
-    n_trial_crashes: int  # of targets to which hosts sent it once at a time
-
-    @property
-    def is_blocked(self) -> bool:
-        """Return whether the suspect is taken for a cause."""
-        return self.n_trial_crashes >= MAX_TRIAL_CRASHES
-
-
 @dataclass(kw_only=True, slots=True)
 class Suspect:
     """Describe the crashes under one request, or under requests with one part."""
@@ -79,8 +59,6 @@
     crashed_at: dict[str, int | None] = field(default_factory=dict)
     fingerprints: set[str] = field(default_factory=set)
     common_parts: frozenset[str] = frozenset()
-    # The targets that no other suspected request was starting to run at.
-    lone_targets: set[str] = field(default_factory=set)
 
     def add(self, crash: Crash, parts: frozenset[str]) -> None:
         """Add a crash under a request with the given parts."""
@@ -117,20 +95,9 @@
         for target in targets:
             self.crashed_at.pop(target, None)
 
-    def rank(self) -> tuple[int, int, bool, int, str]:
-        """Return a key that is highest for the likeliest cause.
-
-        A target that ran only one suspected request was crashed by that request or a
-        part of it. A harmless request that is sent often is interrupted at more targets
-        than the cause, but always beside others.
-        """
-        return (
-            len(self.lone_targets & self.crashed_at.keys()),
-            len(self.crashed_at),
-            self.is_part,
-            len(self.common_parts),
-            self.name,
-        )
+    def rank(self) -> tuple[int, bool, int, str]:
+        """Return a key that is highest for the suspect that explains most."""
+        return len(self.crashed_at), self.is_part, len(self.common_parts), self.name
 
 
 def find_causes(
@@ -140,8 +107,8 @@
 
     `previous` are those that were blocked before the last crashes.
 
-    The likeliest suspect explains the crashes under it, and only the remaining ones
-    count against others. Otherwise, harmless requests and parts that
+    The suspect under which most targets crashed explains those crashes, and only the
+    remaining ones count against others. Otherwise, harmless requests and parts that
     were interrupted together with a crashing one would be blocked as well.
     """
     suspects = [
@@ -167,21 +134,6 @@
     return Causes(fingerprints=frozenset(fingerprints), part_sets=frozenset(part_sets))
 
 
-def find_suspects(parts_by_crash: Mapping[Crash, frozenset[str]]) -> Causes:
-    """Return all requests and parts under which enough targets crashed to be a cause.
-
-    None explains the crashes of others: under overload, a harmless request is under way
-    at more crashes than the cause.
-    """
-    suspects = [
-        item for item in collect_suspects(parts_by_crash) if item.may_be_cause()
-    ]
-    return Causes(
-        fingerprints=frozenset(item.name for item in suspects if not item.is_part),
-        part_sets=frozenset(item.common_parts for item in suspects if item.is_part),
-    )
-
-
 def get_min_targets(suspect: Suspect, previous: Causes) -> int:
     """Return how many crashes must remain that no other suspect explains."""
     is_blocked = suspect.common_parts in previous.part_sets
@@ -208,19 +160,11 @@
     n_by_part = Counter(chain.from_iterable(parts_by_crash.values()))
     requests = make_suspects(n_by_request, is_part=False)
     with_part = make_suspects(n_by_part, is_part=True)
-    n_by_target = Counter(crash.target for crash in parts_by_crash)
     for crash, parts in parts_by_crash.items():
         if crash.fingerprint in requests:
             requests[crash.fingerprint].add(crash, parts)
         for part in parts & with_part.keys():
             with_part[part].add(crash, parts)
-        if n_by_target[crash.target] == 1:
-            for suspect in (
-                requests.get(crash.fingerprint),
-                *map(with_part.get, parts),
-            ):
-                if suspect is not None:
-                    suspect.lone_targets.add(crash.target)
     return [*requests.values(), *with_part.values()]
 
 
--- a/trefoilstage/components/crashes/completed_runs.py
+++ b/trefoilstage/components/crashes/completed_runs.py
@@ -20,9 +20,6 @@
     parts: Sequence[str]  # of its prompt, that other requests may share
     target: str  # its incarnation
     address: str
-    n_slots: int = 0  # of the target, 0 if unknown
-    sent_at: float = 0.0  # loop time, 0 if unknown
-    request_id: str = ""
 
 
 class CompletedRuns:
--- a/trefoilstage/components/crashes/evidence_log.py
+++ b/trefoilstage/components/crashes/evidence_log.py
@@ -44,13 +44,3 @@
         log_event(
             Event.PARTS_UNBLOCKED, parts=describe_parts(sorted(parts)), reason=reason
         )
-
-
-def log_load(target: str, evidence: CrashEvidence) -> None:
-    """Log that overload may explain a target's crash."""
-    if evidence.loads.is_overloaded(target):
-        log_event(
-            Event.TARGET_ENDED_OVERLOADED,
-            target=target,
-            n_running=evidence.loads.count_running(target),
-        )
--- a/trefoilstage/components/crashes/recorder.py
+++ b/trefoilstage/components/crashes/recorder.py
@@ -12,12 +12,7 @@
 
 from trefoilstage.components.crashes.evidence import MAX_CRASHES
 from trefoilstage.components.crashes.messages import CrashReport
-from trefoilstage.components.crashes.models import (
-    Crash,
-    CrashRecord,
-    SoundPart,
-    TargetLoad,
-)
+from trefoilstage.components.crashes.models import Crash, CrashRecord, SoundPart
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.views.store import Store, StoreUnavailableError, Topic
 from trefoilstage.exceptions import PeerUnavailableError
@@ -58,18 +53,6 @@
             CrashReport(host=self._board.host, crashes=tuple(crashes))
         )
 
-    def record_load(self, load: TargetLoad) -> None:
-        """Share how many requests a target had under way when it stopped."""
-        self._report_to_peers(CrashReport(host=self._board.host, loads=(load,)))
-
-    def are_shared(self) -> bool:
-        """Return whether all other hosts receive this host's reports."""
-        return not self._board.is_too_large_to_broadcast()
-
-    def share_trials(self, names: Sequence[str]) -> None:
-        """Tell the other hosts that this host sends a request with some suspects."""
-        self._report_to_peers(CrashReport(host=self._board.host, trials=tuple(names)))
-
     def clear(self, fingerprint: str, crashes: Sequence[Crash]) -> None:
         """Share that a request is harmless, and delete its crashes from the store."""
         self._schedule_writes(crashes, keep=False)
@@ -157,7 +140,7 @@
         return self._board.peers[ranked[0]] if ranked else None
 
     def _report_to_peers(self, report: CrashReport) -> None:
-        if not self.are_shared():
+        if self._board.is_too_large_to_broadcast():
             # Every host reads crashes from the store. If each of hundreds of hosts also
             # reported a target's crash, each would receive hundreds of messages.
             return
--- a/trefoilstage/components/crashes/watcher.py
+++ b/trefoilstage/components/crashes/watcher.py
@@ -10,8 +10,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
-from functools import partial
+from collections.abc import Iterable, Sequence
 from itertools import chain
 
 from mode import Service
@@ -22,28 +21,29 @@
     CompletedRuns,
     Run,
 )
-from trefoilstage.components.crashes.evidence import CrashEvidence
+from trefoilstage.components.crashes.evidence import (
+    MAX_CRASHES,
+    SUSPECT_RETENTION_S,
+    CrashEvidence,
+)
 from trefoilstage.components.crashes.evidence_log import decode_or_log, log_changes
-from trefoilstage.components.crashes.load_reports import LoadReports
+from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.messages import CrashReport
 from trefoilstage.components.crashes.models import (
     Crash,
+    CrashRecord,
     SoundPart,
-    is_assigned,
     make_crash,
-    select_assigned,
 )
 from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
 from trefoilstage.components.crashes.recent_runs import RecentRuns
 from trefoilstage.components.crashes.recorder import CrashRecorder, HostLister
-from trefoilstage.components.crashes.refusals import CrashRefusals
-from trefoilstage.components.crashes.sound_parts import SoundParts
-from trefoilstage.components.crashes.target_loads import CutRequests, count_none
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.helpers.events import Event, log_event
-from trefoilstage.helpers.verdict import Refusal
+from trefoilstage.helpers.verdict import Reason, Refusal
 from trefoilstage.timer import TimerService
+from trefoilstage.util.hashing import rank_by_rendezvous_cached
 
 # An answer that went on for longer is not the cause, even on a slow engine.
 MAX_SUSPECT_PROGRESS_S = 1.0
@@ -79,12 +79,9 @@
         list_live_hosts: HostLister,
         unix_offset_s: float,
         generator: random.Random,
-        count_requests: Callable[[str], int] = count_none,
-        weighs_load: bool = True,
     ) -> None:
         super().__init__()
-        # Whether targets may crash because of the number of their requests.
-        self._weighs_load = weighs_load
+        self._host = host
         self._generator = generator
         self._unix_offset_s = unix_offset_s  # Unix time minus loop time
         self._probe = probe
@@ -95,19 +92,9 @@
         self._completed = CompletedRuns()
         self._ran_requests = RecentRuns(retention_s=RAN_LATELY_S)
         self._ran_parts = RecentRuns(retention_s=PART_RAN_LATELY_S)
-        self._sound_parts = SoundParts()
-        self.evidence = CrashEvidence(
-            is_exonerated=self._has_part_run_lately, unix_offset_s=unix_offset_s
-        )
-        self._cuts = CutRequests(host=host, count_requests=count_requests)
-        is_writer = partial(is_assigned, host=host, list_hosts=list_live_hosts)
-        self._select_assigned = partial(select_assigned, is_writer=is_writer)
-        self._loads = LoadReports(
-            self.evidence, self.add_future, recorder.write, is_writer
-        )
-        self._refusals = CrashRefusals(
-            host=host, list_live_hosts=list_live_hosts, claims=recorder
-        )
+        # When this host learned that a part is harmless whose record is in the store.
+        self._sound_parts: dict[str, float] = {}
+        self.evidence = CrashEvidence(is_exonerated=self._has_part_run_lately)
         server.register(CrashReport, self._handle_report)
 
     async def on_start(self) -> None:
@@ -121,18 +108,25 @@
         self._unsubscribe()
 
     def get_refusal(
-        self, fingerprint: str, parts: Sequence[str] = (), request_id: str = ""
+        self, fingerprint: str, parts: Sequence[str] = ()
     ) -> Refusal | None:
-        """Return a refusal for a request that must not be sent now, None for any other.
+        """Return a refusal for a blocked request, None for any other.
 
         `parts` are those of its prompt that other requests may share.
         """
-        names = frozenset(parts)
-        is_suspect = self.evidence.is_suspect(fingerprint, names)
-        if not is_suspect or self._has_request_run_lately(fingerprint):
+        causes = self.evidence.causes
+        blocked_parts = causes.find_parts(frozenset(parts))
+        is_request_blocked = fingerprint in causes.fingerprints
+        if not (blocked_parts or is_request_blocked):
             return None
-        return self._refusals.get_refusal(
-            self.evidence, fingerprint, names, request_id, self._now()
+        if self._has_request_run_lately(fingerprint):
+            return None
+        return Refusal(
+            reason=Reason.CRASHES_TARGETS,
+            detail=describe_parts(sorted(blocked_parts or ())),
+            retry_after_s=self.evidence.compute_wait_s(
+                fingerprint, frozenset(parts), self._now()
+            ),
         )
 
     def record_interruption(self, run: Run, *, progress_s: float) -> None:
@@ -140,15 +134,10 @@
 
         `progress_s` is the time for which the response had been arriving.
         """
-        self._cuts.add(run.target, self._now())
-        self.evidence.loads.set_address(run.target, run.address)
         if progress_s > MAX_SUSPECT_PROGRESS_S:
             self.record_harmless(run.fingerprint, run.parts)
-        if progress_s <= CRASHES_WITHIN_S:
-            self._check_target(run, run)
-        elif self._weighs_load and run.n_slots:
-            # The other hosts count this request if the target crashed.
-            self._check_target(run)
+        elif progress_s <= CRASHES_WITHIN_S:
+            self._suspect(run)
 
     def record_caller_left(self, run: Run, *, progress_s: float) -> None:
         """Record that a caller left, or its deadline passed, before the response ended.
@@ -161,7 +150,7 @@
 
     async def _suspect_after_delay(self, run: Run) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        self._check_target(run, run)
+        self._suspect(run)
 
     def record_completed(
         self, run: Run, *, progress_s: float, is_end_certain: bool
@@ -170,7 +159,6 @@
 
         If its end isn't certain, the target may have stopped while it sent it.
         """
-        self.evidence.loads.set_address(run.target, run.address)
         self._confirm_old_runs()
         min_progress_s = CRASHES_WITHIN_S if is_end_certain else MAX_SUSPECT_PROGRESS_S
         if progress_s > min_progress_s:
@@ -182,10 +170,9 @@
 
     def _confirm_old_runs(self) -> None:
         for run in self._completed.pop_old(self._now()):
-            start = self.evidence.find_start(run.target, run.sent_at)
-            if self.evidence.has_target(start):
+            if self.evidence.has_target(run.target):
                 # Another host noticed that the target stopped.
-                self._record_crashes(start, [run], run)
+                self._record_crashes(run.target, [run])
             else:
                 self.record_harmless(run.fingerprint, run.parts, is_certain=False)
 
@@ -195,17 +182,17 @@
         if await self._probe.connect(run.address) is ProbeResult.ACCEPTED:
             self.record_harmless(run.fingerprint, run.parts)
         else:
-            self._check_target(run, run)
+            self._suspect(run)
 
     def _is_suspect(self, run: Run) -> bool:
         suspected = frozenset(self._select_suspected(run.parts))
         return self.evidence.has_crashes(run.fingerprint, suspected)
 
-    def _check_target(self, run: Run, *suspected: Run) -> None:
+    def _suspect(self, run: Run) -> None:
         is_being_probed = run.target in self._interrupted
-        self._interrupted[run.target] += suspected
+        self._interrupted[run.target].append(run)
         if not is_being_probed:
-            self.add_future(self._probe_target(run))
+            self.add_future(self._probe_target(run.target, run.address))
 
     def record_harmless(
         self, fingerprint: str, parts: Sequence[str] = (), *, is_certain: bool = True
@@ -257,51 +244,44 @@
         ]
         self._recorder.write(self._select_assigned(sound))
 
-    async def _probe_target(self, run: Run) -> None:
-        target = run.target
-        result = await self._probe.connect(run.address)
+    def _select_assigned(self, records: Iterable[CrashRecord]) -> list[CrashRecord]:
+        """Return the records that this host writes or deletes for all hosts."""
+        live = self._list_live_hosts()
+        return [
+            record
+            for record in records
+            if rank_by_rendezvous_cached(get_subject(record), live)[:1] == (self._host,)
+        ]
+
+    async def _probe_target(self, target: str, address: str) -> None:
+        result = await self._probe.connect(address)
         self._confirm_old_runs()
         interrupted = self._interrupted.pop(target)
         if result is ProbeResult.ACCEPTED:
-            return  # The target broke off responses but is still running.
+            # The target broke off responses but is still running.
+            return
         runs = [*interrupted, *self._completed.pop_target(target)]
-        if result is ProbeResult.REFUSED:
-            sent_at = max((item.sent_at for item in interrupted), default=0.0)
-            target = self.evidence.find_start(target, sent_at)
-        n_cut = self._record_crashes(target, runs, run)
+        n_cut = self._record_crashes(target, runs)
         log_event(Event.TARGET_ENDED, target=target, connect=result, n_cut=n_cut)
 
-    def _record_crashes(self, target: str, runs: Sequence[Run], cut: Run) -> int:
-        """Record that a target stopped under some runs; return how many are suspect.
-
-        `cut` is a run that the target cut, which need not be suspect.
-        """
+    def _record_crashes(self, target: str, runs: Sequence[Run]) -> int:
+        """Record that a target stopped under some runs; return how many are suspect."""
         at_ms = self._get_unix_ms()
-        load = None
-        if self._weighs_load:
-            load = self._cuts.make_load(cut, target, self._now(), at_ms)
         parts_by_fingerprint = {
             run.fingerprint: self._select_suspected(run.parts)
             for run in runs
             if not self._has_request_run_lately(run.fingerprint)
         }
-        trials = self._refusals.list_trials(runs)
-        make = partial(make_crash, target=target, at_ms=at_ms, load=load)
         crashes = [
-            make(fingerprint, parts=parts, is_trial=fingerprint in trials)
+            make_crash(fingerprint, target, parts=parts, at_ms=at_ms)
             for fingerprint, parts in sorted(parts_by_fingerprint.items())
         ]
         if crashes:
             self._change_evidence("crashed", add=crashes)
             self._recorder.record(crashes)
-        elif load is not None:
-            self._loads.add([load])
-            self._recorder.record_load(load)
         return len(crashes)
 
     async def _handle_report(self, report: CrashReport) -> None:
-        self._loads.add(report.loads)
-        self._refusals.receive_claims(report.trials, self._get_unix_ms())
         self._change_evidence("crashed", add=report.crashes)
         for fingerprint in report.sound:
             crashes = self.evidence.list_crashes(fingerprint)
@@ -313,8 +293,10 @@
 
     def _accept_sound_parts(self, parts: Iterable[str]) -> None:
         for part in parts:
-            self._sound_parts.add(part, self._now())
+            self._sound_parts[part] = self._now()
             self._change_evidence("ran", remove_parts=[part])
+        while len(self._sound_parts) > MAX_CRASHES:
+            self._sound_parts.pop(next(iter(self._sound_parts)))
 
     def _change_evidence(
         self,
@@ -330,7 +312,6 @@
         previous = self.evidence.causes
         now = self._now()
         for crash in add:
-            self._loads.wait_for_others(crash, self._get_unix_ms())
             self.evidence.add(crash, now)
         for crash in remove:
             self.evidence.remove(crash)
@@ -392,9 +373,16 @@
 
     async def _expire(self) -> None:
         self._confirm_old_runs()
-        expired = self.evidence.list_expired(self._now())
+        now = self._now()
+        expired = self.evidence.list_expired(now)
         self._change_evidence("expired", remove=expired)
-        sound = self._sound_parts.pop_expired(self._now())
+        sound = [
+            SoundPart(part=part)
+            for part, sound_at in self._sound_parts.items()
+            if now - sound_at > SUSPECT_RETENTION_S
+        ]
+        for item in sound:
+            del self._sound_parts[item.part]
         self._recorder.delete(self._select_assigned([*expired, *sound]))
 
     def _now(self) -> float:
@@ -402,3 +390,8 @@
 
     def _get_unix_ms(self) -> int:
         return int((self._now() + self._unix_offset_s) * MS_PER_S)
+
+
+def get_subject(record: CrashRecord) -> str:
+    """Return the request or the part that a record is about."""
+    return record.fingerprint if isinstance(record, Crash) else record.part
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 from trefoilstage.components.crashes.fingerprint import describe_parts
-from trefoilstage.components.crashes.refusals import wait_for_trial
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
 from trefoilstage.components.forwarding.answers import (
@@ -88,9 +87,7 @@
         """Answer a caller; return a refusal if it got no answer, otherwise None."""
         if state.started_at >= state.deadline:
             return Refusal(reason=Reason.DEADLINE)
-        blocked = await wait_for_trial(
-            lambda: self._get_block(state), (state.started_at + state.deadline) / 2
-        )
+        blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
         if blocked is not None:
             return blocked
         if state.route.kind is RouteKind.STREAM and state.request.is_resumption:
@@ -119,11 +116,6 @@
             if isinstance(hold, EscrowHold):
                 self._holds.settle(state, hold)
 
-    def _get_block(self, state: RequestState) -> Refusal | None:
-        return self._crashes.get_refusal(
-            state.fingerprint, state.parts, state.request.request_id
-        )
-
     def _make_deadline_refusal(self, state: RequestState) -> Refusal:
         if state.n_possible_runs == 0:
             return Refusal(reason=Reason.DEADLINE, retry_after_s=RETRY_AFTER_S)
@@ -170,7 +162,7 @@
         await self._targets.refresh_candidates(state)
         # The request may have crashed a target since it arrived, sent by this or
         # another host.
-        blocked = self._get_block(state)
+        blocked = self._crashes.get_refusal(state.fingerprint, state.parts)
         if blocked is not None:
             return failure if state.n_possible_runs else blocked
         target = await self._targets.choose(state, place)
@@ -207,7 +199,7 @@
             resume_after=state.last_event_id,
             fetch_from=fetch.source.address if fetch else "",
         )
-        state.record_send(target.name, now)
+        state.record_send(target.name)
         sent = self._chooser.add_request(
             target, state.request.prompt, state.candidate_info, fetch
         )
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -68,7 +68,6 @@
     service: TargetService | None = None
     fingerprint: str = field(init=False)  # the same for all retries
     parts: tuple[str, ...] = field(init=False)  # of the prompt that others may share
-    sent_at: float = 0.0  # to the current target
     # When the current target first and last sent data, 0 if it sent none.
     target_first_data_at: float = 0.0
     target_last_data_at: float = 0.0
@@ -126,12 +125,11 @@
         """Return the seconds from the current target's first data to its last."""
         return self.target_last_data_at - self.target_first_data_at
 
-    def record_send(self, target: str, now: float) -> None:
+    def record_send(self, target: str) -> None:
         """Record that the request is sent to a target, which may run it."""
         self.n_sends += 1
         self.n_possible_runs += 1
         self.target = target
-        self.sent_at = now
         self.target_first_data_at = self.target_last_data_at = 0.0
 
     def record_target_data(self, now: float) -> None:
--- a/trefoilstage/components/forwarding/run_recorder.py
+++ b/trefoilstage/components/forwarding/run_recorder.py
@@ -68,7 +68,4 @@
         parts=state.parts,
         target=target.incarnation,
         address=target.address,
-        n_slots=target.slots,
-        sent_at=state.sent_at,
-        request_id=state.request.request_id,
     )
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -269,8 +269,6 @@
         list_live_hosts=membership.list_live_hosts,
         unix_offset_s=process_start.offset,
         generator=generator,
-        count_requests=lambda target: workload.get_work(target).n_requests,
-        weighs_load=settings.has_overload_crashes,
     )
     prover = StartProver(board=board, probe=start_probe)
     stream_versions = StreamVersions(
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -39,6 +39,3 @@
     # For targets that crash when their requests need more memory than they have: while
     # a service is nearly full, its requests wait in one queue of the fleet.
     has_admission_queue: bool = False
-    # For the same targets: a crash that their number of requests explains says little
-    # about a single request.
-    has_overload_crashes: bool = False
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -37,7 +37,6 @@
     caller_address, _, caller_port = fields["listen.front"].rpartition(":")
     _, _, ready_port = fields["listen.ready"].rpartition(":")
     first_port, _, _ = fields["internal_ports"].partition(",")
-    has_pressure = PRESSURE_CONTRACT in read_names(fields, "contracts")
     return {
         "host": fields["node_name"],
         "data_center": fields["zone"],
@@ -61,8 +60,7 @@
         "retry_window_s": fields.get("bounds.budget_window_s", "10"),
         "cold_rate_factor": fields.get("bounds.cold_over"),
         "cold_rate_slack": fields.get("bounds.cold_slack"),
-        "has_admission_queue": has_pressure,
-        "has_overload_crashes": has_pressure,
+        "has_admission_queue": PRESSURE_CONTRACT in read_names(fields, "contracts"),
     }
 
 
