--- a/tests/components/admission_queue/test_full_links.py
+++ b/tests/components/admission_queue/test_full_links.py
@@ -53,9 +53,9 @@
     """Fill the link of a host that asks for places."""
 
     def test_host_with_a_full_link_needs_places_too(self) -> None:
-        """Guard against the host with most requests, which takes the slots of all.
+        """Guard against a host that sends without places and fills all slots.
 
-        It also must not take each home for silent, or each of them would grant places.
+        If it considered every home silent, each of them would grant places.
         """
 
         async def check(fleet: AdmissionFleet) -> None:
@@ -74,8 +74,8 @@
         for n_hosts in (3, 40):
             self.run_with(n_hosts, check)
 
-    def test_full_link_holds_no_caller_to_its_limit(self) -> None:
-        """Guard against callers that learn at their deadline that there is no place."""
+    def test_full_link_keeps_no_caller_waiting_until_its_deadline(self) -> None:
+        """Guard against callers that learn too late that there is no place."""
 
         async def check(fleet: AdmissionFleet) -> None:
             home, host, *_ = fleet.rank_homes()
