Tests of the admission queue: failures of the home with plain targets too, in a module of their own

The eight tests of the home's failures run with both now; where they counted slots they count places, and the number of calls that ask for own shares follows it (9 and 18 for 3 hosts), so that each bound is as strict. test_failures.py (409 lines) is split by what fails; no check changed.

--- a/tests/components/admission_queue/fleet.py
+++ b/tests/components/admission_queue/fleet.py
@@ -11,6 +11,7 @@
 from bench.emulator.network import EmulatedLink, EmulatedLinks, Network
 from tests.components.boards import make_board
 from tests.components.forwarding.common import REQUEST, make_route, make_target
+from trefoilstage.components.admission_queue.capacity import PLACES_PER_SLOT
 from trefoilstage.components.admission_queue.client import AdmissionClient
 from trefoilstage.components.admission_queue.home import AdmissionHome
 from trefoilstage.components.admission_queue.messages import PlaceRequest
@@ -75,6 +76,7 @@
         # Engines get one request for each slot.
         engine = Engine(slots=SLOTS, kv_tokens=0, tokens_per_event=1)
         self.engine = engine if has_engines else None
+        self.n_places_each = SLOTS if has_engines else PLACES_PER_SLOT * SLOTS
         self.names = [f"host-{number:03}" for number in range(n_hosts)]
         self.network = Network()
         self.hung: dict[str, float] = {}  # seconds that messages to a host take
@@ -197,10 +199,10 @@
         return sent
 
     async def fill(self, hosts: Sequence[str]) -> list[ExitStack]:
-        """Fill all slots by requests without places, until all hosts know that."""
+        """Fill all places by requests without one, until all hosts know that."""
         sent = [
             self.send(hosts[n % len(hosts)], target)
-            for n, target in enumerate(self.targets * SLOTS)
+            for n, target in enumerate(self.targets * self.n_places_each)
         ]
         await asyncio.sleep(IDLE_REPEAT_INTERVAL_S + 0.5)
         return sent
--- a/tests/components/admission_queue/test_full_links.py
+++ b/tests/components/admission_queue/test_full_links.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from bench.emulator.clock import run_in_virtual_time
+from tests.components.admission_queue.failure_case import N_ASKING, FailureCase
 from tests.components.admission_queue.fleet import (
     DEADLINE_S,
     N_SLOTS,
@@ -15,7 +16,6 @@
     Answer,
     count_places,
 )
-from tests.components.admission_queue.test_failures import N_ASKING, FailureCase
 from trefoilstage.components.admission_queue.capacity import (
     PLACES_PER_SLOT,
     count_capacity,
