Shutdown: accept a late call only if it surely ends before the host

Cause: a draining host accepted plain calls until 0.5 s before the end of its drain, taken as the longest call to a plain service. Only a call's own time limit bounds it. Evidence: all five connections closed 6.82 s after the signal, the end of the drain, not at the calls' limit. Ruled out: the size of the constant (a call taken 3.5 s after the signal with 4 s of work is cut as well), and kept connections (a new one is cut likewise).

Change: ShutdownSchedule, a pure decision, compares the deadline of a request with the moment at which requests are ended, when its head and when its body has arrived. For 3 s, while the balancer still uses the host, all are accepted as before; streams that begin later are refused as before. A grace time under 7.2 s left more than its last sixth as a reserve, and requests were cut before it; the reserve is now a sixth at most.

--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -11,7 +11,12 @@
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.routes import RouteTable
-from trefoilstage.components.forwarding.server import BODY_LATE, ForwardingServer
+from trefoilstage.components.forwarding.server import (
+    BODY_LATE,
+    SHUTTING_DOWN,
+    ForwardingServer,
+)
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.helpers.verdict import Refusal
 
@@ -118,6 +123,13 @@
         elapsed_s = asyncio.get_running_loop().time() - started_at
         self.assertLess(elapsed_s, self.route.timeout_s + 0.5)
 
+    async def test_body_that_arrives_late_in_a_shutdown_is_refused(self) -> None:
+        """Guard against calls that began early enough, but whose body came late."""
+        now = asyncio.get_running_loop().time()
+        self.board.shutdown = ShutdownSchedule(started_at=now, grace_s=0.4)
+        self.assertIsInstance(await self.receive(body_s=0.0), RequestState)
+        self.assertIs(await self.receive(body_s=0.2), SHUTTING_DOWN)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/components/forwarding/test_shutdown_schedule.py
@@ -0,0 +1,68 @@
+"""Test which requests a host accepts while it shuts down."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
+
+GRACE_S = 8.0
+GRACE_TIMES_S = st.floats(0.5, 60.0)
+
+
+class ShutdownScheduleTest(unittest.TestCase):
+    """Test decisions at every moment of a grace time."""
+
+    def accepts(self, at_s: float, time_limit_s: float, **kind: bool) -> bool:
+        """Return whether a request is accepted some time after the signal."""
+        schedule = ShutdownSchedule(started_at=100.0, grace_s=GRACE_S)
+        return schedule.accepts(
+            is_stream=kind.get("is_stream", False),
+            deadline=100.0 + at_s + time_limit_s,
+            now=100.0 + at_s,
+        )
+
+    def test_late_call_with_a_long_time_limit_is_refused(self) -> None:
+        """Guard against calls that are cut off as the host ends."""
+        self.assertFalse(self.accepts(6.2, 4.0))
+        self.assertFalse(self.accepts(3.1, 4.0))
+
+    def test_late_call_with_a_short_time_limit_is_accepted(self) -> None:
+        """Guard against a host that refuses all calls while the balancer uses it."""
+        self.assertTrue(self.accepts(3.1, 0.6))
+        self.assertTrue(self.accepts(6.1, 0.6))
+
+    def test_requests_are_accepted_until_the_balancer_has_removed_the_host(
+        self,
+    ) -> None:
+        """Guard against refusals in the seconds that the load balancer needs."""
+        self.assertTrue(self.accepts(2.9, 15.0))
+        self.assertTrue(self.accepts(2.9, 15.0, is_stream=True))
+
+    def test_late_streams_are_refused(self) -> None:
+        """Guard against a host that stays for its streams and is not replaced."""
+        self.assertFalse(self.accepts(3.1, 0.6, is_stream=True))
+
+    @given(GRACE_TIMES_S, st.floats(0, 1), st.floats(0, 30))
+    def test_what_is_accepted_late_expires_before_it_would_be_ended(
+        self, grace_s: float, share: float, time_limit_s: float
+    ) -> None:
+        schedule = ShutdownSchedule(started_at=0.0, grace_s=grace_s)
+        now = share * grace_s
+        deadline = now + time_limit_s
+        if schedule.accepts(is_stream=False, deadline=deadline, now=now):
+            is_early = now < schedule.accepts_all_until
+            self.assertTrue(is_early or deadline <= schedule.requests_end_at)
+
+    @given(GRACE_TIMES_S)
+    def test_requests_are_ended_in_the_last_sixth_only(self, grace_s: float) -> None:
+        """Guard against requests that are cut off early in a short grace time."""
+        schedule = ShutdownSchedule(started_at=0.0, grace_s=grace_s)
+        self.assertGreaterEqual(schedule.requests_end_at, grace_s * 5 / 6 - 1e-9)
+        self.assertLess(schedule.requests_end_at, grace_s)
+        self.assertLess(schedule.accepts_all_until, schedule.requests_end_at)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/promises/test_late_in_shutdown.py
@@ -0,0 +1,57 @@
+"""Test what callers get from a host late in its shutdown (real processes)."""
+
+import asyncio
+import signal
+import unittest
+
+from standins.launcher import poll_until
+from tests.promises.fleet import FleetAnswer, HostProcess, PlatformFleet
+
+ACCEPTS_STREAMS_S = 3.0  # after the signal, of a grace time of 8 s
+
+
+class LateInShutdownTest(unittest.IsolatedAsyncioTestCase):
+    """Send calls to a host that is about to end."""
+
+    async def start_stream(self, fleet: PlatformFleet) -> asyncio.Task[FleetAnswer]:
+        """Start a stream of 4.8 s, which keeps a draining host running."""
+        for target in fleet.targets:
+            target.event_interval_s = 1.2
+        stream = asyncio.create_task(fleet.call("/stream/x"))
+        await poll_until(lambda: fleet.count_runs() == 1, "the stream's run")
+        return stream
+
+    async def stop(self, host: HostProcess) -> None:
+        """Send SIGTERM to a host and wait until it drains."""
+        host.process.send_signal(signal.SIGTERM)
+        await poll_until(lambda: host.has_logged("host_draining"), "the drain")
+
+    async def test_call_that_may_outlast_the_host_is_refused(self) -> None:
+        """Guard against calls that a host takes late in its grace and then cuts."""
+        async with PlatformFleet() as fleet:
+            host = fleet.hosts["host-0"]
+            stream = await self.start_stream(fleet)
+            await self.stop(host)
+            await asyncio.sleep(ACCEPTS_STREAMS_S + 0.5)
+            for target in fleet.targets:
+                target.processing_s = 4.0  # of a time limit of 5 s
+            answer = await fleet.call("/book/x")
+            self.assertEqual(answer.status, 503)
+            self.assertIn("Retry-After", answer.headers)
+            self.assertEqual(fleet.count_runs(), 1)
+            self.assertTrue((await stream).is_whole)
+
+    async def test_call_that_is_sure_to_end_in_time_is_served(self) -> None:
+        """Guard against a host that refuses late calls which it could answer."""
+        async with PlatformFleet() as fleet:
+            host = fleet.hosts["host-0"]
+            stream = await self.start_stream(fleet)
+            await self.stop(host)
+            await asyncio.sleep(ACCEPTS_STREAMS_S + 0.5)
+            answer = await fleet.call("/book/x", more_headers={"Deadline-Ms": "1000"})
+            self.assertEqual(answer.status, 200)
+            self.assertTrue((await stream).is_whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -91,7 +91,6 @@
         self._translator = translator
         self._pipeline = pipeline
         self._refusal_maker = RefusalMaker(translator=translator)
-        self._refuses_streams = False
         self._refuses_all = False
         self._request_tasks: set[asyncio.Task[Any]] = set()
         self._was_only_own_link_full = False
@@ -181,10 +180,6 @@
         if self._request_tasks:
             await asyncio.wait(self._request_tasks, timeout=CANCEL_TIMEOUT_S)
 
-    def refuse_streams(self) -> None:
-        """Refuse new streams, which would not end before the shutdown."""
-        self._refuses_streams = True
-
     def refuse_all_requests(self) -> None:
         """Refuse all new requests, also those on open connections."""
         self._refuses_all = True
@@ -280,9 +275,8 @@
         route = self._board.routes.match(request.host, request.path)
         if route is None:
             return Refusal(reason=Reason.UNKNOWN_PATH)
-        if self._refuses_all or (
-            self._refuses_streams and route.kind is RouteKind.STREAM
-        ):
+        deadline = compute_deadline(request, route, started_at)
+        if self._refuses_all or not self._may_accept(route, deadline):
             return SHUTTING_DOWN
         workspace = configuration.workspaces_by_key.get(request.key)
         if workspace is None and configuration.workspaces and not route.public:
@@ -293,7 +287,6 @@
             return Refusal(reason=Reason.BODY_TOO_LARGE)
         if self._should_send_elsewhere(route.objective_s, started_at):
             return LINK_FULL
-        deadline = compute_deadline(request, route, started_at)
         try:
             async with asyncio.timeout_at(deadline):
                 body = await web_request.read()
@@ -302,6 +295,8 @@
         body_s = asyncio.get_running_loop().time() - started_at
         if len(body) > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
+        if not self._may_accept(route, deadline):
+            return SHUTTING_DOWN  # the shutdown went on while the body arrived
         return RequestState(
             request=request,
             body=body,
@@ -312,6 +307,14 @@
             deadline=deadline,
         )
 
+    def _may_accept(self, route: Route, deadline: float) -> bool:
+        schedule = self._board.shutdown
+        return schedule is None or schedule.accepts(
+            is_stream=route.kind is RouteKind.STREAM,
+            deadline=deadline,
+            now=asyncio.get_running_loop().time(),
+        )
+
     def _refuse(
         self, refusal: Refusal, request: CallerRequest | None, workspace: str = ""
     ) -> web.StreamResponse:
--- /dev/null
+++ b/trefoilstage/components/forwarding/shutdown_schedule.py
@@ -0,0 +1,57 @@
+"""Decide which requests a host still accepts while it shuts down; pure."""
+
+from dataclasses import dataclass
+
+# Nine of ten streams take at most 4 s; one of 4 s that is accepted after this time
+# would be cut off.
+MAX_ACCEPT_ALL_S = 3.0
+# With a short grace time, the rest of it must still be enough for most requests.
+ACCEPT_ALL_SHARE = 0.375
+# Time reserved at the end of the grace time to return tokens and to stop.
+MAX_RESERVE_S = 1.2
+# The platform's rules allow a planned stop to cut off long requests in this last part
+# of the grace time, not before.
+RESERVE_SHARE = 1 / 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShutdownSchedule:
+    """Divide a host's grace time; times are the event loop's, in seconds."""
+
+    started_at: float
+    grace_s: float
+
+    @property
+    def accepts_all_until(self) -> float:
+        """Return until when all requests are accepted.
+
+        The load balancer keeps sending requests for a few seconds.
+        """
+        return self.started_at + min(MAX_ACCEPT_ALL_S, ACCEPT_ALL_SHARE * self.grace_s)
+
+    @property
+    def reserve_s(self) -> float:
+        """Return the time between the end of the last request and that of the host."""
+        return min(MAX_RESERVE_S, RESERVE_SHARE * self.grace_s)
+
+    @property
+    def requests_end_at(self) -> float:
+        """Return when the requests in progress are ended."""
+        return self.started_at + self.grace_s - self.reserve_s
+
+    def accepts(self, *, is_stream: bool, deadline: float, now: float) -> bool:
+        """Return whether to accept a request that must be answered by `deadline`.
+
+        A stream that begins late would keep the host from being replaced.
+        """
+        if now < self.accepts_all_until:
+            return True
+        return not is_stream and self.is_sure_to_end(deadline)
+
+    def is_sure_to_end(self, deadline: float) -> bool:
+        """Return whether a request is answered or expires before requests are ended.
+
+        Typical durations are no guide: a target may slow down at any time, and a call
+        that may run only once can't be repeated after it was cut off.
+        """
+        return deadline <= self.requests_end_at
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -7,6 +7,7 @@
 
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.routes import RouteTable
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.forwarding.target_reach import Reach, TargetReach
 from trefoilstage.components.peers.round_trips import RoundTrips
 from trefoilstage.components.targets.brittle import BrittleServices
@@ -135,6 +136,7 @@
     incarnation: str
     data_center: str
     phase: Phase = Phase.STARTING  # host
+    shutdown: ShutdownSchedule | None = None  # host; set while it drains
     store: StoreReachability = field(default_factory=StoreReachability)
     configuration: FleetConfiguration | None = None  # configuration follower
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -19,6 +19,7 @@
     open_target_session,
 )
 from trefoilstage.components.forwarding.server import ForwardingServer
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.forwarding.translator import RequestTranslator
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
@@ -36,20 +37,14 @@
 POLL_INTERVAL_S = 0.02
 # Running peers respond within milliseconds; the store may list hosts that have ended.
 MEET_PEERS_TIMEOUT_S = 0.6
-# Nine of ten streams take at most 4 s; one of 4 s that is accepted after this time
-# would be cut off.
-ACCEPT_STREAMS_WHILE_DRAINING_S = 3.0
-# Longest call to a plain HTTP service.
-MAX_PLAIN_CALL_S = 0.5
 # Callers, and a balancer that uses every host, notice the end of the last stream
 # slightly later. Without this time the port closed 12 to 25 ms after that end, and 5 of
 # 66 shutdowns beside busy processes refused a connection. The platform's rules allow a
 # planned stop to cut requests within 200 ms; this is twice as long, as a busy host or
 # caller may be late itself.
 ACCEPT_AFTER_LAST_STREAM_S = 0.4
-# Time reserved at the end of the shutdown grace to return tokens, and to stop.
-LEAVE_TIMEOUT_S = 0.6
-STOP_RESERVE_S = 0.6
+# Of the time after the last request: to return tokens. The rest is left to stop.
+LEAVE_SHARE = 0.5
 
 
 class FleetHost(Service):
@@ -200,12 +195,10 @@
     async def drain(self) -> None:
         """Stop accepting requests, finish those in flight and return unused tokens."""
         loop = asyncio.get_running_loop()
-        drain_deadline = (
-            loop.time()
-            + self._settings.shutdown_grace_s
-            - LEAVE_TIMEOUT_S
-            - STOP_RESERVE_S
+        schedule = ShutdownSchedule(
+            started_at=loop.time(), grace_s=self._settings.shutdown_grace_s
         )
+        self._board.shutdown = schedule
         self._board.phase = Phase.DRAINING
         self._membership.send_heartbeats_now()
         # The next home draws immediately and cannot use tokens that stay here.
@@ -216,40 +209,33 @@
         # The balancer removes a host after two failed checks, and keeps using all hosts
         # of a data centre if most of them drain. The requests that it still sends here
         # would fail at a closed port, so the port stays open until the end.
-        await asyncio.sleep(
-            max(0.0, min(ACCEPT_STREAMS_WHILE_DRAINING_S, drain_deadline - loop.time()))
-        )
-        self._server.refuse_streams()
+        await asyncio.sleep(schedule.accepts_all_until - loop.time())
         # If most hosts of a data centre drain, plain calls never stop arriving. A host
         # that waited for a pause between them stayed until the end of its grace and
         # refused streams that its replacement could have served: 204 within 8 s of a
         # rolling stop.
-        while (
-            loop.time() < drain_deadline - MAX_PLAIN_CALL_S and self._server.n_streams
-        ):
+        while loop.time() < schedule.requests_end_at and self._server.n_streams:
             await asyncio.sleep(POLL_INTERVAL_S)
-        accept_until = min(
-            loop.time() + ACCEPT_AFTER_LAST_STREAM_S, drain_deadline - MAX_PLAIN_CALL_S
-        )
-        await asyncio.sleep(max(0.0, accept_until - loop.time()))
+        left_s = schedule.requests_end_at - loop.time()
+        await asyncio.sleep(max(0.0, min(ACCEPT_AFTER_LAST_STREAM_S, left_s)))
         self._server.refuse_all_requests()
         log_event(
             Event.HOST_LEAVING,
             host=self._board.host,
             active=self._server.n_active,
             streams=self._server.n_streams,
-            grace_left_s=drain_deadline - loop.time(),
+            grace_left_s=schedule.requests_end_at - loop.time(),
         )
-        all_ended = await self._server.drain(max(0.0, drain_deadline - loop.time()))
-        await self._peer_sends.drain(max(0.0, drain_deadline - loop.time()))
+        all_ended = await self._server.drain(schedule.requests_end_at - loop.time())
+        await self._peer_sends.drain(schedule.requests_end_at - loop.time())
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.cancel_requests()
-        await self._leave()
+        await self._leave(LEAVE_SHARE * schedule.reserve_s)
 
-    async def _leave(self) -> None:
+    async def _leave(self, timeout_s: float) -> None:
         try:
-            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await self._escrow.flush()
                 await self._home.return_unused()
                 await self._membership.withdraw()
--- a/trefoilstage/platform/process.py
+++ b/trefoilstage/platform/process.py
@@ -36,8 +36,8 @@
 from trefoilstage.util.process_start import ProcessStart, read_process_start
 from trefoilstage.util.startup import enable_garbage_collector
 
-# Less than STOP_RESERVE_S of fleet_host, the part of the shutdown grace period that is
-# left after the drain and the return of tokens.
+# Half of the reserve of a shutdown remains once the tokens were returned, 0.6 s if the
+# grace time is 8 s.
 STOP_TIMEOUT_S = 0.4
 # A collection takes 30 ms, which would delay callers that wait for the host to start.
 GARBAGE_COLLECTION_DELAY_S = 1.0
