Shutdown: answer the requests that are still under way at its end

What callers saw: a request that was under way at the end of a host's drain lost its connection without an answer, also one that still waited for its body, tokens or a place and had never been sent to a target.

Found by looking for other ways in which a stop closes connections.

Change: OpenRequests ends the work, not the task: a request that was not sent gets a 503 with Retry-After, one that may have run a 502 without. Streams whose head was sent are broken off visibly, as before. Tokens are settled before the host's last report, as before.

Before: test_call_under_way_at_the_end_is_answered failed with ServerDisconnectedError. After: it passes, as do the tests in EndTest, which need the new function, and test_stream_that_outlasts_the_grace_is_settled.

--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -1,11 +1,15 @@
-"""Test which requests a host with a full link accepts."""
+"""Test which requests a host accepts, and what it answers when it ends."""
 
 import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 from unittest import mock
 
+from aiohttp import web
+from multidict import CIMultiDict
+
 from tests.components.boards import make_board
 from tests.components.forwarding.common import REQUEST, make_route
 from trefoilstage.components.forwarding.models import FleetConfiguration
@@ -19,6 +23,7 @@
 from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.helpers.verdict import Refusal
+from trefoilstage.platform.headers import HeaderTranslator
 
 
 class FullLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -131,5 +136,67 @@
         self.assertIs(await self.receive(body_s=0.2), SHUTTING_DOWN)
 
 
+class EndTest(unittest.IsolatedAsyncioTestCase):
+    """End requests that are still in progress when their host ends."""
+
+    def setUp(self) -> None:
+        """Create a server whose requests never end by themselves."""
+        route = make_route("/x/")
+        board = make_board("host-0", ["host-0"])
+        board.configuration = FleetConfiguration(routes=(route,))
+        board.routes = RouteTable(routes=(route,))
+        self.started = asyncio.Event()
+        self.n_sends = 0
+        self.server = ForwardingServer(
+            board=board,
+            settings=mock.Mock(),
+            translator=HeaderTranslator(),
+            pipeline=mock.Mock(run=self.run_request),
+        )
+
+    async def run_request(self, state: RequestState, reply: object) -> None:
+        for _ in range(self.n_sends):
+            state.record_send("target")
+        self.started.set()
+        await asyncio.Event().wait()
+
+    async def end(self, read: Callable[[], Awaitable[bytes]]) -> web.StreamResponse:
+        """End a request that is in progress; return its answer."""
+        headers = CIMultiDict({"Host": "club.example", "Attempt-Id": "a"})
+        web_request: Any = mock.Mock(
+            method="POST", raw_path="/x/", headers=headers, content_length=2, read=read
+        )
+        now = asyncio.get_running_loop().time()
+        answering = asyncio.create_task(self.server._answer(web_request, now))
+        await self.started.wait()
+        await self.server.end_requests()
+        response, _ = await answering
+        return response
+
+    async def read_body(self) -> bytes:
+        return b"{}"
+
+    async def wait_for_body(self) -> bytes:
+        self.started.set()
+        return await asyncio.Event().wait() and b""
+
+    async def test_request_that_was_not_sent_is_told_as_not_run(self) -> None:
+        """Guard against waiting requests whose connections close unanswered."""
+        response = await self.end(self.read_body)
+        self.assertEqual(response.status, 503)
+        self.assertIn("Retry-After", response.headers)
+
+    async def test_request_whose_body_is_incomplete_is_told_as_not_run(self) -> None:
+        """Guard against callers who are cut off while they send."""
+        self.assertEqual((await self.end(self.wait_for_body)).status, 503)
+
+    async def test_request_that_was_sent_is_not_told_as_not_run(self) -> None:
+        """Guard against callers who repeat a call that has run."""
+        self.n_sends = 1
+        response = await self.end(self.read_body)
+        self.assertEqual(response.status, 502)
+        self.assertNotIn("Retry-After", response.headers)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/promises/test_late_in_shutdown.py
+++ b/tests/promises/test_late_in_shutdown.py
@@ -52,6 +52,20 @@
             self.assertEqual(answer.status, 200)
             self.assertTrue((await stream).is_whole)
 
+    async def test_call_under_way_at_the_end_is_answered(self) -> None:
+        """Guard against connections closed without an answer as the grace ends."""
+        async with PlatformFleet(grace_s=3) as fleet:
+            for target in fleet.targets:
+                target.processing_s = 4.0
+            call = asyncio.create_task(fleet.call("/book/x"))
+            await poll_until(lambda: fleet.count_runs() == 1, "the run")
+            host = fleet.hosts["host-0"]
+            await self.stop(host)
+            answer = await call
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn("Retry-After", answer.headers)
+            self.assertEqual(await host.process.wait(), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from trefoilstage.components.forwarding.models import CallerRequest, Route, RouteKind
+from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
 from trefoilstage.components.forwarding.placement import IN_TIME_OBJECTIVE_SHARE
 from trefoilstage.components.forwarding.refusal_responses import RefusalMaker
@@ -29,7 +30,6 @@
 from trefoilstage.util.early_socket import BACKLOG
 
 RETRY_AFTER_S = 1.0
-DRAIN_POLL_S = 0.05
 READY_POLL_S = 0.02
 # Callers give up a connection that is not read for a second.
 MAX_EARLY_WAIT_S = 1.0
@@ -37,8 +37,6 @@
 # trip, 2 ms on the platform, and are refused. If the connections were closed
 # immediately, callers would not know whether their requests ran.
 IN_FLIGHT_GRACE_S = 0.05
-# Cancelled requests end within one iteration of the event loop, a few on a busy host.
-CANCEL_TIMEOUT_S = 0.1
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Callers observe the idle limit in the configuration, 15 s in all configurations seen.
 # This timeout only ends connections whose callers are gone. It must be longer: if this
@@ -52,6 +50,8 @@
 SHUTTING_DOWN = Refusal(
     reason=Reason.SHUTTING_DOWN, retry_after_s=RETRY_ELSEWHERE_AFTER_S
 )
+# A target may have begun to run the request when this host ended.
+CUT_OFF = Refusal(reason=Reason.SHUTTING_DOWN, effect=Effect.UNKNOWN)
 # The load balancer checks once a second and removes a host after two failed checks in
 # a row.
 N_FAILED_CHECKS_UNTIL_REMOVAL = 2
@@ -92,7 +92,7 @@
         self._pipeline = pipeline
         self._refusal_maker = RefusalMaker(translator=translator)
         self._refuses_all = False
-        self._request_tasks: set[asyncio.Task[Any]] = set()
+        self._open_requests = OpenRequests()
         self._was_only_own_link_full = False
         self._n_failed_checks = 0  # consecutive, of readiness
         self.n_streams = 0
@@ -100,7 +100,7 @@
     @property
     def n_active(self) -> int:
         """Return the number of requests in progress."""
-        return len(self._request_tasks)
+        return len(self._open_requests)
 
     async def on_start(self) -> None:
         """Listen on the caller port and the readiness port."""
@@ -161,24 +161,11 @@
 
     async def drain(self, timeout_s: float) -> bool:
         """Wait for the requests in progress; return whether all of them ended."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
-        while self.n_active:
-            if loop.time() >= deadline:
-                return False
-            await asyncio.sleep(DRAIN_POLL_S)
-        return True
-
-    async def cancel_requests(self) -> None:
-        """Cancel the requests in progress; their callers get an incomplete answer.
+        return await self._open_requests.wait_until_done(timeout_s)
 
-        If requests ended only when the connections close, they would settle their
-        tokens after the host's last report, and held but unspent tokens would be lost.
-        """
-        for task in self._request_tasks:
-            task.cancel()
-        if self._request_tasks:
-            await asyncio.wait(self._request_tasks, timeout=CANCEL_TIMEOUT_S)
+    async def end_requests(self) -> None:
+        """End the requests in progress; callers without an answer get a failure."""
+        await self._open_requests.end_all()
 
     def refuse_all_requests(self) -> None:
         """Refuse all new requests, also those on open connections."""
@@ -220,10 +207,7 @@
 
     async def _handle_request(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started_at = asyncio.get_running_loop().time()
-        task = asyncio.current_task()
-        assert task is not None
-        self._request_tasks.add(task)
-        try:
+        with self._open_requests.track():
             limit_unsent_data(web_request)
             response, deadline = await self._answer(web_request, started_at)
             if not response.prepared:
@@ -231,32 +215,39 @@
                 discard_at = max(deadline, now + MIN_SEND_S)
                 await send_response(web_request, response, discard_at)
             return response
-        finally:
-            self._request_tasks.discard(task)
 
     async def _answer(
         self, web_request: web.BaseRequest, started_at: float
     ) -> tuple[web.StreamResponse, float]:
         """Return the answer, which is sent if it is a stream, and its deadline."""
         request: CallerRequest | None = None
+        state: RequestState | Refusal = SHUTTING_DOWN
+        reply = WebReply(web_request=web_request)
         try:
-            request = self._translator.read_request(
-                method=web_request.method,
-                raw_target=web_request.raw_path,
-                headers=web_request.headers.items(),
-            )
-            state = await self._create_request_state(request, web_request, started_at)
-            if isinstance(state, Refusal):
-                return self._refuse(state, request), started_at
-            reply = WebReply(web_request=web_request)
-            refusal = await self._run(state, reply)
-            if refusal is not None or reply.response is None:
-                refusal = refusal or NO_ANSWER
-                return self._refuse_or_abort(refusal, state, reply), state.deadline
-            return reply.response, state.deadline
+            async with self._open_requests.allow_end():
+                request = self._translator.read_request(
+                    method=web_request.method,
+                    raw_target=web_request.raw_path,
+                    headers=web_request.headers.items(),
+                )
+                state = await self._create_request_state(
+                    request, web_request, started_at
+                )
+                if isinstance(state, Refusal):
+                    return self._refuse(state, request), started_at
+                refusal = await self._run(state, reply)
         except MalformedRequestError as error:
             refusal = Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
             return self._refuse(refusal, request), started_at
+        except TimeoutError:
+            # This host ends. Other time limits raise no error here.
+            if isinstance(state, Refusal):
+                return self._refuse(state, request), started_at
+            refusal = CUT_OFF if state.n_possible_runs else SHUTTING_DOWN
+        if refusal is not None or reply.response is None:
+            refusal = refusal or NO_ANSWER
+            return self._refuse_or_abort(refusal, state, reply), state.deadline
+        return reply.response, state.deadline
 
     async def _run(self, state: RequestState, reply: WebReply) -> Refusal | None:
         is_stream = state.route.kind is RouteKind.STREAM
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -230,7 +230,7 @@
         await self._peer_sends.drain(schedule.requests_end_at - loop.time())
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
-            await self._server.cancel_requests()
+            await self._server.end_requests()
         await self._leave(LEAVE_SHARE * schedule.reserve_s)
 
     async def _leave(self, timeout_s: float) -> None:
