Peer sends: a stopping host takes no request that may outlast it

A host that has lost its links to targets sends requests through a peer. A peer that was being stopped accepted them until its end and cut them off, so that callers of the other host got a 502 or half a stream.

Change: from the signal on the peer takes only what surely ends before it, and says that it does not reach the targets otherwise; the other host then asks another peer at once. Nothing was sent, so the request is not lost.

Before: test_peer_that_stops_takes_no_request_that_may_outlast_it got no answer (the stopping peer accepted the request). After: it passes, and requests with a short time limit are still accepted.

--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -20,6 +20,7 @@
     SendOutcome,
 )
 from trefoilstage.components.forwarding.models import CallerRequest, TargetEntry
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends import sender as peer_sender
 from trefoilstage.components.peer_sends import server
@@ -31,6 +32,7 @@
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.peers.streams import PeerStreams
 from trefoilstage.exceptions import PeerUnavailableError
+from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
 
 LOOPBACK = "127.0.0.1"
@@ -70,12 +72,14 @@
     usable: TargetEntry | None = TARGET
     is_proven: bool = True
     closed: asyncio.Event = field(default_factory=asyncio.Event)
+    board: FleetBoard = field(default_factory=lambda: make_board("peer", ["peer"]))
     requests: list[CallerRequest] = field(default_factory=list)
 
     async def start(self) -> None:
         """Listen for sends."""
         self.server = PeerServer(address=LOOPBACK, port=0, codec=FLEET_CODEC)
         self.sends = PeerSendServer(
+            board=self.board,
             chooser=cast(Any, self),
             monitor=cast(Any, self),
             sender=cast(Any, self),
@@ -255,6 +259,30 @@
         await peer.server.on_stop()
         self.assertIsInstance(await sending, OpenAnswer)
 
+    async def test_peer_that_stops_takes_no_request_that_may_outlast_it(self) -> None:
+        """Guard against requests that a stopping peer accepts and then cuts off."""
+        asked_first, other = self.peers
+        self.board.peers[asked_first.name].lost_services = ()
+        now = asyncio.get_running_loop().time()
+        asked_first.board.shutdown = ShutdownSchedule(started_at=now, grace_s=8.0)
+        other.outcome = self.make_answer(other, b"one")
+        options = replace(OPTIONS, deadline_s=15.0)
+        async with asyncio.timeout(2.0):
+            outcome = await self.sender.send(REQUEST, b"{}", TARGET, options)
+        self.assertIsInstance(outcome, OpenAnswer)
+        self.assertEqual([len(peer.requests) for peer in self.peers], [0, 1])
+
+    async def test_stopping_peer_takes_a_request_that_ends_before_it(self) -> None:
+        """Guard against refusals of short requests while all other peers are cut."""
+        peer = self.peers[0]
+        self.keep_only(peer)
+        now = asyncio.get_running_loop().time()
+        peer.board.shutdown = ShutdownSchedule(started_at=now, grace_s=8.0)
+        peer.outcome = self.make_answer(peer, b"one")
+        options = replace(OPTIONS, deadline_s=1.0)
+        outcome = await self.sender.send(REQUEST, b"{}", TARGET, options)
+        self.assertIsInstance(outcome, OpenAnswer)
+
     async def test_closed_answer_is_cancelled_at_the_target(self) -> None:
         """Guard against targets that work on for callers who have left."""
         self.keep_only(self.peers[0])
--- a/trefoilstage/components/peer_sends/server.py
+++ b/trefoilstage/components/peer_sends/server.py
@@ -15,6 +15,7 @@
 from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
 from trefoilstage.components.forwarding.sender import Sender
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
+from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends.messages import (
     AnswerData,
     AnswerEnded,
@@ -24,6 +25,7 @@
     SendToTarget,
 )
 from trefoilstage.components.peers.server import PeerServer
+from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.timer import TimerService
 
 PENDING_INTERVAL_S = 0.5
@@ -38,12 +40,14 @@
     def __init__(
         self,
         *,
+        board: FleetBoard,
         chooser: TargetChooser,
         monitor: ReachMonitor,
         sender: Sender,
         server: PeerServer,
         timer: TimerService,
     ) -> None:
+        self._board = board
         self._chooser = chooser
         self._monitor = monitor
         self._sender = sender
@@ -70,6 +74,8 @@
 
     async def _send(self, message: SendToTarget) -> SendOutcome:
         """Send a request over this host's own links only, never through a third."""
+        if not self._may_accept(message.options):
+            return NotRun(reason="the peer is shutting down", path_lost=True)
         target = self._chooser.find_usable(message.target)
         if target is None:
             return NotRun(reason="the peer does not use the target", unreachable=True)
@@ -83,6 +89,15 @@
         self._record(target, outcome, sent_at)
         return outcome
 
+    def _may_accept(self, options: ForwardOptions) -> bool:
+        """Return whether this host surely outlasts a request; others can take it."""
+        schedule = self._board.shutdown
+        if schedule is None:
+            return True
+        if options.deadline_s is None:
+            return False
+        return schedule.is_sure_to_end(self._timer.now() + options.deadline_s)
+
     def _record(
         self, target: TargetEntry, outcome: SendOutcome, sent_at: float
     ) -> None:
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -228,6 +228,7 @@
     )
     reach_monitor.subscribe(chooser.forget_failures)
     peer_sends = PeerSendServer(
+        board=board,
         chooser=chooser,
         monitor=reach_monitor,
         sender=sender,
