Answers without end: limit what a host holds of bodies and events

With targets that send a signed head and then such bytes, 25 MB/s on each connection, 12 callers of a plain route were told after 5.6 s, at their time limit, while the host grew by 482 MB; a stream of events without an id was passed on for 22 s and cost 21 s of processor time.

Cause: a plain answer is collected whole before it is passed on, and nothing but the time limit bounded it. A stream is bounded for each event only.

Change: AnswerBuffers, a pure decision, lets each answer hold as much as is left free of 32 MB. The total holds, endless answers break off at a part of it, and there is always room for a short one. A stream may have as many events as tokens were asked for, and 1,000 more. A target that is broken off so is treated like any other that breaks off an answer.

Before: test_body_without_end_fails_soon and test_stream_without_end_fails_soon failed (504 at the time limit).

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -10,6 +10,9 @@
 
 from standins.common import reset_connection
 
+# A faulty target sends 25 MB/s on each connection that is read.
+ENDLESS_BLOCK_BYTES = 256 * 1024
+ENDLESS_PAUSE_S = 0.01
 FETCH_TIMEOUT_S = 1.0  # after which a target processes the prefix itself
 
 
@@ -28,6 +31,18 @@
     fetch_from: str = ""  # the address in the header Kv-Fetch
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndlessBytes:
+    """Describe bytes that a faulty target sends until its connection is closed.
+
+    `%s` in the first bytes stands for the request's id.
+    """
+
+    first: bytes
+    repeated: bytes
+    report: bool = False  # in place of the target's report, not of other answers
+
+
 @dataclass(kw_only=True, slots=True)
 class PlatformTarget:
     """Run requests and inject the faults that the test sets."""
@@ -63,6 +78,8 @@
     n_running: int = 0
     # Streams without chunks, which only the end of their connection ends.
     is_unframed: bool = False
+    endless: EndlessBytes | None = None  # sent in place of answers
+    n_endless_cut: int = 0  # connections that the host closed meanwhile
     is_mute: bool = False  # accepts connections and answers nothing
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
@@ -85,7 +102,10 @@
         body = await request.read()
         if self.is_mute:
             await self.stop.wait()
-        if request.path == "/trefoilstage/report":
+        is_report = request.path == "/trefoilstage/report"
+        if self.endless is not None and self.endless.report == is_report:
+            return await self._send_without_end(request, self.endless)
+        if is_report:
             return web.json_response({"born": self.started_at_ms, "busy": False})
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421)
@@ -213,6 +233,21 @@
         request.transport.close()
         return response
 
+    async def _send_without_end(
+        self, request: web.Request, endless: EndlessBytes
+    ) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        name = request.headers.get("Attempt-Id", "").encode()
+        transport.write(endless.first.replace(b"%s", name))
+        block = endless.repeated * (ENDLESS_BLOCK_BYTES // len(endless.repeated))
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < ENDLESS_BLOCK_BYTES:
+                transport.write(block)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+        self.n_endless_cut += 1
+        return web.StreamResponse()
+
     async def _answer_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
--- /dev/null
+++ b/tests/promises/test_endless_answers.py
@@ -0,0 +1,76 @@
+"""Test targets that send bytes without end, on real hosts."""
+
+import asyncio
+import time
+import unittest
+
+import psutil
+
+from standins.platform_target import EndlessBytes
+from tests.promises.fleet import FleetAnswer, PlatformFleet
+
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+BODIES = {
+    "no length": EndlessBytes(first=HEAD + b"\r\n", repeated=b"x"),
+}
+# Well before the time limit of 5 s.
+MAX_TOLD_S = 2.5
+N_CALLERS = 12
+MAX_GROWTH_BYTES = 64 * 1024 * 1024
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Let all targets send bytes that are no answer until their host closes."""
+
+    async def check(self, path: str, kinds: dict[str, EndlessBytes]) -> None:
+        """Send requests at once for each kind; callers are told soon, memory holds."""
+        async with PlatformFleet() as fleet:
+            for kind, endless in kinds.items():
+                with self.subTest(kind, path=path):
+                    await self.check_kind(fleet, path, endless)
+
+    async def check_kind(
+        self, fleet: PlatformFleet, path: str, endless: EndlessBytes
+    ) -> None:
+        process = psutil.Process(fleet.hosts["host-0"].process.pid)
+        before = process.memory_info().rss
+        for target in fleet.targets:
+            target.endless = endless
+        began = time.monotonic()
+        calls = [asyncio.create_task(fleet.call(path)) for _ in range(N_CALLERS)]
+        highest = before
+        while not all(call.done() for call in calls):
+            highest = max(highest, process.memory_info().rss)
+            await asyncio.sleep(0.02)
+        told_s = time.monotonic() - began
+        for target in fleet.targets:
+            target.endless = None
+        for answer in await asyncio.gather(*calls):
+            self.check_told(answer)
+        self.assertLess(told_s, MAX_TOLD_S)
+        self.assertLess(highest - before, MAX_GROWTH_BYTES)
+
+    def check_told(self, answer: FleetAnswer) -> None:
+        """Check that an answer does not look like that of a target."""
+        if answer.status == 200:
+            self.assertFalse(answer.is_whole)
+        elif answer.status == 503:  # no target is left to send to
+            self.assertIn("Retry-After", answer.headers)
+        else:
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn("Response-Seal", answer.headers)
+
+    async def test_body_without_end_fails_soon(self) -> None:
+        """Guard against a host that collects a body until its memory is full."""
+        await self.check("/book/x", BODIES)
+
+    async def test_stream_without_end_fails_soon(self) -> None:
+        """Guard against a stream of no events, or of more than were asked for."""
+        events = {
+            "events": EndlessBytes(first=HEAD + b"\r\n", repeated=b":\n\n"),
+        }
+        await self.check("/stream/x", {**BODIES, **events})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/trefoilstage/components/forwarding/answer_buffers.py
@@ -0,0 +1,49 @@
+"""Share the memory for incomplete answers among requests; pure."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from trefoilstage.components.forwarding.answers import AnswerBrokenError
+
+# A host has 150 MB on the platform, of which it uses 45 MB without load.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+
+
+class AnswerBuffers:
+    """Limit the bytes of incomplete answers that a host holds.
+
+    An answer may hold as much as is left free. So a few endless answers are broken off
+    at a part of the limit, and there is always room for a short one.
+    """
+
+    def __init__(self, *, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self.n_bytes = 0  # of all answers
+
+    @contextmanager
+    def open(self) -> Iterator["AnswerBuffer"]:
+        """Return the buffer of one answer, which is released at the end."""
+        buffer = AnswerBuffer(buffers=self)
+        try:
+            yield buffer
+        finally:
+            self.n_bytes -= buffer.n_bytes
+
+    def may_hold(self, n_bytes: int) -> bool:
+        """Return whether an answer may hold so many bytes, counted already."""
+        return n_bytes <= self._max_bytes - self.n_bytes
+
+
+class AnswerBuffer:
+    """Count the bytes that a host holds of one answer."""
+
+    def __init__(self, *, buffers: AnswerBuffers) -> None:
+        self._buffers = buffers
+        self.n_bytes = 0
+
+    def resize(self, n_bytes: int) -> None:
+        """Set the size of the buffer; raise AnswerBrokenError beyond its limit."""
+        self._buffers.n_bytes += n_bytes - self.n_bytes
+        self.n_bytes = n_bytes
+        if not self._buffers.may_hold(n_bytes):
+            raise AnswerBrokenError(f"the answer is too long, {n_bytes} bytes")
--- a/trefoilstage/components/forwarding/event_splitter.py
+++ b/trefoilstage/components/forwarding/event_splitter.py
@@ -32,6 +32,11 @@
         """Return whether the buffer contains an incomplete event."""
         return bool(self._partial.strip())
 
+    @property
+    def n_partial_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
+
     def add(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
         self._partial += data
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -2,9 +2,17 @@
 
 import asyncio
 
+from trefoilstage.components.forwarding.answer_buffers import (
+    AnswerBuffer,
+    AnswerBuffers,
+)
 from trefoilstage.components.forwarding.answers import AnswerBrokenError, OpenAnswer
 from trefoilstage.components.forwarding.event_splitter import EventSplitter, StreamEvent
-from trefoilstage.components.forwarding.models import RouteKind, TargetEntry
+from trefoilstage.components.forwarding.models import (
+    CallerRequest,
+    RouteKind,
+    TargetEntry,
+)
 from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.run_recorder import RunRecorder
@@ -13,6 +21,9 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.phase import Phase
 
+# Events of a stream that bring no token, such as comments that keep it open.
+MAX_EMPTY_EVENTS = 1_000
+
 
 class AnswerRelay:
     """Pass on streams event by event, and other answers as a whole."""
@@ -23,6 +34,7 @@
         self._board = board
         self._binder = binder
         self._runs = runs
+        self._buffers = AnswerBuffers()
 
     async def relay(
         self,
@@ -47,7 +59,11 @@
     ) -> None:
         # The body is read completely before it is passed on, so that a retryable
         # request can still be sent again if the answer breaks off.
-        parts = [data async for data in answer.read()]
+        parts: list[bytes] = []
+        with self._buffers.open() as buffer:
+            async for data in answer.read():
+                parts.append(data)
+                buffer.resize(buffer.n_bytes + len(data))
         state.complete = True
         reply.set_complete(
             answer.head.status,
@@ -62,6 +78,20 @@
         reply: CallerReply,
         answer: OpenAnswer,
         target: TargetEntry,
+    ) -> None:
+        with self._buffers.open() as buffer:
+            await self._relay_events(state, reply, answer, target, buffer)
+        await self._open_reply(reply, answer)
+        state.complete = True
+        await reply.end()
+
+    async def _relay_events(
+        self,
+        state: RequestState,
+        reply: CallerReply,
+        answer: OpenAnswer,
+        target: TargetEntry,
+        buffer: AnswerBuffer,
     ) -> None:
         splitter = EventSplitter()
         is_bound = False
@@ -70,6 +100,7 @@
             self._runs.record_progress(state)
             self._binder.record_data(target, answer)
             received = splitter.add(data)
+            buffer.resize(splitter.n_partial_bytes)
             if received and not is_bound:
                 await self._binder.bind(state, target, answer)
                 is_bound = True
@@ -83,9 +114,6 @@
             raise AnswerBrokenError("the stream ended in the middle of an event")
         if not answer.is_framed and state.last_event_id is None and not state.n_events:
             raise AnswerBrokenError("the connection ended before the first event")
-        await self._open_reply(reply, answer)
-        state.complete = True
-        await reply.end()
 
     def _select_new(
         self, state: RequestState, events: list[StreamEvent]
@@ -104,6 +132,8 @@
                 state.last_event_id = event.event_id
             state.n_events += 1
             new_events.append(event)
+        if state.n_events > count_most_events(state.request):
+            raise MalformedMessageError(f"{state.n_events} events are too many")
         return new_events
 
     async def _open_reply(self, reply: CallerReply, answer: OpenAnswer) -> None:
@@ -117,3 +147,10 @@
         if self._board.phase is Phase.DRAINING:
             return True
         return self._board.is_only_own_link_full(asyncio.get_running_loop().time())
+
+
+def count_most_events(request: CallerRequest) -> float:
+    """Return how many events a stream may have; infinite if its tokens are unknown."""
+    if not request.max_output_tokens:
+        return float("inf")
+    return request.max_output_tokens + MAX_EMPTY_EVENTS
