Answers without end: limit what comes beside the body

Blank lines or interim answers in place of a head, and endless sizes, extensions or tiny chunks in a body, kept 12 callers waiting until their time limit of 5 s (interim answers: 10 s, 617 MB, 8 s of processor time).

Cause: the HTTP library limits the length and number of header lines, which is why endless lines and headers failed at once; it does not limit blank lines, interim answers, or what surrounds chunks, and queues whatever it can parse.

Change: the connection counts what it has received for an answer. Beyond 256 KiB and half of the body, the answer is broken off and the connection closed. Unsolicited bytes close an idle connection at once; it was only kept from further use, while answers that nobody waits for were queued. An interim answer was taken for the end of the answer, so that a sound connection was not used again. The end of a connection after interim answers is no unhandled error.

--- a/tests/components/forwarding/test_connections.py
+++ b/tests/components/forwarding/test_connections.py
@@ -156,6 +156,56 @@
             self.assertEqual(await target.send("r-1"), b"whole")
             self.assertEqual(target.n_connections, 2)
 
+    async def test_bytes_without_end_on_an_idle_connection_close_it(self) -> None:
+        """Guard against connections that go on receiving while nobody waits."""
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(make_answer(name))
+            await asyncio.sleep(0.05)
+            while not writer.transport.is_closing():
+                writer.write(make_answer("late"))
+                await asyncio.sleep(0.01)
+            target.idle_bytes.set()
+
+        async with ScriptedTarget(serve) as target:
+            self.assertEqual(await target.send("r-0"), b"whole")
+            async with asyncio.timeout(2.0):
+                await target.idle_bytes.wait()
+
+    async def test_answer_that_follows_an_interim_answer_is_whole(self) -> None:
+        """Guard against interim answers that are taken for the end of an answer."""
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            for _ in range(2):
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                await asyncio.sleep(0.02)
+            writer.write(make_answer(name))
+
+        async with ScriptedTarget(serve) as target:
+            for number in range(2):
+                self.assertEqual(await target.send(f"r-{number}"), b"whole")
+            self.assertEqual(target.n_connections, 1)
+
+    async def test_short_events_in_chunks_are_read_whole(self) -> None:
+        """Guard against a stream of many short events that is taken for overhead."""
+        event = b"id: 1\ndata: 1\n\n"
+
+        async def serve(
+            target: ScriptedTarget, name: str, writer: asyncio.StreamWriter
+        ) -> None:
+            head = f"Attempt-Id: {name}\r\nResponse-Seal: s"
+            writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+            writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) * 50_000)
+            writer.write(b"0\r\n\r\n")
+
+        async with ScriptedTarget(serve) as target:
+            self.assertEqual(await target.send("r-0"), event * 50_000)
+
     async def test_late_duplicate_answer_reaches_no_other_caller(self) -> None:
         """Send a duplicate answer only after the next request has arrived.
 
--- a/tests/promises/test_endless_answers.py
+++ b/tests/promises/test_endless_answers.py
@@ -6,15 +6,31 @@
 
 import psutil
 
+from standins.launcher import poll_until
 from standins.platform_target import EndlessBytes
 from tests.promises.fleet import FleetAnswer, PlatformFleet
 
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HEADS = {
+    "no line": EndlessBytes(first=b"", repeated=b"x"),
+    "one line": EndlessBytes(first=b"HTTP/1.1 200 OK\r\nX: ", repeated=b"x"),
+    "headers": EndlessBytes(first=b"HTTP/1.1 200 OK\r\n", repeated=b"X: y\r\n"),
+    "blank lines": EndlessBytes(first=b"", repeated=b"\r\n"),
+    "interim answers": EndlessBytes(
+        first=b"", repeated=b"HTTP/1.1 100 Continue\r\n\r\n"
+    ),
+}
 BODIES = {
     "no length": EndlessBytes(first=HEAD + b"\r\n", repeated=b"x"),
+    "chunks": EndlessBytes(first=CHUNKED, repeated=b"4\r\nxxxx\r\n"),
+    "size of a chunk": EndlessBytes(first=CHUNKED, repeated=b"0"),
+    "extension of a chunk": EndlessBytes(first=CHUNKED + b"4;", repeated=b"x"),
+    "trailers": EndlessBytes(first=CHUNKED + b"0\r\n", repeated=b"X: y\r\n"),
 }
 # Well before the time limit of 5 s.
 MAX_TOLD_S = 2.5
+MAX_CLOSED_S = 1.0
 N_CALLERS = 12
 MAX_GROWTH_BYTES = 64 * 1024 * 1024
 
@@ -60,6 +76,10 @@
             self.assertEqual(answer.status, 502)
             self.assertNotIn("Response-Seal", answer.headers)
 
+    async def test_head_without_end_fails_soon(self) -> None:
+        """Guard against a host that reads a head until its caller gives up."""
+        await self.check("/book/x", HEADS)
+
     async def test_body_without_end_fails_soon(self) -> None:
         """Guard against a host that collects a body until its memory is full."""
         await self.check("/book/x", BODIES)
@@ -71,6 +91,21 @@
         }
         await self.check("/stream/x", {**BODIES, **events})
 
+    async def test_bytes_after_an_answer_close_its_connection(self) -> None:
+        """Guard against idle connections that go on receiving."""
+        first = HEAD + b"Content-Length: 2\r\n\r\nok"
+        async with PlatformFleet() as fleet:
+            for target in fleet.targets:
+                target.endless = EndlessBytes(first=first, repeated=b"x")
+            answer = await fleet.call("/book/x")
+            self.assertIn(answer.status, (200, 502))
+            began = time.monotonic()
+            await poll_until(
+                lambda: any(target.n_endless_cut for target in fleet.targets),
+                "the host to close the connection",
+            )
+            self.assertLess(time.monotonic() - began, MAX_CLOSED_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -35,6 +35,13 @@
 # A network path without acknowledgements for this long counts as dead. It also ends the
 # probes, whatever their number, so it lies between the last probe and its timeout.
 MAX_UNACKNOWLEDGED_MS = 3_500
+# Bytes of an answer beside its body, such as its head, and as a share of the body. The
+# HTTP library limits header lines and their number, but not blank lines, interim
+# answers, or what surrounds chunks.
+MAX_OVERHEAD_BYTES = 256 * 1024
+MAX_OVERHEAD_SHARE = 0.5  # the shortest events of a stream have 0.4
+HTTP_SWITCHING_PROTOCOLS = 101
+HTTP_OK = 200  # other lower statuses are interim answers
 KEEP_ALIVE_PATTERN = re.compile(r"(?:timeout=)?(\d+)")
 
 
@@ -51,16 +58,23 @@
         self._idle_s = DEFAULT_IDLE_S
         self._answered_at = loop.time()
         self._is_awaiting_answer = False
+        self._has_head = False  # of the expected answer
+        self._n_received_bytes = 0  # of the expected answer
 
     def set_response_params(self, **params: Any) -> None:
         """Expect the answer to the next request."""
         self._is_awaiting_answer = True
+        self._has_head = False
+        self._n_received_bytes = 0
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Process the head of an answer, and store its connection's idle timeout."""
         message, _ = data
         self._idle_s = parse_idle_time(message.headers)
+        self._has_head = message.code >= HTTP_OK or (
+            message.code == HTTP_SWITCHING_PROTOCOLS
+        )
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -68,10 +82,29 @@
         if data and not self._is_awaiting_answer:
             # The library would parse them as the answer to the next request.
             self.force_close()
+            self.close()
+            return
         super().data_received(data)
-        if self._payload is not None and self._payload.is_eof():
+        body = self._payload if self._has_head else None
+        if body is not None and body.is_eof():
             self._is_awaiting_answer = False
             self._answered_at = self._loop.time()
+        else:
+            self._limit_overhead(body, len(data))
+
+    def _limit_overhead(self, body: aiohttp.StreamReader | None, n_bytes: int) -> None:
+        """Break off an answer that has too much beside its body."""
+        self._n_received_bytes += n_bytes
+        n_body_bytes = 0 if body is None else body.total_bytes
+        n_overhead_bytes = self._n_received_bytes - n_body_bytes
+        if n_overhead_bytes <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * n_body_bytes:
+            return
+        error = aiohttp.ClientPayloadError("too many bytes beside the body")
+        self.set_exception(error)
+        if body is not None:
+            body.set_exception(error)
+        self.force_close()
+        self.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record when the connection was opened."""
--- a/trefoilstage/components/forwarding/sender.py
+++ b/trefoilstage/components/forwarding/sender.py
@@ -39,6 +39,7 @@
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 CONNECTION_ERRORS = (
     aiohttp.ClientError,
+    aiohttp.EofStream,  # the connection ended after an interim answer
     OSError,
     TimeoutError,
     RepeatedSendError,
