Reads of answers: limit each by what its sender may send

What callers saw: nothing; found by looking for the same cause elsewhere. A line without end in an engine's stream raised an error that nothing handled, so that the caller got an internal error.

Bookings had a reader of their own, which it replaces.

--- a/trefoilstage/components/booking/client.py
+++ b/trefoilstage/components/booking/client.py
@@ -9,6 +9,7 @@
     HEADER_REQUEST_ID,
     HEADER_WORKSPACE,
 )
+from trefoilstage.helpers.body import read_body
 from trefoilstage.helpers.send_trace import RepeatedSendError, SendAttempt
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
@@ -62,11 +63,9 @@
                 allow_redirects=False,
                 trace_request_ctx=attempt,
             ) as response:
-                body = await read_limited_body(response)
+                body = await read_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError, RepeatedSendError):
             return refuse_incomplete_call(attempt)
-        if body is None:
-            return refuse_incomplete_call(attempt)
         return ServiceResponse(
             status=response.status, body=body, content_type=response.content_type
         )
@@ -82,13 +81,3 @@
         detail="the service sent no complete response; the call may have run",
         retry_after_s=RETRY_AFTER_SERVICE_S,
     )
-
-
-async def read_limited_body(response: aiohttp.ClientResponse) -> bytes | None:
-    """Return a response body, or None if it exceeds MAX_RESPONSE_BYTES."""
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
-            return None
-    return bytes(body)
--- a/trefoilstage/components/forwarding/report_probe.py
+++ b/trefoilstage/components/forwarding/report_probe.py
@@ -8,11 +8,13 @@
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.sender import CONNECTION_ERRORS, SKIPPED_HEADERS
 from trefoilstage.components.forwarding.translator import RequestTranslator
+from trefoilstage.helpers.body import read_body
 from trefoilstage.helpers.events import Event, log_event
 
 HTTP_OK = 200
 # A sound target may be silent for a second.
 ANSWER_TIMEOUT_S = 1.5
+MAX_REPORT_BYTES = 256 * 1024
 
 
 class ReportProbe:
@@ -64,7 +66,7 @@
                 skip_auto_headers=SKIPPED_HEADERS,
                 allow_redirects=False,
             ) as response:
-                return response.status, await response.read()
+                return response.status, await read_body(response, MAX_REPORT_BYTES)
         except CONNECTION_ERRORS as error:
             log_event(
                 Event.REPORT_FAILED,
--- a/trefoilstage/components/log_client/client.py
+++ b/trefoilstage/components/log_client/client.py
@@ -11,9 +11,11 @@
     LogUnavailableError,
     RecordsExpiredError,
 )
+from trefoilstage.helpers.body import read_body
 
 HTTP_OK = 200
 HTTP_GONE = 410
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # the log sends about 3 MB at a time
 
 ResponseT = TypeVar("ResponseT", bound=BaseModel)
 
@@ -95,7 +97,7 @@
             async with self._session.request(
                 method, url, data=data, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise LogUnavailableError(repr(error)) from error
--- a/trefoilstage/components/membership/host_list.py
+++ b/trefoilstage/components/membership/host_list.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from trefoilstage.blackboard import Blackboard, ListedHost
+from trefoilstage.helpers.body import read_body
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.phase import Phase
 from trefoilstage.timer import TimerService
@@ -14,6 +15,7 @@
 HOST_LIST_INTERVAL_S = 2.0
 HOST_LIST_TIMEOUT_S = 2.0
 HTTP_OK = 200
+MAX_LIST_BYTES = 4_000_000
 
 
 class HostListEntry(BaseModel):
@@ -75,7 +77,8 @@
             async with self._session.get(
                 f"{self._url}/hosts", timeout=timeout
             ) as response:
-                listed = HostList.model_validate_json(await response.read())
+                body_bytes = await read_body(response, MAX_LIST_BYTES)
+                listed = HostList.model_validate_json(body_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError, ValidationError) as error:
             self._record_failure(repr(error)[:200])
             return
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 import aiohttp
+from aiohttp.http_exceptions import LineTooLong
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.components.targets.models import (
@@ -30,6 +31,7 @@
     HEADER_WORKSPACE,
 )
 from trefoilstage.exceptions import NotReadyError, TrefoilstageError
+from trefoilstage.helpers.body import read_body
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.http import parse_amount
 from trefoilstage.helpers.send_trace import SendAttempt
@@ -41,12 +43,15 @@
 HTTP_UNAVAILABLE = 503
 CONTROL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+MAX_CONTROL_BYTES = 4_000_000
 END_OF_STREAM = b"[DONE]"
 DATA_PREFIX = b"data:"
 
 ResponseT = TypeVar("ResponseT", bound=BaseModel)
 
 
+# A line without end raises an error that is no ClientError.
+TRANSFER_ERRORS = (TimeoutError, aiohttp.ClientError, LineTooLong)
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 REFUSAL_STATUSES = frozenset(
     {HTTP_CONFLICT, HTTP_GONE, HTTP_TOO_MANY, HTTP_UNAVAILABLE}
@@ -116,7 +121,7 @@
                     yield chunk
         except CONNECT_ERRORS as error:
             raise TargetRefusedError(repr(error)) from error
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (*TRANSFER_ERRORS, OSError) as error:
             raise TargetBrokenError(repr(error)) from error
 
     async def _post(
@@ -213,7 +218,8 @@
             ) as response:
                 if response.status != HTTP_OK:
                     return None
-                return model.model_validate_json(await response.read())
+                body_bytes = await read_body(response, MAX_CONTROL_BYTES)
+                return model.model_validate_json(body_bytes)
         except (TimeoutError, aiohttp.ClientError, OSError, ValidationError):
             return None
 
--- a/trefoilstage/platform/early_start.py
+++ b/trefoilstage/platform/early_start.py
@@ -15,6 +15,7 @@
 STORE_TIMEOUT_S = 0.15
 HOSTS_PATH = "/trefoilstage/log-newest?topic=keyed.hosts&part=0"
 HTTP_OK = 200
+MAX_LIST_BYTES = 4_000_000
 
 
 def open_early_socket() -> socket.socket | None:
@@ -37,7 +38,7 @@
     try:
         connection.request("GET", HOSTS_PATH)
         response = connection.getresponse()
-        data = response.read()
+        data = response.read(MAX_LIST_BYTES)
     finally:
         connection.close()
     if response.status != HTTP_OK:
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -19,6 +19,7 @@
     make_position,
     split_position,
 )
+from trefoilstage.helpers.body import read_body
 from trefoilstage.helpers.events import Event, log_event, truncate_text
 from trefoilstage.util.stalls import StallWatch
 
@@ -41,6 +42,7 @@
 # The store normally answers in 5 to 9 ms, and 60 times as slowly when degraded.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # the store sends about 1 MB at a time
 RECORD_LENGTH = struct.Struct(">I")
 PARTITION_OFFSETS = struct.Struct(">QQ")
 # Replaces a value that cannot be decoded; every decoder in this project rejects it.
@@ -191,7 +193,7 @@
             async with self._session.request(
                 method, f"{self._url}{path}", params=params, data=body, timeout=timeout
             ) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_ANSWER_BYTES)
                 era = self._read_era(response.headers)
                 return StoreAnswer(status=response.status, era=era, data=data)
 
