--- a/trefoilstage/components/forwarding/answer_buffers.py
+++ b/trefoilstage/components/forwarding/answer_buffers.py
@@ -5,15 +5,15 @@
 
 from trefoilstage.components.forwarding.answers import AnswerBrokenError
 
-# A host has 150 MB on the platform, of which it uses 45 MB without load.
+# About a fifth of the memory of the smallest hosts, 150 MB.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 
 class AnswerBuffers:
     """Limit the bytes of incomplete answers that a host holds.
 
-    An answer may hold as much as is left free. So a few endless answers are broken off
-    at a part of the limit, and there is always room for a short one.
+    An answer may hold as much as it leaves free. Endless answers are thus broken off
+    before the limit is reached, and there is always room for a short one.
     """
 
     def __init__(self, *, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -221,7 +221,7 @@
     ) -> tuple[web.StreamResponse, float]:
         """Return the answer, which is sent if it is a stream, and its deadline."""
         request: CallerRequest | None = None
-        state: RequestState | Refusal = SHUTTING_DOWN
+        state: RequestState | Refusal = SHUTTING_DOWN  # until the body has arrived
         reply = WebReply(web_request=web_request)
         try:
             async with self._open_requests.allow_end():
--- a/trefoilstage/components/targets/client.py
+++ b/trefoilstage/components/targets/client.py
@@ -51,7 +51,7 @@
 
 
 # A line without end raises an error that is no ClientError.
-TRANSFER_ERRORS = (TimeoutError, aiohttp.ClientError, LineTooLong)
+TRANSFER_ERRORS = (aiohttp.ClientError, OSError, LineTooLong)
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 REFUSAL_STATUSES = frozenset(
     {HTTP_CONFLICT, HTTP_GONE, HTTP_TOO_MANY, HTTP_UNAVAILABLE}
@@ -121,7 +121,7 @@
                     yield chunk
         except CONNECT_ERRORS as error:
             raise TargetRefusedError(repr(error)) from error
-        except (*TRANSFER_ERRORS, OSError) as error:
+        except TRANSFER_ERRORS as error:
             raise TargetBrokenError(repr(error)) from error
 
     async def _post(
