Answers without end: fit the limits to hosts of 88 MB

Change: the buffers share 16 MiB. Interim answers are not queued; they say nothing, and the library only passes over them.

--- a/tests/promises/test_endless_answers.py
+++ b/tests/promises/test_endless_answers.py
@@ -29,7 +29,7 @@
 }
 MAX_TOLD_S = 5.0  # the callers' time limit, after which their status is 504
 N_CALLERS = 6
-MAX_GROWTH_BYTES = 64 * 1024 * 1024
+MAX_GROWTH_BYTES = 32 * 1024 * 1024
 
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
--- a/trefoilstage/components/forwarding/answer_buffers.py
+++ b/trefoilstage/components/forwarding/answer_buffers.py
@@ -5,8 +5,8 @@
 
 from trefoilstage.components.forwarding.answers import AnswerBrokenError
 
-# About a fifth of the memory of the smallest hosts, 150 MB.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# About a fifth of the memory of the smallest hosts, 88 MB.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
 class AnswerBuffers:
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -73,12 +73,15 @@
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Process the head of an answer, and store its connection's idle timeout."""
+        """Process the head of an answer, and store its connection's idle timeout.
+
+        Interim answers say nothing; queued, thousands of them fit into one read.
+        """
         message, _ = data
+        if message.code < HTTP_OK and message.code != HTTP_SWITCHING_PROTOCOLS:
+            return
+        self._has_head = True
         self._idle_s = parse_idle_time(message.headers)
-        self._has_head = message.code >= HTTP_OK or (
-            message.code == HTTP_SWITCHING_PROTOCOLS
-        )
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
