Log which request a host ends, or leaves unanswered, and when after the signal

Callers of a host that shut down saw closed connections, and no line of the host named such a request: whether it had been passed on, to which target, and how long after the signal it ended could not be told from the logs, so that the incident's hypotheses could not be told apart.

request_stopped now names each request that the host ends as its time is over, and request_unanswered each whose connection it closes although the caller still waits; both are counted by trefoilstage_events_total. The second is written only where the caller's connection is open, as a caller that left first is no loss.

Before: the extended test fails, the line is not written within 30 s.

--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -12,6 +12,7 @@
 
 from tests.components.boards import make_board
 from tests.components.forwarding.common import REQUEST, make_route
+from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.routes import RouteTable
@@ -167,7 +168,8 @@
             method="POST", raw_path="/x/", headers=headers, content_length=2, read=read
         )
         now = asyncio.get_running_loop().time()
-        answering = asyncio.create_task(self.server._answer(web_request, now))
+        exchange = Exchange(web_request=web_request, started_at=now)
+        answering = asyncio.create_task(self.server._answer(exchange))
         await self.started.wait()
         self.started.clear()
         await self.server.end_requests()
--- a/tests/promises/test_late_in_shutdown.py
+++ b/tests/promises/test_late_in_shutdown.py
@@ -56,6 +56,9 @@
             self.assertEqual(answer.status, 502)
             self.assertNotIn("Retry-After", answer.headers)
             self.assertEqual(await host.process.wait(), 0)
+            await poll_until(
+                lambda: host.has_logged("request_stopped", "possible_runs=1"), "a line"
+            )
 
 
 if __name__ == "__main__":
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import CallerRequest, Route, RouteKind
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.forwarding.pipeline import ForwardingPipeline
@@ -207,25 +208,34 @@
 
     async def _handle_request(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started_at = asyncio.get_running_loop().time()
+        exchange = Exchange(web_request=web_request, started_at=started_at)
         with self._open_requests.track():
             limit_unsent_data(web_request)
-            response, deadline = await self._answer(web_request, started_at)
-            if not response.prepared:
-                now = asyncio.get_running_loop().time()
-                discard_at = max(deadline, now + MIN_SEND_S)
-                await send_response(web_request, response, discard_at)
+            try:
+                response, deadline = await self._answer(exchange)
+                if not response.prepared:
+                    now = asyncio.get_running_loop().time()
+                    discard_at = max(deadline, now + MIN_SEND_S)
+                    await send_response(web_request, response, discard_at)
+            except asyncio.CancelledError:
+                if exchange.is_caller_connected:
+                    self._log_end(Event.REQUEST_UNANSWERED, exchange)
+                raise
             return response
 
-    async def _answer(
-        self, web_request: web.BaseRequest, started_at: float
-    ) -> tuple[web.StreamResponse, float]:
+    def _log_end(self, event: Event, exchange: Exchange) -> None:
+        now = asyncio.get_running_loop().time()
+        log_event(event, **exchange.describe(now, self._board.shutdown))
+
+    async def _answer(self, exchange: Exchange) -> tuple[web.StreamResponse, float]:
         """Return the answer, which is sent if it is a stream, and its deadline."""
+        web_request, started_at = exchange.web_request, exchange.started_at
         request: CallerRequest | None = None
         state: RequestState | Refusal = SHUTTING_DOWN  # until the body has arrived
         reply = WebReply(web_request=web_request)
         try:
             async with self._open_requests.allow_end():
-                request = self._translator.read_request(
+                request = exchange.request = self._translator.read_request(
                     method=web_request.method,
                     raw_target=web_request.raw_path,
                     headers=web_request.headers.items(),
@@ -235,12 +245,14 @@
                 )
                 if isinstance(state, Refusal):
                     return self._refuse(state, request), started_at
+                exchange.state = state
                 refusal = await self._run(state, reply)
         except MalformedRequestError as error:
             refusal = Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
             return self._refuse(refusal, request), started_at
         except TimeoutError:
             # This host ends. Other time limits raise no error here.
+            self._log_end(Event.REQUEST_STOPPED, exchange)
             if isinstance(state, Refusal):
                 return self._refuse(state, request), started_at
             refusal = CUT_OFF if state.n_possible_runs else SHUTTING_DOWN
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -35,6 +35,8 @@
     CONNECT_REPEATED = "connect_repeated"
     REQUEST_DONE = "request_done"
     REQUEST_FAILED = "request_failed"
+    REQUEST_STOPPED = "request_stopped"
+    REQUEST_UNANSWERED = "request_unanswered"
     CALL_BILLED = "call_billed"
     REQUEST_REFUSED = "request_refused"
     HANDLER_FAILED = "handler_failed"
