Answer requests that outlast the drain of the product's daemon

What callers saw: when drain_timeout_s was over, the host went on to its other steps, and its connections were closed under the requests in progress: chats got no answer, streams ended without an error event, requests whose body was still arriving got nothing. No line named them, and the tokens were settled by the witnesses after the host had gone, as its own cancellations began on a closed session.

Cause: the drain only waited. Nothing ended the requests that it had waited for in vain; the library did, when the callers' port closed.

The host now ends them itself, before it returns its draws: runs are cancelled (503 "not run" if no target had got the request and no other host can have run its key, else 502 "unknown", in a stream the error event), calls of services end as if they had timed out (so intents are abandoned or get their outcome, and a repeat at another host finds it), bodies are refused. It then waits for the settlements. A joined caller at another host that has seen no chunk runs the request anew there. A body that arrives after the signal is refused, as new requests are. A host that stops without a drain does the same as its port closes. Refusals with status 503 are now only those of requests that did not run. The last wait of the drain is for refusals only and lasts 1 s, not drain_timeout_s again.

--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -10,7 +10,7 @@
 
 from standins.launcher import RunningProcess, poll_until
 from tests.answers import CallerAnswer
-from tests.common import Fleet
+from tests.common import SECRET, Fleet
 
 SLOW_ENGINE_OPTIONS = ("--tokens-per-s", "20")
 EXIT_TIMEOUT_S = 15.0
@@ -36,6 +36,25 @@
     return code
 
 
+async def wait_for_active(fleet: Fleet, host: RunningProcess, n_active: int) -> None:
+    """Wait until a host has read a number of requests that it has not answered."""
+
+    async def are_active() -> bool:
+        status = await fleet.launcher.get_json(f"{host.operator_url}/status")
+        return bool(status["n_active"] == n_active)
+
+    await poll_until(are_active, f"{n_active} requests")
+
+
+async def send_without_end(fleet: Fleet, host: RunningProcess) -> int:
+    """Send a request whose body does not end, and return the answer's status."""
+    session = fleet.launcher.session
+    headers = {"Authorization": f"Bearer {SECRET}", "Content-Length": "9"}
+    url = f"{host.caller_url}/v1/chat/completions"
+    async with session.post(url, headers=headers, data=b"{") as response:
+        return response.status
+
+
 @dataclass(kw_only=True)
 class Balancer:
     """Send requests to hosts whose /health is good, and count the results."""
@@ -132,6 +151,42 @@
             self.assertEqual(await wait_for_exit(fleet, host), 0)
             await wait_until_settled(fleet, other)
 
+    async def test_requests_that_outlast_the_drain_get_an_answer(self) -> None:
+        """Guard against connections that are closed without an answer or an error."""
+        settings = {"drain_timeout_s": 0.5, "flush_timeout_s": 2, "queue_wait_s": 30}
+        async with Fleet(
+            n_hosts=2,
+            engine_options=(*SLOW_ENGINE_OPTIONS, "--max-running", "2"),
+            host_settings=settings,
+        ) as fleet:
+            host, other = fleet.hosts
+            await fleet.control_standin(fleet.service, delay_s=60)
+            whole = asyncio.create_task(fleet.chat(host, max_tokens=900))
+            stream = asyncio.create_task(fleet.chat(host, max_tokens=901, stream=True))
+            await wait_for_active(fleet, host, 2)
+            queued = asyncio.create_task(fleet.chat(host, max_tokens=5))
+            key = {"Idempotency-Key": "briefing-7"}
+            cut = asyncio.create_task(fleet.chat(host, max_tokens=6, headers=key))
+            await wait_for_active(fleet, host, 4)
+            joined = asyncio.create_task(fleet.chat(other, max_tokens=6, headers=key))
+            booked = asyncio.create_task(fleet.book(host, "night-3"))
+            late = asyncio.create_task(send_without_end(fleet, host))
+            await wait_for_active(fleet, host, 6)
+            await poll_until(fleet.list_effects, "the booking to run")
+            host.send_signal(signal.SIGTERM)
+            self.assertEqual((await whole).error, ("shutting_down", "unknown"))
+            self.assertEqual((await stream).stream_error["effect"], "unknown")
+            self.assertEqual((await queued).error, ("shutting_down", "not_run"))
+            self.assertEqual((await cut).error, ("shutting_down", "unknown"))
+            self.assertEqual((await joined).status, 200)
+            self.assertEqual((await booked).error, ("outcome_unknown", "unknown"))
+            self.assertEqual(await late, 503)
+            self.assertEqual(await wait_for_exit(fleet, host), 0)
+            repeated = await fleet.book(other, "night-3")
+            self.assertEqual(repeated.error, ("outcome_unknown", "unknown"))
+            self.assertEqual(len(await fleet.list_effects()), 1)
+            await wait_until_settled(fleet, other)
+
     async def test_rolling_replacement_under_load(self) -> None:
         """Replace all hosts, one after another, while callers send requests.
 
--- a/trefoilstage/components/booking/client.py
+++ b/trefoilstage/components/booking/client.py
@@ -4,6 +4,8 @@
 
 from trefoilstage.components.booking.models import ServiceCall, ServiceResponse
 from trefoilstage.components.callers.models import Caller
+from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
+from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.const import (
     HEADER_IDEMPOTENCY_KEY,
     HEADER_REQUEST_ID,
@@ -29,6 +31,13 @@
     ) -> None:
         self._session = session
         self._at_most_once_session = at_most_once_session
+        self._calls = OpenRequests()
+        self._is_ending = False
+
+    async def end_calls(self) -> None:
+        """End the calls in progress as if they had timed out, and send no more."""
+        self._is_ending = True
+        await self._calls.end_all()
 
     async def send(
         self,
@@ -40,6 +49,8 @@
         timeout_s: float,
     ) -> ServiceResponse | Refusal:
         """Return the response, or a refusal that says whether the call may have run."""
+        if self._is_ending:
+            return SHUTTING_DOWN_REFUSAL
         session = self._at_most_once_session if at_most_once else self._session
         attempt = SendAttempt(
             at_most_once=at_most_once, connect_timeout_s=CONNECT_TIMEOUT_S
@@ -51,18 +62,21 @@
             "Content-Type": "application/json",
         }
         try:
-            async with session.request(
-                call.method,
-                url,
-                data=call.body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
-                ),
-                # Following a redirect would send the call a second time.
-                allow_redirects=False,
-                trace_request_ctx=attempt,
-            ) as response:
+            async with (
+                self._calls.allow_end(),
+                session.request(
+                    call.method,
+                    url,
+                    data=call.body,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(
+                        total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+                    ),
+                    # Following a redirect would send the call a second time.
+                    allow_redirects=False,
+                    trace_request_ctx=attempt,
+                ) as response,
+            ):
                 body = await read_body(response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError, RepeatedSendError):
             return refuse_incomplete_call(attempt)
--- a/trefoilstage/components/booking/controller.py
+++ b/trefoilstage/components/booking/controller.py
@@ -86,6 +86,10 @@
         # Results of the calls this host runs, by key, until the log has their outcome.
         self._runs: dict[str, asyncio.Future[CallResult]] = {}
 
+    async def end_calls(self) -> None:
+        """End the calls in progress; their callers learn whether they were sent."""
+        await self._client.end_calls()
+
     async def run(self, caller: Caller, call: ServiceCall) -> CallResult:
         """Return the service's response, or the refusal if there is none."""
         service = self._blackboard.configuration.services.get(call.service)
--- a/trefoilstage/components/callers/refusals.py
+++ b/trefoilstage/components/callers/refusals.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 
 from trefoilstage.const import HEADER_REQUEST_ID, HEADER_RETRY_AFTER
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
-DEFAULT_STATUS = 503
+DEFAULT_STATUS_BY_EFFECT = {Effect.NOT_RUN: 503, Effect.UNKNOWN: 502}
 DEFAULT_RETRY_AFTER_S = 1.0
 STATUS_BY_REASON = {
     Reason.BUDGET_EXHAUSTED: 402,
@@ -28,6 +28,7 @@
     Reason.INTERNAL: 500,
     Reason.TARGET_FAILED: 502,
 }
+SHUTTING_DOWN_REFUSAL = Refusal(reason=Reason.SHUTTING_DOWN)
 RETRYABLE_REASONS = frozenset(
     {
         Reason.CANCELLED,
@@ -36,6 +37,7 @@
         Reason.INTERNAL,
         Reason.NO_TARGET,
         Reason.OVERLOADED,
+        Reason.SHUTTING_DOWN,
         Reason.TARGET_FAILED,
     }
 )
@@ -70,6 +72,8 @@
         headers[HEADER_RETRY_AFTER] = str(math.ceil(retry_after_s))
     return web.json_response(
         make_refusal_body(refusal, request),
-        status=STATUS_BY_REASON.get(refusal.reason, DEFAULT_STATUS),
+        status=STATUS_BY_REASON.get(
+            refusal.reason, DEFAULT_STATUS_BY_EFFECT[refusal.effect]
+        ),
         headers=headers,
     )
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -14,7 +14,9 @@
 from trefoilstage.components.callers.errors import handle_errors
 from trefoilstage.components.callers.gate import RequestGate
 from trefoilstage.components.callers.models import Caller
+from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
 from trefoilstage.components.callers.reporter import RequestContext, RequestReporter
+from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
 from trefoilstage.helpers.verdict import Reason, Refusal
@@ -22,6 +24,9 @@
 
 UNAVAILABLE_RETRY_AFTER_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
+# When a host stops without a drain, its requests are answered and cancelled at their
+# targets in this time.
+END_TIMEOUT_S = 1.0
 
 
 class CallerServer(Service):
@@ -40,7 +45,9 @@
         self._blackboard = blackboard
         self._reporter = RequestReporter()
         self._chats = ChatHandler(keys=keys, reporter=self._reporter)
+        self._keys = keys
         self._bookings = bookings
+        self._bodies = OpenRequests()
         self._identifier = CallerIdentifier()
         self._gate = RequestGate(blackboard=blackboard)
         self._address = address
@@ -68,8 +75,9 @@
         self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
-        """Stop listening and close all connections."""
+        """End the requests in progress, stop listening and close all connections."""
         if self._runner is not None:
+            await self.end_requests(END_TIMEOUT_S)
             await self._runner.cleanup()
 
     async def drain(self, timeout_s: float) -> bool:
@@ -81,13 +89,21 @@
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         return True
 
+    async def end_requests(self, timeout_s: float) -> bool:
+        """Refuse the requests in progress; return whether all ended within timeout_s.
+
+        Their tokens are settled and their records submitted when all have ended.
+        """
+        await self._bodies.end_all()
+        await self._bookings.end_calls()
+        await self._keys.end_runs()
+        return await self.drain(timeout_s)
+
     def _identify(
         self, request: web.Request, context: RequestContext
     ) -> Caller | Refusal:
         if self._blackboard.phase is Phase.DRAINING:
-            return Refusal(
-                reason=Reason.SHUTTING_DOWN, retry_after_s=UNAVAILABLE_RETRY_AFTER_S
-            )
+            return SHUTTING_DOWN_REFUSAL
         if self._blackboard.phase is Phase.STARTING:
             return Refusal(
                 reason=Reason.NOT_READY, retry_after_s=UNAVAILABLE_RETRY_AFTER_S
@@ -120,7 +136,7 @@
             return self._reporter.refuse(caller, context)
         self._blackboard.n_active += 1
         try:
-            body = await read_body(request, caller)
+            body = await self._read_body(request, caller)
             if isinstance(body, Refusal):
                 return self._reporter.refuse(body, context)
             return await self._chats.handle(request, caller, body, context)
@@ -134,13 +150,24 @@
             return self._reporter.refuse(caller, context)
         self._blackboard.n_active += 1
         try:
-            body = await read_body(request, caller)
+            body = await self._read_body(request, caller)
             if isinstance(body, Refusal):
                 return self._reporter.refuse(body, context)
             return await self._call_service(request, caller, body, context)
         finally:
             self._blackboard.n_active -= 1
 
+    async def _read_body(self, request: web.Request, caller: Caller) -> bytes | Refusal:
+        """Return a request's body, or a refusal if it is too large or late."""
+        try:
+            async with self._bodies.allow_end():
+                body = await read_body(request, caller)
+        except TimeoutError:
+            return SHUTTING_DOWN_REFUSAL
+        # The shutdown may have begun while the body arrived.
+        is_draining = self._blackboard.phase is Phase.DRAINING
+        return SHUTTING_DOWN_REFUSAL if is_draining else body
+
     async def _call_service(
         self, request: web.Request, caller: Caller, body: bytes, context: RequestContext
     ) -> web.StreamResponse:
--- a/trefoilstage/components/keys/controller.py
+++ b/trefoilstage/components/keys/controller.py
@@ -11,6 +11,7 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.models import Caller, ChatRequest
+from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
 from trefoilstage.components.keys.claims import ClaimTable
 from trefoilstage.components.keys.follower import FollowResult, RunFollower
 from trefoilstage.components.keys.messages import (
@@ -70,6 +71,7 @@
         self._follower = RunFollower(blackboard=blackboard, links=links)
         self._claims = ClaimTable()
         self._runs = RunTable(retention_s=retention_s)
+        self._is_ending = False
         server.register(ClaimKey, self._handle_claim_key)
         server.register(ReadRun, self._handle_read_run)
 
@@ -94,6 +96,8 @@
         existing = self._runs.get(caller.key)
         if existing is not None:
             return existing if existing.digest == digest else KEY_REUSED_REFUSAL
+        if self._is_ending:
+            return SHUTTING_DOWN_REFUSAL
         run = Run(
             key=caller.key,
             digest=digest,
@@ -109,12 +113,21 @@
         run.task.add_done_callback(self._blackboard.closing.discard)
         return run
 
+    async def end_runs(self) -> None:
+        """End all runs and refuse new ones; each listener gets a refusal."""
+        self._is_ending = True
+        # A task that is cancelled before its first step would not end its run.
+        await asyncio.sleep(0)
+        for run in self._runs.list_runs():
+            if not run.ended:
+                run.cancel(Reason.SHUTTING_DOWN)
+
     async def _execute_run(self, run: Run, caller: Caller, chat: ChatRequest) -> None:
         try:
             if not caller.has_key or await self._claim_or_follow(run):
                 await self._generate(run, caller, chat)
         except asyncio.CancelledError:
-            run.end(Refusal(reason=Reason.CANCELLED, effect=Effect.UNKNOWN))
+            run.end_cancelled()
             raise
         except Exception as error:
             # Listeners would otherwise wait until their deadlines.
--- a/trefoilstage/components/keys/follower.py
+++ b/trefoilstage/components/keys/follower.py
@@ -47,7 +47,11 @@
                 run.end(RUNNER_LOST_REFUSAL)
                 return FollowResult.ENDED
             if page.ended:
-                run.end(make_refusal(page))
+                refusal = make_refusal(page)
+                is_cut = refusal is not None and refusal.reason is Reason.SHUTTING_DOWN
+                if is_cut and not run.chunks:
+                    return FollowResult.LOST
+                run.end(refusal)
                 return FollowResult.ENDED
 
     async def _read_page(self, run: Run, claim: ClaimReply) -> RunPage | None:
--- a/trefoilstage/components/keys/runs.py
+++ b/trefoilstage/components/keys/runs.py
@@ -6,7 +6,7 @@
 
 from trefoilstage.components.callers.generation import GenerationResult
 from trefoilstage.components.targets.models import Chunk
-from trefoilstage.helpers.verdict import Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 
 LISTENER_GRACE_S = 2.0
 MAX_RETAINED_BYTES = 8_000_000
@@ -30,6 +30,7 @@
     n_bytes: int = 0
     n_listeners: int = 0
     task: asyncio.Task[None] | None = None
+    cancel_reason: Reason = Reason.CANCELLED
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def add(self, chunk: Chunk) -> None:
@@ -67,11 +68,23 @@
         """Wait for the next chunk or the end of the run."""
         await self._changed.wait()
 
-    def cancel(self) -> None:
+    def cancel(self, reason: Reason = Reason.CANCELLED) -> None:
         """Cancel the run; its task cancels the request at the target and settles it."""
         if self.task is not None:
+            self.cancel_reason = reason
             self.task.cancel()
 
+    def end_cancelled(self) -> None:
+        """End the run after its cancellation, with what is known of its effect."""
+        # Another host may have run a request with a key.
+        is_unsent = not self.has_key and not self.result.target
+        self.end(
+            Refusal(
+                reason=self.cancel_reason,
+                effect=Effect.NOT_RUN if is_unsent else Effect.UNKNOWN,
+            )
+        )
+
     def _cancel_if_abandoned(self) -> None:
         # Without a key no retry can join this run, so its answer has no use.
         if not self.has_key and not self.n_listeners and not self.ended:
--- a/trefoilstage/host.py
+++ b/trefoilstage/host.py
@@ -20,6 +20,8 @@
 
 READY_POLL_INTERVAL_S = 0.02
 HALTED_CHECK_INTERVAL_S = 0.5
+# Refusals of requests that arrive while the port is still open are sent in this time.
+REFUSALS_TIMEOUT_S = 1.0
 
 
 class Host(Service):
@@ -134,6 +136,8 @@
         all_ended = await self._parts.caller_server.drain(
             self._settings.drain_timeout_s
         )
+        if not all_ended:
+            await self._parts.caller_server.end_requests(self._settings.flush_timeout_s)
         await self._parts.budget.budget.return_all(self._settings.flush_timeout_s)
         self._parts.streams.submit_config(
             HostDown(incarnation=self.blackboard.incarnation)
@@ -147,7 +151,7 @@
                 records_flushed=flushed,
             )
         await asyncio.sleep(max(0.0, grace_ends_at - self._parts.timer.now()))
-        await self._parts.caller_server.drain(self._settings.drain_timeout_s)
+        await self._parts.caller_server.drain(REFUSALS_TIMEOUT_S)
 
     async def _flush(self) -> bool:
         # The wait is bounded because a log outage may be long. Once this host has
@@ -159,6 +163,10 @@
             return False
         return True
 
+    async def on_stop(self) -> None:
+        """Refuse new requests, also if the host stops without a drain."""
+        self.blackboard.phase = Phase.DRAINING
+
     async def on_shutdown(self) -> None:
         """Close the HTTP connections."""
         await self._parts.session.close()
