Test what has begun when all targets fall silent

Hypothesis 2 of the incident around a shutdown: a silent target, or a change of the configuration, ends what is under way, and callers of calls that may run once see their connection closed.

The stand-in for targets can fall silent: it sends nothing, neither new answers nor the rest of begun ones, keeps its connections, and goes on where it was, as a suspended process. A configuration can hold other limits, changed routes, and fewer.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,6 +25,7 @@
 READ_POLL_S = 0.02
 COLD_S = 3.0  # how long a target is cold after its start
 N_SLOTS = 8  # of a target
+OTHER_SERVICE = "other"  # has no targets
 
 
 async def start_app(
@@ -152,8 +153,14 @@
     cold_requests_per_s: float | None = None,
     engine: Mapping[str, object] | None = None,
     more_tenants: Sequence[Mapping[str, object]] = (),
+    limits: Mapping[str, object] | None = None,
+    route_changes: Mapping[str, Mapping[str, object] | None] | None = None,
 ) -> bytes:
-    """Return an encoded configuration with a route of each kind."""
+    """Return an encoded configuration with a route of each kind.
+
+    `route_changes` holds other values by route; a route with None is dropped.
+    """
+    changes = route_changes or {}
 
     def make_route(name: str, kind: str, **more: object) -> dict[str, object]:
         route: dict[str, object] = {
@@ -168,15 +175,20 @@
         }
         return {**route, **more}
 
+    routes = [
+        make_route("stream", "stream", max_attempts=1),
+        make_route("stream-again", "stream", resumable=True),
+        make_route("book", "unsafe", max_attempts=1),
+        make_route("look", "safe"),
+        *([make_route("new", "safe")] if version > 1 else []),
+    ]
     return json.dumps(
         {
             "version": version,
             "routes": [
-                make_route("stream", "stream", max_attempts=1),
-                make_route("stream-again", "stream", resumable=True),
-                make_route("book", "unsafe", max_attempts=1),
-                make_route("look", "safe"),
-                *([make_route("new", "safe")] if version > 1 else []),
+                {**route, **change}
+                for route in routes
+                if (change := changes.get(str(route["name"]), {})) is not None
             ],
             "services": [
                 {
@@ -184,8 +196,10 @@
                     "engine": {"slots": N_SLOTS, "stride": 1, **(engine or {})},
                     "cold_s": COLD_S,
                     "cold_per_s": cold_requests_per_s,
-                }
+                },
+                {"name": OTHER_SERVICE},
             ],
+            "limits": limits or {},
             "tenants": [
                 {"name": "school", "api_keys": ["key"], "prepaid": prepaid},
                 *more_tenants,
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -42,6 +42,13 @@
     repeated: bytes
 
 
+def make_set_event() -> asyncio.Event:
+    """Return an event that is set."""
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 @dataclass(kw_only=True, slots=True)
 class PlatformTarget:
     """Run requests and inject the faults that the test sets."""
@@ -79,6 +86,7 @@
     is_unframed: bool = False
     endless: EndlessBytes | None = None  # sent in place of answers
     is_mute: bool = False  # accepts connections and answers nothing
+    sends: asyncio.Event = field(default_factory=make_set_event)  # else it is silent
     stop: asyncio.Event = field(default_factory=asyncio.Event)
     runs: list[TargetRun] = field(default_factory=list)
 
@@ -87,6 +95,12 @@
         """Return the target's name and start, as hosts name it."""
         return f"{self.name}@{self.started_at_ms}"
 
+    async def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for a time, as a suspended process, then go on."""
+        self.sends.clear()
+        await asyncio.sleep(duration_s)
+        self.sends.set()
+
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
@@ -98,6 +112,7 @@
             self.n_unread_bodies += 1
             await self.stop.wait()
         body = await request.read()
+        await self.sends.wait()
         if self.is_mute:
             await self.stop.wait()
         if request.path == "/trefoilstage/report":
@@ -132,6 +147,7 @@
             if run.fetch_from:
                 await fetch_prefix(run.fetch_from)
             await asyncio.sleep(self.processing_s)
+            await self.sends.wait()
             if request.transport is None or request.transport.is_closing():
                 return web.Response()  # to a host that left
             return await self._answer_run(request, body, run, headers)
@@ -190,6 +206,7 @@
                 return response
             run.events += 1
             await asyncio.sleep(self.event_interval_s)
+            await self.sends.wait()
         run.ended = True
         return response
 
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -207,7 +207,12 @@
         name = self.targets[number].name
         await self.store.put(Topic.TARGETS, name, value if is_listed else None)
 
-    async def write_configuration(self, version: int) -> None:
+    async def write_configuration(
+        self,
+        version: int,
+        limits: Mapping[str, object] | None = None,
+        route_changes: Mapping[str, Mapping[str, object] | None] | None = None,
+    ) -> None:
         """Write a version of the configuration to the store."""
         value = encode_configuration(
             version,
@@ -215,6 +220,8 @@
             cold_requests_per_s=self.cold_requests_per_s,
             engine={"slots": self.n_slots, **self.engine},
             more_tenants=self.more_tenants,
+            limits=limits,
+            route_changes=route_changes,
         )
         await self.store.put(Topic.CONFIGURATION, "config", value)
 
