Test of the product's drain: wait until the engine runs the first two chats

The new test failed once, in a run of five modules beside other tests (load 16): the chat that should wait for a slot was served. It waited only until the host had read the two long chats, which then still had to get tokens and a slot, so that a shorter one may overtake them.

--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -46,6 +46,16 @@
     await poll_until(are_active, f"{n_active} requests")
 
 
+async def wait_until_running(fleet: Fleet, n_running: int) -> None:
+    """Wait until the first engine runs a number of requests."""
+
+    async def are_running() -> bool:
+        meter = await fleet.launcher.get_json(f"{fleet.engines[0].url}/meter")
+        return int(meter["running"]) == n_running
+
+    await poll_until(are_running, f"{n_running} requests to run")
+
+
 async def send_without_end(fleet: Fleet, host: RunningProcess) -> int:
     """Send a request whose body does not end, and return the answer's status."""
     session = fleet.launcher.session
@@ -124,12 +134,7 @@
                 asyncio.create_task(fleet.chat(host, max_tokens=80, stream=True))
                 for _ in range(8)
             ]
-
-            async def are_running() -> bool:
-                meter = await fleet.launcher.get_json(f"{fleet.engines[0].url}/meter")
-                return int(meter["running"]) == len(streams)
-
-            await poll_until(are_running, "the streams to run")
+            await wait_until_running(fleet, len(streams))
             host.send_signal(signal.SIGTERM)
 
             async def is_leaving() -> bool:
@@ -163,7 +168,7 @@
             await fleet.control_standin(fleet.service, delay_s=60)
             whole = asyncio.create_task(fleet.chat(host, max_tokens=900))
             stream = asyncio.create_task(fleet.chat(host, max_tokens=901, stream=True))
-            await wait_for_active(fleet, host, 2)
+            await wait_until_running(fleet, 2)
             queued = asyncio.create_task(fleet.chat(host, max_tokens=5))
             key = {"Idempotency-Key": "briefing-7"}
             cut = asyncio.create_task(fleet.chat(host, max_tokens=6, headers=key))
