Count the time to accept all requests from the signal, not from its notice

Callers saw streams cut off that a stopping host had begun although they were sent later than 3 s after its signal. The host counted the time from the start of its drain. A loop that was busy when the signal came, here with the first garbage collection, or a host that had not finished its start, noticed it later, and accepted for 3 s from then on.

The schedule now begins when the signal is handled, also during the start, and what is accepted in full is counted from a time at which the signal surely had not come: two turns of the loop earlier, which are up to 0.1 s apart unless the loop stalled, and then as long as the stall. The end of requests is still counted from the notice, as it must lie in the last sixth of the grace time.

Without the new term the test fails: the stream at 102.51 is accepted.

--- a/tests/components/forwarding/test_shutdown_schedule.py
+++ b/tests/components/forwarding/test_shutdown_schedule.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
+from trefoilstage.util.loop_turns import LoopTurns
 
 GRACE_S = 8.0
 GRACE_TIMES_S = st.floats(0.5, 60.0)
@@ -44,6 +45,21 @@
         """Guard against a host that stays for its streams and is not replaced."""
         self.assertFalse(self.accepts(3.1, 0.6, is_stream=True))
 
+    def test_time_to_accept_all_counts_from_the_signal(self) -> None:
+        """Guard against streams begun too late, as a stalled loop saw no signal."""
+        turns = LoopTurns()
+        for now in (99.4, 99.5, 99.99):  # the last is after a stall
+            turns.record(now)
+        schedule = ShutdownSchedule(
+            started_at=100.0,
+            grace_s=GRACE_S,
+            signal_after=turns.get_time_before_signal(100.0),
+        )
+        for now, accepted in ((102.49, True), (102.51, False)):
+            self.assertIs(
+                schedule.accepts(is_stream=True, deadline=now + 15.0, now=now), accepted
+            )
+
     @given(GRACE_TIMES_S)
     def test_requests_are_ended_in_the_last_sixth_only(self, grace_s: float) -> None:
         """Guard against requests that are cut off early in a short grace time."""
--- a/trefoilstage/components/forwarding/shutdown_schedule.py
+++ b/trefoilstage/components/forwarding/shutdown_schedule.py
@@ -18,8 +18,10 @@
 class ShutdownSchedule:
     """Divide a host's grace time; times are the event loop's, in seconds."""
 
-    started_at: float
+    started_at: float  # when the signal was handled
     grace_s: float
+    # When the signal had not come yet; a stalled loop handles it late.
+    signal_after: float | None = None
 
     @property
     def accepts_all_until(self) -> float:
@@ -42,9 +44,14 @@
     def accepts(self, *, is_stream: bool, deadline: float, now: float) -> bool:
         """Return whether to accept a request that must be answered by `deadline`.
 
-        A stream that begins late would keep the host from being replaced.
+        A stream that begins late would keep the host from being replaced. The time for
+        all requests is counted from the signal, as they may be cut off at the end, but
+        those that are sent later may not.
         """
-        if now < self.accepts_all_until:
+        late_s = 0.0
+        if self.signal_after is not None:
+            late_s = self.started_at - self.signal_after
+        if now + late_s < self.accepts_all_until:
             return True
         return not is_stream and self.is_sure_to_end(deadline)
 
--- a/trefoilstage/fleet_board.py
+++ b/trefoilstage/fleet_board.py
@@ -136,7 +136,7 @@
     incarnation: str
     data_center: str
     phase: Phase = Phase.STARTING  # host
-    shutdown: ShutdownSchedule | None = None  # host; set while it drains
+    shutdown: ShutdownSchedule | None = None  # host; set at the signal
     store: StoreReachability = field(default_factory=StoreReachability)
     configuration: FleetConfiguration | None = None  # configuration follower
     routes: RouteTable = field(default_factory=lambda: RouteTable(routes=()))
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -32,6 +32,7 @@
 from trefoilstage.helpers.events import Event, describe_error, log_event
 from trefoilstage.helpers.log_line_writer import LineWriter
 from trefoilstage.phase import Phase
+from trefoilstage.util.loop_turns import TURN_INTERVAL_S, LoopTurns
 from trefoilstage.util.process_start import ProcessStart
 
 POLL_INTERVAL_S = 0.02
@@ -71,11 +72,13 @@
         self._translator = translator
         self._board_updater = board_updater
         self._board = board
-        self.drain_requested = asyncio.Event()
+        self._drain_requested = asyncio.Event()
+        self._turns = LoopTurns()
         self._registry = StateRegistry()
 
     async def on_start(self) -> None:
         """Create the components and start each after those that it depends on."""
+        self.add_future(self._record_turns())
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
         self._probe_session = open_probe_session(settings.address)
@@ -184,21 +187,35 @@
             peers=len(self._board.peers),
         )
 
+    async def _record_turns(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._drain_requested.is_set():
+            self._turns.record(loop.time())
+            await asyncio.sleep(TURN_INTERVAL_S)
+
+    def request_drain(self) -> None:
+        """Start the time of the shutdown, also while the host still starts."""
+        if self._board.shutdown is None:
+            now = asyncio.get_running_loop().time()
+            self._board.shutdown = ShutdownSchedule(
+                started_at=now,
+                grace_s=self._settings.shutdown_grace_s,
+                signal_after=self._turns.get_time_before_signal(now),
+            )
+            self._drain_requested.set()
+
     async def run(self) -> None:
         """Serve until a drain is requested or a component fails."""
-        await self.wait(self.drain_requested)
+        await self.wait(self._drain_requested)
         if self.crashed:
             log_event(Event.HOST_CRASHED, error=describe_error(self.crash_reason))
             raise self.crash_reason or RuntimeError("a component of the host failed")
-        await self.drain()
+        if self._board.shutdown is not None:
+            await self._drain(self._board.shutdown)
 
-    async def drain(self) -> None:
+    async def _drain(self, schedule: ShutdownSchedule) -> None:
         """Stop accepting requests, finish those in flight and return unused tokens."""
         loop = asyncio.get_running_loop()
-        schedule = ShutdownSchedule(
-            started_at=loop.time(), grace_s=self._settings.shutdown_grace_s
-        )
-        self._board.shutdown = schedule
         self._board.phase = Phase.DRAINING
         self._membership.send_heartbeats_now()
         # The next home draws immediately and cannot use tokens that stay here.
--- a/trefoilstage/platform/process.py
+++ b/trefoilstage/platform/process.py
@@ -74,7 +74,7 @@
         )
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, host.drain_requested.set)
+            loop.add_signal_handler(signal_number, host.request_drain)
         loop.add_signal_handler(signal.SIGUSR1, host.write_state_dump)
         loop.add_signal_handler(signal.SIGHUP, log_settings_changes, path, settings)
         try:
