Let callers read their answers while a stopping host leaves

A caller that read a large answer lost the rest of it 0.1 s after the end of the requests, although its target had answered in full before the last sixth of the grace time and the host still had over half a second. Ended requests and answers on their way shared two short waits, after which whatever was left was cancelled.

Only the pipelines must have ended before the tokens are returned. The host now waits for these, and lets answers go on while it leaves, until it stops.

The test failed before with CancelledError in the task that sends the answer.

--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -14,6 +14,7 @@
 from tests.components.forwarding.common import REQUEST, make_route
 from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import FleetConfiguration
+from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.routes import RouteTable
 from trefoilstage.components.forwarding.server import (
@@ -195,6 +196,20 @@
             self.assertEqual(response.status, status)
             self.assertEqual("Retry-After" in response.headers, status == 503)
 
+    async def test_answer_that_is_being_sent_goes_on(self) -> None:
+        """Guard against answers that are cut off while the host still leaves."""
+        requests, is_read = OpenRequests(), asyncio.Event()
+
+        async def send() -> bool:
+            with requests.track():
+                return await is_read.wait()
+
+        sending = asyncio.create_task(send())
+        await asyncio.sleep(0)
+        await requests.settle_all()
+        is_read.set()
+        self.assertTrue(await sending)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilstage/components/forwarding/open_requests.py
+++ b/trefoilstage/components/forwarding/open_requests.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 POLL_INTERVAL_S = 0.05
-# Ended requests are answered within one iteration of the event loop, a few on a busy
-# host, and cancelled ones end as soon.
+SETTLE_POLL_S = 0.005
+# Ended requests settle and are answered within one iteration of the event loop, a few
+# on a busy host, and cancelled ones end as soon.
+SETTLE_TIMEOUT_S = 0.15
 ANSWER_TIMEOUT_S = 0.1
 CANCEL_TIMEOUT_S = 0.05
 
@@ -41,7 +43,7 @@
 
     @contextlib.asynccontextmanager
     async def allow_end(self) -> AsyncIterator[None]:
-        """Raise TimeoutError in the enclosed block once `end_all` is called."""
+        """Raise TimeoutError in the enclosed block once requests are ended."""
         async with asyncio.timeout(None) as timeout:
             self._timeouts.add(timeout)
             try:
@@ -59,14 +61,25 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         return True
 
+    async def settle_all(self) -> None:
+        """End the requests in progress, and wait until they have settled.
+
+        Their answers may still be on their way then.
+        """
+        loop = asyncio.get_running_loop()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(loop.time())
+        deadline = loop.time() + SETTLE_TIMEOUT_S
+        while self._timeouts and loop.time() < deadline:
+            await asyncio.sleep(SETTLE_POLL_S)
+
     async def end_all(self) -> None:
         """End the requests in progress, and wait until they are answered.
 
         The rest of an answer that its caller does not read is cancelled.
         """
-        now = asyncio.get_running_loop().time()
-        for timeout in self._timeouts:
-            timeout.reschedule(now)
+        await self.settle_all()
         await self._wait(ANSWER_TIMEOUT_S)
         for task in self._tasks:
             task.cancel()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -165,8 +165,11 @@
         return await self._open_requests.wait_until_done(timeout_s)
 
     async def end_requests(self) -> None:
-        """End the requests in progress; callers without an answer get a failure."""
-        await self._open_requests.end_all()
+        """End the requests in progress; callers without an answer get a failure.
+
+        Answers that are being sent go on until they are sent, or this server stops.
+        """
+        await self._open_requests.settle_all()
 
     def refuse_all_requests(self) -> None:
         """Refuse all new requests, also those on open connections."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -248,7 +248,10 @@
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.end_requests()
-        await self._leave(LEAVE_SHARE * schedule.reserve_s)
+        left_at = loop.time() + LEAVE_SHARE * schedule.reserve_s
+        await self._leave(left_at - loop.time())
+        # Callers may still read their answers.
+        await self._server.drain(left_at - loop.time())
 
     async def _leave(self, timeout_s: float) -> None:
         try:
