Answer the requests under way when a host stops without a drain

Callers lost their connection without an answer when a component of their host crashed: requests that had not been passed on yet were cancelled with the server. Those that had been passed on got 502 only because the sessions to the targets were closed a moment before the process ended, 0.4 s after the crash.

The server now ends its requests itself when it stops, whatever the way there: 503 if a target can't have run it, else 502, and then closes.

The test failed before with TimeoutError, as the request did not end.

--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -155,6 +155,7 @@
             translator=HeaderTranslator(),
             pipeline=mock.Mock(run=self.run_request),
         )
+        self.stop: Callable[[], Awaitable[None]] = self.server.end_requests
 
     async def run_request(self, state: RequestState, reply: object) -> None:
         for _ in range(self.n_sends):
@@ -173,8 +174,8 @@
         answering = asyncio.create_task(self.server._answer(exchange))
         await self.started.wait()
         self.started.clear()
-        await self.server.end_requests()
-        response, _ = await answering
+        await self.stop()
+        response, _ = await asyncio.wait_for(answering, 5.0)
         return response
 
     async def read_body(self) -> bytes:
@@ -196,6 +197,13 @@
             self.assertEqual(response.status, status)
             self.assertEqual("Retry-After" in response.headers, status == 503)
 
+    async def test_stop_without_a_drain_answers_too(self) -> None:
+        """Guard against connections closed unanswered as a component crashes."""
+        runner = mock.AsyncMock(sites=())
+        self.server._caller_runner = self.server._ready_runner = runner
+        self.stop = self.server.on_stop
+        self.assertEqual((await self.end(self.read_body)).status, 503)
+
     async def test_answer_that_is_being_sent_goes_on(self) -> None:
         """Guard against answers that are cut off while the host still leaves."""
         requests, is_read = OpenRequests(), asyncio.Event()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -149,7 +149,10 @@
         await web.SockSite(self._caller_runner, caller_socket, backlog=BACKLOG).start()
 
     async def on_stop(self) -> None:
-        """Stop listening, refuse the requests in flight, then close."""
+        """Stop listening, refuse the requests in flight, end the others, then close.
+
+        After a drain, none is left but answers that their callers do not read.
+        """
         self.refuse_all_requests()
         # The event loop accepts pending connections at the start of each iteration.
         # Connections that arrive between that and the close are reset.
@@ -157,6 +160,7 @@
         for site in list(self._caller_runner.sites):
             await site.stop()
         await asyncio.sleep(IN_FLIGHT_GRACE_S)
+        await self._open_requests.end_all()
         await self._caller_runner.cleanup()
         await self._ready_runner.cleanup()
 
