Refuse requests that send an id with different values

Callers that took a stream up with two Last-Event-Id headers, the event and an empty one, got 200 and the rest of another version's text, at any time.

Cause: hosts read the last of repeated headers and forwarded all of them. With the empty one last, the request counted as a new stream and went to targets of any version, while the target read the first and went on after that event.

The new test failed before (3 subtests, no error raised), and passes now.

Now a request whose Attempt-Id, Last-Event-Id or Resumes has several values is refused as malformed: nobody can tell which of them a target goes by. The same value twice is still accepted.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -150,6 +150,18 @@
             with self.assertRaises(MalformedRequestError):
                 self.read_request(**extra)
 
+    def test_repeated_id_with_other_value_is_rejected(self) -> None:
+        """Guard against a stream that is taken up as a new one, at any version."""
+
+        def read(*values: str):  # type: ignore[no-untyped-def]
+            pairs = [("last-event-id", value) for value in values]
+            return TRANSLATOR.read_request(method="POST", raw_target="/", headers=pairs)
+
+        for values in (("7", ""), ("", "7"), ("7", "8")):
+            with self.subTest(values=values), self.assertRaises(MalformedRequestError):
+                read(*values)
+        self.assertEqual(read("7", "7").last_event_id, "7")
+
     def test_answer_of_another_request_is_not_trusted(self) -> None:
         """Decode answers without a seal, for another request, or with an encoding."""
         request = self.read_request()
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -1,5 +1,6 @@
 """Translate between HTTP headers and the pipeline's requests and answers."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Annotated, Final
 
@@ -39,6 +40,8 @@
 HEADER_LEAVING: Final = "Server-Leaving"
 HEADER_BRITTLE: Final = "Server-Brittle"  # falls over above these refusals a second
 HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
+# Headers that say which stream a request belongs to.
+ID_HEADERS: Final = (HEADER_ATTEMPT_ID, HEADER_LAST_EVENT_ID, HEADER_RESUMES)
 HTTP_MISDIRECTED: Final = 421
 HTTP_UNAVAILABLE: Final = 503
 # Ids seen from callers have 16 characters. Messages between hosts allow names of up to
@@ -109,6 +112,8 @@
         """Decode a caller's request; raise MalformedRequestError if it is invalid."""
         pairs = list(headers)
         values = {name.lower(): value for name, value in pairs}
+        if len(values) < len(pairs):
+            check_repeated_ids(pairs)
         n_prompt_tokens, max_output_tokens = parse_token_count(
             values.get("token-count")
         )
@@ -193,6 +198,18 @@
         )
 
 
+def check_repeated_ids(pairs: Iterable[tuple[str, str]]) -> None:
+    """Raise MalformedRequestError if a caller sent different values of an id.
+
+    All of them are forwarded, and a target may go by another one than this host.
+    """
+    received = {(name.lower(), value) for name, value in pairs}
+    n_values = Counter(name for name, _ in received)
+    for name in ID_HEADERS:
+        if n_values[name.lower()] > 1:
+            raise MalformedRequestError(f"the {name} header has several values")
+
+
 def read_id(values: Mapping[str, str], name: str) -> str:
     """Return an id that a caller sent, empty if there is none.
 
