Believe a target's start only on its own word, not its entry

Callers got 200 and text of two versions, over two tries or in one answer, where a target came back under its name with another version and was registered only later.

Cause: a later read of all entries proved a connection while no failure spoke against the target. The former entry stays in the store until the target registers again, and a host that started anew, or that had no connection to the target (a home of the stream), knew of no failure. It then took the new start for the former one and told everybody that version.

Evidence: the new test with real processes failed before (200, v1 after v2), also without the kill of all hosts.

Now reads prove nothing. A host asks the target for its start 0.1 s after a stream began on a connection that nothing else proves, before it tells the homes; formerly after 1.2 s. A host that sends for a peer asks in its place, as that peer can't. What counted failures against reads is removed.

Tests: those of proofs by reads, and of failures against them, tested what is gone; they are replaced by ones that allow less. The one of incomplete reads now checks the time that it guards. A second new test kills all hosts twice, with two versions in service and after one has left.

--- a/tests/components/fleet/test_board_updater.py
+++ b/tests/components/fleet/test_board_updater.py
@@ -158,7 +158,7 @@
         )
         board = make_board("host-0", [f"host-{n}" for n in range(n_hosts)])
         followers = make_followers(
-            settings, board, mock.Mock(), mock.Mock(), mock.Mock(), mock.Mock()
+            settings, board, mock.Mock(), mock.Mock(), mock.Mock()
         )
         return followers[topic]._get_pause()
 
--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -77,10 +77,12 @@
 
     async def start(self) -> None:
         """Listen for sends."""
+        self.board.targets.apply_entry(TARGET)
         self.server = PeerServer(address=LOOPBACK, port=0, codec=FLEET_CODEC)
         self.sends = PeerSendServer(
             board=self.board,
             chooser=cast(Any, self),
+            prover=cast(Any, self),
             monitor=cast(Any, self),
             sender=cast(Any, self),
             server=self.server,
@@ -98,7 +100,7 @@
     def find_usable(self, incarnation: str) -> TargetEntry | None:
         return self.usable
 
-    def is_start_proven(self, *_: object) -> bool:
+    async def prove(self, *_: object) -> bool:
         return self.is_proven
 
     def record_outcome(self, *_: object) -> None: ...
--- a/tests/components/views/test_follower.py
+++ b/tests/components/views/test_follower.py
@@ -52,7 +52,6 @@
         loop = asyncio.get_running_loop()
         store = KeyedStore()
         times: dict[bytes | None, float] = {}
-        reads: list[float] = []
 
         def record(records: list[KeyedRecord]) -> None:
             times.update({item.value: follower.written_after for item in records})
@@ -65,7 +64,6 @@
             get_pause=lambda: 0.4,
             on_change=record,
             on_restored=mock.Mock(),
-            on_read=reads.append,
         )
         await store.put(Topic.TARGETS, "a", b"1")
         await follower.on_start()
@@ -76,13 +74,11 @@
         self.assertEqual(times[b"1"], float("-inf"))
         self.assertLessEqual(times[b"2"], written_at)
         self.assertGreater(times[b"2"], written_at - 0.5)
-        self.assertGreater(reads[-1], written_at)
         follower.merge([KeyedRecord(key="b", offset=9, value=b"3")])
         self.assertEqual(times[b"3"], float("-inf"))
         await follower.stop()
 
     async def follow_parts(self) -> None:
-        on_read = mock.Mock()
         part = RecordBatch(records=[], end_offset=0, is_whole=False)
         store = mock.Mock(
             list_newest=mock.AsyncMock(return_value=part),
@@ -96,15 +92,14 @@
             get_pause=lambda: 0.4,
             on_change=mock.Mock(),
             on_restored=mock.Mock(),
-            on_read=on_read,
         )
         await follower.on_start()
         await asyncio.sleep(2.0)
         await follower.stop()
         store.read.assert_awaited()
-        on_read.assert_not_called()
+        self.assertEqual(follower.written_after, float("-inf"))
 
-    def test_read_that_leaves_records_unread_is_not_reported(self) -> None:
+    def test_read_that_leaves_records_unread_tells_no_time(self) -> None:
         """Guard against entries that count as current before all were read."""
         run_in_virtual_time(self.follow_parts())
 
--- a/tests/promises/test_versions.py
+++ b/tests/promises/test_versions.py
@@ -7,9 +7,12 @@
 from tests.promises.fleet import FleetAnswer, PlatformFleet
 
 N_STREAMS = 8
+N_EVENTS = 30
+HTTP_OK = 200
 HTTP_TOO_MANY_REQUESTS = 429
 # Homes are told of a stream this long after its first event, at the latest.
 REPORTED_S = 1.5
+Call = asyncio.Task[FleetAnswer]
 
 
 class VersionsTest(unittest.IsolatedAsyncioTestCase):
@@ -80,6 +83,61 @@
                     self.find_version(fleet, f"{name}-again"),
                 )
 
+    async def begin(self, fleet: PlatformFleet, *names: str) -> list[Call]:
+        """Begin streams, over all hosts, and wait until homes may know them."""
+        for target in fleet.targets:
+            target.names_version = True
+            target.n_events, target.event_interval_s = N_EVENTS, 0.1
+        calls = [
+            asyncio.create_task(
+                fleet.call("/stream-again/x", attempt=name, host=f"host-{number % 2}")
+            )
+            for number, name in enumerate(names)
+        ]
+        await asyncio.sleep(REPORTED_S)
+        return calls
+
+    async def check_texts(
+        self, fleet: PlatformFleet, calls: list[Call], *names: str
+    ) -> None:
+        """Take broken streams up, and check that no text is of two versions."""
+        for name, broken in zip(names, await asyncio.gather(*calls), strict=True):
+            n_events = broken.body.count(b"data:")
+            self.assertFalse(broken.is_whole)
+            again = await self.take_up(fleet, "host-1", name, n_events)
+            events = (broken.body + again.body).split(b"\n\n")
+            versions = {item.split(b"\n")[1] for item in events if b"data:" in item}
+            self.assertEqual(len(versions), 1, (again.status, versions))
+            if again.status == HTTP_OK:
+                self.assertEqual((len(events) - 1, again.is_whole), (N_EVENTS, True))
+            else:
+                self.assertIn(b"stream_unknown", again.body)
+
+    async def test_no_text_of_two_versions_after_all_hosts_were_killed(self) -> None:
+        """Guard against a guess by hosts that all start anew."""
+        names = [f"s-{number}" for number in range(N_STREAMS)]
+        async with PlatformFleet(n_hosts=2, n_targets=4, n_versions=2) as fleet:
+            for leaving in ((), (0, 2)):
+                calls = await self.begin(fleet, *names)
+                await asyncio.gather(*map(fleet.kill, list(fleet.hosts)))
+                fleet.unlisted_targets.update(leaving)
+                for number in leaving:
+                    await fleet.write_target(number)
+                await asyncio.gather(*map(fleet.start_host, ("host-0", "host-1")))
+                await self.check_texts(fleet, calls, *names)
+
+    async def test_target_that_is_registered_late_is_not_believed(self) -> None:
+        """Guard against a former entry that hosts read after the target is back."""
+        async with PlatformFleet(n_hosts=2, n_targets=2) as fleet:
+            fleet.targets[0].refuse = True
+            fleet.targets[1].version = "v2"
+            fleet.targets[1].started_at_ms += 1
+            calls = await self.begin(fleet, "s-1")
+            await fleet.kill("host-0")
+            fleet.targets[0].refuse = False
+            fleet.targets[1].refuse = True
+            await self.check_texts(fleet, calls, "s-1")
+
     async def test_stream_of_unknown_version_is_refused(self) -> None:
         """Guard against a guess where no host knows the stream."""
         async with PlatformFleet(n_hosts=2, n_versions=2) as fleet:
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -115,11 +115,6 @@
         """Return whether the store may still have what its copy had."""
         return now - self._board.store.restored_at < REWRITE_S
 
-    def record_read(self, began_at: float, now: float) -> None:
-        """Record that all targets' entries were read, by a read that began then."""
-        if not self._may_be_from_copy(now):
-            self._board.targets.proofs.record_read(began_at)
-
     def _apply_target(
         self, record: KeyedRecord, now: float, written_after: float
     ) -> None:
--- a/trefoilstage/components/forwarding/start_prover.py
+++ b/trefoilstage/components/forwarding/start_prover.py
@@ -70,7 +70,6 @@
             self._asked_at.pop(target.incarnation, None)
             self._board.targets.proofs.record_start(target, asked_at)
             return
-        self._board.targets.record_failure(target)
         log_event(
             Event.TARGET_START_UNPROVEN,
             target=target.incarnation,
--- a/trefoilstage/components/forwarding/target_chooser.py
+++ b/trefoilstage/components/forwarding/target_chooser.py
@@ -253,12 +253,6 @@
         """Return a target that may get a request without a permit, None for others."""
         return self._availability.find_free(incarnation, target_filter, excluded)
 
-    def is_start_proven(self, incarnation: str, connected_at: float) -> bool:
-        """Return whether a connection leads to an incarnation of a target."""
-        targets = self._board.targets
-        entry = targets.find_incarnation(incarnation)
-        return entry is not None and targets.is_start_proven(entry, connected_at)
-
     def forget_failures(self, service: str) -> None:
         """Forget a service's failures, which this host's lost links explain."""
         self._outcomes.forget_failures(service)
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -69,10 +69,7 @@
             log_event(Event.TARGET_REPLACED, target=target.name)
             return
         if isinstance(answer, NotRun) and answer.unreachable:
-            self._board.targets.record_failure(target)
             self._use_other_start(target)
-        if isinstance(answer, InvalidAnswer) and answer.head is None:
-            self._board.targets.record_failure(target)
         if self._update_health(target, answer):
             log_event(Event.TARGET_EJECTED, target=target.name)
 
@@ -145,5 +142,4 @@
 
     def record_broken_answer(self, target: TargetEntry) -> None:
         """Count an answer that broke off as a failure of its target."""
-        self._board.targets.record_failure(target)
         self.get_health(target).record_failure(self._timer.now())
--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -50,8 +50,6 @@
 MAX_FIND_TIMEOUT_S = 1.0
 CHECK_INTERVAL_S = 0.5
 PROOF_INTERVAL_S = 0.1
-# By then the entries of all targets were read again, unless the store is out of reach.
-ASK_AFTER_S = 1.2
 # A target that shows no sign of life for longer has ended.
 MAX_PROOF_S = 10.0
 
@@ -163,7 +161,7 @@
         while self._unproven:
             await asyncio.sleep(PROOF_INTERVAL_S)
             now = self._timer.now()
-            late: dict[str, StreamSource] = {}
+            unproven: dict[str, StreamSource] = {}
             for key, item in list(self._unproven.items()):
                 age_s = now - item.recorded_at
                 if self._is_proven(item.stream):
@@ -171,10 +169,10 @@
                     self._table.add([key], item.stream.version, now)
                 elif age_s > MAX_PROOF_S:
                     del self._unproven[key]
-                elif age_s > ASK_AFTER_S and item.stream.source is not None:
+                elif item.stream.source is not None:
                     source = item.stream.source
-                    late[source.target.incarnation] = source
-            for source in late.values():
+                    unproven[source.target.incarnation] = source
+            for source in unproven.values():
                 self.add_future(self._prover.prove(source.target, source.connected_at))
         self._is_proof_scheduled = False
 
--- a/trefoilstage/components/targets/directory.py
+++ b/trefoilstage/components/targets/directory.py
@@ -218,24 +218,9 @@
             return None
         return item.entry
 
-    def record_failure(self, entry: TargetEntry) -> None:
-        """Record a failure that a restart of a target may have caused."""
-        self.proofs.record_failure(entry, is_listed=self._is_in_store(entry))
-
     def is_start_proven(self, entry: TargetEntry, connected_at: float) -> bool:
         """Return whether a connection leads to the start that an entry names."""
-        return self.proofs.is_proven(
-            entry, connected_at, is_listed=self._is_in_store(entry)
-        )
-
-    def _is_in_store(self, entry: TargetEntry) -> bool:
-        """Return whether the store still has the entry of an incarnation."""
-        item = self.listed.get(entry.name)
-        return (
-            item is not None
-            and item.entry.incarnation == entry.incarnation
-            and item.usable_until == float("inf")
-        )
+        return self.proofs.is_proven(entry, connected_at)
 
     def list_ready(self, service: str, now: float) -> list[TargetEntry]:
         """Return a service's targets that may receive new requests, sorted by name."""
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -28,10 +28,6 @@
 GetPause = Callable[[], float]
 
 
-def ignore_read(began_at: float) -> None:
-    """Do nothing when a topic was read."""
-
-
 class ViewFollower(Service):
     """Merge a topic's records into a view and pass changes to a callback."""
 
@@ -45,7 +41,6 @@
         get_pause: GetPause,
         on_change: ChangeCallback,
         on_restored: Callable[[], None],
-        on_read: Callable[[float], None] = ignore_read,
     ) -> None:
         super().__init__()
         self._board = board
@@ -55,7 +50,6 @@
         self._get_pause = get_pause  # returns the seconds until the next read
         self._on_change = on_change
         self._on_restored = on_restored
-        self._on_read = on_read  # gets when a read began that left nothing unread
         self._rewrite_s = TARGETS_REWRITE_S if topic is Topic.TARGETS else REWRITE_S
         # When records that a restored store lacks count as deleted.
         self._list_again_at = float("inf")
@@ -136,7 +130,6 @@
         self._notify(changed)
         if batch.is_whole:
             self._read_began_at = began_at
-            self._on_read(began_at)
 
     def _notify(self, changed: list[KeyedRecord]) -> None:
         if changed:
--- a/trefoilstage/fleet_followers.py
+++ b/trefoilstage/fleet_followers.py
@@ -5,7 +5,6 @@
 from trefoilstage.components.views.follower import (
     GetPause,
     ViewFollower,
-    ignore_read,
 )
 from trefoilstage.components.views.keyed_view import KeyedRecord
 from trefoilstage.components.views.store import Store, Topic
@@ -35,7 +34,6 @@
     store: Store,
     apply_records: Callable[[Topic, list[KeyedRecord]], None],
     on_restored: Callable[[], None],
-    on_targets_read: Callable[[float], None],
 ) -> dict[Topic, ViewFollower]:
     """Create a follower for each topic that all hosts read."""
 
@@ -48,7 +46,6 @@
             get_pause=get_pause,
             on_change=lambda records: apply_records(topic, records),
             on_restored=on_restored,
-            on_read=on_targets_read if topic is Topic.TARGETS else ignore_read,
         )
 
     targets_pause_s = settings.target_drain_s / TARGET_READS_PER_DRAIN
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -128,9 +128,6 @@
                 followers[topic].written_after,
             )
 
-    def record_targets_read(began_at: float) -> None:
-        board_updater.record_read(began_at, asyncio.get_running_loop().time())
-
     def write_again() -> None:
         """Write again what a restored store may lack."""
         membership.announce_again()
@@ -138,9 +135,7 @@
         home.make_good()
         crash_watcher.write_again()
 
-    followers = make_followers(
-        settings, board, store, apply_records, write_again, record_targets_read
-    )
+    followers = make_followers(settings, board, store, apply_records, write_again)
     limits = KnownLimits(board=board, timer=timer)
     membership = FleetMembership(
         board=board,
@@ -227,9 +222,11 @@
         board=board, timer=timer, probe=probe, generator=generator
     )
     reach_monitor.subscribe(chooser.forget_failures)
+    prover = StartProver(board=board, probe=start_probe)
     peer_sends = PeerSendServer(
         board=board,
         chooser=chooser,
+        prover=prover,
         monitor=reach_monitor,
         sender=sender,
         server=peer_server,
@@ -271,7 +268,6 @@
         unix_offset_s=process_start.offset,
         generator=generator,
     )
-    prover = StartProver(board=board, probe=start_probe)
     stream_versions = StreamVersions(
         board=board,
         membership=membership,
