Ask targets for their start only where streams run or are taken up

A host asks for streams that it serves, and tells the homes once they are proven; a home asks when it is asked for a stream, which proves it as long as that start runs.

--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -42,13 +42,14 @@
 N_BUCKETS = 128
 REPORT_DELAY_S = 0.2
 REPORT_TIMEOUT_S = 0.5
-# A home waits for a proof, if it needs one.
+# A home that has no proof asks the target.
 PROOF_TIMEOUT_S = 0.5
 # Without that, it replies in 1 to 2 ms. On a full link, each call takes longer.
 FIND_TIMEOUT_S = PROOF_TIMEOUT_S + 0.25
 FIND_TIMEOUT_ROUND_TRIPS = 2.0
 MAX_FIND_TIMEOUT_S = 1.0
 CHECK_INTERVAL_S = 0.5
+# Streams that begin meanwhile share a question to their target.
 PROOF_INTERVAL_S = 0.1
 # A target that shows no sign of life for longer has ended.
 MAX_PROOF_S = 10.0
@@ -142,6 +143,8 @@
     def _add(self, keys: Iterable[str], stream: ServedStream) -> None:
         now = self._timer.now()
         if self._is_proven(stream):
+            for key in keys:
+                self._unproven.pop(key, None)
             self._table.add(keys, stream.version, now)
             return
         unproven = UnprovenStream(stream=stream, recorded_at=now)
@@ -161,21 +164,28 @@
         while self._unproven:
             await asyncio.sleep(PROOF_INTERVAL_S)
             now = self._timer.now()
-            unproven: dict[str, StreamSource] = {}
+            late: dict[str, StreamSource] = {}
             for key, item in list(self._unproven.items()):
                 age_s = now - item.recorded_at
+                source = item.stream.source
                 if self._is_proven(item.stream):
-                    del self._unproven[key]
-                    self._table.add([key], item.stream.version, now)
+                    self._add_proven(key, item)
                 elif age_s > MAX_PROOF_S:
                     del self._unproven[key]
-                elif item.stream.source is not None:
-                    source = item.stream.source
-                    unproven[source.target.incarnation] = source
-            for source in unproven.values():
+                elif source and key in self._active:
+                    late[source.target.incarnation] = source
+            for source in late.values():
                 self.add_future(self._prover.prove(source.target, source.connected_at))
         self._is_proof_scheduled = False
 
+    def _add_proven(self, key: str, item: UnprovenStream) -> None:
+        """Add a stream to the table, and tell its homes that it is proven."""
+        del self._unproven[key]
+        self._table.add([key], item.stream.version, self._timer.now())
+        if key in self._active:
+            self._unreported[key] = item.stream
+            self._schedule_report()
+
     def end(self, workspace: str, request_ids: Iterable[str]) -> None:
         """Record that this host no longer serves a stream."""
         for item in filter(None, request_ids):
@@ -229,9 +239,14 @@
         return StreamFound(version=await self._get_when_proven(message.stream))
 
     async def _get_when_proven(self, key: str) -> StreamVersion | None:
-        wait_until = self._timer.now() + PROOF_TIMEOUT_S
-        while key in self._unproven and self._timer.now() < wait_until:
-            await asyncio.sleep(PROOF_INTERVAL_S)
+        item = self._unproven.get(key)
+        source = item.stream.source if item else None
+        if source is not None:
+            await self._prover.prove(source.target, source.connected_at)
+            # Meanwhile, the stream may have been reported again.
+            item = self._unproven.get(key)
+            if item is not None and self._is_proven(item.stream):
+                self._add_proven(key, item)
         return self._table.get(key)
 
     async def _receive_streams(self, message: StreamsBegan) -> None:
