--- a/tests/promises/test_early_start.py
+++ b/tests/promises/test_early_start.py
@@ -1,6 +1,7 @@
 """Test what callers get while all hosts start again (real processes)."""
 
 import asyncio
+import signal
 import unittest
 
 from tests.promises.fleet import HostProcess, PlatformFleet
@@ -37,6 +38,7 @@
             host = await fleet.launch_host("host-0", caller_port=port)
             host.caller_port = port
             self.assertFalse(await self.connect_until_accepted(host, port))
+            host.process.send_signal(signal.SIGHUP)
             answer = await fleet.call("/look/x")
             self.assertEqual((answer.status, answer.body), (200, b"whole answer"))
 
