--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -9,7 +9,9 @@
 from bench.emulator.clock import run_in_virtual_time
 from bench.emulator.network import EmulatedLinks, Network
 from tests.components.boards import make_board
+from tests.components.forwarding.common import make_target
 from trefoilstage.components.fleet.messages import FLEET_CODEC
+from trefoilstage.components.forwarding.request_state import StreamSource
 from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.target_filter import StreamVersion
 from trefoilstage.components.peers.server import PeerServer
@@ -24,6 +26,7 @@
 from trefoilstage.timer import TimerService
 
 WORKSPACE = "school"
+TARGET = make_target("i-1", started_ms=5)
 V1 = StreamVersion(service="assistant", version="v1")
 SETTLE_S = CHECK_INTERVAL_S + 3 * REPORT_DELAY_S
 N_LARGE = 40
@@ -219,6 +222,30 @@
 
         self.run_fleet(check())
 
+    def test_stream_of_an_unproven_start_is_known_once_the_target_confirms_it(
+        self,
+    ) -> None:
+        """Guard against a restarted target that is believed, or a sound one that isn't.
+
+        The target confirms it to the host that dies, or only to the home.
+        """
+
+        async def check(kill_after_s: float, *starts: int) -> StreamVersion | None:
+            fleet = Fleet(2)
+            for board in fleet.boards.values():
+                board.targets.apply_entry(TARGET)
+            fleet.probe.read_start.side_effect = [None, *starts, None, None]
+            source = StreamSource(target=TARGET, connected_at=0.0)
+            fleet.hosts["host-0"].record(WORKSPACE, ["r-1"], V1, source)
+            await asyncio.sleep(kill_after_s)
+            fleet.kill("host-0")
+            return await fleet.find("host-1", "r-1")
+
+        for kill_after_s, start, found in ((2.0, 5, V1), (0.5, 5, V1), (0.5, 6, None)):
+            with self.subTest(kill_after_s=kill_after_s, start=start):
+                result = run_in_virtual_time(check(kill_after_s, start))
+                self.assertEqual(result, found)
+
     def test_first_answer_is_enough(self) -> None:
         """Guard against a caller that waits for homes that are silent."""
 
