Believe neither version of an id that was used for two streams

A host that knew one version of a stream, not proven yet, believed the other one that was reported for the same id, and a caller with the first would have got text of the second.

The new test failed on (version v2 was found) and passes now.

--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -246,6 +246,21 @@
                 result = run_in_virtual_time(check(kill_after_s, start))
                 self.assertEqual(result, found)
 
+    def test_id_of_two_streams_is_not_believed(self) -> None:
+        """Guard against the version of one stream that hides the other's."""
+
+        async def check() -> None:
+            fleet = Fleet(2)
+            fleet.boards["host-0"].targets.apply_entry(TARGET)
+            source = StreamSource(target=TARGET, connected_at=0.0)
+            fleet.hosts["host-0"].record(WORKSPACE, ["r-1"], V1, source)
+            other = StreamVersion(service="assistant", version="v2")
+            fleet.hosts["host-1"].record(WORKSPACE, ["r-1"], other)
+            await asyncio.sleep(SETTLE_S)
+            self.assertIsNone(await fleet.find("host-0", "r-1"))
+
+        self.run_fleet(check())
+
     def test_first_answer_is_enough(self) -> None:
         """Guard against a caller that waits for homes that are silent."""
 
--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -142,6 +142,7 @@
 
     def _add(self, keys: Iterable[str], stream: ServedStream) -> None:
         now = self._timer.now()
+        keys = [key for key in keys if not self._is_ambiguous(key, stream.version)]
         if self._is_proven(stream):
             for key in keys:
                 self._unproven.pop(key, None)
@@ -153,6 +154,16 @@
             self._is_proof_scheduled = True
             self.add_future(self._prove_streams())
 
+    def _is_ambiguous(self, key: str, version: StreamVersion) -> bool:
+        """Return whether another version was reported; then neither is believed."""
+        other = self._unproven.get(key)
+        if other is None or other.stream.version == version:
+            return False
+        del self._unproven[key]
+        for item in (other.stream.version, version):
+            self._table.add([key], item, self._timer.now())
+        return True
+
     def _is_proven(self, stream: ServedStream) -> bool:
         source = stream.source
         return source is None or self._prover.is_proven(
