Tell operators when a stopping host does not know a change's verdict

What operators saw: a change or a top-up that waited for its verdict while the host stopped lost its connection without an answer, 2.5 s after SIGTERM in a trial with the log down (both of a publish and a top-up; real processes). It may have been applied.

The operators' port closed after its library's second, and the wait for a verdict lasts up to 5 s.

The server now gives the changes in progress half a second, in which verdicts still arrive, then ends their wait.

The extended test failed before: ServerDisconnectedError at the publish.

--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -221,7 +221,8 @@
         """Stop a host that has draws while the log is down.
 
         The host can't return its draws, so it logs that and still exits with 0. When
-        the log is back, the draws' witnesses release the rest.
+        the log is back, the draws' witnesses release the rest. An operator whose
+        change is in progress is told that its verdict is not known.
         """
         settings = {"flush_timeout_s": 1.0, "log_timeout_s": 0.5}
         async with Fleet(host_settings=settings) as fleet:
@@ -230,12 +231,14 @@
             self.assertTrue(answer.is_complete_stream)
             control = f"{fleet.log.url}/control"
             await fleet.launcher.post_json(control, {"down": True})
+            change = asyncio.create_task(fleet.publish("20-late.toml", ""))
             host.send_signal(signal.SIGTERM)
             self.assertEqual(await wait_for_exit(fleet, host), 0)
             incomplete_lines = [
                 line for line in host.lines if "drain_incomplete" in line
             ]
             self.assertEqual(len(incomplete_lines), 1, host.lines[-5:])
+            self.assertFalse((await change)["known"])
             await fleet.launcher.post_json(control, {"down": False})
 
             async def is_released() -> bool:
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -9,6 +9,7 @@
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.components.log_client.streams import Streams
 from trefoilstage.components.operators.descriptions import (
@@ -45,6 +46,8 @@
 
 BodyT = TypeVar("BodyT", bound=BaseModel)
 VERDICT_TIMEOUT_S = 5.0
+# While the log is in reach, a verdict follows within a few round trips.
+STOP_TIMEOUT_S = 0.5
 # Long enough to query hundreds of hosts for their log positions a few times.
 DECLARED_LOST_TTL_S = 120.0
 MAX_BODY_BYTES = 1_000_000
@@ -74,6 +77,7 @@
         self._address = address
         self.port = port
         self._runner: web.AppRunner | None = None
+        self._changes = OpenRequests()
 
     async def on_start(self) -> None:
         """Start listening."""
@@ -100,8 +104,10 @@
         self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
-        """Stop listening."""
+        """Answer the changes in progress, then stop listening."""
         if self._runner is not None:
+            if not await self._changes.wait_until_done(STOP_TIMEOUT_S):
+                await self._changes.end_all()
             await self._runner.cleanup()
 
     async def _get_state(self, request: web.Request) -> web.Response:
@@ -187,8 +193,12 @@
         self, stream: StreamService, ticket: Ticket, operation: str
     ) -> web.Response:
         try:
-            async with asyncio.timeout(VERDICT_TIMEOUT_S):
-                verdict = await stream.wait_for_verdict(ticket)
+            with self._changes.track():
+                async with (
+                    self._changes.allow_end(),
+                    asyncio.timeout(VERDICT_TIMEOUT_S),
+                ):
+                    verdict = await stream.wait_for_verdict(ticket)
         except TimeoutError:
             # The record may still be appended, so the change is not reported as
             # rejected. Retrying with the same operation ID is safe.
