Log the requests whose end a stopping host could not deliver

Operators saw no line for a stream whose caller had stopped reading: its handler was cancelled as the port closed, and drain_incomplete names no request.

Chats and calls share the handler that identifies the caller and reads the body, so the line has one place. No test: it would have to fill the machine's buffers.

--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from mode import Service
@@ -19,7 +20,7 @@
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
-from trefoilstage.helpers.verdict import Reason, Refusal
+from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.phase import Phase
 
 UNAVAILABLE_RETRY_AFTER_S = 1.0
@@ -27,6 +28,11 @@
 # When a host stops without a drain, its requests are answered and cancelled at their
 # targets in this time.
 END_TIMEOUT_S = 1.0
+CUT_REFUSAL = Refusal(reason=Reason.SHUTTING_DOWN, effect=Effect.UNKNOWN)
+
+Responder = Callable[
+    [web.Request, Caller, bytes, RequestContext], Awaitable[web.StreamResponse]
+]
 
 
 class CallerServer(Service):
@@ -48,6 +54,7 @@
         self._keys = keys
         self._bookings = bookings
         self._bodies = OpenRequests()
+        self._is_ending = False
         self._identifier = CallerIdentifier()
         self._gate = RequestGate(blackboard=blackboard)
         self._address = address
@@ -77,7 +84,8 @@
     async def on_stop(self) -> None:
         """End the requests in progress, stop listening and close all connections."""
         if self._runner is not None:
-            await self.end_requests(END_TIMEOUT_S)
+            if not self._is_ending:
+                await self.end_requests(END_TIMEOUT_S)
             await self._runner.cleanup()
 
     async def drain(self, timeout_s: float) -> bool:
@@ -94,6 +102,7 @@
 
         Their tokens are settled and their records submitted when all have ended.
         """
+        self._is_ending = True
         await self._bodies.end_all()
         await self._bookings.end_calls()
         await self._keys.end_runs()
@@ -130,20 +139,14 @@
         return web.json_response({"object": "list", "data": models})
 
     async def _handle_chat(self, request: web.Request) -> web.StreamResponse:
-        context = RequestContext()
-        caller = self._identify(request, context)
-        if isinstance(caller, Refusal):
-            return self._reporter.refuse(caller, context)
-        self._blackboard.n_active += 1
-        try:
-            body = await self._read_body(request, caller)
-            if isinstance(body, Refusal):
-                return self._reporter.refuse(body, context)
-            return await self._chats.handle(request, caller, body, context)
-        finally:
-            self._blackboard.n_active -= 1
+        return await self._handle_body(request, self._chats.handle)
 
     async def _handle_service(self, request: web.Request) -> web.StreamResponse:
+        return await self._handle_body(request, self._call_service)
+
+    async def _handle_body(
+        self, request: web.Request, respond: Responder
+    ) -> web.StreamResponse:
         context = RequestContext()
         caller = self._identify(request, context)
         if isinstance(caller, Refusal):
@@ -153,7 +156,12 @@
             body = await self._read_body(request, caller)
             if isinstance(body, Refusal):
                 return self._reporter.refuse(body, context)
-            return await self._call_service(request, caller, body, context)
+            return await respond(request, caller, body, context)
+        except asyncio.CancelledError:
+            # The caller left, or does not read the end of its answer.
+            if self._is_ending:
+                self._reporter.report_refused(CUT_REFUSAL, context)
+            raise
         finally:
             self._blackboard.n_active -= 1
 
