Refuse the request that follows a stream on a draining host's connection

What callers saw: the next request on the connection of a stream that had ended while the host drained lost its connection, as the head of that stream, sent before the signal, had announced no close.

Cause: the host closed the connection after each response while it drained, also where the caller could not know.

Only connections whose response announces it are now closed; the next request on the others is refused, with a close, as any other.

--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -44,6 +44,14 @@
     return code
 
 
+async def stream_and_chat(
+    fleet: Fleet, host: RunningProcess
+) -> tuple[CallerAnswer, CallerAnswer]:
+    """Return a slow stream, and the next answer on its connection."""
+    streamed = await fleet.chat(host, max_tokens=80, stream=True)
+    return streamed, await fleet.chat(host)
+
+
 @dataclass(kw_only=True)
 class Balancer:
     """Send requests to hosts whose /health is good, and count the results."""
@@ -101,17 +109,17 @@
         """Send SIGTERM twice to a host during slow streams.
 
         Every stream is sent up to its end marker. A request that still reaches the
-        host is refused with a Retry-After, and its connection is closed. The host
+        host is refused with a Retry-After, and its connection is closed; on the
+        connection of a stream that has just ended it is refused as well. The host
         exits with 0 and its draws are returned to the budget.
         """
-        settings = {"flush_timeout_s": 0.5}
+        settings = {"flush_timeout_s": 0.5, "drain_grace_s": 8.0}
         async with Fleet(
             engine_options=SLOW_ENGINE_OPTIONS, host_settings=settings
         ) as fleet:
             host, other = fleet.hosts[:2]
             streams = [
-                asyncio.create_task(fleet.chat(host, max_tokens=80, stream=True))
-                for _ in range(8)
+                asyncio.create_task(stream_and_chat(fleet, host)) for _ in range(8)
             ]
 
             async def are_running() -> bool:
@@ -136,7 +144,8 @@
             self.assertEqual(refused.headers.get("Connection"), "close")
             host.send_signal(signal.SIGTERM)
             answers = await asyncio.gather(*streams)
-            self.assertTrue(all(answer.is_complete_stream for answer in answers))
+            self.assertTrue(all(answer.is_complete_stream for answer, _ in answers))
+            self.assertTrue(all(following.status == 503 for _, following in answers))
             self.assertEqual(await wait_for_exit(fleet, host), 0)
             await wait_until_settled(fleet, other)
 
--- a/trefoilstage/components/callers/gate.py
+++ b/trefoilstage/components/callers/gate.py
@@ -33,8 +33,9 @@
         finally:
             self.n_open_requests -= 1
         # A caller that kept its connection would send its next request to a host
-        # that is about to stop, and lose the connection instead of being refused.
-        if self._blackboard.phase is Phase.DRAINING:
+        # that is about to stop, and lose the connection instead of being refused. The
+        # caller of a stream that has begun can't be told: its next request is refused.
+        if self._blackboard.phase is Phase.DRAINING and not response.prepared:
             response.force_close()
         return response
 
