Soak planned stops, changes and silent targets, and count what is lost

The soak could not see the incident around a shutdown: it has SIGTERM and pauses, but an outcome without an answer was no finding, as kills and cuts give many, its streams of 0.6 s let a host end long before its grace, and no target fell silent.

A finding is a request that ran, or ended more than 0.2 s after it was sent, and that ends without a whole answer, or with a 502, before its time limit, unless it was sent up to 3 s after SIGTERM and its target was still at work in the last sixth of the grace time. While the callers' own process does not run, which the fleet records, a request is not sent yet.

--- a/scripts/run_soak.py
+++ b/scripts/run_soak.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 
+from tests.soak.kinds import SeedKind
 from tests.soak.soak import run_soak_seed
 
 
@@ -15,10 +16,11 @@
     parser.add_argument(
         "--seconds", type=float, default=10.0, help="the duration of each seed"
     )
+    parser.add_argument("--kind", type=SeedKind, help="the seeds' own if not given")
     arguments = parser.parse_args()
     n_failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
-        result = asyncio.run(run_soak_seed(seed, arguments.seconds))
+        result = asyncio.run(run_soak_seed(seed, arguments.seconds, arguments.kind))
         n_failed += bool(result.findings)
         print(
             f"seed={seed} kind={result.kind} fetches={result.n_fetches}"
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -207,7 +207,7 @@
             run.events += 1
             await asyncio.sleep(self.event_interval_s)
             await self.sends.wait()
-        run.ended = True
+        run.ended = request.transport is not None
         return response
 
     async def _begin_stream(
--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -50,6 +50,7 @@
     name: str
     store_server: StoreServer
     process: asyncio.subprocess.Process
+    stopped_at: float = float("inf")  # by the first SIGTERM, if the test says so
     caller_port: int = 0
     ready_port: int = 0
     lines: list[str] = field(default_factory=list)
@@ -112,6 +113,8 @@
     n_requests: int = 0
     # The newest calls, with times of the same clock as in the hosts' logs.
     recent_calls: deque[str] = field(default_factory=lambda: deque(maxlen=N_CALLS_KEPT))
+    # When this process did not run, from and to, by the steady clock.
+    stalls: list[tuple[float, float]] = field(default_factory=list)
     stall_watcher: asyncio.Task[None] = field(init=False)
     # Whether there is a fault-injecting proxy between each host and the store.
     use_proxies: bool = False
@@ -136,10 +139,12 @@
         """Record stalls of this process, in which the callers and targets run."""
         detector = StallDetector(interval_s=STALL_CHECK_S)
         while True:
+            tick_due_at = time.monotonic() + STALL_CHECK_S
             stall = detector.record_tick(time.monotonic(), time.process_time())
             if stall is not None:
                 self.recent_calls.append(f"{time.time():.6f} {stall}")
             await asyncio.sleep(STALL_CHECK_S)
+            self.stalls.append((tick_due_at, time.monotonic()))
 
     async def __aenter__(self) -> Self:
         # unittest runs its loop in debug mode, which records a stack for each task and
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,7 +10,7 @@
 
 from standins.platform import LOOPBACK
 from tests.promises.crashing import CRASHING_BODY, CRASHING_PART
-from tests.promises.fleet import PlatformFleet
+from tests.promises.fleet import HostProcess, PlatformFleet
 
 DEADLINE_MS = 5_000
 # Longer than the deadline.
@@ -33,6 +33,7 @@
 
     request: str
     path: str
+    host: HostProcess | None = None
     key: str = "key"
     status: int = 0  # 0 if there was no answer
     began_at: float = 0.0  # by the steady clock
@@ -70,6 +71,7 @@
     outcomes: list[Outcome] = field(default_factory=list)
     crashing_outcomes: list[Outcome] = field(default_factory=list)
     is_stopping: bool = False
+    look_method: str = "GET"
     n_subjects: int = N_SUBJECTS
     subject_tokens: int = 50
     prompt_tokens: int = PROMPT_AND_OUTPUT_TOKENS[0]
@@ -163,7 +165,7 @@
         hosts = sorted(self.fleet.hosts)
         if not hosts:
             return
-        host = self.fleet.hosts[self.generator.choice(hosts)]
+        outcome.host = host = self.fleet.hosts[self.generator.choice(hosts)]
         tokens = (self.prompt_tokens, PROMPT_AND_OUTPUT_TOKENS[1])
         if not outcome.path.startswith("/stream"):
             tokens = (0, 0)
@@ -180,8 +182,9 @@
         if outcome.resumes:
             headers["Resumes"] = outcome.resumes
             headers["Last-Event-Id"] = str(outcome.last_event_id)
-        method = "GET" if outcome.path.startswith("/look") else "POST"
-        url = f"http://{LOOPBACK}:{host.caller_port}{outcome.path}"
+        method = self.look_method if outcome.path.startswith("/look") else "POST"
+        port = host.caller_port or host.find_port("caller_port")
+        url = f"http://{LOOPBACK}:{port}{outcome.path}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         outcome.began_at = time.monotonic()
         try:
@@ -193,6 +196,8 @@
                 async for data in response.content.iter_any():
                     outcome.body += data
                 outcome.is_whole = True
+        except aiohttp.ClientConnectorError:
+            outcome.host = None  # has read nothing
         except (aiohttp.ClientError, TimeoutError):
             # No host or an incomplete answer; `status` and `is_whole` show it.
             return
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -16,8 +16,10 @@
     QUEUE = "queue"  # full targets refuse
     CRASH_QUEUE = "crash_queue"  # full targets crash
     FETCH = "fetch"
+    STOPS = "stops"  # only planned work, and targets that fall silent
 
 
+DRAWN_KINDS = [kind for kind in SeedKind if kind is not SeedKind.STOPS]
 N_HOSTS = 3
 # Spent within a seed's duration, so that requests without budget are tested too.
 PREPAID_TOKENS = 50_000
@@ -36,14 +38,17 @@
 FETCH_PROCESSING_S = 0.05
 N_FETCH_SUBJECTS = 12
 FETCH_SUBJECT_TOKENS = 4_000
-FETCH_PREPAID_TOKENS = 2_000_000
+PREPAID = {SeedKind.FETCH: 2_000_000, SeedKind.STOPS: 100_000_000}
+N_CALLERS = {SeedKind.STOPS: 24}
+# Streams take 3 s, so that hosts still run late in their grace time.
+STOPS_EVENT_INTERVAL_S = 0.25
 # Of the faults of a kind of seed, compared with one of the others.
 KIND_FAULT_WEIGHT = 6
 
 
 def draw_kind(seed: int) -> SeedKind:
     """Return a seed's kind, drawn apart from its faults so that those stay as is."""
-    return random.Random(f"kind of {seed}").choice(list(SeedKind))
+    return random.Random(f"kind of {seed}").choice(DRAWN_KINDS)
 
 
 def make_fleet(kind: SeedKind) -> PlatformFleet:
@@ -54,9 +59,9 @@
         n_hosts=N_HOSTS,
         n_targets=3,
         n_versions=1 if kind is SeedKind.FETCH else 2,
-        prepaid=FETCH_PREPAID_TOKENS if kind is SeedKind.FETCH else PREPAID_TOKENS,
-        use_proxies=True,
-        use_target_proxies=True,
+        prepaid=PREPAID.get(kind, PREPAID_TOKENS),
+        use_proxies=kind is not SeedKind.STOPS,
+        use_target_proxies=kind is not SeedKind.STOPS,
         target_data_centers={EVACUATED_TARGET: EVACUATED_DATA_CENTER},
         cold_requests_per_s=COLD_REQUESTS_PER_S,
         contracts="pressure" if has_queue else "",
@@ -77,12 +82,17 @@
         c.n_subjects = N_FETCH_SUBJECTS
         c.subject_tokens = c.prompt_tokens = FETCH_SUBJECT_TOKENS
         added = [faults.break_source, faults.remove_source]
+    elif kind is SeedKind.STOPS:
+        c.look_method = "POST"  # unlike GET, never sent again by the callers' library
     elif kind is not SeedKind.PLAIN:
         added = [surge]
     faults.more_faults = added * KIND_FAULT_WEIGHT
     for target in fleet.targets:
         if kind is SeedKind.FETCH:
             target.processing_s = FETCH_PROCESSING_S
+        elif kind is SeedKind.STOPS:
+            target.event_interval_s = STOPS_EVENT_INTERVAL_S
+            target.processing_s = SCARCE_PROCESSING_S
         elif kind is not SeedKind.PLAIN:
             target.processing_s = SCARCE_PROCESSING_S
             target.max_running = fleet.n_slots
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,13 +24,15 @@
 )
 from tests.soak.kinds import (
     COLD_REQUESTS_PER_S,
+    N_CALLERS,
     SeedKind,
     draw_kind,
     make_fleet,
     set_kind,
 )
+from tests.soak.stops import Stops
 
-N_CALLERS = 8
+N_USUAL_CALLERS = 8
 # These statuses mean that the request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 HTTP_OK = 200
@@ -94,9 +96,14 @@
             target.event_interval_s = EVENT_INTERVAL_S
         set_kind(kind, fleet, faults, callers)
         targets = CrashingTargets(fleet=fleet, changes_versions=True)
-        tasks = [asyncio.create_task(callers.run(n)) for n in range(N_CALLERS)]
-        tasks.append(asyncio.create_task(callers.repeat_crashing()))
-        await faults.run(duration_s)
+        stops = Stops(fleet=fleet, generator=random.Random(seed))
+        n_callers = N_CALLERS.get(kind, N_USUAL_CALLERS)
+        tasks = [asyncio.create_task(callers.run(n)) for n in range(n_callers)]
+        if kind is SeedKind.STOPS:
+            await stops.run(duration_s)
+        else:
+            tasks.append(asyncio.create_task(callers.repeat_crashing()))
+            await faults.run(duration_s)
         callers.is_stopping = True
         await asyncio.gather(*tasks)
         findings = list_violations(fleet, callers.outcomes + callers.crashing_outcomes)
@@ -109,6 +116,8 @@
         findings += list_blocked_harmless_requests(callers.outcomes)
         findings += list_late_refusals(callers.outcomes, faults)
         findings += list_wrong_sources(fleet, faults)
+        if kind is SeedKind.STOPS:
+            findings += stops.list_lost(callers.outcomes)
         if kind in (SeedKind.QUEUE, SeedKind.CRASH_QUEUE):
             findings += await list_unserved_after_surges(callers)
         findings += await list_repeated_crashes(targets, callers)
@@ -120,7 +129,8 @@
         for host in fleet.hosts.values():
             findings += [line for line in host.lines if "handler_failed" in line]
         if findings:
-            save_process_output({name: h.lines for name, h in fleet.hosts.items()})
+            hosts = [*stops.ended, *fleet.hosts.values()]
+            save_process_output({f"{h.name}-{h.process.pid}": h.lines for h in hosts})
     return SoakResult(
         seed=seed,
         kind=kind,
@@ -131,7 +141,7 @@
         n_served=sum(
             item.status == HTTP_OK and item.is_whole for item in callers.outcomes
         ),
-        faults=faults.fault_names,
+        faults=faults.fault_names + ["stop"] * len(stops.ended),
         findings=findings,
     )
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
     (4, SeedKind.FETCH),
 )
 DURATION_S = 8.0
+STOPS_DURATION_S = 10.0  # longer than the grace time
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -40,6 +41,15 @@
                 self.assertEqual(result.findings, [], result)
                 self.assertGreater(result.n_served, 0)
 
+    async def test_planned_stops_cut_no_request(self) -> None:
+        """Guard against requests that hosts take, or end, without the time to answer.
+
+        Hosts get SIGTERM and SIGHUP, routes change, targets fall silent; no failures.
+        """
+        result = await run_soak_seed(1, STOPS_DURATION_S, SeedKind.STOPS)
+        self.assertEqual(result.findings, [], result)
+        self.assertGreater(result.n_served, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
