Show that a host which sees its signal late takes streams too late

The hosts' lines have the sends 2.907 and 2.984 s after host_draining.

The cause: ShutdownSchedule counts from the start of the drain.

--- a/tests/promises/test_late_in_shutdown.py
+++ b/tests/promises/test_late_in_shutdown.py
@@ -7,6 +7,7 @@
 from standins.launcher import poll_until
 from tests.promises.fleet import FleetAnswer, HostProcess, PlatformFleet
 
+SEEN_LATE_S = 0.8
 ACCEPTS_STREAMS_S = 3.0  # after the signal, of a grace time of 8 s
 
 
@@ -43,6 +44,19 @@
             self.assertEqual(fleet.count_runs(), 2)
             self.assertTrue((await stream).is_whole)
 
+    async def test_stream_is_refused_by_the_time_since_the_signal(self) -> None:
+        """Guard against streams that a host takes late as it saw its signal late."""
+        async with PlatformFleet() as fleet:
+            process = fleet.hosts["host-0"].process
+            stream = await self.start_stream(fleet)
+            process.send_signal(signal.SIGSTOP)
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(SEEN_LATE_S)
+            process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(ACCEPTS_STREAMS_S - SEEN_LATE_S + 0.2)
+            self.assertEqual((await fleet.call("/stream/x")).status, 503)
+            self.assertTrue((await stream).is_whole)
+
     async def test_call_under_way_at_the_end_is_answered(self) -> None:
         """Guard against connections closed without an answer as the grace ends."""
         async with PlatformFleet(grace_s=3) as fleet:
