Pass answers back to a cut host without waiting for a proof

Callers of a host that is cut from its targets waited for a question to the target, for plain calls too, and some got 504 for it.

A caller who left in the meantime left the target's answer unclosed.

Now a peer passes on at once, and says what it knows already. A host that needs a proof, for a stream that may be taken up or is bound to a version, asks as it does over its own links; while these are in doubt, two peers ask for it.

A peer of an earlier build can't read the question; the stream then counts as unproven, as without an answer.

Tests: the one of what a peer says of the start no longer scripts the prover, which peers no longer have, but checks the proof itself; equally strict.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -69,6 +69,7 @@
     break_after: int | None = None
     refuse: bool = False  # answers 503 with Not-Executed
     n_refused: int = 0
+    n_reports: int = 0  # that hosts asked for
     # Added to all answers, such as what the target wants of the hosts.
     headers: dict[str, str] = field(default_factory=dict)
     fail: bool = False  # runs the request and answers with the status below
@@ -116,6 +117,7 @@
         if self.is_mute:
             await self.stop.wait()
         if request.path == "/trefoilstage/report":
+            self.n_reports += 1
             return web.json_response({"born": self.started_at_ms, "busy": False})
         if self.endless is not None:
             return await self._send_without_end(request, self.endless)
--- a/tests/components/peer_sends/test_peer_sends.py
+++ b/tests/components/peer_sends/test_peer_sends.py
@@ -36,7 +36,7 @@
 from trefoilstage.timer import TimerService
 
 LOOPBACK = "127.0.0.1"
-TARGET = make_target("i-1")
+TARGET = make_target("i-1", started_ms=5)
 OPTIONS = ForwardOptions(workspace="school", deadline_s=5.0)
 
 
@@ -70,7 +70,6 @@
     reaches_targets: bool = True
     delay_s: float = 0.0  # until the target answers
     usable: TargetEntry | None = TARGET
-    is_proven: bool = True
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     board: FleetBoard = field(default_factory=lambda: make_board("peer", ["peer"]))
     requests: list[CallerRequest] = field(default_factory=list)
@@ -82,7 +81,6 @@
         self.sends = PeerSendServer(
             board=self.board,
             chooser=cast(Any, self),
-            prover=cast(Any, self),
             monitor=cast(Any, self),
             sender=cast(Any, self),
             server=self.server,
@@ -100,9 +98,6 @@
     def find_usable(self, incarnation: str) -> TargetEntry | None:
         return self.usable
 
-    async def prove(self, *_: object) -> bool:
-        return self.is_proven
-
     def record_outcome(self, *_: object) -> None: ...
 
     def record_answer(self, *_: object) -> None: ...
@@ -177,12 +172,14 @@
     async def test_peer_says_whether_it_knows_which_start_answered(self) -> None:
         """Guard against a restarted target that answers through a peer unnoticed."""
         self.keep_only(self.peers[0])
-        for is_proven in (True, False):
-            self.peers[0].is_proven = is_proven
-            self.peers[0].outcome = self.make_answer(self.peers[0], b"one")
-            answer = await self.send_and_open()
-            self.assertEqual(answer.connected_at == float("-inf"), is_proven)
-            answer.close()
+        self.peers[0].board.targets.proofs.record_start(TARGET, 1.0)
+        for connected_at in (1.0, 2.0):
+            answer = self.make_answer(self.peers[0], b"one")
+            self.peers[0].outcome = replace(answer, connected_at=connected_at)
+            opened = await self.send_and_open()
+            is_proven = opened.connected_at == float("-inf")
+            self.assertEqual(is_proven, connected_at == 1.0)
+            opened.close()
 
     async def test_broken_answer_is_broken_for_the_caller(self) -> None:
         """Guard against an answer that ends early and looks complete."""
--- a/tests/components/peer_sends/test_probe.py
+++ b/tests/components/peer_sends/test_probe.py
@@ -14,11 +14,15 @@
     FleetConfiguration,
     TargetService,
 )
-from trefoilstage.components.peer_sends.messages import ProbeReply
+from trefoilstage.components.peer_sends.messages import (
+    AskStart,
+    ProbeReply,
+    StartReply,
+)
 from trefoilstage.components.peer_sends.probe import ConfirmedProbe
 from trefoilstage.exceptions import PeerUnavailableError
 
-TARGET = make_target("i-1", address="127.0.0.1:1")
+TARGET = make_target("i-1", address="127.0.0.1:1", started_ms=5)
 REFUSED = ProbeResult.REFUSED
 ACCEPTED = ProbeResult.ACCEPTED
 
@@ -26,17 +30,21 @@
 class ConfirmedProbeTest(unittest.IsolatedAsyncioTestCase):
     """Probe a target that refuses this host's connections."""
 
-    async def probe(
+    async def probe(self, **given: Any) -> ProbeResult:
+        """Return the result, by what other targets and the peers say."""
+        return await self.make_probe(**given).connect(TARGET.address)
+
+    def make_probe(
         self,
         *,
-        other_accepts: bool,
-        replies: Sequence[ProbeResult | None] | PeerUnavailableError = (),
+        other_accepts: bool = False,
+        replies: Sequence[Any] | PeerUnavailableError = (),
         n_peers: int = 2,
         own_result: ProbeResult = REFUSED,
         is_answering: bool = False,
         engine: Engine | None = None,
-    ) -> ProbeResult:
-        """Return the result, by what other targets and the peers say."""
+    ) -> ConfirmedProbe:
+        """Return the probe of a host whose peers give some replies."""
         names = [f"host-{number}" for number in range(n_peers + 1)]
         board = make_board("host-0", names)
         board.targets.apply_entry(TARGET)
@@ -46,21 +54,26 @@
         board.configuration = FleetConfiguration(services={TARGET.service: service})
         results: Any = replies
         if not isinstance(replies, PeerUnavailableError):
-            results = [ProbeReply(result=result) for result in replies]
+            results = [
+                item if isinstance(item, StartReply) else ProbeReply(result=item)
+                for item in replies
+            ]
         self.call = mock.AsyncMock(side_effect=results)
-        probe = ConfirmedProbe(
+        return ConfirmedProbe(
             board=board,
             probe=mock.Mock(connect=mock.AsyncMock(return_value=own_result)),
             start_probe=mock.Mock(
                 is_answering=mock.AsyncMock(return_value=is_answering)
             ),
-            monitor=mock.Mock(check=mock.AsyncMock(return_value=other_accepts)),
+            monitor=mock.Mock(
+                check=mock.AsyncMock(return_value=other_accepts),
+                is_confirmed=lambda _: False,
+            ),
             membership=mock.Mock(list_live_hosts=lambda: tuple(names)),
             links=mock.Mock(get_link=lambda _: mock.Mock(call=self.call)),
             server=mock.Mock(),
             generator=random.Random(1),
         )
-        return await probe.connect(TARGET.address)
 
     async def test_target_is_down_if_another_accepts(self) -> None:
         """Guard against peers that are asked about each target that is down."""
@@ -112,6 +125,18 @@
         result = await self.probe(other_accepts=False, replies=replies, n_peers=16)
         self.assertIs(result, ACCEPTED)
 
+    async def test_cut_host_learns_a_start_from_its_peers(self) -> None:
+        """Guard against streams that a host without links can't take up.
+
+        Its peers may be cut themselves, and ask no third one then.
+        """
+        replies = [StartReply(started_ms=None), StartReply(started_ms=5)]
+        probe = self.make_probe(replies=replies)
+        self.assertEqual(await probe.read_start(TARGET), 5)
+        reply = await probe._answer_start(AskStart(target=TARGET.incarnation))
+        self.assertIsNone(reply.started_ms)
+        self.assertEqual(self.call.await_count, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/promises/test_cut_from_targets.py
+++ b/tests/promises/test_cut_from_targets.py
@@ -37,7 +37,10 @@
         return PlatformFleet(n_hosts=3, n_targets=3, use_target_proxies=True)
 
     async def test_callers_of_a_cut_host_are_served(self) -> None:
-        """Guard against hosts that know no way to the targets but their own links."""
+        """Guard against hosts that know no way to the targets but their own links.
+
+        Their peers must not hold answers back that need no proof of a target's start.
+        """
         for mode in CutMode:
             with self.subTest(mode=mode):
                 async with self.make_fleet() as fleet:
@@ -51,6 +54,9 @@
                         ]
                         statuses = {answer.status for answer in answers}
                         self.assertEqual(statuses, {200}, path)
+                    self.assertEqual(
+                        [item.n_reports for item in fleet.targets], [0] * 3
+                    )
 
     async def test_cut_host_uses_its_own_links_when_they_are_back(self) -> None:
         """Guard against hosts that send through peers for good."""
--- a/trefoilstage/components/forwarding/start_prover.py
+++ b/trefoilstage/components/forwarding/start_prover.py
@@ -13,12 +13,16 @@
 ASK_AGAIN_AFTER_S = 1.0
 
 
-class StartProbe(Protocol):
+class StartReader(Protocol):
     """Read when a target started."""
 
     async def read_start(self, target: TargetEntry) -> int | None:
         """Return a target's start in Unix ms, None if it doesn't say."""
 
+
+class StartProbe(StartReader, Protocol):
+    """Ask targets themselves when they started."""
+
     async def is_answering(self, target: TargetEntry) -> bool:
         """Return whether the start that an entry names answers a new connection."""
 
@@ -26,7 +30,7 @@
 class StartProver:
     """Prove which start of a target a connection leads to."""
 
-    def __init__(self, *, board: FleetBoard, probe: StartProbe) -> None:
+    def __init__(self, *, board: FleetBoard, probe: StartReader) -> None:
         self._board = board
         self._probe = probe
         self._asked_at: dict[str, float] = {}  # by incarnation
--- a/trefoilstage/components/peer_sends/messages.py
+++ b/trefoilstage/components/peer_sends/messages.py
@@ -47,7 +47,8 @@
 
     head: AnswerHead
     headers: list[tuple[str, str]]
-    # Whether the peer's connection surely leads to the incarnation that was named.
+    # Whether the peer knows already that its connection leads to the incarnation that
+    # was named. Otherwise, a host that needs to know asks with AskStart.
     is_proven: bool = False
     is_framed: bool = True  # as of OpenAnswer
     kind: Literal["answer_started"] = "answer_started"
@@ -85,6 +86,22 @@
     kind: Literal["probe_reply"] = "probe_reply"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskStart:
+    """Ask a peer when a target started, as the target says itself."""
+
+    target: ShortText  # its incarnation
+    kind: Literal["ask_start"] = "ask_start"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartReply:
+    """Reply with a target's start in Unix ms, None if the peer can't tell."""
+
+    started_ms: int | None
+    kind: Literal["start_reply"] = "start_reply"
+
+
 PeerSendMessage = (
     SendToTarget
     | SendPending
@@ -94,4 +111,6 @@
     | AnswerEnded
     | ProbeTarget
     | ProbeReply
+    | AskStart
+    | StartReply
 )
--- a/trefoilstage/components/peer_sends/probe.py
+++ b/trefoilstage/components/peer_sends/probe.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import random
+from typing import Any
 
 from trefoilstage.components.crashes.probe import ProbeResult, TargetProbe
 from trefoilstage.components.fleet.membership import FleetMembership
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
 from trefoilstage.components.forwarding.start_prover import StartProbe
-from trefoilstage.components.peer_sends.messages import ProbeReply, ProbeTarget
+from trefoilstage.components.peer_sends.messages import (
+    AskStart,
+    ProbeReply,
+    ProbeTarget,
+    StartReply,
+)
 from trefoilstage.components.peers.links import PeerLinks
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.exceptions import PeerUnavailableError
@@ -19,6 +25,8 @@
 MAX_PEERS_ASKED = 24
 # A peer probes the target, and then others, each until the probe times out.
 ASK_TIMEOUT_S = 2.5
+# Each asks the target; one may be silent, or cut itself.
+N_ASKED_FOR_START = 2
 
 
 class ConfirmedProbe:
@@ -44,6 +52,7 @@
         self._links = links
         self._generator = generator
         server.register(ProbeTarget, self._answer)
+        server.register(AskStart, self._answer_start)
 
     async def connect(self, address: str) -> ProbeResult:
         """Return whether a target takes requests, as hosts with links find.
@@ -65,6 +74,25 @@
                 return known[0]
         return result
 
+    async def read_start(self, target: TargetEntry) -> int | None:
+        """Return a target's start in Unix ms, None if nobody that is asked can tell."""
+        if self._monitor.is_confirmed(target.service):
+            return await self._start_probe.read_start(target)
+        message = AskStart(target=target.incarnation)
+        tasks = [
+            asyncio.create_task(self._call(peer, message))
+            for peer in self._pick_peers(target.service)[:N_ASKED_FOR_START]
+        ]
+        try:
+            for next_done in asyncio.as_completed(tasks):
+                reply = await next_done
+                if isinstance(reply, StartReply) and reply.started_ms is not None:
+                    return reply.started_ms
+        finally:
+            for task in tasks:
+                task.cancel()
+        return None
+
     async def _probe_entry(self, entry: TargetEntry) -> ProbeResult:
         result = await self._probe.connect(entry.address)
         if result is not ProbeResult.ACCEPTED or not self._runs_engine(entry):
@@ -97,14 +125,17 @@
 
     async def _ask(self, peer: PeerState, entry: TargetEntry) -> ProbeResult | None:
         """Return what a peer finds, None if it can't tell."""
-        link = self._links.get_link(peer.peer_url)
+        reply = await self._call(peer, ProbeTarget(target=entry.incarnation))
+        return reply.result if isinstance(reply, ProbeReply) else None
+
+    async def _call(self, peer: PeerState, message: Any) -> Any:
+        """Return a peer's reply, None without one."""
         try:
-            reply = await link.call(
-                ProbeTarget(target=entry.incarnation), timeout_s=ASK_TIMEOUT_S
+            return await self._links.get_link(peer.peer_url).call(
+                message, timeout_s=ASK_TIMEOUT_S
             )
         except PeerUnavailableError:
             return None
-        return reply.result if isinstance(reply, ProbeReply) else None
 
     async def _answer(self, message: ProbeTarget) -> ProbeReply:
         entry = self._board.targets.find_incarnation(message.target)
@@ -113,3 +144,10 @@
         result = await self._probe_entry(entry)
         is_conclusive = await self._is_conclusive(result, entry.service)
         return ProbeReply(result=result if is_conclusive else None)
+
+    async def _answer_start(self, message: AskStart) -> StartReply:
+        """Ask a target over this host's own links only, never through a third."""
+        entry = self._board.targets.find_incarnation(message.target)
+        if entry is None or not self._monitor.is_confirmed(entry.service):
+            return StartReply(started_ms=None)
+        return StartReply(started_ms=await self._start_probe.read_start(entry))
--- a/trefoilstage/components/peer_sends/server.py
+++ b/trefoilstage/components/peer_sends/server.py
@@ -14,7 +14,6 @@
 from trefoilstage.components.forwarding.models import TargetEntry
 from trefoilstage.components.forwarding.reach_monitor import ReachMonitor
 from trefoilstage.components.forwarding.sender import Sender
-from trefoilstage.components.forwarding.start_prover import StartProver
 from trefoilstage.components.forwarding.target_chooser import TargetChooser
 from trefoilstage.components.forwarding.translator import ForwardOptions
 from trefoilstage.components.peer_sends.messages import (
@@ -43,7 +42,6 @@
         *,
         board: FleetBoard,
         chooser: TargetChooser,
-        prover: StartProver,
         monitor: ReachMonitor,
         sender: Sender,
         server: PeerServer,
@@ -51,7 +49,6 @@
     ) -> None:
         self._board = board
         self._chooser = chooser
-        self._prover = prover
         self._monitor = monitor
         self._sender = sender
         self._timer = timer
@@ -114,7 +111,7 @@
             started = AnswerStarted(
                 head=outcome.head,
                 headers=outcome.headers,
-                is_proven=await self._is_proven(message, outcome),
+                is_proven=self._is_proven(message, outcome),
                 is_framed=outcome.is_framed,
             )
             await self._pass_answer_back(outcome, started, reply)
@@ -123,15 +120,13 @@
         else:
             await reply(SendFailed(invalid=outcome))
 
-    async def _is_proven(self, message: SendToTarget, answer: OpenAnswer) -> bool:
-        """Return whether the start that the peer names answers.
-
-        The peer can't ask the target itself.
-        """
-        target = self._board.targets.find_incarnation(message.target)
-        if target is None or not answer.head.success:
-            return False
-        return await self._prover.prove(target, answer.connected_at)
+    def _is_proven(self, message: SendToTarget, answer: OpenAnswer) -> bool:
+        """Return whether the start that the peer names surely answers."""
+        targets = self._board.targets
+        target = targets.find_incarnation(message.target)
+        return target is not None and targets.is_start_proven(
+            target, answer.connected_at
+        )
 
     async def _pass_answer_back(
         self, answer: OpenAnswer, started: AnswerStarted, reply: Reply
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -222,11 +222,20 @@
         board=board, timer=timer, probe=probe, generator=generator
     )
     reach_monitor.subscribe(chooser.forget_failures)
-    prover = StartProver(board=board, probe=start_probe)
+    confirmed_probe = ConfirmedProbe(
+        board=board,
+        probe=probe,
+        start_probe=start_probe,
+        monitor=reach_monitor,
+        membership=membership,
+        links=links,
+        server=peer_server,
+        generator=generator,
+    )
+    prover = StartProver(board=board, probe=confirmed_probe)
     peer_sends = PeerSendServer(
         board=board,
         chooser=chooser,
-        prover=prover,
         monitor=reach_monitor,
         sender=sender,
         server=peer_server,
@@ -251,16 +260,7 @@
     )
     crash_watcher = CrashWatcher(
         host=board.host,
-        probe=ConfirmedProbe(
-            board=board,
-            probe=probe,
-            start_probe=start_probe,
-            monitor=reach_monitor,
-            membership=membership,
-            links=links,
-            server=peer_server,
-            generator=generator,
-        ),
+        probe=confirmed_probe,
         recorder=crash_recorder,
         server=peer_server,
         timer=timer,
