Let answers prove a start only up to when their request was sent

Callers got 200 and a text of two versions where a target came back with another version, registered later, while a slow caller still read its former data.

Cause: each part of an answer on a proven connection proved its start up to the moment the host read it. With a slow caller, that is seconds after the start has ended: the parts wait in the machine's buffers.

The new relay test failed before (the data proved its start), and those of the other two rules.

Now the head of an answer, of any request, proves its start up to when the request was sent, on a proven connection only. Once a target has named another start, the former one is not proven any further.

Tests: the one of data on a proven connection is replaced by one of answers that allows less.

--- a/tests/components/forwarding/test_start_prover.py
+++ b/tests/components/forwarding/test_start_prover.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from bench.emulator.clock import run_in_virtual_time
+from bench.emulator.limits import ANSWER_HEAD
 from tests.components.boards import make_board
-from tests.components.forwarding.common import make_target
+from tests.components.forwarding.common import REQUEST, make_route, make_target
+from tests.components.forwarding.test_pipeline import FixedAnswer
+from trefoilstage.components.forwarding.answers import AnswerBrokenError
+from trefoilstage.components.forwarding.models import RouteKind
+from trefoilstage.components.forwarding.relay import AnswerRelay
 from trefoilstage.components.forwarding.start_prover import (
     ASK_AGAIN_AFTER_S,
     REPORT_TIMEOUT_S,
     StartProver,
 )
+from trefoilstage.components.forwarding.stream_binding import StreamBinder
 
 TARGET = make_target("i-1", started_ms=5)
 
@@ -50,6 +57,8 @@
             await asyncio.sleep(ASK_AGAIN_AFTER_S)
             self.assertFalse(await self.prover.prove(TARGET, now))
             self.assertEqual(self.probe.read_start.await_count, 2)
+            ended = self.board.targets.proofs.ended
+            self.assertEqual(len(ended), 1 if started_ms else 0)
 
         for started_ms in (6, None):
             with self.subTest(started_ms=started_ms):
@@ -72,6 +81,29 @@
 
         run_in_virtual_time(check())
 
+    def test_data_that_is_read_proves_nothing(self) -> None:
+        """Guard against data of an ended start that a slow caller reads late."""
+        proofs = self.board.targets.proofs
+        proofs.record_start(TARGET, 1.0)
+        relay = AnswerRelay(
+            board=self.board,
+            binder=StreamBinder(
+                board=self.board, prover=self.prover, stream_versions=mock.Mock()
+            ),
+            runs=mock.Mock(),
+        )
+        answer = FixedAnswer(head=ANSWER_HEAD, headers=[], connected_at=1.0)
+        route = replace(make_route("/x/"), kind=RouteKind.STREAM)
+        state = mock.Mock(route=route, request=REQUEST, n_events=0)
+
+        async def check() -> None:
+            await asyncio.sleep(9.0)
+            with self.assertRaises(AnswerBrokenError):
+                await relay.relay(state, mock.Mock(), answer, TARGET)
+
+        run_in_virtual_time(check())
+        self.assertFalse(proofs.is_proven(TARGET, 1.1))
+
     def test_target_that_is_not_listed_is_not_asked(self) -> None:
         """Guard against questions to targets that have left."""
 
--- a/tests/components/forwarding/test_target_chooser.py
+++ b/tests/components/forwarding/test_target_chooser.py
@@ -230,6 +230,15 @@
         text = self.chooser.explain_no_target(bound)
         self.assertIn("2 run another version than v1", text)
 
+    def test_answer_proves_its_start_up_to_when_it_was_asked_for(self) -> None:
+        """Guard against the answer of a start that ended meanwhile."""
+        target = make_target("i-1", started_ms=5)
+        self.board.targets.proofs.record_start(target, 1.0)
+        answer = OpenAnswer(head=ANSWER_HEAD, headers=[], connected_at=1.0)
+        self.chooser.record_answer(target, answer, 3.0)
+        self.assertTrue(self.board.targets.is_start_proven(target, 3.0))
+        self.assertFalse(self.board.targets.is_start_proven(target, 3.1))
+
     def ask_for_rest(self, target: TargetEntry, rest_s: float) -> None:
         """Record a refusal by a target that asks for rest."""
         head = replace(ANSWER_HEAD, status=503, not_run=True, rest_s=rest_s)
--- a/tests/components/targets/test_start_proofs.py
+++ b/tests/components/targets/test_start_proofs.py
@@ -49,14 +49,20 @@
         self.assertTrue(self.is_proven(1.5))
         self.assertFalse(self.is_proven(2.0))
 
-    def test_data_on_a_proven_connection_proves_others(self) -> None:
-        """Guard against streams that become unknown while the store is away."""
-        self.proofs.record_entry(replace(FIRST, sequence=1), 2.0)
-        self.proofs.record_data(FIRST, 1.9, 5.0)
-        self.assertTrue(self.is_proven(4.9))
-        self.proofs.record_data(FIRST, 5.1, 6.0)
+    def test_answer_on_a_proven_connection_proves_others(self) -> None:
+        """Guard against streams that become unknown while a target can't be asked."""
+        self.proofs.record_answer(FIRST, 1.0, 5.0)
+        self.assertTrue(self.is_proven(5.0))
+        self.proofs.record_answer(FIRST, 5.1, 6.0)
         self.assertFalse(self.is_proven(5.1))
 
+    def test_start_that_gave_way_to_another_is_not_proven_anew(self) -> None:
+        """Guard against a sign of life that arrives after the end of its start."""
+        self.proofs.record_other_start(FIRST)
+        self.proofs.record_answer(FIRST, 1.0, 5.0)
+        self.proofs.record_start(FIRST, 5.0)
+        self.assertEqual((self.is_proven(1.0), self.is_proven(1.1)), (True, False))
+
     def test_sign_of_life_of_a_new_start_proves_only_that_one(self) -> None:
         """Guard against a former start that counts as running after its end."""
         self.directory.apply_entry(SECOND)
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -98,7 +98,6 @@
         async for data in answer.read():
             state.record_target_data(asyncio.get_running_loop().time())
             self._runs.record_progress(state)
-            self._binder.record_data(target, answer)
             received = splitter.add(data)
             buffer.resize(splitter.n_partial_bytes)
             if received and not is_bound:
--- a/trefoilstage/components/forwarding/start_prover.py
+++ b/trefoilstage/components/forwarding/start_prover.py
@@ -74,6 +74,8 @@
             self._asked_at.pop(target.incarnation, None)
             self._board.targets.proofs.record_start(target, asked_at)
             return
+        if started_ms is not None:
+            self._board.targets.proofs.record_other_start(target)
         log_event(
             Event.TARGET_START_UNPROVEN,
             target=target.incarnation,
--- a/trefoilstage/components/forwarding/stream_binding.py
+++ b/trefoilstage/components/forwarding/stream_binding.py
@@ -88,13 +88,6 @@
                 state.stream_source,
             )
 
-    def record_data(self, target: TargetEntry, answer: OpenAnswer) -> None:
-        """Record that a target sent data, which is a sign of life."""
-        if target.has_reusable_name:
-            self._board.targets.proofs.record_data(
-                target, answer.connected_at, asyncio.get_running_loop().time()
-            )
-
     async def may_continue(self, state: RequestState) -> bool:
         """Return whether the version of the events that the caller holds is certain."""
         source = state.stream_source
--- a/trefoilstage/components/forwarding/target_outcomes.py
+++ b/trefoilstage/components/forwarding/target_outcomes.py
@@ -64,6 +64,10 @@
             self._record_limit(target, answer.head, sent_at)
             self._record_rest(target, answer.head)
             self._record_leaving(target, answer.head)
+        if isinstance(answer, OpenAnswer):
+            self._board.targets.proofs.record_answer(
+                target, answer.connected_at, sent_at
+            )
         if isinstance(answer, NotRun) and answer.misdirected:
             self._board.targets.remove_incarnation(target)
             log_event(Event.TARGET_REPLACED, target=target.name)
--- a/trefoilstage/components/targets/start_proofs.py
+++ b/trefoilstage/components/targets/start_proofs.py
@@ -4,7 +4,8 @@
 software, and be registered only later. Until then the store has the former entry, so
 reading it proves nothing. Starts of a target don't overlap, so a sign of life of one
 start proves all connections that were opened before the sign and after the start
-became known.
+became known. Data may be read long after its target ended, as callers read slowly: an
+answer shows only that its target ran after the request was sent.
 """
 
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
     # When an incarnation surely ran, by incarnation.
     proven_at: dict[str, float] = field(default_factory=dict)
     sequences: dict[str, int] = field(default_factory=dict)
+    ended: set[str] = field(default_factory=set)  # another start has answered since
 
     def record_entry(self, entry: TargetEntry, written_after: float) -> None:
         """Record a target's entry, written after a given time."""
@@ -29,15 +31,21 @@
         if known is None or entry.sequence > known:
             self._prove(incarnation, written_after)
 
-    def record_data(self, target: TargetEntry, connected_at: float, now: float) -> None:
-        """Record that a target sent data over a connection."""
+    def record_answer(
+        self, target: TargetEntry, connected_at: float, sent_at: float
+    ) -> None:
+        """Record that a request sent at a given time was answered on a connection."""
         if connected_at <= self.proven_at.get(target.incarnation, float("-inf")):
-            self._prove(target.incarnation, now)
+            self._prove(target.incarnation, sent_at)
 
     def record_start(self, target: TargetEntry, asked_at: float) -> None:
         """Record that a target that was asked at a given time named this start."""
         self._prove(target.incarnation, asked_at)
 
+    def record_other_start(self, target: TargetEntry) -> None:
+        """Record that a target that was asked named another start than its entry."""
+        self.ended.add(target.incarnation)
+
     def is_proven(self, target: TargetEntry, connected_at: float) -> bool:
         """Return whether a connection leads to the start that an entry names."""
         if not target.has_reusable_name:
@@ -49,7 +57,10 @@
         for known in (self.proven_at, self.sequences):
             for incarnation in known.keys() - incarnations:
                 del known[incarnation]
+        self.ended &= incarnations
 
     def _prove(self, incarnation: str, proven_at: float) -> None:
+        if incarnation in self.ended:
+            return
         known = self.proven_at.get(incarnation, float("-inf"))
         self.proven_at[incarnation] = max(proven_at, known)
