Believe no start of a target on its heartbeats

A stream of a target that came back could count as the former start's, whose version a caller would then have got for the rest of its text.

Cause: an entry with a higher sequence proved its start up to the read before.

Now only answers and the target's own report prove a start. What told when a record was written at the earliest is removed, as nothing else used it.

Tests: those of the time of a record, of whole reads and of an entry as a sign of life tested what is removed; one that allows less replaces the last.

--- a/tests/components/targets/test_start_proofs.py
+++ b/tests/components/targets/test_start_proofs.py
@@ -18,7 +18,6 @@
         self.directory = TargetDirectory()
         self.proofs = self.directory.proofs
         self.directory.apply_entry(FIRST)
-        self.proofs.record_entry(FIRST, float("-inf"))
         self.proofs.record_start(FIRST, 1.0)
 
     def is_proven(self, connected_at: float) -> bool:
@@ -32,23 +31,17 @@
         self.proofs.record_start(FIRST, 1.4)
         self.assertTrue(self.is_proven(1.1))
 
-    def test_entry_that_is_read_again_proves_nothing(self) -> None:
-        """Guard against a target that is back, and registered only later."""
-        self.directory.apply_entry(FIRST)
-        self.proofs.record_entry(FIRST, 3.0)
-        self.assertFalse(self.is_proven(1.1))
+    def test_entry_proves_nothing(self) -> None:
+        """Guard against a heartbeat that the store writes after its start ended."""
+        for sequence in (0, 1, 2):
+            self.directory.apply_entry(replace(FIRST, sequence=sequence))
+            self.assertFalse(self.is_proven(1.1))
 
     def test_name_that_is_not_reused_needs_no_proof(self) -> None:
         """Guard against streams that are lost where targets change their names."""
         target = make_target("i-2")
         self.assertTrue(self.directory.is_start_proven(target, 99.0))
 
-    def test_entry_that_was_written_anew_is_a_sign_of_life(self) -> None:
-        """Guard against streams that are lost while a target can't be asked."""
-        self.proofs.record_entry(replace(FIRST, sequence=1), 1.8)
-        self.assertTrue(self.is_proven(1.5))
-        self.assertFalse(self.is_proven(2.0))
-
     def test_answer_on_a_proven_connection_proves_others(self) -> None:
         """Guard against streams that become unknown while a target can't be asked."""
         self.proofs.record_answer(FIRST, 1.0, 5.0)
--- a/tests/components/views/test_follower.py
+++ b/tests/components/views/test_follower.py
@@ -10,7 +10,7 @@
 from tests.components.boards import make_board
 from trefoilstage.components.views.follower import REWRITE_S, ViewFollower
 from trefoilstage.components.views.keyed_view import KeyedRecord
-from trefoilstage.components.views.store import RecordBatch, Topic
+from trefoilstage.components.views.store import Topic
 
 
 class RepeatedRecordTest(unittest.IsolatedAsyncioTestCase):
@@ -45,69 +45,6 @@
         self.assertEqual(self.count_passed_on(Topic.TARGETS, None), 0)
 
 
-class ReadTimesTest(unittest.TestCase):
-    """Follow a topic and check when its records were written, at the earliest."""
-
-    async def follow(self) -> None:
-        loop = asyncio.get_running_loop()
-        store = KeyedStore()
-        times: dict[bytes | None, float] = {}
-
-        def record(records: list[KeyedRecord]) -> None:
-            times.update({item.value: follower.written_after for item in records})
-
-        follower = ViewFollower(
-            board=make_board("host-0", ["host-0"]),
-            store=store,
-            topic=Topic.TARGETS,
-            wait_s=0.0,
-            get_pause=lambda: 0.4,
-            on_change=record,
-            on_restored=mock.Mock(),
-        )
-        await store.put(Topic.TARGETS, "a", b"1")
-        await follower.on_start()
-        await asyncio.sleep(1.0)
-        written_at = loop.time()
-        await store.put(Topic.TARGETS, "a", b"2")
-        await asyncio.sleep(0.5)
-        self.assertEqual(times[b"1"], float("-inf"))
-        self.assertLessEqual(times[b"2"], written_at)
-        self.assertGreater(times[b"2"], written_at - 0.5)
-        follower.merge([KeyedRecord(key="b", offset=9, value=b"3")])
-        self.assertEqual(times[b"3"], float("-inf"))
-        await follower.stop()
-
-    async def follow_parts(self) -> None:
-        part = RecordBatch(records=[], end_offset=0, is_whole=False)
-        store = mock.Mock(
-            list_newest=mock.AsyncMock(return_value=part),
-            read=mock.AsyncMock(return_value=part),
-        )
-        follower = ViewFollower(
-            board=make_board("host-0", ["host-0"]),
-            store=store,
-            topic=Topic.TARGETS,
-            wait_s=0.0,
-            get_pause=lambda: 0.4,
-            on_change=mock.Mock(),
-            on_restored=mock.Mock(),
-        )
-        await follower.on_start()
-        await asyncio.sleep(2.0)
-        await follower.stop()
-        store.read.assert_awaited()
-        self.assertEqual(follower.written_after, float("-inf"))
-
-    def test_read_that_leaves_records_unread_tells_no_time(self) -> None:
-        """Guard against entries that count as current before all were read."""
-        run_in_virtual_time(self.follow_parts())
-
-    def test_time_of_a_record_is_that_of_the_read_before(self) -> None:
-        """Guard against a late record that counts as written when it was read."""
-        run_in_virtual_time(self.follow())
-
-
 class RestoredStoreTest(unittest.TestCase):
     """Follow a topic of a store that comes back from an older copy."""
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -247,13 +247,6 @@
             decode_target("i-1", decode_item(found[0], 0).value or b"")
         self.assertEqual(decode_item(found[1], 0).value, b"v")
 
-    def test_read_that_leaves_records_unread_is_not_whole(self) -> None:
-        """Guard against a part of the records that counts as all of them."""
-        record = encode_record("a", b"1")
-        for end_offset, is_whole in ((8, True), (9, False)):
-            batch = decode_records(struct.pack(">QQ", end_offset, 0) + record, 7)
-            self.assertEqual(batch.is_whole, is_whole)
-
     def test_truncated_response_is_store_unavailable(self) -> None:
         for data in (b"", b"\0" * 15, struct.pack(">QQ", 9, 0) + b"\0\0"):
             with self.assertRaises(StoreUnavailableError):
--- a/trefoilstage/components/fleet/board_updater.py
+++ b/trefoilstage/components/fleet/board_updater.py
@@ -38,15 +38,14 @@
         topic: Topic,
         records: list[KeyedRecord],
         now: float,
-        written_after: float = float("-inf"),
     ) -> None:
-        """Apply the records of a topic, which were written after a given time."""
+        """Apply the records of a topic."""
         for record in records:
             try:
                 if topic is Topic.CONFIGURATION:
                     self._apply_operator_record(record, now)
                 else:
-                    self._apply_target(record, now, written_after)
+                    self._apply_target(record, now)
             except MalformedMessageError as error:
                 # If a configuration is malformed, the previous one stays in force.
                 if topic is Topic.TARGETS:
@@ -115,9 +114,7 @@
         """Return whether the store may still have what its copy had."""
         return now - self._board.store.restored_at < REWRITE_S
 
-    def _apply_target(
-        self, record: KeyedRecord, now: float, written_after: float
-    ) -> None:
+    def _apply_target(self, record: KeyedRecord, now: float) -> None:
         targets = self._board.targets
         if record.value is None:
             store = self._board.store
@@ -136,8 +133,6 @@
         if not is_older:
             targets.record_cold_time(entry, now)
         is_applied = not is_older and targets.apply_entry(entry)
-        if is_applied and not self._may_be_from_copy(now):
-            targets.proofs.record_entry(entry, written_after)
         if not is_applied:
             log_event(
                 Event.TARGET_ENTRY_STALE,
--- a/trefoilstage/components/targets/start_proofs.py
+++ b/trefoilstage/components/targets/start_proofs.py
@@ -2,10 +2,11 @@
 
 A target may start again under its name and address, with another version of its
 software, and be registered only later. Until then the store has the former entry, so
-reading it proves nothing. Starts of a target don't overlap, so a sign of life of one
-start proves all connections that were opened before the sign and after the start
-became known. Data may be read long after its target ended, as callers read slowly: an
-answer shows only that its target ran after the request was sent.
+reading it proves nothing. Nor does an entry that was written anew: the store may carry
+out a heartbeat seconds after its target ended. Starts of a target don't overlap, so a
+sign of life of one start proves all connections that were opened before the sign and
+after the start became known. Data may be read long after its target ended, as callers
+read slowly: an answer shows only that its target ran after the request was sent.
 """
 
 from dataclasses import dataclass, field
@@ -19,18 +20,8 @@
 
     # When an incarnation surely ran, by incarnation.
     proven_at: dict[str, float] = field(default_factory=dict)
-    sequences: dict[str, int] = field(default_factory=dict)
     ended: set[str] = field(default_factory=set)  # another start has answered since
 
-    def record_entry(self, entry: TargetEntry, written_after: float) -> None:
-        """Record a target's entry, written after a given time."""
-        incarnation = entry.incarnation
-        known = self.sequences.get(incarnation)
-        self.sequences[incarnation] = max(entry.sequence, known or 0)
-        # An entry that was not written anew is no sign of life.
-        if known is None or entry.sequence > known:
-            self._prove(incarnation, written_after)
-
     def record_answer(
         self, target: TargetEntry, connected_at: float, sent_at: float
     ) -> None:
@@ -54,9 +45,8 @@
 
     def keep_only(self, incarnations: set[str]) -> None:
         """Forget incarnations that are not listed any more."""
-        for known in (self.proven_at, self.sequences):
-            for incarnation in known.keys() - incarnations:
-                del known[incarnation]
+        for incarnation in self.proven_at.keys() - incarnations:
+            del self.proven_at[incarnation]
         self.ended &= incarnations
 
     def _prove(self, incarnation: str, proven_at: float) -> None:
--- a/trefoilstage/components/views/follower.py
+++ b/trefoilstage/components/views/follower.py
@@ -53,9 +53,6 @@
         self._rewrite_s = TARGETS_REWRITE_S if topic is Topic.TARGETS else REWRITE_S
         # When records that a restored store lacks count as deleted.
         self._list_again_at = float("inf")
-        # When the records that are being applied were written, at the earliest.
-        self.written_after = float("-inf")
-        self._read_began_at = float("-inf")  # of the last one that left nothing unread
         self.has_listing = False  # whether the topic was read from the store
         # A target's entry says how long it is cold from when the entry was written.
         self.view = KeyedView(reports_repeats=topic is Topic.TARGETS)
@@ -69,7 +66,6 @@
         newest = max((record.offset for record in records), default=0)
         if self._board.store.record_position(newest, self._now()):
             self._on_restored()
-        self.written_after = float("-inf")
         self._notify(self.view.merge(records))
 
     async def _follow_topic(self) -> None:
@@ -97,9 +93,7 @@
         if self._now() >= self._list_again_at:
             self._list_again_at = float("inf")
             self.has_listing = False
-        began_at = self._now()
         if not self.has_listing:
-            self._read_began_at = float("-inf")
             batch = await self._store.list_newest(self._topic)
             now = self._now()
             self._board.store.record_response(now)
@@ -126,10 +120,7 @@
             # a target whose entry expired during the outage may register again.
             self._board.store.record_response(self._now())
             changed = self.view.merge(batch.records)
-        self.written_after = self._read_began_at
         self._notify(changed)
-        if batch.is_whole:
-            self._read_began_at = began_at
 
     def _notify(self, changed: list[KeyedRecord]) -> None:
         if changed:
--- a/trefoilstage/components/views/store.py
+++ b/trefoilstage/components/views/store.py
@@ -54,7 +54,6 @@
 
     records: list[KeyedRecord]
     end_offset: int
-    is_whole: bool = True  # whether the topic has no further records
 
 
 class Store(Protocol):
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -125,7 +125,6 @@
                 topic,
                 records,
                 asyncio.get_running_loop().time(),
-                followers[topic].written_after,
             )
 
     def write_again() -> None:
--- a/trefoilstage/platform/store.py
+++ b/trefoilstage/platform/store.py
@@ -277,9 +277,10 @@
     """Decode the response to a read that began at an offset."""
     records: list[KeyedRecord] = []
     try:
-        # The response starts with the partition's end and its first kept offset. It may
-        # contain only some of the records up to the end, so neither is the next offset.
-        partition_end, _ = PARTITION_OFFSETS.unpack_from(data)
+        # The response starts with the partition's end and its first kept offset; here,
+        # only their presence is checked. The response may contain only some of the
+        # records up to the end, so neither is the next offset.
+        PARTITION_OFFSETS.unpack_from(data)
         position = PARTITION_OFFSETS.size
         while position < len(data):
             (length,) = RECORD_LENGTH.unpack_from(data, position)
@@ -291,12 +292,7 @@
             records.append(decode_keyed_record(content, offset + len(records)))
     except struct.error as error:
         raise StoreUnavailableError("malformed records") from error
-    end_offset = offset + len(records)
-    return RecordBatch(
-        records=records,
-        end_offset=end_offset,
-        is_whole=split_position(end_offset)[1] >= partition_end,
-    )
+    return RecordBatch(records=records, end_offset=offset + len(records))
 
 
 def decode_keyed_record(content: bytes, offset: int) -> KeyedRecord:
