Know nothing of a stream whose id is unproven anywhere on the host

A caller that used one id for two streams could get the version of the first for the text of the second.

Cause: a host that knew a version of an id still named it while a second report of that id was not proven, and again once that report was given up. Of two unproven reports of one version, from different targets, the second replaced the first.

Now an unproven id is unknown on its host, and stays so if it is never proven and another report came before. Unproven reports of different versions or targets are a conflict for good. What a home says goes the same way as a report.

--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -17,6 +17,7 @@
 from trefoilstage.components.peers.server import PeerServer
 from trefoilstage.components.stream_versions.controller import (
     CHECK_INTERVAL_S,
+    MAX_PROOF_S,
     N_COPIES,
     REPORT_DELAY_S,
     StreamVersions,
@@ -27,6 +28,7 @@
 
 WORKSPACE = "school"
 TARGET = make_target("i-1", started_ms=5)
+OTHER = make_target("i-2", started_ms=5)
 V1 = StreamVersion(service="assistant", version="v1")
 SETTLE_S = CHECK_INTERVAL_S + 3 * REPORT_DELAY_S
 N_LARGE = 40
@@ -249,17 +251,37 @@
     def test_id_of_two_streams_is_not_believed(self) -> None:
         """Guard against the version of one stream that hides the other's."""
 
-        async def check() -> None:
-            fleet = Fleet(2)
-            fleet.boards["host-0"].targets.apply_entry(TARGET)
-            source = StreamSource(target=TARGET, connected_at=0.0)
-            fleet.hosts["host-0"].record(WORKSPACE, ["r-1"], V1, source)
-            other = StreamVersion(service="assistant", version="v2")
-            fleet.hosts["host-1"].record(WORKSPACE, ["r-1"], other)
-            await asyncio.sleep(SETTLE_S)
-            self.assertIsNone(await fleet.find("host-0", "r-1"))
+        unproven = StreamSource(target=TARGET, connected_at=0.0)
+        other = StreamSource(target=OTHER, connected_at=0.0)
+        v2 = StreamVersion(service="assistant", version="v2")
 
-        self.run_fleet(check())
+        async def check(*reports: tuple[StreamVersion, StreamSource | None]) -> None:
+            fleet = Fleet(2)
+            for board in fleet.boards.values():
+                board.targets.apply_entry(TARGET)
+                board.targets.apply_entry(OTHER)
+            fleet.probe.read_start.side_effect = lambda target: (
+                5 if target == OTHER else None
+            )
+            for host, (version, source) in zip(
+                fleet.hosts.values(), reports, strict=True
+            ):
+                host.record(WORKSPACE, ["r-1"], version, source)
+                await asyncio.sleep(SETTLE_S)
+            for wait_s in (0.0, MAX_PROOF_S):
+                await asyncio.sleep(wait_s)
+                for name in fleet.hosts:
+                    self.assertIsNone(await fleet.find(name, "r-1"))
+
+        for reports in (
+            ((V1, unproven), (v2, None)),
+            ((v2, None), (V1, unproven)),
+            ((V1, None), (V1, unproven)),
+            ((V1, unproven), (v2, other)),
+            ((V1, unproven), (V1, other)),
+        ):
+            with self.subTest(reports=reports):
+                run_in_virtual_time(check(*reports))
 
     def test_first_answer_is_enough(self) -> None:
         """Guard against a caller that waits for homes that are silent."""
--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -62,6 +62,14 @@
     version: StreamVersion
     source: StreamSource | None
 
+    def differs_from(self, other: "ServedStream") -> bool:
+        """Return whether two reports under one id can't be of the same stream."""
+        if self.version != other.version:
+            return True
+        if self.source is None or other.source is None:
+            return False
+        return self.source.target.incarnation != other.source.target.incarnation
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UnprovenStream:
@@ -142,7 +150,7 @@
 
     def _add(self, keys: Iterable[str], stream: ServedStream) -> None:
         now = self._timer.now()
-        keys = [key for key in keys if not self._is_ambiguous(key, stream.version)]
+        keys = [key for key in keys if not self._is_ambiguous(key, stream)]
         if self._is_proven(stream):
             for key in keys:
                 self._unproven.pop(key, None)
@@ -154,14 +162,13 @@
             self._is_proof_scheduled = True
             self.add_future(self._prove_streams())
 
-    def _is_ambiguous(self, key: str, version: StreamVersion) -> bool:
-        """Return whether another version was reported; then neither is believed."""
+    def _is_ambiguous(self, key: str, stream: ServedStream) -> bool:
+        """Return whether another stream was reported; then neither is believed."""
         other = self._unproven.get(key)
-        if other is None or other.stream.version == version:
+        if other is None or not other.stream.differs_from(stream):
             return False
         del self._unproven[key]
-        for item in (other.stream.version, version):
-            self._table.add([key], item, self._timer.now())
+        self._table.add_ambiguous(key, self._timer.now())
         return True
 
     def _is_proven(self, stream: ServedStream) -> bool:
@@ -183,6 +190,8 @@
                     self._add_proven(key, item)
                 elif age_s > MAX_PROOF_S:
                     del self._unproven[key]
+                    if key in self._table.streams:
+                        self._table.add_ambiguous(key, now)
                 elif source and key in self._active:
                     late[source.target.incarnation] = source
             for source in late.values():
@@ -211,9 +220,10 @@
         if known is not None or key in self._table.streams:
             return known
         known = await self._ask_homes(key)
-        if known is not None:
-            self._table.add([key], known, self._timer.now())
-        return known
+        if known is None:
+            return None
+        self._add([key], ServedStream(version=known, source=None))
+        return self._table.get(key)
 
     async def _ask_homes(self, key: str) -> StreamVersion | None:
         homes = [home for home in self._rank_homes(key) if home != self._board.host]
@@ -258,7 +268,7 @@
             item = self._unproven.get(key)
             if item is not None and self._is_proven(item.stream):
                 self._add_proven(key, item)
-        return self._table.get(key)
+        return None if key in self._unproven else self._table.get(key)
 
     async def _receive_streams(self, message: StreamsBegan) -> None:
         source = None
--- a/trefoilstage/components/stream_versions/table.py
+++ b/trefoilstage/components/stream_versions/table.py
@@ -36,6 +36,12 @@
             )
         self._remove_expired(now)
 
+    def add_ambiguous(self, key: str, now: float) -> None:
+        """Record that streams were reported under one id that can't be told apart."""
+        self.streams.pop(key, None)
+        self.streams[key] = KnownStream(version=None, recorded_at=now)
+        self._remove_expired(now)
+
     def get(self, key: str) -> StreamVersion | None:
         """Return the version that began a stream, None if it is not known."""
         known = self.streams.get(key)
