Refuse requests that send a header with different values

Callers that sent Token-Count twice got 200; a target that reads the first one may use more tokens than were held for the last.

The extended test failed before for each of the six headers (no error raised).

Now the check holds for each header that hosts go by and targets may read, also Prompt-Prefix, Model, Host, Deadline-Ms and Key. The same value twice is still accepted.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -150,17 +150,31 @@
             with self.assertRaises(MalformedRequestError):
                 self.read_request(**extra)
 
-    def test_repeated_id_with_other_value_is_rejected(self) -> None:
-        """Guard against a stream that is taken up as a new one, at any version."""
+    def test_repeated_header_with_other_value_is_rejected(self) -> None:
+        """Guard against a stream taken up at any version, and tokens that nobody pays.
 
-        def read(*values: str):  # type: ignore[no-untyped-def]
-            pairs = [("last-event-id", value) for value in values]
+        A target may go by another value than the host.
+        """
+
+        def read(*values: str, name: str = "last-event-id"):  # type: ignore[no-untyped-def]
+            pairs = [(name, value) for value in values]
             return TRANSLATOR.read_request(method="POST", raw_target="/", headers=pairs)
 
         for values in (("7", ""), ("", "7"), ("7", "8")):
             with self.subTest(values=values), self.assertRaises(MalformedRequestError):
                 read(*values)
         self.assertEqual(read("7", "7").last_event_id, "7")
+        for name in (
+            "Token-Count",
+            "Prompt-Prefix",
+            "Model",
+            "Host",
+            "Deadline-Ms",
+            "Key",
+        ):
+            refused = self.assertRaisesRegex(MalformedRequestError, name)
+            with self.subTest(name=name), refused:
+                read("7", "8", name=name.lower())
 
     def test_answer_of_another_request_is_not_trusted(self) -> None:
         """Decode answers without a seal, for another request, or with an encoding."""
--- a/trefoilstage/platform/headers.py
+++ b/trefoilstage/platform/headers.py
@@ -30,6 +30,8 @@
 HEADER_TOKEN_COUNT: Final = "Token-Count"  # prompt tokens, maximum output tokens
 HEADER_LENGTH_HINT: Final = "Length-Hint"  # the caller's estimate of output tokens
 HEADER_PROMPT_PREFIX: Final = "Prompt-Prefix"
+HEADER_MODEL: Final = "Model"
+HEADER_HOST: Final = "Host"
 HEADER_EXPECT_INSTANCE: Final = "Expect-Instance"
 HEADER_URGENCY: Final = "Request-Urgency"  # 0 is the most urgent
 HEADER_KV_FETCH: Final = "Kv-Fetch"  # address of the engine to fetch KV cache from
@@ -40,8 +42,18 @@
 HEADER_LEAVING: Final = "Server-Leaving"
 HEADER_BRITTLE: Final = "Server-Brittle"  # falls over above these refusals a second
 HEADER_LIMIT: Final = "Server-Limit"  # requests a second, from all hosts together
-# Headers that say which stream a request belongs to.
-ID_HEADERS: Final = (HEADER_ATTEMPT_ID, HEADER_LAST_EVENT_ID, HEADER_RESUMES)
+# Headers of a request that this host goes by, and a target too.
+SINGLE_HEADERS: Final = (
+    HEADER_ATTEMPT_ID,
+    HEADER_LAST_EVENT_ID,
+    HEADER_RESUMES,
+    HEADER_TOKEN_COUNT,
+    HEADER_PROMPT_PREFIX,
+    HEADER_MODEL,
+    HEADER_HOST,
+    HEADER_DEADLINE,
+    HEADER_KEY,
+)
 HTTP_MISDIRECTED: Final = 421
 HTTP_UNAVAILABLE: Final = 503
 # Ids seen from callers have 16 characters. Messages between hosts allow names of up to
@@ -113,7 +125,7 @@
         pairs = list(headers)
         values = {name.lower(): value for name, value in pairs}
         if len(values) < len(pairs):
-            check_repeated_ids(pairs)
+            check_repeated_headers(pairs)
         n_prompt_tokens, max_output_tokens = parse_token_count(
             values.get("token-count")
         )
@@ -198,14 +210,14 @@
         )
 
 
-def check_repeated_ids(pairs: Iterable[tuple[str, str]]) -> None:
-    """Raise MalformedRequestError if a caller sent different values of an id.
+def check_repeated_headers(pairs: Iterable[tuple[str, str]]) -> None:
+    """Raise MalformedRequestError if a caller sent different values of a header.
 
-    All of them are forwarded, and a target may go by another one than this host.
+    A target that gets all of them may go by another one than this host.
     """
     received = {(name.lower(), value) for name, value in pairs}
     n_values = Counter(name for name, _ in received)
-    for name in ID_HEADERS:
+    for name in SINGLE_HEADERS:
         if n_values[name.lower()] > 1:
             raise MalformedRequestError(f"the {name} header has several values")
 
