Ask a target for its start as a stream begins, not 0.1 s later

Streams were unknown, and their callers refused, where a target crashed soon after they had begun. Since data no longer proves a start, nearly each stream on a new connection needs the question, so waiting for other proofs loses streams and saves nothing.

Streams that begin within 0.1 s still share the next question. The new test failed before (the stream was unknown).

--- a/tests/components/stream_versions/test_controller.py
+++ b/tests/components/stream_versions/test_controller.py
@@ -19,6 +19,7 @@
     CHECK_INTERVAL_S,
     MAX_PROOF_S,
     N_COPIES,
+    PROOF_INTERVAL_S,
     REPORT_DELAY_S,
     StreamVersions,
 )
@@ -248,6 +249,22 @@
                 result = run_in_virtual_time(check(kill_after_s, start))
                 self.assertEqual(result, found)
 
+    def test_target_is_asked_as_its_stream_begins(self) -> None:
+        """Guard against streams that are lost with a target that crashes soon after."""
+
+        async def check() -> None:
+            fleet = Fleet(2)
+            fleet.boards["host-0"].targets.apply_entry(TARGET)
+            fleet.probe.read_start.return_value = TARGET.started_ms
+            source = StreamSource(target=TARGET, connected_at=0.0)
+            fleet.hosts["host-0"].record(WORKSPACE, ["r-1"], V1, source)
+            await asyncio.sleep(PROOF_INTERVAL_S / 2)
+            fleet.probe.read_start.return_value = None
+            await asyncio.sleep(SETTLE_S)
+            self.assertEqual(await fleet.find("host-1", "r-1"), V1)
+
+        self.run_fleet(check())
+
     def test_id_of_two_streams_is_not_believed(self) -> None:
         """Guard against the version of one stream that hides the other's."""
 
--- a/trefoilstage/components/stream_versions/controller.py
+++ b/trefoilstage/components/stream_versions/controller.py
@@ -180,7 +180,6 @@
     async def _prove_streams(self) -> None:
         """Add streams to the table once the start of their target is proven."""
         while self._unproven:
-            await asyncio.sleep(PROOF_INTERVAL_S)
             now = self._timer.now()
             late: dict[str, StreamSource] = {}
             for key, item in list(self._unproven.items()):
@@ -196,6 +195,7 @@
                     late[source.target.incarnation] = source
             for source in late.values():
                 self.add_future(self._prover.prove(source.target, source.connected_at))
+            await asyncio.sleep(PROOF_INTERVAL_S)
         self._is_proof_scheduled = False
 
     def _add_proven(self, key: str, item: UnprovenStream) -> None:
