End the last waits of a stopping host before SIGKILL, counted from the signal

A host with unread answers, or with requests whose bodies were not complete, exited so late that a slow process would have met SIGKILL, which gives no answers and returns no tokens.

All waits were counted from the notice of the signal and from each other's ends: settling, leaving until half the reserve later, then up to 0.4 s to stop, most of which aiohttp spent on connections whose body was unread.

ShutdownSchedule now says until when the host leaves (leave_until) and when it must have stopped (exit_at), counted from the last time at which the signal had not come. The HTTP server lingers 0.05 s.

--- a/tests/components/forwarding/test_shutdown_schedule.py
+++ b/tests/components/forwarding/test_shutdown_schedule.py
@@ -60,6 +60,19 @@
                 schedule.accepts(is_stream=True, deadline=now + 15.0, now=now), accepted
             )
 
+    @given(GRACE_TIMES_S, st.floats(0.0, 0.5))
+    def test_each_part_of_the_end_has_time_before_the_kill(
+        self, grace_s: float, late_share: float
+    ) -> None:
+        """Guard against SIGKILL amid the end, also if the signal was handled late."""
+        late_s = late_share * grace_s
+        schedule = ShutdownSchedule(
+            started_at=late_s, grace_s=grace_s, signal_after=0.0
+        )
+        ends = [schedule.requests_end_at, schedule.leave_until, schedule.exit_at]
+        for end, next_end in zip(ends, [*ends[1:], grace_s], strict=True):
+            self.assertLess(end, next_end)
+
     @given(GRACE_TIMES_S)
     def test_requests_are_ended_in_the_last_sixth_only(self, grace_s: float) -> None:
         """Guard against requests that are cut off early in a short grace time."""
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -38,6 +38,9 @@
 # trip, 2 ms on the platform, and are refused. If the connections were closed
 # immediately, callers would not know whether their requests ran.
 IN_FLIGHT_GRACE_S = 0.05
+# Callers that got an answer before their body was read may still send it. A connection
+# that is closed meanwhile may lose the answer.
+LINGER_TIMEOUT_S = 0.05
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Callers observe the idle limit in the configuration, 15 s in all configurations seen.
 # This timeout only ends connections whose callers are gone. It must be longer: if this
@@ -115,7 +118,9 @@
             auto_decompress=False,
             request_factory=make_web_request,
         )
-        self._caller_runner = web.ServerRunner(caller_server, shutdown_timeout=0.5)
+        self._caller_runner = web.ServerRunner(
+            caller_server, shutdown_timeout=LINGER_TIMEOUT_S
+        )
         await self._caller_runner.setup()
         if self._caller_socket is None:
             self.caller_port = await self._listen(
--- a/trefoilstage/components/forwarding/shutdown_schedule.py
+++ b/trefoilstage/components/forwarding/shutdown_schedule.py
@@ -12,6 +12,12 @@
 # The platform's rules allow a planned stop to cut off long requests in this last part
 # of the grace time, not before.
 RESERVE_SHARE = 1 / 6
+# Of the reserve: kept in any case, however late the signal was handled.
+MIN_RESERVE_SHARE = 0.6
+# Of the reserve: between the exit of the host and SIGKILL, for the end of its process.
+EXIT_SHARE = 0.2
+# Of the reserve: to close the ports and connections.
+STOP_SHARE = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,7 +45,30 @@
     @property
     def requests_end_at(self) -> float:
         """Return when the requests in progress are ended."""
-        return self.started_at + self.grace_s - self.reserve_s
+        end_at = self.started_at + self.grace_s - self.reserve_s
+        return min(end_at, self._killed_at - MIN_RESERVE_SHARE * self.reserve_s)
+
+    @property
+    def leave_until(self) -> float:
+        """Return until when tokens are returned and callers may read their answers."""
+        return self.exit_at - STOP_SHARE * self.reserve_s
+
+    @property
+    def exit_at(self) -> float:
+        """Return when the host must have stopped, whatever remains unread or unsent."""
+        return self._killed_at - EXIT_SHARE * self.reserve_s
+
+    @property
+    def _killed_at(self) -> float:
+        """Return when SIGKILL comes at the earliest."""
+        return self.started_at - self._late_s + self.grace_s
+
+    @property
+    def _late_s(self) -> float:
+        """Return how long the signal had to wait at most until it was handled."""
+        if self.signal_after is None:
+            return 0.0
+        return self.started_at - self.signal_after
 
     def accepts(self, *, is_stream: bool, deadline: float, now: float) -> bool:
         """Return whether to accept a request that must be answered by `deadline`.
@@ -48,10 +77,7 @@
         all requests is counted from the signal, as they may be cut off at the end, but
         those that are sent later may not.
         """
-        late_s = 0.0
-        if self.signal_after is not None:
-            late_s = self.started_at - self.signal_after
-        if now + late_s < self.accepts_all_until:
+        if now + self._late_s < self.accepts_all_until:
             return True
         return not is_stream and self.is_sure_to_end(deadline)
 
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -44,8 +44,6 @@
 # planned stop to cut requests within 200 ms; this is twice as long, as a busy host or
 # caller may be late itself.
 ACCEPT_AFTER_LAST_STREAM_S = 0.4
-# Of the time after the last request: to return tokens. The rest is left to stop.
-LEAVE_SHARE = 0.5
 
 
 class FleetHost(Service):
@@ -226,7 +224,8 @@
         # The balancer removes a host after two failed checks, and keeps using all hosts
         # of a data centre if most of them drain. The requests that it still sends here
         # would fail at a closed port, so the port stays open until the end.
-        await asyncio.sleep(schedule.accepts_all_until - loop.time())
+        accept_until = min(schedule.accepts_all_until, schedule.requests_end_at)
+        await asyncio.sleep(accept_until - loop.time())
         # If most hosts of a data centre drain, plain calls never stop arriving. A host
         # that waited for a pause between them stayed until the end of its grace and
         # refused streams that its replacement could have served: 204 within 8 s of a
@@ -248,10 +247,9 @@
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.end_requests()
-        left_at = loop.time() + LEAVE_SHARE * schedule.reserve_s
-        await self._leave(left_at - loop.time())
+        await self._leave(schedule.leave_until - loop.time())
         # Callers may still read their answers.
-        await self._server.drain(left_at - loop.time())
+        await self._server.drain(schedule.leave_until - loop.time())
 
     async def _leave(self, timeout_s: float) -> None:
         try:
--- a/trefoilstage/platform/process.py
+++ b/trefoilstage/platform/process.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from trefoilstage.components.fleet.board_updater import BoardUpdater
+from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.exceptions import SettingsError
 from trefoilstage.fleet_host import FleetHost, make_board
 from trefoilstage.fleet_settings import FleetSettings
@@ -36,8 +37,7 @@
 from trefoilstage.util.process_start import ProcessStart, read_process_start
 from trefoilstage.util.startup import enable_garbage_collector
 
-# Half of the reserve of a shutdown remains once the tokens were returned, 0.6 s if the
-# grace time is 8 s.
+# A shutdown may leave less.
 STOP_TIMEOUT_S = 0.4
 # A collection takes 30 ms, which would delay callers that wait for the host to start.
 GARBAGE_COLLECTION_DELAY_S = 1.0
@@ -82,7 +82,7 @@
             loop.call_later(GARBAGE_COLLECTION_DELAY_S, enable_garbage_collector)
             await host.run()
         finally:
-            await stop_host(host)
+            await stop_host(host, board.shutdown)
 
 
 def log_settings_changes(path: Path, running: FleetSettings) -> None:
@@ -101,10 +101,13 @@
     log_event(Event.SETTINGS_READ, changed=",".join(changed))
 
 
-async def stop_host(host: FleetHost) -> None:
+async def stop_host(host: FleetHost, schedule: ShutdownSchedule | None) -> None:
     """Stop within STOP_TIMEOUT_S, as lost peers complete no closing handshake."""
+    stop_at = asyncio.get_running_loop().time() + STOP_TIMEOUT_S
+    if schedule is not None:
+        stop_at = min(stop_at, schedule.exit_at)
     try:
-        async with asyncio.timeout(STOP_TIMEOUT_S):
+        async with asyncio.timeout_at(stop_at):
             await host.stop()
     except TimeoutError:
         log_event(Event.STOP_INCOMPLETE)
