Record the turns of a host's loop with the timer service, ten a second

Operators paid for 20 wakeups a second of a loop that FleetHost ran by itself, beside the timer service that components use for this. The time to accept all requests still counts from two turns before the notice of the signal, so it may end up to 0.1 s earlier than before, never later. The first turn is recorded as the host starts.

No test guarded that turns are recorded: the new one stops a real host for 3.2 s, with SIGTERM meanwhile, and expects 503 for a stream sent after that.

--- a/tests/promises/test_late_in_shutdown.py
+++ b/tests/promises/test_late_in_shutdown.py
@@ -43,6 +43,17 @@
             self.assertEqual(fleet.count_runs(), 2)
             self.assertTrue((await stream).is_whole)
 
+    async def test_signal_during_a_stall_is_not_taken_as_new(self) -> None:
+        """Guard against streams begun too late, as a stalled host saw no signal."""
+        async with PlatformFleet() as fleet:
+            host = fleet.hosts["host-0"]
+            host.process.send_signal(signal.SIGSTOP)
+            host.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(ACCEPTS_STREAMS_S + 0.2)
+            host.process.send_signal(signal.SIGCONT)
+            await poll_until(lambda: host.has_logged("host_draining"), "the drain")
+            self.assertEqual((await fleet.call("/stream/x")).status, 503)
+
     async def test_call_under_way_at_the_end_is_answered(self) -> None:
         """Guard against connections closed without an answer as the grace ends."""
         async with PlatformFleet(grace_s=3) as fleet:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -76,7 +76,7 @@
 
     async def on_start(self) -> None:
         """Create the components and start each after those that it depends on."""
-        self.add_future(self._record_turns())
+        await self._record_turn()
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
         self._probe_session = open_probe_session(settings.address)
@@ -106,6 +106,9 @@
             ),
             process_start=self._process_start,
         )
+        parts.timer.subscribe(
+            name="loop_turns", interval_s=TURN_INTERVAL_S, callback=self._record_turn
+        )
         self._membership = parts.membership
         self._home = parts.home
         self._escrow = parts.escrow
@@ -185,11 +188,8 @@
             peers=len(self._board.peers),
         )
 
-    async def _record_turns(self) -> None:
-        loop = asyncio.get_running_loop()
-        while not self._drain_requested.is_set():
-            self._turns.record(loop.time())
-            await asyncio.sleep(TURN_INTERVAL_S)
+    async def _record_turn(self) -> None:
+        self._turns.record(asyncio.get_running_loop().time())
 
     def request_drain(self) -> None:
         """Start the time of the shutdown, also while the host still starts."""
--- a/trefoilstage/util/loop_turns.py
+++ b/trefoilstage/util/loop_turns.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 # Each turn costs a wakeup; a signal is taken to have come up to two intervals earlier.
-TURN_INTERVAL_S = 0.05
+TURN_INTERVAL_S = 0.1
 
 
 class LoopTurns:
