Send on the streams that their targets have ended when a host ends

A stream whose target had finished was cut at the end of requests, with half a second left, only because its caller read slowly.

Reading from the target waited for the caller's reading, and the stream's end was sent before the request settled, so that such a request counted as one that still runs.

A fifth of the reserve before requests end, streams no longer wait for their callers: what a caller does not read at once is kept, within the limits of AnswerBuffers, and beyond them a stream waits as before. A stream's rest and end are sent once its request has settled, like a plain answer, until the host stops. A stream that its target has not ended breaks off as before, after what was read of it.

--- a/tests/components/forwarding/test_reply.py
+++ b/tests/components/forwarding/test_reply.py
@@ -19,7 +19,9 @@
         """Abort with unsent bytes; return the connection's transport after a while."""
         transport = mock.Mock()
         transport.get_write_buffer_size.return_value = n_unsent
-        reply = WebReply(web_request=mock.Mock(transport=transport))
+        reply = WebReply(
+            web_request=mock.Mock(transport=transport), buffers=mock.Mock()
+        )
         reply.abort(asyncio.get_running_loop().time() + DISCARD_AFTER_S)
         transport.close.assert_called_once_with()
         transport.abort.assert_not_called()
--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -15,6 +16,7 @@
 from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.open_requests import OpenRequests
+from trefoilstage.components.forwarding.reply import CallerReply
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.routes import RouteTable
 from trefoilstage.components.forwarding.server import (
@@ -27,6 +29,8 @@
 from trefoilstage.helpers.verdict import Refusal
 from trefoilstage.platform.headers import HeaderTranslator
 
+N_PARTS = 12  # more than fit into the kernel's buffers
+
 
 class FullLinkTest(unittest.IsolatedAsyncioTestCase):
     """Test a host whose peer calls take 0.5 s."""
@@ -218,6 +222,32 @@
         is_read.set()
         self.assertTrue(await sending)
 
+    async def test_stream_that_its_target_ended_is_sent_to_its_end(self) -> None:
+        """Guard against streams that are cut though only their callers are slow."""
+        part, has_run = b"." * 1_000_000, asyncio.Event()
+
+        async def run(state: RequestState, reply: CallerReply) -> None:
+            await reply.open(200, [], close=False)
+            for _ in range(N_PARTS):
+                await reply.write(part)
+            await reply.end()
+            has_run.set()
+
+        self.server._pipeline = mock.Mock(run=run)
+        self.server._settings = mock.Mock(
+            address="127.0.0.1", caller_port=0, ready_port=0
+        )
+        await self.server.on_start()
+        self.addAsyncCleanup(self.server.on_stop)
+        url = f"http://127.0.0.1:{self.server.caller_port}/x/"
+        headers = {"Host": "club.example", "Attempt-Id": "a"}
+        async with aiohttp.request("POST", url, headers=headers) as response:
+            self.assertFalse(has_run.is_set())
+            self.server.read_ahead()
+            await asyncio.wait_for(has_run.wait(), 10.0)
+            await self.server.end_requests()
+            self.assertEqual(len(await response.read()), N_PARTS * len(part))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -31,7 +31,8 @@
         )
         self.host._server = mock.AsyncMock(n_active=1, n_streams=1)
         self.host._server.drain.return_value = False
-        self.host._server.refuse_all_requests = mock.Mock()
+        for name in ("refuse_all_requests", "read_ahead"):
+            setattr(self.host._server, name, mock.Mock())
         for name in ("_home", "_escrow", "_peer_sends"):
             setattr(self.host, name, mock.AsyncMock())
         self.host._membership = mock.Mock(withdraw=mock.AsyncMock())
@@ -47,6 +48,7 @@
         schedule = self.host._board.shutdown
         self.assertEqual(schedule.signal_after, signal_after)
         await self.host._drain(schedule)
+        self.host._server.read_ahead.assert_called_once_with()
         self.host._server.end_requests.assert_awaited_once_with()
         # Callers may read their answers while the host leaves.
         self.assertAlmostEqual(ends[-1], schedule.leave_until, places=2)
--- a/trefoilstage/components/forwarding/answer_buffers.py
+++ b/trefoilstage/components/forwarding/answer_buffers.py
@@ -42,10 +42,14 @@
         self._buffers = buffers
         self.n_bytes = 0
 
+    def may_grow(self, n_bytes: int) -> bool:
+        """Return whether the answer may hold `n_bytes` more."""
+        return self._buffers.may_grow(self.n_bytes, n_bytes)
+
     def resize(self, n_bytes: int) -> None:
         """Set the size of the buffer; raise AnswerBrokenError beyond its limit."""
         growth = n_bytes - self.n_bytes
-        if growth > 0 and not self._buffers.may_grow(self.n_bytes, growth):
+        if growth > 0 and not self.may_grow(growth):
             raise AnswerBrokenError(f"the answer is too long, {n_bytes} bytes")
         self._buffers.n_bytes += growth
         self.n_bytes = n_bytes
--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -1,11 +1,18 @@
 """Answer one caller over HTTP."""
 
 import asyncio
+import contextlib
 from collections.abc import Sequence
 from typing import Protocol
 
 from aiohttp import web
 
+from trefoilstage.components.forwarding.answer_buffers import (
+    AnswerBuffer,
+    AnswerBuffers,
+)
+from trefoilstage.components.forwarding.caller_stream import CallerStream
+
 
 class CallerReply(Protocol):
     """Send the answer to one caller, as a whole or event by event."""
@@ -23,7 +30,7 @@
         """Send a part of a stream."""
 
     async def end(self) -> None:
-        """Send the end of a stream."""
+        """Let the stream end, which is sent once the request has settled."""
 
     def set_complete(
         self,
@@ -39,9 +46,11 @@
 class WebReply:
     """Send the answer to one request of the HTTP server."""
 
-    def __init__(self, *, web_request: web.BaseRequest) -> None:
+    def __init__(self, *, web_request: web.BaseRequest, buffers: AnswerBuffers) -> None:
         self._web_request = web_request
-        self._stream: web.StreamResponse | None = None
+        self._buffers = buffers
+        self._reads_ahead = False
+        self._stream: CallerStream | None = None
         self.response: web.StreamResponse | None = None
 
     @property
@@ -53,12 +62,24 @@
         self, status: int, headers: Sequence[tuple[str, str]], *, close: bool
     ) -> None:
         """Send the head of a stream; `close` closes the connection after the answer."""
-        stream = web.StreamResponse(status=status)
+        stream = CallerStream(
+            status=status,
+            web_request=self._web_request,
+            kept=AnswerBuffer(buffers=self._buffers),
+        )
         set_headers(stream, headers)
         if close:
             stream.force_close()
         await stream.prepare(self._web_request)
         self._stream = self.response = stream
+        if self._reads_ahead:
+            stream.read_ahead()
+
+    def read_ahead(self) -> None:
+        """Keep what a caller does not read at once, and wait for no caller."""
+        self._reads_ahead = True
+        if self._stream is not None:
+            self._stream.read_ahead()
 
     async def write(self, data: bytes) -> None:
         """Send a part of a stream."""
@@ -66,9 +87,14 @@
             await self._stream.write(data)
 
     async def end(self) -> None:
-        """Send the end of a stream."""
+        """Let the stream end, which is sent once the request has settled."""
+
+    async def send_rest(self, discard_at: float) -> None:
+        """Send what was kept of a stream that is broken off."""
         if self._stream is not None:
-            await self._stream.write_eof()
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                async with asyncio.timeout_at(discard_at):
+                    await self._stream.send_rest()
 
     def set_complete(
         self,
@@ -111,7 +137,10 @@
 async def send_response(
     web_request: web.BaseRequest, response: web.StreamResponse, discard_at: float
 ) -> None:
-    """Send a complete answer; discard it if it is still unread at `discard_at`."""
+    """Send a complete answer, or the rest of one.
+
+    It is discarded if it is still unread at `discard_at`.
+    """
     try:
         async with asyncio.timeout_at(discard_at):
             await response.prepare(web_request)
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from trefoilstage.components.forwarding.answer_buffers import AnswerBuffers
 from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import CallerRequest, Route, RouteKind
 from trefoilstage.components.forwarding.open_requests import OpenRequests
@@ -97,6 +98,8 @@
         self._refusal_maker = RefusalMaker(translator=translator)
         self._refuses_all = False
         self._open_requests = OpenRequests()
+        self._replies: set[WebReply] = set()  # of requests that have not settled
+        self._unread = AnswerBuffers()
         self._was_only_own_link_full = False
         self._n_failed_checks = 0  # consecutive, of readiness
         self.n_streams = 0
@@ -173,6 +176,11 @@
         """Wait for the requests in progress; return whether all of them ended."""
         return await self._open_requests.wait_until_done(timeout_s)
 
+    def read_ahead(self) -> None:
+        """Let no stream wait for its caller, so that those that can end do so."""
+        for reply in self._replies:
+            reply.read_ahead()
+
     async def end_requests(self) -> None:
         """End the requests in progress; callers without an answer get a failure.
 
@@ -225,10 +233,9 @@
             limit_unsent_data(web_request)
             try:
                 response, deadline = await self._answer(exchange)
-                if not response.prepared:
-                    now = asyncio.get_running_loop().time()
-                    discard_at = max(deadline, now + MIN_SEND_S)
-                    await send_response(web_request, response, discard_at)
+                now = asyncio.get_running_loop().time()
+                discard_at = max(deadline, now + MIN_SEND_S)
+                await send_response(web_request, response, discard_at)
             except asyncio.CancelledError:
                 if exchange.is_caller_connected:
                     self._log_end(Event.REQUEST_UNANSWERED, exchange)
@@ -240,11 +247,11 @@
         log_event(event, **exchange.describe(now, self._board.shutdown))
 
     async def _answer(self, exchange: Exchange) -> tuple[web.StreamResponse, float]:
-        """Return the answer, which is sent if it is a stream, and its deadline."""
+        """Return the answer and its deadline; of a stream, a rest may be unsent."""
         web_request, started_at = exchange.web_request, exchange.started_at
         request: CallerRequest | None = None
         state: RequestState | Refusal = SHUTTING_DOWN  # until the body has arrived
-        reply = WebReply(web_request=web_request)
+        reply = WebReply(web_request=web_request, buffers=self._unread)
         try:
             async with self._open_requests.allow_end():
                 request = exchange.request = self._translator.read_request(
@@ -270,15 +277,18 @@
             refusal = CUT_OFF if state.n_possible_runs else SHUTTING_DOWN
         if refusal is not None or reply.response is None:
             refusal = refusal or NO_ANSWER
+            await reply.send_rest(state.deadline)
             return self._refuse_or_abort(refusal, state, reply), state.deadline
         return reply.response, state.deadline
 
     async def _run(self, state: RequestState, reply: WebReply) -> Refusal | None:
         is_stream = state.route.kind is RouteKind.STREAM
         self.n_streams += is_stream
+        self._replies.add(reply)
         try:
             return await self._pipeline.run(state, reply)
         finally:
+            self._replies.discard(reply)
             self.n_streams -= is_stream
 
     async def _create_request_state(
--- a/trefoilstage/components/forwarding/shutdown_schedule.py
+++ b/trefoilstage/components/forwarding/shutdown_schedule.py
@@ -14,6 +14,8 @@
 RESERVE_SHARE = 1 / 6
 # Of the reserve: kept in any case, however late the signal was handled.
 MIN_RESERVE_SHARE = 0.6
+# Of the reserve, but before it: to read what targets have sent of streams.
+READ_AHEAD_SHARE = 0.2
 # Of the reserve: between the exit of the host and SIGKILL, for the end of its process.
 EXIT_SHARE = 0.2
 # Of the reserve: to close the ports and connections.
@@ -48,6 +50,11 @@
         end_at = self.started_at + self.grace_s - self.reserve_s
         return min(end_at, self._killed_at - MIN_RESERVE_SHARE * self.reserve_s)
 
+    @property
+    def read_ahead_at(self) -> float:
+        """Return when streams no longer wait until their callers have read."""
+        return self.requests_end_at - READ_AHEAD_SHARE * self.reserve_s
+
     @property
     def leave_until(self) -> float:
         """Return until when tokens are returned and callers may read their answers."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -215,6 +215,7 @@
         """Stop accepting requests, finish those in flight and return unused tokens."""
         loop = asyncio.get_running_loop()
         self._board.phase = Phase.DRAINING
+        loop.call_at(schedule.read_ahead_at, self._server.read_ahead)
         self._membership.send_heartbeats_now()
         # The next home draws immediately and cannot use tokens that stay here.
         self.add_future(self._home.return_unused())
