Log the answers that are discarded unread at their deadline

Operators saw no line for a caller whose connection was closed with an answer unread at its deadline: only request_done complete=True, while the manual says that request_unanswered names each such connection. send_response aborted the connection and told nobody.

It now returns whether the answer was discarded, and the server logs request_unanswered; left_s of 0 or less tells it from the end of a host.

--- a/tests/promises/test_slow_readers.py
+++ b/tests/promises/test_slow_readers.py
@@ -28,6 +28,7 @@
 # Many times what the kernel's buffers take: some MiB for each connection.
 N_EVENTS = 4_000
 ANSWER_BYTES = 16 * MIB
+UNREAD_BYTES = 7 * MIB  # more than the kernel's buffers take; a host passes it on
 BODY_BYTES = 4_000_000
 RECEIVE_BUFFER_BYTES = 16 * KIB
 READ_BYTES = 64 * KIB
@@ -173,6 +174,18 @@
             await wait_for_release(fleet)
             self.assertEqual(fleet.count_runs(), N_CALLERS)
 
+    async def test_answer_that_is_discarded_unread_is_logged(self) -> None:
+        """Guard against a caller's connection that is closed without a line."""
+        async with PlatformFleet() as fleet:
+            host = fleet.hosts["host-0"]
+            for target in fleet.targets:
+                target.answer = b"." * UNREAD_BYTES
+            open_callers(self, fleet, BOOK, 1)
+            await poll_until(
+                lambda: host.has_logged("request_unanswered", "unread-0"), "a line"
+            )
+            await poll_until(lambda: not list_held_data(fleet), "the release")
+
     async def test_response_cut_off_unread_looks_broken_and_runs_once(self) -> None:
         """Guard against a response that its target cut off and that looks complete.
 
--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -136,10 +136,10 @@
 
 async def send_response(
     web_request: web.BaseRequest, response: web.StreamResponse, discard_at: float
-) -> None:
+) -> bool:
     """Send a complete answer, or the rest of one.
 
-    It is discarded if it is still unread at `discard_at`.
+    Returns False if it was still unread at `discard_at` and was discarded.
     """
     try:
         async with asyncio.timeout_at(discard_at):
@@ -148,9 +148,11 @@
     except TimeoutError:
         if web_request.transport is not None:
             web_request.transport.abort()
+        return False
     except ConnectionError:
         # The caller has left. The HTTP server would log an error of its handler.
-        return
+        return True
+    return True
 
 
 def set_headers(
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -235,7 +235,8 @@
                 response, deadline = await self._answer(exchange)
                 now = asyncio.get_running_loop().time()
                 discard_at = max(deadline, now + MIN_SEND_S)
-                await send_response(web_request, response, discard_at)
+                if not await send_response(web_request, response, discard_at):
+                    self._log_end(Event.REQUEST_UNANSWERED, exchange)
             except asyncio.CancelledError:
                 if exchange.is_caller_connected:
                     self._log_end(Event.REQUEST_UNANSWERED, exchange)
