--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -44,8 +44,6 @@
 # planned stop to cut requests within 200 ms; this is twice as long, as a busy host or
 # caller may be late itself.
 ACCEPT_AFTER_LAST_STREAM_S = 0.4
-# Of the time after the last request: to return tokens. The rest is left to stop.
-LEAVE_SHARE = 0.5
 
 
 class FleetHost(Service):
@@ -78,7 +76,7 @@
 
     async def on_start(self) -> None:
         """Create the components and start each after those that it depends on."""
-        self.add_future(self._record_turns())
+        await self._record_turn()
         settings = self._settings
         self._session = open_target_session(settings.address, self._board)
         self._probe_session = open_probe_session(settings.address)
@@ -108,6 +106,9 @@
             ),
             process_start=self._process_start,
         )
+        parts.timer.subscribe(
+            name="loop_turns", interval_s=TURN_INTERVAL_S, callback=self._record_turn
+        )
         self._membership = parts.membership
         self._home = parts.home
         self._escrow = parts.escrow
@@ -187,11 +188,8 @@
             peers=len(self._board.peers),
         )
 
-    async def _record_turns(self) -> None:
-        loop = asyncio.get_running_loop()
-        while not self._drain_requested.is_set():
-            self._turns.record(loop.time())
-            await asyncio.sleep(TURN_INTERVAL_S)
+    async def _record_turn(self) -> None:
+        self._turns.record(asyncio.get_running_loop().time())
 
     def request_drain(self) -> None:
         """Start the time of the shutdown, also while the host still starts."""
@@ -217,6 +215,7 @@
         """Stop accepting requests, finish those in flight and return unused tokens."""
         loop = asyncio.get_running_loop()
         self._board.phase = Phase.DRAINING
+        loop.call_at(schedule.read_ahead_at, self._server.read_ahead)
         self._membership.send_heartbeats_now()
         # The next home draws immediately and cannot use tokens that stay here.
         self.add_future(self._home.return_unused())
@@ -226,7 +225,8 @@
         # The balancer removes a host after two failed checks, and keeps using all hosts
         # of a data centre if most of them drain. The requests that it still sends here
         # would fail at a closed port, so the port stays open until the end.
-        await asyncio.sleep(schedule.accepts_all_until - loop.time())
+        accept_until = min(schedule.accepts_all_until, schedule.requests_end_at)
+        await asyncio.sleep(accept_until - loop.time())
         # If most hosts of a data centre drain, plain calls never stop arriving. A host
         # that waited for a pause between them stayed until the end of its grace and
         # refused streams that its replacement could have served: 204 within 8 s of a
@@ -248,10 +248,9 @@
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.end_requests()
-        left_at = loop.time() + LEAVE_SHARE * schedule.reserve_s
-        await self._leave(left_at - loop.time())
+        await self._leave(schedule.leave_until - loop.time())
         # Callers may still read their answers.
-        await self._server.drain(left_at - loop.time())
+        await self._server.drain(schedule.leave_until - loop.time())
 
     async def _leave(self, timeout_s: float) -> None:
         try:
