Remove the runs' own refusal after a host has ended them

No caller can see it. KeyController refused new runs once end_runs was called. A run starts only in a chat's handler, and nothing is awaited between that handler's check of the phase, after the body, and get_or_start_run. The phase is draining before end_runs is called, both in a drain and in a host that stops without one (Host.on_stop comes before the stop of the components).

--- a/trefoilstage/components/keys/controller.py
+++ b/trefoilstage/components/keys/controller.py
@@ -11,7 +11,6 @@
 from trefoilstage.blackboard import Blackboard
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.models import Caller, ChatRequest
-from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
 from trefoilstage.components.keys.claims import ClaimTable
 from trefoilstage.components.keys.follower import FollowResult, RunFollower
 from trefoilstage.components.keys.messages import (
@@ -71,7 +70,6 @@
         self._follower = RunFollower(blackboard=blackboard, links=links)
         self._claims = ClaimTable()
         self._runs = RunTable(retention_s=retention_s)
-        self._is_ending = False
         server.register(ClaimKey, self._handle_claim_key)
         server.register(ReadRun, self._handle_read_run)
 
@@ -96,8 +94,6 @@
         existing = self._runs.get(caller.key)
         if existing is not None:
             return existing if existing.digest == digest else KEY_REUSED_REFUSAL
-        if self._is_ending:
-            return SHUTTING_DOWN_REFUSAL
         run = Run(
             key=caller.key,
             digest=digest,
@@ -114,8 +110,7 @@
         return run
 
     async def end_runs(self) -> None:
-        """End all runs and refuse new ones; each listener gets a refusal."""
-        self._is_ending = True
+        """End all runs; each listener gets a refusal."""
         # A task that is cancelled before its first step would not end its run.
         await asyncio.sleep(0)
         for run in self._runs.list_runs():
