Test what a stopping host refuses and ends

Each was taken out by hand, alone, in one run of the two shutdown tests below and tests.components.test_booking:

end_requests in CallerServer.on_stop: test_stop_without_a_drain_answers_all_requests fails with ServerDisconnectedError at the chat in progress. The phase in Host.on_stop: the same test fails with "None != 'close'", as the refused caller was not told that its connection closes. The refusal of a body that arrives after the signal: test_two_signals_cut_no_slow_stream fails with "400" instead of 503 for the late body, which the handler had parsed. _is_ending in ServiceClient: test_ended_client_sends_nothing fails with a TypeError, as the mocked session is used.

--- a/tests/components/test_booking.py
+++ b/tests/components/test_booking.py
@@ -5,9 +5,11 @@
 from typing import Any, cast
 from unittest import mock
 
+from trefoilstage.components.booking.client import ServiceClient
 from trefoilstage.components.booking.controller import ServiceCallController
 from trefoilstage.components.booking.models import ServiceCall
 from trefoilstage.components.callers.models import Caller
+from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
 from trefoilstage.configuration.schema import OperationConfig, ServiceConfig
 from trefoilstage.helpers.verdict import ACCEPTED, Effect, Refusal
 from trefoilstage.ledger.records import Intent, Outcome
@@ -86,5 +88,20 @@
         )
 
 
+class EndedCallsTest(unittest.IsolatedAsyncioTestCase):
+    """Test a call that is due after its host has ended the calls."""
+
+    async def test_ended_client_sends_nothing(self) -> None:
+        """Guard against a call that is sent as its host leaves and cut unanswered."""
+        session = mock.Mock()
+        client = ServiceClient(session=session, at_most_once_session=session)
+        await client.end_calls()
+        result = await client.send(
+            CALLER, CALL, "http://127.0.0.1:1", at_most_once=True, timeout_s=1.0
+        )
+        self.assertEqual(result, SHUTTING_DOWN_REFUSAL)
+        session.request.assert_not_called()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/promises/test_shutdown.py
+++ b/tests/promises/test_shutdown.py
@@ -5,16 +5,23 @@
 import signal
 import unittest
 from dataclasses import dataclass, field
+from unittest import mock
 
 import aiohttp
 
 from standins.launcher import RunningProcess, poll_until
 from tests.answers import CallerAnswer
-from tests.common import Fleet
+from tests.common import SECRET, Fleet
+from trefoilstage.host import Host
+from trefoilstage.settings import HostSettings
 
 SLOW_ENGINE_OPTIONS = ("--tokens-per-s", "20")
 EXIT_TIMEOUT_S = 15.0
 UNFINISHED = {"Content-Length": "9"}  # longer than the body that is sent
+UNFINISHED_HEAD = (
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: brest\r\n"
+    f"Authorization: Bearer {SECRET}\r\nContent-Length: 2\r\n\r\n"
+).encode()
 # Of a request that waits for a target, the same with a key, a call, and a body.
 LATE_ERRORS = [
     ("shutting_down", "not_run"),
@@ -122,9 +129,16 @@
                 asyncio.create_task(stream_and_chat(fleet, host)) for _ in range(8)
             ]
 
+            reader, writer = await asyncio.open_connection(
+                host.address, host.ports["caller_port"]
+            )
+            writer.write(UNFINISHED_HEAD + b"{")
+
             async def are_running() -> bool:
                 meter = await fleet.launcher.get_json(f"{fleet.engines[0].url}/meter")
-                return int(meter["running"]) == len(streams)
+                status = await fleet.launcher.get_json(f"{host.operator_url}/status")
+                is_body_awaited = status["n_active"] == len(streams) + 1
+                return is_body_awaited and int(meter["running"]) == len(streams)
 
             await poll_until(are_running, "the streams to run")
             host.send_signal(signal.SIGTERM)
@@ -142,6 +156,9 @@
             self.assertEqual(error["effect"], "not_run")
             self.assertIn("Retry-After", refused.headers)
             self.assertEqual(refused.headers.get("Connection"), "close")
+            writer.write(b"}")
+            self.assertIn(b" 503 ", await reader.readline())
+            writer.close()
             host.send_signal(signal.SIGTERM)
             answers = await asyncio.gather(*streams)
             self.assertTrue(all(answer.is_complete_stream for answer, _ in answers))
@@ -189,6 +206,25 @@
             self.assertEqual(len(await fleet.list_effects()), 1)
             await wait_until_settled(fleet, other)
 
+    async def test_stop_without_a_drain_answers_all_requests(self) -> None:
+        """Guard against connections that a host closes unanswered after a crash."""
+        async with Fleet(n_hosts=1, engine_options=SLOW_ENGINE_OPTIONS) as fleet:
+            settings = HostSettings(
+                host="host-1", data_center="brest", log_url=fleet.log.url
+            )
+            stopped = Host(settings=settings)
+            await stopped.start()
+            await stopped.wait_until_ready()
+            announced = stopped.blackboard.config.hosts["host-1"]
+            host = mock.Mock(caller_url=announced.caller_url)
+            await asyncio.gather(fleet.chat(host), fleet.chat(host))
+            chat = asyncio.create_task(fleet.chat(host, max_tokens=900))
+            await poll_until(lambda: stopped.blackboard.n_active == 1, "the chat")
+            _, late = await asyncio.gather(stopped.stop(), fleet.chat(host))
+            self.assertEqual((await chat).error[0], "shutting_down")
+            self.assertEqual(late.error, ("shutting_down", "not_run"))
+            self.assertEqual(late.headers.get("Connection"), "close")
+
     async def test_rolling_replacement_under_load(self) -> None:
         """Replace all hosts, one after another, while callers send requests.
 
