Refuse the requests in flight as the product's port closes

What callers saw: a request on a connection that had just been opened was closed without an answer if it arrived as the host closed its port.

Cause: the host closed the listening socket and all connections at once. The platform's host closes the listening socket first and refuses what arrives in the next 50 ms; the product's now does the same, and both use one function.

--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -20,6 +20,7 @@
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
+from trefoilstage.helpers.port_close import stop_listening
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.phase import Phase
 
@@ -82,10 +83,11 @@
         self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
-        """End the requests in progress, stop listening and close all connections."""
+        """End the requests in progress, refuse those in flight, close connections."""
         if self._runner is not None:
             if not self._is_ending:
                 await self.end_requests(END_TIMEOUT_S)
+            await stop_listening(self._runner)
             await self._runner.cleanup()
 
     async def drain(self, timeout_s: float) -> bool:
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -26,6 +26,7 @@
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.fleet_settings import FleetSettings
 from trefoilstage.helpers.events import Event, log_event
+from trefoilstage.helpers.port_close import stop_listening
 from trefoilstage.helpers.verdict import Effect, Reason, Refusal
 from trefoilstage.phase import Phase
 from trefoilstage.util.early_socket import BACKLOG
@@ -34,10 +35,6 @@
 READY_POLL_S = 0.02
 # Callers give up a connection that is not read for a second.
 MAX_EARLY_WAIT_S = 1.0
-# Requests in flight on open connections when the port closes arrive within a round
-# trip, 2 ms on the platform, and are refused. If the connections were closed
-# immediately, callers would not know whether their requests ran.
-IN_FLIGHT_GRACE_S = 0.05
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Callers observe the idle limit in the configuration, 15 s in all configurations seen.
 # This timeout only ends connections whose callers are gone. It must be longer: if this
@@ -154,12 +151,7 @@
         After a drain, none is left but answers that their callers do not read.
         """
         self.refuse_all_requests()
-        # The event loop accepts pending connections at the start of each iteration.
-        # Connections that arrive between that and the close are reset.
-        await asyncio.sleep(0)
-        for site in list(self._caller_runner.sites):
-            await site.stop()
-        await asyncio.sleep(IN_FLIGHT_GRACE_S)
+        await stop_listening(self._caller_runner)
         await self._open_requests.end_all()
         await self._caller_runner.cleanup()
         await self._ready_runner.cleanup()
