--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -44,6 +44,9 @@
 # planned stop to cut requests within 200 ms; this is twice as long, as a busy host or
 # caller may be late itself.
 ACCEPT_AFTER_LAST_STREAM_S = 0.4
+# Of the reserve of a shutdown: to return tokens. A host that leaves early must not wait
+# for a store that is down, as it could be replaced already.
+LEAVE_SHARE = 0.5
 
 
 class FleetHost(Service):
@@ -248,7 +251,8 @@
         if not all_ended:
             log_event(Event.DRAIN_INCOMPLETE, host=self._board.host)
             await self._server.end_requests()
-        await self._leave(schedule.leave_until - loop.time())
+        left_s = schedule.leave_until - loop.time()
+        await self._leave(min(left_s, LEAVE_SHARE * schedule.reserve_s))
         # Callers may still read their answers.
         await self._server.drain(schedule.leave_until - loop.time())
 
