End requests by the notice of the signal, never earlier

The host's lines have grace_left_s=-0.008 and streams=2 at 4.92 s after host_draining.

Cause: since requests ended earlier if the signal may have been handled late, by a bound that is rough. This host got its signal while it started, and the whole start counted as lateness.

--- a/trefoilstage/components/forwarding/shutdown_schedule.py
+++ b/trefoilstage/components/forwarding/shutdown_schedule.py
@@ -12,8 +12,9 @@
 # The platform's rules allow a planned stop to cut off long requests in this last part
 # of the grace time, not before.
 RESERVE_SHARE = 1 / 6
-# Of the reserve: kept in any case, however late the signal was handled.
-MIN_RESERVE_SHARE = 0.6
+# Of the reserve: what a late signal may take of it. The bound on how late a signal was
+# handled is rough, and requests that end too early would be cut off without need.
+MAX_LATE_SHARE = 0.4
 # Of the reserve, but before it: to read what targets have sent of streams.
 READ_AHEAD_SHARE = 0.2
 # Of the reserve: between the exit of the host and SIGKILL, for the end of its process.
@@ -47,8 +48,7 @@
     @property
     def requests_end_at(self) -> float:
         """Return when the requests in progress are ended."""
-        end_at = self.started_at + self.grace_s - self.reserve_s
-        return min(end_at, self._killed_at - MIN_RESERVE_SHARE * self.reserve_s)
+        return self.started_at + self.grace_s - self.reserve_s
 
     @property
     def read_ahead_at(self) -> float:
@@ -67,8 +67,9 @@
 
     @property
     def _killed_at(self) -> float:
-        """Return when SIGKILL comes at the earliest."""
-        return self.started_at - self._late_s + self.grace_s
+        """Return when SIGKILL is expected at the earliest."""
+        late_s = min(self._late_s, MAX_LATE_SHARE * self.reserve_s)
+        return self.started_at - late_s + self.grace_s
 
     @property
     def _late_s(self) -> float:
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -228,8 +228,7 @@
         # The balancer removes a host after two failed checks, and keeps using all hosts
         # of a data centre if most of them drain. The requests that it still sends here
         # would fail at a closed port, so the port stays open until the end.
-        accept_until = min(schedule.accepts_all_until, schedule.requests_end_at)
-        await asyncio.sleep(accept_until - loop.time())
+        await asyncio.sleep(schedule.accepts_all_until - loop.time())
         # If most hosts of a data centre drain, plain calls never stop arriving. A host
         # that waited for a pause between them stayed until the end of its grace and
         # refused streams that its replacement could have served: 204 within 8 s of a
