--- a/tests/promises/fleet.py
+++ b/tests/promises/fleet.py
@@ -131,6 +131,7 @@
     cold_requests_per_s: float | None = None
     cold_until: dict[int, float] = field(default_factory=dict)  # targets, by number
     contracts: str = ""  # of the platform's settings; empty for none
+    host_settings: Mapping[str, object] = field(default_factory=dict)  # more of them
     n_slots: int = N_SLOTS  # of each target
     engine: dict[str, object] = field(default_factory=dict)  # more of its fields
     more_tenants: list[dict[str, object]] = field(default_factory=list)
@@ -273,6 +274,7 @@
             f"bounds.cold_over={COLD_RATE_FACTOR}\n"
             f"bounds.cold_slack={COLD_RATE_SLACK}\n"
             + (f"contracts={self.contracts}\n" if self.contracts else "")
+            + "".join(f"{name}={value}\n" for name, value in self.host_settings.items())
         )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
