Meter what clients make a forwarding host hold

Callers saw connections that broke off as a host ran out of memory: the process ended on requests sent ahead with unread answers, on heads without end, bytes behind an Upgrade, unfinished bodies, bodies before slow targets and unread answers. More connections than the machine has descriptors were accepted.

Cause: the HTTP library parses all that it gets and keeps it in the parser, in its queue of requests, behind an upgrade and in the stream of a body, each with limits by itself, some with none.

Ruled out: limits of the library. None bounds a line that has not ended, the bytes behind an upgrade, or all connections together. A front of our own without the library would parse and answer HTTP anew.

Now each connection has a front that meters the library's input: it finds where requests begin and end, and gives the library the bytes of one request at a time, once the one before is answered. What is held for a client counts in one account (input, head, body, answer, what a slow caller leaves unread) of one budget, a quarter of limits.memory_mb. An account may hold as much as it leaves free, so small requests fit beside any crowd. Bodies that don't fit are refused before they are passed on, 503 with Retry-After, by their length. A table counts the connections of all ports, peers' handshakes too; when there are too many, or too many bytes, it closes the one that has waited longest for its client. Answers are kept and sent in parts, no copy of the whole; targets' answers are read ahead by 16 KB, not 256.

A single 4 MB body, and a 1 MB answer, are served as before. 500 short headers are no longer refused by the library's limit of 128.

--- a/bench/emulator/callers.py
+++ b/bench/emulator/callers.py
@@ -9,6 +9,7 @@
 
 from bench.emulator.host import EmulatedHost, HostLostError
 from bench.emulator.scenario import Kind
+from trefoilstage.components.connections.parts import PartList
 from trefoilstage.components.forwarding.models import (
     CallerRequest,
     PromptPart,
@@ -112,7 +113,7 @@
         self,
         status: int,
         headers: Sequence[tuple[str, str]],
-        body: bytes,
+        body: PartList,
         *,
         close: bool,
     ) -> None:
--- /dev/null
+++ b/tests/components/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what bounds clients."""
--- a/tests/components/forwarding/test_reply.py
+++ b/tests/components/forwarding/test_reply.py
@@ -20,7 +20,7 @@
         transport = mock.Mock()
         transport.get_write_buffer_size.return_value = n_unsent
         reply = WebReply(
-            web_request=mock.Mock(transport=transport), buffers=mock.Mock()
+            web_request=mock.Mock(transport=transport), account=mock.Mock()
         )
         reply.abort(asyncio.get_running_loop().time() + DISCARD_AFTER_S)
         transport.close.assert_called_once_with()
--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 from unittest import mock
@@ -13,23 +13,45 @@
 
 from tests.components.boards import make_board
 from tests.components.forwarding.common import REQUEST, make_route
+from trefoilstage.components.connections.limits import ClientLimits
+from trefoilstage.components.connections.memory import MemoryAccount, MemoryBudget
+from trefoilstage.components.connections.site import ClientConnections
 from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import FleetConfiguration
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.forwarding.reply import CallerReply
+from trefoilstage.components.forwarding.request_body import BODY_LATE
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.routes import RouteTable
-from trefoilstage.components.forwarding.server import (
-    BODY_LATE,
-    SHUTTING_DOWN,
-    ForwardingServer,
-)
+from trefoilstage.components.forwarding.server import SHUTTING_DOWN, ForwardingServer
 from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
 from trefoilstage.components.peers.round_trips import N_CALLS
 from trefoilstage.helpers.verdict import Refusal
 from trefoilstage.platform.headers import HeaderTranslator
 
 N_PARTS = 12  # more than fit into the kernel's buffers
+LIMITS = ClientLimits(max_bytes=16 * 1024 * 1024, max_connections=10)
+
+
+def make_connections() -> ClientConnections:
+    """Return the connections of a host that few clients use."""
+    return ClientConnections(limits=LIMITS)
+
+
+def make_content(read: Callable[[], Awaitable[bytes]]) -> Any:
+    """Return a body that arrives as a whole."""
+
+    async def iter_any() -> AsyncIterator[bytes]:
+        yield await read()
+
+    return mock.Mock(iter_any=iter_any)
+
+
+def make_exchange(web_request: Any) -> Exchange:
+    """Return the exchange of a request that begins now."""
+    account = MemoryAccount(budget=MemoryBudget(max_bytes=LIMITS.max_bytes))
+    now = asyncio.get_running_loop().time()
+    return Exchange(web_request=web_request, started_at=now, account=account)
 
 
 class FullLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -43,6 +65,7 @@
             settings=mock.Mock(),
             translator=mock.Mock(),
             pipeline=mock.Mock(),
+            connections=make_connections(),
         )
 
     def record_round_trips(self, seconds: float) -> float:
@@ -110,6 +133,7 @@
             settings=mock.Mock(),
             translator=mock.Mock(),
             pipeline=mock.Mock(),
+            connections=make_connections(),
         )
 
     async def receive(self, body_s: float) -> RequestState | Refusal:
@@ -119,10 +143,10 @@
             await asyncio.sleep(body_s)
             return b"body"
 
-        web_request: Any = mock.Mock(content_length=4, read=read)
+        web_request: Any = mock.Mock(content_length=4, content=make_content(read))
         request = replace(REQUEST, deadline_s=None)
-        started_at = asyncio.get_running_loop().time()
-        return await self.server._create_request_state(request, web_request, started_at)
+        exchange = make_exchange(web_request)
+        return await self.server._create_request_state(request, exchange)
 
     async def test_body_that_does_not_arrive_is_refused_in_time(self) -> None:
         """Guard against a request that is held past its route's timeout.
@@ -158,6 +182,7 @@
             settings=mock.Mock(),
             translator=HeaderTranslator(),
             pipeline=mock.Mock(run=self.run_request),
+            connections=make_connections(),
         )
         self.stop: Callable[[], Awaitable[None]] = self.server.end_requests
 
@@ -171,10 +196,13 @@
         """End a request that is in progress; return its answer."""
         headers = CIMultiDict({"Host": "club.example", "Attempt-Id": "a"})
         web_request: Any = mock.Mock(
-            method="POST", raw_path="/x/", headers=headers, content_length=2, read=read
+            method="POST",
+            raw_path="/x/",
+            headers=headers,
+            content_length=2,
+            content=make_content(read),
         )
-        now = asyncio.get_running_loop().time()
-        exchange = Exchange(web_request=web_request, started_at=now)
+        exchange = make_exchange(web_request)
         answering = asyncio.create_task(self.server._answer(exchange))
         await self.started.wait()
         self.started.clear()
--- /dev/null
+++ b/trefoilstage/components/connections/table.py
@@ -0,0 +1,83 @@
+"""Know the connections of all clients, and choose which to close; pure."""
+
+from typing import Protocol
+
+from trefoilstage.components.connections.limits import ClientLimits
+from trefoilstage.components.connections.memory import MemoryAccount, MemoryBudget
+
+
+class Closable(Protocol):
+    """Close a connection at once, to make room for others."""
+
+    account: MemoryAccount
+
+    def close_for_room(self) -> None:
+        """Close the connection; its bytes are released."""
+
+
+class ConnectionTable:
+    """Choose which connections are closed when there are too many, or too many bytes.
+
+    A connection waits for its client while nothing of a request has arrived, while a
+    part is missing, and while an answer is not read. No request of such a connection
+    is in the hands of a target, unless its client leaves the answer unread. The one
+    that has waited longest is closed first.
+    """
+
+    def __init__(self, *, limits: ClientLimits) -> None:
+        self._limits = limits
+        self.budget = MemoryBudget(
+            max_bytes=limits.max_bytes, make_room=self._make_room
+        )
+        self._open: set[Closable] = set()
+        self._waiting: dict[Closable, None] = {}  # in the order of their beginning
+        self.n_closed = 0  # to make room
+        self.n_refused = 0
+
+    @property
+    def n_open(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    def admit(self, connection: Closable) -> bool:
+        """Add a connection; return False if there is no room for it."""
+        if len(self._open) >= self._limits.max_connections:
+            self._close_next()
+        if len(self._open) >= self._limits.max_connections:
+            self.n_refused += 1
+            return False
+        self._open.add(connection)
+        return True
+
+    def remove(self, connection: Closable) -> None:
+        """Remove a connection that was closed."""
+        self._open.discard(connection)
+        self._waiting.pop(connection, None)
+
+    def begin_wait(self, connection: Closable) -> None:
+        """Record that a connection waits for its client from now on."""
+        if connection in self._open:
+            self._waiting.setdefault(connection, None)
+
+    def end_wait(self, connection: Closable) -> None:
+        """Record that a connection does not wait for its client."""
+        self._waiting.pop(connection, None)
+
+    def _make_room(self, account: MemoryAccount, n_bytes: int) -> None:
+        """Close connections for which something is held, until an account may grow."""
+        for connection in list(self._waiting):
+            if account.may_grow(n_bytes):
+                return
+            if connection.account is not account and connection.account.n_bytes:
+                self._close(connection)
+
+    def _close_next(self) -> None:
+        longest_waiting = next(iter(self._waiting), None)
+        if longest_waiting is not None:
+            self._close(longest_waiting)
+
+    def _close(self, connection: Closable) -> None:
+        self.n_closed += 1
+        self.remove(connection)
+        connection.account.close()
+        connection.close_for_room()
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from trefoilstage.components.connections.site import ClientConnections, MeteredSite
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
@@ -31,6 +32,7 @@
         line_writer: LineWriter,
         address: str,
         port: int,
+        connections: ClientConnections,
         get_accounts: Callable[[], Sequence[EscrowAccount]],
         count_active: Callable[[], int],
         count_waiting_for_tokens: Callable[[], int],
@@ -45,6 +47,7 @@
         self._line_writer = line_writer
         self._address = address
         self._port = port
+        self._connections = connections
         self._get_accounts = get_accounts
         self._count_active = count_active
         self._count_waiting_for_tokens = count_waiting_for_tokens
@@ -68,7 +71,13 @@
         await runner.setup()
         self._runner = runner
         try:
-            await web.TCPSite(runner, self._address, self._port).start()
+            site = MeteredSite(
+                runner,
+                connections=self._connections,
+                address=self._address,
+                port=self._port,
+            )
+            await site.start()
             port = runner.addresses[0][1]
             log_event(Event.METRICS_SERVED, address=self._address, metrics_port=port)
         except OSError as error:
@@ -180,6 +189,9 @@
             "Tokens that this host holds for requests in progress.",
             lambda: sum(item.held for item in self._get_accounts()),
         )
+        table = self._connections.table
+        add("client_bytes", "Bytes held for clients.", lambda: table.budget.n_bytes)
+        add("client_connections", "Connections of clients.", lambda: table.n_open)
         add(
             "log_lines_left_out",
             "Log lines dropped above the rate limit or for want of a reader.",
--- a/trefoilstage/components/forwarding/caller_stream.py
+++ b/trefoilstage/components/forwarding/caller_stream.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from trefoilstage.components.forwarding.answer_buffers import AnswerBuffer
+from trefoilstage.components.connections.memory import MemoryPart
 
 UNSENT_POLL_S = 0.005
 
@@ -17,7 +17,7 @@
     """
 
     def __init__(
-        self, *, status: int, web_request: web.BaseRequest, kept: AnswerBuffer
+        self, *, status: int, web_request: web.BaseRequest, kept: MemoryPart
     ) -> None:
         super().__init__(status=status)
         self._web_request = web_request
--- a/trefoilstage/components/forwarding/exchange.py
+++ b/trefoilstage/components/forwarding/exchange.py
@@ -1,9 +1,11 @@
 """Describe how far one caller's request got, for the log."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Self
 
 from aiohttp import web
 
+from trefoilstage.components.connections.memory import MemoryAccount, MemoryPart
 from trefoilstage.components.forwarding.models import CallerRequest
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.shutdown_schedule import ShutdownSchedule
@@ -15,9 +17,23 @@
 
     web_request: web.BaseRequest
     started_at: float
+    account: MemoryAccount
+    body_memory: MemoryPart = field(init=False)
+    answer_memory: MemoryPart = field(init=False)
     request: CallerRequest | None = None
     state: RequestState | None = None  # None until the body has arrived
 
+    def __post_init__(self) -> None:
+        self.body_memory = MemoryPart(account=self.account)
+        self.answer_memory = MemoryPart(account=self.account)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.body_memory.release()
+        self.answer_memory.release()
+
     @property
     def is_caller_connected(self) -> bool:
         """Return whether the caller still waits for an answer."""
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -2,10 +2,8 @@
 
 import asyncio
 
-from trefoilstage.components.forwarding.answer_buffers import (
-    AnswerBuffer,
-    AnswerBuffers,
-)
+from trefoilstage.components.connections.memory import MemoryLimitError, MemoryPart
+from trefoilstage.components.connections.parts import PartList
 from trefoilstage.components.forwarding.answers import AnswerBrokenError, OpenAnswer
 from trefoilstage.components.forwarding.event_splitter import EventSplitter, StreamEvent
 from trefoilstage.components.forwarding.models import (
@@ -34,7 +32,6 @@
         self._board = board
         self._binder = binder
         self._runs = runs
-        self._buffers = AnswerBuffers()
 
     async def relay(
         self,
@@ -59,17 +56,10 @@
     ) -> None:
         # The body is read completely before it is passed on, so that a retryable
         # request can still be sent again if the answer breaks off.
-        parts: list[bytes] = []
-        with self._buffers.open() as buffer:
-            async for data in answer.read():
-                buffer.resize(buffer.n_bytes + len(data))
-                parts.append(data)
+        body = await read_answer(answer, state.answer_memory)
         state.complete = True
         reply.set_complete(
-            answer.head.status,
-            answer.headers,
-            b"".join(parts),
-            close=self._is_closing(),
+            answer.head.status, answer.headers, body, close=self._is_closing()
         )
 
     async def _relay_stream(
@@ -79,7 +69,7 @@
         answer: OpenAnswer,
         target: TargetEntry,
     ) -> None:
-        with self._buffers.open() as buffer:
+        with state.answer_memory as buffer:
             await self._relay_events(state, reply, answer, target, buffer)
         await self._open_reply(reply, answer)
         state.complete = True
@@ -91,7 +81,7 @@
         reply: CallerReply,
         answer: OpenAnswer,
         target: TargetEntry,
-        buffer: AnswerBuffer,
+        buffer: MemoryPart,
     ) -> None:
         splitter = EventSplitter()
         is_bound = False
@@ -99,7 +89,7 @@
             state.record_target_data(asyncio.get_running_loop().time())
             self._runs.record_progress(state)
             received = splitter.add(data)
-            buffer.resize(splitter.n_partial_bytes)
+            hold_answer(buffer, splitter.n_partial_bytes)
             if received and not is_bound:
                 await self._binder.bind(state, target, answer)
                 is_bound = True
@@ -148,6 +138,30 @@
         return self._board.is_only_own_link_full(asyncio.get_running_loop().time())
 
 
+async def read_answer(answer: OpenAnswer, memory: MemoryPart) -> PartList:
+    """Return a whole answer, which its memory counts until the caller has it.
+
+    Raises AnswerBrokenError if the answer is incomplete or too long.
+    """
+    body = PartList()
+    try:
+        async for data in answer.read():
+            hold_answer(memory, body.n_bytes + len(data))
+            body.add(data)
+    except BaseException:
+        memory.release()
+        raise
+    return body
+
+
+def hold_answer(memory: MemoryPart, n_bytes: int) -> None:
+    """Count what is held of an answer; raise AnswerBrokenError if it is too long."""
+    try:
+        memory.resize(n_bytes)
+    except MemoryLimitError as error:
+        raise AnswerBrokenError(f"the answer is too long: {error}") from error
+
+
 def count_most_events(request: CallerRequest) -> float:
     """Return how many events a stream may have; infinite if its tokens are unknown."""
     if not request.max_output_tokens:
--- a/trefoilstage/components/forwarding/reply.py
+++ b/trefoilstage/components/forwarding/reply.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Sequence
 from typing import Protocol
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
 
-from trefoilstage.components.forwarding.answer_buffers import (
-    AnswerBuffer,
-    AnswerBuffers,
-)
+from trefoilstage.components.connections.memory import MemoryAccount, MemoryPart
+from trefoilstage.components.connections.parts import PartList
 from trefoilstage.components.forwarding.caller_stream import CallerStream
 
 
@@ -36,7 +36,7 @@
         self,
         status: int,
         headers: Sequence[tuple[str, str]],
-        body: bytes,
+        body: PartList,
         *,
         close: bool,
     ) -> None:
@@ -46,9 +46,9 @@
 class WebReply:
     """Send the answer to one request of the HTTP server."""
 
-    def __init__(self, *, web_request: web.BaseRequest, buffers: AnswerBuffers) -> None:
+    def __init__(self, *, web_request: web.BaseRequest, account: MemoryAccount) -> None:
         self._web_request = web_request
-        self._buffers = buffers
+        self._account = account
         self._reads_ahead = False
         self._stream: CallerStream | None = None
         self.response: web.StreamResponse | None = None
@@ -65,7 +65,7 @@
         stream = CallerStream(
             status=status,
             web_request=self._web_request,
-            kept=AnswerBuffer(buffers=self._buffers),
+            kept=MemoryPart(account=self._account),
         )
         set_headers(stream, headers)
         if close:
@@ -100,12 +100,12 @@
         self,
         status: int,
         headers: Sequence[tuple[str, str]],
-        body: bytes,
+        body: PartList,
         *,
         close: bool,
     ) -> None:
         """Set the complete answer, in place of a stream."""
-        response = web.Response(status=status, body=body)
+        response = make_whole_response(status, body)
         set_headers(response, headers)
         if close:
             response.force_close()
@@ -125,6 +125,36 @@
                 asyncio.get_running_loop().call_at(discard_at, transport.abort)
 
 
+class LongResponse(web.StreamResponse):
+    """Send a whole answer in parts, of which the connection holds one at a time."""
+
+    def __init__(self, *, status: int, body: PartList) -> None:
+        super().__init__(status=status)
+        self._parts = deque(body.parts)
+        self._n_bytes = body.n_bytes
+
+    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
+        """Send the head, with the length of the answer."""
+        self.content_length = self._n_bytes
+        return await super().prepare(request)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Send the body."""
+        while self._parts:
+            await self.write(self._parts.popleft())
+        await super().write_eof(data)
+
+
+def make_whole_response(status: int, body: PartList) -> web.StreamResponse:
+    """Return the response with a whole answer.
+
+    The HTTP library would copy all of a long one.
+    """
+    if len(body.parts) <= 1:
+        return web.Response(status=status, body=body.join())
+    return LongResponse(status=status, body=body)
+
+
 def limit_unsent_data(web_request: web.BaseRequest) -> None:
     """Let a write wait until the kernel has taken what was written before.
 
--- a/trefoilstage/components/forwarding/request_state.py
+++ b/trefoilstage/components/forwarding/request_state.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass, field
 
+from trefoilstage.components.connections.memory import (
+    MemoryAccount,
+    MemoryBudget,
+    MemoryPart,
+)
 from trefoilstage.components.crashes.fingerprint import (
     fingerprint_request,
     identify_parts,
@@ -22,6 +27,14 @@
 # Events that a target may have sent before it noticed that the connection closed.
 MAX_UNREAD_EVENTS = 3
 MAX_URGENCY = 9  # the least urgent; 0 is the most urgent
+# Of a request whose caller has no account.
+DEFAULT_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+def make_answer_memory() -> MemoryPart:
+    """Return the memory of an answer whose caller has no account."""
+    budget = MemoryBudget(max_bytes=DEFAULT_ANSWER_BYTES)
+    return MemoryPart(account=MemoryAccount(budget=budget))
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,6 +56,7 @@
     started_at: float
     deadline: float
     body_s: float = 0.0  # until its body arrived
+    answer_memory: MemoryPart = field(default_factory=make_answer_memory)
     n_possible_runs: int = 0  # sends that a target may have run
     n_sends: int = 0
     excluded: set[str] = field(default_factory=set)  # incarnations not to try again
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import socket
-from typing import Any
 
 from aiohttp import web
 from mode import Service
 
-from trefoilstage.components.forwarding.answer_buffers import AnswerBuffers
+from trefoilstage.components.connections.framing import MAX_HEADERS
+from trefoilstage.components.connections.site import (
+    READ_AHEAD_BYTES,
+    ClientConnections,
+    MeteredSite,
+    get_account,
+)
 from trefoilstage.components.forwarding.exchange import Exchange
 from trefoilstage.components.forwarding.models import CallerRequest, Route, RouteKind
 from trefoilstage.components.forwarding.open_requests import OpenRequests
@@ -19,6 +24,11 @@
     limit_unsent_data,
     send_response,
 )
+from trefoilstage.components.forwarding.request_body import (
+    BODY_LATE,
+    MEMORY_FULL,
+    read_body_by,
+)
 from trefoilstage.components.forwarding.request_state import RequestState
 from trefoilstage.components.forwarding.translator import (
     MalformedRequestError,
@@ -64,11 +74,8 @@
     retry_after_s=RETRY_ELSEWHERE_AFTER_S,
     detail="this host's link is full",
 )
-BODY_LATE = Refusal(
-    reason=Reason.DEADLINE,
-    retry_after_s=RETRY_ELSEWHERE_AFTER_S,
-    detail="the body did not arrive in time",
-)
+# The next request of the caller should reach another host, too.
+SENT_ELSEWHERE = (LINK_FULL, BODY_LATE, MEMORY_FULL)
 # Used if the pipeline returns neither an answer nor a refusal.
 NO_ANSWER = Refusal(reason=Reason.TARGET_FAILED, effect=Effect.UNKNOWN)
 NOT_READY = Refusal(reason=Reason.NOT_READY, retry_after_s=RETRY_AFTER_S)
@@ -84,6 +91,7 @@
         settings: FleetSettings,
         translator: RequestTranslator,
         pipeline: ForwardingPipeline,
+        connections: ClientConnections,
         caller_socket: socket.socket | None = None,
     ) -> None:
         super().__init__()
@@ -96,7 +104,7 @@
         self._refuses_all = False
         self._open_requests = OpenRequests()
         self._replies: set[WebReply] = set()  # of requests that have not settled
-        self._unread = AnswerBuffers()
+        self._connections = connections
         self._was_only_own_link_full = False
         self._n_failed_checks = 0  # consecutive, of readiness
         self.n_streams = 0
@@ -115,8 +123,9 @@
             keepalive_timeout=IDLE_TIMEOUT_S,
             max_line_size=16_384,
             max_field_size=16_384,
+            max_headers=MAX_HEADERS,
+            read_bufsize=READ_AHEAD_BYTES,
             auto_decompress=False,
-            request_factory=make_web_request,
         )
         self._caller_runner = web.ServerRunner(
             caller_server, shutdown_timeout=LINGER_TIMEOUT_S
@@ -137,7 +146,13 @@
         )
 
     async def _listen(self, runner: web.ServerRunner, port: int) -> int:
-        site = web.TCPSite(runner, self._settings.address, port, backlog=BACKLOG)
+        site = MeteredSite(
+            runner,
+            connections=self._connections,
+            address=self._settings.address,
+            port=port,
+            backlog=BACKLOG,
+        )
         await site.start()
         bound_port: int = runner.addresses[0][1]
         return bound_port
@@ -151,7 +166,13 @@
         accept_at = loop.time() + MAX_EARLY_WAIT_S
         while self._board.phase is Phase.STARTING and loop.time() < accept_at:
             await asyncio.sleep(READY_POLL_S)
-        await web.SockSite(self._caller_runner, caller_socket, backlog=BACKLOG).start()
+        site = MeteredSite(
+            self._caller_runner,
+            connections=self._connections,
+            opened=caller_socket,
+            backlog=BACKLOG,
+        )
+        await site.start()
 
     async def on_stop(self) -> None:
         """Stop listening, refuse the requests in flight, end the others, then close.
@@ -220,8 +241,11 @@
 
     async def _handle_request(self, web_request: web.BaseRequest) -> web.StreamResponse:
         started_at = asyncio.get_running_loop().time()
-        exchange = Exchange(web_request=web_request, started_at=started_at)
-        with self._open_requests.track():
+        account = get_account(web_request, self._connections.budget)
+        exchange = Exchange(
+            web_request=web_request, started_at=started_at, account=account
+        )
+        with self._open_requests.track(), exchange:
             limit_unsent_data(web_request)
             try:
                 response, deadline = await self._answer(exchange)
@@ -244,7 +268,7 @@
         web_request, started_at = exchange.web_request, exchange.started_at
         request: CallerRequest | None = None
         state: RequestState | Refusal = SHUTTING_DOWN  # until the body has arrived
-        reply = WebReply(web_request=web_request, buffers=self._unread)
+        reply = WebReply(web_request=web_request, account=exchange.account)
         try:
             async with self._open_requests.allow_end():
                 request = exchange.request = self._translator.read_request(
@@ -252,9 +276,7 @@
                     raw_target=web_request.raw_path,
                     headers=web_request.headers.items(),
                 )
-                state = await self._create_request_state(
-                    request, web_request, started_at
-                )
+                state = await self._create_request_state(request, exchange)
                 if isinstance(state, Refusal):
                     return self._refuse(state, request), started_at
                 exchange.state = state
@@ -285,8 +307,9 @@
             self.n_streams -= is_stream
 
     async def _create_request_state(
-        self, request: CallerRequest, web_request: web.BaseRequest, started_at: float
+        self, request: CallerRequest, exchange: Exchange
     ) -> RequestState | Refusal:
+        web_request, started_at = exchange.web_request, exchange.started_at
         configuration = self._board.configuration
         if configuration is None:
             return NOT_READY
@@ -299,20 +322,15 @@
         workspace = configuration.workspaces_by_key.get(request.key)
         if workspace is None and configuration.workspaces and not route.public:
             return Refusal(reason=Reason.UNAUTHORIZED)
-        length = web_request.content_length or 0
         limit = min(MAX_BODY_BYTES, configuration.limits.max_body_bytes)
-        if length > limit:
+        if (web_request.content_length or 0) > limit:
             return Refusal(reason=Reason.BODY_TOO_LARGE)
         if self._should_send_elsewhere(route.objective_s, started_at):
             return LINK_FULL
-        try:
-            async with asyncio.timeout_at(deadline):
-                body = await web_request.read()
-        except TimeoutError:
-            return BODY_LATE
+        body = await read_body_by(deadline, exchange, limit)
+        if isinstance(body, Refusal):
+            return body
         body_s = asyncio.get_running_loop().time() - started_at
-        if len(body) > limit:
-            return Refusal(reason=Reason.BODY_TOO_LARGE)
         if not self._may_accept(route, deadline):
             return SHUTTING_DOWN  # the shutdown went on while the body arrived
         return RequestState(
@@ -322,6 +340,7 @@
             workspace=workspace,
             started_at=started_at,
             body_s=body_s,
+            answer_memory=exchange.answer_memory,
             deadline=deadline,
         )
 
@@ -344,7 +363,7 @@
             effect=refusal.effect,
             detail=refusal.detail,
         )
-        close = self._board.phase is Phase.DRAINING or refusal in (LINK_FULL, BODY_LATE)
+        close = self._board.phase is Phase.DRAINING or refusal in SENT_ELSEWHERE
         return self._refusal_maker.make(refusal, request, close=close)
 
     def _refuse_or_abort(
@@ -372,18 +391,3 @@
     if request.deadline_s is not None:
         timeout_s = min(timeout_s, request.deadline_s)
     return started_at + timeout_s
-
-
-def make_web_request(
-    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-) -> web.BaseRequest:
-    """Return a request whose body may have the largest size that can be configured."""
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        asyncio.get_running_loop(),
-        client_max_size=MAX_BODY_BYTES,
-    )
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 from mode import Service
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
+from trefoilstage.components.connections.table import ConnectionTable
+from trefoilstage.components.peers.counted_connection import CountedConnection
 from trefoilstage.components.peers.frames import ErrorReply, Frame
 from trefoilstage.components.peers.link import send_data
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
@@ -24,8 +27,16 @@
 class PeerServer(Service):
     """Accept peers' connections and pass each message to the handler of its type."""
 
-    def __init__(self, *, address: str, port: int, codec: Codec[Frame[Any]]) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        codec: Codec[Frame[Any]],
+        table: ConnectionTable | None = None,  # None in a process without clients
+    ) -> None:
         super().__init__()
+        self._table = table
         self._codec = codec
         self.address = address
         self.port = port
@@ -47,6 +58,9 @@
 
     async def on_start(self) -> None:
         """Start listening for connections."""
+        make_connection: Any = None
+        if self._table is not None:
+            make_connection = partial(CountedConnection, table=self._table)
         self._server = await serve(
             self._serve_connection,
             self.address,
@@ -55,6 +69,7 @@
             compression=None,
             max_size=MAX_PEER_MESSAGE_BYTES,
             close_timeout=1,
+            create_connection=make_connection,
         )
         self.port = next(iter(self._server.sockets)).getsockname()[1]
 
@@ -66,6 +81,8 @@
 
     async def _serve_connection(self, connection: ServerConnection) -> None:
         streams: set[asyncio.Task[None]] = set()
+        if isinstance(connection, CountedConnection):
+            connection.end_handshake()
         try:
             async for data in connection:
                 self._start_call(connection, data, streams)
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -8,6 +8,8 @@
 
 from mode import Service
 
+from trefoilstage.components.connections.limits import plan_client_limits
+from trefoilstage.components.connections.site import ClientConnections
 from trefoilstage.components.crashes.probe import ConnectProbe
 from trefoilstage.components.fleet.board_updater import BoardUpdater
 from trefoilstage.components.fleet.messages import FLEET_CODEC
@@ -88,8 +90,14 @@
             codec=FLEET_CODEC,
             round_trips=self._board.round_trips,
         )
+        connections = ClientConnections(
+            limits=plan_client_limits(settings.memory_mb, settings.max_descriptors)
+        )
         peer_server = PeerServer(
-            address=settings.address, port=settings.peer_port, codec=FLEET_CODEC
+            address=settings.address,
+            port=settings.peer_port,
+            codec=FLEET_CODEC,
+            table=connections.table,
         )
         streams = PeerStreams(outbound_address=settings.address, codec=FLEET_CODEC)
         parts = make_fleet_parts(
@@ -121,6 +129,7 @@
             settings=settings,
             translator=self._translator,
             pipeline=parts.pipeline,
+            connections=connections,
             caller_socket=self._caller_socket,
         )
         metrics = MetricsServer(
@@ -129,6 +138,7 @@
             line_writer=self._line_writer,
             address=settings.address,
             port=settings.metrics_port,
+            connections=connections,
             get_accounts=self._home.list_accounts,
             count_active=lambda: self._server.n_active,
             count_waiting_for_tokens=lambda: parts.escrow.n_waiting,
--- a/trefoilstage/fleet_settings.py
+++ b/trefoilstage/fleet_settings.py
@@ -39,3 +39,6 @@
     # For targets that crash when their requests need more memory than they have: while
     # a service is nearly full, its requests wait in one queue of the fleet.
     has_admission_queue: bool = False
+    # Of the machine. What clients may hold follows from them.
+    memory_mb: Annotated[float, Field(gt=0)] = 88.0
+    max_descriptors: Annotated[int, Field(gt=0)] = 4_100
--- a/trefoilstage/helpers/send_trace.py
+++ b/trefoilstage/helpers/send_trace.py
@@ -79,6 +79,10 @@
     attempt.n_sent += 1
 
 
+# Of an answer, by the HTTP library; it reads on below twice as much.
+READ_AHEAD_BYTES = 16 * 1024
+
+
 def open_session(
     connector: aiohttp.TCPConnector,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
@@ -87,6 +91,7 @@
     return aiohttp.ClientSession(
         connector=connector,
         response_class=response_class,
+        read_bufsize=READ_AHEAD_BYTES,
         timeout=aiohttp.ClientTimeout(total=None),
         trace_configs=[make_send_trace()],
         # A cookie set for one workspace must not be sent with another one's call.
--- a/trefoilstage/platform/settings.py
+++ b/trefoilstage/platform/settings.py
@@ -11,6 +11,9 @@
 
 MS_PER_S = 1000.0
 ZONE_PREFIX = "zones."
+# Of the smallest machines.
+DEFAULT_MEMORY_MB = "88"
+DEFAULT_DESCRIPTORS = "4100"
 # Targets under this contract crash when their requests exceed their memory.
 PRESSURE_CONTRACT = "pressure"
 # Set by deploy/system.toml, which also configures where the platform reads metrics. The
@@ -60,6 +63,8 @@
         "retry_window_s": fields.get("bounds.budget_window_s", "10"),
         "cold_rate_factor": fields.get("bounds.cold_over"),
         "cold_rate_slack": fields.get("bounds.cold_slack"),
+        "memory_mb": fields.get("limits.memory_mb", DEFAULT_MEMORY_MB),
+        "max_descriptors": fields.get("limits.max_fds", DEFAULT_DESCRIPTORS),
         "has_admission_queue": PRESSURE_CONTRACT in read_names(fields, "contracts"),
     }
 
