Meter what clients make the product's own daemon hold

Callers, operators and peers saw the same as before the forwarding hosts: heads without end, bytes behind an Upgrade and requests sent ahead were kept without a bound on the callers' and the operators' port, unfinished bodies by the number of connections, and connections without a limit. Same cause, same front: one budget and one table for the three ports, from max_client_bytes and max_client_connections. An operator's body that does not fit gets 503 with Retry-After, a caller's 429 as for other overload of this daemon.

--- a/tests/components/test_caller_server.py
+++ b/tests/components/test_caller_server.py
@@ -5,10 +5,13 @@
 from unittest import mock
 
 from trefoilstage.components.callers.server import CallerServer
+from trefoilstage.components.connections.limits import ClientLimits
+from trefoilstage.components.connections.site import ClientConnections
 from trefoilstage.helpers import port_close
 from trefoilstage.phase import Phase
 
 ADDRESS = "127.0.0.1"
+LIMITS = ClientLimits(max_bytes=16 * 1024 * 1024, max_connections=10)
 
 
 class PortCloseTest(unittest.IsolatedAsyncioTestCase):
@@ -22,6 +25,7 @@
             bookings=mock.AsyncMock(),
             address=ADDRESS,
             port=0,
+            connections=ClientConnections(limits=LIMITS),
         )
         await server.start()
         reader, writer = await asyncio.open_connection(ADDRESS, server.port)
--- a/trefoilstage/assembly.py
+++ b/trefoilstage/assembly.py
@@ -14,6 +14,8 @@
 from trefoilstage.components.callers.generation import GenerationRunner
 from trefoilstage.components.callers.server import CallerServer
 from trefoilstage.components.configuration.controller import ConfigurationController
+from trefoilstage.components.connections.limits import ClientLimits
+from trefoilstage.components.connections.site import ClientConnections
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.components.log_client.client import LogClient
 from trefoilstage.components.log_client.streams import Streams
@@ -99,8 +101,17 @@
     at_most_once_session = make_session(settings, close_after_request=True)
     timer = TimerService()
     links = PeerLinks(outbound_address=get_outbound_address(settings), codec=PEER_CODEC)
+    connections = ClientConnections(
+        limits=ClientLimits(
+            max_bytes=settings.max_client_bytes,
+            max_connections=settings.max_client_connections,
+        )
+    )
     peer_server = PeerServer(
-        address=settings.address, port=settings.peer_port, codec=PEER_CODEC
+        address=settings.address,
+        port=settings.peer_port,
+        codec=PEER_CODEC,
+        table=connections.table,
     )
     log_parts = make_log_parts(
         settings=settings,
@@ -181,6 +192,7 @@
             bookings=bookings,
             address=settings.address,
             port=settings.caller_port,
+            connections=connections,
         ),
         operator_server=OperatorServer(
             blackboard=blackboard,
@@ -189,6 +201,7 @@
             drain=drain,
             address=settings.address,
             port=settings.operator_port,
+            connections=connections,
         ),
         metrics=MetricsController(
             blackboard=blackboard,
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -17,6 +17,15 @@
 from trefoilstage.components.callers.models import Caller
 from trefoilstage.components.callers.refusals import SHUTTING_DOWN_REFUSAL
 from trefoilstage.components.callers.reporter import RequestContext, RequestReporter
+from trefoilstage.components.connections.body import read_body
+from trefoilstage.components.connections.framing import MAX_HEADERS
+from trefoilstage.components.connections.memory import MemoryLimitError, MemoryPart
+from trefoilstage.components.connections.site import (
+    READ_AHEAD_BYTES,
+    ClientConnections,
+    MeteredSite,
+    get_account,
+)
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.keys.controller import KeyController
 from trefoilstage.const import HEADER_REQUEST_ID, MAX_REQUEST_BODY_BYTES
@@ -47,6 +56,7 @@
         bookings: ServiceCallController,
         address: str,
         port: int,
+        connections: ClientConnections,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
@@ -60,6 +70,7 @@
         self._gate = RequestGate(blackboard=blackboard)
         self._address = address
         self.port = port
+        self._connections = connections
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
@@ -75,10 +86,20 @@
         )
         app.router.add_get("/health", self._handle_health)
         self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=1.0,
+            max_headers=MAX_HEADERS,
+            read_bufsize=READ_AHEAD_BYTES,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._address, self.port)
+        site = MeteredSite(
+            self._runner,
+            connections=self._connections,
+            address=self._address,
+            port=self.port,
+        )
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -154,8 +175,9 @@
         if isinstance(caller, Refusal):
             return self._reporter.refuse(caller, context)
         self._blackboard.n_active += 1
+        memory = MemoryPart(account=get_account(request, self._connections.budget))
         try:
-            body = await self._read_body(request, caller)
+            body = await self._read_body(request, caller, memory)
             if isinstance(body, Refusal):
                 return self._reporter.refuse(body, context)
             return await respond(request, caller, body, context)
@@ -165,13 +187,16 @@
                 self._reporter.report_refused(CUT_REFUSAL, context)
             raise
         finally:
+            memory.release()
             self._blackboard.n_active -= 1
 
-    async def _read_body(self, request: web.Request, caller: Caller) -> bytes | Refusal:
+    async def _read_body(
+        self, request: web.Request, caller: Caller, memory: MemoryPart
+    ) -> bytes | Refusal:
         """Return a request's body, or a refusal if it is too large or late."""
         try:
             async with self._bodies.allow_end():
-                body = await read_body(request, caller)
+                body = await read_body_in_time(request, caller, memory)
         except TimeoutError:
             return SHUTTING_DOWN_REFUSAL
         # The shutdown may have begun while the body arrived.
@@ -207,14 +232,20 @@
         )
 
 
-async def read_body(request: web.Request, caller: Caller) -> bytes | Refusal:
+async def read_body_in_time(
+    request: web.Request, caller: Caller, memory: MemoryPart
+) -> bytes | Refusal:
     """Return a request's body, or a refusal if it is too large or late."""
     try:
         async with asyncio.timeout(caller.deadline_s):
-            return await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        detail = f"body is larger than {MAX_REQUEST_BODY_BYTES} bytes"
-        return Refusal(reason=Reason.BODY_TOO_LARGE, detail=detail)
+            body = await read_body(request, memory, MAX_REQUEST_BODY_BYTES)
+    except MemoryLimitError:
+        detail = "this host has no memory for the body"
+        return Refusal(reason=Reason.OVERLOADED, detail=detail)
     except TimeoutError:
         detail = "the body did not arrive by the deadline"
         return Refusal(reason=Reason.DEADLINE, detail=detail)
+    if len(body) > MAX_REQUEST_BODY_BYTES:
+        detail = f"body is larger than {MAX_REQUEST_BODY_BYTES} bytes"
+        return Refusal(reason=Reason.BODY_TOO_LARGE, detail=detail)
+    return body
--- a/trefoilstage/components/operators/server.py
+++ b/trefoilstage/components/operators/server.py
@@ -9,6 +9,14 @@
 from pydantic import BaseModel, ValidationError
 
 from trefoilstage.blackboard import Blackboard
+from trefoilstage.components.connections.body import read_body
+from trefoilstage.components.connections.memory import MemoryLimitError, MemoryPart
+from trefoilstage.components.connections.site import (
+    READ_AHEAD_BYTES,
+    ClientConnections,
+    MeteredSite,
+    get_account,
+)
 from trefoilstage.components.forwarding.open_requests import OpenRequests
 from trefoilstage.components.log_client.stream import StreamService, Ticket
 from trefoilstage.components.log_client.streams import Streams
@@ -36,7 +44,7 @@
 )
 from trefoilstage.configuration.fold import NEW_FILE_REVISION
 from trefoilstage.configuration.records import Publish, Remove
-from trefoilstage.const import BUDGET_ACCOUNT_PREFIX
+from trefoilstage.const import BUDGET_ACCOUNT_PREFIX, HEADER_RETRY_AFTER
 from trefoilstage.helpers.dump import StateRegistry, dump_value
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.finding import Finding
@@ -51,6 +59,7 @@
 # Long enough to query hundreds of hosts for their log positions a few times.
 DECLARED_LOST_TTL_S = 120.0
 MAX_BODY_BYTES = 1_000_000
+RETRY_AFTER_S = 1
 HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
@@ -68,6 +77,7 @@
         drain: Callable[[], None],
         address: str,
         port: int,
+        connections: ClientConnections,
     ) -> None:
         super().__init__()
         self._blackboard = blackboard
@@ -76,6 +86,7 @@
         self._drain = drain
         self._address = address
         self.port = port
+        self._connections = connections
         self._runner: web.AppRunner | None = None
         self._changes = OpenRequests()
 
@@ -97,9 +108,16 @@
         app.router.add_post("/budgets/{name}/top-up", self._top_up_budget)
         app.router.add_post("/drain", self._start_drain)
         app.router.add_post("/hosts/declare-lost", self._declare_hosts_lost)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=1.0, read_bufsize=READ_AHEAD_BYTES
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._address, self.port)
+        site = MeteredSite(
+            self._runner,
+            connections=self._connections,
+            address=self._address,
+            port=self.port,
+        )
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -139,7 +157,7 @@
         return web.json_response(dump_value(self._blackboard.config.history))
 
     async def _publish_file(self, request: web.Request) -> web.Response:
-        body = await parse_body(request, PublishBody)
+        body = await self._parse_body(request, PublishBody)
         ticket = self._streams.submit_config(
             Publish(
                 operation=body.operation,
@@ -154,7 +172,7 @@
         )
 
     async def _remove_file(self, request: web.Request) -> web.Response:
-        body = await parse_body(request, RemoveBody)
+        body = await self._parse_body(request, RemoveBody)
         ticket = self._streams.submit_config(
             Remove(
                 operation=body.operation,
@@ -174,7 +192,7 @@
         return current_file.revision if current_file else NEW_FILE_REVISION
 
     async def _top_up_budget(self, request: web.Request) -> web.Response:
-        body = await parse_body(request, TopUpBody)
+        body = await self._parse_body(request, TopUpBody)
         account = f"{BUDGET_ACCOUNT_PREFIX}{request.match_info['name']}"
         stream_number = self._streams.get_ledger_number(account)
         if stream_number not in self._streams.ledgers:
@@ -189,6 +207,12 @@
         stream = self._streams.ledgers[stream_number]
         return await self._respond_with_verdict(stream, ticket, body.operation)
 
+    async def _parse_body(self, request: web.Request, model: type[BodyT]) -> BodyT:
+        account = get_account(request, self._connections.budget)
+        with MemoryPart(account=account) as memory:
+            body = await read_whole_body(request, memory)
+            return validate_body(model, body)
+
     async def _respond_with_verdict(
         self, stream: StreamService, ticket: Ticket, operation: str
     ) -> web.Response:
@@ -229,7 +253,7 @@
         return make_json_response(DrainAnswer(host=self._blackboard.host))
 
     async def _declare_hosts_lost(self, request: web.Request) -> web.Response:
-        body = await parse_body(request, DeclareLostBody)
+        body = await self._parse_body(request, DeclareLostBody)
         expires_at = asyncio.get_running_loop().time() + DECLARED_LOST_TTL_S
         self._blackboard.declared_lost |= dict.fromkeys(body.hosts, expires_at)
         log_event(Event.HOSTS_DECLARED_LOST, hosts=",".join(body.hosts))
@@ -238,10 +262,25 @@
         )
 
 
-async def parse_body(request: web.Request, model: type[BodyT]) -> BodyT:
+async def read_whole_body(request: web.Request, memory: MemoryPart) -> bytes:
+    """Return a request's body, or raise the HTTP error for one that is too long."""
+    try:
+        body = await read_body(request, memory, MAX_BODY_BYTES)
+    except MemoryLimitError as error:
+        raise web.HTTPServiceUnavailable(
+            text=ErrorAnswer(reason=Reason.OVERLOADED).model_dump_json(),
+            content_type="application/json",
+            headers={HEADER_RETRY_AFTER: str(RETRY_AFTER_S)},
+        ) from error
+    if len(body) > MAX_BODY_BYTES:
+        raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+    return body
+
+
+def validate_body(model: type[BodyT], body: bytes) -> BodyT:
     """Return the validated body, or raise HTTPBadRequest (400) with all findings."""
     try:
-        return model.model_validate_json(await request.read())
+        return model.model_validate_json(body)
     except ValidationError as error:
         answer = VerdictAnswer(
             accepted=False,
--- a/trefoilstage/settings.py
+++ b/trefoilstage/settings.py
@@ -53,6 +53,9 @@
     drain_grace_s: Annotated[float, Field(ge=0)] = 0.0
     flush_timeout_s: Seconds = 10.0
     advertised_peer_url: str | None = None
+    # Of all callers, operators and peers together.
+    max_client_bytes: Annotated[int, Field(ge=4_000_000)] = 32 * 1024 * 1024
+    max_client_connections: Annotated[int, Field(ge=10)] = 1_000
 
 
 def load_settings(path: Path) -> HostSettings:
