Meter what clients make the port for peers hold, and take turns

Heads of 60 KB of 1,800 connections held 186 MB. 1,500 clients of the metrics page, and 40 whose chunks have one byte, kept others from any answer for 15 s. 300 clients with answers of 1 MB made the host eject its targets: an answer that it could not hold counted as broken off.

Cause: the library for peers parses all of a read at once, each short message into objects of a hundred times its bytes; a message is held until it is complete. The first front counted every connection of a peer, but asserted a type that uvloop's transports don't have, so that no peer could connect. What is copied of a head while it is incomplete left holes in the heap. A part of a body was parsed as a whole, however many chunks it had, and metrics were rendered for each request.

Now peers' connections have the same front: little at a time, nothing while replies are unread, long messages counted in the same budget; a connection with 100 messages that can't be decoded is closed. Each connection passes on a few parts a turn of the event loop. Heads have 32 KB, searched in place. Metrics are rendered at most every 0.25 s. An answer that this host can't hold is no failure of its target.

--- a/trefoilstage/assembly.py
+++ b/trefoilstage/assembly.py
@@ -111,7 +111,7 @@
         address=settings.address,
         port=settings.peer_port,
         codec=PEER_CODEC,
-        table=connections.table,
+        connections=connections,
     )
     log_parts = make_log_parts(
         settings=settings,
--- a/trefoilstage/components/connections/framing.py
+++ b/trefoilstage/components/connections/framing.py
@@ -9,11 +9,13 @@
 
 from trefoilstage.exceptions import TrefoilstageError
 
-MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 4_096
 # The size of a chunk with its extensions.
 MAX_CHUNK_LINE_BYTES = 4_096
 MAX_TRAILER_BYTES = 16 * 1024
+# Of chunks and between them, taken at a time: each costs a step of the parser.
+MAX_LINES = 64
 MAX_LENGTH_DIGITS = 18
 MAX_CHUNK_SIZE_DIGITS = 15
 LINE_END = b"\r\n"
@@ -25,6 +27,7 @@
     rb"\r\n(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)(\r\n[ \t])?",
     re.I,
 )
+LONE_LINE_FEED = re.compile(rb"(?:^|[^\r])\n")
 CHUNK_SIZE = re.compile(rb"([0-9a-fA-F]{1,%d})[ \t]*(?:;|$)" % MAX_CHUNK_SIZE_DIGITS)
 
 
@@ -81,7 +84,9 @@
         if self._position is Position.HEAD:
             return self._take_head(data)
         start = 0
-        while start < len(data) and not self.is_between_requests:
+        for _ in range(MAX_LINES):
+            if start == len(data) or self.is_between_requests:
+                break
             n_bytes = self._take_part(data, start)
             if not n_bytes:
                 break
@@ -98,30 +103,28 @@
         return self._take_trailer(data, start)
 
     def _take_head(self, data: bytearray) -> int:
-        end = data.find(HEAD_END, max(0, self._n_searched_bytes - len(HEAD_END) + 1))
+        searched_from = max(0, self._n_searched_bytes - len(HEAD_END) + 1)
+        end = data.find(HEAD_END, searched_from)
         n_bytes = len(data) if end < 0 else end + len(HEAD_END)
         if n_bytes > self._max_head_bytes:
             raise FramingError(HTTP_HEAD_TOO_LARGE, "the head is too long")
-        head = bytes(data[:n_bytes])
-        n_lines = head.count(LINE_END)
-        if head.count(b"\n") != n_lines:
-            raise FramingError(
-                HTTP_BAD_REQUEST, "a line ends without a carriage return"
-            )
+        if LONE_LINE_FEED.search(data, searched_from, n_bytes):
+            raise FramingError(HTTP_BAD_REQUEST, "a line has no carriage return")
         if end < 0:
             self._n_searched_bytes = len(data)
             return 0
         self._n_searched_bytes = self._n_skipped_bytes = 0
-        self.n_headers = n_lines - 2
+        self.n_headers = data.count(LINE_END, 0, n_bytes) - 2
         if self.n_headers > MAX_HEADERS:
             raise FramingError(HTTP_HEAD_TOO_LARGE, "the head has too many headers")
-        self._set_length(head)
+        self._set_length(data, n_bytes)
         return n_bytes
 
-    def _set_length(self, head: bytes) -> None:
+    def _set_length(self, data: bytearray, n_head_bytes: int) -> None:
         lengths: set[bytes] = set()
         codings: list[bytes] = []
-        for name, value, continuation in FRAMING_HEADER.findall(head):
+        headers = FRAMING_HEADER.findall(data, 0, n_head_bytes)
+        for name, value, continuation in headers:
             if continuation:
                 raise FramingError(HTTP_BAD_REQUEST, "the body's length is unclear")
             if name.lower() == b"content-length":
--- a/trefoilstage/components/connections/site.py
+++ b/trefoilstage/components/connections/site.py
@@ -3,17 +3,17 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 from aiohttp import web
 
+from trefoilstage.components.connections.http_connection import HttpConnection
 from trefoilstage.components.connections.limits import ClientLimits
 from trefoilstage.components.connections.memory import MemoryAccount, MemoryBudget
-from trefoilstage.components.connections.metered import (
-    READ_BYTES,
-    MeteredConnection,
-    MeteredTransport,
-)
+from trefoilstage.components.connections.metered import READ_BYTES
+from trefoilstage.components.connections.peer_connection import PeerConnection
 from trefoilstage.components.connections.table import ConnectionTable
+from trefoilstage.components.connections.transport import MeteredTransport
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -38,9 +38,17 @@
         """Return the budget of what clients make the process hold."""
         return self.table.budget
 
-    def meter(self, server_protocol: asyncio.Protocol) -> MeteredConnection:
-        """Return the protocol that gives a server's protocol metered input."""
-        return MeteredConnection(
+    def meter_http(self, server_protocol: asyncio.Protocol) -> HttpConnection:
+        """Return the protocol that gives an HTTP server's protocol metered input."""
+        return HttpConnection(
+            server_protocol=server_protocol,
+            table=self.table,
+            read_buffer=self._read_buffer,
+        )
+
+    def meter_peer(self, server_protocol: asyncio.Protocol) -> PeerConnection:
+        """Return the protocol that gives a peer's protocol metered input."""
+        return PeerConnection(
             server_protocol=server_protocol,
             table=self.table,
             read_buffer=self._read_buffer,
@@ -79,8 +87,8 @@
         server.request_handler = send_answers(server.request_handler)
         loop = asyncio.get_running_loop()
 
-        def make_protocol() -> MeteredConnection:
-            return self._connections.meter(server())
+        def make_protocol() -> HttpConnection:
+            return self._connections.meter_http(server())
 
         if self._opened is not None:
             self._server = await loop.create_server(
@@ -106,7 +114,7 @@
         finally:
             transport = request.transport
             if isinstance(transport, MeteredTransport):
-                transport.connection.end_request()
+                cast(HttpConnection, transport.connection).end_request()
 
     return handle
 
@@ -129,5 +137,5 @@
     """Return the account of a request's client, a new one if it isn't metered."""
     transport = request.transport
     if isinstance(transport, MeteredTransport):
-        return transport.connection.account
+        return cast(HttpConnection, transport.connection).account
     return MemoryAccount(budget=budget)
--- a/trefoilstage/components/fleet/metrics_server.py
+++ b/trefoilstage/components/fleet/metrics_server.py
@@ -19,6 +19,8 @@
 PATH = "/metrics"
 # Interval at which log lines that a slow reader has not accepted are retried.
 FLUSH_INTERVAL_S = 0.25
+# Rendering takes milliseconds, which clients that ask often would take from others.
+MAX_AGE_S = 0.25
 
 
 class MetricsServer(Service):
@@ -55,6 +57,7 @@
         self._count_known_streams = count_known_streams
         self._count_waiting_for_places = count_waiting_for_places
         self._page = MetricsPage()
+        self._rendered, self._rendered_at = b"", float("-inf")
         self._stalls = StallDetector(interval_s=FLUSH_INTERVAL_S)
         self._runner: web.ServerRunner | None = None
 
@@ -106,7 +109,13 @@
         if request.path != PATH:
             return web.Response(status=404)
         headers = {"Content-Type": CONTENT_TYPE}
-        return web.Response(body=self._page.render(), headers=headers)
+        return web.Response(body=self._render(), headers=headers)
+
+    def _render(self) -> bytes:
+        now = self._timer.now()
+        if now - self._rendered_at > MAX_AGE_S:
+            self._rendered, self._rendered_at = self._page.render(), now
+        return self._rendered
 
     def _add_gauges(self) -> None:
         board = self._board
--- a/trefoilstage/components/forwarding/failures.py
+++ b/trefoilstage/components/forwarding/failures.py
@@ -13,6 +13,12 @@
 # Callers read these statuses as a promise that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 NO_TARGET = Refusal(reason=Reason.NO_TARGET, retry_after_s=RETRY_AFTER_S)
+# Another host may hold it, but the request may not run again.
+ANSWER_NOT_HELD = Refusal(
+    reason=Reason.OVERLOADED,
+    effect=Effect.UNKNOWN,
+    detail="this host has no memory for the answer",
+)
 PATH_LOST = replace(NO_TARGET, detail="neither this host nor a peer reaches targets")
 STREAM_UNKNOWN = Refusal(
     reason=Reason.STREAM_UNKNOWN,
--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -8,6 +8,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from trefoilstage.components.connections.memory import MemoryLimitError
 from trefoilstage.components.crashes.fingerprint import describe_parts
 from trefoilstage.components.crashes.watcher import CrashWatcher
 from trefoilstage.components.escrow.client import EscrowClient, EscrowHold
@@ -19,6 +20,7 @@
     SendOutcome,
 )
 from trefoilstage.components.forwarding.failures import (
+    ANSWER_NOT_HELD,
     NO_TARGET,
     NOT_RUN_STATUSES,
     RETRY_AFTER_S,
@@ -176,7 +178,16 @@
                 answer.close()
                 self._chooser.remove_request(target, state.request.prompt)
                 return make_failure(f"status {answer.head.status} without proof")
-            has_answered = await self._relay(state, reply, answer, target)
+            try:
+                has_answered = await self._relay(state, reply, answer, target)
+            except MemoryLimitError as error:
+                log_event(
+                    Event.ANSWER_TOO_LONG,
+                    request=state.request.request_id,
+                    target=target.name,
+                    error=str(error),
+                )
+                return ANSWER_NOT_HELD
             return None if has_answered else answer
 
     def _pick_service(self, route: Route) -> str:
@@ -294,7 +305,7 @@
             state.excluded.add(target.incarnation)
             self._runs.record_broken(state, target, str(error))
             return False
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, MemoryLimitError):
             self._runs.record_cancelled(state, target)
             raise
         finally:
--- a/trefoilstage/components/forwarding/relay.py
+++ b/trefoilstage/components/forwarding/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from trefoilstage.components.connections.memory import MemoryLimitError, MemoryPart
+from trefoilstage.components.connections.memory import MemoryPart
 from trefoilstage.components.connections.parts import PartList
 from trefoilstage.components.forwarding.answers import AnswerBrokenError, OpenAnswer
 from trefoilstage.components.forwarding.event_splitter import EventSplitter, StreamEvent
@@ -44,7 +44,8 @@
 
         Raises AnswerBrokenError if the answer is incomplete, MalformedMessageError if
         its events are malformed or out of order, StartUnprovenError if the target may
-        run another version than the stream needs.
+        run another version than the stream needs, MemoryLimitError if this host can't
+        hold the answer.
         """
         if state.route.kind is RouteKind.STREAM and answer.head.success:
             await self._relay_stream(state, reply, answer, target)
@@ -89,7 +90,7 @@
             state.record_target_data(asyncio.get_running_loop().time())
             self._runs.record_progress(state)
             received = splitter.add(data)
-            hold_answer(buffer, splitter.n_partial_bytes)
+            buffer.resize(splitter.n_partial_bytes)
             if received and not is_bound:
                 await self._binder.bind(state, target, answer)
                 is_bound = True
@@ -141,12 +142,13 @@
 async def read_answer(answer: OpenAnswer, memory: MemoryPart) -> PartList:
     """Return a whole answer, which its memory counts until the caller has it.
 
-    Raises AnswerBrokenError if the answer is incomplete or too long.
+    Raises AnswerBrokenError if the answer is incomplete, MemoryLimitError if it is too
+    long.
     """
     body = PartList()
     try:
         async for data in answer.read():
-            hold_answer(memory, body.n_bytes + len(data))
+            memory.resize(body.n_bytes + len(data))
             body.add(data)
     except BaseException:
         memory.release()
@@ -154,14 +156,6 @@
     return body
 
 
-def hold_answer(memory: MemoryPart, n_bytes: int) -> None:
-    """Count what is held of an answer; raise AnswerBrokenError if it is too long."""
-    try:
-        memory.resize(n_bytes)
-    except MemoryLimitError as error:
-        raise AnswerBrokenError(f"the answer is too long: {error}") from error
-
-
 def count_most_events(request: CallerRequest) -> float:
     """Return how many events a stream may have; infinite if its tokens are unknown."""
     if not request.max_output_tokens:
--- a/trefoilstage/components/peers/server.py
+++ b/trefoilstage/components/peers/server.py
@@ -2,15 +2,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import partial
-from typing import Any
+from typing import Any, cast
 
 from mode import Service
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from trefoilstage.components.connections.table import ConnectionTable
-from trefoilstage.components.peers.counted_connection import CountedConnection
+from trefoilstage.components.connections.peer_connection import PeerConnection
+from trefoilstage.components.connections.site import ClientConnections
+from trefoilstage.components.connections.transport import MeteredTransport
 from trefoilstage.components.peers.frames import ErrorReply, Frame
 from trefoilstage.components.peers.link import send_data
 from trefoilstage.const import MAX_PEER_MESSAGE_BYTES
@@ -24,6 +24,11 @@
 StreamHandler = Callable[[Any, SendReply], Awaitable[None]]
 
 
+# Messages of a connection that can't be decoded. A peer of another version may send
+# some; it connects again.
+MAX_MALFORMED = 100
+
+
 class PeerServer(Service):
     """Accept peers' connections and pass each message to the handler of its type."""
 
@@ -33,10 +38,11 @@
         address: str,
         port: int,
         codec: Codec[Frame[Any]],
-        table: ConnectionTable | None = None,  # None in a process without clients
+        connections: ClientConnections
+        | None = None,  # None in a process without clients
     ) -> None:
         super().__init__()
-        self._table = table
+        self._connections = connections
         self._codec = codec
         self.address = address
         self.port = port
@@ -58,9 +64,6 @@
 
     async def on_start(self) -> None:
         """Start listening for connections."""
-        make_connection: Any = None
-        if self._table is not None:
-            make_connection = partial(CountedConnection, table=self._table)
         self._server = await serve(
             self._serve_connection,
             self.address,
@@ -69,7 +72,7 @@
             compression=None,
             max_size=MAX_PEER_MESSAGE_BYTES,
             close_timeout=1,
-            create_connection=make_connection,
+            create_connection=cast(Any, self._make_connection),
         )
         self.port = next(iter(self._server.sockets)).getsockname()[1]
 
@@ -79,13 +82,23 @@
             self._server.close()
             await self._server.wait_closed()
 
+    def _make_connection(self, *args: Any, **options: Any) -> asyncio.BaseProtocol:
+        connection = ServerConnection(*args, **options)
+        if self._connections is None:
+            return connection
+        return self._connections.meter_peer(connection)
+
     async def _serve_connection(self, connection: ServerConnection) -> None:
         streams: set[asyncio.Task[None]] = set()
-        if isinstance(connection, CountedConnection):
-            connection.end_handshake()
+        transport = connection.transport
+        if isinstance(transport, MeteredTransport):
+            cast(PeerConnection, transport.connection).end_handshake()
+        n_malformed = 0
         try:
             async for data in connection:
-                self._start_call(connection, data, streams)
+                n_malformed += not self._start_call(connection, data, streams)
+                if n_malformed > MAX_MALFORMED:
+                    return
         except (OSError, WebSocketException):
             return
         finally:
@@ -97,7 +110,8 @@
         connection: ServerConnection,
         data: bytes | str,
         streams: set[asyncio.Task[None]],
-    ) -> None:
+    ) -> bool:
+        """Start to handle a message; return False if it is malformed."""
         try:
             frame = self._codec.decode(data if isinstance(data, bytes) else b"")
         except MalformedMessageError as error:
@@ -106,13 +120,14 @@
                 peer=str(connection.remote_address),
                 error=str(error),
             )
-            return
+            return False
         is_stream = type(frame.body) in self._stream_handlers
         process = self._process_stream if is_stream else self._process_frame
         task = asyncio.create_task(process(connection, frame))
         for tasks in (self._calls, streams) if is_stream else (self._calls,):
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+        return True
 
     async def handle(self, message: Any) -> Any:
         """Return the reply to a message, or raise what its handler raises."""
--- a/trefoilstage/fleet_host.py
+++ b/trefoilstage/fleet_host.py
@@ -97,7 +97,7 @@
             address=settings.address,
             port=settings.peer_port,
             codec=FLEET_CODEC,
-            table=connections.table,
+            connections=connections,
         )
         streams = PeerStreams(outbound_address=settings.address, codec=FLEET_CODEC)
         parts = make_fleet_parts(
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -33,6 +33,7 @@
     LINK_HAS_ROOM = "link_has_room"
     HOST_STALLED = "host_stalled"
     CONNECT_REPEATED = "connect_repeated"
+    ANSWER_TOO_LONG = "answer_too_long"  # for this host's memory
     CONNECTION_CLOSED = "connection_closed"  # of a client, to hold less for it
     REQUEST_DONE = "request_done"
     REQUEST_FAILED = "request_failed"
