--- a/tests/components/forwarding/test_server.py
+++ b/tests/components/forwarding/test_server.py
@@ -44,7 +44,7 @@
     async def iter_any() -> AsyncIterator[bytes]:
         yield await read()
 
-    return mock.Mock(iter_any=iter_any)
+    return mock.Mock(iter_any=iter_any, read=read)
 
 
 def make_exchange(web_request: Any) -> Exchange:
--- a/trefoilstage/components/connections/body.py
+++ b/trefoilstage/components/connections/body.py
@@ -3,7 +3,7 @@
 from aiohttp import web
 
 from trefoilstage.components.connections.memory import MemoryPart
-from trefoilstage.components.connections.parts import PartList
+from trefoilstage.components.connections.parts import PART_BYTES, PartList
 
 
 async def read_body(
@@ -14,8 +14,11 @@
     Raises MemoryLimitError if it may not be held, before it is read if its length is
     known.
     """
+    length = request.content_length
+    memory.resize(min(length or 0, max_bytes))
+    if length is not None and length <= PART_BYTES:
+        return await request.content.read()
     body = PartList()
-    memory.resize(min(request.content_length or 0, max_bytes))
     async for data in request.content.iter_any():
         body.add(data)
         if body.n_bytes > max_bytes:
--- a/trefoilstage/components/connections/framing.py
+++ b/trefoilstage/components/connections/framing.py
@@ -27,7 +27,6 @@
     rb"\r\n(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)(\r\n[ \t])?",
     re.I,
 )
-LONE_LINE_FEED = re.compile(rb"(?:^|[^\r])\n")
 CHUNK_SIZE = re.compile(rb"([0-9a-fA-F]{1,%d})[ \t]*(?:;|$)" % MAX_CHUNK_SIZE_DIGITS)
 
 
@@ -58,7 +57,8 @@
         self._n_left_bytes = 0  # of the body, or of the chunk with its line end
         self._n_searched_bytes = 0  # of an incomplete head
         self._n_skipped_bytes = 0  # of blank lines before the head
-        self.n_headers = 0  # of the current request
+        self.n_head_bytes = 0  # of the current request
+        self.n_headers = 0
 
     @property
     def is_between_requests(self) -> bool:
@@ -77,13 +77,15 @@
             raise FramingError(HTTP_BAD_REQUEST, "too many blank lines")
 
     def take(self, data: bytearray) -> int:
-        """Return how many bytes may be passed on: a head, or a part of a body, or 0.
+        """Return how many bytes may be passed on as a part of a request, or 0.
 
         Raises FramingError if no valid request can follow.
         """
-        if self._position is Position.HEAD:
-            return self._take_head(data)
         start = 0
+        if self.is_between_requests:
+            start = self._take_head(data)
+            if not start:
+                return 0
         for _ in range(MAX_LINES):
             if start == len(data) or self.is_between_requests:
                 break
@@ -103,21 +105,22 @@
         return self._take_trailer(data, start)
 
     def _take_head(self, data: bytearray) -> int:
-        searched_from = max(0, self._n_searched_bytes - len(HEAD_END) + 1)
-        end = data.find(HEAD_END, searched_from)
+        end = data.find(HEAD_END, max(0, self._n_searched_bytes - len(HEAD_END) + 1))
         n_bytes = len(data) if end < 0 else end + len(HEAD_END)
         if n_bytes > self._max_head_bytes:
             raise FramingError(HTTP_HEAD_TOO_LARGE, "the head is too long")
-        if LONE_LINE_FEED.search(data, searched_from, n_bytes):
+        n_lines = data.count(LINE_END, 0, n_bytes)
+        if data.count(b"\n", 0, n_bytes) != n_lines:
             raise FramingError(HTTP_BAD_REQUEST, "a line has no carriage return")
         if end < 0:
             self._n_searched_bytes = len(data)
             return 0
         self._n_searched_bytes = self._n_skipped_bytes = 0
-        self.n_headers = data.count(LINE_END, 0, n_bytes) - 2
+        self.n_headers = n_lines - 2
         if self.n_headers > MAX_HEADERS:
             raise FramingError(HTTP_HEAD_TOO_LARGE, "the head has too many headers")
         self._set_length(data, n_bytes)
+        self.n_head_bytes = n_bytes
         return n_bytes
 
     def _set_length(self, data: bytearray, n_head_bytes: int) -> None:
--- a/trefoilstage/components/connections/http_connection.py
+++ b/trefoilstage/components/connections/http_connection.py
@@ -79,7 +79,11 @@
         """Let the next request follow; the answer to the current one is sent."""
         self._is_request_open = False
         self._request.release()
-        self._pass_on()
+        if self._input:
+            self._pass_on()
+        else:
+            self._control_reading()
+            self._update_wait()
 
     def _take_part(self) -> bytes:
         is_head = self._framer.is_between_requests
@@ -88,8 +92,9 @@
         self._framer.skip_blank_lines(self._input)
         n_bytes = self._framer.take(self._input)
         if is_head and n_bytes:
-            n_head_bytes = HEAD_COPIES * n_bytes + HEADER_BYTES * self._framer.n_headers
-            self._request.resize(REQUEST_BYTES + n_head_bytes)
+            framer = self._framer
+            n_held = HEAD_COPIES * framer.n_head_bytes + HEADER_BYTES * framer.n_headers
+            self._request.resize(REQUEST_BYTES + n_held)
             self._is_request_open = True
         data = bytes(memoryview(self._input)[:n_bytes])
         del self._input[:n_bytes]
--- a/trefoilstage/components/connections/memory.py
+++ b/trefoilstage/components/connections/memory.py
@@ -57,15 +57,19 @@
 
     def grow(self, n_bytes: int) -> None:
         """Add bytes; raise MemoryLimitError if they may not be held."""
-        if not self.may_grow(n_bytes) and not self._is_closed:
+        if not self.may_grow(n_bytes):
+            self._make_room(n_bytes)
+        self.n_bytes += n_bytes
+        self._budget.n_bytes += n_bytes
+
+    def _make_room(self, n_bytes: int) -> None:
+        if not self._is_closed:
             self._budget.make_room(self, n_bytes)
         if not self.may_grow(n_bytes):
             raise MemoryLimitError(
                 f"{n_bytes} bytes do not fit beside {self.n_bytes} of the same client "
                 f"and {self._budget.n_bytes} of all clients"
             )
-        self.n_bytes += n_bytes
-        self._budget.n_bytes += n_bytes
 
     def shrink(self, n_bytes: int) -> None:
         """Subtract bytes that were released."""
--- a/trefoilstage/components/connections/metered.py
+++ b/trefoilstage/components/connections/metered.py
@@ -101,8 +101,9 @@
 
     def hold(self, *, is_held: bool) -> None:
         """Stop or continue to give the server data, as it asks."""
-        self.is_held_by_server = is_held
-        self._pass_on()
+        if is_held != self.is_held_by_server:
+            self.is_held_by_server = is_held
+            self._pass_on()
 
     def set_write_limits(self, high: int | None, low: int | None) -> None:
         """Set how much may be unsent before writes wait."""
@@ -149,7 +150,8 @@
         self._is_passing_on = True
         try:
             self._pass_on_parts()
-            self._ahead.resize(len(self._input))
+            if len(self._input) != self._ahead.n_bytes:
+                self._ahead.resize(len(self._input))
         except FramingError as error:
             self._refuse(error.status, str(error))
         except MemoryLimitError as error:
--- a/trefoilstage/components/connections/site.py
+++ b/trefoilstage/components/connections/site.py
@@ -67,11 +67,13 @@
         port: int = 0,
         opened: socket.socket | None = None,
         backlog: int = DEFAULT_BACKLOG,
+        has_sent_answers: bool = False,  # when the server's handler returns
     ) -> None:
         super().__init__(runner, backlog=backlog)
         self._connections = connections
         self._address = (address, port)
         self._opened = opened
+        self._has_sent_answers = has_sent_answers
 
     @property
     def name(self) -> str:
@@ -84,7 +86,10 @@
         await super().start()
         server = self._runner.server
         assert server is not None
-        server.request_handler = send_answers(server.request_handler)
+        handler: Handler = server.request_handler
+        if not self._has_sent_answers:
+            handler = send_answers(handler)
+        server.request_handler = end_requests(handler)
         loop = asyncio.get_running_loop()
 
         def make_protocol() -> HttpConnection:
@@ -105,12 +110,21 @@
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         try:
-            try:
-                response = await handler(request)
-            except web.HTTPException as error:
-                response = error
-            await send_answer(request, response)
-            return response
+            response = await handler(request)
+        except web.HTTPException as error:
+            response = error
+        await send_answer(request, response)
+        return response
+
+    return handle
+
+
+def end_requests(handler: Handler) -> Handler:
+    """Return a handler after which the next request of a connection may follow."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await handler(request)
         finally:
             transport = request.transport
             if isinstance(transport, MeteredTransport):
--- a/trefoilstage/components/forwarding/request_body.py
+++ b/trefoilstage/components/forwarding/request_body.py
@@ -27,11 +27,10 @@
     deadline: float, exchange: Exchange, max_bytes: int
 ) -> bytes | Refusal:
     """Return a request's body, or a refusal if it is late or too long."""
+    request, memory = exchange.web_request, exchange.body_memory
     try:
         async with asyncio.timeout_at(deadline):
-            body = await read_body(
-                exchange.web_request, exchange.body_memory, max_bytes
-            )
+            body = await read_body(request, memory, max_bytes)
     except TimeoutError:
         return BODY_LATE
     except MemoryLimitError:
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -133,7 +133,7 @@
         await self._caller_runner.setup()
         if self._caller_socket is None:
             self.caller_port = await self._listen(
-                self._caller_runner, self._settings.caller_port
+                self._caller_runner, self._settings.caller_port, has_sent_answers=True
             )
         else:
             self.caller_port = self._caller_socket.getsockname()[1]
@@ -145,13 +145,16 @@
             self._ready_runner, self._settings.ready_port
         )
 
-    async def _listen(self, runner: web.ServerRunner, port: int) -> int:
+    async def _listen(
+        self, runner: web.ServerRunner, port: int, *, has_sent_answers: bool = False
+    ) -> int:
         site = MeteredSite(
             runner,
             connections=self._connections,
             address=self._settings.address,
             port=port,
             backlog=BACKLOG,
+            has_sent_answers=has_sent_answers,
         )
         await site.start()
         bound_port: int = runner.addresses[0][1]
@@ -171,6 +174,7 @@
             connections=self._connections,
             opened=caller_socket,
             backlog=BACKLOG,
+            has_sent_answers=True,
         )
         await site.start()
 
