--- a/tests/components/connections/test_table.py
+++ b/tests/components/connections/test_table.py
@@ -1,6 +1,7 @@
 """Test which connections are closed to make room for others."""
 
 import unittest
+from unittest import mock
 
 from trefoilstage.components.connections.limits import ClientLimits, plan_client_limits
 from trefoilstage.components.connections.memory import MemoryAccount, MemoryLimitError
@@ -52,6 +53,14 @@
         self.assertFalse(self.open(1)[0].is_admitted)
         self.assertFalse(any(item.is_closed for item in connections))
 
+    def test_balancers_are_admitted_while_callers_use_all(self) -> None:
+        """Guard against a host that can't be checked, or stopped, in a crowd."""
+        for connection in self.open(MAX_CONNECTIONS):
+            self.table.end_wait(connection)
+        balancer = mock.Mock(account=MemoryAccount(budget=self.table.budget))
+        self.assertFalse(self.table.admit(mock.Mock()))
+        self.assertTrue(self.table.admit(balancer, may_use_reserve=True))
+
     def test_small_request_fits_beside_what_slow_clients_hold(self) -> None:
         """Guard against a memory that slow clients fill up for all others."""
         slow = self.open(MAX_CONNECTIONS - 1)
--- a/trefoilstage/components/callers/server.py
+++ b/trefoilstage/components/callers/server.py
@@ -99,6 +99,7 @@
             connections=self._connections,
             address=self._address,
             port=self.port,
+            is_for_callers=True,
         )
         await site.start()
         self.port = self._runner.addresses[0][1]
--- a/trefoilstage/components/connections/http_connection.py
+++ b/trefoilstage/components/connections/http_connection.py
@@ -36,9 +36,13 @@
         server_protocol: asyncio.Protocol,
         table: ConnectionTable,
         read_buffer: memoryview,
+        may_use_reserve: bool = False,
     ) -> None:
         super().__init__(
-            server_protocol=server_protocol, table=table, read_buffer=read_buffer
+            server_protocol=server_protocol,
+            table=table,
+            read_buffer=read_buffer,
+            may_use_reserve=may_use_reserve,
         )
         self._framer = RequestFramer()
         self._is_request_open = False
--- a/trefoilstage/components/connections/metered.py
+++ b/trefoilstage/components/connections/metered.py
@@ -39,7 +39,9 @@
         server_protocol: asyncio.Protocol,
         table: ConnectionTable,
         read_buffer: memoryview,
+        may_use_reserve: bool = False,
     ) -> None:
+        self._may_use_reserve = may_use_reserve
         self._server_protocol = server_protocol
         self._table = table
         self._read_buffer = read_buffer
@@ -57,7 +59,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Pass on the connection, or close it if there is no room for it."""
         self._transport = cast(asyncio.Transport, transport)
-        if not self._table.admit(self):
+        if not self._table.admit(self, may_use_reserve=self._may_use_reserve):
             log_event(Event.CONNECTION_CLOSED, reason="too_many_connections")
             self._transport.abort()
             return
--- a/trefoilstage/components/connections/peer_connection.py
+++ b/trefoilstage/components/connections/peer_connection.py
@@ -29,7 +29,10 @@
         read_buffer: memoryview,
     ) -> None:
         super().__init__(
-            server_protocol=server_protocol, table=table, read_buffer=read_buffer
+            server_protocol=server_protocol,
+            table=table,
+            read_buffer=read_buffer,
+            may_use_reserve=True,
         )
         self._is_known = False
         self._is_unread = False
--- a/trefoilstage/components/connections/site.py
+++ b/trefoilstage/components/connections/site.py
@@ -38,12 +38,15 @@
         """Return the budget of what clients make the process hold."""
         return self.table.budget
 
-    def meter_http(self, server_protocol: asyncio.Protocol) -> HttpConnection:
+    def meter_http(
+        self, server_protocol: asyncio.Protocol, *, may_use_reserve: bool = False
+    ) -> HttpConnection:
         """Return the protocol that gives an HTTP server's protocol metered input."""
         return HttpConnection(
             server_protocol=server_protocol,
             table=self.table,
             read_buffer=self._read_buffer,
+            may_use_reserve=may_use_reserve,
         )
 
     def meter_peer(self, server_protocol: asyncio.Protocol) -> PeerConnection:
@@ -68,12 +71,14 @@
         opened: socket.socket | None = None,
         backlog: int = DEFAULT_BACKLOG,
         has_sent_answers: bool = False,  # when the server's handler returns
+        is_for_callers: bool = False,
     ) -> None:
         super().__init__(runner, backlog=backlog)
         self._connections = connections
         self._address = (address, port)
         self._opened = opened
         self._has_sent_answers = has_sent_answers
+        self._is_for_callers = is_for_callers
 
     @property
     def name(self) -> str:
@@ -93,7 +98,9 @@
         loop = asyncio.get_running_loop()
 
         def make_protocol() -> HttpConnection:
-            return self._connections.meter_http(server())
+            return self._connections.meter_http(
+                server(), may_use_reserve=not self._is_for_callers
+            )
 
         if self._opened is not None:
             self._server = await loop.create_server(
--- a/trefoilstage/components/connections/table.py
+++ b/trefoilstage/components/connections/table.py
@@ -5,6 +5,9 @@
 from trefoilstage.components.connections.limits import ClientLimits
 from trefoilstage.components.connections.memory import MemoryAccount, MemoryBudget
 
+# Connections of balancers, operators and peers, while callers use all others.
+N_RESERVED = 64
+
 
 class Closable(Protocol):
     """Close a connection at once, to make room for others."""
@@ -31,20 +34,20 @@
         )
         self._open: set[Closable] = set()
         self._waiting: dict[Closable, None] = {}  # in the order of their beginning
-        self.n_closed = 0  # to make room
-        self.n_refused = 0
 
     @property
     def n_open(self) -> int:
         """Return the number of open connections."""
         return len(self._open)
 
-    def admit(self, connection: Closable) -> bool:
+    def admit(self, connection: Closable, *, may_use_reserve: bool = False) -> bool:
         """Add a connection; return False if there is no room for it."""
-        if len(self._open) >= self._limits.max_connections:
-            self._close_next()
-        if len(self._open) >= self._limits.max_connections:
-            self.n_refused += 1
+        limit = self._limits.max_connections
+        if may_use_reserve:
+            limit += N_RESERVED
+        while len(self._open) >= limit and self._waiting:
+            self._close(next(iter(self._waiting)))
+        if len(self._open) >= limit:
             return False
         self._open.add(connection)
         return True
@@ -71,13 +74,7 @@
             if connection.account is not account and connection.account.n_bytes:
                 self._close(connection)
 
-    def _close_next(self) -> None:
-        longest_waiting = next(iter(self._waiting), None)
-        if longest_waiting is not None:
-            self._close(longest_waiting)
-
     def _close(self, connection: Closable) -> None:
-        self.n_closed += 1
         self.remove(connection)
         connection.account.close()
         connection.close_for_room()
--- a/trefoilstage/components/forwarding/server.py
+++ b/trefoilstage/components/forwarding/server.py
@@ -133,7 +133,7 @@
         await self._caller_runner.setup()
         if self._caller_socket is None:
             self.caller_port = await self._listen(
-                self._caller_runner, self._settings.caller_port, has_sent_answers=True
+                self._caller_runner, self._settings.caller_port, is_for_callers=True
             )
         else:
             self.caller_port = self._caller_socket.getsockname()[1]
@@ -146,7 +146,7 @@
         )
 
     async def _listen(
-        self, runner: web.ServerRunner, port: int, *, has_sent_answers: bool = False
+        self, runner: web.ServerRunner, port: int, *, is_for_callers: bool = False
     ) -> int:
         site = MeteredSite(
             runner,
@@ -154,7 +154,8 @@
             address=self._settings.address,
             port=port,
             backlog=BACKLOG,
-            has_sent_answers=has_sent_answers,
+            has_sent_answers=is_for_callers,
+            is_for_callers=is_for_callers,
         )
         await site.start()
         bound_port: int = runner.addresses[0][1]
@@ -175,6 +176,7 @@
             opened=caller_socket,
             backlog=BACKLOG,
             has_sent_answers=True,
+            is_for_callers=True,
         )
         await site.start()
 
