--- a/trefoilstage/components/forwarding/pipeline.py
+++ b/trefoilstage/components/forwarding/pipeline.py
@@ -184,8 +184,9 @@
                 log_event(
                     Event.ANSWER_TOO_LONG,
                     request=state.request.request_id,
+                    workspace=state.workspace_name,
                     target=target.name,
-                    error=str(error),
+                    detail=str(error),
                 )
                 return ANSWER_NOT_HELD
             return None if has_answered else answer
