Never pass on input from within the server's calls

Seen in a trial with clients that cut, reset and close at random: the process ended with SIGSEGV within a second.

Input is now passed on when it arrives, or in a turn of the event loop.

--- a/trefoilstage/components/connections/http_connection.py
+++ b/trefoilstage/components/connections/http_connection.py
@@ -84,7 +84,7 @@
         self._is_request_open = False
         self._request.release()
         if self._input:
-            self._pass_on()
+            self._schedule_turn()
         else:
             self._control_reading()
             self._update_wait()
@@ -117,8 +117,7 @@
         if self._is_request_open or self._is_closing() or self._transport is None:
             super()._refuse(status, detail)
             return
-        self._input.clear()
-        self._is_refused = True
+        self._discard_input()
         log_event(Event.CONNECTION_CLOSED, reason="refused", detail=detail)
         self._transport.write(REFUSALS[status] + REFUSAL_HEADERS)
         self._transport.write_eof()
--- a/trefoilstage/components/connections/metered.py
+++ b/trefoilstage/components/connections/metered.py
@@ -103,9 +103,9 @@
 
     def hold(self, *, is_held: bool) -> None:
         """Stop or continue to give the server data, as it asks."""
-        if is_held != self.is_held_by_server:
-            self.is_held_by_server = is_held
-            self._pass_on()
+        self.is_held_by_server = is_held
+        if not is_held:
+            self._schedule_turn()
 
     def set_write_limits(self, high: int | None, low: int | None) -> None:
         """Set how much may be unsent before writes wait."""
@@ -136,12 +136,17 @@
 
     def _refuse(self, status: int, detail: str) -> None:
         """Close the connection of a client that is refused."""
-        self._input.clear()
-        self._is_refused = True
+        self._discard_input()
         if not self._is_closing() and self._transport is not None:
             log_event(Event.CONNECTION_CLOSED, reason="refused", detail=detail)
             self._transport.abort()
 
+    def _discard_input(self) -> None:
+        """Drop what has arrived, and all that follows."""
+        self._is_refused = True
+        self._input.clear()
+        self._ahead.release()
+
     def _is_closing(self) -> bool:
         return self._transport is None or self._transport.is_closing()
 
@@ -161,7 +166,7 @@
         finally:
             self._is_passing_on = False
         if self._is_closing() or self._is_refused:
-            self._input.clear()
+            self._discard_input()
             return
         self._control_reading()
         self._update_wait()
@@ -175,6 +180,11 @@
                 return
             self._server_protocol.data_received(data)
         if self._input:
+            self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        """Pass on more later: the server may call from within its parser."""
+        if self._next_turn is None:
             loop = asyncio.get_running_loop()
             self._next_turn = loop.call_soon(self._take_turn)
 
--- a/trefoilstage/components/connections/peer_connection.py
+++ b/trefoilstage/components/connections/peer_connection.py
@@ -48,7 +48,7 @@
         """Take more again."""
         self._is_unread = False
         super().resume_writing()
-        self._pass_on()
+        self._schedule_turn()
 
     def end_handshake(self) -> None:
         """Record that the client is a peer."""
