--- a/tests/components/forwarding/test_start_prover.py
+++ b/tests/components/forwarding/test_start_prover.py
@@ -13,6 +13,7 @@
 from trefoilstage.components.forwarding.answers import AnswerBrokenError
 from trefoilstage.components.forwarding.models import RouteKind
 from trefoilstage.components.forwarding.relay import AnswerRelay
+from trefoilstage.components.forwarding.request_state import make_answer_memory
 from trefoilstage.components.forwarding.start_prover import (
     ASK_AGAIN_AFTER_S,
     REPORT_TIMEOUT_S,
@@ -94,7 +95,12 @@
         )
         answer = FixedAnswer(head=ANSWER_HEAD, headers=[], connected_at=1.0)
         route = replace(make_route("/x/"), kind=RouteKind.STREAM)
-        state = mock.Mock(route=route, request=REQUEST, n_events=0)
+        state = mock.Mock(
+            route=route,
+            request=REQUEST,
+            n_events=0,
+            answer_memory=make_answer_memory(),
+        )
 
         async def check() -> None:
             await asyncio.sleep(9.0)
