--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -40,9 +40,6 @@
 # answers, or what surrounds chunks.
 MAX_OVERHEAD_BYTES = 256 * 1024
 MAX_OVERHEAD_SHARE = 0.5  # the shortest events of a stream have 0.4
-# In the kernel for each connection, and so of one read; the kernel doubles it. It lets
-# a target in the same region send 60 MB/s.
-RECEIVE_BUFFER_BYTES = 64 * 1024
 HTTP_SWITCHING_PROTOCOLS = 101
 HTTP_OK = 200  # other lower statuses are interim answers
 KEEP_ALIVE_PATTERN = re.compile(r"(?:timeout=)?(\d+)")
@@ -210,7 +207,6 @@
     opened.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS
     )
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
