--- a/tests/components/connections/test_http_connection.py
+++ b/tests/components/connections/test_http_connection.py
@@ -8,6 +8,7 @@
 from trefoilstage.components.connections.http_connection import HttpConnection
 from trefoilstage.components.connections.limits import ClientLimits
 from trefoilstage.components.connections.memory import MemoryLimitError
+from trefoilstage.components.connections.metered import READ_BYTES
 from trefoilstage.components.connections.site import ClientConnections
 
 LIMITS = ClientLimits(max_bytes=1_000_000, max_connections=10)
@@ -49,9 +50,11 @@
         self.connection.connection_made(self.transport)
 
     def receive(self, data: bytes) -> None:
-        """Receive data."""
-        self.connection.get_buffer(-1)[: len(data)] = data
-        self.connection.buffer_updated(len(data))
+        """Receive data, as much at a time as the connection takes."""
+        for start in range(0, max(1, len(data)), READ_BYTES):
+            part = data[start : start + READ_BYTES]
+            self.connection.get_buffer(-1)[: len(part)] = part
+            self.connection.buffer_updated(len(part))
 
     async def run_turns(self) -> None:
         """Let all scheduled turns be taken."""
--- a/trefoilstage/components/connections/metered.py
+++ b/trefoilstage/components/connections/metered.py
@@ -18,7 +18,7 @@
 from trefoilstage.components.connections.transport import MeteredTransport
 from trefoilstage.helpers.events import Event, log_event
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
 # That have arrived and can't be passed on. Reading goes on below it, to notice that a
 # client has left.
 MAX_AHEAD_BYTES = 16 * 1024
