--- a/standins/keyed_store.py
+++ b/standins/keyed_store.py
@@ -55,11 +55,16 @@
 
     era: int = 0  # how often it came back from a copy
     is_down: bool = False
+    # While silent, it does nothing, and calls that came before get no answer either.
+    is_silent: bool = False
+    n_silences: int = 0
     refused_call_share: float = 0.0
     lost_reply_share: float = 0.0
     delayed_write_share: float = 0.0
     generator: random.Random = field(default_factory=lambda: random.Random(1))
     delayed_writes: list[DelayedWrite] = field(default_factory=list)
+    # Whether writes that are delayed when it comes back from a copy may still be done.
+    keeps_delayed_writes: bool = False
     partitions: dict[tuple[Topic, int], Partition] = field(
         default_factory=lambda: defaultdict(Partition)
     )
@@ -118,6 +123,11 @@
             raise StoreUnavailableError("the reply to an applied write was lost")
         return offset
 
+    def fall_silent(self) -> None:
+        """Answer no call under way, and none that comes until `is_silent` ends."""
+        self.is_silent = True
+        self.n_silences += 1
+
     def make_copy(self) -> dict[tuple[Topic, int], int]:
         """Return a copy to restore later: the end of each partition."""
         return {key: found.end_offset for key, found in self.partitions.items()}
@@ -125,7 +135,8 @@
     def restore(self, copy: Mapping[tuple[Topic, int], int]) -> None:
         """Lose all that was written since a copy, and give its offsets out again."""
         self.era += 1
-        self.delayed_writes.clear()
+        if not self.keeps_delayed_writes:
+            self.delayed_writes.clear()
         for key, found in self.partitions.items():
             del found.records[copy.get(key, 0) :]
 
@@ -137,12 +148,15 @@
 
     def apply_delayed_write(self) -> None:
         """Apply one delayed write if its expected offset still matches."""
-        if self.delayed_writes:
-            self._apply(
-                self.delayed_writes.pop(
-                    self.generator.randrange(len(self.delayed_writes))
-                )
-            )
+        if not self.delayed_writes:
+            return
+        number = self.generator.randrange(len(self.delayed_writes))
+        write = self.delayed_writes.pop(number)
+        if write.expected_offset is not None:
+            # The condition names an offset, which may have been given out again.
+            _, offset = split_position(write.expected_offset)
+            write = replace(write, expected_offset=make_position(self.era, offset))
+        self._apply(write)
 
     def _apply(self, write: DelayedWrite) -> int | None:
         found = self.partitions[write.topic, write.partition]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,7 +5,7 @@
 import json
 import socket
 import struct
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import replace
 
 from aiohttp import web
@@ -23,6 +23,7 @@
 LOOPBACK = "127.0.0.1"
 TOPICS_BY_NAME = {name: topic for topic, name in TOPIC_NAMES.items()}
 READ_POLL_S = 0.02
+NEVER_S = 3_600.0
 COLD_S = 3.0  # how long a target is cold after its start
 N_SLOTS = 8  # of a target
 OTHER_SERVICE = "other"  # has no targets
@@ -57,13 +58,28 @@
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._stay_silent])
         app.on_response_prepare.append(self._name_era)
         app.router.add_get("/trefoilstage/log-newest", self._list_newest)
         app.router.add_get("/trefoilstage/log-read", self._read)
         app.router.add_post("/trefoilstage/log-append", self._append)
         return app
 
+    @web.middleware
+    async def _stay_silent(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Answer a call only if the store is not silent from its start to its end."""
+        n_silences = self._store.n_silences
+        if not self._store.is_silent:
+            answer = await handler(request)
+            if n_silences == self._store.n_silences:
+                return answer
+        await asyncio.sleep(NEVER_S)
+        raise web.HTTPServiceUnavailable
+
     async def _name_era(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
--- a/tests/components/escrow/common.py
+++ b/tests/components/escrow/common.py
@@ -5,12 +5,18 @@
 from dataclasses import dataclass, field
 
 from standins.keyed_store import KeyedStore
-from trefoilstage.components.escrow.draw_pauses import SETTLE_S
 from trefoilstage.components.escrow.grants import GrantRegistry
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.lock_keeper import LockKeeper
-from trefoilstage.components.escrow.messages import SealHome, SealReply, SettledHold
+from trefoilstage.components.escrow.messages import (
+    AccountsReply,
+    AskAccounts,
+    GrantBasis,
+    SealHome,
+    SealReply,
+    SettledHold,
+)
 from trefoilstage.components.escrow.record import ACCOUNT_CODEC
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.escrow.stock import HomeRank
@@ -59,6 +65,7 @@
     workspace: str
     request: str
     tokens: int
+    basis: GrantBasis | None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -114,6 +121,8 @@
                 HomeRank.FIRST if self.home == host else HomeRank.NONE
             ),
             recovery=recovery,
+            grants=grants,
+            ask_accounts=self.ask_accounts,
             lock=lock,
         )
         self.keepers[host] = LockKeeper(
@@ -159,17 +168,20 @@
                 self.update_peer(host, other)
 
     async def restore_store(self, copy: Mapping[tuple[Topic, int], int]) -> None:
-        """Let the store come back from a copy, and homes write their draws again."""
+        """Let the store come back from a copy, and homes reconcile their accounts."""
         self.store.restore(copy)
-        position = make_position(self.store.era, 0)
-        for host, home in self.homes.items():
-            if self.boards[host].store.record_position(position, self.timer.time):
-                home.make_good()
+        for host in self.homes:
+            self.notice_restored_store(host)
         for _ in range(2):
             for home in self.homes.values():
                 for account in home.list_accounts():
                     await home._draw(account.workspace)
-        self.timer.time += SETTLE_S
+
+    def notice_restored_store(self, host: str) -> None:
+        """Let a host read that the store came back older."""
+        position = make_position(self.store.era, 0)
+        if self.boards[host].store.record_position(position, self.timer.time):
+            self.homes[host].forget_stored()
 
     async def run_lock_keeper(self, host: str) -> None:
         """Let a host read its predecessor's promise, or later renew its own."""
@@ -186,8 +198,11 @@
 
     async def recover(self, host: str, workspace: str) -> None:
         """Let a host that has the account recover one ended home."""
-        if workspace in self.homes[host]._accounts:
-            await self.homes[host]._recover(workspace)
+        home = self.homes[host]
+        if workspace in home._accounts:
+            if home._accounts[workspace].restored:
+                await home._draw(workspace)
+            await home._recover(workspace)
 
     def count_unavailable(self, workspace: str) -> int:
         """Return the tokens drawn in the store, less what homes may still grant."""
@@ -208,6 +223,14 @@
             return None
         return self.recoveries[host].seal(message)
 
+    async def ask_accounts(
+        self, host: str, message: AskAccounts
+    ) -> AccountsReply | None:
+        """Ask a host what it knows of accounts; return None if it is unreachable."""
+        if host in self.unreachable:
+            return None
+        return self.homes[host]._reconciler.answer(message)
+
     async def request_grant(
         self, home: str, requester: str, workspace: str, request: str, tokens: int
     ) -> Reason | None:
@@ -222,6 +245,7 @@
                 workspace=workspace,
                 request=request,
                 tokens=tokens,
+                basis=self.homes[home].get_basis(workspace),
             )
             self.in_flight.append(grant)
         return refused
@@ -230,7 +254,18 @@
         """Deliver a grant; its request runs and counts as spending it in full."""
         self.in_flight.remove(grant)
         grants = self.grants[grant.requester]
-        if not grants.accept(grant.incarnation, grant.workspace, grant.tokens):
+        if not grants.accept(
+            grant.incarnation,
+            grant.workspace,
+            grant.tokens,
+            host=grant.home,
+            basis=grant.basis,
+        ):
+            if self.boards[grant.home].incarnation == grant.incarnation:
+                release = SettledHold(
+                    workspace=grant.workspace, request=grant.request, spent=0
+                )
+                self.homes[grant.home].settle((release,))
             return False
         workspace = grant.workspace
         self.spent[workspace] = self.spent.get(workspace, 0) + grant.tokens
--- a/tests/components/escrow/test_hold_refusals.py
+++ b/tests/components/escrow/test_hold_refusals.py
@@ -6,6 +6,7 @@
 from trefoilstage.components.escrow.hold_refusals import find_reason
 from trefoilstage.components.escrow.record import AccountRecord, Holder
 from trefoilstage.components.escrow.stock import StockChange
+from trefoilstage.components.views.store import make_position
 from trefoilstage.helpers.verdict import Reason
 
 PREPAID = 200_000
@@ -79,7 +80,7 @@
         self.assertFalse(account.is_gone_for_good(TOKENS))
         account.clear_pending()
         self.assertTrue(account.is_gone_for_good(TOKENS))
-        account.begin_making_good()
+        account.update_record(account.record, make_position(1, 0))
         self.assertFalse(account.is_gone_for_good(TOKENS))
         unread = EscrowAccount(workspace="w", host="h-1", incarnation="h-1-1")
         self.assertFalse(unread.is_gone_for_good(TOKENS))
--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -13,7 +13,6 @@
 )
 from trefoilstage.components.escrow import hold_refusals
 from trefoilstage.components.escrow.messages import HoldTokens
-from trefoilstage.components.views.store import make_position
 from trefoilstage.helpers.verdict import Reason
 
 HOSTS = ("brest-1", "quimper-1", "lorient-1")
@@ -358,16 +357,16 @@
             await cluster.hold("brest-1", "lorient-1", WORKSPACE, "c", 1_000)
         )
 
-    async def test_nobody_draws_until_others_wrote_their_draws_again(self) -> None:
-        """Guard against tokens that look free in a copy and are drawn a second time.
+    async def draw_then_restore(self) -> EscrowCluster:
+        """Let one home draw after a copy, and another one follow it after a drill.
 
         The second home has read nothing of the first one's draws, and is first to
         notice that the store came back.
         """
         cluster = EscrowCluster(prepaid=20_000, home=HOSTS[0])
-        first, second = (cluster.start(host) for host in HOSTS[:2])
-        for home in (first, second):
-            home._get_account(WORKSPACE)
+        for host in HOSTS:
+            cluster.start(host)
+            cluster.homes[host]._get_account(WORKSPACE)
         copy = cluster.store.make_copy()
         cluster.update_all_peers()
         self.assertTrue(
@@ -375,14 +374,32 @@
         )
         cluster.store.restore(copy)
         cluster.home = HOSTS[1]
-        for host in (HOSTS[1], HOSTS[0]):
-            position = make_position(cluster.store.era, 0)
-            cluster.boards[host].store.record_position(position, cluster.timer.time)
-            cluster.homes[host].make_good()
-            refused = await cluster.request_grant(
-                host, HOSTS[0], WORKSPACE, f"request-{host}", 18_000
-            )
+        return cluster
+
+    async def request_after(self, cluster: EscrowCluster, tokens: int) -> Reason | None:
+        """Request tokens of the second home."""
+        return await cluster.request_grant(
+            HOSTS[1], HOSTS[0], WORKSPACE, f"request-{tokens}", tokens
+        )
+
+    async def test_nobody_draws_what_a_copy_calls_free(self) -> None:
+        """Guard against tokens that look free in a copy and are drawn a second time.
+
+        No follower has noticed yet that the store came back.
+        """
+        cluster = await self.draw_then_restore()
+        self.assertIsNotNone(await self.request_after(cluster, 18_000))
+        self.assertIsNone(await self.request_after(cluster, 8_000))
+
+    async def test_nobody_draws_before_a_host_that_is_there_has_reported(self) -> None:
+        """Guard against a second draw while the home of before is out of reach."""
+        cluster = await self.draw_then_restore()
+        cluster.unreachable = {HOSTS[0]}
+        for tokens in (18_000, 8_000):
+            refused = await self.request_after(cluster, tokens)
             self.assertIs(refused, Reason.BUDGET_UNCONFIRMED)
+        cluster.unreachable = set()
+        self.assertIsNone(await self.request_after(cluster, 8_000))
 
     async def test_account_that_lacks_nothing_is_not_read_again_and_again(self) -> None:
         """Guard against calls of all homes to a store that just came back."""
--- a/tests/components/escrow/test_restored_ended_homes.py
+++ b/tests/components/escrow/test_restored_ended_homes.py
@@ -6,14 +6,21 @@
 
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
 from trefoilstage.components.escrow.account import EscrowAccount
-from trefoilstage.components.escrow.draw_pauses import MAKE_GOOD_S
 from trefoilstage.components.escrow.home import STOCK_CHECK_INTERVAL_S, EscrowHome
+from trefoilstage.components.escrow.messages import AccountKnowledge, HomeGrants
 from trefoilstage.components.escrow.record import (
     ACCOUNT_CODEC,
     AccountRecord,
     Holder,
 )
-from trefoilstage.components.escrow.restored_record import join_records
+from trefoilstage.components.escrow.restored_record import (
+    HostReport,
+    RestoredRecord,
+    find_later_grants,
+    find_newest,
+    make_restored,
+    reconcile,
+)
 from trefoilstage.components.escrow.rosters import (
     UNKNOWN_ROSTER,
     RosterStore,
@@ -24,6 +31,7 @@
 from trefoilstage.helpers.codec import Codec
 
 PREPAID = 200_000
+REST_S = 4.0  # after the store came back
 HOME, OTHER, LISTED_LATER = "brest-1", "quimper-1", "lorient-1"
 GRANTED_FIRST, GRANTED_LATER = 1_000, 2_000
 GRANTED = GRANTED_FIRST + GRANTED_LATER
@@ -73,9 +81,8 @@
 
     async def recover(self) -> None:
         """Let the other host recover the home's tokens, once records are complete."""
-        self.cluster.timer.time += MAKE_GOOD_S
+        self.cluster.timer.time += REST_S
         self.cluster.update_all_peers()
-        self.other._accounts[WORKSPACE].end_making_good()
         await self.cluster.recover(OTHER, WORKSPACE)
 
     def check_counted(self) -> None:
@@ -139,15 +146,12 @@
         successor = self.cluster.start(HOME)
         self.cluster.home = HOME
         self.cluster.store.restore(copy)
-        position = make_position(self.cluster.store.era, 0)
-        for host, home in self.cluster.homes.items():
-            board = self.cluster.boards[host]
-            board.store.record_position(position, self.cluster.timer.time)
-            home.make_good()
+        for host in self.cluster.homes:
+            self.cluster.notice_restored_store(host)
         await self.check_stocks(successor, 0.5)
         await self.other._draw(WORKSPACE)
         await self.cluster.run_lock_keeper(HOME)
-        await self.check_stocks(successor, MAKE_GOOD_S + 1.0)
+        await self.check_stocks(successor, REST_S + 1.0)
         self.check_counted()
         self.assertNotIn(
             self.account.incarnation, successor._accounts[WORKSPACE].record.holders
@@ -164,20 +168,28 @@
             if WORKSPACE in home._account_tasks:
                 await home._account_tasks[WORKSPACE]
 
-    async def test_living_home_grants_by_the_stored_roster(self) -> None:
-        """Guard against grants to hosts that only a lost roster lists.
+    async def test_grants_to_hosts_that_only_a_lost_roster_lists(self) -> None:
+        """Guard against grants that are not counted when their home ends.
 
-        If the home ended before it has written that roster again, they would not be
-        counted.
+        The home grants after the store came back, and ends before anybody has written
+        its later roster again.
         """
         copy = self.cluster.store.make_copy()
-        await self.list_later_host()
+        self.cluster.update_peer(HOME, LISTED_LATER)
+        await self.home._draw(WORKSPACE)
+        self.cluster.home = OTHER
         self.cluster.store.restore(copy)
-        self.account.begin_making_good()
-        await self.home._account_store.refresh(WORKSPACE)
-        later = self.cluster.boards[LISTED_LATER].incarnation
-        self.assertFalse(self.account.is_listed(later))
-        self.assertTrue(self.account.lacks_known)
+        held = await self.cluster.hold(
+            HOME, LISTED_LATER, WORKSPACE, "b", GRANTED_LATER
+        )
+        self.assertTrue(held)
+        self.cluster.start(HOME)
+        for host in self.cluster.homes:
+            self.cluster.notice_restored_store(host)
+        await self.other._draw(WORKSPACE)
+        await self.recover()
+        self.check_counted()
+        self.assertEqual(self.cluster.count_unavailable(WORKSPACE), GRANTED)
 
     async def test_roster_of_a_home_of_the_previous_build(self) -> None:
         """Guard against a guess of the newer roster while hosts are replaced."""
@@ -221,11 +233,15 @@
         incarnation = self.account.incarnation
         own = self.account.record.holders[incarnation]
         copied = replace(own, drawn=own.drawn - 1, roster="copied", revision=0)
-        self.account.begin_making_good()
-        self.account.update_record(
-            self.account.record.set_holder(incarnation, copied), make_position(1, 0)
+        record = replace(self.account.record, era=None)
+        record = record.set_holder(incarnation, copied)
+        await self.cluster.store.put(
+            Topic.ACCOUNTS, WORKSPACE, ACCOUNT_CODEC.encode(record)
         )
-        self.assertEqual(self.account.record.holders[incarnation], own)
+        await self.cluster.restore_store(self.cluster.store.make_copy())
+        self.assertIsNone(self.account.restored)
+        self.assertEqual(self.account.record.holders[incarnation].drawn, own.drawn)
+        self.assertEqual(self.account.record.holders[incarnation].roster, own.roster)
 
     async def test_roster_that_nobody_knows_withholds_the_tokens(self) -> None:
         """Guard against a roster guessed from hosts that have changed since.
@@ -302,9 +318,8 @@
             await cluster.run_lock_keeper(host)
         self.assertTrue(cluster.boards[HOME].untouched)
         cluster.home = LISTED_LATER
-        cluster.timer.time += MAKE_GOOD_S
+        cluster.timer.time += REST_S
         cluster.update_all_peers()
-        reader._accounts[WORKSPACE].end_making_good()
         for _ in cluster.homes:
             await cluster.recover(LISTED_LATER, WORKSPACE)
         self.assertLessEqual(
@@ -339,49 +354,98 @@
     return AccountRecord(holders={"home": holder})
 
 
-class JoinRecordsTest(unittest.TestCase):
-    """Join a restored record with one that a host knew before."""
-
-    def join(self, stored: AccountRecord, known: AccountRecord) -> Holder:
-        """Return the holder of the joined record."""
-        return join_records(stored, known).holders["home"]
-
-    def test_state_with_the_higher_revision_wins(self) -> None:
-        """Guard against a living home's roster replaced by one read before."""
-        newer = make_record(roster="new", locked=3, revision=2)
-        older = make_record(roster="old", drawn=12, spent=5, locked=1, revision=1)
-        for stored, known in ((newer, older), (older, newer)):
-            joined = self.join(stored, known)
-            self.assertEqual((joined.roster, joined.locked), ("new", 3))
-            self.assertEqual((joined.drawn, joined.revision), (12, 2))
-
-    def test_totals_tell_the_order_of_states_without_revisions(self) -> None:
-        """Guard against an older roster of a host of the previous build."""
-        older = make_record(roster="old", drawn=12, locked=1)
-        for total in ("spent", "used_by_former"):
-            newer = make_record(roster="new", locked=3, **{total: 1})
-            for stored, known in ((newer, older), (older, newer)):
-                with self.subTest(total=total):
-                    joined = self.join(stored, known)
-                    self.assertEqual((joined.roster, joined.drawn), ("new", 12))
-                    self.assertEqual(joined.locked, 3)
-
-    def test_roster_is_unknown_if_nothing_tells_the_order(self) -> None:
-        """Guard against a choice of the older roster, or of tokens used since."""
-        one = make_record(roster="one", drawn=12, locked=1, revision=7)
-        two = make_record(roster="two", locked=3)
-        for stored, known in ((one, two), (two, one)):
-            joined = join_records(stored, known)
-            holder = joined.holders["home"]
-            self.assertEqual((holder.roster, holder.drawn), (UNKNOWN_ROSTER, 12))
-            self.assertEqual(holder.locked, 1)
-            self.assertEqual(self.join(joined, known).roster, UNKNOWN_ROSTER)
-
-    def test_state_without_a_difference_is_not_written_again(self) -> None:
-        """Guard against idle writes of all hosts once the store came back."""
-        for revision in (0, 4):
-            record = make_record(roster="old", locked=1, revision=revision)
-            self.assertEqual(join_records(record, record), record)
+def make_report(
+    host: str, known: AccountRecord | None = None, position: int = -1, **grants: int
+) -> HostReport:
+    """Return a host's report, with a home's grants that rely on the position."""
+    found = None
+    if grants:
+        found = HomeGrants(host=HOME, incarnation="home", position=position, **grants)
+    knowledge = AccountKnowledge(
+        position=position, record=known, grants=(found,) if found else ()
+    )
+    return HostReport(host=host, incarnation=f"{host}-1", knowledge=knowledge)
+
+
+def make_copied(record: AccountRecord, offset: int) -> RestoredRecord:
+    """Return a record as it is read from a store that came back once."""
+    return make_restored(replace(record, era=0), make_position(1, offset))
+
+
+class ReconcileTest(unittest.TestCase):
+    """Reconcile a restored record with what hosts report."""
+
+    def reconcile(
+        self,
+        restored: RestoredRecord,
+        reports: list[HostReport],
+        roster: dict[str, str] | None = None,
+    ) -> AccountRecord:
+        """Return the reconciled record; the home's roster has the members given."""
+        position, newest = find_newest(restored, reports)
+        later = find_later_grants(reports, position)
+        rosters = {"": {}, "old": roster}
+        return reconcile(newest, later, rosters, adds_holders=True)[0]
+
+    def test_newest_known_record_wins(self) -> None:
+        """Guard against draws of a copy or of a stale reader that were returned."""
+        copy, stale = make_record(drawn=12), make_record(drawn=14)
+        newest = make_record(drawn=11, roster="new")
+        reports = [
+            make_report(OTHER, newest, position=9),
+            make_report(LISTED_LATER, stale, position=3),
+        ]
+        self.assertEqual(self.reconcile(make_copied(copy, 5), reports), newest)
+        copied = make_copied(newest, 10)
+        self.assertEqual(self.reconcile(copied, reports), copied.record)
+
+    def test_record_written_in_a_later_era_is_newer(self) -> None:
+        """Guard against draws that were lost in an earlier drill and are made again."""
+        lost, kept = make_record(drawn=14), make_record(drawn=11)
+        reports = [
+            make_report(OTHER, lost, position=9),
+            make_report(LISTED_LATER, kept, position=make_position(1, 6)),
+        ]
+        restored = make_restored(replace(make_record(), era=1), make_position(2, 5))
+        self.assertEqual(self.reconcile(restored, reports), kept)
+
+    def test_grants_that_no_record_covers_are_counted(self) -> None:
+        """Guard against draws of a lost home that only its witnesses know of."""
+        reports = [
+            make_report(OTHER, used=9, drawn=18, position=8),
+            make_report(LISTED_LATER, used=7, drawn=15, position=7),
+        ]
+        members = {OTHER: f"{OTHER}-1"}
+        record = self.reconcile(
+            make_copied(make_record(roster="old", locked=4), 5), reports, members
+        )
+        listed = {**members, LISTED_LATER: f"{LISTED_LATER}-1"}
+        home = record.holders["home"]
+        self.assertEqual((home.drawn, home.locked), (18, 0))
+        self.assertEqual(home.roster, get_roster_name(listed))
+
+    def test_home_that_joined_since_is_added(self) -> None:
+        """Guard against draws of a lost home that the copy does not name."""
+        reports = [make_report(OTHER, used=9, drawn=18, position=8)]
+        record = self.reconcile(make_copied(AccountRecord(), 5), reports)
+        self.assertEqual(record.holders["home"].drawn, 18)
+
+    def test_retired_home_is_not_counted_twice(self) -> None:
+        """Guard against 402 with tokens left: usage in the retired total and again."""
+        reports = [make_report(OTHER, used=9, drawn=18, position=4)]
+        retired = AccountRecord(retired_drawn=9, retired_spent=9)
+        copied = make_copied(retired, 5)
+        self.assertEqual(self.reconcile(copied, reports), copied.record)
+        self.assertEqual(self.reconcile(copied, reports).drawn, 9)
+
+    def test_roster_is_unknown_if_a_witness_has_restarted(self) -> None:
+        """Guard against the usage of a witness that ended, which nobody reports."""
+        reports = [make_report(OTHER, used=9, drawn=18, position=8)]
+        record = self.reconcile(
+            make_copied(make_record(roster="old"), 5), reports, {OTHER: "former"}
+        )
+        self.assertEqual(record.holders["home"].roster, UNKNOWN_ROSTER)
+        self.assertEqual(record.holders["home"].drawn, 18)
 
     def test_records_of_both_builds_are_read_by_each(self) -> None:
         """Guard against a fleet that can't draw while hosts are replaced."""
@@ -391,6 +455,7 @@
         record = make_record(roster="old", locked=1, revision=4)
         copied = previous.decode(ACCOUNT_CODEC.encode(record))
         self.assertEqual(copied.holders["home"].roster, "old")
+        self.assertIsNone(ACCOUNT_CODEC.decode(previous.encode(copied)).era)
         read = ACCOUNT_CODEC.decode(previous.encode(copied))
         self.assertEqual(read, make_record(roster="old", locked=1))
 
--- a/tests/components/escrow/test_restored_holders.py
+++ b/tests/components/escrow/test_restored_holders.py
@@ -4,12 +4,13 @@
 from dataclasses import replace
 
 from tests.components.escrow.common import WORKSPACE, EscrowCluster
-from trefoilstage.components.escrow.draw_pauses import MAKE_GOOD_S
+from trefoilstage.components.escrow.messages import RestoredAccount
 from trefoilstage.components.escrow.record import Holder
 from trefoilstage.components.escrow.rosters import get_roster_name
 from trefoilstage.components.views.store import make_position
 
 PREPAID = 200_000
+REST_S = 4.0  # after the store came back
 HOME, OTHER, LISTED_LATER = "brest-1", "quimper-1", "lorient-1"
 
 
@@ -38,7 +39,7 @@
 
     async def end_home(self) -> None:
         """End the home, let another host recover its tokens, and check the count."""
-        self.cluster.timer.time += MAKE_GOOD_S
+        self.cluster.timer.time += REST_S
         self.cluster.start(HOME)
         self.cluster.update_all_peers()
         await self.cluster.hold(OTHER, LISTED_LATER, WORKSPACE, "c", 1)
@@ -78,7 +79,7 @@
         await other._account_store.refresh(WORKSPACE)
         self.cluster.start(HOME)
         await self.cluster.restore_store(self.copy)
-        self.cluster.timer.time += MAKE_GOOD_S
+        self.cluster.timer.time += REST_S
         self.cluster.update_all_peers()
         await self.cluster.recover(OTHER, WORKSPACE)
         self.assertLessEqual(
@@ -88,8 +89,8 @@
     async def test_lost_roster_is_remembered_until_it_is_written(self) -> None:
         """Guard against a lost roster that is forgotten when the account is written.
 
-        The home reads a write of another host, and retires a holder, before it can
-        write its own roster.
+        The home reads the copy, and a write of a host that knows no more than that,
+        before its own roster is written.
         """
         latest = self.account.record
         former = latest.holders[self.account.incarnation]
@@ -97,22 +98,18 @@
         copied = latest.set_holder(
             self.account.incarnation, replace(former, roster=roster)
         )
-        other = Holder(host=OTHER, drawn=1, spent=0)
-        self.account.begin_making_good()
-        self.account.update_record(copied, make_position(1, 0))
-        self.assertTrue(self.account.lacks_known)
-        self.account.update_record(
-            copied.set_holder("other", other), make_position(1, 1)
-        )
-        self.assertTrue(self.account.lacks_known)
-        self.account.record_own_write(
-            copied.set_holder("other", other), make_position(1, 2), restates_own=False
-        )
-        self.assertTrue(self.account.lacks_known)
-        self.account.record_own_write(
-            latest.set_holder("other", other), make_position(1, 3), restates_own=True
-        )
-        self.assertFalse(self.account.lacks_known)
+        other = copied.set_holder("other", Holder(host=OTHER, drawn=1, spent=0))
+        for number, record in enumerate((copied, other)):
+            self.account.update_record(record, make_position(1, number))
+            self.assertIsNotNone(self.account.restored)
+            known = self.account.report(
+                RestoredAccount(read_at=make_position(1, number), written_at=-1)
+            )
+            self.assertEqual(known.record, latest)
+            self.assertIn(LISTED_LATER, known.roster)
+        self.account.record_own_write(replace(latest, era=1), make_position(1, 2))
+        self.assertIsNone(self.account.restored)
+        self.assertIn(LISTED_LATER, self.account.listed_requesters)
 
 
 class RestoredLockedTokensTest(unittest.IsolatedAsyncioTestCase):
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -5,13 +5,19 @@
 from dataclasses import dataclass, field
 
 from trefoilstage.components.escrow.lock import ReserveLock
+from trefoilstage.components.escrow.messages import (
+    AccountKnowledge,
+    GrantBasis,
+    RestoredAccount,
+)
 from trefoilstage.components.escrow.record import AccountRecord, Holder
 from trefoilstage.components.escrow.reserve import SizeDemand
 from trefoilstage.components.escrow.restored_record import (
-    is_own_current,
-    is_own_stated,
-    join_records,
-    keep_stated,
+    NO_POSITION,
+    RestoredRecord,
+    is_current,
+    make_missing,
+    make_restored,
 )
 from trefoilstage.components.escrow.stock import (
     Demand,
@@ -20,6 +26,7 @@
     StockState,
     plan_change,
 )
+from trefoilstage.components.views.store import split_position
 
 # In the last tenth of a budget, a long request gets at most half of what is left. One
 # request of 12,000 tokens would otherwise take what serves a dozen short ones, and for
@@ -57,9 +64,10 @@
     lock: ReserveLock = field(default_factory=ReserveLock)  # one for the whole host
     pending: list[StockChange] = field(default_factory=list)  # writes not confirmed
     pending_at: int = -1  # the partition's end offset when they were sent
-    # The record before the store came back older, until all homes wrote theirs again.
-    known_before: AccountRecord | None = None
-    lacks_known: bool = False  # whether the stored record lacks part of that one
+    # The store's record if it came back older since, until it is reconciled.
+    restored: RestoredRecord | None = None
+    # The restored record for which this host last told others its draws.
+    reported_at: int = NO_POSITION
 
     @property
     def drawn(self) -> int:
@@ -73,6 +81,13 @@
         holder = self.record.holders.get(self.incarnation)
         return self.rosters.get(holder.roster, {}) if holder else {}
 
+    @property
+    def basis(self) -> GrantBasis:
+        """Return what a grant that is made now relies on."""
+        return GrantBasis(
+            drawn=self.drawn, position=max(self.record_offset, self.reported_at)
+        )
+
     @property
     def held(self) -> int:
         """Return the tokens held for running requests."""
@@ -85,16 +100,6 @@
         pending_locked = (change.locked for change in self.pending)
         return max(holder.locked if holder else 0, *pending_locked, 0)
 
-    @property
-    def restated_locked(self) -> int:
-        """Return the locked tokens to write again once the store came back older.
-
-        The restored record may name as locked what was unlocked and used since.
-        """
-        known = self.known_before
-        own = known.holders.get(self.incarnation) if known else None
-        return min(self.locked, own.locked) if own else self.locked
-
     @property
     def returning(self) -> int:
         """Return the most tokens that an unconfirmed write may return."""
@@ -127,8 +132,7 @@
     @property
     def is_read(self) -> bool:
         """Return whether the store's record is known, with no write unconfirmed."""
-        is_made_good = self.known_before is None and not self.lacks_known
-        return self.record_offset >= 0 and is_made_good and not self.pending
+        return self.record_offset >= 0 and not self.restored and not self.pending
 
     @property
     def unreported_by_others(self) -> int:
@@ -153,67 +157,53 @@
         returning = self.unreported_by_others + own
         return self.prepaid - self.record.drawn + returning
 
-    def update_record(self, record: AccountRecord, offset: int) -> None:
-        """Replace the record by the store's, unless that is older."""
-        if offset > self.record_offset:
-            self.record = self._make_good(record)
-            self.record_offset = offset
-
-    def record_own_write(
-        self, record: AccountRecord, offset: int, *, restates_own: bool
-    ) -> None:
-        """Replace the record by one that this incarnation has written.
+    def update_record(self, record: AccountRecord, position: int) -> None:
+        """Replace the record by the store's, unless that is older.
 
-        A write that retires another holder copies the stored one of this incarnation,
-        which may be older than what it stated last.
+        A record from before the store came back older may lack draws. It is only kept
+        to be reconciled with what all hosts know.
         """
-        self.clear_pending()
-        own = record.holders.get(self.incarnation)
-        if self.known_before is not None and own is not None and restates_own:
-            self.known_before = self.known_before.set_holder(self.incarnation, own)
-        self.update_record(record, offset)
+        if position <= max(self.record_offset, self._restored_at):
+            return
+        if not is_current(record, position):
+            self.restored = make_restored(record, position)
+        elif position > self.reported_at:
+            # Others count on what this host has reported, so that the reply to a
+            # write before it comes too late.
+            self.record = record
+            self.record_offset = position
+            self.restored = None
+
+    def record_own_write(self, record: AccountRecord, position: int) -> None:
+        """Replace the record by one that this incarnation has written."""
+        if position > self.reported_at:
+            self.clear_pending()
+        self.update_record(record, position)
+
+    def report(self, account: RestoredAccount) -> AccountKnowledge:
+        """Return what is known of the account since a record was written."""
+        self.reported_at = max(self.reported_at, account.read_at)
+        is_newer = self.record_offset > account.written_at
+        return AccountKnowledge(
+            position=self.record_offset,
+            record=self.record if is_newer else None,
+            roster=dict(self.listed_requesters),
+            spent=self.spent,
+        )
 
     def record_missing(self, end_offset: int) -> None:
-        """Record that the store has no record of the account, as its copy had none."""
-        if self.known_before is not None:
-            self.update_record(AccountRecord(), end_offset - 1)
+        """Record that the store has no record of the account.
 
-    def begin_making_good(self) -> None:
-        """Keep to the record as known, as the store came back from an older copy."""
-        if self.record_offset < 0:
-            return
-        known = self.record
-        if self.known_before is not None:
-            # The record may have the roster and locked tokens of an earlier copy.
-            own = self.known_before.holders.get(self.incarnation)
-            known = known.set_holder(self.incarnation, own) if own else known
-        self.known_before = known
-
-    def end_making_good(self) -> None:
-        """Take records as the store has them, unless they still lack own draws."""
-        if not self.lacks_known:
-            self.known_before = None
-
-    def _make_good(self, stored: AccountRecord) -> AccountRecord:
-        """Return a stored record with what it lacks of the one known before."""
-        known = self.known_before
-        if known is None:
-            return stored
-        own = known.holders.get(self.incarnation)
-        stored_own = stored.holders.get(self.incarnation)
-        joined = join_records(stored, known)
-        if own is not None:
-            returned = {own.drawn + change.tokens for change in self.pending}
-            if is_own_current(stored_own, own, returned) and stored_own is not None:
-                # Grants follow the stored roster, although the known one is newer.
-                joined = joined.set_holder(self.incarnation, stored_own)
-                kept = keep_stated(stored_own, own)
-                known = known.set_holder(self.incarnation, kept)
-            else:
-                joined = joined.set_holder(self.incarnation, own)
-        self.known_before = known
-        self.lacks_known = joined != stored or not is_own_stated(stored_own, own)
-        return joined
+        A store that came back older may have had one.
+        """
+        era, _ = split_position(end_offset)
+        missing = make_missing(era)
+        if era > 0 and missing.read_at > max(self.record_offset, self._restored_at):
+            self.restored = missing
+
+    @property
+    def _restored_at(self) -> int:
+        return self.restored.read_at if self.restored else NO_POSITION
 
     def start_change(self, change: StockChange, end_offset: int) -> None:
         """Reserve the tokens that a write may return or lock, until it is confirmed."""
@@ -233,9 +223,10 @@
 
         A write without a reply is stored at the end offset that it was sent for, or
         never. If tokens that it returns were held again before that is known, they
-        would be spent twice.
+        would be spent twice. If the store came back older meanwhile, others may have
+        drawn them until then.
         """
-        if end_offset > self.pending_at:
+        if end_offset > self.pending_at and not self.restored:
             self.clear_pending()
 
     def is_listed(self, requester: str) -> bool:
--- a/trefoilstage/components/escrow/account_store.py
+++ b/trefoilstage/components/escrow/account_store.py
@@ -1,6 +1,7 @@
 """Read and write account records in the store, with one writer per offset."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from dataclasses import replace
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.record import (
@@ -15,6 +16,7 @@
     StoreRefusedError,
     StoreUnavailableError,
     Topic,
+    split_position,
 )
 from trefoilstage.exceptions import MalformedMessageError
 from trefoilstage.helpers.events import Event, log_event
@@ -112,9 +114,6 @@
     ) -> bool:
         """Draw, return or lock tokens; return whether the write was stored."""
         roster = await self._rosters.write(members)
-        if account.lacks_known:
-            names = [holder.roster for holder in account.record.holders.values()]
-            await self._rosters.write_cached(names)
         end_offset = self._end_offsets.get(self._get_partition(account.workspace))
         if end_offset is None:
             # A write to another account of the partition failed meanwhile.
@@ -122,21 +121,34 @@
         record = account.make_record(change, members, roster)
         account.start_change(change, end_offset)
         try:
-            return await self.put(account, record, restates_own=True)
+            return await self.put(account, record)
         except StoreRefusedError:
             account.drop_last_change()
             raise
 
-    async def put(
+    async def put(self, account: EscrowAccount, record: AccountRecord) -> bool:
+        """Write a record; return whether it was stored."""
+        if not self._is_based_on_present_era(account):
+            return False
+        return await self._put(account, record)
+
+    async def put_reconciled(
         self,
         account: EscrowAccount,
         record: AccountRecord,
-        *,
-        restates_own: bool = False,
+        rosters: Collection[Mapping[str, str]],
     ) -> bool:
-        """Write a record; return whether it was stored."""
+        """Write what all hosts know of an account; return whether it was stored."""
+        for members in rosters:
+            await self._rosters.write(members)
+        names = [holder.roster for holder in record.holders.values()]
+        await self._rosters.write_cached(names)
+        return self.can_write(account.workspace) and await self._put(account, record)
+
+    async def _put(self, account: EscrowAccount, record: AccountRecord) -> bool:
         partition = self._get_partition(account.workspace)
         end_offset = self._end_offsets[partition]
+        record = replace(record, era=split_position(end_offset)[0])
         offset = await self._store.put(
             Topic.ACCOUNTS,
             account.workspace,
@@ -150,8 +162,18 @@
             return False
         # The partition has grown, so earlier writes can no longer be stored.
         self._end_offsets[partition] = offset + 1
-        account.record_own_write(record, offset, restates_own=restates_own)
+        account.record_own_write(record, offset)
         return True
 
+    def _is_based_on_present_era(self, account: EscrowAccount) -> bool:
+        """Return whether the account was read since the store came back older.
+
+        A write that is based on an earlier record would drop what others drew since.
+        """
+        end_offset = self._end_offsets[self._get_partition(account.workspace)]
+        era, _ = split_position(end_offset)
+        read_in, _ = split_position(max(0, account.record_offset))
+        return account.restored is None and read_in == era
+
     def _get_partition(self, workspace: str) -> int:
         return hash_to_bucket(workspace, self._n_partitions)
--- a/trefoilstage/components/escrow/client.py
+++ b/trefoilstage/components/escrow/client.py
@@ -11,6 +11,7 @@
 from trefoilstage.components.escrow.grants import GrantRegistry
 from trefoilstage.components.escrow.home import EscrowHome
 from trefoilstage.components.escrow.messages import (
+    GrantBasis,
     HoldReply,
     HoldTokens,
     SettledHold,
@@ -238,17 +239,19 @@
         peer = self._board.peers.get(home)
         if home == self._board.host:
             incarnation = self._board.incarnation
-            refusal = await self._hold_locally(message)
+            answer = await self._hold_locally(message)
         elif peer is None:
             # The host left while another home was asked.
             return UNCONFIRMED
         else:
             incarnation = peer.incarnation
-            refusal = await self._hold_at_peer(peer, message)
-        if refusal is not None:
-            return refusal
-        if not self._grants.accept(incarnation, workspace, tokens):
-            # The home was sealed while its reply was in flight.
+            answer = await self._hold_at_peer(peer, message)
+        if isinstance(answer, HoldRefused):
+            return answer
+        if not self._grants.accept(
+            incarnation, workspace, tokens, host=home, basis=answer
+        ):
+            self._release(home, incarnation, message)
             return UNCONFIRMED
         return EscrowHold(
             workspace=workspace,
@@ -258,7 +261,17 @@
             incarnation=incarnation,
         )
 
-    async def _hold_locally(self, message: HoldTokens) -> HoldRefused | None:
+    def _release(self, home: str, incarnation: str, message: HoldTokens) -> None:
+        """Release the hold of a grant that is not valid any more."""
+        release = make_release(message)
+        if home == self._board.host:
+            self._home.settle((release,))
+        else:
+            self._unsettled[home, incarnation].append(release)
+
+    async def _hold_locally(
+        self, message: HoldTokens
+    ) -> HoldRefused | GrantBasis | None:
         try:
             reason = await self._home.hold(
                 message.workspace,
@@ -272,7 +285,7 @@
             self._home.settle((make_release(message),))
             raise
         if reason is None:
-            return None
+            return self._home.get_basis(message.workspace)
         is_drawn = reason is Reason.BUDGET_DRAWN
         held = self._home.count_held(message.workspace, message.tokens)
         return HoldRefused(
@@ -283,7 +296,7 @@
 
     async def _hold_at_peer(
         self, peer: PeerState, message: HoldTokens
-    ) -> HoldRefused | None:
+    ) -> HoldRefused | GrantBasis | None:
         home = peer.host
         link = self._links.get_link(peer.peer_url)
         release = make_release(message)
@@ -311,7 +324,7 @@
             self._membership.confirm_incarnation(home)
             return UNCONFIRMED
         if reply.refused is None:
-            return None
+            return reply.basis
         return HoldRefused(
             reason=reply.refused, lock_wait_s=reply.lock_wait_s, held=reply.held
         )
--- a/trefoilstage/components/escrow/draw_pauses.py
+++ b/trefoilstage/components/escrow/draw_pauses.py
@@ -1,4 +1,4 @@
-"""Decide when a home makes no draws, as the store fails or came back older."""
+"""Decide when a home makes no draws, as the store fails."""
 
 from trefoilstage.components.views.store import StoreUnavailableError
 from trefoilstage.fleet_board import FleetBoard
@@ -9,15 +9,10 @@
 # is charged, and requests are refused immediately instead of waiting for a draw that
 # fails.
 FAILED_DRAW_PAUSE_S = 0.3
-# After the store came back from an older copy, hosts notice within half a second, and
-# write their draws again within another. Tokens that look free until then may be drawn.
-SETTLE_S = 1.5
-# Records lack draws of homes that were slower than that for some time more.
-MAKE_GOOD_S = 4.0
 
 
 class DrawPauses:
-    """Track failed draws by account, and the time since the store was restored."""
+    """Track failed draws by account."""
 
     def __init__(self, *, board: FleetBoard, timer: TimerService) -> None:
         self._board = board
@@ -30,18 +25,6 @@
             return True
         return self._timer.now() < self._paused_until.get(workspace, 0.0)
 
-    def is_settling(self) -> bool:
-        """Return whether other homes may not have written their draws again yet."""
-        return self._get_restored_s() < SETTLE_S
-
-    def is_made_good(self) -> bool:
-        """Return whether all homes had time to write their draws again."""
-        return self._get_restored_s() >= MAKE_GOOD_S
-
-    def _get_restored_s(self) -> float:
-        """Return the seconds since the store came back from an older copy."""
-        return self._timer.now() - self._board.store.restored_at
-
     def record_failure(self, workspace: str, error: StoreUnavailableError) -> None:
         """Pause the draws of an account after one that failed."""
         now = self._timer.now()
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -13,9 +13,13 @@
 from trefoilstage.components.escrow.account_store import AccountStore
 from trefoilstage.components.escrow.call_intervals import CallIntervals
 from trefoilstage.components.escrow.draw_pauses import DrawPauses
+from trefoilstage.components.escrow.grants import GrantRegistry
 from trefoilstage.components.escrow.hold_refusals import find_reason, log_refusal
 from trefoilstage.components.escrow.lock import ReserveLock
 from trefoilstage.components.escrow.messages import (
+    AccountsReply,
+    AskAccounts,
+    GrantBasis,
     HoldReply,
     HoldTokens,
     SettledHold,
@@ -23,11 +27,16 @@
     SettleReply,
 )
 from trefoilstage.components.escrow.reclaim import Reclaimer
+from trefoilstage.components.escrow.reconciler import AskForAccounts, Reconciler
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.components.escrow.retry_after import estimate_store_return
 from trefoilstage.components.escrow.stock import HomeRank, StockChange
 from trefoilstage.components.peers.server import PeerServer
-from trefoilstage.components.views.store import Store, StoreUnavailableError
+from trefoilstage.components.views.store import (
+    Store,
+    StoreUnavailableError,
+    split_position,
+)
 from trefoilstage.fleet_board import FleetBoard
 from trefoilstage.helpers.events import Event, log_event
 from trefoilstage.helpers.verdict import Reason
@@ -55,6 +64,8 @@
         n_partitions: int,
         get_own_rank: GetOwnRank,
         recovery: EscrowRecovery,
+        grants: GrantRegistry,
+        ask_accounts: AskForAccounts,
         lock: ReserveLock,
     ) -> None:
         super().__init__()
@@ -72,13 +83,22 @@
         )
         self._pauses = DrawPauses(board=board, timer=timer)
         self._reclaimer = Reclaimer(
-            account_store=self._account_store, recovery=recovery, pauses=self._pauses
+            account_store=self._account_store, recovery=recovery
+        )
+        self._reconciler = Reconciler(
+            board=board,
+            timer=timer,
+            grants=grants,
+            accounts=self._accounts,
+            account_store=self._account_store,
+            ask_accounts=ask_accounts,
         )
         # Draws and recoveries by workspace; those of one account do not overlap.
         self._account_tasks: dict[str, asyncio.Task[None]] = {}
         self._intervals = CallIntervals(board=board, account_store=self._account_store)
         server.register(HoldTokens, self._handle_hold)
         server.register(SettleHolds, self._handle_settle)
+        server.register(AskAccounts, self._handle_ask_accounts)
 
     async def on_start(self) -> None:
         """Start the periodic check of the stocks."""
@@ -113,7 +133,7 @@
             return self._refuse(account, request, tokens)
         if account.hold(request, tokens, requester, now):
             return None
-        if self._pauses.is_paused(workspace) or self._pauses.is_settling():
+        if self._pauses.is_paused(workspace):
             return self._refuse(account, request, tokens)
         if not account.can_cover(tokens) and not self._intervals.may_reread(workspace):
             return self._refuse(account, request, tokens)
@@ -127,11 +147,14 @@
             return None
         return self._refuse(account, request, tokens)
 
-    def make_good(self) -> None:
-        """Write own draws again, which a restored store may lack."""
+    def forget_stored(self) -> None:
+        """Read accounts and write rosters again, as the store came back older."""
         self._account_store.forget_stored()
-        for account in self._accounts.values():
-            account.begin_making_good()
+
+    def get_basis(self, workspace: str) -> GrantBasis | None:
+        """Return what a grant of this host relies on, None if it has made none."""
+        account = self._accounts.get(workspace)
+        return account.basis if account else None
 
     def _must_leave_to_shorter(
         self, account: EscrowAccount, tokens: int, now: float
@@ -199,8 +222,12 @@
                 if reason is Reason.BUDGET_DRAWN
                 else 0
             ),
+            basis=None if reason else self.get_basis(message.workspace),
         )
 
+    async def _handle_ask_accounts(self, message: AskAccounts) -> AccountsReply:
+        return self._reconciler.answer(message)
+
     async def _handle_settle(self, message: SettleHolds) -> SettleReply:
         # Holds of an earlier incarnation were counted as spent in full.
         if message.incarnation == self._board.incarnation:
@@ -225,9 +252,8 @@
         return account
 
     def _refuse(self, account: EscrowAccount, request: str, tokens: int) -> Reason:
-        is_confirmed = not (
-            self._pauses.is_paused(account.workspace) or self._pauses.is_settling()
-        )
+        is_paused = self._pauses.is_paused(account.workspace)
+        is_confirmed = not is_paused and account.restored is None
         reason = find_reason(account, tokens, is_confirmed=is_confirmed)
         available = account.get_available(self._timer.now())
         log_refusal(account, request, tokens, reason, available, is_confirmed)
@@ -249,7 +275,7 @@
         return task
 
     def _needs_write(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
-        if account.lacks_known or account.plan_change(now, rank) is not None:
+        if account.plan_change(now, rank) is not None:
             return True
         if rank is HomeRank.NONE or not self._intervals.may_update_roster(
             account.workspace, now
@@ -267,13 +293,7 @@
 
     async def _draw(self, workspace: str) -> None:
         def plan(account: EscrowAccount) -> StockChange | None:
-            now = self._timer.now()
-            change = None
-            if not self._pauses.is_settling():
-                change = account.plan_change(now, self._get_own_rank(workspace))
-            if change is None and account.lacks_known:
-                change = StockChange(tokens=0, locked=account.restated_locked)
-            return change
+            return account.plan_change(self._timer.now(), self._get_own_rank(workspace))
 
         await self._change_stock(workspace, plan)
 
@@ -287,6 +307,8 @@
             for _ in range(MAX_WRITE_TRIES):
                 if refresh:
                     await self._account_store.refresh(workspace)
+                if account.restored and not await self._reconciler.reconcile(account):
+                    return
                 change = plan(account)
                 if change is None:
                     if not self._must_update_roster(account):
@@ -367,23 +389,24 @@
             is_unread = account.record_offset < 0
             if is_unread and self._intervals.is_fleet_changing(now):
                 continue
-            if account.known_before is not None:
-                self._make_account_good(account, now, rank)
+            if self._is_behind(account):
+                self._update_account(account, rank)
             elif rank is HomeRank.FIRST and self._reclaimer.may_reclaim(account):
                 self._start_recovery(workspace, now)
             elif is_unread or self._needs_write(account, now, rank):
                 self._start_draw(workspace)
 
-    def _make_account_good(
-        self, account: EscrowAccount, now: float, rank: HomeRank
-    ) -> None:
-        """Write own draws again, and draw as usual once others had time for theirs."""
-        is_unread = not self._account_store.can_write(account.workspace)
-        if self._pauses.is_made_good() and not is_unread:
-            account.end_making_good()
-        needs_write = self._needs_write(account, now, rank)
-        may_draw = needs_write and not self._pauses.is_settling()
-        if is_unread or account.lacks_known or may_draw:
+    def _is_behind(self, account: EscrowAccount) -> bool:
+        """Return whether the store came back older since the account was read."""
+        if account.restored is not None:
+            return True
+        read_in, _ = split_position(max(0, account.record_offset))
+        is_read = account.record_offset >= 0
+        return is_read and read_in < (self._board.store.n_restored or 0)
+
+    def _update_account(self, account: EscrowAccount, rank: HomeRank) -> None:
+        """Reconcile an account as its home; other hosts read what the home wrote."""
+        if rank is HomeRank.FIRST or self._intervals.may_reread(account.workspace):
             self._start_draw(account.workspace)
 
 
--- a/trefoilstage/components/escrow/messages.py
+++ b/trefoilstage/components/escrow/messages.py
@@ -1,11 +1,24 @@
 """Define the peer messages about holds on prepaid budgets."""
 
-from dataclasses import dataclass
-from typing import Literal
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
 
+from pydantic import Field
+
+from trefoilstage.components.escrow.record import AccountRecord
 from trefoilstage.helpers.field_types import ShortText, UInt53
 from trefoilstage.helpers.verdict import Reason
 
+Position = Annotated[int, Field(ge=-1, le=1 << 53)]  # in the store, -1 if none
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantBasis:
+    """Describe what a grant relies on: the home's draws by a record of the account."""
+
+    drawn: UInt53
+    position: Position
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class HoldTokens:
@@ -28,6 +41,8 @@
     lock_wait_s: float = 0.0  # until the home may use its locked tokens
     # Tokens that running requests hold and may free; 0 from a host that does not say.
     held: UInt53 = 0
+    # None with a refusal, and from a host of an earlier build.
+    basis: GrantBasis | None = None
     kind: Literal["hold_reply"] = "hold_reply"
 
 
@@ -73,6 +88,65 @@
     kind: Literal["seal_reply"] = "seal_reply"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RestoredAccount:
+    """Describe an account whose record is from before the store came back older."""
+
+    read_at: Position
+    written_at: Position
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskAccounts:
+    """Ask a host what it knows of accounts that a restored store may lack.
+
+    From then on, the host refuses grants that rely on records read before these.
+    """
+
+    accounts: dict[ShortText, RestoredAccount]
+    kind: Literal["ask_accounts"] = "ask_accounts"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HomeGrants:
+    """Describe what one incarnation of a home granted to a host."""
+
+    host: ShortText  # of the home
+    incarnation: ShortText
+    used: UInt53  # spent, or held for running requests
+    drawn: UInt53  # by the home, as of its latest grant
+    position: Position  # of the record that the latest grant relies on
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountKnowledge:
+    """Describe what a host knows of an account since a record was written."""
+
+    position: Position = -1  # of the record
+    record: AccountRecord | None = None  # None if the host knows no later one
+    # Of the host's own draws: the roster, and what is spent.
+    roster: dict[ShortText, ShortText] = field(default_factory=dict)
+    spent: UInt53 = 0
+    grants: tuple[HomeGrants, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountsReply:
+    """Reply with what a host knows of accounts, and which hosts it hears from."""
+
+    incarnation: ShortText
+    accounts: dict[ShortText, AccountKnowledge]
+    hosts: tuple[ShortText, ...] = ()
+    kind: Literal["accounts_reply"] = "accounts_reply"
+
+
 EscrowMessage = (
-    HoldTokens | HoldReply | SettleHolds | SettleReply | SealHome | SealReply
+    HoldTokens
+    | HoldReply
+    | SettleHolds
+    | SettleReply
+    | SealHome
+    | SealReply
+    | AskAccounts
+    | AccountsReply
 )
--- a/trefoilstage/components/escrow/reclaim.py
+++ b/trefoilstage/components/escrow/reclaim.py
@@ -4,7 +4,6 @@
 
 from trefoilstage.components.escrow.account import EscrowAccount
 from trefoilstage.components.escrow.account_store import AccountStore
-from trefoilstage.components.escrow.draw_pauses import DrawPauses
 from trefoilstage.components.escrow.record import Holder, HolderUsage
 from trefoilstage.components.escrow.recovery import EscrowRecovery
 from trefoilstage.helpers.events import Event, log_event
@@ -18,18 +17,13 @@
         *,
         account_store: AccountStore,
         recovery: EscrowRecovery,
-        pauses: DrawPauses,
     ) -> None:
         self._account_store = account_store
         self._recovery = recovery
-        self._pauses = pauses
 
     def may_reclaim(self, account: EscrowAccount) -> bool:
-        """Return whether an account's record is complete and names an ended home.
-
-        This host may not know what a restored record lacks; others write it again.
-        """
-        return self._pauses.is_made_good() and any(
+        """Return whether an account's record is complete and names an ended home."""
+        return account.restored is None and any(
             self._recovery.has_ended(holder.host, incarnation)
             for incarnation, holder in account.record.holders.items()
         )
@@ -40,6 +34,8 @@
         Raise StoreUnavailableError if the store does not respond.
         """
         await self._account_store.refresh(account.workspace)
+        if account.restored is not None:
+            return
         for incarnation, holder in account.record.holders.items():
             if not self._recovery.has_ended(holder.host, incarnation):
                 continue
--- a/trefoilstage/components/escrow/record.py
+++ b/trefoilstage/components/escrow/record.py
@@ -37,6 +37,9 @@
     holders: dict[ShortText, Holder] = field(default_factory=dict)
     retired_drawn: UInt53 = 0
     retired_spent: UInt53 = 0
+    # How often the store had come back from a copy when the record was written. None
+    # if unknown: hosts of earlier builds write none.
+    era: UInt53 | None = None
 
     @property
     def drawn(self) -> int:
--- a/trefoilstage/components/fleet/known_hosts.py
+++ b/trefoilstage/components/fleet/known_hosts.py
@@ -28,6 +28,12 @@
 LOST_AFTER_LARGE_FLEET_S = 3.0
 
 
+def get_lost_after_s(board: FleetBoard) -> float:
+    """Return after how many seconds without a heartbeat a host counts as lost."""
+    is_large = board.is_too_large_to_broadcast()
+    return LOST_AFTER_LARGE_FLEET_S if is_large else LOST_AFTER_S
+
+
 class HostRecord(BaseModel):
     """Validate a host's record in the store."""
 
@@ -47,11 +53,7 @@
     @property
     def lost_after_s(self) -> float:
         """Return after how many seconds without a heartbeat a host counts as lost."""
-        return (
-            LOST_AFTER_LARGE_FLEET_S
-            if self._board.is_too_large_to_broadcast()
-            else LOST_AFTER_S
-        )
+        return get_lost_after_s(self._board)
 
     def list_live_hosts(self, now: float) -> tuple[str, ...]:
         """Return the sorted names of the live hosts; omit this host while it drains."""
--- a/trefoilstage/components/fleet/membership.py
+++ b/trefoilstage/components/fleet/membership.py
@@ -3,11 +3,17 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from mode import Service
 from pydantic import ValidationError
 
-from trefoilstage.components.escrow.messages import SealHome, SealReply
+from trefoilstage.components.escrow.messages import (
+    AccountsReply,
+    AskAccounts,
+    SealHome,
+    SealReply,
+)
 from trefoilstage.components.fleet.known_hosts import HostRecord, KnownHosts
 from trefoilstage.components.fleet.messages import (
     HostHeartbeat,
@@ -164,15 +170,25 @@
 
     async def ask_seal(self, host: str, message: SealHome) -> SealReply | None:
         """Ask a host what an ended home granted to it; return None without a reply."""
+        reply = await self._ask(host, message)
+        return reply if isinstance(reply, SealReply) else None
+
+    async def ask_accounts(
+        self, host: str, message: AskAccounts
+    ) -> AccountsReply | None:
+        """Ask a host what it knows of accounts; return None without a reply."""
+        reply = await self._ask(host, message)
+        return reply if isinstance(reply, AccountsReply) else None
+
+    async def _ask(self, host: str, message: SealHome | AskAccounts) -> Any:
         peer = self._board.peers.get(host)
         if peer is None:
             return None
         try:
             link = self._links.get_link(peer.peer_url)
-            reply = await link.call(message, timeout_s=CALL_TIMEOUT_S)
+            return await link.call(message, timeout_s=CALL_TIMEOUT_S)
         except PeerUnavailableError:
             return None
-        return reply if isinstance(reply, SealReply) else None
 
     def confirm_incarnation(self, host: str) -> None:
         """Ask a host of a large fleet immediately which incarnation it runs.
--- a/trefoilstage/fleet_parts.py
+++ b/trefoilstage/fleet_parts.py
@@ -131,7 +131,7 @@
         """Write again what a restored store may lack."""
         membership.announce_again()
         lock_keeper.forget_stored()
-        home.make_good()
+        home.forget_stored()
         crash_watcher.write_again()
 
     followers = make_followers(settings, board, store, apply_records, write_again)
@@ -166,6 +166,8 @@
         n_partitions=settings.store_partitions,
         get_own_rank=ranking.get_own_rank,
         recovery=recovery,
+        grants=grants,
+        ask_accounts=membership.ask_accounts,
         lock=lock,
     )
     lock_keeper = LockKeeper(
--- a/trefoilstage/helpers/events.py
+++ b/trefoilstage/helpers/events.py
@@ -109,6 +109,8 @@
     LOCK_READ = "lock_read"
     ESCROW_DRAW_FAILED = "escrow_draw_failed"
     ESCROW_RECOVERED = "escrow_recovered"
+    ACCOUNT_REPORTS_MISSING = "account_reports_missing"
+    ACCOUNT_RECONCILED = "account_reconciled"
     HOLD_REFUSED = "hold_refused"
     HOLD_UNANSWERED = "hold_unanswered"
     HOLD_WAIT_ENDED = "hold_wait_ended"
