Take an answer with a status that HTTP does not define for a failure, at once

What callers saw: 600 and 999 as the status of their answer; 000, 001 and 099 as 504 after their whole limit; 101, which no request had asked for, as an answer without a body.

Cause: the connection skipped each status below 200 but 101 as that of an interim answer, and passed on all others. RFC 9110 defines 100 to 599, and 101 only after a request for it.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -42,6 +42,17 @@
     repeated: bytes
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EarlyAnswer:
+    """Describe bytes that a faulty target sends before it has read a request's body.
+
+    `%s` stands for the request's id. Then the target stays silent, or resets.
+    """
+
+    data: bytes
+    resets_after_s: float | None = None
+
+
 def make_set_event() -> asyncio.Event:
     """Return an event that is set."""
     event = asyncio.Event()
@@ -86,6 +97,7 @@
     # Streams without chunks, which only the end of their connection ends.
     is_unframed: bool = False
     endless: EndlessBytes | None = None  # sent in place of answers
+    early: EarlyAnswer | None = None  # sent in place of answers
     is_mute: bool = False  # accepts connections and answers nothing
     sends: asyncio.Event = field(default_factory=make_set_event)  # else it is silent
     stop: asyncio.Event = field(default_factory=asyncio.Event)
@@ -105,9 +117,14 @@
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
-        app.router.add_route("*", "/{path:.*}", self._answer)
+        app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        if self.early is not None and request.method == "POST":
+            return await self._answer_early(request, self.early)
+        return await self._answer(request)
+
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         if not self.reads_bodies and request.method == "POST":
             self.n_unread_bodies += 1
@@ -263,6 +280,19 @@
             await asyncio.sleep(ENDLESS_PAUSE_S)
         return web.StreamResponse()
 
+    async def _answer_early(
+        self, request: web.Request, early: EarlyAnswer
+    ) -> web.StreamResponse:
+        assert request.transport is not None
+        name = request.headers.get("Attempt-Id", "").encode()
+        request.transport.write(early.data.replace(b"%s", name))
+        if early.resets_after_s is None:
+            await self.stop.wait()
+        else:
+            await asyncio.sleep(early.resets_after_s)
+            reset_request(request)
+        return web.StreamResponse()
+
     async def _answer_unframed(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -40,8 +40,10 @@
 # answers, or what surrounds chunks.
 MAX_OVERHEAD_BYTES = 256 * 1024
 MAX_OVERHEAD_SHARE = 0.5  # the shortest events of a stream have 0.4
-HTTP_SWITCHING_PROTOCOLS = 101
-HTTP_OK = 200  # other lower statuses are interim answers
+HTTP_CONTINUE = 100
+HTTP_SWITCHING_PROTOCOLS = 101  # no request asks for it
+HTTP_OK = 200  # lower statuses are those of interim answers
+END_OF_STATUSES = 600
 KEEP_ALIVE_PATTERN = re.compile(r"(?:timeout=)?(\d+)")
 
 
@@ -49,6 +51,10 @@
     """Report an answer that has too much beside its body."""
 
 
+class StatusError(aiohttp.ClientPayloadError):
+    """Report an answer whose status HTTP does not define."""
+
+
 class CheckedResponseHandler(ResponseHandler):
     """Detect connection resets within an answer, and unsolicited bytes.
 
@@ -64,6 +70,7 @@
         self._is_awaiting_answer = False
         self._has_head = False  # of the expected answer
         self._n_received_bytes = 0  # of the expected answer
+        self._invalid_status: int | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Expect the answer to the next request."""
@@ -78,7 +85,9 @@
         Interim answers say nothing; queued, thousands of them fit into one read.
         """
         message, _ = data
-        if message.code < HTTP_OK and message.code != HTTP_SWITCHING_PROTOCOLS:
+        if not is_defined(message.code):
+            self._invalid_status = message.code
+        if message.code < HTTP_OK or self._invalid_status is not None:
             return
         self._has_head = True
         self._idle_s = parse_idle_time(message.headers)
@@ -93,7 +102,9 @@
             return
         super().data_received(data)
         body = self._payload if self._has_head else None
-        if body is not None and body.is_eof():
+        if self._invalid_status is not None:
+            self._break_off(StatusError(f"status {self._invalid_status}"), body)
+        elif body is not None and body.is_eof():
             self._is_awaiting_answer = False
             self._answered_at = self._loop.time()
         else:
@@ -107,6 +118,12 @@
         if n_overhead_bytes <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_SHARE * n_body_bytes:
             return
         error = OverheadError(f"{n_overhead_bytes} bytes beside the body")
+        self._break_off(error, body)
+
+    def _break_off(
+        self, error: aiohttp.ClientPayloadError, body: aiohttp.StreamReader | None
+    ) -> None:
+        """Fail the request, and read no more of its answer."""
         self.set_exception(error)
         if body is not None:
             body.set_exception(error)
@@ -182,6 +199,12 @@
             self.protocol.close()
 
 
+def is_defined(status: int) -> bool:
+    """Return whether HTTP defines a status as that of an answer to a request."""
+    is_in_range = HTTP_CONTINUE <= status < END_OF_STATUSES
+    return is_in_range and status != HTTP_SWITCHING_PROTOCOLS
+
+
 def parse_idle_time(headers: Mapping[str, str]) -> float:
     """Return how long an idle connection may be used after an answer, in seconds."""
     match = KEEP_ALIVE_PATTERN.search(headers.get("Keep-Alive", ""))
