Read no answers behind the one that was asked for

Cause: the library parses a whole read of 256 KB at once, and makes an object of each answer in it, 6,900 of the shortest ones. The limit on bytes beside the body counted only afterwards, and by the body of the last answer.

Change: what is read is parsed 16 KB at a time; a second answer is not queued, and ends the connection. The answer that was asked for is passed on as before.

--- a/trefoilstage/components/forwarding/connections.py
+++ b/trefoilstage/components/forwarding/connections.py
@@ -40,6 +40,9 @@
 # answers, or what surrounds chunks.
 MAX_OVERHEAD_BYTES = 256 * 1024
 MAX_OVERHEAD_SHARE = 0.5  # the shortest events of a stream have 0.4
+# The library makes an object of each answer that it parses at once, and thousands of
+# short ones fit into one read.
+MAX_PARSED_BYTES = 16 * 1024
 HTTP_CONTINUE = 100
 HTTP_SWITCHING_PROTOCOLS = 101  # no request asks for it
 HTTP_OK = 200  # lower statuses are those of interim answers
@@ -68,14 +71,14 @@
         self._idle_s = DEFAULT_IDLE_S
         self._answered_at = loop.time()
         self._is_awaiting_answer = False
-        self._has_head = False  # of the expected answer
+        self._n_answers = 0  # to the latest request, without interim ones
         self._n_received_bytes = 0  # of the expected answer
         self._invalid_status: int | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Expect the answer to the next request."""
         self._is_awaiting_answer = True
-        self._has_head = False
+        self._n_answers = 0
         self._n_received_bytes = 0
         super().set_response_params(**params)
 
@@ -89,11 +92,19 @@
             self._invalid_status = message.code
         if message.code < HTTP_OK or self._invalid_status is not None:
             return
-        self._has_head = True
-        self._idle_s = parse_idle_time(message.headers)
-        super().feed_data(data, size)
+        self._n_answers += 1
+        if self._n_answers == 1:
+            self._idle_s = parse_idle_time(message.headers)
+            super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
+        """Process received bytes until the answer is whole or invalid."""
+        for start in range(0, max(1, len(data)), MAX_PARSED_BYTES):
+            if self.transport is None or self.exception() is not None:
+                return
+            self._process(data[start : start + MAX_PARSED_BYTES])
+
+    def _process(self, data: bytes) -> None:
         """Process received bytes; close the connection after unsolicited ones."""
         if data and not self._is_awaiting_answer:
             # The library would parse them as the answer to the next request.
@@ -101,9 +112,13 @@
             self.close()
             return
         super().data_received(data)
-        body = self._payload if self._has_head else None
+        body = self._payload if self._n_answers else None
         if self._invalid_status is not None:
             self._break_off(StatusError(f"status {self._invalid_status}"), body)
+        elif self._n_answers > 1:
+            self._is_awaiting_answer = False
+            self.force_close()
+            self.close()
         elif body is not None and body.is_eof():
             self._is_awaiting_answer = False
             self._answered_at = self._loop.time()
