Report what was held in a drill as spent near the end of a budget

Cause: homes report what is spent when they are asked about a restored account, and what they held then counts as unspent. A home that is no longer the first draws and returns nothing more near the end, and so never writes that its holds were spent.

The test fails before (0 instead of 19,000 reported).

--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -1,5 +1,6 @@
 """Test that prepaid tokens are never spent twice and rarely withheld from callers."""
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -391,6 +392,27 @@
         self.assertIsNotNone(await self.request_after(cluster, 18_000))
         self.assertIsNone(await self.request_after(cluster, 8_000))
 
+    async def test_what_was_held_in_a_drill_is_reported_as_spent(self) -> None:
+        """Guard against 429 for a budget that is used up, as nobody knows it."""
+        cluster = EscrowCluster(prepaid=20_000, home=HOSTS[0])
+        for host in HOSTS:
+            cluster.start(host)
+            cluster.homes[host]._get_account(WORKSPACE)
+        cluster.update_all_peers()
+        await cluster.hold(HOSTS[0], HOSTS[2], WORKSPACE, "running", 19_000)
+        cluster.store.restore(cluster.store.make_copy())
+        cluster.home = HOSTS[1]
+        await self.request_after(cluster, 500)
+        cluster.settle("running", 19_000)
+        former = cluster.homes[HOSTS[0]]._accounts[WORKSPACE]
+        for _ in range(3):
+            cluster.notice_restored_store(HOSTS[0])
+            cluster.timer.time += 1.0
+            cluster.update_all_peers()
+            await cluster.homes[HOSTS[0]]._check_stocks()
+            await asyncio.gather(*cluster.homes[HOSTS[0]]._account_tasks.values())
+        self.assertEqual(former.record.holders[former.incarnation].spent, 19_000)
+
     async def test_nobody_draws_before_a_host_that_is_there_has_reported(self) -> None:
         """Guard against a second draw while the home of before is out of reach."""
         cluster = await self.draw_then_restore()
--- a/trefoilstage/components/escrow/account.py
+++ b/trefoilstage/components/escrow/account.py
@@ -147,6 +147,17 @@
             if incarnation != self.incarnation
         )
 
+    @property
+    def must_report_spent(self) -> bool:
+        """Return whether the store's record lacks spent tokens near a budget's end.
+
+        What this host reported when the store came back older was held in part. As
+        long as others count that as unspent, callers are told to come back in vain.
+        """
+        is_low = self.free < LOW_BALANCE_SHARE * self.prepaid
+        is_unreported = self.spent > self._get_reported_spent() and not self.holds
+        return is_low and is_unreported and self.reported_at > NO_POSITION
+
     @property
     def obtainable(self) -> int:
         """Return the most tokens that requests may still get, whoever has them now.
--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -275,7 +275,7 @@
         return task
 
     def _needs_write(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
-        if account.plan_change(now, rank) is not None:
+        if account.plan_change(now, rank) is not None or account.must_report_spent:
             return True
         if rank is HomeRank.NONE or not self._intervals.may_update_roster(
             account.workspace, now
@@ -293,7 +293,11 @@
 
     async def _draw(self, workspace: str) -> None:
         def plan(account: EscrowAccount) -> StockChange | None:
-            return account.plan_change(self._timer.now(), self._get_own_rank(workspace))
+            now = self._timer.now()
+            change = account.plan_change(now, self._get_own_rank(workspace))
+            if change is None and account.must_report_spent:
+                change = StockChange(tokens=0, locked=account.locked)
+            return change
 
         await self._change_stock(workspace, plan)
 
