Let an account's home reconcile it first, and bound what one question names

All hosts that had an account asked all others as soon as they noticed a drill, and all but one wrote in vain; in a large fleet that is a message for each pair of hosts. A question names 50 accounts at most, so that replies stay below the limit of messages between hosts.

--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -47,6 +47,9 @@
 # request that waits for it is late, but a refused one would not be served at all.
 DRAW_WAIT_S = 1.0
 MAX_WRITE_TRIES = 8
+# After the store came back older, the home of an account reconciles it, and other hosts
+# read the result. If all of them asked all hosts at once, most calls would be useless.
+READ_RECONCILED_AFTER_S = 1.0
 
 GetOwnRank = Callable[[str], HomeRank]
 
@@ -394,7 +397,7 @@
             if is_unread and self._intervals.is_fleet_changing(now):
                 continue
             if self._is_behind(account):
-                self._update_account(account, rank)
+                self._update_account(account, now, rank)
             elif rank is HomeRank.FIRST and self._reclaimer.may_reclaim(account):
                 self._start_recovery(workspace, now)
             elif is_unread or self._needs_write(account, now, rank):
@@ -408,9 +411,13 @@
         is_read = account.record_offset >= 0
         return is_read and read_in < (self._board.store.n_restored or 0)
 
-    def _update_account(self, account: EscrowAccount, rank: HomeRank) -> None:
+    def _update_account(
+        self, account: EscrowAccount, now: float, rank: HomeRank
+    ) -> None:
         """Reconcile an account as its home; other hosts read what the home wrote."""
-        if rank is HomeRank.FIRST or self._intervals.may_reread(account.workspace):
+        is_due = now - self._board.store.restored_at >= READ_RECONCILED_AFTER_S
+        may_read = is_due and self._intervals.may_reread(account.workspace)
+        if rank is HomeRank.FIRST or may_read:
             self._start_draw(account.workspace)
 
 
--- a/trefoilstage/components/escrow/reconciler.py
+++ b/trefoilstage/components/escrow/reconciler.py
@@ -35,6 +35,8 @@
 
 # Accounts that are read meanwhile are asked about in the same messages.
 ROUND_DELAY_S = 0.01
+# A reply may hold a record of 10 KB for each of them in a fleet of 60 hosts.
+MAX_ACCOUNTS_PER_ROUND = 50
 # A host that sends heartbeats and does not report for this long is not waited for: it
 # may run an earlier build, which can't.
 MAX_REPORT_WAIT_S = 4.0
@@ -206,10 +208,10 @@
         self, workspace: str, restored: RestoredRecord
     ) -> dict[str, AccountsReply]:
         """Return the replies of all hosts that reply, with this host's own."""
-        if self._next_round is None:
-            self._next_round = Round()
-            self._next_round.task = asyncio.create_task(self._run(self._next_round))
         current = self._next_round
+        if current is None or len(current.accounts) >= MAX_ACCOUNTS_PER_ROUND:
+            current = self._next_round = Round()
+            current.task = asyncio.create_task(self._run(current))
         written_at = restored.written_at
         current.accounts[workspace] = RestoredAccount(
             read_at=restored.read_at,
@@ -220,7 +222,8 @@
 
     async def _run(self, current: Round) -> dict[str, AccountsReply]:
         await asyncio.sleep(ROUND_DELAY_S)
-        self._next_round = None
+        if self._next_round is current:
+            self._next_round = None
         message = AskAccounts(accounts=current.accounts)
         hosts = list(self._board.peers)
         replies = await asyncio.gather(
