--- a/trefoilstage/components/escrow/home.py
+++ b/trefoilstage/components/escrow/home.py
@@ -280,8 +280,6 @@
     def _needs_write(self, account: EscrowAccount, now: float, rank: HomeRank) -> bool:
         if account.plan_change(now, rank) is not None or account.must_report_spent:
             return True
-        if account.pending and self._intervals.may_reread(account.workspace):
-            return True
         if rank is HomeRank.NONE or not self._intervals.may_update_roster(
             account.workspace, now
         ):
@@ -300,9 +298,6 @@
         def plan(account: EscrowAccount) -> StockChange | None:
             now = self._timer.now()
             change = account.plan_change(now, self._get_own_rank(workspace))
-            if change is None and account.pending:
-                # Once this is stored, an earlier write without a reply can't be.
-                change = StockChange(tokens=0, locked=account.locked)
             if change is None and account.must_report_spent:
                 change = StockChange(tokens=0, locked=account.locked)
             return change
