--- a/tests/components/escrow/test_home.py
+++ b/tests/components/escrow/test_home.py
@@ -413,6 +413,27 @@
             await asyncio.gather(*cluster.homes[HOSTS[0]]._account_tasks.values())
         self.assertEqual(former.record.holders[former.incarnation].spent, 19_000)
 
+    async def test_stock_that_others_counted_without_is_not_granted(self) -> None:
+        """Guard against a suspended home that wakes with draws that a copy lacks."""
+        cluster = EscrowCluster(prepaid=PREPAID, home=HOSTS[0])
+        for host in HOSTS:
+            cluster.start(host)
+            cluster.homes[host]._get_account(WORKSPACE)
+        cluster.update_all_peers()
+        copy = cluster.store.make_copy()
+        await cluster.homes[HOSTS[0]]._draw(WORKSPACE)
+        cluster.store.restore(copy)
+        cluster.unreachable = {HOSTS[0]}
+        cluster.timer.time += 2.0
+        cluster.home = HOSTS[1]
+        cluster.update_peer(HOSTS[1], HOSTS[2])
+        cluster.update_peer(HOSTS[2], HOSTS[1])
+        held = await cluster.hold(HOSTS[1], HOSTS[2], WORKSPACE, "first", PREPAID)
+        self.assertTrue(held)
+        cluster.unreachable = set()
+        await cluster.hold(HOSTS[0], HOSTS[2], WORKSPACE, "second", 500)
+        self.assertEqual(cluster.spent[WORKSPACE], PREPAID)
+
     async def test_nobody_draws_before_a_host_that_is_there_has_reported(self) -> None:
         """Guard against a second draw while the home of before is out of reach."""
         cluster = await self.draw_then_restore()
