--- a/tests/components/escrow/test_restored_ended_homes.py
+++ b/tests/components/escrow/test_restored_ended_homes.py
@@ -18,6 +18,7 @@
     RestoredRecord,
     find_later_grants,
     find_newest,
+    join_records,
     make_restored,
     reconcile,
 )
@@ -354,6 +355,51 @@
     return AccountRecord(holders={"home": holder})
 
 
+class JoinRecordsTest(unittest.TestCase):
+    """Join a restored record with one that a host knew before."""
+
+    def join(self, stored: AccountRecord, known: AccountRecord) -> Holder:
+        """Return the holder of the joined record."""
+        return join_records(stored, known).holders["home"]
+
+    def test_state_with_the_higher_revision_wins(self) -> None:
+        """Guard against a living home's roster replaced by one read before."""
+        newer = make_record(roster="new", locked=3, revision=2)
+        older = make_record(roster="old", drawn=12, spent=5, locked=1, revision=1)
+        for stored, known in ((newer, older), (older, newer)):
+            joined = self.join(stored, known)
+            self.assertEqual((joined.roster, joined.locked), ("new", 3))
+            self.assertEqual((joined.drawn, joined.revision), (12, 2))
+
+    def test_totals_tell_the_order_of_states_without_revisions(self) -> None:
+        """Guard against an older roster of a host of the previous build."""
+        older = make_record(roster="old", drawn=12, locked=1)
+        for total in ("spent", "used_by_former"):
+            newer = make_record(roster="new", locked=3, **{total: 1})
+            for stored, known in ((newer, older), (older, newer)):
+                with self.subTest(total=total):
+                    joined = self.join(stored, known)
+                    self.assertEqual((joined.roster, joined.drawn), ("new", 12))
+                    self.assertEqual(joined.locked, 3)
+
+    def test_roster_is_unknown_if_nothing_tells_the_order(self) -> None:
+        """Guard against a choice of the older roster, or of tokens used since."""
+        one = make_record(roster="one", drawn=12, locked=1, revision=7)
+        two = make_record(roster="two", locked=3)
+        for stored, known in ((one, two), (two, one)):
+            joined = join_records(stored, known)
+            holder = joined.holders["home"]
+            self.assertEqual((holder.roster, holder.drawn), (UNKNOWN_ROSTER, 12))
+            self.assertEqual(holder.locked, 1)
+            self.assertEqual(self.join(joined, known).roster, UNKNOWN_ROSTER)
+
+    def test_state_without_a_difference_is_not_written_again(self) -> None:
+        """Guard against idle writes of all hosts once the store came back."""
+        for revision in (0, 4):
+            record = make_record(roster="old", locked=1, revision=revision)
+            self.assertEqual(join_records(record, record), record)
+
+
 def make_report(
     host: str, known: AccountRecord | None = None, position: int = -1, **grants: int
 ) -> HostReport:
@@ -409,6 +455,14 @@
         restored = make_restored(replace(make_record(), era=1), make_position(2, 5))
         self.assertEqual(self.reconcile(restored, reports), kept)
 
+    def test_later_state_of_a_holder_in_a_record_of_the_previous_build(self) -> None:
+        """Guard against draws that a copy lacks, if hosts of two builds run."""
+        stored = make_record(roster="old", drawn=10, revision=1)
+        known = make_record(roster="new", drawn=18, revision=2)
+        reports = [make_report(OTHER, known, position=9)]
+        record = self.reconcile(make_restored(stored, make_position(1, 5)), reports)
+        self.assertEqual(record, known)
+
     def test_grants_that_no_record_covers_are_counted(self) -> None:
         """Guard against draws of a lost home that only its witnesses know of."""
         reports = [
--- a/trefoilstage/components/escrow/reconciler.py
+++ b/trefoilstage/components/escrow/reconciler.py
@@ -101,6 +101,7 @@
         if restored is None:
             return True
         replies = await self._collect(account.workspace, restored)
+        self._mute -= {reply.incarnation for reply in replies.values()}
         missing = self._list_missing(replies)
         if missing and not self._is_over(account.workspace, restored):
             log_event(
--- a/trefoilstage/components/escrow/restored_record.py
+++ b/trefoilstage/components/escrow/restored_record.py
@@ -80,10 +80,14 @@
     """Return the newest known record of an account and its position.
 
     The position of a record without an era is unknown, and a host of an earlier build
-    may have written it last. Only the homes that reported know better, their own draws.
+    may have written it last. Only its holders are joined with what is known of them.
     """
     if restored.written_at is None:
-        return NO_POSITION, replace_own_holders(restored.record, reports)
+        record = restored.record
+        for report in reports:
+            if report.knowledge.record is not None:
+                record = join_records(record, report.knowledge.record)
+        return NO_POSITION, replace_own_holders(record, reports)
     newest = (restored.written_at, restored.record)
     for report in reports:
         known = report.knowledge
@@ -93,6 +97,47 @@
     return newest
 
 
+def join_records(stored: AccountRecord, known: AccountRecord) -> AccountRecord:
+    """Return a record with the newer state of each holder that both name.
+
+    A holder that only the known one names may be retired in the stored one.
+    """
+    for incarnation, holder in known.holders.items():
+        found = stored.holders.get(incarnation)
+        if found is not None:
+            stored = stored.set_holder(incarnation, join_holders(found, holder))
+    return stored
+
+
+def join_holders(stored: Holder, known: Holder) -> Holder:
+    """Return the newer state of an incarnation, with the higher draws of both.
+
+    What either counts as drawn stays drawn: too much is corrected when its holder
+    writes again or is retired, too little would be drawn twice. The rest is that of one
+    state: a home that has ended can't write it again, and by an older roster, grants to
+    hosts that only the newer one lists would not be counted.
+    """
+    drawn = max(stored.drawn, known.drawn)
+    stored_order, known_order = get_order(stored, known), get_order(known, stored)
+    if stored_order != known_order:
+        newer = known if known_order > stored_order else stored
+        return replace(newer, drawn=drawn)
+    # Either may be the newer one: no host can account for what the home granted.
+    roster = stored.roster if stored.roster == known.roster else UNKNOWN_ROSTER
+    locked = min(stored.locked, known.locked)
+    return replace(stored, drawn=drawn, roster=roster, locked=locked)
+
+
+def get_order(holder: Holder, other: Holder) -> tuple[int, ...]:
+    """Return what is higher of the newer one of two states of an incarnation.
+
+    Without revisions, totals that never fall tell the order, unless they are equal.
+    """
+    if holder.revision and other.revision:
+        return (holder.revision,)
+    return (holder.used_by_former, holder.spent)
+
+
 def replace_own_holders(
     record: AccountRecord, reports: Collection[HostReport]
 ) -> AccountRecord:
