--- a/tests/components/escrow/test_restored_holders.py
+++ b/tests/components/escrow/test_restored_holders.py
@@ -7,7 +7,8 @@
 from trefoilstage.components.escrow.messages import RestoredAccount
 from trefoilstage.components.escrow.record import Holder
 from trefoilstage.components.escrow.rosters import get_roster_name
-from trefoilstage.components.views.store import make_position
+from trefoilstage.components.escrow.stock import StockChange
+from trefoilstage.components.views.store import Topic, make_position
 
 PREPAID = 200_000
 REST_S = 4.0  # after the store came back
@@ -112,6 +113,49 @@
         self.assertIn(LISTED_LATER, self.account.listed_requesters)
 
 
+class ReportedAccountTest(unittest.IsolatedAsyncioTestCase):
+    """Test a home between its report on a restored account and the reconciliation."""
+
+    async def asyncSetUp(self) -> None:
+        """Let a home draw, and the store come back from a copy without the draw."""
+        self.cluster = EscrowCluster(prepaid=PREPAID, home=HOME)
+        self.home = self.cluster.start(HOME)
+        self.home._get_account(WORKSPACE)
+        copy = self.cluster.store.make_copy()
+        await self.home._draw(WORKSPACE)
+        self.account = self.home.list_accounts()[0]
+        self.cluster.store.restore(copy)
+
+    async def test_late_reply_to_a_draw_adds_nothing(self) -> None:
+        """Guard against a draw that is used although others counted without it."""
+        self.account.start_change(StockChange(tokens=7, locked=0), make_position(0, 1))
+        self.account.report(RestoredAccount(read_at=make_position(1, 0), written_at=-1))
+        drawn, known = self.account.drawn, self.account.record
+        own = known.holders[self.account.incarnation]
+        later = known.set_holder(
+            self.account.incarnation, replace(own, drawn=drawn + 7)
+        )
+        self.account.record_own_write(later, make_position(0, 1))
+        self.assertEqual(self.account.drawn, drawn)
+        self.assertTrue(self.account.pending)
+
+    async def test_unconfirmed_return_stays_reserved(self) -> None:
+        """Guard against returned tokens that are granted, and were drawn by others."""
+        self.account.start_change(StockChange(tokens=-7, locked=0), make_position(0, 1))
+        unused = self.account.unused
+        await self.home._account_store.refresh(WORKSPACE)
+        self.assertIsNotNone(self.account.restored)
+        self.assertEqual(self.account.unused, unused)
+
+    async def test_restored_record_is_not_written_over(self) -> None:
+        """Guard against a draw that is based on a record from before a copy."""
+        store = self.home._account_store
+        await store.refresh(WORKSPACE)
+        self.assertFalse(await store.put(self.account, self.account.record))
+        found = self.cluster.store.partitions[Topic.ACCOUNTS, 0]
+        self.assertEqual(found.list_newest(), [])
+
+
 class RestoredLockedTokensTest(unittest.IsolatedAsyncioTestCase):
     """Test a home whose last write unlocked tokens and drew nothing."""
 
